--- /dev/null
+++ b/internal/scheduler/types.go
@@ -0,0 +1,86 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+// Work is one request, or what is left of it, that wants an endpoint.
+type Work struct {
+	RequestID       string
+	Class           configurer.Class
+	Arrived         time.Time // at this host; targets count from here
+	PromptTokens    int
+	PrefixKey       string
+	PrefixTokens    int
+	MaxOutputTokens int
+	DeliveredTokens int      // already with the caller, when resuming
+	Excluded        []string // endpoint ids that have failed this request
+}
+
+// Grant is the scheduler's leave to use an endpoint. Its holder reports what
+// it sees, and calls Done exactly once.
+type Grant interface {
+	// Target is the endpoint that decodes, or that serves the call.
+	Target() driver.Target
+	// Prefill is the engine to compute and export the KV cache first; ok is
+	// false when Target does both.
+	Prefill() (target driver.Target, ok bool)
+	// Priority is what the engine is to be told; higher goes first.
+	Priority() int
+	// Prefilled says that the separate prefill has ended.
+	Prefilled()
+	// Token says that a token arrived.
+	Token()
+	// Done gives the endpoint back.
+	Done(result Result)
+}
+
+// Result is how a Grant's use ended: Completed, Abandoned or Broken.
+type Result interface{ isResult() }
+
+// Completed is a whole answer.
+type Completed struct{ End driver.End }
+
+// Abandoned is a use that the caller or a hedge's winner ended; it says
+// nothing about the endpoint.
+type Abandoned struct{}
+
+// Broken is a use that the endpoint failed, refused or did not answer.
+type Broken struct{ Err error }
+
+func (Completed) isResult() {}
+func (Abandoned) isResult() {}
+func (Broken) isResult()    {}
+
+// RefusalReason says why work was refused.
+type RefusalReason string
+
+// Reasons of a Refusal.
+const (
+	ReasonOverload    RefusalReason = "overload"     // cannot be in time behind the backlog
+	ReasonNoEndpoint  RefusalReason = "no_endpoint"  // no endpoint of the application can be reached
+	ReasonTenantShare RefusalReason = "tenant_share" // the tenant has used up its fair share
+	ReasonDraining    RefusalReason = "draining"     // this host takes no new work
+	ReasonTooLate     RefusalReason = "too_late"     // the target has passed while waiting
+)
+
+// Refusal is the error for work that was not and will not be run.
+type Refusal struct {
+	Reason     RefusalReason
+	RetryAfter time.Duration // when to come back, from the backlog
+}
+
+// Error describes the refusal.
+func (r *Refusal) Error() string {
+	return "refused: " + string(r.Reason) + ", retry after " + r.RetryAfter.String()
+}
+
+// Load is work in flight at one endpoint, as one host counts it.
+type Load struct {
+	Requests      int // calls and generations
+	PrefillTokens int // prompt tokens not yet prefilled, prefix hits taken off
+	DecodeTokens  int // expected output tokens not yet generated
+}
