Add the dispatcher, the peer protocol and the reader of hosts and reports

The dispatcher runs a request to its end; what each way of failing gives the caller is a table in its test. The peer protocol carries load differences, leaving words and the platform's list.

--- /dev/null
+++ b/internal/dispatcher/attempt.go
@@ -0,0 +1,312 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+// event is what an attempt tells its round: tokenEvent, endEvent,
+// answerEvent, failEvent.
+type event interface{ isEvent() }
+
+type tokenEvent struct {
+	attempt *attempt
+	token   driver.Token
+}
+
+type endEvent struct {
+	attempt *attempt
+	end     driver.End
+}
+
+type answerEvent struct {
+	attempt *attempt
+	answer  driver.ServiceAnswer
+}
+
+type failEvent struct {
+	attempt *attempt
+	err     error
+}
+
+func (tokenEvent) isEvent()  {}
+func (endEvent) isEvent()    {}
+func (answerEvent) isEvent() {}
+func (failEvent) isEvent()   {}
+
+// race is the attempts of one round.
+type race struct {
+	run     *run
+	events  chan event
+	group   *errgroup.Group
+	running []*attempt
+	winner  *attempt
+}
+
+// attempt is one use of an endpoint.
+type attempt struct {
+	run    *run
+	id     string
+	cancel context.CancelCauseFunc
+	target atomic.Pointer[driver.Target] // once known
+	work   scheduler.Work
+	resume []string
+	sent   atomic.Bool
+}
+
+func (a *attempt) endpointID() string {
+	if target := a.target.Load(); target != nil {
+		return target.EndpointID
+	}
+	return ""
+}
+
+// start starts an attempt on a goroutine of the round's group.
+func (c *race) start(ctx context.Context) {
+	r := c.run
+	r.attempts++
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{
+		run: r, id: r.dispatcher.attemptID(), cancel: cancel,
+		work: r.work(), resume: append([]string(nil), r.delivered...),
+	}
+	for _, other := range c.running {
+		a.work.Excluded = append(a.work.Excluded, other.endpointID())
+	}
+	c.running = append(c.running, a)
+	c.group.Go(func() error {
+		defer cancel(nil)
+		a.perform(ctx, c.events)
+		return nil
+	})
+}
+
+// hedge starts a second attempt where the budget allows it and the first has
+// been sent: work that still waits in this host's queue gains nothing.
+func (c *race) hedge(ctx context.Context) {
+	r := c.run
+	if c.winner != nil || len(c.running) != 1 || c.running[0].endpointID() == "" {
+		return
+	}
+	if r.attempts >= r.dispatcher.cfg.MaxAttempts || !r.dispatcher.retries.withdraw() {
+		return
+	}
+	r.dispatcher.cfg.Meter.CountHedge(r.class.Name)
+	c.start(ctx)
+}
+
+// take handles one event; done says that the answer is whole.
+func (c *race) take(event event) (done bool, err error) {
+	switch event := event.(type) {
+	case tokenEvent:
+		if !c.win(event.attempt) {
+			return false, nil
+		}
+		return false, c.run.takeToken(event.token, time.Now())
+	case endEvent:
+		if !c.win(event.attempt) {
+			return false, nil
+		}
+		return true, c.run.takeEnd(event.end)
+	case answerEvent:
+		if !c.win(event.attempt) {
+			return false, nil
+		}
+		c.run.body = event.answer.Body
+		return true, nil
+	case failEvent:
+		return false, c.lose(event)
+	}
+	return false, nil
+}
+
+// win makes an attempt the round's winner, or says that another one is.
+func (c *race) win(a *attempt) bool {
+	if c.winner == nil {
+		c.winner = a
+		c.run.sent = true
+		for _, other := range c.running {
+			if other != a {
+				other.cancel(errSuperseded)
+			}
+		}
+	}
+	return c.winner == a
+}
+
+// stall abandons attempts whose endpoints have fallen silent.
+func (c *race) stall() {
+	for _, a := range c.running {
+		if c.winner != nil && c.winner != a {
+			continue
+		}
+		if a.sent.Load() {
+			c.run.sent = true
+		}
+		a.cancel(errStalled)
+		c.run.exclude(a)
+	}
+}
+
+// lose takes a failed attempt out. The round fails with the last of them.
+func (c *race) lose(event failEvent) error {
+	a := event.attempt
+	if c.winner != nil && c.winner != a {
+		return nil
+	}
+	if a.sent.Load() {
+		c.run.sent = true
+	}
+	c.run.exclude(a)
+	for i, other := range c.running {
+		if other == a {
+			c.running = append(c.running[:i], c.running[i+1:]...)
+			break
+		}
+	}
+	if c.winner == nil && len(c.running) > 0 {
+		return nil
+	}
+	return event.err
+}
+
+// perform takes an endpoint and makes the attempt. Every path gives the grant
+// back exactly once.
+func (a *attempt) perform(ctx context.Context, events chan<- event) {
+	waited := time.Now()
+	grant, err := a.run.dispatcher.cfg.Scheduler.Acquire(ctx, a.work)
+	if err != nil {
+		a.emit(ctx, events, failEvent{attempt: a, err: err})
+		return
+	}
+	a.run.dispatcher.cfg.Meter.ObserveQueue(a.run.request.Tenant, a.run.class.Name, time.Since(waited))
+	target := grant.Target()
+	a.target.Store(&target)
+	final := a.use(ctx, grant, events)
+	// The grant is given back before the round hears of the end, so that what
+	// the caller does next already finds the endpoint's load reduced.
+	grant.Done(result(ctx, final))
+	a.emit(ctx, events, final)
+}
+
+// use makes the attempt with an endpoint and returns its last event.
+func (a *attempt) use(ctx context.Context, grant scheduler.Grant, events chan<- event) event {
+	if a.run.class.Kind == configurer.KindCall {
+		return a.call(ctx, grant)
+	}
+	return a.generate(ctx, grant, events)
+}
+
+// result turns an attempt's last event into what the scheduler learns from it.
+func result(ctx context.Context, final event) scheduler.Result {
+	switch final := final.(type) {
+	case endEvent:
+		return scheduler.Completed{End: final.end}
+	case answerEvent:
+		return scheduler.Completed{}
+	case failEvent:
+		stalled := errors.Is(context.Cause(ctx), errStalled)
+		if ctx.Err() != nil && !stalled {
+			return scheduler.Abandoned{}
+		}
+		return scheduler.Broken{Err: final.err}
+	default:
+		return scheduler.Abandoned{}
+	}
+}
+
+func (a *attempt) emit(ctx context.Context, events chan<- event, event event) bool {
+	select {
+	case events <- event:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a *attempt) call(ctx context.Context, grant scheduler.Grant) event {
+	a.sent.Store(true)
+	answer, err := a.run.dispatcher.cfg.Driver.Call(ctx, grant.Target(), driver.ServiceCall{
+		AttemptID: a.id, Application: a.run.class.Application,
+		Operation: a.run.request.Operation, Body: a.run.request.Body,
+	})
+	if err != nil {
+		a.noteUnsent(err)
+		return failEvent{attempt: a, err: err}
+	}
+	return answerEvent{attempt: a, answer: answer}
+}
+
+func (a *attempt) noteUnsent(err error) {
+	if errors.Is(err, driver.ErrNotSent) || errors.Is(err, driver.ErrRefused) {
+		a.sent.Store(false)
+	}
+}
+
+func (a *attempt) generate(ctx context.Context, grant scheduler.Grant, events chan<- event) event {
+	call := driver.GenerateCall{
+		AttemptID: a.id, Application: a.run.class.Application, Prompt: a.run.request.Prompt,
+		PrefixKey: a.run.request.PrefixKey, PrefixTokens: a.run.request.PrefixTokens,
+		MaxOutputTokens: a.run.request.MaxOutputTokens, Priority: grant.Priority(),
+		ResumeTokens: a.resume, Import: a.prefill(ctx, grant),
+	}
+	a.sent.Store(true)
+	stream, err := a.run.dispatcher.cfg.Driver.Generate(ctx, grant.Target(), call)
+	if err != nil {
+		a.noteUnsent(err)
+		return failEvent{attempt: a, err: err}
+	}
+	defer func() { _ = stream.Close() }()
+	return a.pump(ctx, grant, stream, events)
+}
+
+// prefill has another engine compute the KV cache where the scheduler says
+// so. Without it the decoding engine computes it itself.
+func (a *attempt) prefill(ctx context.Context, grant scheduler.Grant) *driver.KVHandle {
+	target, ok := grant.Prefill()
+	if !ok {
+		return nil
+	}
+	defer grant.Prefilled()
+	handle, err := a.run.dispatcher.cfg.Driver.Prefill(ctx, target, driver.GenerateCall{
+		AttemptID: a.id + "-prefill", Application: a.run.class.Application, Prompt: a.run.request.Prompt,
+		PrefixKey: a.run.request.PrefixKey, PrefixTokens: a.run.request.PrefixTokens,
+		MaxOutputTokens: a.run.request.MaxOutputTokens, Priority: grant.Priority(), ResumeTokens: a.resume,
+	})
+	if err != nil {
+		a.run.dispatcher.cfg.Logger.Debug("prefill on another engine failed", "endpoint", target.EndpointID, "error", err)
+		return nil
+	}
+	return &handle
+}
+
+// pump passes a stream's events on and returns the last one.
+func (a *attempt) pump(ctx context.Context, grant scheduler.Grant, stream driver.GenerateStream, events chan<- event) event {
+	for {
+		next, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			err = driver.ErrOutcomeUnknown
+		}
+		if err != nil {
+			return failEvent{attempt: a, err: err}
+		}
+		switch next := next.(type) {
+		case driver.Token:
+			grant.Token()
+			if !a.emit(ctx, events, tokenEvent{attempt: a, token: next}) {
+				return failEvent{attempt: a, err: context.Cause(ctx)}
+			}
+		case driver.End:
+			return endEvent{attempt: a, end: next}
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatcher/dispatcher_test.go
@@ -0,0 +1,153 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/claimer"
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+// outcomeWhole is what the tables call a request without a Failure.
+const outcomeWhole Outcome = "whole"
+
+func outcomeOf(t *testing.T, err error) Outcome {
+	t.Helper()
+	if err == nil {
+		return outcomeWhole
+	}
+	var failure *Failure
+	assert.Assert(t, errors.As(err, &failure), "%v", err)
+	return failure.Outcome
+}
+
+func TestGenerateIsWholeOrSaysWhatIsKnown(t *testing.T) {
+	whole := script{tokens: []int{0, 1, 2, 3}, ending: "end"}
+	tests := map[string]struct {
+		scripts []script
+		refusal *scheduler.Refusal
+		outcome Outcome
+		resumes []int // tokens that each attempt was told the caller has
+	}{
+		"first attempt":              {scripts: []script{whole}, outcome: outcomeWhole, resumes: []int{0}},
+		"not sent, then whole":       {scripts: []script{{sendErr: driver.ErrNotSent}, whole}, outcome: outcomeWhole, resumes: []int{0, 0}},
+		"engine dies in the middle":  {scripts: []script{{tokens: []int{0, 1}, ending: "break"}, {tokens: []int{2, 3}, ending: "end"}}, outcome: outcomeWhole, resumes: []int{0, 2}},
+		"stream without its end":     {scripts: []script{{tokens: []int{0, 1, 2, 3}, ending: "eof"}, {ending: "end"}}, outcome: outcomeWhole, resumes: []int{0, 4}},
+		"end short of its own count": {scripts: []script{{tokens: []int{0, 1, 2, 3}, ending: "short"}, {ending: "end"}}, outcome: outcomeWhole, resumes: []int{0, 4}},
+		"token twice":                {scripts: []script{{tokens: []int{0, 1, 1, 2}, ending: "end"}, {tokens: []int{2, 3}, ending: "end"}}, outcome: outcomeWhole, resumes: []int{0, 2}},
+		"token skipped":              {scripts: []script{{tokens: []int{0, 2}, ending: "end"}, {tokens: []int{1, 2, 3}, ending: "end"}}, outcome: outcomeWhole, resumes: []int{0, 1}},
+		"engine freezes":             {scripts: []script{{tokens: []int{0}, ending: "silent"}, {tokens: []int{1, 2, 3}, ending: "end"}}, outcome: outcomeWhole, resumes: []int{0, 1}},
+		"first token late, hedged":   {scripts: []script{{ending: "silent"}, whole}, outcome: outcomeWhole, resumes: []int{0, 0}},
+		"refused before any attempt": {refusal: &scheduler.Refusal{Reason: scheduler.ReasonOverload, RetryAfter: time.Second}, outcome: OutcomeNotRun},
+		"crossed at every engine":    {scripts: []script{{sendErr: driver.ErrCrossed}, {sendErr: driver.ErrCrossed}, {sendErr: driver.ErrCrossed}, {sendErr: driver.ErrCrossed}, {sendErr: driver.ErrCrossed}, {sendErr: driver.ErrCrossed}}, outcome: OutcomeUnknown, resumes: []int{0, 0, 0, 0, 0, 0}},
+		"not sent to any engine":     {scripts: []script{{sendErr: driver.ErrNotSent}, {sendErr: driver.ErrNotSent}, {sendErr: driver.ErrNotSent}, {sendErr: driver.ErrNotSent}, {sendErr: driver.ErrNotSent}, {sendErr: driver.ErrNotSent}}, outcome: OutcomeNotRun, resumes: []int{0, 0, 0, 0, 0, 0}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			endpoints := &fakeEndpoints{scripts: test.scripts, refusal: test.refusal}
+			d := newTestDispatcher(configurer.Class{
+				Kind: configurer.KindGenerate, FirstTokenTargetMS: 100, CompletionTargetMS: 60_000,
+			}, endpoints, nil)
+			var heard string
+			answer, err := d.Generate(context.Background(), Request{Tenant: "vitosha", Class: "work", MaxOutputTokens: 4},
+				func(token driver.Token) error { heard += token.Text; return nil })
+			assert.Equal(t, outcomeOf(t, err), test.outcome)
+			assert.DeepEqual(t, endpoints.resumes, test.resumes)
+			assert.Equal(t, endpoints.held, 0, "grants not given back")
+			if test.outcome == outcomeWhole {
+				assert.Equal(t, heard, "abcd")
+				assert.Equal(t, answer.Text, "abcd")
+			}
+		})
+	}
+}
+
+func TestGenerateStopsWhenItsCallerIsGone(t *testing.T) {
+	endpoints := &fakeEndpoints{scripts: []script{{tokens: []int{0, 1, 2, 3}, ending: "end"}}}
+	d := newTestDispatcher(configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 60_000}, endpoints, nil)
+	gone := errors.New("connection closed")
+	_, err := d.Generate(context.Background(), Request{Tenant: "vitosha", Class: "work", MaxOutputTokens: 4},
+		func(driver.Token) error { return gone })
+	var failure *Failure
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Equal(t, failure.Reason, ReasonCallerGone)
+	assert.Equal(t, endpoints.attempts, 1)
+	assert.DeepEqual(t, endpoints.results, []scheduler.Result{scheduler.Abandoned{}})
+}
+
+func TestRetriesAreBounded(t *testing.T) {
+	endpoints := &fakeEndpoints{}
+	d := newTestDispatcher(configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 60_000}, endpoints, nil)
+	requests := 200
+	for range requests {
+		endpoints.attempts, endpoints.resumes = 0, nil
+		endpoints.scripts = make([]script, DefaultMaxAttempts)
+		for i := range endpoints.scripts {
+			endpoints.scripts[i].sendErr = driver.ErrOutcomeUnknown
+		}
+		_, err := d.Generate(context.Background(), Request{Tenant: "vitosha", Class: "work"}, nil)
+		assert.Equal(t, outcomeOf(t, err), OutcomeUnknown)
+	}
+	made := len(endpoints.results)
+	assert.Assert(t, made <= requests+retryReserve+int(retryShare*float64(requests))+1, "%d attempts for %d requests", made, requests)
+}
+
+func TestCallThatMayNotBeRepeatedRunsAtMostOnce(t *testing.T) {
+	tests := map[string]struct {
+		callErrs []error
+		record   *claimer.Record
+		claimErr error
+		refusal  *scheduler.Refusal
+		outcome  Outcome
+		runs     int
+		finished []claimer.State
+	}{
+		"whole":                      {callErrs: []error{nil}, outcome: outcomeWhole, runs: 1, finished: []claimer.State{claimer.StateAnswered}},
+		"not sent, then whole":       {callErrs: []error{driver.ErrNotSent, nil}, outcome: outcomeWhole, runs: 1, finished: []claimer.State{claimer.StateAnswered}},
+		"refused, then whole":        {callErrs: []error{driver.ErrRefused, nil}, outcome: outcomeWhole, runs: 1, finished: []claimer.State{claimer.StateAnswered}},
+		"answer lost":                {callErrs: []error{driver.ErrOutcomeUnknown}, outcome: OutcomeUnknown, runs: 1},
+		"answer crossed":             {callErrs: []error{driver.ErrCrossed}, outcome: OutcomeUnknown},
+		"endpoint says no":           {callErrs: []error{driver.ErrFailed}, outcome: OutcomeFailed, runs: 1, finished: []claimer.State{claimer.StateFailed}},
+		"no endpoint takes it":       {callErrs: []error{driver.ErrRefused, driver.ErrRefused, driver.ErrRefused, driver.ErrRefused, driver.ErrRefused, driver.ErrRefused}, outcome: OutcomeNotRun, finished: []claimer.State{claimer.StateNotRun}},
+		"overload":                   {refusal: &scheduler.Refusal{Reason: scheduler.ReasonOverload, RetryAfter: time.Second}, outcome: OutcomeNotRun, finished: []claimer.State{claimer.StateNotRun}},
+		"repeat of an answered call": {record: &claimer.Record{State: claimer.StateAnswered, Answer: []byte("booked")}, outcome: outcomeWhole},
+		"repeat, answer not kept":    {record: &claimer.Record{State: claimer.StateAnswered}, outcome: OutcomeUnknown},
+		"repeat of a failed call":    {record: &claimer.Record{State: claimer.StateFailed}, outcome: OutcomeFailed},
+		"claimed by another host":    {claimErr: claimer.ErrTaken, outcome: OutcomeUnknown},
+		"key with another body":      {claimErr: claimer.ErrBodyConflict, outcome: OutcomeNotRun},
+		"claim may be held":          {claimErr: claimer.ErrOutcomeUnknown, outcome: OutcomeUnknown},
+		// An earlier submission of the key may have run; see claimFailure.
+		"register out of reach": {claimErr: claimer.ErrUnavailable, outcome: OutcomeUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			endpoints := &fakeEndpoints{callErrs: test.callErrs, refusal: test.refusal}
+			claims := &fakeClaimer{record: test.record, err: test.claimErr}
+			d := newTestDispatcher(configurer.Class{Kind: configurer.KindCall, CompletionTargetMS: 60_000}, endpoints, claims)
+			answer, err := d.Call(context.Background(), Request{Tenant: "vitosha", Class: "work", IdempotencyKey: "k"})
+			assert.NilError(t, d.Close())
+			assert.Equal(t, outcomeOf(t, err), test.outcome)
+			assert.Equal(t, endpoints.calls, test.runs)
+			assert.DeepEqual(t, claims.finished, test.finished)
+			assert.Equal(t, endpoints.held, 0, "grants not given back")
+			if test.outcome == outcomeWhole {
+				assert.Equal(t, string(answer.Body), "booked")
+			}
+		})
+	}
+}
+
+func TestCallWithoutKeyIsRefused(t *testing.T) {
+	d := newTestDispatcher(configurer.Class{Kind: configurer.KindCall, CompletionTargetMS: 1000}, &fakeEndpoints{}, &fakeClaimer{})
+	_, err := d.Call(context.Background(), Request{Tenant: "vitosha", Class: "work"})
+	var failure *Failure
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Equal(t, failure.Reason, ReasonKeyMissing)
+	assert.Equal(t, failure.Outcome, OutcomeNotRun)
+}
--- /dev/null
+++ b/internal/dispatcher/fake_test.go
@@ -0,0 +1,174 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/goleak"
+
+	"github.com/endivemast/endivemast/internal/claimer"
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script is how the fake endpoint treats one attempt: it sends tokens up to
+// a sequence, then does what ending says.
+type script struct {
+	sendErr error  // before anything runs
+	tokens  []int  // sequences sent
+	ending  string // "end", "break", "short", "silent"
+}
+
+// fakeEndpoints is a driver and a scheduler over endpoints e0, e1, … that
+// follow one script per attempt, in order of the attempts.
+type fakeEndpoints struct {
+	driver.Driver
+
+	mu       sync.Mutex
+	scripts  []script
+	attempts int
+	calls    int // service calls that the endpoint has run
+	callErrs []error
+	held     int // grants not given back
+	results  []scheduler.Result
+	resumes  []int
+	refusal  *scheduler.Refusal
+}
+
+func (f *fakeEndpoints) Acquire(ctx context.Context, work scheduler.Work) (scheduler.Grant, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refusal != nil {
+		return nil, f.refusal
+	}
+	f.held++
+	return &fakeGrant{endpoints: f, id: "e" + string(rune('0'+len(work.Excluded)))}, ctx.Err()
+}
+
+type fakeGrant struct {
+	endpoints *fakeEndpoints
+	id        string
+}
+
+func (g *fakeGrant) Target() driver.Target          { return driver.Target{EndpointID: g.id} }
+func (g *fakeGrant) Prefill() (driver.Target, bool) { return driver.Target{}, false }
+func (g *fakeGrant) Priority() int                  { return 0 }
+func (g *fakeGrant) Prefilled()                     {}
+func (g *fakeGrant) Token()                         {}
+func (g *fakeGrant) Done(result scheduler.Result) {
+	g.endpoints.mu.Lock()
+	defer g.endpoints.mu.Unlock()
+	g.endpoints.held--
+	g.endpoints.results = append(g.endpoints.results, result)
+}
+
+func (f *fakeEndpoints) Generate(ctx context.Context, _ driver.Target, call driver.GenerateCall) (driver.GenerateStream, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.scripts[f.attempts]
+	f.attempts++
+	f.resumes = append(f.resumes, len(call.ResumeTokens))
+	if s.sendErr != nil {
+		return nil, s.sendErr
+	}
+	return &fakeStream{ctx: ctx, script: s, want: call.MaxOutputTokens}, nil
+}
+
+func (f *fakeEndpoints) Call(context.Context, driver.Target, driver.ServiceCall) (driver.ServiceAnswer, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	err := f.callErrs[f.attempts]
+	f.attempts++
+	if err == nil || errors.Is(err, driver.ErrFailed) || errors.Is(err, driver.ErrOutcomeUnknown) {
+		f.calls++
+	}
+	return driver.ServiceAnswer{Body: []byte("booked")}, err
+}
+
+type fakeStream struct {
+	ctx    context.Context
+	script script
+	next   int
+	want   int
+}
+
+func (s *fakeStream) Next() (driver.Event, error) {
+	if s.next < len(s.script.tokens) {
+		sequence := s.script.tokens[s.next]
+		s.next++
+		return driver.Token{Sequence: sequence, Text: string(rune('a' + sequence))}, nil
+	}
+	switch s.script.ending {
+	case "end":
+		s.script.ending = "eof"
+		return driver.End{OutputTokens: s.want}, nil
+	case "short":
+		s.script.ending = "eof"
+		return driver.End{OutputTokens: s.want - 1}, nil
+	case "silent":
+		<-s.ctx.Done()
+		return nil, s.ctx.Err()
+	case "break":
+		return nil, driver.ErrOutcomeUnknown
+	}
+	return nil, io.EOF
+}
+
+func (s *fakeStream) Close() error { return nil }
+
+type fakeReader struct{ class configurer.Class }
+
+func (r fakeReader) Class(tenant, name string) (configurer.Class, bool) {
+	return r.class, tenant == r.class.Tenant && name == r.class.Name
+}
+
+func (fakeReader) Application(string) (configurer.Application, bool) {
+	return configurer.Application{}, false
+}
+func (fakeReader) Revision() int64 { return 1 }
+func (fakeReader) Ready() bool     { return true }
+
+type fakeClaimer struct {
+	claimer.Claimer
+	record   *claimer.Record
+	err      error
+	finished []claimer.State
+}
+
+func (c *fakeClaimer) Claim(context.Context, claimer.Key, []byte) (claimer.Claim, *claimer.Record, error) {
+	if c.record != nil || c.err != nil {
+		return nil, c.record, c.err
+	}
+	return c, nil, nil
+}
+
+func (c *fakeClaimer) Finish(_ context.Context, record claimer.Record) error {
+	c.finished = append(c.finished, record.State)
+	return nil
+}
+
+type noMeter struct{}
+
+func (noMeter) ObserveFirstToken(string, string, time.Duration)    {}
+func (noMeter) ObserveBetweenTokens(string, string, time.Duration) {}
+func (noMeter) ObserveCompletion(string, string, time.Duration)    {}
+func (noMeter) ObserveQueue(string, string, time.Duration)         {}
+func (noMeter) CountOutcome(string, string, string, string)        {}
+func (noMeter) CountRetry(string)                                  {}
+func (noMeter) CountHedge(string)                                  {}
+
+func newTestDispatcher(class configurer.Class, endpoints *fakeEndpoints, claims *fakeClaimer) *Dispatcher {
+	class.Tenant, class.Name = "vitosha", "work"
+	return New(Config{
+		Incarnation: "i", Configuration: fakeReader{class: class}, Scheduler: endpoints, Driver: endpoints,
+		Claimer: claims, Meter: noMeter{}, Logger: hclog.NewNullLogger(), Stall: 50 * time.Millisecond,
+	})
+}
--- /dev/null
+++ b/internal/exchanger/exchanger.go
@@ -0,0 +1,366 @@
+// Package exchanger is the peer protocol between entry hosts: one gRPC server
+// and a connection to each peer, and what hosts tell each other each tick.
+//
+// Each host counts its own work exactly. Each tick it tells every peer what
+// has changed of its load at each endpoint, which endpoints have said that
+// they are leaving, and that it is draining itself. A receiver that missed a
+// message asks for the full state; a peer that falls silent is forgotten, so
+// that a dead host's load does not weigh on its endpoints for ever.
+//
+// # Usage
+//
+//	ex, err := exchanger.New(cfg, local)
+//	configurer.Register(ex.Registrar()) // parts add their own services
+//	err = ex.Start()
+//	defer ex.Close()
+package exchanger
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+// Limits and defaults of the peer protocol.
+const (
+	DefaultTick      = 200 * time.Millisecond
+	DefaultSilence   = 3 * time.Second
+	heartbeatTicks   = 5 // an idle host still speaks every fifth tick
+	maxMessageBytes  = 4 << 20
+	tellTimeout      = time.Second
+	reconnectMaximum = time.Second
+	secretHeader     = "endivemast-peer-secret"
+)
+
+// Config sets up an Exchanger.
+type Config struct {
+	HostID      string
+	Incarnation string
+	Zone        string
+	Listener    net.Listener // of the peer protocol; the Exchanger closes it
+	Peers       []Peer       // the other entry hosts
+	Secret      string       // shared by all entry hosts; empty only when asked for by name
+	ServerTLS   *tls.Config  // nil: plain text
+	ClientTLS   *tls.Config  // nil: plain text
+	Tick        time.Duration
+	Silence     time.Duration // after which a peer counts as unreachable
+	Logger      hclog.Logger
+}
+
+// LeavingEndpoint names one process of an endpoint that takes no new work.
+type LeavingEndpoint struct {
+	EndpointID  string
+	Incarnation string
+}
+
+// Local is this host's state as the Exchanger reads and feeds it.
+type Local interface {
+	OwnLoad() map[string]scheduler.Load
+	Leaving() []LeavingEndpoint
+	Draining() bool
+	ConfigurationRevision() int64
+	// Hosts is the platform's list as last read, and its revision.
+	Hosts() (hosts []provider.Host, revision int64)
+	// HearLoad takes all of a peer's load; empty when the peer is forgotten.
+	HearLoad(hostID string, loads map[string]scheduler.Load, now time.Time)
+	HearLeaving(leaving []LeavingEndpoint, now time.Time)
+}
+
+// PeerStatus is what is known of a peer.
+type PeerStatus struct {
+	Peer                  Peer
+	Incarnation           string
+	Reachable             bool // it has spoken within Config.Silence
+	Draining              bool
+	LastHeard             time.Time
+	ConfigurationRevision int64
+}
+
+// Exchanger runs the peer protocol. It implements Pool.
+type Exchanger struct {
+	exchangerpb.UnimplementedExchangeServer
+
+	cfg    Config
+	local  Local
+	server *grpc.Server
+	conns  map[string]*grpc.ClientConn
+
+	mu    sync.Mutex
+	heard map[string]*heardPeer
+
+	cancel context.CancelFunc
+	group  *errgroup.Group
+}
+
+// heardPeer is the receiving side's row of one peer.
+type heardPeer struct {
+	status   PeerStatus
+	sequence uint64
+	loads    map[string]scheduler.Load
+}
+
+// New prepares the server and a lazy connection to each peer.
+func New(cfg Config, local Local) (ex *Exchanger, err error) {
+	defer func() { err = eris.Wrap(err, "peer protocol") }()
+	if cfg.Tick == 0 {
+		cfg.Tick = DefaultTick
+	}
+	if cfg.Silence == 0 {
+		cfg.Silence = DefaultSilence
+	}
+	ex = &Exchanger{cfg: cfg, local: local, conns: map[string]*grpc.ClientConn{}, heard: map[string]*heardPeer{}}
+	ex.server = grpc.NewServer(ex.serverOptions()...)
+	exchangerpb.RegisterExchangeServer(ex.server, ex)
+	for _, peer := range cfg.Peers {
+		conn, err := grpc.NewClient("passthrough:///"+peer.Address, ex.dialOptions()...)
+		if err != nil {
+			return nil, err
+		}
+		ex.conns[peer.HostID] = conn
+		ex.heard[peer.HostID] = &heardPeer{status: PeerStatus{Peer: peer}, loads: map[string]scheduler.Load{}}
+	}
+	return ex, nil
+}
+
+func (ex *Exchanger) serverOptions() []grpc.ServerOption {
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.UnaryInterceptor(ex.checkUnary),
+		grpc.StreamInterceptor(ex.checkStream),
+	}
+	if ex.cfg.ServerTLS != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(ex.cfg.ServerTLS)))
+	}
+	return options
+}
+
+func (ex *Exchanger) dialOptions() []grpc.DialOption {
+	security := insecure.NewCredentials()
+	if ex.cfg.ClientTLS != nil {
+		security = credentials.NewTLS(ex.cfg.ClientTLS)
+	}
+	retry := backoff.DefaultConfig
+	retry.BaseDelay = 50 * time.Millisecond
+	retry.MaxDelay = reconnectMaximum
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(security),
+		grpc.WithPerRPCCredentials(peerSecret{secret: ex.cfg.Secret}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: reconnectMaximum}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		// A call that the peer may have run must not be sent twice by the library.
+		grpc.WithDisableRetry(),
+	}
+}
+
+// Registrar is where other parts register their gRPC services, before Start.
+func (ex *Exchanger) Registrar() grpc.ServiceRegistrar { return ex.server }
+
+// Start serves the peer protocol and begins to tell the peers.
+func (ex *Exchanger) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	ex.cancel = cancel
+	ex.group, ctx = errgroup.WithContext(ctx)
+	ex.group.Go(func() error { return ex.server.Serve(ex.cfg.Listener) })
+	for _, peer := range ex.cfg.Peers {
+		ex.group.Go(func() error { return ex.tellPeer(ctx, peer) })
+	}
+	ex.group.Go(func() error { return ex.forgetSilent(ctx) })
+}
+
+// Close stops the server and the connections, and waits.
+func (ex *Exchanger) Close() (err error) {
+	defer func() { err = eris.Wrap(err, "close peer protocol") }()
+	if ex.cancel != nil {
+		ex.cancel()
+	}
+	ex.server.Stop()
+	for _, conn := range ex.conns {
+		_ = conn.Close()
+	}
+	if ex.group == nil {
+		return nil
+	}
+	return ex.group.Wait()
+}
+
+// Peers returns the other entry hosts, own zone first, then by host id.
+func (ex *Exchanger) Peers() []Peer {
+	peers := append([]Peer(nil), ex.cfg.Peers...)
+	sort.Slice(peers, func(i, j int) bool {
+		ownI, ownJ := peers[i].Zone == ex.cfg.Zone, peers[j].Zone == ex.cfg.Zone
+		if ownI != ownJ {
+			return ownI
+		}
+		return peers[i].HostID < peers[j].HostID
+	})
+	return peers
+}
+
+// Conn returns the connection to a peer.
+func (ex *Exchanger) Conn(hostID string) (conn grpc.ClientConnInterface, err error) {
+	client, ok := ex.conns[hostID]
+	if !ok {
+		return nil, eris.Errorf("no peer %q", hostID)
+	}
+	return client, nil
+}
+
+// Statuses returns what is known of each peer, by host id.
+func (ex *Exchanger) Statuses() []PeerStatus {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	statuses := make([]PeerStatus, 0, len(ex.heard))
+	for _, peer := range ex.heard {
+		statuses = append(statuses, peer.status)
+	}
+	sort.Slice(statuses, func(i, j int) bool { return statuses[i].Peer.HostID < statuses[j].Peer.HostID })
+	return statuses
+}
+
+// Tell takes a peer's message. A message that does not follow the last one is
+// answered with a request for the full state.
+func (ex *Exchanger) Tell(_ context.Context, message *exchangerpb.TellRequest) (*exchangerpb.TellReply, error) {
+	now := time.Now()
+	reply := &exchangerpb.TellReply{Incarnation: ex.cfg.Incarnation}
+	ex.mu.Lock()
+	peer, known := ex.heard[message.GetHostId()]
+	if !known {
+		ex.mu.Unlock()
+		return nil, status.Error(codes.PermissionDenied, "host is not among the peers of this host's settings")
+	}
+	reply.Resync = !peer.take(message, now)
+	loads := copyLoads(peer.loads)
+	ex.mu.Unlock()
+	if !reply.Resync {
+		ex.local.HearLoad(message.GetHostId(), loads, now)
+	}
+	ex.local.HearLeaving(leavingFromMessage(message.GetLeaving()), now)
+	return reply, nil
+}
+
+// take applies a message to the row; it is false when messages are missing.
+func (p *heardPeer) take(message *exchangerpb.TellRequest, now time.Time) bool {
+	restarted := p.status.Incarnation != message.GetIncarnation()
+	p.status.Incarnation = message.GetIncarnation()
+	p.status.Draining = message.GetDraining()
+	p.status.LastHeard = now
+	p.status.Reachable = true
+	p.status.ConfigurationRevision = message.GetConfigurationRevision()
+	if !message.GetFull() && (restarted || message.GetSequence() != p.sequence+1) {
+		return false
+	}
+	p.sequence = message.GetSequence()
+	if message.GetFull() {
+		p.loads = map[string]scheduler.Load{}
+	}
+	for _, load := range message.GetLoads() {
+		p.set(load)
+	}
+	return true
+}
+
+func (p *heardPeer) set(message *exchangerpb.EndpointLoad) {
+	load := scheduler.Load{
+		Requests:      int(message.GetRequests()),
+		PrefillTokens: int(message.GetPrefillTokens()),
+		DecodeTokens:  int(message.GetDecodeTokens()),
+	}
+	if load == (scheduler.Load{}) {
+		delete(p.loads, message.GetEndpointId())
+		return
+	}
+	p.loads[message.GetEndpointId()] = load
+}
+
+// Hosts gives the platform's list as this host last read it.
+func (ex *Exchanger) Hosts(_ context.Context, request *exchangerpb.HostsRequest) (*exchangerpb.HostsReply, error) {
+	hosts, revision := ex.local.Hosts()
+	if revision <= request.GetNewerThan() {
+		return &exchangerpb.HostsReply{Revision: revision}, nil
+	}
+	return &exchangerpb.HostsReply{Revision: revision, Hosts: hostsToMessage(hosts)}, nil
+}
+
+// forgetSilent drops the load of peers that have not spoken for a while.
+func (ex *Exchanger) forgetSilent(ctx context.Context) error {
+	ticker := time.NewTicker(ex.cfg.Silence / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for _, hostID := range ex.silent(now) {
+				ex.local.HearLoad(hostID, nil, now)
+			}
+		}
+	}
+}
+
+func (ex *Exchanger) silent(now time.Time) (hostIDs []string) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for hostID, peer := range ex.heard {
+		if peer.status.Reachable && now.Sub(peer.status.LastHeard) > ex.cfg.Silence {
+			peer.status.Reachable = false
+			peer.loads = map[string]scheduler.Load{}
+			peer.sequence = 0
+			hostIDs = append(hostIDs, hostID)
+		}
+	}
+	return hostIDs
+}
+
+// checkUnary refuses calls without the peers' secret.
+func (ex *Exchanger) checkUnary(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
+	if err := ex.checkSecret(ctx); err != nil {
+		return nil, err
+	}
+	return handler(ctx, request)
+}
+
+func (ex *Exchanger) checkStream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
+	if err := ex.checkSecret(stream.Context()); err != nil {
+		return err
+	}
+	return handler(server, stream)
+}
+
+func (ex *Exchanger) checkSecret(ctx context.Context) error {
+	values := metadata.ValueFromIncomingContext(ctx, secretHeader)
+	if len(values) == 1 && subtle.ConstantTimeCompare([]byte(values[0]), []byte(ex.cfg.Secret)) == 1 {
+		return nil
+	}
+	return status.Error(codes.Unauthenticated, "peer secret missing or wrong")
+}
+
+// peerSecret sends the peers' secret with each call.
+type peerSecret struct{ secret string }
+
+// GetRequestMetadata returns the header that carries the secret.
+func (p peerSecret) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
+	return map[string]string{secretHeader: p.secret}, nil
+}
+
+// RequireTransportSecurity is false: whether plain text is allowed between
+// hosts is decided, by name, in the settings.
+func (p peerSecret) RequireTransportSecurity() bool { return false }
--- /dev/null
+++ b/internal/exchanger/teller.go
@@ -0,0 +1,164 @@
+package exchanger
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+// teller is the sending side's row of one peer.
+type teller struct {
+	sequence uint64
+	told     map[string]scheduler.Load // as the peer has acknowledged it
+	full     bool                      // the next message has to carry everything
+	idle     int                       // ticks since the last message
+}
+
+// tellPeer tells one peer, each on its own goroutine: a peer that does not
+// answer holds up nobody else.
+func (ex *Exchanger) tellPeer(ctx context.Context, peer Peer) error {
+	client := exchangerpb.NewExchangeClient(ex.conns[peer.HostID])
+	row := &teller{full: true, told: map[string]scheduler.Load{}}
+	ticker := time.NewTicker(ex.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			ex.tellOnce(ctx, client, row)
+		}
+	}
+}
+
+func (ex *Exchanger) tellOnce(ctx context.Context, client exchangerpb.ExchangeClient, row *teller) {
+	loads := ex.local.OwnLoad()
+	message := row.message(loads)
+	message.HostId, message.Incarnation, message.Zone = ex.cfg.HostID, ex.cfg.Incarnation, ex.cfg.Zone
+	message.Leaving = leavingToMessage(ex.local.Leaving())
+	message.Draining = ex.local.Draining()
+	message.ConfigurationRevision = ex.local.ConfigurationRevision()
+	row.idle++
+	if !row.full && len(message.Loads) == 0 && len(message.Leaving) == 0 && row.idle < heartbeatTicks {
+		return
+	}
+	row.idle = 0
+	row.sequence++
+	message.Sequence = row.sequence
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	reply, err := client.Tell(ctx, message)
+	row.settle(loads, err == nil && !reply.GetResync())
+}
+
+// message builds the differences since the peer's last acknowledgement.
+func (t *teller) message(loads map[string]scheduler.Load) *exchangerpb.TellRequest {
+	message := &exchangerpb.TellRequest{Full: t.full}
+	for endpointID, load := range loads {
+		if t.full || t.told[endpointID] != load {
+			message.Loads = append(message.Loads, loadToMessage(endpointID, load))
+		}
+	}
+	if t.full {
+		return message
+	}
+	for endpointID := range t.told {
+		if _, still := loads[endpointID]; !still {
+			message.Loads = append(message.Loads, loadToMessage(endpointID, scheduler.Load{}))
+		}
+	}
+	return message
+}
+
+// settle records what the peer knows. After a failure it is not known whether
+// the message arrived, so the next one is full.
+func (t *teller) settle(loads map[string]scheduler.Load, acknowledged bool) {
+	t.full = !acknowledged
+	if acknowledged {
+		t.told = copyLoads(loads)
+	}
+}
+
+func copyLoads(loads map[string]scheduler.Load) map[string]scheduler.Load {
+	result := make(map[string]scheduler.Load, len(loads))
+	for endpointID, load := range loads {
+		result[endpointID] = load
+	}
+	return result
+}
+
+func loadToMessage(endpointID string, load scheduler.Load) *exchangerpb.EndpointLoad {
+	return &exchangerpb.EndpointLoad{
+		EndpointId:    endpointID,
+		Requests:      int64(load.Requests),
+		PrefillTokens: int64(load.PrefillTokens),
+		DecodeTokens:  int64(load.DecodeTokens),
+	}
+}
+
+func leavingToMessage(leaving []LeavingEndpoint) []*exchangerpb.LeavingEndpoint {
+	messages := make([]*exchangerpb.LeavingEndpoint, 0, len(leaving))
+	for _, endpoint := range leaving {
+		messages = append(messages, &exchangerpb.LeavingEndpoint{
+			EndpointId: endpoint.EndpointID, Incarnation: endpoint.Incarnation,
+		})
+	}
+	return messages
+}
+
+func leavingFromMessage(messages []*exchangerpb.LeavingEndpoint) []LeavingEndpoint {
+	leaving := make([]LeavingEndpoint, 0, len(messages))
+	for _, message := range messages {
+		leaving = append(leaving, LeavingEndpoint{
+			EndpointID: message.GetEndpointId(), Incarnation: message.GetIncarnation(),
+		})
+	}
+	return leaving
+}
+
+func hostsToMessage(hosts []provider.Host) []*exchangerpb.PlatformHost {
+	messages := make([]*exchangerpb.PlatformHost, 0, len(hosts))
+	for _, host := range hosts {
+		messages = append(messages, &exchangerpb.PlatformHost{
+			Id: host.ID, Incarnation: host.Incarnation, Kind: string(host.Kind), Zone: host.Zone,
+			Address: host.Address, Application: host.Application, State: string(host.State),
+			ChecksFencing: host.ChecksFencing,
+		})
+	}
+	return messages
+}
+
+func hostsFromMessage(messages []*exchangerpb.PlatformHost) []provider.Host {
+	hosts := make([]provider.Host, 0, len(messages))
+	for _, message := range messages {
+		hosts = append(hosts, provider.Host{
+			ID: message.GetId(), Incarnation: message.GetIncarnation(), Kind: provider.HostKind(message.GetKind()),
+			Zone: message.GetZone(), Address: message.GetAddress(), Application: message.GetApplication(),
+			State: provider.HostState(message.GetState()), ChecksFencing: message.GetChecksFencing(),
+		})
+	}
+	return hosts
+}
+
+// AskHosts asks the peers, own zone first, for a list newer than a revision.
+// It returns revision newerThan and no hosts when nobody has one.
+func (ex *Exchanger) AskHosts(ctx context.Context, newerThan int64) (hosts []provider.Host, revision int64) {
+	revision = newerThan
+	for _, peer := range ex.Peers() {
+		reply, err := ex.askPeer(ctx, peer, revision)
+		if err == nil && reply.GetRevision() > revision && len(reply.GetHosts()) > 0 {
+			hosts, revision = hostsFromMessage(reply.GetHosts()), reply.GetRevision()
+			break
+		}
+	}
+	return hosts, revision
+}
+
+func (ex *Exchanger) askPeer(ctx context.Context, peer Peer, newerThan int64) (*exchangerpb.HostsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	return exchangerpb.NewExchangeClient(ex.conns[peer.HostID]).Hosts(ctx, &exchangerpb.HostsRequest{NewerThan: newerThan})
+}
--- /dev/null
+++ b/internal/lister/lister.go
@@ -0,0 +1,275 @@
+// Package lister knows which hosts live and which are leaving, and reads the
+// endpoints' reports.
+//
+// The platform's list lags, and the platform may be cut off. So an endpoint
+// counts as leaving from the first of three words: the platform's list, the
+// endpoint's own report, or a peer that has read such a report. While the
+// platform can't be reached, the last list stays in force; a host that starts
+// meanwhile asks its peers for theirs.
+//
+// # Usage
+//
+//	l := lister.New(cfg, feed)
+//	l.Start()
+//	defer l.Close()
+package lister
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// Defaults of a Config.
+const (
+	DefaultListEvery   = 500 * time.Millisecond
+	DefaultReportEvery = 250 * time.Millisecond
+	listTimeout        = time.Second
+	reportTimeout      = time.Second
+	// A peer's word holds this long unless it is repeated: an endpoint that
+	// drains only for a change of role takes work again afterwards.
+	peerWordHolds = time.Second
+)
+
+// Feed takes what the Lister learns.
+type Feed interface {
+	// SetHosts replaces the list; leaving endpoints have provider.HostLeaving.
+	SetHosts(hosts []provider.Host, now time.Time)
+	SetReport(endpointID string, report driver.Report, now time.Time)
+	// MarkUnreachable says that a report could not be read.
+	MarkUnreachable(endpointID string)
+}
+
+// PeerLists asks peers for the platform's list.
+type PeerLists interface {
+	AskHosts(ctx context.Context, newerThan int64) (hosts []provider.Host, revision int64)
+}
+
+// Config sets up a Lister.
+type Config struct {
+	Platform    provider.HostLister
+	Driver      driver.Driver
+	Peers       PeerLists
+	ListEvery   time.Duration
+	ReportEvery time.Duration
+	Logger      hclog.Logger
+}
+
+// Lister polls the platform's list and the endpoints' reports.
+type Lister struct {
+	cfg  Config
+	feed Feed
+
+	// publishMu keeps lists in order on their way to the feed; it is taken before mu.
+	publishMu sync.Mutex
+
+	mu       sync.Mutex
+	hosts    []provider.Host
+	revision int64
+	updated  time.Time
+	readers  map[string]*reader // by endpoint id
+	heard    map[string]heardWord
+	effect   []provider.Host // as last fed
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  *errgroup.Group
+}
+
+// heardWord is a peer's word that an endpoint is leaving.
+type heardWord struct {
+	incarnation string
+	at          time.Time
+}
+
+// New prepares a Lister.
+func New(cfg Config, feed Feed) *Lister {
+	if cfg.ListEvery == 0 {
+		cfg.ListEvery = DefaultListEvery
+	}
+	if cfg.ReportEvery == 0 {
+		cfg.ReportEvery = DefaultReportEvery
+	}
+	l := &Lister{cfg: cfg, feed: feed, readers: map[string]*reader{}, heard: map[string]heardWord{}}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.group = &errgroup.Group{}
+	return l
+}
+
+// Start begins to poll.
+func (l *Lister) Start() { l.group.Go(l.run) }
+
+// Close ends the polling and waits.
+func (l *Lister) Close() error {
+	l.cancel()
+	return l.group.Wait()
+}
+
+// Hosts is the platform's list as last read, and its revision.
+func (l *Lister) Hosts() (hosts []provider.Host, revision int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.hosts, l.revision
+}
+
+// Known is true once a list has been read, from the platform or a peer.
+func (l *Lister) Known() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision > 0
+}
+
+// Leaving names the endpoints whose own report says that they take no new work.
+func (l *Lister) Leaving() (leaving []exchanger.LeavingEndpoint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for endpointID, reader := range l.readers {
+		if reader.draining {
+			leaving = append(leaving, exchanger.LeavingEndpoint{EndpointID: endpointID, Incarnation: reader.incarnation})
+		}
+	}
+	return leaving
+}
+
+// HearLeaving takes a peer's words.
+func (l *Lister) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
+	if len(leaving) == 0 {
+		return
+	}
+	l.mu.Lock()
+	for _, endpoint := range leaving {
+		l.heard[endpoint.EndpointID] = heardWord{incarnation: endpoint.Incarnation, at: now}
+	}
+	l.mu.Unlock()
+	l.publish(now)
+}
+
+func (l *Lister) run() error {
+	ticker := time.NewTicker(l.cfg.ListEvery)
+	defer ticker.Stop()
+	for {
+		l.readList()
+		select {
+		case <-l.ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// readList reads the platform's list, or a peer's while the platform is away.
+func (l *Lister) readList() {
+	ctx, cancel := context.WithTimeout(l.ctx, listTimeout)
+	hosts, revision, err := l.cfg.Platform.Hosts(ctx)
+	cancel()
+	if err != nil {
+		l.cfg.Logger.Debug("platform list not read", "error", err)
+		hosts, revision = l.cfg.Peers.AskHosts(l.ctx, l.knownRevision())
+	}
+	l.take(hosts, revision, time.Now())
+}
+
+func (l *Lister) knownRevision() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.revision
+}
+
+// take puts a list in force unless it is older than the one that is.
+func (l *Lister) take(hosts []provider.Host, revision int64, now time.Time) {
+	l.mu.Lock()
+	if revision > l.revision {
+		l.hosts, l.revision, l.updated = hosts, revision, now
+		l.startReaders()
+	}
+	l.mu.Unlock()
+	l.publish(now)
+}
+
+// startReaders starts a reader for each new endpoint and stops those of
+// endpoints that are gone. The caller holds mu.
+func (l *Lister) startReaders() {
+	listed := map[string]bool{}
+	for _, host := range l.hosts {
+		if host.Kind == provider.HostEntry {
+			continue
+		}
+		listed[host.ID] = true
+		l.startReader(host)
+	}
+	for endpointID, reader := range l.readers {
+		if !listed[endpointID] {
+			reader.cancel()
+			delete(l.readers, endpointID)
+		}
+	}
+}
+
+func (l *Lister) startReader(host provider.Host) {
+	if running, ok := l.readers[host.ID]; ok {
+		if running.host.Address == host.Address && running.host.Incarnation == host.Incarnation {
+			return
+		}
+		running.cancel()
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	reader := &reader{host: host, cancel: cancel, incarnation: host.Incarnation}
+	l.readers[host.ID] = reader
+	l.group.Go(func() error { return l.readReports(ctx, reader) })
+}
+
+// publish feeds the list with the effective state of each host.
+func (l *Lister) publish(now time.Time) {
+	l.publishMu.Lock()
+	defer l.publishMu.Unlock()
+	l.mu.Lock()
+	effect := make([]provider.Host, 0, len(l.hosts))
+	for _, host := range l.hosts {
+		if l.leaving(host, now) {
+			host.State = provider.HostLeaving
+		}
+		effect = append(effect, host)
+	}
+	changed := !equalHosts(effect, l.effect)
+	l.effect = effect
+	l.mu.Unlock()
+	if changed {
+		l.feed.SetHosts(effect, now)
+	}
+}
+
+func equalHosts(a, b []provider.Host) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// leaving says whether any of the three words holds. The caller holds mu.
+func (l *Lister) leaving(host provider.Host, now time.Time) bool {
+	if host.State == provider.HostLeaving {
+		return true
+	}
+	reader, ok := l.readers[host.ID]
+	if ok && reader.draining {
+		return true
+	}
+	word, ok := l.heard[host.ID]
+	if !ok || now.Sub(word.at) > peerWordHolds {
+		return false
+	}
+	// A word about an earlier process says nothing about this one.
+	return word.incarnation == host.Incarnation || (reader != nil && word.incarnation == reader.incarnation)
+}
