--- /dev/null
+++ b/internal/exchanger/exchanger_test.go
@@ -0,0 +1,164 @@
+package exchanger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"go.uber.org/goleak"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeLocal is a host's state with what it has heard.
+type fakeLocal struct {
+	mu      sync.Mutex
+	own     map[string]scheduler.Load
+	leaving []LeavingEndpoint
+	hosts   []provider.Host
+	heard   map[string]map[string]scheduler.Load
+	words   []LeavingEndpoint
+}
+
+func (l *fakeLocal) OwnLoad() map[string]scheduler.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return copyLoads(l.own)
+}
+func (l *fakeLocal) Leaving() []LeavingEndpoint      { return l.leaving }
+func (l *fakeLocal) Draining() bool                  { return true }
+func (l *fakeLocal) ConfigurationRevision() int64    { return 7 }
+func (l *fakeLocal) Hosts() ([]provider.Host, int64) { return l.hosts, int64(len(l.hosts)) }
+func (l *fakeLocal) HearLoad(hostID string, loads map[string]scheduler.Load, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard[hostID] = loads
+}
+
+func (l *fakeLocal) HearLeaving(leaving []LeavingEndpoint, _ time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.words = append(l.words, leaving...)
+}
+
+func (l *fakeLocal) setOwn(loads map[string]scheduler.Load) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.own = loads
+}
+
+func (l *fakeLocal) heardOf(hostID string) map[string]scheduler.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard[hostID]
+}
+
+func newLocal() *fakeLocal {
+	return &fakeLocal{own: map[string]scheduler.Load{}, heard: map[string]map[string]scheduler.Load{}}
+}
+
+// startPair starts hosts a and b as each other's peers.
+func startPair(t *testing.T, secretB string) (locals [2]*fakeLocal, exchangers [2]*Exchanger) {
+	t.Helper()
+	var listeners [2]net.Listener
+	for i := range listeners {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		listeners[i] = listener
+	}
+	names, secrets := [2]string{"a", "b"}, [2]string{"secret", secretB}
+	for i := range exchangers {
+		other := 1 - i
+		locals[i] = newLocal()
+		ex, err := New(Config{
+			HostID: names[i], Incarnation: names[i] + "-1", Zone: "z", Listener: listeners[i], Secret: secrets[i],
+			Peers: []Peer{{HostID: names[other], Zone: "z", Address: listeners[other].Addr().String()}},
+			Tick:  5 * time.Millisecond, Silence: 100 * time.Millisecond, Logger: hclog.NewNullLogger(),
+		}, locals[i])
+		assert.NilError(t, err)
+		ex.Start()
+		t.Cleanup(func() { assert.NilError(t, ex.Close()) })
+		exchangers[i] = ex
+	}
+	return locals, exchangers
+}
+
+func awaitLoads(t *testing.T, local *fakeLocal, hostID string, want map[string]scheduler.Load) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		got := local.heardOf(hostID)
+		if len(got) != len(want) {
+			return poll.Continue("%v", got)
+		}
+		for endpointID, load := range want {
+			if got[endpointID] != load {
+				return poll.Continue("%v", got)
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
+
+func TestPeersHearDifferencesAndForgetTheSilent(t *testing.T) {
+	locals, exchangers := startPair(t, "secret")
+	locals[0].setOwn(map[string]scheduler.Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
+	awaitLoads(t, locals[1], "a", map[string]scheduler.Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
+	locals[0].setOwn(map[string]scheduler.Load{"e1": {Requests: 3}})
+	awaitLoads(t, locals[1], "a", map[string]scheduler.Load{"e1": {Requests: 3}})
+	statuses := exchangers[1].Statuses()
+	assert.Equal(t, statuses[0].Reachable, true)
+	assert.Equal(t, statuses[0].Draining, true)
+	assert.Equal(t, statuses[0].ConfigurationRevision, int64(7))
+	assert.NilError(t, exchangers[0].Close())
+	awaitLoads(t, locals[1], "a", nil)
+	assert.Equal(t, exchangers[1].Statuses()[0].Reachable, false)
+}
+
+func TestReceiverAsksForTheFullStateAfterAGap(t *testing.T) {
+	row := &heardPeer{loads: map[string]scheduler.Load{}}
+	now := time.Now()
+	tell := func(incarnation string, sequence uint64, full bool) bool {
+		return row.take(&exchangerpb.TellRequest{
+			Incarnation: incarnation, Sequence: sequence, Full: full,
+			Loads: []*exchangerpb.EndpointLoad{{EndpointId: "e1", Requests: int64(sequence)}},
+		}, now)
+	}
+	assert.Assert(t, !tell("i1", 4, false), "the first message has to be full")
+	assert.Assert(t, tell("i1", 5, true))
+	assert.Assert(t, tell("i1", 6, false))
+	assert.Assert(t, !tell("i1", 8, false), "message 7 is missing")
+	assert.Equal(t, row.loads["e1"].Requests, 6)
+	assert.Assert(t, !tell("i2", 7, false), "the sender has restarted")
+	assert.Assert(t, tell("i2", 1, true))
+	assert.Equal(t, row.loads["e1"].Requests, 1)
+}
+
+func TestPeersNeedTheSecret(t *testing.T) {
+	_, exchangers := startPair(t, "another secret")
+	conn, err := exchangers[1].Conn("a")
+	assert.NilError(t, err)
+	_, err = exchangerpb.NewExchangeClient(conn).Hosts(context.Background(), &exchangerpb.HostsRequest{})
+	assert.Equal(t, status.Code(err), codes.Unauthenticated)
+}
+
+func TestAskHostsTakesOnlyNewerLists(t *testing.T) {
+	locals, exchangers := startPair(t, "secret")
+	locals[0].hosts = []provider.Host{{ID: "e1", Kind: provider.HostEngine, ChecksFencing: true}, {ID: "e2"}}
+	hosts, revision := exchangers[1].AskHosts(context.Background(), 1)
+	assert.DeepEqual(t, hosts, locals[0].hosts)
+	assert.Equal(t, revision, int64(2))
+	hosts, revision = exchangers[1].AskHosts(context.Background(), 2)
+	assert.Equal(t, len(hosts), 0)
+	assert.Equal(t, revision, int64(2))
+}
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -42,7 +42,8 @@
 type Feed interface {
 	// SetHosts replaces the list; leaving endpoints have provider.HostLeaving.
 	SetHosts(hosts []provider.Host, now time.Time)
-	SetReport(endpointID string, report driver.Report, now time.Time)
+	// SetReport takes a report, when it was asked for and when it came.
+	SetReport(endpointID string, report driver.Report, requested, now time.Time)
 	// MarkUnreachable says that a report could not be read.
 	MarkUnreachable(endpointID string)
 }
--- a/internal/lister/reader.go
+++ b/internal/lister/reader.go
@@ -37,6 +37,7 @@
 	target := driver.Target{EndpointID: row.host.ID, Incarnation: row.host.Incarnation, Address: row.host.Address}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
+	requested := time.Now()
 	report, err := l.cfg.Driver.Report(ctx, target, row.cacheSequence)
 	now := time.Now()
 	if err != nil {
@@ -56,5 +57,5 @@
 	if changed {
 		l.publish(now)
 	}
-	l.feed.SetReport(row.host.ID, report, now)
+	l.feed.SetReport(row.host.ID, report, requested, now)
 }
