--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,33 @@
+// Command standin runs the stand-ins for the outside systems, each as a
+// process of its own.
+//
+// # Usage
+//
+//	standin kv --help
+//	standin engine --help
+//	standin service --help
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivemast/endivemast/standins/engineserver"
+	"github.com/endivemast/endivemast/standins/kvserver"
+	"github.com/endivemast/endivemast/standins/serviceserver"
+)
+
+func main() {
+	program := &cli.Command{
+		Name:     "standin",
+		Usage:    "stand-ins for the platform and the endpoints",
+		Commands: []*cli.Command{kvserver.Command(), engineserver.Command(), serviceserver.Command()},
+	}
+	if err := program.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/commander/entry.go
@@ -0,0 +1,166 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivemast/endivemast/pkg/endivemast"
+)
+
+const entryDescription = `Runs one entry host. Every setting is a flag and an environment variable.
+
+A first SIGTERM or SIGINT begins the planned stop: the host says that it is not
+ready, hands over its zone's authority, and ends when its running requests have
+ended. A second one changes nothing.
+
+Examples:
+
+   endivemast entry --check
+   endivemast entry --host-id lozenets-1 --zone lozenets \
+      --callers-address 10.0.0.1:8080 --operators-address 10.0.0.1:8081 --peers-address 10.0.0.1:8082 \
+      --peer lozenets/lozenets-2=10.0.0.2:8082 --store 10.0.9.1:2379 \
+      --keys-file keys.json --peer-secret-file peer.secret \
+      --cert-file host.crt --key-file host.key --ca-file ca.crt`
+
+// Entry is the command that runs an entry host.
+func Entry(version string) *cli.Command {
+	return &cli.Command{
+		Name:        "entry",
+		Usage:       "run an entry host",
+		Description: entryDescription,
+		Flags:       entryFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			cfg, err := entryConfig(cmd, version)
+			if err != nil {
+				return settingsExit(err)
+			}
+			if cmd.Bool("check") {
+				_, err := fmt.Fprintln(cmd.Root().Writer, "settings are valid")
+				return err
+			}
+			return runEntry(ctx, cfg)
+		},
+	}
+}
+
+func entryFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		text("host-id", "this host's name, the same after a restart", ""),
+		text("zone", "this host's availability zone", ""),
+		text("incarnation", "this process's name in the platform's list of hosts; made when empty", ""),
+		text("callers-address", "IP and port for callers", "127.0.0.1:8080"),
+		text("operators-address", "IP and port for operators, health and metrics", "127.0.0.1:8081"),
+		text("peers-address", "IP and port for the peer protocol", "127.0.0.1:8082"),
+		&cli.StringSliceFlag{Name: "peer", Usage: "another entry host as zone/host-id=address (repeat, or separate by commas)", Sources: env("peer")},
+		&cli.StringSliceFlag{Name: "store", Usage: "address of the key-value service (repeat, or separate by commas)", Sources: env("store")},
+		text("platform-address", "address of the platform's list of hosts; the first store when empty", ""),
+		text("keys-file", "API keys of tenants and operators", ""),
+		&cli.BoolFlag{Name: "insecure", Usage: "serve without API keys: whoever connects may call and operate", Sources: env("insecure")},
+		text("peer-secret-file", "secret shared by all entry hosts", ""),
+		text("cert-file", "certificate of this host (PEM)", ""),
+		text("key-file", "private key of this host (PEM)", ""),
+		text("ca-file", "certificates that the peers' are verified by (PEM)", ""),
+		&cli.BoolFlag{Name: "plain-text", Usage: "serve without TLS", Sources: env("plain-text")},
+		&cli.Int64Flag{Name: "max-body-bytes", Usage: "largest request body", Value: 4 << 20, Sources: env("max-body-bytes")},
+		&cli.IntFlag{Name: "max-connections", Usage: "most connections of each listener", Value: 8192, Sources: env("max-connections")},
+		&cli.IntFlag{Name: "metric-tenants", Usage: "tenants with histograms of their own; the rest share one", Value: 100, Sources: env("metric-tenants")},
+		&cli.DurationFlag{Name: "lease-ttl", Usage: "lease of the zone's authority", Value: endivemast.DefaultLeaseTTL, Sources: env("lease-ttl")},
+		&cli.DurationFlag{Name: "drain-grace", Usage: "from not ready until the listeners close", Value: endivemast.DefaultDrainGrace, Sources: env("drain-grace")},
+		&cli.DurationFlag{Name: "drain-timeout", Usage: "longest wait for running requests", Value: endivemast.DefaultDrainTimeout, Sources: env("drain-timeout")},
+		&cli.DurationFlag{Name: "tick", Usage: "how often the systems run", Value: endivemast.DefaultTick, Sources: env("tick")},
+		text("routing", "estimated_finish, or a baseline: round_robin, fewest_in_flight", ""),
+		text("admission", "by_slack, or a baseline: all", ""),
+		text("roles", "planned, or a baseline: never, every_swing", ""),
+		&cli.BoolFlag{Name: "hedge", Usage: "send a second attempt when the first is late", Value: true, Sources: env("hedge")},
+		text("log-level", "trace, debug, info, warn or error", "info"),
+	}
+}
+
+func text(name, usage, value string) cli.Flag {
+	return &cli.StringFlag{Name: name, Usage: usage, Value: value, Sources: env(name)}
+}
+
+// env is a setting's environment variable: ENDIVEMAST_ and the flag's name.
+func env(name string) cli.ValueSourceChain {
+	return cli.EnvVars("ENDIVEMAST_" + strings.ToUpper(strings.ReplaceAll(name, "-", "_")))
+}
+
+// entryConfig reads the settings and reports all that is wrong with them.
+func entryConfig(cmd *cli.Command, version string) (cfg endivemast.Config, err error) {
+	peers, peersErr := parsePeers(cmd.StringSlice("peer"))
+	level, levelErr := parseLevel(cmd.String("log-level"))
+	cfg = endivemast.Config{
+		HostID: cmd.String("host-id"), Zone: cmd.String("zone"), Incarnation: cmd.String("incarnation"),
+		CallersAddress: cmd.String("callers-address"), OperatorsAddress: cmd.String("operators-address"),
+		PeersAddress: cmd.String("peers-address"), Peers: peers,
+		StoreAddresses: cmd.StringSlice("store"), PlatformAddress: cmd.String("platform-address"),
+		KeysFile: cmd.String("keys-file"), Insecure: cmd.Bool("insecure"), PeerSecretFile: cmd.String("peer-secret-file"),
+		CertFile: cmd.String("cert-file"), KeyFile: cmd.String("key-file"), CAFile: cmd.String("ca-file"), PlainText: cmd.Bool("plain-text"),
+		MaxBodyBytes: cmd.Int64("max-body-bytes"), MaxConnections: cmd.Int("max-connections"), MetricTenants: cmd.Int("metric-tenants"),
+		LeaseTTL: cmd.Duration("lease-ttl"), DrainGrace: cmd.Duration("drain-grace"),
+		DrainTimeout: cmd.Duration("drain-timeout"), Tick: cmd.Duration("tick"),
+		Routing: cmd.String("routing"), Admission: cmd.String("admission"), Roles: cmd.String("roles"), Hedge: cmd.Bool("hedge"),
+		Version: version, Logger: newLogger(level, cmd.Root().ErrWriter),
+	}
+	return cfg, errors.Join(peersErr, levelErr, cfg.WithDefaults().Check())
+}
+
+// parsePeers reads zone/host-id=address.
+func parsePeers(values []string) (peers []endivemast.Peer, err error) {
+	var errs []error
+	for _, value := range values {
+		name, address, hasAddress := strings.Cut(value, "=")
+		zone, hostID, hasZone := strings.Cut(name, "/")
+		if !hasAddress || !hasZone {
+			errs = append(errs, &endivemast.SettingError{Setting: "peer", Value: value, Want: "zone/host-id=address"})
+			continue
+		}
+		peers = append(peers, endivemast.Peer{HostID: hostID, Zone: zone, Address: address})
+	}
+	return peers, errors.Join(errs...)
+}
+
+func parseLevel(value string) (level hclog.Level, err error) {
+	level = hclog.LevelFromString(value)
+	if level == hclog.NoLevel {
+		return hclog.Info, &endivemast.SettingError{Setting: "log-level", Value: value, Want: "trace, debug, info, warn or error"}
+	}
+	return level, nil
+}
+
+func newLogger(level hclog.Level, w io.Writer) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{Name: "endivemast", Level: level, JSONFormat: true, Output: w})
+}
+
+func settingsExit(err error) error {
+	return cli.Exit("settings not accepted:\n"+err.Error(), exitUsage)
+}
+
+func runEntry(ctx context.Context, cfg endivemast.Config) (err error) {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	entry, err := endivemast.New(cfg)
+	if err != nil {
+		return err
+	}
+	if err := entry.Start(); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		// The signals stay caught, so that a second one does not kill the process.
+		err = entry.Drain(context.Background())
+	case <-entry.Drained():
+	}
+	<-entry.Drained()
+	return errors.Join(err, entry.Close())
+}
--- /dev/null
+++ b/pkg/endivemast/config.go
@@ -0,0 +1,269 @@
+package endivemast
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/scheduler/planner"
+	"github.com/endivemast/endivemast/internal/scheduler/router"
+	"github.com/endivemast/endivemast/internal/server"
+)
+
+// Defaults of a Config.
+const (
+	DefaultLeaseTTL     = 3 * time.Second
+	DefaultDrainGrace   = 2 * time.Second
+	DefaultDrainTimeout = 10 * time.Minute
+	DefaultTick         = 100 * time.Millisecond
+	// MinSecretBytes is the least length of the peers' secret.
+	MinSecretBytes = 16
+)
+
+// Peer is another entry host.
+type Peer struct {
+	HostID  string
+	Zone    string
+	Address string // IP and port of its peer protocol
+}
+
+// Config is what an entry host is told at start. Addresses are IP and port.
+type Config struct {
+	HostID string
+	Zone   string
+	// Incarnation names this process in the platform's list of hosts. Empty:
+	// one is made; the list then can't prove that this process is gone.
+	Incarnation string
+
+	CallersAddress   string
+	OperatorsAddress string
+	PeersAddress     string
+	Peers            []Peer
+	StoreAddresses   []string // of the key-value service
+	PlatformAddress  string   // of the list of hosts; empty: the first of StoreAddresses
+
+	KeysFile string // API keys; required unless Insecure
+	Insecure bool   // serve without API keys and without a peers' secret
+	// PeerSecretFile holds the secret shared by all entry hosts, for the peer
+	// protocol and for tickets. Required unless Insecure.
+	PeerSecretFile string
+	CertFile       string
+	KeyFile        string
+	CAFile         string // verifies the peers' certificates
+	PlainText      bool   // serve callers, operators and peers without TLS
+
+	MaxBodyBytes   int64
+	MaxConnections int
+	// MetricTenants is how many tenants have histograms of their own.
+	MetricTenants int
+
+	LeaseTTL     time.Duration
+	DrainGrace   time.Duration // from not ready until the listeners close
+	DrainTimeout time.Duration // for running requests
+	Tick         time.Duration
+
+	// Routing, Admission and Roles choose a baseline to measure against;
+	// empty takes the default policy.
+	Routing   string
+	Admission string
+	Roles     string
+	// Hedge is false to switch off second attempts.
+	Hedge bool
+
+	Version string
+	Logger  hclog.Logger // nil: none
+}
+
+// SettingError says what is wrong with one setting.
+type SettingError struct {
+	Setting string // its flag's name
+	Value   string
+	Want    string // what would be accepted
+}
+
+// Error names the setting, its value and what would be accepted.
+func (e *SettingError) Error() string {
+	return fmt.Sprintf("setting %s: got %q, want %s", e.Setting, e.Value, e.Want)
+}
+
+// faults collects what is wrong with the settings, so that all of it is told at once.
+type faults struct{ errs []error }
+
+func (f *faults) add(setting, value, want string) {
+	f.errs = append(f.errs, &SettingError{Setting: setting, Value: value, Want: want})
+}
+
+func (f *faults) name(setting, value string) {
+	if value == "" || len(value) > 64 || strings.ContainsAny(value, " /,=\t\n") {
+		f.add(setting, value, "a name of 1 to 64 characters without spaces, slashes, commas and equals signs")
+	}
+}
+
+func (f *faults) address(setting, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		f.add(setting, value, "an IP address and a port, such as 10.0.0.1:8080")
+	}
+}
+
+func (f *faults) file(setting, value string) {
+	if _, err := os.ReadFile(value); err != nil {
+		f.add(setting, value, "a readable file")
+	}
+}
+
+func (f *faults) positive(setting string, d time.Duration) {
+	if d <= 0 {
+		f.add(setting, d.String(), "a positive duration, such as 2s")
+	}
+}
+
+// WithDefaults returns the configuration with defaults in place of zero values.
+func (cfg Config) WithDefaults() Config {
+	setDefault(&cfg.LeaseTTL, DefaultLeaseTTL)
+	setDefault(&cfg.DrainGrace, DefaultDrainGrace)
+	setDefault(&cfg.DrainTimeout, DefaultDrainTimeout)
+	setDefault(&cfg.Tick, DefaultTick)
+	if cfg.PlatformAddress == "" && len(cfg.StoreAddresses) > 0 {
+		cfg.PlatformAddress = cfg.StoreAddresses[0]
+	}
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	return cfg
+}
+
+func setDefault(d *time.Duration, otherwise time.Duration) {
+	if *d == 0 {
+		*d = otherwise
+	}
+}
+
+// Check returns all that is wrong with the settings, as SettingErrors.
+func (cfg Config) Check() error {
+	f := &faults{}
+	f.name("host-id", cfg.HostID)
+	f.name("zone", cfg.Zone)
+	f.address("callers-address", cfg.CallersAddress)
+	f.address("operators-address", cfg.OperatorsAddress)
+	f.address("peers-address", cfg.PeersAddress)
+	if len(cfg.StoreAddresses) == 0 {
+		f.add("store", "", "at least one address of the key-value service")
+	}
+	for _, address := range cfg.StoreAddresses {
+		f.address("store", address)
+	}
+	cfg.checkPeers(f)
+	cfg.checkAccess(f)
+	f.positive("lease-ttl", cfg.LeaseTTL)
+	f.positive("drain-timeout", cfg.DrainTimeout)
+	f.positive("tick", cfg.Tick)
+	cfg.checkPolicy(f)
+	return errors.Join(f.errs...)
+}
+
+func (cfg Config) checkPeers(f *faults) {
+	seen := map[string]bool{cfg.HostID: true}
+	for _, peer := range cfg.Peers {
+		f.name("peer", peer.HostID)
+		f.name("peer", peer.Zone)
+		f.address("peer", peer.Address)
+		if seen[peer.HostID] {
+			f.add("peer", peer.HostID, "each host id once, this host's left out")
+		}
+		seen[peer.HostID] = true
+	}
+}
+
+func (cfg Config) checkAccess(f *faults) {
+	switch {
+	case cfg.Insecure && cfg.KeysFile != "":
+		f.add("insecure", "true", "either keys-file or insecure, not both")
+	case !cfg.Insecure && cfg.KeysFile == "":
+		f.add("keys-file", "", "a file of API keys, or the setting insecure")
+	case !cfg.Insecure:
+		if _, err := server.LoadKeys(cfg.KeysFile); err != nil {
+			f.add("keys-file", cfg.KeysFile, "a file of API keys: "+err.Error())
+		}
+	}
+	if !cfg.Insecure || cfg.PeerSecretFile != "" {
+		if secret, err := os.ReadFile(cfg.PeerSecretFile); err != nil || len(secret) < MinSecretBytes {
+			f.add("peer-secret-file", cfg.PeerSecretFile, fmt.Sprintf("a file of at least %d bytes, the same on all entry hosts", MinSecretBytes))
+		}
+	}
+	if cfg.PlainText {
+		if cfg.CertFile != "" || cfg.KeyFile != "" {
+			f.add("plain-text", "true", "either cert-file and key-file or plain-text, not both")
+		}
+		return
+	}
+	f.file("cert-file", cfg.CertFile)
+	f.file("key-file", cfg.KeyFile)
+	f.file("ca-file", cfg.CAFile)
+}
+
+func (cfg Config) checkPolicy(f *faults) {
+	if _, err := cfg.policy().Validate(); err != nil {
+		f.add("routing, admission or roles", strings.Join([]string{cfg.Routing, cfg.Admission, cfg.Roles}, ", "), err.Error())
+	}
+}
+
+func (cfg Config) policy() scheduler.Policy {
+	return scheduler.Policy{
+		Routing:   router.Routing(cfg.Routing),
+		Admission: scheduler.Admission(cfg.Admission),
+		Roles:     planner.Planning(cfg.Roles),
+	}
+}
+
+// secret is the peers' secret. With Insecure and no file it is a fixed one,
+// which protects nothing.
+func (cfg Config) secret() (secret []byte, err error) {
+	if cfg.PeerSecretFile == "" {
+		return []byte("insecure-peer-secret"), nil
+	}
+	return os.ReadFile(cfg.PeerSecretFile)
+}
+
+// peerTLS makes the two sides' TLS settings of the peer protocol; nil for
+// plain text. Both sides have to show a certificate of the CA.
+func (cfg Config) peerTLS() (serverTLS, clientTLS *tls.Config, err error) {
+	if cfg.PlainText {
+		return nil, nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(cfg.CertFile, cfg.KeyFile)
+	if err != nil {
+		return nil, nil, err
+	}
+	bundle, err := os.ReadFile(cfg.CAFile)
+	if err != nil {
+		return nil, nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(bundle) {
+		return nil, nil, &SettingError{Setting: "ca-file", Value: cfg.CAFile, Want: "PEM certificates"}
+	}
+	serverTLS = &tls.Config{
+		Certificates: []tls.Certificate{cert}, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+	clientTLS = &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: pool, MinVersion: tls.VersionTLS13}
+	return serverTLS, clientTLS, nil
+}
+
+func (cfg Config) peers() []exchanger.Peer {
+	peers := make([]exchanger.Peer, 0, len(cfg.Peers))
+	for _, peer := range cfg.Peers {
+		peers = append(peers, exchanger.Peer(peer))
+	}
+	return peers
+}
--- /dev/null
+++ b/pkg/endivemast/entry.go
@@ -0,0 +1,346 @@
+// Package endivemast is an entry host of endivemast as a library: it serves
+// callers and operators, routes requests to endpoints, and may hold its
+// availability zone's authority. All entry hosts are alike.
+//
+// # Usage
+//
+//	entry, err := endivemast.New(endivemast.Config{
+//		HostID: "entry-1", Zone: "lozenets",
+//		CallersAddress: "10.0.0.1:8080", OperatorsAddress: "10.0.0.1:8081", PeersAddress: "10.0.0.1:8082",
+//		Peers:          []endivemast.Peer{{HostID: "entry-2", Zone: "lozenets", Address: "10.0.0.2:8082"}},
+//		StoreAddresses: []string{"10.0.9.1:2379"},
+//		KeysFile:       "keys.json", PeerSecretFile: "peer.secret",
+//		CertFile:       "host.crt", KeyFile: "host.key", CAFile: "ca.crt",
+//	})
+//	err = entry.Start()
+//	...
+//	err = entry.Drain(ctx) // begins the planned stop
+//	<-entry.Drained()
+//	err = entry.Close()
+//
+// Start succeeds without the key-value service: the host says that it is not
+// ready, keeps trying, and becomes ready.
+package endivemast
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/claimer"
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/dispatcher"
+	"github.com/endivemast/endivemast/internal/etcdprovider"
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/httpdriver"
+	"github.com/endivemast/endivemast/internal/leaser"
+	"github.com/endivemast/endivemast/internal/lister"
+	"github.com/endivemast/endivemast/internal/meter"
+	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/server"
+)
+
+// Limits of a planned stop.
+const (
+	standDownTimeout = 10 * time.Second
+	drainLogEvery    = 10 * time.Second
+)
+
+// Entry is one entry host. All methods are safe for concurrent use.
+type Entry struct {
+	cfg    Config
+	logger hclog.Logger
+
+	store      *etcdprovider.Provider
+	driver     *httpdriver.Driver
+	meter      *meter.Meter
+	exchanger  *exchanger.Exchanger
+	lister     *lister.Lister
+	configurer *configurer.Configurer
+	scheduler  *scheduler.Scheduler
+	claimer    *claimer.KeyClaimer
+	leaser     *leaser.Leaser
+	orderer    *orderer.Orderer
+	dispatcher *dispatcher.Dispatcher
+	server     *server.Server
+
+	sightingsMu sync.Mutex
+	sightings   map[string]orderer.Sighting // by endpoint id
+
+	draining atomic.Bool
+	drained  chan struct{}
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    *errgroup.Group
+}
+
+// New checks the settings and prepares an entry host. It fails with
+// SettingErrors, or when the peers' address can't be listened on.
+func New(cfg Config) (e *Entry, err error) {
+	defer func() { err = eris.Wrap(err, "prepare entry host") }()
+	cfg = cfg.WithDefaults()
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	listed := cfg.Incarnation != ""
+	if !listed {
+		cfg.Incarnation = uuid.NewString()
+	}
+	e = &Entry{
+		cfg: cfg, logger: cfg.Logger.With("host_id", cfg.HostID, "zone", cfg.Zone),
+		sightings: map[string]orderer.Sighting{}, drained: make(chan struct{}),
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.group = &errgroup.Group{}
+	for _, build := range []func() error{
+		e.buildRim, e.buildPeers, e.buildPolicy, func() error { return e.buildAuthority(listed) }, e.buildServer,
+	} {
+		if err := build(); err != nil {
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+// buildRim makes the adapters to the platform and the endpoints.
+func (e *Entry) buildRim() (err error) {
+	e.store, err = etcdprovider.New(etcdprovider.Config{
+		Addresses: e.cfg.StoreAddresses, PlatformAddress: e.cfg.PlatformAddress, Logger: e.logger.Named("provider"),
+	})
+	e.driver = httpdriver.New(httpdriver.Settings{})
+	e.meter = meter.New(meter.Config{Tenants: e.cfg.MetricTenants})
+	return err
+}
+
+// buildPeers makes the peer protocol and what is told over it.
+func (e *Entry) buildPeers() (err error) {
+	secret, err := e.cfg.secret()
+	if err != nil {
+		return err
+	}
+	serverTLS, clientTLS, err := e.cfg.peerTLS()
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", e.cfg.PeersAddress)
+	if err != nil {
+		return err
+	}
+	e.exchanger, err = exchanger.New(exchanger.Config{
+		HostID: e.cfg.HostID, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
+		Listener: listener, Peers: e.cfg.peers(), Secret: string(secret),
+		ServerTLS: serverTLS, ClientTLS: clientTLS, Logger: e.logger.Named("exchanger"),
+	}, e)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	e.lister = lister.New(lister.Config{
+		Platform: e.store, Driver: e.driver, Peers: e.exchanger, Logger: e.logger.Named("lister"),
+	}, e)
+	e.configurer, err = configurer.New(configurer.Config{
+		HostID: e.cfg.HostID, Zone: e.cfg.Zone, Store: e.store, Pool: e.exchanger, Logger: e.logger.Named("configurer"),
+	})
+	if err != nil {
+		return err
+	}
+	e.configurer.Register(e.exchanger.Registrar())
+	e.claimer, err = claimer.New(claimer.Config{
+		HostID: e.cfg.HostID, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
+		Store: e.store, Pool: e.exchanger, Secret: secret, Logger: e.logger.Named("claimer"),
+	})
+	if err != nil {
+		return err
+	}
+	e.claimer.Register(e.exchanger.Registrar())
+	return nil
+}
+
+func (e *Entry) buildPolicy() error {
+	e.scheduler = scheduler.New(scheduler.Config{
+		HostID: e.cfg.HostID, Zone: e.cfg.Zone, Policy: e.cfg.policy(),
+		Configuration: e.configurer, Logger: e.logger.Named("scheduler"),
+	})
+	hedge := float64(dispatcher.DefaultHedgeAfter)
+	if !e.cfg.Hedge {
+		hedge = -1
+	}
+	e.dispatcher = dispatcher.New(dispatcher.Config{
+		Incarnation: e.cfg.Incarnation, Configuration: e.configurer, Scheduler: e.scheduler,
+		Driver: e.driver, Claimer: e.claimer, Meter: e.meter, HedgeAfter: hedge, Logger: e.logger.Named("dispatcher"),
+	})
+	return nil
+}
+
+// buildAuthority makes the leaser and the orderer. Without an incarnation that the
+// platform knows, its list can't show this process, and nothing waits for that.
+func (e *Entry) buildAuthority(listed bool) (err error) {
+	leaserCfg := leaser.Config{
+		Zone: e.cfg.Zone, HostID: e.cfg.HostID, Incarnation: e.cfg.Incarnation, Address: e.cfg.PeersAddress,
+		Store: e.store, TTL: e.cfg.LeaseTTL, Log: e.logger.Named("leaser"),
+	}
+	if listed {
+		leaserCfg.Listed = e.listedRevision
+	}
+	if e.leaser, err = leaser.New(leaserCfg); err != nil {
+		return err
+	}
+	orderer.Register(e.exchanger.Registrar(), e.cfg.Zone, e.cfg.Incarnation, e.leaser)
+	e.orderer, err = orderer.New(orderer.Config{
+		Leaser: e.leaser, Driver: e.driver, Hosts: e.lister.Hosts, Reports: e.sighting,
+		Predecessor: orderer.NewAsker(e.exchanger), Finished: e.orderFinished, Log: e.logger.Named("orderer"),
+	})
+	return err
+}
+
+func (e *Entry) buildServer() (err error) {
+	var keys server.Keys
+	if e.cfg.KeysFile != "" {
+		if keys, err = server.LoadKeys(e.cfg.KeysFile); err != nil {
+			return err
+		}
+	}
+	e.server, err = server.New(server.Config{
+		CallersAddress: e.cfg.CallersAddress, OperatorsAddress: e.cfg.OperatorsAddress,
+		CertFile: e.cfg.CertFile, KeyFile: e.cfg.KeyFile, PlainText: e.cfg.PlainText,
+		Keys: keys, Insecure: e.cfg.Insecure, MaxBodyBytes: e.cfg.MaxBodyBytes, MaxConnections: e.cfg.MaxConnections,
+	}, server.Deps{
+		Dispatcher: e.dispatcher, Operator: e.configurer, Tickets: e.claimer,
+		Status: e, Drainer: e, Readiness: e, Metrics: e.meter, Logger: e.logger.Named("server"),
+	})
+	return err
+}
+
+// Start serves. It fails when an address can't be listened on.
+func (e *Entry) Start() (err error) {
+	defer func() { err = eris.Wrap(err, "start entry host") }()
+	e.registerGauges()
+	e.exchanger.Start()
+	e.configurer.Start()
+	e.lister.Start()
+	e.claimer.Start()
+	e.group.Go(func() error { return e.leaser.Run(e.ctx) })
+	e.group.Go(func() error { return e.orderer.Run(e.ctx) })
+	e.group.Go(e.tick)
+	e.group.Go(e.plan)
+	if err := e.server.Start(); err != nil {
+		return errors.Join(err, e.Close())
+	}
+	addresses := e.server.Addresses()
+	e.logger.Info("entry host started", "incarnation", e.cfg.Incarnation, "version", e.cfg.Version,
+		"callers_address", addresses.Callers, "operators_address", addresses.Operators, "peers_address", e.cfg.PeersAddress)
+	e.group.Go(e.logReadiness)
+	return nil
+}
+
+// Addresses are where callers and operators are served.
+func (e *Entry) Addresses() (callers, operators string) {
+	addresses := e.server.Addresses()
+	return addresses.Callers, addresses.Operators
+}
+
+// Drain begins the planned stop and returns. Drained tells when it is over; a
+// second call changes nothing.
+func (e *Entry) Drain(context.Context) error {
+	if e.draining.CompareAndSwap(false, true) {
+		e.group.Go(e.drain)
+	}
+	return nil
+}
+
+// Drained is closed once the planned stop has come to its end: nothing is
+// served any more, and Close is due.
+func (e *Entry) Drained() <-chan struct{} { return e.drained }
+
+// drain is the planned stop. The host first says that it is not ready, and
+// keeps serving until the balancer has had the time to hear it; it gives up
+// the zone's authority with nothing unsent; then the running requests end.
+func (e *Entry) drain() error {
+	defer close(e.drained)
+	e.logger.Info("drain begun", "running_requests", e.dispatcher.Active())
+	grace := time.NewTimer(e.cfg.DrainGrace)
+	defer grace.Stop()
+	ctx, cancel := context.WithTimeout(e.ctx, standDownTimeout)
+	if err := e.orderer.StandDown(ctx); err != nil {
+		e.logger.Warn("authority not handed over in time; a successor will ask for proof", "error", err)
+	}
+	cancel()
+	select {
+	case <-grace.C:
+	case <-e.ctx.Done():
+	}
+	ctx, cancel = context.WithTimeout(e.ctx, e.cfg.DrainTimeout)
+	defer cancel()
+	waiting, stop := context.WithCancel(ctx)
+	logged := &errgroup.Group{}
+	logged.Go(func() error { return e.logDrain(waiting) })
+	err := e.server.Close(ctx)
+	stop()
+	err = errors.Join(err, logged.Wait())
+	if err != nil {
+		e.logger.Error("requests cut at the end of the drain", "error", err)
+	}
+	e.logger.Info("drain ended", "running_requests", e.dispatcher.Active())
+	return nil
+}
+
+// logDrain says what the drain is waiting for.
+func (e *Entry) logDrain(ctx context.Context) error {
+	ticker := time.NewTicker(drainLogEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.logger.Info("drain waits for running requests", "running_requests", e.dispatcher.Active())
+		}
+	}
+}
+
+// Close ends everything at once and waits. Without a Drain before it, running
+// requests are cut.
+func (e *Entry) Close() (err error) {
+	defer func() { err = eris.Wrap(err, "close entry host") }()
+	now, cancel := context.WithCancel(context.Background())
+	cancel()
+	serverErr := e.server.Close(now)
+	if errors.Is(serverErr, context.Canceled) {
+		serverErr = nil
+	}
+	e.cancel()
+	return errors.Join(
+		serverErr,
+		e.dispatcher.Close(),
+		e.scheduler.Close(),
+		e.leaser.Close(),
+		e.group.Wait(),
+		e.claimer.Close(),
+		e.lister.Close(),
+		e.configurer.Close(),
+		e.exchanger.Close(),
+		e.driver.Close(),
+		e.store.Close(),
+	)
+}
+
+// Ready implements server.Readiness.
+func (e *Entry) Ready() (ready bool, reason string) {
+	switch {
+	case e.draining.Load():
+		return false, server.ReasonDraining
+	case !e.configurer.Ready():
+		return false, server.ReasonNoConfiguration
+	case !e.lister.Known():
+		return false, reasonNoHosts
+	}
+	return true, ""
+}
--- /dev/null
+++ b/pkg/endivemast/systems.go
@@ -0,0 +1,190 @@
+package endivemast
+
+import (
+	"time"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/leaser"
+	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+// The systems that run over the tables, and the feeds between the parts.
+const (
+	planEvery      = time.Second
+	readinessEvery = 200 * time.Millisecond
+	// reasonNoHosts is why a host that has read no list of hosts is not ready.
+	reasonNoHosts = "no_host_list"
+)
+
+// tick runs the scheduler's systems.
+func (e *Entry) tick() error {
+	ticker := time.NewTicker(e.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			e.scheduler.Tick(now)
+		}
+	}
+}
+
+// plan runs the planners of roles and models while this host holds the zone's authority.
+func (e *Entry) plan() error {
+	ticker := time.NewTicker(planEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			if _, ok := e.leaser.Holder(); ok && !e.draining.Load() {
+				e.planOnce(now)
+			}
+		}
+	}
+}
+
+// planOnce submits the planners' proposals for this zone's endpoints. Zones
+// take turns by the clock, so that two zones seldom change an engine of one
+// application at the same moment; that is for goodput, and no promise needs it.
+func (e *Entry) planOnce(now time.Time) {
+	if !e.isTurn(now) {
+		return
+	}
+	own := map[string]bool{}
+	hosts, _ := e.lister.Hosts()
+	for _, host := range hosts {
+		own[host.ID] = host.Zone == e.cfg.Zone && host.State == provider.HostLive
+	}
+	for _, proposal := range e.scheduler.PlanRoles(now) {
+		if own[proposal.EndpointID] {
+			e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
+		}
+	}
+	for _, upgrade := range e.planUpgrades() {
+		if own[upgrade.EndpointID] {
+			e.submit(upgrade.EndpointID, upgrade.Order, "configured version")
+		}
+	}
+}
+
+// isTurn gives each zone a second of its own among the zones that are known.
+func (e *Entry) isTurn(now time.Time) bool {
+	zones := map[string]bool{e.cfg.Zone: true}
+	for _, peer := range e.cfg.Peers {
+		zones[peer.Zone] = true
+	}
+	before := 0
+	for zone := range zones {
+		if zone < e.cfg.Zone {
+			before++
+		}
+	}
+	return int(now.Unix())%len(zones) == before
+}
+
+func (e *Entry) submit(endpointID string, order driver.Order, reason string) {
+	if err := e.orderer.Submit(e.ctx, endpointID, order); err != nil {
+		e.logger.Debug("order not submitted", "endpoint_id", endpointID, "error", err)
+		return
+	}
+	e.logger.Info("order submitted", "endpoint_id", endpointID, "order", order, "reason", reason)
+}
+
+func (e *Entry) orderFinished(order orderer.OpenOrder, outcome orderer.Outcome) {
+	e.logger.Info("order closed", "order_id", order.OrderID, "endpoint_id", order.EndpointID, "outcome", outcome)
+	if _, isRole := order.Order.Order().(driver.SetRole); isRole {
+		e.meter.CountRoleChange(string(outcome))
+	}
+}
+
+// logReadiness tells the operator each change of readiness and of the authority.
+func (e *Entry) logReadiness() error {
+	ticker := time.NewTicker(readinessEvery)
+	defer ticker.Stop()
+	lastReady, lastReason, lastHolds := false, "", false
+	for {
+		ready, reason := e.Ready()
+		if ready != lastReady || reason != lastReason {
+			e.logger.Info("readiness changed", "ready", ready, "reason", reason)
+			lastReady, lastReason = ready, reason
+		}
+		if authority, holds := e.leaser.Holder(); holds != lastHolds {
+			e.logger.Info("zone authority changed", "holds", holds, "epoch", authority.Epoch)
+			lastHolds = holds
+		}
+		select {
+		case <-e.ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// listedRevision implements leaser.Config.Listed.
+func (e *Entry) listedRevision() (revision int64, ok bool) {
+	hosts, revision := e.lister.Hosts()
+	for _, host := range hosts {
+		if host.ID == e.cfg.HostID && host.Incarnation == e.cfg.Incarnation {
+			return revision, true
+		}
+	}
+	return 0, false
+}
+
+// SetHosts implements lister.Feed.
+func (e *Entry) SetHosts(hosts []provider.Host, now time.Time) { e.scheduler.SetHosts(hosts, now) }
+
+// SetReport implements lister.Feed.
+func (e *Entry) SetReport(endpointID string, report driver.Report, requested, now time.Time) {
+	e.sightingsMu.Lock()
+	e.sightings[endpointID] = orderer.Sighting{Report: report, RequestedAt: requested}
+	e.sightingsMu.Unlock()
+	e.scheduler.SetReport(endpointID, report, now)
+}
+
+// MarkUnreachable implements lister.Feed.
+func (e *Entry) MarkUnreachable(endpointID string) { e.scheduler.MarkUnreachable(endpointID) }
+
+func (e *Entry) sighting(endpointID string) *orderer.Sighting {
+	e.sightingsMu.Lock()
+	defer e.sightingsMu.Unlock()
+	sighting, ok := e.sightings[endpointID]
+	if !ok {
+		return nil
+	}
+	return &sighting
+}
+
+// OwnLoad implements exchanger.Local.
+func (e *Entry) OwnLoad() map[string]scheduler.Load { return e.scheduler.OwnLoad() }
+
+// Leaving implements exchanger.Local.
+func (e *Entry) Leaving() []exchanger.LeavingEndpoint { return e.lister.Leaving() }
+
+// Draining implements exchanger.Local.
+func (e *Entry) Draining() bool { return e.draining.Load() }
+
+// ConfigurationRevision implements exchanger.Local.
+func (e *Entry) ConfigurationRevision() int64 { return e.configurer.Revision() }
+
+// Hosts implements exchanger.Local.
+func (e *Entry) Hosts() (hosts []provider.Host, revision int64) { return e.lister.Hosts() }
+
+// HearLoad implements exchanger.Local.
+func (e *Entry) HearLoad(hostID string, loads map[string]scheduler.Load, now time.Time) {
+	e.scheduler.SetPeerLoad(hostID, loads, now)
+}
+
+// HearLeaving implements exchanger.Local.
+func (e *Entry) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
+	e.lister.HearLeaving(leaving, now)
+}
+
+// authority is what this host knows of its zone's authority.
+func (e *Entry) authority() leaser.Status { return e.leaser.Status() }
--- /dev/null
+++ b/pkg/endivemast/upgrades.go
@@ -0,0 +1,61 @@
+package endivemast
+
+import (
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+// upgrade is an engine that is to load what its application is configured to.
+type upgrade struct {
+	EndpointID string
+	Order      driver.LoadModel
+}
+
+// planUpgrades proposes the engines that differ from their application's
+// model, version or adapter, one of an application at a time.
+func (e *Entry) planUpgrades() []upgrade {
+	e.sightingsMu.Lock()
+	defer e.sightingsMu.Unlock()
+	reports := make(map[string]driver.Report, len(e.sightings))
+	hosts, _ := e.lister.Hosts()
+	for _, host := range hosts {
+		if sighting, ok := e.sightings[host.ID]; ok && sighting.Report.Incarnation == host.Incarnation {
+			reports[host.ID] = sighting.Report
+		}
+	}
+	return upgrades(reports, e.configurer.Application)
+}
+
+// upgrades is the decision over reports by endpoint id. An application with
+// an engine that is busy with an order waits, so that a new version never
+// takes two engines away at once.
+func upgrades(reports map[string]driver.Report, application func(string) (configurer.Application, bool)) []upgrade {
+	busy := map[string]bool{}
+	for _, report := range reports {
+		if report.LastOrderState == driver.OrderApplying {
+			busy[report.Application] = true
+		}
+	}
+	chosen := map[string]upgrade{}
+	for endpointID, report := range reports {
+		wanted, ok := application(report.Application)
+		if !ok || wanted.Model == "" || busy[report.Application] || isLoaded(report, wanted) {
+			continue
+		}
+		if best, found := chosen[report.Application]; !found || endpointID < best.EndpointID {
+			chosen[report.Application] = upgrade{
+				EndpointID: endpointID,
+				Order:      driver.LoadModel{Model: wanted.Model, Version: wanted.Version, Adapter: wanted.Adapter},
+			}
+		}
+	}
+	result := make([]upgrade, 0, len(chosen))
+	for _, next := range chosen {
+		result = append(result, next)
+	}
+	return result
+}
+
+func isLoaded(report driver.Report, wanted configurer.Application) bool {
+	return report.Model == wanted.Model && report.Version == wanted.Version && report.Adapter == wanted.Adapter
+}
