--- /dev/null
+++ b/internal/orderer/service.go
@@ -0,0 +1,68 @@
+package orderer
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/leaser"
+	"github.com/endivemast/endivemast/internal/orderer/ordererpb"
+)
+
+//go:generate protoc -I ordererpb --go_out=ordererpb --go_opt=paths=source_relative --go-grpc_out=ordererpb --go-grpc_opt=paths=source_relative ordererpb/authority.proto
+
+// Register serves the Predecessor service for a host's own Leaser.
+func Register(registrar grpc.ServiceRegistrar, zone, incarnation string, l *leaser.Leaser) {
+	ordererpb.RegisterPredecessorServer(registrar, &server{zone: zone, incarnation: incarnation, leaser: l})
+}
+
+type server struct {
+	ordererpb.UnimplementedPredecessorServer
+	zone        string
+	incarnation string
+	leaser      *leaser.Leaser
+}
+
+// StoodDown implements ordererpb.PredecessorServer.
+func (s *server) StoodDown(
+	_ context.Context, request *ordererpb.StoodDownRequest,
+) (*ordererpb.StoodDownResponse, error) {
+	response := &ordererpb.StoodDownResponse{Incarnation: s.incarnation}
+	// A restarted process knows nothing of what the earlier one has sent.
+	if request.GetIncarnation() != s.incarnation || request.GetZone() != s.zone {
+		return response, nil
+	}
+	response.NothingUnsent = s.leaser.Bar(request.GetEpoch())
+	response.StoodDown = true
+	return response, nil
+}
+
+// Asker is a Predecessor that asks over the peer protocol.
+type Asker struct {
+	pool exchanger.Pool
+}
+
+// NewAsker makes an Asker over the connections of a Pool.
+func NewAsker(pool exchanger.Pool) *Asker { return &Asker{pool: pool} }
+
+// StoodDown implements Predecessor.
+func (a *Asker) StoodDown(
+	ctx context.Context, holder leaser.Holder, zone string, epoch int64,
+) (stoodDown bool, err error) {
+	defer func() { err = eris.Wrap(err, fmt.Sprintf("ask former holder %s", holder.HostID)) }()
+	conn, err := a.pool.Conn(holder.HostID)
+	if err != nil {
+		return false, err
+	}
+	response, err := ordererpb.NewPredecessorClient(conn).StoodDown(ctx, &ordererpb.StoodDownRequest{
+		Zone: zone, Incarnation: holder.Incarnation, Epoch: epoch,
+	})
+	if err != nil {
+		return false, err
+	}
+	same := response.GetIncarnation() == holder.Incarnation
+	return same && response.GetStoodDown() && response.GetNothingUnsent(), nil
+}
