--- a/internal/orderer/tick.go
+++ b/internal/orderer/tick.go
@@ -31,6 +31,7 @@
 // Tick takes the open orders a step further: it closes those that have ended
 // in one write, gives orders again where that fences an earlier holder, and
 // asks earlier holders. It does nothing when this process is not the holder.
+// Ticks must not overlap.
 func (o *Orderer) Tick(ctx context.Context, now time.Time) (err error) {
 	defer func() { err = eris.Wrap(err, "tick open orders") }()
 	record, ok := o.cfg.Leaser.Record()
@@ -54,7 +55,7 @@
 	list := o.list()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.learn(record, book, list, now)
+	o.learn(record, book, list)
 	todo := plan{ask: make(map[string]leaser.Holder)}
 	for _, order := range book.Orders {
 		switch decision := Decide(order, o.view(record, order, list, now)).(type) {
@@ -91,8 +92,11 @@
 }
 
 // learn brings the memory up to the record: it notes new orders and proofs by
-// the host list, and forgets what is closed.
-func (o *Orderer) learn(record leaser.Record, book Book, list hostList, now time.Time) {
+// the host list, and forgets what is closed. It reads the clock itself: the
+// tick's time may lie before the take-over, and a report from in between may
+// show an endpoint process that is older than the order.
+func (o *Orderer) learn(record leaser.Record, book Book, list hostList) {
+	now := o.cfg.Now()
 	if o.term != record.Term {
 		o.reset(record.Term)
 	}
@@ -164,12 +168,13 @@
 }
 
 // close removes the ended orders. An order that was given again since the
-// decision stays: it has a send that the decision did not know.
+// decision stays: it has a send that the decision did not know. One that is
+// not there was closed by an earlier write whose answer was lost.
 func (b Book) close(ended []finish) (Book, []finish) {
 	var closed []finish
 	for _, f := range ended {
 		i := b.findOrder(f.order.OrderID)
-		if i < 0 || !slices.Equal(b.Orders[i].Sends, f.order.Sends) {
+		if i >= 0 && !slices.Equal(b.Orders[i].Sends, f.order.Sends) {
 			continue
 		}
 		b = b.remove(f.order.OrderID)
