--- /dev/null
+++ b/internal/configurer/configurerpb/generate.go
@@ -0,0 +1,10 @@
+// Package configurerpb holds the messages by which entry hosts pass
+// configuration changes to each other, generated from configurer.proto.
+//
+// # Usage
+//
+//	configurerpb.RegisterConfigurerServer(registrar, server)
+//	reply, err := configurerpb.NewConfigurerClient(conn).Compare(ctx, request)
+package configurerpb
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative configurer.proto
