--- a/internal/configurer/applier.go
+++ b/internal/configurer/applier.go
@@ -170,7 +170,8 @@
 	c.mu.Lock()
 	changes, chain, ok := c.history.since(h.Revision)
 	c.mu.Unlock()
-	if ok && chain == h.Chain && h.Revision+int64(len(changes)) == st.revision {
+	if n := int(st.revision - h.Revision); ok && chain == h.Chain && n <= len(changes) {
+		changes = changes[:n] // what came into force since st was read is not in it
 		return headOf(st, append(slices.Clone(h.Changes), changes...), h.BaseRevision, h.BaseChain), st, nil
 	}
 	return c.rebased(ctx, h, st)
--- /dev/null
+++ b/internal/configurer/fake_test.go
@@ -0,0 +1,323 @@
+package configurer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/configurer/configurerpb"
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// fault is what befalls one swap of the head document.
+type fault int
+
+const (
+	faultNone      fault = iota
+	faultLost            // takes effect, the answer is lost
+	faultDropped         // takes no effect, the answer is lost
+	faultDelayed         // takes effect later, the answer is lost
+	faultRefused         // certainly takes no effect
+	faultLostAndDown     // takes effect, the answer is lost, and then an outage begins
+	faultCount
+)
+
+// fakeStore is a key-value service in memory with faults to order.
+type fakeStore struct {
+	provider.Store // Grant, Renew and Revoke are not used
+
+	mu       sync.Mutex
+	revision int64
+	keys     map[string][]provider.Entry // all versions of each key
+	delayed  []provider.Write
+	watchers map[*fakeWatcher]bool
+	calls    int
+	noCAS    bool // the deliberately broken store: it ignores IfRevision
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{keys: make(map[string][]provider.Entry), watchers: make(map[*fakeWatcher]bool)}
+}
+
+// swap writes a key; s.mu is held.
+func (s *fakeStore) swap(w provider.Write) (provider.Entry, error) {
+	if s.last(w.Key, 0).Revision != w.IfRevision && !s.noCAS {
+		return provider.Entry{}, provider.ErrConflict
+	}
+	s.revision++
+	entry := provider.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}
+	s.keys[w.Key] = append(s.keys[w.Key], entry)
+	for watcher := range s.watchers {
+		if strings.HasPrefix(w.Key, watcher.prefix) {
+			watcher.changes <- []provider.Change{{Entry: entry}}
+		}
+	}
+	return entry, nil
+}
+
+// last is a key's entry, some versions back; s.mu is held.
+func (s *fakeStore) last(key string, back int) provider.Entry {
+	versions := s.keys[key]
+	if len(versions) <= back {
+		return provider.Entry{}
+	}
+	return versions[len(versions)-1-back]
+}
+
+// deliverDelayed makes the delayed writes, as far as they still can be.
+func (s *fakeStore) deliverDelayed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, w := range s.delayed {
+		_, _ = s.swap(w) // a conflict is one way in which a late write ends
+	}
+	s.delayed = nil
+}
+
+// restore takes every key some versions back, as an operator does who
+// restores a copy.
+func (s *fakeStore) restore(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, versions := range s.keys {
+		for len(versions) > 0 && versions[len(versions)-1].Revision > revision {
+			versions = versions[:len(versions)-1]
+		}
+		s.keys[key] = versions
+	}
+}
+
+// endWatches ends all watches, as a restart of the service does.
+func (s *fakeStore) endWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w := range s.watchers {
+		delete(s.watchers, w)
+		close(w.changes)
+	}
+}
+
+type fakeWatcher struct {
+	store   *fakeStore
+	prefix  string
+	changes chan []provider.Change
+}
+
+func (w *fakeWatcher) Changes() <-chan []provider.Change { return w.changes }
+func (w *fakeWatcher) Err() error                        { return provider.ErrCompacted }
+
+func (w *fakeWatcher) Close() error {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	if w.store.watchers[w] {
+		delete(w.store.watchers, w)
+		close(w.changes)
+	}
+	return nil
+}
+
+// view is the store as one host reaches it.
+type view struct {
+	*fakeStore
+	down  bool
+	back  int    // reads are so many versions old
+	fault fault  // of the next swap of the head
+	race  func() // runs before the next swap of the head
+}
+
+func (v *view) begin() (unlock func(), err error) {
+	v.mu.Lock()
+	v.calls++
+	if v.down {
+		v.mu.Unlock()
+		return nil, provider.ErrUnavailable
+	}
+	return v.mu.Unlock, nil
+}
+
+func (v *view) Get(_ context.Context, key string) (provider.Entry, error) {
+	unlock, err := v.begin()
+	if err != nil {
+		return provider.Entry{}, err
+	}
+	defer unlock()
+	entry := v.last(key, v.back)
+	if entry.Revision == 0 {
+		return entry, provider.ErrNotFound
+	}
+	return entry, nil
+}
+
+func (v *view) List(_ context.Context, prefix string) ([]provider.Entry, int64, error) {
+	unlock, err := v.begin()
+	if err != nil {
+		return nil, 0, err
+	}
+	defer unlock()
+	var entries []provider.Entry
+	for key := range v.keys {
+		if entry := v.last(key, v.back); entry.Revision > 0 && strings.HasPrefix(key, prefix) {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, v.revision, nil
+}
+
+func (v *view) Watch(_ context.Context, prefix string, from int64) (provider.Watcher, error) {
+	unlock, err := v.begin()
+	if err != nil {
+		return nil, err
+	}
+	defer unlock()
+	if from <= v.revision {
+		return nil, provider.ErrCompacted // this store keeps nothing to watch from
+	}
+	w := &fakeWatcher{store: v.fakeStore, prefix: prefix, changes: make(chan []provider.Change, 1<<16)}
+	v.watchers[w] = true
+	return w, nil
+}
+
+func (v *view) Swap(_ context.Context, w provider.Write) (provider.Entry, error) {
+	isHead := strings.HasSuffix(w.Key, "/head")
+	if race := v.race; race != nil && isHead {
+		v.race = nil
+		race()
+	}
+	unlock, err := v.begin()
+	if err != nil {
+		return provider.Entry{}, err
+	}
+	defer unlock()
+	f := v.fault
+	if !isHead {
+		f = faultNone
+	} else {
+		v.fault = faultNone
+	}
+	switch f {
+	case faultRefused:
+		return provider.Entry{}, provider.ErrUnavailable
+	case faultDropped:
+		return provider.Entry{}, provider.ErrOutcomeUnknown
+	case faultDelayed:
+		v.delayed = append(v.delayed, w)
+		return provider.Entry{}, provider.ErrOutcomeUnknown
+	case faultLost, faultLostAndDown:
+		v.down = f == faultLostAndDown
+		_, _ = v.swap(w) // its answer is what gets lost
+		return provider.Entry{}, provider.ErrOutcomeUnknown
+	default:
+		return v.swap(w)
+	}
+}
+
+// fakeNetwork connects hosts in memory; messages are copied as on a wire.
+type fakeNetwork struct {
+	mu    sync.Mutex
+	hosts map[string]*Configurer
+	peers []exchanger.Peer
+	cut   map[[2]string]bool
+	bytes int64
+	calls int64
+}
+
+func newFakeNetwork(peers ...exchanger.Peer) *fakeNetwork {
+	return &fakeNetwork{hosts: make(map[string]*Configurer), peers: peers, cut: make(map[[2]string]bool)}
+}
+
+type fakePool struct {
+	network *fakeNetwork
+	hostID  string
+}
+
+func (p fakePool) Peers() []exchanger.Peer {
+	var peers []exchanger.Peer
+	for _, peer := range p.network.peers {
+		if peer.HostID != p.hostID {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+func (p fakePool) Conn(hostID string) (grpc.ClientConnInterface, error) {
+	return fakeConn{p.network, p.hostID, hostID}, nil
+}
+
+type fakeConn struct {
+	network  *fakeNetwork
+	from, to string
+}
+
+func (c fakeConn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, errors.New("no streams here")
+}
+
+func (c fakeConn) Invoke(ctx context.Context, method string, args, reply any, _ ...grpc.CallOption) error {
+	c.network.mu.Lock()
+	host := c.network.hosts[c.to]
+	reachable := host != nil && !c.network.cut[[2]string{c.from, c.to}] && !c.network.cut[[2]string{c.to, c.from}]
+	c.network.mu.Unlock()
+	if !reachable {
+		return status.Error(codes.Unavailable, "cut")
+	}
+	var answer proto.Message
+	var err error
+	switch request := proto.Clone(args.(proto.Message)).(type) {
+	case *configurerpb.PushRequest:
+		answer, err = host.Push(ctx, request)
+	case *configurerpb.CompareRequest:
+		answer, err = host.Compare(ctx, request)
+	case *configurerpb.FetchRequest:
+		answer, err = host.Fetch(ctx, request)
+	default:
+		err = fmt.Errorf("method %s", method)
+	}
+	if err != nil {
+		return err
+	}
+	c.network.mu.Lock()
+	c.network.calls++
+	c.network.bytes += int64(proto.Size(args.(proto.Message)) + proto.Size(answer))
+	c.network.mu.Unlock()
+	proto.Merge(reply.(proto.Message), answer)
+	return nil
+}
+
+// newTestHost makes a host on a view of a store; it is not started.
+func newTestHost(t testing.TB, network *fakeNetwork, v provider.Store, peer exchanger.Peer) *Configurer {
+	t.Helper()
+	c, err := New(Config{
+		HostID: peer.HostID, Zone: peer.Zone, Store: v, Pool: fakePool{network, peer.HostID},
+		FoldAfter: 3, CompareInterval: 20 * time.Millisecond, ReadInterval: 50 * time.Millisecond,
+		StaleAfter: 200 * time.Millisecond, CallTimeout: time.Second,
+	})
+	assert.NilError(t, err)
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	network.hosts[peer.HostID] = c
+	return c
+}
+
+// testClass is a valid class.
+func testClass(tenant, name string, completionMS int64) Class {
+	return Class{
+		Tenant: tenant, Name: name, Kind: KindGenerate, Application: "letters",
+		Repeatable: true, FirstTokenTargetMS: min(870, completionMS), CompletionTargetMS: completionMS,
+	}
+}
+
+func setClass(id string, ifRevision int64, class Class) Change {
+	return Change{ChangeID: id, IfRevision: ifRevision, Subject: ClassSubject{Class: class}}
+}
