Claim calls at most once: shards in the key-value service, and tickets

Cause: a non-idempotent call must run at most once, and a refusal that says "not run" must be true, while hosts keep nothing.

One pure decision serves both.

--- /dev/null
+++ b/internal/claimer/service.go
@@ -0,0 +1,63 @@
+package claimer
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/endivemast/endivemast/internal/claimer/claimerpb"
+)
+
+// Register makes the claimer answer its peers. It is called before the server
+// begins to serve.
+func (c *KeyClaimer) Register(registrar grpc.ServiceRegistrar) {
+	claimerpb.RegisterClaimsServer(registrar, &service{claimer: c})
+}
+
+// service answers the claimers of other hosts.
+type service struct {
+	claimerpb.UnimplementedClaimsServer
+
+	claimer *KeyClaimer
+}
+
+// Commit records an entry in the key-value service. An error leaves open
+// whether it does; VERDICT_UNAVAILABLE says that it does not.
+func (s *service) Commit(ctx context.Context, request *claimerpb.CommitRequest) (*claimerpb.Decision, error) {
+	key, wanted, err := decodeEntry(request.GetEntry())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	result, err := s.claimer.commitHere(ctx, newStoreTarget(key), wanted)
+	switch {
+	case err == nil:
+		return encodeDecision(result), nil
+	case errors.Is(err, ErrOutcomeUnknown):
+		return nil, status.Error(codes.Unknown, err.Error())
+	default:
+		return &claimerpb.Decision{Verdict: claimerpb.Verdict_VERDICT_UNAVAILABLE}, nil
+	}
+}
+
+// Vote records an entry of a ticket in this host's memory.
+func (s *service) Vote(_ context.Context, request *claimerpb.VoteRequest) (*claimerpb.Decision, error) {
+	c := s.claimer
+	_, wanted, err := decodeEntry(request.GetEntry())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	key := Key{Tenant: request.GetTenant(), Key: request.GetTicket()}
+	ticket, err := openTicket(c.cfg.Secret, key.Tenant, key.Key)
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return encodeDecision(c.witness.vote(c.tick(), ticket, hashKey(key), wanted)), nil
+}
+
+// Greet tells this host's incarnation and clock.
+func (s *service) Greet(context.Context, *claimerpb.GreetRequest) (*claimerpb.GreetReply, error) {
+	return &claimerpb.GreetReply{Incarnation: s.claimer.cfg.Incarnation, TickSeconds: s.claimer.tick()}, nil
+}
