--- /dev/null
+++ b/internal/scheduler/admitter/admitter.go
@@ -0,0 +1,225 @@
+// Package admitter decides the order of waiting work, and which work to refuse
+// when not all of it can be in time.
+//
+// # Order
+//
+// Work is ordered by its latest start: the last moment at which it can get an
+// endpoint and still meet the class's targets. Within a band of latest starts,
+// the tenant that has used least goes first.
+//
+// # Refusal
+//
+// Work that waits is in time as long as, for each piece, the engine time of
+// what goes before it fits before its latest start. Where it does not fit, one
+// piece of those up to there is refused, and again, until all fit. First go
+// tenants that use more than their fair share. Then goes the class whose
+// served share, times the square root of its patience, is highest. Patience
+// is the first-token target, or the completion target of a class without one:
+// how soon somebody needs to hear something.
+//
+// So the operators' targets explain what an overload does: a class with four
+// times the patience is served half the share, whatever its requests cost. The
+// most urgent class suffers last, and no class is refused wholesale, as a rule
+// that maximised the number of answers would refuse all long ones.
+//
+// # Usage
+//
+//	position := admitter.Position(queue, item)
+//	victims := admitter.Victims(queue, capacity, now)
+//	wait := admitter.RetryAfter(queue, capacity, jitter)
+package admitter
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/configurer"
+)
+
+const (
+	band = 100 * time.Millisecond // of latest starts that count as equal
+
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	retryJitter   = 0.5 // added at most, so that refused callers do not return together
+
+	maxPriority     = 100
+	priorityPerHalf = 8 // steps of priority for each halving of the slack
+)
+
+// Item is a piece of work that waits.
+type Item struct {
+	ID          int64 // the owner's, unique in the queue
+	Arrived     time.Time
+	LatestStart time.Time
+	Cost        time.Duration // engine time
+	Used        float64       // what the tenant had used when it came, engine seconds
+	Patience    time.Duration
+	ServedShare float64 // of the class
+	IsOverShare bool    // the tenant has used more than its fair share
+	IsStarted   bool    // its caller already has a part of the answer; never a victim
+}
+
+// Estimate is how long work would take from the moment it has an endpoint.
+type Estimate struct {
+	First  time.Duration
+	Finish time.Duration
+}
+
+// LatestStart is the last moment at which work of the class can get an endpoint
+// and still be in time. Work whose first token is with the caller has only the
+// completion target left.
+func LatestStart(class *configurer.Class, arrived time.Time, isStarted bool, estimate Estimate) time.Time {
+	latest := arrived.Add(class.CompletionTarget() - estimate.Finish)
+	target := class.FirstTokenTarget()
+	if target == 0 || isStarted {
+		return latest
+	}
+	forFirst := arrived.Add(target - estimate.First)
+	if forFirst.Before(latest) {
+		return forFirst
+	}
+	return latest
+}
+
+// Patience is how soon a caller of the class needs to hear something.
+func Patience(class *configurer.Class) time.Duration {
+	patience := class.CompletionTarget()
+	if target := class.FirstTokenTarget(); target > 0 && target < patience {
+		return target
+	}
+	return patience
+}
+
+// Compare orders items: started ones, then by band of latest start, then by
+// what the tenant has used, then by arrival.
+func Compare(a, b *Item) int {
+	if a.IsStarted != b.IsStarted {
+		if a.IsStarted {
+			return -1
+		}
+		return 1
+	}
+	if order := a.LatestStart.Truncate(band).Compare(b.LatestStart.Truncate(band)); order != 0 {
+		return order
+	}
+	if a.Used != b.Used {
+		if a.Used < b.Used {
+			return -1
+		}
+		return 1
+	}
+	return a.Arrived.Compare(b.Arrived)
+}
+
+// Position is where an item belongs in an ordered queue.
+func Position(queue []Item, item *Item) int {
+	position, _ := slices.BinarySearchFunc(queue, item, func(a Item, b *Item) int {
+		if Compare(&a, b) <= 0 {
+			return -1
+		}
+		return 1
+	})
+	return position
+}
+
+// Victims returns the positions of the items to refuse so that the others are
+// in time, in the order in which they were chosen. Capacity is the engine
+// seconds a second that serve the queue.
+func Victims(queue []Item, capacity float64, now time.Time) (victims []int) {
+	refused := make([]bool, len(queue))
+	for {
+		end := firstLate(queue, refused, capacity, now)
+		if end < 0 {
+			return victims
+		}
+		victim := worst(queue[:end+1], refused)
+		if victim < 0 {
+			return victims // only started work is left to refuse
+		}
+		refused[victim] = true
+		victims = append(victims, victim)
+	}
+}
+
+// firstLate is the position of the first item that cannot start in time; -1:
+// none. Started items are never late: they are served in any case.
+func firstLate(queue []Item, refused []bool, capacity float64, now time.Time) int {
+	var ahead float64
+	for i := range queue {
+		if refused[i] {
+			continue
+		}
+		item := &queue[i]
+		if !item.IsStarted && wait(ahead, capacity) > item.LatestStart.Sub(now) {
+			return i
+		}
+		ahead += item.Cost.Seconds()
+	}
+	return -1
+}
+
+// wait is how long engine seconds take; it stays finite without capacity.
+func wait(engineSeconds, capacity float64) time.Duration {
+	if engineSeconds <= 0 {
+		return 0
+	}
+	seconds := min(engineSeconds/max(capacity, 1e-3), 3600)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+func worst(queue []Item, refused []bool) int {
+	victim := -1
+	for i := range queue {
+		if refused[i] || queue[i].IsStarted {
+			continue
+		}
+		if victim < 0 || isWorse(&queue[i], &queue[victim]) {
+			victim = i
+		}
+	}
+	return victim
+}
+
+// isWorse is true where a is to be refused before b. Among equals the costlier
+// goes, since that frees most, and among these the later.
+func isWorse(a, b *Item) bool {
+	if a.IsOverShare != b.IsOverShare {
+		return a.IsOverShare
+	}
+	if scoreA, scoreB := score(a), score(b); scoreA != scoreB {
+		return scoreA > scoreB
+	}
+	if a.Cost != b.Cost {
+		return a.Cost > b.Cost
+	}
+	return !a.Arrived.Before(b.Arrived)
+}
+
+func score(item *Item) float64 {
+	return item.ServedShare * math.Sqrt(item.Patience.Seconds())
+}
+
+// RetryAfter is when to come back: when the present backlog will have been
+// worked off. Jitter is a random number in [0, 1).
+func RetryAfter(queue []Item, capacity, jitter float64) time.Duration {
+	var backlog float64
+	for i := range queue {
+		backlog += queue[i].Cost.Seconds()
+	}
+	after := max(wait(backlog, capacity), minRetryAfter)
+	after += time.Duration(float64(after) * retryJitter * jitter)
+	return min(after, maxRetryAfter)
+}
+
+// Priority is what an engine is told: higher for less slack, in steps of equal
+// ratios, from 0 to 100. The engine may compare the work of many hosts, so
+// only the slack counts and not the order in this host's queue.
+func Priority(slack time.Duration) int {
+	if slack <= time.Millisecond {
+		return maxPriority
+	}
+	halvings := math.Log2(float64(slack) / float64(time.Millisecond))
+	return max(0, maxPriority-int(priorityPerHalf*halvings))
+}
--- /dev/null
+++ b/internal/scheduler/estimator/model.go
@@ -0,0 +1,129 @@
+package estimator
+
+import "time"
+
+// The first guesses, used until observations outweigh them.
+const (
+	priorFirstToken     = 0.020   // seconds at an idle engine
+	priorPrefillToken   = 40e-6   // seconds a prompt token
+	priorStep           = 0.010   // seconds between tokens of a lone request
+	priorStepSequence   = 0.00015 // seconds more for each other request in the batch
+	priorCall           = 0.020   // seconds for a call of an idle service
+	priorCallConcurrent = 0.002   // seconds more for each other call
+	priorHandover       = 0.005   // seconds to hand over a KV cache
+	priorHandoverToken  = 2e-6    // seconds more for each prompt token
+	priorWeight         = 4
+)
+
+// Bounds of a factor by which an endpoint differs from its application's model.
+const (
+	minSpeed  = 0.25
+	maxSpeed  = 8
+	speedFade = 0.9
+)
+
+// Model is what is learnt of one application's endpoints together.
+type Model struct {
+	firstToken Line // seconds, against prompt tokens ahead and own
+	gap        Line // seconds between tokens, against the batch
+	call       Line // seconds for a call, against calls in flight
+	handover   Line // seconds from the end of a prefill to the first token elsewhere, against prompt tokens
+}
+
+// NewModel returns a model that knows the priors only.
+func NewModel() Model {
+	return Model{
+		firstToken: NewLine(priorFirstToken, priorPrefillToken, 4096, priorWeight),
+		gap:        NewLine(priorStep, priorStepSequence, 32, priorWeight),
+		call:       NewLine(priorCall, priorCallConcurrent, 16, priorWeight),
+		handover:   NewLine(priorHandover, priorHandoverToken, 4096, priorWeight),
+	}
+}
+
+// ObserveFirstToken records how long the first token took behind and with this
+// many prompt tokens, at an endpoint of the given speed factor.
+func (m *Model) ObserveFirstToken(tokens int, took time.Duration, speed float64) {
+	m.firstToken.Observe(float64(tokens), took.Seconds()/speed)
+}
+
+// ObserveGap records a mean gap between tokens in a batch.
+func (m *Model) ObserveGap(batch int, gap time.Duration, speed float64) {
+	m.gap.Observe(float64(batch), gap.Seconds()/speed)
+}
+
+// ObserveCall records how long a call took beside others in flight.
+func (m *Model) ObserveCall(others int, took time.Duration, speed float64) {
+	m.call.Observe(float64(others), took.Seconds()/speed)
+}
+
+// ObserveHandover records the time from the end of a separate prefill to the
+// first token of the engine that imported the KV cache.
+func (m *Model) ObserveHandover(tokens int, took time.Duration) {
+	m.handover.Observe(float64(tokens), took.Seconds())
+}
+
+// FirstToken estimates the time to the first token behind and with this many
+// prompt tokens.
+func (m *Model) FirstToken(tokens int) time.Duration {
+	return seconds(m.firstToken.At(float64(tokens)))
+}
+
+// Gap estimates the time between tokens in a batch.
+func (m *Model) Gap(batch int) time.Duration {
+	return seconds(m.gap.At(float64(batch)))
+}
+
+// Decode estimates the time for a number of tokens in a batch.
+func (m *Model) Decode(tokens, batch int) time.Duration {
+	return seconds(float64(tokens) * m.gap.At(float64(batch)))
+}
+
+// Call estimates the time for a call beside others in flight.
+func (m *Model) Call(others int) time.Duration {
+	return seconds(m.call.At(float64(others)))
+}
+
+// Handover estimates the time from the end of a separate prefill to the first token.
+func (m *Model) Handover(tokens int) time.Duration {
+	return seconds(m.handover.At(float64(tokens)))
+}
+
+// PrefillCost estimates the engine time that prompt tokens take from others.
+func (m *Model) PrefillCost(tokens int) time.Duration {
+	_, slope := m.firstToken.Fit()
+	return seconds(float64(tokens) * slope)
+}
+
+// DecodeCost estimates the engine time that one request's tokens take in a
+// batch that they share.
+func (m *Model) DecodeCost(tokens, batch int) time.Duration {
+	batch = max(batch, 1)
+	return m.Decode(tokens, batch) / time.Duration(batch)
+}
+
+// Step returns the fitted parts of a decode step in seconds: its base, and
+// what each sequence adds.
+func (m *Model) Step() (base, perSequence float64) { return m.gap.Fit() }
+
+// PrefillToken returns the fitted seconds for a prompt token.
+func (m *Model) PrefillToken() float64 {
+	_, slope := m.firstToken.Fit()
+	return slope
+}
+
+// Speed moves an endpoint's factor by one observation: above 1 is slower than
+// the application's model.
+func Speed(factor float64, observed, expected time.Duration) float64 {
+	if expected <= 0 || observed <= 0 {
+		return factor
+	}
+	ratio := min(max(float64(observed)/float64(expected), minSpeed), maxSpeed)
+	return factor*speedFade + ratio*(1-speedFade)
+}
+
+// Scale multiplies a duration by a speed factor.
+func Scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/scheduler/grant.go
@@ -0,0 +1,239 @@
+package scheduler
+
+import (
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler/admitter"
+	"github.com/endivemast/endivemast/internal/scheduler/estimator"
+	"github.com/endivemast/endivemast/internal/scheduler/router"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
+)
+
+// gapSample is how many tokens a mean gap is taken over: a lone gap says more
+// about the network than about the engine.
+const gapSample = 8
+
+// grant is a Grant. Tokens are counted without the scheduler's lock, since
+// they come by the thousand; Tick collects them.
+type grant struct {
+	s        *Scheduler
+	work     Work
+	choice   router.Choice
+	priority int
+	granted  time.Time
+
+	// isProbe and isPrefillProbe say that the use probes an endpoint set aside.
+	isProbe, isPrefillProbe bool
+
+	tokens atomic.Int64
+	lastAt atomic.Int64 // nanoseconds; when the last token came
+
+	// The rest is guarded by the scheduler's lock.
+	decodeLoad  tracker.Load // counted at choice.Decode
+	prefillLoad tracker.Load // counted at choice.Prefill
+	prefilledAt time.Time
+	firstAt     time.Time
+	collected   int64 // tokens, when last sampled
+	sampledAt   int64
+	isDone      bool
+}
+
+func (s *Scheduler) newGrant(work *Work, choice *router.Choice, expected int, slack time.Duration, now time.Time) *grant {
+	g := &grant{
+		s: s, work: *work, choice: *choice, granted: now,
+		priority:   admitter.Priority(slack),
+		decodeLoad: tracker.Load{Requests: 1, DecodeTokens: expected},
+	}
+	g.isProbe = choice.Decode.Breaker.Take()
+	if choice.Prefill != nil {
+		g.prefillLoad = tracker.Load{Requests: 1, PrefillTokens: choice.PrefillTokens}
+		g.isPrefillProbe = choice.Prefill.Breaker.Take()
+		choice.Prefill.Own = choice.Prefill.Own.Plus(g.prefillLoad)
+	} else if work.Class.Kind == configurer.KindGenerate {
+		g.decodeLoad.PrefillTokens = choice.PrefillTokens
+	}
+	choice.Decode.Own = choice.Decode.Own.Plus(g.decodeLoad)
+	s.grants[g] = struct{}{}
+	return g
+}
+
+// Target implements Grant.
+func (g *grant) Target() driver.Target { return g.choice.Decode.Target }
+
+// Prefill implements Grant.
+func (g *grant) Prefill() (target driver.Target, ok bool) {
+	if g.choice.Prefill == nil {
+		return driver.Target{}, false
+	}
+	return g.choice.Prefill.Target, true
+}
+
+// Priority implements Grant.
+func (g *grant) Priority() int { return g.priority }
+
+// Prefilled implements Grant.
+func (g *grant) Prefilled() {
+	now := g.s.now()
+	g.s.mu.Lock()
+	defer g.s.mu.Unlock()
+	prefill := g.choice.Prefill
+	if g.isDone || prefill == nil || !g.prefilledAt.IsZero() {
+		return
+	}
+	g.prefilledAt = now
+	g.setPrefillLoad(tracker.Load{})
+	prefill.Breaker.Succeed(g.isPrefillProbe)
+	g.isPrefillProbe = false
+	g.observeFirst(prefill, now.Sub(g.granted))
+	g.storePrefix(prefill, now)
+	g.s.pump(prefill.Application, now)
+}
+
+// Token implements Grant.
+func (g *grant) Token() {
+	now := g.s.now()
+	g.lastAt.Store(now.UnixNano())
+	if g.tokens.Add(1) == 1 {
+		g.first(now)
+	}
+}
+
+func (g *grant) first(now time.Time) {
+	g.s.mu.Lock()
+	defer g.s.mu.Unlock()
+	if g.isDone {
+		return
+	}
+	g.firstAt = now
+	g.sampledAt = now.UnixNano()
+	g.collected = 1
+	decode := g.choice.Decode
+	decode.Breaker.Succeed(g.isProbe)
+	g.isProbe = false
+	if g.choice.Prefill == nil {
+		g.observeFirst(decode, now.Sub(g.granted))
+		g.storePrefix(decode, now)
+	} else if !g.prefilledAt.IsZero() {
+		g.application().Model.ObserveHandover(g.work.PromptTokens, now.Sub(g.prefilledAt))
+	}
+	load := g.decodeLoad
+	load.PrefillTokens = 0
+	g.setDecodeLoad(load)
+	g.s.pump(decode.Application, now)
+}
+
+func (g *grant) observeFirst(endpoint *tracker.Endpoint, took time.Duration) {
+	model := &g.application().Model
+	tokens := g.choice.Ahead + g.choice.PrefillTokens
+	expected := model.FirstToken(tokens)
+	model.ObserveFirstToken(tokens, took, endpoint.Speed)
+	endpoint.Speed = estimator.Speed(endpoint.Speed, took, expected)
+}
+
+func (g *grant) storePrefix(endpoint *tracker.Endpoint, now time.Time) {
+	g.application().Prefixes.Store(g.work.PrefixKey, endpoint, g.work.PrefixTokens, now)
+}
+
+// Done implements Grant.
+func (g *grant) Done(result Result) {
+	now := g.s.now()
+	g.s.mu.Lock()
+	defer g.s.mu.Unlock()
+	if g.isDone {
+		return
+	}
+	g.collect()
+	g.isDone = true
+	delete(g.s.grants, g)
+	g.setDecodeLoad(tracker.Load{})
+	g.setPrefillLoad(tracker.Load{})
+	switch result := result.(type) {
+	case Completed:
+		g.completed(result.End, now)
+	case Broken:
+		g.broken(result, now)
+	case Abandoned:
+	}
+	g.release()
+	g.s.pump(g.choice.Decode.Application, now)
+}
+
+func (g *grant) completed(end driver.End, now time.Time) {
+	endpoint := g.choice.Decode
+	endpoint.Breaker.Succeed(g.isProbe)
+	g.isProbe = false
+	if g.work.Class.Kind == configurer.KindCall {
+		model := &g.application().Model
+		others, took := g.choice.Ahead, now.Sub(g.granted)
+		expected := model.Call(others)
+		model.ObserveCall(others, took, endpoint.Speed)
+		endpoint.Speed = estimator.Speed(endpoint.Speed, took, expected)
+		return
+	}
+	g.s.class(&g.work).Length.Observe(end.OutputTokens)
+	g.application().Prefixes.Correct(g.choice.ReusedTokens, end.ReusedTokens)
+}
+
+func (g *grant) broken(result Broken, now time.Time) {
+	endpoint, isProbe := g.choice.Decode, &g.isProbe
+	if result.AtPrefill && g.choice.Prefill != nil {
+		endpoint, isProbe = g.choice.Prefill, &g.isPrefillProbe
+	}
+	wasNotTaken := errors.Is(result.Err, driver.ErrNotSent) || errors.Is(result.Err, driver.ErrRefused)
+	endpoint.Breaker.Fail(*isProbe, wasNotTaken, g.s.rand.Float64(), now)
+	*isProbe = false
+}
+
+// release ends probes that told nothing.
+func (g *grant) release() {
+	g.choice.Decode.Breaker.Release(g.isProbe)
+	if g.choice.Prefill != nil {
+		g.choice.Prefill.Breaker.Release(g.isPrefillProbe)
+	}
+}
+
+// collect takes in the tokens that came since the last time.
+func (g *grant) collect() {
+	tokens, at := g.tokens.Load(), g.lastAt.Load()
+	if g.isDone || g.firstAt.IsZero() || tokens == g.collected {
+		return
+	}
+	if count := tokens - g.collected; count >= gapSample && at > g.sampledAt {
+		g.observeGap(time.Duration((at - g.sampledAt) / count))
+		g.collected, g.sampledAt = tokens, at
+	}
+	done := g.work.DeliveredTokens + int(tokens)
+	load := g.decodeLoad
+	load.DecodeTokens = g.s.class(&g.work).Length.Remaining(done, g.work.MaxOutputTokens)
+	g.setDecodeLoad(load)
+}
+
+func (g *grant) observeGap(gap time.Duration) {
+	endpoint := g.choice.Decode
+	batch := max(endpoint.Total().Requests, 1)
+	model := &g.application().Model
+	expected := model.Gap(batch)
+	model.ObserveGap(batch, gap, endpoint.Speed)
+	endpoint.Speed = estimator.Speed(endpoint.Speed, gap, expected)
+}
+
+func (g *grant) setDecodeLoad(load tracker.Load) {
+	endpoint := g.choice.Decode
+	endpoint.Own = endpoint.Own.Minus(g.decodeLoad).Plus(load)
+	g.decodeLoad = load
+}
+
+func (g *grant) setPrefillLoad(load tracker.Load) {
+	if endpoint := g.choice.Prefill; endpoint != nil {
+		endpoint.Own = endpoint.Own.Minus(g.prefillLoad).Plus(load)
+		g.prefillLoad = load
+	}
+}
+
+func (g *grant) application() *tracker.Application {
+	return g.s.table.Application(g.choice.Decode.Application)
+}
--- /dev/null
+++ b/internal/scheduler/queue.go
@@ -0,0 +1,326 @@
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/scheduler/admitter"
+	"github.com/endivemast/endivemast/internal/scheduler/router"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
+)
+
+const (
+	// blockedAhead is how many pieces of work that find no endpoint are passed
+	// over for those behind them, which may have other endpoints excluded.
+	blockedAhead = 4
+	// retryWithoutEndpoint is when to come back while nothing serves the
+	// application: the platform's list and the engines' roles move in seconds.
+	retryWithoutEndpoint = time.Second
+)
+
+// queue holds one application's waiting work in its order. Both slices have
+// the same positions.
+type queue struct {
+	application string
+	items       []admitter.Item
+	waiters     []*waiter
+}
+
+// waiter is one call of Acquire that waits.
+type waiter struct {
+	work     Work
+	expected int // output tokens
+	outcome  chan outcome
+}
+
+type outcome struct {
+	grant   *grant
+	refusal *Refusal
+}
+
+// Acquire gives work an endpoint. It waits in this host's queue while the work
+// can still be in time, and fails with a *Refusal as soon as it can't, or with
+// ctx's error. Work whose caller already has tokens is never refused for lack
+// of capacity.
+func (s *Scheduler) Acquire(ctx context.Context, work Work) (Grant, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.waiting.Add(1)
+	defer s.waiting.Done()
+	w, result := s.admit(&work, s.now())
+	s.mu.Unlock()
+	if w != nil {
+		var err error
+		if result, err = s.wait(ctx, w); err != nil {
+			return nil, err
+		}
+	}
+	if result.refusal != nil {
+		return nil, result.refusal
+	}
+	return result.grant, nil
+}
+
+func (s *Scheduler) wait(ctx context.Context, w *waiter) (outcome, error) {
+	select {
+	case result := <-w.outcome:
+		return result, nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	wasWaiting := s.remove(w)
+	s.mu.Unlock()
+	if !wasWaiting {
+		// Decided between the two; a grant is given back, since nobody uses it.
+		if result := <-w.outcome; result.grant != nil {
+			result.grant.Done(Abandoned{})
+		}
+	}
+	return outcome{}, ctx.Err()
+}
+
+// admit decides on new work: a result at once, or a waiter in the queue.
+func (s *Scheduler) admit(work *Work, now time.Time) (*waiter, outcome) {
+	if s.isClosed {
+		return nil, refusal(ReasonDraining, retryWithoutEndpoint)
+	}
+	application := s.table.Application(work.Class.Application)
+	w := &waiter{work: *work, outcome: make(chan outcome, 1)}
+	w.expected = s.expectedTokens(work)
+	s.offer(application, w, now)
+	item := s.item(application, w)
+	q := s.queue(application.Name)
+	position := admitter.Position(q.items, &item)
+	verdict := router.Verdict{Kind: router.Busy}
+	if position == 0 || item.IsStarted {
+		var g *grant
+		if g, verdict = s.try(application, w, &item, now); g != nil {
+			return nil, outcome{grant: g}
+		}
+	}
+	if refused, ok := s.refuseUnreachable(verdict, &item, now); ok {
+		return nil, refused
+	}
+	q.insert(position, item, w)
+	s.table.Tenant(tenantKey(work)).Queued++
+	s.thin(q, now)
+	return w, outcome{}
+}
+
+// offer notes new work in the demand and the class's figures. Work that comes
+// again after a failure was noted the first time.
+func (s *Scheduler) offer(application *tracker.Application, w *waiter, now time.Time) {
+	work := &w.work
+	if work.DeliveredTokens > 0 || len(work.Excluded) > 0 {
+		return
+	}
+	s.class(work).Offered++
+	application.Demand.Add(work.PromptTokens, w.expected, work.Class.BetweenTokensTarget(), now)
+}
+
+// refuseUnreachable refuses work that has nowhere to wait for.
+func (s *Scheduler) refuseUnreachable(verdict router.Verdict, item *admitter.Item, now time.Time) (outcome, bool) {
+	switch verdict.Kind {
+	case router.None:
+		return refusal(ReasonNoEndpoint, retryWithoutEndpoint), true
+	case router.SetAside:
+		if item.IsStarted || verdict.Until.Before(item.LatestStart) {
+			return outcome{}, false
+		}
+		return refusal(ReasonNoEndpoint, max(verdict.Until.Sub(now), time.Millisecond)), true
+	default:
+		return outcome{}, false
+	}
+}
+
+// try gives work an endpoint if there is one now.
+func (s *Scheduler) try(
+	application *tracker.Application, w *waiter, item *admitter.Item, now time.Time,
+) (*grant, router.Verdict) {
+	work := &w.work
+	query := router.Query{
+		Kind:         work.Class.Kind,
+		PromptTokens: work.PromptTokens + work.DeliveredTokens,
+		PrefixKey:    work.PrefixKey,
+		PrefixTokens: work.PrefixTokens,
+		OutputTokens: w.expected,
+		GapTarget:    work.Class.BetweenTokensTarget(),
+		Excluded:     work.Excluded,
+		IgnoreLimits: item.IsStarted || s.cfg.Policy.Admission == AdmitAll,
+		Now:          now,
+	}
+	if target := work.Class.FirstTokenTarget(); target > 0 && !item.IsStarted {
+		query.FirstTokenDue = max(work.Arrived.Add(target).Sub(now), 1)
+	}
+	choice, verdict := s.router.Choose(application, &query)
+	if verdict.Kind != router.Chosen {
+		return nil, verdict
+	}
+	g := s.newGrant(work, &choice, w.expected, item.LatestStart.Sub(now), now)
+	if len(work.Excluded) == 0 && !item.IsStarted {
+		s.class(work).Served++
+	}
+	s.table.Tenant(tenantKey(work)).Used += item.Cost.Seconds()
+	return g, verdict
+}
+
+// item describes work to the admitter. Its estimates are those of an endpoint
+// with the mean batch and nothing to prefill ahead: what waits here waits for
+// that.
+func (s *Scheduler) item(application *tracker.Application, w *waiter) admitter.Item {
+	work, model := &w.work, &application.Model
+	batch := max(application.Summary.MeanBatch, 1)
+	prompt := work.PromptTokens + work.DeliveredTokens
+	var estimate admitter.Estimate
+	var cost time.Duration
+	if work.Class.Kind == configurer.KindCall {
+		estimate.First = model.Call(batch)
+		estimate.Finish = estimate.First
+		cost = estimate.First / time.Duration(batch)
+	} else {
+		estimate.First = model.FirstToken(prompt)
+		estimate.Finish = estimate.First + model.Decode(w.expected, batch)
+		cost = model.PrefillCost(prompt) + model.DecodeCost(w.expected, batch)
+	}
+	s.nextID++
+	isStarted := work.DeliveredTokens > 0
+	tenant := s.table.Tenant(tenantKey(work))
+	fair := application.Summary.FairUse
+	return admitter.Item{
+		ID:          s.nextID,
+		Arrived:     work.Arrived,
+		LatestStart: admitter.LatestStart(&work.Class, work.Arrived, isStarted, estimate),
+		Cost:        cost,
+		Used:        tenant.Used + float64(tenant.Queued)*cost.Seconds(),
+		Patience:    admitter.Patience(&work.Class),
+		ServedShare: s.class(work).ServedShare(),
+		IsOverShare: fair > 0 && tenant.Used > fair,
+		IsStarted:   isStarted,
+	}
+}
+
+// thin refuses what cannot be in time any more.
+func (s *Scheduler) thin(q *queue, now time.Time) {
+	capacity := s.table.Application(q.application).Summary.Capacity
+	victims := admitter.Victims(q.items, capacity, now)
+	if len(victims) == 0 {
+		return
+	}
+	slices.Sort(victims)
+	after := admitter.RetryAfter(q.items, capacity, s.rand.Float64())
+	for _, position := range slices.Backward(victims) {
+		s.refuse(q, position, s.reason(&q.items[position], now), after)
+	}
+}
+
+func (s *Scheduler) reason(item *admitter.Item, now time.Time) RefusalReason {
+	switch {
+	case item.IsOverShare:
+		return ReasonTenantShare
+	case !item.LatestStart.After(now):
+		return ReasonTooLate
+	default:
+		return ReasonOverload
+	}
+}
+
+func (s *Scheduler) refuse(q *queue, position int, reason RefusalReason, after time.Duration) {
+	w := q.waiters[position]
+	s.take(q, position)
+	w.outcome <- refusal(reason, after)
+}
+
+func (s *Scheduler) refuseAll(q *queue, reason RefusalReason) {
+	for len(q.items) > 0 {
+		s.refuse(q, 0, reason, retryWithoutEndpoint)
+	}
+}
+
+func (s *Scheduler) pumpAll(now time.Time) {
+	for name := range s.queues {
+		s.pump(name, now)
+	}
+}
+
+// pump gives waiting work the endpoints that have room, and refuses what can't
+// be in time any more.
+func (s *Scheduler) pump(name string, now time.Time) {
+	q := s.queues[name]
+	if q == nil || len(q.items) == 0 {
+		return
+	}
+	application := s.table.Application(name)
+	blocked := 0
+	for position := 0; position < len(q.items) && blocked < blockedAhead; {
+		w := q.waiters[position]
+		g, verdict := s.try(application, w, &q.items[position], now)
+		if g != nil {
+			s.take(q, position)
+			w.outcome <- outcome{grant: g}
+			continue
+		}
+		if refused, ok := s.refuseUnreachable(verdict, &q.items[position], now); ok {
+			s.take(q, position)
+			w.outcome <- refused
+			continue
+		}
+		position++
+		blocked++
+	}
+	s.thin(q, now)
+}
+
+func (s *Scheduler) queue(application string) *queue {
+	q := s.queues[application]
+	if q == nil {
+		q = &queue{application: application}
+		s.queues[application] = q
+	}
+	return q
+}
+
+func (q *queue) insert(position int, item admitter.Item, w *waiter) {
+	q.items = slices.Insert(q.items, position, item)
+	q.waiters = slices.Insert(q.waiters, position, w)
+}
+
+// take removes work from the queue.
+func (s *Scheduler) take(q *queue, position int) {
+	s.table.Tenant(tenantKey(&q.waiters[position].work)).Queued--
+	q.items = slices.Delete(q.items, position, position+1)
+	q.waiters = slices.Delete(q.waiters, position, position+1)
+}
+
+// remove takes a waiter out; false when it was decided on already.
+func (s *Scheduler) remove(w *waiter) bool {
+	q := s.queue(w.work.Class.Application)
+	position := slices.Index(q.waiters, w)
+	if position < 0 {
+		return false
+	}
+	s.take(q, position)
+	return true
+}
+
+func (s *Scheduler) class(work *Work) *tracker.Class {
+	return s.table.Class(tracker.ClassKey{Tenant: work.Class.Tenant, Name: work.Class.Name})
+}
+
+func (s *Scheduler) expectedTokens(work *Work) int {
+	if work.Class.Kind == configurer.KindCall {
+		return 0
+	}
+	return s.class(work).Length.Remaining(work.DeliveredTokens, work.MaxOutputTokens)
+}
+
+func tenantKey(work *Work) tracker.TenantKey {
+	return tracker.TenantKey{Application: work.Class.Application, Tenant: work.Class.Tenant}
+}
+
+func refusal(reason RefusalReason, after time.Duration) outcome {
+	return outcome{refusal: &Refusal{Reason: reason, RetryAfter: after}}
+}
--- /dev/null
+++ b/internal/scheduler/router/router.go
@@ -0,0 +1,263 @@
+// Package router chooses the endpoint for a piece of work from the tables.
+//
+// It estimates when the work would finish at a few endpoints and takes the
+// best: those that probably cache the prompt's prefix, and some drawn at
+// random. Drawing keeps hosts with the same stale view from all choosing the
+// same endpoint, and the cost of a decision from growing with the fleet. An
+// endpoint of another zone has to be better by the zone penalty.
+//
+// # Usage
+//
+//	r := router.New(router.EstimatedFinish, rand.New(rand.NewPCG(1, 2)))
+//	choice, verdict := r.Choose(application, &router.Query{...})
+//	if verdict.Kind == router.Chosen { ... choice.Decode ... }
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/scheduler/estimator"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
+)
+
+// Routing is a way to choose.
+type Routing string
+
+// Ways to choose. The two last are baselines to measure against.
+const (
+	EstimatedFinish Routing = "estimated_finish"
+	RoundRobin      Routing = "round_robin"
+	FewestInFlight  Routing = "fewest_in_flight" // in this host's own view
+)
+
+const (
+	localSamples  = 4
+	remoteSamples = 2
+	maxScanned    = 64 // endpoints looked at when none of the samples will do
+	// prefillWindow bounds the prompt work that waits at an engine, so that
+	// more urgent work that arrives later still finds it short.
+	prefillWindow = 250 * time.Millisecond
+
+	zonePenalty      = 4 * time.Millisecond
+	zonePenaltyShare = 0.05 // of the estimated finish
+	latePenalty      = 4    // times the time by which the first token would be late
+	gapPenalty       = 2    // times the time by which the tokens would be late
+)
+
+// Query is the work to find an endpoint for.
+type Query struct {
+	Kind          configurer.ClassKind
+	PromptTokens  int // to be computed, delivered tokens included
+	PrefixKey     string
+	PrefixTokens  int
+	OutputTokens  int           // expected
+	FirstTokenDue time.Duration // until the first-token target; 0: none, or passed
+	GapTarget     time.Duration // 0: none
+	Excluded      []string
+	// IgnoreLimits lets the work on at full endpoints too.
+	IgnoreLimits bool
+	Now          time.Time
+}
+
+// Choice is where the work is to go.
+type Choice struct {
+	Decode        *tracker.Endpoint // decodes, or serves the call
+	Prefill       *tracker.Endpoint // computes the prompt first; nil: Decode does both
+	PrefillTokens int               // that have to be computed
+	ReusedTokens  int               // expected from the prefix cache
+	Ahead         int               // prompt tokens that wait before these
+	First         time.Duration     // estimated time to the first token, or the answer of a call
+	Finish        time.Duration     // estimated time to the end
+	score         time.Duration
+}
+
+// VerdictKind says what came of a choice.
+type VerdictKind int
+
+// Kinds of verdict.
+const (
+	Chosen   VerdictKind = iota
+	Busy                 // endpoints would serve, but all are full
+	SetAside             // only endpoints that are set aside for failures
+	None                 // no endpoint
+)
+
+// Verdict is the outcome of Choose.
+type Verdict struct {
+	Kind  VerdictKind
+	Until time.Time // of SetAside: when the first may be probed
+}
+
+// Router chooses. It is not safe for concurrent use.
+type Router struct {
+	routing Routing
+	rand    *rand.Rand
+	turn    map[string]int // of round robin, by application
+	seen    []*tracker.Endpoint
+}
+
+// New returns a router.
+func New(routing Routing, source *rand.Rand) *Router {
+	return &Router{routing: routing, rand: source, turn: make(map[string]int)}
+}
+
+// Choose chooses among an application's endpoints.
+func (r *Router) Choose(application *tracker.Application, q *Query) (Choice, Verdict) {
+	if r.routing != EstimatedFinish {
+		return r.chooseBaseline(application, q)
+	}
+	r.sample(application, q)
+	choice, verdict := best(application, q, r.seen)
+	if verdict.Kind != Chosen || application.Summary.IsSplit {
+		r.scan(application)
+		choice, verdict = best(application, q, r.seen)
+	}
+	return choice, verdict
+}
+
+// sample fills seen with the prefix's holders and some drawn at random.
+func (r *Router) sample(application *tracker.Application, q *Query) {
+	r.seen = r.seen[:0]
+	hints := application.Prefixes.Hints(q.PrefixKey)
+	for i := range hints {
+		// A hint may outlive its endpoint's listing or its application.
+		if e := hints[i].Endpoint; e != nil && e.Listed && e.Application == application.Name {
+			r.seen = append(r.seen, e)
+		}
+	}
+	r.draw(application.Local, localSamples)
+	r.draw(application.Remote, remoteSamples)
+}
+
+func (r *Router) draw(endpoints []*tracker.Endpoint, count int) {
+	if len(endpoints) <= count {
+		r.seen = append(r.seen, endpoints...)
+		return
+	}
+	// Neighbours from a random place would do as well for one host, but hosts
+	// that draw overlapping runs meet at the same gaps more often.
+	for range count {
+		r.seen = append(r.seen, endpoints[r.rand.IntN(len(endpoints))])
+	}
+}
+
+// scan fills seen with a run of the endpoints from a random place.
+func (r *Router) scan(application *tracker.Application) {
+	r.seen = r.seen[:0]
+	count := application.Len()
+	if count == 0 {
+		return
+	}
+	start := r.rand.IntN(count)
+	for i := range min(count, maxScanned) {
+		r.seen = append(r.seen, application.At((start+i)%count))
+	}
+}
+
+// best returns the best single endpoint, or the best pair where engines'
+// roles are split and a pair is better.
+func best(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint) (Choice, Verdict) {
+	verdict := Verdict{Kind: None}
+	var chosen Choice
+	for _, endpoint := range endpoints {
+		if !verdict.usable(endpoint, q) || !endpoint.CanPrefill() || !endpoint.CanDecode() {
+			continue
+		}
+		if !q.IgnoreLimits && isFull(application, endpoint) {
+			verdict.note(Busy)
+			continue
+		}
+		choice := estimate(application, q, endpoint)
+		if verdict.Kind != Chosen || choice.score < chosen.score {
+			chosen = choice
+		}
+		verdict.Kind = Chosen
+	}
+	if application.Summary.IsSplit && q.Kind == configurer.KindGenerate {
+		return bestPair(application, q, endpoints, chosen, verdict)
+	}
+	return chosen, verdict
+}
+
+// usable is true where the endpoint may be considered; otherwise the verdict
+// learns why not.
+func (v *Verdict) usable(endpoint *tracker.Endpoint, q *Query) bool {
+	if !endpoint.TakesNewWork() || slices.Contains(q.Excluded, endpoint.Target.EndpointID) {
+		return false
+	}
+	if endpoint.Breaker.Allows(q.Now) {
+		return true
+	}
+	v.note(SetAside)
+	if v.Until.IsZero() || endpoint.Breaker.Until.Before(v.Until) {
+		v.Until = endpoint.Breaker.Until
+	}
+	return false
+}
+
+func (v *Verdict) note(kind VerdictKind) { v.Kind = min(v.Kind, kind) }
+
+// isFull is true where more work would wait at the endpoint and not here.
+func isFull(application *tracker.Application, endpoint *tracker.Endpoint) bool {
+	total := endpoint.Total()
+	if total.Requests >= endpoint.Limit {
+		return true
+	}
+	if total.PrefillTokens == 0 {
+		return false
+	}
+	waiting := application.Model.PrefillCost(total.PrefillTokens)
+	return estimator.Scale(waiting, endpoint.Speed) > prefillWindow
+}
+
+// estimate estimates the work's course at one endpoint.
+func estimate(application *tracker.Application, q *Query, endpoint *tracker.Endpoint) Choice {
+	model := &application.Model
+	total := endpoint.Total()
+	choice := Choice{Decode: endpoint}
+	if q.Kind == configurer.KindCall {
+		choice.First = estimator.Scale(model.Call(total.Requests), endpoint.Speed)
+		choice.Finish = choice.First
+		choice.score = withZone(choice.Finish, endpoint)
+		return choice
+	}
+	choice.reuse(application, q, endpoint)
+	choice.Ahead = total.PrefillTokens
+	choice.First = estimator.Scale(model.FirstToken(choice.Ahead+choice.PrefillTokens), endpoint.Speed)
+	gap := estimator.Scale(model.Gap(total.Requests+1), endpoint.Speed)
+	choice.finish(q, gap)
+	choice.score = withZone(choice.score, endpoint)
+	return choice
+}
+
+// reuse splits the prompt into what the prefix cache probably gives and the rest.
+func (c *Choice) reuse(application *tracker.Application, q *Query, endpoint *tracker.Endpoint) {
+	expected := application.Prefixes.Expected(q.PrefixKey, endpoint, q.Now)
+	c.ReusedTokens = min(expected, q.PrefixTokens, q.PromptTokens)
+	c.PrefillTokens = q.PromptTokens - c.ReusedTokens
+}
+
+// finish sets the end and the score. Time beyond a target counts more than the
+// time itself, so that an endpoint within the targets goes before a faster one
+// that misses one of them.
+func (c *Choice) finish(q *Query, gap time.Duration) {
+	rest := time.Duration(max(q.OutputTokens-1, 0))
+	c.Finish = c.First + rest*gap
+	c.score = c.Finish
+	if q.FirstTokenDue > 0 && c.First > q.FirstTokenDue {
+		c.score += latePenalty * (c.First - q.FirstTokenDue)
+	}
+	if q.GapTarget > 0 && gap > q.GapTarget {
+		c.score += gapPenalty * rest * (gap - q.GapTarget)
+	}
+}
+
+func withZone(score time.Duration, endpoint *tracker.Endpoint) time.Duration {
+	if endpoint.Local {
+		return score
+	}
+	return score + zonePenalty + estimator.Scale(score, zonePenaltyShare)
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,163 @@
+// Package scheduler decides which endpoint gets which work, when and at what
+// priority, and refuses at once what cannot be in time. It also plans the
+// engines' roles.
+//
+// A Scheduler is one host's: hosts share no queue. It counts its own work
+// exactly, takes its peers' loads and the endpoints' reports as inputs, and
+// does no I/O itself. The decisions are pure functions of the packages below
+// this one (router, admitter, planner) over the tables of package tracker.
+//
+// # Usage
+//
+//	s := scheduler.New(scheduler.Config{HostID: "entry-1", Zone: "lozenets"})
+//	defer s.Close()
+//	s.SetHosts(hosts, time.Now())
+//	grant, err := s.Acquire(ctx, scheduler.Work{...})
+//	var refusal *scheduler.Refusal
+//	if errors.As(err, &refusal) { ... refusal.RetryAfter ... }
+//	... use grant.Target(), call grant.Token() for each token ...
+//	grant.Done(scheduler.Completed{End: end})
+//
+// Somebody has to call Tick several times a second: it gives up on work that
+// waits too long, lets estimates fade and probes endpoints set aside.
+package scheduler
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler/router"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
+)
+
+// Scheduler schedules one host's work. All methods are safe for concurrent use.
+type Scheduler struct {
+	cfg    Config
+	logger hclog.Logger
+	now    func() time.Time
+
+	mu       sync.Mutex
+	table    *tracker.Table
+	router   *router.Router
+	rand     *rand.Rand
+	queues   map[string]*queue // by application
+	grants   map[*grant]struct{}
+	nextID   int64
+	isClosed bool
+	waiting  sync.WaitGroup // calls of Acquire under way
+}
+
+// New returns a Scheduler that knows no endpoint yet.
+func New(cfg Config) *Scheduler {
+	cfg.Policy, _ = cfg.Policy.Validate()
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
+	source := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15))
+	return &Scheduler{
+		cfg:    cfg,
+		logger: cfg.Logger,
+		now:    cfg.Now,
+		table:  tracker.NewTable(cfg.Zone),
+		router: router.New(cfg.Policy.Routing, source),
+		rand:   source,
+		queues: make(map[string]*queue),
+		grants: make(map[*grant]struct{}),
+	}
+}
+
+// Close refuses all work that waits and any that comes, and returns when the
+// calls of Acquire have ended. Grants stay valid until they are done.
+func (s *Scheduler) Close() error {
+	s.mu.Lock()
+	s.isClosed = true
+	for _, q := range s.queues {
+		s.refuseAll(q, ReasonDraining)
+	}
+	s.mu.Unlock()
+	s.waiting.Wait()
+	return nil
+}
+
+// SetHosts takes the platform's list of hosts. Entry hosts in it are ignored.
+func (s *Scheduler) SetHosts(hosts []provider.Host, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetHosts(hosts, now)
+	s.pumpAll(now)
+}
+
+// SetReport takes an endpoint's report.
+func (s *Scheduler) SetReport(endpointID string, report driver.Report, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetReport(endpointID, &report, now)
+	if endpoint := s.table.Endpoints[endpointID]; endpoint != nil {
+		s.pump(endpoint.Application, now)
+	}
+}
+
+// SetPeerLoad takes the loads that a peer counts, by endpoint: absolute values,
+// and endpoints left out have none. The scheduler keeps the map. A peer that
+// stays silent for some seconds is forgotten.
+func (s *Scheduler) SetPeerLoad(peerHostID string, loads map[string]Load, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.SetPeerLoad(peerHostID, loads, now)
+}
+
+// MarkLeaving says that an endpoint itself, or a peer, says that it leaves. It
+// gets no new work from now on.
+func (s *Scheduler) MarkLeaving(endpointID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if endpoint := s.table.Endpoints[endpointID]; endpoint != nil {
+		endpoint.MarkedLeaving = s.now()
+	}
+}
+
+// MarkUnreachable sets an endpoint aside, as a failure to reach it does.
+func (s *Scheduler) MarkUnreachable(endpointID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if endpoint := s.table.Endpoints[endpointID]; endpoint != nil {
+		endpoint.Breaker.Fail(false, true, s.rand.Float64(), s.now())
+	}
+}
+
+// OwnLoad returns this host's work in flight by endpoint, for the peers.
+// Endpoints without any are left out.
+func (s *Scheduler) OwnLoad() map[string]Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	loads := make(map[string]Load)
+	for id, endpoint := range s.table.Endpoints {
+		if !endpoint.Own.IsZero() {
+			loads[id] = endpoint.Own
+		}
+	}
+	return loads
+}
+
+// Tick runs the systems over the tables: progress of the grants, fading of
+// what ages, and the queues. It is to be called every 50 to 100 ms.
+func (s *Scheduler) Tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for g := range s.grants {
+		g.collect()
+	}
+	s.table.Tick(now)
+	s.pumpAll(now)
+}
--- /dev/null
+++ b/internal/scheduler/status.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
+)
+
+// EndpointStatus is what this host believes of one endpoint.
+type EndpointStatus struct {
+	EndpointID  string            `json:"endpoint_id"`
+	Incarnation string            `json:"incarnation"`
+	Address     string            `json:"address"`
+	Zone        string            `json:"zone"`
+	Application string            `json:"application"`
+	Kind        provider.HostKind `json:"kind"`
+	Role        driver.Role       `json:"role"`
+	Leaving     bool              `json:"leaving"`   // by the platform, itself or a peer
+	Draining    bool              `json:"draining"`  // by its report
+	SetAside    bool              `json:"set_aside"` // for failures
+	Limit       int               `json:"limit"`     // requests given at once
+	Speed       float64           `json:"speed"`     // factor of its times against its application's; above 1 is slower
+	Own         Load              `json:"own"`
+	Total       Load              `json:"total"` // with peers' work and what reports add
+	ReportedAt  time.Time         `json:"reported_at"`
+}
+
+// Endpoints returns all endpoints by id.
+func (s *Scheduler) Endpoints() []EndpointStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	statuses := make([]EndpointStatus, 0, len(s.table.Endpoints))
+	for _, endpoint := range s.table.Endpoints {
+		statuses = append(statuses, statusOf(endpoint))
+	}
+	slices.SortFunc(statuses, func(a, b EndpointStatus) int {
+		return strings.Compare(a.EndpointID, b.EndpointID)
+	})
+	return statuses
+}
+
+func statusOf(endpoint *tracker.Endpoint) EndpointStatus {
+	return EndpointStatus{
+		EndpointID:  endpoint.Target.EndpointID,
+		Incarnation: endpoint.Target.Incarnation,
+		Address:     endpoint.Target.Address,
+		Zone:        endpoint.Zone,
+		Application: endpoint.Application,
+		Kind:        endpoint.Kind,
+		Role:        endpoint.Role,
+		Leaving:     endpoint.Leaving || !endpoint.MarkedLeaving.IsZero(),
+		Draining:    endpoint.Draining,
+		SetAside:    endpoint.Breaker.IsOpen(),
+		Limit:       endpoint.Limit,
+		Speed:       endpoint.Speed,
+		Own:         endpoint.Own,
+		Total:       endpoint.Total(),
+		ReportedAt:  endpoint.ReportedAt,
+	}
+}
--- /dev/null
+++ b/internal/scheduler/tracker/breaker.go
@@ -0,0 +1,78 @@
+package tracker
+
+import "time"
+
+const (
+	breakerBase = 250 * time.Millisecond
+	breakerMax  = 15 * time.Second
+	// breakerTrip is how many failures in a row set an endpoint aside; an
+	// endpoint that could not be reached counts as having failed so often.
+	breakerTrip = 2
+)
+
+// Breaker sets a failing endpoint aside: for a time that doubles with each
+// failure, after which one single request probes it.
+type Breaker struct {
+	Failures int       // in a row
+	Until    time.Time // set aside until then; zero: not set aside
+	Probing  bool      // a probe is under way
+}
+
+// Allows is true where the endpoint may be given work.
+func (b *Breaker) Allows(now time.Time) bool {
+	if b.Until.IsZero() {
+		return true
+	}
+	return !b.Probing && !now.Before(b.Until)
+}
+
+// IsOpen is true while the endpoint is set aside or being probed.
+func (b *Breaker) IsOpen() bool { return !b.Until.IsZero() }
+
+// Take notes that work is given; it returns true when that work is a probe.
+func (b *Breaker) Take() bool {
+	if !b.IsOpen() {
+		return false
+	}
+	b.Probing = true
+	return true
+}
+
+// Succeed notes a success. It closes the breaker only when it is the probe's:
+// an old stream that still flows does not show that new work would be taken.
+func (b *Breaker) Succeed(isProbe bool) {
+	if isProbe || !b.IsOpen() {
+		*b = Breaker{}
+	}
+}
+
+// Release ends a probe that says nothing about the endpoint.
+func (b *Breaker) Release(isProbe bool) {
+	if isProbe {
+		b.Probing = false
+	}
+}
+
+// Fail notes a failure. Unreachable says that the endpoint could not be
+// reached or would not take work. Jitter is a random number in [0, 1) that
+// keeps hosts from probing in step. While the breaker is open only the probe's
+// failure counts: when an engine with 30 streams dies, that is one failure and
+// not 30 doublings of the pause.
+func (b *Breaker) Fail(isProbe, unreachable bool, jitter float64, now time.Time) {
+	if b.IsOpen() && !isProbe {
+		return
+	}
+	b.Probing = false
+	b.Failures++
+	if unreachable {
+		b.Failures = max(b.Failures, breakerTrip)
+	}
+	if b.Failures < breakerTrip {
+		return
+	}
+	pause := breakerMax
+	if doublings := b.Failures - breakerTrip; doublings < 6 {
+		pause = min(breakerBase<<doublings, breakerMax)
+	}
+	b.Until = now.Add(time.Duration(float64(pause) * (0.5 + jitter)))
+}
--- /dev/null
+++ b/internal/scheduler/tracker/class.go
@@ -0,0 +1,136 @@
+package tracker
+
+import (
+	"math"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/scheduler/estimator"
+)
+
+const (
+	classHalf  = 30 * time.Second
+	tenantHalf = 10 * time.Second
+	demandHalf = 20 * time.Second
+	fadeStep   = time.Second
+)
+
+// ClassKey names a class.
+type ClassKey struct {
+	Tenant, Name string
+}
+
+// Class is what is learnt of one class of work.
+type Class struct {
+	Length  estimator.Length
+	Offered float64 // requests that came, fading
+	Served  float64 // of these, those that got an endpoint
+	fadedAt time.Time
+}
+
+// ServedShare is the share of the offered requests that got an endpoint.
+func (c *Class) ServedShare() float64 { return (c.Served + 1) / (c.Offered + 1) }
+
+func (c *Class) fade(now time.Time) {
+	factor, ok := fadeFactor(&c.fadedAt, classHalf, now)
+	if ok {
+		c.Offered *= factor
+		c.Served *= factor
+	}
+}
+
+// Class returns a class's record, and makes it on first use.
+func (t *Table) Class(key ClassKey) *Class {
+	class := t.Classes[key]
+	if class == nil {
+		class = &Class{}
+		t.Classes[key] = class
+	}
+	return class
+}
+
+// TenantKey names a tenant's use of one application.
+type TenantKey struct {
+	Application, Tenant string
+}
+
+// Tenant is what one tenant uses of one application.
+type Tenant struct {
+	Used    float64 // engine seconds granted, fading
+	Queued  int     // requests that wait
+	fadedAt time.Time
+}
+
+// fade returns true when nothing worth remembering is left.
+func (t *Tenant) fade(now time.Time) bool {
+	factor, ok := fadeFactor(&t.fadedAt, tenantHalf, now)
+	if ok {
+		t.Used *= factor
+	}
+	return t.Queued == 0 && t.Used < 1e-6 && ok
+}
+
+// Tenant returns a tenant's record, and makes it on first use.
+func (t *Table) Tenant(key TenantKey) *Tenant {
+	tenant := t.Tenants[key]
+	if tenant == nil {
+		tenant = &Tenant{}
+		t.Tenants[key] = tenant
+	}
+	return tenant
+}
+
+// Demand is the work that comes to this host for one application, as fading
+// sums.
+type Demand struct {
+	Requests      float64
+	PrefillTokens float64
+	DecodeTokens  float64
+	// GapTarget is the smallest target between tokens in seconds among recent
+	// classes; 0: none. It is forgotten after gapTargetHold without such work.
+	GapTarget   float64
+	gapTargetAt time.Time
+	fadedAt     time.Time
+}
+
+const gapTargetHold = 2 * time.Minute
+
+// Add notes work that came.
+func (d *Demand) Add(prefillTokens, decodeTokens int, gapTarget time.Duration, now time.Time) {
+	d.Requests++
+	d.PrefillTokens += float64(prefillTokens)
+	d.DecodeTokens += float64(decodeTokens)
+	if gapTarget > 0 && (d.GapTarget == 0 || gapTarget.Seconds() <= d.GapTarget) {
+		d.GapTarget, d.gapTargetAt = gapTarget.Seconds(), now
+	}
+}
+
+// PerSecond returns the rates of prompt and output tokens.
+func (d *Demand) PerSecond() (prefill, decode float64) {
+	perSecond := math.Ln2 / demandHalf.Seconds()
+	return d.PrefillTokens * perSecond, d.DecodeTokens * perSecond
+}
+
+func (d *Demand) fade(now time.Time) {
+	if now.Sub(d.gapTargetAt) > gapTargetHold {
+		d.GapTarget = 0
+	}
+	factor, ok := fadeFactor(&d.fadedAt, demandHalf, now)
+	if ok {
+		d.Requests *= factor
+		d.PrefillTokens *= factor
+		d.DecodeTokens *= factor
+	}
+}
+
+// fadeFactor says by how much a sum is to be reduced, at most once a step.
+func fadeFactor(at *time.Time, half time.Duration, now time.Time) (factor float64, ok bool) {
+	if at.IsZero() {
+		*at = now
+	}
+	passed := now.Sub(*at)
+	if passed < fadeStep {
+		return 1, false
+	}
+	*at = now
+	return math.Exp2(-float64(passed) / float64(half)), true
+}
--- /dev/null
+++ b/internal/scheduler/tracker/endpoint.go
@@ -0,0 +1,178 @@
+package tracker
+
+import (
+	"time"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+const (
+	initialLimit = 16 // requests at one endpoint, until reports teach better
+	maxLimit     = 512
+	// markedLeavingHold is how long a report that says "not draining" cannot
+	// undo a peer's or an answer's word that the endpoint leaves.
+	markedLeavingHold = 30 * time.Second
+	correctionHalf    = 2 * time.Second
+)
+
+// Endpoint is one engine or plain service.
+type Endpoint struct {
+	Target      driver.Target
+	Zone        string
+	Application string
+	Kind        provider.HostKind
+	Local       bool // in this host's zone
+
+	Leaving       bool // the platform says so; holds for the incarnation
+	Listed        bool
+	Draining      bool      // its report says so, or it changes role or model
+	MarkedLeaving time.Time // an answer or a peer said so; zero: nobody
+	Role          driver.Role
+	Limit         int     // requests that it is given at once
+	Speed         float64 // factor against its application's model; above 1 is slower
+	Breaker       Breaker
+
+	Own         Load
+	Peers       Load
+	Correction  Load
+	ReportedAt  time.Time // that the last report's figures speak of; zero: no report
+	CacheTokens int
+	OrderState  driver.OrderState
+	RoleSince   time.Time // when the present role was first seen
+
+	correctedAt time.Time
+	history     history
+}
+
+// Total is the endpoint's load as far as this host can tell.
+func (e *Endpoint) Total() Load {
+	return e.Own.Plus(e.Peers).Plus(e.Correction).AtLeast(e.Own)
+}
+
+// TakesNewWork is false where the endpoint leaves or drains.
+func (e *Endpoint) TakesNewWork() bool {
+	return e.Listed && !e.Leaving && !e.Draining && e.MarkedLeaving.IsZero()
+}
+
+// CanPrefill is true where the role allows prefill.
+func (e *Endpoint) CanPrefill() bool { return e.Role != driver.RoleDecode }
+
+// CanDecode is true where the role allows decode.
+func (e *Endpoint) CanDecode() bool { return e.Role != driver.RolePrefill }
+
+// setReport takes a report in. What was known at the time that the report
+// speaks of is subtracted from it, so that work which we count already is not
+// counted twice and work which has begun since is not lost.
+func (e *Endpoint) setReport(report driver.Report, now time.Time) {
+	at := now.Add(-report.Age)
+	if at.Before(e.ReportedAt) {
+		return // an older report that arrives late
+	}
+	e.ReportedAt = at
+	e.CacheTokens = report.CacheTokens
+	e.setRole(report.Role, now)
+	e.OrderState = report.LastOrderState
+	e.Draining = report.Draining || report.LastOrderState == driver.OrderApplying
+	if !e.Draining && !e.MarkedLeaving.IsZero() && at.Sub(e.MarkedLeaving) > markedLeavingHold {
+		e.MarkedLeaving = time.Time{}
+	}
+	reported := Load{
+		Requests:      report.RunningRequests + report.WaitingRequests,
+		PrefillTokens: report.PrefillBacklog,
+		DecodeTokens:  report.DecodeBacklog,
+	}
+	known := e.history.at(at, e.Own.Plus(e.Peers))
+	// Own work is exact, so a correction may take away from the peers' part only.
+	e.Correction = reported.Minus(known).AtLeast(Load{}.Minus(e.Peers))
+	e.correctedAt = now
+	e.learnLimit(report)
+}
+
+func (e *Endpoint) setRole(role driver.Role, now time.Time) {
+	if role == "" {
+		role = driver.RoleMixed
+	}
+	if role != e.Role || e.RoleSince.IsZero() {
+		e.RoleSince = now
+	}
+	e.Role = role
+}
+
+// learnLimit keeps the engine's own waiting queue short, so that work stays
+// here, where its order can still change and another engine can be chosen.
+func (e *Endpoint) learnLimit(report driver.Report) {
+	switch {
+	case report.WaitingRequests > 0 && report.RunningRequests > 0:
+		e.Limit = min(e.Limit, report.RunningRequests+1)
+	case report.RunningRequests >= e.Limit-1:
+		e.Limit = min(e.Limit+max(1, e.Limit/8), maxLimit)
+	}
+}
+
+// fade lets the correction go as the report behind it ages.
+func (e *Endpoint) fade(now time.Time) {
+	if e.Correction.IsZero() {
+		return
+	}
+	for now.Sub(e.correctedAt) >= correctionHalf {
+		e.Correction = e.Correction.scaled(0.5)
+		e.correctedAt = e.correctedAt.Add(correctionHalf)
+		if e.Correction.IsZero() {
+			return
+		}
+	}
+}
+
+const (
+	historyLength  = 8
+	historySpacing = 100 * time.Millisecond
+)
+
+// history remembers what was counted at an endpoint over the last moments, to
+// compare a lagging report with what was known then.
+type history struct {
+	samples [historyLength]historySample
+	next    int8
+	count   int8
+}
+
+type historySample struct {
+	at                        int64 // nanoseconds
+	requests, prefill, decode int32
+}
+
+func (h *history) record(load Load, now time.Time) {
+	sample := historySample{
+		at:       now.UnixNano(),
+		requests: int32(load.Requests),
+		prefill:  int32(load.PrefillTokens),
+		decode:   int32(load.DecodeTokens),
+	}
+	if h.count > 0 {
+		last := h.samples[(h.next+historyLength-1)%historyLength]
+		isSame := last.requests == sample.requests && last.prefill == sample.prefill && last.decode == sample.decode
+		if isSame || sample.at-last.at < int64(historySpacing) {
+			return
+		}
+	}
+	h.samples[h.next] = sample
+	h.next = (h.next + 1) % historyLength
+	h.count = min(h.count+1, historyLength)
+}
+
+// at returns the load in force at a time: the last sample before it, or the
+// oldest one, or the present load when there is none.
+func (h *history) at(at time.Time, present Load) Load {
+	for i := int8(1); i <= h.count; i++ {
+		sample := h.samples[(h.next+historyLength-i)%historyLength]
+		if sample.at <= at.UnixNano() || i == h.count {
+			return Load{
+				Requests:      int(sample.requests),
+				PrefillTokens: int(sample.prefill),
+				DecodeTokens:  int(sample.decode),
+			}
+		}
+	}
+	return present
+}
--- /dev/null
+++ b/internal/scheduler/tracker/table.go
@@ -0,0 +1,223 @@
+package tracker
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler/estimator"
+)
+
+// peerSilence is how long a peer's loads count after its last word.
+const peerSilence = 5 * time.Second
+
+// Application groups the endpoints of one application with what was learnt of them.
+type Application struct {
+	Name     string
+	Local    []*Endpoint // of this host's zone
+	Remote   []*Endpoint // of the other zones
+	Model    estimator.Model
+	Prefixes Prefixes
+	Demand   Demand
+	Summary  Summary
+}
+
+// Len is the number of the application's endpoints.
+func (a *Application) Len() int { return len(a.Local) + len(a.Remote) }
+
+// At returns an endpoint by position, local ones first.
+func (a *Application) At(i int) *Endpoint {
+	if i < len(a.Local) {
+		return a.Local[i]
+	}
+	return a.Remote[i-len(a.Local)]
+}
+
+// Peer is what another entry host said last.
+type Peer struct {
+	Loads map[string]Load
+	At    time.Time
+}
+
+// Table holds everything that decisions read.
+type Table struct {
+	Zone         string
+	Endpoints    map[string]*Endpoint
+	Applications map[string]*Application
+	Classes      map[ClassKey]*Class
+	Tenants      map[TenantKey]*Tenant
+	Peers        map[string]Peer
+}
+
+// NewTable returns empty tables for a host in the zone.
+func NewTable(zone string) *Table {
+	return &Table{
+		Zone:         zone,
+		Endpoints:    make(map[string]*Endpoint),
+		Applications: make(map[string]*Application),
+		Classes:      make(map[ClassKey]*Class),
+		Tenants:      make(map[TenantKey]*Tenant),
+		Peers:        make(map[string]Peer),
+	}
+}
+
+// Application returns the application's record, and makes it on first use.
+func (t *Table) Application(name string) *Application {
+	application := t.Applications[name]
+	if application == nil {
+		application = &Application{Name: name, Model: estimator.NewModel()}
+		t.Applications[name] = application
+	}
+	return application
+}
+
+// SetHosts takes the platform's list. An endpoint that is not in it is dropped;
+// grants that still use it keep its record until they are done.
+func (t *Table) SetHosts(hosts []provider.Host, now time.Time) {
+	listed := make(map[string]struct{}, len(hosts))
+	for i := range hosts {
+		if hosts[i].Kind == provider.HostEntry {
+			continue
+		}
+		listed[hosts[i].ID] = struct{}{}
+		t.setHost(&hosts[i], now)
+	}
+	for id, endpoint := range t.Endpoints {
+		if _, ok := listed[id]; !ok {
+			endpoint.Listed = false
+			delete(t.Endpoints, id)
+		}
+	}
+	t.group()
+	t.summarise(now)
+}
+
+func (t *Table) setHost(host *provider.Host, now time.Time) {
+	endpoint := t.Endpoints[host.ID]
+	isNew := endpoint == nil ||
+		endpoint.Target.Incarnation != host.Incarnation && host.Incarnation != "" ||
+		endpoint.Application != host.Application
+	if isNew {
+		// A restarted process has neither our work nor our marks. Its record is
+		// a new one, so that grants of the old process cannot touch its counts.
+		if endpoint != nil {
+			endpoint.Listed = false
+		}
+		endpoint = &Endpoint{
+			Role: driver.RoleMixed, Limit: initialLimit, Speed: 1, RoleSince: now,
+			Target: driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation},
+		}
+		t.Endpoints[host.ID] = endpoint
+		endpoint.Peers = t.peerSum(host.ID)
+	}
+	endpoint.Target.Address = host.Address
+	endpoint.Zone = host.Zone
+	endpoint.Application = host.Application
+	endpoint.Kind = host.Kind
+	endpoint.Local = host.Zone == t.Zone
+	endpoint.Listed = true
+	// The list lags, so a "leaving" once heard holds for the incarnation.
+	endpoint.Leaving = endpoint.Leaving || host.State == provider.HostLeaving
+}
+
+// group rebuilds the applications' lists.
+func (t *Table) group() {
+	for _, application := range t.Applications {
+		application.Local = application.Local[:0]
+		application.Remote = application.Remote[:0]
+	}
+	for _, endpoint := range t.Endpoints {
+		application := t.Application(endpoint.Application)
+		if endpoint.Local {
+			application.Local = append(application.Local, endpoint)
+		} else {
+			application.Remote = append(application.Remote, endpoint)
+		}
+	}
+	for _, application := range t.Applications {
+		slices.SortFunc(application.Local, byID)
+		slices.SortFunc(application.Remote, byID)
+	}
+}
+
+func byID(a, b *Endpoint) int {
+	return strings.Compare(a.Target.EndpointID, b.Target.EndpointID)
+}
+
+// SetReport takes an endpoint's report in. Unknown endpoints are ignored, and
+// so are reports of another incarnation than the listed one.
+func (t *Table) SetReport(endpointID string, report *driver.Report, now time.Time) {
+	endpoint := t.Endpoints[endpointID]
+	if endpoint == nil || isOtherIncarnation(endpoint, report) {
+		return
+	}
+	endpoint.setReport(*report, now)
+	prefixes := &t.Application(endpoint.Application).Prefixes
+	if report.CacheEventsLost {
+		prefixes.Doubt(endpoint)
+	}
+	for _, event := range report.CacheEvents {
+		if event.Evicted {
+			prefixes.Evict(event.PrefixKey, endpoint)
+		} else {
+			prefixes.Store(event.PrefixKey, endpoint, event.Tokens, now)
+		}
+	}
+}
+
+func isOtherIncarnation(endpoint *Endpoint, report *driver.Report) bool {
+	return report.Incarnation != "" && endpoint.Target.Incarnation != "" &&
+		report.Incarnation != endpoint.Target.Incarnation
+}
+
+// SetPeerLoad takes a peer's absolute loads by endpoint; endpoints left out
+// have none.
+func (t *Table) SetPeerLoad(peerID string, loads map[string]Load, now time.Time) {
+	before := t.Peers[peerID].Loads
+	for id, load := range before {
+		if endpoint := t.Endpoints[id]; endpoint != nil {
+			endpoint.Peers = endpoint.Peers.Minus(load)
+		}
+	}
+	for id, load := range loads {
+		if endpoint := t.Endpoints[id]; endpoint != nil {
+			endpoint.Peers = endpoint.Peers.Plus(load)
+		}
+	}
+	t.Peers[peerID] = Peer{Loads: loads, At: now}
+}
+
+func (t *Table) peerSum(endpointID string) (sum Load) {
+	for _, peer := range t.Peers {
+		sum = sum.Plus(peer.Loads[endpointID])
+	}
+	return sum
+}
+
+// Tick fades what ages: corrections, silent peers, demand and usage.
+func (t *Table) Tick(now time.Time) {
+	for id, peer := range t.Peers {
+		if now.Sub(peer.At) > peerSilence {
+			t.SetPeerLoad(id, nil, now)
+			delete(t.Peers, id)
+		}
+	}
+	for _, endpoint := range t.Endpoints {
+		endpoint.fade(now)
+		endpoint.history.record(endpoint.Own.Plus(endpoint.Peers), now)
+	}
+	for _, application := range t.Applications {
+		application.Demand.fade(now)
+	}
+	for _, class := range t.Classes {
+		class.fade(now)
+	}
+	for name, tenant := range t.Tenants {
+		if tenant.fade(now) {
+			delete(t.Tenants, name)
+		}
+	}
+	t.summarise(now)
+}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
 
 // Work is one request, or what is left of it, that wants an endpoint.
@@ -21,7 +22,7 @@
 }
 
 // Grant is the scheduler's leave to use an endpoint. Its holder reports what
-// it sees, and calls Done exactly once.
+// it sees, and calls Done exactly once. Further calls of Done do nothing.
 type Grant interface {
 	// Target is the endpoint that decodes, or that serves the call.
 	Target() driver.Target
@@ -49,7 +50,12 @@
 type Abandoned struct{}
 
 // Broken is a use that the endpoint failed, refused or did not answer.
-type Broken struct{ Err error }
+type Broken struct {
+	Err error
+	// AtPrefill is true where the engine of Grant.Prefill broke it, and not
+	// that of Grant.Target.
+	AtPrefill bool
+}
 
 func (Completed) isResult() {}
 func (Abandoned) isResult() {}
@@ -70,7 +76,7 @@
 // Refusal is the error for work that was not and will not be run.
 type Refusal struct {
 	Reason     RefusalReason
-	RetryAfter time.Duration // when to come back, from the backlog
+	RetryAfter time.Duration // when to come back, from the backlog; always above 0
 }
 
 // Error describes the refusal.
@@ -79,8 +85,4 @@
 }
 
 // Load is work in flight at one endpoint, as one host counts it.
-type Load struct {
-	Requests      int // calls and generations
-	PrefillTokens int // prompt tokens not yet prefilled, prefix hits taken off
-	DecodeTokens  int // expected output tokens not yet generated
-}
+type Load = tracker.Load
