Plan engines' roles; correct estimates by what endpoints count

The planner proposes a change only where the forecast gain over the time a role is kept pays for the seconds lost. Grant.Prefilled takes an error now: a failed prefill was counted as a success of the prefill engine. The reports' decode backlog is left out of the correction, since engines count each answer as long as it may get.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -276,12 +276,14 @@
 	if !ok {
 		return nil
 	}
-	defer grant.Prefilled()
 	handle, err := a.run.dispatcher.cfg.Driver.Prefill(ctx, target, driver.GenerateCall{
 		AttemptID: a.id + "-prefill", Application: a.run.class.Application, Prompt: a.run.request.Prompt,
 		PrefixKey: a.run.request.PrefixKey, PrefixTokens: a.run.request.PrefixTokens,
 		MaxOutputTokens: a.run.request.MaxOutputTokens, Priority: grant.Priority(), ResumeTokens: a.resume,
 	})
+	if ctx.Err() == nil {
+		grant.Prefilled(err)
+	}
 	if err != nil {
 		a.run.dispatcher.cfg.Logger.Debug("prefill on another engine failed", "endpoint", target.EndpointID, "error", err)
 		return nil
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -25,6 +25,7 @@
 	choice   router.Choice
 	priority int
 	granted  time.Time
+	beside   int // requests at choice.Decode when it was granted
 
 	// isProbe and isPrefillProbe say that the use probes an endpoint set aside.
 	isProbe, isPrefillProbe bool
@@ -45,6 +46,7 @@
 func (s *Scheduler) newGrant(work *Work, choice *router.Choice, expected int, slack time.Duration, now time.Time) *grant {
 	g := &grant{
 		s: s, work: *work, choice: *choice, granted: now,
+		beside:     choice.Decode.Total().Requests,
 		priority:   admitter.Priority(slack),
 		decodeLoad: tracker.Load{Requests: 1, DecodeTokens: expected},
 	}
@@ -76,7 +78,7 @@
 func (g *grant) Priority() int { return g.priority }
 
 // Prefilled implements Grant.
-func (g *grant) Prefilled() {
+func (g *grant) Prefilled(err error) {
 	now := g.s.now()
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
@@ -84,8 +86,12 @@
 	if g.isDone || prefill == nil || !g.prefilledAt.IsZero() {
 		return
 	}
-	g.prefilledAt = now
 	g.setPrefillLoad(tracker.Load{})
+	if err != nil {
+		g.fail(prefill, &g.isPrefillProbe, err, now)
+		return
+	}
+	g.prefilledAt = now
 	prefill.Breaker.Succeed(g.isPrefillProbe)
 	g.isPrefillProbe = false
 	g.observeFirst(prefill, now.Sub(g.granted))
@@ -155,7 +161,7 @@
 	case Completed:
 		g.completed(result.End, now)
 	case Broken:
-		g.broken(result, now)
+		g.fail(g.choice.Decode, &g.isProbe, result.Err, now)
 	case Abandoned:
 	}
 	g.release()
@@ -168,22 +174,20 @@
 	g.isProbe = false
 	if g.work.Class.Kind == configurer.KindCall {
 		model := &g.application().Model
-		others, took := g.choice.Ahead, now.Sub(g.granted)
-		expected := model.Call(others)
-		model.ObserveCall(others, took, endpoint.Speed)
+		took := now.Sub(g.granted)
+		expected := model.Call(g.beside)
+		model.ObserveCall(g.beside, took, endpoint.Speed)
 		endpoint.Speed = estimator.Speed(endpoint.Speed, took, expected)
 		return
 	}
 	g.s.class(&g.work).Length.Observe(end.OutputTokens)
-	g.application().Prefixes.Correct(g.choice.ReusedTokens, end.ReusedTokens)
+	application := g.application()
+	application.Prefixes.Correct(g.choice.ReusedTokens, end.ReusedTokens)
+	application.CountedTokens(g.work.PromptTokens, end.PromptTokens)
 }
 
-func (g *grant) broken(result Broken, now time.Time) {
-	endpoint, isProbe := g.choice.Decode, &g.isProbe
-	if result.AtPrefill && g.choice.Prefill != nil {
-		endpoint, isProbe = g.choice.Prefill, &g.isPrefillProbe
-	}
-	wasNotTaken := errors.Is(result.Err, driver.ErrNotSent) || errors.Is(result.Err, driver.ErrRefused)
+func (g *grant) fail(endpoint *tracker.Endpoint, isProbe *bool, err error, now time.Time) {
+	wasNotTaken := errors.Is(err, driver.ErrNotSent) || errors.Is(err, driver.ErrRefused)
 	endpoint.Breaker.Fail(*isProbe, wasNotTaken, g.s.rand.Float64(), now)
 	*isProbe = false
 }
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -26,6 +26,7 @@
 	application string
 	items       []admitter.Item
 	waiters     []*waiter
+	pace        pace
 }
 
 // waiter is one call of Acquire that waits.
@@ -119,7 +120,7 @@
 		return
 	}
 	s.class(work).Offered++
-	application.Demand.Add(work.PromptTokens, w.expected, work.Class.BetweenTokensTarget(), now)
+	application.Demand.Add(application.Tokens(work.PromptTokens), w.expected, work.Class.BetweenTokensTarget(), now)
 }
 
 // refuseUnreachable refuses work that has nowhere to wait for.
@@ -144,7 +145,7 @@
 	work := &w.work
 	query := router.Query{
 		Kind:         work.Class.Kind,
-		PromptTokens: work.PromptTokens + work.DeliveredTokens,
+		PromptTokens: application.Tokens(work.PromptTokens) + work.DeliveredTokens,
 		PrefixKey:    work.PrefixKey,
 		PrefixTokens: work.PrefixTokens,
 		OutputTokens: w.expected,
@@ -165,6 +166,7 @@
 		s.class(work).Served++
 	}
 	s.table.Tenant(tenantKey(work)).Used += item.Cost.Seconds()
+	s.queue(application.Name).pace.granted += item.Cost.Seconds()
 	return g, verdict
 }
 
@@ -174,7 +176,7 @@
 func (s *Scheduler) item(application *tracker.Application, w *waiter) admitter.Item {
 	work, model := &w.work, &application.Model
 	batch := max(application.Summary.MeanBatch, 1)
-	prompt := work.PromptTokens + work.DeliveredTokens
+	prompt := application.Tokens(work.PromptTokens) + work.DeliveredTokens
 	var estimate admitter.Estimate
 	var cost time.Duration
 	if work.Class.Kind == configurer.KindCall {
@@ -203,9 +205,14 @@
 	}
 }
 
+// capacity is the engine seconds a second that serve the queue.
+func (s *Scheduler) capacity(q *queue) float64 {
+	return s.table.Application(q.application).Summary.Capacity * q.pace.factor()
+}
+
 // thin refuses what cannot be in time any more.
 func (s *Scheduler) thin(q *queue, now time.Time) {
-	capacity := s.table.Application(q.application).Summary.Capacity
+	capacity := s.capacity(q)
 	victims := admitter.Victims(q.items, capacity, now)
 	if len(victims) == 0 {
 		return
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -1,11 +1,107 @@
 package scheduler
 
 import (
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler/estimator"
 	"github.com/endivemast/endivemast/internal/scheduler/planner"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
+)
+
+const (
+	// switchTime is how long a change of role takes after the drain.
+	switchTime = 3 * time.Second
+	// chunkTokens is the usual size of a prefill chunk; engines do not report theirs.
+	chunkTokens = 512
+	// minPrefillShare of the slope of the first-token time is prefill itself;
+	// the rest may be the base of the steps that the chunks come in.
+	minPrefillShare = 0.2
 )
 
 // PlanRoles returns the role changes that would pay now, for the holder of the
-// zone's authority.
-func (s *Scheduler) PlanRoles(_ time.Time) []planner.Proposal { return nil }
+// zone's authority. Call it every second or so: a wish for a change has to
+// last from call to call.
+func (s *Scheduler) PlanRoles(now time.Time) []planner.Proposal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	input := planner.Input{
+		Planning: s.cfg.Policy.Roles, Zone: s.cfg.Zone, Now: now, SwitchTime: switchTime,
+	}
+	for _, application := range s.table.Applications {
+		if planned, ok := s.plannedApplication(application); ok {
+			input.Applications = append(input.Applications, planned)
+		}
+	}
+	slices.SortFunc(input.Applications, func(a, b planner.Application) int { return strings.Compare(a.Name, b.Name) })
+	proposals, next := planner.Plan(&input, s.wishes)
+	s.wishes = next
+	return proposals
+}
+
+func (s *Scheduler) plannedApplication(application *tracker.Application) (planned planner.Application, ok bool) {
+	planned = planner.Application{Name: application.Name, Changes: application.RoleChanges}
+	if s.cfg.Configuration != nil {
+		configured, _ := s.cfg.Configuration.Application(application.Name)
+		planned.Tolerated = configured.RoleChangesPerHour
+	}
+	limit := 0
+	for i := range application.Len() {
+		endpoint := application.At(i)
+		if endpoint.Kind != provider.HostEngine {
+			continue
+		}
+		planned.Engines = append(planned.Engines, engineOf(application, endpoint))
+		limit = max(limit, endpoint.Limit)
+	}
+	if len(planned.Engines) == 0 {
+		return planned, false
+	}
+	hosts := float64(len(s.table.Peers) + 1)
+	planned.Costs = costsOf(&application.Model, limit)
+	planned.Short = demandOf(&application.Demand.Short, hosts, application.Demand.GapTarget)
+	planned.Long = demandOf(&application.Demand.Long, hosts, application.Demand.GapTarget)
+	return planned, true
+}
+
+func engineOf(application *tracker.Application, endpoint *tracker.Endpoint) planner.Engine {
+	total := endpoint.Total()
+	each := total.DecodeTokens / max(total.Requests, 1)
+	drain := application.Model.Decode(each, total.Requests)
+	return planner.Engine{
+		EndpointID: endpoint.Target.EndpointID,
+		Zone:       endpoint.Zone,
+		Role:       endpoint.Role,
+		IsUsable:   endpoint.TakesNewWork() && !endpoint.Breaker.IsOpen(),
+		IsChanging: endpoint.Draining || endpoint.OrderState == driver.OrderApplying,
+		DrainTime:  estimator.Scale(drain, endpoint.Speed),
+	}
+}
+
+// costsOf splits the learnt time for a prompt token into the token's own and
+// its part of the base of a step.
+func costsOf(model *estimator.Model, limit int) planner.Costs {
+	step, perSequence := model.Step()
+	token := model.PrefillToken()
+	return planner.Costs{
+		Step:            step,
+		PerSequence:     max(perSequence, 1e-6),
+		PerPrefillToken: max(token-step/chunkTokens, token*minPrefillShare, 1e-7),
+		ChunkTokens:     chunkTokens,
+		MaxBatch:        max(limit, 1),
+	}
+}
+
+// demandOf scales this host's demand to all hosts: the platform's balancer
+// spreads callers evenly over them.
+func demandOf(rates *tracker.Rates, hosts, gapTarget float64) planner.Demand {
+	prefill, decode := rates.PerSecond()
+	return planner.Demand{
+		Prefill:   prefill * hosts,
+		Decode:    decode * hosts,
+		GapTarget: time.Duration(gapTarget * float64(time.Second)),
+	}
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,7 @@
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler/planner"
 	"github.com/endivemast/endivemast/internal/scheduler/router"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
@@ -47,6 +48,7 @@
 	rand     *rand.Rand
 	queues   map[string]*queue // by application
 	grants   map[*grant]struct{}
+	wishes   planner.State
 	nextID   int64
 	isClosed bool
 	waiting  sync.WaitGroup // calls of Acquire under way
@@ -132,7 +134,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if endpoint := s.table.Endpoints[endpointID]; endpoint != nil {
-		endpoint.Breaker.Fail(false, true, s.rand.Float64(), s.now())
+		endpoint.Breaker.Miss(s.rand.Float64(), s.now())
 	}
 }
 
@@ -159,5 +161,8 @@
 		g.collect()
 	}
 	s.table.Tick(now)
+	for _, q := range s.queues {
+		q.pace.tick(len(q.items) > 0, s.table.Application(q.application).Summary.Capacity, now)
+	}
 	s.pumpAll(now)
 }
--- a/internal/scheduler/tracker/breaker.go
+++ b/internal/scheduler/tracker/breaker.go
@@ -16,6 +16,9 @@
 	Failures int       // in a row
 	Until    time.Time // set aside until then; zero: not set aside
 	Probing  bool      // a probe is under way
+	// Unreachable is true where the last failure was that the endpoint could
+	// not be reached or would not take work.
+	Unreachable bool
 }
 
 // Allows is true where the endpoint may be given work.
@@ -46,6 +49,24 @@
 	}
 }
 
+// Miss notes that a report could not be read. While the endpoint is set aside
+// it adds nothing; after that it stands for a failed probe, so that no request
+// has to find out.
+func (b *Breaker) Miss(jitter float64, now time.Time) {
+	if b.IsOpen() && (b.Probing || now.Before(b.Until)) {
+		return
+	}
+	b.Fail(true, true, jitter, now)
+}
+
+// Reached notes that a report was read: an endpoint that could not be reached
+// may be probed at once.
+func (b *Breaker) Reached(now time.Time) {
+	if b.Unreachable && b.IsOpen() && b.Until.After(now) {
+		b.Until = now
+	}
+}
+
 // Release ends a probe that says nothing about the endpoint.
 func (b *Breaker) Release(isProbe bool) {
 	if isProbe {
@@ -63,6 +84,7 @@
 		return
 	}
 	b.Probing = false
+	b.Unreachable = unreachable
 	b.Failures++
 	if unreachable {
 		b.Failures = max(b.Failures, breakerTrip)
--- a/internal/scheduler/tracker/class.go
+++ b/internal/scheduler/tracker/class.go
@@ -10,7 +10,6 @@
 const (
 	classHalf  = 30 * time.Second
 	tenantHalf = 10 * time.Second
-	demandHalf = 20 * time.Second
 	fadeStep   = time.Second
 )
 
@@ -79,47 +78,70 @@
 	return tenant
 }
 
-// Demand is the work that comes to this host for one application, as fading
-// sums.
-type Demand struct {
-	Requests      float64
+// Rates are fading sums of the work that comes.
+type Rates struct {
+	Half          time.Duration
 	PrefillTokens float64
 	DecodeTokens  float64
+	fadedAt       time.Time
+}
+
+// PerSecond returns the rates of prompt and output tokens.
+func (r *Rates) PerSecond() (prefill, decode float64) {
+	if r.Half <= 0 {
+		return 0, 0
+	}
+	perSecond := math.Ln2 / r.Half.Seconds()
+	return r.PrefillTokens * perSecond, r.DecodeTokens * perSecond
+}
+
+func (r *Rates) add(prefillTokens, decodeTokens int) {
+	r.PrefillTokens += float64(prefillTokens)
+	r.DecodeTokens += float64(decodeTokens)
+}
+
+func (r *Rates) fade(now time.Time) {
+	if factor, ok := fadeFactor(&r.fadedAt, r.Half, now); ok {
+		r.PrefillTokens *= factor
+		r.DecodeTokens *= factor
+	}
+}
+
+// Demand is the work that comes to this host for one application.
+type Demand struct {
+	Short Rates // over the last seconds
+	Long  Rates // over the last minutes
 	// GapTarget is the smallest target between tokens in seconds among recent
 	// classes; 0: none. It is forgotten after gapTargetHold without such work.
 	GapTarget   float64
 	gapTargetAt time.Time
-	fadedAt     time.Time
 }
 
-const gapTargetHold = 2 * time.Minute
+const (
+	shortHalf     = 20 * time.Second
+	longHalf      = 90 * time.Second
+	gapTargetHold = 2 * time.Minute
+)
+
+func newDemand() Demand {
+	return Demand{Short: Rates{Half: shortHalf}, Long: Rates{Half: longHalf}}
+}
 
 // Add notes work that came.
 func (d *Demand) Add(prefillTokens, decodeTokens int, gapTarget time.Duration, now time.Time) {
-	d.Requests++
-	d.PrefillTokens += float64(prefillTokens)
-	d.DecodeTokens += float64(decodeTokens)
+	d.Short.add(prefillTokens, decodeTokens)
+	d.Long.add(prefillTokens, decodeTokens)
 	if gapTarget > 0 && (d.GapTarget == 0 || gapTarget.Seconds() <= d.GapTarget) {
 		d.GapTarget, d.gapTargetAt = gapTarget.Seconds(), now
 	}
 }
 
-// PerSecond returns the rates of prompt and output tokens.
-func (d *Demand) PerSecond() (prefill, decode float64) {
-	perSecond := math.Ln2 / demandHalf.Seconds()
-	return d.PrefillTokens * perSecond, d.DecodeTokens * perSecond
-}
-
 func (d *Demand) fade(now time.Time) {
 	if now.Sub(d.gapTargetAt) > gapTargetHold {
 		d.GapTarget = 0
 	}
-	factor, ok := fadeFactor(&d.fadedAt, demandHalf, now)
-	if ok {
-		d.Requests *= factor
-		d.PrefillTokens *= factor
-		d.DecodeTokens *= factor
-	}
+	d.Short.fade(now)
+	d.Long.fade(now)
 }
 
 // fadeFactor says by how much a sum is to be reduced, at most once a step.
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -9,10 +9,11 @@
 
 const (
 	initialLimit = 16 // requests at one endpoint, until reports teach better
+	minLimit     = 4
 	maxLimit     = 512
 	// markedLeavingHold is how long a report that says "not draining" cannot
 	// undo a peer's or an answer's word that the endpoint leaves.
-	markedLeavingHold = 30 * time.Second
+	markedLeavingHold = 3 * time.Second
 	correctionHalf    = 2 * time.Second
 )
 
@@ -42,6 +43,7 @@
 	RoleSince   time.Time // when the present role was first seen
 
 	correctedAt time.Time
+	crowded     bool // many requests waited in the last report
 	history     history
 }
 
@@ -64,12 +66,13 @@
 // setReport takes a report in. What was known at the time that the report
 // speaks of is subtracted from it, so that work which we count already is not
 // counted twice and work which has begun since is not lost.
-func (e *Endpoint) setReport(report driver.Report, now time.Time) {
+func (e *Endpoint) setReport(report *driver.Report, now time.Time) {
 	at := now.Add(-report.Age)
 	if at.Before(e.ReportedAt) {
 		return // an older report that arrives late
 	}
 	e.ReportedAt = at
+	e.Breaker.Reached(now)
 	e.CacheTokens = report.CacheTokens
 	e.setRole(report.Role, now)
 	e.OrderState = report.LastOrderState
@@ -77,12 +80,14 @@
 	if !e.Draining && !e.MarkedLeaving.IsZero() && at.Sub(e.MarkedLeaving) > markedLeavingHold {
 		e.MarkedLeaving = time.Time{}
 	}
+	// An engine knows no answer's length and reports the longest possible, so
+	// its decode backlog can't be compared with the expected one and is left out.
+	known := e.history.at(at, e.Own.Plus(e.Peers))
 	reported := Load{
 		Requests:      report.RunningRequests + report.WaitingRequests,
 		PrefillTokens: report.PrefillBacklog,
-		DecodeTokens:  report.DecodeBacklog,
+		DecodeTokens:  known.DecodeTokens,
 	}
-	known := e.history.at(at, e.Own.Plus(e.Peers))
 	// Own work is exact, so a correction may take away from the peers' part only.
 	e.Correction = reported.Minus(known).AtLeast(Load{}.Minus(e.Peers))
 	e.correctedAt = now
@@ -101,12 +106,18 @@
 
 // learnLimit keeps the engine's own waiting queue short, so that work stays
 // here, where its order can still change and another engine can be chosen.
-func (e *Endpoint) learnLimit(report driver.Report) {
+// A few requests that wait are no sign of a full engine: whatever has arrived
+// since its last step waits for the next. So the limit falls only when many
+// wait in two reports in a row.
+func (e *Endpoint) learnLimit(report *driver.Report) {
+	wasCrowded := e.crowded
+	e.crowded = report.WaitingRequests > max(2, report.RunningRequests/8)
+	step := max(1, e.Limit/8)
 	switch {
-	case report.WaitingRequests > 0 && report.RunningRequests > 0:
-		e.Limit = min(e.Limit, report.RunningRequests+1)
-	case report.RunningRequests >= e.Limit-1:
-		e.Limit = min(e.Limit+max(1, e.Limit/8), maxLimit)
+	case e.crowded && wasCrowded:
+		e.Limit = max(e.Limit-step, min(e.Limit, report.RunningRequests), minLimit)
+	case !e.crowded && report.RunningRequests+report.WaitingRequests >= e.Limit-1:
+		e.Limit = min(e.Limit+step, maxLimit)
 	}
 }
 
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -22,6 +22,43 @@
 	Prefixes Prefixes
 	Demand   Demand
 	Summary  Summary
+	// TokenRatio is how many prompt tokens engines count for each that the
+	// dispatcher estimates from the prompt's bytes; 0: not seen yet.
+	TokenRatio float64
+	// RoleChanges are the times of the role changes that reports showed over
+	// the last hour, oldest first.
+	RoleChanges []time.Time
+}
+
+const tokenRatioFade = 0.95
+
+// Tokens corrects an estimate of prompt tokens.
+func (a *Application) Tokens(estimated int) int {
+	if a.TokenRatio <= 0 {
+		return estimated
+	}
+	return int(float64(estimated) * a.TokenRatio)
+}
+
+// CountedTokens takes in an engine's count of a prompt.
+func (a *Application) CountedTokens(estimated, counted int) {
+	if estimated <= 0 || counted <= 0 {
+		return
+	}
+	ratio := float64(counted) / float64(estimated)
+	if a.TokenRatio <= 0 {
+		a.TokenRatio = ratio
+		return
+	}
+	a.TokenRatio = a.TokenRatio*tokenRatioFade + ratio*(1-tokenRatioFade)
+}
+
+// noteRoleChange remembers a change for an hour.
+func (a *Application) noteRoleChange(now time.Time) {
+	a.RoleChanges = append(a.RoleChanges, now)
+	for now.Sub(a.RoleChanges[0]) > time.Hour {
+		a.RoleChanges = a.RoleChanges[1:]
+	}
 }
 
 // Len is the number of the application's endpoints.
@@ -67,7 +104,7 @@
 func (t *Table) Application(name string) *Application {
 	application := t.Applications[name]
 	if application == nil {
-		application = &Application{Name: name, Model: estimator.NewModel()}
+		application = &Application{Name: name, Model: estimator.NewModel(), Demand: newDemand()}
 		t.Applications[name] = application
 	}
 	return application
@@ -118,8 +155,10 @@
 	endpoint.Kind = host.Kind
 	endpoint.Local = host.Zone == t.Zone
 	endpoint.Listed = true
-	// The list lags, so a "leaving" once heard holds for the incarnation.
-	endpoint.Leaving = endpoint.Leaving || host.State == provider.HostLeaving
+	// The lister joins the platform's list with peers' and endpoints' words, and
+	// an endpoint that drained for a change of role comes back under the same
+	// incarnation; so the state is not held here beyond the next list.
+	endpoint.Leaving = host.State == provider.HostLeaving
 }
 
 // group rebuilds the applications' lists.
@@ -153,8 +192,13 @@
 	if endpoint == nil || isOtherIncarnation(endpoint, report) {
 		return
 	}
-	endpoint.setReport(*report, now)
-	prefixes := &t.Application(endpoint.Application).Prefixes
+	application := t.Application(endpoint.Application)
+	before, hadReport := endpoint.Role, !endpoint.ReportedAt.IsZero()
+	endpoint.setReport(report, now)
+	if hadReport && endpoint.Role != before {
+		application.noteRoleChange(now)
+	}
+	prefixes := &application.Prefixes
 	if report.CacheEventsLost {
 		prefixes.Doubt(endpoint)
 	}
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -31,8 +31,9 @@
 	Prefill() (target driver.Target, ok bool)
 	// Priority is what the engine is to be told; higher goes first.
 	Priority() int
-	// Prefilled says that the separate prefill has ended.
-	Prefilled()
+	// Prefilled says that the separate prefill has ended; err is nil when it
+	// gave a KV cache.
+	Prefilled(err error)
 	// Token says that a token arrived.
 	Token()
 	// Done gives the endpoint back.
@@ -50,12 +51,7 @@
 type Abandoned struct{}
 
 // Broken is a use that the endpoint failed, refused or did not answer.
-type Broken struct {
-	Err error
-	// AtPrefill is true where the engine of Grant.Prefill broke it, and not
-	// that of Grant.Target.
-	AtPrefill bool
-}
+type Broken struct{ Err error }
 
 func (Completed) isResult() {}
 func (Abandoned) isResult() {}
