--- /dev/null
+++ b/internal/loader/configurer.go
@@ -0,0 +1,93 @@
+package loader
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+type applicationBody struct {
+	Model              string `json:"model"`
+	Version            string `json:"version"`
+	Adapter            string `json:"adapter"`
+	RoleChangesPerHour int    `json:"role_changes_per_hour"`
+}
+
+type classBody struct {
+	Kind                  string `json:"kind"`
+	Application           string `json:"application"`
+	Repeatable            bool   `json:"repeatable"`
+	FirstTokenTargetMS    int64  `json:"first_token_target_ms"`
+	BetweenTokensTargetMS int64  `json:"between_tokens_target_ms"`
+	CompletionTargetMS    int64  `json:"completion_target_ms"`
+}
+
+// Configure writes a scenario's applications and classes through the
+// operators' API of one entry host. Weights are not part of it.
+func Configure(ctx context.Context, operator, token string, scenario *Scenario) (err error) {
+	defer func() { err = eris.Wrapf(err, "configure by %s", operator) }()
+	base := "http://" + operator + "/v1/operator"
+	for _, application := range scenario.Applications {
+		body := applicationBody{
+			Model: application.Model, Version: application.Version, Adapter: application.Adapter,
+			RoleChangesPerHour: application.RoleChangesPerHour,
+		}
+		if err := putJSON(ctx, base+"/applications/"+url.PathEscape(application.Name), token, body); err != nil {
+			return err
+		}
+	}
+	for _, class := range scenario.Classes {
+		path := "/classes/" + url.PathEscape(class.Tenant) + "/" + url.PathEscape(class.Name)
+		if err := putJSON(ctx, base+path, token, targetsOf(&class)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func targetsOf(class *Class) classBody {
+	return classBody{
+		Kind: class.Kind, Application: class.Application, Repeatable: class.Repeatable,
+		FirstTokenTargetMS:    class.FirstTokenTarget.Milliseconds(),
+		BetweenTokensTargetMS: class.BetweenTokensTarget.Milliseconds(),
+		CompletionTargetMS:    class.CompletionTarget.Milliseconds(),
+	}
+}
+
+const configureTimeout = 10 * time.Second
+
+// putJSON writes a document. The documents are whole, so that writing one
+// again after a lost answer does no harm.
+func putJSON(ctx context.Context, url, token string, body any) (err error) {
+	defer func() { err = eris.Wrapf(err, "put %s", url) }()
+	ctx, cancel := context.WithTimeout(ctx, configureTimeout)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		detail, _ := io.ReadAll(io.LimitReader(response.Body, 1<<12))
+		return eris.Errorf("status %s: %s", response.Status, detail)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/loader/judger.go
@@ -0,0 +1,109 @@
+package loader
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const runsTimeout = 10 * time.Second
+
+// readRuns adds up how often each call key was run by the services.
+func readRuns(client *http.Client, services []string) (runs map[string]int, err error) {
+	defer func() { err = eris.Wrap(err, "read the services' run counts") }()
+	if len(services) == 0 {
+		return nil, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), runsTimeout)
+	defer cancel()
+	runs = make(map[string]int)
+	for _, address := range services {
+		var counted struct {
+			Runs map[string]int `json:"runs"`
+		}
+		if err := getJSON(ctx, client, "http://"+address+"/runs", "", &counted); err != nil {
+			return nil, err
+		}
+		for key, n := range counted.Runs {
+			runs[key] += n
+		}
+	}
+	return runs, nil
+}
+
+// getJSON reads a JSON document.
+func getJSON(ctx context.Context, client *http.Client, url, token string, into any) (err error) {
+	defer func() { err = eris.Wrapf(err, "get %s", url) }()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	if token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		return eris.Errorf("status %s", response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+// judgeRuns compares the records of calls that may not be repeated with the
+// run counts: a key that ran twice is doubled, one that was told "not run" and
+// ran is crossed, and so is one that was answered and never ran. Without
+// counts the records stay as they are.
+func judgeRuns(records []record, runs map[string]int, options Options) []record {
+	if runs == nil {
+		return records
+	}
+	byKey := runsByCallerKey(runs, options.Scenario.Classes)
+	for i := range records {
+		r := &records[i]
+		if r.key == "" {
+			continue
+		}
+		if outcome, detail := judgeKey(r.outcome, byKey[r.key]); outcome != r.outcome {
+			r.outcome, r.detail, r.inTime = outcome, detail, false
+		}
+	}
+	return records
+}
+
+func judgeKey(outcome Outcome, runs int) (judged Outcome, detail string) {
+	switch {
+	case runs > 1:
+		return OutcomeDoubled, "ran more than once"
+	case runs == 1 && outcome == OutcomeRefused:
+		return OutcomeCrossed, "told not run, and ran"
+	case runs == 0 && (outcome == OutcomeWhole || outcome == OutcomeFailed):
+		return OutcomeCrossed, "told that it ran, and did not run"
+	}
+	return outcome, ""
+}
+
+// runsByCallerKey takes the tenant that the system puts before a caller's key
+// off again.
+func runsByCallerKey(runs map[string]int, classes []Class) map[string]int {
+	byKey := make(map[string]int, len(runs))
+	for callKey, n := range runs {
+		byKey[callerKey(callKey, classes)] += n
+	}
+	return byKey
+}
+
+func callerKey(callKey string, classes []Class) string {
+	for _, class := range classes {
+		if rest, ok := strings.CutPrefix(callKey, class.Tenant); ok && len(rest) > 1 && strings.ContainsAny(rest[:1], "/:|\x00 ") {
+			return rest[1:]
+		}
+	}
+	return callKey
+}
--- /dev/null
+++ b/internal/loader/reporter.go
@@ -0,0 +1,297 @@
+package loader
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxFaultsListed is how many faults a report describes one by one.
+const maxFaultsListed = 20
+
+// Quantiles are the 50th, 95th and 99th percentiles in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50"`
+	P95 float64 `json:"p95"`
+	P99 float64 `json:"p99"`
+}
+
+// ClassReport is the account of one class.
+type ClassReport struct {
+	Tenant        string         `json:"tenant"`
+	Class         string         `json:"class"`
+	Weight        float64        `json:"weight"`
+	Sent          int            `json:"sent"`
+	Whole         int            `json:"whole"`
+	InTime        int            `json:"in_time"`
+	Refused       int            `json:"refused"`
+	Unknown       int            `json:"unknown"`
+	Failed        int            `json:"failed"`
+	Lost          int            `json:"lost"`
+	Doubled       int            `json:"doubled"`
+	Crossed       int            `json:"crossed"`
+	Abandoned     int            `json:"abandoned"`
+	Reasons       map[string]int `json:"reasons"` // of requests without a whole answer
+	Goodput       float64        `json:"goodput"` // share of the requests whose callers stayed
+	FirstTokenMS  Quantiles      `json:"first_token_ms"`
+	BetweenMS     Quantiles      `json:"between_tokens_ms"`
+	CompletionMS  Quantiles      `json:"completion_ms"`
+	RefusalMS     Quantiles      `json:"refusal_ms"`
+	firstTokens   []float64
+	betweenTokens []float64
+	completions   []float64
+	refusals      []float64
+}
+
+// SecondReport is the account of the requests that arrived within one second.
+type SecondReport struct {
+	Second  int     `json:"second"`
+	Sent    int     `json:"sent"`
+	Whole   int     `json:"whole"`
+	InTime  int     `json:"in_time"`
+	Refused int     `json:"refused"`
+	Goodput float64 `json:"goodput_per_second"` // weighted requests in time
+	Offered float64 `json:"offered_per_second"` // weighted requests sent
+}
+
+// Fault is one request that broke a promise.
+type Fault struct {
+	Class   string  `json:"class"`
+	Number  int     `json:"number"`
+	Key     string  `json:"key"`
+	AtMS    int64   `json:"at_ms"`
+	Outcome Outcome `json:"outcome"`
+	Detail  string  `json:"detail"`
+}
+
+// Report is the account of a run.
+type Report struct {
+	Scenario        string         `json:"scenario"`
+	Seed            uint64         `json:"seed"`
+	RateScale       float64        `json:"rate_scale"`
+	ElapsedMS       int64          `json:"elapsed_ms"`
+	Classes         []ClassReport  `json:"classes"`
+	Total           ClassReport    `json:"total"`
+	WeightedGoodput float64        `json:"weighted_goodput"` // weighted share in time
+	RoleChanges     int            `json:"role_changes"`
+	RunsJudged      bool           `json:"runs_judged"` // whether the services' run counts were compared
+	Seconds         []SecondReport `json:"seconds"`
+	Roles           []RolePoint    `json:"roles"`
+	Faults          []Fault        `json:"faults"` // the first of them
+}
+
+func makeReport(options *Options, records []record, watcher *roleWatcher, elapsed time.Duration) *Report {
+	scenario := &options.Scenario
+	report := &Report{
+		Scenario: scenario.Name, Seed: options.Seed, RateScale: scenario.RateScale,
+		ElapsedMS: elapsed.Milliseconds(), RunsJudged: len(options.Services) > 0,
+		Classes: make([]ClassReport, len(scenario.Classes)),
+		Total:   ClassReport{Class: "all", Reasons: make(map[string]int)},
+	}
+	for i, class := range scenario.Classes {
+		report.Classes[i] = ClassReport{Tenant: class.Tenant, Class: class.Name, Weight: class.Weight, Reasons: make(map[string]int)}
+	}
+	slices.SortFunc(records, func(a, b record) int { return int(a.at - b.at) })
+	for i := range records {
+		report.Classes[records[i].class].add(&records[i])
+		report.Total.add(&records[i])
+		report.addSecond(&records[i], scenario.Classes[records[i].class].Weight)
+		report.addFault(&records[i], scenario)
+	}
+	for i := range report.Classes {
+		report.Classes[i].finish()
+	}
+	report.Total.finish()
+	report.Roles, report.RoleChanges = watcher.take()
+	report.WeightedGoodput = weightedGoodput(report.Classes)
+	return report
+}
+
+func (c *ClassReport) add(r *record) {
+	c.Sent++
+	c.count(r.outcome)
+	if r.inTime {
+		c.InTime++
+	}
+	if r.reason != "" && r.outcome != OutcomeWhole {
+		c.Reasons[r.reason]++
+	}
+	if r.outcome == OutcomeRefused {
+		c.refusals = append(c.refusals, milliseconds(r.refusal))
+	}
+	if r.outcome != OutcomeWhole {
+		return
+	}
+	c.completions = append(c.completions, milliseconds(r.completion))
+	if r.firstToken > 0 {
+		c.firstTokens = append(c.firstTokens, milliseconds(r.firstToken))
+	}
+	for _, gap := range r.gaps {
+		c.betweenTokens = append(c.betweenTokens, float64(gap))
+	}
+}
+
+func (c *ClassReport) count(outcome Outcome) {
+	switch outcome {
+	case OutcomeWhole:
+		c.Whole++
+	case OutcomeRefused:
+		c.Refused++
+	case OutcomeUnknown:
+		c.Unknown++
+	case OutcomeFailed:
+		c.Failed++
+	case OutcomeLost:
+		c.Lost++
+	case OutcomeDoubled:
+		c.Doubled++
+	case OutcomeCrossed:
+		c.Crossed++
+	case OutcomeAbandoned:
+		c.Abandoned++
+	}
+}
+
+func (c *ClassReport) finish() {
+	if stayed := c.Sent - c.Abandoned; stayed > 0 {
+		c.Goodput = float64(c.InTime) / float64(stayed)
+	}
+	c.FirstTokenMS = quantiles(c.firstTokens)
+	c.BetweenMS = quantiles(c.betweenTokens)
+	c.CompletionMS = quantiles(c.completions)
+	c.RefusalMS = quantiles(c.refusals)
+}
+
+func weightedGoodput(classes []ClassReport) float64 {
+	var good, all float64
+	for i := range classes {
+		good += classes[i].Weight * float64(classes[i].InTime)
+		all += classes[i].Weight * float64(classes[i].Sent-classes[i].Abandoned)
+	}
+	if all == 0 {
+		return 0
+	}
+	return good / all
+}
+
+func (r *Report) addSecond(record *record, weight float64) {
+	if record.outcome == OutcomeAbandoned {
+		return
+	}
+	second := int(record.at / time.Second)
+	for len(r.Seconds) <= second {
+		r.Seconds = append(r.Seconds, SecondReport{Second: len(r.Seconds)})
+	}
+	s := &r.Seconds[second]
+	s.Sent++
+	s.Offered += weight
+	switch record.outcome {
+	case OutcomeWhole:
+		s.Whole++
+	case OutcomeRefused:
+		s.Refused++
+	}
+	if record.inTime {
+		s.InTime++
+		s.Goodput += weight
+	}
+}
+
+func (r *Report) addFault(record *record, scenario *Scenario) {
+	switch record.outcome {
+	case OutcomeLost, OutcomeDoubled, OutcomeCrossed:
+	default:
+		return
+	}
+	if len(r.Faults) < maxFaultsListed {
+		r.Faults = append(r.Faults, Fault{
+			Class: scenario.Classes[record.class].Name, Number: record.number, Key: record.key,
+			AtMS: record.at.Milliseconds(), Outcome: record.outcome, Detail: record.detail,
+		})
+	}
+}
+
+// Verdict fails when a request was lost, doubled or crossed.
+func (r *Report) Verdict() error {
+	t := &r.Total
+	if t.Lost+t.Doubled+t.Crossed == 0 {
+		return nil
+	}
+	return eris.Errorf("%d lost, %d doubled, %d crossed of %d requests", t.Lost, t.Doubled, t.Crossed, t.Sent)
+}
+
+// Class returns the account of a class.
+func (r *Report) Class(name string) (class ClassReport, ok bool) {
+	for i := range r.Classes {
+		if r.Classes[i].Class == name {
+			return r.Classes[i], true
+		}
+	}
+	return ClassReport{}, false
+}
+
+// WriteTable writes the account as a table for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	fmt.Fprintf(w, "%s, seed %d, rate scale %g, %.1f s; times in ms as p50/p95/p99\n",
+		r.Scenario, r.Seed, r.RateScale, float64(r.ElapsedMS)/1e3)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "class\tsent\twhole\tin time\tgoodput\trefused\tunknown\tfailed\tlost\tdoubled\tcrossed\tgone\tfirst token\tbetween\tcompletion\trefusal\t")
+	for i := range r.Classes {
+		writeRow(table, &r.Classes[i])
+	}
+	writeRow(table, &r.Total)
+	if err := table.Flush(); err != nil {
+		return eris.Wrap(err, "write table")
+	}
+	fmt.Fprintf(w, "weighted goodput %.3f, role changes %d\n", r.WeightedGoodput, r.RoleChanges)
+	if !r.RunsJudged {
+		fmt.Fprintln(w, "the services' run counts were not compared (no --service)")
+	}
+	for _, fault := range r.Faults {
+		fmt.Fprintf(w, "%s: %s number %d at %d ms, key %q: %s\n", fault.Outcome, fault.Class, fault.Number, fault.AtMS, fault.Key, fault.Detail)
+	}
+	return r.writeReasons(w)
+}
+
+func writeRow(w io.Writer, c *ClassReport) {
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t\n",
+		c.Class, c.Sent, c.Whole, c.InTime, c.Goodput, c.Refused, c.Unknown, c.Failed, c.Lost, c.Doubled, c.Crossed,
+		c.Abandoned, c.FirstTokenMS, c.BetweenMS, c.CompletionMS, c.RefusalMS)
+}
+
+func (r *Report) writeReasons(w io.Writer) error {
+	if len(r.Total.Reasons) == 0 {
+		return nil
+	}
+	var parts []string
+	for reason, n := range r.Total.Reasons {
+		parts = append(parts, fmt.Sprintf("%s %d", reason, n))
+	}
+	slices.Sort(parts)
+	_, err := fmt.Fprintln(w, "reasons: "+strings.Join(parts, ", "))
+	return eris.Wrap(err, "write table")
+}
+
+// String gives the quantiles as p50/p95/p99, or a dash when there are none.
+func (q Quantiles) String() string {
+	if q == (Quantiles{}) {
+		return "-"
+	}
+	return fmt.Sprintf("%.0f/%.0f/%.0f", q.P50, q.P95, q.P99)
+}
+
+func quantiles(samples []float64) Quantiles {
+	if len(samples) == 0 {
+		return Quantiles{}
+	}
+	slices.Sort(samples)
+	at := func(share float64) float64 { return samples[int(share*float64(len(samples)-1)+0.5)] }
+	return Quantiles{P50: at(0.50), P95: at(0.95), P99: at(0.99)}
+}
+
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1e3 }
