--- a/internal/loader/doc.go
+++ b/internal/loader/doc.go
@@ -22,6 +22,7 @@
 // A scenario is YAML in snake case; durations are written as in "250ms".
 //
 //	name: vitosha_step
+//	base: bases/vitosha.yaml # whose settings are taken where this file has none
 //	rate_scale: 1            # multiplies every rate
 //	answer_timeout: 30s      # a caller without a whole answer by then counts it as lost
 //	retry_refused: false     # come back after Retry-After
--- a/internal/loader/scenario.go
+++ b/internal/loader/scenario.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -47,6 +48,7 @@
 // Scenario is a load with a shifting mix.
 type Scenario struct {
 	Name          string        `yaml:"name"`
+	Base          string        `yaml:"base"` // file whose settings are taken where this one has none
 	RateScale     float64       `yaml:"rate_scale"`
 	AnswerTimeout time.Duration `yaml:"answer_timeout"`
 	RetryRefused  bool          `yaml:"retry_refused"`
@@ -120,31 +122,40 @@
 	ToLevels map[string]float64 `yaml:"to_levels"`
 }
 
-// ReadScenario reads and checks a scenario file. Unknown fields are errors.
+// ReadScenario reads and checks a scenario file and its base. Unknown fields
+// are errors.
 func ReadScenario(path string) (scenario Scenario, err error) {
-	defer func() {
-		if err != nil {
-			err = eris.Wrapf(err, "read scenario %s", path)
-		}
-	}()
+	defer func() { err = eris.Wrapf(err, "read scenario %s", path) }()
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return Scenario{}, err
 	}
-	return ParseScenario(data)
+	var named struct {
+		Base string `yaml:"base"`
+	}
+	if err := yaml.Unmarshal(data, &named); err != nil {
+		return Scenario{}, err
+	}
+	if named.Base == "" {
+		return ParseScenario(data)
+	}
+	base, err := os.ReadFile(filepath.Join(filepath.Dir(path), named.Base))
+	if err != nil {
+		return Scenario{}, err
+	}
+	return ParseScenario(base, data)
 }
 
-// ParseScenario parses and checks a scenario. Unknown fields are errors.
-func ParseScenario(data []byte) (scenario Scenario, err error) {
-	defer func() {
-		if err != nil {
-			err = eris.Wrap(err, "parse scenario")
+// ParseScenario parses and checks a scenario; what a later document states
+// replaces what an earlier one did. Unknown fields are errors.
+func ParseScenario(documents ...[]byte) (scenario Scenario, err error) {
+	defer func() { err = eris.Wrap(err, "parse scenario") }()
+	for _, document := range documents {
+		decoder := yaml.NewDecoder(bytes.NewReader(document))
+		decoder.KnownFields(true)
+		if err := decoder.Decode(&scenario); err != nil {
+			return Scenario{}, err
 		}
-	}()
-	decoder := yaml.NewDecoder(bytes.NewReader(data))
-	decoder.KnownFields(true)
-	if err := decoder.Decode(&scenario); err != nil {
-		return Scenario{}, err
 	}
 	scenario.fillDefaults()
 	return scenario, scenario.validate()
