--- a/internal/loader/judger.go
+++ b/internal/loader/judger.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/endivemast/endivemast/standins/serviceserver"
 )
 
 const runsTimeout = 10 * time.Second
@@ -22,13 +24,11 @@
 	defer cancel()
 	runs = make(map[string]int)
 	for _, address := range services {
-		var counted struct {
-			Runs map[string]int `json:"runs"`
-		}
+		var counted serviceserver.Runs
 		if err := getJSON(ctx, client, "http://"+address+"/runs", "", &counted); err != nil {
 			return nil, err
 		}
-		for key, n := range counted.Runs {
+		for key, n := range counted.ByKey {
 			runs[key] += n
 		}
 	}
@@ -60,11 +60,11 @@
 // run counts: a key that ran twice is doubled, one that was told "not run" and
 // ran is crossed, and so is one that was answered and never ran. Without
 // counts the records stay as they are.
-func judgeRuns(records []record, runs map[string]int, options Options) []record {
+func judgeRuns(records []record, runs map[string]int) []record {
 	if runs == nil {
 		return records
 	}
-	byKey := runsByCallerKey(runs, options.Scenario.Classes)
+	byKey := runsByCallerKey(runs)
 	for i := range records {
 		r := &records[i]
 		if r.key == "" {
@@ -90,20 +90,12 @@
 }
 
 // runsByCallerKey takes the tenant that the system puts before a caller's key
-// off again.
-func runsByCallerKey(runs map[string]int, classes []Class) map[string]int {
+// off again. The loader's keys and the system's tickets are unique without it.
+func runsByCallerKey(runs map[string]int) map[string]int {
 	byKey := make(map[string]int, len(runs))
 	for callKey, n := range runs {
-		byKey[callerKey(callKey, classes)] += n
+		_, key, _ := strings.Cut(callKey, "/")
+		byKey[key] += n
 	}
 	return byKey
 }
-
-func callerKey(callKey string, classes []Class) string {
-	for _, class := range classes {
-		if rest, ok := strings.CutPrefix(callKey, class.Tenant); ok && len(rest) > 1 && strings.ContainsAny(rest[:1], "/:|\x00 ") {
-			return rest[1:]
-		}
-	}
-	return callKey
-}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -228,7 +228,7 @@
 		var runs map[string]int
 		runs, r.err = readRuns(r.client, r.options.Services)
 		r.client.CloseIdleConnections()
-		judged := judgeRuns(records, runs, r.options)
+		judged := judgeRuns(records, runs)
 		r.report = makeReport(&r.options, judged, r.watcher, elapsed)
 	})
 	return r.report, r.err
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivemast/endivemast/standins/answerer"
+	"github.com/endivemast/endivemast/standins/serviceserver"
 )
 
 const (
@@ -125,7 +126,7 @@
 	case r.URL.Path == "/runs":
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]any{"runs": f.runs})
+		_ = json.NewEncoder(w).Encode(serviceserver.Runs{ByKey: f.runs})
 	case r.URL.Path == "/v1/tickets":
 		fmt.Fprintf(w, `{"ticket":"ticket-%d"}`, calls)
 	case strings.HasSuffix(r.URL.Path, "/call"):
