--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -5,9 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"os/signal"
 	"strings"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/urfave/cli/v3"
@@ -31,16 +29,16 @@
       --cert-file host.crt --key-file host.key --ca-file ca.crt`
 
 // Entry is the command that runs an entry host.
-func Entry(version string) *cli.Command {
+func Entry() *cli.Command {
 	return &cli.Command{
 		Name:        "entry",
 		Usage:       "run an entry host",
 		Description: entryDescription,
 		Flags:       entryFlags(),
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			cfg, err := entryConfig(cmd, version)
+			cfg, err := entryConfig(cmd)
 			if err != nil {
-				return settingsExit(err)
+				return usageError("settings not accepted:\n%w", err)
 			}
 			if cmd.Bool("check") {
 				_, err := fmt.Fprintln(cmd.Root().Writer, "settings are valid")
@@ -95,7 +93,7 @@
 }
 
 // entryConfig reads the settings and reports all that is wrong with them.
-func entryConfig(cmd *cli.Command, version string) (cfg endivemast.Config, err error) {
+func entryConfig(cmd *cli.Command) (cfg endivemast.Config, err error) {
 	peers, peersErr := parsePeers(cmd.StringSlice("peer"))
 	level, levelErr := parseLevel(cmd.String("log-level"))
 	cfg = endivemast.Config{
@@ -109,7 +107,7 @@
 		LeaseTTL: cmd.Duration("lease-ttl"), DrainGrace: cmd.Duration("drain-grace"),
 		DrainTimeout: cmd.Duration("drain-timeout"), Tick: cmd.Duration("tick"),
 		Routing: cmd.String("routing"), Admission: cmd.String("admission"), Roles: cmd.String("roles"), Hedge: cmd.Bool("hedge"),
-		Version: version, Logger: newLogger(level, cmd.Root().ErrWriter),
+		Version: Version(), Logger: newLogger(level, cmd.Root().ErrWriter),
 	}
 	return cfg, errors.Join(peersErr, levelErr, cfg.WithDefaults().Check())
 }
@@ -141,13 +139,9 @@
 	return hclog.New(&hclog.LoggerOptions{Name: "endivemast", Level: level, JSONFormat: true, Output: w})
 }
 
-func settingsExit(err error) error {
-	return cli.Exit("settings not accepted:\n"+err.Error(), exitUsage)
-}
-
+// runEntry runs an entry host until a signal ends ctx and the drain is over.
+// The signals stay caught meanwhile, so that a second one cuts nothing.
 func runEntry(ctx context.Context, cfg endivemast.Config) (err error) {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	entry, err := endivemast.New(cfg)
 	if err != nil {
 		return err
@@ -157,7 +151,6 @@
 	}
 	select {
 	case <-ctx.Done():
-		// The signals stay caught, so that a second one does not kill the process.
 		err = entry.Drain(context.Background())
 	case <-entry.Drained():
 	}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -37,7 +37,6 @@
 
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
-	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
 // Limits and defaults of the peer protocol.
@@ -74,14 +73,14 @@
 
 // Local is this host's state as the Exchanger reads and feeds it.
 type Local interface {
-	OwnLoad() map[string]scheduler.Load
+	OwnLoad() map[string]Load
 	Leaving() []LeavingEndpoint
 	Draining() bool
 	ConfigurationRevision() int64
 	// Hosts is the platform's list as last read, and its revision.
 	Hosts() (hosts []provider.Host, revision int64)
 	// HearLoad takes all of a peer's load; empty when the peer is forgotten.
-	HearLoad(hostID string, loads map[string]scheduler.Load, now time.Time)
+	HearLoad(hostID string, loads map[string]Load, now time.Time)
 	HearLeaving(leaving []LeavingEndpoint, now time.Time)
 }
 
@@ -115,7 +114,7 @@
 type heardPeer struct {
 	status   PeerStatus
 	sequence uint64
-	loads    map[string]scheduler.Load
+	loads    map[string]Load
 }
 
 // New prepares the server and a lazy connection to each peer.
@@ -136,7 +135,7 @@
 			return nil, err
 		}
 		ex.conns[peer.HostID] = conn
-		ex.heard[peer.HostID] = &heardPeer{status: PeerStatus{Peer: peer}, loads: map[string]scheduler.Load{}}
+		ex.heard[peer.HostID] = &heardPeer{status: PeerStatus{Peer: peer}, loads: map[string]Load{}}
 	}
 	return ex, nil
 }
@@ -270,7 +269,7 @@
 	}
 	p.sequence = message.GetSequence()
 	if message.GetFull() {
-		p.loads = map[string]scheduler.Load{}
+		p.loads = map[string]Load{}
 	}
 	for _, load := range message.GetLoads() {
 		p.set(load)
@@ -279,12 +278,12 @@
 }
 
 func (p *heardPeer) set(message *exchangerpb.EndpointLoad) {
-	load := scheduler.Load{
+	load := Load{
 		Requests:      int(message.GetRequests()),
 		PrefillTokens: int(message.GetPrefillTokens()),
 		DecodeTokens:  int(message.GetDecodeTokens()),
 	}
-	if load == (scheduler.Load{}) {
+	if load == (Load{}) {
 		delete(p.loads, message.GetEndpointId())
 		return
 	}
@@ -322,7 +321,7 @@
 	for hostID, peer := range ex.heard {
 		if peer.status.Reachable && now.Sub(peer.status.LastHeard) > ex.cfg.Silence {
 			peer.status.Reachable = false
-			peer.loads = map[string]scheduler.Load{}
+			peer.loads = map[string]Load{}
 			peer.sequence = 0
 			hostIDs = append(hostIDs, hostID)
 		}
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -16,7 +16,6 @@
 
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
-	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -24,14 +23,14 @@
 // fakeLocal is a host's state with what it has heard.
 type fakeLocal struct {
 	mu      sync.Mutex
-	own     map[string]scheduler.Load
+	own     map[string]Load
 	leaving []LeavingEndpoint
 	hosts   []provider.Host
-	heard   map[string]map[string]scheduler.Load
+	heard   map[string]map[string]Load
 	words   []LeavingEndpoint
 }
 
-func (l *fakeLocal) OwnLoad() map[string]scheduler.Load {
+func (l *fakeLocal) OwnLoad() map[string]Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return copyLoads(l.own)
@@ -40,7 +39,7 @@
 func (l *fakeLocal) Draining() bool                  { return true }
 func (l *fakeLocal) ConfigurationRevision() int64    { return 7 }
 func (l *fakeLocal) Hosts() ([]provider.Host, int64) { return l.hosts, int64(len(l.hosts)) }
-func (l *fakeLocal) HearLoad(hostID string, loads map[string]scheduler.Load, _ time.Time) {
+func (l *fakeLocal) HearLoad(hostID string, loads map[string]Load, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard[hostID] = loads
@@ -52,20 +51,20 @@
 	l.words = append(l.words, leaving...)
 }
 
-func (l *fakeLocal) setOwn(loads map[string]scheduler.Load) {
+func (l *fakeLocal) setOwn(loads map[string]Load) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.own = loads
 }
 
-func (l *fakeLocal) heardOf(hostID string) map[string]scheduler.Load {
+func (l *fakeLocal) heardOf(hostID string) map[string]Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.heard[hostID]
 }
 
 func newLocal() *fakeLocal {
-	return &fakeLocal{own: map[string]scheduler.Load{}, heard: map[string]map[string]scheduler.Load{}}
+	return &fakeLocal{own: map[string]Load{}, heard: map[string]map[string]Load{}}
 }
 
 // startPair starts hosts a and b as each other's peers.
@@ -94,7 +93,7 @@
 	return locals, exchangers
 }
 
-func awaitLoads(t *testing.T, local *fakeLocal, hostID string, want map[string]scheduler.Load) {
+func awaitLoads(t *testing.T, local *fakeLocal, hostID string, want map[string]Load) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		got := local.heardOf(hostID)
@@ -112,10 +111,10 @@
 
 func TestPeersHearDifferencesAndForgetTheSilent(t *testing.T) {
 	locals, exchangers := startPair(t, "secret")
-	locals[0].setOwn(map[string]scheduler.Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
-	awaitLoads(t, locals[1], "a", map[string]scheduler.Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
-	locals[0].setOwn(map[string]scheduler.Load{"e1": {Requests: 3}})
-	awaitLoads(t, locals[1], "a", map[string]scheduler.Load{"e1": {Requests: 3}})
+	locals[0].setOwn(map[string]Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
+	awaitLoads(t, locals[1], "a", map[string]Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
+	locals[0].setOwn(map[string]Load{"e1": {Requests: 3}})
+	awaitLoads(t, locals[1], "a", map[string]Load{"e1": {Requests: 3}})
 	statuses := exchangers[1].Statuses()
 	assert.Equal(t, statuses[0].Reachable, true)
 	assert.Equal(t, statuses[0].Draining, true)
@@ -126,7 +125,7 @@
 }
 
 func TestReceiverAsksForTheFullStateAfterAGap(t *testing.T) {
-	row := &heardPeer{loads: map[string]scheduler.Load{}}
+	row := &heardPeer{loads: map[string]Load{}}
 	now := time.Now()
 	tell := func(incarnation string, sequence uint64, full bool) bool {
 		return row.take(&exchangerpb.TellRequest{
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -6,22 +6,21 @@
 
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
-	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
 // teller is the sending side's row of one peer.
 type teller struct {
 	sequence uint64
-	told     map[string]scheduler.Load // as the peer has acknowledged it
-	full     bool                      // the next message has to carry everything
-	idle     int                       // ticks since the last message
+	told     map[string]Load // as the peer has acknowledged it
+	full     bool            // the next message has to carry everything
+	idle     int             // ticks since the last message
 }
 
 // tellPeer tells one peer, each on its own goroutine: a peer that does not
 // answer holds up nobody else.
 func (ex *Exchanger) tellPeer(ctx context.Context, peer Peer) error {
 	client := exchangerpb.NewExchangeClient(ex.conns[peer.HostID])
-	row := &teller{full: true, told: map[string]scheduler.Load{}}
+	row := &teller{full: true, told: map[string]Load{}}
 	ticker := time.NewTicker(ex.cfg.Tick)
 	defer ticker.Stop()
 	for {
@@ -55,7 +54,7 @@
 }
 
 // message builds the differences since the peer's last acknowledgement.
-func (t *teller) message(loads map[string]scheduler.Load) *exchangerpb.TellRequest {
+func (t *teller) message(loads map[string]Load) *exchangerpb.TellRequest {
 	message := &exchangerpb.TellRequest{Full: t.full}
 	for endpointID, load := range loads {
 		if t.full || t.told[endpointID] != load {
@@ -67,7 +66,7 @@
 	}
 	for endpointID := range t.told {
 		if _, still := loads[endpointID]; !still {
-			message.Loads = append(message.Loads, loadToMessage(endpointID, scheduler.Load{}))
+			message.Loads = append(message.Loads, loadToMessage(endpointID, Load{}))
 		}
 	}
 	return message
@@ -75,22 +74,22 @@
 
 // settle records what the peer knows. After a failure it is not known whether
 // the message arrived, so the next one is full.
-func (t *teller) settle(loads map[string]scheduler.Load, acknowledged bool) {
+func (t *teller) settle(loads map[string]Load, acknowledged bool) {
 	t.full = !acknowledged
 	if acknowledged {
 		t.told = copyLoads(loads)
 	}
 }
 
-func copyLoads(loads map[string]scheduler.Load) map[string]scheduler.Load {
-	result := make(map[string]scheduler.Load, len(loads))
+func copyLoads(loads map[string]Load) map[string]Load {
+	result := make(map[string]Load, len(loads))
 	for endpointID, load := range loads {
 		result[endpointID] = load
 	}
 	return result
 }
 
-func loadToMessage(endpointID string, load scheduler.Load) *exchangerpb.EndpointLoad {
+func loadToMessage(endpointID string, load Load) *exchangerpb.EndpointLoad {
 	return &exchangerpb.EndpointLoad{
 		EndpointId:    endpointID,
 		Requests:      int64(load.Requests),
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -19,3 +19,10 @@
 	// be reached; calls on it fail or wait as gRPC's options say.
 	Conn(hostID string) (grpc.ClientConnInterface, error)
 }
+
+// Load is work in flight at one endpoint, as one host counts it.
+type Load struct {
+	Requests      int
+	PrefillTokens int // prompt tokens not yet prefilled
+	DecodeTokens  int // expected output tokens not yet generated
+}
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -76,6 +76,8 @@
 	sightingsMu sync.Mutex
 	sightings   map[string]orderer.Sighting // by endpoint id
 
+	upgraded map[string]time.Time // by endpoint id: last order to load; of the planning goroutine
+
 	draining atomic.Bool
 	drained  chan struct{}
 	ctx      context.Context
@@ -97,7 +99,7 @@
 	}
 	e = &Entry{
 		cfg: cfg, logger: cfg.Logger.With("host_id", cfg.HostID, "zone", cfg.Zone),
-		sightings: map[string]orderer.Sighting{}, drained: make(chan struct{}),
+		sightings: map[string]orderer.Sighting{}, upgraded: map[string]time.Time{}, drained: make(chan struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.group = &errgroup.Group{}
@@ -114,13 +116,21 @@
 // buildRim makes the adapters to the platform and the endpoints.
 func (e *Entry) buildRim() (err error) {
 	e.store, err = etcdprovider.New(etcdprovider.Config{
-		Addresses: e.cfg.StoreAddresses, PlatformAddress: e.cfg.PlatformAddress, Logger: e.logger.Named("provider"),
+		Endpoints: baseURLs(e.cfg.StoreAddresses...), PlatformEndpoints: baseURLs(e.cfg.PlatformAddress),
 	})
 	e.driver = httpdriver.New(httpdriver.Settings{})
-	e.meter = meter.New(meter.Config{Tenants: e.cfg.MetricTenants})
+	e.meter = meter.New(meter.Config{TopTenants: e.cfg.MetricTenants})
 	return err
 }
 
+func baseURLs(addresses ...string) []string {
+	urls := make([]string, 0, len(addresses))
+	for _, address := range addresses {
+		urls = append(urls, "http://"+address)
+	}
+	return urls
+}
+
 // buildPeers makes the peer protocol and what is told over it.
 func (e *Entry) buildPeers() (err error) {
 	secret, err := e.cfg.secret()
--- a/pkg/endivemast/status.go
+++ b/pkg/endivemast/status.go
@@ -1,6 +1,8 @@
 package endivemast
 
 import (
+	"time"
+
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
 )
@@ -12,7 +14,7 @@
 	return server.Status{
 		HostID: e.cfg.HostID, Zone: e.cfg.Zone, Incarnation: e.cfg.Incarnation, Version: e.cfg.Version,
 		Ready: ready, Reason: reason, Draining: e.draining.Load(),
-		ConfigRevision: e.configurer.Revision(), ConfigAge: e.configurer.Age(),
+		ConfigRevision: e.configurer.Revision(), ConfigAge: e.configurationAge(),
 		Peers: e.peerStatuses(), Endpoints: e.endpointStatuses(),
 		Authorities: []server.AuthorityStatus{{
 			Zone: authority.Zone, Holder: authority.Holder.HostID, Epoch: authority.Epoch,
@@ -56,9 +58,12 @@
 
 // registerGauges lets the metrics read the state that is kept elsewhere.
 func (e *Entry) registerGauges() {
-	e.meter.SetLeaseEpoch(func() float64 { return float64(e.authority().Epoch) })
-	e.meter.SetConfigurationRevision(func() float64 { return float64(e.configurer.Revision()) })
-	e.meter.SetConfigurationAge(func() float64 { return e.configurer.Age().Seconds() })
-	e.meter.SetOpenOrders(func() float64 { return float64(len(e.orderer.OpenOrders())) })
-	e.meter.SetRunningRequests(func() float64 { return float64(e.dispatcher.Active()) })
+	e.meter.GaugeLeaseEpoch(e.cfg.Zone, func() float64 { return float64(e.authority().Epoch) })
+	e.meter.GaugeConfigRevision(func() float64 { return float64(e.configurer.Revision()) })
+	e.meter.GaugeConfigAge(e.configurationAge)
+	e.meter.GaugeOrders("open", func() float64 { return float64(len(e.orderer.OpenOrders())) })
+	e.meter.GaugeInFlight(func() float64 { return float64(e.dispatcher.Active()) })
 }
+
+// configurationAge is how long ago anyone that this host hears of has read the store.
+func (e *Entry) configurationAge() time.Duration { return e.configurer.Stats().StoreAge }
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -15,6 +15,9 @@
 const (
 	planEvery      = time.Second
 	readinessEvery = 200 * time.Millisecond
+	// upgradeAgainAfter keeps an engine that fails to load a version from
+	// being drained for it again and again.
+	upgradeAgainAfter = 30 * time.Second
 	// reasonNoHosts is why a host that has read no list of hosts is not ready.
 	reasonNoHosts = "no_host_list"
 )
@@ -67,7 +70,8 @@
 		}
 	}
 	for _, upgrade := range e.planUpgrades() {
-		if own[upgrade.EndpointID] {
+		if own[upgrade.EndpointID] && now.Sub(e.upgraded[upgrade.EndpointID]) > upgradeAgainAfter {
+			e.upgraded[upgrade.EndpointID] = now
 			e.submit(upgrade.EndpointID, upgrade.Order, "configured version")
 		}
 	}
@@ -99,10 +103,20 @@
 func (e *Entry) orderFinished(order orderer.OpenOrder, outcome orderer.Outcome) {
 	e.logger.Info("order closed", "order_id", order.OrderID, "endpoint_id", order.EndpointID, "outcome", outcome)
 	if _, isRole := order.Order.Order().(driver.SetRole); isRole {
-		e.meter.CountRoleChange(string(outcome))
+		e.meter.CountRoleChange(e.cfg.Zone, e.applicationOf(order.EndpointID))
 	}
 }
 
+func (e *Entry) applicationOf(endpointID string) string {
+	hosts, _ := e.lister.Hosts()
+	for _, host := range hosts {
+		if host.ID == endpointID {
+			return host.Application
+		}
+	}
+	return ""
+}
+
 // logReadiness tells the operator each change of readiness and of the authority.
 func (e *Entry) logReadiness() error {
 	ticker := time.NewTicker(readinessEvery)
@@ -162,7 +176,14 @@
 }
 
 // OwnLoad implements exchanger.Local.
-func (e *Entry) OwnLoad() map[string]scheduler.Load { return e.scheduler.OwnLoad() }
+func (e *Entry) OwnLoad() map[string]exchanger.Load {
+	own := e.scheduler.OwnLoad()
+	loads := make(map[string]exchanger.Load, len(own))
+	for endpointID, load := range own {
+		loads[endpointID] = exchanger.Load(load)
+	}
+	return loads
+}
 
 // Leaving implements exchanger.Local.
 func (e *Entry) Leaving() []exchanger.LeavingEndpoint { return e.lister.Leaving() }
@@ -177,8 +198,12 @@
 func (e *Entry) Hosts() (hosts []provider.Host, revision int64) { return e.lister.Hosts() }
 
 // HearLoad implements exchanger.Local.
-func (e *Entry) HearLoad(hostID string, loads map[string]scheduler.Load, now time.Time) {
-	e.scheduler.SetPeerLoad(hostID, loads, now)
+func (e *Entry) HearLoad(hostID string, loads map[string]exchanger.Load, now time.Time) {
+	heard := make(map[string]scheduler.Load, len(loads))
+	for endpointID, load := range loads {
+		heard[endpointID] = scheduler.Load(load)
+	}
+	e.scheduler.SetPeerLoad(hostID, heard, now)
 }
 
 // HearLeaving implements exchanger.Local.
