--- /dev/null
+++ b/internal/etcdprovider/watcher.go
@@ -0,0 +1,257 @@
+package etcdprovider
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+var (
+	errNotCreated = errors.New("watch was not created")
+	errCanceled   = errors.New("watch was canceled by the service")
+	errIdle       = errors.New("nothing received within the idle timeout")
+	errWentBack   = errors.New("watch went back to an older revision")
+	errNotOpened  = errors.New("watch was not opened in time")
+)
+
+// watcher is one open watch.
+type watcher struct {
+	changes chan []provider.Change
+	cancel  context.CancelCauseFunc
+	group   errgroup.Group
+	err     error // written before changes is closed
+}
+
+// Watch delivers the changes of all keys with a prefix from a store revision
+// on, that one included; 0 begins with the next change. It returns once the
+// service has confirmed the watch. That the revision is compacted is told by
+// the error returned, or by Err, as the service finds out. A lost connection
+// ends the watch with ErrUnavailable.
+func (p *Provider) Watch(
+	ctx context.Context, prefix string, fromRevision int64,
+) (opened provider.Watcher, err error) {
+	defer annotate(&err, "watch keys")
+	request := watchRequest{Create: watchCreateRequest{StartRevision: fromRevision, ProgressNotify: true}}
+	request.Create.Key, request.Create.RangeEnd = prefixRange(prefix)
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, err
+	}
+	first := p.kv.first()
+	for i := range p.kv.urls {
+		index := (first + i) % len(p.kv.urls)
+		opened, err = p.openWatch(ctx, p.kv.urls[index], body, fromRevision)
+		if err == nil || errors.Is(err, provider.ErrCompacted) || ctx.Err() != nil {
+			return opened, err
+		}
+		p.kv.failed(index)
+	}
+	return nil, err
+}
+
+// openWatch opens a watch at one endpoint.
+func (p *Provider) openWatch(
+	ctx context.Context, endpoint string, body []byte, fromRevision int64,
+) (opened provider.Watcher, err error) {
+	callCtx, done, err := p.begin(ctx)
+	if err != nil {
+		return nil, &CallError{Class: provider.ErrUnavailable, Endpoint: endpoint, Cause: err}
+	}
+	watchCtx, cancel := context.WithCancelCause(callCtx)
+	end := func() {
+		cancel(nil)
+		done()
+	}
+	stream, err := p.openStream(watchCtx, cancel, endpoint, body)
+	if err != nil {
+		end()
+		return nil, watchFailure(err, endpoint)
+	}
+	w := &watcher{changes: make(chan []provider.Change), cancel: cancel}
+	w.group.Go(func() error {
+		defer end()
+		defer close(w.changes)
+		defer stream.body.Close()
+		w.err = watchFailure(p.pump(watchCtx, cancel, stream, w.changes, fromRevision), endpoint)
+		return nil
+	})
+	return w, nil
+}
+
+// openStream sends the request and waits for the service to confirm it.
+func (p *Provider) openStream(
+	ctx context.Context, cancel context.CancelCauseFunc, endpoint string, body []byte,
+) (stream *frameReader, err error) {
+	timer := time.AfterFunc(p.cfg.CallTimeout, func() { cancel(errNotOpened) })
+	defer timer.Stop()
+	answer, err := p.open(ctx, endpoint+"/v3/watch", bytes.NewReader(body))
+	if err != nil {
+		return nil, causeOf(ctx, err)
+	}
+	stream = newFrameReader(answer)
+	result, err := stream.next()
+	if err == nil && !result.Created {
+		err = errNotCreated
+	}
+	if err == nil && !timer.Stop() {
+		err = errNotOpened
+	}
+	if err != nil {
+		answer.Body.Close()
+		return nil, causeOf(ctx, err)
+	}
+	return stream, nil
+}
+
+// pump delivers a stream's changes until it ends, and returns why.
+func (p *Provider) pump(
+	ctx context.Context, cancel context.CancelCauseFunc,
+	stream *frameReader, changes chan<- []provider.Change, fromRevision int64,
+) error {
+	idle := p.startIdleTimer(cancel)
+	defer idle.stop()
+	order := &revisionOrder{newest: fromRevision}
+	for {
+		result, err := stream.next()
+		if err != nil {
+			return causeOf(ctx, err)
+		}
+		batch, err := order.changes(result)
+		if err != nil {
+			return err
+		}
+		if len(batch) == 0 {
+			idle.reset()
+			continue
+		}
+		p.raise(order.newest)
+		// A slow receiver is no silent service.
+		idle.stop()
+		select {
+		case changes <- batch:
+			idle.reset()
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// causeOf prefers the reason for which a context was ended to the error that
+// its end has caused.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// watchFailure gives the reason for which a watch has ended its class. An end
+// that the watch's owner asked for has none.
+func watchFailure(err error, endpoint string) error {
+	switch {
+	case errors.Is(err, context.Canceled), errors.Is(err, provider.ErrCompacted):
+		return err
+	default:
+		return &CallError{Class: provider.ErrUnavailable, Endpoint: endpoint, Cause: err}
+	}
+}
+
+// Changes delivers the changes of one frame at a time, in the order of their
+// revisions.
+func (w *watcher) Changes() <-chan []provider.Change { return w.changes }
+
+// Err says why the watch has ended: ErrCompacted, ErrUnavailable, or
+// context.Canceled when its context ended or it was closed.
+func (w *watcher) Err() error { return w.err }
+
+// Close ends the watch and waits until nothing more is delivered.
+func (w *watcher) Close() error {
+	w.cancel(nil)
+	return w.group.Wait()
+}
+
+// idleTimer ends a watch that receives nothing; a nil timer never does.
+type idleTimer struct {
+	timer   *time.Timer
+	timeout time.Duration
+}
+
+func (p *Provider) startIdleTimer(cancel context.CancelCauseFunc) idleTimer {
+	if p.cfg.WatchIdleTimeout < 0 {
+		return idleTimer{}
+	}
+	timer := time.AfterFunc(p.cfg.WatchIdleTimeout, func() { cancel(errIdle) })
+	return idleTimer{timer: timer, timeout: p.cfg.WatchIdleTimeout}
+}
+
+func (t idleTimer) stop() {
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+}
+
+func (t idleTimer) reset() {
+	if t.timer != nil {
+		t.timer.Reset(t.timeout)
+	}
+}
+
+// frameReader reads the frames of a watch.
+type frameReader struct {
+	body    io.Closer
+	limited *io.LimitedReader
+	decoder *json.Decoder
+}
+
+func newFrameReader(answer *http.Response) *frameReader {
+	limited := &io.LimitedReader{R: answer.Body}
+	return &frameReader{body: answer.Body, limited: limited, decoder: json.NewDecoder(limited)}
+}
+
+// next reads a frame. It fails when the stream ends, and on a frame that says
+// that the watch has.
+func (f *frameReader) next() (*watchResult, error) {
+	f.limited.N = maxAnswerBytes
+	frame := &watchFrame{}
+	if err := f.decoder.Decode(frame); err != nil {
+		return nil, err
+	}
+	switch result := frame.Result; {
+	case frame.Error != nil:
+		return nil, &StatusError{Status: frame.Error.HTTPCode, Message: frame.Error.Message}
+	case result == nil:
+		return nil, errAnswerIncomplete
+	case result.CompactRevision != 0:
+		return nil, provider.ErrCompacted
+	case result.Canceled:
+		return nil, fmt.Errorf("%w: %s", errCanceled, result.CancelReason)
+	default:
+		return result, nil
+	}
+}
+
+// revisionOrder holds a watch's changes to the order of their revisions.
+type revisionOrder struct{ newest int64 }
+
+// changes returns a frame's changes. It fails when one is older than the
+// watch's start or than a change before it.
+func (o *revisionOrder) changes(result *watchResult) ([]provider.Change, error) {
+	batch := make([]provider.Change, 0, len(result.Events))
+	for _, event := range result.Events {
+		if event.KV.ModRevision < o.newest {
+			return nil, errWentBack
+		}
+		o.newest = event.KV.ModRevision
+		batch = append(batch, provider.Change{Entry: event.KV.entry(), Deleted: event.Type == eventDelete})
+	}
+	return batch, nil
+}
