etcdprovider: a write that meets the quota has an unknown outcome

etcd applies the write that fills its quota and then answers it with status 429 "database space exceeded"; the adapter took every 429 for "not done". New row in the table of answers, which failed first; passes now.

Also: an unchanged list of hosts is copied once a call in place of three times, and a watch refused for the rate is not tried at the next endpoint.

go test -race -count=1 on both packages passes.

--- a/internal/etcdprovider/caller.go
+++ b/internal/etcdprovider/caller.go
@@ -20,6 +20,7 @@
 const (
 	textLeaseNotFound = "etcdserver: requested lease not found"
 	textNoLeader      = "etcdserver: no leader"
+	textNoSpace       = "etcdserver: mvcc: database space exceeded"
 )
 
 var (
@@ -189,21 +190,24 @@
 }
 
 // statusClass says what an answer means for a write. Only answers that are
-// known to be given before a write is proposed count as "not done". Others of
-// status 500 and up may come behind that point: etcd answers its own timeouts
-// and changes of leader with 503 or 504 while the write goes on.
+// known to be given before a write is proposed count as "not done". Others may
+// come behind that point: etcd answers its own timeouts and changes of leader
+// with 503 or 504 while the write goes on, and the write that fills its quota
+// with 429 although it has applied it.
 func statusClass(status *StatusError) error {
-	if status.Message == textLeaseNotFound {
+	switch status.Message {
+	case textLeaseNotFound:
 		return provider.ErrLeaseLost
+	case textNoLeader:
+		return provider.ErrUnavailable
+	case textNoSpace:
+		return provider.ErrOutcomeUnknown
 	}
 	switch status.Status {
 	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound,
 		http.StatusMethodNotAllowed, http.StatusRequestEntityTooLarge, http.StatusTooManyRequests:
 		return provider.ErrUnavailable
 	}
-	if status.Message == textNoLeader {
-		return provider.ErrUnavailable
-	}
 	return provider.ErrOutcomeUnknown
 }
 
--- a/internal/etcdprovider/platform.go
+++ b/internal/etcdprovider/platform.go
@@ -40,13 +40,20 @@
 	revision int64
 }
 
-func (c *hostCache) get() (tag string, hosts []provider.Host, revision int64) {
+func (c *hostCache) state() (tag string, revision int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tag, slices.Clone(c.hosts), c.revision
+	return c.tag, c.revision
 }
 
-// put keeps a list unless a newer one is there.
+// get returns the list, for the caller to keep.
+func (c *hostCache) get() *hostsResponse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &hostsResponse{Hosts: slices.Clone(c.hosts), Revision: c.revision}
+}
+
+// put keeps a copy of a list, unless a newer one is there.
 func (c *hostCache) put(tag string, response *hostsResponse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -72,24 +79,35 @@
 		return nil, 0, &CallError{Class: provider.ErrUnavailable, Cause: err}
 	}
 	defer done()
-	tag, cached, seen := p.hosts.get()
-	err = p.read(ctx, p.platform, func(ctx context.Context, endpoint string) error {
-		response := &hostsResponse{}
-		newTag, err := p.get(ctx, endpoint+"/platform/hosts", tag, response)
-		switch {
-		case err == nil && newTag == tag && tag != "":
-			response = &hostsResponse{Hosts: cached, Revision: seen}
-		case err == nil && response.Revision < seen:
-			err = errStale
-		}
-		if err != nil {
+	var response *hostsResponse
+	err = p.read(ctx, p.platform, func(ctx context.Context, endpoint string) (err error) {
+		if response, err = p.hostsAt(ctx, endpoint); err != nil {
 			return &CallError{Class: provider.ErrUnavailable, Endpoint: endpoint, Cause: err}
 		}
-		p.hosts.put(newTag, response)
-		hosts, revision = response.Hosts, response.Revision
 		return nil
 	})
-	return hosts, revision, err
+	if err != nil {
+		return nil, 0, err
+	}
+	return response.Hosts, response.Revision, nil
+}
+
+// hostsAt reads the list from one endpoint, or from the cache when the
+// endpoint says that it is still the same.
+func (p *Provider) hostsAt(ctx context.Context, endpoint string) (*hostsResponse, error) {
+	tag, seen := p.hosts.state()
+	response := &hostsResponse{}
+	newTag, err := p.get(ctx, endpoint+"/platform/hosts", tag, response)
+	switch {
+	case err != nil:
+		return nil, err
+	case tag != "" && newTag == tag:
+		return p.hosts.get(), nil
+	case response.Revision < seen:
+		return nil, errStale
+	}
+	p.hosts.put(newTag, response)
+	return response, nil
 }
 
 // Weights returns the versions of a model that the weight store can serve. It
--- a/internal/etcdprovider/watcher.go
+++ b/internal/etcdprovider/watcher.go
@@ -50,7 +50,7 @@
 	for i := range p.kv.urls {
 		index := (first + i) % len(p.kv.urls)
 		opened, err = p.openWatch(ctx, p.kv.urls[index], body, fromRevision)
-		if err == nil || errors.Is(err, provider.ErrCompacted) || ctx.Err() != nil {
+		if err == nil || errors.Is(err, provider.ErrCompacted) || isAnswer(err) || ctx.Err() != nil {
 			return opened, err
 		}
 		p.kv.failed(index)
--- a/internal/etcdprovider/write_test.go
+++ b/internal/etcdprovider/write_test.go
@@ -75,6 +75,7 @@
 		"malformed":               {status(400, `{"message":"etcdserver: request is too large"}`), provider.ErrUnavailable},
 		"no such lease":           {status(404, `{"error":"x","message":"etcdserver: requested lease not found"}`), provider.ErrLeaseLost},
 		"too many requests":       {status(429, ""), provider.ErrUnavailable},
+		"no space left":           {status(429, `{"message":"etcdserver: mvcc: database space exceeded"}`), provider.ErrOutcomeUnknown},
 		"no leader":               {status(503, `{"message":"etcdserver: no leader"}`), provider.ErrUnavailable},
 		"timed out at the leader": {status(503, `{"message":"etcdserver: request timed out"}`), provider.ErrOutcomeUnknown},
 		"timed out":               {status(504, ""), provider.ErrOutcomeUnknown},
