--- /dev/null
+++ b/tests/cluster_test.go
@@ -0,0 +1,382 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/loader"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/standins/placer"
+)
+
+const (
+	startTimeout = 60 * time.Second
+	awaitTimeout = 30 * time.Second
+	callTimeout  = 5 * time.Second
+	kvName       = "kv"
+)
+
+// clusterOptions say what a cluster is made of. The flags go to every process
+// of their kind.
+type clusterOptions struct {
+	Deployment placer.Deployment
+	Scenario   loader.Scenario // whose classes and applications are configured
+	Flags      map[string][]string
+}
+
+// member is one host of a cluster with its process.
+type member struct {
+	provider.Host
+	operators string // of an entry host
+	peers     string
+	process   *process
+}
+
+// cluster is a deployment of real processes.
+type cluster struct {
+	options   clusterOptions
+	directory string
+	ports     *portBlock
+	network   *network
+	views     map[string]*listView // by zone
+	kv        *member
+	members   []*member // without kv
+	historian *historian
+
+	mu       sync.Mutex
+	revision int64 // of the newest accepted change
+}
+
+// startCluster starts a deployment, configures it and awaits its readiness.
+func startCluster(directory string, options clusterOptions) (c *cluster, err error) {
+	defer func() { err = eris.Wrapf(err, "start cluster %s", options.Deployment.Name) }()
+	if logs := os.Getenv("ENDIVEMAST_TEST_LOGS"); logs != "" {
+		if directory, err = os.MkdirTemp(logs, options.Deployment.Name+"-"); err != nil {
+			return nil, err
+		}
+	}
+	c = &cluster{options: options, directory: directory, network: newNetwork(), views: make(map[string]*listView)}
+	if c.ports, err = takePorts(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := c.start(ctx); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return c, nil
+}
+
+func (c *cluster) start(ctx context.Context) error {
+	c.place()
+	c.historian = newHistorian(c)
+	if err := c.startMember(ctx, c.kv); err != nil {
+		return err
+	}
+	if err := c.openViews(); err != nil {
+		return err
+	}
+	var group errgroup.Group
+	for _, m := range c.members {
+		group.Go(func() error { return c.startMember(ctx, m) })
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	entries := c.kind(provider.HostEntry)
+	if err := loader.Configure(ctx, entries[0].operators, "", &c.options.Scenario); err != nil {
+		return err
+	}
+	c.historian.start()
+	return c.awaitReady(ctx, entries...)
+}
+
+// place gives every process its addresses.
+func (c *cluster) place() {
+	c.kv = &member{Host: provider.Host{ID: kvName, Zone: platformZone, Address: c.ports.take()}, operators: c.ports.take()}
+	for _, host := range c.options.Deployment.Hosts() {
+		m := &member{Host: host}
+		m.Address = c.ports.take()
+		if host.Kind == provider.HostEntry {
+			m.operators, m.peers = c.ports.take(), c.ports.take()
+		}
+		c.members = append(c.members, m)
+	}
+}
+
+func (c *cluster) openViews() error {
+	for _, zone := range c.options.Deployment.Zones {
+		view, err := newListView(c.kv.Address, func(host provider.Host) (string, error) {
+			return c.network.open(route{from: zone, to: host.Zone, target: host.ID}, host.Address)
+		})
+		if err != nil {
+			return err
+		}
+		c.views[zone] = view
+	}
+	return nil
+}
+
+// startMember starts a host's process, on the addresses that it had before,
+// and lists it.
+func (c *cluster) startMember(ctx context.Context, m *member) (err error) {
+	program := "standin"
+	if m.Kind == provider.HostEntry {
+		program = "endivemast"
+	}
+	if m.Incarnation = uuid.NewString(); m.Kind == provider.HostEntry {
+		m.State = provider.HostLive
+		if err := c.list(*m); err != nil { // a host has to find itself listed
+			return err
+		}
+	}
+	args, err := c.arguments(m)
+	if err != nil {
+		return err
+	}
+	if m.process, err = startProcess(c.directory, m.ID, program, args...); err != nil {
+		return err
+	}
+	if err := await(ctx, m.ID, func() error { return m.listens() }); err != nil {
+		return err
+	}
+	if m.Kind != provider.HostEngine && m.Kind != provider.HostService {
+		return nil
+	}
+	m.State = provider.HostLive
+	return c.list(*m)
+}
+
+// listens fails until the process answers on its address.
+func (m *member) listens() error {
+	if !m.process.running() {
+		data, _ := os.ReadFile(m.process.output.Name())
+		return eris.Errorf("%s ended: %v: %s", m.ID, m.process.err, tail(data))
+	}
+	if m.Kind == provider.HostEntry {
+		return getJSON("http://"+m.operators+"/healthz", nil)
+	}
+	line, err := m.process.listening()
+	if err == nil && line.Incarnation != "" {
+		m.Incarnation = line.Incarnation
+	}
+	return err
+}
+
+func (c *cluster) arguments(m *member) ([]string, error) {
+	switch m.Kind {
+	case provider.HostEntry:
+		return c.entryArguments(m)
+	case provider.HostEngine:
+		model := placer.TimeModel()
+		return append([]string{
+			"engine", "--address=" + m.Address, "--endpoint-id=" + m.ID, "--zone=" + m.Zone,
+			"--application=" + m.Application, "--model=" + m.Application, "--model-version=" + placer.ModelVersion,
+			fmt.Sprintf("--checks-fencing=%v", m.ChecksFencing), "--role-time=500ms", "--load-time=1s",
+			"--step-base=" + model.StepBase.String(), "--per-sequence=" + model.PerSequence.String(),
+			"--per-prefill-token=" + model.PerPrefillToken.String(),
+			fmt.Sprintf("--max-batch=%d", model.MaxBatch), fmt.Sprintf("--chunk-tokens=%d", model.ChunkTokens),
+		}, c.options.Flags["engine"]...), nil
+	case provider.HostService:
+		return append([]string{
+			"service", "--address=" + m.Address, "--endpoint-id=" + m.ID, "--zone=" + m.Zone, "--application=" + m.Application,
+		}, c.options.Flags["service"]...), nil
+	}
+	return append([]string{"kvserver", "--address=" + m.Address, "--admin-address=" + m.operators}, c.options.Flags["kv"]...), nil
+}
+
+func (c *cluster) entryArguments(m *member) ([]string, error) {
+	store, err := c.network.open(route{from: m.Zone, to: platformZone, target: "store"}, c.kv.Address)
+	if err != nil {
+		return nil, err
+	}
+	list, err := c.network.open(route{from: m.Zone, to: platformZone, target: "list"}, c.views[m.Zone].listener.Addr().String())
+	if err != nil {
+		return nil, err
+	}
+	args := []string{
+		"entry", "--insecure", "--plain-text", "--host-id=" + m.ID, "--zone=" + m.Zone, "--incarnation=" + m.Incarnation,
+		"--callers-address=" + m.Address, "--operators-address=" + m.operators, "--peers-address=" + m.peers,
+		"--store=" + store, "--platform-address=" + list, "--drain-grace=1s",
+	}
+	for _, peer := range c.kind(provider.HostEntry) {
+		if peer == m {
+			continue
+		}
+		address, err := c.network.open(route{from: m.Zone, to: peer.Zone, target: peer.ID + "-peer"}, peer.peers)
+		if err != nil {
+			return nil, err
+		}
+		args = append(args, fmt.Sprintf("--peer=%s/%s=%s", peer.Zone, peer.ID, address))
+	}
+	return append(args, c.options.Flags["entry"]...), nil
+}
+
+// list puts a host into the platform's list.
+func (c *cluster) list(m member) error {
+	return sendJSON(http.MethodPut, "http://"+c.kv.Address+hostsPath+"/"+m.ID, m.Host, nil)
+}
+
+// unlist takes a host out of the platform's list.
+func (c *cluster) unlist(m *member) error {
+	return sendJSON(http.MethodDelete, "http://"+c.kv.Address+hostsPath+"/"+m.ID, nil, nil)
+}
+
+// kind returns the hosts of a kind.
+func (c *cluster) kind(kind provider.HostKind) (members []*member) {
+	for _, m := range c.members {
+		if m.Kind == kind {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// find returns the hosts that a name stands for.
+func (c *cluster) find(name string) (members []*member, err error) {
+	switch name {
+	case "entries":
+		return c.kind(provider.HostEntry), nil
+	case "engines":
+		return c.kind(provider.HostEngine), nil
+	case "services":
+		return c.kind(provider.HostService), nil
+	case kvName:
+		return []*member{c.kv}, nil
+	}
+	for _, m := range c.members {
+		if m.ID == name {
+			return []*member{m}, nil
+		}
+	}
+	return nil, eris.Errorf("no host %q", name)
+}
+
+// kill ends a host's process at once. Whatever it alone knew is read first.
+func (c *cluster) kill(m *member) error { return m.process.kill() }
+
+// terminate asks a host to stop as planned and waits until its process has
+// ended; the platform lists it as leaving meanwhile.
+func (c *cluster) terminate(ctx context.Context, m *member) error {
+	m.State = provider.HostLeaving
+	if err := c.list(*m); err != nil {
+		return err
+	}
+	if err := m.process.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return c.awaitExit(ctx, m)
+}
+
+// awaitExit waits until a host's process has ended by itself without a fault.
+func (c *cluster) awaitExit(ctx context.Context, m *member) error {
+	select {
+	case <-ctx.Done():
+		return eris.Errorf("%s has not ended", m.ID)
+	case <-m.process.exited:
+	}
+	if m.process.err != nil {
+		return eris.Wrapf(m.process.err, "%s ended", m.ID)
+	}
+	return nil
+}
+
+// awaitReady waits until entry hosts say that they are ready.
+func (c *cluster) awaitReady(ctx context.Context, entries ...*member) error {
+	for _, m := range entries {
+		err := await(ctx, m.ID+" ready", func() error { return getJSON("http://"+m.operators+"/readyz", nil) })
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close ends all processes and waits for them.
+func (c *cluster) Close() error {
+	var errs []error
+	if c.historian != nil {
+		c.historian.Close()
+	}
+	for _, m := range append(c.members, c.kv) {
+		if m != nil && m.process != nil {
+			errs = append(errs, m.process.kill())
+		}
+	}
+	c.network.Close()
+	for _, view := range c.views {
+		errs = append(errs, view.Close())
+	}
+	c.ports.mark.Close()
+	return errors.Join(errs...)
+}
+
+// loadOptions are the addresses that a load needs of the cluster.
+func (c *cluster) loadOptions() loader.Options {
+	var options loader.Options
+	for _, m := range c.kind(provider.HostEntry) {
+		options.Entries = append(options.Entries, m.Address)
+		options.Operators = append(options.Operators, m.operators)
+	}
+	for _, m := range c.kind(provider.HostService) {
+		options.Services = append(options.Services, m.Address)
+	}
+	return options
+}
+
+// getJSON reads a document of a process, into nothing when that is nil.
+func getJSON(url string, into any) error { return sendJSON(http.MethodGet, url, nil, into) }
+
+// sendJSON makes one call of a process's own API, not through the network.
+func sendJSON(method, url string, body, into any) (err error) {
+	defer func() { err = eris.Wrapf(err, "%s %s", method, url) }()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	var reader io.Reader
+	switch body := body.(type) {
+	case nil:
+	case string:
+		reader = strings.NewReader(body)
+	default:
+		data, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		reader = bytes.NewReader(data)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode/100 != 2 {
+		return eris.Errorf("status %s: %s", response.Status, data)
+	}
+	if into == nil {
+		return nil
+	}
+	return json.Unmarshal(data, into)
+}
--- /dev/null
+++ b/tests/doc_test.go
@@ -0,0 +1,48 @@
+// Package tests runs deployments of real processes on loopback behind a
+// fault-injecting proxy.
+//
+// # Usage
+//
+// Scenarios are testdata/*.txtar in a small language on top of testscript; one
+// file shows one kind of failure. Tests in Go use the same harness:
+//
+//	c, err := startCluster(t.TempDir(), clusterOptions{Deployment: placer.Vitosha().Small()})
+//	defer c.Close()
+//	c.network.cut("lozenets", platformZone, bothWays)
+//	err = c.awaitReady(ctx, c.entries()...)
+//
+// The processes' ports come from a block that the test process holds; entry
+// hosts reach peers, endpoints and the platform through one proxy for each
+// zone and each target, so that zones can be cut off from each other.
+// ENDIVEMAST_TEST_LOGS names a directory where the processes' logs are kept.
+//
+// # Commands of the scenario language
+//
+//	cluster vitosha|agency small|full [entry.FLAG=VALUE] [engine.FLAG=VALUE] [service.FLAG=VALUE] [kv.FLAG=VALUE]
+//	load start NAME SCENARIO [scale=0.2] [seed=1] [seconds=5] [CLASS.FIELD=VALUE]
+//	load stop NAME            no new arrivals; waits for the account
+//	load wait NAME            waits for the scenario's end
+//	load at NAME N            waits until N requests were sent
+//	check load NAME FIGURE>=VALUE ...     FIGURE or CLASS.FIGURE of the account, also <=, ==
+//	check load NAME sound     nothing lost, doubled or crossed
+//	check orders              no conflicting orders, no effect of a former holder
+//	check config              no host was seen going back to an older configuration
+//	check no-work HOST        the endpoint takes no new work
+//	kill|pause|resume|terminate|start HOST...
+//	leaving HOST              the platform lists the host as leaving
+//	unlist HOST               the platform lists the host no more
+//	drain HOST                an operator or the endpoint itself begins a drain
+//	fault HOST JSON           sets faults of a stand-in; the platform's host is kv
+//	cut ZONE from ZONE|platform           both ways
+//	cut ZONE to ZONE|platform             what the first sends is lost
+//	slow ZONE from ZONE|platform 50ms
+//	heal                      ends all cuts and delays
+//	class set TENANT/NAME FIELD=VALUE... by HOST      by the operators' API
+//	await ready|unready HOST...
+//	await config HOST...      the newest accepted change is in force there
+//	await authority ZONE [not HOST]       a zone's authority is held (by another host)
+//	await exit HOST           the process ended by itself, with status 0
+//
+// HOST is a host's id, "entries", "engines" or "services". A command that is
+// preceded by "!" has to fail.
+package tests
--- /dev/null
+++ b/tests/judge_test.go
@@ -0,0 +1,247 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/standins/engineserver"
+)
+
+const historyInterval = 100 * time.Millisecond
+
+// entryStatus is what the harness reads of an entry host's status.
+type entryStatus struct {
+	Incarnation    string `json:"incarnation"`
+	Ready          bool   `json:"ready"`
+	ConfigRevision int64  `json:"config_revision"`
+	Authorities    []struct {
+		Zone   string `json:"zone"`
+		Holder string `json:"holder"`
+	} `json:"authorities"`
+	Endpoints []struct {
+		EndpointID string `json:"endpoint_id"`
+		State      string `json:"state"`
+		Role       string `json:"role"`
+	} `json:"endpoints"`
+}
+
+func (m *member) status() (status entryStatus, err error) {
+	return status, getJSON("http://"+m.operators+"/v1/operator/status", &status)
+}
+
+// historian watches the configuration revision in force on every entry host,
+// and notes each that goes back, also over restarts.
+type historian struct {
+	cluster *cluster
+	cancel  context.CancelFunc
+	group   errgroup.Group
+
+	mu      sync.Mutex
+	highest map[string]int64
+	faults  []string
+}
+
+func newHistorian(c *cluster) *historian {
+	return &historian{cluster: c, highest: make(map[string]int64), cancel: func() {}}
+}
+
+func (h *historian) start() {
+	var ctx context.Context
+	ctx, h.cancel = context.WithCancel(context.Background())
+	for _, m := range h.cluster.kind(provider.HostEntry) {
+		h.group.Go(func() error {
+			ticker := time.NewTicker(historyInterval)
+			defer ticker.Stop()
+			for {
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-ticker.C:
+					h.look(m)
+				}
+			}
+		})
+	}
+}
+
+// look notes a host's revision. A host that is not ready serves nobody, so
+// that what it has in force does not count.
+func (h *historian) look(m *member) {
+	status, err := m.status()
+	if err != nil || !status.Ready {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if status.ConfigRevision < h.highest[m.ID] {
+		h.faults = append(h.faults, fmt.Sprintf("%s went back from revision %d to %d", m.ID, h.highest[m.ID], status.ConfigRevision))
+	}
+	h.highest[m.ID] = max(h.highest[m.ID], status.ConfigRevision)
+}
+
+// Close ends the watching and waits.
+func (h *historian) Close() {
+	h.cancel()
+	_ = h.group.Wait()
+}
+
+// judgeConfig fails when a host was seen going back.
+func (c *cluster) judgeConfig() error {
+	c.historian.mu.Lock()
+	defer c.historian.mu.Unlock()
+	if len(c.historian.faults) > 0 {
+		return eris.Errorf("configuration went back: %v", c.historian.faults)
+	}
+	return nil
+}
+
+// judgeOrders reads the order log of every engine that runs: no two orders
+// may have been in conflict, and none of a former holder may have had an effect.
+func (c *cluster) judgeOrders() error {
+	var faults []string
+	for _, m := range c.kind(provider.HostEngine) {
+		if !m.process.running() {
+			continue
+		}
+		var orders []engineserver.OrderRecord
+		if err := getJSON("http://"+m.Address+"/orders", &orders); err != nil {
+			return err
+		}
+		for i := range orders {
+			faults = append(faults, judgeOrder(m.ID, &orders[i])...)
+		}
+	}
+	if len(faults) > 0 {
+		slices.Sort(faults)
+		return eris.Errorf("orders: %v", faults)
+	}
+	return nil
+}
+
+func judgeOrder(engine string, order *engineserver.OrderRecord) (faults []string) {
+	if len(order.ConflictsWith) > 0 {
+		faults = append(faults, fmt.Sprintf("%s: order %s of %s conflicts with %v", engine, order.OrderID, order.Holder, order.ConflictsWith))
+	}
+	if order.Stale && order.Effect != "" {
+		faults = append(faults, fmt.Sprintf("%s: order %s of former holder %s had the effect %q", engine, order.OrderID, order.Holder, order.Effect))
+	}
+	return faults
+}
+
+// workCount is how much work an endpoint has taken so far.
+func (m *member) workCount() (n int, err error) {
+	if m.Kind == provider.HostService {
+		var runs struct {
+			Total int `json:"total"`
+		}
+		return runs.Total, getJSON("http://"+m.Address+"/runs", &runs)
+	}
+	var stats engineserver.Stats
+	err = getJSON("http://"+m.Address+"/stats", &stats)
+	for _, times := range stats.Attempts {
+		n += times
+	}
+	return n, err
+}
+
+const (
+	quietSpan  = time.Second
+	quietLimit = 10 * time.Second
+)
+
+// awaitNoWork waits until an endpoint has taken no new work for a second.
+func (c *cluster) awaitNoWork(ctx context.Context, m *member) error {
+	ctx, cancel := context.WithTimeout(ctx, quietLimit)
+	defer cancel()
+	last, since := -1, time.Now()
+	return await(ctx, "no new work at "+m.ID, func() error {
+		n, err := m.workCount()
+		if err != nil {
+			return err
+		}
+		if n != last {
+			last, since = n, time.Now()
+		}
+		if quiet := time.Since(since); quiet < quietSpan {
+			return eris.Errorf("quiet for %s only", quiet)
+		}
+		return nil
+	})
+}
+
+// awaitConfig waits until a revision is in force on entry hosts.
+func (c *cluster) awaitConfig(ctx context.Context, entries []*member) error {
+	c.mu.Lock()
+	revision := c.revision
+	c.mu.Unlock()
+	for _, m := range entries {
+		err := await(ctx, fmt.Sprintf("revision %d on %s", revision, m.ID), func() error {
+			status, err := m.status()
+			if err == nil && status.ConfigRevision < revision {
+				err = eris.Errorf("revision %d is in force", status.ConfigRevision)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitAuthority waits until a host of a zone other than the one named holds
+// the zone's authority.
+func (c *cluster) awaitAuthority(ctx context.Context, zone, except string) error {
+	return await(ctx, "authority of "+zone, func() error {
+		for _, m := range c.kind(provider.HostEntry) {
+			if m.Zone != zone || !m.process.running() {
+				continue
+			}
+			status, err := m.status()
+			if err != nil {
+				continue
+			}
+			for _, authority := range status.Authorities {
+				if authority.Zone == zone && authority.Holder != "" && authority.Holder != except {
+					return nil
+				}
+			}
+		}
+		return eris.New("nobody holds it")
+	})
+}
+
+// setClass changes fields of a class by the operators' API of one host, guarded
+// against races by the revision that it was read at.
+func (c *cluster) setClass(by *member, tenant, name string, fields map[string]any) error {
+	url := "http://" + by.operators + "/v1/operator/classes/" + tenant + "/" + name
+	var entry struct {
+		Class    map[string]any `json:"class"`
+		Revision int64          `json:"revision"`
+	}
+	if err := getJSON(url, &entry); err != nil {
+		return err
+	}
+	for field, value := range fields {
+		entry.Class[field] = value
+	}
+	entry.Class["if_revision"] = entry.Revision
+	var accepted struct {
+		Revision int64 `json:"revision"`
+	}
+	if err := sendJSON(http.MethodPut, url, entry.Class, &accepted); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision = max(c.revision, accepted.Revision)
+	return nil
+}
--- /dev/null
+++ b/tests/network_test.go
@@ -0,0 +1,220 @@
+package tests
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// platformZone is where the platform stands in cuts.
+const platformZone = "platform"
+
+// direction says which way a cut lies.
+type direction int
+
+const (
+	bothWays direction = iota
+	oneWay             // what the first zone sends is lost
+)
+
+// Directions of a toxic: upstream is from the connection's opener.
+const (
+	upstream   = "upstream"
+	downstream = "downstream"
+)
+
+// network is the proxies between zones, and between zones and the platform.
+type network struct {
+	server *toxiproxy.ApiServer
+
+	mu      sync.Mutex
+	proxies map[route]*toxiproxy.Proxy
+	toxics  int
+}
+
+// route is the way from a zone's entry hosts to one address of a target.
+type route struct {
+	from, to string // zones
+	target   string
+}
+
+func newNetwork() *network {
+	return &network{
+		server:  toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
+		proxies: make(map[route]*toxiproxy.Proxy),
+	}
+}
+
+// open returns the address by which a zone's hosts reach a target.
+func (n *network) open(r route, upstream string) (address string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if proxy, ok := n.proxies[r]; ok {
+		return proxy.Listen, nil
+	}
+	proxy := toxiproxy.NewProxy(n.server, fmt.Sprintf("%s-%s", r.from, r.target), "127.0.0.1:0", upstream)
+	if err := proxy.Start(); err != nil {
+		return "", eris.Wrapf(err, "open route to %s", r.target)
+	}
+	n.proxies[r] = proxy
+	return proxy.Listen, nil
+}
+
+// cut drops what goes between two zones, or what the first sends to the
+// second. Connections stay open and fall silent, as in a partition.
+func (n *network) cut(from, to string, d direction) error {
+	return n.poison(from, to, d, "timeout", map[string]any{"timeout": 0})
+}
+
+// slow delays what goes between two zones, each way.
+func (n *network) slow(from, to string, by time.Duration) error {
+	return n.poison(from, to, bothWays, "latency", map[string]any{"latency": by.Milliseconds()})
+}
+
+func (n *network) poison(from, to string, d direction, kind string, attributes map[string]any) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	hits := 0
+	for r, proxy := range n.proxies {
+		for _, stream := range streams(r, from, to, d) {
+			n.toxics++
+			hits++
+			toxic, err := json.Marshal(map[string]any{
+				"name": fmt.Sprintf("%s%d", kind, n.toxics), "type": kind, "stream": stream, "attributes": attributes,
+			})
+			if err != nil {
+				return err
+			}
+			if _, err := proxy.Toxics.AddToxicJson(strings.NewReader(string(toxic))); err != nil {
+				return eris.Wrapf(err, "%s between %s and %s", kind, from, to)
+			}
+		}
+	}
+	if hits == 0 {
+		return eris.Errorf("nothing goes between %s and %s", from, to)
+	}
+	return nil
+}
+
+// streams are a route's streams that a cut between two zones hits.
+func streams(r route, from, to string, d direction) []string {
+	switch {
+	case r.from == from && r.to == to && d == bothWays, r.from == to && r.to == from && d == bothWays:
+		return []string{upstream, downstream}
+	case r.from == from && r.to == to:
+		return []string{upstream}
+	case r.from == to && r.to == from:
+		return []string{downstream}
+	}
+	return nil
+}
+
+// heal ends all cuts and delays. Connections that a cut has hit are closed,
+// because what was dropped from them is gone.
+func (n *network) heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, proxy := range n.proxies {
+		proxy.Toxics.ResetToxics(context.Background())
+	}
+}
+
+// Close closes all routes.
+func (n *network) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, proxy := range n.proxies {
+		proxy.Stop()
+	}
+}
+
+// listView serves the platform's list of hosts as one zone sees it: with the
+// addresses of the zone's routes in place of the hosts' own.
+type listView struct {
+	platform string
+	address  func(host provider.Host) (string, error)
+	server   *http.Server
+	listener net.Listener
+	group    errgroup.Group
+}
+
+func newListView(platform string, address func(provider.Host) (string, error)) (*listView, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, eris.Wrap(err, "open view of the host list")
+	}
+	v := &listView{platform: platform, address: address, listener: listener}
+	v.server = &http.Server{Handler: v, ReadHeaderTimeout: time.Minute}
+	v.group.Go(func() error {
+		_ = v.server.Serve(listener)
+		return nil
+	})
+	return v, nil
+}
+
+// ServeHTTP passes a call on and rewrites the list on its way back.
+func (v *listView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+v.platform+r.URL.RequestURI(), r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	request.Header = r.Header.Clone()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer response.Body.Close()
+	w.Header().Set("Content-Type", response.Header.Get("Content-Type"))
+	w.Header().Set("ETag", response.Header.Get("ETag"))
+	w.WriteHeader(response.StatusCode)
+	if r.URL.Path != hostsPath || response.StatusCode != http.StatusOK {
+		_, _ = io.Copy(w, response.Body)
+		return
+	}
+	_ = v.rewrite(w, response.Body)
+}
+
+func (v *listView) rewrite(w io.Writer, body io.Reader) error {
+	var list hostList
+	if err := json.NewDecoder(body).Decode(&list); err != nil {
+		return err
+	}
+	for i := range list.Hosts {
+		address, err := v.address(list.Hosts[i])
+		if err != nil {
+			return err
+		}
+		list.Hosts[i].Address = address
+	}
+	return json.NewEncoder(w).Encode(list)
+}
+
+// Close ends the view and waits.
+func (v *listView) Close() error {
+	err := v.server.Close()
+	_ = v.group.Wait()
+	return err
+}
+
+const hostsPath = "/platform/hosts"
+
+// hostList is the platform's list of hosts on the wire.
+type hostList struct {
+	Revision int64           `json:"revision"`
+	Hosts    []provider.Host `json:"hosts"`
+}
--- /dev/null
+++ b/tests/process_test.go
@@ -0,0 +1,214 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+)
+
+const pollInterval = 20 * time.Millisecond
+
+// await polls a condition until it holds, and says what was missing when ctx
+// ends first.
+func await(ctx context.Context, what string, holds func() error) error {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		err := holds()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(err, "awaited %s in vain", what)
+		case <-ticker.C:
+		}
+	}
+}
+
+// binaries are the programs under test, built once for a test run.
+var binaries struct {
+	once      sync.Once
+	directory string
+	err       error
+}
+
+// binary builds the programs on first use and returns the path of one.
+func binary(name string) (path string, err error) {
+	binaries.once.Do(func() {
+		binaries.directory, binaries.err = os.MkdirTemp("", "endivemast-tests-")
+		if binaries.err != nil {
+			return
+		}
+		build := exec.Command("go", "build", "-o", binaries.directory+string(filepath.Separator),
+			"../cmd/endivemast", "../cmd/standin")
+		if output, err := build.CombinedOutput(); err != nil {
+			binaries.err = eris.Wrapf(err, "build programs: %s", output)
+		}
+	})
+	return filepath.Join(binaries.directory, name), binaries.err
+}
+
+// process is a running program whose log is kept.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	output *os.File
+	offset int64 // of this start's first line in the log
+	exited chan struct{}
+	group  errgroup.Group
+	err    error // valid once exited is closed
+}
+
+// startProcess starts a program. Its standard output and error go to a log
+// file in the directory, which is added to at each start.
+func startProcess(directory, name, program string, args ...string) (p *process, err error) {
+	defer func() { err = eris.Wrapf(err, "start %s", name) }()
+	path, err := binary(program)
+	if err != nil {
+		return nil, err
+	}
+	output, err := os.OpenFile(filepath.Join(directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p = &process{name: name, cmd: exec.Command(path, args...), output: output, exited: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = output, output
+	// A test that is killed leaves no processes behind.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if p.offset, err = output.Seek(0, io.SeekEnd); err == nil {
+		err = p.cmd.Start()
+	}
+	if err != nil {
+		return nil, errors.Join(err, output.Close())
+	}
+	p.group.Go(func() error {
+		p.err = p.cmd.Wait()
+		close(p.exited)
+		return nil
+	})
+	return p, nil
+}
+
+func (p *process) signal(signal syscall.Signal) error {
+	return eris.Wrapf(p.cmd.Process.Signal(signal), "signal %s", p.name)
+}
+
+// running says whether the process has not ended.
+func (p *process) running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// kill ends the process at once and waits.
+func (p *process) kill() error {
+	if p.running() {
+		if err := p.signal(syscall.SIGKILL); err != nil && p.running() {
+			return err
+		}
+	}
+	<-p.exited
+	return errors.Join(p.group.Wait(), p.closeOutput())
+}
+
+func (p *process) closeOutput() error {
+	if err := p.output.Close(); !errors.Is(err, os.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// listeningLine is what a stand-in writes when it listens.
+type listeningLine struct {
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+}
+
+// listening reads the line that says where the process listens. It fails while
+// there is none.
+func (p *process) listening() (line listeningLine, err error) {
+	data, err := os.ReadFile(p.output.Name())
+	if err != nil {
+		return line, err
+	}
+	for raw := range bytes.Lines(data[p.offset:]) {
+		if json.Unmarshal(raw, &line) == nil && line.Address != "" {
+			return line, nil
+		}
+	}
+	return line, eris.Errorf("%s does not listen yet: %s", p.name, tail(data))
+}
+
+func tail(data []byte) []byte {
+	const most = 4 << 10
+	return data[max(0, len(data)-most):]
+}
+
+// Ports of the tests lie below the range that the kernel gives to outgoing
+// connections, so that none takes one between its choice and its use.
+const (
+	firstPort     = 10240
+	portBlocks    = 300
+	portsPerBlock = 64
+)
+
+// portBlock is a block of ports that one cluster uses. Its first port stays
+// open as the mark by which other test processes see that it is taken.
+type portBlock struct {
+	mark net.Listener
+	next int
+}
+
+// takePorts finds a block of which no port is in use.
+func takePorts() (*portBlock, error) {
+	start := os.Getpid() * 7
+	for i := range portBlocks {
+		base := firstPort + (start+i)%portBlocks*portsPerBlock
+		mark, err := net.Listen("tcp", loopback(base))
+		if err != nil {
+			continue
+		}
+		if blockIsFree(base) {
+			return &portBlock{mark: mark, next: base + 1}, nil
+		}
+		mark.Close()
+	}
+	return nil, eris.New("no free block of ports")
+}
+
+func blockIsFree(base int) bool {
+	for port := base + 1; port < base+portsPerBlock; port++ {
+		listener, err := net.Listen("tcp", loopback(port))
+		if err != nil {
+			return false
+		}
+		listener.Close()
+	}
+	return true
+}
+
+// take returns the next address of the block.
+func (b *portBlock) take() string {
+	port := b.next
+	b.next++
+	return loopback(port)
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
--- /dev/null
+++ b/tests/script_test.go
@@ -0,0 +1,490 @@
+package tests
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/rotisserie/eris"
+
+	"github.com/endivemast/endivemast/internal/loader"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/standins/placer"
+)
+
+// clustersAtOnce bounds the clusters that run at a time: more of them would
+// make each other slow.
+const clustersAtOnce = 3
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if binaries.directory != "" {
+		_ = os.RemoveAll(binaries.directory)
+	}
+	os.Exit(code)
+}
+
+func TestScenarios(t *testing.T) {
+	slots := make(chan struct{}, clustersAtOnce)
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata",
+		RequireUniqueNames:  true,
+		RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			s := &script{directory: env.WorkDir, slots: slots, loads: make(map[string]*loader.Run)}
+			env.Values[scriptKey{}] = s
+			env.Defer(s.close)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"cluster": command((*script).startCluster),
+			"load":    command((*script).load),
+			"check":   command((*script).check),
+			"kill":    command(each((*cluster).kill)),
+			"pause":   command(each(func(_ *cluster, m *member) error { return m.process.signal(syscall.SIGSTOP) })),
+			"resume":  command(each(func(_ *cluster, m *member) error { return m.process.signal(syscall.SIGCONT) })),
+			"terminate": command(each(func(c *cluster, m *member) error {
+				return withTimeout(func(ctx context.Context) error { return c.terminate(ctx, m) })
+			})),
+			"start": command(each(func(c *cluster, m *member) error {
+				return withTimeout(func(ctx context.Context) error { return c.startMember(ctx, m) })
+			})),
+			"leaving": command(each((*cluster).listLeaving)),
+			"unlist":  command(each((*cluster).unlist)),
+			"drain":   command(each((*cluster).drain)),
+			"fault":   command((*script).fault),
+			"cut":     command((*script).cut),
+			"slow":    command((*script).slow),
+			"heal":    command((*script).heal),
+			"class":   command((*script).class),
+			"await":   command((*script).await),
+		},
+	})
+}
+
+type scriptKey struct{}
+
+// script is the state of one running scenario.
+type script struct {
+	directory string
+	slots     chan struct{}
+	cluster   *cluster
+	loads     map[string]*loader.Run
+}
+
+var errUsage = eris.New("usage: see the package comment of tests")
+
+// command makes a command of the scenario language. A command after "!" has
+// to fail.
+func command(run func(s *script, args []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		err := run(ts.Value(scriptKey{}).(*script), args)
+		switch {
+		case neg && err == nil:
+			ts.Fatalf("succeeded, and should have failed")
+		case neg:
+			ts.Logf("failed as it should: %v", err)
+		case err != nil:
+			ts.Fatalf("%v", err)
+		}
+	}
+}
+
+// each makes a command that is carried out on every host that it names.
+func each(run func(c *cluster, m *member) error) func(s *script, args []string) error {
+	return func(s *script, args []string) error {
+		if s.cluster == nil || len(args) == 0 {
+			return errUsage
+		}
+		for _, name := range args {
+			members, err := s.cluster.find(name)
+			if err != nil {
+				return err
+			}
+			for _, m := range members {
+				if err := run(s.cluster, m); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	}
+}
+
+func withTimeout(run func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(context.Background(), awaitTimeout)
+	defer cancel()
+	return run(ctx)
+}
+
+func (s *script) close() {
+	for _, run := range s.loads {
+		run.Stop()
+	}
+	if s.cluster == nil {
+		return
+	}
+	_ = s.cluster.Close()
+	for _, run := range s.loads {
+		_ = run.Close()
+	}
+	<-s.slots
+}
+
+func (s *script) startCluster(args []string) error {
+	if len(args) < 2 || s.cluster != nil {
+		return errUsage
+	}
+	deployments := map[string]placer.Deployment{"vitosha": placer.Vitosha(), "agency": placer.Agency()}
+	deployment, ok := deployments[args[0]]
+	if !ok {
+		return eris.Errorf("no deployment %q", args[0])
+	}
+	if args[1] == "small" {
+		deployment = deployment.Small()
+	}
+	scenario, err := readScenario(args[0] + "-steady")
+	if err != nil {
+		return err
+	}
+	flags := make(map[string][]string)
+	for _, arg := range args[2:] {
+		kind, flag, ok := strings.Cut(arg, ".")
+		if !ok {
+			return errUsage
+		}
+		flags[kind] = append(flags[kind], "--"+flag)
+	}
+	s.slots <- struct{}{}
+	s.cluster, err = startCluster(s.directory, clusterOptions{Deployment: deployment, Scenario: scenario, Flags: flags})
+	if err != nil {
+		<-s.slots
+	}
+	return err
+}
+
+func readScenario(name string) (loader.Scenario, error) {
+	return loader.ReadScenario(filepath.Join("..", "scenarios", name+".yaml"))
+}
+
+func (s *script) load(args []string) error {
+	if len(args) < 2 || s.cluster == nil {
+		return errUsage
+	}
+	if args[0] == "start" && len(args) > 2 {
+		return s.startLoad(args[1], args[2], args[3:])
+	}
+	run, ok := s.loads[args[1]]
+	if !ok {
+		return eris.Errorf("no load %q", args[1])
+	}
+	switch args[0] {
+	case "stop":
+		run.Stop()
+		return waitLoad(run)
+	case "wait":
+		return waitLoad(run)
+	case "at":
+		n, err := strconv.Atoi(args[len(args)-1])
+		if err != nil {
+			return err
+		}
+		return withTimeout(func(ctx context.Context) error {
+			return await(ctx, fmt.Sprintf("%d requests", n), func() error {
+				if sent := run.Progress().Sent; sent < n {
+					return eris.Errorf("%d are sent", sent)
+				}
+				return nil
+			})
+		})
+	}
+	return errUsage
+}
+
+func waitLoad(run *loader.Run) error {
+	report, err := run.Wait()
+	if err == nil && testing.Verbose() {
+		err = report.WriteTable(os.Stderr)
+	}
+	return err
+}
+
+// startLoad starts a scenario's load in the background.
+func (s *script) startLoad(name, scenarioName string, settings []string) error {
+	options := s.cluster.loadOptions()
+	var err error
+	if options.Scenario, err = readScenario(scenarioName); err != nil {
+		return err
+	}
+	options.Seed = 1
+	for _, setting := range settings {
+		field, value, ok := strings.Cut(setting, "=")
+		if !ok {
+			return errUsage
+		}
+		if err := setLoad(&options, field, value); err != nil {
+			return eris.Wrap(err, setting)
+		}
+	}
+	s.loads[name], err = loader.Start(context.Background(), options)
+	return err
+}
+
+func setLoad(options *loader.Options, field, value string) error {
+	number, err := strconv.ParseFloat(value, 64)
+	if err != nil {
+		return err
+	}
+	switch field {
+	case "scale":
+		options.Scenario.RateScale = number
+	case "seed":
+		options.Seed = uint64(number)
+	case "seconds":
+		length := time.Duration(number * float64(time.Second))
+		options.Scenario.Phases = []loader.Phase{{Name: "even", Duration: length, Shape: loader.ShapeSteady}}
+	default:
+		return setLoadClass(&options.Scenario, field, number)
+	}
+	return nil
+}
+
+func setLoadClass(scenario *loader.Scenario, field string, number float64) error {
+	name, field, _ := strings.Cut(field, ".")
+	for i := range scenario.Classes {
+		class := &scenario.Classes[i]
+		if class.Name != name {
+			continue
+		}
+		switch field {
+		case "rate":
+			class.Rate = number
+		case "resend_share":
+			class.ResendShare = number
+		case "abandon_share":
+			class.AbandonShare = number
+		default:
+			return errUsage
+		}
+		return nil
+	}
+	return eris.Errorf("no class %q", name)
+}
+
+func (s *script) check(args []string) error {
+	if len(args) == 0 || s.cluster == nil {
+		return errUsage
+	}
+	switch {
+	case args[0] == "orders":
+		return s.cluster.judgeOrders()
+	case args[0] == "config":
+		return s.cluster.judgeConfig()
+	case args[0] == "no-work" && len(args) == 2:
+		return each(func(c *cluster, m *member) error {
+			return withTimeout(func(ctx context.Context) error { return c.awaitNoWork(ctx, m) })
+		})(s, args[1:])
+	case args[0] == "load" && len(args) > 2:
+		run, ok := s.loads[args[1]]
+		if !ok {
+			return eris.Errorf("no load %q", args[1])
+		}
+		return checkLoad(run, args[2:])
+	}
+	return errUsage
+}
+
+// checkLoad checks figures of a load's account. Whatever was promised of its
+// requests is checked in any case.
+func checkLoad(run *loader.Run, conditions []string) error {
+	report, err := run.Wait()
+	if err != nil {
+		return err
+	}
+	for _, condition := range conditions {
+		if condition == "sound" {
+			err = report.Verdict()
+		} else {
+			err = checkFigure(report, condition)
+		}
+		if err != nil {
+			var table strings.Builder
+			_ = report.WriteTable(&table)
+			return eris.Wrapf(err, "%s\n%s", condition, table.String())
+		}
+	}
+	return nil
+}
+
+var figurePattern = regexp.MustCompile(`^(?:(\w+)\.)?(\w+)(>=|<=|==)([0-9.]+)$`)
+
+// checkFigure compares one figure, named as in the account's JSON.
+func checkFigure(report *loader.Report, condition string) error {
+	parts := figurePattern.FindStringSubmatch(condition)
+	if parts == nil {
+		return errUsage
+	}
+	account := report.Total
+	if parts[1] != "" {
+		var ok bool
+		if account, ok = report.Class(parts[1]); !ok {
+			return eris.Errorf("no class %q", parts[1])
+		}
+	}
+	got, err := figure(&account, parts[2])
+	if err != nil {
+		return err
+	}
+	want, err := strconv.ParseFloat(parts[4], 64)
+	if err != nil {
+		return err
+	}
+	holds := map[string]bool{">=": got >= want, "<=": got <= want, "==": got == want}
+	if !holds[parts[3]] {
+		return eris.Errorf("%s is %g", parts[2], got)
+	}
+	return nil
+}
+
+func figure(account *loader.ClassReport, name string) (float64, error) {
+	value := reflect.ValueOf(account).Elem()
+	for i := range value.NumField() {
+		if value.Type().Field(i).Tag.Get("json") != name {
+			continue
+		}
+		switch field := value.Field(i); field.Kind() {
+		case reflect.Int:
+			return float64(field.Int()), nil
+		case reflect.Float64:
+			return field.Float(), nil
+		}
+	}
+	return 0, eris.Errorf("no figure %q", name)
+}
+
+func (c *cluster) listLeaving(m *member) error {
+	m.State = provider.HostLeaving
+	return c.list(*m)
+}
+
+// drain begins a planned stop: of an entry host by an operator, of an endpoint
+// by itself.
+func (c *cluster) drain(m *member) error {
+	if m.Kind == provider.HostEntry {
+		return sendJSON(http.MethodPost, "http://"+m.operators+"/v1/operator/drain", nil, nil)
+	}
+	return sendJSON(http.MethodPost, "http://"+m.Address+"/drain", nil, nil)
+}
+
+func (s *script) fault(args []string) error {
+	if len(args) < 2 || s.cluster == nil {
+		return errUsage
+	}
+	return each(func(_ *cluster, m *member) error {
+		address := m.Address
+		if m.ID == kvName {
+			address = m.operators // reached also while the service refuses calls
+		}
+		return sendJSON(http.MethodPost, "http://"+address+"/faults", strings.Join(args[1:], " "), nil)
+	})(s, args[:1])
+}
+
+func (s *script) cut(args []string) error {
+	if len(args) != 3 || s.cluster == nil {
+		return errUsage
+	}
+	switch args[1] {
+	case "from":
+		return s.cluster.network.cut(args[0], args[2], bothWays)
+	case "to":
+		return s.cluster.network.cut(args[0], args[2], oneWay)
+	}
+	return errUsage
+}
+
+func (s *script) slow(args []string) error {
+	if len(args) != 4 || s.cluster == nil {
+		return errUsage
+	}
+	by, err := time.ParseDuration(args[3])
+	if err != nil {
+		return err
+	}
+	return s.cluster.network.slow(args[0], args[2], by)
+}
+
+func (s *script) heal([]string) error {
+	if s.cluster == nil {
+		return errUsage
+	}
+	s.cluster.network.heal()
+	return nil
+}
+
+// class changes a class: set TENANT/NAME FIELD=VALUE... by HOST.
+func (s *script) class(args []string) error {
+	if len(args) < 5 || args[0] != "set" || args[len(args)-2] != "by" {
+		return errUsage
+	}
+	members, err := s.cluster.find(args[len(args)-1])
+	if err != nil {
+		return err
+	}
+	tenant, name, _ := strings.Cut(args[1], "/")
+	fields := make(map[string]any)
+	for _, setting := range args[2 : len(args)-2] {
+		field, value, _ := strings.Cut(setting, "=")
+		var parsed any
+		if err := json.Unmarshal([]byte(value), &parsed); err != nil {
+			parsed = value
+		}
+		fields[field] = parsed
+	}
+	return s.cluster.setClass(members[0], tenant, name, fields)
+}
+
+func (s *script) await(args []string) error {
+	if len(args) < 2 || s.cluster == nil {
+		return errUsage
+	}
+	if args[0] == "authority" {
+		except := args[len(args)-1]
+		if len(args) == 2 {
+			except = ""
+		}
+		return withTimeout(func(ctx context.Context) error { return s.cluster.awaitAuthority(ctx, args[1], except) })
+	}
+	waits := map[string]func(ctx context.Context, c *cluster, m *member) error{
+		"ready":   func(ctx context.Context, c *cluster, m *member) error { return c.awaitReady(ctx, m) },
+		"unready": func(ctx context.Context, _ *cluster, m *member) error { return m.awaitUnready(ctx) },
+		"config":  func(ctx context.Context, c *cluster, m *member) error { return c.awaitConfig(ctx, []*member{m}) },
+		"exit":    func(ctx context.Context, c *cluster, m *member) error { return c.awaitExit(ctx, m) },
+	}
+	wait, ok := waits[args[0]]
+	if !ok {
+		return errUsage
+	}
+	return each(func(c *cluster, m *member) error {
+		return withTimeout(func(ctx context.Context) error { return wait(ctx, c, m) })
+	})(s, args[1:])
+}
+
+func (m *member) awaitUnready(ctx context.Context) error {
+	return await(ctx, m.ID+" unready", func() error {
+		if getJSON("http://"+m.operators+"/readyz", nil) == nil {
+			return eris.New("it is ready")
+		}
+		return nil
+	})
+}
