--- a/internal/loader/command.go
+++ b/internal/loader/command.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +61,9 @@
 			return err
 		}
 	}
+	// An interrupt ends the arrivals; the requests that were sent still count.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	run, err := Start(ctx, options)
 	if err != nil {
 		return err
--- a/internal/loader/configurer.go
+++ b/internal/loader/configurer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -60,10 +61,16 @@
 	}
 }
 
-const configureTimeout = 10 * time.Second
+const (
+	configureTimeout = 15 * time.Second
+	configurePoll    = 200 * time.Millisecond
+)
+
+// errNotYet says that a host could not write now, or does not know whether it has.
+var errNotYet = errors.New("not written yet")
 
-// putJSON writes a document. The documents are whole, so that writing one
-// again after a lost answer does no harm.
+// putJSON writes a document, and again while the host has not reached its
+// store yet. The documents are whole, so that writing one twice does no harm.
 func putJSON(ctx context.Context, url, token string, body any) (err error) {
 	defer func() { err = eris.Wrapf(err, "put %s", url) }()
 	ctx, cancel := context.WithTimeout(ctx, configureTimeout)
@@ -72,6 +79,15 @@
 	if err != nil {
 		return err
 	}
+	for {
+		err := putOnce(ctx, url, token, data)
+		if !errors.Is(err, errNotYet) || !waitUntil(ctx, time.Now().Add(configurePoll)) {
+			return err
+		}
+	}
+}
+
+func putOnce(ctx context.Context, url, token string, data []byte) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(data))
 	if err != nil {
 		return err
@@ -85,9 +101,13 @@
 		return err
 	}
 	defer response.Body.Close()
-	if response.StatusCode/100 != 2 {
-		detail, _ := io.ReadAll(io.LimitReader(response.Body, 1<<12))
-		return eris.Errorf("status %s: %s", response.Status, detail)
+	if response.StatusCode/100 == 2 {
+		return nil
 	}
-	return nil
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, 1<<12))
+	switch response.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return eris.Wrapf(errNotYet, "status %s: %s", response.Status, detail)
+	}
+	return eris.Errorf("status %s: %s", response.Status, detail)
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -62,7 +62,8 @@
 }
 
 // Start waits until an entry host is ready and starts the load. It fails on
-// targets that are neither on loopback nor named in AllowHosts.
+// targets that are neither on loopback nor named in AllowHosts. When ctx ends
+// the arrivals stop, as by Stop.
 func Start(ctx context.Context, options Options) (run *Run, err error) {
 	defer func() { err = eris.Wrap(err, "start load") }()
 	if len(options.Entries) == 0 {
@@ -81,7 +82,7 @@
 		return nil, err
 	}
 	run = newRun(options, arrivals)
-	run.startWatches(ctx)
+	run.startWatches(context.WithoutCancel(ctx))
 	if err := run.awaitReady(ctx); err != nil {
 		run.endWatches()
 		return nil, err
@@ -162,6 +163,7 @@
 func (r *Run) startArrivals(ctx context.Context) {
 	arriving, stop := context.WithCancel(ctx)
 	r.stopArrivals = stop
+	ctx = context.WithoutCancel(ctx)
 	r.begun = time.Now()
 	r.watcher.begin(r.begun)
 	r.callers.Go(func() error {
--- a/internal/loader/reporter.go
+++ b/internal/loader/reporter.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -83,6 +83,8 @@
 	Seconds         []SecondReport `json:"seconds"`
 	Roles           []RolePoint    `json:"roles"`
 	Faults          []Fault        `json:"faults"` // the first of them
+	// Examples has the first detail that came with each reason.
+	Examples map[string]string `json:"examples"`
 }
 
 func makeReport(options *Options, records []record, watcher *roleWatcher, elapsed time.Duration) *Report {
@@ -91,7 +93,7 @@
 		Scenario: scenario.Name, Seed: options.Seed, RateScale: scenario.RateScale,
 		ElapsedMS: elapsed.Milliseconds(), RunsJudged: len(options.Services) > 0,
 		Classes: make([]ClassReport, len(scenario.Classes)),
-		Total:   ClassReport{Class: "all", Reasons: make(map[string]int)},
+		Total:   ClassReport{Class: "all", Reasons: make(map[string]int)}, Examples: make(map[string]string),
 	}
 	for i, class := range scenario.Classes {
 		report.Classes[i] = ClassReport{Tenant: class.Tenant, Class: class.Name, Weight: class.Weight, Reasons: make(map[string]int)}
@@ -102,6 +104,7 @@
 		report.Total.add(&records[i])
 		report.addSecond(&records[i], scenario.Classes[records[i].class].Weight)
 		report.addFault(&records[i], scenario)
+		report.addExample(&records[i])
 	}
 	for i := range report.Classes {
 		report.Classes[i].finish()
@@ -216,6 +219,12 @@
 	}
 }
 
+func (r *Report) addExample(record *record) {
+	if _, ok := r.Examples[record.reason]; !ok && record.reason != "" && record.outcome != OutcomeWhole {
+		r.Examples[record.reason] = record.detail
+	}
+}
+
 // Verdict fails when a request was lost, doubled or crossed.
 func (r *Report) Verdict() error {
 	t := &r.Total
@@ -264,17 +273,14 @@
 		c.Abandoned, c.FirstTokenMS, c.BetweenMS, c.CompletionMS, c.RefusalMS)
 }
 
+// writeReasons writes why requests have no whole answer, with an example each.
 func (r *Report) writeReasons(w io.Writer) error {
-	if len(r.Total.Reasons) == 0 {
-		return nil
-	}
-	var parts []string
-	for reason, n := range r.Total.Reasons {
-		parts = append(parts, fmt.Sprintf("%s %d", reason, n))
+	for _, reason := range slices.Sorted(maps.Keys(r.Total.Reasons)) {
+		if _, err := fmt.Fprintf(w, "%d times %s, the first: %s\n", r.Total.Reasons[reason], reason, r.Examples[reason]); err != nil {
+			return eris.Wrap(err, "write table")
+		}
 	}
-	slices.Sort(parts)
-	_, err := fmt.Fprintln(w, "reasons: "+strings.Join(parts, ", "))
-	return eris.Wrap(err, "write table")
+	return nil
 }
 
 // String gives the quantiles as p50/p95/p99, or a dash when there are none.
