--- /dev/null
+++ b/cmd/endivemast/main.go
@@ -0,0 +1,21 @@
+// Command endivemast is the program: see endivemast --help.
+//
+// # Usage
+//
+//	endivemast try
+//	endivemast entry --help
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/endivemast/endivemast/internal/commander"
+	"github.com/endivemast/endivemast/internal/loader"
+	"github.com/endivemast/endivemast/internal/trier"
+)
+
+func main() {
+	os.Exit(commander.Main(context.Background(), os.Args, os.Stdout, os.Stderr,
+		commander.Entry(), trier.Command(), loader.Command()))
+}
