--- /dev/null
+++ b/internal/httpdriver/order.go
@@ -0,0 +1,114 @@
+package httpdriver
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+// Send sends an order, once, over a connection of its own.
+//
+// An order must not outlive its sender's authority on the way. So it never
+// waits in a pool or behind other bytes, the kernel retransmits it for no
+// longer than OrderTimeout (see dial), and a connection that is given up is
+// reset, which drops what was not yet sent (see resetConn). What remains is
+// an engine that has taken the order and is slow to act on it; against that
+// only the engine's own fencing helps.
+func (d *Driver) Send(ctx context.Context, target driver.Target, order driver.OrderCall) (err error) {
+	defer func() { err = eris.Wrapf(err, "send order %s to %s", order.OrderID, target.EndpointID) }()
+
+	if err := d.begin(); err != nil {
+		return err
+	}
+	defer d.running.Done()
+	ctx, cancel := context.WithTimeout(ctx, d.settings.OrderTimeout)
+	defer cancel()
+	message, err := orderMessage(target, order)
+	if err != nil {
+		return &classError{class: driver.ErrNotSent, cause: err}
+	}
+	r, err := newRequest(ctx, target.Address, PathOrders, message)
+	if err != nil {
+		return &classError{class: driver.ErrNotSent, cause: err}
+	}
+	r.Close = true
+	conn, err := dial(ctx, target.Address, d.settings.DialTimeout, d.settings.OrderTimeout)
+	if err != nil {
+		return &classError{class: driver.ErrNotSent, cause: err}
+	}
+	defer conn.seal(nil, 0)
+	return sendOrder(ctx, conn, r, order.OrderID, int64(d.settings.MaxLineBytes))
+}
+
+func orderMessage(target driver.Target, order driver.OrderCall) (OrderMessage, error) {
+	message := OrderMessage{
+		OrderID:     order.OrderID,
+		Zone:        order.Zone,
+		Epoch:       order.Epoch,
+		Holder:      order.Holder,
+		Incarnation: target.Incarnation,
+	}
+	switch o := order.Order.(type) {
+	case driver.SetRole:
+		message.SetRole = &o
+	case driver.LoadModel:
+		message.LoadModel = &o
+	default:
+		return message, errors.New("order of an unknown kind")
+	}
+	return message, nil
+}
+
+func sendOrder(ctx context.Context, conn *countingConn, r *http.Request, orderID string, limit int64) error {
+	// The end of the context interrupts a write or read that hangs.
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+
+	if err := r.Write(conn); err != nil {
+		return orderLost(conn, causeOf(ctx, err))
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+	if err != nil {
+		return orderLost(conn, causeOf(ctx, err))
+	}
+	defer resp.Body.Close()
+	body, err := readBounded(resp.Body, limit)
+	if err != nil {
+		return orderLost(conn, causeOf(ctx, err))
+	}
+	return orderResult(resp.StatusCode, body, orderID)
+}
+
+func orderLost(conn *countingConn, cause error) error {
+	if conn.seal(nil, 0) {
+		return &classError{class: driver.ErrOutcomeUnknown, cause: cause}
+	}
+	return &classError{class: driver.ErrNotSent, cause: cause}
+}
+
+// orderResult classifies an answer. An order has no class for an answer that
+// echoes another order: whether it was accepted is then unknown.
+func orderResult(status int, body []byte, orderID string) error {
+	if status != http.StatusOK {
+		var message ErrorMessage
+		if err := json.Unmarshal(body, &message); err != nil || message.OrderID != orderID {
+			return &classError{class: driver.ErrOutcomeUnknown, cause: errors.New("error answer without proof")}
+		}
+		return refusalOf(message, message.OrderID, orderID)
+	}
+	var answer OrderAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return &classError{class: driver.ErrOutcomeUnknown, cause: err}
+	}
+	if answer.OrderID != orderID {
+		return &classError{class: driver.ErrOutcomeUnknown, cause: errors.New("answer echoes another order")}
+	}
+	return nil
+}
--- /dev/null
+++ b/standins/engineserver/engineserver.go
@@ -0,0 +1,230 @@
+// Package engineserver is a stand-in for a model engine.
+//
+// It batches continuously by a simple model of time (see TimeModel), caches
+// prompt prefixes in limited memory, queues by priority, exports and imports
+// KV caches, reports late, and takes orders. Its text comes from the package
+// answerer. Faults can be switched on by POST /faults or SetFaults.
+//
+// # Usage
+//
+//	cfg := engineserver.DefaultConfig()
+//	cfg.EndpointID, cfg.Application = "letters-1", "letters"
+//	engine, err := engineserver.New(cfg)
+//	defer engine.Close()
+//	fmt.Println(engine.Address(), engine.Incarnation())
+//
+// A restart is Close followed by New with the earlier Address; it gives a new
+// incarnation with empty tables.
+//
+// # Roles
+//
+// A mixed engine takes all work. A prefill engine takes only prefill calls. A
+// decode engine takes generations whose prompt comes by import or from its
+// prefix cache; it computes up to DecodePrefillLimit tokens itself, enough to
+// resume, and refuses calls that need more.
+//
+// When an exported KV cache can't be fetched, an engine whose role allows it
+// computes the prompt itself, and another one refuses the call.
+//
+// # Protocol
+//
+// The messages and the paths that the product uses are in package httpdriver.
+// Beside them:
+//
+//	GET    /kv/{handle}  an exported KV cache: its driver.KVHandle stands for the bytes
+//	GET    /orders       the order log: a list of OrderRecord
+//	GET    /stats        Stats
+//	GET    /faults       Faults; POST changes the fields that it names, DELETE clears
+//	POST   /drain        take no new work and no orders; DELETE ends it
+package engineserver
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/httpdriver"
+	"github.com/endivemast/endivemast/standins/hoster"
+)
+
+// Server is a running engine.
+type Server struct {
+	cfg         Config
+	incarnation string
+	host        *hoster.Host
+	fetcher     *fetcher
+	group       errgroup.Group
+	stop        chan struct{}
+	stopOnce    sync.Once
+	wake        chan struct{} // to the step loop: there may be work
+	ordered     chan struct{} // to obey: there may be an order
+	emptied     chan struct{} // the last sequence has left
+
+	mu            sync.Mutex
+	faults        Faults
+	faultsChanged chan struct{}
+	role          driver.Role
+	model         driver.LoadModel
+	draining      bool // told to take no new work
+	switching     bool // an order is being applied
+	waiting       queue
+	running       []*sequence // by priority, then arrival
+	arrivals      int64
+	kvUsed        int
+	cache         *prefixCache
+	events        eventLog
+	exports       []exported // oldest first
+	lastHandle    int64
+	linkFree      time.Time // when the last import will have arrived
+	orders        orderLog
+	loads         []load
+	stats         Stats
+	attempts      map[string]int
+}
+
+// New starts an engine.
+func New(cfg Config) (_ *Server, err error) {
+	defer func() { err = eris.Wrapf(err, "start engine %s", cfg.EndpointID) }()
+
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	if m := cfg.TimeModel; m.ChunkTokens <= 0 || m.MaxBatch <= 0 || m.KVTokens <= 0 || m.ImportBandwidth <= 0 {
+		return nil, errors.New("chunk, batch, memory and import bandwidth have to be above 0")
+	}
+	s := &Server{
+		cfg:           cfg,
+		incarnation:   uuid.NewString(),
+		fetcher:       newFetcher(),
+		stop:          make(chan struct{}),
+		wake:          make(chan struct{}, 1),
+		ordered:       make(chan struct{}, 1),
+		emptied:       make(chan struct{}, 1),
+		faultsChanged: make(chan struct{}),
+		role:          cfg.Role,
+		model:         driver.LoadModel{Model: cfg.Model, Version: cfg.Version, Adapter: cfg.Adapter},
+		cache:         newPrefixCache(cfg.TimeModel.PrefixCacheTokens),
+		events:        eventLog{delay: cfg.CacheEventDelay, gap: cfg.CacheEventGap, kept: cfg.CacheEventsKept},
+		loads:         []load{{}},
+		attempts:      make(map[string]int),
+	}
+	ready := make(chan struct{}) // no handler runs before host is set
+	s.host, err = hoster.New(cfg.Address, s.handler(ready))
+	if err != nil {
+		return nil, err
+	}
+	close(ready)
+	s.group.Go(s.loop)
+	s.group.Go(s.obey)
+	return s, nil
+}
+
+// Address is the IP and port that the engine listens on.
+func (s *Server) Address() string { return s.host.Address() }
+
+// Incarnation names this start of the engine.
+func (s *Server) Incarnation() string { return s.incarnation }
+
+func (s *Server) advertised() string {
+	if s.cfg.AdvertiseAddress != "" {
+		return s.cfg.AdvertiseAddress
+	}
+	return s.Address()
+}
+
+// SetDraining makes the engine refuse new work and orders, or ends that.
+func (s *Server) SetDraining(draining bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = draining
+}
+
+// Drain makes the engine refuse new work, and waits until the work that it
+// has is done and answered, or ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	s.SetDraining(true)
+	if !s.awaitEmpty(ctx.Done()) {
+		return eris.Wrap(context.Cause(ctx), "drain engine")
+	}
+	return s.host.Shutdown(ctx)
+}
+
+// Close ends the engine, cuts what is running and waits.
+func (s *Server) Close() error {
+	s.stopOnce.Do(func() { close(s.stop) })
+	err := errors.Join(s.host.Close(), s.group.Wait())
+	s.fetcher.close()
+	return eris.Wrap(err, "close engine")
+}
+
+// enqueue takes a sequence into the queue; code is empty when it is taken.
+func (s *Server) enqueue(q *sequence) (code httpdriver.ErrorCode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if code := s.refusal(q); code != "" {
+		s.stats.Refused++
+		return code
+	}
+	if q.imported > 0 {
+		s.stats.Imported++
+		s.stats.ImportedTokens += int64(q.imported)
+		q.readyAt = s.receive(q.call.Import.Bytes)
+	}
+	if !q.resumeMatches() {
+		s.stats.ResumeMismatches++
+	}
+	s.arrivals++
+	q.arrival = s.arrivals
+	s.waiting.add(q)
+	signal(s.wake)
+	return ""
+}
+
+// refusal says why a call is not taken; empty when it is.
+func (s *Server) refusal(q *sequence) httpdriver.ErrorCode {
+	switch {
+	case s.draining || s.switching:
+		return httpdriver.CodeDraining
+	case q.call.Application != s.cfg.Application:
+		return httpdriver.CodeNotServing
+	case q.kv > s.cfg.TimeModel.KVTokens:
+		return httpdriver.CodeTooLarge
+	case len(s.waiting) >= s.cfg.MaxWaiting || take(&s.faults.RefuseCalls):
+		return httpdriver.CodeBusy
+	default:
+		return s.roleRefusal(q)
+	}
+}
+
+func (s *Server) roleRefusal(q *sequence) httpdriver.ErrorCode {
+	switch {
+	case s.role == driver.RoleMixed, s.role == driver.RolePrefill && q.work == workExport:
+		return ""
+	case s.role == driver.RolePrefill || q.work == workExport:
+		return httpdriver.CodeWrongRole
+	case q.prefillTokens(s.cache.peek(q.call.PrefixKey, q.prefix())) <= s.cfg.DecodePrefillLimit:
+		return ""
+	case q.call.Import != nil:
+		return httpdriver.CodeImportFailed
+	default:
+		return httpdriver.CodeWrongRole
+	}
+}
+
+// receive says when an import will have arrived: imports share the link, one after the other.
+func (s *Server) receive(bytes int64) time.Time {
+	start := time.Now()
+	if s.linkFree.After(start) {
+		start = s.linkFree
+	}
+	seconds := float64(bytes) / float64(s.cfg.TimeModel.ImportBandwidth)
+	s.linkFree = start.Add(time.Duration(seconds * float64(time.Second)))
+	return s.linkFree
+}
