Test the HTTP adapter against the stand-ins' faults

Each fault by name leads to one class of error, a plain service runs no call more than once, and a transport that would repeat a POST is shown to be held back. go test -race -count=3 ./internal/httpdriver passes.

--- /dev/null
+++ b/internal/httpdriver/transport_test.go
@@ -0,0 +1,283 @@
+package httpdriver
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+// breaker is an endpoint that answers the first request of each connection,
+// reads the second and closes the connection without a word.
+type breaker struct {
+	listener net.Listener
+	group    errgroup.Group
+	read     atomic.Int64 // requests
+}
+
+func newBreaker(t *testing.T) *breaker {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	b := &breaker{listener: listener}
+	b.group.Go(func() error {
+		for {
+			conn, err := listener.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			b.group.Go(func() error { return b.serve(conn) })
+		}
+	})
+	t.Cleanup(func() {
+		assert.NilError(t, listener.Close())
+		assert.NilError(t, b.group.Wait())
+	})
+	return b
+}
+
+func (b *breaker) serve(conn net.Conn) (err error) {
+	defer func() { err = errors.Join(err, conn.Close()) }()
+	reader := bufio.NewReader(conn)
+	for i := range 2 {
+		r, err := http.ReadRequest(reader)
+		if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
+			return nil // the client has gone
+		}
+		if err != nil {
+			return err
+		}
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return err
+		}
+		b.read.Add(1)
+		const body = `{"attempt_id":"attempt"}`
+		if _, err := io.WriteString(conn, strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n"+body, 1-i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func TestNothingIsSentTwice(t *testing.T) {
+	b := newBreaker(t)
+	drv := New(Settings{})
+	defer closeNow(t, drv)
+	target := driver.Target{Address: b.listener.Addr().String()}
+	call := driver.ServiceCall{AttemptID: "attempt", CallKey: "tenant/key"}
+
+	_, err := drv.Call(t.Context(), target, call)
+	assert.NilError(t, err)
+	_, err = drv.Call(t.Context(), target, call)
+	assert.ErrorIs(t, err, driver.ErrOutcomeUnknown)
+	assert.Equal(t, b.read.Load(), int64(2))
+}
+
+// The guard that TestNothingIsSentTwice relies on is not net/http's default:
+// with the header, the same endpoint reads the second call once more.
+func TestTransportWouldSendTwice(t *testing.T) {
+	b := newBreaker(t)
+	transport := newTransport(Settings{}.withDefaults(), 1, 1)
+	defer transport.CloseIdleConnections()
+	for range 2 {
+		r, err := newRequest(t.Context(), b.listener.Addr().String(), PathCall, driver.ServiceCall{})
+		assert.NilError(t, err)
+		body, err := io.ReadAll(r.Body)
+		assert.NilError(t, err)
+		r, err = http.NewRequestWithContext(t.Context(), r.Method, r.URL.String(), strings.NewReader(string(body)))
+		assert.NilError(t, err)
+		r.Header.Set("Idempotency-Key", "key")
+		resp, err := transport.RoundTrip(r)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+	}
+	assert.Equal(t, b.read.Load(), int64(3))
+}
+
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var calls atomic.Int64
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		http.Redirect(w, r, "/call", http.StatusTemporaryRedirect)
+	})
+	drv := New(Settings{})
+	defer closeNow(t, drv)
+	_, err := drv.Call(t.Context(), driver.Target{Address: address}, driver.ServiceCall{AttemptID: "attempt"})
+	assert.ErrorIs(t, err, driver.ErrOutcomeUnknown)
+	assert.Equal(t, calls.Load(), int64(1))
+}
+
+func closeNow(t *testing.T, c io.Closer) {
+	t.Helper()
+	assert.NilError(t, c.Close())
+}
+
+func serve(t *testing.T, handler http.HandlerFunc) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: handler}
+	var group errgroup.Group
+	group.Go(func() error { return server.Serve(listener) })
+	t.Cleanup(func() {
+		assert.NilError(t, server.Close())
+		assert.ErrorIs(t, group.Wait(), http.ErrServerClosed)
+	})
+	return listener.Addr().String()
+}
+
+// Only a message that names the call and says that it was not run is a proof.
+func TestRefusalNeedsProof(t *testing.T) {
+	tests := map[string]struct {
+		status int
+		body   string
+		want   error
+	}{
+		"proof":             {503, `{"attempt_id":"attempt","code":"busy","ran":false}`, driver.ErrRefused},
+		"not said":          {503, `{"attempt_id":"attempt","code":"busy"}`, driver.ErrOutcomeUnknown},
+		"no id":             {503, `{"code":"busy","ran":false}`, driver.ErrOutcomeUnknown},
+		"no code":           {503, `{"attempt_id":"attempt","ran":false}`, driver.ErrOutcomeUnknown},
+		"of another":        {503, `{"attempt_id":"other","code":"busy","ran":false}`, driver.ErrCrossed},
+		"of something else": {502, `<h1>Bad Gateway</h1>`, driver.ErrOutcomeUnknown},
+		"ran":               {500, `{"attempt_id":"attempt","code":"failed","ran":true}`, driver.ErrFailed},
+		"too large":         {200, `{"attempt_id":"attempt","body":"` + strings.Repeat("A", 4096) + `"}`, driver.ErrOutcomeUnknown},
+		"not JSON":          {200, `whole`, driver.ErrOutcomeUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, test.body)
+			})
+			drv := New(Settings{MaxAnswerBytes: 2048})
+			defer closeNow(t, drv)
+			target := driver.Target{Address: address}
+			_, err := drv.Call(t.Context(), target, driver.ServiceCall{AttemptID: "attempt"})
+			assert.ErrorIs(t, err, test.want)
+		})
+	}
+}
+
+func TestWaitForConnIsNotSent(t *testing.T) {
+	entered := make(chan struct{})
+	address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(entered)
+		<-r.Context().Done()
+	})
+	drv := New(Settings{MaxConns: 1})
+	target := driver.Target{Address: address}
+	call := driver.ServiceCall{AttemptID: "attempt"}
+	first, endFirst := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		_, err := drv.Call(first, target, call)
+		return err
+	})
+	<-entered // holds the only connection
+
+	second, endSecond := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer endSecond()
+	_, err := drv.Call(second, target, call)
+	assert.ErrorIs(t, err, driver.ErrNotSent)
+	endFirst()
+	assert.ErrorIs(t, group.Wait(), driver.ErrOutcomeUnknown)
+	assert.NilError(t, drv.Close())
+}
+
+// listen gives an address whose connections the kernel takes, and nobody reads.
+func listen(t *testing.T) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, listener.Close()) })
+	return listener.Addr().String()
+}
+
+func TestSealedConn(t *testing.T) {
+	tests := map[string]struct {
+		before string // written for an earlier owner
+		during string
+		sent   bool
+	}{
+		"nothing":             {},
+		"by an earlier owner": {before: "x"},
+		"by this owner":       {before: "x", during: "y", sent: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			conn, err := dial(t.Context(), listen(t), time.Second, time.Second)
+			assert.NilError(t, err)
+			_, err = conn.Write([]byte(test.before))
+			assert.NilError(t, err)
+			a := &attempt{}
+			mark := conn.own(a)
+			_, err = conn.Write([]byte(test.during))
+			assert.NilError(t, err)
+			assert.Assert(t, conn.seal(&attempt{}, 0), "only the owner may seal")
+			assert.Equal(t, conn.seal(a, mark), test.sent)
+			_, err = conn.Write([]byte("z"))
+			assert.ErrorIs(t, err, errSealed)
+		})
+	}
+}
+
+func TestUserTimeoutIsSet(t *testing.T) {
+	conn, err := dial(t.Context(), listen(t), time.Second, 1234*time.Millisecond)
+	assert.NilError(t, err)
+	defer closeNow(t, conn)
+	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	assert.NilError(t, err)
+	var got int
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+	}))
+	assert.NilError(t, err)
+	assert.Equal(t, got, 1234)
+}
+
+func FuzzStream(f *testing.F) {
+	const token0 = `{"attempt_id":"a","kind":"token","sequence":0,"text":"x"}` + "\n"
+	f.Add(token0 + `{"attempt_id":"a","kind":"end","output_tokens":1}` + "\n")
+	f.Add(token0 + token0)
+	f.Add(`{"attempt_id":"b","kind":"alive"}` + "\n")
+	f.Add(`{"attempt_id":"a","kind":"error","error":{"code":"busy","ran":false}}` + "\n")
+	f.Add(token0 + `{"attempt_id":"a","kind":"end","output_tokens":1}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		lines := newLineReader(strings.NewReader(body), "a", 256)
+		check := checker{limit: 8}
+		for {
+			line, err := lines.next()
+			var event driver.Event
+			if err == nil && line.Kind != LineAlive {
+				event, err = check.event(line)
+			}
+			if err != nil {
+				assert.Assert(t, !errors.Is(err, io.EOF), "a broken stream must not look whole")
+				return
+			}
+			if end, ok := event.(driver.End); ok {
+				assert.Equal(t, end.OutputTokens, check.next)
+				return
+			}
+		}
+	})
+}
