Drop what the kernel has not sent whenever a connection to an endpoint closes

The transport closes connections by itself when a context ends, before the driver could ask for a reset: a call that was given up in a partition could still have been delivered by the kernel. The wrapper's Close now always resets.

--- a/internal/httpdriver/conn.go
+++ b/internal/httpdriver/conn.go
@@ -7,8 +7,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 var errSealed = errors.New("connection given up")
@@ -77,22 +75,24 @@
 	sent = c.written > mark || c.inFlight > 0
 	c.mu.Unlock()
 
-	resetConn(c.Conn)
+	_ = c.Close()
 	return sent
 }
 
-// resetConn closes a connection and drops what the kernel has not yet sent.
+// Close closes the connection and drops what the kernel has not yet sent.
 //
 // A plain close leaves the send buffer to the kernel, which goes on
 // retransmitting it. An order or call that was given up during a network
 // partition would so be delivered when the partition heals, long after its
 // sender has lost the right to give it. With a linger of 0 the buffer is
-// dropped and the peer, if it can be reached, sees a reset.
-func resetConn(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+// dropped and the peer, if it can be reached, sees a reset. The transport
+// closes connections by itself when a context ends, so that it is done here
+// and not where a call is given up. An idle connection has nothing to lose.
+func (c *countingConn) Close() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	_ = conn.Close()
+	return c.Conn.Close()
 }
 
 // dial opens a connection whose unacknowledged bytes are given up by the
@@ -111,11 +111,3 @@
 	}
 	return &countingConn{Conn: conn}, nil
 }
-
-func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
-	var optErr error
-	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	return errors.Join(err, optErr)
-}
--- a/internal/httpdriver/order.go
+++ b/internal/httpdriver/order.go
@@ -18,7 +18,7 @@
 // An order must not outlive its sender's authority on the way. So it never
 // waits in a pool or behind other bytes, the kernel retransmits it for no
 // longer than OrderTimeout (see dial), and a connection that is given up is
-// reset, which drops what was not yet sent (see resetConn). What remains is
+// reset, which drops what was not yet sent (see countingConn.Close). What remains is
 // an engine that has taken the order and is slow to act on it; against that
 // only the engine's own fencing helps.
 func (d *Driver) Send(ctx context.Context, target driver.Target, order driver.OrderCall) (err error) {
