Serve callers and operators over HTTP

The design of the callers' API, the operators' API and the health endpoints, the generated code, and the server over interfaces to the other parts.

--- /dev/null
+++ b/internal/server/fakes_test.go
@@ -0,0 +1,163 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/dispatcher"
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+const (
+	callerToken   = "caller-token-0123456789"
+	operatorToken = "operator-token-0123456789"
+	monitorToken  = "monitor-token-0123456789"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeParts stands behind a Server. A nil function answers whole.
+type fakeParts struct {
+	generate func(ctx context.Context, req dispatcher.Request, token dispatcher.TokenFunc) (dispatcher.Answer, error)
+	call     func(ctx context.Context, req dispatcher.Request) (dispatcher.Answer, error)
+	apply    func(change configurer.Change) (int64, error)
+	issueErr error
+
+	mu      sync.Mutex
+	reason  string // why not ready
+	drained bool
+	request dispatcher.Request // the last one
+}
+
+func (f *fakeParts) note(req dispatcher.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.request = req
+}
+
+func (f *fakeParts) Generate(ctx context.Context, req dispatcher.Request, token dispatcher.TokenFunc) (dispatcher.Answer, error) {
+	f.note(req)
+	if f.generate != nil {
+		return f.generate(ctx, req, token)
+	}
+	for i, text := range []string{"Dear", " Sir"} {
+		if err := token(driver.Token{Sequence: i, Text: text}); err != nil {
+			return dispatcher.Answer{}, err
+		}
+	}
+	return dispatcher.Answer{Text: "Dear Sir", OutputTokens: 2, PromptTokens: 3, Attempts: 1, Completion: 1500 * time.Microsecond}, nil
+}
+
+func (f *fakeParts) Call(ctx context.Context, req dispatcher.Request) (dispatcher.Answer, error) {
+	f.note(req)
+	if f.call != nil {
+		return f.call(ctx, req)
+	}
+	return dispatcher.Answer{Body: req.Body, Attempts: 1}, nil
+}
+
+func (f *fakeParts) Apply(_ context.Context, change configurer.Change) (int64, error) {
+	if f.apply != nil {
+		return f.apply(change)
+	}
+	return 7, nil
+}
+
+func (f *fakeParts) Outcome(_ context.Context, changeID string) (int64, error) {
+	if changeID == "absent" {
+		return 0, configurer.ErrNotFound
+	}
+	return 7, nil
+}
+
+func (*fakeParts) Classes(tenant string) []configurer.ClassEntry {
+	class := configurer.Class{Tenant: "vitosha", Name: "letters", Kind: configurer.KindGenerate, Application: "drafting", Repeatable: true, CompletionTargetMS: 9000}
+	if tenant != "" && tenant != class.Tenant {
+		return nil
+	}
+	return []configurer.ClassEntry{{Class: class, Revision: 5}}
+}
+
+func (*fakeParts) Applications() []configurer.ApplicationEntry {
+	return []configurer.ApplicationEntry{{Application: configurer.Application{Name: "drafting", Model: "m", Version: "1"}, Revision: 4}}
+}
+
+func (f *fakeParts) Issue(context.Context, string) (string, error) { return "ticket-1", f.issueErr }
+
+func (*fakeParts) Status() Status {
+	return Status{HostID: "entry-1", Peers: []PeerStatus{{HostID: "entry-2"}}, Endpoints: []EndpointStatus{{EndpointID: "engine-1"}}, Authorities: []AuthorityStatus{{Zone: "lozenets", Epoch: 3}}}
+}
+
+func (f *fakeParts) Drain(context.Context) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drained, f.reason = true, ReasonDraining
+	return nil
+}
+
+func (f *fakeParts) Ready() (bool, string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reason == "", f.reason
+}
+
+func (*fakeParts) WritePrometheus(w io.Writer) { _, _ = io.WriteString(w, "endivemast_up 1\n") }
+
+func (f *fakeParts) deps() Deps {
+	return Deps{Dispatcher: f, Operator: f, Tickets: f, Status: f, Drainer: f, Readiness: f, Metrics: f}
+}
+
+func testConfig(t testing.TB) Config {
+	keys, err := NewKeys([]Key{
+		{Token: callerToken, Role: RoleCaller, Tenant: "vitosha"},
+		{Token: operatorToken, Role: RoleOperator},
+		{Token: monitorToken, Role: RoleMonitor},
+	})
+	assert.NilError(t, err)
+	return Config{CallersAddress: "127.0.0.1:0", OperatorsAddress: "127.0.0.1:0", PlainText: true, Keys: keys, Linger: time.Millisecond}
+}
+
+// startServer starts a server over fakes and closes it after the test.
+func startServer(t testing.TB, cfg Config, f *fakeParts) *Server {
+	t.Helper()
+	s, err := New(cfg, f.deps())
+	assert.NilError(t, err)
+	assert.NilError(t, s.Start())
+	t.Cleanup(func() {
+		http.DefaultClient.CloseIdleConnections()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		assert.NilError(t, s.Close(ctx))
+	})
+	return s
+}
+
+// ask sends a request and reads the whole answer. Headers come in pairs.
+func ask(t testing.TB, method, url, body string, headers ...string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	var data bytes.Buffer
+	_, err = data.ReadFrom(resp.Body)
+	assert.NilError(t, err)
+	return resp, data.String()
+}
+
+// bearer is the header pair of a token.
+func bearer(token string) []string { return []string{"Authorization", "Bearer " + token} }
--- /dev/null
+++ b/internal/server/status.go
@@ -0,0 +1,96 @@
+package server
+
+import (
+	"time"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/server/gen/operator"
+)
+
+// Status is what a host knows of itself and of the rest.
+type Status struct {
+	HostID         string
+	Zone           string
+	Incarnation    string // differs after each restart
+	Version        string
+	Ready          bool
+	Reason         string // why not ready; empty when ready
+	Draining       bool
+	ConfigRevision int64
+	ConfigAge      time.Duration // since it was last confirmed to be the newest
+	Peers          []PeerStatus
+	Endpoints      []EndpointStatus
+	Authorities    []AuthorityStatus
+}
+
+// PeerStatus is what a host knows of another entry host.
+type PeerStatus struct {
+	HostID         string
+	Zone           string
+	Reachable      bool
+	ConfigRevision int64 // as last heard
+}
+
+// EndpointStatus is what a host knows of an endpoint.
+type EndpointStatus struct {
+	EndpointID  string
+	Zone        string
+	Application string
+	Role        driver.Role // empty for a plain service
+	State       string      // live, leaving, suspect or gone
+	InFlight    int         // requests of this host
+	PrefillRate float64     // prompt tokens a second, estimated
+	DecodeRate  float64     // output tokens a second, estimated
+}
+
+// AuthorityStatus is what a host knows of a zone's authority.
+type AuthorityStatus struct {
+	Zone       string
+	Holder     string // host id; empty when nobody holds it
+	Epoch      int64  // fencing number
+	OpenOrders int    // orders whose end is not known yet
+}
+
+// newStatusResult turns a Status into the API's.
+func newStatusResult(s Status) *operator.StatusResult {
+	result := &operator.StatusResult{
+		HostID:         s.HostID,
+		Zone:           s.Zone,
+		Incarnation:    s.Incarnation,
+		Version:        s.Version,
+		Ready:          s.Ready,
+		Reason:         s.Reason,
+		Draining:       s.Draining,
+		ConfigRevision: s.ConfigRevision,
+		ConfigAgeMs:    s.ConfigAge.Milliseconds(),
+		Peers:          make([]*operator.PeerStatus, 0, len(s.Peers)),
+		Endpoints:      make([]*operator.EndpointStatus, 0, len(s.Endpoints)),
+		Authorities:    make([]*operator.AuthorityStatus, 0, len(s.Authorities)),
+	}
+	for _, p := range s.Peers {
+		peer := operator.PeerStatus(p)
+		result.Peers = append(result.Peers, &peer)
+	}
+	for _, e := range s.Endpoints {
+		result.Endpoints = append(result.Endpoints, newEndpointStatus(e))
+	}
+	for _, a := range s.Authorities {
+		authority := operator.AuthorityStatus(a)
+		result.Authorities = append(result.Authorities, &authority)
+	}
+	return result
+}
+
+// newEndpointStatus turns an EndpointStatus into the API's.
+func newEndpointStatus(e EndpointStatus) *operator.EndpointStatus {
+	return &operator.EndpointStatus{
+		EndpointID:  e.EndpointID,
+		Zone:        e.Zone,
+		Application: e.Application,
+		Role:        string(e.Role),
+		State:       e.State,
+		InFlight:    e.InFlight,
+		PrefillRate: e.PrefillRate,
+		DecodeRate:  e.DecodeRate,
+	}
+}
