Keep metrics by tenant and class within a bound

The busiest tenants have series of their own, the rest share those of "other"; the ranking is done when the metrics are read, so there is no goroutine.

--- /dev/null
+++ b/internal/meter/meter.go
@@ -0,0 +1,204 @@
+// Package meter keeps the metrics of an entry host: histograms of times for
+// each tenant and class, counters of outcomes, and gauges of the host's state.
+//
+// # Usage
+//
+//	m := meter.New(meter.Config{TopTenants: 100})
+//	m.ObserveFirstToken("vitosha", "letters", 210*time.Millisecond)
+//	m.CountOutcome("vitosha", "letters", "whole", "")
+//	m.GaugeInFlight(func() float64 { return float64(table.Len()) })
+//	m.WritePrometheus(w)
+//
+// The number of series is bounded, whatever the number of tenants and classes:
+// the busiest tenants have series of their own, and the rest share those of the
+// tenant "other". Which tenants are the busiest is decided anew in
+// WritePrometheus, so the package needs no goroutine. The series of a tenant
+// that falls out of them end.
+//
+// Histograms are written as VictoriaMetrics' vmrange buckets, in seconds.
+package meter
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Defaults of Config.
+const (
+	DefaultTopTenants   = 100
+	DefaultMaxSeries    = 512
+	DefaultRankInterval = time.Minute
+)
+
+// Other is the label of tenants and classes without series of their own, and
+// of outcomes and reasons that are not known.
+const Other = "other"
+
+// OutcomeWhole is the outcome of a request that was answered whole. The other
+// outcomes are those of dispatcher.Failure.
+const OutcomeWhole = "whole"
+
+// maxReasons bounds the reasons that have a counter of their own.
+const maxReasons = 64
+
+// Config are the settings of a Meter. A zero value takes its default.
+type Config struct {
+	TopTenants   int           // tenants with series of their own
+	MaxSeries    int           // pairs of tenant and class with series of their own
+	RankInterval time.Duration // shortest time between two rankings of the tenants
+	Now          func() time.Time
+}
+
+// Meter keeps metrics. All methods are safe for concurrent use.
+type Meter struct {
+	cfg    Config
+	set    *metrics.Set
+	ranker *ranker
+
+	mu       sync.RWMutex
+	series   map[seriesKey]*series
+	failures map[failureKey]*metrics.Counter
+}
+
+// failureKey names a counter of failures.
+type failureKey struct {
+	outcome string
+	reason  string
+}
+
+// New makes a Meter.
+func New(cfg Config) *Meter {
+	setDefault(&cfg.TopTenants, DefaultTopTenants)
+	setDefault(&cfg.MaxSeries, DefaultMaxSeries)
+	setDefault(&cfg.RankInterval, DefaultRankInterval)
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Meter{
+		cfg:      cfg,
+		set:      metrics.NewSet(),
+		ranker:   newRanker(cfg.TopTenants, cfg.Now()),
+		series:   make(map[seriesKey]*series),
+		failures: make(map[failureKey]*metrics.Counter),
+	}
+}
+
+// setDefault sets what is zero.
+func setDefault[T comparable](value *T, to T) {
+	var zero T
+	if *value == zero {
+		*value = to
+	}
+}
+
+// ObserveFirstToken records the time from arrival to the first token.
+func (m *Meter) ObserveFirstToken(tenant, class string, d time.Duration) {
+	m.find(tenant, class).firstToken.Update(d.Seconds())
+}
+
+// ObserveBetweenTokens records the time between two tokens.
+func (m *Meter) ObserveBetweenTokens(tenant, class string, d time.Duration) {
+	m.find(tenant, class).betweenTokens.Update(d.Seconds())
+}
+
+// ObserveCompletion records the time from arrival to the whole answer.
+func (m *Meter) ObserveCompletion(tenant, class string, d time.Duration) {
+	m.find(tenant, class).completion.Update(d.Seconds())
+}
+
+// ObserveQueue records the time that a request waited for an endpoint.
+func (m *Meter) ObserveQueue(tenant, class string, d time.Duration) {
+	m.find(tenant, class).queue.Update(d.Seconds())
+}
+
+// CountOutcome counts a request that has ended: OutcomeWhole, or the outcome
+// and reason of a failure. It is also what ranks the tenants.
+func (m *Meter) CountOutcome(tenant, class, outcome, reason string) {
+	m.ranker.count(tenant)
+	m.find(tenant, class).outcome(outcome).Inc()
+	if outcome != OutcomeWhole {
+		m.failure(outcome, reason).Inc()
+	}
+}
+
+// CountRetry counts an attempt after the first of a request.
+func (m *Meter) CountRetry(class string) {
+	m.set.GetOrCreateCounter(m.classMetric("endivemast_retries_total", class)).Inc()
+}
+
+// CountHedge counts an attempt that was started beside a slow one.
+func (m *Meter) CountHedge(class string) {
+	m.set.GetOrCreateCounter(m.classMetric("endivemast_hedges_total", class)).Inc()
+}
+
+// CountRoleChange counts an order that changes an engine's role. Zones and
+// applications come from the configuration, and are few.
+func (m *Meter) CountRoleChange(zone, application string) {
+	name := metricName("endivemast_role_changes_total", label{"zone", zone}, label{"application", application})
+	m.set.GetOrCreateCounter(name).Inc()
+}
+
+// GaugeLeaseEpoch shows the fencing number of a zone's authority.
+func (m *Meter) GaugeLeaseEpoch(zone string, value func() float64) {
+	m.set.GetOrCreateGauge(metricName("endivemast_lease_epoch", label{"zone", zone}), value)
+}
+
+// GaugeConfigRevision shows the configuration revision in force.
+func (m *Meter) GaugeConfigRevision(value func() float64) {
+	m.set.GetOrCreateGauge("endivemast_config_revision", value)
+}
+
+// GaugeConfigAge shows the time since the configuration was last confirmed.
+func (m *Meter) GaugeConfigAge(value func() time.Duration) {
+	m.set.GetOrCreateGauge("endivemast_config_age_seconds", func() float64 { return value().Seconds() })
+}
+
+// GaugeOrders shows how many orders are in a state.
+func (m *Meter) GaugeOrders(state string, value func() float64) {
+	m.set.GetOrCreateGauge(metricName("endivemast_orders", label{"state", state}), value)
+}
+
+// GaugeInFlight shows how many requests of this host are in flight.
+func (m *Meter) GaugeInFlight(value func() float64) {
+	m.set.GetOrCreateGauge("endivemast_requests_in_flight", value)
+}
+
+// WritePrometheus writes all metrics and those of the process in Prometheus'
+// text format.
+func (m *Meter) WritePrometheus(w io.Writer) {
+	m.rank()
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// failure finds the counter of a failure.
+func (m *Meter) failure(outcome, reason string) *metrics.Counter {
+	key := failureKey{outcome: knownOutcome(outcome), reason: labelValue(reason)}
+	m.mu.RLock()
+	counter, ok := m.failures[key]
+	m.mu.RUnlock()
+	if ok {
+		return counter
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.failures) >= maxReasons {
+		key.reason = Other
+	}
+	if counter, ok := m.failures[key]; ok {
+		return counter
+	}
+	counter = m.set.GetOrCreateCounter(metricName("endivemast_failures_total",
+		label{"outcome", key.outcome}, label{"reason", key.reason}))
+	m.failures[key] = counter
+	return counter
+}
+
+// classMetric names a metric of a class over all tenants. Only classes that
+// have series are named, which bounds the number of names.
+func (m *Meter) classMetric(name, class string) string {
+	return metricName(name, label{"class", m.find(Other, class).key.class})
+}
--- /dev/null
+++ b/internal/meter/series.go
@@ -0,0 +1,155 @@
+package meter
+
+import (
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// maxLabelBytes is the longest label value that is used as it is.
+const maxLabelBytes = 128
+
+// outcomes are the outcomes that have a counter of their own.
+var outcomes = [...]string{OutcomeWhole, "not_run", "unknown", "failed", Other}
+
+// seriesKey names the series of a tenant's class by its labels.
+type seriesKey struct {
+	tenant string
+	class  string
+}
+
+// series are the metrics of a tenant's class.
+type series struct {
+	key           seriesKey
+	names         []string // for unregistering
+	firstToken    *metrics.Histogram
+	betweenTokens *metrics.Histogram
+	completion    *metrics.Histogram
+	queue         *metrics.Histogram
+	counters      [len(outcomes)]*metrics.Counter
+}
+
+// newSeries registers the metrics of a tenant's class.
+func newSeries(set *metrics.Set, key seriesKey) *series {
+	s := &series{key: key}
+	labels := []label{{"tenant", key.tenant}, {"class", key.class}}
+	histogram := func(name string) *metrics.Histogram {
+		full := metricName(name, labels...)
+		s.names = append(s.names, full)
+		return set.GetOrCreateHistogram(full)
+	}
+	s.firstToken = histogram("endivemast_first_token_seconds")
+	s.betweenTokens = histogram("endivemast_between_tokens_seconds")
+	s.completion = histogram("endivemast_completion_seconds")
+	s.queue = histogram("endivemast_queue_seconds")
+	for i, outcome := range outcomes {
+		full := metricName("endivemast_requests_total", append(labels, label{"outcome", outcome})...)
+		s.names = append(s.names, full)
+		s.counters[i] = set.GetOrCreateCounter(full)
+	}
+	return s
+}
+
+// outcome is the counter of an outcome.
+func (s *series) outcome(outcome string) *metrics.Counter {
+	for i, name := range outcomes {
+		if name == outcome {
+			return s.counters[i]
+		}
+	}
+	return s.counters[len(outcomes)-1]
+}
+
+// knownOutcome is the label of an outcome.
+func knownOutcome(outcome string) string {
+	for _, name := range outcomes {
+		if name == outcome {
+			return name
+		}
+	}
+	return Other
+}
+
+// find returns the series that a tenant's class is recorded in.
+func (m *Meter) find(tenant, class string) *series {
+	key := seriesKey{tenant: m.ranker.label(tenant), class: labelValue(class)}
+	m.mu.RLock()
+	s, ok := m.series[key]
+	m.mu.RUnlock()
+	if ok {
+		return s
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.createLocked(key)
+}
+
+// createLocked makes a series while there is room, and otherwise falls back to
+// wider ones. The widest is made beyond the limit.
+func (m *Meter) createLocked(key seriesKey) *series {
+	widest := seriesKey{tenant: Other, class: Other}
+	for _, key := range []seriesKey{key, {tenant: Other, class: key.class}, widest} {
+		if s, ok := m.series[key]; ok {
+			return s
+		}
+		if len(m.series) < m.cfg.MaxSeries || key == widest {
+			s := newSeries(m.set, key)
+			m.series[key] = s
+			return s
+		}
+	}
+	panic("unreachable: the widest series is always made")
+}
+
+// rank decides anew which tenants have series of their own, and ends the
+// series of those that no longer do.
+func (m *Meter) rank() {
+	if !m.ranker.rank(m.cfg.Now(), m.cfg.RankInterval) {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key, s := range m.series {
+		// Not only the tenants dropped now: a find that ran beside the last
+		// ranking may have made a series for one that was dropped then.
+		if m.ranker.label(key.tenant) == key.tenant {
+			continue
+		}
+		for _, name := range s.names {
+			m.set.UnregisterMetric(name)
+		}
+		delete(m.series, key)
+	}
+}
+
+// label is a label of a metric.
+type label struct{ name, value string }
+
+// metricName is a metric's name with its labels.
+func metricName(name string, labels ...label) string {
+	var b strings.Builder
+	b.WriteString(name)
+	for i, l := range labels {
+		b.WriteByte("{,"[min(i, 1)])
+		b.WriteString(l.name)
+		b.WriteString(`="`)
+		b.WriteString(labelValue(l.value))
+		b.WriteByte('"')
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+// labelValue is a value that needs no quoting; any other becomes Other. The
+// configuration accepts no other names, so these are strangers' inventions.
+func labelValue(value string) string {
+	if value == "" || len(value) > maxLabelBytes {
+		return Other
+	}
+	for _, c := range []byte(value) {
+		if c < ' ' || c > '~' || c == '"' || c == '\\' {
+			return Other
+		}
+	}
+	return value
+}
