Test the server's access, limits, closing and operators' API

Slow bodies are ended by http.Server's ReadTimeout. It was ruled out before for ending the context of a request that runs longer; the test written to show that passes, since net/http clears the deadline at the body's end, so the deadline of our own is gone and the test stays.

--- a/internal/server/config.go
+++ b/internal/server/config.go
@@ -14,7 +14,7 @@
 	DefaultMaxHeaderBytes    = 32 << 10
 	DefaultMaxConnections    = 8192
 	DefaultReadHeaderTimeout = 5 * time.Second
-	DefaultReadBodyTimeout   = 30 * time.Second
+	DefaultReadTimeout       = 30 * time.Second
 	DefaultIdleTimeout       = 60 * time.Second
 	DefaultWriteTimeout      = 30 * time.Second
 	DefaultLinger            = 500 * time.Millisecond
@@ -44,7 +44,7 @@
 	MaxHeaderBytes    int
 	MaxConnections    int           // of each listener; more are closed at once
 	ReadHeaderTimeout time.Duration // for the request's header
-	ReadBodyTimeout   time.Duration // for the request's body
+	ReadTimeout       time.Duration // for the whole request, its body included
 	IdleTimeout       time.Duration // of a kept-alive connection
 	WriteTimeout      time.Duration // for one write to a client that does not read
 	Linger            time.Duration // in Close, for idle connections to be closed by their clients
@@ -56,7 +56,7 @@
 	setDefault(&c.MaxHeaderBytes, DefaultMaxHeaderBytes)
 	setDefault(&c.MaxConnections, DefaultMaxConnections)
 	setDefault(&c.ReadHeaderTimeout, DefaultReadHeaderTimeout)
-	setDefault(&c.ReadBodyTimeout, DefaultReadBodyTimeout)
+	setDefault(&c.ReadTimeout, DefaultReadTimeout)
 	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&c.Linger, DefaultLinger)
--- a/internal/server/handler.go
+++ b/internal/server/handler.go
@@ -152,10 +152,8 @@
 // Close does nothing: the body was read.
 func (*wholeBody) Close() error { return nil }
 
-// readBody reads the body within the limits of size and time, and hands the
-// request on. The deadline can't be http.Server's ReadTimeout: that one goes on
-// after the body was read, and then ends the context of a request that runs
-// longer, as if its caller had gone away.
+// readBody reads the body within the limit of its size, and hands the request
+// on. The limit of its time is http.Server's ReadTimeout.
 func (s *Server) readBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Body == nil || r.Body == http.NoBody {
@@ -163,14 +161,11 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(time.Now().Add(s.cfg.ReadBodyTimeout)) // best effort
 		data, err := readAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBodyBytes), r.ContentLength, s.cfg.MaxBodyBytes)
 		if err != nil {
 			writeFailure(r.Context(), w, bodyFailure(err))
 			return
 		}
-		_ = control.SetReadDeadline(time.Time{}) // best effort
 		r.Body = &wholeBody{data: data}
 		next.ServeHTTP(w, r)
 	})
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -135,6 +135,7 @@
 			Handler:           handler,
 			TLSConfig:         tlsConfig,
 			ReadHeaderTimeout: s.cfg.ReadHeaderTimeout,
+			ReadTimeout:       s.cfg.ReadTimeout,
 			IdleTimeout:       s.cfg.IdleTimeout,
 			MaxHeaderBytes:    s.cfg.MaxHeaderBytes,
 			ErrorLog:          s.log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,216 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/endivemast/endivemast/internal/dispatcher"
+)
+
+func TestMalformedRequests(t *testing.T) {
+	cfg := testConfig(t)
+	cfg.MaxBodyBytes = 200
+	s := startServer(t, cfg, &fakeParts{})
+	tests := map[string]struct {
+		body    string
+		headers []string
+		status  int
+		want    string
+	}{
+		"no body":         {status: 400, want: "missing required payload"},
+		"not JSON":        {body: `{"prompt`, status: 400, want: `"reason":"invalid"`},
+		"two values":      {body: generateBody + "{}", status: 400, want: "after the JSON value"},
+		"an array":        {body: `[]`, status: 400, want: `"reason":"invalid"`},
+		"unknown field":   {body: `{"promt": "a"}`, status: 400, want: `unknown field`},
+		"wrong type":      {body: `{"prompt": 5, "max_output_tokens": 1}`, status: 400, want: `"field":"prompt","accepted":"a string"`},
+		"missing prompt":  {body: `{"max_output_tokens": 1}`, status: 400, want: `"field":"prompt"`},
+		"no tokens":       {body: `{"prompt": "a", "max_output_tokens": 0}`, status: 400, want: `"accepted":"greater or equal than 1"`},
+		"too large":       {body: `{"prompt": "` + strings.Repeat("a", 300) + `", "max_output_tokens": 1}`, status: 413, want: `"reason":"too_large"`},
+		"long request id": {body: generateBody, headers: []string{requestIDHeader, strings.Repeat("a", 129)}, status: 400, want: requestIDHeader},
+		"odd request id":  {body: generateBody, headers: []string{requestIDHeader, "a b"}, status: 400, want: requestIDHeader},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, method := range []string{"generate", "stream"} {
+				url := "http://" + s.Addresses().Callers + "/v1/classes/letters/" + method
+				resp, body := ask(t, http.MethodPost, url, tt.body, append(bearer(callerToken), tt.headers...)...)
+				assert.Equal(t, resp.StatusCode, tt.status, body)
+				assert.Assert(t, strings.Contains(body, tt.want), body)
+				assert.Assert(t, strings.Contains(body, `"outcome":"not_run"`), body)
+			}
+		})
+	}
+}
+
+func TestHealth(t *testing.T) {
+	f := &fakeParts{}
+	s := startServer(t, testConfig(t), f)
+	for _, address := range []string{s.Addresses().Callers, s.Addresses().Operators} {
+		for reason, want := range map[string]int{"": 200, ReasonNoConfiguration: 503, ReasonDraining: 503} {
+			f.reason = reason
+			resp, body := ask(t, http.MethodGet, "http://"+address+"/readyz", "")
+			assert.Equal(t, resp.StatusCode, want)
+			assert.Assert(t, strings.Contains(body, reason), body)
+			assert.Equal(t, resp.Close, reason == ReasonDraining)
+			resp, _ = ask(t, http.MethodGet, "http://"+address+"/healthz", "")
+			assert.Equal(t, resp.StatusCode, 200)
+		}
+	}
+}
+
+// blockingParts runs requests until they are let go.
+func blockingParts() (f *fakeParts, running chan struct{}, letGo chan struct{}) {
+	running, letGo = make(chan struct{}), make(chan struct{})
+	return &fakeParts{call: func(ctx context.Context, _ dispatcher.Request) (dispatcher.Answer, error) {
+		running <- struct{}{}
+		select {
+		case <-letGo:
+			return dispatcher.Answer{Body: []byte(`"whole"`)}, nil
+		case <-ctx.Done():
+			return dispatcher.Answer{}, &dispatcher.Failure{Outcome: dispatcher.OutcomeUnknown, Reason: dispatcher.ReasonCallerGone}
+		}
+	}}, running, letGo
+}
+
+// beginCall sends a call over a connection of its own and returns what will
+// be answered.
+func beginCall(t *testing.T, s *Server) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Addresses().Callers)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	const body = `{"operation":"book"}`
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://host/v1/classes/c/call", strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+callerToken)
+	assert.NilError(t, req.Write(conn))
+	return conn, bufio.NewReader(conn)
+}
+
+func TestCloseCutsNoRequest(t *testing.T) {
+	f, running, letGo := blockingParts()
+	s, err := New(testConfig(t), f.deps())
+	assert.NilError(t, err)
+	assert.NilError(t, s.Start())
+	_, answer := beginCall(t, s)
+	<-running
+	closed := make(chan error, 1)
+	var group errgroup.Group
+	group.Go(func() error {
+		closed <- s.Close(t.Context())
+		return nil
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		conn, err := net.Dial("tcp", s.Addresses().Callers)
+		if err == nil {
+			_ = conn.Close()
+			return poll.Continue("still listening")
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	select {
+	case <-closed:
+		t.Fatal("closed while a request ran")
+	default:
+	}
+	close(letGo)
+	resp, err := http.ReadResponse(answer, nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(body), "whole"))
+	assert.NilError(t, <-closed)
+	assert.NilError(t, group.Wait())
+	assert.NilError(t, s.Close(t.Context()), "closing again")
+}
+
+func TestCloseWaitsForWhatItCuts(t *testing.T) {
+	f, running, _ := blockingParts()
+	s, err := New(testConfig(t), f.deps())
+	assert.NilError(t, err)
+	assert.NilError(t, s.Start())
+	beginCall(t, s)
+	<-running
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, s.Close(ctx), context.Canceled)
+	assert.Equal(t, s.running.n, 0)
+}
+
+func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
+	f, running, letGo := blockingParts()
+	cfg := testConfig(t)
+	cfg.MaxConnections = 1
+	s := startServer(t, cfg, f)
+	beginCall(t, s)
+	<-running
+	second, err := net.Dial("tcp", s.Addresses().Callers)
+	assert.NilError(t, err)
+	defer second.Close()
+	_, err = second.Read(make([]byte, 1))
+	assert.Assert(t, err != nil)
+	close(letGo)
+}
+
+// sendSlowBody begins a body, never ends it, and returns the status.
+func sendSlowBody(t *testing.T, s *Server) int {
+	t.Helper()
+	conn, err := net.Dial("tcp", s.Addresses().Callers)
+	assert.NilError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /v1/classes/c/call HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer "+callerToken+"\r\nContent-Length: 10\r\n\r\n{")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestReadTimeoutEndsWithTheBody has a request that still runs when the timeout
+// for reading it passes. Where the deadline still stood then, the request's
+// context would end as if its caller had gone away.
+func TestReadTimeoutEndsWithTheBody(t *testing.T) {
+	f, running, letGo := blockingParts()
+	cfg := testConfig(t)
+	cfg.ReadTimeout = 20 * time.Millisecond
+	s := startServer(t, cfg, f)
+	_, answer := beginCall(t, s)
+	<-running
+	assert.Equal(t, sendSlowBody(t, s), http.StatusBadRequest) // after the first one's deadline
+	close(letGo)
+	resp, err := http.ReadResponse(answer, nil)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
+func FuzzCallersBodies(f *testing.F) {
+	for _, seed := range []string{generateBody, `{"operation":"o","body":{"a":[1]}}`, `{"prompt":null}`, "", "[", "\xff"} {
+		f.Add(seed)
+	}
+	s := startServer(f, testConfig(f), &fakeParts{})
+	f.Fuzz(func(t *testing.T, body string) {
+		for _, method := range []string{"generate", "call"} {
+			resp, text := ask(t, http.MethodPost, "http://"+s.Addresses().Callers+"/v1/classes/c/"+method, body, bearer(callerToken)...)
+			switch resp.StatusCode {
+			case http.StatusOK:
+				assert.Assert(t, strings.Contains(text, `"request_id"`))
+			case http.StatusBadRequest:
+				assert.Assert(t, strings.Contains(text, `"outcome":"not_run"`))
+			default:
+				t.Fatalf("status %d: %s", resp.StatusCode, text)
+			}
+		}
+	})
+}
