Add the operators' command line

class, application, change, status, drain and version over the generated client, with exit codes that tell a lost race and an unknown outcome from a failure.

Its tests found that if_revision 0 (must be absent) went out as -1 (whatever is there): goa's generated client sends an attribute's default in place of zero. The attribute has no default any more; the server fills it in.

--- /dev/null
+++ b/cmd/endivemast/main.go
@@ -0,0 +1,17 @@
+// Command endivemast is the program: see endivemast --help.
+//
+// # Usage
+//
+//	endivemast class list
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/endivemast/endivemast/internal/commander"
+)
+
+func main() {
+	os.Exit(commander.Main(context.Background(), os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/commander/application.go
@@ -0,0 +1,179 @@
+package commander
+
+import (
+	"context"
+	"io"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivemast/endivemast/internal/server/gen/operator"
+)
+
+// Names of the flags of applications.
+const (
+	flagModel        = "model"
+	flagModelVersion = "model-version"
+	flagAdapter      = "adapter"
+	flagRoleChanges  = "role-changes-per-hour"
+)
+
+// applicationCommand lists, shows, sets and deletes applications.
+func applicationCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "application",
+		Usage: "applications that endpoints serve",
+		Commands: []*cli.Command{
+			{
+				Name:  "list",
+				Usage: "list the applications in force on the host",
+				Description: `Example:
+   endivemast application list --json`,
+				Action: withClient(listApplications),
+			},
+			{
+				Name:      "show",
+				Usage:     "show an application in force on the host",
+				ArgsUsage: "APPLICATION",
+				Description: `Example:
+   endivemast application show drafting`,
+				Action: withClient(showApplication),
+			},
+			{
+				Name:      "set",
+				Usage:     "make an application, or change those of its fields that are given",
+				ArgsUsage: "APPLICATION",
+				Flags:     append(applicationFlags(), changeFlags()...),
+				Description: `A field that is not given keeps its value. Without --if-revision the change is
+refused (exit code 3) when somebody else changes the application at the same time.
+
+Examples:
+   endivemast application set drafting --model letters-7b --model-version 3 --role-changes-per-hour 4
+   endivemast application set drafting --model-version 4
+   endivemast application set dispatch`,
+				Action: withClient(setApplication),
+			},
+			{
+				Name:      "delete",
+				Usage:     "delete an application",
+				ArgsUsage: "APPLICATION",
+				Flags:     changeFlags(),
+				Description: `Example:
+   endivemast application delete dispatch`,
+				Action: withClient(deleteApplication),
+			},
+		},
+	}
+}
+
+// applicationFlags are the fields of an application.
+func applicationFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: flagModel, Usage: "`MODEL` that the engines are to have loaded; empty for a plain service"},
+		&cli.StringFlag{Name: flagModelVersion, Usage: "`VERSION` of the model"},
+		&cli.StringFlag{Name: flagAdapter, Usage: "`ADAPTER` of the model; empty for none"},
+		&cli.IntFlag{Name: flagRoleChanges, Usage: "target for how many role changes of the engines are tolerated in an hour", HideDefault: true},
+	}
+}
+
+// listApplications is endivemast application list.
+func listApplications(ctx context.Context, cmd *cli.Command, c *operatorClient) error {
+	if _, err := arguments(cmd, 0); err != nil {
+		return err
+	}
+	list, err := c.ListApplications(ctx, &operator.ListApplicationsPayload{Token: c.token})
+	if err != nil {
+		return c.explainRead(cmd, err)
+	}
+	return c.printApplications(cmd, list.Applications...)
+}
+
+// showApplication is endivemast application show.
+func showApplication(ctx context.Context, cmd *cli.Command, c *operatorClient) error {
+	args, err := arguments(cmd, 1)
+	if err != nil {
+		return err
+	}
+	entry, err := c.ShowApplication(ctx, &operator.ShowApplicationPayload{Token: c.token, Name: args[0]})
+	if err != nil {
+		return c.explainRead(cmd, err)
+	}
+	return c.printApplications(cmd, entry)
+}
+
+// printApplications prints applications.
+func (c *operatorClient) printApplications(cmd *cli.Command, entries ...*operator.ApplicationEntry) error {
+	return c.printAnswer(cmd, func(w io.Writer) error {
+		t := newTable(w, "APPLICATION", "MODEL", "VERSION", "ADAPTER", "ROLE CHANGES/H", "REVISION")
+		for _, e := range entries {
+			a := e.Application
+			t.row(a.Name, a.Model, a.Version, a.Adapter, a.RoleChangesPerHour, e.Revision)
+		}
+		return t.end()
+	})
+}
+
+// setApplication is endivemast application set.
+func setApplication(ctx context.Context, cmd *cli.Command, c *operatorClient) error {
+	args, err := arguments(cmd, 1)
+	if err != nil {
+		return err
+	}
+	entry, err := c.currentApplication(ctx, cmd, args[0])
+	if err != nil {
+		return err
+	}
+	payload := &operator.SetApplicationPayload{Token: c.token, Name: args[0]}
+	revision, err := baseRevision(cmd, entry.Revision, applicationFlags())
+	if err != nil {
+		return err
+	}
+	if a := entry.Application; revision != absentRevision && a != nil {
+		payload.Model, payload.Version, payload.Adapter = a.Model, a.Version, a.Adapter
+		payload.RoleChangesPerHour = a.RoleChangesPerHour
+	}
+	setIfGiven(cmd, flagModel, &payload.Model, cmd.String)
+	setIfGiven(cmd, flagModelVersion, &payload.Version, cmd.String)
+	setIfGiven(cmd, flagAdapter, &payload.Adapter, cmd.String)
+	setIfGiven(cmd, flagRoleChanges, &payload.RoleChangesPerHour, cmd.Int)
+	id := changeID(cmd)
+	payload.IfRevision, payload.ChangeID = &revision, &id
+	result, err := c.SetApplication(ctx, payload)
+	if err != nil {
+		return c.explainChange(cmd, id, err)
+	}
+	return c.printChange(cmd, result)
+}
+
+// currentApplication reads the application as it is now; its revision is 0
+// when there is none.
+func (c *operatorClient) currentApplication(ctx context.Context, cmd *cli.Command, name string) (*operator.ApplicationEntry, error) {
+	entry, err := c.ShowApplication(ctx, &operator.ShowApplicationPayload{Token: c.token, Name: name})
+	if isNotFound(err) {
+		return &operator.ApplicationEntry{Revision: absentRevision}, nil
+	}
+	return entry, c.explainRead(cmd, err)
+}
+
+// deleteApplication is endivemast application delete.
+func deleteApplication(ctx context.Context, cmd *cli.Command, c *operatorClient) error {
+	args, err := arguments(cmd, 1)
+	if err != nil {
+		return err
+	}
+	revision := cmd.Int64(flagIfRevision)
+	if !cmd.IsSet(flagIfRevision) {
+		entry, err := c.currentApplication(ctx, cmd, args[0])
+		if err != nil {
+			return err
+		}
+		revision = entry.Revision
+	}
+	id := changeID(cmd)
+	result, err := c.DeleteApplication(ctx, &operator.DeleteApplicationPayload{
+		Token: c.token, Name: args[0], IfRevision: &revision, ChangeID: &id,
+	})
+	if err != nil {
+		return c.explainChange(cmd, id, err)
+	}
+	return c.printChange(cmd, result)
+}
--- /dev/null
+++ b/internal/commander/status.go
@@ -0,0 +1,76 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/endivemast/endivemast/internal/server/gen/operator"
+)
+
+// statusCommand shows what a host knows.
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show what the host knows of itself, its peers, the endpoints and the zone authorities",
+		Description: `Example:
+   endivemast status --server https://10.0.0.1:8081`,
+		Action: withClient(func(ctx context.Context, cmd *cli.Command, c *operatorClient) error {
+			if _, err := arguments(cmd, 0); err != nil {
+				return err
+			}
+			status, err := c.Status(ctx, &operator.StatusPayload{Token: c.token})
+			if err != nil {
+				return c.explainRead(cmd, err)
+			}
+			return c.printAnswer(cmd, func(w io.Writer) error { return printStatus(w, status) })
+		}),
+	}
+}
+
+// printStatus prints a status for people.
+func printStatus(w io.Writer, s *operator.StatusResult) error {
+	t := newTable(w, "HOST", "ZONE", "VERSION", "STATE", "CONFIG REVISION", "CONFIG AGE")
+	t.row(s.HostID, s.Zone, s.Version, hostState(s), s.ConfigRevision, time.Duration(s.ConfigAgeMs)*time.Millisecond)
+	if err := t.end(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	t = newTable(w, "PEER", "ZONE", "REACHABLE", "CONFIG REVISION")
+	for _, p := range s.Peers {
+		t.row(p.HostID, p.Zone, p.Reachable, p.ConfigRevision)
+	}
+	if err := t.end(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	t = newTable(w, "ENDPOINT", "ZONE", "APPLICATION", "ROLE", "STATE", "IN FLIGHT", "PREFILL/S", "DECODE/S")
+	for _, e := range s.Endpoints {
+		t.row(e.EndpointID, e.Zone, e.Application, e.Role, e.State, e.InFlight,
+			fmt.Sprintf("%.0f", e.PrefillRate), fmt.Sprintf("%.0f", e.DecodeRate))
+	}
+	if err := t.end(); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
+	t = newTable(w, "AUTHORITY OF ZONE", "HOLDER", "EPOCH", "OPEN ORDERS")
+	for _, a := range s.Authorities {
+		t.row(a.Zone, a.Holder, a.Epoch, a.OpenOrders)
+	}
+	return t.end()
+}
+
+// hostState is the host's state in words.
+func hostState(s *operator.StatusResult) string {
+	switch {
+	case s.Draining:
+		return "draining"
+	case s.Ready:
+		return "ready"
+	default:
+		return "not ready: " + s.Reason
+	}
+}
--- a/internal/server/design/operator.go
+++ b/internal/server/design/operator.go
@@ -180,9 +180,10 @@
 
 // change adds what names a change and guards it against races.
 func change() {
-	Attribute("if_revision", Int64, "Entry revision that the change was made from. 0: the entry must be absent; -1: whatever is there.", func() {
+	// Not with goa's Default(-1): the generated client sends the default in
+	// place of 0, and "must be absent" would become "whatever is there".
+	Attribute("if_revision", Int64, "Entry revision that the change was made from. 0: the entry must be absent; -1, or absent: whatever is there.", func() {
 		Minimum(-1)
-		Default(-1)
 	})
 	Attribute("change_id", String, "Identifier of the change, made by the client; a repeat with the same id is the same change. Made by the server when absent.", func() {
 		MaxLength(128)
--- a/internal/server/gen/http/cli/endivemast/cli.go
+++ b/internal/server/gen/http/cli/endivemast/cli.go
@@ -101,7 +101,7 @@
 		operatorDeleteClassFlags          = flag.NewFlagSet("delete-class", flag.ExitOnError)
 		operatorDeleteClassTenantFlag     = operatorDeleteClassFlags.String("tenant", "REQUIRED", "Tenant of the class.")
 		operatorDeleteClassNameFlag       = operatorDeleteClassFlags.String("name", "REQUIRED", "Name of the class.")
-		operatorDeleteClassIfRevisionFlag = operatorDeleteClassFlags.String("if-revision", "-1", "")
+		operatorDeleteClassIfRevisionFlag = operatorDeleteClassFlags.String("if-revision", "", "")
 		operatorDeleteClassChangeIDFlag   = operatorDeleteClassFlags.String("change-id", "", "")
 		operatorDeleteClassTokenFlag      = operatorDeleteClassFlags.String("token", "", "")
 
@@ -119,7 +119,7 @@
 
 		operatorDeleteApplicationFlags          = flag.NewFlagSet("delete-application", flag.ExitOnError)
 		operatorDeleteApplicationNameFlag       = operatorDeleteApplicationFlags.String("name", "REQUIRED", "Name of the application.")
-		operatorDeleteApplicationIfRevisionFlag = operatorDeleteApplicationFlags.String("if-revision", "-1", "")
+		operatorDeleteApplicationIfRevisionFlag = operatorDeleteApplicationFlags.String("if-revision", "", "")
 		operatorDeleteApplicationChangeIDFlag   = operatorDeleteApplicationFlags.String("change-id", "", "")
 		operatorDeleteApplicationTokenFlag      = operatorDeleteApplicationFlags.String("token", "", "")
 
--- a/internal/server/gen/http/operator/client/cli.go
+++ b/internal/server/gen/http/operator/client/cli.go
@@ -94,8 +94,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"application\": \"f9x\",\n      \"between_tokens_target_ms\": 4868512780460347019,\n      \"change_id\": \"49j\",\n      \"completion_target_ms\": 5762544902219707864,\n      \"first_token_target_ms\": 4909921009731539761,\n      \"if_revision\": 8155473558126881809,\n      \"kind\": \"generate\",\n      \"repeatable\": true\n   }'")
 		}
-		if body.IfRevision < -1 {
-			err = goa.MergeErrors(err, goa.InvalidRangeError("body.if_revision", body.IfRevision, -1, true))
+		if body.IfRevision != nil {
+			if *body.IfRevision < -1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.if_revision", *body.IfRevision, -1, true))
+			}
 		}
 		if body.ChangeID != nil {
 			if utf8.RuneCountInString(*body.ChangeID) > 128 {
@@ -166,12 +168,6 @@
 		BetweenTokensTargetMs: body.BetweenTokensTargetMs,
 		CompletionTargetMs:    body.CompletionTargetMs,
 	}
-	{
-		var zero int64
-		if v.IfRevision == zero {
-			v.IfRevision = -1
-		}
-	}
 	{
 		var zero bool
 		if v.Repeatable == zero {
@@ -227,15 +223,16 @@
 			return nil, err
 		}
 	}
-	var ifRevision int64
+	var ifRevision *int64
 	{
 		if operatorDeleteClassIfRevision != "" {
-			ifRevision, err = strconv.ParseInt(operatorDeleteClassIfRevision, 10, 64)
+			val, err := strconv.ParseInt(operatorDeleteClassIfRevision, 10, 64)
+			ifRevision = &val
 			if err != nil {
 				return nil, fmt.Errorf("invalid value for ifRevision, must be INT64")
 			}
-			if ifRevision < -1 {
-				err = goa.MergeErrors(err, goa.InvalidRangeError("if_revision", ifRevision, -1, true))
+			if *ifRevision < -1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("if_revision", *ifRevision, -1, true))
 			}
 			if err != nil {
 				return nil, err
@@ -325,8 +322,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"adapter\": \"Cumque consequatur.\",\n      \"change_id\": \"t8b\",\n      \"if_revision\": 5988625955987488691,\n      \"model\": \"Commodi illum assumenda beatae itaque.\",\n      \"role_changes_per_hour\": 7564307181771333980,\n      \"version\": \"Occaecati voluptas ipsum ipsum adipisci.\"\n   }'")
 		}
-		if body.IfRevision < -1 {
-			err = goa.MergeErrors(err, goa.InvalidRangeError("body.if_revision", body.IfRevision, -1, true))
+		if body.IfRevision != nil {
+			if *body.IfRevision < -1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("body.if_revision", *body.IfRevision, -1, true))
+			}
 		}
 		if body.ChangeID != nil {
 			if utf8.RuneCountInString(*body.ChangeID) > 128 {
@@ -367,12 +366,6 @@
 		Adapter:            body.Adapter,
 		RoleChangesPerHour: body.RoleChangesPerHour,
 	}
-	{
-		var zero int64
-		if v.IfRevision == zero {
-			v.IfRevision = -1
-		}
-	}
 	{
 		var zero string
 		if v.Model == zero {
@@ -420,15 +413,16 @@
 			return nil, err
 		}
 	}
-	var ifRevision int64
+	var ifRevision *int64
 	{
 		if operatorDeleteApplicationIfRevision != "" {
-			ifRevision, err = strconv.ParseInt(operatorDeleteApplicationIfRevision, 10, 64)
+			val, err := strconv.ParseInt(operatorDeleteApplicationIfRevision, 10, 64)
+			ifRevision = &val
 			if err != nil {
 				return nil, fmt.Errorf("invalid value for ifRevision, must be INT64")
 			}
-			if ifRevision < -1 {
-				err = goa.MergeErrors(err, goa.InvalidRangeError("if_revision", ifRevision, -1, true))
+			if *ifRevision < -1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("if_revision", *ifRevision, -1, true))
 			}
 			if err != nil {
 				return nil, err
--- a/internal/server/gen/http/operator/client/encode_decode.go
+++ b/internal/server/gen/http/operator/client/encode_decode.go
@@ -509,7 +509,9 @@
 			}
 		}
 		values := req.URL.Query()
-		values.Add("if_revision", fmt.Sprintf("%v", p.IfRevision))
+		if p.IfRevision != nil {
+			values.Add("if_revision", fmt.Sprintf("%v", *p.IfRevision))
+		}
 		if p.ChangeID != nil {
 			values.Add("change_id", *p.ChangeID)
 		}
@@ -1142,7 +1144,9 @@
 			}
 		}
 		values := req.URL.Query()
-		values.Add("if_revision", fmt.Sprintf("%v", p.IfRevision))
+		if p.IfRevision != nil {
+			values.Add("if_revision", fmt.Sprintf("%v", *p.IfRevision))
+		}
 		if p.ChangeID != nil {
 			values.Add("change_id", *p.ChangeID)
 		}
--- a/internal/server/gen/http/operator/client/types.go
+++ b/internal/server/gen/http/operator/client/types.go
@@ -19,8 +19,8 @@
 // endpoint HTTP request body.
 type SetClassRequestBody struct {
 	// Entry revision that the change was made from. 0: the entry must be absent;
-	// -1: whatever is there.
-	IfRevision int64 `form:"if_revision" json:"if_revision" xml:"if_revision"`
+	// -1, or absent: whatever is there.
+	IfRevision *int64 `form:"if_revision,omitempty" json:"if_revision,omitempty" xml:"if_revision,omitempty"`
 	// Identifier of the change, made by the client; a repeat with the same id is
 	// the same change. Made by the server when absent.
 	ChangeID *string `form:"change_id,omitempty" json:"change_id,omitempty" xml:"change_id,omitempty"`
@@ -43,8 +43,8 @@
 // "set_application" endpoint HTTP request body.
 type SetApplicationRequestBody struct {
 	// Entry revision that the change was made from. 0: the entry must be absent;
-	// -1: whatever is there.
-	IfRevision int64 `form:"if_revision" json:"if_revision" xml:"if_revision"`
+	// -1, or absent: whatever is there.
+	IfRevision *int64 `form:"if_revision,omitempty" json:"if_revision,omitempty" xml:"if_revision,omitempty"`
 	// Identifier of the change, made by the client; a repeat with the same id is
 	// the same change. Made by the server when absent.
 	ChangeID *string `form:"change_id,omitempty" json:"change_id,omitempty" xml:"change_id,omitempty"`
@@ -1136,12 +1136,6 @@
 		BetweenTokensTargetMs: p.BetweenTokensTargetMs,
 		CompletionTargetMs:    p.CompletionTargetMs,
 	}
-	{
-		var zero int64
-		if body.IfRevision == zero {
-			body.IfRevision = -1
-		}
-	}
 	{
 		var zero bool
 		if body.Repeatable == zero {
@@ -1174,12 +1168,6 @@
 		Adapter:            p.Adapter,
 		RoleChangesPerHour: p.RoleChangesPerHour,
 	}
-	{
-		var zero int64
-		if body.IfRevision == zero {
-			body.IfRevision = -1
-		}
-	}
 	{
 		var zero string
 		if body.Model == zero {
--- a/internal/server/gen/http/operator/server/encode_decode.go
+++ b/internal/server/gen/http/operator/server/encode_decode.go
@@ -425,7 +425,7 @@
 		var (
 			tenant     string
 			name       string
-			ifRevision int64
+			ifRevision *int64
 			changeID   *string
 			token      *string
 			err        error
@@ -449,18 +449,18 @@
 		qp := r.URL.Query()
 		{
 			ifRevisionRaw := qp.Get("if_revision")
-			if ifRevisionRaw == "" {
-				ifRevision = -1
-			} else {
+			if ifRevisionRaw != "" {
 				v, err2 := strconv.ParseInt(ifRevisionRaw, 10, 64)
 				if err2 != nil {
 					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("if_revision", ifRevisionRaw, "integer"))
 				}
-				ifRevision = v
+				ifRevision = &v
 			}
 		}
-		if ifRevision < -1 {
-			err = goa.MergeErrors(err, goa.InvalidRangeError("if_revision", ifRevision, -1, true))
+		if ifRevision != nil {
+			if *ifRevision < -1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("if_revision", *ifRevision, -1, true))
+			}
 		}
 		changeIDRaw := qp.Get("change_id")
 		if changeIDRaw != "" {
@@ -979,7 +979,7 @@
 		var payload *operator.DeleteApplicationPayload
 		var (
 			name       string
-			ifRevision int64
+			ifRevision *int64
 			changeID   *string
 			token      *string
 			err        error
@@ -996,18 +996,18 @@
 		qp := r.URL.Query()
 		{
 			ifRevisionRaw := qp.Get("if_revision")
-			if ifRevisionRaw == "" {
-				ifRevision = -1
-			} else {
+			if ifRevisionRaw != "" {
 				v, err2 := strconv.ParseInt(ifRevisionRaw, 10, 64)
 				if err2 != nil {
 					err = goa.MergeErrors(err, goa.InvalidFieldTypeError("if_revision", ifRevisionRaw, "integer"))
 				}
-				ifRevision = v
+				ifRevision = &v
 			}
 		}
-		if ifRevision < -1 {
-			err = goa.MergeErrors(err, goa.InvalidRangeError("if_revision", ifRevision, -1, true))
+		if ifRevision != nil {
+			if *ifRevision < -1 {
+				err = goa.MergeErrors(err, goa.InvalidRangeError("if_revision", *ifRevision, -1, true))
+			}
 		}
 		changeIDRaw := qp.Get("change_id")
 		if changeIDRaw != "" {
--- a/internal/server/gen/http/operator/server/types.go
+++ b/internal/server/gen/http/operator/server/types.go
@@ -19,7 +19,7 @@
 // endpoint HTTP request body.
 type SetClassRequestBody struct {
 	// Entry revision that the change was made from. 0: the entry must be absent;
-	// -1: whatever is there.
+	// -1, or absent: whatever is there.
 	IfRevision *int64 `form:"if_revision,omitempty" json:"if_revision,omitempty" xml:"if_revision,omitempty"`
 	// Identifier of the change, made by the client; a repeat with the same id is
 	// the same change. Made by the server when absent.
@@ -43,7 +43,7 @@
 // "set_application" endpoint HTTP request body.
 type SetApplicationRequestBody struct {
 	// Entry revision that the change was made from. 0: the entry must be absent;
-	// -1: whatever is there.
+	// -1, or absent: whatever is there.
 	IfRevision *int64 `form:"if_revision,omitempty" json:"if_revision,omitempty" xml:"if_revision,omitempty"`
 	// Identifier of the change, made by the client; a repeat with the same id is
 	// the same change. Made by the server when absent.
@@ -2308,14 +2308,12 @@
 // NewSetClassPayload builds a operator service set_class endpoint payload.
 func NewSetClassPayload(body *SetClassRequestBody, tenant string, name string, token *string) *operator.SetClassPayload {
 	v := &operator.SetClassPayload{
+		IfRevision:         body.IfRevision,
 		ChangeID:           body.ChangeID,
 		Kind:               *body.Kind,
 		Application:        *body.Application,
 		CompletionTargetMs: *body.CompletionTargetMs,
 	}
-	if body.IfRevision != nil {
-		v.IfRevision = *body.IfRevision
-	}
 	if body.Repeatable != nil {
 		v.Repeatable = *body.Repeatable
 	}
@@ -2325,9 +2323,6 @@
 	if body.BetweenTokensTargetMs != nil {
 		v.BetweenTokensTargetMs = *body.BetweenTokensTargetMs
 	}
-	if body.IfRevision == nil {
-		v.IfRevision = -1
-	}
 	if body.Repeatable == nil {
 		v.Repeatable = false
 	}
@@ -2346,7 +2341,7 @@
 
 // NewDeleteClassPayload builds a operator service delete_class endpoint
 // payload.
-func NewDeleteClassPayload(tenant string, name string, ifRevision int64, changeID *string, token *string) *operator.DeleteClassPayload {
+func NewDeleteClassPayload(tenant string, name string, ifRevision *int64, changeID *string, token *string) *operator.DeleteClassPayload {
 	v := &operator.DeleteClassPayload{}
 	v.Tenant = tenant
 	v.Name = name
@@ -2380,10 +2375,8 @@
 // payload.
 func NewSetApplicationPayload(body *SetApplicationRequestBody, name string, token *string) *operator.SetApplicationPayload {
 	v := &operator.SetApplicationPayload{
-		ChangeID: body.ChangeID,
-	}
-	if body.IfRevision != nil {
-		v.IfRevision = *body.IfRevision
+		IfRevision: body.IfRevision,
+		ChangeID:   body.ChangeID,
 	}
 	if body.Model != nil {
 		v.Model = *body.Model
@@ -2397,9 +2390,6 @@
 	if body.RoleChangesPerHour != nil {
 		v.RoleChangesPerHour = *body.RoleChangesPerHour
 	}
-	if body.IfRevision == nil {
-		v.IfRevision = -1
-	}
 	if body.Model == nil {
 		v.Model = ""
 	}
@@ -2420,7 +2410,7 @@
 
 // NewDeleteApplicationPayload builds a operator service delete_application
 // endpoint payload.
-func NewDeleteApplicationPayload(name string, ifRevision int64, changeID *string, token *string) *operator.DeleteApplicationPayload {
+func NewDeleteApplicationPayload(name string, ifRevision *int64, changeID *string, token *string) *operator.DeleteApplicationPayload {
 	v := &operator.DeleteApplicationPayload{}
 	v.Name = name
 	v.IfRevision = ifRevision
--- a/internal/server/gen/operator/service.go
+++ b/internal/server/gen/operator/service.go
@@ -163,8 +163,8 @@
 	// API key. Absent on a server that was started insecure.
 	Token *string
 	// Entry revision that the change was made from. 0: the entry must be absent;
-	// -1: whatever is there.
-	IfRevision int64
+	// -1, or absent: whatever is there.
+	IfRevision *int64
 	// Identifier of the change, made by the client; a repeat with the same id is
 	// the same change. Made by the server when absent.
 	ChangeID *string
@@ -178,8 +178,8 @@
 	// API key. Absent on a server that was started insecure.
 	Token *string
 	// Entry revision that the change was made from. 0: the entry must be absent;
-	// -1: whatever is there.
-	IfRevision int64
+	// -1, or absent: whatever is there.
+	IfRevision *int64
 	// Identifier of the change, made by the client; a repeat with the same id is
 	// the same change. Made by the server when absent.
 	ChangeID *string
@@ -285,8 +285,8 @@
 	// API key. Absent on a server that was started insecure.
 	Token *string
 	// Entry revision that the change was made from. 0: the entry must be absent;
-	// -1: whatever is there.
-	IfRevision int64
+	// -1, or absent: whatever is there.
+	IfRevision *int64
 	// Identifier of the change, made by the client; a repeat with the same id is
 	// the same change. Made by the server when absent.
 	ChangeID *string
@@ -308,8 +308,8 @@
 	// API key. Absent on a server that was started insecure.
 	Token *string
 	// Entry revision that the change was made from. 0: the entry must be absent;
-	// -1: whatever is there.
-	IfRevision int64
+	// -1, or absent: whatever is there.
+	IfRevision *int64
 	// Identifier of the change, made by the client; a repeat with the same id is
 	// the same change. Made by the server when absent.
 	ChangeID *string
--- a/internal/server/operator_service.go
+++ b/internal/server/operator_service.go
@@ -109,8 +109,11 @@
 }
 
 // apply makes a change.
-func (s *operatorService) apply(ctx context.Context, changeID *string, ifRevision int64, subject configurer.Subject) (*operator.ChangeResult, error) {
-	change := configurer.Change{ChangeID: deref(changeID), IfRevision: ifRevision, Subject: subject}
+func (s *operatorService) apply(ctx context.Context, changeID *string, ifRevision *int64, subject configurer.Subject) (*operator.ChangeResult, error) {
+	change := configurer.Change{ChangeID: deref(changeID), IfRevision: configurer.AnyRevision, Subject: subject}
+	if ifRevision != nil {
+		change.IfRevision = *ifRevision
+	}
 	if change.ChangeID == "" {
 		change.ChangeID = uuid.NewString()
 	}
