Give each listener a TLS configuration of its own

The test of TLS found a data race: the HTTP servers of callers and operators shared one tls.Config, and each adds HTTP/2 to it when it starts.

--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -9,8 +9,12 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/dispatcher"
 )
 
+var _ dispatcher.Meter = (*Meter)(nil)
+
 func written(m *Meter) string {
 	var b bytes.Buffer
 	m.WritePrometheus(&b)
--- a/internal/server/fakes_test.go
+++ b/internal/server/fakes_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivemast/endivemast/internal/claimer"
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/dispatcher"
 	"github.com/endivemast/endivemast/internal/driver"
@@ -26,6 +27,11 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
+var (
+	_ Dispatcher   = (*dispatcher.Dispatcher)(nil)
+	_ TicketIssuer = claimer.Claimer(nil)
+)
+
 // fakeParts stands behind a Server. A nil function answers whole.
 type fakeParts struct {
 	generate func(ctx context.Context, req dispatcher.Request, token dispatcher.TokenFunc) (dispatcher.Answer, error)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -133,7 +133,7 @@
 		listener: newCountedListener(inner, s.cfg.MaxConnections),
 		http: &http.Server{
 			Handler:           handler,
-			TLSConfig:         tlsConfig,
+			TLSConfig:         tlsConfig.Clone(), // each HTTP server adds HTTP/2 to its own
 			ReadHeaderTimeout: s.cfg.ReadHeaderTimeout,
 			ReadTimeout:       s.cfg.ReadTimeout,
 			IdleTimeout:       s.cfg.IdleTimeout,
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -3,9 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"crypto/x509"
+	"encoding/pem"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -15,6 +20,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/endivemast/endivemast/internal/dispatcher"
+	"github.com/endivemast/endivemast/internal/driver"
 )
 
 func TestMalformedRequests(t *testing.T) {
@@ -195,6 +201,54 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 }
 
+// TestTLS also covers HTTP/2, whose streams have deadlines and flushing of
+// their own.
+func TestTLS(t *testing.T) {
+	stand := httptest.NewTLSServer(http.NotFoundHandler())
+	t.Cleanup(stand.Close)
+	cert := stand.TLS.Certificates[0]
+	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	assert.NilError(t, err)
+	cfg := testConfig(t)
+	cfg.PlainText, cfg.CertFile, cfg.KeyFile = false, filepath.Join(t.TempDir(), "crt"), filepath.Join(t.TempDir(), "key")
+	assert.NilError(t, os.WriteFile(cfg.CertFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert.Certificate[0]}), 0o600))
+	assert.NilError(t, os.WriteFile(cfg.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}), 0o600))
+	s := startServer(t, cfg, &fakeParts{})
+	transport := stand.Client().Transport.(*http.Transport).Clone()
+	transport.ForceAttemptHTTP2 = true
+	t.Cleanup(transport.CloseIdleConnections)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "https://"+s.Addresses().Callers+"/v1/classes/c/stream", strings.NewReader(generateBody))
+	assert.NilError(t, err)
+	req.Header.Set("Authorization", "Bearer "+callerToken)
+	resp, err := transport.RoundTrip(req)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.ProtoMajor, 2)
+	assert.Equal(t, strings.Count(string(body), "event: "), 3, string(body))
+}
+
+// BenchmarkStream shows the cost of a streamed token, the client's part
+// included.
+func BenchmarkStream(b *testing.B) {
+	const tokens = 200
+	f := &fakeParts{generate: func(_ context.Context, _ dispatcher.Request, token dispatcher.TokenFunc) (dispatcher.Answer, error) {
+		for i := range tokens {
+			if err := token(driver.Token{Sequence: i, Text: " word"}); err != nil {
+				return dispatcher.Answer{}, err
+			}
+		}
+		return dispatcher.Answer{}, nil
+	}}
+	url := "http://" + startServer(b, testConfig(b), f).Addresses().Callers + "/v1/classes/c/stream"
+	b.ReportAllocs()
+	for b.Loop() {
+		ask(b, http.MethodPost, url, generateBody, bearer(callerToken)...)
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*tokens), "us/token")
+}
+
 func FuzzCallersBodies(f *testing.F) {
 	for _, seed := range []string{generateBody, `{"operation":"o","body":{"a":[1]}}`, `{"prompt":null}`, "", "[", "\xff"} {
 		f.Add(seed)
