--- a/cmd/endivemast/main.go
+++ b/cmd/endivemast/main.go
@@ -2,8 +2,7 @@
 //
 // # Usage
 //
-//	endivemast try
-//	endivemast entry --help
+//	endivemast class list
 package main
 
 import (
@@ -11,11 +10,8 @@
 	"os"
 
 	"github.com/endivemast/endivemast/internal/commander"
-	"github.com/endivemast/endivemast/internal/loader"
-	"github.com/endivemast/endivemast/internal/trier"
 )
 
 func main() {
-	os.Exit(commander.Main(context.Background(), os.Args, os.Stdout, os.Stderr,
-		commander.Entry(), trier.Command(), loader.Command()))
+	os.Exit(commander.Main(context.Background(), os.Args, os.Stdout, os.Stderr))
 }
