--- a/internal/configurer/applier.go
+++ b/internal/configurer/applier.go
@@ -164,7 +164,7 @@
 // and st. A store that was restored from an older copy gives a head that is
 // behind the state in force; the healed one holds that state again.
 func (c *Configurer) healed(ctx context.Context, h head, st *state) (head, *state, error) {
-	if h.Chain == st.chain {
+	if h.Revision == st.revision && h.Chain == st.chain {
 		return h, st, nil
 	}
 	c.mu.Lock()
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -71,8 +71,8 @@
 	// Prefix begins the keys of all documents; default DefaultPrefix.
 	Prefix string
 	// WatchersPerZone is how many hosts of a zone watch the store: those with
-	// the lowest ids among the hosts that Pool names. A waiting watch counts
-	// against the store's rate.
+	// the lowest ids among the hosts that this one reaches. A waiting watch
+	// counts against the store's rate.
 	WatchersPerZone int
 	// Fanout is how many peers a host passes a change on to.
 	Fanout int
@@ -134,6 +134,7 @@
 	history history
 	changed chan struct{} // closed at the next installation
 	news    news
+	failed  map[string]time.Time // peers whose last call failed, and when
 
 	wake   chan struct{} // tells the push loop of news
 	cancel context.CancelFunc
@@ -171,6 +172,7 @@
 		committing: make(chan struct{}, 1),
 		fetching:   make(chan struct{}, 1),
 		changed:    make(chan struct{}),
+		failed:     make(map[string]time.Time),
 		wake:       make(chan struct{}, 1),
 		cancel:     cancel,
 		ctx:        ctx,
--- a/internal/configurer/fake_test.go
+++ b/internal/configurer/fake_test.go
@@ -24,12 +24,12 @@
 type fault int
 
 const (
-	faultNone      fault = iota
-	faultLost            // takes effect, the answer is lost
-	faultDropped         // takes no effect, the answer is lost
-	faultDelayed         // takes effect later, the answer is lost
-	faultRefused         // certainly takes no effect
-	faultLostAndDown     // takes effect, the answer is lost, and then an outage begins
+	faultNone        fault = iota
+	faultLost              // takes effect, the answer is lost
+	faultDropped           // takes no effect, the answer is lost
+	faultDelayed           // takes effect later, the answer is lost
+	faultRefused           // certainly takes no effect
+	faultLostAndDown       // takes effect, the answer is lost, and then an outage begins
 	faultCount
 )
 
--- /dev/null
+++ b/internal/configurer/fuzz_test.go
@@ -0,0 +1,95 @@
+package configurer
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/configurer/configurerpb"
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// fuzzHost is a host with a few changes in force.
+func fuzzHost(t testing.TB) (w *world) {
+	w = newWorld(t, sound)
+	for i, id := range []string{"c1", "c2", "c3", "c4", "c5"} {
+		_, err := w.hosts[0].Apply(context.Background(), setClass(id, AnyRevision, testClass("brand-7", "drafting", int64(i+1000))))
+		assert.NilError(t, err)
+	}
+	return w
+}
+
+// checkWhole checks that the state in force can still be handed on and read.
+func checkWhole(t *testing.T, c *Configurer, atLeast int64) {
+	t.Helper()
+	st := c.state.Load()
+	assert.Assert(t, st.revision >= atLeast)
+	shards := make(map[int]*shard)
+	for i, s := range st.shards {
+		if s.revision == 0 {
+			continue
+		}
+		value, err := encodeShard(i, s)
+		assert.NilError(t, err)
+		j, read, err := decodeShard(value)
+		assert.NilError(t, err)
+		assert.Equal(t, i, j)
+		shards[j] = read
+	}
+	_, ok := assemble(shards, headOf(st, nil, st.revision, st.chain))
+	assert.Assert(t, ok)
+}
+
+func FuzzHead(f *testing.F) {
+	host := fuzzHost(f).hosts[0]
+	for _, revision := range []int64{0, 2, 4} {
+		h, _ := host.headSince(revision)
+		value, err := encodeHead(h)
+		assert.NilError(f, err)
+		f.Add(value)
+	}
+	f.Add([]byte(`{"format":1,"revision":1,"changes":[{"revision":1,"change_id":"x"}]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		for _, c := range []*Configurer{fuzzHost(t).hosts[0], newWorld(t, sound).hosts[1]} {
+			before := c.Revision()
+			c.takeChanges(context.Background(), []provider.Change{{Entry: provider.Entry{Value: value, Revision: 1 << 40}}})
+			_, _ = c.Push(context.Background(), &configurerpb.PushRequest{Head: value, OriginHostId: string(value)})
+			checkWhole(t, c, before)
+		}
+	})
+}
+
+func FuzzShard(f *testing.F) {
+	host := fuzzHost(f).hosts[0]
+	st := host.state.Load()
+	value, err := encodeShard(shardOf("brand-7"), st.shards[shardOf("brand-7")])
+	assert.NilError(f, err)
+	f.Add(value)
+	f.Add([]byte(`{"format":1,"shard":256,"revision":1,"recent":[{}],"applications":[{}]}`))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		i, s, err := decodeShard(value)
+		if err != nil {
+			return
+		}
+		again, err := encodeShard(i, s)
+		assert.NilError(t, err)
+		_, _, err = decodeShard(again)
+		assert.NilError(t, err)
+	})
+}
+
+func FuzzPeerMessages(f *testing.F) {
+	f.Add(int64(0), uint64(0), int64(-1), uint32(0), false)
+	f.Add(int64(3), uint64(7), int64(1<<62), uint32(256), true)
+	f.Fuzz(func(t *testing.T, revision int64, chain uint64, age int64, first uint32, always bool) {
+		c := fuzzHost(t).hosts[0]
+		before := c.Revision()
+		position := &configurerpb.Position{Revision: revision, Chain: chain, StoreAgeMs: age}
+		_, err := c.Compare(context.Background(), &configurerpb.CompareRequest{Position: position, AlwaysHead: always})
+		assert.NilError(t, err)
+		_, _ = c.Fetch(context.Background(), &configurerpb.FetchRequest{FirstShard: first}) // out of range is an error
+		checkWhole(t, c, before)
+		assert.Assert(t, c.storeAge() >= 0)
+	})
+}
--- a/internal/configurer/relayer.go
+++ b/internal/configurer/relayer.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -22,6 +23,9 @@
 	otherZoneEvery = 3
 	compareTries   = 3 // peers tried in one interval, until one answers
 	fetchTries     = 3 // of a snapshot from one peer
+	// avoidFailedFor keeps comparisons from peers that did not answer, as each
+	// of them may cost a call's whole timeout.
+	avoidFailedFor = 10 * time.Second
 	pushRounds     = 3 // towards one peer, as it turns out to be further behind
 )
 
@@ -107,7 +111,10 @@
 // answers show it to lack. A peer for which this host doesn't keep enough
 // changes fetches the shards when it compares itself.
 func (c *Configurer) pushTo(ctx context.Context, hostID string, after int64, origin string) (err error) {
-	defer func() { err = eris.Wrapf(err, "push to %s", hostID) }()
+	defer func() {
+		c.noteCall(hostID, err)
+		err = eris.Wrapf(err, "push to %s", hostID)
+	}()
 	client, err := c.client(hostID)
 	if err != nil {
 		return err
@@ -174,7 +181,7 @@
 func (c *Configurer) compareOnce(ctx context.Context, otherZone bool) {
 	peers := c.somePeers(0)
 	slices.SortStableFunc(peers, func(a, b exchanger.Peer) int {
-		return c.distance(a, otherZone) - c.distance(b, otherZone)
+		return cmp.Or(c.recentFailure(a)-c.recentFailure(b), c.distance(a, otherZone)-c.distance(b, otherZone))
 	})
 	for _, peer := range peers[:min(len(peers), compareTries)] {
 		err := c.compareWith(ctx, peer)
@@ -185,6 +192,27 @@
 	}
 }
 
+// recentFailure is 1 for a peer whose last call failed a short time ago, else 0.
+func (c *Configurer) recentFailure(peer exchanger.Peer) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at, ok := c.failed[peer.HostID]; ok && time.Since(at) < avoidFailedFor {
+		return 1
+	}
+	return 0
+}
+
+// noteCall notes whether a peer answered the last call.
+func (c *Configurer) noteCall(hostID string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		delete(c.failed, hostID)
+	} else if c.ctx.Err() == nil {
+		c.failed[hostID] = time.Now()
+	}
+}
+
 // distance is 0 for a peer of the kind of zone wanted, else 1.
 func (c *Configurer) distance(peer exchanger.Peer, otherZone bool) int {
 	if (peer.Zone != c.cfg.Zone) == otherZone {
@@ -230,6 +258,7 @@
 		return nil, err
 	}
 	reply, err := c.compare(ctx, client, &configurerpb.CompareRequest{Position: c.position()})
+	c.noteCall(peer.HostID, err)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configurer/schedule_test.go
+++ b/internal/configurer/schedule_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -255,6 +256,8 @@
 		w.accepted[id] = revision
 	case errors.Is(err, ErrOutcomeUnknown) && w.breakage != unknownRefused:
 		w.unknown = append(w.unknown, id)
+	case errors.Is(err, ErrRaced) && v.back == 0:
+		w.refused[id] = true // also where an earlier try's outcome was unknown: it is known now
 	case errors.Is(err, ErrOutcomeUnknown), errors.Is(err, ErrRaced), errors.Is(err, ErrUnavailable):
 		w.noteRefused(id)
 	default:
@@ -262,15 +265,12 @@
 	}
 }
 
-// noteRefused notes a refusal; a change that had an unknown outcome before may
-// be refused now because it has long been made and forgotten, which can't be.
+// noteRefused notes a refusal. One of a repeat that didn't reach the store, or
+// that went by a stale read, says nothing about an earlier try.
 func (w *world) noteRefused(id string) {
-	for _, other := range w.unknown {
-		if other == id {
-			return // the earlier try stays unknown to the operator
-		}
+	if !slices.Contains(w.unknown, id) {
+		w.refused[id] = true
 	}
-	w.refused[id] = true
 }
 
 // settle ends all faults and lets the hosts come together.
@@ -320,6 +320,19 @@
 		}
 	}
 	w.judgeHosts(model)
+	w.judgeOutcomes(made)
+}
+
+// judgeOutcomes asks every host about every change.
+func (w *world) judgeOutcomes(made map[string]int64) {
+	for id := range w.changes {
+		for i, host := range w.hosts {
+			revision, err := host.Outcome(context.Background(), id)
+			if revision != made[id] || (err != nil) != (made[id] == 0) {
+				w.fail("host %d says of %s: %d, %v; made at %d", i, id, revision, err, made[id])
+			}
+		}
+	}
 }
 
 // committed collects the changes by revision, each of which must stay what it was.
--- a/internal/configurer/watcher.go
+++ b/internal/configurer/watcher.go
@@ -66,14 +66,27 @@
 	return slices.Compact(members)
 }
 
+// reachedMembers is the zone's members without those whose last call failed.
+// Hosts that judge a member differently may watch one too many, or one too few
+// until their comparisons show it; other zones' news bridges that.
+func (c *Configurer) reachedMembers() []string {
+	members := c.zoneMembers()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(members, func(hostID string) bool {
+		_, failed := c.failed[hostID]
+		return failed
+	})
+}
+
 // isWatcher says whether this host is to watch the store.
 func (c *Configurer) isWatcher() bool {
 	return c.rank() < c.cfg.WatchersPerZone
 }
 
-// rank is this host's place among its zone's hosts, from 0.
+// rank is this host's place among the hosts of its zone that it reaches, from 0.
 func (c *Configurer) rank() int {
-	return slices.Index(c.zoneMembers(), c.cfg.HostID)
+	return slices.Index(c.reachedMembers(), c.cfg.HostID)
 }
 
 // isStale says whether nobody seems to read the store. Hosts of a zone come to
