--- a/tests/cluster_test.go
+++ b/tests/cluster_test.go
@@ -165,7 +165,7 @@
 func (m *member) listens() error {
 	if !m.process.running() {
 		data, _ := os.ReadFile(m.process.output.Name())
-		return eris.Errorf("%s ended: %v: %s", m.ID, m.process.err, tail(data))
+		return eris.Wrapf(errHopeless, "%s ended: %v: %s", m.ID, m.process.err, tail(data))
 	}
 	if m.Kind == provider.HostEntry {
 		return getJSON("http://"+m.operators+"/healthz", nil)
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -21,15 +21,18 @@
 
 const pollInterval = 20 * time.Millisecond
 
-// await polls a condition until it holds, and says what was missing when ctx
-// ends first.
+// errHopeless says that a condition can't come to hold any more.
+var errHopeless = errors.New("gave up")
+
+// await polls a condition until it holds or is hopeless, and says what was
+// missing when ctx ends first.
 func await(ctx context.Context, what string, holds func() error) error {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
 		err := holds()
-		if err == nil {
-			return nil
+		if err == nil || errors.Is(err, errHopeless) {
+			return err
 		}
 		select {
 		case <-ctx.Done():
