--- a/cmd/endivemast/main.go
+++ b/cmd/endivemast/main.go
@@ -10,8 +10,11 @@
 	"os"
 
 	"github.com/endivemast/endivemast/internal/commander"
+	"github.com/endivemast/endivemast/internal/loader"
+	"github.com/endivemast/endivemast/internal/trier"
 )
 
 func main() {
-	os.Exit(commander.Main(context.Background(), os.Args, os.Stdout, os.Stderr))
+	os.Exit(commander.Main(context.Background(), os.Args, os.Stdout, os.Stderr,
+		commander.Entry(), trier.Command(), loader.Command()))
 }
--- a/internal/server/design/caller.go
+++ b/internal/server/design/caller.go
@@ -69,7 +69,7 @@
 	requestID()
 	className()
 	Attribute("idempotency_key", String, "The caller's own key of the call, or a ticket.", func() {
-		MaxLength(256)
+		MaxLength(1024)
 	})
 	Attribute("operation", String, "Operation of the service.", func() {
 		MinLength(1)
--- a/internal/server/gen/http/caller/client/cli.go
+++ b/internal/server/gen/http/caller/client/cli.go
@@ -214,8 +214,8 @@
 	{
 		if callerCallIdempotencyKey != "" {
 			idempotencyKey = &callerCallIdempotencyKey
-			if utf8.RuneCountInString(*idempotencyKey) > 256 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 256, false))
+			if utf8.RuneCountInString(*idempotencyKey) > 1024 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 1024, false))
 			}
 			if err != nil {
 				return nil, err
--- a/internal/server/gen/http/caller/server/encode_decode.go
+++ b/internal/server/gen/http/caller/server/encode_decode.go
@@ -599,8 +599,8 @@
 			idempotencyKey = &idempotencyKeyRaw
 		}
 		if idempotencyKey != nil {
-			if utf8.RuneCountInString(*idempotencyKey) > 256 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 256, false))
+			if utf8.RuneCountInString(*idempotencyKey) > 1024 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 1024, false))
 			}
 		}
 		tokenRaw := r.Header.Get("Authorization")
