--- a/standins/engineserver/orders.go
+++ b/standins/engineserver/orders.go
@@ -224,6 +224,7 @@
 	s.switchTo(r)
 	r.Ended = s.orders.tick()
 	s.switching = false
+	s.cfg.Logger.Info("order ended", "order_id", r.OrderID, "result", string(r.Result), "effect", r.Effect)
 	return true
 }
 
