Commit what go generate gives for the server

Only the generated comment about the command differs: goa was run from the root before. Run: go generate ./internal/server leaves the tree unchanged.

--- a/internal/server/gen/http/caller/client/paths.go
+++ b/internal/server/gen/http/caller/client/paths.go
@@ -3,8 +3,7 @@
 // HTTP request path constructors for the caller service.
 //
 // Command:
-// $ goa gen github.com/endivemast/endivemast/internal/server/design -o
-// internal/server
+// $ goa gen github.com/endivemast/endivemast/internal/server/design -o .
 
 package client
 
--- a/internal/server/gen/http/health/client/cli.go
+++ b/internal/server/gen/http/health/client/cli.go
@@ -3,7 +3,6 @@
 // health HTTP client CLI support package
 //
 // Command:
-// $ goa gen github.com/endivemast/endivemast/internal/server/design -o
-// internal/server
+// $ goa gen github.com/endivemast/endivemast/internal/server/design -o .
 
 package client
--- a/internal/server/gen/http/health/server/types.go
+++ b/internal/server/gen/http/health/server/types.go
@@ -3,8 +3,7 @@
 // health HTTP server types
 //
 // Command:
-// $ goa gen github.com/endivemast/endivemast/internal/server/design -o
-// internal/server
+// $ goa gen github.com/endivemast/endivemast/internal/server/design -o .
 
 package server
 
--- a/internal/server/gen/http/operator/client/cli.go
+++ b/internal/server/gen/http/operator/client/cli.go
@@ -3,8 +3,7 @@
 // operator HTTP client CLI support package
 //
 // Command:
-// $ goa gen github.com/endivemast/endivemast/internal/server/design -o
-// internal/server
+// $ goa gen github.com/endivemast/endivemast/internal/server/design -o .
 
 package client
 
