--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -12,6 +12,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/urfave/cli/v3"
 
@@ -26,7 +28,10 @@
 		Usage:    "stand-ins for the platform and the endpoints",
 		Commands: []*cli.Command{kvserver.Command(), engineserver.Command(), serviceserver.Command()},
 	}
-	if err := program.Run(context.Background(), os.Args); err != nil {
+	// A first signal lets the stand-in drain; a second one ends it.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	context.AfterFunc(ctx, stop)
+	if err := program.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -127,8 +127,12 @@
 // withCode gives errors of a command the code ExitFailed where they have none.
 func withCode(err error) error {
 	var exit *ExitError
-	if err == nil || errors.As(err, &exit) {
+	var coder cli.ExitCoder // of a command from another package
+	switch {
+	case err == nil || errors.As(err, &exit):
 		return err
+	case errors.As(err, &coder):
+		return &ExitError{Code: coder.ExitCode(), Err: err}
 	}
 	return &ExitError{Code: ExitFailed, Err: err}
 }
--- a/internal/loader/command.go
+++ b/internal/loader/command.go
@@ -15,6 +15,9 @@
 	"github.com/urfave/cli/v3"
 )
 
+// exitUsage is the exit status for a bad setting.
+const exitUsage = 2
+
 // Command is the load command of the command line.
 func Command() *cli.Command {
 	return &cli.Command{
@@ -46,16 +49,19 @@
 
 func runCommand(ctx context.Context, cmd *cli.Command) error {
 	if cmd.Args().Len() != 1 {
-		return cli.Exit("load: want one scenario file, for example scenarios/vitosha-steady.yaml", 2)
+		return cli.Exit("load: want one scenario file, for example scenarios/vitosha-steady.yaml", exitUsage)
 	}
 	scenario, err := ReadScenario(cmd.Args().First())
 	if err != nil {
-		return cli.Exit(err.Error(), 2)
+		return cli.Exit(err.Error(), exitUsage)
 	}
 	options := optionsOf(cmd, scenario)
+	if err := options.Check(); err != nil {
+		return cli.Exit(err.Error(), exitUsage)
+	}
 	if cmd.Bool("configure") {
 		if len(options.Operators) == 0 {
-			return cli.Exit("load: --configure needs --operator ADDRESS", 2)
+			return cli.Exit("load: --configure needs --operator ADDRESS", exitUsage)
 		}
 		if err := Configure(ctx, options.Operators[0], options.OperatorToken, &scenario); err != nil {
 			return err
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -66,13 +66,8 @@
 // the arrivals stop, as by Stop.
 func Start(ctx context.Context, options Options) (run *Run, err error) {
 	defer func() { err = eris.Wrap(err, "start load") }()
-	if len(options.Entries) == 0 {
-		return nil, eris.New("no entry address")
-	}
-	for _, address := range slices.Concat(options.Entries, options.Services, options.Operators) {
-		if err := checkTarget(address, options.AllowHosts); err != nil {
-			return nil, err
-		}
+	if err := options.Check(); err != nil {
+		return nil, err
 	}
 	if options.RunID == "" {
 		options.RunID = fmt.Sprintf("r%x", time.Now().UnixNano())
@@ -91,6 +86,20 @@
 	return run, nil
 }
 
+// Check fails when an address is malformed, or neither on loopback nor named
+// in AllowHosts.
+func (o *Options) Check() error {
+	if len(o.Entries) == 0 {
+		return eris.New("no entry address")
+	}
+	for _, address := range slices.Concat(o.Entries, o.Services, o.Operators) {
+		if err := checkTarget(address, o.AllowHosts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func newRun(options Options, arrivals []arrival) *Run {
 	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
--- a/internal/trier/command.go
+++ b/internal/trier/command.go
@@ -65,13 +65,8 @@
 	if cmd.Bool("json") {
 		return errors.Join(report.WriteJSON(out), err)
 	}
-	return errors.Join(report.WriteTable(out), err, tellResult(cmd, err))
-}
-
-func tellResult(cmd *cli.Command, err error) error {
-	if err != nil {
-		return nil
+	if err == nil {
+		defer fmt.Fprintln(out, "nothing was lost, doubled or crossed; every call that may not be repeated ran at most once")
 	}
-	_, err = fmt.Fprintln(cmd.Root().Writer, "nothing was lost, doubled or crossed; every call that may not be repeated ran at most once")
-	return err
+	return errors.Join(report.WriteTable(out), err)
 }
--- a/tests/cluster_test.go
+++ b/tests/cluster_test.go
@@ -266,7 +266,7 @@
 	return nil, eris.Errorf("no host %q", name)
 }
 
-// kill ends a host's process at once. Whatever it alone knew is read first.
+// kill ends a host's process at once.
 func (c *cluster) kill(m *member) error { return m.process.kill() }
 
 // terminate asks a host to stop as planned and waits until its process has
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -28,7 +28,7 @@
 //	check orders              no conflicting orders, no effect of a former holder
 //	check config              no host was seen going back to an older configuration
 //	check no-work HOST        the endpoint takes no new work
-//	kill|pause|resume|terminate|start HOST...
+//	crash|pause|resume|terminate|start HOST...   by SIGKILL, SIGSTOP, SIGCONT, SIGTERM
 //	leaving HOST              the platform lists the host as leaving
 //	unlist HOST               the platform lists the host no more
 //	drain HOST                an operator or the endpoint itself begins a drain
--- a/tests/judge_test.go
+++ b/tests/judge_test.go
@@ -233,6 +233,8 @@
 	for field, value := range fields {
 		entry.Class[field] = value
 	}
+	delete(entry.Class, "tenant") // both stand in the path
+	delete(entry.Class, "name")
 	entry.Class["if_revision"] = entry.Revision
 	var accepted struct {
 		Revision int64 `json:"revision"`
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -51,7 +51,7 @@
 			"cluster": command((*script).startCluster),
 			"load":    command((*script).load),
 			"check":   command((*script).check),
-			"kill":    command(each((*cluster).kill)),
+			"crash":   command(each((*cluster).kill)),
 			"pause":   command(each(func(_ *cluster, m *member) error { return m.process.signal(syscall.SIGSTOP) })),
 			"resume":  command(each(func(_ *cluster, m *member) error { return m.process.signal(syscall.SIGCONT) })),
 			"terminate": command(each(func(c *cluster, m *member) error {
