Scenarios of orders from a frozen holder and of orders late in the network

The harness reads zone records past the network, holds orders back with a toxic of its own, and judges orders by the logs of all starts of an engine, crashed ones included: the engine stand-in writes its whole order records. The key-value stand-in can hold the answers of writes back, so that a holder is frozen between an intent's write and its send.

--- a/standins/engineserver/handlers.go
+++ b/standins/engineserver/handlers.go
@@ -209,7 +209,6 @@
 		return
 	}
 	code := s.accept(message)
-	s.cfg.Logger.Info("order", "order_id", message.OrderID, "epoch", message.Epoch, "code", string(code))
 	if code != "" {
 		refuse(w, http.StatusConflict, httpdriver.ErrorMessage{OrderID: message.OrderID, Code: code})
 		return
--- a/standins/engineserver/orders.go
+++ b/standins/engineserver/orders.go
@@ -129,6 +129,7 @@
 	l := &s.orders
 	if known := l.byID(message.OrderID); known != nil {
 		known.Repeats++
+		s.logOrder("order repeated", known)
 		return ""
 	}
 	r := &OrderRecord{
@@ -151,10 +152,15 @@
 		l.noteConflicts(r)
 	}
 	l.records = append(l.records, r)
+	s.logOrder("order received", r)
 	signal(s.ordered)
 	return r.Code
 }
 
+// logOrder writes an order's line of the order log, which a crash would lose,
+// into the process's own log.
+func (s *Server) logOrder(event string, r *OrderRecord) { s.cfg.Logger.Info(event, "order", *r) }
+
 func (s *Server) orderRefusal(message httpdriver.OrderMessage) httpdriver.ErrorCode {
 	switch {
 	case message.OrderID == "" || (message.SetRole == nil) == (message.LoadModel == nil):
@@ -224,7 +230,7 @@
 	s.switchTo(r)
 	r.Ended = s.orders.tick()
 	s.switching = false
-	s.cfg.Logger.Info("order ended", "order_id", r.OrderID, "result", string(r.Result), "effect", r.Effect)
+	s.logOrder("order ended", r)
 	return true
 }
 
--- a/standins/kvserver/faults.go
+++ b/standins/kvserver/faults.go
@@ -26,6 +26,9 @@
 	// still to come that take effect while their connection is cut in place of
 	// an answer. Lease calls don't use it up.
 	LoseAnswers int `json:"lose_answers"`
+	// HoldWrites holds back the answers of puts, deletes and transactions, which
+	// have taken effect, until it is cleared. Lease calls are answered.
+	HoldWrites bool `json:"hold_writes"`
 	// LoseProbability is the probability of a lost answer for each write of any
 	// kind, failed compares and lease calls included.
 	LoseProbability float64 `json:"lose_probability"`
--- a/standins/kvserver/handlers.go
+++ b/standins/kvserver/handlers.go
@@ -97,6 +97,9 @@
 	}
 	s.delay()
 	response, err := run(request)
+	if kind == kindPut || kind == kindDeleteRange || kind == kindTxn {
+		s.holdWrite()
+	}
 	if s.faults.loseAnswer(err == nil && isEffective(response)) {
 		s.counter.lost()
 		abort()
@@ -104,6 +107,21 @@
 	return response, err
 }
 
+// holdWrite keeps the answer of a write that was done back while HoldWrites lasts.
+func (s *Server) holdWrite() {
+	for {
+		faults, changed := s.faults.get()
+		if !faults.HoldWrites {
+			return
+		}
+		select {
+		case <-changed:
+		case <-s.closing:
+			abort()
+		}
+	}
+}
+
 // isEffective tells whether a write's answer says that keys were written.
 func isEffective(response any) bool {
 	switch response := response.(type) {
--- a/standins/placer/placer.go
+++ b/standins/placer/placer.go
@@ -69,6 +69,15 @@
 	return small
 }
 
+// OneZone leaves a deployment's first zone, with all its entry hosts, two
+// engines of each application and one service of each.
+func (d Deployment) OneZone() Deployment {
+	zone := d
+	zone.Zones = d.Zones[:1]
+	zone.Engines, zone.Services = shrink(d.Engines, 2), shrink(d.Services, 1)
+	return zone
+}
+
 func shrink(groups []Group, most int) []Group {
 	var shrunk []Group
 	for _, group := range groups {
--- /dev/null
+++ b/tests/authority_test.go
@@ -0,0 +1,331 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/httpdriver"
+	"github.com/endivemast/endivemast/internal/leaser"
+	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/standins/engineserver"
+)
+
+// orderTimeout bounds the conditions on orders: an engine that crashed while it
+// loaded a version is ordered to load it again after half a minute only.
+const orderTimeout = 2 * awaitTimeout
+
+// readRecord reads a zone's record past the network.
+func (c *cluster) readRecord(zone string) (record leaser.Record, err error) {
+	defer func() { err = eris.Wrapf(err, "record of %s", zone) }()
+	var response struct {
+		KVs []struct {
+			Value []byte `json:"value"`
+		} `json:"kvs"`
+	}
+	request := map[string]any{"key": []byte(leaser.RecordKey(zone))}
+	if err := sendJSON(http.MethodPost, "http://"+c.kv.Address+"/v3/kv/range", request, &response); err != nil {
+		return record, err
+	}
+	if len(response.KVs) == 0 {
+		return record, eris.New("there is none")
+	}
+	return record, json.Unmarshal(response.KVs[0].Value, &record)
+}
+
+func (c *cluster) openOrders(zone string) ([]orderer.OpenOrder, error) {
+	record, err := c.readRecord(zone)
+	if err != nil {
+		return nil, err
+	}
+	book, err := orderer.ParseBook(record.Payload)
+	return book.Orders, err
+}
+
+// findAuthority finds the host that "holder/ZONE" or "former/ZONE" names.
+func (c *cluster) findAuthority(name string) ([]*member, error) {
+	kind, zone, _ := strings.Cut(name, "/")
+	switch kind {
+	case "holder":
+		record, err := c.readRecord(zone)
+		if err != nil {
+			return nil, err
+		}
+		c.holders[zone] = record.Holder.HostID
+	case "former":
+	case "running":
+		return c.runningEntries(false), nil
+	case "paused":
+		return c.runningEntries(true), nil
+	default:
+		return nil, eris.Errorf("no host %q", name)
+	}
+	for _, m := range c.members {
+		if m.ID == c.holders[zone] {
+			return []*member{m}, nil
+		}
+	}
+	return nil, eris.Errorf("no host %q", name)
+}
+
+// runningEntries are the entry hosts that have not ended, and are paused or not.
+func (c *cluster) runningEntries(paused bool) (members []*member) {
+	for _, m := range c.kind(provider.HostEntry) {
+		if m.process.running() && m.process.paused == paused {
+			members = append(members, m)
+		}
+	}
+	return members
+}
+
+// orderAwaits are the conditions on authority and orders.
+var orderAwaits = map[string]func(ctx context.Context, c *cluster, args []string) error{
+	"intent":       awaitIntent,
+	"no-intent":    awaitNoIntent,
+	"held":         awaitHeld,
+	"successor":    awaitSuccessor,
+	"version":      awaitVersion,
+	"crash":        awaitCrash,
+	"role-changes": awaitRoleChanges,
+}
+
+func awaitIntent(ctx context.Context, c *cluster, args []string) error {
+	members, err := c.find(args[0])
+	if err != nil {
+		return err
+	}
+	m := members[0]
+	return await(ctx, "intent for "+m.ID, func() error {
+		orders, err := c.openOrders(m.Zone)
+		if err == nil && !slices.ContainsFunc(orders, func(o orderer.OpenOrder) bool { return o.EndpointID == m.ID }) {
+			err = eris.Errorf("the record has %v", orders)
+		}
+		return err
+	})
+}
+
+func awaitNoIntent(ctx context.Context, c *cluster, args []string) error {
+	return await(ctx, "no open orders", func() error {
+		orders, err := c.openOrders(args[0])
+		if err == nil && len(orders) > 0 {
+			err = eris.Errorf("the record has %v", orders)
+		}
+		return err
+	})
+}
+
+func awaitHeld(ctx context.Context, c *cluster, args []string) error {
+	if len(args) != 2 {
+		return errUsage
+	}
+	n, err := strconv.Atoi(args[1])
+	if err != nil {
+		return err
+	}
+	return await(ctx, "held orders", func() error {
+		if held := c.network.held(args[0]); held < n {
+			return eris.Errorf("%d are held", held)
+		}
+		return nil
+	})
+}
+
+// awaitSuccessor waits until the zone's record and liveness have a new holder.
+func awaitSuccessor(ctx context.Context, c *cluster, args []string) error {
+	return await(ctx, "successor in "+args[0], func() error {
+		record, err := c.readRecord(args[0])
+		if err == nil && record.Holder.HostID == c.holders[args[0]] {
+			err = eris.Errorf("%s holds it", record.Holder.HostID)
+		}
+		return err
+	})
+}
+
+// awaitCrash waits until an engine has ended by a fault of its own.
+func awaitCrash(ctx context.Context, c *cluster, args []string) error {
+	members, err := c.find(args[0])
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return eris.Errorf("%s has not crashed", args[0])
+	case <-members[0].process.exited:
+		return members[0].process.closeOutput()
+	}
+}
+
+func awaitVersion(ctx context.Context, c *cluster, args []string) error {
+	if len(args) < 2 {
+		return errUsage
+	}
+	for _, name := range args[1:] {
+		members, err := c.find(name)
+		if err != nil {
+			return err
+		}
+		for _, m := range members {
+			err := await(ctx, m.ID+" at "+args[0], func() error { return m.hasVersion(args[0]) })
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (m *member) hasVersion(version string) error {
+	var report driver.Report
+	if err := getJSON("http://"+m.Address+httpdriver.PathReport, &report); err != nil {
+		return err
+	}
+	if report.Version != version || report.LastOrderState == driver.OrderApplying {
+		return eris.Errorf("has %s, order %s", report.Version, report.LastOrderState)
+	}
+	return nil
+}
+
+func awaitRoleChanges(ctx context.Context, c *cluster, args []string) error {
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	return await(ctx, args[0]+" role changes", func() error {
+		changes := 0
+		for _, m := range c.kind(provider.HostEngine) {
+			orders, err := m.loggedOrders()
+			if err != nil {
+				return err
+			}
+			for i := range orders {
+				if orders[i].SetRole != nil && orders[i].Effect != "" {
+					changes++
+				}
+			}
+		}
+		if changes < want {
+			return eris.Errorf("%d so far", changes)
+		}
+		return nil
+	})
+}
+
+// judgeOrders reads the order log of every engine, of all its starts: no two
+// orders may have been in conflict, and none of a former holder may have had
+// an effect.
+func (c *cluster) judgeOrders() error {
+	var faults []string
+	for _, m := range c.kind(provider.HostEngine) {
+		orders, err := m.loggedOrders()
+		if err != nil {
+			return err
+		}
+		if err := m.compareOrders(orders); err != nil {
+			return err
+		}
+		for i := range orders {
+			faults = append(faults, judgeOrder(m.ID, &orders[i])...)
+		}
+	}
+	if len(faults) > 0 {
+		slices.Sort(faults)
+		return eris.Errorf("orders: %v", faults)
+	}
+	return nil
+}
+
+// compareOrders fails when the log lacks an order that a running engine has.
+func (m *member) compareOrders(logged []engineserver.OrderRecord) error {
+	if !m.process.running() {
+		return nil
+	}
+	var orders []engineserver.OrderRecord
+	if err := getJSON("http://"+m.Address+httpdriver.PathOrders, &orders); err != nil {
+		return err
+	}
+	for i := range orders {
+		if !slices.ContainsFunc(logged, func(r engineserver.OrderRecord) bool { return r.OrderID == orders[i].OrderID }) {
+			return eris.Errorf("%s: order %s is not in the log", m.ID, orders[i].OrderID)
+		}
+	}
+	return nil
+}
+
+// loggedOrders reads what an engine's processes have written of their orders,
+// the crashed ones included; of each order as it was last.
+func (m *member) loggedOrders() (orders []engineserver.OrderRecord, err error) {
+	data, err := os.ReadFile(m.process.output.Name())
+	if err != nil {
+		return nil, eris.Wrapf(err, "log of %s", m.ID)
+	}
+	first := 0 // of the present start
+	for raw := range bytes.Lines(data) {
+		var line struct {
+			Incarnation string                    `json:"incarnation"`
+			Order       *engineserver.OrderRecord `json:"order"`
+		}
+		if json.Unmarshal(raw, &line) != nil {
+			continue
+		}
+		if line.Incarnation != "" {
+			first = len(orders)
+		}
+		if line.Order == nil {
+			continue
+		}
+		i := slices.IndexFunc(orders[first:], func(r engineserver.OrderRecord) bool { return r.Received == line.Order.Received })
+		if i < 0 {
+			orders = append(orders, *line.Order)
+		} else {
+			orders[first+i] = *line.Order
+		}
+	}
+	return orders, nil
+}
+
+// replace stops a host as planned and starts it again.
+func (c *cluster) replace(m *member) error {
+	return withTimeout(func(ctx context.Context) error {
+		if err := c.terminate(ctx, m); err != nil {
+			return err
+		}
+		if err := c.startMember(ctx, m); err != nil {
+			return err
+		}
+		return c.awaitReady(ctx, m)
+	})
+}
+
+func (c *cluster) listLive(m *member) error {
+	m.State = provider.HostLive
+	return c.list(*m)
+}
+
+// hold holds orders back in the network: hold orders HOST.
+func (s *script) hold(args []string) error {
+	if len(args) != 2 || args[0] != "orders" || s.cluster == nil {
+		return errUsage
+	}
+	return s.cluster.network.holdOrders(args[1])
+}
+
+// application changes an application: set NAME FIELD=VALUE... by HOST.
+func (s *script) application(args []string) error {
+	if len(args) < 5 || args[0] != "set" || args[len(args)-2] != "by" {
+		return errUsage
+	}
+	members, err := s.cluster.find(args[len(args)-1])
+	if err != nil {
+		return err
+	}
+	return s.cluster.setEntry(members[0], "applications/"+args[1], "application", parseFields(args[2:len(args)-2]))
+}
--- a/tests/cluster_test.go
+++ b/tests/cluster_test.go
@@ -58,7 +58,8 @@
 	historian *historian
 
 	mu       sync.Mutex
-	revision int64 // of the newest accepted change
+	revision int64             // of the newest accepted change
+	holders  map[string]string // by zone: as last named "holder/ZONE"
 }
 
 // startCluster starts a deployment, configures it and awaits its readiness.
@@ -69,7 +70,7 @@
 			return nil, err
 		}
 	}
-	c = &cluster{options: options, directory: directory, network: newNetwork(), views: make(map[string]*listView)}
+	c = &cluster{options: options, directory: directory, network: newNetwork(), views: make(map[string]*listView), holders: make(map[string]string)}
 	if c.ports, err = takePorts(); err != nil {
 		return nil, err
 	}
@@ -263,7 +264,7 @@
 			return []*member{m}, nil
 		}
 	}
-	return nil, eris.Errorf("no host %q", name)
+	return c.findAuthority(name)
 }
 
 // kill ends a host's process at once.
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -18,7 +18,7 @@
 //
 // # Commands of the scenario language
 //
-//	cluster vitosha|agency small|full [entry.FLAG=VALUE] [engine.FLAG=VALUE] [service.FLAG=VALUE] [kv.FLAG=VALUE]
+//	cluster vitosha|agency small|zone|full [entry.FLAG=VALUE] [engine.FLAG=VALUE] [service.FLAG=VALUE] [kv.FLAG=VALUE]
 //	load start NAME SCENARIO [scale=0.2] [seed=1] [seconds=5] [CLASS.FIELD=VALUE]
 //	load stop NAME            no new arrivals; waits for the account
 //	load wait NAME            waits for the scenario's end
@@ -29,20 +29,34 @@
 //	check config              no host was seen going back to an older configuration
 //	check no-work HOST        the endpoint takes no new work
 //	crash|pause|resume|terminate|start HOST...   by SIGKILL, SIGSTOP, SIGCONT, SIGTERM
+//	replace HOST              terminate, start and await ready
 //	leaving HOST              the platform lists the host as leaving
+//	listed HOST               the platform lists the host as live
 //	unlist HOST               the platform lists the host no more
 //	drain HOST                an operator or the endpoint itself begins a drain
 //	fault HOST JSON           sets faults of a stand-in; the platform's host is kv
 //	cut ZONE from ZONE|platform           both ways
 //	cut ZONE to ZONE|platform             what the first sends is lost
 //	slow ZONE from ZONE|platform 50ms
-//	heal                      ends all cuts and delays
+//	hold orders HOST          what is sent to it as an order waits in the network
+//	heal                      ends all cuts and delays; lets what was held go
 //	class set TENANT/NAME FIELD=VALUE... by HOST      by the operators' API
+//	application set NAME FIELD=VALUE... by HOST       the same for an application
+//	await intent HOST         the zone's record has an open order for the endpoint
+//	await held HOST N         N orders to it wait in the network
+//	await no-intent ZONE      the zone's record has no open order
+//	await successor ZONE      another host than the last holder/ZONE has taken over
+//	await version VERSION HOST...         engines have loaded it
+//	await crash HOST          the engine has crashed by a fault
+//	await role-changes N      the engines have changed their role so often
 //	await ready|unready HOST...
 //	await config HOST...      the newest accepted change is in force there
 //	await authority ZONE [not HOST]       a zone's authority is held (by another host)
 //	await exit HOST           the process ended by itself, with status 0
 //
-// HOST is a host's id, "entries", "engines" or "services". A command that is
+// HOST is a host's id, "entries", "engines" or "services", "holder/ZONE" for the
+// host that holds the zone's authority, "former/ZONE" for the last host that was
+// named so, "paused" for the entry hosts that are, or "running" for those that
+// neither are nor have ended. A command that is
 // preceded by "!" has to fail.
 package tests
--- /dev/null
+++ b/tests/holder_test.go
@@ -0,0 +1,89 @@
+package tests
+
+import (
+	"bytes"
+	"sync"
+	"sync/atomic"
+
+	"github.com/Shopify/toxiproxy/v2"
+	"github.com/Shopify/toxiproxy/v2/toxics"
+	"github.com/rotisserie/eris"
+
+	"github.com/endivemast/endivemast/internal/httpdriver"
+)
+
+const holdToxicName = "hold_orders"
+
+// registerHoldToxic makes the toxic known to the proxy, once for a test run.
+var registerHoldToxic = sync.OnceFunc(func() { toxics.Register(holdToxicName, new(holdToxic)) })
+
+// holdToxic is a toxic that holds orders until it is removed, also when their
+// sender has given up, and lets everything else pass: the network delays
+// one message more than it delays the others.
+type holdToxic struct {
+	held atomic.Int64
+}
+
+var orderPrefix = []byte("POST " + httpdriver.PathOrders)
+
+// Pipe implements toxics.Toxic.
+func (t *holdToxic) Pipe(stub *toxics.ToxicStub) {
+	for {
+		select {
+		case <-stub.Interrupt:
+			return
+		case chunk := <-stub.Input:
+			if chunk == nil {
+				stub.Close()
+				return
+			}
+			if !bytes.HasPrefix(chunk.Data, orderPrefix) {
+				stub.Output <- chunk
+				continue
+			}
+			t.held.Add(1)
+			<-stub.Interrupt
+			stub.Output <- chunk
+			return
+		}
+	}
+}
+
+// holdOrders holds what is sent to an engine as an order, until heal.
+func (n *network) holdOrders(target string) error {
+	registerHoldToxic()
+	proxies := n.proxiesTo(target)
+	if len(proxies) == 0 {
+		return eris.Errorf("nothing goes to %s", target)
+	}
+	for _, proxy := range proxies {
+		toxic := `{"name":"` + holdToxicName + `","type":"` + holdToxicName + `","stream":"` + upstream + `"}`
+		if _, err := proxy.Toxics.AddToxicJson(bytes.NewBufferString(toxic)); err != nil {
+			return eris.Wrapf(err, "hold orders to %s", target)
+		}
+	}
+	return nil
+}
+
+// held counts the orders to an engine that are held.
+func (n *network) held(target string) (count int) {
+	for _, proxy := range n.proxiesTo(target) {
+		if wrapper := proxy.Toxics.GetToxic(holdToxicName); wrapper != nil {
+			if toxic, ok := wrapper.Toxic.(*holdToxic); ok {
+				count += int(toxic.held.Load())
+			}
+		}
+	}
+	return count
+}
+
+func (n *network) proxiesTo(target string) (proxies []*toxiproxy.Proxy) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for r, proxy := range n.proxies {
+		if r.target == target {
+			proxies = append(proxies, proxy)
+		}
+	}
+	return proxies
+}
--- a/tests/judge_test.go
+++ b/tests/judge_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -103,29 +103,6 @@
 	return nil
 }
 
-// judgeOrders reads the order log of every engine that runs: no two orders
-// may have been in conflict, and none of a former holder may have had an effect.
-func (c *cluster) judgeOrders() error {
-	var faults []string
-	for _, m := range c.kind(provider.HostEngine) {
-		if !m.process.running() {
-			continue
-		}
-		var orders []engineserver.OrderRecord
-		if err := getJSON("http://"+m.Address+"/orders", &orders); err != nil {
-			return err
-		}
-		for i := range orders {
-			faults = append(faults, judgeOrder(m.ID, &orders[i])...)
-		}
-	}
-	if len(faults) > 0 {
-		slices.Sort(faults)
-		return eris.Errorf("orders: %v", faults)
-	}
-	return nil
-}
-
 func judgeOrder(engine string, order *engineserver.OrderRecord) (faults []string) {
 	if len(order.ConflictsWith) > 0 {
 		faults = append(faults, fmt.Sprintf("%s: order %s of %s conflicts with %v", engine, order.OrderID, order.Holder, order.ConflictsWith))
@@ -219,27 +196,31 @@
 	})
 }
 
-// setClass changes fields of a class by the operators' API of one host, guarded
-// against races by the revision that it was read at.
+// setClass changes fields of a class by the operators' API of one host.
 func (c *cluster) setClass(by *member, tenant, name string, fields map[string]any) error {
-	url := "http://" + by.operators + "/v1/operator/classes/" + tenant + "/" + name
-	var entry struct {
-		Class    map[string]any `json:"class"`
-		Revision int64          `json:"revision"`
-	}
-	if err := getJSON(url, &entry); err != nil {
+	return c.setEntry(by, "classes/"+tenant+"/"+name, "class", fields)
+}
+
+// setEntry changes fields of a class or an application, guarded against races
+// by the revision that it was read at.
+func (c *cluster) setEntry(by *member, path, kind string, fields map[string]any) error {
+	url := "http://" + by.operators + "/v1/operator/" + path
+	var read map[string]any
+	if err := getJSON(url, &read); err != nil {
 		return err
 	}
-	for field, value := range fields {
-		entry.Class[field] = value
+	entry, ok := read[kind].(map[string]any)
+	if !ok {
+		return eris.Errorf("%s has no %s", path, kind)
 	}
-	delete(entry.Class, "tenant") // both stand in the path
-	delete(entry.Class, "name")
-	entry.Class["if_revision"] = entry.Revision
+	maps.Copy(entry, fields)
+	delete(entry, "tenant") // both stand in the path
+	delete(entry, "name")
+	entry["if_revision"] = read["revision"]
 	var accepted struct {
 		Revision int64 `json:"revision"`
 	}
-	if err := sendJSON(http.MethodPut, url, entry.Class, &accepted); err != nil {
+	if err := sendJSON(http.MethodPut, url, entry, &accepted); err != nil {
 		return err
 	}
 	c.mu.Lock()
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -72,6 +72,7 @@
 	output *os.File
 	offset int64 // of this start's first line in the log
 	exited chan struct{}
+	paused bool // by the last signal
 	group  errgroup.Group
 	err    error // valid once exited is closed
 }
@@ -107,6 +108,7 @@
 }
 
 func (p *process) signal(signal syscall.Signal) error {
+	p.paused = signal == syscall.SIGSTOP
 	return eris.Wrapf(p.cmd.Process.Signal(signal), "signal %s", p.name)
 }
 
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -60,15 +60,19 @@
 			"start": command(each(func(c *cluster, m *member) error {
 				return withTimeout(func(ctx context.Context) error { return c.startMember(ctx, m) })
 			})),
-			"leaving": command(each((*cluster).listLeaving)),
-			"unlist":  command(each((*cluster).unlist)),
-			"drain":   command(each((*cluster).drain)),
-			"fault":   command((*script).fault),
-			"cut":     command((*script).cut),
-			"slow":    command((*script).slow),
-			"heal":    command((*script).heal),
-			"class":   command((*script).class),
-			"await":   command((*script).await),
+			"leaving":     command(each((*cluster).listLeaving)),
+			"unlist":      command(each((*cluster).unlist)),
+			"drain":       command(each((*cluster).drain)),
+			"fault":       command((*script).fault),
+			"cut":         command((*script).cut),
+			"slow":        command((*script).slow),
+			"heal":        command((*script).heal),
+			"class":       command((*script).class),
+			"replace":     command(each((*cluster).replace)),
+			"listed":      command(each((*cluster).listLive)),
+			"hold":        command((*script).hold),
+			"application": command((*script).application),
+			"await":       command((*script).await),
 		},
 	})
 }
@@ -151,8 +155,11 @@
 	if !ok {
 		return eris.Errorf("no deployment %q", args[0])
 	}
-	if args[1] == "small" {
+	switch args[1] {
+	case "small":
 		deployment = deployment.Small()
+	case "zone":
+		deployment = deployment.OneZone()
 	}
 	scenario, err := readScenario(args[0] + "-steady")
 	if err != nil {
@@ -442,8 +449,13 @@
 		return err
 	}
 	tenant, name, _ := strings.Cut(args[1], "/")
+	return s.cluster.setClass(members[0], tenant, name, parseFields(args[2:len(args)-2]))
+}
+
+// parseFields reads FIELD=VALUE; a value that is not JSON is a string.
+func parseFields(settings []string) map[string]any {
 	fields := make(map[string]any)
-	for _, setting := range args[2 : len(args)-2] {
+	for _, setting := range settings {
 		field, value, _ := strings.Cut(setting, "=")
 		var parsed any
 		if err := json.Unmarshal([]byte(value), &parsed); err != nil {
@@ -451,7 +463,7 @@
 		}
 		fields[field] = parsed
 	}
-	return s.cluster.setClass(members[0], tenant, name, fields)
+	return fields
 }
 
 func (s *script) await(args []string) error {
@@ -465,6 +477,11 @@
 		}
 		return withTimeout(func(ctx context.Context) error { return s.cluster.awaitAuthority(ctx, args[1], except) })
 	}
+	if run, ok := orderAwaits[args[0]]; ok {
+		ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+		defer cancel()
+		return run(ctx, s.cluster, args[1:])
+	}
 	waits := map[string]func(ctx context.Context, c *cluster, m *member) error{
 		"ready":   func(ctx context.Context, c *cluster, m *member) error { return c.awaitReady(ctx, m) },
 		"unready": func(ctx context.Context, _ *cluster, m *member) error { return m.awaitUnready(ctx) },
