Engine stand-in: a repeated order raises the fencing number

Scenario authority_two_takeovers failed: the order stayed open for ever, with the killed second holder's send not shown as over. The engine had first taken the order under an older number, and took the successor's repeat of it without noting the repeat's number, so that its report never showed the former holders fenced off. Ruled out: the orderer's decision, which waits rightly for a report with a higher number, as the driver's contract says that it comes.

--- a/standins/engineserver/engineserver_test.go
+++ b/standins/engineserver/engineserver_test.go
@@ -355,6 +355,19 @@
 	}
 }
 
+// A former holder is fenced off by its successor's repeat of its order, also
+// where the engine had taken the order already.
+func TestRepeatRaisesTheFencingNumber(t *testing.T) {
+	engine, target := newEngine(t, func(cfg *engineserver.Config) { cfg.ChecksFencing = true })
+	drv := newDriver(t)
+	first, repeat, other := setRole("first", driver.RoleMixed), setRole("first", driver.RoleMixed), setRole("other", driver.RoleMixed)
+	first.Epoch, other.Epoch, repeat.Epoch = 1, 2, 3
+	assert.NilError(t, drv.Send(t.Context(), target, first))
+	assert.NilError(t, drv.Send(t.Context(), target, repeat))
+	assert.Equal(t, engine.Report(0).Epoch, repeat.Epoch)
+	assert.ErrorIs(t, drv.Send(t.Context(), target, other), driver.ErrStaleEpoch)
+}
+
 func TestReportLags(t *testing.T) {
 	engine, target := newEngine(t, func(cfg *engineserver.Config) { cfg.ReportLag = time.Hour })
 	stream := open(t, newDriver(t), target, newCall("a", 10, 100_000))
--- a/standins/engineserver/orders.go
+++ b/standins/engineserver/orders.go
@@ -128,6 +128,8 @@
 	defer s.mu.Unlock()
 	l := &s.orders
 	if known := l.byID(message.OrderID); known != nil {
+		// The number fences off all earlier senders, whatever the order is.
+		l.highestEpoch = max(l.highestEpoch, message.Epoch)
 		known.Repeats++
 		s.logOrder("order repeated", known)
 		return ""
