Hold a version's order back only where the engine was given it

Scenario orders_frozen_unfenced waited in vain for a new version: a successor that finds a former holder's order open can't give its own yet, and noted the try all the same, so that it tried again after 30 s only. The same delay hit a second change of the version soon after a first. Ruled out: the orderer, which closed the former order within the user timeout of the proof.

Now only an order that the engine took, or may have taken, is held back for 30 s, and only the very same one; TestUpgradeLogHoldsBackOnlyTheSameOrder.

The scenario also awaits now that all hosts know the endpoint as leaving before the version changes; without that the order could go before the freeze.

--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -76,7 +76,7 @@
 	sightingsMu sync.Mutex
 	sightings   map[string]orderer.Sighting // by endpoint id
 
-	upgraded map[string]time.Time // by endpoint id: last order to load; of the planning goroutine
+	upgraded upgradeLog // of the planning goroutine
 
 	draining atomic.Bool
 	drained  chan struct{}
@@ -99,7 +99,7 @@
 	}
 	e = &Entry{
 		cfg: cfg, logger: cfg.Logger.With("host_id", cfg.HostID, "zone", cfg.Zone),
-		sightings: map[string]orderer.Sighting{}, upgraded: map[string]time.Time{}, drained: make(chan struct{}),
+		sightings: map[string]orderer.Sighting{}, upgraded: upgradeLog{}, drained: make(chan struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.group = &errgroup.Group{}
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -15,9 +15,6 @@
 const (
 	planEvery      = time.Second
 	readinessEvery = 200 * time.Millisecond
-	// upgradeAgainAfter keeps an engine that fails to load a version from
-	// being drained for it again and again.
-	upgradeAgainAfter = 30 * time.Second
 	// reasonNoHosts is why a host that has read no list of hosts is not ready.
 	reasonNoHosts = "no_host_list"
 )
@@ -66,13 +63,12 @@
 	}
 	for _, proposal := range e.scheduler.PlanRoles(now) {
 		if own[proposal.EndpointID] {
-			e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
+			_ = e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
 		}
 	}
 	for _, upgrade := range e.planUpgrades() {
-		if own[upgrade.EndpointID] && now.Sub(e.upgraded[upgrade.EndpointID]) > upgradeAgainAfter {
-			e.upgraded[upgrade.EndpointID] = now
-			e.submit(upgrade.EndpointID, upgrade.Order, "configured version")
+		if own[upgrade.EndpointID] && !e.upgraded.isRecent(upgrade, now) {
+			e.upgraded.note(upgrade, now, e.submit(upgrade.EndpointID, upgrade.Order, "configured version"))
 		}
 	}
 }
@@ -92,12 +88,13 @@
 	return int(now.Unix())%len(zones) == before
 }
 
-func (e *Entry) submit(endpointID string, order driver.Order, reason string) {
+func (e *Entry) submit(endpointID string, order driver.Order, reason string) error {
 	if err := e.orderer.Submit(e.ctx, endpointID, order); err != nil {
 		e.logger.Debug("order not submitted", "endpoint_id", endpointID, "error", err)
-		return
+		return err
 	}
 	e.logger.Info("order submitted", "endpoint_id", endpointID, "order", order, "reason", reason)
+	return nil
 }
 
 func (e *Entry) orderFinished(order orderer.OpenOrder, outcome orderer.Outcome) {
--- a/pkg/endivemast/upgrades.go
+++ b/pkg/endivemast/upgrades.go
@@ -1,10 +1,41 @@
 package endivemast
 
 import (
+	"errors"
+	"time"
+
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
 )
 
+// upgradeAgainAfter keeps an engine that fails to load a version from being
+// drained for it again and again.
+const upgradeAgainAfter = 30 * time.Second
+
+// upgradeLog has the last order to load that each engine was given, by
+// endpoint id.
+type upgradeLog map[string]givenUpgrade
+
+type givenUpgrade struct {
+	order driver.LoadModel
+	at    time.Time
+}
+
+// isRecent is true where the engine was given the very same order lately.
+// Another version has to wait for nothing.
+func (l upgradeLog) isRecent(next upgrade, now time.Time) bool {
+	given, ok := l[next.EndpointID]
+	return ok && given.order == next.Order && now.Sub(given.at) <= upgradeAgainAfter
+}
+
+// note keeps an order that the engine has, or may have, taken. One that it was
+// not given, such as while a former holder's order is open, is due again.
+func (l upgradeLog) note(next upgrade, now time.Time, submitErr error) {
+	if submitErr == nil || errors.Is(submitErr, driver.ErrOutcomeUnknown) {
+		l[next.EndpointID] = givenUpgrade{order: next.Order, at: now}
+	}
+}
+
 // upgrade is an engine that is to load what its application is configured to.
 type upgrade struct {
 	EndpointID string
--- a/pkg/endivemast/upgrades_test.go
+++ b/pkg/endivemast/upgrades_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/orderer"
 )
 
 func TestUpgradesTakeOneEngineOfAnApplicationAtATime(t *testing.T) {
@@ -39,3 +41,29 @@
 		})
 	}
 }
+
+func TestUpgradeLogHoldsBackOnlyTheSameOrder(t *testing.T) {
+	given := upgrade{EndpointID: "e1", Order: driver.LoadModel{Model: "m", Version: "2"}}
+	other := upgrade{EndpointID: "e1", Order: driver.LoadModel{Model: "m", Version: "3"}}
+	tests := map[string]struct {
+		submitErr error
+		next      upgrade
+		after     time.Duration
+		want      bool
+	}{
+		"taken":                       {next: given, want: true},
+		"perhaps taken":               {submitErr: driver.ErrOutcomeUnknown, next: given, want: true},
+		"taken long ago":              {next: given, after: upgradeAgainAfter + 1},
+		"another version":             {next: other},
+		"not given: an order is open": {submitErr: orderer.ErrOrderOpen, next: given},
+		"not given: refused":          {submitErr: driver.ErrRefused, next: given},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			log := upgradeLog{}
+			log.note(given, now, test.submitErr)
+			assert.Equal(t, log.isRecent(test.next, now.Add(test.after)), test.want)
+		})
+	}
+}
--- a/tests/authority_test.go
+++ b/tests/authority_test.go
@@ -95,6 +95,7 @@
 	"successor":    awaitSuccessor,
 	"version":      awaitVersion,
 	"crash":        awaitCrash,
+	"leaving":      awaitLeaving,
 	"role-changes": awaitRoleChanges,
 }
 
@@ -150,6 +151,28 @@
 	})
 }
 
+// awaitLeaving waits until every running entry host knows that an endpoint leaves.
+func awaitLeaving(ctx context.Context, c *cluster, args []string) error {
+	for _, m := range c.runningEntries(false) {
+		err := await(ctx, args[0]+" leaving on "+m.ID, func() error {
+			status, err := m.status()
+			if err != nil {
+				return err
+			}
+			for _, endpoint := range status.Endpoints {
+				if endpoint.EndpointID == args[0] && endpoint.State != "leaving" {
+					return eris.Errorf("it is %s", endpoint.State)
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // awaitCrash waits until an engine has ended by a fault of its own.
 func awaitCrash(ctx context.Context, c *cluster, args []string) error {
 	members, err := c.find(args[0])
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -47,6 +47,7 @@
 //	await no-intent ZONE      the zone's record has no open order
 //	await successor ZONE      another host than the last holder/ZONE has taken over
 //	await version VERSION HOST...         engines have loaded it
+//	await leaving HOST        every running entry host knows that the endpoint leaves
 //	await crash HOST          the engine has crashed by a fault
 //	await role-changes N      the engines have changed their role so often
 //	await ready|unready HOST...
