A crashed or leaving engine no longer holds up a new version for the others

Its last report said that it was applying an order, and counted for as long as the platform listed the process. In the same way the engine with the lowest id was chosen before it was asked whether it may be changed, so that one that leaves, drains, or stands in a zone without a holder held up all. Ruled out: the open order in the zone's record, which holds up its own endpoint only.

Now a report counts for 3 s, and only engines of the holder's own zone that live and do not drain are chosen from. One at a time stays: an application with an engine that applies an order waits.

--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -66,8 +66,8 @@
 			_ = e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
 		}
 	}
-	for _, upgrade := range e.planUpgrades() {
-		if own[upgrade.EndpointID] && !e.upgraded.isRecent(upgrade, now) {
+	for _, upgrade := range e.planUpgrades(own, now) {
+		if !e.upgraded.isRecent(upgrade, now) {
 			e.upgraded.note(upgrade, now, e.submit(upgrade.EndpointID, upgrade.Order, "configured version"))
 		}
 	}
--- a/pkg/endivemast/upgrades.go
+++ b/pkg/endivemast/upgrades.go
@@ -12,6 +12,10 @@
 // drained for it again and again.
 const upgradeAgainAfter = 30 * time.Second
 
+// reportHolds is how long a report says something about its engine: several
+// reports have failed by then.
+const reportHolds = 3 * time.Second
+
 // upgradeLog has the last order to load that each engine was given, by
 // endpoint id.
 type upgradeLog map[string]givenUpgrade
@@ -42,25 +46,33 @@
 	Order      driver.LoadModel
 }
 
-// planUpgrades proposes the engines that differ from their application's
-// model, version or adapter, one of an application at a time.
-func (e *Entry) planUpgrades() []upgrade {
+// planUpgrades proposes which of this zone's engines that differ from their
+// application's model, version or adapter load it next, one of an application
+// at a time. An engine that has not reported lately counts for nothing: one
+// that crashed in the middle of an order would look busy for as long as the
+// platform lists it, and the application would never get its version.
+func (e *Entry) planUpgrades(own map[string]bool, now time.Time) []upgrade {
 	e.sightingsMu.Lock()
 	defer e.sightingsMu.Unlock()
 	reports := make(map[string]driver.Report, len(e.sightings))
 	hosts, _ := e.lister.Hosts()
 	for _, host := range hosts {
-		if sighting, ok := e.sightings[host.ID]; ok && sighting.Report.Incarnation == host.Incarnation {
+		sighting, ok := e.sightings[host.ID]
+		if ok && sighting.Report.Incarnation == host.Incarnation && now.Sub(sighting.RequestedAt) < reportHolds {
 			reports[host.ID] = sighting.Report
 		}
 	}
-	return upgrades(reports, e.configurer.Application)
+	return upgrades(reports, func(endpointID string) bool { return own[endpointID] }, e.configurer.Application)
 }
 
 // upgrades is the decision over reports by endpoint id. An application with
 // an engine that is busy with an order waits, so that a new version never
-// takes two engines away at once.
-func upgrades(reports map[string]driver.Report, application func(string) (configurer.Application, bool)) []upgrade {
+// takes two engines away at once. Only engines that may be changed are chosen
+// from: one that leaves, or whose zone has no holder, holds up no other.
+func upgrades(
+	reports map[string]driver.Report, may func(endpointID string) bool,
+	application func(string) (configurer.Application, bool),
+) []upgrade {
 	busy := map[string]bool{}
 	for _, report := range reports {
 		if report.LastOrderState == driver.OrderApplying {
@@ -73,6 +85,9 @@
 		if !ok || wanted.Model == "" || busy[report.Application] || isLoaded(report, wanted) {
 			continue
 		}
+		if report.Draining || !may(endpointID) {
+			continue
+		}
 		if best, found := chosen[report.Application]; !found || endpointID < best.EndpointID {
 			chosen[report.Application] = upgrade{
 				EndpointID: endpointID,
--- a/pkg/endivemast/upgrades_test.go
+++ b/pkg/endivemast/upgrades_test.go
@@ -17,8 +17,11 @@
 	applying := current
 	applying.LastOrderState = driver.OrderApplying
 	other := driver.Report{Application: "desk", Model: "d", Version: "1"}
+	draining := old
+	draining.Draining = true
 	tests := map[string]struct {
 		reports map[string]driver.Report
+		barred  string // the one endpoint that may not be chosen
 		want    []string
 	}{
 		"all current":                      {reports: map[string]driver.Report{"e1": current, "e2": current}},
@@ -26,6 +29,9 @@
 		"waits for the one that is busy":   {reports: map[string]driver.Report{"e1": old, "e2": applying}},
 		"application without a model":      {reports: map[string]driver.Report{"e1": other}},
 		"another application is no bother": {reports: map[string]driver.Report{"e1": old, "e2": other}, want: []string{"e1"}},
+		"one that may not be changed":      {reports: map[string]driver.Report{"e1": old, "e2": old}, barred: "e1", want: []string{"e2"}},
+		"one that drains by itself":        {reports: map[string]driver.Report{"e1": draining, "e2": old}, want: []string{"e2"}},
+		"busy, and may not be changed":     {reports: map[string]driver.Report{"e1": applying, "e2": old}, barred: "e1"},
 	}
 	application := func(name string) (configurer.Application, bool) {
 		return configurer.Application{Name: name, Model: "m", Version: "2"}, name == "letters"
@@ -33,7 +39,8 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var got []string
-			for _, next := range upgrades(test.reports, application) {
+			may := func(endpointID string) bool { return endpointID != test.barred }
+			for _, next := range upgrades(test.reports, may, application) {
 				got = append(got, next.EndpointID)
 				assert.DeepEqual(t, next.Order, driver.LoadModel{Model: "m", Version: "2"})
 			}
