A frozen holder's open order holds up only its own endpoint

Scenario orders_frozen_unfenced, which now looks at the other engines of the application too, failed: while a former holder is frozen, its order to an engine without fencing stays open, as it must; but the new holder chose that engine for the new version again and again, and never the next one. Ruled out: the open order itself, which is per endpoint.

Now the planners leave out endpoints whose open order has only other processes' sends.

--- a/internal/orderer/book.go
+++ b/internal/orderer/book.go
@@ -137,6 +137,10 @@
 	return b
 }
 
+// IsForeign is true where all sends are of other processes than the one named:
+// nobody knows when such an order ends, as a former holder may be frozen.
+func (o OpenOrder) IsForeign(incarnation string) bool { return !o.sentBy(incarnation) }
+
 func (o OpenOrder) sentBy(incarnation string) bool {
 	return slices.ContainsFunc(o.Sends, func(s Send) bool { return s.Sender.Incarnation == incarnation })
 }
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -61,6 +61,11 @@
 	for _, host := range hosts {
 		own[host.ID] = host.Zone == e.cfg.Zone && host.State == provider.HostLive
 	}
+	for _, order := range e.orderer.OpenOrders() {
+		if order.IsForeign(e.cfg.Incarnation) {
+			own[order.EndpointID] = false
+		}
+	}
 	for _, proposal := range e.scheduler.PlanRoles(now) {
 		if own[proposal.EndpointID] {
 			_ = e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
