--- a/standins/placer/placer.go
+++ b/standins/placer/placer.go
@@ -69,12 +69,12 @@
 	return small
 }
 
-// OneZone leaves a deployment's first zone, with all its entry hosts, two
+// OneZone leaves a deployment's first zone, with all its entry hosts, up to four
 // engines of each application and one service of each.
 func (d Deployment) OneZone() Deployment {
 	zone := d
 	zone.Zones = d.Zones[:1]
-	zone.Engines, zone.Services = shrink(d.Engines, 2), shrink(d.Services, 1)
+	zone.Engines, zone.Services = shrink(d.Engines, 4), shrink(d.Services, 1)
 	return zone
 }
 
--- a/tests/cluster_test.go
+++ b/tests/cluster_test.go
@@ -59,6 +59,7 @@
 
 	mu       sync.Mutex
 	revision int64             // of the newest accepted change
+	noted    map[string]int    // by host: how much work it had when it was noted
 	holders  map[string]string // by zone: as last named "holder/ZONE"
 }
 
@@ -70,7 +71,7 @@
 			return nil, err
 		}
 	}
-	c = &cluster{options: options, directory: directory, network: newNetwork(), views: make(map[string]*listView), holders: make(map[string]string)}
+	c = &cluster{options: options, directory: directory, network: newNetwork(), views: make(map[string]*listView), holders: make(map[string]string), noted: make(map[string]int)}
 	if c.ports, err = takePorts(); err != nil {
 		return nil, err
 	}
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -28,6 +28,8 @@
 //	check orders              no conflicting orders, no effect of a former holder
 //	check config              no host was seen going back to an older configuration
 //	check no-work HOST        the endpoint takes no new work
+//	note work HOST            notes how much work the endpoint has taken so far
+//	check noted-work HOST     it has taken none since
 //	crash|pause|resume|terminate|start HOST...   by SIGKILL, SIGSTOP, SIGCONT, SIGTERM
 //	replace HOST              terminate, start and await ready
 //	leaving HOST              the platform lists the host as leaving
--- /dev/null
+++ b/tests/membership_test.go
@@ -0,0 +1,26 @@
+package tests
+
+import "github.com/rotisserie/eris"
+
+// noteWork notes how much work endpoints have taken: note work HOST.
+func (s *script) noteWork(args []string) error {
+	if len(args) != 2 || args[0] != "work" {
+		return errUsage
+	}
+	return each(func(c *cluster, m *member) (err error) {
+		c.noted[m.ID], err = m.workCount()
+		return err
+	})(s, args[1:])
+}
+
+// checkNotedWork fails when an endpoint has taken work since it was noted.
+func (c *cluster) checkNotedWork(m *member) error {
+	n, err := m.workCount()
+	if err != nil {
+		return err
+	}
+	if noted := c.noted[m.ID]; n != noted {
+		return eris.Errorf("%s has taken %d pieces of work since", m.ID, n-noted)
+	}
+	return nil
+}
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -68,6 +68,7 @@
 			"slow":        command((*script).slow),
 			"heal":        command((*script).heal),
 			"class":       command((*script).class),
+			"note":        command((*script).noteWork),
 			"replace":     command(each((*cluster).replace)),
 			"listed":      command(each((*cluster).listLive)),
 			"hold":        command((*script).hold),
@@ -302,6 +303,8 @@
 		return each(func(c *cluster, m *member) error {
 			return withTimeout(func(ctx context.Context) error { return c.awaitNoWork(ctx, m) })
 		})(s, args[1:])
+	case args[0] == "noted-work" && len(args) == 2:
+		return each((*cluster).checkNotedWork)(s, args[1:])
 	case args[0] == "load" && len(args) > 2:
 		run, ok := s.loads[args[1]]
 		if !ok {
