Late orders: the successor goes on to the next version before they come

orders_late passed without its mechanism at the fenced engine: the late order asked for what the engine had. Now only the first order is held, and the successor has given another version by the time that it comes.

--- a/tests/authority_test.go
+++ b/tests/authority_test.go
@@ -333,12 +333,19 @@
 	return c.list(*m)
 }
 
-// hold holds orders back in the network: hold orders HOST.
+// hold holds orders back in the network: hold orders HOST [N].
 func (s *script) hold(args []string) error {
-	if len(args) != 2 || args[0] != "orders" || s.cluster == nil {
+	if len(args) < 2 || args[0] != "orders" || s.cluster == nil {
 		return errUsage
 	}
-	return s.cluster.network.holdOrders(args[1])
+	limit := 0
+	if len(args) == 3 {
+		var err error
+		if limit, err = strconv.Atoi(args[2]); err != nil {
+			return err
+		}
+	}
+	return s.cluster.network.holdOrders(args[1], limit)
 }
 
 // application changes an application: set NAME FIELD=VALUE... by HOST.
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -40,7 +40,7 @@
 //	cut ZONE from ZONE|platform           both ways
 //	cut ZONE to ZONE|platform             what the first sends is lost
 //	slow ZONE from ZONE|platform 50ms
-//	hold orders HOST          what is sent to it as an order waits in the network
+//	hold orders HOST [N]      what is sent to it as an order waits in the network, or N of them
 //	heal                      ends all cuts and delays; lets what was held go
 //	class set TENANT/NAME FIELD=VALUE... by HOST      by the operators' API
 //	application set NAME FIELD=VALUE... by HOST       the same for an application
--- a/tests/holder_test.go
+++ b/tests/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"sync"
 	"sync/atomic"
 
@@ -21,7 +22,9 @@
 // sender has given up, and lets everything else pass: the network delays
 // one message more than it delays the others.
 type holdToxic struct {
-	held atomic.Int64
+	// Limit is how many orders are held; those after them pass. 0: all.
+	Limit int64 `json:"limit"`
+	held  atomic.Int64
 }
 
 var orderPrefix = []byte("POST " + httpdriver.PathOrders)
@@ -37,11 +40,10 @@
 				stub.Close()
 				return
 			}
-			if !bytes.HasPrefix(chunk.Data, orderPrefix) {
+			if !bytes.HasPrefix(chunk.Data, orderPrefix) || !t.takes() {
 				stub.Output <- chunk
 				continue
 			}
-			t.held.Add(1)
 			<-stub.Interrupt
 			stub.Output <- chunk
 			return
@@ -49,16 +51,32 @@
 	}
 }
 
-// holdOrders holds what is sent to an engine as an order, until heal.
-func (n *network) holdOrders(target string) error {
+// takes says whether one more order is held, and counts it.
+func (t *holdToxic) takes() bool {
+	n := t.held.Add(1)
+	if t.Limit > 0 && n > t.Limit {
+		t.held.Add(-1)
+		return false
+	}
+	return true
+}
+
+// holdOrders holds the first orders that are sent to an engine, until heal; a
+// limit of 0 holds all.
+func (n *network) holdOrders(target string, limit int) error {
 	registerHoldToxic()
 	proxies := n.proxiesTo(target)
 	if len(proxies) == 0 {
 		return eris.Errorf("nothing goes to %s", target)
 	}
 	for _, proxy := range proxies {
-		toxic := `{"name":"` + holdToxicName + `","type":"` + holdToxicName + `","stream":"` + upstream + `"}`
-		if _, err := proxy.Toxics.AddToxicJson(bytes.NewBufferString(toxic)); err != nil {
+		toxic, err := json.Marshal(map[string]any{
+			"name": holdToxicName, "type": holdToxicName, "stream": upstream, "attributes": map[string]any{"limit": limit},
+		})
+		if err != nil {
+			return err
+		}
+		if _, err := proxy.Toxics.AddToxicJson(bytes.NewReader(toxic)); err != nil {
 			return eris.Wrapf(err, "hold orders to %s", target)
 		}
 	}
