Configuration: one relay tree for a zone instead of one for each origin

With a tree rooted at each host that has news, 24 changes took more than 60 s to be in force on 390 hosts in 16 zones (TestStoreCalls, a trial at a load of 24 on 12 cores): two watchers of a zone read the same change at the same time, and a host whose parent in either tree heard of the change in the other tree got it by comparison only.

Peers that did not answer in the last 5 s get no pushes, as each one held back the news of the others by the timeout of a call.

Apply tries a store that refuses or answers with a stale read again for a second.

--- a/internal/configurer/applier.go
+++ b/internal/configurer/applier.go
@@ -16,8 +16,11 @@
 const (
 	// applyTimeout bounds Apply where its context doesn't.
 	applyTimeout = 10 * time.Second
-	firstBackoff = 4 * time.Millisecond
-	lastBackoff  = 250 * time.Millisecond
+	// applyPatience is how long a store that can't be reached, or that answers
+	// with a stale read, is tried again before the change is given up.
+	applyPatience = time.Second
+	firstBackoff  = 4 * time.Millisecond
+	lastBackoff   = 250 * time.Millisecond
 )
 
 // attempt is one Apply. A write whose answer was lost stays pending until it is
@@ -48,9 +51,11 @@
 	}
 	defer release(c.committing)
 	a := attempt{change: change}
+	began := time.Now()
 	for backoff := firstBackoff; ; backoff = min(2*backoff, lastBackoff) {
 		revision, done, err := c.try(ctx, &a)
-		if done {
+		patient := errors.Is(err, ErrUnavailable) && time.Since(began) < applyPatience
+		if done && !patient {
 			return revision, err
 		}
 		if waitErr := wait(ctx, rand.N(backoff)+time.Millisecond); waitErr != nil {
@@ -101,7 +106,7 @@
 	switch {
 	case err == nil:
 		c.counters.commits.Add(1)
-		c.absorb(next, c.cfg.HostID)
+		c.absorb(next, fromOutside)
 		return next.Revision, true, nil
 	case errors.Is(err, provider.ErrConflict):
 		c.counters.conflicts.Add(1)
@@ -254,7 +259,7 @@
 		return nil
 	}
 	if err == nil {
-		c.absorb(healed, c.cfg.HostID)
+		c.absorb(healed, fromOutside)
 		c.counters.heals.Add(1)
 		c.logger.Warn("store was behind and has been healed", "store_revision", h.Revision, "revision", st.revision)
 	}
--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -145,8 +145,8 @@
 // news is what is to be passed on to peers.
 type news struct {
 	pending bool
-	after   int64  // passed on are the changes after this revision
-	origin  string // root of the relay tree
+	after   int64 // passed on are the changes after this revision
+	source  source
 }
 
 var (
--- /dev/null
+++ b/internal/configurer/fleet_test.go
@@ -0,0 +1,111 @@
+package configurer
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/exchanger"
+)
+
+// newFleet starts hosts that are spread evenly over zones. Each has the default
+// settings but for how often it reads the store.
+func newFleet(t testing.TB, hosts, zones int, readInterval time.Duration) (fleet []*Configurer, store *fakeStore) {
+	t.Helper()
+	peers := make([]exchanger.Peer, hosts)
+	for i := range peers {
+		peers[i] = exchanger.Peer{HostID: fmt.Sprintf("entry-%03d", i), Zone: fmt.Sprint("zone-", i%zones)}
+	}
+	store = newFakeStore()
+	network := newFakeNetwork(peers...)
+	for _, peer := range peers {
+		c, err := New(Config{
+			HostID: peer.HostID, Zone: peer.Zone, Store: &view{fakeStore: store},
+			Pool: fakePool{network, peer.HostID}, ReadInterval: readInterval,
+		})
+		assert.NilError(t, err)
+		network.hosts[peer.HostID] = c
+		fleet = append(fleet, c)
+	}
+	for _, c := range fleet {
+		c.Start()
+		t.Cleanup(func() { assert.NilError(t, c.Close()) })
+	}
+	return fleet, store
+}
+
+func (s *fakeStore) counts() (calls, watches int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls, len(s.watchers)
+}
+
+// TestStoreCalls counts what docs/CAPACITY.md reckons with.
+func TestStoreCalls(t *testing.T) {
+	tests := map[string]struct{ hosts, zones int }{
+		"nine hosts in three zones":   {9, 3},
+		"390 hosts in sixteen zones":  {390, 16},
+		"a zone with a single host":   {1, 1},
+		"more zones than two a piece": {5, 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			const changes = 24
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			fleet, store := newFleet(t, test.hosts, test.zones, time.Hour)
+			watchers := min(test.hosts, test.zones*DefaultWatchersPerZone)
+			if test.hosts == 5 {
+				watchers = 5
+			}
+			waitReady(ctx, t, fleet)
+			awaitWatches(ctx, t, store, watchers)
+			before, _ := store.counts()
+			for i := range changes {
+				revision := mustApply(t, fleet[i%len(fleet)], setClass(fmt.Sprint("c", i), 0, testClass(fmt.Sprint("brand-", i), "drafting", 5000)))
+				for _, c := range fleet {
+					assert.NilError(t, c.WaitRevision(ctx, revision))
+				}
+			}
+			calls, watches := store.counts()
+			// Read and swap of the head, and for each change, later, read and
+			// swap of a shard document: at most four.
+			t.Logf("%d watches; %.2f calls a change", watches, float64(calls-before)/changes)
+			assert.Assert(t, calls-before <= 4*changes, "%d calls", calls-before)
+			assert.Equal(t, watches, watchers)
+		})
+	}
+}
+
+// TestStoreCallsAtRest counts the reads that guard against silent watches.
+func TestStoreCallsAtRest(t *testing.T) {
+	const readInterval = 250 * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	fleet, store := newFleet(t, 390, 16, readInterval)
+	waitReady(ctx, t, fleet)
+	awaitWatches(ctx, t, store, 32)
+	first, _ := store.counts()
+	began := time.Now()
+	calls := first
+	for calls < first+3*32 {
+		assert.NilError(t, wait(ctx, time.Millisecond))
+		calls, _ = store.counts()
+	}
+	perInterval := float64(calls-first) / (float64(time.Since(began)) / float64(readInterval))
+	t.Logf("%.1f reads an interval by 390 hosts", perInterval)
+	assert.Assert(t, perInterval <= 1.5*32, "%.1f reads an interval", perInterval)
+}
+
+func awaitWatches(ctx context.Context, t *testing.T, store *fakeStore, n int) {
+	t.Helper()
+	for {
+		if _, watches := store.counts(); watches == n {
+			return
+		}
+		assert.NilError(t, wait(ctx, time.Millisecond))
+	}
+}
--- a/internal/configurer/installer.go
+++ b/internal/configurer/installer.go
@@ -12,11 +12,19 @@
 	absorbedDiverge                   // ahead, with another history up to here
 )
 
+// source is where changes came from.
+type source int
+
+const (
+	fromParent  source = iota // pushed down the zone's relay tree
+	fromOutside               // any other way: the zone's tree may not have them yet
+)
+
 // absorb puts a head's changes in force where they follow what is in force
 // here. This is the only way, beside installWhole, in which the state changes,
 // and both go forward only: whatever a peer, a slow read or a restored store
 // says, the revision in force never falls.
-func (c *Configurer) absorb(h head, origin string) absorption {
+func (c *Configurer) absorb(h head, from source) absorption {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	st := c.state.Load()
@@ -42,7 +50,7 @@
 		return absorbedDiverge
 	}
 	c.history.add(h.Changes[known:])
-	c.publish(next, origin)
+	c.publish(next, from)
 	return absorbedNew
 }
 
@@ -62,22 +70,19 @@
 	}
 	c.history.reset(next.revision, next.chain)
 	c.counters.snapshots.Add(1)
-	c.publish(next, c.cfg.HostID)
+	c.publish(next, fromOutside)
 }
 
 // publish makes a state the one in force and has it passed on. c.mu is held.
-func (c *Configurer) publish(next *state, origin string) {
+func (c *Configurer) publish(next *state, from source) {
 	before := c.state.Load().revision
 	c.state.Store(next)
 	close(c.changed)
 	c.changed = make(chan struct{})
-	switch {
-	case !c.news.pending:
-		c.news = news{pending: true, after: before, origin: origin}
-	case c.news.origin != origin:
-		// Two trees with different roots don't cover the zone with one push
-		// each, so this host roots a tree of its own.
-		c.news.origin = c.cfg.HostID
+	if c.news.pending {
+		c.news.source = max(c.news.source, from)
+	} else {
+		c.news = news{pending: true, after: before, source: from}
 	}
 	select {
 	case c.wake <- struct{}{}:
--- a/internal/configurer/relayer.go
+++ b/internal/configurer/relayer.go
@@ -1,7 +1,6 @@
 package configurer
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -23,15 +22,17 @@
 	otherZoneEvery = 3
 	compareTries   = 3 // peers tried in one interval, until one answers
 	fetchTries     = 3 // of a snapshot from one peer
-	// avoidFailedFor keeps comparisons from peers that did not answer, as each
-	// of them may cost a call's whole timeout.
-	avoidFailedFor = 10 * time.Second
+	// avoidFailedFor keeps calls from peers that did not answer, as each may
+	// take its whole timeout, and other peers' news waits behind it. Such a
+	// peer gets the news by its own comparisons once it answers again.
+	avoidFailedFor = 5 * time.Second
 	pushRounds     = 3 // towards one peer, as it turns out to be further behind
 )
 
 var (
-	errNoPeer = errors.New("no peer has a configuration")
-	errGap    = errors.New("peer's changes do not follow")
+	errNoPeer  = errors.New("no peer has a configuration")
+	errGap     = errors.New("peer's changes do not follow")
+	errAvoided = errors.New("peer did not answer a moment ago")
 )
 
 // runPush passes on what came into force to this host's children in the relay
@@ -53,17 +54,25 @@
 	}
 }
 
-// pushAll pushes to the children of this host in the tree. The children of one
-// that can't be reached are pushed to in its place.
+// pushAll pushes to the children of this host in the zone's tree, and first to
+// the root of what came from outside of it. The children of a host that can't
+// be reached are pushed to in its place.
 func (c *Configurer) pushAll(ctx context.Context, n news) {
 	members := c.zoneMembers()
-	targets := c.children(members, n.origin, c.cfg.HostID)
+	targets := c.children(members, c.cfg.HostID)
+	if root := members[0]; n.source == fromOutside && root != c.cfg.HostID {
+		targets = append(targets, root)
+	}
+	reached := map[string]bool{c.cfg.HostID: true}
 	for len(targets) > 0 && ctx.Err() == nil {
 		var next []string
 		for _, hostID := range c.pushEach(ctx, targets, n) {
-			next = append(next, c.children(members, n.origin, hostID)...)
+			next = append(next, c.children(members, hostID)...)
+		}
+		for _, hostID := range targets {
+			reached[hostID] = true
 		}
-		targets = next
+		targets = slices.DeleteFunc(next, func(hostID string) bool { return reached[hostID] })
 	}
 }
 
@@ -74,7 +83,11 @@
 	var group errgroup.Group
 	for i, hostID := range targets {
 		group.Go(func() error {
-			errs[i] = c.pushTo(ctx, hostID, n.after, n.origin)
+			if c.failedLately(hostID) {
+				errs[i] = errAvoided
+				return nil
+			}
+			errs[i] = c.pushTo(ctx, hostID, n.after)
 			return nil
 		})
 	}
@@ -90,31 +103,26 @@
 }
 
 // children are the hosts that a member passes changes on to: the zone's hosts
-// in order of their ids, from the origin on, form a tree in which the host at
-// place p passes on to those at p*fanout+1 to p*fanout+fanout. Hosts that know
-// other members than this one build other trees; comparisons make up for it.
-func (c *Configurer) children(members []string, origin, hostID string) []string {
-	root := slices.Index(members, origin)
-	if root < 0 {
-		root = slices.Index(members, c.cfg.HostID)
-	}
-	n := len(members)
-	place := (slices.Index(members, hostID) - root + n) % n
-	var found []string
-	for p := place*c.cfg.Fanout + 1; p <= (place+1)*c.cfg.Fanout && p < n; p++ {
-		found = append(found, members[(root+p)%n])
-	}
-	return found
+// in order of their ids form a tree in which the host at place p passes on to
+// those at p*fanout+1 to p*fanout+fanout. There is one tree for a zone, and not
+// one for each host that has news: two hosts that read the same change at the
+// same time would root two, and a host whose parent in either tree heard of it
+// in the other one would be left out. Hosts that know other members than this
+// one see another tree; comparisons make up for it.
+func (c *Configurer) children(members []string, hostID string) []string {
+	first := slices.Index(members, hostID)*c.cfg.Fanout + 1
+	last := min(first+c.cfg.Fanout, len(members))
+	if first >= last {
+		return nil
+	}
+	return members[first:last:last]
 }
 
 // pushTo sends a peer the changes after a revision, and further ones that its
 // answers show it to lack. A peer for which this host doesn't keep enough
 // changes fetches the shards when it compares itself.
-func (c *Configurer) pushTo(ctx context.Context, hostID string, after int64, origin string) (err error) {
-	defer func() {
-		c.noteCall(hostID, err)
-		err = eris.Wrapf(err, "push to %s", hostID)
-	}()
+func (c *Configurer) pushTo(ctx context.Context, hostID string, after int64) (err error) {
+	defer func() { err = eris.Wrapf(err, "push to %s", hostID) }()
 	client, err := c.client(hostID)
 	if err != nil {
 		return err
@@ -128,9 +136,8 @@
 		if err != nil {
 			return err
 		}
-		reply, err := c.push(ctx, client, &configurerpb.PushRequest{
-			Position: c.position(), OriginHostId: origin, Head: value,
-		})
+		reply, err := c.push(ctx, client, &configurerpb.PushRequest{Position: c.position(), Head: value})
+		c.noteCall(hostID, err)
 		if err != nil {
 			return err
 		}
@@ -181,7 +188,7 @@
 func (c *Configurer) compareOnce(ctx context.Context, otherZone bool) {
 	peers := c.somePeers(0)
 	slices.SortStableFunc(peers, func(a, b exchanger.Peer) int {
-		return cmp.Or(c.recentFailure(a)-c.recentFailure(b), c.distance(a, otherZone)-c.distance(b, otherZone))
+		return c.distance(a, otherZone) - c.distance(b, otherZone)
 	})
 	for _, peer := range peers[:min(len(peers), compareTries)] {
 		err := c.compareWith(ctx, peer)
@@ -192,14 +199,12 @@
 	}
 }
 
-// recentFailure is 1 for a peer whose last call failed a short time ago, else 0.
-func (c *Configurer) recentFailure(peer exchanger.Peer) int {
+// failedLately says whether a peer's last call failed a short time ago.
+func (c *Configurer) failedLately(hostID string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if at, ok := c.failed[peer.HostID]; ok && time.Since(at) < avoidFailedFor {
-		return 1
-	}
-	return 0
+	at, ok := c.failed[hostID]
+	return ok && time.Since(at) < avoidFailedFor
 }
 
 // noteCall notes whether a peer answered the last call.
@@ -213,12 +218,17 @@
 	}
 }
 
-// distance is 0 for a peer of the kind of zone wanted, else 1.
+// distance orders peers for a comparison: those of the kind of zone wanted come
+// first, and those that did not answer lately come last.
 func (c *Configurer) distance(peer exchanger.Peer, otherZone bool) int {
-	if (peer.Zone != c.cfg.Zone) == otherZone {
-		return 0
+	distance := 0
+	if (peer.Zone != c.cfg.Zone) != otherZone {
+		distance++
+	}
+	if c.failedLately(peer.HostID) {
+		distance += 2
 	}
-	return 1
+	return distance
 }
 
 // somePeers returns n peers in random order; 0 stands for all.
@@ -273,7 +283,7 @@
 	}
 	c.hear(theirs)
 	if theirs.GetRevision() < c.Revision() {
-		err = c.pushTo(ctx, peer.HostID, theirs.GetRevision(), c.cfg.HostID)
+		err = c.pushTo(ctx, peer.HostID, theirs.GetRevision())
 	}
 	return theirs, err
 }
@@ -289,7 +299,7 @@
 	if err != nil {
 		return err
 	}
-	result := c.absorb(h, c.cfg.HostID)
+	result := c.absorb(h, fromOutside)
 	if result == absorbedGap || result == absorbedDiverge {
 		return errGap
 	}
--- a/internal/configurer/service.go
+++ b/internal/configurer/service.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	c.absorb(h, request.GetOriginHostId())
+	c.absorb(h, fromParent)
 	c.hear(request.GetPosition())
 	return &configurerpb.PushReply{Position: c.position()}, nil
 }
--- a/internal/configurer/watcher.go
+++ b/internal/configurer/watcher.go
@@ -210,7 +210,7 @@
 // it. What is missing comes from peers, as they are many, and from the store
 // where they don't have it.
 func (c *Configurer) follow(ctx context.Context, h head) error {
-	result := c.absorb(h, c.cfg.HostID)
+	result := c.absorb(h, fromOutside)
 	if result == absorbedGap || result == absorbedDiverge {
 		if err := c.catchUp(ctx, h); err != nil {
 			return err
@@ -247,7 +247,7 @@
 
 // reaches absorbs a head if possible, and says whether it is in force now.
 func (c *Configurer) reaches(h head) bool {
-	result := c.absorb(h, c.cfg.HostID)
+	result := c.absorb(h, fromOutside)
 	return result == absorbedOld || result == absorbedNew
 }
 
