--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -98,7 +98,9 @@
 		leases: &segmentLeases{store: cfg.Store, clock: cfg.Clock, retention: cfg.Retention},
 	}
 	for number := range shardCount {
-		c.shards = append(c.shards, newShard(shared, number))
+		c.shards = append(c.shards, newShard(shared, number, func(work func(context.Context)) bool {
+			return c.spawn(func() { work(c.ctx) })
+		}))
 	}
 	return c, nil
 }
@@ -133,12 +135,10 @@
 	}
 }
 
-// Start begins the background work: the shards' writers, greetings of peers,
-// renunciations and, while the key-value service is down, the probe.
+// Start begins the background work: greetings of peers, renunciations and,
+// while the key-value service is down, the probe. A shard's writer begins with
+// the first claim that this host commits to it.
 func (c *KeyClaimer) Start() {
-	for _, s := range c.shards {
-		c.spawn(func() { s.run(c.ctx) })
-	}
 	c.spawn(c.runTicks)
 }
 
--- a/internal/claimer/decision.go
+++ b/internal/claimer/decision.go
@@ -99,7 +99,7 @@
 // says that further votes can't change the result.
 func tally(voters int, votes []decision) (result decision, settled bool) {
 	majority := voters/2 + 1
-	var granted, taken, lost int
+	var granted, taken, lost, spent int
 	for _, vote := range votes {
 		switch vote.verdict {
 		case claimerpb.Verdict_VERDICT_CONFLICT, claimerpb.Verdict_VERDICT_RECORDED:
@@ -110,6 +110,8 @@
 			taken++
 		case claimerpb.Verdict_VERDICT_GONE, claimerpb.Verdict_VERDICT_EXPIRED:
 			lost++
+		case claimerpb.Verdict_VERDICT_SPENT:
+			spent++
 		default: // no decision from this voter
 		}
 	}
@@ -122,6 +124,8 @@
 		return decision{verdict: claimerpb.Verdict_VERDICT_GONE}, true
 	case taken > 0:
 		return decision{verdict: claimerpb.Verdict_VERDICT_TAKEN}, taken >= majority || len(votes) == voters
+	case spent > 0:
+		return decision{verdict: claimerpb.Verdict_VERDICT_SPENT}, len(votes) == voters
 	default:
 		return decision{verdict: claimerpb.Verdict_VERDICT_UNAVAILABLE}, len(votes) == voters
 	}
--- a/internal/claimer/renounce.go
+++ b/internal/claimer/renounce.go
@@ -13,6 +13,12 @@
 const (
 	maxRenounced    = 4096
 	renounceWorkers = 16
+	// ticketRenounceTime is how long a ticket's voters are told of a given-up
+	// claim. A voter that doesn't answer for that long is most likely gone, and
+	// its memory with it.
+	ticketRenounceTime = 10 * time.Second
+	// storeRenounceTime covers a long outage of the key-value service.
+	storeRenounceTime = 30 * time.Minute
 )
 
 // renouncer holds the claims that this host has given up and never dispatches,
@@ -72,7 +78,16 @@
 	defer cancel()
 	result, err := c.record(ctx, r.target, r.entry)
 	undecided := err != nil || result.verdict == claimerpb.Verdict_VERDICT_UNAVAILABLE
-	if undecided && c.cfg.Clock().Sub(r.since) < c.cfg.TicketRetention {
+	if undecided && c.cfg.Clock().Sub(r.since) < renounceTime(r.target) {
 		c.keepRenounced(r)
 	}
 }
+
+func renounceTime(where target) time.Duration {
+	switch where.(type) {
+	case ticketTarget:
+		return ticketRenounceTime
+	default:
+		return storeRenounceTime
+	}
+}
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -69,6 +69,8 @@
 type shard struct {
 	shardConfig
 	prefix  string
+	spawn   func(work func(context.Context)) bool // false: closed
+	begin   sync.Once
 	wake    chan struct{}
 	stopped chan struct{} // closed when run has ended
 
@@ -78,10 +80,11 @@
 	table *shardTable // of the run loop only
 }
 
-func newShard(cfg shardConfig, number int) *shard {
+func newShard(cfg shardConfig, number int, spawn func(work func(context.Context)) bool) *shard {
 	return &shard{
 		shardConfig: cfg,
 		prefix:      fmt.Sprintf("%s/%02x", shardPrefix, number),
+		spawn:       spawn,
 		wake:        make(chan struct{}, 1),
 		stopped:     make(chan struct{}),
 	}
@@ -94,6 +97,11 @@
 // submit records an entry and waits for the decision, or until ctx ends. An
 // operation whose ctx has ended before its commit began is dropped.
 func (s *shard) submit(ctx context.Context, key hash, wanted entry) (result decision, err error) {
+	s.begin.Do(func() {
+		if !s.spawn(s.run) {
+			close(s.stopped)
+		}
+	})
 	op := &operation{key: key, wanted: wanted, done: make(chan outcome, 1), ctx: ctx}
 	s.mu.Lock()
 	s.queue = append(s.queue, op)
