--- a/internal/claimer/fake_test.go
+++ b/internal/claimer/fake_test.go
@@ -99,7 +99,9 @@
 	mu    sync.Mutex
 	hosts map[string]*KeyClaimer
 	peers []exchanger.Peer
-	hook  func(ctx context.Context, from, to string, land func(context.Context) error) error
+	// freeGreetings keeps greetings from the hook.
+	freeGreetings bool
+	hook          func(ctx context.Context, from, to string, land func(context.Context) error) error
 }
 
 // poolOf is one host's view of a network.
@@ -140,7 +142,7 @@
 		return status.Error(codes.Unavailable, "host is dead")
 	}
 	server := &service{claimer: peer}
-	if _, isGreeting := args.(*claimerpb.GreetRequest); isGreeting || hook == nil {
+	if _, isGreeting := args.(*claimerpb.GreetRequest); isGreeting && l.freeGreetings || hook == nil {
 		return serve(ctx, server, args, reply)
 	}
 	return hook(ctx, l.from, l.to, func(ctx context.Context) error { return serve(ctx, server, args, reply) })
--- a/internal/claimer/interleaving_test.go
+++ b/internal/claimer/interleaving_test.go
@@ -252,6 +252,7 @@
 		w.dispatch = s.claim(w)
 		scheduled := func(string) provider.Store { return &scheduledStore{memoryStore: w.store, world: w} }
 		w.network = newNetwork(scheduled, nil, worldHosts...)
+		w.freeGreetings = true
 		w.hook = w.call
 		synctest.Wait()
 		if s.ticket {
--- a/internal/claimer/issue.go
+++ b/internal/claimer/issue.go
@@ -11,22 +11,18 @@
 )
 
 // Issue gives a ticket that a tenant can use as a key for TicketRetention. It
-// needs neither the key-value service nor, as a rule, a call to a peer.
+// needs neither the key-value service nor a call to a peer.
 //
 // The ticket names this host and two others, those of its own availability
-// zone first. Where only two hosts are up it names the other one alone, as a
-// majority of two would need both.
-func (c *KeyClaimer) Issue(ctx context.Context, tenant string) (ticket string, err error) {
+// zone first. A host that hears just one peer names that one alone, as a
+// majority of two would need both; one that hears none names itself.
+func (c *KeyClaimer) Issue(_ context.Context, tenant string) (ticket string, err error) {
 	defer func() {
 		if err != nil {
 			err = eris.Wrap(err, "issue ticket")
 		}
 	}()
 	voters := c.peers.voters(ticketVoters - 1)
-	if len(voters) < ticketVoters-1 {
-		c.peers.greetAll(ctx)
-		voters = c.peers.voters(ticketVoters - 1)
-	}
 	if len(voters) != 1 {
 		voters = append(voters, &claimerpb.Voter{
 			HostId: c.cfg.HostID, Incarnation: c.cfg.Incarnation, TickSeconds: c.tick(),
--- a/internal/claimer/peers.go
+++ b/internal/claimer/peers.go
@@ -20,7 +20,7 @@
 	// background traffic doesn't grow with the fleet.
 	greetedPeers = 4
 	// suspectTime is how long a writer that didn't answer is passed over.
-	suspectTime = 2 * time.Second
+	suspectTime = 10 * time.Second
 	// greetInterval is the time between two greetings of a peer.
 	greetInterval = 5 * time.Second
 	// greetingAge is how old a greeting may be for the issue of a ticket.
@@ -147,6 +147,14 @@
 	}
 }
 
+// forget drops the greeting of a peer that didn't answer, so that the next
+// ticket doesn't name it.
+func (t *peerTable) forget(hostID string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.greetings, hostID)
+}
+
 // voters returns up to limit peers that were heard lately, the nearest first.
 func (t *peerTable) voters(limit int) (voters []*claimerpb.Voter) {
 	since := t.cfg.Clock().Add(-greetingAge)
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 
 	"github.com/endivemast/endivemast/internal/claimer/claimerpb"
 	"github.com/endivemast/endivemast/internal/provider"
@@ -32,6 +33,9 @@
 	// segmentIDSize is the size of a segment's random name in bytes. A name that
 	// is in use already makes the write fail.
 	segmentIDSize = 8
+	// commitBurst is how many commits a shard may make without a gap. Without
+	// it a claim would wait for the gap after the record of the call before.
+	commitBurst = 4
 	// tableIdle is how long a host keeps a shard in memory that it doesn't write.
 	tableIdle = time.Minute
 )
@@ -58,7 +62,7 @@
 	leases    *segmentLeases
 	clock     func() time.Time
 	retention time.Duration
-	gap       time.Duration // between the starts of two commits
+	gap       time.Duration // between two commits in the long run
 	timeout   time.Duration // of one commit
 	logger    hclog.Logger
 }
@@ -69,6 +73,7 @@
 type shard struct {
 	shardConfig
 	prefix  string
+	pace    *rate.Limiter
 	spawn   func(work func(context.Context)) bool // false: closed
 	begin   sync.Once
 	wake    chan struct{}
@@ -84,6 +89,7 @@
 	return &shard{
 		shardConfig: cfg,
 		prefix:      fmt.Sprintf("%s/%02x", shardPrefix, number),
+		pace:        rate.NewLimiter(rate.Every(cfg.gap), commitBurst),
 		spawn:       spawn,
 		wake:        make(chan struct{}, 1),
 		stopped:     make(chan struct{}),
@@ -123,9 +129,8 @@
 // run commits until ctx ends.
 func (s *shard) run(ctx context.Context) {
 	defer close(s.stopped)
-	var began time.Time
 	for {
-		if !s.awaitWork(ctx, began) {
+		if !s.awaitWork(ctx) {
 			s.deliverAll(s.take(0), outcome{err: errClosed})
 			return
 		}
@@ -133,14 +138,13 @@
 		if len(ops) == 0 {
 			continue
 		}
-		began = s.clock()
 		s.commitBatch(ctx, ops)
 	}
 }
 
-// awaitWork waits for an operation, and then for the rest of the gap since the
-// last commit began, in which further operations gather.
-func (s *shard) awaitWork(ctx context.Context, began time.Time) bool {
+// awaitWork waits for an operation, and then until the shard may commit again,
+// while further operations gather. It returns false when ctx has ended.
+func (s *shard) awaitWork(ctx context.Context) bool {
 	idle := time.NewTimer(tableIdle)
 	defer idle.Stop()
 	for waiting := true; waiting; {
@@ -153,18 +157,7 @@
 			waiting = false
 		}
 	}
-	left := s.gap - s.clock().Sub(began)
-	if left <= 0 {
-		return true
-	}
-	rest := time.NewTimer(left)
-	defer rest.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-rest.C:
-		return true
-	}
+	return s.pace.Wait(ctx) == nil
 }
 
 // take removes up to limit operations that are still waited for from the
--- a/internal/claimer/target.go
+++ b/internal/claimer/target.go
@@ -159,6 +159,7 @@
 		Tenant: where.tenant, Ticket: where.sealed, Entry: encodeEntry(where.key, wanted),
 	})
 	if err != nil {
+		c.peers.forget(voter.GetHostId())
 		return unavailable
 	}
 	return decodeDecision(reply)
