--- a/internal/claimer/fake_test.go
+++ b/internal/claimer/fake_test.go
@@ -175,13 +175,17 @@
 // newNetwork starts one claimer a name, all in one availability zone.
 func newNetwork(store func(host string) provider.Store, configure func(*Config), names ...string) *network {
 	n := &network{hosts: map[string]*KeyClaimer{}}
+	n.startAll(store, configure, names...)
+	return n
+}
+
+func (n *network) startAll(store func(host string) provider.Store, configure func(*Config), names ...string) {
 	for _, name := range names {
 		n.peers = append(n.peers, exchanger.Peer{HostID: name, Zone: "lozenets"})
 	}
 	for _, name := range names {
 		n.start(name, name+"#1", store(name), configure)
 	}
-	return n
 }
 
 func (n *network) start(name, incarnation string, store provider.Store, configure func(*Config)) {
