--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -52,7 +52,7 @@
 const (
 	DefaultPrefix          = "endivemast/configuration/"
 	DefaultWatchersPerZone = 2
-	DefaultFanout          = 3
+	DefaultFanout          = 2
 	DefaultCompareInterval = 2 * time.Second
 	DefaultReadInterval    = 5 * time.Second
 	DefaultStaleAfter      = 12 * time.Second
