--- a/internal/loader/accountant.go
+++ b/internal/loader/accountant.go
@@ -122,6 +122,7 @@
 type accountant struct {
 	mu      sync.Mutex
 	sent    int
+	lags    []float64 // milliseconds
 	records []record
 	counts  map[Outcome]int
 	inTime  int
@@ -131,10 +132,12 @@
 	return &accountant{counts: make(map[Outcome]int)}
 }
 
-func (a *accountant) send() {
+// send notes a request that goes out, and how long after its time that is.
+func (a *accountant) send(lag time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sent++
+	a.lags = append(a.lags, milliseconds(lag))
 }
 
 func (a *accountant) add(r record) {
@@ -167,9 +170,9 @@
 	return p
 }
 
-// take returns the records; the run has ended.
-func (a *accountant) take() []record {
+// take returns the records and the quantiles of the lag; the run has ended.
+func (a *accountant) take() (records []record, lag Quantiles) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.records
+	return a.records, quantiles(a.lags)
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -181,7 +181,7 @@
 			if !waitUntil(arriving, at) {
 				return nil
 			}
-			r.accountant.send()
+			r.accountant.send(time.Since(at))
 			r.callers.Go(func() error {
 				r.accountant.add(r.caller(next, at).serve(ctx))
 				return nil
@@ -235,12 +235,13 @@
 		r.stopArrivals()
 		elapsed := time.Since(r.begun)
 		r.endWatches()
-		records := r.accountant.take()
+		records, lag := r.accountant.take()
 		var runs map[string]int
 		runs, r.err = readRuns(r.client, r.options.Services)
 		r.client.CloseIdleConnections()
 		judged := judgeRuns(records, runs)
 		r.report = makeReport(&r.options, judged, r.watcher, elapsed)
+		r.report.LagMS = lag
 	})
 	return r.report, r.err
 }
--- a/internal/loader/reporter.go
+++ b/internal/loader/reporter.go
@@ -71,18 +71,21 @@
 
 // Report is the account of a run.
 type Report struct {
-	Scenario        string         `json:"scenario"`
-	Seed            uint64         `json:"seed"`
-	RateScale       float64        `json:"rate_scale"`
-	ElapsedMS       int64          `json:"elapsed_ms"`
-	Classes         []ClassReport  `json:"classes"`
-	Total           ClassReport    `json:"total"`
-	WeightedGoodput float64        `json:"weighted_goodput"` // weighted share in time
-	RoleChanges     int            `json:"role_changes"`
-	RunsJudged      bool           `json:"runs_judged"` // whether the services' run counts were compared
-	Seconds         []SecondReport `json:"seconds"`
-	Roles           []RolePoint    `json:"roles"`
-	Faults          []Fault        `json:"faults"` // the first of them
+	Scenario        string        `json:"scenario"`
+	Seed            uint64        `json:"seed"`
+	RateScale       float64       `json:"rate_scale"`
+	ElapsedMS       int64         `json:"elapsed_ms"`
+	Classes         []ClassReport `json:"classes"`
+	Total           ClassReport   `json:"total"`
+	WeightedGoodput float64       `json:"weighted_goodput"` // weighted share in time
+	RoleChanges     int           `json:"role_changes"`
+	RunsJudged      bool          `json:"runs_judged"` // whether the services' run counts were compared
+	// LagMS is how late the loader itself sent requests. Where it is not far
+	// below the targets the machine was too busy for the run to count.
+	LagMS   Quantiles      `json:"lag_ms"`
+	Seconds []SecondReport `json:"seconds"`
+	Roles   []RolePoint    `json:"roles"`
+	Faults  []Fault        `json:"faults"` // the first of them
 	// Examples has the first detail that came with each reason.
 	Examples map[string]string `json:"examples"`
 }
@@ -257,7 +260,7 @@
 	if err := table.Flush(); err != nil {
 		return eris.Wrap(err, "write table")
 	}
-	fmt.Fprintf(w, "weighted goodput %.3f, role changes %d\n", r.WeightedGoodput, r.RoleChanges)
+	fmt.Fprintf(w, "weighted goodput %.3f, role changes %d; the loader sent %s ms late\n", r.WeightedGoodput, r.RoleChanges, r.LagMS)
 	if !r.RunsJudged {
 		fmt.Fprintln(w, "the services' run counts were not compared (no --service)")
 	}
