Dispatcher: never send under a claim that is overdue

Cause: a process paused between its claim and its send for longer than claims are kept could send under a forgotten claim, while a repeat held a fresh one. The claim's deadline is now checked before the send; when it has passed, the answer is 'unknown' and the key is not let go. The test fails without the check.

--- a/internal/claimer/types.go
+++ b/internal/claimer/types.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Errors of a Claimer. Each is found with errors.Is.
@@ -53,6 +54,14 @@
 	Finish(ctx context.Context, record Record) error
 }
 
+// Bounded is a Claim that must not be dispatched after a moment: behind it the
+// claim may no longer be kept, and a repeat may hold a fresh one.
+type Bounded interface {
+	Claim
+	// Deadline is that moment on this host's clock; ok is false when there is none.
+	Deadline() (deadline time.Time, ok bool)
+}
+
 // Claimer grants claims.
 type Claimer interface {
 	// Claim claims a key for a body. Exactly one of the three is set: a claim
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -143,6 +143,19 @@
 	}
 }
 
+// TestCallIsNotSentUnderAnOverdueClaim stands for a process that was paused
+// between its claim and its send for longer than claims are kept.
+func TestCallIsNotSentUnderAnOverdueClaim(t *testing.T) {
+	endpoints := &fakeEndpoints{callErrs: []error{nil}}
+	claims := &fakeClaimer{deadline: time.Now().Add(-time.Second)}
+	d := newTestDispatcher(configurer.Class{Kind: configurer.KindCall, CompletionTargetMS: 60_000}, endpoints, claims)
+	_, err := d.Call(context.Background(), Request{Tenant: "vitosha", Class: "work", IdempotencyKey: "k"})
+	assert.Equal(t, outcomeOf(t, err), OutcomeUnknown)
+	assert.Equal(t, endpoints.calls, 0)
+	assert.Equal(t, endpoints.held, 0)
+	assert.Equal(t, len(claims.finished), 0, "the key must not be let go")
+}
+
 func TestCallWithoutKeyIsRefused(t *testing.T) {
 	d := newTestDispatcher(configurer.Class{Kind: configurer.KindCall, CompletionTargetMS: 1000}, &fakeEndpoints{}, &fakeClaimer{})
 	_, err := d.Call(context.Background(), Request{Tenant: "vitosha", Class: "work"})
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -141,8 +141,11 @@
 	record   *claimer.Record
 	err      error
 	finished []claimer.State
+	deadline time.Time
 }
 
+func (c *fakeClaimer) Deadline() (time.Time, bool) { return c.deadline, !c.deadline.IsZero() }
+
 func (c *fakeClaimer) Claim(context.Context, claimer.Key, []byte) (claimer.Claim, *claimer.Record, error) {
 	if c.record != nil || c.err != nil {
 		return nil, c.record, c.err
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -92,6 +92,10 @@
 		// with the same key may have run, and only the claim's register could
 		// tell: "not run" would be a guess.
 		failure.Reason, failure.RetryAfter = ReasonClaimUnavailable, retryAfterFault
+		var unavailable *claimer.UnavailableError
+		if errors.As(err, &unavailable) {
+			failure.RetryAfter = unavailable.RetryAfter
+		}
 	}
 	return failure
 }
@@ -107,6 +111,12 @@
 			}
 			return answer, o.giveUp(err)
 		}
+		if o.isOverdue() {
+			// A process that was paused here for very long: its claim may be
+			// forgotten, and the call may have run under a fresh one.
+			grant.Done(scheduler.Abandoned{})
+			return answer, o.fail(OutcomeUnknown, ReasonKeyUsed, "the claim was held for too long before the call was sent", 0)
+		}
 		body, err := o.send(ctx, grant)
 		switch {
 		case err == nil:
@@ -127,6 +137,15 @@
 	}
 }
 
+func (o *once) isOverdue() bool {
+	bounded, ok := o.claim.(claimer.Bounded)
+	if !ok {
+		return false
+	}
+	deadline, ok := bounded.Deadline()
+	return ok && time.Now().After(deadline)
+}
+
 func (o *once) send(ctx context.Context, grant scheduler.Grant) (body []byte, err error) {
 	o.attempts++
 	answer, err := o.dispatcher.cfg.Driver.Call(ctx, grant.Target(), driver.ServiceCall{
