--- a/internal/orderer/model_test.go
+++ b/internal/orderer/model_test.go
@@ -49,13 +49,8 @@
 	Order    OpenOrder
 	Send     Send
 	From, To int
-	Begun    bool // counted as an action
-	Deadline int  // tick after which the network has dropped it; 0: its sender still waits
-}
-
-// String leaves out pointers, so that equal states have equal hashes.
-func (m message) String() string {
-	return fmt.Sprint(m.Order.OrderID, m.Order.EndpointIncarnation, m.Send, m.From, m.To, m.Begun, m.Deadline)
+	Barred   bool // its sender was made to give up
+	Deadline int  // tick at which the network has dropped it; 0: its sender still waits
 }
 
 type endpoint struct {
@@ -145,6 +140,7 @@
 		add(true, "deliver "+name, func(w *world) { w.deliver(i, r, true) })
 		add(faulty, "deliver, answer lost, "+name, func(w *world) { w.Fault++; w.deliver(i, r, false) })
 		add(m.Deadline == 0 && faulty, "time out "+name, func(w *world) { w.Fault++; w.timeOut(i) })
+		add(m.Deadline == 0 && m.Barred, "give up "+name, func(w *world) { w.timeOut(i) })
 	}
 	add(w.Now < lim.ticks, "tick", (*world).tick)
 	return steps
@@ -205,8 +201,7 @@
 	add(faulty, name("crashes"), func(w *world) { w.crash(p) })
 	add(proc.InDoubt != nil, name("late write lands"), func(w *world) { w.land(p) })
 	for i, m := range proc.Queue {
-		add(!m.Begun, name("begins "+m.Send.SendID), func(w *world) { w.begin(p, i, r) })
-		add(m.Begun, name("sends "+m.Send.SendID), func(w *world) { w.emit(p, i, r) })
+		add(true, name("sends "+m.Send.SendID), func(w *world) { w.send(p, i, r) })
 	}
 	if !proc.Held {
 		return
@@ -330,24 +325,20 @@
 	proc.Queue = append(proc.Queue, message{Order: order, Send: send, From: p, To: e})
 }
 
-// begin is leaser.Begin without its clock.
-func (w *world) begin(p, i int, r rules) {
+// send is leaser.Begin, without its clock, and the start of the send. A process
+// that is frozen between the two is one whose send is delivered late.
+func (w *world) send(p, i int, r rules) {
 	proc := &w.Processes[p]
-	if m := &proc.Queue[i]; m.Send.Epoch > proc.Barred || r.noBar {
-		m.Begun = true
+	m := proc.Queue[i]
+	proc.Queue = slices.Delete(proc.Queue, i, i+1)
+	if m.Send.Epoch <= proc.Barred && !r.noBar {
+		proc.Attempts[m.Send.SendID] = Attempt{State: AttemptNotRun, EndedAt: at(w.Now)}
 		return
 	}
-	proc.Attempts[proc.Queue[i].Send.SendID] = Attempt{State: AttemptNotRun, EndedAt: at(w.Now)}
-	proc.Queue = slices.Delete(proc.Queue, i, i+1)
-}
-
-func (w *world) emit(p, i int, r rules) {
-	proc := &w.Processes[p]
-	w.Net = append(w.Net, proc.Queue[i])
+	w.Net = append(w.Net, m)
 	if r.repeatSends {
-		w.Net = append(w.Net, proc.Queue[i])
+		w.Net = append(w.Net, m)
 	}
-	proc.Queue = slices.Delete(proc.Queue, i, i+1)
 }
 
 // deliver lets an endpoint take a send, and checks what it then has taken.
@@ -466,11 +457,10 @@
 	if asked.Alive {
 		asked.Barred = max(asked.Barred, epoch)
 		asked.Held = asked.Held && asked.Record.Epoch > epoch
-		idle = !slices.ContainsFunc(asked.Queue, func(m message) bool { return m.Begun })
 	}
 	for i := range w.Net {
-		if w.Net[i].From == q && w.Net[i].Deadline == 0 {
-			w.timeOut(i) // cancelled by the promise
+		if m := &w.Net[i]; m.From == q && m.Deadline == 0 {
+			m.Barred, idle = true, false
 		}
 	}
 	if idle {
