--- a/internal/orderer/explore_test.go
+++ b/internal/orderer/explore_test.go
@@ -1,6 +1,7 @@
 package orderer
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/endivemast/endivemast/internal/leaser"
 )
@@ -22,12 +24,17 @@
 	path     []string
 	broken   string // first violation, with the schedule that leads to it
 	finished int    // largest number of orders closed by a successor
-	budget   int    // states; 0: no bound
 }
 
-func (x *explorer) explore(w world) {
+func explore(r rules, lim limits) *explorer {
+	x := &explorer{rules: r, lim: lim, seen: make(map[uint64]struct{})}
+	x.visit(newWorld(lim))
+	return x
+}
+
+func (x *explorer) visit(w world) {
 	key := w.hash()
-	if _, seen := x.seen[key]; seen || x.broken != "" || x.budget > 0 && len(x.seen) >= x.budget {
+	if _, seen := x.seen[key]; seen || x.broken != "" {
 		return
 	}
 	x.seen[key] = struct{}{}
@@ -41,104 +48,135 @@
 		s.run(&next)
 		next.forget()
 		x.path = append(x.path, s.name)
-		x.explore(next)
+		x.visit(next)
 		x.path = x.path[:len(x.path)-1]
 	}
 }
 
-// hash leaves out what does not decide what may happen: the count of writes.
+// hash keeps of the revisions only whether a process has the last one.
 func (w world) hash() uint64 {
 	var k key
 	for _, p := range w.Processes {
-		k.flags(p.Alive, p.Held, p.Revision == w.Revision, p.InDoubt != nil, p.DoubtRev == w.Revision)
-		k.record(p.Record)
+		k.add(p.Alive, p.Held, p.Revision == w.Revision, p.DoubtRev == w.Revision, p.Barred, p.Record)
 		if p.InDoubt != nil {
-			k.record(*p.InDoubt)
+			k.add("late", *p.InDoubt)
 		}
-		k.ints(p.Barred)
-		k.messages(p.Queue)
+		k.add(p.Queue, p.Learned, p.Proofs, len(p.Attempts))
 		for _, id := range slices.Sorted(maps.Keys(p.Attempts)) {
-			k.text(id)
-			k.ints(int64(p.Attempts[id].State), p.Attempts[id].EndedAt.Unix())
-		}
-		k.times(p.Learned)
-		k.times(p.Proofs)
-		for _, s := range p.Sightings {
-			if k.flags(s != nil); s != nil {
-				k.text(s.Report.Incarnation, s.Report.LastOrderID, string(s.Report.LastOrderState))
-				k.ints(s.RequestedAt.Unix(), s.Report.Epoch)
-			}
+			k.add(id, int(p.Attempts[id].State), int(p.Attempts[id].EndedAt.Unix()))
 		}
 	}
-	for _, e := range w.Endpoints {
-		k.text(append(e.Taken, e.LastID, string(e.State))...)
-		k.ints(int64(e.Restarts), e.Fence, e.MaxEpoch)
+	for i, e := range w.Endpoints {
+		k.add(strings.Join(e.Taken, ","), e.LastID, string(e.State), e.Restarts, e.Fence, e.MaxEpoch)
+		if s := w.Reports[i]; s != nil {
+			r := s.Report
+			k.add(int(s.RequestedAt.Unix()), r.Incarnation, r.LastOrderID, string(r.LastOrderState), r.Epoch)
+		}
 	}
-	k.record(w.Record)
-	k.messages(w.Net)
-	k.flags(w.Finished > 0, w.Broken != "")
-	k.ints(int64(w.Now), int64(w.Orders), int64(w.Fault))
+	k.add(w.Record, w.Net, w.Finished > 0, w.Broken, w.Now, w.Orders, w.Fault)
 	return xxhash.Sum64(k)
 }
 
-// key is a state as bytes.
+// key is a state as bytes; a reflecting encoder is several times slower.
 type key []byte
 
-func (k *key) flags(flags ...bool) {
-	for _, flag := range flags {
-		*k = strconv.AppendBool(*k, flag)
-	}
-}
-
-func (k *key) ints(ints ...int64) {
-	for _, i := range ints {
-		*k = append(strconv.AppendInt(*k, i, 10), ' ')
-	}
-}
-
-func (k *key) text(texts ...string) {
-	for _, text := range texts {
-		*k = append(append(*k, text...), 0)
+func (k *key) add(values ...any) {
+	for _, value := range values {
+		switch v := value.(type) {
+		case bool:
+			*k = strconv.AppendBool(*k, v)
+		case int:
+			*k = strconv.AppendInt(*k, int64(v), 10)
+		case int64:
+			*k = strconv.AppendInt(*k, v, 10)
+		case string:
+			*k = append(*k, v...)
+		case leaser.Record:
+			k.add(string(v.Payload), v.Holder.Incarnation, v.Epoch, v.Term)
+		case []message:
+			for _, m := range v {
+				k.add(m.Order.OrderID, m.Order.EndpointIncarnation, m.Send.SendID, m.From, m.To, m.Deadline, m.Barred)
+			}
+		case map[string]time.Time:
+			for _, id := range slices.Sorted(maps.Keys(v)) {
+				k.add(id, int(v[id].Unix()))
+			}
+		default:
+			panic(fmt.Sprintf("key of %T", value))
+		}
+		*k = append(*k, 0)
 	}
 }
 
-func (k *key) record(r leaser.Record) {
-	k.text(string(r.Payload), r.Holder.Incarnation)
-	k.ints(r.Epoch, r.Term)
-}
+var (
+	noFaults = limits{processes: 2, endpoints: 1, orders: 2, epochs: 5, ticks: 3}
+	oneFault = limits{processes: 2, endpoints: 1, orders: 2, epochs: 4, ticks: 2, faults: 1}
+	// sameAgain leaves an epoch for an order that is given again.
+	sameAgain = limits{processes: 2, endpoints: 1, orders: 2, epochs: 5, ticks: 2, faults: 1}
+)
 
-func (k *key) messages(messages []message) {
-	for _, m := range messages {
-		k.text(m.Order.OrderID, m.Order.EndpointIncarnation, m.Send.SendID)
-		k.ints(int64(m.From), int64(m.To), int64(m.Deadline))
-		k.flags(m.Barred)
+func TestExhaustive(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		rules rules
+		lim   limits
+	}{
+		"ignores fencing, late and frozen": {lim: noFaults},
+		"ignores fencing, one fault":       {lim: oneFault},
+		"checks fencing, late and frozen":  {rules: rules{fenced: true}, lim: noFaults},
+		"checks fencing, one fault":        {rules: rules{fenced: true}, lim: oneFault},
 	}
-	k.text("")
-}
-
-func (k *key) times(times map[string]time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(times)) {
-		k.text(id)
-		k.ints(times[id].Unix())
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := explore(test.rules, test.lim)
+			assert.Equal(t, x.broken, "")
+			assert.Assert(t, x.finished > 0, "no order was ever closed by a successor: the model shows nothing")
+			t.Logf("%d states", len(x.seen))
+		})
 	}
-	k.text("")
 }
 
-func TestExhaustive(t *testing.T) {
+// TestBrokenVariantsAreCaught switches off one protection at a time.
+func TestBrokenVariantsAreCaught(t *testing.T) {
 	t.Parallel()
 	tests := map[string]rules{
-		"endpoint ignores fencing numbers": {},
-		"endpoint checks fencing numbers":  {fenced: true},
+		"send without a confirmed intent":    {skipIntent: true},
+		"send without an intent, fenced":     {skipIntent: true, fenced: true},
+		"different order before proof":       {closeUnproved: true},
+		"proof without the user timeout":     {noUserTimeout: true},
+		"send to whoever is at the address":  {unboundSends: true},
+		"send to a restarted and fenced one": {unboundSends: true, fenced: true},
+		"promise that is not kept":           {noBar: true},
+		"transport that repeats":             {repeatSends: true},
 	}
 	for name, r := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			lim := limits{processes: 2, endpoints: 1, orders: 2, epochs: 5, ticks: 3, faults: 1}
-			x := explorer{rules: r, lim: lim, seen: make(map[uint64]struct{}), budget: 400000}
-			x.explore(newWorld(lim))
-			assert.Equal(t, x.broken, "")
-			assert.Assert(t, x.finished > 0, "no order was ever closed by a successor: the model shows nothing")
-			t.Logf("%d states", len(x.seen))
+			x := explore(r, sameAgain)
+			assert.Assert(t, x.broken != "", "not caught in %d states", len(x.seen))
+			t.Log(x.broken)
 		})
 	}
 }
+
+// TestRandomSchedules walks where the states are too many to visit them all.
+func TestRandomSchedules(t *testing.T) {
+	t.Parallel()
+	lim := limits{processes: 3, endpoints: 2, orders: 6, epochs: 16, ticks: 8, faults: 4}
+	rapid.Check(t, func(t *rapid.T) {
+		r := rules{fenced: rapid.Bool().Draw(t, "fenced")}
+		w := newWorld(lim)
+		for range rapid.IntRange(0, 150).Draw(t, "length") {
+			steps := w.steps(r, lim)
+			if len(steps) == 0 {
+				return
+			}
+			s := rapid.SampledFrom(steps).Draw(t, "step")
+			t.Log(s.name)
+			s.run(&w)
+			w.forget()
+			assert.Equal(t, w.Broken, "")
+		}
+	})
+}
--- a/internal/orderer/model_test.go
+++ b/internal/orderer/model_test.go
@@ -42,7 +42,6 @@
 	Attempts    map[string]Attempt
 	Learned     map[string]time.Time
 	Proofs      map[string]time.Time
-	Sightings   []*Sighting
 }
 
 type message struct {
@@ -63,22 +62,21 @@
 }
 
 type world struct {
-	Now, Revision         int
-	Record                leaser.Record
-	Processes             []process
-	Endpoints             []endpoint
-	Net                   []message
-	Orders, Writes, Fault int
-	Finished              int    // orders closed by another process than gave them
-	Broken                string // what the check found
+	Now, Revision int
+	Record        leaser.Record
+	Processes     []process
+	Endpoints     []endpoint
+	Reports       []*Sighting // last report of each endpoint; lags until the next
+	Net           []message
+	Orders, Fault int
+	Finished      int    // orders closed by another process than gave them
+	Broken        string // what the check found
 }
 
 func newWorld(lim limits) world {
-	w := world{Now: 1, Endpoints: make([]endpoint, lim.endpoints)}
+	w := world{Now: 1, Endpoints: make([]endpoint, lim.endpoints), Reports: make([]*Sighting, lim.endpoints)}
 	for range lim.processes {
-		w.Processes = append(w.Processes, process{
-			Alive: true, Attempts: make(map[string]Attempt), Sightings: make([]*Sighting, lim.endpoints),
-		})
+		w.Processes = append(w.Processes, process{Alive: true, Attempts: make(map[string]Attempt)})
 	}
 	return w
 }
@@ -87,14 +85,14 @@
 	w.Processes = slices.Clone(w.Processes)
 	for i := range w.Processes {
 		p := &w.Processes[i]
-		p.Queue, p.Sightings = slices.Clone(p.Queue), slices.Clone(p.Sightings)
+		p.Queue = slices.Clone(p.Queue)
 		p.Attempts, p.Learned, p.Proofs = maps.Clone(p.Attempts), maps.Clone(p.Learned), maps.Clone(p.Proofs)
 	}
 	w.Endpoints = slices.Clone(w.Endpoints)
 	for i := range w.Endpoints {
 		w.Endpoints[i].Taken = slices.Clone(w.Endpoints[i].Taken)
 	}
-	w.Net = slices.Clone(w.Net)
+	w.Net, w.Reports = slices.Clone(w.Net), slices.Clone(w.Reports)
 	return w
 }
 
@@ -130,6 +128,7 @@
 		add(w.Endpoints[e].State == driver.OrderApplying, fmt.Sprintf("apply e%d", e), func(w *world) {
 			w.Endpoints[e].State = driver.OrderApplied
 		})
+		add(parse(w.Record).find(fmt.Sprintf("e%d", e)) >= 0, fmt.Sprintf("report of e%d", e), func(w *world) { w.report(e) })
 		add(faulty, fmt.Sprintf("restart e%d", e), func(w *world) {
 			w.Fault++
 			w.Endpoints[e] = endpoint{Restarts: w.Endpoints[e].Restarts + 1}
@@ -142,7 +141,7 @@
 		add(m.Deadline == 0 && faulty, "time out "+name, func(w *world) { w.Fault++; w.timeOut(i) })
 		add(m.Deadline == 0 && m.Barred, "give up "+name, func(w *world) { w.timeOut(i) })
 	}
-	add(w.Now < lim.ticks, "tick", (*world).tick)
+	add(w.Now < lim.ticks && len(parse(w.Record).Orders) > 0, "tick", (*world).tick)
 	return steps
 }
 
@@ -157,8 +156,10 @@
 	for i := range w.Processes {
 		p := &w.Processes[i]
 		if !p.Held {
-			p.Record, p.Revision, p.Learned, p.Proofs = leaser.Record{}, 0, nil, nil
-			clear(p.Sightings)
+			p.Record, p.Revision = leaser.Record{}, 0
+		}
+		if !p.Held || p.Record.Term != w.Record.Term { // a succeeded holder can't write what it decides
+			p.Learned, p.Proofs = make(map[string]time.Time), make(map[string]time.Time)
 		}
 		open := make(map[string]bool)
 		for _, order := range slices.Concat(parse(p.Record).Orders, parse(w.Record).Orders) {
@@ -170,10 +171,10 @@
 		maps.DeleteFunc(p.Learned, func(id string, _ time.Time) bool { return !open[id] })
 		maps.DeleteFunc(p.Proofs, func(id string, _ time.Time) bool { return !open[id] })
 		maps.DeleteFunc(p.Attempts, func(id string, a Attempt) bool { return !open[id] && a.State != AttemptRunning })
-		for e := range p.Sightings {
-			if !open[fmt.Sprintf("e%d", e)] {
-				p.Sightings[e] = nil
-			}
+	}
+	for e := range w.Reports {
+		if parse(w.Record).find(fmt.Sprintf("e%d", e)) < 0 {
+			w.Reports[e] = nil
 		}
 	}
 }
@@ -196,7 +197,8 @@
 func (w *world) processSteps(p int, r rules, lim limits, faulty bool, add func(bool, string, func(*world))) {
 	proc := w.Processes[p]
 	name := func(what string) string { return fmt.Sprintf("p%d %s", p, what) }
-	add(!proc.Held && w.Record.Epoch < int64(lim.epochs) && w.Record.Holder.Incarnation != incarnation(p),
+	first := w.Record.Epoch > 0 || p == 0 // the processes are alike
+	add(first && !proc.Held && w.Record.Epoch < int64(lim.epochs) && w.Record.Holder.Incarnation != incarnation(p),
 		name("takes over"), func(w *world) { w.takeOver(p) })
 	add(faulty, name("crashes"), func(w *world) { w.crash(p) })
 	add(proc.InDoubt != nil, name("late write lands"), func(w *world) { w.land(p) })
@@ -216,7 +218,6 @@
 		if i := book.find(fmt.Sprintf("e%d", e)); i >= 0 {
 			same := book.Orders[i].Order.SetRole.Role
 			add(w.Record.Epoch < int64(lim.epochs), name("orders the same again"), func(w *world) { w.submit(p, e, same, r, "") })
-			add(true, name(fmt.Sprintf("reads e%d", e)), func(w *world) { w.observe(p, e) })
 		}
 	}
 	for _, order := range book.Orders {
@@ -225,9 +226,8 @@
 }
 
 func (w *world) takeOver(p int) {
-	w.Writes++
 	holder := leaser.Holder{HostID: incarnation(p), Incarnation: incarnation(p)}
-	w.Record = leaser.TakeOver(w.Record, "z", holder, fmt.Sprint(w.Writes))
+	w.Record = leaser.TakeOver(w.Record, "z", holder, "")
 	w.Revision++
 	proc := &w.Processes[p]
 	proc.Held, proc.Record, proc.Revision = true, w.Record, w.Revision
@@ -248,8 +248,7 @@
 // later or never, and "lost" for one that lands unknown to its writer.
 func (w *world) write(p int, lost string, edit func(*Book, *leaser.Draft) error) (ok bool) {
 	proc := &w.Processes[p]
-	w.Writes++
-	next, err := leaser.Revise(proc.Record, fmt.Sprint(w.Writes), func(draft *leaser.Draft) error {
+	next, err := leaser.Revise(proc.Record, "", func(draft *leaser.Draft) error {
 		book, err := ParseBook(draft.Payload)
 		if err != nil {
 			return err
@@ -400,9 +399,9 @@
 	}
 }
 
-func (w *world) observe(p, e int) {
+func (w *world) report(e int) {
 	end := w.Endpoints[e]
-	w.Processes[p].Sightings[e] = &Sighting{RequestedAt: at(w.Now), Report: driver.Report{
+	w.Reports[e] = &Sighting{RequestedAt: at(w.Now), Report: driver.Report{
 		Incarnation: w.endpointIncarnation(e), Epoch: end.Fence, LastOrderID: end.LastID, LastOrderState: end.State,
 	}}
 }
@@ -414,7 +413,7 @@
 	_, _ = fmt.Sscanf(order.EndpointID, "e%d", &e)
 	view := View{
 		Now: at(w.Now), Self: incarnation(p), LearnedAt: proc.Learned[order.OrderID], ChecksFencing: r.fenced,
-		Sighting: proc.Sightings[e], Attempts: proc.Attempts, Proofs: proc.Proofs, UserTimeout: modelUserTimeout * time.Second,
+		Sighting: w.Reports[e], Attempts: proc.Attempts, Proofs: proc.Proofs, UserTimeout: modelUserTimeout * time.Second,
 	}
 	if r.noUserTimeout {
 		view.UserTimeout = 0
