--- /dev/null
+++ b/tests/random_test.go
@@ -0,0 +1,232 @@
+package tests
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"syscall"
+	"testing"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/loader"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/standins/placer"
+)
+
+// Settings of the longer random run, such as
+//
+//	ENDIVEMAST_TEST_SEED=17 ENDIVEMAST_TEST_ROUNDS=40 go test ./tests -run TestRandomFaults -timeout 1h
+const (
+	envSeed   = "ENDIVEMAST_TEST_SEED"
+	envRounds = "ENDIVEMAST_TEST_ROUNDS"
+)
+
+const (
+	defaultRounds    = 4
+	requestsPerRound = 60 // that arrive while a round's faults last
+	randomScale      = 0.2
+	hoursOfLoad      = 2
+)
+
+// disturbance is one kind of fault that a random schedule brings about. begin
+// returns how it is ended.
+type disturbance struct {
+	name  string
+	layer string // two at once come from different layers
+	begin func(c *cluster, rng *rand.Rand) (end func(ctx context.Context) error, err error)
+}
+
+func disturbances() []disturbance {
+	return []disturbance{
+		{"crash an entry host", "host", crashOne(provider.HostEntry)},
+		{"crash an engine", "host", crashOne(provider.HostEngine)},
+		{"pause an entry host", "host", pauseOne(provider.HostEntry)},
+		{"pause an engine", "host", pauseOne(provider.HostEngine)},
+		{"replace an entry host", "host", replaceOne},
+		{"cut two zones off from each other", "network", cutZones(bothWays)},
+		{"cut two zones off one way", "network", cutZones(oneWay)},
+		{"cut a zone off from the platform", "network", cutPlatform},
+		{"take the store down", "store", storeFault(`{"down":true}`, `{"down":false}`)},
+		{"silence the store", "store", storeFault(`{"black_hole":true}`, `{"black_hole":false}`)},
+		{"slow the store down", "store", storeFault(`{"latency_ms":400}`, `{"latency_ms":0}`)},
+		{"lose the store's answers", "store", storeFault(`{"lose_probability":0.3}`, `{"lose_probability":0}`)},
+		{"race operators", "operators", raceOperators},
+	}
+}
+
+// pick draws a live host of a kind.
+func (c *cluster) pick(kind provider.HostKind, rng *rand.Rand) *member {
+	members := c.kind(kind)
+	return members[rng.IntN(len(members))]
+}
+
+func crashOne(kind provider.HostKind) func(*cluster, *rand.Rand) (func(context.Context) error, error) {
+	return func(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+		m := c.pick(kind, rng)
+		return func(ctx context.Context) error { return c.startMember(ctx, m) }, c.kill(m)
+	}
+}
+
+func pauseOne(kind provider.HostKind) func(*cluster, *rand.Rand) (func(context.Context) error, error) {
+	return func(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+		m := c.pick(kind, rng)
+		return func(context.Context) error { return m.process.signal(syscall.SIGCONT) }, m.process.signal(syscall.SIGSTOP)
+	}
+}
+
+func replaceOne(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+	m := c.pick(provider.HostEntry, rng)
+	return func(ctx context.Context) error {
+		if err := c.awaitExit(ctx, m); err != nil {
+			return err
+		}
+		return c.startMember(ctx, m)
+	}, m.process.signal(syscall.SIGTERM)
+}
+
+func cutZones(d direction) func(*cluster, *rand.Rand) (func(context.Context) error, error) {
+	return func(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+		zones := c.options.Deployment.Zones
+		order := rng.Perm(len(zones))
+		return c.heal, c.network.cut(zones[order[0]], zones[order[1]], d)
+	}
+}
+
+func cutPlatform(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+	zones := c.options.Deployment.Zones
+	return c.heal, c.network.cut(zones[rng.IntN(len(zones))], platformZone, bothWays)
+}
+
+func (c *cluster) heal(context.Context) error {
+	c.network.heal()
+	return nil
+}
+
+func storeFault(begin, end string) func(*cluster, *rand.Rand) (func(context.Context) error, error) {
+	return func(c *cluster, _ *rand.Rand) (func(context.Context) error, error) {
+		return func(context.Context) error { return c.setFaults(c.kv, end) }, c.setFaults(c.kv, begin)
+	}
+}
+
+// raceOperators has two operators change the same class by different hosts.
+// One of them may be refused; what was accepted has to come into force.
+func raceOperators(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+	entries := c.kind(provider.HostEntry)
+	order := rng.Perm(len(entries))
+	target := 2000 + rng.IntN(1000)
+	var group errgroup.Group
+	for i := range 2 {
+		group.Go(func() error {
+			class := c.options.Scenario.Classes[0]
+			// A refusal, and no answer, are as good as an acceptance here.
+			_ = c.setClass(entries[order[i]], class.Tenant, class.Name, map[string]any{"completion_target_ms": target + i})
+			return nil
+		})
+	}
+	return func(context.Context) error { return group.Wait() }, nil
+}
+
+// TestRandomFaults brings two faults about at a time, in random order from a
+// printed seed, under load, and checks every promise at the end.
+func TestRandomFaults(t *testing.T) {
+	seeds, rounds := []uint64{1, 2}, defaultRounds
+	if value := os.Getenv(envSeed); value != "" {
+		seed, err := strconv.ParseUint(value, 10, 64)
+		assert.NilError(t, err, envSeed)
+		seeds = []uint64{seed}
+	}
+	if value := os.Getenv(envRounds); value != "" {
+		var err error
+		rounds, err = strconv.Atoi(value)
+		assert.NilError(t, err, envRounds)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			runRandomFaults(t, seed, rounds)
+		})
+	}
+}
+
+func runRandomFaults(t *testing.T, seed uint64, rounds int) {
+	scenario, err := readScenario("vitosha-steady")
+	assert.NilError(t, err)
+	clusterSlots <- struct{}{}
+	defer func() { <-clusterSlots }()
+	c, err := startCluster(t.TempDir(), clusterOptions{
+		Deployment: placer.Vitosha().Small(), Scenario: scenario, Flags: map[string][]string{"entry": {"--lease-ttl=1s"}},
+	})
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, c.Close()) }()
+	options := c.loadOptions()
+	options.Scenario, options.Seed = endless(scenario), seed
+	run, err := loader.Start(context.Background(), options)
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, run.Close()) }()
+	rng := rand.New(rand.NewPCG(seed, 0))
+	for round := range rounds {
+		err := c.disturb(t, run, rng)
+		assert.NilError(t, err, "seed %d, round %d", seed, round)
+	}
+	run.Stop()
+	report, err := run.Wait()
+	assert.NilError(t, err)
+	var table testWriter
+	assert.NilError(t, report.WriteTable(&table))
+	t.Logf("seed %d\n%s", seed, table)
+	assert.NilError(t, errors.Join(report.Verdict(), c.judgeOrders(), c.judgeConfig()))
+}
+
+// testWriter collects what is written.
+type testWriter []byte
+
+func (w *testWriter) Write(p []byte) (int, error) {
+	*w = append(*w, p...)
+	return len(p), nil
+}
+
+// endless is a scenario's even mix, for as long as the faults take.
+func endless(scenario loader.Scenario) loader.Scenario {
+	scenario.RateScale = randomScale
+	scenario.Phases = []loader.Phase{{Name: "even", Duration: hoursOfLoad * 3600e9, Shape: loader.ShapeSteady}}
+	return scenario
+}
+
+// disturb brings two faults of different layers about, lets requests arrive
+// meanwhile, ends the faults and waits until all is as before.
+func (c *cluster) disturb(t *testing.T, run *loader.Run, rng *rand.Rand) error {
+	all := disturbances()
+	first := all[rng.IntN(len(all))]
+	second := first
+	for second.layer == first.layer {
+		second = all[rng.IntN(len(all))]
+	}
+	t.Logf("%s, %s", first.name, second.name)
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	endFirst, err := first.begin(c, rng)
+	if err != nil {
+		return eris.Wrap(err, first.name)
+	}
+	endSecond, err := second.begin(c, rng)
+	if err != nil {
+		return eris.Wrap(err, second.name)
+	}
+	if err := awaitRequests(ctx, run, run.Progress().Sent+requestsPerRound); err != nil {
+		return err
+	}
+	if err := errors.Join(endFirst(ctx), endSecond(ctx)); err != nil {
+		return err
+	}
+	entries := c.kind(provider.HostEntry)
+	if err := c.awaitReady(ctx, entries...); err != nil {
+		return err
+	}
+	return c.awaitConfig(ctx, entries)
+}
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -27,6 +27,8 @@
 // make each other slow.
 const clustersAtOnce = 3
 
+var clusterSlots = make(chan struct{}, clustersAtOnce)
+
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if binaries.directory != "" {
@@ -36,13 +38,12 @@
 }
 
 func TestScenarios(t *testing.T) {
-	slots := make(chan struct{}, clustersAtOnce)
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
 		RequireUniqueNames:  true,
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			s := &script{directory: env.WorkDir, slots: slots, loads: make(map[string]*loader.Run)}
+			s := &script{directory: env.WorkDir, loads: make(map[string]*loader.Run)}
 			env.Values[scriptKey{}] = s
 			env.Defer(s.close)
 			return nil
@@ -78,7 +79,6 @@
 // script is the state of one running scenario.
 type script struct {
 	directory string
-	slots     chan struct{}
 	cluster   *cluster
 	loads     map[string]*loader.Run
 }
@@ -139,7 +139,7 @@
 	for _, run := range s.loads {
 		_ = run.Close()
 	}
-	<-s.slots
+	<-clusterSlots
 }
 
 func (s *script) startCluster(args []string) error {
@@ -166,10 +166,10 @@
 		}
 		flags[kind] = append(flags[kind], "--"+flag)
 	}
-	s.slots <- struct{}{}
+	clusterSlots <- struct{}{}
 	s.cluster, err = startCluster(s.directory, clusterOptions{Deployment: deployment, Scenario: scenario, Flags: flags})
 	if err != nil {
-		<-s.slots
+		<-clusterSlots
 	}
 	return err
 }
@@ -200,18 +200,21 @@
 		if err != nil {
 			return err
 		}
-		return withTimeout(func(ctx context.Context) error {
-			return await(ctx, fmt.Sprintf("%d requests", n), func() error {
-				if sent := run.Progress().Sent; sent < n {
-					return eris.Errorf("%d are sent", sent)
-				}
-				return nil
-			})
-		})
+		return withTimeout(func(ctx context.Context) error { return awaitRequests(ctx, run, n) })
 	}
 	return errUsage
 }
 
+// awaitRequests waits until a load has sent a number of requests.
+func awaitRequests(ctx context.Context, run *loader.Run, n int) error {
+	return await(ctx, fmt.Sprintf("%d requests", n), func() error {
+		if sent := run.Progress().Sent; sent < n {
+			return eris.Errorf("%d are sent", sent)
+		}
+		return nil
+	})
+}
+
 func waitLoad(run *loader.Run) error {
 	report, err := run.Wait()
 	if err == nil && testing.Verbose() {
@@ -391,13 +394,16 @@
 	if len(args) < 2 || s.cluster == nil {
 		return errUsage
 	}
-	return each(func(_ *cluster, m *member) error {
-		address := m.Address
-		if m.ID == kvName {
-			address = m.operators // reached also while the service refuses calls
-		}
-		return sendJSON(http.MethodPost, "http://"+address+"/faults", strings.Join(args[1:], " "), nil)
-	})(s, args[:1])
+	return each(func(c *cluster, m *member) error { return c.setFaults(m, strings.Join(args[1:], " ")) })(s, args[:1])
+}
+
+// setFaults sets faults of a stand-in, as a JSON object of those that change.
+func (c *cluster) setFaults(m *member, faults string) error {
+	address := m.Address
+	if m == c.kv {
+		address = m.operators // reached also while the service refuses calls
+	}
+	return sendJSON(http.MethodPost, "http://"+address+"/faults", faults, nil)
 }
 
 func (s *script) cut(args []string) error {
