--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -25,7 +25,7 @@
 //	load at NAME N            waits until N requests were sent
 //	check load NAME FIGURE>=VALUE ...     FIGURE or CLASS.FIGURE of the account, also <=, ==
 //	check load NAME sound     nothing lost, doubled or crossed
-//	check orders              no conflicting orders, no effect of a former holder
+//	check orders [N]          no conflicting orders, no effect of a former holder; N had effects at least
 //	check config              no host was seen going back to an older configuration
 //	check no-work HOST        the endpoint takes no new work
 //	crash|pause|resume|terminate|start HOST...   by SIGKILL, SIGSTOP, SIGCONT, SIGTERM
@@ -37,10 +37,11 @@
 //	cut ZONE to ZONE|platform             what the first sends is lost
 //	slow ZONE from ZONE|platform 50ms
 //	heal                      ends all cuts and delays
-//	class set TENANT/NAME FIELD=VALUE... by HOST      by the operators' API
+//	set class|application NAME FIELD=VALUE... by HOST     by the operators' API
 //	await ready|unready HOST...
 //	await config HOST...      the newest accepted change is in force there
 //	await authority ZONE [not HOST]       a zone's authority is held (by another host)
+//	await version APPLICATION VERSION     all its engines have it loaded
 //	await exit HOST           the process ended by itself, with status 0
 //
 // HOST is a host's id, "entries", "engines" or "services". A command that is
--- a/tests/judge_test.go
+++ b/tests/judge_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -11,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/standins/engineserver"
 )
@@ -104,8 +107,9 @@
 }
 
 // judgeOrders reads the order log of every engine that runs: no two orders
-// may have been in conflict, and none of a former holder may have had an effect.
-func (c *cluster) judgeOrders() error {
+// may have been in conflict, and none of a former holder may have had an
+// effect. It returns how many orders had one.
+func (c *cluster) judgeOrders() (applied int, err error) {
 	var faults []string
 	for _, m := range c.kind(provider.HostEngine) {
 		if !m.process.running() {
@@ -113,17 +117,20 @@
 		}
 		var orders []engineserver.OrderRecord
 		if err := getJSON("http://"+m.Address+"/orders", &orders); err != nil {
-			return err
+			return 0, err
 		}
 		for i := range orders {
+			if orders[i].Effect != "" {
+				applied++
+			}
 			faults = append(faults, judgeOrder(m.ID, &orders[i])...)
 		}
 	}
 	if len(faults) > 0 {
 		slices.Sort(faults)
-		return eris.Errorf("orders: %v", faults)
+		return applied, eris.Errorf("orders: %v", faults)
 	}
-	return nil
+	return applied, nil
 }
 
 func judgeOrder(engine string, order *engineserver.OrderRecord) (faults []string) {
@@ -219,27 +226,50 @@
 	})
 }
 
-// setClass changes fields of a class by the operators' API of one host, guarded
-// against races by the revision that it was read at.
-func (c *cluster) setClass(by *member, tenant, name string, fields map[string]any) error {
-	url := "http://" + by.operators + "/v1/operator/classes/" + tenant + "/" + name
-	var entry struct {
-		Class    map[string]any `json:"class"`
-		Revision int64          `json:"revision"`
+// awaitVersion waits until every engine of an application has a version.
+func (c *cluster) awaitVersion(ctx context.Context, application, version string) error {
+	for _, m := range c.kind(provider.HostEngine) {
+		if m.Application != application {
+			continue
+		}
+		err := await(ctx, version+" on "+m.ID, func() error {
+			var report driver.Report
+			err := getJSON("http://"+m.Address+"/report", &report)
+			if err == nil && report.Version != version {
+				err = eris.Errorf("version %s is loaded", report.Version)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+// Kinds of entry that operators change, as in the operators' API.
+var collections = map[string]string{"class": "classes", "application": "applications"}
+
+// change changes fields of a class or an application by the operators' API of
+// one host, guarded against races by the revision that it was read at.
+func (c *cluster) change(by *member, kind, name string, fields map[string]any) error {
+	url := "http://" + by.operators + "/v1/operator/" + collections[kind] + "/" + name
+	var entry map[string]json.RawMessage
 	if err := getJSON(url, &entry); err != nil {
 		return err
 	}
-	for field, value := range fields {
-		entry.Class[field] = value
+	var body map[string]any
+	if err := json.Unmarshal(entry[kind], &body); err != nil {
+		return err
 	}
-	delete(entry.Class, "tenant") // both stand in the path
-	delete(entry.Class, "name")
-	entry.Class["if_revision"] = entry.Revision
+	delete(body, "tenant") // both stand in the path
+	delete(body, "name")
+	maps.Copy(body, fields)
+	body["if_revision"] = entry["revision"]
 	var accepted struct {
 		Revision int64 `json:"revision"`
 	}
-	if err := sendJSON(http.MethodPut, url, entry.Class, &accepted); err != nil {
+	if err := sendJSON(http.MethodPut, url, body, &accepted); err != nil {
 		return err
 	}
 	c.mu.Lock()
--- a/tests/random_test.go
+++ b/tests/random_test.go
@@ -57,6 +57,7 @@
 		{"slow the store down", "store", storeFault(`{"latency_ms":400}`, `{"latency_ms":0}`)},
 		{"lose the store's answers", "store", storeFault(`{"lose_probability":0.3}`, `{"lose_probability":0}`)},
 		{"race operators", "operators", raceOperators},
+		{"change a model's version", "operators", changeVersion},
 	}
 }
 
@@ -125,13 +126,29 @@
 		group.Go(func() error {
 			class := c.options.Scenario.Classes[0]
 			// A refusal, and no answer, are as good as an acceptance here.
-			_ = c.setClass(entries[order[i]], class.Tenant, class.Name, map[string]any{"completion_target_ms": target + i})
+			_ = c.change(entries[order[i]], "class", class.Tenant+"/"+class.Name, map[string]any{"completion_target_ms": target + i})
 			return nil
 		})
 	}
 	return func(context.Context) error { return group.Wait() }, nil
 }
 
+// changeVersion has all engines of an application load another version.
+func changeVersion(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+	version := fmt.Sprintf("v%d", 2+rng.IntN(1000))
+	by := c.pick(provider.HostEntry, rng)
+	change := func() error { return c.change(by, "application", "letters", map[string]any{"version": version}) }
+	first := change()
+	return func(ctx context.Context) error {
+		if first != nil { // in a store's outage nothing is accepted
+			if err := await(ctx, "acceptance of "+version, change); err != nil {
+				return err
+			}
+		}
+		return nil
+	}, nil
+}
+
 // TestRandomFaults brings two faults about at a time, in random order from a
 // printed seed, under load, and checks every promise at the end.
 func TestRandomFaults(t *testing.T) {
@@ -180,7 +197,8 @@
 	var table testWriter
 	assert.NilError(t, report.WriteTable(&table))
 	t.Logf("seed %d\n%s", seed, table)
-	assert.NilError(t, errors.Join(report.Verdict(), c.judgeOrders(), c.judgeConfig()))
+	_, ordersErr := c.judgeOrders()
+	assert.NilError(t, errors.Join(report.Verdict(), ordersErr, c.judgeConfig()))
 }
 
 // testWriter collects what is written.
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -290,8 +290,8 @@
 		return errUsage
 	}
 	switch {
-	case args[0] == "orders":
-		return s.cluster.judgeOrders()
+	case args[0] == "orders" && len(args) <= 2:
+		return s.checkOrders(args[1:])
 	case args[0] == "config":
 		return s.cluster.judgeConfig()
 	case args[0] == "no-work" && len(args) == 2:
@@ -308,6 +308,19 @@
 	return errUsage
 }
 
+// checkOrders judges all orders, of which there have to be as many as is said.
+func (s *script) checkOrders(args []string) error {
+	applied, err := s.cluster.judgeOrders()
+	if err != nil || len(args) == 0 {
+		return err
+	}
+	least, err := strconv.Atoi(args[0])
+	if err == nil && applied < least {
+		err = eris.Errorf("%d orders were applied", applied)
+	}
+	return err
+}
+
 // checkLoad checks figures of a load's account. Whatever was promised of its
 // requests is checked in any case.
 func checkLoad(run *loader.Run, conditions []string) error {
@@ -438,16 +451,16 @@
 	return nil
 }
 
-// class changes a class: set TENANT/NAME FIELD=VALUE... by HOST.
-func (s *script) class(args []string) error {
-	if len(args) < 5 || args[0] != "set" || args[len(args)-2] != "by" {
+// set changes a class or an application: class|application NAME
+// FIELD=VALUE... by HOST.
+func (s *script) set(args []string) error {
+	if len(args) < 5 || args[len(args)-2] != "by" || s.cluster == nil {
 		return errUsage
 	}
 	members, err := s.cluster.find(args[len(args)-1])
 	if err != nil {
 		return err
 	}
-	tenant, name, _ := strings.Cut(args[1], "/")
 	fields := make(map[string]any)
 	for _, setting := range args[2 : len(args)-2] {
 		field, value, _ := strings.Cut(setting, "=")
@@ -457,19 +470,22 @@
 		}
 		fields[field] = parsed
 	}
-	return s.cluster.setClass(members[0], tenant, name, fields)
+	return s.cluster.change(members[0], args[0], args[1], fields)
 }
 
 func (s *script) await(args []string) error {
 	if len(args) < 2 || s.cluster == nil {
 		return errUsage
 	}
-	if args[0] == "authority" {
+	switch {
+	case args[0] == "authority":
 		except := args[len(args)-1]
 		if len(args) == 2 {
 			except = ""
 		}
 		return withTimeout(func(ctx context.Context) error { return s.cluster.awaitAuthority(ctx, args[1], except) })
+	case args[0] == "version" && len(args) == 3:
+		return withTimeout(func(ctx context.Context) error { return s.cluster.awaitVersion(ctx, args[1], args[2]) })
 	}
 	waits := map[string]func(ctx context.Context, c *cluster, m *member) error{
 		"ready":   func(ctx context.Context, c *cluster, m *member) error { return c.awaitReady(ctx, m) },
