--- a/cmd/endivemast/main.go
+++ b/cmd/endivemast/main.go
@@ -2,8 +2,7 @@
 //
 // # Usage
 //
-//	endivemast try
-//	endivemast entry --help
+//	endivemast class list
 package main
 
 import (
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -40,7 +40,7 @@
 	held     int // grants not given back
 	results  []scheduler.Result
 	resumes  []int
-	refusal  *scheduler.Refusal
+	refusal  *scheduler.RefusalError
 }
 
 func (f *fakeEndpoints) Acquire(ctx context.Context, work scheduler.Work) (scheduler.Grant, error) {
@@ -141,8 +141,11 @@
 	record   *claimer.Record
 	err      error
 	finished []claimer.State
+	deadline time.Time
 }
 
+func (c *fakeClaimer) Deadline() (time.Time, bool) { return c.deadline, !c.deadline.IsZero() }
+
 func (c *fakeClaimer) Claim(context.Context, claimer.Key, []byte) (claimer.Claim, *claimer.Record, error) {
 	if c.record != nil || c.err != nil {
 		return nil, c.record, c.err
