--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -68,7 +68,7 @@
 			"cut":     command((*script).cut),
 			"slow":    command((*script).slow),
 			"heal":    command((*script).heal),
-			"class":   command((*script).class),
+			"set":     command((*script).set),
 			"await":   command((*script).await),
 		},
 	})
