--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -27,6 +27,8 @@
 // make each other slow.
 const clustersAtOnce = 3
 
+var clusterSlots = make(chan struct{}, clustersAtOnce)
+
 func TestMain(m *testing.M) {
 	code := m.Run()
 	if binaries.directory != "" {
@@ -36,13 +38,12 @@
 }
 
 func TestScenarios(t *testing.T) {
-	slots := make(chan struct{}, clustersAtOnce)
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata",
 		RequireUniqueNames:  true,
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
-			s := &script{directory: env.WorkDir, slots: slots, loads: make(map[string]*loader.Run)}
+			s := &script{directory: env.WorkDir, loads: make(map[string]*loader.Run)}
 			env.Values[scriptKey{}] = s
 			env.Defer(s.close)
 			return nil
@@ -67,7 +68,7 @@
 			"cut":     command((*script).cut),
 			"slow":    command((*script).slow),
 			"heal":    command((*script).heal),
-			"class":   command((*script).class),
+			"set":     command((*script).set),
 			"await":   command((*script).await),
 		},
 	})
@@ -78,7 +79,6 @@
 // script is the state of one running scenario.
 type script struct {
 	directory string
-	slots     chan struct{}
 	cluster   *cluster
 	loads     map[string]*loader.Run
 }
@@ -139,7 +139,7 @@
 	for _, run := range s.loads {
 		_ = run.Close()
 	}
-	<-s.slots
+	<-clusterSlots
 }
 
 func (s *script) startCluster(args []string) error {
@@ -166,10 +166,10 @@
 		}
 		flags[kind] = append(flags[kind], "--"+flag)
 	}
-	s.slots <- struct{}{}
+	clusterSlots <- struct{}{}
 	s.cluster, err = startCluster(s.directory, clusterOptions{Deployment: deployment, Scenario: scenario, Flags: flags})
 	if err != nil {
-		<-s.slots
+		<-clusterSlots
 	}
 	return err
 }
@@ -200,18 +200,21 @@
 		if err != nil {
 			return err
 		}
-		return withTimeout(func(ctx context.Context) error {
-			return await(ctx, fmt.Sprintf("%d requests", n), func() error {
-				if sent := run.Progress().Sent; sent < n {
-					return eris.Errorf("%d are sent", sent)
-				}
-				return nil
-			})
-		})
+		return withTimeout(func(ctx context.Context) error { return awaitRequests(ctx, run, n) })
 	}
 	return errUsage
 }
 
+// awaitRequests waits until a load has sent a number of requests.
+func awaitRequests(ctx context.Context, run *loader.Run, n int) error {
+	return await(ctx, fmt.Sprintf("%d requests", n), func() error {
+		if sent := run.Progress().Sent; sent < n {
+			return eris.Errorf("%d are sent", sent)
+		}
+		return nil
+	})
+}
+
 func waitLoad(run *loader.Run) error {
 	report, err := run.Wait()
 	if err == nil && testing.Verbose() {
@@ -287,8 +290,8 @@
 		return errUsage
 	}
 	switch {
-	case args[0] == "orders":
-		return s.cluster.judgeOrders()
+	case args[0] == "orders" && len(args) <= 2:
+		return s.checkOrders(args[1:])
 	case args[0] == "config":
 		return s.cluster.judgeConfig()
 	case args[0] == "no-work" && len(args) == 2:
@@ -305,6 +308,19 @@
 	return errUsage
 }
 
+// checkOrders judges all orders, of which there have to be as many as is said.
+func (s *script) checkOrders(args []string) error {
+	applied, err := s.cluster.judgeOrders()
+	if err != nil || len(args) == 0 {
+		return err
+	}
+	least, err := strconv.Atoi(args[0])
+	if err == nil && applied < least {
+		err = eris.Errorf("%d orders were applied", applied)
+	}
+	return err
+}
+
 // checkLoad checks figures of a load's account. Whatever was promised of its
 // requests is checked in any case.
 func checkLoad(run *loader.Run, conditions []string) error {
@@ -391,13 +407,16 @@
 	if len(args) < 2 || s.cluster == nil {
 		return errUsage
 	}
-	return each(func(_ *cluster, m *member) error {
-		address := m.Address
-		if m.ID == kvName {
-			address = m.operators // reached also while the service refuses calls
-		}
-		return sendJSON(http.MethodPost, "http://"+address+"/faults", strings.Join(args[1:], " "), nil)
-	})(s, args[:1])
+	return each(func(c *cluster, m *member) error { return c.setFaults(m, strings.Join(args[1:], " ")) })(s, args[:1])
+}
+
+// setFaults sets faults of a stand-in, as a JSON object of those that change.
+func (c *cluster) setFaults(m *member, faults string) error {
+	address := m.Address
+	if m == c.kv {
+		address = m.operators // reached also while the service refuses calls
+	}
+	return sendJSON(http.MethodPost, "http://"+address+"/faults", faults, nil)
 }
 
 func (s *script) cut(args []string) error {
@@ -432,16 +451,16 @@
 	return nil
 }
 
-// class changes a class: set TENANT/NAME FIELD=VALUE... by HOST.
-func (s *script) class(args []string) error {
-	if len(args) < 5 || args[0] != "set" || args[len(args)-2] != "by" {
+// set changes a class or an application: class|application NAME
+// FIELD=VALUE... by HOST.
+func (s *script) set(args []string) error {
+	if len(args) < 5 || args[len(args)-2] != "by" || s.cluster == nil {
 		return errUsage
 	}
 	members, err := s.cluster.find(args[len(args)-1])
 	if err != nil {
 		return err
 	}
-	tenant, name, _ := strings.Cut(args[1], "/")
 	fields := make(map[string]any)
 	for _, setting := range args[2 : len(args)-2] {
 		field, value, _ := strings.Cut(setting, "=")
@@ -451,19 +470,22 @@
 		}
 		fields[field] = parsed
 	}
-	return s.cluster.setClass(members[0], tenant, name, fields)
+	return s.cluster.change(members[0], args[0], args[1], fields)
 }
 
 func (s *script) await(args []string) error {
 	if len(args) < 2 || s.cluster == nil {
 		return errUsage
 	}
-	if args[0] == "authority" {
+	switch {
+	case args[0] == "authority":
 		except := args[len(args)-1]
 		if len(args) == 2 {
 			except = ""
 		}
 		return withTimeout(func(ctx context.Context) error { return s.cluster.awaitAuthority(ctx, args[1], except) })
+	case args[0] == "version" && len(args) == 3:
+		return withTimeout(func(ctx context.Context) error { return s.cluster.awaitVersion(ctx, args[1], args[2]) })
 	}
 	waits := map[string]func(ctx context.Context, c *cluster, m *member) error{
 		"ready":   func(ctx context.Context, c *cluster, m *member) error { return c.awaitReady(ctx, m) },
