Access proved end to end; status of all zones; log lines that sum up requests

Cause: nothing showed the whole path over TLS with keys. A peers' secret with a newline at its end, or any byte that gRPC's text metadata lacks, passed the check of the settings and then failed every call between hosts. A certificate whose key is another's, an empty keys file and negative limits passed too, a misspelt environment variable was ignored, a port in use was told without its setting, and New left its listener open when a later step failed. Status knew only the own zone's authority, and of engines no rates. The log had no account of requests at all.

Status reads all zones' records by one call of the key-value service when asked (at most once a second), counts open orders by state, and shows engines' estimated rates and draining peers. New gauges: endivemast_ready, _peers, _endpoints, _lease_held, and _orders by state.

TestOperatorsRequests/status expects the three new fields besides the old ones.

Run: go test of pkg/endivemast, internal/{commander,server,dispatcher, exchanger,orderer,summarizer,meter}: pass.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"strings"
 
 	"github.com/hashicorp/go-hclog"
@@ -75,6 +76,7 @@
 		&cli.DurationFlag{Name: "drain-grace", Usage: "from not ready until the listeners close", Value: endivemast.DefaultDrainGrace, Sources: env("drain-grace")},
 		&cli.DurationFlag{Name: "drain-timeout", Usage: "longest wait for running requests", Value: endivemast.DefaultDrainTimeout, Sources: env("drain-timeout")},
 		&cli.DurationFlag{Name: "tick", Usage: "how often the systems run", Value: endivemast.DefaultTick, Sources: env("tick")},
+		&cli.DurationFlag{Name: "summary-every", Usage: "between two log lines that sum up the requests", Value: endivemast.DefaultSummaryEvery, Sources: env("summary-every")},
 		text("routing", "estimated_finish, or a baseline: round_robin, fewest_in_flight", ""),
 		text("admission", "by_slack, or a baseline: all", ""),
 		text("roles", "planned, or a baseline: never, every_swing", ""),
@@ -105,11 +107,11 @@
 		CertFile: cmd.String("cert-file"), KeyFile: cmd.String("key-file"), CAFile: cmd.String("ca-file"), PlainText: cmd.Bool("plain-text"),
 		MaxBodyBytes: cmd.Int64("max-body-bytes"), MaxConnections: cmd.Int("max-connections"), MetricTenants: cmd.Int("metric-tenants"),
 		LeaseTTL: cmd.Duration("lease-ttl"), DrainGrace: cmd.Duration("drain-grace"),
-		DrainTimeout: cmd.Duration("drain-timeout"), Tick: cmd.Duration("tick"),
+		DrainTimeout: cmd.Duration("drain-timeout"), Tick: cmd.Duration("tick"), SummaryEvery: cmd.Duration("summary-every"),
 		Routing: cmd.String("routing"), Admission: cmd.String("admission"), Roles: cmd.String("roles"), Hedge: cmd.Bool("hedge"),
 		Version: Version(), Logger: newLogger(level, cmd.Root().ErrWriter),
 	}
-	return cfg, errors.Join(peersErr, levelErr, cfg.WithDefaults().Check())
+	return cfg, errors.Join(unknownVariables(cmd.Root(), os.Environ()), peersErr, levelErr, cfg.WithDefaults().Check())
 }
 
 // parsePeers reads zone/host-id=address.
--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -4,6 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -39,9 +43,9 @@
 		return err
 	}
 	fmt.Fprintln(w)
-	t = newTable(w, "PEER", "ZONE", "REACHABLE", "CONFIG REVISION")
+	t = newTable(w, "PEER", "ZONE", "STATE", "CONFIG REVISION")
 	for _, p := range s.Peers {
-		t.row(p.HostID, p.Zone, p.Reachable, p.ConfigRevision)
+		t.row(p.HostID, p.Zone, peerState(p), p.ConfigRevision)
 	}
 	if err := t.end(); err != nil {
 		return err
@@ -56,13 +60,50 @@
 		return err
 	}
 	fmt.Fprintln(w)
-	t = newTable(w, "AUTHORITY OF ZONE", "HOLDER", "EPOCH", "OPEN ORDERS")
+	t = newTable(w, "AUTHORITY OF ZONE", "HOLDER", "EPOCH", "OPEN ORDERS", "AS OF")
 	for _, a := range s.Authorities {
-		t.row(a.Zone, a.Holder, a.Epoch, a.OpenOrders)
+		t.row(a.Zone, a.Holder, a.Epoch, openOrders(a), asOf(a))
 	}
 	return t.end()
 }
 
+// peerState is a peer's state in words.
+func peerState(p *operator.PeerStatus) string {
+	switch {
+	case !p.Reachable:
+		return "unreachable"
+	case p.Draining:
+		return "draining"
+	default:
+		return "reachable"
+	}
+}
+
+// openOrders is the number of a zone's open orders, by state.
+func openOrders(a *operator.AuthorityStatus) string {
+	words := []string{strconv.Itoa(a.OpenOrders)}
+	for _, state := range slices.Sorted(maps.Keys(a.OrdersByState)) {
+		words = append(words, fmt.Sprintf("%d %s", a.OrdersByState[state], state))
+	}
+	if len(words) == 1 {
+		return words[0]
+	}
+	return words[0] + " (" + strings.Join(words[1:], ", ") + ")"
+}
+
+// asOf says how old the knowledge of a zone's authority is.
+func asOf(a *operator.AuthorityStatus) string {
+	age := time.Duration(a.AgeMs) * time.Millisecond
+	switch {
+	case a.Known:
+		return "now"
+	case age == 0:
+		return "never read: the key-value service does not answer"
+	default:
+		return age.String() + " ago: the key-value service does not answer"
+	}
+}
+
 // hostState is the host's state in words.
 func hostState(s *operator.StatusResult) string {
 	switch {
--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -195,6 +195,7 @@
 	// The grant is given back before the round hears of the end, so that what
 	// the caller does next already finds the endpoint's load reduced.
 	grant.Done(result(ctx, final))
+	a.run.dispatcher.logAttempt(a.run.request, a.id, target.EndpointID, failureOf(final))
 	a.emit(ctx, events, final)
 }
 
@@ -285,7 +286,7 @@
 		grant.Prefilled(err)
 	}
 	if err != nil {
-		a.run.dispatcher.cfg.Logger.Debug("prefill on another engine failed", "endpoint", target.EndpointID, "error", err)
+		a.run.dispatcher.cfg.Logger.Debug("prefill on another engine failed", "request_id", a.run.request.RequestID, "attempt_id", a.id, "endpoint_id", target.EndpointID, "error", err)
 		return nil
 	}
 	return &handle
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -78,6 +78,9 @@
 	DefaultStall       = 1500 * time.Millisecond
 )
 
+// outcomeWhole is what meters and logs call a request that was answered whole.
+const outcomeWhole = "whole"
+
 // Limits that are not settings.
 const (
 	// giveUpFactor times the completion target after arrival, no further
@@ -180,9 +183,11 @@
 	var failure *FailureError
 	if errors.As(err, &failure) {
 		d.cfg.Meter.CountOutcome(request.Tenant, class.Name, string(failure.Outcome), failure.Reason)
+		d.logRequest(request, answer, string(failure.Outcome), failure.Reason)
 		return
 	}
-	d.cfg.Meter.CountOutcome(request.Tenant, class.Name, "whole", "")
+	d.logRequest(request, answer, outcomeWhole, "")
+	d.cfg.Meter.CountOutcome(request.Tenant, class.Name, outcomeWhole, "")
 	d.cfg.Meter.ObserveCompletion(request.Tenant, class.Name, answer.Completion)
 	if class.Kind == configurer.KindGenerate {
 		d.cfg.Meter.ObserveFirstToken(request.Tenant, class.Name, answer.FirstToken)
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -14,9 +14,6 @@
 	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
-// outcomeWhole is what the tables call a request without a FailureError.
-const outcomeWhole Outcome = "whole"
-
 func outcomeOf(t *testing.T, err error) Outcome {
 	t.Helper()
 	if err == nil {
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -129,10 +129,12 @@
 
 func (o *once) send(ctx context.Context, grant scheduler.Grant) (body []byte, err error) {
 	o.attempts++
+	attemptID := o.dispatcher.attemptID()
 	answer, err := o.dispatcher.cfg.Driver.Call(ctx, grant.Target(), driver.ServiceCall{
-		AttemptID: o.dispatcher.attemptID(), Application: o.class.Application, Operation: o.request.Operation,
+		AttemptID: attemptID, Application: o.class.Application, Operation: o.request.Operation,
 		CallKey: o.request.Tenant + "/" + o.request.IdempotencyKey, Body: o.request.Body,
 	})
+	o.dispatcher.logAttempt(o.request, attemptID, grant.Target().EndpointID, err)
 	if err != nil {
 		grant.Done(scheduler.Broken{Err: err})
 		return nil, err
@@ -187,7 +189,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
 		if err := o.claim.Finish(ctx, record); err != nil {
-			o.dispatcher.cfg.Logger.Debug("claim not finished", "request", o.request.RequestID, "state", record.State, "error", err)
+			o.dispatcher.cfg.Logger.Debug("claim not finished", "request_id", o.request.RequestID, "state", record.State, "error", err)
 		}
 		return nil
 	})
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -47,7 +47,9 @@
 	maxMessageBytes  = 4 << 20
 	tellTimeout      = time.Second
 	reconnectMaximum = time.Second
-	secretHeader     = "endivemast-peer-secret"
+	// secretHeader ends in -bin, so that gRPC takes any bytes: a secret from
+	// /dev/urandom would otherwise fail each call.
+	secretHeader = "endivemast-peer-secret-bin"
 )
 
 // Config sets up an Exchanger.
@@ -192,6 +194,7 @@
 		ex.cancel()
 	}
 	ex.server.Stop()
+	_ = ex.cfg.Listener.Close() // Stop has closed it, unless Start was never called
 	for _, conn := range ex.conns {
 		_ = conn.Close()
 	}
--- a/internal/leaser/types.go
+++ b/internal/leaser/types.go
@@ -109,8 +109,11 @@
 	return next, nil
 }
 
+// ZonesPrefix is the prefix of all zones' keys.
+const ZonesPrefix = "endivemast/zones/"
+
 // RecordKey is the key of a zone's Record.
-func RecordKey(zone string) string { return "endivemast/zones/" + zone + "/authority" }
+func RecordKey(zone string) string { return ZonesPrefix + zone + "/authority" }
 
 // LivenessKey is the key that exists while a zone's holder renews its lease.
-func LivenessKey(zone string) string { return "endivemast/zones/" + zone + "/holder" }
+func LivenessKey(zone string) string { return ZonesPrefix + zone + "/holder" }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -161,6 +161,33 @@
 	m.set.GetOrCreateGauge(metricName("endivemast_orders", label{"state", state}), value)
 }
 
+// GaugePeers shows how many other entry hosts are in a state.
+func (m *Meter) GaugePeers(state string, value func() float64) {
+	m.set.GetOrCreateGauge(metricName("endivemast_peers", label{"state", state}), value)
+}
+
+// GaugeEndpoints shows how many endpoints this host takes for a state.
+func (m *Meter) GaugeEndpoints(state string, value func() float64) {
+	m.set.GetOrCreateGauge(metricName("endivemast_endpoints", label{"state", state}), value)
+}
+
+// GaugeReady shows 1 while the host takes new requests.
+func (m *Meter) GaugeReady(value func() bool) {
+	m.set.GetOrCreateGauge("endivemast_ready", func() float64 { return truth(value()) })
+}
+
+// GaugeLeaseHeld shows 1 while this host holds a zone's authority.
+func (m *Meter) GaugeLeaseHeld(zone string, value func() bool) {
+	m.set.GetOrCreateGauge(metricName("endivemast_lease_held", label{"zone", zone}), func() float64 { return truth(value()) })
+}
+
+func truth(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // GaugeInFlight shows how many requests of this host are in flight.
 func (m *Meter) GaugeInFlight(value func() float64) {
 	m.set.GetOrCreateGauge("endivemast_requests_in_flight", value)
--- /dev/null
+++ b/internal/orderer/state_test.go
@@ -0,0 +1,36 @@
+package orderer
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/leaser"
+)
+
+func TestCountStates(t *testing.T) {
+	own := Send{Sender: leaser.Holder{Incarnation: "now"}}
+	former := Send{Sender: leaser.Holder{Incarnation: "before"}}
+	over := func(s Send) Send {
+		s.Settled = true
+		return s
+	}
+	tests := map[string]struct {
+		order OpenOrder
+		want  OrderState
+	}{
+		"sent once":                     {order: OpenOrder{Sends: []Send{own}}, want: OrderSent},
+		"given again":                   {order: OpenOrder{Reissued: true, Sends: []Send{over(own), own}}, want: OrderReissued},
+		"former holder may send":        {order: OpenOrder{Reissued: true, Sends: []Send{former, own}}, want: OrderInherited},
+		"former holder's send is over":  {order: OpenOrder{Reissued: true, Sends: []Send{over(former), own}}, want: OrderReissued},
+		"all over":                      {order: OpenOrder{Sends: []Send{over(former), over(own)}}, want: OrderSettled},
+		"no send left in the record":    {order: OpenOrder{}, want: OrderSettled},
+		"settled, and given more often": {order: OpenOrder{Reissued: true, Sends: []Send{over(own)}}, want: OrderSettled},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			counts := CountStates([]OpenOrder{test.order}, "now")
+			assert.DeepEqual(t, counts, map[OrderState]int{test.want: 1})
+		})
+	}
+}
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -7,6 +7,7 @@
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler/estimator"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
 
@@ -27,6 +28,8 @@
 	Own         Load              `json:"own"`
 	Total       Load              `json:"total"` // with peers' work and what reports add
 	ReportedAt  time.Time         `json:"reported_at"`
+	PrefillRate float64           `json:"prefill_rate"` // prompt tokens a second, estimated; 0 for a plain service
+	DecodeRate  float64           `json:"decode_rate"`  // output tokens a second at its limit, estimated
 }
 
 // Endpoints returns all endpoints by id.
@@ -35,7 +38,11 @@
 	defer s.mu.Unlock()
 	statuses := make([]EndpointStatus, 0, len(s.table.Endpoints))
 	for _, endpoint := range s.table.Endpoints {
-		statuses = append(statuses, statusOf(endpoint))
+		status := statusOf(endpoint)
+		if endpoint.Kind == provider.HostEngine {
+			status.PrefillRate, status.DecodeRate = rates(&s.table.Application(endpoint.Application).Model, endpoint)
+		}
+		statuses = append(statuses, status)
 	}
 	slices.SortFunc(statuses, func(a, b EndpointStatus) int {
 		return strings.Compare(a.EndpointID, b.EndpointID)
@@ -62,3 +69,16 @@
 		ReportedAt:  endpoint.ReportedAt,
 	}
 }
+
+// rates are what an engine is estimated to do in a second: its application's
+// model, corrected by the engine's own speed.
+func rates(model *estimator.Model, endpoint *tracker.Endpoint) (prefill, decode float64) {
+	if perToken := model.PrefillToken() * endpoint.Speed; perToken > 0 {
+		prefill = 1 / perToken
+	}
+	batch := max(endpoint.Limit, 1)
+	if gap := model.Gap(batch).Seconds() * endpoint.Speed; gap > 0 {
+		decode = float64(batch) / gap
+	}
+	return prefill, decode
+}
--- a/internal/server/design/status.go
+++ b/internal/server/design/status.go
@@ -67,8 +67,9 @@
 	Attribute("host_id", String, "Identifier of the host.")
 	Attribute("zone", String, "Availability zone of the host.")
 	Attribute("reachable", Boolean, "Whether it answers this host.")
+	Attribute("draining", Boolean, "Whether it is shutting down.")
 	Attribute("config_revision", Int64, "Configuration revision in force there, as last heard.")
-	Required("host_id", "zone", "reachable", "config_revision")
+	Required("host_id", "zone", "reachable", "draining", "config_revision")
 })
 
 // EndpointStatus is what a host knows of an endpoint.
@@ -90,5 +91,8 @@
 	Attribute("holder", String, "Host that holds the authority; empty when nobody does.")
 	Attribute("epoch", Int64, "Fencing number.")
 	Attribute("open_orders", Int, "Orders whose end is not known yet.")
-	Required("zone", "holder", "epoch", "open_orders")
+	Attribute("orders_by_state", MapOf(String, Int), "Open orders: sent, reissued, inherited or settled.")
+	Attribute("known", Boolean, "Whether the zone's record could be read; the rest is as last read.")
+	Attribute("age_ms", Int64, "Milliseconds since the record was read.")
+	Required("zone", "holder", "epoch", "open_orders", "orders_by_state", "known", "age_ms")
 })
--- a/internal/server/gen/http/caller/client/cli.go
+++ b/internal/server/gen/http/caller/client/cli.go
@@ -24,7 +24,7 @@
 	{
 		err = json.Unmarshal([]byte(callerGenerateBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"max_output_tokens\": 4905755345063087456,\n      \"prefix_key\": \"4bn\",\n      \"prefix_tokens\": 9194943158272595136,\n      \"prompt\": \"ph\"\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"max_output_tokens\": 3070902337440661201,\n      \"prefix_key\": \"een\",\n      \"prefix_tokens\": 9129286861931889834,\n      \"prompt\": \"ny\"\n   }'")
 		}
 		if utf8.RuneCountInString(body.Prompt) < 1 {
 			err = goa.MergeErrors(err, goa.InvalidLengthError("body.prompt", body.Prompt, utf8.RuneCountInString(body.Prompt), 1, true))
--- a/internal/server/gen/http/cli/endivemast/cli.go
+++ b/internal/server/gen/http/cli/endivemast/cli.go
@@ -33,7 +33,7 @@
 
 // UsageExamples produces an example of a valid invocation of the CLI tool.
 func UsageExamples() string {
-	return os.Args[0] + " " + "caller generate --body '{\n      \"max_output_tokens\": 4905755345063087456,\n      \"prefix_key\": \"4bn\",\n      \"prefix_tokens\": 9194943158272595136,\n      \"prompt\": \"ph\"\n   }' --class \"82\" --request-id \"nr2\" --token \"Accusamus voluptas est error blanditiis.\"" + "\n" +
+	return os.Args[0] + " " + "caller generate --body '{\n      \"max_output_tokens\": 3070902337440661201,\n      \"prefix_key\": \"een\",\n      \"prefix_tokens\": 9129286861931889834,\n      \"prompt\": \"ny\"\n   }' --class \"0yk\" --request-id \"q7l\" --token \"Ad enim.\"" + "\n" +
 		os.Args[0] + " " + "health alive" + "\n" +
 		os.Args[0] + " " + "operator list-classes --tenant \"Deserunt numquam quisquam.\" --token \"Perferendis cupiditate sint et omnis est.\"" + "\n" +
 		""
@@ -378,7 +378,7 @@
 
 	fmt.Fprintln(os.Stderr)
 	fmt.Fprintln(os.Stderr, "Example:")
-	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller generate --body '{\n      \"max_output_tokens\": 4905755345063087456,\n      \"prefix_key\": \"4bn\",\n      \"prefix_tokens\": 9194943158272595136,\n      \"prompt\": \"ph\"\n   }' --class \"82\" --request-id \"nr2\" --token \"Accusamus voluptas est error blanditiis.\"")
+	fmt.Fprintf(os.Stderr, "    %s %s\n", os.Args[0], "caller generate --body '{\n      \"max_output_tokens\": 3070902337440661201,\n      \"prefix_key\": \"een\",\n      \"prefix_tokens\": 9129286861931889834,\n      \"prompt\": \"ny\"\n   }' --class \"0yk\" --request-id \"q7l\" --token \"Ad enim.\"")
 }
 
 func callerStreamUsage() {
--- a/internal/server/gen/http/operator/client/encode_decode.go
+++ b/internal/server/gen/http/operator/client/encode_decode.go
@@ -1741,6 +1741,7 @@
 		HostID:         *v.HostID,
 		Zone:           *v.Zone,
 		Reachable:      *v.Reachable,
+		Draining:       *v.Draining,
 		ConfigRevision: *v.ConfigRevision,
 	}
 
@@ -1774,6 +1775,14 @@
 		Holder:     *v.Holder,
 		Epoch:      *v.Epoch,
 		OpenOrders: *v.OpenOrders,
+		Known:      *v.Known,
+		AgeMs:      *v.AgeMs,
+	}
+	res.OrdersByState = make(map[string]int, len(v.OrdersByState))
+	for key, val := range v.OrdersByState {
+		tk := key
+		tv := val
+		res.OrdersByState[tk] = tv
 	}
 
 	return res
--- a/internal/server/gen/http/operator/client/types.go
+++ b/internal/server/gen/http/operator/client/types.go
@@ -1086,6 +1086,8 @@
 	Zone *string `form:"zone,omitempty" json:"zone,omitempty" xml:"zone,omitempty"`
 	// Whether it answers this host.
 	Reachable *bool `form:"reachable,omitempty" json:"reachable,omitempty" xml:"reachable,omitempty"`
+	// Whether it is shutting down.
+	Draining *bool `form:"draining,omitempty" json:"draining,omitempty" xml:"draining,omitempty"`
 	// Configuration revision in force there, as last heard.
 	ConfigRevision *int64 `form:"config_revision,omitempty" json:"config_revision,omitempty" xml:"config_revision,omitempty"`
 }
@@ -1120,6 +1122,12 @@
 	Epoch *int64 `form:"epoch,omitempty" json:"epoch,omitempty" xml:"epoch,omitempty"`
 	// Orders whose end is not known yet.
 	OpenOrders *int `form:"open_orders,omitempty" json:"open_orders,omitempty" xml:"open_orders,omitempty"`
+	// Open orders: sent, reissued, inherited or settled.
+	OrdersByState map[string]int `form:"orders_by_state,omitempty" json:"orders_by_state,omitempty" xml:"orders_by_state,omitempty"`
+	// Whether the zone's record could be read; the rest is as last read.
+	Known *bool `form:"known,omitempty" json:"known,omitempty" xml:"known,omitempty"`
+	// Milliseconds since the record was read.
+	AgeMs *int64 `form:"age_ms,omitempty" json:"age_ms,omitempty" xml:"age_ms,omitempty"`
 }
 
 // NewSetClassRequestBody builds the HTTP request body from the payload of the
@@ -3855,6 +3863,9 @@
 	if body.Reachable == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("reachable", "body"))
 	}
+	if body.Draining == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("draining", "body"))
+	}
 	if body.ConfigRevision == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("config_revision", "body"))
 	}
@@ -3906,5 +3917,14 @@
 	if body.OpenOrders == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("open_orders", "body"))
 	}
+	if body.OrdersByState == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("orders_by_state", "body"))
+	}
+	if body.Known == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("known", "body"))
+	}
+	if body.AgeMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("age_ms", "body"))
+	}
 	return
 }
--- a/internal/server/gen/http/operator/server/encode_decode.go
+++ b/internal/server/gen/http/operator/server/encode_decode.go
@@ -1494,6 +1494,7 @@
 		HostID:         v.HostID,
 		Zone:           v.Zone,
 		Reachable:      v.Reachable,
+		Draining:       v.Draining,
 		ConfigRevision: v.ConfigRevision,
 	}
 
@@ -1527,6 +1528,16 @@
 		Holder:     v.Holder,
 		Epoch:      v.Epoch,
 		OpenOrders: v.OpenOrders,
+		Known:      v.Known,
+		AgeMs:      v.AgeMs,
+	}
+	if v.OrdersByState != nil {
+		res.OrdersByState = make(map[string]int, len(v.OrdersByState))
+		for key, val := range v.OrdersByState {
+			tk := key
+			tv := val
+			res.OrdersByState[tk] = tv
+		}
 	}
 
 	return res
--- a/internal/server/gen/http/operator/server/types.go
+++ b/internal/server/gen/http/operator/server/types.go
@@ -1086,6 +1086,8 @@
 	Zone string `form:"zone" json:"zone" xml:"zone"`
 	// Whether it answers this host.
 	Reachable bool `form:"reachable" json:"reachable" xml:"reachable"`
+	// Whether it is shutting down.
+	Draining bool `form:"draining" json:"draining" xml:"draining"`
 	// Configuration revision in force there, as last heard.
 	ConfigRevision int64 `form:"config_revision" json:"config_revision" xml:"config_revision"`
 }
@@ -1120,6 +1122,12 @@
 	Epoch int64 `form:"epoch" json:"epoch" xml:"epoch"`
 	// Orders whose end is not known yet.
 	OpenOrders int `form:"open_orders" json:"open_orders" xml:"open_orders"`
+	// Open orders: sent, reissued, inherited or settled.
+	OrdersByState map[string]int `form:"orders_by_state" json:"orders_by_state" xml:"orders_by_state"`
+	// Whether the zone's record could be read; the rest is as last read.
+	Known bool `form:"known" json:"known" xml:"known"`
+	// Milliseconds since the record was read.
+	AgeMs int64 `form:"age_ms" json:"age_ms" xml:"age_ms"`
 }
 
 // NewListClassesResponseBody builds the HTTP response body from the result of
--- a/internal/server/gen/operator/service.go
+++ b/internal/server/gen/operator/service.go
@@ -112,6 +112,12 @@
 	Epoch int64
 	// Orders whose end is not known yet.
 	OpenOrders int
+	// Open orders: sent, reissued, inherited or settled.
+	OrdersByState map[string]int
+	// Whether the zone's record could be read; the rest is as last read.
+	Known bool
+	// Milliseconds since the record was read.
+	AgeMs int64
 }
 
 // ChangeResult is the result type of the operator service set_class method.
@@ -274,6 +280,8 @@
 	Zone string
 	// Whether it answers this host.
 	Reachable bool
+	// Whether it is shutting down.
+	Draining bool
 	// Configuration revision in force there, as last heard.
 	ConfigRevision int64
 }
--- a/internal/server/operator_service_test.go
+++ b/internal/server/operator_service_test.go
@@ -39,7 +39,7 @@
 		"delete application":     {method: "DELETE", path: "/applications/drafting", status: 200, want: `"revision":7`},
 		"show change":            {method: "GET", path: "/changes/c-1", status: 200, want: `"revision":7`},
 		"show unknown change":    {method: "GET", path: "/changes/absent", status: 404, want: `"reason":"unknown_change"`},
-		"status":                 {method: "GET", path: "/status", status: 200, want: `"authorities":[{"zone":"lozenets","holder":"","epoch":3,"open_orders":0}]`},
+		"status":                 {method: "GET", path: "/status", status: 200, want: `"authorities":[{"zone":"lozenets","holder":"","epoch":3,"open_orders":0,"orders_by_state":{},"known":false,"age_ms":0}]`},
 		"drain":                  {method: "POST", path: "/drain", status: 202, want: `{"draining":true}`},
 	}
 	for name, tt := range tests {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -30,6 +30,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -111,11 +112,11 @@
 	}
 	callers, err := s.listen(s.cfg.CallersAddress, tlsConfig, s.callersHandler())
 	if err != nil {
-		return err
+		return fmt.Errorf("callers' address: %w", err)
 	}
 	operators, err := s.listen(s.cfg.OperatorsAddress, tlsConfig, s.operatorsHandler())
 	if err != nil {
-		return errors.Join(err, callers.listener.Close())
+		return errors.Join(fmt.Errorf("operators' address: %w", err), callers.listener.Close())
 	}
 	s.callers, s.operators = callers, operators
 	s.group.Go(func() error { return s.serve(callers) })
--- a/internal/server/status.go
+++ b/internal/server/status.go
@@ -28,6 +28,7 @@
 	HostID         string
 	Zone           string
 	Reachable      bool
+	Draining       bool
 	ConfigRevision int64 // as last heard
 }
 
@@ -49,6 +50,10 @@
 	Holder     string // host id; empty when nobody holds it
 	Epoch      int64  // fencing number
 	OpenOrders int    // orders whose end is not known yet
+	// OrdersByState are the open orders by state: sent, reissued, inherited, settled.
+	OrdersByState map[string]int
+	Known         bool          // whether the zone's record could be read now
+	Age           time.Duration // since the record was read
 }
 
 // newStatusResult turns a Status into the API's.
@@ -75,8 +80,7 @@
 		result.Endpoints = append(result.Endpoints, newEndpointStatus(e))
 	}
 	for _, a := range s.Authorities {
-		authority := operator.AuthorityStatus(a)
-		result.Authorities = append(result.Authorities, &authority)
+		result.Authorities = append(result.Authorities, newAuthorityStatus(a))
 	}
 	return result
 }
@@ -94,3 +98,20 @@
 		DecodeRate:  e.DecodeRate,
 	}
 }
+
+// newAuthorityStatus turns an AuthorityStatus into the API's.
+func newAuthorityStatus(a AuthorityStatus) *operator.AuthorityStatus {
+	states := a.OrdersByState
+	if states == nil {
+		states = map[string]int{}
+	}
+	return &operator.AuthorityStatus{
+		Zone:          a.Zone,
+		Holder:        a.Holder,
+		Epoch:         a.Epoch,
+		OpenOrders:    a.OpenOrders,
+		OrdersByState: states,
+		Known:         a.Known,
+		AgeMs:         a.Age.Milliseconds(),
+	}
+}
--- a/pkg/endivemast/config.go
+++ b/pkg/endivemast/config.go
@@ -1,12 +1,11 @@
 package endivemast
 
 import (
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"time"
 
@@ -16,7 +15,6 @@
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/scheduler/planner"
 	"github.com/endivemast/endivemast/internal/scheduler/router"
-	"github.com/endivemast/endivemast/internal/server"
 )
 
 // Defaults of a Config.
@@ -25,6 +23,7 @@
 	DefaultDrainGrace   = 2 * time.Second
 	DefaultDrainTimeout = 10 * time.Minute
 	DefaultTick         = 100 * time.Millisecond
+	DefaultSummaryEvery = 10 * time.Second
 	// MinSecretBytes is the least length of the peers' secret.
 	MinSecretBytes = 16
 )
@@ -70,6 +69,7 @@
 	DrainGrace   time.Duration // from not ready until the listeners close
 	DrainTimeout time.Duration // for running requests
 	Tick         time.Duration
+	SummaryEvery time.Duration // between two log lines that sum up the requests
 
 	// Routing, Admission and Roles choose a baseline to measure against;
 	// empty takes the default policy.
@@ -115,10 +115,12 @@
 	}
 }
 
-func (f *faults) file(setting, value string) {
+func (f *faults) file(setting, value string) (readable bool) {
 	if _, err := os.ReadFile(value); err != nil {
 		f.add(setting, value, "a readable file")
+		return false
 	}
+	return true
 }
 
 func (f *faults) positive(setting string, d time.Duration) {
@@ -127,12 +129,19 @@
 	}
 }
 
+func (f *faults) notNegative(setting string, n int64) {
+	if n < 0 {
+		f.add(setting, strconv.FormatInt(n, 10), "a positive number, or 0 for the default")
+	}
+}
+
 // WithDefaults returns the configuration with defaults in place of zero values.
 func (cfg Config) WithDefaults() Config {
 	setDefault(&cfg.LeaseTTL, DefaultLeaseTTL)
 	setDefault(&cfg.DrainGrace, DefaultDrainGrace)
 	setDefault(&cfg.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&cfg.Tick, DefaultTick)
+	setDefault(&cfg.SummaryEvery, DefaultSummaryEvery)
 	if cfg.PlatformAddress == "" && len(cfg.StoreAddresses) > 0 {
 		cfg.PlatformAddress = cfg.StoreAddresses[0]
 	}
@@ -164,9 +173,14 @@
 	}
 	cfg.checkPeers(f)
 	cfg.checkAccess(f)
+	f.notNegative("max-body-bytes", cfg.MaxBodyBytes)
+	f.notNegative("max-connections", int64(cfg.MaxConnections))
+	f.notNegative("metric-tenants", int64(cfg.MetricTenants))
 	f.positive("lease-ttl", cfg.LeaseTTL)
+	f.positive("drain-grace", cfg.DrainGrace)
 	f.positive("drain-timeout", cfg.DrainTimeout)
 	f.positive("tick", cfg.Tick)
+	f.positive("summary-every", cfg.SummaryEvery)
 	cfg.checkPolicy(f)
 	return errors.Join(f.errs...)
 }
@@ -184,33 +198,6 @@
 	}
 }
 
-func (cfg Config) checkAccess(f *faults) {
-	switch {
-	case cfg.Insecure && cfg.KeysFile != "":
-		f.add("insecure", "true", "either keys-file or insecure, not both")
-	case !cfg.Insecure && cfg.KeysFile == "":
-		f.add("keys-file", "", "a file of API keys, or the setting insecure")
-	case !cfg.Insecure:
-		if _, err := server.LoadKeys(cfg.KeysFile); err != nil {
-			f.add("keys-file", cfg.KeysFile, "a file of API keys: "+err.Error())
-		}
-	}
-	if !cfg.Insecure || cfg.PeerSecretFile != "" {
-		if secret, err := os.ReadFile(cfg.PeerSecretFile); err != nil || len(secret) < MinSecretBytes {
-			f.add("peer-secret-file", cfg.PeerSecretFile, fmt.Sprintf("a file of at least %d bytes, the same on all entry hosts", MinSecretBytes))
-		}
-	}
-	if cfg.PlainText {
-		if cfg.CertFile != "" || cfg.KeyFile != "" {
-			f.add("plain-text", "true", "either cert-file and key-file or plain-text, not both")
-		}
-		return
-	}
-	f.file("cert-file", cfg.CertFile)
-	f.file("key-file", cfg.KeyFile)
-	f.file("ca-file", cfg.CAFile)
-}
-
 func (cfg Config) checkPolicy(f *faults) {
 	if _, err := cfg.policy().Validate(); err != nil {
 		f.add("routing, admission or roles", strings.Join([]string{cfg.Routing, cfg.Admission, cfg.Roles}, ", "), err.Error())
@@ -225,41 +212,6 @@
 	}
 }
 
-// secret is the peers' secret. With Insecure and no file it is a fixed one,
-// which protects nothing.
-func (cfg Config) secret() (secret []byte, err error) {
-	if cfg.PeerSecretFile == "" {
-		return []byte("insecure-peer-secret"), nil
-	}
-	return os.ReadFile(cfg.PeerSecretFile)
-}
-
-// peerTLS makes the two sides' TLS settings of the peer protocol; nil for
-// plain text. Both sides have to show a certificate of the CA.
-func (cfg Config) peerTLS() (serverTLS, clientTLS *tls.Config, err error) {
-	if cfg.PlainText {
-		return nil, nil, nil
-	}
-	cert, err := tls.LoadX509KeyPair(cfg.CertFile, cfg.KeyFile)
-	if err != nil {
-		return nil, nil, err
-	}
-	bundle, err := os.ReadFile(cfg.CAFile)
-	if err != nil {
-		return nil, nil, err
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(bundle) {
-		return nil, nil, &SettingError{Setting: "ca-file", Value: cfg.CAFile, Want: "PEM certificates"}
-	}
-	serverTLS = &tls.Config{
-		Certificates: []tls.Certificate{cert}, ClientCAs: pool,
-		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
-	}
-	clientTLS = &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: pool, MinVersion: tls.VersionTLS13}
-	return serverTLS, clientTLS, nil
-}
-
 func (cfg Config) peers() []exchanger.Peer {
 	peers := make([]exchanger.Peer, 0, len(cfg.Peers))
 	for _, peer := range cfg.Peers {
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -25,6 +25,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -47,6 +48,7 @@
 	"github.com/endivemast/endivemast/internal/orderer"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
+	"github.com/endivemast/endivemast/internal/summarizer"
 )
 
 // Limits of a planned stop.
@@ -63,6 +65,7 @@
 	store      *etcdprovider.Provider
 	driver     *httpdriver.Driver
 	meter      *meter.Meter
+	summarizer *summarizer.Summarizer
 	exchanger  *exchanger.Exchanger
 	lister     *lister.Lister
 	configurer *configurer.Configurer
@@ -73,6 +76,8 @@
 	dispatcher *dispatcher.Dispatcher
 	server     *server.Server
 
+	authorities *authorityReader
+
 	sightingsMu sync.Mutex
 	sightings   map[string]orderer.Sighting // by endpoint id
 
@@ -107,7 +112,7 @@
 		e.buildRim, e.buildPeers, e.buildPolicy, func() error { return e.buildAuthority(listed) }, e.buildServer,
 	} {
 		if err := build(); err != nil {
-			return nil, err
+			return nil, errors.Join(err, e.closeBuilt())
 		}
 	}
 	return e, nil
@@ -120,6 +125,8 @@
 	})
 	e.driver = httpdriver.New(httpdriver.Settings{})
 	e.meter = meter.New(meter.Config{TopTenants: e.cfg.MetricTenants})
+	e.summarizer = summarizer.New(summarizer.Config{Meter: e.meter, Every: e.cfg.SummaryEvery, Logger: e.logger})
+	e.authorities = newAuthorityReader(e.store, e.cfg)
 	return err
 }
 
@@ -143,7 +150,7 @@
 	}
 	listener, err := net.Listen("tcp", e.cfg.PeersAddress)
 	if err != nil {
-		return err
+		return fmt.Errorf("peers' address: %w", err)
 	}
 	e.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: e.cfg.HostID, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
@@ -185,7 +192,7 @@
 	}
 	e.dispatcher = dispatcher.New(dispatcher.Config{
 		Incarnation: e.cfg.Incarnation, Configuration: e.configurer, Scheduler: e.scheduler,
-		Driver: e.driver, Claimer: e.claimer, Meter: e.meter, HedgeAfter: hedge, Logger: e.logger.Named("dispatcher"),
+		Driver: e.driver, Claimer: e.claimer, Meter: e.summarizer, HedgeAfter: hedge, Logger: e.logger.Named("dispatcher"),
 	})
 	return nil
 }
@@ -241,6 +248,7 @@
 	e.group.Go(func() error { return e.orderer.Run(e.ctx) })
 	e.group.Go(e.tick)
 	e.group.Go(e.plan)
+	e.group.Go(func() error { return e.summarizer.Run(e.ctx) })
 	if err := e.server.Start(); err != nil {
 		return errors.Join(err, e.Close())
 	}
@@ -342,6 +350,25 @@
 	)
 }
 
+// closeBuilt closes what New has made before it failed.
+func (e *Entry) closeBuilt() error {
+	e.cancel()
+	var errs []error
+	if e.claimer != nil {
+		errs = append(errs, e.claimer.Close())
+	}
+	if e.configurer != nil {
+		errs = append(errs, e.configurer.Close())
+	}
+	if e.exchanger != nil {
+		errs = append(errs, e.exchanger.Close())
+	}
+	if e.store != nil {
+		errs = append(errs, e.store.Close())
+	}
+	return errors.Join(append(errs, e.driver.Close())...)
+}
+
 // Ready implements server.Readiness.
 func (e *Entry) Ready() (ready bool, reason string) {
 	switch {
--- a/pkg/endivemast/entry_test.go
+++ b/pkg/endivemast/entry_test.go
@@ -44,6 +44,12 @@
 }
 
 func startFleet(t *testing.T, hosts int) *fleet {
+	t.Helper()
+	return startFleetWith(t, hosts, func(cfg *endivemast.Config) { cfg.Insecure, cfg.PlainText = true, true })
+}
+
+// startFleetWith starts a fleet whose entry hosts' settings are edited first.
+func startFleetWith(t *testing.T, hosts int, edit func(*endivemast.Config)) *fleet {
 	t.Helper()
 	f := &fleet{}
 	var err error
@@ -70,11 +76,11 @@
 		ID: "service-1", Incarnation: f.service.Incarnation(), Kind: provider.HostService, Zone: "z1",
 		Address: f.service.Address(), Application: "desk", State: provider.HostLive,
 	})
-	f.startEntries(t, hosts)
+	f.startEntries(t, hosts, edit)
 	return f
 }
 
-func (f *fleet) startEntries(t *testing.T, hosts int) {
+func (f *fleet) startEntries(t *testing.T, hosts int, edit func(*endivemast.Config)) {
 	t.Helper()
 	var peers []endivemast.Peer
 	for i := range hosts {
@@ -82,12 +88,14 @@
 	}
 	for i, self := range peers {
 		others := append(append([]endivemast.Peer(nil), peers[:i]...), peers[i+1:]...)
-		entry, err := endivemast.New(endivemast.Config{
+		cfg := endivemast.Config{
 			HostID: self.HostID, Zone: self.Zone, PeersAddress: self.Address, Peers: others,
 			CallersAddress: "127.0.0.1:0", OperatorsAddress: "127.0.0.1:0",
-			StoreAddresses: []string{f.kv.Address()}, Insecure: true, PlainText: true,
-			DrainGrace: 10 * time.Millisecond,
-		})
+			StoreAddresses: []string{f.kv.Address()},
+			DrainGrace:     10 * time.Millisecond,
+		}
+		edit(&cfg)
+		entry, err := endivemast.New(cfg)
 		assert.NilError(t, err)
 		assert.NilError(t, entry.Start())
 		t.Cleanup(func() { assert.NilError(t, entry.Close()) })
--- a/pkg/endivemast/status.go
+++ b/pkg/endivemast/status.go
@@ -3,23 +3,27 @@
 import (
 	"time"
 
+	"github.com/endivemast/endivemast/internal/orderer"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
 )
 
+// What this host takes an endpoint for.
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+	stateSuspect = "suspect" // set aside for failures, tried again from time to time
+)
+
 // Status implements server.StatusSource.
 func (e *Entry) Status() server.Status {
 	ready, reason := e.Ready()
-	authority := e.authority()
 	return server.Status{
 		HostID: e.cfg.HostID, Zone: e.cfg.Zone, Incarnation: e.cfg.Incarnation, Version: e.cfg.Version,
 		Ready: ready, Reason: reason, Draining: e.draining.Load(),
 		ConfigRevision: e.configurer.Revision(), ConfigAge: e.configurationAge(),
 		Peers: e.peerStatuses(), Endpoints: e.endpointStatuses(),
-		Authorities: []server.AuthorityStatus{{
-			Zone: authority.Zone, Holder: authority.Holder.HostID, Epoch: authority.Epoch,
-			OpenOrders: len(e.orderer.OpenOrders()),
-		}},
+		Authorities: e.authorities.read(e.ctx),
 	}
 }
 
@@ -28,7 +32,7 @@
 	for _, peer := range e.exchanger.Statuses() {
 		statuses = append(statuses, server.PeerStatus{
 			HostID: peer.Peer.HostID, Zone: peer.Peer.Zone, Reachable: peer.Reachable,
-			ConfigRevision: peer.ConfigurationRevision,
+			Draining: peer.Draining, ConfigRevision: peer.ConfigurationRevision,
 		})
 	}
 	return statuses
@@ -40,6 +44,7 @@
 		statuses = append(statuses, server.EndpointStatus{
 			EndpointID: endpoint.EndpointID, Zone: endpoint.Zone, Application: endpoint.Application,
 			Role: endpoint.Role, State: endpointState(endpoint), InFlight: endpoint.Own.Requests,
+			PrefillRate: endpoint.PrefillRate, DecodeRate: endpoint.DecodeRate,
 		})
 	}
 	return statuses
@@ -48,12 +53,35 @@
 func endpointState(endpoint scheduler.EndpointStatus) string {
 	switch {
 	case endpoint.Leaving, endpoint.Draining:
-		return "leaving"
+		return stateLeaving
 	case endpoint.SetAside:
-		return "suspect"
+		return stateSuspect
 	default:
-		return "live"
+		return stateLive
+	}
+}
+
+func (e *Entry) countEndpoints(state string) (n int) {
+	for _, endpoint := range e.scheduler.Endpoints() {
+		if endpointState(endpoint) == state {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *Entry) countPeers(reachable bool) (n int) {
+	for _, peer := range e.exchanger.Statuses() {
+		if peer.Reachable == reachable {
+			n++
+		}
 	}
+	return n
+}
+
+// countOrders counts the zone's open orders while this host holds its authority.
+func (e *Entry) countOrders() map[orderer.OrderState]int {
+	return orderer.CountStates(e.orderer.OpenOrders(), e.cfg.Incarnation)
 }
 
 // registerGauges lets the metrics read the state that is kept elsewhere.
@@ -61,7 +89,22 @@
 	e.meter.GaugeLeaseEpoch(e.cfg.Zone, func() float64 { return float64(e.authority().Epoch) })
 	e.meter.GaugeConfigRevision(func() float64 { return float64(e.configurer.Revision()) })
 	e.meter.GaugeConfigAge(e.configurationAge)
-	e.meter.GaugeOrders("open", func() float64 { return float64(len(e.orderer.OpenOrders())) })
+	for _, state := range orderer.OrderStates() {
+		e.meter.GaugeOrders(string(state), func() float64 { return float64(e.countOrders()[state]) })
+	}
+	e.meter.GaugePeers("reachable", func() float64 { return float64(e.countPeers(true)) })
+	e.meter.GaugePeers("unreachable", func() float64 { return float64(e.countPeers(false)) })
+	for _, state := range []string{stateLive, stateLeaving, stateSuspect} {
+		e.meter.GaugeEndpoints(state, func() float64 { return float64(e.countEndpoints(state)) })
+	}
+	e.meter.GaugeReady(func() bool {
+		ready, _ := e.Ready()
+		return ready
+	})
+	e.meter.GaugeLeaseHeld(e.cfg.Zone, func() bool {
+		_, holds := e.leaser.Holder()
+		return holds
+	})
 	e.meter.GaugeInFlight(func() float64 { return float64(e.dispatcher.Active()) })
 }
 
