--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -156,6 +156,12 @@
 	m.set.GetOrCreateGauge("endivemast_config_age_seconds", func() float64 { return value().Seconds() })
 }
 
+// GaugeConfigDivergences shows how often another history of the same
+// configuration revision was seen. It is 0 unless the store was restored.
+func (m *Meter) GaugeConfigDivergences(value func() float64) {
+	m.set.GetOrCreateGauge("endivemast_config_divergences", value)
+}
+
 // GaugeOrders shows how many orders are in a state.
 func (m *Meter) GaugeOrders(state string, value func() float64) {
 	m.set.GetOrCreateGauge(metricName("endivemast_orders", label{"state", state}), value)
--- a/internal/meter/ranker.go
+++ b/internal/meter/ranker.go
@@ -37,16 +37,43 @@
 	return r
 }
 
-// label is the name that a tenant's series have.
+// label is the name that a tenant's series have. While fewer tenants are named
+// than may be, a new one is named at once: otherwise what its first request
+// observes before it is counted would go to Other.
 func (r *ranker) label(tenant string) string {
-	if (*r.named.Load())[tenant] {
+	if r.isNamed(tenant) {
+		return tenant
+	}
+	if len(*r.named.Load()) >= r.top || labelValue(tenant) == Other {
+		return Other
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nameLocked(tenant)
+	if r.isNamed(tenant) {
 		return tenant
 	}
 	return Other
 }
 
-// count counts a request. While fewer tenants are named than may be, a new one
-// is named at once.
+// isNamed says whether a tenant has series of its own.
+func (r *ranker) isNamed(tenant string) bool { return (*r.named.Load())[tenant] }
+
+// nameLocked names a tenant while there is room.
+func (r *ranker) nameLocked(tenant string) {
+	named := *r.named.Load()
+	if len(named) >= r.top || named[tenant] {
+		return
+	}
+	next := make(map[string]bool, len(named)+1)
+	for name := range named {
+		next[name] = true
+	}
+	next[tenant] = true
+	r.named.Store(&next)
+}
+
+// count counts a request.
 func (r *ranker) count(tenant string) {
 	if labelValue(tenant) == Other {
 		return
@@ -58,14 +85,7 @@
 	} else {
 		r.replaceLeast(tenant)
 	}
-	if named := *r.named.Load(); len(named) < r.top && !named[tenant] {
-		next := make(map[string]bool, len(named)+1)
-		for name := range named {
-			next[name] = true
-		}
-		next[tenant] = true
-		r.named.Store(&next)
-	}
+	r.nameLocked(tenant)
 }
 
 // replaceLeast gives a new tenant the place of the least counted of a few. The
--- a/internal/meter/series.go
+++ b/internal/meter/series.go
@@ -112,7 +112,7 @@
 	for key, s := range m.series {
 		// Not only the tenants dropped now: a find that ran beside the last
 		// ranking may have made a series for one that was dropped then.
-		if m.ranker.label(key.tenant) == key.tenant {
+		if key.tenant == Other || m.ranker.isNamed(key.tenant) {
 			continue
 		}
 		for _, name := range s.names {
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -61,6 +61,7 @@
 type Entry struct {
 	cfg    Config
 	logger hclog.Logger
+	made   time.Time
 
 	store      *etcdprovider.Provider
 	driver     *httpdriver.Driver
@@ -103,7 +104,7 @@
 		cfg.Incarnation = uuid.NewString()
 	}
 	e = &Entry{
-		cfg: cfg, logger: cfg.Logger.With("host_id", cfg.HostID, "zone", cfg.Zone),
+		cfg: cfg, logger: cfg.Logger.With("host_id", cfg.HostID, "zone", cfg.Zone), made: time.Now(),
 		sightings: map[string]orderer.Sighting{}, upgraded: map[string]time.Time{}, drained: make(chan struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
--- a/pkg/endivemast/status.go
+++ b/pkg/endivemast/status.go
@@ -89,6 +89,7 @@
 	e.meter.GaugeLeaseEpoch(e.cfg.Zone, func() float64 { return float64(e.authority().Epoch) })
 	e.meter.GaugeConfigRevision(func() float64 { return float64(e.configurer.Revision()) })
 	e.meter.GaugeConfigAge(e.configurationAge)
+	e.meter.GaugeConfigDivergences(func() float64 { return float64(e.configurer.Stats().Divergences) })
 	for _, state := range orderer.OrderStates() {
 		e.meter.GaugeOrders(string(state), func() float64 { return float64(e.countOrders()[state]) })
 	}
@@ -108,5 +109,12 @@
 	e.meter.GaugeInFlight(func() float64 { return float64(e.dispatcher.Active()) })
 }
 
-// configurationAge is how long ago anyone that this host hears of has read the store.
-func (e *Entry) configurationAge() time.Duration { return e.configurer.Stats().StoreAge }
+// configurationAge is how long ago anyone that this host hears of has read the
+// store. Where nobody has yet, it is the time since the start, so that an
+// alarm for an old configuration fires then as well.
+func (e *Entry) configurationAge() time.Duration {
+	if age := e.configurer.Stats().StoreAge; age >= 0 {
+		return age
+	}
+	return time.Since(e.made)
+}
