Example of the configurer waits until the second process is ready

Cause: the second process hears the change by a push before its own start is over, and refuses changes until then.

--- a/internal/orderer/model_test.go
+++ b/internal/orderer/model_test.go
@@ -316,7 +316,7 @@
 		*book, order, err = add(*book, send)
 		return err
 	})
-	if !ok && !(r.skipIntent && order.OrderID != "") {
+	if !ok && (!r.skipIntent || order.OrderID == "") {
 		return
 	}
 	proc := &w.Processes[p]
--- a/pkg/configurer/example_test.go
+++ b/pkg/configurer/example_test.go
@@ -57,7 +57,7 @@
 	change := configurer.Change{ChangeID: "change-1", IfRevision: 0, Subject: configurer.ClassSubject{Class: class}}
 	revision, err := first.Apply(ctx, change)
 	check(err)
-	await(ctx, func() bool { return second.Revision() >= revision })
+	await(ctx, func() bool { return second.Ready() && second.Revision() >= revision })
 	got, ok := second.Class("vitosha", "letters")
 	fmt.Println("in force on the second process:", ok, got.CompletionTarget())
 
