--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -57,7 +57,7 @@
 	DefaultReadInterval    = 5 * time.Second
 	DefaultStaleAfter      = 12 * time.Second
 	DefaultCallTimeout     = 2 * time.Second
-	DefaultFoldAfter       = 8
+	DefaultFoldAfter       = 4
 )
 
 // Config says what a Configurer works with. A zero value of a field with a
--- a/internal/configurer/fleet_test.go
+++ b/internal/configurer/fleet_test.go
@@ -12,7 +12,7 @@
 )
 
 // newFleet starts hosts that are spread evenly over zones. Each has the default
-// settings but for how often it reads the store.
+// settings but for how often it reads the store, and for never thinking it unread.
 func newFleet(t testing.TB, hosts, zones int, readInterval time.Duration) (fleet []*Configurer, store *fakeStore) {
 	t.Helper()
 	peers := make([]exchanger.Peer, hosts)
@@ -24,7 +24,7 @@
 	for _, peer := range peers {
 		c, err := New(Config{
 			HostID: peer.HostID, Zone: peer.Zone, Store: &view{fakeStore: store},
-			Pool: fakePool{network, peer.HostID}, ReadInterval: readInterval,
+			Pool: fakePool{network, peer.HostID}, ReadInterval: readInterval, StaleAfter: time.Hour,
 		})
 		assert.NilError(t, err)
 		network.hosts[peer.HostID] = c
@@ -45,11 +45,11 @@
 
 // TestStoreCalls counts what docs/CAPACITY.md reckons with.
 func TestStoreCalls(t *testing.T) {
-	tests := map[string]struct{ hosts, zones int }{
-		"nine hosts in three zones":   {9, 3},
-		"390 hosts in sixteen zones":  {390, 16},
-		"a zone with a single host":   {1, 1},
-		"more zones than two a piece": {5, 4},
+	tests := map[string]struct{ hosts, zones, watchers int }{
+		"nine hosts in three zones":  {9, 3, 6},
+		"390 hosts in sixteen zones": {390, 16, 32},
+		"a zone with a single host":  {1, 1, 1},
+		"zones with less than two":   {5, 4, 5},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -57,12 +57,8 @@
 			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 			defer cancel()
 			fleet, store := newFleet(t, test.hosts, test.zones, time.Hour)
-			watchers := min(test.hosts, test.zones*DefaultWatchersPerZone)
-			if test.hosts == 5 {
-				watchers = 5
-			}
 			waitReady(ctx, t, fleet)
-			awaitWatches(ctx, t, store, watchers)
+			awaitWatches(ctx, t, store, test.watchers)
 			before, _ := store.counts()
 			for i := range changes {
 				revision := mustApply(t, fleet[i%len(fleet)], setClass(fmt.Sprint("c", i), 0, testClass(fmt.Sprint("brand-", i), "drafting", 5000)))
@@ -75,7 +71,7 @@
 			// swap of a shard document: at most four.
 			t.Logf("%d watches; %.2f calls a change", watches, float64(calls-before)/changes)
 			assert.Assert(t, calls-before <= 4*changes, "%d calls", calls-before)
-			assert.Equal(t, watches, watchers)
+			assert.Equal(t, watches, test.watchers)
 		})
 	}
 }
