--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -47,6 +47,7 @@
 	maxMessageBytes  = 4 << 20
 	tellTimeout      = time.Second
 	reconnectMaximum = time.Second
+	maxCount         = 1 << 31 // of requests or tokens that one host has at an endpoint
 	// secretHeader ends in -bin, so that gRPC takes any bytes: a secret from
 	// /dev/urandom would otherwise fail each call.
 	secretHeader = "endivemast-peer-secret-bin"
@@ -282,9 +283,9 @@
 
 func (p *heardPeer) set(message *exchangerpb.EndpointLoad) {
 	load := Load{
-		Requests:      int(message.GetRequests()),
-		PrefillTokens: int(message.GetPrefillTokens()),
-		DecodeTokens:  int(message.GetDecodeTokens()),
+		Requests:      count(message.GetRequests()),
+		PrefillTokens: count(message.GetPrefillTokens()),
+		DecodeTokens:  count(message.GetDecodeTokens()),
 	}
 	if load == (Load{}) {
 		delete(p.loads, message.GetEndpointId())
@@ -293,6 +294,10 @@
 	p.loads[message.GetEndpointId()] = load
 }
 
+// count takes a count from a message. One below 0 would make an endpoint look
+// idle, and the sum of a few huge ones would run over and do the same.
+func count(n int64) int { return int(min(max(n, 0), maxCount)) }
+
 // Hosts gives the platform's list as this host last read it.
 func (ex *Exchanger) Hosts(_ context.Context, request *exchangerpb.HostsRequest) (*exchangerpb.HostsReply, error) {
 	hosts, revision := ex.local.Hosts()
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -45,6 +45,8 @@
 	DefaultTTL = 3 * time.Second
 	// marginShare of the TTL is given away for clocks that drift.
 	marginShare = 4
+	// maxEpoch is beyond what any number of take-overs and orders reaches.
+	maxEpoch = 1 << 62
 	// renewShare is how often a lease is renewed within its TTL.
 	renewShare = 3
 )
@@ -322,5 +324,10 @@
 	if err := json.Unmarshal(value, &record); err != nil {
 		return Record{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
+	// From a damaged record the epoch could run over and go back: nobody takes
+	// the zone over until an operator has looked at it.
+	if record.Epoch < 0 || record.Epoch > maxEpoch {
+		return Record{}, fmt.Errorf("%w: epoch %d", ErrInvalid, record.Epoch)
+	}
 	return record, nil
 }
