--- a/internal/loader/command.go
+++ b/internal/loader/command.go
@@ -63,7 +63,7 @@
 		if len(options.Operators) == 0 {
 			return cli.Exit("load: --configure needs --operator ADDRESS", exitUsage)
 		}
-		if err := Configure(ctx, options.Operators[0], options.OperatorToken, &scenario); err != nil {
+		if err := Configure(ctx, options.Operators, options.OperatorToken, &scenario); err != nil {
 			return err
 		}
 	}
--- a/internal/loader/configurer.go
+++ b/internal/loader/configurer.go
@@ -30,28 +30,54 @@
 }
 
 // Configure writes a scenario's applications and classes through the
-// operators' API of one entry host. Weights are not part of it.
-func Configure(ctx context.Context, operator, token string, scenario *Scenario) (err error) {
-	defer func() { err = eris.Wrapf(err, "configure by %s", operator) }()
-	base := "http://" + operator + "/v1/operator"
+// operators' API of the first entry host, and waits until they are in force on
+// all. Weights are not part of it.
+func Configure(ctx context.Context, operators []string, token string, scenario *Scenario) (err error) {
+	defer func() { err = eris.Wrap(err, "configure") }()
+	base := "http://" + operators[0] + "/v1/operator"
+	var newest int64
 	for _, application := range scenario.Applications {
 		body := applicationBody{
 			Model: application.Model, Version: application.Version, Adapter: application.Adapter,
 			RoleChangesPerHour: application.RoleChangesPerHour,
 		}
-		if err := putJSON(ctx, base+"/applications/"+url.PathEscape(application.Name), token, body); err != nil {
+		if newest, err = putJSON(ctx, base+"/applications/"+url.PathEscape(application.Name), token, body); err != nil {
 			return err
 		}
 	}
 	for _, class := range scenario.Classes {
 		path := "/classes/" + url.PathEscape(class.Tenant) + "/" + url.PathEscape(class.Name)
-		if err := putJSON(ctx, base+path, token, targetsOf(&class)); err != nil {
+		if newest, err = putJSON(ctx, base+path, token, targetsOf(&class)); err != nil {
+			return err
+		}
+	}
+	for _, operator := range operators {
+		if err := awaitRevision(ctx, operator, token, newest); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// awaitRevision waits until a configuration revision is in force on a host.
+func awaitRevision(ctx context.Context, operator, token string, revision int64) (err error) {
+	defer func() { err = eris.Wrapf(err, "revision %d on %s", revision, operator) }()
+	ctx, cancel := context.WithTimeout(ctx, configureTimeout)
+	defer cancel()
+	for {
+		var status struct {
+			ConfigRevision int64 `json:"config_revision"`
+		}
+		err := getJSON(ctx, http.DefaultClient, "http://"+operator+"/v1/operator/status", token, &status)
+		if err == nil && status.ConfigRevision >= revision {
+			return nil
+		}
+		if !waitUntil(ctx, time.Now().Add(configurePoll)) {
+			return eris.Errorf("revision %d is in force (%v)", status.ConfigRevision, err)
+		}
+	}
+}
+
 func targetsOf(class *Class) classBody {
 	return classBody{
 		Kind: class.Kind, Application: class.Application, Repeatable: class.Repeatable,
@@ -71,26 +97,27 @@
 
 // putJSON writes a document, and again while the host has not reached its
 // store yet. The documents are whole, so that writing one twice does no harm.
-func putJSON(ctx context.Context, url, token string, body any) (err error) {
+// It returns the configuration revision at which the document was accepted.
+func putJSON(ctx context.Context, url, token string, body any) (revision int64, err error) {
 	defer func() { err = eris.Wrapf(err, "put %s", url) }()
 	ctx, cancel := context.WithTimeout(ctx, configureTimeout)
 	defer cancel()
 	data, err := json.Marshal(body)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	for {
-		err := putOnce(ctx, url, token, data)
+		revision, err = putOnce(ctx, url, token, data)
 		if !errors.Is(err, errNotYet) || !waitUntil(ctx, time.Now().Add(configurePoll)) {
-			return err
+			return revision, err
 		}
 	}
 }
 
-func putOnce(ctx context.Context, url, token string, data []byte) error {
+func putOnce(ctx context.Context, url, token string, data []byte) (revision int64, err error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(data))
 	if err != nil {
-		return err
+		return 0, err
 	}
 	request.Header.Set("Content-Type", "application/json")
 	if token != "" {
@@ -98,16 +125,19 @@
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer response.Body.Close()
 	if response.StatusCode/100 == 2 {
-		return nil
+		var accepted struct {
+			Revision int64 `json:"revision"`
+		}
+		return accepted.Revision, json.NewDecoder(response.Body).Decode(&accepted)
 	}
 	detail, _ := io.ReadAll(io.LimitReader(response.Body, 1<<12))
 	switch response.StatusCode {
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return eris.Wrapf(errNotYet, "status %s: %s", response.Status, detail)
+		return 0, eris.Wrapf(errNotYet, "status %s: %s", response.Status, detail)
 	}
-	return eris.Errorf("status %s: %s", response.Status, detail)
+	return 0, eris.Errorf("status %s: %s", response.Status, detail)
 }
--- a/internal/trier/trier.go
+++ b/internal/trier/trier.go
@@ -267,7 +267,7 @@
 	defer func() { err = errors.Join(err, f.Close()) }()
 	options := f.loadOptions()
 	options.Scenario, options.Seed, options.Progress = scenario, settings.Seed, settings.Progress
-	if err := loader.Configure(ctx, options.Operators[0], "", &scenario); err != nil {
+	if err := loader.Configure(ctx, options.Operators, "", &scenario); err != nil {
 		return nil, err
 	}
 	run, err := loader.Start(ctx, options)
--- a/tests/cluster_test.go
+++ b/tests/cluster_test.go
@@ -97,12 +97,11 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
-	entries := c.kind(provider.HostEntry)
-	if err := loader.Configure(ctx, entries[0].operators, "", &c.options.Scenario); err != nil {
+	if err := loader.Configure(ctx, c.loadOptions().Operators, "", &c.options.Scenario); err != nil {
 		return err
 	}
 	c.historian.start()
-	return c.awaitReady(ctx, entries...)
+	return c.awaitReady(ctx, c.kind(provider.HostEntry)...)
 }
 
 // place gives every process its addresses.
@@ -284,10 +283,8 @@
 
 // awaitExit waits until a host's process has ended by itself without a fault.
 func (c *cluster) awaitExit(ctx context.Context, m *member) error {
-	select {
-	case <-ctx.Done():
-		return eris.Errorf("%s has not ended", m.ID)
-	case <-m.process.exited:
+	if err := c.awaitEnd(ctx, m); err != nil {
+		return err
 	}
 	if m.process.err != nil {
 		return eris.Wrapf(m.process.err, "%s ended", m.ID)
@@ -295,6 +292,16 @@
 	return nil
 }
 
+// awaitEnd waits until a host's process has ended, in whatever way.
+func (c *cluster) awaitEnd(ctx context.Context, m *member) error {
+	select {
+	case <-ctx.Done():
+		return eris.Errorf("%s has not ended", m.ID)
+	case <-m.process.exited:
+		return nil
+	}
+}
+
 // awaitReady waits until entry hosts say that they are ready.
 func (c *cluster) awaitReady(ctx context.Context, entries ...*member) error {
 	for _, m := range entries {
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -43,6 +43,7 @@
 //	await authority ZONE [not HOST]       a zone's authority is held (by another host)
 //	await version APPLICATION VERSION     all its engines have it loaded
 //	await exit HOST           the process ended by itself, with status 0
+//	await end HOST            the process ended, with whatever status
 //
 // HOST is a host's id, "entries", "engines" or "services". A command that is
 // preceded by "!" has to fail.
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -491,6 +491,7 @@
 		"ready":   func(ctx context.Context, c *cluster, m *member) error { return c.awaitReady(ctx, m) },
 		"unready": func(ctx context.Context, _ *cluster, m *member) error { return m.awaitUnready(ctx) },
 		"config":  func(ctx context.Context, c *cluster, m *member) error { return c.awaitConfig(ctx, []*member{m}) },
+		"end":     func(ctx context.Context, c *cluster, m *member) error { return c.awaitEnd(ctx, m) },
 		"exit":    func(ctx context.Context, c *cluster, m *member) error { return c.awaitExit(ctx, m) },
 	}
 	wait, ok := waits[args[0]]
