Settle at a stand-down only the sends that are over

Cause: StandDown marked every send of its own as over. A Submit that had passed its checks before the stop could write its intent between the wait and that write; its send was then marked before it was made, and a successor would not have asked for proof. Change: each send is marked by what is known of it at the write.

--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -32,7 +32,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -332,15 +331,30 @@
 func (o *Orderer) allOver() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	view := View{Now: o.cfg.Now(), UserTimeout: o.cfg.UserTimeout}
-	for attempt := range maps.Values(o.attempts) {
-		if _, _, ok := ownSettledAt(attempt, view); !ok {
+	for id := range o.attempts {
+		if !o.isOver(id) {
 			return false
 		}
 	}
 	return true
 }
 
+// isOver says whether a send of this process can't reach its endpoint any more.
+func (o *Orderer) isOver(sendID string) bool {
+	_, _, ok := ownSettledAt(o.attempts[sendID], View{Now: o.cfg.Now(), UserTimeout: o.cfg.UserTimeout})
+	return ok
+}
+
+// settle marks this process's sends as over, each by what is known of it now. A
+// Submit that passed its checks before the stop may have written its intent
+// since: marked as over, its send would come late at a successor that asks for
+// no proof.
+func (o *Orderer) settle(book Book, self string) Book {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return book.settle(func(s Send) bool { return s.Sender.Incarnation == self && o.isOver(s.SendID) })
+}
+
 // recordSettled marks this process's sends in the record as over.
 func (o *Orderer) recordSettled(ctx context.Context) error {
 	if len(o.OpenOrders()) == 0 {
@@ -351,9 +365,7 @@
 		if err != nil {
 			return err
 		}
-		self := draft.Holder.Incarnation
-		book = book.settle(func(s Send) bool { return s.Sender.Incarnation == self })
-		draft.Payload, err = book.encode()
+		draft.Payload, err = o.settle(book, draft.Holder.Incarnation).encode()
 		return err
 	})
 	if errors.Is(err, leaser.ErrNotHolder) {
