--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -22,6 +22,7 @@
 	"fmt"
 	"io"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -109,8 +110,8 @@
 
 // prepare gives a command and those below it the exit codes.
 func prepare(cmd *cli.Command) {
-	cmd.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-		return usageError("%w", err)
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return usageError("%w%s", err, suggestion(cmd, err))
 	}
 	if action := cmd.Action; action != nil {
 		cmd.Action = func(ctx context.Context, cmd *cli.Command) error {
@@ -124,6 +125,20 @@
 	}
 }
 
+// suggestion names the flag that a misspelt one was meant to be. The library
+// makes it only for its own way of telling errors.
+func suggestion(cmd *cli.Command, err error) string {
+	_, name, ok := strings.Cut(err.Error(), "flag provided but not defined: -")
+	if !ok {
+		return ""
+	}
+	flag := cli.SuggestFlag(cmd.Flags, name, true)
+	if flag == "" {
+		return ""
+	}
+	return fmt.Sprintf("; did you mean %s?", flag)
+}
+
 // withCode gives errors of a command the code ExitFailed where they have none.
 func withCode(err error) error {
 	var exit *ExitError
--- a/internal/commander/entry_test.go
+++ b/internal/commander/entry_test.go
@@ -35,7 +35,7 @@
 		"valid":                  {args: validSettings + "--check", out: []string{"settings are valid"}},
 		"all faults at once":     {args: "--check --host-id a/b --peer x --log-level loud --tick -1s", code: ExitUsage, err: []string{"setting host-id:", "setting zone:", "setting store:", "setting peer:", "setting log-level:", "setting tick:", "setting keys-file:", "setting cert-file:"}},
 		"faults without --check": {args: "--host-id a/b", code: ExitUsage, err: []string{"setting host-id:", "setting zone:"}},
-		"misspelt flag":          {args: validSettings + "--zoen z1", code: ExitUsage, err: []string{"zoen"}},
+		"misspelt flag":          {args: validSettings + "--zoen z1", code: ExitUsage, err: []string{"not defined: -zoen; did you mean --zone?"}},
 		"misspelt variable":      {args: validSettings + "--check", variable: "ENDIVEMAST_LEASE_TLL=3s", code: ExitUsage, err: []string{"ENDIVEMAST_LEASE_TLL"}},
 		"variable of a setting":  {args: validSettings + "--check", variable: "ENDIVEMAST_LEASE_TTL=-3s", code: ExitUsage, err: []string{"setting lease-ttl: got \"-3s\""}},
 		"peers' port in use":     {args: validSettings + "--peers-address " + port, code: ExitFailed, err: []string{"peers' address", port, "address already in use"}},
@@ -55,6 +55,9 @@
 			for _, want := range test.err {
 				assert.Assert(t, strings.Contains(stderr, want), stderr)
 			}
+			if test.code == ExitFailed {
+				assert.Equal(t, strings.Count(stderr, "\n"), 1, "more than the cause: %s", stderr)
+			}
 		})
 	}
 }
--- a/internal/commander/status.go
+++ b/internal/commander/status.go
@@ -54,7 +54,7 @@
 	t = newTable(w, "ENDPOINT", "ZONE", "APPLICATION", "ROLE", "STATE", "IN FLIGHT", "PREFILL/S", "DECODE/S")
 	for _, e := range s.Endpoints {
 		t.row(e.EndpointID, e.Zone, e.Application, e.Role, e.State, e.InFlight,
-			fmt.Sprintf("%.0f", e.PrefillRate), fmt.Sprintf("%.0f", e.DecodeRate))
+			rate(e.PrefillRate), rate(e.DecodeRate))
 	}
 	if err := t.end(); err != nil {
 		return err
@@ -67,6 +67,14 @@
 	return t.end()
 }
 
+// rate is an estimated rate in words; a plain service has none.
+func rate(perSecond float64) string {
+	if perSecond == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%.0f", perSecond)
+}
+
 // peerState is a peer's state in words.
 func peerState(p *operator.PeerStatus) string {
 	switch {
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -239,6 +239,7 @@
 		Order:   order.Order.Order(),
 	})
 	o.remember(send.SendID, attemptState(err))
+	o.cfg.Log.Info("order sent", "order_id", order.OrderID, "endpoint_id", order.EndpointID, "epoch", send.Epoch, "error", err)
 	return err
 }
 
--- a/internal/summarizer/summarizer_test.go
+++ b/internal/summarizer/summarizer_test.go
@@ -49,3 +49,14 @@
 	assert.Equal(t, len(sum.Classes), maxClasses+1)
 	assert.Equal(t, len(sum.Refusals), maxClasses+1)
 }
+
+// BenchmarkCount shows what a request pays for the summary and the metrics.
+func BenchmarkCount(b *testing.B) {
+	s := New(Config{Meter: meter.New(meter.Config{}), Every: time.Hour, Logger: hclog.NewNullLogger()})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			s.CountOutcome("vitosha", "letters", "whole", "")
+		}
+	})
+}
--- a/internal/trier/trier.go
+++ b/internal/trier/trier.go
@@ -41,6 +41,9 @@
 	freeAddress  = "127.0.0.1:0"
 	drainGrace   = 200 * time.Millisecond
 	drainTimeout = 20 * time.Second
+
+	configureTimeout = 20 * time.Second
+	pollInterval     = 10 * time.Millisecond
 )
 
 // deployment is a small fleet that serves both kinds of customer.
@@ -197,6 +200,27 @@
 	return options
 }
 
+// awaitConfigured waits until each entry host knows the endpoints and has the
+// first one's configuration in force. Requests before that are refused, which
+// is right and says nothing about the workload.
+func (f *fleet) awaitConfigured(ctx context.Context, endpoints int) error {
+	ctx, cancel := context.WithTimeout(ctx, configureTimeout)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	revision := f.entries[0].Status().ConfigRevision
+	for _, entry := range f.entries {
+		for status := entry.Status(); !status.Ready || status.ConfigRevision < revision || len(status.Endpoints) < endpoints; status = entry.Status() {
+			select {
+			case <-ctx.Done():
+				return eris.Errorf("host %s has not taken the configuration and the list of endpoints within %v", status.HostID, configureTimeout)
+			case <-ticker.C:
+			}
+		}
+	}
+	return nil
+}
+
 // judgeOrders fails when an engine got conflicting orders.
 func (f *fleet) judgeOrders() error {
 	for _, engine := range f.engines {
@@ -270,6 +294,9 @@
 	if err := loader.Configure(ctx, options.Operators[0], "", &scenario); err != nil {
 		return nil, err
 	}
+	if err := f.awaitConfigured(ctx, len(f.engines)+len(f.services)); err != nil {
+		return nil, err
+	}
 	run, err := loader.Start(ctx, options)
 	if err != nil {
 		return nil, err
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -165,7 +165,7 @@
 		Platform: e.store, Driver: e.driver, Peers: e.exchanger, Logger: e.logger.Named("lister"),
 	}, e)
 	e.configurer, err = configurer.New(configurer.Config{
-		HostID: e.cfg.HostID, Zone: e.cfg.Zone, Store: e.store, Pool: e.exchanger, Logger: e.logger.Named("configurer"),
+		HostID: e.cfg.HostID, Zone: e.cfg.Zone, Store: e.store, Pool: e.exchanger, Logger: e.logger,
 	})
 	if err != nil {
 		return err
@@ -241,6 +241,11 @@
 func (e *Entry) Start() (err error) {
 	defer func() { err = eris.Wrap(err, "start entry host") }()
 	e.registerGauges()
+	// First, as it alone can fail. Requests are refused as not run until there
+	// is a configuration.
+	if err := e.server.Start(); err != nil {
+		return errors.Join(err, e.Close())
+	}
 	e.exchanger.Start()
 	e.configurer.Start()
 	e.lister.Start()
@@ -250,9 +255,6 @@
 	e.group.Go(e.tick)
 	e.group.Go(e.plan)
 	e.group.Go(func() error { return e.summarizer.Run(e.ctx) })
-	if err := e.server.Start(); err != nil {
-		return errors.Join(err, e.Close())
-	}
 	addresses := e.server.Addresses()
 	e.logger.Info("entry host started", "incarnation", e.cfg.Incarnation, "version", e.cfg.Version,
 		"callers_address", addresses.Callers, "operators_address", addresses.Operators, "peers_address", e.cfg.PeersAddress)
--- a/pkg/endivemast/status.go
+++ b/pkg/endivemast/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
 )
@@ -41,9 +42,13 @@
 func (e *Entry) endpointStatuses() []server.EndpointStatus {
 	var statuses []server.EndpointStatus
 	for _, endpoint := range e.scheduler.Endpoints() {
+		role := endpoint.Role
+		if endpoint.Kind == provider.HostService {
+			role = "" // a plain service has none
+		}
 		statuses = append(statuses, server.EndpointStatus{
 			EndpointID: endpoint.EndpointID, Zone: endpoint.Zone, Application: endpoint.Application,
-			Role: endpoint.Role, State: endpointState(endpoint), InFlight: endpoint.Own.Requests,
+			Role: role, State: endpointState(endpoint), InFlight: endpoint.Own.Requests,
 			PrefillRate: endpoint.PrefillRate, DecodeRate: endpoint.DecodeRate,
 		})
 	}
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -100,8 +100,7 @@
 	e.logger.Info("order submitted", "endpoint_id", endpointID, "order", order, "reason", reason)
 }
 
-func (e *Entry) orderFinished(order orderer.OpenOrder, outcome orderer.Outcome) {
-	e.logger.Info("order closed", "order_id", order.OrderID, "endpoint_id", order.EndpointID, "outcome", outcome)
+func (e *Entry) orderFinished(order orderer.OpenOrder, _ orderer.Outcome) {
 	if _, isRole := order.Order.Order().(driver.SetRole); isRole {
 		e.meter.CountRoleChange(e.cfg.Zone, e.applicationOf(order.EndpointID))
 	}
