--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -108,7 +108,7 @@
 		MaxBodyBytes: cmd.Int64("max-body-bytes"), MaxConnections: cmd.Int("max-connections"), MetricTenants: cmd.Int("metric-tenants"),
 		LeaseTTL: cmd.Duration("lease-ttl"), DrainGrace: cmd.Duration("drain-grace"),
 		DrainTimeout: cmd.Duration("drain-timeout"), Tick: cmd.Duration("tick"), SummaryEvery: cmd.Duration("summary-every"),
-		Routing: cmd.String("routing"), Admission: cmd.String("admission"), Roles: cmd.String("roles"), Hedge: cmd.Bool("hedge"),
+		Routing: cmd.String("routing"), Admission: cmd.String("admission"), Roles: cmd.String("roles"), NoHedge: !cmd.Bool("hedge"),
 		Version: Version(), Logger: newLogger(level, cmd.Root().ErrWriter),
 	}
 	return cfg, errors.Join(unknownVariables(cmd.Root(), os.Environ()), peersErr, levelErr, cfg.WithDefaults().Check())
--- a/internal/trier/trier.go
+++ b/internal/trier/trier.go
@@ -163,7 +163,7 @@
 		HostID: host.ID, Zone: host.Zone, Incarnation: host.Incarnation,
 		CallersAddress: freeAddress, OperatorsAddress: freeAddress,
 		StoreAddresses: []string{f.platform.Address()},
-		Insecure:       true, PlainText: true, Hedge: true,
+		Insecure:       true, PlainText: true,
 		DrainGrace: drainGrace, DrainTimeout: drainTimeout, Logger: f.logger,
 	}
 	for _, peer := range peers {
--- a/pkg/endivemast/config.go
+++ b/pkg/endivemast/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -76,8 +77,8 @@
 	Routing   string
 	Admission string
 	Roles     string
-	// Hedge is false to switch off second attempts.
-	Hedge bool
+	// NoHedge switches off second attempts beside a slow one.
+	NoHedge bool
 
 	Version string
 	Logger  hclog.Logger // nil: none
@@ -199,9 +200,22 @@
 }
 
 func (cfg Config) checkPolicy(f *faults) {
-	if _, err := cfg.policy().Validate(); err != nil {
-		f.add("routing, admission or roles", strings.Join([]string{cfg.Routing, cfg.Admission, cfg.Roles}, ", "), err.Error())
+	policy := cfg.policy()
+	choice(f, "routing", policy.Routing, router.EstimatedFinish, router.RoundRobin, router.FewestInFlight)
+	choice(f, "admission", policy.Admission, scheduler.AdmitBySlack, scheduler.AdmitAll)
+	choice(f, "roles", policy.Roles, planner.Planned, planner.Never, planner.EverySwing)
+}
+
+// choice refuses a value that is neither empty nor among the accepted ones.
+func choice[T ~string](f *faults, setting string, value T, accepted ...T) {
+	if value == "" || slices.Contains(accepted, value) {
+		return
+	}
+	words := make([]string, 0, len(accepted))
+	for _, word := range accepted {
+		words = append(words, string(word))
 	}
+	f.add(setting, string(value), "one of "+strings.Join(words, ", "))
 }
 
 func (cfg Config) policy() scheduler.Policy {
--- a/pkg/endivemast/config_test.go
+++ b/pkg/endivemast/config_test.go
@@ -35,7 +35,7 @@
 			cfg.Peers = []endivemast.Peer{{HostID: "h", Zone: "z", Address: "127.0.0.1:1"}}
 		}, want: []string{"peer"}},
 		"negative numbers": {edit: func(cfg *endivemast.Config) { cfg.MaxConnections, cfg.LeaseTTL = -1, -time.Second }, want: []string{"max-connections", "lease-ttl"}},
-		"unknown policy":   {edit: func(cfg *endivemast.Config) { cfg.Routing = "dice" }, want: []string{"routing, admission or roles"}},
+		"unknown policies": {edit: func(cfg *endivemast.Config) { cfg.Routing, cfg.Admission, cfg.Roles = "dice", "all", "x" }, want: []string{"routing", "roles"}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -188,7 +188,7 @@
 		Configuration: e.configurer, Logger: e.logger.Named("scheduler"),
 	})
 	hedge := float64(dispatcher.DefaultHedgeAfter)
-	if !e.cfg.Hedge {
+	if e.cfg.NoHedge {
 		hedge = -1
 	}
 	e.dispatcher = dispatcher.New(dispatcher.Config{
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -16,6 +16,8 @@
 // zone and each target, so that zones can be cut off from each other.
 // ENDIVEMAST_TEST_LOGS names a directory where the processes' logs are kept.
 //
+// Scenarios that need no cluster run the program itself, as $PROGRAM.
+//
 // # Commands of the scenario language
 //
 //	cluster vitosha|agency small|full [entry.FLAG=VALUE] [engine.FLAG=VALUE] [service.FLAG=VALUE] [kv.FLAG=VALUE]
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -46,7 +46,9 @@
 			s := &script{directory: env.WorkDir, loads: make(map[string]*loader.Run)}
 			env.Values[scriptKey{}] = s
 			env.Defer(s.close)
-			return nil
+			program, err := binary("endivemast")
+			env.Setenv("PROGRAM", program) // for scenarios that need no cluster
+			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"cluster": command((*script).startCluster),
