Engines that died no longer keep others from a new version, and one that came back gets it at once

Cause: the 30 s between two loads of an engine counted by its id, also for a new process and after an order that was not submitted; and an engine without fresh reports stayed the one that was next.

--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -82,7 +82,7 @@
 	sightingsMu sync.Mutex
 	sightings   map[string]orderer.Sighting // by endpoint id
 
-	upgraded map[string]time.Time // by endpoint id: last order to load; of the planning goroutine
+	upgraded map[string]time.Time // by engine incarnation: last order to load; of the planning goroutine
 
 	draining atomic.Bool
 	drained  chan struct{}
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -69,10 +69,12 @@
 			e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
 		}
 	}
-	for _, upgrade := range e.planUpgrades() {
-		if own[upgrade.EndpointID] && now.Sub(e.upgraded[upgrade.EndpointID]) > upgradeAgainAfter {
-			e.upgraded[upgrade.EndpointID] = now
-			e.submit(upgrade.EndpointID, upgrade.Order, "configured version")
+	for _, upgrade := range e.planUpgrades(now) {
+		if !own[upgrade.EndpointID] || now.Sub(e.upgraded[upgrade.Incarnation]) <= upgradeAgainAfter {
+			continue
+		}
+		if e.submit(upgrade.EndpointID, upgrade.Order, "configured version") {
+			e.upgraded[upgrade.Incarnation] = now
 		}
 	}
 }
@@ -92,12 +94,13 @@
 	return int(now.Unix())%len(zones) == before
 }
 
-func (e *Entry) submit(endpointID string, order driver.Order, reason string) {
+func (e *Entry) submit(endpointID string, order driver.Order, reason string) (submitted bool) {
 	if err := e.orderer.Submit(e.ctx, endpointID, order); err != nil {
 		e.logger.Debug("order not submitted", "endpoint_id", endpointID, "error", err)
-		return
+		return false
 	}
 	e.logger.Info("order submitted", "endpoint_id", endpointID, "order", order, "reason", reason)
+	return true
 }
 
 func (e *Entry) orderFinished(order orderer.OpenOrder, outcome orderer.Outcome) {
--- a/pkg/endivemast/upgrades.go
+++ b/pkg/endivemast/upgrades.go
@@ -1,29 +1,45 @@
 package endivemast
 
 import (
+	"time"
+
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/provider"
 )
 
+// sightingHolds is how long a report speaks for its engine. An engine that
+// died with its old version must not keep the others from their new one.
+const sightingHolds = 5 * time.Second
+
 // upgrade is an engine that is to load what its application is configured to.
 type upgrade struct {
-	EndpointID string
-	Order      driver.LoadModel
+	EndpointID  string
+	Incarnation string
+	Order       driver.LoadModel
 }
 
 // planUpgrades proposes the engines that differ from their application's
 // model, version or adapter, one of an application at a time.
-func (e *Entry) planUpgrades() []upgrade {
+func (e *Entry) planUpgrades(now time.Time) []upgrade {
 	e.sightingsMu.Lock()
 	defer e.sightingsMu.Unlock()
-	reports := make(map[string]driver.Report, len(e.sightings))
 	hosts, _ := e.lister.Hosts()
+	return upgrades(presentReports(hosts, e.sightings, now), e.configurer.Application)
+}
+
+// presentReports are the fresh reports of the processes that are listed, by
+// endpoint id.
+func presentReports(hosts []provider.Host, sightings map[string]orderer.Sighting, now time.Time) map[string]driver.Report {
+	reports := make(map[string]driver.Report, len(sightings))
 	for _, host := range hosts {
-		if sighting, ok := e.sightings[host.ID]; ok && sighting.Report.Incarnation == host.Incarnation {
+		sighting, ok := sightings[host.ID]
+		if ok && sighting.Report.Incarnation == host.Incarnation && now.Sub(sighting.RequestedAt) <= sightingHolds {
 			reports[host.ID] = sighting.Report
 		}
 	}
-	return upgrades(reports, e.configurer.Application)
+	return reports
 }
 
 // upgrades is the decision over reports by endpoint id. An application with
@@ -44,8 +60,9 @@
 		}
 		if best, found := chosen[report.Application]; !found || endpointID < best.EndpointID {
 			chosen[report.Application] = upgrade{
-				EndpointID: endpointID,
-				Order:      driver.LoadModel{Model: wanted.Model, Version: wanted.Version, Adapter: wanted.Adapter},
+				EndpointID:  endpointID,
+				Incarnation: report.Incarnation,
+				Order:       driver.LoadModel{Model: wanted.Model, Version: wanted.Version, Adapter: wanted.Adapter},
 			}
 		}
 	}
--- a/pkg/endivemast/upgrades_test.go
+++ b/pkg/endivemast/upgrades_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/provider"
 )
 
 func TestUpgradesTakeOneEngineOfAnApplicationAtATime(t *testing.T) {
@@ -39,3 +42,26 @@
 		})
 	}
 }
+
+func TestPresentReportsLeaveOutDeadEngines(t *testing.T) {
+	now := time.Now()
+	sighted := func(incarnation string, age time.Duration) orderer.Sighting {
+		return orderer.Sighting{Report: driver.Report{Incarnation: incarnation}, RequestedAt: now.Add(-age)}
+	}
+	hosts := []provider.Host{{ID: "e1", Incarnation: "b"}}
+	tests := map[string]struct {
+		sightings map[string]orderer.Sighting
+		want      int
+	}{
+		"present":       {map[string]orderer.Sighting{"e1": sighted("b", time.Second)}, 1},
+		"silent":        {map[string]orderer.Sighting{"e1": sighted("b", time.Minute)}, 0},
+		"former":        {map[string]orderer.Sighting{"e1": sighted("a", time.Second)}, 0},
+		"not listed":    {map[string]orderer.Sighting{"e2": sighted("b", time.Second)}, 0},
+		"never sighted": {nil, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, len(presentReports(hosts, test.sightings, now)), test.want)
+		})
+	}
+}
