Dispatcher: hedge work that waited in the queue; true outcome for a gone caller

Cause of the first: the hedge's timer fired once. When the attempt still waited in this host's queue at that moment there was no hedge ever, and a frozen engine held the request for its completion target. Ruled out: a hedge at once, which would wait behind the first.

Cause of the second: whether an endpoint had seen a request was noted when an attempt won or lost, but not when its caller went away meanwhile, which was counted as 'not_run'. It is now noted when the round's attempts have ended. The test fails on the code before.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -48,6 +48,7 @@
 	run     *run
 	events  chan event
 	group   *errgroup.Group
+	started []*attempt
 	running []*attempt
 	winner  *attempt
 }
@@ -82,6 +83,7 @@
 	for _, other := range c.running {
 		a.work.Excluded = append(a.work.Excluded, other.endpointID())
 	}
+	c.started = append(c.started, a)
 	c.running = append(c.running, a)
 	c.group.Go(func() error {
 		defer cancel(nil)
@@ -90,18 +92,23 @@
 	})
 }
 
-// hedge starts a second attempt where the budget allows it and the first has
-// been sent: work that still waits in this host's queue gains nothing.
-func (c *race) hedge(ctx context.Context) {
+// hedge starts a second attempt where the budget allows it. It is false when
+// the question has to be asked again: the first attempt still waits in this
+// host's queue, and a second one would only wait behind it.
+func (c *race) hedge(ctx context.Context) (settled bool) {
 	r := c.run
-	if c.winner != nil || len(c.running) != 1 || c.running[0].endpointID() == "" {
-		return
+	if c.winner != nil || len(c.running) != 1 {
+		return true
+	}
+	if c.running[0].endpointID() == "" {
+		return false
 	}
 	if r.attempts >= r.dispatcher.cfg.MaxAttempts || !r.dispatcher.retries.withdraw() {
-		return
+		return true
 	}
 	r.dispatcher.cfg.Meter.CountHedge(r.class.Name)
 	c.start(ctx)
+	return true
 }
 
 // take handles one event; done says that the answer is whole.
@@ -133,7 +140,6 @@
 func (c *race) win(a *attempt) bool {
 	if c.winner == nil {
 		c.winner = a
-		c.run.sent = true
 		for _, other := range c.running {
 			if other != a {
 				other.cancel(errSuperseded)
@@ -143,15 +149,22 @@
 	return c.winner == a
 }
 
+// close waits for the attempts, and notes whether an endpoint may have seen
+// one of them: only then is it known for each.
+func (c *race) close() error {
+	err := c.group.Wait()
+	for _, a := range c.started {
+		c.run.sent = c.run.sent || a.sent.Load()
+	}
+	return err
+}
+
 // stall abandons attempts whose endpoints have fallen silent.
 func (c *race) stall() {
 	for _, a := range c.running {
 		if c.winner != nil && c.winner != a {
 			continue
 		}
-		if a.sent.Load() {
-			c.run.sent = true
-		}
 		a.cancel(errStalled)
 		c.run.exclude(a)
 	}
@@ -163,9 +176,6 @@
 	if c.winner != nil && c.winner != a {
 		return nil
 	}
-	if a.sent.Load() {
-		c.run.sent = true
-	}
 	c.run.exclude(a)
 	for i, other := range c.running {
 		if other == a {
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -65,6 +65,23 @@
 	}
 }
 
+// TestHedgeFollowsWorkThatWaitedInTheQueue stands for a request whose queue
+// time outlasts the delay of its hedge, and whose engine then is frozen: it
+// waited for its completion target, a minute here.
+func TestHedgeFollowsWorkThatWaitedInTheQueue(t *testing.T) {
+	endpoints := &fakeEndpoints{
+		scripts: []script{{ending: "silent"}, {tokens: []int{0, 1, 2, 3}, ending: "end"}}, queued: 30 * time.Millisecond,
+	}
+	d := newTestDispatcher(configurer.Class{
+		Kind: configurer.KindGenerate, FirstTokenTargetMS: 20, CompletionTargetMS: 60_000,
+	}, endpoints, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	answer, err := d.Generate(ctx, Request{Tenant: "vitosha", Class: "work", MaxOutputTokens: 4}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Attempts, 2)
+}
+
 func TestGenerateStopsWhenItsCallerIsGone(t *testing.T) {
 	endpoints := &fakeEndpoints{scripts: []script{{tokens: []int{0, 1, 2, 3}, ending: "end"}}}
 	d := newTestDispatcher(configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 60_000}, endpoints, nil)
@@ -74,10 +91,22 @@
 	var failure *FailureError
 	assert.Assert(t, errors.As(err, &failure))
 	assert.Equal(t, failure.Reason, ReasonCallerGone)
+	assert.Equal(t, failure.Outcome, OutcomeUnknown, "an engine has seen the request")
 	assert.Equal(t, endpoints.attempts, 1)
 	assert.DeepEqual(t, endpoints.results, []scheduler.Result{scheduler.Abandoned{}})
 }
 
+// TestGoneCallerOfAFrozenEngine guards the count of outcomes: the engine has
+// the request, so "not run" would be false.
+func TestGoneCallerOfAFrozenEngine(t *testing.T) {
+	endpoints := &fakeEndpoints{scripts: []script{{ending: "silent"}}}
+	d := newTestDispatcher(configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 60_000}, endpoints, nil)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := d.Generate(ctx, Request{Tenant: "vitosha", Class: "work", MaxOutputTokens: 4}, nil)
+	assert.Equal(t, outcomeOf(t, err), OutcomeUnknown)
+}
+
 func TestRetriesAreBounded(t *testing.T) {
 	endpoints := &fakeEndpoints{}
 	d := newTestDispatcher(configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 60_000}, endpoints, nil)
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -41,9 +41,13 @@
 	results  []scheduler.Result
 	resumes  []int
 	refusal  *scheduler.RefusalError
+	queued   time.Duration // that the first attempt waits for its grant
 }
 
 func (f *fakeEndpoints) Acquire(ctx context.Context, work scheduler.Work) (scheduler.Grant, error) {
+	if f.queued > 0 && len(work.Excluded) == 0 {
+		<-time.After(f.queued)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refusal != nil {
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -157,7 +157,7 @@
 	race := &race{run: r, events: make(chan event), group: &errgroup.Group{}}
 	defer func() {
 		cancel()
-		err = errors.Join(err, race.group.Wait())
+		err = errors.Join(err, race.close())
 	}()
 	race.start(ctx)
 	hedge := time.NewTimer(r.hedgeDelay())
@@ -171,7 +171,9 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-hedge.C:
-			race.hedge(ctx)
+			if !race.hedge(ctx) {
+				hedge.Reset(r.hedgeDelay())
+			}
 		case <-silence.C:
 			race.stall()
 			return errStalled
