--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -219,6 +219,9 @@
 	// Send sends an order over a connection of its own, once. It fails with
 	// ErrNotSent, ErrStaleEpoch, ErrRefused or ErrOutcomeUnknown; nil means
 	// that the engine has accepted the order, and reports tell how it ends.
+	// Where target.Incarnation is set, the order must reach that very process:
+	// an adapter whose protocol can't say so reads the report on the order's
+	// own connection first. The safety of orders rests on it.
 	Send(ctx context.Context, target Target, order OrderCall) error
 	// Report reads an engine's report with the cache events behind a sequence.
 	Report(ctx context.Context, target Target, cacheSequence int64) (Report, error)
