Status waits for a service that is down once a second, not at each call

Cause: the authorities' reader took only successful reads as recent, so that in an outage each status waited 500 ms, one after the other. Change: a failed try counts as recent too; test with a counting store.

--- a/pkg/endivemast/authorities.go
+++ b/pkg/endivemast/authorities.go
@@ -29,6 +29,8 @@
 
 	mu       sync.Mutex
 	statuses []server.AuthorityStatus
+	known    bool // the last try succeeded
+	triedAt  time.Time
 	readAt   time.Time
 }
 
@@ -46,33 +48,33 @@
 func (r *authorityReader) read(ctx context.Context) []server.AuthorityStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := time.Now()
-	known := true
-	if r.statuses == nil || now.Sub(r.readAt) > authoritiesMaxAge {
-		known = r.refresh(ctx, now)
+	// A failed try counts as well: in an outage, status would otherwise wait
+	// for the service each time.
+	if time.Since(r.triedAt) > authoritiesMaxAge {
+		r.refresh(ctx)
+		r.triedAt = time.Now()
 	}
 	statuses := slices.Clone(r.statuses)
 	for i := range statuses {
-		statuses[i].Known = known
+		statuses[i].Known = r.known
 		if !r.readAt.IsZero() {
-			statuses[i].Age = now.Sub(r.readAt)
+			statuses[i].Age = time.Since(r.readAt)
 		}
 	}
 	return statuses
 }
 
-func (r *authorityReader) refresh(ctx context.Context, now time.Time) (known bool) {
+func (r *authorityReader) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, authoritiesTimeout)
 	defer cancel()
 	entries, _, err := r.store.List(ctx, leaser.ZonesPrefix)
-	if err != nil {
-		if r.statuses == nil {
-			r.statuses = authorities(r.zones, nil)
-		}
-		return false
+	r.known = err == nil
+	switch {
+	case r.known:
+		r.statuses, r.readAt = authorities(r.zones, entries), time.Now()
+	case r.statuses == nil:
+		r.statuses = authorities(r.zones, nil)
 	}
-	r.statuses, r.readAt = authorities(r.zones, entries), now
-	return true
 }
 
 // authorities turns the key-value service's entries into statuses, by zone. A
--- a/pkg/endivemast/authorities_test.go
+++ b/pkg/endivemast/authorities_test.go
@@ -1,8 +1,10 @@
 package endivemast
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -32,3 +34,33 @@
 		{Zone: "z3", OrdersByState: map[string]int{}},
 	})
 }
+
+// countedStore answers List with what is set, and counts.
+type countedStore struct {
+	provider.Store
+
+	err   error
+	lists int
+}
+
+func (s *countedStore) List(context.Context, string) ([]provider.Entry, int64, error) {
+	s.lists++
+	value := []byte(`{"zone":"z1","epoch":3,"holder":{"host_id":"h1"}}`)
+	return []provider.Entry{{Key: leaser.RecordKey("z1"), Value: value}}, 1, s.err
+}
+
+func TestAuthoritiesInAnOutage(t *testing.T) {
+	store := &countedStore{}
+	reader := newAuthorityReader(store, Config{Zone: "z1", Peers: []Peer{{Zone: "z1"}}})
+	got := reader.read(t.Context())
+	assert.Equal(t, len(got), 1)
+	assert.Assert(t, got[0].Known)
+	store.err = provider.ErrUnavailable
+	reader.triedAt = time.Now().Add(-2 * authoritiesMaxAge)
+	for range 5 {
+		got = reader.read(t.Context())
+	}
+	assert.Equal(t, store.lists, 2, "a service that is down is asked at each status")
+	assert.Assert(t, !got[0].Known)
+	assert.Equal(t, got[0].Epoch, int64(3), "forgot what was read last")
+}
