Measure what an entry host costs, with real processes

go run ./tests/coster starts and ends processes on loopback and measures added latency, requests on one core, processor time a token, memory an open stream, and what an idle host costs by the number of hosts and endpoints.

--- /dev/null
+++ b/tests/coster/main.go
@@ -0,0 +1,82 @@
+// Command coster measures what an entry host costs: added latency over calling
+// the endpoint directly, requests a second on one core, processor time a
+// request and a streamed token, memory an open stream, and what an idle host
+// costs with the number of hosts and of endpoints. It builds the programs, and
+// starts and ends real processes on loopback.
+//
+// # Usage
+//
+//	go run ./tests/coster              all of them
+//	go run ./tests/coster latency      some of latency, requests, tokens, streams, hosts, reports
+//
+// The entry host runs with GOMAXPROCS=1. Processor time is user and system
+// time of its process, so that other load on the machine disturbs it little;
+// latencies are of the wall clock, and the load is printed for that reason.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// measurement is one part of the report.
+type measurement struct {
+	name string
+	run  func(ctx context.Context, bin string) error
+}
+
+var measurements = []measurement{
+	{"latency", measureLatency},
+	{"requests", measureRequests},
+	{"tokens", measureTokens},
+	{"streams", measureStreams},
+	{"hosts", measureHosts},
+	{"reports", measureReports},
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := run(ctx, os.Args[1:])
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, names []string) (err error) {
+	bin, err := os.MkdirTemp("", "coster-bin")
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(bin)) }()
+	if err := build(ctx, bin); err != nil {
+		return err
+	}
+	for _, m := range measurements {
+		if len(names) > 0 && !strings.Contains(strings.Join(names, " "), m.name) {
+			continue
+		}
+		fmt.Printf("%s (%s, load %s)\n", m.name, time.Now().Format(time.TimeOnly), machineLoad())
+		if err := m.run(ctx, bin); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// machineLoad is the load average over one minute.
+func machineLoad() string {
+	content, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	load, _, _ := strings.Cut(string(content), " ")
+	return load
+}
--- /dev/null
+++ b/tests/coster/process.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Limits of starting and ending processes.
+const (
+	startTimeout = 30 * time.Second
+	pollEvery    = 20 * time.Millisecond
+	// clockTicks is the unit of processor time in /proc on Linux (USER_HZ).
+	clockTicks = 100
+	// Fields of /proc/PID/stat behind the program's name, which may hold spaces.
+	statUserTime, statSystemTime = 11, 12
+)
+
+// process is a process that this program started.
+type process struct {
+	cmd *exec.Cmd
+}
+
+// build builds the programs into a directory.
+func build(ctx context.Context, dir string) (err error) {
+	defer func() { err = eris.Wrap(err, "build the programs") }()
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir+string(filepath.Separator), "./cmd/endivemast", "./cmd/standin")
+	cmd.Stderr = os.Stderr
+	return cmd.Run()
+}
+
+// start starts a program whose log goes to a file.
+func start(logFile string, environment []string, program string, arguments ...string) (p *process, err error) {
+	defer func() { err = eris.Wrapf(err, "start %s", program) }()
+	log, err := os.Create(logFile)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, log.Close()) }() // the process has its own
+	cmd := exec.Command(program, arguments...)
+	cmd.Env = append(os.Environ(), environment...)
+	cmd.Stdout, cmd.Stderr = log, log
+	return &process{cmd: cmd}, cmd.Start()
+}
+
+// Close ends the process and waits for it.
+func (p *process) Close() error {
+	if err := p.cmd.Process.Signal(syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	_ = p.cmd.Wait() // it was killed, which is no failure here
+	return nil
+}
+
+// processorTime is the user and system time that the process has used, to a
+// hundredth of a second.
+func (p *process) processorTime() (used time.Duration, err error) {
+	defer func() { err = eris.Wrap(err, "read processor time") }()
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	for _, field := range []int{statUserTime, statSystemTime} {
+		n, err := strconv.Atoi(fields[field])
+		if err != nil {
+			return 0, err
+		}
+		used += time.Duration(n) * time.Second / clockTicks
+	}
+	return used, nil
+}
+
+// residentBytes is the process's resident memory.
+func (p *process) residentBytes() (bytes int64, err error) {
+	defer func() { err = eris.Wrap(err, "read resident memory") }()
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	pages, err := strconv.ParseInt(strings.Fields(string(statm))[1], 10, 64)
+	return pages * int64(os.Getpagesize()), err
+}
+
+// freeAddress is an address that nobody listened on just now.
+func freeAddress() (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", eris.Wrap(err, "find a free port")
+	}
+	return listener.Addr().String(), listener.Close()
+}
+
+// await polls until done is true.
+func await(ctx context.Context, what string, done func(context.Context) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for !done(ctx) {
+		select {
+		case <-ctx.Done():
+			return eris.Wrapf(ctx.Err(), "wait for %s", what)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
