Streams start with a small line buffer

Cause: each open stream held a buffer of the longest line, 64 KiB, of which a token's line takes about 100 bytes. The profile of allocations had it first with 29% of all bytes. Change: a buffer of 1 KiB; a line that is longer is put together in a copy, up to the same limit. Ruled out: a pool of large buffers, as open streams hold theirs for seconds.

--- a/internal/httpdriver/stream.go
+++ b/internal/httpdriver/stream.go
@@ -17,15 +17,24 @@
 	"github.com/endivemast/endivemast/internal/driver"
 )
 
+// lineBufferBytes is the buffer of each open stream: room for some tokens'
+// lines. With a buffer of the longest line, thousands of streams would hold
+// 64 KiB each that nearly none of them ever fills.
+const lineBufferBytes = 1 << 10
+
 // lineReader reads the lines of one streamed answer, and fails on a line that
 // belongs to another attempt.
 type lineReader struct {
-	reader    *bufio.Reader
-	attemptID string
+	reader       *bufio.Reader
+	attemptID    string
+	maxLineBytes int
 }
 
 func newLineReader(r io.Reader, attemptID string, maxLineBytes int) lineReader {
-	return lineReader{reader: bufio.NewReaderSize(r, maxLineBytes), attemptID: attemptID}
+	return lineReader{
+		reader:    bufio.NewReaderSize(r, min(lineBufferBytes, maxLineBytes)),
+		attemptID: attemptID, maxLineBytes: maxLineBytes,
+	}
 }
 
 // buffered is true when a whole line can be read without waiting.
@@ -36,9 +45,9 @@
 
 // next reads a line. Its errors are ErrOutcomeUnknown and ErrCrossed, never io.EOF.
 func (l lineReader) next() (line Line, err error) {
-	raw, err := l.reader.ReadSlice('\n')
+	raw, err := l.readLine()
 	switch {
-	case errors.Is(err, bufio.ErrBufferFull):
+	case errors.Is(err, errTooLarge):
 		return line, &classError{class: driver.ErrOutcomeUnknown, cause: errTooLarge}
 	case err != nil: // io.EOF as well: a whole answer ends with an explicit line
 		return line, &classError{class: driver.ErrOutcomeUnknown, cause: fmt.Errorf("stream broke off: %w", noEOF(err))}
@@ -52,6 +61,24 @@
 	return line, nil
 }
 
+// readLine returns the next line, valid until the next read. Only a line that
+// is longer than the buffer is copied.
+func (l lineReader) readLine() (raw []byte, err error) {
+	raw, err = l.reader.ReadSlice('\n')
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return raw, err
+	}
+	long := bytes.Clone(raw)
+	for errors.Is(err, bufio.ErrBufferFull) && len(long) < l.maxLineBytes {
+		raw, err = l.reader.ReadSlice('\n')
+		long = append(long, raw...)
+	}
+	if len(long) > l.maxLineBytes || errors.Is(err, bufio.ErrBufferFull) {
+		return nil, errTooLarge
+	}
+	return long, err
+}
+
 // noEOF keeps io.EOF out of the error chain: it would read as a whole answer.
 func noEOF(err error) error {
 	if errors.Is(err, io.EOF) {
