--- a/tests/coster/control.go
+++ b/tests/coster/control.go
@@ -65,47 +65,57 @@
 }
 
 func (d *deployment) reportIdleHosts(ctx context.Context, hosts []entryHost) error {
-	before, err := d.storeCalls(ctx)
+	storeBefore, err := d.storeCalls(ctx)
 	if err != nil {
 		return err
 	}
-	var used time.Duration
-	for _, h := range hosts {
-		t, err := h.process.processorTime()
-		if err != nil {
-			return err
-		}
-		used -= t
+	before, err := usageOf(hosts)
+	if err != nil {
+		return err
 	}
 	begun := time.Now()
 	if err := pause(ctx, controlLasts); err != nil {
 		return err
 	}
-	var resident int64
-	for _, h := range hosts {
-		t, err := h.process.processorTime()
-		if err != nil {
-			return err
-		}
-		used += t
-		bytes, err := h.process.residentBytes()
-		if err != nil {
-			return err
-		}
-		resident += bytes
+	after, err := usageOf(hosts)
+	if err != nil {
+		return err
 	}
-	after, err := d.storeCalls(ctx)
+	store, err := d.storeCalls(ctx)
 	if err != nil {
 		return err
 	}
 	seconds, n := time.Since(begun).Seconds(), float64(len(hosts))
-	fmt.Printf("  %d hosts in %d zones: %.2f%% of a core and %.1f MB a host; store: %.2f reads (watches counted) and %.2f writes, list of hosts: %.1f reads a second in all\n",
-		len(hosts), len(hosts)/hostsPerZone, 100*used.Seconds()/seconds/n, float64(resident)/1e6/n,
-		float64(after.Reads-before.Reads)/seconds, float64(after.Writes-before.Writes)/seconds,
-		float64(after.Calls["hosts"]-before.Calls["hosts"])/seconds)
+	fmt.Printf("  %d hosts in %d zones, each: %.2f%% of a core, resident %.1f MB, %.1f KB/s read and written\n", len(hosts), len(hosts)/hostsPerZone,
+		100*(after.processor-before.processor).Seconds()/seconds/n, float64(after.resident)/1e6/n, float64(after.transferred-before.transferred)/1e3/seconds/n)
+	fmt.Printf("    all: %.2f reads (watches counted) and %.2f writes of the store, %.1f reads of the list of hosts a second\n",
+		float64(store.Reads-storeBefore.Reads)/seconds, float64(store.Writes-storeBefore.Writes)/seconds,
+		float64(store.Calls["hosts"]-storeBefore.Calls["hosts"])/seconds)
 	return nil
 }
 
+// usage is what processes have used so far.
+type usage struct {
+	processor   time.Duration
+	resident    int64 // bytes, now
+	transferred int64 // bytes
+}
+
+func usageOf(hosts []entryHost) (sum usage, err error) {
+	for _, h := range hosts {
+		processor, processorErr := h.process.processorTime()
+		resident, residentErr := h.process.residentBytes()
+		transferred, transferredErr := h.process.transferredBytes()
+		if err := errors.Join(processorErr, residentErr, transferredErr); err != nil {
+			return usage{}, err
+		}
+		sum.processor += processor
+		sum.resident += resident
+		sum.transferred += transferred
+	}
+	return sum, nil
+}
+
 // storeStats are the counters of the platform's stand-in.
 type storeStats struct {
 	Calls  map[string]int64 `json:"calls"`
@@ -143,16 +153,21 @@
 		if err := pause(ctx, controlWarm); err != nil {
 			return err
 		}
-		used, err := d.costOf(func() error { return pause(ctx, reportsLast) })
+		host := []entryHost{{process: d.entry}}
+		before, err := usageOf(host)
 		if err != nil {
 			return err
 		}
-		resident, err := d.entry.residentBytes()
+		if err := pause(ctx, reportsLast); err != nil {
+			return err
+		}
+		after, err := usageOf(host)
 		if err != nil {
 			return err
 		}
-		fmt.Printf("  %d endpoints: %.2f%% of a core, resident %.1f MB\n",
-			count, 100*used.Seconds()/reportsLast.Seconds(), float64(resident)/1e6)
+		fmt.Printf("  %d endpoints: %.2f%% of a core, resident %.1f MB, %.1f KB/s read and written\n",
+			count, 100*(after.processor-before.processor).Seconds()/reportsLast.Seconds(),
+			float64(after.resident)/1e6, float64(after.transferred-before.transferred)/1e3/reportsLast.Seconds())
 	}
 	return nil
 }
--- a/tests/coster/process.go
+++ b/tests/coster/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -92,13 +93,42 @@
 	return pages * int64(os.Getpagesize()), err
 }
 
+// transferredBytes is what the process has read and written so far; nearly all
+// of it goes over sockets. Headers of TCP and IP are not in it.
+func (p *process) transferredBytes() (bytes int64, err error) {
+	defer func() { err = eris.Wrap(err, "read transferred bytes") }()
+	counters, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(counters)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		if name != "rchar" && name != "wchar" {
+			continue
+		}
+		n, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		bytes += n
+	}
+	return bytes, nil
+}
+
+// Ports that the system does not give to outgoing connections, which would
+// otherwise take one between its choice and its use.
+const firstPort, portCount = 23_000, 9_000
+
 // freeAddress is an address that nobody listened on just now.
 func freeAddress() (address string, err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "find a free port")
+	for range portCount {
+		address = fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(portCount))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
 	}
-	return listener.Addr().String(), listener.Close()
+	return "", eris.New("no free port")
 }
 
 // await polls until done is true.
