Bound the reports that a host reads a second

Cause: each endpoint's report was read every 250 ms, so that the cost grew with the fleet without bound: 83 to 89 us of processor time a report, 61.95% of a core at 1,700 endpoints, four cores at 12,000. Change: a Lister reads at most 100 reports a second in all; up to 25 endpoints nothing changes. An endpoint that is leaving is read at the shortest interval all the same, as it may only be changing its role. Ruled out: a longer interval for all, which is worse at today's size; reading only some of the endpoints, as the router would choose blindly among the rest.

--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -31,8 +31,11 @@
 const (
 	DefaultListEvery   = 500 * time.Millisecond
 	DefaultReportEvery = 250 * time.Millisecond
-	listTimeout        = time.Second
-	reportTimeout      = time.Second
+	// DefaultReportsPerSecond bounds what a host spends on reading reports,
+	// about 0.1 ms of processor time each, however many endpoints there are.
+	DefaultReportsPerSecond = 100
+	listTimeout             = time.Second
+	reportTimeout           = time.Second
 	// A peer's word holds this long unless it is repeated: an endpoint that
 	// drains only for a change of role takes work again afterwards.
 	peerWordHolds = time.Second
@@ -59,8 +62,11 @@
 	Driver      driver.Driver
 	Peers       PeerLists
 	ListEvery   time.Duration
-	ReportEvery time.Duration
-	Logger      hclog.Logger
+	ReportEvery time.Duration // of one endpoint; longer where ReportsPerSecond says so
+	// ReportsPerSecond bounds the reports of all endpoints together. Endpoints
+	// that say that they are leaving are read at ReportEvery all the same.
+	ReportsPerSecond int
+	Logger           hclog.Logger
 }
 
 // Lister polls the platform's list and the endpoints' reports.
@@ -98,6 +104,9 @@
 	if cfg.ReportEvery == 0 {
 		cfg.ReportEvery = DefaultReportEvery
 	}
+	if cfg.ReportsPerSecond == 0 {
+		cfg.ReportsPerSecond = DefaultReportsPerSecond
+	}
 	l := &Lister{cfg: cfg, feed: feed, readers: map[string]*reader{}, heard: map[string]heardWord{}}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	l.group = &errgroup.Group{}
--- a/internal/lister/reader.go
+++ b/internal/lister/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/driver"
@@ -21,18 +22,42 @@
 
 // readReports reads one endpoint's reports until ctx ends.
 func (l *Lister) readReports(ctx context.Context, row *reader) error {
-	ticker := time.NewTicker(l.cfg.ReportEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(l.cfg.ReportEvery)
+	defer timer.Stop()
 	for {
+		begun := time.Now()
 		l.readReport(ctx, row)
+		timer.Reset(max(0, l.reportPace(row)-time.Since(begun)))
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// reportPace is the time between two reports of an endpoint. An endpoint that
+// is leaving is read at the shortest: it may only be changing its role, and
+// would stay without work for the length of the pace afterwards.
+func (l *Lister) reportPace(row *reader) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if row.draining {
+		return l.cfg.ReportEvery
+	}
+	bounded := time.Duration(len(l.readers)) * time.Second / time.Duration(l.cfg.ReportsPerSecond)
+	return jitter(max(l.cfg.ReportEvery, bounded), l.cfg.ReportEvery)
+}
+
+// jitter spreads paces that are longer than the shortest by a tenth, so that
+// readers that began together, with the first list, drift apart.
+func jitter(pace, shortest time.Duration) time.Duration {
+	if pace <= shortest {
+		return pace
+	}
+	return pace - pace/20 + rand.N(pace/10)
+}
+
 func (l *Lister) readReport(ctx context.Context, row *reader) {
 	target := driver.Target{EndpointID: row.host.ID, Incarnation: row.host.Incarnation, Address: row.host.Address}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
