Comparer: the policy and its baselines on real processes, interleaved

Starts each deployment anew for each run, with ports of its own, awaits that every entry host has the classes and knows all endpoints, and sends the same seeds to each variant in turn. Runs whose loader was late are dropped and repeated, and counted.

--- /dev/null
+++ b/internal/comparer/comparer.go
@@ -0,0 +1,248 @@
+package comparer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/loader"
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// job is one run to be made, with its place in the results.
+type job struct {
+	position int
+	scenario loader.Scenario
+	fault    Fault
+	variant  *Variant
+	seed     uint64
+}
+
+// Compare makes all runs. When ctx ends, the runs under way end their arrivals
+// and the others are left out.
+func Compare(ctx context.Context, o Options) (comparison *Comparison, err error) {
+	defer func() { err = eris.Wrap(err, "compare") }()
+	jobs, err := plan(&o)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(o.Logs, 0o755); err != nil {
+		return nil, err
+	}
+	queue := make(chan job, len(jobs))
+	for _, next := range jobs {
+		queue <- next
+	}
+	close(queue)
+	var mu sync.Mutex
+	results := make([]*Result, len(jobs))
+	group, ctx := errgroup.WithContext(ctx)
+	for lane := range o.Lanes {
+		group.Go(func() error {
+			for next := range queue {
+				if hasEnded(ctx) {
+					break
+				}
+				result, err := measure(ctx, &o, &next, o.BasePort+lane*PortsPerLane)
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				results[next.position] = result
+				tell(&o, result)
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	err = group.Wait()
+	comparison = &Comparison{Deployment: o.Deployment.Name, TimeScale: o.TimeScale, RateScale: o.RateScale, Variants: o.Variants}
+	for _, result := range results {
+		if result != nil {
+			comparison.Results = append(comparison.Results, *result)
+		}
+	}
+	return comparison, err
+}
+
+// plan lists the runs. The variants of one scenario, fault and seed follow one
+// another, each seed beginning with another variant, so that none always meets
+// the same moment of whatever else the machine does.
+func plan(o *Options) (jobs []job, err error) {
+	for turn, seed := range o.Seeds {
+		for _, path := range o.Scenarios {
+			scenario, err := loader.ReadScenario(path)
+			if err != nil {
+				return nil, err
+			}
+			scenario.Shorten(o.TimeScale)
+			scenario.RateScale *= o.RateScale
+			for _, fault := range o.Faults {
+				for i := range o.Variants {
+					jobs = append(jobs, job{
+						position: len(jobs), scenario: scenario, fault: fault,
+						variant: &o.Variants[(turn+i)%len(o.Variants)], seed: seed,
+					})
+				}
+			}
+		}
+	}
+	return jobs, nil
+}
+
+// measure makes a run, and again while its loader was late.
+func measure(ctx context.Context, o *Options, next *job, port int) (*Result, error) {
+	var dropped []float64
+	for attempt := 1; ; attempt++ {
+		result, err := measureOnce(ctx, o, next, port)
+		if err != nil {
+			return nil, err
+		}
+		lag := result.Report.LagMS.P99
+		result.Dropped = dropped
+		result.IsLate = lag > milliseconds(o.MaxLag)
+		if !result.IsLate || attempt >= o.Attempts || hasEnded(ctx) {
+			return result, nil
+		}
+		dropped = append(dropped, lag)
+	}
+}
+
+func measureOnce(ctx context.Context, o *Options, next *job, port int) (result *Result, err error) {
+	defer func() {
+		err = eris.Wrapf(err, "%s with %s, fault %s, seed %d", next.scenario.Name, next.variant.Name, nameOf(next.fault), next.seed)
+	}()
+	f, err := startFleet(ctx, o, next.variant, next.fault, port)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	result = &Result{Cell: Cell{
+		Scenario: next.scenario.Name, Fault: nameOf(next.fault), Variant: next.variant.Name, Seed: next.seed,
+	}}
+	if err := f.configure(ctx, &next.scenario); err != nil {
+		return nil, err
+	}
+	if result.Report, err = load(ctx, f, next); err != nil {
+		return nil, err
+	}
+	result.Retries, result.Hedges = f.counters(ctx, "endivemast_retries_total"), f.counters(ctx, "endivemast_hedges_total")
+	result.LoadAverage = loadAverage()
+	demands, err := loader.Demands(&next.scenario, next.seed)
+	if err != nil {
+		return nil, err
+	}
+	result.Bound = bound(o.Deployment, &next.scenario, demands)
+	result.Utilisation = utilisation(o.Deployment, &next.scenario, demands)
+	err = f.Close()
+	result.CPUSeconds = f.entryCPU().Seconds()
+	return result, err
+}
+
+func hasEnded(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func load(ctx context.Context, f *fleet, next *job) (report *loader.Report, err error) {
+	options := f.loadOptions()
+	options.Scenario, options.Seed = next.scenario, next.seed
+	run, err := loader.Start(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	faults, stop := context.WithCancel(ctx)
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return inject(faults, next.fault, f, next.scenario.Duration()) })
+	report, err = run.Wait()
+	stop()
+	return report, errors.Join(err, group.Wait())
+}
+
+// configure writes the classes and waits until every entry host is ready and has them.
+func (f *fleet) configure(ctx context.Context, scenario *loader.Scenario) error {
+	entries := f.kind(provider.HostEntry)
+	if err := loader.Configure(ctx, entries[0].operators, "", scenario); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, m := range entries {
+		if err := f.await(ctx, "http://"+m.operators+"/readyz", nil); err != nil {
+			return err
+		}
+		if err := f.awaitEndpoints(ctx, m); err != nil {
+			return err
+		}
+		for _, class := range scenario.Classes {
+			url := "http://" + m.operators + "/v1/operator/classes/" + class.Tenant + "/" + class.Name
+			if err := f.await(ctx, url, nil); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// awaitEndpoints waits until an entry host knows all endpoints.
+func (f *fleet) awaitEndpoints(ctx context.Context, m *member) error {
+	want := len(f.members) - len(f.kind(provider.HostEntry))
+	for {
+		var status struct {
+			Endpoints []struct {
+				State string `json:"state"`
+			} `json:"endpoints"`
+		}
+		if err := f.await(ctx, "http://"+m.operators+"/v1/operator/status", &status); err != nil {
+			return err
+		}
+		live := 0
+		for _, endpoint := range status.Endpoints {
+			if endpoint.State == "live" {
+				live++
+			}
+		}
+		if live == want {
+			return nil
+		}
+		if !waitFor(ctx, pollInterval) {
+			return eris.Errorf("host %s knows %d of %d endpoints", m.ID, live, want)
+		}
+	}
+}
+
+// loadAverage is the machine's over the last minute; 0 where it is not known.
+func loadAverage() float64 {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(data), " ")
+	average, _ := strconv.ParseFloat(first, 64)
+	return average
+}
+
+func tell(o *Options, result *Result) {
+	if o.Progress == nil {
+		return
+	}
+	r := result.Report
+	fmt.Fprintf(o.Progress, "%s %s %s seed %d: weighted %.3f of at most %.3f, role changes %d, refused %d, lost %d, loader late %s ms, dropped %d, load %.0f, utilisation %.2v\n",
+		result.Scenario, result.Fault, result.Variant, result.Seed, r.WeightedGoodput, result.Bound, r.RoleChanges,
+		r.Total.Refused, r.Total.Lost, r.LagMS, len(result.Dropped), result.LoadAverage, result.Utilisation)
+}
+
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1e3 }
--- /dev/null
+++ b/internal/comparer/process_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package comparer
+
+import "syscall"
+
+func processAttributes() *syscall.SysProcAttr { return nil }
--- a/internal/loader/plotter.go
+++ b/internal/loader/plotter.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	roles, err := r.rolesPlot()
+	roles, err := r.RolesPlot()
 	if err != nil {
 		return err
 	}
@@ -54,7 +54,8 @@
 	return p, plotutil.AddLines(p, "offered", offered, "in time", good)
 }
 
-func (r *Report) rolesPlot() (*plot.Plot, error) {
+// RolesPlot draws the engines by role over time.
+func (r *Report) RolesPlot() (*plot.Plot, error) {
 	p := plot.New()
 	p.X.Label.Text = "seconds"
 	p.Y.Label.Text = "engines by role"
