--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -16,6 +16,8 @@
 // zone and each target, so that zones can be cut off from each other.
 // ENDIVEMAST_TEST_LOGS names a directory where the processes' logs are kept.
 //
+// Scenarios that need no cluster run the program itself, as $PROGRAM.
+//
 // # Commands of the scenario language
 //
 //	cluster vitosha|agency small|full [entry.FLAG=VALUE] [engine.FLAG=VALUE] [service.FLAG=VALUE] [kv.FLAG=VALUE]
@@ -43,6 +45,7 @@
 //	await authority ZONE [not HOST]       a zone's authority is held (by another host)
 //	await version APPLICATION VERSION     all its engines have it loaded
 //	await exit HOST           the process ended by itself, with status 0
+//	await end HOST            the process ended, with whatever status
 //
 // HOST is a host's id, "entries", "engines" or "services". A command that is
 // preceded by "!" has to fail.
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -46,7 +46,9 @@
 			s := &script{directory: env.WorkDir, loads: make(map[string]*loader.Run)}
 			env.Values[scriptKey{}] = s
 			env.Defer(s.close)
-			return nil
+			program, err := binary("endivemast")
+			env.Setenv("PROGRAM", program) // for scenarios that need no cluster
+			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"cluster": command((*script).startCluster),
@@ -491,6 +493,7 @@
 		"ready":   func(ctx context.Context, c *cluster, m *member) error { return c.awaitReady(ctx, m) },
 		"unready": func(ctx context.Context, _ *cluster, m *member) error { return m.awaitUnready(ctx) },
 		"config":  func(ctx context.Context, c *cluster, m *member) error { return c.awaitConfig(ctx, []*member{m}) },
+		"end":     func(ctx context.Context, c *cluster, m *member) error { return c.awaitEnd(ctx, m) },
 		"exit":    func(ctx context.Context, c *cluster, m *member) error { return c.awaitExit(ctx, m) },
 	}
 	wait, ok := waits[args[0]]
