--- a/internal/comparer/command.go
+++ b/internal/comparer/command.go
@@ -44,6 +44,7 @@
 			&cli.IntFlag{Name: "lanes", Usage: "deployments that run at once", Value: 1},
 			&cli.IntFlag{Name: "base-port", Usage: "first `PORT`; each lane takes a hundred", Value: defaultBasePort},
 			&cli.StringFlag{Name: "programs", Usage: "`DIRECTORY` with endivemast and standin", Value: "bin"},
+			&cli.StringFlag{Name: "before", Usage: "`DIRECTORY` with the programs of an earlier build, measured as one more variant"},
 			&cli.StringFlag{Name: "logs", Usage: "`DIRECTORY` for the processes' logs", Value: filepath.Join("run", "compare")},
 			&cli.DurationFlag{Name: "max-lag", Usage: "repeat runs whose loader was later than this in 1 of 100 requests", Value: defaultMaxLag},
 			&cli.StringFlag{Name: "results", Usage: "write all runs to a JSON `FILE`"},
@@ -94,6 +95,9 @@
 		}
 		o.Variants = append(o.Variants, variant)
 	}
+	if directory := cmd.String("before"); directory != "" {
+		o.Variants = append(o.Variants, Before(directory))
+	}
 	for _, name := range cmd.StringSlice("fault") {
 		fault, err := FaultByName(name)
 		if err != nil {
--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -172,10 +172,11 @@
 	return report, errors.Join(err, group.Wait())
 }
 
-// configure writes the classes and waits until every entry host is ready and has them.
+// configure writes the classes, and waits until every entry host has them, is
+// ready and knows all endpoints.
 func (f *fleet) configure(ctx context.Context, scenario *loader.Scenario) error {
 	entries := f.kind(provider.HostEntry)
-	if err := loader.Configure(ctx, entries[0].operators, "", scenario); err != nil {
+	if err := loader.Configure(ctx, f.loadOptions().Operators, "", scenario); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -187,12 +188,6 @@
 		if err := f.awaitEndpoints(ctx, m); err != nil {
 			return err
 		}
-		for _, class := range scenario.Classes {
-			url := "http://" + m.operators + "/v1/operator/classes/" + class.Tenant + "/" + class.Name
-			if err := f.await(ctx, url, nil); err != nil {
-				return err
-			}
-		}
 	}
 	return nil
 }
--- a/internal/comparer/fleet.go
+++ b/internal/comparer/fleet.go
@@ -59,6 +59,9 @@
 		programs: o.Programs, logs: o.Logs, entryFlags: variant.EntryFlags,
 		client: &http.Client{Timeout: answerTimeout, Transport: &http.Transport{}},
 	}
+	if variant.Programs != "" {
+		f.programs = variant.Programs
+	}
 	if late, ok := fault.(LateReports); ok {
 		f.engineFlags = []string{"--report-lag=" + late.By.String()}
 	}
--- a/internal/comparer/types.go
+++ b/internal/comparer/types.go
@@ -14,6 +14,7 @@
 	Name       string   `json:"name"`
 	EntryFlags []string `json:"entry_flags"`
 	IsBaseline bool     `json:"is_baseline"` // of routing and admission: counts for the best baseline
+	Programs   string   `json:"-"`           // directory of other programs than the options'
 }
 
 // PolicyName is the name of the variant with the default settings.
@@ -30,6 +31,12 @@
 	}
 }
 
+// BeforeName is the name of the variant that runs an earlier build.
+const BeforeName = "before"
+
+// Before is the policy of an earlier build, by its directory.
+func Before(programs string) Variant { return Variant{Name: BeforeName, Programs: programs} }
+
 // VariantByName returns one of Variants.
 func VariantByName(name string) (Variant, error) {
 	for _, variant := range Variants() {
