Planner: one mechanism for the zones' turns

Cause: an entry host asked its planner only in a second of its own of three, and the planner had turns of 15 s besides; a wish was seen in every third call, so that a break of two seconds in it went unnoticed. Now planner.Turn is the one mechanism: turns of 15 s for roles, of a second for models and for the baseline every_swing, as before. The planner is asked every second. Ruled out: one length for all, as a new version would then take minutes to be loaded in three zones. Measured: nothing; the tests of the planner and of pkg/endivemast pass.

--- a/internal/scheduler/planner/planner.go
+++ b/internal/scheduler/planner/planner.go
@@ -21,7 +21,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/driver"
@@ -46,12 +45,13 @@
 	sustainPart = 20 // the gain has to last for this part of the expected keeping time
 	floorAll    = 2  // engines of an application that can prefill, and that can decode
 	floorZone   = 1  // the same in each zone, which may be cut off
-	// zoneTurn is how long each zone's authority may propose changes of an
-	// application before the next zone's may, so that zones do not take away
-	// engines at the same time. The end of a turn is left free for reports to
-	// arrive.
-	zoneTurn      = 15 * time.Second
-	zoneTurnInUse = 12 * time.Second
+)
+
+// Turns of the zones. An engine that changes is seen in its reports within
+// seconds. The baseline follows each swing as soon as reports can show it.
+var (
+	roleTurn  = Turn{Length: 15 * time.Second, InUse: 12 * time.Second}
+	swingTurn = Turn{Length: time.Second, InUse: time.Second}
 )
 
 // Engine is one engine of an application.
@@ -208,7 +208,7 @@
 }
 
 func propose(input *Input, a *Application, wish Wish, gain float64) (Proposal, bool) {
-	if input.Now.Sub(wish.Since) < a.sustain() || !a.hasRoom(input.Now) || !isZonesTurn(input, a) {
+	if input.Now.Sub(wish.Since) < a.sustain() || !a.hasRoom(input.Now) || !a.isTurn(roleTurn, input) {
 		return Proposal{}, false
 	}
 	engine := &a.Engines[candidate(input, a, wish.From, wish.To)]
@@ -279,19 +279,11 @@
 
 func (b abilities) reach(floor int) bool { return b.prefill >= floor && b.decode >= floor }
 
-// isZonesTurn spreads the zones' changes over time.
-func isZonesTurn(input *Input, a *Application) bool {
-	var zones []string
+// isTurn says whether it is the turn of the zone whose engines may be changed.
+func (a *Application) isTurn(turn Turn, input *Input) bool {
+	zones := make([]string, len(a.Engines))
 	for i := range a.Engines {
-		if !slices.Contains(zones, a.Engines[i].Zone) {
-			zones = append(zones, a.Engines[i].Zone)
-		}
-	}
-	if len(zones) < 2 {
-		return true
+		zones[i] = a.Engines[i].Zone
 	}
-	slices.SortFunc(zones, strings.Compare)
-	turn := input.Now.UnixNano() / int64(zoneTurn)
-	passed := time.Duration(input.Now.UnixNano() % int64(zoneTurn))
-	return zones[turn%int64(len(zones))] == input.Zone && passed < zoneTurnInUse
+	return turn.IsOf(input.Zone, zones, input.Now)
 }
--- a/internal/scheduler/planner/planner_test.go
+++ b/internal/scheduler/planner/planner_test.go
@@ -243,7 +243,7 @@
 	for second := range 90 {
 		turns := 0
 		for _, zone := range []string{"lozenets", "nadezhda", "lyulin"} {
-			if isZonesTurn(&Input{Zone: zone, Now: start.Add(time.Duration(second) * time.Second)}, a) {
+			if a.isTurn(roleTurn, &Input{Zone: zone, Now: start.Add(time.Duration(second) * time.Second)}) {
 				turns++
 				seen[zone]++
 			}
--- a/internal/scheduler/planner/swing.go
+++ b/internal/scheduler/planner/swing.go
@@ -10,7 +10,7 @@
 // in proportion to the present mix, and follows each swing at once. It keeps
 // only what always holds: the floors, and one engine at a time.
 func swing(input *Input, a *Application) (Proposal, bool) {
-	if a.isChanging() {
+	if a.isChanging() || !a.isTurn(swingTurn, input) {
 		return Proposal{}, false
 	}
 	fleet := a.fleet()
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -9,6 +9,7 @@
 	"github.com/endivemast/endivemast/internal/orderer"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/scheduler/planner"
 )
 
 // The systems that run over the tables, and the feeds between the parts.
@@ -52,13 +53,13 @@
 	}
 }
 
-// planOnce submits the planners' proposals for this zone's endpoints. Zones
-// take turns by the clock, so that two zones seldom change an engine of one
-// application at the same moment; that is for goodput, and no promise needs it.
+// upgradeTurn is a zone's turn to load models. It is as short as the planning
+// interval, since loading a version everywhere is not to take minutes.
+var upgradeTurn = planner.Turn{Length: planEvery, InUse: planEvery}
+
+// planOnce submits the planners' proposals for this zone's endpoints. Both
+// take turns between the zones.
 func (e *Entry) planOnce(now time.Time) {
-	if !e.isTurn(now) {
-		return
-	}
 	own := map[string]bool{}
 	hosts, _ := e.lister.Hosts()
 	for _, host := range hosts {
@@ -69,6 +70,9 @@
 			e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
 		}
 	}
+	if !e.isUpgradeTurn(now) {
+		return
+	}
 	for _, upgrade := range e.planUpgrades(now) {
 		if !own[upgrade.EndpointID] || now.Sub(e.upgraded[upgrade.Incarnation]) <= upgradeAgainAfter {
 			continue
@@ -79,19 +83,13 @@
 	}
 }
 
-// isTurn gives each zone a second of its own among the zones that are known.
-func (e *Entry) isTurn(now time.Time) bool {
-	zones := map[string]bool{e.cfg.Zone: true}
+// isUpgradeTurn says whether this zone may have a model loaded now.
+func (e *Entry) isUpgradeTurn(now time.Time) bool {
+	zones := []string{e.cfg.Zone}
 	for _, peer := range e.cfg.Peers {
-		zones[peer.Zone] = true
-	}
-	before := 0
-	for zone := range zones {
-		if zone < e.cfg.Zone {
-			before++
-		}
+		zones = append(zones, peer.Zone)
 	}
-	return int(now.Unix())%len(zones) == before
+	return upgradeTurn.IsOf(e.cfg.Zone, zones, now)
 }
 
 func (e *Entry) submit(endpointID string, order driver.Order, reason string) (submitted bool) {
