A corrected version is loaded at once

Cause: an engine that was given an order to load waited 30 s for the next one, also when an operator had configured another version meanwhile. Seen in the log of TestScenarios/model_changes: the third version was ordered 33 s after the second. Change: the pause holds for the same order to the same process only.

--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -82,7 +82,7 @@
 	sightingsMu sync.Mutex
 	sightings   map[string]orderer.Sighting // by endpoint id
 
-	upgraded map[string]time.Time // by engine incarnation: last order to load; of the planning goroutine
+	upgraded upgradeTimes // of the planning goroutine
 
 	draining atomic.Bool
 	drained  chan struct{}
@@ -105,7 +105,7 @@
 	}
 	e = &Entry{
 		cfg: cfg, logger: cfg.Logger.With("host_id", cfg.HostID, "zone", cfg.Zone), made: time.Now(),
-		sightings: map[string]orderer.Sighting{}, upgraded: map[string]time.Time{}, drained: make(chan struct{}),
+		sightings: map[string]orderer.Sighting{}, upgraded: upgradeTimes{}, drained: make(chan struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.group = &errgroup.Group{}
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -15,9 +15,6 @@
 const (
 	planEvery      = time.Second
 	readinessEvery = 200 * time.Millisecond
-	// upgradeAgainAfter keeps an engine that fails to load a version from
-	// being drained for it again and again.
-	upgradeAgainAfter = 30 * time.Second
 	// reasonNoHosts is why a host that has read no list of hosts is not ready.
 	reasonNoHosts = "no_host_list"
 )
@@ -70,11 +67,11 @@
 		}
 	}
 	for _, upgrade := range e.planUpgrades(now) {
-		if !own[upgrade.EndpointID] || now.Sub(e.upgraded[upgrade.Incarnation]) <= upgradeAgainAfter {
+		if !own[upgrade.EndpointID] || !e.upgraded.isDue(upgrade, now) {
 			continue
 		}
 		if e.submit(upgrade.EndpointID, upgrade.Order, "configured version") {
-			e.upgraded[upgrade.Incarnation] = now
+			e.upgraded[upgrade] = now
 		}
 	}
 }
--- a/pkg/endivemast/upgrades.go
+++ b/pkg/endivemast/upgrades.go
@@ -1,6 +1,7 @@
 package endivemast
 
 import (
+	"maps"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/configurer"
@@ -13,6 +14,10 @@
 // died with its old version must not keep the others from their new one.
 const sightingHolds = 5 * time.Second
 
+// upgradeAgainAfter keeps an engine that fails to load a version from being
+// drained for it again and again.
+const upgradeAgainAfter = 30 * time.Second
+
 // upgrade is an engine that is to load what its application is configured to.
 type upgrade struct {
 	EndpointID  string
@@ -20,6 +25,18 @@
 	Order       driver.LoadModel
 }
 
+// upgradeTimes says when each order to load was last given.
+type upgradeTimes map[upgrade]time.Time
+
+// isDue says whether an order may be given. Another version, or another
+// process of the engine, has not failed yet and waits for nothing: an operator
+// who corrects a wrong version would otherwise wait for the wrong one's time.
+func (t upgradeTimes) isDue(next upgrade, now time.Time) bool {
+	maps.DeleteFunc(t, func(_ upgrade, given time.Time) bool { return now.Sub(given) > upgradeAgainAfter })
+	_, given := t[next]
+	return !given
+}
+
 // planUpgrades proposes the engines that differ from their application's
 // model, version or adapter, one of an application at a time.
 func (e *Entry) planUpgrades(now time.Time) []upgrade {
--- a/pkg/endivemast/upgrades_test.go
+++ b/pkg/endivemast/upgrades_test.go
@@ -65,3 +65,28 @@
 		})
 	}
 }
+
+func TestSameUpgradeIsNotGivenAgainAtOnce(t *testing.T) {
+	given := upgrade{EndpointID: "e1", Incarnation: "e1-1", Order: driver.LoadModel{Model: "m", Version: "2"}}
+	corrected, restarted := given, given
+	corrected.Order.Version = "3"
+	restarted.Incarnation = "e1-2"
+	tests := map[string]struct {
+		next  upgrade
+		after time.Duration
+		due   bool
+	}{
+		"at once":         {next: given, after: time.Second},
+		"at the limit":    {next: given, after: upgradeAgainAfter},
+		"later":           {next: given, after: upgradeAgainAfter + time.Second, due: true},
+		"another version": {next: corrected, after: time.Second, due: true},
+		"another process": {next: restarted, after: time.Second, due: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			times := upgradeTimes{given: start}
+			assert.Equal(t, times.isDue(test.next, start.Add(test.after)), test.due)
+		})
+	}
+}
