--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -62,21 +62,19 @@
 	for _, host := range hosts {
 		own[host.ID] = host.Zone == e.cfg.Zone && host.State == provider.HostLive
 	}
-	for _, proposal := range e.scheduler.PlanRoles(now) {
-		if own[proposal.EndpointID] {
-			e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
+	for _, order := range e.orderer.OpenOrders() {
+		if order.IsForeign(e.cfg.Incarnation) {
+			own[order.EndpointID] = false
 		}
 	}
 	if !e.isUpgradeTurn(now) {
 		return
 	}
-	for _, upgrade := range e.planUpgrades(now) {
-		if !own[upgrade.EndpointID] || !e.upgraded.isDue(upgrade, now) {
+	for _, upgrade := range e.planUpgrades(own, now) {
+		if !e.upgraded.isDue(upgrade, now) {
 			continue
 		}
-		if e.submit(upgrade.EndpointID, upgrade.Order, "configured version") {
-			e.upgraded[upgrade] = now
-		}
+		e.upgraded.note(upgrade, now, e.submit(upgrade.EndpointID, upgrade.Order, "configured version"))
 	}
 }
 
@@ -89,13 +87,13 @@
 	return upgradeTurn.IsOf(e.cfg.Zone, zones, now)
 }
 
-func (e *Entry) submit(endpointID string, order driver.Order, reason string) (submitted bool) {
+func (e *Entry) submit(endpointID string, order driver.Order, reason string) error {
 	if err := e.orderer.Submit(e.ctx, endpointID, order); err != nil {
 		e.logger.Debug("order not submitted", "endpoint_id", endpointID, "error", err)
-		return false
+		return err
 	}
 	e.logger.Info("order submitted", "endpoint_id", endpointID, "order", order, "reason", reason)
-	return true
+	return nil
 }
 
 func (e *Entry) orderFinished(order orderer.OpenOrder, _ orderer.Outcome) {
--- a/pkg/endivemast/upgrades.go
+++ b/pkg/endivemast/upgrades.go
@@ -1,6 +1,7 @@
 package endivemast
 
 import (
+	"errors"
 	"maps"
 	"time"
 
@@ -37,13 +38,23 @@
 	return !given
 }
 
-// planUpgrades proposes the engines that differ from their application's
-// model, version or adapter, one of an application at a time.
-func (e *Entry) planUpgrades(now time.Time) []upgrade {
+// note keeps an order that the engine has, or may have, taken. One that it was
+// not given, such as while a former holder's order is open, is due again.
+func (t upgradeTimes) note(next upgrade, now time.Time, submitErr error) {
+	if submitErr == nil || errors.Is(submitErr, driver.ErrOutcomeUnknown) {
+		t[next] = now
+	}
+}
+
+// planUpgrades proposes which of this zone's engines that differ from their
+// application's model, version or adapter load it next, one of an application
+// at a time. own says by endpoint id which engines this host may give orders to.
+func (e *Entry) planUpgrades(own map[string]bool, now time.Time) []upgrade {
 	e.sightingsMu.Lock()
 	defer e.sightingsMu.Unlock()
 	hosts, _ := e.lister.Hosts()
-	return upgrades(presentReports(hosts, e.sightings, now), e.configurer.Application)
+	may := func(endpointID string) bool { return own[endpointID] }
+	return upgrades(presentReports(hosts, e.sightings, now), may, e.configurer.Application)
 }
 
 // presentReports are the fresh reports of the processes that are listed, by
@@ -61,8 +72,12 @@
 
 // upgrades is the decision over reports by endpoint id. An application with
 // an engine that is busy with an order waits, so that a new version never
-// takes two engines away at once.
-func upgrades(reports map[string]driver.Report, application func(string) (configurer.Application, bool)) []upgrade {
+// takes two engines away at once. Only engines that may be changed are chosen
+// from: one that leaves, or whose zone has no holder, holds up no other.
+func upgrades(
+	reports map[string]driver.Report, may func(endpointID string) bool,
+	application func(string) (configurer.Application, bool),
+) []upgrade {
 	busy := map[string]bool{}
 	for _, report := range reports {
 		if report.LastOrderState == driver.OrderApplying {
@@ -75,6 +90,9 @@
 		if !ok || wanted.Model == "" || busy[report.Application] || isLoaded(report, wanted) {
 			continue
 		}
+		if report.Draining || !may(endpointID) {
+			continue
+		}
 		if best, found := chosen[report.Application]; !found || endpointID < best.EndpointID {
 			chosen[report.Application] = upgrade{
 				EndpointID:  endpointID,
