--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -52,12 +52,12 @@
 const (
 	DefaultPrefix          = "endivemast/configuration/"
 	DefaultWatchersPerZone = 2
-	DefaultFanout          = 3
+	DefaultFanout          = 2
 	DefaultCompareInterval = 2 * time.Second
 	DefaultReadInterval    = 5 * time.Second
 	DefaultStaleAfter      = 12 * time.Second
 	DefaultCallTimeout     = 2 * time.Second
-	DefaultFoldAfter       = 8
+	DefaultFoldAfter       = 4
 )
 
 // Config says what a Configurer works with. A zero value of a field with a
@@ -145,8 +145,8 @@
 // news is what is to be passed on to peers.
 type news struct {
 	pending bool
-	after   int64  // passed on are the changes after this revision
-	origin  string // root of the relay tree
+	after   int64 // passed on are the changes after this revision
+	source  source
 }
 
 var (
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -41,9 +41,13 @@
 	results  []scheduler.Result
 	resumes  []int
 	refusal  *scheduler.RefusalError
+	queued   time.Duration // that the first attempt waits for its grant
 }
 
 func (f *fakeEndpoints) Acquire(ctx context.Context, work scheduler.Work) (scheduler.Grant, error) {
+	if f.queued > 0 && len(work.Excluded) == 0 {
+		<-time.After(f.queued)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.refusal != nil {
@@ -141,8 +145,11 @@
 	record   *claimer.Record
 	err      error
 	finished []claimer.State
+	deadline time.Time
 }
 
+func (c *fakeClaimer) Deadline() (time.Time, bool) { return c.deadline, !c.deadline.IsZero() }
+
 func (c *fakeClaimer) Claim(context.Context, claimer.Key, []byte) (claimer.Claim, *claimer.Record, error) {
 	if c.record != nil || c.err != nil {
 		return nil, c.record, c.err
--- a/internal/server/design/status.go
+++ b/internal/server/design/status.go
@@ -40,7 +40,7 @@
 var NotReady = Type("NotReady", func() {
 	ErrorName("name", String, "Status of the failure.")
 	Attribute("ready", Boolean, "Always false.")
-	Attribute("reason", String, "Snake case: no_configuration or draining.")
+	Attribute("reason", String, "Snake case: no_configuration, no_host_list or draining.")
 	Required("name", "ready", "reason")
 })
 
@@ -67,8 +67,9 @@
 	Attribute("host_id", String, "Identifier of the host.")
 	Attribute("zone", String, "Availability zone of the host.")
 	Attribute("reachable", Boolean, "Whether it answers this host.")
+	Attribute("draining", Boolean, "Whether it is shutting down.")
 	Attribute("config_revision", Int64, "Configuration revision in force there, as last heard.")
-	Required("host_id", "zone", "reachable", "config_revision")
+	Required("host_id", "zone", "reachable", "draining", "config_revision")
 })
 
 // EndpointStatus is what a host knows of an endpoint.
@@ -77,7 +78,7 @@
 	Attribute("zone", String, "Availability zone of the endpoint.")
 	Attribute("application", String, "Application that it serves.")
 	Attribute("role", String, "Share of the work that it takes; empty for a plain service.")
-	Attribute("state", String, "What the host takes it for: live, leaving, suspect or gone.")
+	Attribute("state", String, "What the host takes it for: live, leaving or suspect.")
 	Attribute("in_flight", Int, "Requests of this host in flight there.")
 	Attribute("prefill_rate", Float64, "Estimated prompt tokens a second.")
 	Attribute("decode_rate", Float64, "Estimated output tokens a second.")
@@ -90,5 +91,8 @@
 	Attribute("holder", String, "Host that holds the authority; empty when nobody does.")
 	Attribute("epoch", Int64, "Fencing number.")
 	Attribute("open_orders", Int, "Orders whose end is not known yet.")
-	Required("zone", "holder", "epoch", "open_orders")
+	Attribute("orders_by_state", MapOf(String, Int), "Open orders: sent, reissued, inherited or settled.")
+	Attribute("known", Boolean, "Whether the zone's record could be read; the rest is as last read.")
+	Attribute("age_ms", Int64, "Milliseconds since the record was read.")
+	Required("zone", "holder", "epoch", "open_orders", "orders_by_state", "known", "age_ms")
 })
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -9,6 +9,7 @@
 	"github.com/endivemast/endivemast/internal/orderer"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/scheduler/planner"
 )
 
 // The systems that run over the tables, and the feeds between the parts.
@@ -49,13 +50,13 @@
 	}
 }
 
-// planOnce submits the planners' proposals for this zone's endpoints. Zones
-// take turns by the clock, so that two zones seldom change an engine of one
-// application at the same moment; that is for goodput, and no promise needs it.
+// upgradeTurn is a zone's turn to load models. It is as short as the planning
+// interval, since loading a version everywhere is not to take minutes.
+var upgradeTurn = planner.Turn{Length: planEvery, InUse: planEvery}
+
+// planOnce submits the planners' proposals for this zone's endpoints. Both
+// take turns between the zones.
 func (e *Entry) planOnce(now time.Time) {
-	if !e.isTurn(now) {
-		return
-	}
 	own := map[string]bool{}
 	hosts, _ := e.lister.Hosts()
 	for _, host := range hosts {
@@ -66,31 +67,24 @@
 			own[order.EndpointID] = false
 		}
 	}
-	for _, proposal := range e.scheduler.PlanRoles(now) {
-		if own[proposal.EndpointID] {
-			_ = e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
-		}
+	if !e.isUpgradeTurn(now) {
+		return
 	}
 	for _, upgrade := range e.planUpgrades(own, now) {
-		if !e.upgraded.isRecent(upgrade, now) {
-			e.upgraded.note(upgrade, now, e.submit(upgrade.EndpointID, upgrade.Order, "configured version"))
+		if !e.upgraded.isDue(upgrade, now) {
+			continue
 		}
+		e.upgraded.note(upgrade, now, e.submit(upgrade.EndpointID, upgrade.Order, "configured version"))
 	}
 }
 
-// isTurn gives each zone a second of its own among the zones that are known.
-func (e *Entry) isTurn(now time.Time) bool {
-	zones := map[string]bool{e.cfg.Zone: true}
+// isUpgradeTurn says whether this zone may have a model loaded now.
+func (e *Entry) isUpgradeTurn(now time.Time) bool {
+	zones := []string{e.cfg.Zone}
 	for _, peer := range e.cfg.Peers {
-		zones[peer.Zone] = true
-	}
-	before := 0
-	for zone := range zones {
-		if zone < e.cfg.Zone {
-			before++
-		}
+		zones = append(zones, peer.Zone)
 	}
-	return int(now.Unix())%len(zones) == before
+	return upgradeTurn.IsOf(e.cfg.Zone, zones, now)
 }
 
 func (e *Entry) submit(endpointID string, order driver.Order, reason string) error {
@@ -102,8 +96,7 @@
 	return nil
 }
 
-func (e *Entry) orderFinished(order orderer.OpenOrder, outcome orderer.Outcome) {
-	e.logger.Info("order closed", "order_id", order.OrderID, "endpoint_id", order.EndpointID, "outcome", outcome)
+func (e *Entry) orderFinished(order orderer.OpenOrder, _ orderer.Outcome) {
 	if _, isRole := order.Order.Order().(driver.SetRole); isRole {
 		e.meter.CountRoleChange(e.cfg.Zone, e.applicationOf(order.EndpointID))
 	}
--- a/pkg/endivemast/upgrades.go
+++ b/pkg/endivemast/upgrades.go
@@ -2,67 +2,72 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/provider"
 )
 
+// sightingHolds is how long a report speaks for its engine. An engine that
+// died with its old version must not keep the others from their new one.
+const sightingHolds = 5 * time.Second
+
 // upgradeAgainAfter keeps an engine that fails to load a version from being
 // drained for it again and again.
 const upgradeAgainAfter = 30 * time.Second
 
-// reportHolds is how long a report says something about its engine: several
-// reports have failed by then.
-const reportHolds = 3 * time.Second
-
-// upgradeLog has the last order to load that each engine was given, by
-// endpoint id.
-type upgradeLog map[string]givenUpgrade
-
-type givenUpgrade struct {
-	order driver.LoadModel
-	at    time.Time
+// upgrade is an engine that is to load what its application is configured to.
+type upgrade struct {
+	EndpointID  string
+	Incarnation string
+	Order       driver.LoadModel
 }
 
-// isRecent is true where the engine was given the very same order lately.
-// Another version has to wait for nothing.
-func (l upgradeLog) isRecent(next upgrade, now time.Time) bool {
-	given, ok := l[next.EndpointID]
-	return ok && given.order == next.Order && now.Sub(given.at) <= upgradeAgainAfter
+// upgradeTimes says when each order to load was last given.
+type upgradeTimes map[upgrade]time.Time
+
+// isDue says whether an order may be given. Another version, or another
+// process of the engine, has not failed yet and waits for nothing: an operator
+// who corrects a wrong version would otherwise wait for the wrong one's time.
+func (t upgradeTimes) isDue(next upgrade, now time.Time) bool {
+	maps.DeleteFunc(t, func(_ upgrade, given time.Time) bool { return now.Sub(given) > upgradeAgainAfter })
+	_, given := t[next]
+	return !given
 }
 
 // note keeps an order that the engine has, or may have, taken. One that it was
 // not given, such as while a former holder's order is open, is due again.
-func (l upgradeLog) note(next upgrade, now time.Time, submitErr error) {
+func (t upgradeTimes) note(next upgrade, now time.Time, submitErr error) {
 	if submitErr == nil || errors.Is(submitErr, driver.ErrOutcomeUnknown) {
-		l[next.EndpointID] = givenUpgrade{order: next.Order, at: now}
+		t[next] = now
 	}
 }
 
-// upgrade is an engine that is to load what its application is configured to.
-type upgrade struct {
-	EndpointID string
-	Order      driver.LoadModel
-}
-
 // planUpgrades proposes which of this zone's engines that differ from their
 // application's model, version or adapter load it next, one of an application
-// at a time. An engine that has not reported lately counts for nothing: one
-// that crashed in the middle of an order would look busy for as long as the
-// platform lists it, and the application would never get its version.
+// at a time. own says by endpoint id which engines this host may give orders to.
 func (e *Entry) planUpgrades(own map[string]bool, now time.Time) []upgrade {
 	e.sightingsMu.Lock()
 	defer e.sightingsMu.Unlock()
-	reports := make(map[string]driver.Report, len(e.sightings))
 	hosts, _ := e.lister.Hosts()
+	may := func(endpointID string) bool { return own[endpointID] }
+	return upgrades(presentReports(hosts, e.sightings, now), may, e.configurer.Application)
+}
+
+// presentReports are the fresh reports of the processes that are listed, by
+// endpoint id.
+func presentReports(hosts []provider.Host, sightings map[string]orderer.Sighting, now time.Time) map[string]driver.Report {
+	reports := make(map[string]driver.Report, len(sightings))
 	for _, host := range hosts {
-		sighting, ok := e.sightings[host.ID]
-		if ok && sighting.Report.Incarnation == host.Incarnation && now.Sub(sighting.RequestedAt) < reportHolds {
+		sighting, ok := sightings[host.ID]
+		if ok && sighting.Report.Incarnation == host.Incarnation && now.Sub(sighting.RequestedAt) <= sightingHolds {
 			reports[host.ID] = sighting.Report
 		}
 	}
-	return upgrades(reports, func(endpointID string) bool { return own[endpointID] }, e.configurer.Application)
+	return reports
 }
 
 // upgrades is the decision over reports by endpoint id. An application with
@@ -90,8 +95,9 @@
 		}
 		if best, found := chosen[report.Application]; !found || endpointID < best.EndpointID {
 			chosen[report.Application] = upgrade{
-				EndpointID: endpointID,
-				Order:      driver.LoadModel{Model: wanted.Model, Version: wanted.Version, Adapter: wanted.Adapter},
+				EndpointID:  endpointID,
+				Incarnation: report.Incarnation,
+				Order:       driver.LoadModel{Model: wanted.Model, Version: wanted.Version, Adapter: wanted.Adapter},
 			}
 		}
 	}
--- a/pkg/endivemast/upgrades_test.go
+++ b/pkg/endivemast/upgrades_test.go
@@ -9,6 +9,7 @@
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/provider"
 )
 
 func TestUpgradesTakeOneEngineOfAnApplicationAtATime(t *testing.T) {
@@ -49,28 +50,71 @@
 	}
 }
 
-func TestUpgradeLogHoldsBackOnlyTheSameOrder(t *testing.T) {
-	given := upgrade{EndpointID: "e1", Order: driver.LoadModel{Model: "m", Version: "2"}}
-	other := upgrade{EndpointID: "e1", Order: driver.LoadModel{Model: "m", Version: "3"}}
+func TestPresentReportsLeaveOutDeadEngines(t *testing.T) {
+	now := time.Now()
+	sighted := func(incarnation string, age time.Duration) orderer.Sighting {
+		return orderer.Sighting{Report: driver.Report{Incarnation: incarnation}, RequestedAt: now.Add(-age)}
+	}
+	hosts := []provider.Host{{ID: "e1", Incarnation: "b"}}
+	tests := map[string]struct {
+		sightings map[string]orderer.Sighting
+		want      int
+	}{
+		"present":       {map[string]orderer.Sighting{"e1": sighted("b", time.Second)}, 1},
+		"silent":        {map[string]orderer.Sighting{"e1": sighted("b", time.Minute)}, 0},
+		"former":        {map[string]orderer.Sighting{"e1": sighted("a", time.Second)}, 0},
+		"not listed":    {map[string]orderer.Sighting{"e2": sighted("b", time.Second)}, 0},
+		"never sighted": {nil, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, len(presentReports(hosts, test.sightings, now)), test.want)
+		})
+	}
+}
+
+func TestSameUpgradeIsNotGivenAgainAtOnce(t *testing.T) {
+	given := upgrade{EndpointID: "e1", Incarnation: "e1-1", Order: driver.LoadModel{Model: "m", Version: "2"}}
+	corrected, restarted := given, given
+	corrected.Order.Version = "3"
+	restarted.Incarnation = "e1-2"
+	tests := map[string]struct {
+		next  upgrade
+		after time.Duration
+		due   bool
+	}{
+		"at once":         {next: given, after: time.Second},
+		"at the limit":    {next: given, after: upgradeAgainAfter},
+		"later":           {next: given, after: upgradeAgainAfter + time.Second, due: true},
+		"another version": {next: corrected, after: time.Second, due: true},
+		"another process": {next: restarted, after: time.Second, due: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(0, 0)
+			times := upgradeTimes{given: start}
+			assert.Equal(t, times.isDue(test.next, start.Add(test.after)), test.due)
+		})
+	}
+}
+
+func TestUpgradeIsNotedOnlyWhereTheEngineMayHaveIt(t *testing.T) {
+	next := upgrade{EndpointID: "e1", Incarnation: "e1-1", Order: driver.LoadModel{Model: "m", Version: "2"}}
 	tests := map[string]struct {
 		submitErr error
-		next      upgrade
-		after     time.Duration
-		want      bool
+		due       bool
 	}{
-		"taken":                       {next: given, want: true},
-		"perhaps taken":               {submitErr: driver.ErrOutcomeUnknown, next: given, want: true},
-		"taken long ago":              {next: given, after: upgradeAgainAfter + 1},
-		"another version":             {next: other},
-		"not given: an order is open": {submitErr: orderer.ErrOrderOpen, next: given},
-		"not given: refused":          {submitErr: driver.ErrRefused, next: given},
+		"taken":                       {},
+		"perhaps taken":               {submitErr: driver.ErrOutcomeUnknown},
+		"not given: an order is open": {submitErr: orderer.ErrOrderOpen, due: true},
+		"not given: refused":          {submitErr: driver.ErrRefused, due: true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			now := time.Now()
-			log := upgradeLog{}
-			log.note(given, now, test.submitErr)
-			assert.Equal(t, log.isRecent(test.next, now.Add(test.after)), test.want)
+			now := time.Unix(0, 0)
+			times := upgradeTimes{}
+			times.note(next, now, test.submitErr)
+			assert.Equal(t, times.isDue(next, now.Add(time.Second)), test.due)
 		})
 	}
 }
--- a/tests/authority_test.go
+++ b/tests/authority_test.go
@@ -93,7 +93,7 @@
 	"no-intent":    awaitNoIntent,
 	"held":         awaitHeld,
 	"successor":    awaitSuccessor,
-	"version":      awaitVersion,
+	"loaded":       awaitLoaded,
 	"crash":        awaitCrash,
 	"leaving":      awaitLeaving,
 	"role-changes": awaitRoleChanges,
@@ -187,7 +187,7 @@
 	}
 }
 
-func awaitVersion(ctx context.Context, c *cluster, args []string) error {
+func awaitLoaded(ctx context.Context, c *cluster, args []string) error {
 	if len(args) < 2 {
 		return errUsage
 	}
@@ -244,26 +244,29 @@
 
 // judgeOrders reads the order log of every engine, of all its starts: no two
 // orders may have been in conflict, and none of a former holder may have had
-// an effect.
-func (c *cluster) judgeOrders() error {
+// an effect. It returns how many orders had one.
+func (c *cluster) judgeOrders() (applied int, err error) {
 	var faults []string
 	for _, m := range c.kind(provider.HostEngine) {
 		orders, err := m.loggedOrders()
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if err := m.compareOrders(orders); err != nil {
-			return err
+			return 0, err
 		}
 		for i := range orders {
+			if orders[i].Effect != "" {
+				applied++
+			}
 			faults = append(faults, judgeOrder(m.ID, &orders[i])...)
 		}
 	}
 	if len(faults) > 0 {
 		slices.Sort(faults)
-		return eris.Errorf("orders: %v", faults)
+		return applied, eris.Errorf("orders: %v", faults)
 	}
-	return nil
+	return applied, nil
 }
 
 // compareOrders fails when the log lacks an order that a running engine has.
@@ -347,15 +350,3 @@
 	}
 	return s.cluster.network.holdOrders(args[1], limit)
 }
-
-// application changes an application: set NAME FIELD=VALUE... by HOST.
-func (s *script) application(args []string) error {
-	if len(args) < 5 || args[0] != "set" || args[len(args)-2] != "by" {
-		return errUsage
-	}
-	members, err := s.cluster.find(args[len(args)-1])
-	if err != nil {
-		return err
-	}
-	return s.cluster.setEntry(members[0], "applications/"+args[1], "application", parseFields(args[2:len(args)-2]))
-}
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -16,6 +16,8 @@
 // zone and each target, so that zones can be cut off from each other.
 // ENDIVEMAST_TEST_LOGS names a directory where the processes' logs are kept.
 //
+// Scenarios that need no cluster run the program itself, as $PROGRAM.
+//
 // # Commands of the scenario language
 //
 //	cluster vitosha|agency small|zone|full [entry.FLAG=VALUE] [engine.FLAG=VALUE] [service.FLAG=VALUE] [kv.FLAG=VALUE]
@@ -25,7 +27,7 @@
 //	load at NAME N            waits until N requests were sent
 //	check load NAME FIGURE>=VALUE ...     FIGURE or CLASS.FIGURE of the account, also <=, ==
 //	check load NAME sound     nothing lost, doubled or crossed
-//	check orders              no conflicting orders, no effect of a former holder
+//	check orders [N]          no conflicting orders, no effect of a former holder; N had effects at least
 //	check config              no host was seen going back to an older configuration
 //	check no-work HOST        the endpoint takes no new work
 //	note work HOST            notes how much work the endpoint has taken so far
@@ -42,20 +44,21 @@
 //	slow ZONE from ZONE|platform 50ms
 //	hold orders HOST [N]      what is sent to it as an order waits in the network, or N of them
 //	heal                      ends all cuts and delays; lets what was held go
-//	class set TENANT/NAME FIELD=VALUE... by HOST      by the operators' API
-//	application set NAME FIELD=VALUE... by HOST       the same for an application
+//	set class|application NAME FIELD=VALUE... by HOST     by the operators' API
 //	await intent HOST         the zone's record has an open order for the endpoint
 //	await held HOST N         N orders to it wait in the network
 //	await no-intent ZONE      the zone's record has no open order
 //	await successor ZONE      another host than the last holder/ZONE has taken over
-//	await version VERSION HOST...         engines have loaded it
+//	await loaded VERSION HOST...          engines have loaded it
 //	await leaving HOST        every running entry host knows that the endpoint leaves
 //	await crash HOST          the engine has crashed by a fault
 //	await role-changes N      the engines have changed their role so often
 //	await ready|unready HOST...
 //	await config HOST...      the newest accepted change is in force there
 //	await authority ZONE [not HOST]       a zone's authority is held (by another host)
+//	await version APPLICATION VERSION     all its engines have it loaded
 //	await exit HOST           the process ended by itself, with status 0
+//	await end HOST            the process ended, with whatever status
 //
 // HOST is a host's id, "entries", "engines" or "services", "holder/ZONE" for the
 // host that holds the zone's authority, "former/ZONE" for the last host that was
--- a/tests/judge_test.go
+++ b/tests/judge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/standins/engineserver"
 )
@@ -196,31 +198,50 @@
 	})
 }
 
-// setClass changes fields of a class by the operators' API of one host.
-func (c *cluster) setClass(by *member, tenant, name string, fields map[string]any) error {
-	return c.setEntry(by, "classes/"+tenant+"/"+name, "class", fields)
+// awaitVersion waits until every engine of an application has a version.
+func (c *cluster) awaitVersion(ctx context.Context, application, version string) error {
+	for _, m := range c.kind(provider.HostEngine) {
+		if m.Application != application {
+			continue
+		}
+		err := await(ctx, version+" on "+m.ID, func() error {
+			var report driver.Report
+			err := getJSON("http://"+m.Address+"/report", &report)
+			if err == nil && report.Version != version {
+				err = eris.Errorf("version %s is loaded", report.Version)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// setEntry changes fields of a class or an application, guarded against races
-// by the revision that it was read at.
-func (c *cluster) setEntry(by *member, path, kind string, fields map[string]any) error {
-	url := "http://" + by.operators + "/v1/operator/" + path
-	var read map[string]any
-	if err := getJSON(url, &read); err != nil {
+// Kinds of entry that operators change, as in the operators' API.
+var collections = map[string]string{"class": "classes", "application": "applications"}
+
+// change changes fields of a class or an application by the operators' API of
+// one host, guarded against races by the revision that it was read at.
+func (c *cluster) change(by *member, kind, name string, fields map[string]any) error {
+	url := "http://" + by.operators + "/v1/operator/" + collections[kind] + "/" + name
+	var entry map[string]json.RawMessage
+	if err := getJSON(url, &entry); err != nil {
 		return err
 	}
-	entry, ok := read[kind].(map[string]any)
-	if !ok {
-		return eris.Errorf("%s has no %s", path, kind)
+	var body map[string]any
+	if err := json.Unmarshal(entry[kind], &body); err != nil {
+		return err
 	}
-	maps.Copy(entry, fields)
-	delete(entry, "tenant") // both stand in the path
-	delete(entry, "name")
-	entry["if_revision"] = read["revision"]
+	delete(body, "tenant") // both stand in the path
+	delete(body, "name")
+	maps.Copy(body, fields)
+	body["if_revision"] = entry["revision"]
 	var accepted struct {
 		Revision int64 `json:"revision"`
 	}
-	if err := sendJSON(http.MethodPut, url, entry, &accepted); err != nil {
+	if err := sendJSON(http.MethodPut, url, body, &accepted); err != nil {
 		return err
 	}
 	c.mu.Lock()
