A pause waits until the process stands still

SIGSTOP only takes effect once one of the threads is scheduled; at a load of 60 to 140 on 12 cores the others can run on, get the answer that is let go behind the pause, and send. That is inferred from the order of events, not traced. Ruled out: a take-over before the pause.

pause now awaits that all threads are stopped.

--- a/tests/authority_test.go
+++ b/tests/authority_test.go
@@ -153,6 +153,8 @@
 
 // awaitLeaving waits until every running entry host knows that an endpoint leaves.
 func awaitLeaving(ctx context.Context, c *cluster, args []string) error {
+	ctx, cancel := context.WithTimeout(ctx, quietLimit)
+	defer cancel()
 	for _, m := range c.runningEntries(false) {
 		err := await(ctx, args[0]+" leaving on "+m.ID, func() error {
 			status, err := m.status()
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -112,6 +112,39 @@
 	return eris.Wrapf(p.cmd.Process.Signal(signal), "signal %s", p.name)
 }
 
+// pause stops the process and waits until all of its threads stand still. The
+// signal only takes effect once one of them is scheduled, and on a busy machine
+// the others run on for long enough to send what the pause was to forestall.
+func (p *process) pause(ctx context.Context) error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return await(ctx, p.name+" stopped", func() error {
+		threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+		if err != nil || len(threads) == 0 {
+			return eris.Wrapf(errHopeless, "threads of %s: %v", p.name, err)
+		}
+		for _, thread := range threads {
+			if err := isStopped(thread); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// isStopped reads a thread's state, which follows its name in parentheses.
+func isStopped(thread string) error {
+	data, err := os.ReadFile(thread)
+	if err != nil {
+		return err
+	}
+	if state := data[bytes.LastIndexByte(data, ')')+1:]; !bytes.HasPrefix(state, []byte(" T")) {
+		return eris.Errorf("%s is in state %.2s", thread, state)
+	}
+	return nil
+}
+
 // running says whether the process has not ended.
 func (p *process) running() bool {
 	select {
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -55,7 +55,7 @@
 			"load":    command((*script).load),
 			"check":   command((*script).check),
 			"crash":   command(each((*cluster).kill)),
-			"pause":   command(each(func(_ *cluster, m *member) error { return m.process.signal(syscall.SIGSTOP) })),
+			"pause":   command(each(func(_ *cluster, m *member) error { return withTimeout(m.process.pause) })),
 			"resume":  command(each(func(_ *cluster, m *member) error { return m.process.signal(syscall.SIGCONT) })),
 			"terminate": command(each(func(c *cluster, m *member) error {
 				return withTimeout(func(ctx context.Context) error { return c.terminate(ctx, m) })
