--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -67,6 +67,11 @@
 			own[order.EndpointID] = false
 		}
 	}
+	for _, proposal := range e.scheduler.PlanRoles(now) {
+		if own[proposal.EndpointID] {
+			_ = e.submit(proposal.EndpointID, driver.SetRole{Role: proposal.Role}, proposal.Reason)
+		}
+	}
 	if !e.isUpgradeTurn(now) {
 		return
 	}
