--- a/tests/coster/main.go
+++ b/tests/coster/main.go
@@ -7,7 +7,8 @@
 // # Usage
 //
 //	go run ./tests/coster              all of them
-//	go run ./tests/coster latency      some of latency, requests, tokens, streams, hosts, reports
+//	go run ./tests/coster latency      some of latency, requests, tokens, streams, hosts, herd,
+//	                                   reports
 //
 // The entry host runs with GOMAXPROCS=1. Processor time is user and system
 // time of its process, so that other load on the machine disturbs it little;
@@ -37,6 +38,7 @@
 	{"tokens", measureTokens},
 	{"streams", measureStreams},
 	{"hosts", measureHosts},
+	{"herd", measureHerd},
 	{"reports", measureReports},
 }
 
