Scheduler: refuse with a margin, and so earlier

Cause: a wait was let through when its mean estimate just fitted before the latest start. Change: the wait has to fit 2.5 times.

--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -19,6 +19,11 @@
 	// retryWithoutEndpoint is when to come back while nothing serves the
 	// application: the platform's list and the engines' roles move in seconds.
 	retryWithoutEndpoint = time.Second
+	// waitMargin is by how much more than its estimate a wait has to fit. What
+	// comes later may go before what waits, and costs and capacity are
+	// estimates. Without it work waited for more than a second of a target of
+	// 3 s until its refusal, and a part of what was let through was late.
+	waitMargin = 2.5
 	// urgentPace is up to which percentage of an application's tightest pace a
 	// class counts as urgent itself.
 	urgentPace = 120
@@ -239,7 +244,7 @@
 // thin refuses what cannot be in time any more.
 func (s *Scheduler) thin(q *queue, now time.Time) {
 	capacity := s.capacity(q)
-	victims := admitter.Victims(q.items, capacity, now)
+	victims := admitter.Victims(q.items, capacity/waitMargin, now)
 	if len(victims) == 0 {
 		return
 	}
