--- a/internal/comparer/comparer.go
+++ b/internal/comparer/comparer.go
@@ -26,8 +26,11 @@
 	seed     uint64
 }
 
-// Compare makes all runs. When ctx ends, the runs under way end their arrivals
-// and the others are left out.
+// errInterrupted is why a run that was cut short is left out.
+var errInterrupted = errors.New("interrupted")
+
+// Compare makes all runs. When ctx ends, the runs under way are ended and left
+// out, and so are those to come.
 func Compare(ctx context.Context, o Options) (comparison *Comparison, err error) {
 	defer func() { err = eris.Wrap(err, "compare") }()
 	jobs, err := plan(&o)
@@ -52,6 +55,9 @@
 					break
 				}
 				result, err := measure(ctx, &o, &next, o.BasePort+lane*PortsPerLane)
+				if errors.Is(err, errInterrupted) {
+					return nil
+				}
 				if err != nil {
 					return err
 				}
@@ -168,6 +174,9 @@
 	var group errgroup.Group
 	group.Go(func() error { return inject(faults, next.fault, f, next.scenario.Duration()) })
 	report, err = run.Wait()
+	if hasEnded(ctx) {
+		err = errors.Join(err, errInterrupted)
+	}
 	stop()
 	return report, errors.Join(err, group.Wait())
 }
