--- /dev/null
+++ b/tests/coster/control.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// Sizes of the measurements of control.
+const (
+	controlWarm  = 4 * time.Second
+	controlLasts = 12 * time.Second
+	// reportsLast is longer than a turn over the most endpoints at the lister's bound.
+	reportsLast  = 20 * time.Second
+	hostsPerZone = 3
+)
+
+var (
+	hostCounts     = []int{3, 9, 27}
+	endpointCounts = []int{17, 170, 1700}
+)
+
+// measureHosts lets hosts idle, and shows what each spends on the others and
+// all of them on the platform.
+func measureHosts(ctx context.Context, bin string) error {
+	for _, count := range hostCounts {
+		if err := measureHostCount(ctx, bin, count); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureHostCount(ctx context.Context, bin string, count int) (err error) {
+	d, err := deploy(ctx, bin, 1)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, d.Close()) }()
+	if err := d.entry.Close(); err != nil { // it is none of the hosts that are measured
+		return err
+	}
+	hosts := make([]entryHost, count)
+	for i := range hosts {
+		hosts[i].id, hosts[i].zone = fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", i/hostsPerZone)
+		if hosts[i].peers, err = freeAddress(); err != nil {
+			return err
+		}
+	}
+	for i := range hosts {
+		if hosts[i], err = d.startHost(ctx, filepath.Join(bin, "endivemast"), hosts[i], hosts); err != nil {
+			return err
+		}
+	}
+	if err := pause(ctx, controlWarm); err != nil {
+		return err
+	}
+	return d.reportIdleHosts(ctx, hosts)
+}
+
+func (d *deployment) reportIdleHosts(ctx context.Context, hosts []entryHost) error {
+	storeBefore, err := d.storeCalls(ctx)
+	if err != nil {
+		return err
+	}
+	before, err := usageOf(hosts)
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	if err := pause(ctx, controlLasts); err != nil {
+		return err
+	}
+	after, err := usageOf(hosts)
+	if err != nil {
+		return err
+	}
+	store, err := d.storeCalls(ctx)
+	if err != nil {
+		return err
+	}
+	seconds, n := time.Since(begun).Seconds(), float64(len(hosts))
+	fmt.Printf("  %d hosts in %d zones, each: %.2f%% of a core, resident %.1f MB, %.1f KB/s read and written\n", len(hosts), len(hosts)/hostsPerZone,
+		100*(after.processor-before.processor).Seconds()/seconds/n, float64(after.resident)/1e6/n, float64(after.transferred-before.transferred)/1e3/seconds/n)
+	fmt.Printf("    all: %.2f reads (watches counted) and %.2f writes of the store, %.1f reads of the list of hosts a second\n",
+		float64(store.Reads-storeBefore.Reads)/seconds, float64(store.Writes-storeBefore.Writes)/seconds,
+		float64(store.Calls["hosts"]-storeBefore.Calls["hosts"])/seconds)
+	return nil
+}
+
+// usage is what processes have used so far.
+type usage struct {
+	processor   time.Duration
+	resident    int64 // bytes, now
+	transferred int64 // bytes
+}
+
+func usageOf(hosts []entryHost) (sum usage, err error) {
+	for _, h := range hosts {
+		processor, processorErr := h.process.processorTime()
+		resident, residentErr := h.process.residentBytes()
+		transferred, transferredErr := h.process.transferredBytes()
+		if err := errors.Join(processorErr, residentErr, transferredErr); err != nil {
+			return usage{}, err
+		}
+		sum.processor += processor
+		sum.resident += resident
+		sum.transferred += transferred
+	}
+	return sum, nil
+}
+
+// storeStats are the counters of the platform's stand-in.
+type storeStats struct {
+	Calls  map[string]int64 `json:"calls"`
+	Reads  int64            `json:"reads"`
+	Writes int64            `json:"writes"`
+}
+
+func (d *deployment) storeCalls(ctx context.Context) (stats storeStats, err error) {
+	answer, err := d.send(ctx, http.MethodGet, "http://"+d.store+"/stats", nil)
+	if err != nil {
+		return stats, err
+	}
+	return stats, json.Unmarshal(answer, &stats)
+}
+
+// measureReports lets one host idle before more and more endpoints. They are
+// one service's process, listed under many ids.
+func measureReports(ctx context.Context, bin string) (err error) {
+	d, err := deploy(ctx, bin, 1)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, d.Close()) }()
+	listed := 0
+	for _, count := range endpointCounts {
+		for ; listed < count; listed++ {
+			err := d.list(ctx, provider.Host{
+				ID: fmt.Sprintf("listed-%d", listed), Incarnation: d.service.Incarnation, Kind: provider.HostService,
+				Zone: zone, Address: d.service.Address, Application: "listed", State: provider.HostLive,
+			})
+			if err != nil {
+				return err
+			}
+		}
+		if err := pause(ctx, controlWarm); err != nil {
+			return err
+		}
+		host := []entryHost{{process: d.entry}}
+		before, err := usageOf(host)
+		if err != nil {
+			return err
+		}
+		if err := pause(ctx, reportsLast); err != nil {
+			return err
+		}
+		after, err := usageOf(host)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("  %d endpoints: %.2f%% of a core, resident %.1f MB, %.1f KB/s read and written\n",
+			count, 100*(after.processor-before.processor).Seconds()/reportsLast.Seconds(),
+			float64(after.resident)/1e6, float64(after.transferred-before.transferred)/1e3/reportsLast.Seconds())
+	}
+	return nil
+}
