--- a/internal/scheduler/overload_test.go
+++ b/internal/scheduler/overload_test.go
@@ -84,7 +84,11 @@
 }
 
 // tally counts one class's requests.
-type tally struct{ offered, inTime, late, refused int }
+type tally struct {
+	offered, inTime, late, refused int
+	// refusedLate are those refused behind half of their first-token target.
+	refusedLate int
+}
 
 func (c tally) share() float64 { return float64(c.inTime) / float64(max(c.offered, 1)) }
 
@@ -190,6 +194,9 @@
 func (b *bench) decided(job *fakeJob, result outcome) {
 	if result.refusal != nil {
 		b.tally(&job.work).refused++
+		if b.now.Sub(job.work.Arrived) > job.work.Class.FirstTokenTarget()/2 {
+			b.tally(&job.work).refusedLate++
+		}
 		b.refusals = append(b.refusals, result.refusal)
 		return
 	}
@@ -253,8 +260,8 @@
 	b := newBench(9, engines(14), policy)
 	b.run(20*time.Second, mixes)
 	for name, c := range b.tallies {
-		t.Logf("%s/%s %s: %d offered, %.3f in time, %d late, %d refused",
-			policy.Routing, policy.Admission, name, c.offered, c.share(), c.late, c.refused)
+		t.Logf("%s/%s %s: %d offered, %.3f in time, %d late, %d refused, %d of them late",
+			policy.Routing, policy.Admission, name, c.offered, c.share(), c.late, c.refused, c.refusedLate)
 		assert.Equal(t, c.offered, c.inTime+c.late+c.refused, "every request has one outcome")
 	}
 	for _, refusal := range b.refusals {
@@ -294,6 +301,7 @@
 	ours, theirs := runMix(t, Policy{}, agencyMix(1.6)), runMix(t, roundRobin, agencyMix(1.6))
 	for name, c := range ours {
 		assert.Assert(t, c.share() > 0.3, name)
+		assert.Assert(t, 5*c.refusedLate <= c.refused, "%s: %d of %d refused late", name, c.refusedLate, c.refused)
 	}
 	refused := func(name string) float64 { return float64(ours[name].refused) / float64(ours[name].offered) }
 	assert.Assert(t, refused("urgent") < refused("checks") && refused("checks") < refused("consultations"))
