--- a/internal/loader/scenario.go
+++ b/internal/loader/scenario.go
@@ -55,10 +55,10 @@
 	// RetryUnknown makes callers ask another entry again with the same key
 	// when they are told that a call may have run.
 	RetryUnknown int           `yaml:"retry_unknown"` // times
-	Reconnects    *int          `yaml:"reconnects"`
-	Applications  []Application `yaml:"applications"`
-	Classes       []Class       `yaml:"classes"`
-	Phases        []Phase       `yaml:"phases"`
+	Reconnects   *int          `yaml:"reconnects"`
+	Applications []Application `yaml:"applications"`
+	Classes      []Class       `yaml:"classes"`
+	Phases       []Phase       `yaml:"phases"`
 }
 
 // Application is written to the system's configuration before the run when
--- a/tests/cluster_test.go
+++ b/tests/cluster_test.go
@@ -103,7 +103,35 @@
 		return err
 	}
 	c.historian.start()
-	return c.awaitReady(ctx, entries...)
+	if err := c.awaitReady(ctx, entries...); err != nil {
+		return err
+	}
+	return c.awaitEndpoints(ctx, entries)
+}
+
+// awaitEndpoints waits until entry hosts know every endpoint. A host may be
+// ready with a list that is older than the endpoints' start.
+func (c *cluster) awaitEndpoints(ctx context.Context, entries []*member) error {
+	want := len(c.members) - len(entries)
+	for _, m := range entries {
+		err := await(ctx, "endpoints at "+m.ID, func() error {
+			status, err := m.status()
+			live := 0
+			for _, endpoint := range status.Endpoints {
+				if endpoint.State == string(provider.HostLive) {
+					live++
+				}
+			}
+			if err == nil && live < want {
+				err = eris.Errorf("%d of %d live", live, want)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // place gives every process its addresses.
