--- a/internal/loader/accountant.go
+++ b/internal/loader/accountant.go
@@ -35,6 +35,7 @@
 	gaps        []float32 // milliseconds between tokens
 	completion  time.Duration
 	refusal     time.Duration
+	refused     []time.Time // when the submissions were made that were told "not run"
 }
 
 // account turns the answers of a request's attempts into its record.
@@ -47,7 +48,7 @@
 	}
 	r := record{
 		class: c.arrival.class, number: c.arrival.number, key: c.arrival.key, at: c.arrival.at,
-		outcome: outcomeOf(best.kind), reason: best.failure.Reason, detail: best.detail,
+		outcome: outcomeOf(best.kind), reason: best.failure.Reason, detail: best.detail, refused: c.refused,
 	}
 	switch r.outcome {
 	case OutcomeWhole:
--- a/internal/loader/caller.go
+++ b/internal/loader/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -29,6 +30,9 @@
 	sender   *sender
 	balancer *balancer
 	arrived  time.Time
+
+	mu      sync.Mutex
+	refused []time.Time // when the submissions were made that were told "not run"
 }
 
 // serve sends the request, again where the scenario says so, and returns the
@@ -124,7 +128,7 @@
 	var broken bool
 	reconnects, connects, unknowns := *c.scenario.Reconnects, len(c.balancer.entries), c.scenario.RetryUnknown
 	for {
-		result := c.send(ctx, address)
+		result := c.submit(ctx, address)
 		switch {
 		case result.kind == answerNotSent:
 			c.balancer.failed(address)
@@ -157,6 +161,18 @@
 	}
 }
 
+// submit makes one attempt at one entry, and notes when it is told "not run".
+func (c *caller) submit(ctx context.Context, address string) answer {
+	began := time.Now()
+	result := c.send(ctx, address)
+	if result.kind == answerNotRun {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.refused = append(c.refused, began)
+	}
+	return result
+}
+
 // notReached is the end of a request that no entry took.
 func (c *caller) notReached(result answer, broken bool) answer {
 	result.kind = answerNotRun
--- a/internal/loader/judger.go
+++ b/internal/loader/judger.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,7 +65,7 @@
 	if runs == nil {
 		return records
 	}
-	byKey := runsByCallerKey(runs)
+	byKey := byCallerKey(runs, func(sum, n int) int { return sum + n })
 	for i := range records {
 		r := &records[i]
 		if r.key == "" {
@@ -89,13 +90,32 @@
 	return outcome, ""
 }
 
-// runsByCallerKey takes the tenant that the system puts before a caller's key
-// off again. The loader's keys and the system's tickets are unique without it.
-func runsByCallerKey(runs map[string]int) map[string]int {
-	byKey := make(map[string]int, len(runs))
-	for callKey, n := range runs {
+// judgeRefusals finds a "not run" that was told for a submission made after the
+// key's run had begun. It may be hidden behind the answer of another
+// submission, and its caller would still call again under a new key.
+func judgeRefusals(records []record, runs map[string][]time.Time) []record {
+	byKey := byCallerKey(runs, func(all, times []time.Time) []time.Time { return append(all, times...) })
+	for i := range records {
+		r := &records[i]
+		if r.outcome == OutcomeDoubled || r.outcome == OutcomeCrossed {
+			continue
+		}
+		for _, sent := range r.refused {
+			if slices.ContainsFunc(byKey[r.key], sent.After) {
+				r.outcome, r.detail, r.inTime = OutcomeCrossed, "told not run after the run had begun", false
+			}
+		}
+	}
+	return records
+}
+
+// byCallerKey takes the tenant that the system puts before a caller's key off
+// again. The loader's keys and the system's tickets are unique without it.
+func byCallerKey[T any](runs map[string]T, add func(sum, more T) T) map[string]T {
+	byKey := make(map[string]T, len(runs))
+	for callKey, more := range runs {
 		_, key, _ := strings.Cut(callKey, "/")
-		byKey[key] += n
+		byKey[key] = add(byKey[key], more)
 	}
 	return byKey
 }
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -29,10 +29,10 @@
 	// Services are the addresses of plain services whose run counts judge the
 	// calls after the run.
 	Services []string
-	// CountRuns returns how often each call key was run, where the counts that
-	// the services keep do not last: they go with a service that is killed.
-	// Services are not asked when it is set.
-	CountRuns func() (map[string]int, error)
+	// Runs returns when each call key was run, where the counts that the
+	// services keep do not last: they go with a service that is killed. Services
+	// are not asked when it is set.
+	Runs func() (map[string][]time.Time, error)
 	// Operators are operators' addresses of entry hosts, read for the engines'
 	// roles; the first one that answers is used.
 	Operators     []string
@@ -240,19 +240,31 @@
 		elapsed := time.Since(r.begun)
 		r.endWatches()
 		records := r.accountant.take()
-		var runs map[string]int
-		if r.options.CountRuns != nil {
-			runs, r.err = r.options.CountRuns()
-		} else {
-			runs, r.err = readRuns(r.client, r.options.Services)
-		}
+		judged := r.judge(records)
 		r.client.CloseIdleConnections()
-		judged := judgeRuns(records, runs)
 		r.report = makeReport(&r.options, judged, r.watcher, elapsed)
 	})
 	return r.report, r.err
 }
 
+// judge compares the records with the services' runs.
+func (r *Run) judge(records []record) []record {
+	if r.options.Runs == nil {
+		var counts map[string]int
+		counts, r.err = readRuns(r.client, r.options.Services)
+		return judgeRuns(records, counts)
+	}
+	var runs map[string][]time.Time
+	if runs, r.err = r.options.Runs(); r.err != nil {
+		return records
+	}
+	counts := make(map[string]int, len(runs))
+	for key, times := range runs {
+		counts[key] = len(times)
+	}
+	return judgeRefusals(judgeRuns(records, counts), runs)
+}
+
 // Close stops the load and waits for its end.
 func (r *Run) Close() error {
 	r.Stop()
--- a/internal/loader/reporter.go
+++ b/internal/loader/reporter.go
@@ -91,7 +91,7 @@
 	scenario := &options.Scenario
 	report := &Report{
 		Scenario: scenario.Name, Seed: options.Seed, RateScale: scenario.RateScale,
-		ElapsedMS: elapsed.Milliseconds(), RunsJudged: len(options.Services) > 0 || options.CountRuns != nil,
+		ElapsedMS: elapsed.Milliseconds(), RunsJudged: len(options.Services) > 0 || options.Runs != nil,
 		Classes: make([]ClassReport, len(scenario.Classes)),
 		Total:   ClassReport{Class: "all", Reasons: make(map[string]int)}, Examples: make(map[string]string),
 	}
--- a/standins/engineserver/faults.go
+++ b/standins/engineserver/faults.go
@@ -20,7 +20,7 @@
 	RefuseCalls         int `json:"refuse_calls"`          // as busy
 	TruncateStreams     int `json:"truncate_streams"`      // ends cleanly, but without its last line
 	TruncateAfterTokens int `json:"truncate_after_tokens"` // where TruncateStreams cuts
-	CrossAnswers        int `json:"cross_answers"`         // echoes another attempt's id
+	CrossAnswers        int `json:"cross_answers"`         // echoes another attempt's id, with another text
 	DuplicateTokens     int `json:"duplicate_tokens"`      // sends a stream's second token twice
 	SkipTokens          int `json:"skip_tokens"`           // leaves a stream's second token out
 	LateAnswerMS        int `json:"late_answer_ms"`        // holds each answer back before its first byte; clearing it lets them go
--- a/standins/engineserver/writer.go
+++ b/standins/engineserver/writer.go
@@ -9,6 +9,8 @@
 	"github.com/endivemast/endivemast/internal/httpdriver"
 )
 
+const crossedText = "c0ffee "
+
 // lineWriter writes a streamed answer with its faults.
 type lineWriter struct {
 	w       http.ResponseWriter
@@ -79,7 +81,7 @@
 		o.buf.WriteString(`,"kind":"token","sequence":`)
 		o.buf.WriteString(strconv.Itoa(line.Sequence))
 		o.buf.WriteString(`,"text":"`)
-		o.buf.WriteString(line.Text) // hexadecimal digits and a space
+		o.buf.WriteString(o.text(line)) // hexadecimal digits and a space
 		o.buf.WriteString("\"}\n")
 		return
 	}
@@ -87,6 +89,15 @@
 	_ = json.NewEncoder(&o.buf).Encode(line)
 }
 
+// text is a token's text; a crossed answer has another's, so that whoever takes
+// it for the caller's gives the caller something wrong.
+func (o *lineWriter) text(line httpdriver.Line) string {
+	if o.faults.cross {
+		return crossedText
+	}
+	return line.Text
+}
+
 func (o *lineWriter) send() {
 	_, _ = o.w.Write(o.buf.Bytes())
 	o.flush()
--- a/standins/serviceserver/handlers.go
+++ b/standins/serviceserver/handlers.go
@@ -7,6 +7,7 @@
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/httpdriver"
+	"github.com/endivemast/endivemast/standins/answerer"
 	"github.com/endivemast/endivemast/standins/hoster"
 )
 
@@ -117,6 +118,7 @@
 	id := call.AttemptID
 	if f.cross {
 		id = crossedID
+		body = answerer.ServiceAnswer(call.Application, call.Operation, []byte(crossedID))
 	}
 	if f.fail {
 		ran := true
--- a/standins/serviceserver/serviceserver.go
+++ b/standins/serviceserver/serviceserver.go
@@ -81,7 +81,7 @@
 	PauseMS         int     `json:"pause_ms"`     // between accepting a call and running it; clearing it ends the pause
 	LoseAnswers     int     `json:"lose_answers"` // runs the call and resets the connection
 	LateAnswerMS    int     `json:"late_answer_ms"`
-	CrossAnswers    int     `json:"cross_answers"`    // echoes another attempt's id
+	CrossAnswers    int     `json:"cross_answers"`    // echoes another attempt's id, with another body
 	TruncateAnswers int     `json:"truncate_answers"` // sends half of the answer
 	RefuseCalls     int     `json:"refuse_calls"`     // as busy, not run
 	FailCalls       int     `json:"fail_calls"`       // runs the call and says no
--- a/tests/once_test.go
+++ b/tests/once_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -13,16 +14,17 @@
 
 // runLine is what a service's log says of a run that has begun.
 type runLine struct {
-	Message string `json:"@message"`
-	CallKey string `json:"call_key"`
+	Time    time.Time `json:"@timestamp"`
+	Message string    `json:"@message"`
+	CallKey string    `json:"call_key"`
 }
 
-// countRuns adds up how often each call key was run, from the services' logs:
+// runs tells when each call key was run, from the services' logs:
 // a log outlives its process, while the counts of /runs go with a service that
 // is killed, and a second run on its successor would look like the first.
-func (c *cluster) countRuns() (runs map[string]int, err error) {
-	defer func() { err = eris.Wrap(err, "count runs") }()
-	runs = make(map[string]int)
+func (c *cluster) runs() (runs map[string][]time.Time, err error) {
+	defer func() { err = eris.Wrap(err, "read runs") }()
+	runs = make(map[string][]time.Time)
 	for _, m := range c.kind(provider.HostService) {
 		data, err := os.ReadFile(filepath.Join(c.directory, m.ID+".log"))
 		if err != nil {
@@ -31,7 +33,7 @@
 		for raw := range bytes.Lines(data) {
 			var line runLine
 			if json.Unmarshal(raw, &line) == nil && line.Message == "run" && line.CallKey != "" {
-				runs[line.CallKey]++
+				runs[line.CallKey] = append(runs[line.CallKey], line.Time)
 			}
 		}
 	}
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -243,7 +243,7 @@
 		return err
 	}
 	options.Seed = 1
-	options.CountRuns = s.cluster.countRuns
+	options.Runs = s.cluster.runs
 	for _, setting := range settings {
 		field, value, ok := strings.Cut(setting, "=")
 		if !ok {
--- a/tests/together_test.go
+++ b/tests/together_test.go
@@ -44,9 +44,11 @@
 	{`fault kv '{"lose_probability":0.3}'`, `fault kv '{"lose_probability":0}'`},
 	{`fault kv '{"latency_ms":400,"stale_read_revisions":3}'`, `fault kv '{"latency_ms":0,"stale_read_revisions":0}'`},
 	{`fault kv '{"host_list_lag_ms":1500}'`, `fault kv '{"host_list_lag_ms":0}'`},
-	{`fault ENGINE '{"cross_answers":3,"truncate_streams":3,"truncate_after_tokens":9,"duplicate_tokens":3}'`, `fault ENGINE '{"skip_tokens":2}'`},
+	{`fault ENGINE '{"cross_answers":3}'`, `fault ENGINE '{"skip_tokens":3}'`},
+	{`fault ENGINE '{"truncate_streams":3,"truncate_after_tokens":9}'`, `fault ENGINE '{"duplicate_tokens":3}'`},
 	{`fault ENGINE '{"late_answer_ms":700,"lose_order_answers":2}'`, `fault ENGINE '{"late_answer_ms":0}'`},
-	{`fault SERVICE '{"lose_answers":3,"cross_answers":2,"truncate_answers":2}'`, `fault SERVICE '{"refuse_calls":3}'`},
+	{`fault SERVICE '{"lose_answers":3}'`, `fault SERVICE '{"cross_answers":3}'`},
+	{`fault SERVICE '{"truncate_answers":3}'`, `fault SERVICE '{"refuse_calls":3}'`},
 	{`fault SERVICE '{"pause_ms":600}'`, `fault SERVICE '{"pause_ms":0}'`},
 	{
 		"race agency/availability_checks completion_target_ms=1600 completion_target_ms=1700 by ENTRY OTHER",
