--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -47,7 +47,10 @@
 	maxMessageBytes  = 4 << 20
 	tellTimeout      = time.Second
 	reconnectMaximum = time.Second
-	secretHeader     = "endivemast-peer-secret"
+	maxCount         = 1 << 31 // of requests or tokens that one host has at an endpoint
+	// secretHeader ends in -bin, so that gRPC takes any bytes: a secret from
+	// /dev/urandom would otherwise fail each call.
+	secretHeader = "endivemast-peer-secret-bin"
 )
 
 // Config sets up an Exchanger.
@@ -192,6 +195,7 @@
 		ex.cancel()
 	}
 	ex.server.Stop()
+	_ = ex.cfg.Listener.Close() // Stop has closed it, unless Start was never called
 	for _, conn := range ex.conns {
 		_ = conn.Close()
 	}
@@ -279,9 +283,9 @@
 
 func (p *heardPeer) set(message *exchangerpb.EndpointLoad) {
 	load := Load{
-		Requests:      int(message.GetRequests()),
-		PrefillTokens: int(message.GetPrefillTokens()),
-		DecodeTokens:  int(message.GetDecodeTokens()),
+		Requests:      count(message.GetRequests()),
+		PrefillTokens: count(message.GetPrefillTokens()),
+		DecodeTokens:  count(message.GetDecodeTokens()),
 	}
 	if load == (Load{}) {
 		delete(p.loads, message.GetEndpointId())
@@ -290,6 +294,10 @@
 	p.loads[message.GetEndpointId()] = load
 }
 
+// count takes a count from a message. One below 0 would make an endpoint look
+// idle, and the sum of a few huge ones would run over and do the same.
+func count(n int64) int { return int(min(max(n, 0), maxCount)) }
+
 // Hosts gives the platform's list as this host last read it.
 func (ex *Exchanger) Hosts(_ context.Context, request *exchangerpb.HostsRequest) (*exchangerpb.HostsReply, error) {
 	hosts, revision := ex.local.Hosts()
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -185,7 +185,7 @@
 			if !waitUntil(arriving, at) {
 				return nil
 			}
-			r.accountant.send()
+			r.accountant.send(time.Since(at))
 			r.callers.Go(func() error {
 				r.accountant.add(r.caller(next, at).serve(ctx))
 				return nil
@@ -239,10 +239,11 @@
 		r.stopArrivals()
 		elapsed := time.Since(r.begun)
 		r.endWatches()
-		records := r.accountant.take()
+		records, lag := r.accountant.take()
 		judged := r.judge(records)
 		r.client.CloseIdleConnections()
 		r.report = makeReport(&r.options, judged, r.watcher, elapsed)
+		r.report.LagMS = lag
 	})
 	return r.report, r.err
 }
--- a/tests/cluster_test.go
+++ b/tests/cluster_test.go
@@ -98,20 +98,20 @@
 	if err := group.Wait(); err != nil {
 		return err
 	}
-	entries := c.kind(provider.HostEntry)
-	if err := loader.Configure(ctx, entries[0].operators, "", &c.options.Scenario); err != nil {
+	if err := loader.Configure(ctx, c.loadOptions().Operators, "", &c.options.Scenario); err != nil {
 		return err
 	}
 	c.historian.start()
-	if err := c.awaitReady(ctx, entries...); err != nil {
+	if err := c.awaitReady(ctx, c.kind(provider.HostEntry)...); err != nil {
 		return err
 	}
-	return c.awaitEndpoints(ctx, entries)
+	return c.awaitEndpoints(ctx)
 }
 
 // awaitEndpoints waits until entry hosts know every endpoint. A host may be
 // ready with a list that is older than the endpoints' start.
-func (c *cluster) awaitEndpoints(ctx context.Context, entries []*member) error {
+func (c *cluster) awaitEndpoints(ctx context.Context) error {
+	entries := c.kind(provider.HostEntry)
 	want := len(c.members) - len(entries)
 	for _, m := range entries {
 		err := await(ctx, "endpoints at "+m.ID, func() error {
@@ -313,10 +313,8 @@
 
 // awaitExit waits until a host's process has ended by itself without a fault.
 func (c *cluster) awaitExit(ctx context.Context, m *member) error {
-	select {
-	case <-ctx.Done():
-		return eris.Errorf("%s has not ended", m.ID)
-	case <-m.process.exited:
+	if err := c.awaitEnd(ctx, m); err != nil {
+		return err
 	}
 	if m.process.err != nil {
 		return eris.Wrapf(m.process.err, "%s ended", m.ID)
@@ -324,6 +322,16 @@
 	return nil
 }
 
+// awaitEnd waits until a host's process has ended, in whatever way.
+func (c *cluster) awaitEnd(ctx context.Context, m *member) error {
+	select {
+	case <-ctx.Done():
+		return eris.Errorf("%s has not ended", m.ID)
+	case <-m.process.exited:
+		return nil
+	}
+}
+
 // awaitReady waits until entry hosts say that they are ready.
 func (c *cluster) awaitReady(ctx context.Context, entries ...*member) error {
 	for _, m := range entries {
@@ -356,7 +364,7 @@
 
 // loadOptions are the addresses that a load needs of the cluster.
 func (c *cluster) loadOptions() loader.Options {
-	var options loader.Options
+	options := loader.Options{Runs: c.runs}
 	for _, m := range c.kind(provider.HostEntry) {
 		options.Entries = append(options.Entries, m.Address)
 		options.Operators = append(options.Operators, m.operators)
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -16,9 +16,7 @@
 // zone and each target, so that zones can be cut off from each other.
 // ENDIVEMAST_TEST_LOGS names a directory where the processes' logs are kept.
 // ENDIVEMAST_TEST_OUTAGE_SECONDS lengthens the store's outage in once_outage,
-// which reads it as $OUTAGE_SECONDS; ENDIVEMAST_TEST_SEEDS (as 1,2,5-20) and
-// ENDIVEMAST_TEST_SECONDS choose the schedules of TestTogether and how long
-// each lasts.
+// which reads it as $OUTAGE_SECONDS.
 //
 // # Commands of the scenario language
 //
@@ -29,7 +27,7 @@
 //	load at NAME N            waits until N requests were sent
 //	check load NAME FIGURE>=VALUE ...     FIGURE or CLASS.FIGURE of the account, also <=, ==
 //	check load NAME sound     nothing lost, doubled or crossed
-//	check orders              no conflicting orders, no effect of a former holder
+//	check orders [N]          no conflicting orders, no effect of a former holder; N had effects at least
 //	check config              no host was seen going back to an older configuration
 //	check engines FIGURE>=VALUE           of the sum of the engines' stats, also <=, ==
 //	check no-work HOST        the endpoint takes no new work
@@ -42,14 +40,15 @@
 //	cut ZONE to ZONE|platform             what the first sends is lost
 //	slow ZONE from ZONE|platform 50ms
 //	heal                      ends all cuts and delays
-//	class set TENANT/NAME FIELD=VALUE... by HOST      by the operators' API
+//	set class|application NAME FIELD=VALUE... by HOST     by the operators' API
 //	race TENANT/NAME FIELD=VALUE FIELD=VALUE by HOST HOST     two changes from one revision; at most one is accepted
 //	await ready|unready HOST...
 //	await config HOST...      the newest accepted change is in force there
 //	await authority ZONE [not HOST]       a zone's authority is held (by another host)
-//	await ended HOST          the process ended by itself, whatever its status
+//	await version APPLICATION VERSION     all its engines have it loaded
 //	await idle HOST           the engine has no work left
 //	await exit HOST           the process ended by itself, with status 0
+//	await end HOST            the process ended, with whatever status
 //
 // HOST is a host's id, "entries", "engines" or "services". A command that is
 // preceded by "!" has to fail.
--- a/tests/whole_test.go
+++ b/tests/whole_test.go
@@ -47,14 +47,3 @@
 		return err
 	})
 }
-
-// awaitEnded waits until a host's process has ended by itself, as after a
-// crash fault.
-func (m *member) awaitEnded(ctx context.Context) error {
-	select {
-	case <-ctx.Done():
-		return eris.Errorf("%s has not ended", m.ID)
-	case <-m.process.exited:
-		return nil
-	}
-}
