--- a/internal/orderer/explore_test.go
+++ b/internal/orderer/explore_test.go
@@ -124,7 +124,7 @@
 		"ignores fencing, late and frozen": {lim: noFaults},
 		"ignores fencing, one fault":       {lim: oneFault},
 		"checks fencing, late and frozen":  {rules: rules{fenced: true}, lim: noFaults},
-		"checks fencing, one fault":        {rules: rules{fenced: true}, lim: oneFault},
+		"checks fencing, one fault":        {rules: rules{fenced: true, weakFence: true}, lim: oneFault},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -140,32 +140,52 @@
 // TestBrokenVariantsAreCaught switches off one protection at a time.
 func TestBrokenVariantsAreCaught(t *testing.T) {
 	t.Parallel()
-	tests := map[string]rules{
-		"send without a confirmed intent":    {skipIntent: true},
-		"send without an intent, fenced":     {skipIntent: true, fenced: true},
-		"different order before proof":       {closeUnproved: true},
-		"proof without the user timeout":     {noUserTimeout: true},
-		"send to whoever is at the address":  {unboundSends: true},
-		"send to a restarted and fenced one": {unboundSends: true, fenced: true},
-		"promise that is not kept":           {noBar: true},
-		"transport that repeats":             {repeatSends: true},
+	tests := map[string]struct {
+		rules rules
+		lim   limits
+	}{
+		"send without a confirmed intent":    {rules{skipIntent: true}, sameAgain},
+		"send without an intent, fenced":     {rules{skipIntent: true, fenced: true}, sameAgain},
+		"different order before proof":       {rules{closeUnproved: true}, sameAgain},
+		"proof without the user timeout":     {rules{noUserTimeout: true}, sameAgain},
+		"send to whoever is at the address":  {rules{unboundSends: true}, sameAgain},
+		"send to a restarted and fenced one": {rules{unboundSends: true, fenced: true}, sameAgain},
+		"promise that is not kept":           {rules{noBar: true}, noFaults},
+		"transport that repeats":             {rules{repeatSends: true}, sameAgain},
+		"transport that repeats, fenced":     {rules{repeatSends: true, fenced: true}, noFaults},
 	}
-	for name, r := range tests {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			x := explore(r, sameAgain)
+			x := explore(test.rules, test.lim)
 			assert.Assert(t, x.broken != "", "not caught in %d states", len(x.seen))
 			t.Log(x.broken)
 		})
 	}
 }
 
+// TestStandDownSettlesOnlyWhatIsOver covers a Submit that writes its intent
+// between StandDown's wait and its last write.
+func TestStandDownSettlesOnlyWhatIsOver(t *testing.T) {
+	t.Parallel()
+	now := at(1)
+	o := &Orderer{cfg: Config{Now: func() time.Time { return now }, UserTimeout: time.Second}, attempts: map[string]Attempt{
+		"running": {State: AttemptRunning}, "taken": {State: AttemptTaken}, "unknown": {State: AttemptUnknown, EndedAt: now},
+	}}
+	tests := map[string]bool{"running": false, "taken": true, "unknown": false, "never made": true}
+	for name, want := range tests {
+		book := Book{Orders: []OpenOrder{{Sends: []Send{{SendID: name, Sender: leaser.Holder{Incarnation: "self"}}}}}}
+		assert.Equal(t, o.settle(book, "self").Orders[0].Sends[0].Settled, want, name)
+		assert.Assert(t, !o.settle(book, "other").Orders[0].Sends[0].Settled, name)
+	}
+}
+
 // TestRandomSchedules walks where the states are too many to visit them all.
 func TestRandomSchedules(t *testing.T) {
 	t.Parallel()
 	lim := limits{processes: 3, endpoints: 2, orders: 6, epochs: 16, ticks: 8, faults: 4}
 	rapid.Check(t, func(t *rapid.T) {
-		r := rules{fenced: rapid.Bool().Draw(t, "fenced")}
+		r := rules{fenced: rapid.Bool().Draw(t, "fenced"), weakFence: rapid.Bool().Draw(t, "weak_fence")}
 		w := newWorld(lim)
 		for range rapid.IntRange(0, 150).Draw(t, "length") {
 			steps := w.steps(r, lim)
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -18,6 +18,8 @@
 // ENDIVEMAST_TEST_OUTAGE_SECONDS lengthens the store's outage in once_outage,
 // which reads it as $OUTAGE_SECONDS.
 //
+// Scenarios that need no cluster run the program itself, as $PROGRAM.
+//
 // # Commands of the scenario language
 //
 //	cluster vitosha|agency small|full [entry.FLAG=VALUE] [engine.FLAG=VALUE] [service.FLAG=VALUE] [kv.FLAG=VALUE]
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -49,7 +49,9 @@
 			env.Values[scriptKey{}] = s
 			env.Setenv("OUTAGE_SECONDS", cmp.Or(os.Getenv("ENDIVEMAST_TEST_OUTAGE_SECONDS"), "4"))
 			env.Defer(s.close)
-			return nil
+			program, err := binary("endivemast")
+			env.Setenv("PROGRAM", program) // for scenarios that need no cluster
+			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"cluster": command((*script).startCluster),
