--- a/internal/loader/caller.go
+++ b/internal/loader/caller.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -15,7 +16,10 @@
 
 var errCallerLeft = errors.New("caller went away")
 
-const abandonDefault = 300 * time.Millisecond
+const (
+	abandonDefault = 300 * time.Millisecond
+	unknownWait    = 100 * time.Millisecond // before a caller asks again that was told "unknown"
+)
 
 // caller is one caller with one request, from its arrival to what it was
 // told in the end.
@@ -26,6 +30,9 @@
 	sender   *sender
 	balancer *balancer
 	arrived  time.Time
+
+	mu      sync.Mutex
+	refused []time.Time // when the submissions were made that were told "not run"
 }
 
 // serve sends the request, again where the scenario says so, and returns the
@@ -119,9 +126,9 @@
 // reached, breaks off, or refuses and the scenario says to come back.
 func (c *caller) askFrom(ctx context.Context, address string) answer {
 	var broken bool
-	reconnects, connects := *c.scenario.Reconnects, len(c.balancer.entries)
+	reconnects, connects, unknowns := *c.scenario.Reconnects, len(c.balancer.entries), c.scenario.RetryUnknown
 	for {
-		result := c.send(ctx, address)
+		result := c.submit(ctx, address)
 		switch {
 		case result.kind == answerNotSent:
 			c.balancer.failed(address)
@@ -137,6 +144,12 @@
 			if !waitUntil(ctx, back) {
 				return result
 			}
+		case result.kind == answerUnknown && unknowns > 0 && c.arrival.key != "":
+			unknowns--
+			broken = true
+			if !waitUntil(ctx, time.Now().Add(unknownWait)) {
+				return result
+			}
 		default:
 			return maskNotRun(result, broken)
 		}
@@ -148,6 +161,18 @@
 	}
 }
 
+// submit makes one attempt at one entry, and notes when it is told "not run".
+func (c *caller) submit(ctx context.Context, address string) answer {
+	began := time.Now()
+	result := c.send(ctx, address)
+	if result.kind == answerNotRun {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.refused = append(c.refused, began)
+	}
+	return result
+}
+
 // notReached is the end of a request that no entry took.
 func (c *caller) notReached(result answer, broken bool) answer {
 	result.kind = answerNotRun
@@ -158,7 +183,7 @@
 }
 
 // maskNotRun takes a "not run" about the last attempt as unknown when an
-// earlier attempt broke off: it speaks of its own attempt only.
+// earlier attempt broke off or was told "unknown": it speaks of its own attempt only.
 func maskNotRun(result answer, broken bool) answer {
 	if broken && result.kind == answerNotRun {
 		result.kind = answerUnknown
--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -15,13 +15,15 @@
 // hosts reach peers, endpoints and the platform through one proxy for each
 // zone and each target, so that zones can be cut off from each other.
 // ENDIVEMAST_TEST_LOGS names a directory where the processes' logs are kept.
+// ENDIVEMAST_TEST_OUTAGE_SECONDS lengthens the store's outage in once_outage,
+// which reads it as $OUTAGE_SECONDS.
 //
 // Scenarios that need no cluster run the program itself, as $PROGRAM.
 //
 // # Commands of the scenario language
 //
 //	cluster vitosha|agency small|zone|full [entry.FLAG=VALUE] [engine.FLAG=VALUE] [service.FLAG=VALUE] [kv.FLAG=VALUE]
-//	load start NAME SCENARIO [scale=0.2] [seed=1] [seconds=5] [CLASS.FIELD=VALUE]
+//	load start NAME SCENARIO [scale=0.2] [seed=1] [seconds=5] [zone=ZONE] [retry_unknown=2] [CLASS.FIELD=VALUE]
 //	load stop NAME            no new arrivals; waits for the account
 //	load wait NAME            waits for the scenario's end
 //	load at NAME N            waits until N requests were sent
@@ -29,6 +31,7 @@
 //	check load NAME sound     nothing lost, doubled or crossed
 //	check orders [N]          no conflicting orders, no effect of a former holder; N had effects at least
 //	check config              no host was seen going back to an older configuration
+//	check engines FIGURE>=VALUE           of the sum of the engines' stats, also <=, ==
 //	check no-work HOST        the endpoint takes no new work
 //	note work HOST            notes how much work the endpoint has taken so far
 //	check noted-work HOST     it has taken none since
@@ -53,10 +56,12 @@
 //	await leaving HOST        every running entry host knows that the endpoint leaves
 //	await crash HOST          the engine has crashed by a fault
 //	await role-changes N      the engines have changed their role so often
+//	race TENANT/NAME FIELD=VALUE FIELD=VALUE by HOST HOST     two changes from one revision; at most one is accepted
 //	await ready|unready HOST...
 //	await config HOST...      the newest accepted change is in force there
 //	await authority ZONE [not HOST]       a zone's authority is held (by another host)
 //	await version APPLICATION VERSION     all its engines have it loaded
+//	await idle HOST           the engine has no work left
 //	await exit HOST           the process ended by itself, with status 0
 //	await end HOST            the process ended, with whatever status
 //
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -1,8 +1,10 @@
 package tests
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -45,6 +47,7 @@
 		Setup: func(env *testscript.Env) error {
 			s := &script{directory: env.WorkDir, loads: make(map[string]*loader.Run)}
 			env.Values[scriptKey{}] = s
+			env.Setenv("OUTAGE_SECONDS", cmp.Or(os.Getenv("ENDIVEMAST_TEST_OUTAGE_SECONDS"), "4"))
 			env.Defer(s.close)
 			program, err := binary("endivemast")
 			env.Setenv("PROGRAM", program) // for scenarios that need no cluster
@@ -76,6 +79,7 @@
 			"listed":  command(each((*cluster).listLive)),
 			"hold":    command((*script).hold),
 			"await":   command((*script).await),
+			"race":    command((*script).race),
 		},
 	})
 }
@@ -245,6 +249,10 @@
 		if !ok {
 			return errUsage
 		}
+		if field == "zone" {
+			options.Entries = s.cluster.callersOf(value)
+			continue
+		}
 		if err := setLoad(&options, field, value); err != nil {
 			return eris.Wrap(err, setting)
 		}
@@ -263,9 +271,12 @@
 		options.Scenario.RateScale = number
 	case "seed":
 		options.Seed = uint64(number)
+	case "retry_unknown":
+		options.Scenario.RetryUnknown = int(number)
 	case "seconds":
 		length := time.Duration(number * float64(time.Second))
-		options.Scenario.Phases = []loader.Phase{{Name: "even", Duration: length, Shape: loader.ShapeSteady}}
+		options.Scenario.Phases = options.Scenario.Phases[:1]
+		options.Scenario.Phases[0].Duration = length
 	default:
 		return setLoadClass(&options.Scenario, field, number)
 	}
@@ -302,7 +313,9 @@
 	case args[0] == "orders" && len(args) <= 2:
 		return s.checkOrders(args[1:])
 	case args[0] == "config":
-		return s.cluster.judgeConfig()
+		return errors.Join(s.cluster.judgeConfig(), withTimeout(s.cluster.judgeRaces))
+	case args[0] == "engines" && len(args) == 2:
+		return s.cluster.judgeEngines(args[1])
 	case args[0] == "no-work" && len(args) == 2:
 		return each(func(c *cluster, m *member) error {
 			return withTimeout(func(ctx context.Context) error { return c.awaitNoWork(ctx, m) })
@@ -373,6 +386,11 @@
 	if err != nil {
 		return err
 	}
+	return compare(got, parts)
+}
+
+// compare fails when a figure does not meet the condition that was parsed.
+func compare(got float64, parts []string) error {
 	want, err := strconv.ParseFloat(parts[4], 64)
 	if err != nil {
 		return err
@@ -384,14 +402,15 @@
 	return nil
 }
 
-func figure(account *loader.ClassReport, name string) (float64, error) {
-	value := reflect.ValueOf(account).Elem()
+// figure finds a number in a document by its name in JSON.
+func figure(document any, name string) (float64, error) {
+	value := reflect.ValueOf(document).Elem()
 	for i := range value.NumField() {
 		if value.Type().Field(i).Tag.Get("json") != name {
 			continue
 		}
 		switch field := value.Field(i); field.Kind() {
-		case reflect.Int:
+		case reflect.Int, reflect.Int64:
 			return float64(field.Int()), nil
 		case reflect.Float64:
 			return field.Float(), nil
@@ -472,8 +491,13 @@
 	if err != nil {
 		return err
 	}
+	return s.cluster.change(members[0], args[0], args[1], parseFields(args[2:len(args)-2]))
+}
+
+// parseFields parses FIELD=VALUE...; a value that is not JSON is a string.
+func parseFields(settings []string) map[string]any {
 	fields := make(map[string]any)
-	for _, setting := range args[2 : len(args)-2] {
+	for _, setting := range settings {
 		field, value, _ := strings.Cut(setting, "=")
 		var parsed any
 		if err := json.Unmarshal([]byte(value), &parsed); err != nil {
@@ -481,7 +505,7 @@
 		}
 		fields[field] = parsed
 	}
-	return s.cluster.change(members[0], args[0], args[1], fields)
+	return fields
 }
 
 func (s *script) await(args []string) error {
@@ -508,6 +532,7 @@
 		"unready": func(ctx context.Context, _ *cluster, m *member) error { return m.awaitUnready(ctx) },
 		"config":  func(ctx context.Context, c *cluster, m *member) error { return c.awaitConfig(ctx, []*member{m}) },
 		"end":     func(ctx context.Context, c *cluster, m *member) error { return c.awaitEnd(ctx, m) },
+		"idle":    func(ctx context.Context, _ *cluster, m *member) error { return m.awaitIdle(ctx) },
 		"exit":    func(ctx context.Context, c *cluster, m *member) error { return c.awaitExit(ctx, m) },
 	}
 	wait, ok := waits[args[0]]
