--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -48,6 +48,7 @@
 //	hold orders HOST [N]      what is sent to it as an order waits in the network, or N of them
 //	heal                      ends all cuts and delays; lets what was held go
 //	set class|application NAME FIELD=VALUE... by HOST     by the operators' API
+//	race TENANT/NAME FIELD=VALUE FIELD=VALUE by HOST HOST     two changes from one revision; at most one is accepted
 //	await intent HOST         the zone's record has an open order for the endpoint
 //	await held HOST N         N orders to it wait in the network
 //	await no-intent ZONE      the zone's record has no open order
@@ -56,7 +57,6 @@
 //	await leaving HOST        every running entry host knows that the endpoint leaves
 //	await crash HOST          the engine has crashed by a fault
 //	await role-changes N      the engines have changed their role so often
-//	race TENANT/NAME FIELD=VALUE FIELD=VALUE by HOST HOST     two changes from one revision; at most one is accepted
 //	await ready|unready HOST...
 //	await config HOST...      the newest accepted change is in force there
 //	await authority ZONE [not HOST]       a zone's authority is held (by another host)
