Dispatcher: a request outlasts engines that change in turn

Change: up to six waits, 1.2 s in all. The unit test fails on the code before ('back after a time': not_run); endpoints that are gone are still refused.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -95,6 +95,8 @@
 	retryAfterFault = time.Second      // when to come back after an endpoint's fault
 	backoffBase     = 50 * time.Millisecond
 	backoffMaximum  = 400 * time.Millisecond
+	// maxPauses bounds the waits for endpoints to come back, to some 1.2 s.
+	maxPauses = 6
 )
 
 // Dispatcher runs requests. All methods are safe for concurrent use.
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -96,6 +96,32 @@
 	assert.DeepEqual(t, endpoints.results, []scheduler.Result{scheduler.Abandoned{}})
 }
 
+// TestRequestOutlastsEnginesThatChangeInTurn stands for a new version that the
+// engines load one after the other: the first refuses the request, the second
+// is not back yet, and the third is about to leave.
+func TestRequestOutlastsEnginesThatChangeInTurn(t *testing.T) {
+	whole := script{tokens: []int{0, 1, 2, 3}, ending: "end"}
+	tests := map[string]struct {
+		absent  int
+		outcome Outcome
+	}{
+		"back at once":      {absent: 1, outcome: outcomeWhole},
+		"back after a time": {absent: 4, outcome: outcomeWhole},
+		"gone":              {absent: 1000, outcome: OutcomeNotRun},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			endpoints := &fakeEndpoints{scripts: []script{{sendErr: driver.ErrRefused}, whole}, absent: test.absent}
+			d := newTestDispatcher(configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 60_000}, endpoints, nil)
+			began := time.Now()
+			_, err := d.Generate(context.Background(), Request{Tenant: "vitosha", Class: "work", MaxOutputTokens: 4}, nil)
+			assert.Equal(t, outcomeOf(t, err), test.outcome)
+			assert.Assert(t, time.Since(began) < 30*time.Second, "held back instead of refused")
+		})
+	}
+}
+
 // TestGoneCallerOfAFrozenEngine guards the count of outcomes: the engine has
 // the request, so "not run" would be false.
 func TestGoneCallerOfAFrozenEngine(t *testing.T) {
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -41,7 +41,9 @@
 	results  []scheduler.Result
 	resumes  []int
 	refusal  *scheduler.RefusalError
-	queued   time.Duration // that the first attempt waits for its grant
+	// absent is how many askings behind the first find no endpoint.
+	absent int
+	queued time.Duration // that the first attempt waits for its grant
 }
 
 func (f *fakeEndpoints) Acquire(ctx context.Context, work scheduler.Work) (scheduler.Grant, error) {
@@ -53,6 +55,10 @@
 	if f.refusal != nil {
 		return nil, f.refusal
 	}
+	if f.attempts > 0 && f.absent > 0 {
+		f.absent--
+		return nil, &scheduler.RefusalError{Reason: scheduler.ReasonNoEndpoint, RetryAfter: time.Second}
+	}
 	f.held++
 	return &fakeGrant{endpoints: f, id: "e" + string(rune('0'+len(work.Excluded)))}, ctx.Err()
 }
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -170,7 +170,7 @@
 // none has run the call, and there is time left.
 func (o *once) waitForEndpoint(ctx context.Context, err error) bool {
 	var refusal *scheduler.RefusalError
-	if !errors.As(err, &refusal) || refusal.Reason != scheduler.ReasonNoEndpoint || len(o.excluded) == 0 {
+	if !errors.As(err, &refusal) || !endpointsMayReturn(refusal, o.excluded, o.pauses) {
 		return false
 	}
 	if time.Since(o.arrived) > o.class.CompletionTarget() {
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -115,13 +115,12 @@
 	return r.attempts < r.dispatcher.cfg.MaxAttempts && r.dispatcher.retries.withdraw()
 }
 
-// waitForEndpoint says whether to ask again after a refusal: a request whose
-// own attempts have excluded every endpoint forgets that after a short wait,
-// and an answer that has begun is not given up while it is of use.
+// waitForEndpoint says whether to ask again after a refusal: the request's own
+// attempts have failed, or an answer has begun and is not given up while it is
+// of use.
 func (r *run) waitForEndpoint(ctx context.Context, refusal *scheduler.RefusalError) bool {
 	begun := len(r.delivered) > 0
-	excludedAll := refusal.Reason == scheduler.ReasonNoEndpoint && len(r.excluded) > 0
-	if !begun && !excludedAll {
+	if !begun && !endpointsMayReturn(refusal, r.excluded, r.pauses) {
 		return false
 	}
 	limit := r.class.CompletionTarget()
@@ -136,6 +135,19 @@
 	return pause(ctx, r.pauses) == nil
 }
 
+// endpointsMayReturn is true where the endpoints that a request has tried may
+// be back in a moment. Engines that load a version one after the other refuse
+// it in turn: with its exclusions forgotten, the next asking can find the first one not
+// back yet and the last one leaving. Giving up then refused requests that a
+// second later would have been served; waiting without a bound would hold
+// them back where the endpoints are gone.
+func endpointsMayReturn(refusal *scheduler.RefusalError, excluded []string, pauses int) bool {
+	if refusal.Reason != scheduler.ReasonNoEndpoint {
+		return false
+	}
+	return len(excluded) > 0 || pauses > 0 && pauses < maxPauses
+}
+
 // pause waits for a jittered, growing time.
 func pause(ctx context.Context, n int) error {
 	d := min(backoffBase<<min(n-1, 10), backoffMaximum)
