--- a/tests/cluster_test.go
+++ b/tests/cluster_test.go
@@ -61,6 +61,7 @@
 	revision int64             // of the newest accepted change
 	noted    map[string]int    // by host: how much work it had when it was noted
 	holders  map[string]string // by zone: as last named "holder/ZONE"
+	races    [][2]*change
 }
 
 // startCluster starts a deployment, configures it and awaits its readiness.
@@ -103,7 +104,30 @@
 		return err
 	}
 	c.historian.start()
-	return c.awaitReady(ctx, c.kind(provider.HostEntry)...)
+	if err := c.awaitReady(ctx, c.kind(provider.HostEntry)...); err != nil {
+		return err
+	}
+	return c.awaitEndpoints(ctx)
+}
+
+// awaitEndpoints waits until entry hosts know every endpoint. A host may be
+// ready with a list that is older than the endpoints' start.
+func (c *cluster) awaitEndpoints(ctx context.Context) error {
+	entries := c.kind(provider.HostEntry)
+	want := len(c.members) - len(entries)
+	for _, m := range entries {
+		err := await(ctx, "endpoints at "+m.ID, func() error {
+			status, err := m.status()
+			if known := len(status.Endpoints); err == nil && known < want {
+				err = eris.Errorf("%d of %d known", known, want)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // place gives every process its addresses.
@@ -336,7 +360,7 @@
 
 // loadOptions are the addresses that a load needs of the cluster.
 func (c *cluster) loadOptions() loader.Options {
-	var options loader.Options
+	options := loader.Options{Runs: c.runs}
 	for _, m := range c.kind(provider.HostEntry) {
 		options.Entries = append(options.Entries, m.Address)
 		options.Operators = append(options.Operators, m.operators)
--- a/tests/random_test.go
+++ b/tests/random_test.go
@@ -1,12 +1,15 @@
 package tests
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -21,16 +24,19 @@
 
 // Settings of the longer random run, such as
 //
-//	ENDIVEMAST_TEST_SEED=17 ENDIVEMAST_TEST_ROUNDS=40 go test ./tests -run TestRandomFaults -timeout 1h
+//	ENDIVEMAST_TEST_SEEDS=3,17-40 ENDIVEMAST_TEST_ROUNDS=40 go test ./tests -run TestRandomFaults -timeout 1h
 const (
-	envSeed   = "ENDIVEMAST_TEST_SEED"
+	envSeeds  = "ENDIVEMAST_TEST_SEEDS"
 	envRounds = "ENDIVEMAST_TEST_ROUNDS"
 )
 
 const (
+	defaultSeeds     = "1,2"
 	defaultRounds    = 4
 	requestsPerRound = 60 // that arrive while a round's faults last
 	randomScale      = 0.2
+	callFactor       = 4   // more calls that may not be repeated than in the mix
+	resentShare      = 0.4 // of them
 	hoursOfLoad      = 2
 )
 
@@ -48,14 +54,25 @@
 		{"crash an engine", "host", crashOne(provider.HostEngine)},
 		{"pause an entry host", "host", pauseOne(provider.HostEntry)},
 		{"pause an engine", "host", pauseOne(provider.HostEngine)},
+		{"crash a service", "host", crashOne(provider.HostService)},
+		{"pause a service", "host", pauseOne(provider.HostService)},
 		{"replace an entry host", "host", replaceOne},
 		{"cut two zones off from each other", "network", cutZones(bothWays)},
 		{"cut two zones off one way", "network", cutZones(oneWay)},
-		{"cut a zone off from the platform", "network", cutPlatform},
+		{"cut a zone off from the platform", "network", cutFromPlatform(bothWays)},
+		{"lose what a zone sends to the platform", "network", cutFromPlatform(oneWay)},
 		{"take the store down", "store", storeFault(`{"down":true}`, `{"down":false}`)},
 		{"silence the store", "store", storeFault(`{"black_hole":true}`, `{"black_hole":false}`)},
 		{"slow the store down", "store", storeFault(`{"latency_ms":400}`, `{"latency_ms":0}`)},
 		{"lose the store's answers", "store", storeFault(`{"lose_probability":0.3}`, `{"lose_probability":0}`)},
+		{"answer stale and slow reads", "store", storeFault(`{"latency_ms":200,"stale_read_revisions":3}`, `{"latency_ms":0,"stale_read_revisions":0}`)},
+		{"cross answers of engines", "engine", faultOne(provider.HostEngine, `{"cross_answers":3}`, `{}`)},
+		{"cut answers of engines", "engine", faultOne(provider.HostEngine, `{"truncate_streams":3,"truncate_after_tokens":9}`, `{}`)},
+		{"double and skip tokens", "engine", faultOne(provider.HostEngine, `{"duplicate_tokens":3}`, `{"skip_tokens":3}`)},
+		{"delay answers of engines", "engine", faultOne(provider.HostEngine, `{"late_answer_ms":700}`, `{"late_answer_ms":0}`)},
+		{"lose and cross answers of services", "service", faultOne(provider.HostService, `{"lose_answers":3}`, `{"cross_answers":3}`)},
+		{"cut answers of services, and refuse", "service", faultOne(provider.HostService, `{"truncate_answers":3}`, `{"refuse_calls":3}`)},
+		{"delay runs of services", "service", faultOne(provider.HostService, `{"pause_ms":600}`, `{"pause_ms":0}`)},
 		{"race operators", "operators", raceOperators},
 		{"change a model's version", "operators", changeVersion},
 	}
@@ -99,9 +116,11 @@
 	}
 }
 
-func cutPlatform(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
-	zones := c.options.Deployment.Zones
-	return c.heal, c.network.cut(zones[rng.IntN(len(zones))], platformZone, bothWays)
+func cutFromPlatform(d direction) func(*cluster, *rand.Rand) (func(context.Context) error, error) {
+	return func(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+		zones := c.options.Deployment.Zones
+		return c.heal, c.network.cut(zones[rng.IntN(len(zones))], platformZone, d)
+	}
 }
 
 func (c *cluster) heal(context.Context) error {
@@ -115,21 +134,40 @@
 	}
 }
 
-// raceOperators has two operators change the same class by different hosts.
-// One of them may be refused; what was accepted has to come into force.
+// faultOne sets faults of an endpoint. One that is down or paused by now can't
+// be told of the end, and needs not: what counts events comes to its own end.
+func faultOne(kind provider.HostKind, begin, end string) func(*cluster, *rand.Rand) (func(context.Context) error, error) {
+	return func(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
+		m := c.pick(kind, rng)
+		told := c.setFaults(m, begin) == nil
+		return func(ctx context.Context) error {
+			return await(ctx, "faults of "+m.ID, func() error {
+				if !told || !m.process.running() {
+					return nil
+				}
+				return c.setFaults(m, end)
+			})
+		}, nil
+	}
+}
+
+// raceOperators has two operators change the same class by different hosts. At
+// most one is accepted, as the end of the test checks; what was accepted has to
+// come into force.
 func raceOperators(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
 	entries := c.kind(provider.HostEntry)
 	order := rng.Perm(len(entries))
-	target := 2000 + rng.IntN(1000)
+	target := 20000 + rng.IntN(1000)
+	class := c.options.Scenario.Classes[0]
 	var group errgroup.Group
-	for i := range 2 {
-		group.Go(func() error {
-			class := c.options.Scenario.Classes[0]
-			// A refusal, and no answer, are as good as an acceptance here.
-			_ = c.change(entries[order[i]], "class", class.Tenant+"/"+class.Name, map[string]any{"completion_target_ms": target + i})
-			return nil
+	group.Go(func() error {
+		by := [2]*member{entries[order[0]], entries[order[1]]}
+		// No answer, and a refusal, are as good as an acceptance here.
+		_, _ = c.raceClass(class.Tenant+"/"+class.Name, by, [2]map[string]any{
+			{"completion_target_ms": target}, {"completion_target_ms": target + 1},
 		})
-	}
+		return nil
+	})
 	return func(context.Context) error { return group.Wait() }, nil
 }
 
@@ -137,7 +175,9 @@
 func changeVersion(c *cluster, rng *rand.Rand) (func(context.Context) error, error) {
 	version := fmt.Sprintf("v%d", 2+rng.IntN(1000))
 	by := c.pick(provider.HostEntry, rng)
-	change := func() error { return c.change(by, "application", "letters", map[string]any{"version": version}) }
+	change := func() error {
+		return c.change(by, "application", c.options.Scenario.Applications[0].Name, map[string]any{"version": version})
+	}
 	first := change()
 	return func(ctx context.Context) error {
 		if first != nil { // in a store's outage nothing is accepted
@@ -149,17 +189,32 @@
 	}, nil
 }
 
+// parseSeeds parses a list of seeds and ranges, such as 1,4,7-9.
+func parseSeeds(list string) (seeds []uint64, err error) {
+	for part := range strings.SplitSeq(list, ",") {
+		first, last, isRange := strings.Cut(part, "-")
+		if !isRange {
+			last = first
+		}
+		from, firstErr := strconv.ParseUint(first, 10, 64)
+		to, lastErr := strconv.ParseUint(last, 10, 64)
+		if err := errors.Join(firstErr, lastErr); err != nil {
+			return nil, err
+		}
+		for ; from <= to; from++ {
+			seeds = append(seeds, from)
+		}
+	}
+	return seeds, nil
+}
+
 // TestRandomFaults brings two faults about at a time, in random order from a
 // printed seed, under load, and checks every promise at the end.
 func TestRandomFaults(t *testing.T) {
-	seeds, rounds := []uint64{1, 2}, defaultRounds
-	if value := os.Getenv(envSeed); value != "" {
-		seed, err := strconv.ParseUint(value, 10, 64)
-		assert.NilError(t, err, envSeed)
-		seeds = []uint64{seed}
-	}
+	seeds, err := parseSeeds(cmp.Or(os.Getenv(envSeeds), defaultSeeds))
+	assert.NilError(t, err, envSeeds)
+	rounds := defaultRounds
 	if value := os.Getenv(envRounds); value != "" {
-		var err error
 		rounds, err = strconv.Atoi(value)
 		assert.NilError(t, err, envRounds)
 	}
@@ -172,12 +227,16 @@
 }
 
 func runRandomFaults(t *testing.T, seed uint64, rounds int) {
-	scenario, err := readScenario("vitosha-steady")
+	deployment := placer.Vitosha()
+	if seed%2 == 0 {
+		deployment = placer.Agency()
+	}
+	scenario, err := readScenario(deployment.Name + "-steady")
 	assert.NilError(t, err)
 	clusterSlots <- struct{}{}
 	defer func() { <-clusterSlots }()
 	c, err := startCluster(t.TempDir(), clusterOptions{
-		Deployment: placer.Vitosha().Small(), Scenario: scenario, Flags: map[string][]string{"entry": {"--lease-ttl=1s"}},
+		Deployment: deployment.Small(), Scenario: scenario, Flags: map[string][]string{"entry": {"--lease-ttl=1s"}},
 	})
 	assert.NilError(t, err)
 	defer func() { assert.Check(t, c.Close()) }()
@@ -198,7 +257,7 @@
 	assert.NilError(t, report.WriteTable(&table))
 	t.Logf("seed %d\n%s", seed, table)
 	_, ordersErr := c.judgeOrders()
-	assert.NilError(t, errors.Join(report.Verdict(), ordersErr, c.judgeConfig()))
+	assert.NilError(t, errors.Join(report.Verdict(), ordersErr, c.judgeConfig(), withTimeout(c.judgeRaces)))
 }
 
 // testWriter collects what is written.
@@ -209,9 +268,16 @@
 	return len(p), nil
 }
 
-// endless is a scenario's even mix, for as long as the faults take.
+// endless is a scenario's even mix, for as long as the faults take, with more
+// calls that may not be repeated and with callers that insist.
 func endless(scenario loader.Scenario) loader.Scenario {
-	scenario.RateScale = randomScale
+	scenario.RateScale, scenario.RetryUnknown = randomScale, 1
+	scenario.Classes = slices.Clone(scenario.Classes)
+	for i := range scenario.Classes {
+		if class := &scenario.Classes[i]; !class.Repeatable {
+			class.Rate, class.ResendShare = callFactor*class.Rate, resentShare
+		}
+	}
 	scenario.Phases = []loader.Phase{{Name: "even", Duration: hoursOfLoad * 3600e9, Shape: loader.ShapeSteady}}
 	return scenario
 }
