--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -27,7 +27,7 @@
 
 // clustersAtOnce bounds the clusters that run at a time: more of them would
 // make each other slow.
-const clustersAtOnce = 3
+const clustersAtOnce = 6
 
 var clusterSlots = make(chan struct{}, clustersAtOnce)
 
