--- a/internal/configurer/configurer.go
+++ b/internal/configurer/configurer.go
@@ -167,7 +167,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	c = &Configurer{
 		cfg:        cfg,
-		logger:     cfg.Logger.Named("configurer"),
+		logger:     cfg.Logger,
 		started:    time.Now(),
 		committing: make(chan struct{}, 1),
 		fetching:   make(chan struct{}, 1),
