Thin path on the users' platform: adapter, gateway, opaque requests

Requests walk ingress, dispatcher and scheduler to an endpoint and back; the configuration and the endpoints are followed in the platform's store.

--- /dev/null
+++ b/internal/classifier/classifier.go
@@ -0,0 +1,211 @@
+// Package classifier finds the class of an opaque request by where it was
+// sent: its host, and the longest prefix of its path.
+//
+// A whole configuration is put in force at once. Versions only grow in the
+// lifetime of a process: an older one that comes late, from a store that lags
+// or from a peer, changes nothing.
+//
+// # Usage
+//
+//	c := classifier.New()
+//	changed := c.Install(&classifier.Snapshot{Version: 7, Rules: rules})
+//	match, ok := c.Find("letters.example", "/drafts/1")
+package classifier
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/configurer"
+)
+
+// Class is a class of opaque requests. Its CompletionTarget is that of a call;
+// a stream has a FirstTokenTarget and a BetweenTokensTarget.
+type Class struct {
+	configurer.Class
+	Timeout     time.Duration // after which a request is answered in any case; 0: none
+	MaxAttempts int           // endpoints that may run one request
+	Rank        int           // 0 is the most urgent
+	IsResumable bool          // a broken stream may be gone on with behind its last event
+	// Shares spread the class over applications; never empty.
+	Shares []Share
+}
+
+// Share is an application's part of a class.
+type Share struct {
+	Application string
+	Weight      int
+}
+
+// Rule says which requests are of a class.
+type Rule struct {
+	Host   string
+	Prefix string // of the path; begins and ends with a slash
+	Class  Class
+}
+
+// Application is what is configured of a group of endpoints.
+type Application struct {
+	Name           string
+	MaxConnections int           // that one endpoint accepts from all hosts together; 0: not told
+	Engine         *EngineTraits // nil: plain services
+}
+
+// EngineTraits are what all engines of an application have in common.
+type EngineTraits struct {
+	Slots       int           // requests that run at once
+	CacheTokens int           // that the memory holds
+	HandleTTL   time.Duration // after which an exported KV cache is dropped
+	SwitchTime  time.Duration // that a change of role takes after the running work
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxBodyBytes int64
+	IdleTimeout  time.Duration // of a kept connection
+}
+
+// Snapshot is a whole configuration.
+type Snapshot struct {
+	Version      int64
+	Rules        []Rule
+	Applications []Application
+	Limits       Limits
+}
+
+// Classifier holds the configuration in force. It is safe for concurrent use,
+// and implements configurer.Reader.
+type Classifier struct {
+	current atomic.Pointer[index]
+}
+
+var _ configurer.Reader = (*Classifier)(nil)
+
+// index is a snapshot made for look-ups; it is not changed any more.
+type index struct {
+	snapshot     *Snapshot
+	hosts        map[string][]Rule // longest prefix first
+	applications map[string]Application
+	classes      map[string]Class
+	installed    time.Time
+}
+
+// New makes a Classifier without a configuration.
+func New() *Classifier { return &Classifier{} }
+
+// Install puts a configuration in force, unless one of its version or a later
+// one already is.
+func (c *Classifier) Install(snapshot *Snapshot) (changed bool) {
+	next := newIndex(snapshot)
+	for {
+		current := c.current.Load()
+		if current != nil && current.snapshot.Version >= snapshot.Version {
+			return false
+		}
+		if c.current.CompareAndSwap(current, next) {
+			return true
+		}
+	}
+}
+
+func newIndex(snapshot *Snapshot) *index {
+	x := &index{
+		snapshot: snapshot, hosts: map[string][]Rule{}, installed: time.Now(),
+		applications: map[string]Application{}, classes: map[string]Class{},
+	}
+	for _, rule := range snapshot.Rules {
+		host := strings.ToLower(rule.Host)
+		x.hosts[host] = append(x.hosts[host], rule)
+		x.classes[rule.Class.Name] = rule.Class
+	}
+	for _, rules := range x.hosts {
+		slices.SortStableFunc(rules, func(a, b Rule) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, application := range snapshot.Applications {
+		x.applications[application.Name] = application
+	}
+	return x
+}
+
+// Find returns the class of requests to a host and path. The host may carry a
+// port.
+func (c *Classifier) Find(host, path string) (class Class, ok bool) {
+	x := c.current.Load()
+	if x == nil {
+		return Class{}, false
+	}
+	name, _, _ := strings.Cut(strings.ToLower(host), ":")
+	for _, rule := range x.hosts[name] {
+		if strings.HasPrefix(path, rule.Prefix) {
+			return rule.Class, true
+		}
+	}
+	return Class{}, false
+}
+
+// Class returns a class by name. Classes of opaque requests have no tenant.
+func (c *Classifier) Class(_, name string) (class configurer.Class, ok bool) {
+	x := c.current.Load()
+	if x == nil {
+		return configurer.Class{}, false
+	}
+	found, ok := x.classes[name]
+	return found.Class, ok
+}
+
+// Application returns what the scheduler needs of an application.
+func (c *Classifier) Application(name string) (application configurer.Application, ok bool) {
+	found, ok := c.Group(name)
+	return configurer.Application{Name: found.Name}, ok
+}
+
+// Group returns what is configured of an application's endpoints.
+func (c *Classifier) Group(name string) (application Application, ok bool) {
+	x := c.current.Load()
+	if x == nil {
+		return Application{}, false
+	}
+	application, ok = x.applications[name]
+	return application, ok
+}
+
+// Groups returns all applications.
+func (c *Classifier) Groups() []Application {
+	x := c.current.Load()
+	if x == nil {
+		return nil
+	}
+	return x.snapshot.Applications
+}
+
+// Limits are those in force; zero before the first configuration.
+func (c *Classifier) Limits() Limits {
+	x := c.current.Load()
+	if x == nil {
+		return Limits{}
+	}
+	return x.snapshot.Limits
+}
+
+// Revision is the version in force; 0 before the first.
+func (c *Classifier) Revision() int64 {
+	x := c.current.Load()
+	if x == nil {
+		return 0
+	}
+	return x.snapshot.Version
+}
+
+// Age is how long the version has been in force here.
+func (c *Classifier) Age() time.Duration {
+	x := c.current.Load()
+	if x == nil {
+		return 0
+	}
+	return time.Since(x.installed)
+}
+
+// Ready is true once a configuration is in force.
+func (c *Classifier) Ready() bool { return c.current.Load() != nil }
--- a/internal/commander/variable.go
+++ b/internal/commander/variable.go
@@ -15,6 +15,13 @@
 // otherVariables are prefixes of the variables of the stand-ins and the tests.
 var otherVariables = []string{"ENDIVEMAST_KV_", "ENDIVEMAST_ENGINE_", "ENDIVEMAST_SERVICE_", "ENDIVEMAST_TEST_"}
 
+// Variable is where a setting's environment variable is read from, for the
+// commands of other packages.
+func Variable(setting string) cli.ValueSourceChain { return env(setting) }
+
+// CheckVariables is unknownVariables for the commands of other packages.
+func CheckVariables(root *cli.Command, environ []string) error { return unknownVariables(root, environ) }
+
 // unknownVariables reports the variables that look like settings and are none.
 // A misspelt flag is refused by the library; a misspelt variable would
 // otherwise leave its setting at the default without a word.
--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -25,6 +25,14 @@
 	return &budget{share: share, reserve: reserve, left: reserve}
 }
 
+// setReserve changes the reserve; what is left is cut to it.
+func (b *budget) setReserve(reserve float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserve = reserve
+	b.left = min(b.left, reserve)
+}
+
 // deposit pays in for one request.
 func (b *budget) deposit() {
 	b.mu.Lock()
--- /dev/null
+++ b/internal/dispatcher/forwarder.go
@@ -0,0 +1,166 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/classifier"
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+// OpaqueRequest is a request that is passed on unchanged.
+type OpaqueRequest struct {
+	ID          string // the caller's, of this one attempt of theirs
+	Class       classifier.Class
+	Arrived     time.Time
+	TimeLeft    time.Duration // for which the caller waits, from Arrived; 0: not known
+	Payload     driver.Payload
+	Prompt      Prompt // of a generation
+	ResumeAfter string // id of the last event that the caller has from an earlier attempt of theirs
+}
+
+// Prompt is what a caller says of a generation.
+type Prompt struct {
+	Tokens       int
+	MaxOutput    int    // tokens
+	SharedKey    string // names the parts that other requests have in common with this one
+	SharedTokens int
+}
+
+// Answerer sends an answer to the caller. Its errors mean that the caller has
+// gone.
+type Answerer interface {
+	// Begin sends the head. Length is the body's, -1 where it is not known.
+	Begin(status int, header http.Header, length int64) error
+	// Write sends a piece of the body at once.
+	Write(p []byte) error
+}
+
+// Reasons of a FailureError of an opaque request.
+const (
+	ReasonTimeout   = "timeout"    // the class's time is over
+	ReasonNoBudget  = "no_budget"  // the repeat that it needs is not left in the budget
+	ReasonBrokenOff = "broken_off" // the answer had begun
+)
+
+// ErrBegun is the error of a request whose answer broke off after its head had
+// been sent: all that is left is to cut the caller's connection.
+var ErrBegun = errors.New("answer broke off after it had begun")
+
+// ForwarderConfig sets up a Forwarder.
+type ForwarderConfig struct {
+	Scheduler Scheduler
+	Driver    driver.Forwarder
+	Meter     Meter
+	Logger    hclog.Logger
+	// RepeatShare of an application's requests, and RepeatReserve more, may be
+	// sent to a second endpoint. These are this host's parts.
+	RepeatShare   float64
+	RepeatReserve float64
+}
+
+// Forwarder passes opaque requests on. It takes an endpoint from the scheduler,
+// or two where the prompt is read apart, passes the answer on as it comes, and
+// sends a request again only where that is certain to do no harm.
+type Forwarder struct {
+	cfg     ForwarderConfig
+	active  atomic.Int64
+	cleanup errgroup.Group // releases of KV caches that were not taken
+
+	mu      sync.Mutex
+	budgets map[string]*budget // by application
+	reserve float64
+}
+
+// NewForwarder prepares a Forwarder.
+func NewForwarder(cfg ForwarderConfig) *Forwarder {
+	return &Forwarder{cfg: cfg, budgets: map[string]*budget{}, reserve: cfg.RepeatReserve}
+}
+
+// Active is the number of requests that are running.
+func (f *Forwarder) Active() int64 { return f.active.Load() }
+
+// Close waits until what is left of ended requests is cleaned up.
+func (f *Forwarder) Close() error { return f.cleanup.Wait() }
+
+// SetRepeatReserve changes this host's part of the reserve.
+func (f *Forwarder) SetRepeatReserve(reserve float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reserve = reserve
+	for _, b := range f.budgets {
+		b.setReserve(reserve)
+	}
+}
+
+func (f *Forwarder) budget(application string) *budget {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.budgets[application]
+	if b == nil {
+		b = newBudget(f.cfg.RepeatShare, f.reserve)
+		f.budgets[application] = b
+	}
+	return b
+}
+
+// Forward runs a request to its end. The error is a *FailureError where
+// nothing of an answer was sent, and ErrBegun otherwise.
+func (f *Forwarder) Forward(ctx context.Context, request OpaqueRequest, answerer Answerer) (err error) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	patience := patienceOf(&request)
+	ctx, cancel := context.WithDeadlineCause(ctx, request.Arrived.Add(patience), errTimeout)
+	defer cancel()
+	p := newPassage(f, &request, answerer)
+	err = p.run(ctx)
+	f.count(p, err)
+	return err
+}
+
+// unboundedPatience is for a class without a timeout and a caller who does not
+// say how long they wait.
+const unboundedPatience = time.Minute
+
+// patienceOf is how long an answer is of use.
+func patienceOf(request *OpaqueRequest) time.Duration {
+	patience := unboundedPatience
+	if request.Class.Timeout > 0 {
+		patience = request.Class.Timeout
+	}
+	if request.TimeLeft > 0 {
+		patience = min(patience, request.TimeLeft)
+	}
+	return patience
+}
+
+func (f *Forwarder) count(p *passage, err error) {
+	name := p.request.Class.Name
+	var failure *FailureError
+	switch {
+	case err == nil:
+		f.cfg.Meter.CountOutcome("", name, outcomeWhole, "")
+		f.cfg.Meter.ObserveCompletion("", name, time.Since(p.request.Arrived))
+	case errors.As(err, &failure):
+		f.cfg.Meter.CountOutcome("", name, string(failure.Outcome), failure.Reason)
+	default:
+		f.cfg.Meter.CountOutcome("", name, string(OutcomeUnknown), ReasonBrokenOff)
+	}
+}
+
+// release frees a KV cache that nobody will take.
+func (f *Forwarder) release(handle driver.KVHandle) {
+	f.cleanup.Go(func() error {
+		if err := f.cfg.Driver.Release(context.Background(), handle); err != nil {
+			f.cfg.Logger.Debug("KV cache not released; it lapses", "address", handle.Address, "error", err)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/dispatcher/passage.go
@@ -0,0 +1,343 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/classifier"
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+const (
+	// maxWholeAnswer bounds answers that are held until they are whole, in bytes.
+	maxWholeAnswer = 8 << 20
+	// maxSends bounds how often one request is offered to endpoints, those that
+	// turned it away included.
+	maxSends = 4
+)
+
+var (
+	errTimeout  = errors.New("time for the request is over")
+	errNoBudget = errors.New("no repeat left in the budget")
+	errTooLong  = errors.New("answer is too long")
+	// errServerFault is an answer with which an endpoint reports a fault of its own.
+	errServerFault = errors.New("endpoint reported a fault of its own")
+)
+
+// passage is one opaque request on its way.
+type passage struct {
+	forwarder   *Forwarder
+	request     *OpaqueRequest
+	answerer    Answerer
+	application string
+	budget      *budget
+
+	sends    int // calls that went to an endpoint, prefills left out
+	runs     int // of these, those that may have run
+	excluded []string
+
+	begun     bool   // the head is with the caller
+	lastEvent string // id of the last event that the caller has
+	events    int    // that the caller has
+	fault     *wholeAnswer
+}
+
+// wholeAnswer is an answer that is held until it is clear that no better one
+// comes.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func newPassage(f *Forwarder, request *OpaqueRequest, answerer Answerer) *passage {
+	application := pickShare(request.Class.Shares)
+	b := f.budget(application)
+	b.deposit()
+	return &passage{
+		forwarder: f, request: request, answerer: answerer, application: application,
+		budget: b, lastEvent: request.ResumeAfter,
+	}
+}
+
+// pickShare draws an application by weight.
+func pickShare(shares []classifier.Share) string {
+	total := 0
+	for _, share := range shares {
+		total += max(share.Weight, 0)
+	}
+	if total == 0 {
+		return shares[0].Application
+	}
+	n := rand.IntN(total)
+	for _, share := range shares {
+		if n -= max(share.Weight, 0); n < 0 {
+			return share.Application
+		}
+	}
+	return shares[0].Application
+}
+
+// run makes attempts until the answer is whole or nothing more can be done.
+func (p *passage) run(ctx context.Context) error {
+	for {
+		err := p.attempt(ctx)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() == nil && p.mayRepeat(err) {
+			p.forwarder.cfg.Meter.CountRetry(p.request.Class.Name)
+			continue
+		}
+		return p.finish(ctx, err)
+	}
+}
+
+// mayRepeat says whether another attempt may follow a failed one.
+func (p *passage) mayRepeat(err error) bool {
+	var refusal *scheduler.RefusalError
+	if errors.As(err, &refusal) || errors.Is(err, errCallerGone) || errors.Is(err, errNoBudget) || p.sends >= maxSends {
+		return false
+	}
+	if p.hasRun(err) {
+		if !p.request.Class.Repeatable || p.runs >= p.request.Class.MaxAttempts {
+			return false
+		}
+	}
+	if errors.Is(err, driver.ErrNotSent) {
+		return true // nothing has arrived; the next send is the first
+	}
+	return p.budget.withdraw()
+}
+
+// hasRun is true where the attempt that failed so may have run.
+func (p *passage) hasRun(err error) bool {
+	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrRefused)
+}
+
+// attempt takes an endpoint and sends the request to it, once.
+func (p *passage) attempt(ctx context.Context) error {
+	waited := time.Now()
+	grant, err := p.forwarder.cfg.Scheduler.Acquire(ctx, p.work())
+	if err != nil {
+		return err
+	}
+	p.forwarder.cfg.Meter.ObserveQueue("", p.request.Class.Name, time.Since(waited))
+	handle, err := p.prefill(ctx, grant)
+	if err != nil {
+		grant.Done(scheduler.Abandoned{})
+		return err
+	}
+	err = p.send(ctx, grant, handle)
+	grant.Done(p.result(ctx, err))
+	if err != nil {
+		p.excluded = append(p.excluded, grant.Target().EndpointID)
+		if handle != nil && !p.tookHandle(err) {
+			p.forwarder.release(*handle)
+		}
+	}
+	return err
+}
+
+// tookHandle is true where the endpoint may have fetched the KV cache.
+func (p *passage) tookHandle(err error) bool {
+	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrRefused)
+}
+
+func (p *passage) work() scheduler.Work {
+	class := p.request.Class.Class
+	class.Application = p.application
+	return scheduler.Work{
+		RequestID: p.request.ID, Class: class, Arrived: p.request.Arrived,
+		PromptTokens: p.request.Prompt.Tokens, PrefixKey: p.request.Prompt.SharedKey,
+		PrefixTokens: p.request.Prompt.SharedTokens, MaxOutputTokens: p.request.Prompt.MaxOutput,
+		DeliveredTokens: p.events, Excluded: p.excluded,
+	}
+}
+
+// result is what the scheduler learns from an attempt.
+func (p *passage) result(ctx context.Context, err error) scheduler.Result {
+	switch {
+	case err == nil:
+		return scheduler.Completed{End: driver.End{OutputTokens: p.events}}
+	case errors.Is(err, errServerFault):
+		return scheduler.Completed{}
+	case ctx.Err() != nil || errors.Is(err, errCallerGone):
+		return scheduler.Abandoned{}
+	default:
+		return scheduler.Broken{Err: err}
+	}
+}
+
+// prefill has another engine read the prompt where the scheduler says so.
+func (p *passage) prefill(ctx context.Context, grant scheduler.Grant) (*driver.KVHandle, error) {
+	target, ok := grant.Prefill()
+	if !ok {
+		return nil, nil
+	}
+	handle, err := p.forwarder.cfg.Driver.ForwardPrefill(ctx, target, p.call())
+	if err == nil {
+		grant.Prefilled(nil)
+		return &handle, nil
+	}
+	if ctx.Err() == nil {
+		grant.Prefilled(err)
+	}
+	p.excluded = append(p.excluded, target.EndpointID)
+	p.forwarder.cfg.Logger.Debug("prefill failed", "request_id", p.request.ID, "endpoint_id", target.EndpointID, "error", err)
+	// The prompt was read at most; the request has not run.
+	return nil, fmt.Errorf("%w: %w", driver.ErrRefused, err)
+}
+
+func (p *passage) call() driver.ForwardCall {
+	call := driver.ForwardCall{
+		RequestID: p.request.ID, Payload: p.request.Payload, Urgency: min(p.request.Class.Rank, maxUrgency),
+		ResumeAfter: p.lastEvent,
+	}
+	call.TimeLeft = max(time.Until(p.request.Arrived.Add(patienceOf(p.request))), time.Millisecond)
+	return call
+}
+
+// maxUrgency is the least urgent rank that engines tell apart.
+const maxUrgency = 9
+
+// send sends the request and passes the answer on.
+func (p *passage) send(ctx context.Context, grant scheduler.Grant, handle *driver.KVHandle) error {
+	call := p.call()
+	call.Import = handle
+	answer, err := p.forwarder.cfg.Driver.Forward(ctx, grant.Target(), call)
+	if !errors.Is(err, driver.ErrNotSent) {
+		p.sends++
+	}
+	if err != nil {
+		if p.hasRun(err) {
+			p.runs++
+		}
+		return err
+	}
+	p.runs++
+	defer answer.Body.Close()
+	isStream := p.request.Class.Kind == configurer.KindGenerate && answer.Status < http.StatusMultipleChoices
+	if isStream {
+		return p.passEvents(ctx, grant, &answer)
+	}
+	return p.passWhole(&answer)
+}
+
+// passWhole reads an answer to its end before any of it is passed on, so that
+// one that breaks off never looks whole.
+func (p *passage) passWhole(answer *driver.ForwardAnswer) error {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswer+1))
+	if err == nil && len(body) > maxWholeAnswer {
+		err = errTooLong
+	}
+	if err != nil {
+		return fmt.Errorf("%w: %w", driver.ErrOutcomeUnknown, err)
+	}
+	if p.begun {
+		// A stream that was to be gone on with has failed.
+		return fmt.Errorf("%w: status %d", driver.ErrFailed, answer.Status)
+	}
+	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status >= http.StatusInternalServerError && p.request.Class.Repeatable {
+		p.fault = whole
+		return errServerFault
+	}
+	return p.deliver(whole)
+}
+
+func (p *passage) deliver(whole *wholeAnswer) error {
+	if err := p.answerer.Begin(whole.status, whole.header, int64(len(whole.body))); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
+	p.begun = true
+	if err := p.answerer.Write(whole.body); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
+	return nil
+}
+
+// passEvents passes a stream on, whole events only. The head goes out with the
+// first of them: until then another endpoint may take the request over.
+func (p *passage) passEvents(ctx context.Context, grant scheduler.Grant, answer *driver.ForwardAnswer) error {
+	reader := newEventReader(answer.Body)
+	for {
+		events, lastID, count, err := reader.next()
+		if errors.Is(err, io.EOF) {
+			return p.endStream(answer)
+		}
+		if err != nil {
+			return fmt.Errorf("%w: stream broke off: %w", driver.ErrOutcomeUnknown, err)
+		}
+		for range count {
+			grant.Token()
+		}
+		if err := p.passPiece(answer, events); err != nil {
+			return err
+		}
+		p.events += count
+		if lastID != "" {
+			p.lastEvent = lastID
+		}
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+	}
+}
+
+func (p *passage) passPiece(answer *driver.ForwardAnswer, events []byte) error {
+	if !p.begun {
+		if err := p.answerer.Begin(answer.Status, answer.Header, -1); err != nil {
+			return errors.Join(errCallerGone, err)
+		}
+		p.begun = true
+		p.forwarder.cfg.Meter.ObserveFirstToken("", p.request.Class.Name, time.Since(p.request.Arrived))
+	}
+	if err := p.answerer.Write(events); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
+	return nil
+}
+
+// endStream ends a whole stream; one without events has a head all the same.
+func (p *passage) endStream(answer *driver.ForwardAnswer) error {
+	if p.begun {
+		return nil
+	}
+	p.begun = true
+	if err := p.answerer.Begin(answer.Status, answer.Header, 0); err != nil {
+		return errors.Join(errCallerGone, err)
+	}
+	return nil
+}
+
+// finish says how a request without a whole answer ended.
+func (p *passage) finish(ctx context.Context, err error) error {
+	if p.begun {
+		return errors.Join(ErrBegun, err)
+	}
+	if p.fault != nil && ctx.Err() == nil {
+		return p.deliver(p.fault)
+	}
+	failure := &FailureError{RequestID: p.request.ID, Outcome: OutcomeNotRun, Reason: ReasonEndpointLost, Detail: err.Error(), RetryAfter: retryAfterFault}
+	if p.runs > 0 {
+		failure.Outcome = OutcomeUnknown
+	}
+	var refusal *scheduler.RefusalError
+	switch {
+	case errors.As(err, &refusal):
+		failure.Reason, failure.RetryAfter = string(refusal.Reason), refusal.RetryAfter
+	case errors.Is(context.Cause(ctx), errTimeout):
+		failure.Reason = ReasonTimeout
+	case ctx.Err() != nil || errors.Is(err, errCallerGone):
+		failure.Reason = ReasonCallerGone
+	}
+	return failure
+}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -26,6 +26,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -37,6 +38,10 @@
 	// ErrRefused says that the endpoint answered that it did not run the call
 	// (busy, draining or not serving this application).
 	ErrRefused = errors.New("endpoint refused the call")
+	// ErrBusy is an ErrRefused for want of room.
+	ErrBusy = fmt.Errorf("%w: no room", ErrRefused)
+	// ErrReplaced is an ErrRefused of another process than the one named.
+	ErrReplaced = fmt.Errorf("%w: another process has the address", ErrRefused)
 	// ErrFailed says that the endpoint ran the call and reported a failure.
 	ErrFailed = errors.New("endpoint failed the call")
 	// ErrOutcomeUnknown says that the call was sent and not answered whole.
--- /dev/null
+++ b/internal/follower/follower.go
@@ -0,0 +1,236 @@
+// Package follower keeps up with keys of the platform's store: it reads them
+// once, watches them, and reads them anew after a gap.
+//
+// One watch serves all topics, since each waiting call is counted and priced.
+// While the store is away nothing changes for the sinks; they are told when it
+// is lost and regained.
+//
+// # Usage
+//
+//	f := follower.New(follower.Config{Store: store, Topics: []follower.Topic{{Prefix: "servers/", Sink: list}}})
+//	group.Go(func() error { return f.Run(ctx) })
+package follower
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+const (
+	// retryFirst and retryMost bound the pause before the store is tried again;
+	// it doubles in between. An outage lasts seconds, and each call is priced.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 600 * time.Millisecond
+)
+
+// Sink takes what a Follower learns of one topic. Calls come one after the
+// other, in the order of the store's revisions.
+type Sink interface {
+	// Replace takes all entries of the topic, as just read.
+	Replace(entries []provider.Entry, now time.Time)
+	// Apply takes one change.
+	Apply(change provider.Change, now time.Time)
+}
+
+// Topic is the keys with a prefix, and who hears of them.
+type Topic struct {
+	Prefix string
+	Sink   Sink
+}
+
+// Config sets up a Follower.
+type Config struct {
+	Store  provider.Store
+	Topics []Topic
+	// Lost and Regained are told of each loss of the store and of its return;
+	// nil: nobody.
+	Lost     func(cause error)
+	Regained func(away time.Duration)
+	Logger   hclog.Logger
+}
+
+// Follower follows keys. Run may be called once.
+type Follower struct {
+	cfg Config
+
+	mu       sync.Mutex
+	revision int64     // up to which all is known; 0: nothing read yet
+	lostAt   time.Time // zero while the store answers
+	heardAt  time.Time // when the store last answered
+}
+
+// New makes a Follower that has read nothing yet.
+func New(cfg Config) *Follower {
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	return &Follower{cfg: cfg}
+}
+
+// Known is true once all topics have been read.
+func (f *Follower) Known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision > 0
+}
+
+// HeardAt is when the store last answered; zero: never.
+func (f *Follower) HeardAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heardAt
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		err := f.follow(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, provider.ErrCompacted) {
+			// What was missed is not known; read all again.
+			f.cfg.Logger.Info("store has dropped its history; reading all keys again", "revision", f.seen())
+			f.reset()
+			continue
+		}
+		if f.lose(err) {
+			pause = retryFirst
+		}
+		if !sleep(ctx, pause/2+rand.N(pause)) {
+			return nil
+		}
+		pause = min(pause*2, retryMost)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// follow reads what is not known yet and watches from there on.
+func (f *Follower) follow(ctx context.Context) error {
+	if f.seen() == 0 {
+		if err := f.read(ctx); err != nil {
+			return err
+		}
+	}
+	watcher, err := f.cfg.Store.Watch(ctx, f.commonPrefix(), f.seen()+1)
+	if err != nil {
+		return err
+	}
+	for changes := range watcher.Changes() {
+		f.regain()
+		f.apply(changes)
+	}
+	return errors.Join(watcher.Err(), watcher.Close())
+}
+
+// commonPrefix is what all topics' prefixes begin with.
+func (f *Follower) commonPrefix() string {
+	common := f.cfg.Topics[0].Prefix
+	for _, topic := range f.cfg.Topics {
+		for !strings.HasPrefix(topic.Prefix, common) {
+			common = common[:len(common)-1]
+		}
+	}
+	return common
+}
+
+// read reads all topics. The watch begins at the first one's revision, so that
+// a change between two reads is heard twice rather than not at all.
+func (f *Follower) read(ctx context.Context) error {
+	var first int64
+	for _, topic := range f.cfg.Topics {
+		entries, revision, err := f.cfg.Store.List(ctx, topic.Prefix)
+		if err != nil {
+			return err
+		}
+		f.regain()
+		topic.Sink.Replace(entries, time.Now())
+		if first == 0 {
+			first = revision
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = first
+	return nil
+}
+
+func (f *Follower) apply(changes []provider.Change) {
+	now := time.Now()
+	for _, change := range changes {
+		for _, topic := range f.cfg.Topics {
+			if strings.HasPrefix(change.Entry.Key, topic.Prefix) {
+				topic.Sink.Apply(change, now)
+			}
+		}
+		f.mu.Lock()
+		f.revision = max(f.revision, change.Entry.Revision)
+		f.mu.Unlock()
+	}
+}
+
+func (f *Follower) seen() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+func (f *Follower) reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = 0
+}
+
+// lose notes that the store does not answer; true when it did until now.
+func (f *Follower) lose(err error) (isNew bool) {
+	f.mu.Lock()
+	isNew = f.lostAt.IsZero()
+	if isNew {
+		f.lostAt = time.Now()
+	}
+	f.mu.Unlock()
+	if isNew {
+		f.cfg.Logger.Warn("store lost", "error", err, "revision", f.seen())
+		if f.cfg.Lost != nil {
+			f.cfg.Lost(err)
+		}
+	}
+	return isNew
+}
+
+// regain notes that the store has answered.
+func (f *Follower) regain() {
+	now := time.Now()
+	f.mu.Lock()
+	lostAt := f.lostAt
+	f.lostAt, f.heardAt = time.Time{}, now
+	f.mu.Unlock()
+	if lostAt.IsZero() {
+		return
+	}
+	away := now.Sub(lostAt)
+	f.cfg.Logger.Info("store regained", "away_ms", away.Milliseconds())
+	if f.cfg.Regained != nil {
+		f.cfg.Regained(away)
+	}
+}
--- /dev/null
+++ b/internal/lister/registrations.go
@@ -0,0 +1,171 @@
+package lister
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+const (
+	// returnHold is how long after an outage of the store an entry may be
+	// missing: endpoints write theirs again within about two seconds.
+	returnHold = 2 * time.Second
+	// removalShare of the drain time an endpoint stays listed whose entry went
+	// without a word. It may be leaving, and then serves for the drain time; or
+	// its entry has lapsed, and comes back.
+	removalShare = 0.6
+)
+
+// RegistrationsConfig sets up Registrations.
+type RegistrationsConfig struct {
+	Prefix string // of the keys; the endpoint's id follows
+	Decode func(provider.Entry) (provider.Host, error)
+	// DrainTime is how long an endpoint serves on after its entry says that it
+	// leaves, or is gone.
+	DrainTime time.Duration
+	// Changed is told the list after each change.
+	Changed func(hosts []provider.Host, now time.Time)
+	Logger  hclog.Logger
+}
+
+// Registrations is the list of endpoints that register themselves in the
+// platform's store, each under a key of its own. It implements follower.Sink
+// and is safe for concurrent use.
+type Registrations struct {
+	cfg RegistrationsConfig
+
+	publishMu sync.Mutex // keeps lists in order; taken before mu
+
+	mu       sync.Mutex
+	hosts    map[string]provider.Host
+	missing  map[string]time.Time // entries that are gone, and until when they stay listed
+	regained time.Time
+	isKnown  bool
+}
+
+// NewRegistrations makes an empty list.
+func NewRegistrations(cfg RegistrationsConfig) *Registrations {
+	return &Registrations{cfg: cfg, hosts: map[string]provider.Host{}, missing: map[string]time.Time{}}
+}
+
+// Known is true once the store has been read.
+func (r *Registrations) Known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.isKnown
+}
+
+// StoreRegained notes that the store answers again after an outage.
+func (r *Registrations) StoreRegained(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.regained = now
+}
+
+// Replace takes all entries.
+func (r *Registrations) Replace(entries []provider.Entry, now time.Time) {
+	r.mu.Lock()
+	r.isKnown = true
+	listed := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		listed[r.put(entry)] = true
+	}
+	for id := range r.hosts {
+		if !listed[id] {
+			r.miss(id, now)
+		}
+	}
+	r.mu.Unlock()
+	r.publish(now)
+}
+
+// Apply takes one change.
+func (r *Registrations) Apply(change provider.Change, now time.Time) {
+	r.mu.Lock()
+	if change.Deleted {
+		r.miss(strings.TrimPrefix(change.Entry.Key, r.cfg.Prefix), now)
+	} else {
+		r.put(change.Entry)
+	}
+	r.mu.Unlock()
+	r.publish(now)
+}
+
+// Tick drops endpoints whose entries have been gone for too long. It is to be
+// called several times a second.
+func (r *Registrations) Tick(now time.Time) {
+	r.mu.Lock()
+	dropped := false
+	for id, until := range r.missing {
+		if !now.Before(until) {
+			r.cfg.Logger.Info("endpoint gone", "endpoint_id", id)
+			delete(r.missing, id)
+			delete(r.hosts, id)
+			dropped = true
+		}
+	}
+	r.mu.Unlock()
+	if dropped {
+		r.publish(now)
+	}
+}
+
+// put takes one entry and returns its endpoint's id.
+func (r *Registrations) put(entry provider.Entry) (id string) {
+	id = strings.TrimPrefix(entry.Key, r.cfg.Prefix)
+	host, err := r.cfg.Decode(entry)
+	if err != nil {
+		r.cfg.Logger.Error("registration not understood; the endpoint is not used", "endpoint_id", id, "error", err)
+		return id
+	}
+	before, isKnown := r.hosts[id]
+	r.hosts[id] = host
+	delete(r.missing, id)
+	if !isKnown || before != host {
+		r.cfg.Logger.Info("endpoint registered", "endpoint_id", id, "application", host.Application, "address", host.Address,
+			"zone", host.Zone, "state", host.State, "role", host.Role, "revision", entry.Revision)
+	}
+	return id
+}
+
+// miss notes that an endpoint's entry is gone. One that has said before that
+// it leaves goes at once.
+func (r *Registrations) miss(id string, now time.Time) {
+	host, ok := r.hosts[id]
+	if !ok {
+		return
+	}
+	if _, isMissing := r.missing[id]; isMissing {
+		return
+	}
+	until := now
+	if host.State == provider.HostLive {
+		until = now.Add(time.Duration(float64(r.cfg.DrainTime) * removalShare))
+		if back := r.regained.Add(returnHold); back.After(until) && back.Before(now.Add(r.cfg.DrainTime)) {
+			until = back
+		}
+	}
+	r.missing[id] = until
+	r.cfg.Logger.Info("endpoint's entry gone", "endpoint_id", id, "state", host.State, "listed_for_ms", until.Sub(now).Milliseconds())
+}
+
+// Hosts is the list.
+func (r *Registrations) Hosts() (hosts []provider.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hosts = make([]provider.Host, 0, len(r.hosts))
+	for _, host := range r.hosts {
+		hosts = append(hosts, host)
+	}
+	return hosts
+}
+
+func (r *Registrations) publish(now time.Time) {
+	r.publishMu.Lock()
+	defer r.publishMu.Unlock()
+	r.cfg.Changed(r.Hosts(), now)
+}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -143,6 +143,10 @@
 	Address     string    `json:"address"`     // IP and port
 	Application string    `json:"application"` // of an engine or service; empty for an entry
 	State       HostState `json:"state"`
+	// Role is an engine's present share of the work, as driver.Role; empty: not told.
+	Role string `json:"role,omitempty"`
+	// Slots is how many requests an endpoint runs at once; 0: not told.
+	Slots int `json:"slots,omitempty"`
 	// ChecksFencing is true where the endpoint refuses an order that carries
 	// an old fencing number. False, or not stated, means that it does not.
 	ChecksFencing bool `json:"checks_fencing"`
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -159,6 +159,12 @@
 	// an endpoint that drained for a change of role comes back under the same
 	// incarnation; so the state is not held here beyond the next list.
 	endpoint.Leaving = host.State == provider.HostLeaving
+	if host.Role != "" {
+		endpoint.setRole(driver.Role(host.Role), now)
+	}
+	if host.Slots > 0 {
+		endpoint.Limit = host.Slots
+	}
 }
 
 // group rebuilds the applications' lists.
--- /dev/null
+++ b/internal/transporter/parameter.go
@@ -0,0 +1,22 @@
+package transporter
+
+import (
+	"iter"
+	"strings"
+)
+
+// splitParameters goes through the parts of a header value.
+func splitParameters(value string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for part := range strings.SplitSeq(value, ",") {
+			if !yield(strings.TrimSpace(part)) {
+				return
+			}
+		}
+	}
+}
+
+func cutTrimmed(part string, separator byte) (name, value string, found bool) {
+	name, value, found = strings.Cut(part, string(separator))
+	return strings.ToLower(strings.TrimSpace(name)), strings.TrimSpace(value), found
+}
--- /dev/null
+++ b/pkg/endivemast/gateway.go
@@ -0,0 +1,278 @@
+package endivemast
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/classifier"
+	"github.com/endivemast/endivemast/internal/dispatcher"
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/follower"
+	"github.com/endivemast/endivemast/internal/lister"
+	"github.com/endivemast/endivemast/internal/meter"
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/server"
+)
+
+const (
+	// hearNotReady is how long callers' balancers take to hear that a host is
+	// not ready: two questions a second apart, and a margin.
+	hearNotReady = 3 * time.Second
+	// stopMargin of the grace is left for closing after the last request.
+	stopMargin = 700 * time.Millisecond
+	// gatewayTick is how often the systems over the tables run.
+	gatewayTick = 100 * time.Millisecond
+)
+
+// GatewayConfig is what an entry host for opaque requests is told at start, and
+// the adapters to its surroundings.
+type GatewayConfig struct {
+	HostID           string
+	Zone             string
+	CallersAddress   string // IP and port
+	ReadinessAddress string // IP and port
+	MaxConnections   int    // of callers
+	// Grace is the time from the planned stop's beginning until the process is killed.
+	Grace time.Duration
+	// DrainTime is how long an endpoint serves on after it has said that it leaves.
+	DrainTime time.Duration
+	// RepeatShare of an application's requests, and RepeatReserve more, may be
+	// sent to a second endpoint by all hosts together.
+	RepeatShare   float64
+	RepeatReserve float64
+
+	Store             provider.Store
+	Driver            driver.Forwarder
+	ConfigurationKey  string // holds the whole configuration
+	DecodeSnapshot    func(value []byte) (*classifier.Snapshot, error)
+	EndpointPrefix    string // of the keys of registered endpoints
+	DecodeEndpoint    func(provider.Entry) (provider.Host, error)
+	ReadinessPath     string
+	NewCallersHandler func(*Gateway) http.Handler
+
+	Routing   string // as in Config
+	Admission string
+	Version   string
+	Logger    hclog.Logger
+}
+
+// Gateway is an entry host that passes opaque requests on. Its configuration,
+// and the endpoints, come from the platform's store; nothing that has to last
+// is kept on the host. All methods are safe for concurrent use.
+type Gateway struct {
+	cfg         GatewayConfig
+	incarnation string
+
+	classifier    *classifier.Classifier
+	registrations *lister.Registrations
+	follower      *follower.Follower
+	scheduler     *scheduler.Scheduler
+	forwarder     *dispatcher.Forwarder
+	meter         *meter.Meter
+	callers       *server.Plain
+	readiness     *server.Plain
+
+	draining atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    errgroup.Group
+}
+
+// NewGateway prepares an entry host for opaque requests.
+func NewGateway(cfg GatewayConfig) *Gateway {
+	g := &Gateway{cfg: cfg, incarnation: uuid.NewString(), classifier: classifier.New()}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.meter = meter.New(meter.Config{})
+	g.scheduler = scheduler.New(scheduler.Config{
+		HostID: cfg.HostID, Zone: cfg.Zone, Configuration: g.classifier, Logger: cfg.Logger.Named("scheduler"),
+		Policy: Config{Routing: cfg.Routing, Admission: cfg.Admission}.policy(),
+	})
+	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
+		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
+		Changed: g.scheduler.SetHosts, Logger: cfg.Logger.Named("lister"),
+	})
+	g.follower = follower.New(follower.Config{
+		Store: cfg.Store, Logger: cfg.Logger.Named("follower"),
+		Topics: []follower.Topic{
+			{Prefix: cfg.ConfigurationKey, Sink: &snapshotSink{gateway: g}},
+			{Prefix: cfg.EndpointPrefix, Sink: g.registrations},
+		},
+		Regained: func(time.Duration) { g.registrations.StoreRegained(time.Now()) },
+	})
+	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
+		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
+		RepeatShare: cfg.RepeatShare, RepeatReserve: cfg.RepeatReserve,
+	})
+	g.callers = server.NewPlain(server.PlainConfig{
+		Address: cfg.CallersAddress, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
+		IdleTimeout: func() time.Duration { return g.classifier.Limits().IdleTimeout }, Logger: cfg.Logger.Named("server"),
+	})
+	g.readiness = server.NewPlain(server.PlainConfig{
+		Address: cfg.ReadinessAddress, Handler: g.readinessHandler(),
+		IdleTimeout: func() time.Duration { return 0 }, Logger: cfg.Logger.Named("server"),
+	})
+	return g
+}
+
+// Start serves. It fails when an address can't be listened on.
+func (g *Gateway) Start() (err error) {
+	defer func() { err = eris.Wrap(err, "start entry host") }()
+	if err := errors.Join(g.callers.Start(), g.readiness.Start()); err != nil {
+		return err
+	}
+	g.group.Go(func() error { return g.follower.Run(g.ctx) })
+	g.group.Go(g.tick)
+	g.cfg.Logger.Info("entry host started", "incarnation", g.incarnation, "version", g.cfg.Version,
+		"callers_address", g.cfg.CallersAddress, "readiness_address", g.cfg.ReadinessAddress)
+	return nil
+}
+
+// tick runs the systems over the tables.
+func (g *Gateway) tick() error {
+	ticker := time.NewTicker(gatewayTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-g.ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			g.registrations.Tick(now)
+			g.scheduler.Tick(now)
+		}
+	}
+}
+
+// Classify finds the class of a request. The error is a
+// *dispatcher.FailureError.
+func (g *Gateway) Classify(requestID, host, path string) (class classifier.Class, err error) {
+	if !g.classifier.Ready() {
+		return class, &dispatcher.FailureError{
+			RequestID: requestID, Outcome: dispatcher.OutcomeNotRun, Reason: dispatcher.ReasonNotReady,
+			Detail: "this host has no configuration yet", RetryAfter: retryNotReady,
+		}
+	}
+	class, ok := g.classifier.Find(host, path)
+	if !ok {
+		return class, &dispatcher.FailureError{
+			RequestID: requestID, Outcome: dispatcher.OutcomeNotRun, Reason: dispatcher.ReasonUnknownClass,
+			Detail: "no class for this host and path",
+		}
+	}
+	return class, nil
+}
+
+// retryNotReady is when to come back to a host that knows no configuration;
+// another host will serve sooner.
+const retryNotReady = 100 * time.Millisecond
+
+// Limits bound what callers may send.
+func (g *Gateway) Limits() classifier.Limits { return g.classifier.Limits() }
+
+// Forward runs a request to its end. See dispatcher.Forwarder.
+func (g *Gateway) Forward(ctx context.Context, request dispatcher.OpaqueRequest, answerer dispatcher.Answerer) error {
+	return g.forwarder.Forward(ctx, request, answerer)
+}
+
+// Ready says whether the host is to be given new connections.
+func (g *Gateway) Ready() (ready bool, reason string) {
+	switch {
+	case g.draining.Load():
+		return false, server.ReasonDraining
+	case !g.classifier.Ready():
+		return false, server.ReasonNoConfiguration
+	case !g.registrations.Known():
+		return false, reasonNoHosts
+	}
+	return true, ""
+}
+
+func (g *Gateway) readinessHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+g.cfg.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if ready, reason := g.Ready(); !ready {
+			http.Error(w, reason, http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.meter.WritePrometheus(w) })
+	return mux
+}
+
+// Drain is the planned stop. The host first says that it is not ready and goes
+// on serving until balancers have heard it; then running requests end, as far
+// as the grace allows.
+func (g *Gateway) Drain() {
+	begun := time.Now()
+	g.draining.Store(true)
+	g.callers.BeginDrain()
+	g.cfg.Logger.Info("drain begun", "running_requests", g.forwarder.Active())
+	heard := time.NewTimer(min(hearNotReady, g.cfg.Grace/2))
+	defer heard.Stop()
+	<-heard.C
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(g.cfg.Grace-stopMargin))
+	defer cancel()
+	if err := g.callers.Close(ctx); err != nil {
+		g.cfg.Logger.Error("requests cut at the end of the drain", "error", err, "running_requests", g.forwarder.Active())
+	}
+	g.cfg.Logger.Info("drain ended", "took_ms", time.Since(begun).Milliseconds())
+}
+
+// Close ends everything at once and waits.
+func (g *Gateway) Close() (err error) {
+	defer func() { err = eris.Wrap(err, "close entry host") }()
+	now, cancel := context.WithCancel(context.Background())
+	cancel()
+	g.cancel()
+	return errors.Join(ignoreCanceled(g.callers.Close(now)), ignoreCanceled(g.readiness.Close(now)),
+		g.scheduler.Close(), g.forwarder.Close(), g.group.Wait(), g.cfg.Driver.Close())
+}
+
+// ignoreCanceled drops the error of a stop that was asked to wait for nothing.
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// snapshotSink puts each configuration in force that the store tells.
+type snapshotSink struct{ gateway *Gateway }
+
+// Replace implements follower.Sink.
+func (s *snapshotSink) Replace(entries []provider.Entry, _ time.Time) {
+	for _, entry := range entries {
+		s.install(entry)
+	}
+}
+
+// Apply implements follower.Sink. A configuration that is removed stays in force.
+func (s *snapshotSink) Apply(change provider.Change, _ time.Time) {
+	if !change.Deleted {
+		s.install(change.Entry)
+	}
+}
+
+func (s *snapshotSink) install(entry provider.Entry) {
+	g := s.gateway
+	if entry.Key != g.cfg.ConfigurationKey {
+		return
+	}
+	snapshot, err := g.cfg.DecodeSnapshot(entry.Value)
+	if err != nil {
+		g.cfg.Logger.Error("configuration not understood; the one before stays in force", "error", err,
+			"revision", entry.Revision, "version", g.classifier.Revision())
+		return
+	}
+	if g.classifier.Install(snapshot) {
+		g.cfg.Logger.Info("configuration in force", "version", snapshot.Version, "revision", entry.Revision,
+			"rules", len(snapshot.Rules), "applications", len(snapshot.Applications))
+	}
+}
