--- a/internal/commander/variable.go
+++ b/internal/commander/variable.go
@@ -20,7 +20,9 @@
 func Variable(setting string) cli.ValueSourceChain { return env(setting) }
 
 // CheckVariables is unknownVariables for the commands of other packages.
-func CheckVariables(root *cli.Command, environ []string) error { return unknownVariables(root, environ) }
+func CheckVariables(root *cli.Command, environ []string) error {
+	return unknownVariables(root, environ)
+}
 
 // unknownVariables reports the variables that look like settings and are none.
 // A misspelt flag is refused by the library; a misspelt variable would
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -19,6 +19,7 @@
 	"context"
 	"crypto/subtle"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sort"
 	"sync"
@@ -59,13 +60,16 @@
 	Incarnation string
 	Zone        string
 	Listener    net.Listener // of the peer protocol; the Exchanger closes it
-	Peers       []Peer       // the other entry hosts
-	Secret      string       // shared by all entry hosts; empty only when asked for by name
-	ServerTLS   *tls.Config  // nil: plain text
-	ClientTLS   *tls.Config  // nil: plain text
-	Tick        time.Duration
-	Silence     time.Duration // after which a peer counts as unreachable
-	Logger      hclog.Logger
+	Peers       []Peer       // the other entry hosts, as far as the settings name them
+	// IsOpen has messages of hosts taken that are not among the peers yet: where
+	// hosts find one another in the store, a new one may speak first.
+	IsOpen    bool
+	Secret    string      // shared by all entry hosts; empty only when asked for by name
+	ServerTLS *tls.Config // nil: plain text
+	ClientTLS *tls.Config // nil: plain text
+	Tick      time.Duration
+	Silence   time.Duration // after which a peer counts as unreachable
+	Logger    hclog.Logger
 }
 
 // LeavingEndpoint names one process of an endpoint that takes no new work.
@@ -105,15 +109,24 @@
 	cfg    Config
 	local  Local
 	server *grpc.Server
-	conns  map[string]*grpc.ClientConn
 
 	mu    sync.Mutex
+	links map[string]*link // by host id
 	heard map[string]*heardPeer
 
 	own ownLoad
 
+	ctx    context.Context // ends with Close
+	cancel context.CancelFunc
+	group  *errgroup.Group // nil before Start
+}
+
+// link is the sending side's connection to one peer.
+type link struct {
+	peer   Peer
+	conn   *grpc.ClientConn
+	ctx    context.Context // ends when the peer is no longer one
 	cancel context.CancelFunc
-	group  *errgroup.Group
 }
 
 // heardPeer is the receiving side's row of one peer.
@@ -132,20 +145,79 @@
 	if cfg.Silence == 0 {
 		cfg.Silence = DefaultSilence
 	}
-	ex = &Exchanger{cfg: cfg, local: local, conns: map[string]*grpc.ClientConn{}, heard: map[string]*heardPeer{}}
+	ex = &Exchanger{cfg: cfg, local: local, links: map[string]*link{}, heard: map[string]*heardPeer{}}
+	ex.ctx, ex.cancel = context.WithCancel(context.Background())
 	ex.server = grpc.NewServer(ex.serverOptions()...)
 	exchangerpb.RegisterExchangeServer(ex.server, ex)
 	for _, peer := range cfg.Peers {
-		conn, err := grpc.NewClient("passthrough:///"+peer.Address, ex.dialOptions()...)
-		if err != nil {
+		if _, err := ex.addLocked(peer); err != nil {
 			return nil, err
 		}
-		ex.conns[peer.HostID] = conn
-		ex.heard[peer.HostID] = &heardPeer{status: PeerStatus{Peer: peer}, loads: map[string]Load{}}
 	}
 	return ex, nil
 }
 
+// addLocked makes a lazy connection to a peer.
+func (ex *Exchanger) addLocked(peer Peer) (*link, error) {
+	conn, err := grpc.NewClient("passthrough:///"+peer.Address, ex.dialOptions()...)
+	if err != nil {
+		return nil, err
+	}
+	l := &link{peer: peer, conn: conn}
+	l.ctx, l.cancel = context.WithCancel(ex.ctx)
+	ex.links[peer.HostID] = l
+	ex.heardLocked(peer)
+	return l, nil
+}
+
+// heardLocked returns the receiving side's row of a peer, and makes it on first use.
+func (ex *Exchanger) heardLocked(peer Peer) *heardPeer {
+	row := ex.heard[peer.HostID]
+	if row == nil {
+		row = &heardPeer{loads: map[string]Load{}}
+		ex.heard[peer.HostID] = row
+	}
+	row.status.Peer = peer
+	return row
+}
+
+// SetPeers replaces the peers. Connections to those that stay are kept.
+func (ex *Exchanger) SetPeers(peers []Peer) (err error) {
+	defer func() { err = eris.Wrap(err, "set peers") }()
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	named := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		named[peer.HostID] = true
+		if l := ex.links[peer.HostID]; l != nil {
+			if l.peer == peer {
+				continue
+			}
+			ex.dropLocked(l)
+		}
+		l, addErr := ex.addLocked(peer)
+		if addErr != nil {
+			err = errors.Join(err, addErr)
+			continue
+		}
+		if ex.group != nil {
+			ex.group.Go(func() error { return ex.tellPeer(l) })
+		}
+	}
+	for hostID, l := range ex.links {
+		if !named[hostID] {
+			ex.dropLocked(l)
+		}
+	}
+	return err
+}
+
+func (ex *Exchanger) dropLocked(l *link) {
+	l.cancel()
+	delete(ex.links, l.peer.HostID)
+	_ = l.conn.Close() // calls on it end; there is nothing to be told
+}
+
 func (ex *Exchanger) serverOptions() []grpc.ServerOption {
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
@@ -181,36 +253,42 @@
 
 // Start serves the peer protocol and begins to tell the peers.
 func (ex *Exchanger) Start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	ex.cancel = cancel
-	ex.group, ctx = errgroup.WithContext(ctx)
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.group = &errgroup.Group{}
 	ex.group.Go(func() error { return ex.server.Serve(ex.cfg.Listener) })
-	for _, peer := range ex.cfg.Peers {
-		ex.group.Go(func() error { return ex.tellPeer(ctx, peer) })
+	for _, l := range ex.links {
+		ex.group.Go(func() error { return ex.tellPeer(l) })
 	}
-	ex.group.Go(func() error { return ex.forgetSilent(ctx) })
+	ex.group.Go(func() error { return ex.forgetSilent(ex.ctx) })
 }
 
 // Close stops the server and the connections, and waits.
 func (ex *Exchanger) Close() (err error) {
 	defer func() { err = eris.Wrap(err, "close peer protocol") }()
-	if ex.cancel != nil {
-		ex.cancel()
-	}
+	ex.cancel()
 	ex.server.Stop()
 	_ = ex.cfg.Listener.Close() // Stop has closed it, unless Start was never called
-	for _, conn := range ex.conns {
-		_ = conn.Close()
+	ex.mu.Lock()
+	for _, l := range ex.links {
+		_ = l.conn.Close()
 	}
-	if ex.group == nil {
+	group := ex.group
+	ex.mu.Unlock()
+	if group == nil {
 		return nil
 	}
-	return ex.group.Wait()
+	return group.Wait()
 }
 
 // Peers returns the other entry hosts, own zone first, then by host id.
 func (ex *Exchanger) Peers() []Peer {
-	peers := append([]Peer(nil), ex.cfg.Peers...)
+	ex.mu.Lock()
+	peers := make([]Peer, 0, len(ex.links))
+	for _, l := range ex.links {
+		peers = append(peers, l.peer)
+	}
+	ex.mu.Unlock()
 	sort.Slice(peers, func(i, j int) bool {
 		ownI, ownJ := peers[i].Zone == ex.cfg.Zone, peers[j].Zone == ex.cfg.Zone
 		if ownI != ownJ {
@@ -223,11 +301,13 @@
 
 // Conn returns the connection to a peer.
 func (ex *Exchanger) Conn(hostID string) (conn grpc.ClientConnInterface, err error) {
-	client, ok := ex.conns[hostID]
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	l, ok := ex.links[hostID]
 	if !ok {
 		return nil, eris.Errorf("no peer %q", hostID)
 	}
-	return client, nil
+	return l.conn, nil
 }
 
 // Statuses returns what is known of each peer, by host id.
@@ -249,10 +329,13 @@
 	reply := &exchangerpb.TellReply{Incarnation: ex.cfg.Incarnation}
 	ex.mu.Lock()
 	peer, known := ex.heard[message.GetHostId()]
-	if !known {
+	if !known && !ex.cfg.IsOpen {
 		ex.mu.Unlock()
 		return nil, status.Error(codes.PermissionDenied, "host is not among the peers of this host's settings")
 	}
+	if !known {
+		peer = ex.heardLocked(Peer{HostID: message.GetHostId(), Zone: message.GetZone()})
+	}
 	reply.Resync = !peer.take(message, now)
 	loads := copyLoads(peer.loads)
 	ex.mu.Unlock()
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -38,17 +38,17 @@
 
 // tellPeer tells one peer, each on its own goroutine: a peer that does not
 // answer holds up nobody else.
-func (ex *Exchanger) tellPeer(ctx context.Context, peer Peer) error {
-	client := exchangerpb.NewExchangeClient(ex.conns[peer.HostID])
+func (ex *Exchanger) tellPeer(l *link) error {
+	client := exchangerpb.NewExchangeClient(l.conn)
 	row := &teller{full: true, told: map[string]Load{}}
 	ticker := time.NewTicker(ex.cfg.Tick)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-l.ctx.Done():
 			return nil
 		case <-ticker.C:
-			ex.tellOnce(ctx, client, row)
+			ex.tellOnce(l.ctx, client, row)
 		}
 	}
 }
@@ -179,5 +179,9 @@
 func (ex *Exchanger) askPeer(ctx context.Context, peer Peer, newerThan int64) (*exchangerpb.HostsReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	return exchangerpb.NewExchangeClient(ex.conns[peer.HostID]).Hosts(ctx, &exchangerpb.HostsRequest{NewerThan: newerThan})
+	conn, err := ex.Conn(peer.HostID)
+	if err != nil {
+		return nil, err
+	}
+	return exchangerpb.NewExchangeClient(conn).Hosts(ctx, &exchangerpb.HostsRequest{NewerThan: newerThan})
 }
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -7,6 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/provider"
 )
 
@@ -45,11 +46,16 @@
 	missing  map[string]time.Time // entries that are gone, and until when they stay listed
 	regained time.Time
 	isKnown  bool
+	changing map[string]bool      // engines that this host gives another role
+	heard    map[string]heardWord // peers' words that an engine takes no work
 }
 
 // NewRegistrations makes an empty list.
 func NewRegistrations(cfg RegistrationsConfig) *Registrations {
-	return &Registrations{cfg: cfg, hosts: map[string]provider.Host{}, missing: map[string]time.Time{}}
+	return &Registrations{
+		cfg: cfg, hosts: map[string]provider.Host{}, missing: map[string]time.Time{},
+		changing: map[string]bool{}, heard: map[string]heardWord{},
+	}
 }
 
 // Known is true once the store has been read.
@@ -108,6 +114,12 @@
 			dropped = true
 		}
 	}
+	for id, word := range r.heard {
+		if now.Sub(word.at) > peerWordHolds {
+			delete(r.heard, id)
+			dropped = true
+		}
+	}
 	r.mu.Unlock()
 	if dropped {
 		r.publish(now)
@@ -159,11 +171,66 @@
 	defer r.mu.Unlock()
 	hosts = make([]provider.Host, 0, len(r.hosts))
 	for _, host := range r.hosts {
+		if r.changing[host.ID] || r.isHeard(host.ID) {
+			host.State = provider.HostLeaving
+		}
 		hosts = append(hosts, host)
 	}
 	return hosts
 }
 
+func (r *Registrations) isHeard(id string) bool {
+	_, ok := r.heard[id]
+	return ok
+}
+
+// Find returns an endpoint as it has registered itself.
+func (r *Registrations) Find(id string) (host provider.Host, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	host, ok = r.hosts[id]
+	return host, ok
+}
+
+// SetChanging names the engines that this host is giving another role.
+func (r *Registrations) SetChanging(ids []string) {
+	r.mu.Lock()
+	clear(r.changing)
+	for _, id := range ids {
+		r.changing[id] = true
+	}
+	r.mu.Unlock()
+	r.publish(time.Now())
+}
+
+// Leaving names the endpoints that take no work though their entries say so,
+// for the peers.
+func (r *Registrations) Leaving() (leaving []exchanger.LeavingEndpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id := range r.changing {
+		leaving = append(leaving, exchanger.LeavingEndpoint{EndpointID: id, Incarnation: id})
+	}
+	return leaving
+}
+
+// HearLeaving takes a peer's words. They hold for a moment unless repeated.
+func (r *Registrations) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
+	if len(leaving) == 0 {
+		return
+	}
+	r.mu.Lock()
+	isNew := false
+	for _, endpoint := range leaving {
+		isNew = isNew || !r.isHeard(endpoint.EndpointID)
+		r.heard[endpoint.EndpointID] = heardWord{incarnation: endpoint.Incarnation, at: now}
+	}
+	r.mu.Unlock()
+	if isNew {
+		r.publish(now)
+	}
+}
+
 func (r *Registrations) publish(now time.Time) {
 	r.publishMu.Lock()
 	defer r.publishMu.Unlock()
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -25,6 +25,8 @@
 	Routing   router.Routing   // default router.EstimatedFinish
 	Admission Admission        // default AdmitBySlack
 	Roles     planner.Planning // default planner.Planned
+	// PrefillShare of the engines prefill where Roles is planner.Fixed.
+	PrefillShare float64
 }
 
 // Validate returns the policy with its defaults. It fails with the setting's
@@ -51,7 +53,7 @@
 		return p, fmt.Errorf("policy admission %q: want %s or %s", p.Admission, AdmitBySlack, AdmitAll)
 	}
 	switch p.Roles {
-	case planner.Planned, planner.Never, planner.EverySwing:
+	case planner.Planned, planner.Never, planner.EverySwing, planner.Fixed:
 	default:
 		return p, fmt.Errorf("policy roles %q: want %s, %s or %s",
 			p.Roles, planner.Planned, planner.Never, planner.EverySwing)
--- a/internal/scheduler/planner/planner.go
+++ b/internal/scheduler/planner/planner.go
@@ -29,11 +29,12 @@
 // Planning is a way to plan roles.
 type Planning string
 
-// Ways to plan. The two last are baselines to measure against.
+// Ways to plan. All but the first are baselines to measure against.
 const (
 	Planned    Planning = "planned"
 	Never      Planning = "never"
 	EverySwing Planning = "every_swing" // follow each swing of the mix at once
+	Fixed      Planning = "fixed"       // a fixed share prefills, where engines have separate roles
 )
 
 const (
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,10 +17,14 @@
 	"github.com/endivemast/endivemast/internal/classifier"
 	"github.com/endivemast/endivemast/internal/dispatcher"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/follower"
+	"github.com/endivemast/endivemast/internal/leaser"
 	"github.com/endivemast/endivemast/internal/lister"
 	"github.com/endivemast/endivemast/internal/meter"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/rebalancer"
+	"github.com/endivemast/endivemast/internal/registrar"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
 )
@@ -40,6 +46,7 @@
 	Zone             string
 	CallersAddress   string // IP and port
 	ReadinessAddress string // IP and port
+	PeersAddress     string // IP and port
 	MaxConnections   int    // of callers
 	// Grace is the time from the planned stop's beginning until the process is killed.
 	Grace time.Duration
@@ -59,10 +66,14 @@
 	ReadinessPath     string
 	NewCallersHandler func(*Gateway) http.Handler
 
-	Routing   string // as in Config
-	Admission string
-	Version   string
-	Logger    hclog.Logger
+	LeaseTTL time.Duration // of the authority over the engines' roles
+
+	Routing      string // as in Config
+	Admission    string
+	Roles        string
+	PrefillShare float64 // of the engines, where Roles is fixed
+	Version      string
+	Logger       hclog.Logger
 }
 
 // Gateway is an entry host that passes opaque requests on. Its configuration,
@@ -77,6 +88,10 @@
 	follower      *follower.Follower
 	scheduler     *scheduler.Scheduler
 	forwarder     *dispatcher.Forwarder
+	exchanger     *exchanger.Exchanger
+	registrar     *registrar.Registrar
+	leaser        *leaser.Leaser
+	rebalancer    *rebalancer.Rebalancer
 	meter         *meter.Meter
 	callers       *server.Plain
 	readiness     *server.Plain
@@ -87,24 +102,33 @@
 	group    errgroup.Group
 }
 
-// NewGateway prepares an entry host for opaque requests.
-func NewGateway(cfg GatewayConfig) *Gateway {
-	g := &Gateway{cfg: cfg, incarnation: uuid.NewString(), classifier: classifier.New()}
+// NewGateway prepares an entry host for opaque requests. It fails when the
+// peers' address can't be listened on, or a setting is not usable.
+func NewGateway(cfg GatewayConfig) (g *Gateway, err error) {
+	defer func() { err = eris.Wrap(err, "prepare entry host") }()
+	g = &Gateway{cfg: cfg, incarnation: uuid.NewString(), classifier: classifier.New()}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.meter = meter.New(meter.Config{})
 	g.scheduler = scheduler.New(scheduler.Config{
 		HostID: cfg.HostID, Zone: cfg.Zone, Configuration: g.classifier, Logger: cfg.Logger.Named("scheduler"),
-		Policy: Config{Routing: cfg.Routing, Admission: cfg.Admission}.policy(),
+		Policy: cfg.policy(),
 	})
 	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
 		Changed: g.scheduler.SetHosts, Logger: cfg.Logger.Named("lister"),
 	})
+	if err := g.buildPeers(); err != nil {
+		return nil, err
+	}
+	if err := g.buildAuthority(); err != nil {
+		return nil, errors.Join(err, g.exchanger.Close())
+	}
 	g.follower = follower.New(follower.Config{
 		Store: cfg.Store, Logger: cfg.Logger.Named("follower"),
 		Topics: []follower.Topic{
 			{Prefix: cfg.ConfigurationKey, Sink: &snapshotSink{gateway: g}},
 			{Prefix: cfg.EndpointPrefix, Sink: g.registrations},
+			{Prefix: registrar.Prefix, Sink: g.registrar},
 		},
 		Regained: func(time.Duration) { g.registrations.StoreRegained(time.Now()) },
 	})
@@ -120,7 +144,71 @@
 		Address: cfg.ReadinessAddress, Handler: g.readinessHandler(),
 		IdleTimeout: func() time.Duration { return 0 }, Logger: cfg.Logger.Named("server"),
 	})
-	return g
+	return g, nil
+}
+
+func (cfg *GatewayConfig) policy() scheduler.Policy {
+	policy := Config{Routing: cfg.Routing, Admission: cfg.Admission, Roles: cfg.Roles}.policy()
+	policy.PrefillShare = cfg.PrefillShare
+	return policy
+}
+
+// buildPeers makes the own entry in the store and the peer protocol.
+func (g *Gateway) buildPeers() (err error) {
+	listener, err := net.Listen("tcp", g.cfg.PeersAddress)
+	if err != nil {
+		return fmt.Errorf("peers' address: %w", err)
+	}
+	g.exchanger, err = exchanger.New(exchanger.Config{
+		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true,
+		Listener: listener, Logger: g.cfg.Logger.Named("exchanger"),
+	}, g)
+	if err != nil {
+		return errors.Join(err, listener.Close())
+	}
+	g.registrar = registrar.New(registrar.Config{
+		Store: g.cfg.Store, Changed: g.setPeers, Logger: g.cfg.Logger.Named("registrar"),
+		Own: registrar.Host{HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, Address: g.cfg.PeersAddress},
+	})
+	return nil
+}
+
+func (g *Gateway) setPeers(hosts []registrar.Host) {
+	peers := make([]exchanger.Peer, 0, len(hosts))
+	for _, host := range hosts {
+		peers = append(peers, exchanger.Peer{HostID: host.HostID, Zone: host.Zone, Address: host.Address})
+	}
+	if err := g.exchanger.SetPeers(peers); err != nil {
+		g.cfg.Logger.Error("peer not usable", "error", err)
+	}
+}
+
+// fleet is the one zone of the authority over all engines' roles: engines of
+// any zone serve all.
+const fleet = "fleet"
+
+// buildAuthority makes what gives the engines their roles.
+func (g *Gateway) buildAuthority() (err error) {
+	g.leaser, err = leaser.New(leaser.Config{
+		Zone: fleet, HostID: g.cfg.HostID, Incarnation: g.incarnation, Address: g.cfg.PeersAddress,
+		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Log: g.cfg.Logger.Named("leaser"),
+	})
+	if err != nil {
+		return err
+	}
+	g.rebalancer = rebalancer.New(rebalancer.Config{
+		Leaser: g.leaser, Driver: g.cfg.Driver, HostID: g.cfg.HostID, Guard: g.cfg.LeaseTTL,
+		Plan: g.scheduler.PlanSplit, Target: g.engine, SetChanging: g.registrations.SetChanging,
+		Ordered: func(string, driver.Role) { g.meter.CountRoleChange(g.cfg.Zone, "") },
+		Logger:  g.cfg.Logger.Named("rebalancer"),
+	})
+	return nil
+}
+
+// engine finds an engine's process and its role.
+func (g *Gateway) engine(endpointID string) (target driver.Target, role driver.Role, ok bool) {
+	host, ok := g.registrations.Find(endpointID)
+	return driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation, Address: host.Address}, driver.Role(host.Role), ok
 }
 
 // Start serves. It fails when an address can't be listened on.
@@ -130,6 +218,10 @@
 		return err
 	}
 	g.group.Go(func() error { return g.follower.Run(g.ctx) })
+	g.exchanger.Start()
+	g.group.Go(func() error { return g.registrar.Run(g.ctx) })
+	g.group.Go(func() error { return g.leaser.Run(g.ctx) })
+	g.group.Go(func() error { return g.rebalancer.Run(g.ctx) })
 	g.group.Go(g.tick)
 	g.cfg.Logger.Info("entry host started", "incarnation", g.incarnation, "version", g.cfg.Version,
 		"callers_address", g.cfg.CallersAddress, "readiness_address", g.cfg.ReadinessAddress)
@@ -232,7 +324,8 @@
 	cancel()
 	g.cancel()
 	return errors.Join(ignoreCanceled(g.callers.Close(now)), ignoreCanceled(g.readiness.Close(now)),
-		g.scheduler.Close(), g.forwarder.Close(), g.group.Wait(), g.cfg.Driver.Close())
+		g.scheduler.Close(), g.forwarder.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(),
+		g.exchanger.Close(), g.cfg.Driver.Close())
 }
 
 // ignoreCanceled drops the error of a stop that was asked to wait for nothing.
@@ -276,3 +369,28 @@
 			"rules", len(snapshot.Rules), "applications", len(snapshot.Applications))
 	}
 }
+
+// OwnLoad implements exchanger.Local.
+func (g *Gateway) OwnLoad() map[string]exchanger.Load { return ownLoad(g.scheduler) }
+
+// Leaving implements exchanger.Local.
+func (g *Gateway) Leaving() []exchanger.LeavingEndpoint { return g.registrations.Leaving() }
+
+// Draining implements exchanger.Local.
+func (g *Gateway) Draining() bool { return g.draining.Load() }
+
+// ConfigurationRevision implements exchanger.Local.
+func (g *Gateway) ConfigurationRevision() int64 { return g.classifier.Revision() }
+
+// Hosts implements exchanger.Local.
+func (g *Gateway) Hosts() (hosts []provider.Host, revision int64) { return nil, 0 }
+
+// HearLoad implements exchanger.Local.
+func (g *Gateway) HearLoad(hostID string, loads map[string]exchanger.Load, now time.Time) {
+	hearLoad(g.scheduler, hostID, loads, now)
+}
+
+// HearLeaving implements exchanger.Local.
+func (g *Gateway) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
+	g.registrations.HearLeaving(leaving, now)
+}
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -176,8 +176,10 @@
 }
 
 // OwnLoad implements exchanger.Local.
-func (e *Entry) OwnLoad() map[string]exchanger.Load {
-	own := e.scheduler.OwnLoad()
+func (e *Entry) OwnLoad() map[string]exchanger.Load { return ownLoad(e.scheduler) }
+
+func ownLoad(s *scheduler.Scheduler) map[string]exchanger.Load {
+	own := s.OwnLoad()
 	loads := make(map[string]exchanger.Load, len(own))
 	for endpointID, load := range own {
 		loads[endpointID] = exchanger.Load(load)
@@ -199,11 +201,15 @@
 
 // HearLoad implements exchanger.Local.
 func (e *Entry) HearLoad(hostID string, loads map[string]exchanger.Load, now time.Time) {
+	hearLoad(e.scheduler, hostID, loads, now)
+}
+
+func hearLoad(s *scheduler.Scheduler, hostID string, loads map[string]exchanger.Load, now time.Time) {
 	heard := make(map[string]scheduler.Load, len(loads))
 	for endpointID, load := range loads {
 		heard[endpointID] = scheduler.Load(load)
 	}
-	e.scheduler.SetPeerLoad(hostID, heard, now)
+	s.SetPeerLoad(hostID, heard, now)
 }
 
 // HearLeaving implements exchanger.Local.
