--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -166,7 +166,7 @@
 func (p *passage) result(ctx context.Context, err error) scheduler.Result {
 	switch {
 	case err == nil:
-		return scheduler.Completed{End: driver.End{OutputTokens: p.events}}
+		return scheduler.Completed{End: driver.End{OutputTokens: p.events, ReusedTokens: -1}}
 	case errors.Is(err, errServerFault):
 		return scheduler.Completed{}
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -96,7 +96,7 @@
 // End is the explicit end of a whole answer.
 type End struct {
 	OutputTokens int // of the whole output, resumed tokens included
-	ReusedTokens int // prompt tokens that the engine took from its cache
+	ReusedTokens int // prompt tokens that the engine took from its cache; below 0: not told
 	PromptTokens int // prompt tokens as the engine counts them
 }
 
--- a/internal/scheduler/estimator/model.go
+++ b/internal/scheduler/estimator/model.go
@@ -31,10 +31,11 @@
 
 // Model is what is learnt of one application's endpoints together.
 type Model struct {
-	firstToken Line // seconds, against prompt tokens ahead and own
-	gap        Line // seconds between tokens, against the batch
-	call       Line // seconds for a call, against calls in flight
-	handover   Line // seconds from the end of a prefill to the first token elsewhere, against prompt tokens
+	firstToken Line    // seconds, against prompt tokens ahead and own
+	gap        Line    // seconds between tokens, against the batch
+	call       Line    // seconds for a call, against calls in flight
+	handover   Line    // seconds from the end of a prefill to the first token elsewhere, against prompt tokens
+	reading    Reading // of engines that only prefill
 }
 
 // NewModel returns a model that knows the priors only.
@@ -44,6 +45,7 @@
 		gap:        NewLine(priorStep, priorStepSequence, 32, priorWeight),
 		call:       NewLine(priorCall, priorCallConcurrent, 16, priorWeight),
 		handover:   NewLine(priorHandover, priorHandoverToken, 4096, priorWeight),
+		reading:    NewReading(),
 	}
 }
 
@@ -89,6 +91,22 @@
 	return seconds(m.firstToken.At(float64(tokens)))
 }
 
+// ObserveReading records how long an engine that only prefills took for a
+// prompt with this many tokens to read.
+func (m *Model) ObserveReading(tokens int, took time.Duration) {
+	m.reading.Observe(tokens, took.Seconds())
+}
+
+// Reading estimates the time for a prompt at an engine that only prefills,
+// with all tokens that it reads until then.
+func (m *Model) Reading(tokens int) time.Duration { return seconds(m.reading.Seconds(tokens)) }
+
+// ReadingCost estimates the time for tokens ahead at an engine that only
+// prefills.
+func (m *Model) ReadingCost(tokens int) time.Duration {
+	return seconds(float64(tokens) * m.reading.TokenSeconds())
+}
+
 // Gap estimates the time between tokens in a batch.
 func (m *Model) Gap(batch int) time.Duration {
 	return seconds(m.gap.At(float64(batch)))
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -115,7 +115,7 @@
 	g.prefilledAt = now
 	prefill.Breaker.Succeed(g.isPrefillProbe)
 	g.isPrefillProbe = false
-	g.observeFirst(now.Sub(g.granted))
+	g.application().Model.ObserveReading(g.choice.PrefillTokens, now.Sub(g.granted))
 	g.storePrefix(prefill, now)
 	g.s.pump(prefill.Application, now)
 }
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/endivemast/endivemast/internal/scheduler/estimator"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
@@ -30,19 +32,21 @@
 func bestPrefill(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict,
 ) (chosen Choice) {
+	homes := homesOf(q, endpoints)
 	for _, endpoint := range endpoints {
 		if !verdict.usable(endpoint, q) || !endpoint.CanPrefill() {
 			continue
 		}
-		if !q.IgnoreLimits && isFull(application, q, endpoint) {
+		if !q.IgnoreLimits && isBacklogged(application, q, endpoint) {
 			verdict.note(Busy)
 			continue
 		}
 		choice := Choice{Prefill: endpoint, Ahead: endpoint.Total().PrefillTokens}
 		choice.reuse(application, q, endpoint)
-		took := application.Model.FirstToken(choice.Ahead + choice.PrefillTokens)
+		choice.assumeHome(q, endpoint, homes)
+		took := application.Model.Reading(choice.Ahead + choice.PrefillTokens)
 		choice.First = estimator.Scale(took, endpoint.Speed)
-		choice.score = withZone(choice.First, endpoint)
+		choice.score = withZone(choice.First, endpoint) + rereadPenalty*application.Model.ReadingCost(choice.missed(q))
 		if chosen.Prefill == nil || choice.score < chosen.score {
 			chosen = choice
 		}
@@ -50,6 +54,24 @@
 	return chosen
 }
 
+// isBacklogged is true where an engine that only prefills has more prompts
+// waiting than it reads while this one may wait. A window as short as that of
+// engines that also decode would send prompts away from the engine that holds
+// their prefix; and what hosts may have given since their last word is left
+// out, since prompts are long and come seldom from each of them: with it, one
+// prompt sent made an engine look full for the rest of the tick.
+func isBacklogged(application *tracker.Application, q *Query, endpoint *tracker.Endpoint) bool {
+	total := endpoint.Total()
+	if total.Requests >= endpoint.Limit {
+		return true
+	}
+	if total.PrefillTokens == 0 {
+		return false
+	}
+	waiting := application.Model.ReadingCost(total.PrefillTokens)
+	return estimator.Scale(waiting, endpoint.Speed) > max(prefillWindow, q.FirstTokenDue)
+}
+
 func bestDecode(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, prefill Choice, verdict *Verdict,
 ) (chosen Choice, ok bool) {
@@ -58,7 +80,7 @@
 			continue
 		}
 		total := endpoint.Total()
-		if !q.IgnoreLimits && endpoint.Crowd(application.Summary.Peers).Requests >= limitFor(q, endpoint) {
+		if !q.IgnoreLimits && total.Requests >= endpoint.Limit {
 			verdict.note(Busy)
 			continue
 		}
@@ -78,3 +100,57 @@
 func handover(application *tracker.Application, q *Query) time.Duration {
 	return application.Model.Handover(q.PromptTokens)
 }
+
+// rereadPenalty times the time for tokens that some other engine holds is added
+// to an engine's estimate. Reading a prefix again takes the engine from the
+// prompts behind as well as from this one: counted once, each burst spread the
+// prefixes over all engines, which then read five prompts' worth for one.
+const rereadPenalty = 2
+
+// missed is how many tokens of the prefix the choice has to have read again.
+func (c *Choice) missed(q *Query) int {
+	return max(min(q.PrefixTokens, q.PromptTokens)-c.ReusedTokens, 0)
+}
+
+// homes are the two engines that all hosts agree on for a prefix.
+type homes [2]*tracker.Endpoint
+
+// homesOf orders the engines that may prefill by a hash of prefix and engine,
+// so that hosts which know nothing of each other's prompts read a prefix on
+// the same engine, and an engine that comes or goes moves its own part only.
+func homesOf(q *Query, endpoints []*tracker.Endpoint) (h homes) {
+	if q.PrefixKey == "" {
+		return h
+	}
+	var best [2]uint64
+	for _, endpoint := range endpoints {
+		if !endpoint.CanPrefill() || !endpoint.TakesNewWork() {
+			continue
+		}
+		weight := xxhash.Sum64String(q.PrefixKey + "@" + endpoint.Target.EndpointID)
+		switch {
+		case h[0] == nil || weight > best[0]:
+			h[1], best[1] = h[0], best[0]
+			h[0], best[0] = endpoint, weight
+		case h[1] == nil || weight > best[1]:
+			h[1], best[1] = endpoint, weight
+		}
+	}
+	return h
+}
+
+// assumeHome counts a prefix as held at its home, where any host's work with
+// it goes first. A second home is preferred among engines that hold nothing.
+func (c *Choice) assumeHome(q *Query, endpoint *tracker.Endpoint, h homes) {
+	switch endpoint {
+	case h[0]:
+		c.ReusedTokens = max(c.ReusedTokens, min(q.PrefixTokens, q.PromptTokens))
+	case h[1]:
+		c.ReusedTokens = max(c.ReusedTokens, min(q.PrefixTokens, q.PromptTokens)/secondHomePart)
+	}
+	c.PrefillTokens = q.PromptTokens - c.ReusedTokens
+}
+
+// secondHomePart of a prefix counts as held at its second home: enough to
+// prefer it to the others, too little to prefer it to waiting a moment.
+const secondHomePart = 8
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -36,7 +36,7 @@
 const (
 	localSamples  = 4
 	remoteSamples = 2
-	splitScanned  = 24 // endpoints looked at where roles are split
+	splitScanned  = 64 // endpoints looked at where roles are split
 	roomPerExcess = 0.5
 	maxRoom       = 0.4 // of the places
 	maxScanned    = 64  // endpoints looked at when none of these will do
--- a/internal/scheduler/tracker/prefix.go
+++ b/internal/scheduler/tracker/prefix.go
@@ -50,9 +50,10 @@
 
 const doubtFade = 0.95
 
-// Correct takes in how many tokens an engine reused of those promised.
+// Correct takes in how many tokens an engine reused of those promised; below 0:
+// it did not tell.
 func (p *Prefixes) Correct(expected, reused int) {
-	if expected <= 0 {
+	if expected <= 0 || reused < 0 {
 		return
 	}
 	missing := 1 - min(float64(reused)/float64(expected), 1)
