--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -182,7 +182,11 @@
 	if !ok {
 		return nil, nil
 	}
-	handle, err := p.forwarder.cfg.Driver.ForwardPrefill(ctx, target, p.call())
+	call := p.call()
+	if holder, ok := grant.Fetch(); ok {
+		call.FetchFrom = holder.Address
+	}
+	handle, err := p.forwarder.cfg.Driver.ForwardPrefill(ctx, target, call)
 	if err == nil {
 		grant.Prefilled(nil)
 		return &handle, nil
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -25,6 +25,9 @@
 	// Import names a KV cache that another engine holds for this request; nil
 	// when none.
 	Import *KVHandle
+	// FetchFrom is the address of an engine that probably holds a part of the
+	// prompt; empty: none.
+	FetchFrom string
 	// ResumeAfter is the id of the last event that the caller has; empty: none.
 	ResumeAfter string
 }
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -95,6 +95,14 @@
 	return g.choice.Prefill.Target, true
 }
 
+// Fetch implements Grant.
+func (g *grant) Fetch() (target driver.Target, ok bool) {
+	if g.choice.FetchFrom == nil {
+		return driver.Target{}, false
+	}
+	return g.choice.FetchFrom.Target, true
+}
+
 // Priority implements Grant.
 func (g *grant) Priority() int { return g.priority }
 
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -112,7 +112,8 @@
 	return max(min(q.PrefixTokens, q.PromptTokens)-c.ReusedTokens, 0)
 }
 
-// homes are the two engines that all hosts agree on for a prefix.
+// homes is the engine that all hosts agree on for a prefix, and the one that
+// takes its place.
 type homes [2]*tracker.Endpoint
 
 // homesOf orders the engines that may prefill by a hash of prefix and engine,
@@ -140,17 +141,25 @@
 }
 
 // assumeHome counts a prefix as held at its home, where any host's work with
-// it goes first. A second home is preferred among engines that hold nothing.
+// it goes first. Another engine can fetch it from there, which takes a small
+// part of the time for reading it.
 func (c *Choice) assumeHome(q *Query, endpoint *tracker.Endpoint, h homes) {
-	switch endpoint {
-	case h[0]:
-		c.ReusedTokens = max(c.ReusedTokens, min(q.PrefixTokens, q.PromptTokens))
-	case h[1]:
-		c.ReusedTokens = max(c.ReusedTokens, min(q.PrefixTokens, q.PromptTokens)/secondHomePart)
+	shared := min(q.PrefixTokens, q.PromptTokens)
+	if h[0] == nil || c.ReusedTokens >= shared {
+		return
 	}
+	missing := shared - c.ReusedTokens
+	if endpoint == h[0] {
+		missing = 0
+	} else {
+		c.FetchFrom = h[0]
+		missing /= fetchPart
+	}
+	c.ReusedTokens = shared - missing
 	c.PrefillTokens = q.PromptTokens - c.ReusedTokens
 }
 
-// secondHomePart of a prefix counts as held at its second home: enough to
-// prefer it to the others, too little to prefer it to waiting a moment.
-const secondHomePart = 8
+// fetchPart of the tokens of a prefix count as read where it is fetched from
+// another engine. Links carry tokens some twenty times faster than engines read
+// them; transfers also wait for one another.
+const fetchPart = 10
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -75,6 +75,7 @@
 type Choice struct {
 	Decode        *tracker.Endpoint // decodes, or serves the call
 	Prefill       *tracker.Endpoint // computes the prompt first; nil: Decode does both
+	FetchFrom     *tracker.Endpoint // where Prefill fetches the prefix first; nil: nowhere
 	PrefillTokens int               // that have to be computed
 	ReusedTokens  int               // expected from the prefix cache
 	Ahead         int               // prompt tokens that wait before these
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -29,6 +29,9 @@
 	// Prefill is the engine to compute and export the KV cache first; ok is
 	// false when Target does both.
 	Prefill() (target driver.Target, ok bool)
+	// Fetch is the engine from which Prefill is to fetch what it lacks of the
+	// prompt's prefix; ok is false when none is known to hold it.
+	Fetch() (target driver.Target, ok bool)
 	// Priority is what the engine is to be told; higher goes first.
 	Priority() int
 	// Prefilled says that the separate prefill has ended; err is nil when it
