--- a/internal/scheduler/estimator/model.go
+++ b/internal/scheduler/estimator/model.go
@@ -36,6 +36,7 @@
 	call       Line    // seconds for a call, against calls in flight
 	handover   Line    // seconds from the end of a prefill to the first token elsewhere, against prompt tokens
 	reading    Reading // of engines that only prefill
+	direct     Reading // up to the first token, of engines that decode and read the prompt themselves
 }
 
 // NewModel returns a model that knows the priors only.
@@ -46,6 +47,7 @@
 		call:       NewLine(priorCall, priorCallConcurrent, 16, priorWeight),
 		handover:   NewLine(priorHandover, priorHandoverToken, 4096, priorWeight),
 		reading:    NewReading(),
+		direct:     NewReading(),
 	}
 }
 
@@ -101,6 +103,22 @@
 // with all tokens that it reads until then.
 func (m *Model) Reading(tokens int) time.Duration { return seconds(m.reading.Seconds(tokens)) }
 
+// ObserveDirect records the time to the first token at an engine that decodes
+// and had this many tokens of the prompt to read itself.
+func (m *Model) ObserveDirect(tokens int, took time.Duration) {
+	m.direct.Observe(tokens, took.Seconds())
+}
+
+// Direct estimates the time to the first token at an engine that decodes, with
+// all tokens that it reads until then.
+func (m *Model) Direct(tokens int) time.Duration { return seconds(m.direct.Seconds(tokens)) }
+
+// DirectCost estimates the time for which an engine that decodes is held up by
+// reading tokens.
+func (m *Model) DirectCost(tokens int) time.Duration {
+	return seconds(float64(tokens) * m.direct.TokenSeconds())
+}
+
 // ReadingCost estimates the time for tokens ahead at an engine that only
 // prefills.
 func (m *Model) ReadingCost(tokens int) time.Duration {
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -149,10 +149,14 @@
 	decode := g.choice.Decode
 	decode.Breaker.Succeed(g.isProbe)
 	g.isProbe = false
-	if g.choice.Prefill == nil {
+	switch {
+	case g.choice.Prefill == nil && decode.CanPrefill():
 		g.observeFirst(now.Sub(g.granted))
 		g.storePrefix(decode, now)
-	} else if !g.prefilledAt.IsZero() {
+	case g.choice.Prefill == nil:
+		g.application().Model.ObserveDirect(g.choice.PrefillTokens, now.Sub(g.granted))
+		g.storePrefix(decode, now)
+	case !g.prefilledAt.IsZero():
 		g.application().Model.ObserveHandover(g.work.PromptTokens, now.Sub(g.prefilledAt))
 	}
 	g.s.class(&g.work).ObserveFirst(now.Sub(g.granted))
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -23,12 +23,45 @@
 	if !ok {
 		return single, verdict
 	}
+	if direct, ok := bestDirect(application, q, endpoints, &verdict); ok && direct.score <= pair.score {
+		pair = direct
+	}
 	if single.Decode != nil && single.score <= pair.score {
 		return single, verdict
 	}
 	return pair, Verdict{Kind: Chosen}
 }
 
+// directPenalty times the time for reading a prompt is added where the engine
+// that decodes reads it too: all its streams wait meanwhile.
+const directPenalty = 2
+
+// bestDirect looks for an engine that decodes to read the prompt as well. That
+// is slower than on an engine that only reads, but spares short prompts a
+// second engine and the way between the two.
+func bestDirect(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict) (chosen Choice, ok bool) {
+	for _, endpoint := range endpoints {
+		if !verdict.usable(endpoint, q) || !endpoint.CanDecode() || endpoint.CanPrefill() {
+			continue
+		}
+		total := endpoint.Total()
+		if !q.IgnoreLimits && total.Requests >= endpoint.Limit {
+			verdict.note(Busy)
+			continue
+		}
+		choice := Choice{Decode: endpoint, Ahead: total.PrefillTokens}
+		choice.reuse(application, q, endpoint)
+		choice.First = estimator.Scale(application.Model.Direct(choice.Ahead+choice.PrefillTokens), endpoint.Speed)
+		gap := estimator.Scale(application.Model.Gap(total.Requests+1), endpoint.Speed)
+		choice.finish(q, gap)
+		choice.score = withZone(choice.score, endpoint) + directPenalty*application.Model.DirectCost(choice.PrefillTokens)
+		if !ok || choice.score < chosen.score {
+			chosen, ok = choice, true
+		}
+	}
+	return chosen, ok
+}
+
 func bestPrefill(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict,
 ) (chosen Choice) {
