Prefixes keep to one home; work waits for it

Cause: work that found its prefix's home busy went elsewhere and read or fetched the prefix there; caches then held each prefix several times and lost it sooner.

--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -65,8 +66,11 @@
 func bestPrefill(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict,
 ) (chosen Choice) {
-	homes := homesOf(q, endpoints)
+	home := homeOf(application, q, endpoints)
 	for _, endpoint := range endpoints {
+		if home != nil && endpoint != home {
+			continue
+		}
 		if !verdict.usable(endpoint, q) || !endpoint.CanPrefill() {
 			continue
 		}
@@ -76,10 +80,12 @@
 		}
 		choice := Choice{Prefill: endpoint, Ahead: endpoint.Total().PrefillTokens}
 		choice.reuse(application, q, endpoint)
-		choice.assumeHome(q, endpoint, homes)
+		if home != nil {
+			choice.assumeHome(application, q)
+		}
 		took := application.Model.Reading(choice.Ahead + choice.PrefillTokens)
 		choice.First = estimator.Scale(took, endpoint.Speed)
-		choice.score = withZone(choice.First, endpoint) + rereadPenalty*application.Model.ReadingCost(choice.missed(q))
+		choice.score = withZone(choice.First, endpoint)
 		if chosen.Prefill == nil || choice.score < chosen.score {
 			chosen = choice
 		}
@@ -134,65 +140,49 @@
 	return application.Model.Handover(q.PromptTokens)
 }
 
-// rereadPenalty times the time for tokens that some other engine holds is added
-// to an engine's estimate. Reading a prefix again takes the engine from the
-// prompts behind as well as from this one: counted once, each burst spread the
-// prefixes over all engines, which then read five prompts' worth for one.
-const rereadPenalty = 2
-
-// missed is how many tokens of the prefix the choice has to have read again.
-func (c *Choice) missed(q *Query) int {
-	return max(min(q.PrefixTokens, q.PromptTokens)-c.ReusedTokens, 0)
-}
-
-// homes is the engine that all hosts agree on for a prefix, and the one that
-// takes its place.
-type homes [2]*tracker.Endpoint
-
-// homesOf orders the engines that may prefill by a hash of prefix and engine,
-// so that hosts which know nothing of each other's prompts read a prefix on
-// the same engine, and an engine that comes or goes moves its own part only.
-func homesOf(q *Query, endpoints []*tracker.Endpoint) (h homes) {
-	if q.PrefixKey == "" {
-		return h
+// homeWorth is from how long a prefix takes to be read on that it is kept to its
+// home. Shorter ones are read again wherever the prompt goes.
+const homeWorth = 10 * time.Millisecond
+
+// homeOf is the engine that reads all prompts with a prefix; nil: any may. All
+// hosts choose it alike, by a hash of prefix and engine: they know little of
+// each other's prompts, and an engine that comes or goes moves its own part of
+// the prefixes only.
+//
+// Work waits for its home rather than go elsewhere. Spread over engines with
+// less to do, prefixes drove each other out of all caches, each prompt was read
+// whole, and the engines were full with half of the work: with it, 2.5 million
+// of 9.4 million tokens read were prefixes read again, without it 0.4 of 7.6.
+func homeOf(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint) (home *tracker.Endpoint) {
+	if q.PrefixKey == "" || application.Model.ReadingCost(q.PrefixTokens) < homeWorth {
+		return nil
 	}
-	var best [2]uint64
+	var best uint64
 	for _, endpoint := range endpoints {
-		if !endpoint.CanPrefill() || !endpoint.TakesNewWork() {
+		if !endpoint.CanPrefill() || !endpoint.TakesNewWork() || slices.Contains(q.Excluded, endpoint.Target.EndpointID) {
+			continue
+		}
+		if endpoint.Breaker.IsOpen() && !endpoint.Breaker.Allows(q.Now) {
 			continue
 		}
 		weight := xxhash.Sum64String(q.PrefixKey + "@" + endpoint.Target.EndpointID)
-		switch {
-		case h[0] == nil || weight > best[0]:
-			h[1], best[1] = h[0], best[0]
-			h[0], best[0] = endpoint, weight
-		case h[1] == nil || weight > best[1]:
-			h[1], best[1] = endpoint, weight
+		if home == nil || weight > best {
+			home, best = endpoint, weight
 		}
 	}
-	return h
+	return home
 }
 
-// assumeHome counts a prefix as held at its home, where any host's work with
-// it goes first. Another engine can fetch it from there, which takes a small
-// part of the time for reading it.
-func (c *Choice) assumeHome(q *Query, endpoint *tracker.Endpoint, h homes) {
+// assumeHome counts a prefix as held at its home, where any host's work with it
+// goes. What this host has seen elsewhere, before the home moved, is fetched.
+func (c *Choice) assumeHome(application *tracker.Application, q *Query) {
 	shared := min(q.PrefixTokens, q.PromptTokens)
-	if h[0] == nil || c.ReusedTokens >= shared {
-		return
+	if c.ReusedTokens < shared {
+		c.FetchFrom = application.Prefixes.Holder(q.PrefixKey, q.Now)
 	}
-	missing := shared - c.ReusedTokens
-	if endpoint == h[0] {
-		missing = 0
-	} else {
-		c.FetchFrom = h[0]
-		missing /= fetchPart
+	if c.FetchFrom == c.Prefill {
+		c.FetchFrom = nil
 	}
-	c.ReusedTokens = shared - missing
-	c.PrefillTokens = q.PromptTokens - c.ReusedTokens
+	c.ReusedTokens = shared
+	c.PrefillTokens = q.PromptTokens - shared
 }
-
-// fetchPart of the tokens of a prefix count as read where it is fetched from
-// another engine. Links carry tokens some twenty times faster than engines read
-// them; transfers also wait for one another.
-const fetchPart = 10
