--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -25,6 +25,12 @@
 	return &budget{share: share, reserve: reserve, left: reserve}
 }
 
+// newEmptyBudget returns a budget whose reserve has to be earned first: this
+// host's last process may have spent it a moment ago.
+func newEmptyBudget(share, reserve float64) *budget {
+	return &budget{share: share, reserve: reserve}
+}
+
 // setReserve changes the reserve; what is left is cut to it.
 func (b *budget) setReserve(reserve float64) {
 	b.mu.Lock()
@@ -41,12 +47,15 @@
 }
 
 // withdraw takes one retry out; false when there is none.
-func (b *budget) withdraw() bool {
+func (b *budget) withdraw() bool { return b.withdrawSome(1) }
+
+// withdrawSome takes several retries out, or none and is false.
+func (b *budget) withdrawSome(count float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.left < 1 {
+	if b.left < count {
 		return false
 	}
-	b.left--
+	b.left -= count
 	return true
 }
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -105,7 +105,7 @@
 	defer f.mu.Unlock()
 	b := f.budgets[application]
 	if b == nil {
-		b = newBudget(f.cfg.RepeatShare, f.reserve)
+		b = newEmptyBudget(f.cfg.RepeatShare, f.reserve)
 		f.budgets[application] = b
 	}
 	return b
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -41,8 +41,12 @@
 
 	sends    int // calls that went to an endpoint, prefills left out
 	runs     int // of these, those that may have run
+	read     int // prefills that an engine accepted
 	excluded []string
 
+	handle   *driver.KVHandle // of the prompt, not taken yet
+	handleAt time.Time
+
 	begun     bool   // the head is with the caller
 	lastEvent string // id of the last event that the caller has
 	events    int    // that the caller has
@@ -114,9 +118,28 @@
 	if errors.Is(err, driver.ErrNotSent) {
 		return true // nothing has arrived; the next send is the first
 	}
-	return p.budget.withdraw()
+	return p.budget.withdrawSome(p.repeatCost())
+}
+
+// repeatCost is how many calls the next attempt adds beyond the first of the
+// request: one, and another where the prompt has to be read a second time.
+func (p *passage) repeatCost() float64 {
+	if p.read > 0 && !p.holdsCache() {
+		return 2
+	}
+	return 1
 }
 
+// holdsCache is true while an engine keeps the prompt's KV cache for this
+// request.
+func (p *passage) holdsCache() bool {
+	return p.handle != nil && time.Since(p.handleAt) < handleUse
+}
+
+// handleUse is for how long a KV cache is counted on; engines keep it for some
+// seconds longer.
+const handleUse = 2 * time.Second
+
 // hasRun is true where the attempt that failed so may have run.
 func (p *passage) hasRun(err error) bool {
 	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrRefused)
@@ -130,35 +153,39 @@
 		return err
 	}
 	p.forwarder.cfg.Meter.ObserveQueue("", p.request.Class.Name, time.Since(waited))
-	handle, err := p.prefill(ctx, grant)
-	if err != nil {
+	if err := p.prefill(ctx, grant); err != nil {
 		grant.Done(scheduler.Abandoned{})
 		return err
 	}
-	err = p.send(ctx, grant, handle)
+	err = p.send(ctx, grant)
 	grant.Done(p.result(ctx, err))
 	if err != nil {
 		p.excluded = append(p.excluded, grant.Target().EndpointID)
-		if handle != nil && !p.tookHandle(err) {
-			p.forwarder.release(*handle)
-		}
+	}
+	if p.tookHandle(err) {
+		p.handle = nil
 	}
 	return err
 }
 
-// tookHandle is true where the endpoint may have fetched the KV cache.
+// tookHandle is true where the endpoint may have fetched the KV cache, or could
+// not: an engine that refuses for want of room has not tried.
 func (p *passage) tookHandle(err error) bool {
-	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrRefused)
+	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrReplaced)
 }
 
 func (p *passage) work() scheduler.Work {
+	if p.handle != nil && !p.holdsCache() {
+		p.forwarder.release(*p.handle)
+		p.handle = nil
+	}
 	class := p.request.Class.Class
 	class.Application = p.application
 	return scheduler.Work{
 		RequestID: p.request.ID, Class: class, Arrived: p.request.Arrived,
 		PromptTokens: p.request.Prompt.Tokens, PrefixKey: p.request.Prompt.SharedKey,
 		PrefixTokens: p.request.Prompt.SharedTokens, MaxOutputTokens: p.request.Prompt.MaxOutput,
-		DeliveredTokens: p.events, Excluded: p.excluded,
+		DeliveredTokens: p.events, Excluded: p.excluded, IsRead: p.holdsCache(),
 	}
 }
 
@@ -177,10 +204,10 @@
 }
 
 // prefill has another engine read the prompt where the scheduler says so.
-func (p *passage) prefill(ctx context.Context, grant scheduler.Grant) (*driver.KVHandle, error) {
+func (p *passage) prefill(ctx context.Context, grant scheduler.Grant) error {
 	target, ok := grant.Prefill()
 	if !ok {
-		return nil, nil
+		return nil
 	}
 	call := p.call()
 	if holder, ok := grant.Fetch(); ok {
@@ -189,7 +216,9 @@
 	handle, err := p.forwarder.cfg.Driver.ForwardPrefill(ctx, target, call)
 	if err == nil {
 		grant.Prefilled(nil)
-		return &handle, nil
+		p.read++
+		p.handle, p.handleAt = &handle, time.Now()
+		return nil
 	}
 	if ctx.Err() == nil {
 		grant.Prefilled(err)
@@ -197,7 +226,7 @@
 	p.excluded = append(p.excluded, target.EndpointID)
 	p.forwarder.cfg.Logger.Debug("prefill failed", "request_id", p.request.ID, "endpoint_id", target.EndpointID, "error", err)
 	// The prompt was read at most; the request has not run.
-	return nil, fmt.Errorf("%w: %w", driver.ErrRefused, err)
+	return fmt.Errorf("%w: %w", driver.ErrRefused, err)
 }
 
 func (p *passage) call() driver.ForwardCall {
@@ -213,9 +242,9 @@
 const maxUrgency = 9
 
 // send sends the request and passes the answer on.
-func (p *passage) send(ctx context.Context, grant scheduler.Grant, handle *driver.KVHandle) error {
+func (p *passage) send(ctx context.Context, grant scheduler.Grant) error {
 	call := p.call()
-	call.Import = handle
+	call.Import = p.handle
 	answer, err := p.forwarder.cfg.Driver.Forward(ctx, grant.Target(), call)
 	if !errors.Is(err, driver.ErrNotSent) {
 		p.sends++
@@ -324,6 +353,9 @@
 
 // finish says how a request without a whole answer ended.
 func (p *passage) finish(ctx context.Context, err error) error {
+	if p.handle != nil {
+		p.forwarder.release(*p.handle)
+	}
 	if p.begun {
 		return errors.Join(ErrBegun, err)
 	}
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -40,7 +40,8 @@
 	Apply(change provider.Change, now time.Time)
 }
 
-// Topic is the keys with a prefix, and who hears of them.
+// Topic is the keys with a prefix, and who hears of them. The first topic of a
+// Follower is read to find out whether the store is back.
 type Topic struct {
 	Prefix string
 	Sink   Sink
@@ -127,10 +128,15 @@
 
 // follow reads what is not known yet and watches from there on.
 func (f *Follower) follow(ctx context.Context) error {
-	if f.seen() == 0 {
+	switch {
+	case f.seen() == 0:
 		if err := f.read(ctx); err != nil {
 			return err
 		}
+	case f.isLost():
+		if err := f.probe(ctx); err != nil {
+			return err
+		}
 	}
 	watcher, err := f.cfg.Store.Watch(ctx, f.commonPrefix(), f.seen()+1)
 	if err != nil {
@@ -175,6 +181,26 @@
 	return nil
 }
 
+// probe reads the first topic after a loss. A watch would wait for as long as
+// it may before it showed that the store is still away, and a host that heard
+// the store's return by a watch alone was seconds late with a change.
+func (f *Follower) probe(ctx context.Context) error {
+	topic := f.cfg.Topics[0]
+	entries, _, err := f.cfg.Store.List(ctx, topic.Prefix)
+	if err != nil {
+		return err
+	}
+	f.regain()
+	topic.Sink.Replace(entries, time.Now())
+	return nil
+}
+
+func (f *Follower) isLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lostAt.IsZero()
+}
+
 func (f *Follower) apply(changes []provider.Change) {
 	now := time.Now()
 	for _, change := range changes {
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -153,6 +153,8 @@
 	case g.choice.Prefill == nil && decode.CanPrefill():
 		g.observeFirst(now.Sub(g.granted))
 		g.storePrefix(decode, now)
+	case g.work.IsRead:
+		// The way from the prefill to here was not this attempt's alone.
 	case g.choice.Prefill == nil:
 		g.application().Model.ObserveDirect(g.choice.PrefillTokens, now.Sub(g.granted))
 		g.storePrefix(decode, now)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -162,6 +162,7 @@
 		OutputTokens: w.expected,
 		GapTarget:    work.Class.BetweenTokensTarget(),
 		Excluded:     work.Excluded,
+		IsRead:       work.IsRead,
 		IgnoreLimits: item.IsStarted || s.cfg.Policy.Admission == AdmitAll,
 		Now:          now,
 	}
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -16,6 +16,12 @@
 func bestPair(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, single Choice, verdict Verdict,
 ) (Choice, Verdict) {
+	if q.IsRead {
+		if decode, ok := bestDecode(application, q, endpoints, Choice{}, &verdict); ok {
+			return decode, Verdict{Kind: Chosen}
+		}
+		return single, verdict
+	}
 	prefill := bestPrefill(application, q, endpoints, &verdict)
 	if prefill.Prefill == nil {
 		return single, verdict
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -60,6 +60,7 @@
 	FirstTokenDue time.Duration // until the first-token target; 0: none, or passed
 	GapTarget     time.Duration // 0: none
 	Excluded      []string
+	IsRead        bool // the KV cache of the prompt is kept; an engine that decodes is wanted
 	// CalmBatch is the batch beyond which the work would slow more urgent work
 	// down too much; 0: no bound.
 	CalmBatch int
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -19,6 +19,9 @@
 	MaxOutputTokens int
 	DeliveredTokens int      // already with the caller, when resuming
 	Excluded        []string // endpoint ids that have failed this request
+	// IsRead says that an engine keeps the prompt's KV cache for this request:
+	// only an engine that decodes is wanted.
+	IsRead bool
 }
 
 // Grant is the scheduler's leave to use an endpoint. Its holder reports what
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -96,6 +97,9 @@
 	callers       *server.Plain
 	readiness     *server.Plain
 
+	peersMu   sync.Mutex
+	mostHosts int // most hosts known at a time
+
 	draining atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -134,7 +138,7 @@
 	})
 	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
-		RepeatShare: cfg.RepeatShare, RepeatReserve: cfg.RepeatReserve,
+		RepeatShare: cfg.RepeatShare * repeatSafety, RepeatReserve: cfg.RepeatReserve * repeatSafety / unknownHosts,
 	})
 	g.callers = server.NewPlain(server.PlainConfig{
 		Address: cfg.CallersAddress, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
@@ -181,6 +185,27 @@
 	if err := g.exchanger.SetPeers(peers); err != nil {
 		g.cfg.Logger.Error("peer not usable", "error", err)
 	}
+	g.shareRepeats(len(peers) + 1)
+}
+
+const (
+	// unknownHosts is how many hosts a host counts on that knows no other: its
+	// part of what all share is then too small rather than too large.
+	unknownHosts = 32
+	// repeatSafety is the part of the fleet's repeats that hosts give
+	// themselves. Requests are counted by the windows in which they are sent,
+	// and repeats by those in which they arrive.
+	repeatSafety = 0.85
+)
+
+// shareRepeats gives this host its part of the fleet's reserve of repeats. The
+// most hosts ever seen count: one that is not listed may still be serving.
+func (g *Gateway) shareRepeats(hosts int) {
+	g.peersMu.Lock()
+	g.mostHosts = max(g.mostHosts, hosts)
+	hosts = g.mostHosts
+	g.peersMu.Unlock()
+	g.forwarder.SetRepeatReserve(g.cfg.RepeatReserve * repeatSafety / float64(hosts))
 }
 
 // fleet is the one zone of the authority over all engines' roles: engines of
