--- a/internal/scheduler/estimator/floor.go
+++ b/internal/scheduler/estimator/floor.go
@@ -6,16 +6,15 @@
 // estimated from it would grow with itself.
 type Floor struct {
 	value float64
-	count int // observations, up to floorSettled
 }
 
+// The value falls fast and rises slowly, so that a prior which is four times
+// too high is forgotten after a handful of observations, while an engine that
+// has become slower is believed after some dozens. In a steady state about one
+// observation in ten is below the value.
 const (
-	floorQuantile = 0.25
-	// floorStep is how far one observation moves the value, as a part of it,
-	// once floorSettled of them were seen; the first ones move it further, so
-	// that a prior which is wrong by a factor of four is soon forgotten.
-	floorStep    = 0.05
-	floorSettled = 20
+	floorFall = 0.30 // most that one observation lowers the value, as a part of it
+	floorRise = 0.03 // most that one raises it
 )
 
 // NewFloor returns a Floor that begins at a prior value.
@@ -23,13 +22,11 @@
 
 // Observe moves the value towards the quantile.
 func (f *Floor) Observe(x float64) {
-	f.count = min(f.count+1, floorSettled)
-	step := floorStep * floorSettled / float64(f.count)
 	if x < f.value {
-		f.value = max(f.value*(1-step*(1-floorQuantile)), x)
+		f.value = max(f.value*(1-floorFall), x)
 		return
 	}
-	f.value = min(f.value*(1+step*floorQuantile), x)
+	f.value = min(f.value*(1+floorRise), x)
 }
 
 // Value is the quantile as estimated.
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -72,7 +72,7 @@
 func bestPrefill(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict,
 ) (chosen Choice) {
-	home := homeOf(application, q, endpoints)
+	home, before := homeOf(application, q, endpoints)
 	for _, endpoint := range endpoints {
 		if home != nil && endpoint != home {
 			continue
@@ -87,7 +87,7 @@
 		choice := Choice{Prefill: endpoint, Ahead: endpoint.Total().PrefillTokens}
 		choice.reuse(application, q, endpoint)
 		if home != nil {
-			choice.assumeHome(application, q)
+			choice.assumeHome(q, before)
 		}
 		took := application.Model.Reading(choice.Ahead + choice.PrefillTokens)
 		choice.First = estimator.Scale(took, endpoint.Speed)
@@ -159,35 +159,57 @@
 // less to do, prefixes drove each other out of all caches, each prompt was read
 // whole, and the engines were full with half of the work: with it, 2.5 million
 // of 9.4 million tokens read were prefixes read again, without it 0.4 of 7.6.
-func homeOf(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint) (home *tracker.Endpoint) {
+//
+// Where a role has changed a moment ago, before is the engine that was the home
+// until then and still has the prefix in its cache.
+func homeOf(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint) (home, before *tracker.Endpoint) {
 	if q.PrefixKey == "" || application.Model.ReadingCost(q.PrefixTokens) < homeWorth {
-		return nil
+		return nil, nil
 	}
-	var best uint64
+	var best, next, gone uint64 // hashes: of home, of the one behind it, of the best that no longer prefills
+	var second, former *tracker.Endpoint
 	for _, endpoint := range endpoints {
-		if !endpoint.CanPrefill() || !endpoint.TakesNewWork() || slices.Contains(q.Excluded, endpoint.Target.EndpointID) {
-			continue
-		}
-		if endpoint.Breaker.IsOpen() && !endpoint.Breaker.Allows(q.Now) {
-			continue
-		}
 		weight := xxhash.Sum64String(q.PrefixKey + "@" + endpoint.Target.EndpointID)
-		if home == nil || weight > best {
+		isNew := q.Now.Sub(endpoint.RoleSince) < cacheOutlasts
+		switch {
+		case !endpoint.CanPrefill():
+			if isNew && weight > gone {
+				former, gone = endpoint, weight
+			}
+		case !isReachable(endpoint, q):
+		case home == nil || weight > best:
+			second, next = home, best
 			home, best = endpoint, weight
+		case second == nil || weight > next:
+			second, next = endpoint, weight
 		}
 	}
-	return home
+	switch {
+	case home == nil:
+		return nil, nil
+	case former != nil && gone > best:
+		return home, former
+	case q.Now.Sub(home.RoleSince) < cacheOutlasts:
+		return home, second
+	}
+	return home, nil
+}
+
+// cacheOutlasts is for how long after a change of role the caches of before it
+// are worth a fetch: prefixes in use move to their new homes within seconds.
+const cacheOutlasts = 10 * time.Second
+
+// isReachable is true where the engine takes work of this request now.
+func isReachable(endpoint *tracker.Endpoint, q *Query) bool {
+	return endpoint.TakesNewWork() && endpoint.Breaker.Allows(q.Now) && !slices.Contains(q.Excluded, endpoint.Target.EndpointID)
 }
 
 // assumeHome counts a prefix as held at its home, where any host's work with it
-// goes. What this host has seen elsewhere, before the home moved, is fetched.
-func (c *Choice) assumeHome(application *tracker.Application, q *Query) {
+// goes, or as fetched from where its home was before.
+func (c *Choice) assumeHome(q *Query, before *tracker.Endpoint) {
 	shared := min(q.PrefixTokens, q.PromptTokens)
 	if c.ReusedTokens < shared {
-		c.FetchFrom = application.Prefixes.Holder(q.PrefixKey, q.Now)
-	}
-	if c.FetchFrom == c.Prefill {
-		c.FetchFrom = nil
+		c.FetchFrom = before
 	}
 	c.ReusedTokens = shared
 	c.PrefillTokens = q.PromptTokens - shared
--- a/internal/scheduler/tracker/prefix.go
+++ b/internal/scheduler/tracker/prefix.go
@@ -81,18 +81,6 @@
 	return 0
 }
 
-// Holder is the endpoint that most probably holds a prefix; nil: none is known.
-func (p *Prefixes) Holder(key string, now time.Time) (holder *Endpoint) {
-	most := 0
-	hints := p.Hints(key)
-	for i := range hints {
-		if expected := hints[i].Expected(now); expected > most && hints[i].Endpoint.Listed {
-			holder, most = hints[i].Endpoint, expected
-		}
-	}
-	return holder
-}
-
 // Likely is how many tokens of the prefix the endpoint that work with it would
 // probably be given holds.
 func (p *Prefixes) Likely(key string, now time.Time) (tokens int) {
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -21,6 +21,8 @@
 	Model    estimator.Model
 	Prefixes Prefixes
 	Demand   Demand
+	Use      Use       // of engines with separate roles
+	SplitAt  time.Time // when the split between them was changed last
 	Summary  Summary
 	// TokenRatio is how many prompt tokens engines count for each that the
 	// dispatcher estimates from the prompt's bytes; 0: not seen yet.
@@ -261,6 +263,7 @@
 	}
 	for _, application := range t.Applications {
 		application.Demand.fade(now)
+		application.Use.observe(application, now)
 	}
 	for _, class := range t.Classes {
 		class.fade(now)
