--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -165,7 +165,7 @@
 	}
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true,
-		Listener: listener, Logger: g.cfg.Logger.Named("exchanger"),
+		Listener: listener, Tick: gatewayTick, Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
 	if err != nil {
 		return errors.Join(err, listener.Close())
