--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -22,23 +22,36 @@
 		}
 		return single, verdict
 	}
-	prefill := bestPrefill(application, q, endpoints, &verdict)
-	if prefill.Prefill == nil {
-		return single, verdict
-	}
-	pair, ok := bestDecode(application, q, endpoints, prefill, &verdict)
-	if !ok {
-		return single, verdict
-	}
-	if direct, ok := bestDirect(application, q, endpoints, &verdict); ok && direct.score <= pair.score {
-		pair = direct
+	pair, ok := bestSplit(application, q, endpoints, &verdict)
+	direct, isDirect := bestDirect(application, q, endpoints, &verdict)
+	switch {
+	case !isDirect:
+	case ok && direct.score <= pair.score, !ok && !hasReader(q, endpoints):
+		pair, ok = direct, true
 	}
-	if single.Decode != nil && single.score <= pair.score {
+	if !ok || single.Decode != nil && single.score <= pair.score {
 		return single, verdict
 	}
 	return pair, Verdict{Kind: Chosen}
 }
 
+// hasReader is true where some engine that only prefills takes work, though it
+// may be backlogged: a prompt waits for it rather than hold up the streams of
+// an engine that decodes.
+func hasReader(q *Query, endpoints []*tracker.Endpoint) bool {
+	return slices.ContainsFunc(endpoints, func(e *tracker.Endpoint) bool {
+		return e.CanPrefill() && !e.CanDecode() && isReachable(e, q)
+	})
+}
+
+func bestSplit(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict) (pair Choice, ok bool) {
+	prefill := bestPrefill(application, q, endpoints, verdict)
+	if prefill.Prefill == nil {
+		return prefill, false
+	}
+	return bestDecode(application, q, endpoints, prefill, verdict)
+}
+
 // directPenalty times the time for reading a prompt is added where the engine
 // that decodes reads it too, and the more of its slots are taken the more: all
 // its streams wait meanwhile. With a penalty that did not grow, a burst of short
--- /dev/null
+++ b/internal/transporter/transporter_test.go
@@ -0,0 +1,272 @@
+package transporter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/endivemast/endivemast/standins/opaqueserver"
+)
+
+// testTimeout ends a test that hangs.
+const testTimeout = 10 * time.Second
+
+func newTransporter(t *testing.T) *Transporter {
+	t.Helper()
+	tr := New(Settings{IDHeader: "Request-Id"})
+	t.Cleanup(func() { assert.NilError(t, tr.Close()) })
+	return tr
+}
+
+func startEndpoint(t *testing.T, script opaqueserver.Script) *opaqueserver.Server {
+	t.Helper()
+	endpoint := opaqueserver.Start(script)
+	t.Cleanup(endpoint.Close)
+	return endpoint
+}
+
+func request(id string) Request {
+	return Request{ID: id, Method: http.MethodPost, Path: "/a/b?c=d", Host: "h.example", Header: http.Header{"Request-Id": {id}}, Body: []byte("x")}
+}
+
+// send sends a request and reads its answer to the end.
+func send(t *testing.T, tr *Transporter, address string, r Request) (status int, body string, err error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	answer, err := tr.Send(ctx, address, r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer answer.Body.Close()
+	data, err := io.ReadAll(answer.Body)
+	return answer.Status, string(data), err
+}
+
+func TestRequestArrivesUnchanged(t *testing.T) {
+	t.Parallel()
+	endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) { x.Answer(200, "whole") })
+	status, body, err := send(t, newTransporter(t), endpoint.Address(), request("r1"))
+	assert.NilError(t, err)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "whole")
+	seen := endpoint.Seen()
+	assert.Equal(t, len(seen), 1)
+	assert.Equal(t, seen[0].Path, "/a/b?c=d")
+	assert.Equal(t, seen[0].Host, "h.example")
+	assert.Equal(t, seen[0].Body, "x")
+}
+
+// What an endpoint sends besides the answer must reach nobody.
+func TestAnswers(t *testing.T) {
+	t.Parallel()
+	whole := func(x *opaqueserver.Exchange) { x.Answer(200, "own "+x.ID()) }
+	for name, test := range map[string]struct {
+		first     opaqueserver.Script // answers the first request; others are answered whole
+		body      string              // of the first answer; empty: it fails
+		isUnknown bool                // the first request may have run
+		conns     int                 // opened for both requests
+	}{
+		"kept":            {first: whole, body: "own r1", conns: 1},
+		"close announced": {first: func(x *opaqueserver.Exchange) { x.Answer(200, "own r1", "Connection: close") }, body: "own r1", conns: 2},
+		"chunked": {first: func(x *opaqueserver.Exchange) {
+			x.Head(200, "Transfer-Encoding: chunked")
+			x.Chunk("own ")
+			x.Chunk("r1")
+			x.EndChunks()
+		}, body: "own r1", conns: 1},
+		"ends with its close": {first: func(x *opaqueserver.Exchange) { x.Head(200); x.Write("own r1"); x.Close() }, body: "own r1", conns: 2},
+		"bytes behind it":     {first: func(x *opaqueserver.Exchange) { x.Answer(200, "own r1"); x.Write("HTTP/1.1 200 OK\r\n") }, body: "own r1", conns: 2},
+		"another's answer behind it": {
+			first: func(x *opaqueserver.Exchange) {
+				x.Answer(200, "own r1")
+				x.Write(opaqueserver.Head("r0", 200, "Content-Length: 5") + "stray")
+			}, body: "own r1", conns: 2,
+		},
+		"another's answer before it": {
+			first: func(x *opaqueserver.Exchange) {
+				x.Write(opaqueserver.Head("r0", 200, "Content-Length: 5") + "stray")
+				x.Answer(200, "own r1")
+			}, body: "own r1", conns: 1,
+		},
+		"only another's":  {first: func(x *opaqueserver.Exchange) { x.Write(opaqueserver.Head("r0", 200)); x.Write("stray") }, isUnknown: true, conns: 2},
+		"cut in the body": {first: func(x *opaqueserver.Exchange) { x.Head(200, "Content-Length: 9"); x.Write("own"); x.Close() }, isUnknown: true, conns: 2},
+		"cut in a chunk": {first: func(x *opaqueserver.Exchange) {
+			x.Head(200, "Transfer-Encoding: chunked")
+			x.Write("9\r\nown")
+			x.Close()
+		}, isUnknown: true, conns: 2},
+		"cut between chunks": {first: func(x *opaqueserver.Exchange) {
+			x.Head(200, "Transfer-Encoding: chunked")
+			x.Chunk("own r1")
+			x.Close()
+		}, isUnknown: true, conns: 2},
+		"reset in the body": {first: func(x *opaqueserver.Exchange) {
+			x.Head(200)
+			x.Write("own")
+			time.Sleep(50 * time.Millisecond)
+			x.Reset()
+		}, isUnknown: true, conns: 2},
+		"reset before it":     {first: func(x *opaqueserver.Exchange) { x.Reset() }, isUnknown: true, conns: 2},
+		"closed before it":    {first: func(x *opaqueserver.Exchange) { x.Close() }, isUnknown: true, conns: 2},
+		"no answer in HTTP":   {first: func(x *opaqueserver.Exchange) { x.Write("garbage\r\n\r\n") }, isUnknown: true, conns: 2},
+		"provisional first":   {first: func(x *opaqueserver.Exchange) { x.Write("HTTP/1.1 103 Early Hints\r\n\r\n"); whole(x) }, body: "own r1", conns: 1},
+		"keep-alive of zero":  {first: func(x *opaqueserver.Exchange) { x.Answer(200, "own r1", "Keep-Alive: timeout=0") }, body: "own r1", conns: 2},
+		"keep-alive of hours": {first: func(x *opaqueserver.Exchange) { x.Answer(200, "own r1", "Keep-Alive: timeout=9000, max=3") }, body: "own r1", conns: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) {
+				if x.Number == 1 {
+					test.first(x)
+					return
+				}
+				whole(x)
+			})
+			tr := newTransporter(t)
+			_, body, err := send(t, tr, endpoint.Address(), request("r1"))
+			if test.isUnknown {
+				assert.Assert(t, err != nil)
+				var failure *SendError
+				assert.Assert(t, !errors.As(err, &failure) || failure.Sent)
+			} else {
+				assert.NilError(t, err)
+				assert.Equal(t, body, test.body)
+			}
+			awaitQuiet(t, tr, endpoint, test.conns)
+			_, body, err = send(t, tr, endpoint.Address(), request("r2"))
+			assert.NilError(t, err)
+			assert.Equal(t, body, "own r2")
+			assert.Equal(t, endpoint.Opened(), test.conns)
+			assert.Equal(t, len(endpoint.Seen()), 2, "each request arrives once")
+		})
+	}
+}
+
+// awaitQuiet waits until stray bytes that were written have arrived on the kept
+// connection: the endpoint writes them right behind the answer.
+func awaitQuiet(t *testing.T, tr *Transporter, endpoint *opaqueserver.Server, conns int) {
+	t.Helper()
+	if conns == 1 {
+		return
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		tr.mu.Lock()
+		defer tr.mu.Unlock()
+		p := tr.pools[endpoint.Address()]
+		if p == nil || len(p.idle) == 0 || !isQuiet(p.idle[0].Conn) || !time.Now().Before(p.idle[0].expires) {
+			return poll.Success()
+		}
+		return poll.Continue("the kept connection is still quiet")
+	}, poll.WithTimeout(testTimeout), poll.WithDelay(time.Millisecond))
+}
+
+// An endpoint may answer before it has read a long body. What is due of that
+// body must not become another request's bytes.
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	t.Parallel()
+	endpoint := opaqueserver.StartEarly(func(x *opaqueserver.Exchange) {
+		x.Answer(200, "early")
+		x.Hang(testTimeout)
+	})
+	t.Cleanup(endpoint.Close)
+	tr := newTransporter(t)
+	long := request("r1")
+	long.Body = []byte(strings.Repeat("x", 64<<20)) // more than any socket's buffer
+	_, body, err := send(t, tr, endpoint.Address(), long)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "early")
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	assert.Assert(t, tr.pools[endpoint.Address()] == nil, "a connection with a body under way is not kept")
+}
+
+func TestNothingListens(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, _, err = send(t, newTransporter(t), address, request("r1"))
+	var failure *SendError
+	assert.Assert(t, errors.As(err, &failure))
+	assert.Assert(t, !failure.Sent, "certainly not sent")
+}
+
+func TestContextCutsTheConnection(t *testing.T) {
+	t.Parallel()
+	gone := make(chan bool, 1)
+	endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) {
+		x.Head(200, "Transfer-Encoding: chunked")
+		x.Chunk("begun")
+		gone <- x.Hang(testTimeout)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	answer, err := newTransporter(t).Send(ctx, endpoint.Address(), request("r1"))
+	assert.NilError(t, err)
+	cancel()
+	assert.Assert(t, <-gone, "the endpoint sees its caller leave")
+	_, err = io.ReadAll(answer.Body)
+	assert.Assert(t, err != nil, "an answer that was cut is not whole")
+	assert.NilError(t, answer.Body.Close())
+}
+
+func TestMostConnections(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) {
+		<-release
+		x.Answer(200, "whole")
+	})
+	tr := newTransporter(t)
+	tr.SetMaxConnections(1)
+	var first errgroup.Group
+	first.Go(func() error {
+		_, _, err := send(t, tr, endpoint.Address(), request("r1"))
+		return err
+	})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(endpoint.Seen()) == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("not arrived")
+	}, poll.WithTimeout(testTimeout))
+	_, _, err := send(t, tr, endpoint.Address(), request("r2"))
+	assert.ErrorIs(t, err, ErrNoConn)
+	var failure *SendError
+	assert.Assert(t, errors.As(err, &failure) && !failure.Sent)
+	close(release)
+	assert.NilError(t, first.Wait())
+}
+
+func TestFreshConnectionIsNotKept(t *testing.T) {
+	t.Parallel()
+	endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) { x.Answer(200, "whole") })
+	tr := newTransporter(t)
+	for range 2 {
+		fresh := request("r1")
+		fresh.Fresh = true
+		_, _, err := send(t, tr, endpoint.Address(), fresh)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, endpoint.Opened(), 2)
+}
+
+func TestClosedTransporterSendsNothing(t *testing.T) {
+	t.Parallel()
+	endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) { x.Answer(200, "whole") })
+	tr := New(Settings{})
+	assert.NilError(t, tr.Close())
+	_, _, err := send(t, tr, endpoint.Address(), request("r1"))
+	assert.ErrorIs(t, err, ErrClosed)
+	assert.Equal(t, len(endpoint.Seen()), 0)
+}
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -253,6 +253,11 @@
 	return nil
 }
 
+// Addresses are where callers and balancers are served.
+func (g *Gateway) Addresses() (callers, readiness string) {
+	return g.callers.Address(), g.readiness.Address()
+}
+
 // tick runs the systems over the tables.
 func (g *Gateway) tick() error {
 	ticker := time.NewTicker(gatewayTick)
--- /dev/null
+++ b/standins/storeserver/storeserver.go
@@ -0,0 +1,375 @@
+// Package storeserver stands in for the store of the users' platform: keys with
+// revisions, leases, changes under a condition and waiting watches, over HTTP.
+// It can be away, lose answers and forget its history.
+//
+// # Usage
+//
+//	store := storeserver.Start()
+//	defer store.Close()
+//	store.Put("op/config", value)
+//	store.SetFault(storeserver.FaultBusy)
+package storeserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how the store fails.
+type Fault int
+
+// Faults.
+const (
+	FaultNone   Fault = iota
+	FaultBusy         // answers 503: nothing was done
+	FaultSilent       // reads calls and never answers
+	FaultLost         // carries changes out and closes the connection in place of an answer
+)
+
+// PageItems is how many items a page of a range has.
+const PageItems = 4
+
+// Item is one key.
+type Item struct {
+	Key       string `json:"key"`
+	Value     []byte `json:"value,omitempty"`
+	Revision  int64  `json:"revision"`
+	Created   int64  `json:"created,omitempty"`
+	Lease     int64  `json:"lease"`
+	Tombstone bool   `json:"tombstone,omitempty"`
+}
+
+type lease struct {
+	ttl   time.Duration
+	until time.Time
+}
+
+// Server is the stand-in. All methods are safe for concurrent use.
+type Server struct {
+	http *httptest.Server
+
+	mu       sync.Mutex
+	items    map[string]Item
+	leases   map[int64]*lease
+	history  []Item // changes, oldest first
+	oldest   int64  // revision of the first change that is kept
+	revision int64
+	nextID   int64
+	fault    Fault
+	calls    map[string]int
+	changed  chan struct{} // closed with each change
+	closed   chan struct{}
+}
+
+// Start starts a store on loopback.
+func Start() *Server {
+	s := &Server{
+		items: map[string]Item{}, leases: map[int64]*lease{}, calls: map[string]int{},
+		changed: make(chan struct{}), closed: make(chan struct{}), oldest: 1,
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /api/kv-key", s.key)
+	mux.HandleFunc("GET /api/kv-range", s.list)
+	mux.HandleFunc("GET /api/kv-watch", s.watch)
+	mux.HandleFunc("POST /api/kv-txn", s.swap)
+	mux.HandleFunc("POST /api/kv-lease", s.grant)
+	mux.HandleFunc("POST /api/kv-keep/{id}", s.renew)
+	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.revoke)
+	s.http = httptest.NewServer(s.faulty(mux))
+	return s
+}
+
+// Close stops the store and cuts its connections.
+func (s *Server) Close() {
+	close(s.closed)
+	s.http.CloseClientConnections()
+	s.http.Close()
+}
+
+// Address is the store's IP and port.
+func (s *Server) Address() string { return strings.TrimPrefix(s.http.URL, "http://") }
+
+// SetFault makes the store fail from now on. Calls that wait are cut.
+func (s *Server) SetFault(fault Fault) {
+	s.mu.Lock()
+	s.fault = fault
+	s.mu.Unlock()
+	s.http.CloseClientConnections()
+}
+
+// Put writes a key as the operator or an endpoint does.
+func (s *Server) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writeLocked(Item{Key: key, Value: value})
+}
+
+// Delete removes a key.
+func (s *Server) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writeLocked(Item{Key: key, Tombstone: true})
+}
+
+// Get returns a key.
+func (s *Server) Get(key string) (item Item, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	item, ok = s.items[key]
+	return item, ok
+}
+
+// Forget drops the history, and cuts the watches.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	s.history, s.oldest = nil, s.revision+1
+	s.mu.Unlock()
+	s.http.CloseClientConnections()
+}
+
+// RevokeAll ends all leases, with their keys.
+func (s *Server) RevokeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLocked(id)
+	}
+}
+
+// Calls is how often a path was called.
+func (s *Server) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+func (s *Server) writeLocked(item Item) int64 {
+	s.revision++
+	item.Revision = s.revision
+	item.Created = s.revision
+	if before, ok := s.items[item.Key]; ok {
+		item.Created = before.Created
+	}
+	if item.Tombstone {
+		item.Created = 0
+		delete(s.items, item.Key)
+	} else {
+		s.items[item.Key] = item
+	}
+	s.history = append(s.history, item)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+func (s *Server) expireLocked() {
+	now := time.Now()
+	for id, l := range s.leases {
+		if now.After(l.until) {
+			s.endLocked(id)
+		}
+	}
+}
+
+func (s *Server) endLocked(id int64) {
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.writeLocked(Item{Key: key, Tombstone: true})
+		}
+	}
+}
+
+// faulty counts calls and lets them fail as asked.
+func (s *Server) faulty(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.expireLocked()
+		s.calls[r.URL.Path]++
+		fault := s.fault
+		s.mu.Unlock()
+		switch fault {
+		case FaultBusy:
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+		case FaultSilent:
+			select {
+			case <-r.Context().Done():
+			case <-s.closed:
+			}
+		case FaultLost:
+			next.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		default:
+			next.ServeHTTP(w, r)
+		}
+	})
+}
+
+func answer(w http.ResponseWriter, status int, message any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(message) // the caller sees a cut answer
+}
+
+func (s *Server) key(w http.ResponseWriter, r *http.Request) {
+	item, ok := s.Get(r.URL.Query().Get("key"))
+	if !ok {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	answer(w, http.StatusOK, item)
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	query := r.URL.Query()
+	var keys []string
+	for key := range s.items {
+		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	page := struct {
+		Items   []Item `json:"items"`
+		HasMore bool   `json:"has_more"`
+		AsOf    int64  `json:"as_of"`
+	}{Items: []Item{}, HasMore: len(keys) > PageItems, AsOf: s.revision}
+	for _, key := range keys[:min(len(keys), PageItems)] {
+		page.Items = append(page.Items, s.items[key])
+	}
+	answer(w, http.StatusOK, page)
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for isOver := false; ; {
+		s.mu.Lock()
+		s.expireLocked()
+		if after+1 < s.oldest {
+			s.mu.Unlock()
+			answer(w, http.StatusGone, struct{}{})
+			return
+		}
+		events, changed, asOf := s.sinceLocked(after, query.Get("prefix")), s.changed, s.revision
+		s.mu.Unlock()
+		if len(events) > 0 || isOver {
+			answer(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			isOver = true
+		case <-r.Context().Done():
+			return
+		case <-s.closed:
+			return
+		}
+	}
+}
+
+func (s *Server) sinceLocked(after int64, prefix string) []Item {
+	events := []Item{}
+	for _, item := range s.history {
+		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events
+}
+
+type swapMessage struct {
+	Expected []struct {
+		Key      string `json:"key"`
+		Revision int64  `json:"revision"`
+	} `json:"expected"`
+	Puts []struct {
+		Key   string `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease"`
+	} `json:"puts"`
+	Deletes []string `json:"deletes"`
+}
+
+func (s *Server) swap(w http.ResponseWriter, r *http.Request) {
+	var message swapMessage
+	if err := json.NewDecoder(r.Body).Decode(&message); err != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, expected := range message.Expected {
+		if s.items[expected.Key].Revision != expected.Revision {
+			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []Item{s.items[expected.Key]}})
+			return
+		}
+	}
+	for _, put := range message.Puts {
+		if put.Lease != 0 && s.leases[put.Lease] == nil {
+			answer(w, http.StatusNotFound, struct{}{})
+			return
+		}
+	}
+	for _, put := range message.Puts {
+		s.writeLocked(Item{Key: put.Key, Value: put.Value, Lease: put.Lease})
+	}
+	for _, key := range message.Deletes {
+		s.writeLocked(Item{Key: key, Tombstone: true})
+	}
+	answer(w, http.StatusOK, map[string]int64{"revision": s.revision})
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var message struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&message); err != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	ttl := time.Duration(message.TTL) * time.Millisecond
+	s.leases[s.nextID] = &lease{ttl: ttl, until: time.Now().Add(ttl)}
+	answer(w, http.StatusOK, map[string]int64{"lease": s.nextID, "ttl_ms": message.TTL})
+}
+
+func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	l.until = time.Now().Add(l.ttl)
+	answer(w, http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()})
+}
+
+func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == nil {
+		answer(w, http.StatusNotFound, struct{}{})
+		return
+	}
+	s.endLocked(id)
+	answer(w, http.StatusOK, struct{}{})
+}
