A configuration written during the first reading is heard; targets are copied with a grant

Both found by the adapter's tests under the race detector. The follower took the revision of a later topic's reading where the first was 0, of an empty store, and never heard of what was written in between (TestChangeBetweenTwoReadingsIsHeard failed first: watched from 6 instead of 1). Grant.Target read an address that SetHosts writes under the scheduler's lock.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -63,7 +63,8 @@
 	cfg Config
 
 	mu       sync.Mutex
-	revision int64     // up to which all is known; 0: nothing read yet
+	revision int64     // up to which all is known
+	isKnown  bool      // all topics have been read
 	lostAt   time.Time // zero while the store answers
 	heardAt  time.Time // when the store last answered
 }
@@ -80,7 +81,7 @@
 func (f *Follower) Known() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.revision > 0
+	return f.isKnown
 }
 
 // HeardAt is when the store last answered; zero: never.
@@ -129,7 +130,7 @@
 // follow reads what is not known yet and watches from there on.
 func (f *Follower) follow(ctx context.Context) error {
 	switch {
-	case f.seen() == 0:
+	case !f.Known():
 		if err := f.read(ctx); err != nil {
 			return err
 		}
@@ -164,20 +165,21 @@
 // a change between two reads is heard twice rather than not at all.
 func (f *Follower) read(ctx context.Context) error {
 	var first int64
-	for _, topic := range f.cfg.Topics {
+	for i, topic := range f.cfg.Topics {
 		entries, revision, err := f.cfg.Store.List(ctx, topic.Prefix)
 		if err != nil {
 			return err
 		}
 		f.regain()
 		topic.Sink.Replace(entries, time.Now())
-		if first == 0 {
+		if i == 0 {
+			// Also where it is 0, of a store that is empty.
 			first = revision
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = first
+	f.revision, f.isKnown = first, true
 	return nil
 }
 
@@ -224,7 +226,7 @@
 func (f *Follower) reset() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.revision = 0
+	f.revision, f.isKnown = 0, false
 }
 
 // lose notes that the store does not answer; true when it did until now.
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -26,6 +26,7 @@
 	priority int
 	granted  time.Time
 	beside   int // requests at choice.Decode when it was granted
+	targets  targets
 
 	// isProbe and isPrefillProbe say that the use probes an endpoint set aside.
 	isProbe, isPrefillProbe bool
@@ -44,6 +45,23 @@
 	position    int // in the scheduler's table
 }
 
+// targets are copies of where the choice's engines were when it was granted.
+// The table's own change with each list of hosts, under the scheduler's lock.
+type targets struct {
+	decode, prefill, fetch driver.Target
+}
+
+func targetsOf(choice *router.Choice) (t targets) {
+	t.decode = choice.Decode.Target
+	if choice.Prefill != nil {
+		t.prefill = choice.Prefill.Target
+	}
+	if choice.FetchFrom != nil {
+		t.fetch = choice.FetchFrom.Target
+	}
+	return t
+}
+
 // forget takes a grant out of the table; the last one takes its place.
 func (s *Scheduler) forget(g *grant) {
 	last := len(s.grants) - 1
@@ -55,7 +73,7 @@
 
 func (s *Scheduler) newGrant(work *Work, choice *router.Choice, expected int, latestStart, now time.Time) *grant {
 	g := &grant{
-		s: s, work: *work, choice: *choice, granted: now,
+		s: s, work: *work, choice: *choice, granted: now, targets: targetsOf(choice),
 		beside:     choice.Decode.Total().Requests,
 		priority:   s.priority(work, latestStart),
 		decodeLoad: tracker.Load{Requests: 1, DecodeTokens: expected},
@@ -85,22 +103,16 @@
 }
 
 // Target implements Grant.
-func (g *grant) Target() driver.Target { return g.choice.Decode.Target }
+func (g *grant) Target() driver.Target { return g.targets.decode }
 
 // Prefill implements Grant.
 func (g *grant) Prefill() (target driver.Target, ok bool) {
-	if g.choice.Prefill == nil {
-		return driver.Target{}, false
-	}
-	return g.choice.Prefill.Target, true
+	return g.targets.prefill, g.choice.Prefill != nil
 }
 
 // Fetch implements Grant.
 func (g *grant) Fetch() (target driver.Target, ok bool) {
-	if g.choice.FetchFrom == nil {
-		return driver.Target{}, false
-	}
-	return g.choice.FetchFrom.Target, true
+	return g.targets.fetch, g.choice.FetchFrom != nil
 }
 
 // Priority implements Grant.
