--- /dev/null
+++ b/internal/lister/registrations_test.go
@@ -0,0 +1,97 @@
+package lister
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// decodeState reads an entry whose value is the state of the host.
+func decodeState(entry provider.Entry) (provider.Host, error) {
+	if len(entry.Value) == 0 {
+		return provider.Host{}, errors.New("empty")
+	}
+	id := entry.Key[len("s/"):]
+	return provider.Host{ID: id, Incarnation: id, State: provider.HostState(entry.Value)}, nil
+}
+
+func stateEntry(id string, state provider.HostState) provider.Entry {
+	return provider.Entry{Key: "s/" + id, Value: []byte(state)}
+}
+
+// newRegistrations returns a list with the live endpoints e1 and e2, and what
+// it publishes: states by id.
+func newRegistrations(t *testing.T, now time.Time) (r *Registrations, published *map[string]provider.HostState) {
+	t.Helper()
+	published = &map[string]provider.HostState{}
+	r = NewRegistrations(RegistrationsConfig{
+		Prefix: "s/", Decode: decodeState, DrainTime: 2 * time.Second, Logger: hclog.NewNullLogger(),
+		Changed: func(hosts []provider.Host, _ time.Time) {
+			states := map[string]provider.HostState{}
+			for _, host := range hosts {
+				states[host.ID] = host.State
+			}
+			*published = states
+		},
+	})
+	assert.Assert(t, !r.Known())
+	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive), stateEntry("e2", provider.HostLive)}, now)
+	assert.Assert(t, r.Known())
+	return r, published
+}
+
+func TestRegistrations(t *testing.T) {
+	t.Parallel()
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	gone := provider.Change{Entry: provider.Entry{Key: "s/e1"}, Deleted: true}
+	set := func(state provider.HostState) provider.Change { return provider.Change{Entry: stateEntry("e1", state)} }
+	for name, test := range map[string]struct {
+		act  func(r *Registrations)
+		at   time.Duration // when the list is looked at, from the act
+		want provider.HostState
+	}{
+		"says that it leaves":        {act: func(r *Registrations) { r.Apply(set(provider.HostLeaving), start) }, want: provider.HostLeaving},
+		"leaves and goes":            {act: func(r *Registrations) { r.Apply(set(provider.HostLeaving), start); r.Apply(gone, start) }, want: ""},
+		"goes without a word":        {act: func(r *Registrations) { r.Apply(gone, start) }, at: time.Second, want: provider.HostLive},
+		"gone within the drain time": {act: func(r *Registrations) { r.Apply(gone, start) }, at: 1900 * time.Millisecond, want: ""},
+		"comes back":                 {act: func(r *Registrations) { r.Apply(gone, start); r.Apply(set(provider.HostLive), start) }, at: time.Minute, want: provider.HostLive},
+		"missing after an outage": {
+			act: func(r *Registrations) {
+				r.StoreRegained(start)
+				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond))
+			}, at: 1900 * time.Millisecond, want: provider.HostLive,
+		},
+		"missing for too long after an outage": {
+			act: func(r *Registrations) {
+				r.StoreRegained(start)
+				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond))
+			}, at: 2100 * time.Millisecond, want: "",
+		},
+		"not understood":       {act: func(r *Registrations) { r.Apply(set(""), start) }, want: provider.HostLive},
+		"changes its role":     {act: func(r *Registrations) { r.SetChanging([]string{"e1"}) }, at: time.Hour, want: provider.HostLeaving},
+		"has changed its role": {act: func(r *Registrations) { r.SetChanging([]string{"e1"}); r.SetChanging(nil) }, want: provider.HostLive},
+		"a peer changes its role": {
+			act: func(r *Registrations) { r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1"}}, start) },
+			at:  500 * time.Millisecond, want: provider.HostLeaving,
+		},
+		"a peer falls silent": {
+			act: func(r *Registrations) { r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1"}}, start) },
+			at:  2 * time.Second, want: provider.HostLive,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, published := newRegistrations(t, start.Add(-time.Minute))
+			test.act(r)
+			r.Tick(start.Add(test.at))
+			assert.Equal(t, (*published)["e1"], test.want)
+			assert.Equal(t, (*published)["e2"], provider.HostLive)
+		})
+	}
+}
