--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -59,3 +59,10 @@
 	b.left -= count
 	return true
 }
+
+// remaining is how many retries are left.
+func (b *budget) remaining() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left
+}
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -71,6 +71,7 @@
 // sends a request again only where that is certain to do no harm.
 type Forwarder struct {
 	cfg     ForwarderConfig
+	story   *storyteller
 	active  atomic.Int64
 	cleanup errgroup.Group // releases of KV caches that were not taken
 
@@ -81,7 +82,9 @@
 
 // NewForwarder prepares a Forwarder.
 func NewForwarder(cfg ForwarderConfig) *Forwarder {
-	return &Forwarder{cfg: cfg, budgets: map[string]*budget{}, reserve: cfg.RepeatReserve}
+	return &Forwarder{
+		cfg: cfg, story: newStoryteller(cfg.Logger), budgets: map[string]*budget{}, reserve: cfg.RepeatReserve,
+	}
 }
 
 // Active is the number of requests that are running.
@@ -122,6 +125,11 @@
 	p := newPassage(f, &request, answerer)
 	err = p.run(ctx)
 	f.count(p, err)
+	if err != nil {
+		f.story.ended(ctx, p, err)
+	} else {
+		f.story.servedBy(p)
+	}
 	return err
 }
 
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -43,6 +43,7 @@
 	runs     int // of these, those that may have run
 	read     int // prefills that an engine accepted
 	excluded []string
+	basis    scheduler.Basis // of the latest attempt
 
 	handle   *driver.KVHandle // of the prompt, not taken yet
 	handleAt time.Time
@@ -98,6 +99,7 @@
 		}
 		if ctx.Err() == nil && p.mayRepeat(err) {
 			p.forwarder.cfg.Meter.CountRetry(p.request.Class.Name)
+			p.forwarder.story.repeated(p)
 			continue
 		}
 		return p.finish(ctx, err)
@@ -152,6 +154,7 @@
 	if err != nil {
 		return err
 	}
+	p.basis = grant.Basis()
 	p.forwarder.cfg.Meter.ObserveQueue("", p.request.Class.Name, time.Since(waited))
 	if err := p.prefill(ctx, grant); err != nil {
 		grant.Done(scheduler.Abandoned{})
@@ -161,6 +164,7 @@
 	grant.Done(p.result(ctx, err))
 	if err != nil {
 		p.excluded = append(p.excluded, grant.Target().EndpointID)
+		p.forwarder.story.attempted(p, grant, "send", err)
 	}
 	if p.tookHandle(err) {
 		p.handle = nil
@@ -224,7 +228,7 @@
 		grant.Prefilled(err)
 	}
 	p.excluded = append(p.excluded, target.EndpointID)
-	p.forwarder.cfg.Logger.Debug("prefill failed", "request_id", p.request.ID, "endpoint_id", target.EndpointID, "error", err)
+	p.forwarder.story.attempted(p, grant, "prefill", err)
 	// The prompt was read at most; the request has not run.
 	return fmt.Errorf("%w: %w", driver.ErrRefused, err)
 }
--- /dev/null
+++ b/internal/dispatcher/story.go
@@ -0,0 +1,101 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
+
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+const (
+	// storyRate is how many lines about requests a second a host writes. A host
+	// serves tens of requests a second; under a flood of failures the first ones
+	// tell the cause, and the count of those left out tells how many there were.
+	storyRate = 60
+	// storyBurst is how many may come at once.
+	storyBurst = 120
+	// servedRate is how many lines a second there are besides about requests that
+	// were served at once; they do not take room from those that tell of failures.
+	servedRate  = 60
+	servedBurst = 60
+)
+
+// storyteller writes the lines about requests: one for each decision of a
+// request that was not simply served, and one for its end.
+type storyteller struct {
+	logger  hclog.Logger
+	limiter *rate.Limiter // of lines about what failed
+	served  *rate.Limiter // of lines about what did not
+	left    counter       // lines left out since the last one
+}
+
+func newStoryteller(logger hclog.Logger) *storyteller {
+	return &storyteller{logger: logger, limiter: rate.NewLimiter(storyRate, storyBurst), served: rate.NewLimiter(servedRate, servedBurst)}
+}
+
+// tell writes a line unless there are too many. The number of those left out
+// stands on the next one.
+func (s *storyteller) tell(level hclog.Level, message string, p *passage, args ...any) {
+	s.tellWithin(s.limiter, level, message, p, args...)
+}
+
+func (s *storyteller) tellWithin(limiter *rate.Limiter, level hclog.Level, message string, p *passage, args ...any) {
+	if !limiter.Allow() {
+		s.left.add()
+		return
+	}
+	args = append([]any{
+		"request_id", p.request.ID, "class", p.request.Class.Name, "application", p.application,
+		"age_ms", time.Since(p.request.Arrived).Milliseconds(),
+	}, args...)
+	if left := s.left.take(); left > 0 {
+		args = append(args, "lines_left_out", left)
+	}
+	s.logger.Log(level, message, args...)
+}
+
+// attempted tells of an attempt that failed, and of what was decided on then.
+func (s *storyteller) attempted(p *passage, grant scheduler.Grant, step string, err error) {
+	basis := grant.Basis()
+	s.tell(hclog.Info, "attempt failed", p, "step", step, "endpoint_id", basis.EndpointID, "error", err.Error(),
+		"requests_there", basis.Requests, "peers_part", basis.PeerRequests, "prompt_tokens_ahead", basis.TokensAhead,
+		"estimated_first_ms", basis.First.Milliseconds(), "listed_for_ms", basis.RoleAge.Milliseconds(),
+		"sends", p.sends, "may_have_run", p.runs > 0)
+}
+
+// repeated tells that a request goes to another endpoint.
+func (s *storyteller) repeated(p *passage) {
+	s.tell(hclog.Info, "request repeated", p, "excluded", p.excluded, "resume_after", p.lastEvent, "budget_left", p.budget.remaining())
+}
+
+// ended tells how a request without a whole answer ended, and why.
+func (s *storyteller) ended(ctx context.Context, p *passage, err error) {
+	var failure *FailureError
+	level := hclog.Warn
+	args := []any{"sends", p.sends, "runs", p.runs, "begun", p.begun, "budget_left", p.budget.remaining()}
+	if errors.As(err, &failure) {
+		args = append(args, "outcome", failure.Outcome, "reason", failure.Reason, "detail", failure.Detail, "retry_after_ms", failure.RetryAfter.Milliseconds())
+	} else {
+		args = append(args, "outcome", OutcomeUnknown, "reason", ReasonBrokenOff, "detail", err.Error())
+	}
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeout) {
+		level = hclog.Info // the caller has left
+	}
+	s.tell(level, "request not served", p, args...)
+}
+
+// servedBy tells which endpoints served a request, and what was believed of
+// them when they were chosen.
+func (s *storyteller) servedBy(p *passage) {
+	limiter := s.served
+	if p.sends > 1 {
+		limiter = s.limiter
+	}
+	s.tellWithin(limiter, hclog.Info, "request served", p, "endpoint_id", p.basis.EndpointID, "prefill_endpoint_id", p.basis.PrefillID,
+		"requests_there", p.basis.Requests, "peers_part", p.basis.PeerRequests, "prompt_tokens_ahead", p.basis.TokensAhead,
+		"estimated_first_ms", p.basis.First.Milliseconds(), "sends", p.sends, "runs", p.runs, "events", p.events)
+}
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -27,6 +27,7 @@
 	granted  time.Time
 	beside   int // requests at choice.Decode when it was granted
 	targets  targets
+	basis    Basis
 
 	// isProbe and isPrefillProbe say that the use probes an endpoint set aside.
 	isProbe, isPrefillProbe bool
@@ -78,6 +79,11 @@
 		priority:   s.priority(work, latestStart),
 		decodeLoad: tracker.Load{Requests: 1, DecodeTokens: expected},
 	}
+	g.basis = Basis{
+		EndpointID: choice.Decode.Target.EndpointID, Requests: g.beside, PeerRequests: choice.Decode.Peers.Requests,
+		TokensAhead: choice.Ahead, First: choice.First, RoleAge: now.Sub(choice.Decode.RoleSince),
+	}
+	g.basis.PrefillID = g.targets.prefill.EndpointID
 	g.isProbe = choice.Decode.Breaker.Take()
 	if choice.Prefill != nil {
 		g.prefillLoad = tracker.Load{Requests: 1, PrefillTokens: choice.PrefillTokens}
@@ -115,6 +121,9 @@
 	return g.targets.fetch, g.choice.FetchFrom != nil
 }
 
+// Basis implements Grant.
+func (g *grant) Basis() Basis { return g.basis }
+
 // Priority implements Grant.
 func (g *grant) Priority() int { return g.priority }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -37,6 +37,8 @@
 	Fetch() (target driver.Target, ok bool)
 	// Priority is what the engine is to be told; higher goes first.
 	Priority() int
+	// Basis is what the choice of Target was made on, for the log.
+	Basis() Basis
 	// Prefilled says that the separate prefill has ended; err is nil when it
 	// gave a KV cache.
 	Prefilled(err error)
@@ -46,6 +48,17 @@
 	Done(result Result)
 }
 
+// Basis is what was believed of an endpoint when it was chosen.
+type Basis struct {
+	EndpointID   string
+	PrefillID    string        // of the engine that reads the prompt; empty: the same, or none
+	Requests     int           // in flight there, all hosts'
+	PeerRequests int           // of these, those that peers had told of
+	TokensAhead  int           // prompt tokens that waited at the engine that reads
+	First        time.Duration // estimated time to the first token, or to the answer of a call
+	RoleAge      time.Duration // since its present role, or the endpoint itself, was first seen
+}
+
 // Result is how a Grant's use ended: Completed, Abandoned or Broken.
 type Result interface{ isResult() }
 
--- /dev/null
+++ b/internal/spooler/spooler_test.go
@@ -0,0 +1,89 @@
+package spooler
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// blocked is an output whose reader stands still until it is released.
+type blocked struct {
+	mu       sync.Mutex
+	buffer   bytes.Buffer
+	released chan struct{}
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.released
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *blocked) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+func line(level string, n int) []byte {
+	return []byte(`{"@level":"` + level + `","text":"` + strings.Repeat("x", n) + "\"}\n")
+}
+
+// A reader that stands still holds up nobody. What does not fit is dropped and
+// counted, and lines that explain a failure are kept first.
+func TestBlockedOutput(t *testing.T) {
+	t.Parallel()
+	out := &blocked{released: make(chan struct{})}
+	s := New(out)
+	begun := time.Now()
+	for range 2000 {
+		_, err := s.Write(line("info", 1000))
+		assert.NilError(t, err)
+	}
+	_, err := s.Write(line("error", 1000))
+	assert.NilError(t, err)
+	assert.Assert(t, time.Since(begun) < 5*time.Second, "writing blocked")
+	dropped := s.Dropped()
+	assert.Assert(t, dropped > 1000, "dropped %d", dropped)
+	close(out.released)
+	assert.NilError(t, s.Close())
+	written := out.String()
+	assert.Equal(t, strings.Count(written, `"@level":"info"`)+dropped, 2000)
+	assert.Equal(t, strings.Count(written, `"@level":"error"`), 1)
+	assert.Assert(t, strings.Contains(written, `"log lines dropped"`))
+}
+
+func TestLinesKeepTheirOrder(t *testing.T) {
+	t.Parallel()
+	out := &blocked{released: make(chan struct{})}
+	close(out.released)
+	s := New(out)
+	for _, text := range []string{"a\n", "b\n", "c\n"} {
+		_, err := io.WriteString(s, text)
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, s.Close())
+	assert.Equal(t, out.String(), "a\nb\nc\n")
+	_, err := io.WriteString(s, "late\n")
+	assert.NilError(t, err)
+	assert.Equal(t, s.Dropped(), 1)
+}
+
+// An output that never moves again does not hold up a stop for long.
+func TestCloseWithABlockedOutput(t *testing.T) {
+	t.Parallel()
+	out := &blocked{released: make(chan struct{})}
+	t.Cleanup(func() { close(out.released) })
+	s := New(out)
+	_, err := s.Write(line("info", 10))
+	assert.NilError(t, err)
+	begun := time.Now()
+	assert.NilError(t, s.Close())
+	assert.Assert(t, time.Since(begun) < 10*closeTimeout)
+}
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -344,7 +344,7 @@
 	if err := g.callers.Close(ctx); err != nil {
 		g.cfg.Logger.Error("requests cut at the end of the drain", "error", err, "running_requests", g.forwarder.Active())
 	}
-	g.cfg.Logger.Info("drain ended", "took_ms", time.Since(begun).Milliseconds())
+	g.cfg.Logger.Info("entry host stops", "took_ms", time.Since(begun).Milliseconds())
 }
 
 // Close ends everything at once and waits.
