--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -63,6 +63,8 @@
 type Registrar struct {
 	cfg Config
 
+	wake chan struct{}
+
 	mu    sync.Mutex
 	hosts map[string]Host // the other hosts, by id
 	lease provider.LeaseID
@@ -73,7 +75,7 @@
 	if cfg.TTL == 0 {
 		cfg.TTL = DefaultTTL
 	}
-	return &Registrar{cfg: cfg, hosts: map[string]Host{}}
+	return &Registrar{cfg: cfg, wake: make(chan struct{}, 1), hosts: map[string]Host{}}
 }
 
 // Run keeps the entry until ctx ends.
@@ -90,12 +92,22 @@
 		select {
 		case <-ctx.Done():
 		case <-timer.C:
+		case <-r.wake:
 		}
 		timer.Stop()
 	}
 	return nil
 }
 
+// StoreRegained has the entry looked after at once: its lease may have run out
+// while the store was away.
+func (r *Registrar) StoreRegained() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // step renews the lease, or writes the entry anew where there is none.
 func (r *Registrar) step(ctx context.Context) error {
 	lease := r.currentLease()
@@ -170,10 +182,15 @@
 func (r *Registrar) Replace(entries []provider.Entry, _ time.Time) {
 	r.mu.Lock()
 	r.hosts = map[string]Host{}
+	hasOwn := false
 	for _, entry := range entries {
+		hasOwn = hasOwn || entry.Key == Prefix+r.cfg.Own.HostID
 		r.putLocked(entry)
 	}
 	r.mu.Unlock()
+	if !hasOwn {
+		r.StoreRegained() // not written yet, or dropped meanwhile
+	}
 	r.publish()
 }
 
@@ -181,7 +198,11 @@
 func (r *Registrar) Apply(change provider.Change, _ time.Time) {
 	r.mu.Lock()
 	if change.Deleted {
-		delete(r.hosts, change.Entry.Key[len(Prefix):])
+		hostID := change.Entry.Key[len(Prefix):]
+		delete(r.hosts, hostID)
+		if hostID == r.cfg.Own.HostID {
+			r.StoreRegained() // the store has removed it under its lease
+		}
 	} else {
 		r.putLocked(change.Entry)
 	}
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -134,7 +134,10 @@
 			{Prefix: cfg.EndpointPrefix, Sink: g.registrations},
 			{Prefix: registrar.Prefix, Sink: g.registrar},
 		},
-		Regained: func(time.Duration) { g.registrations.StoreRegained(time.Now()) },
+		Regained: func(time.Duration) {
+			g.registrations.StoreRegained(time.Now())
+			g.registrar.StoreRegained()
+		},
 	})
 	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
