--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -96,10 +96,10 @@
 	pause := retryFirst
 	for ctx.Err() == nil {
 		err := f.follow(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if errors.Is(err, provider.ErrCompacted) {
+		switch {
+		case ctx.Err() != nil:
+			continue // stopped; what it says of that is not a loss
+		case errors.Is(err, provider.ErrCompacted):
 			// What was missed is not known; read all again.
 			f.cfg.Logger.Info("store has dropped its history; reading all keys again", "revision", f.seen())
 			f.reset()
--- a/internal/httpdriver/conn.go
+++ b/internal/httpdriver/conn.go
@@ -5,8 +5,9 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
+
+	"github.com/endivemast/endivemast/internal/transporter"
 )
 
 var errSealed = errors.New("connection given up")
@@ -103,7 +104,7 @@
 func dial(ctx context.Context, address string, timeout, userTimeout time.Duration) (*countingConn, error) {
 	dialer := net.Dialer{
 		Timeout: timeout,
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, userTimeout) },
+		Control: transporter.UserTimeout(userTimeout),
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/server/plain.go
+++ b/internal/server/plain.go
@@ -137,7 +137,7 @@
 	for conn, at := range p.idle {
 		if !at.After(since) {
 			delete(p.idle, conn)
-			conn.Close()
+			_ = conn.Close() // an idle connection has nothing to lose
 		}
 	}
 }
--- a/internal/transporter/socket_linux.go
+++ b/internal/transporter/socket_linux.go
@@ -9,11 +9,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// userTimeout has the kernel give up a connection whose bytes are not
+// UserTimeout has the kernel give up a connection whose bytes are not
 // acknowledged within the timeout. Without it the kernel goes on for about a
 // quarter of an hour, also while this process is paused and can't close the
 // connection: a request would then be delivered when a partition heals.
-func userTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
+func UserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var optErr error
 		err := raw.Control(func(fd uintptr) {
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -185,7 +185,7 @@
 
 func (p *pool) closeIdle() {
 	for _, c := range p.idle {
-		c.Close()
+		_ = c.Close() // an idle connection has nothing to lose
 		p.open--
 	}
 	p.idle = nil
@@ -264,7 +264,7 @@
 		if now.Before(c.expires) {
 			return c, nil
 		}
-		c.Close()
+		_ = c.Close() // an idle connection has nothing to lose
 		p.open--
 	}
 	return nil, nil
@@ -300,7 +300,7 @@
 }
 
 func (t *Transporter) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: t.settings.DialTimeout, KeepAlive: -1, Control: userTimeout(t.settings.UserTimeout)}
+	dialer := net.Dialer{Timeout: t.settings.DialTimeout, KeepAlive: -1, Control: UserTimeout(t.settings.UserTimeout)}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -339,7 +339,7 @@
 				kept = append(kept, c)
 				continue
 			}
-			c.Close()
+			_ = c.Close() // an idle connection has nothing to lose
 			p.open--
 		}
 		clear(p.idle[len(kept):])
@@ -361,7 +361,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // best effort: the close follows in any case
 	}
-	c.Close()
+	_ = c.Close() // what it says of bytes that were not sent is not asked
 }
 
 // keepAliveOf is how long an endpoint says that it keeps an idle connection.
--- a/standins/opaqueserver/opaqueserver.go
+++ b/standins/opaqueserver/opaqueserver.go
@@ -91,7 +91,7 @@
 	s.listener.Close()
 	s.mu.Lock()
 	for conn := range s.conns {
-		conn.Close()
+		_ = conn.Close()
 	}
 	s.mu.Unlock()
 	s.group.Wait()
@@ -135,7 +135,7 @@
 
 func (s *Server) serve(conn net.Conn, number int) {
 	defer func() {
-		conn.Close()
+		_ = conn.Close()
 		s.mu.Lock()
 		delete(s.conns, conn)
 		s.gone++
@@ -204,7 +204,7 @@
 
 // Close ends the connection as an endpoint that has said all does.
 func (x *Exchange) Close() {
-	x.Conn.Close()
+	_ = x.Conn.Close()
 	x.isOver = true
 }
 
