--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -178,3 +179,24 @@
 	assert.Equal(t, len(hosts), 0)
 	assert.Equal(t, revision, int64(2))
 }
+
+func TestTickGrowsWithThePeers(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		peers, most int
+		want        time.Duration
+	}{
+		"no bound":   {peers: 80, want: 100 * time.Millisecond},
+		"few peers":  {peers: 8, most: 90, want: 100 * time.Millisecond},
+		"many peers": {peers: 90, most: 90, want: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ex := &Exchanger{cfg: Config{Tick: 100 * time.Millisecond, TellsPerSecond: test.most}, links: map[string]*link{}}
+			for i := range test.peers {
+				ex.links[strconv.Itoa(i)] = &link{}
+			}
+			assert.Equal(t, ex.tick(), test.want)
+		})
+	}
+}
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -41,18 +41,32 @@
 func (ex *Exchanger) tellPeer(l *link) error {
 	client := exchangerpb.NewExchangeClient(l.conn)
 	row := &teller{full: true, told: map[string]Load{}}
-	ticker := time.NewTicker(ex.cfg.Tick)
-	defer ticker.Stop()
+	timer := time.NewTimer(ex.tick())
+	defer timer.Stop()
 	for {
 		select {
 		case <-l.ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(ex.tick())
 			ex.tellOnce(l.ctx, client, row)
 		}
 	}
 }
 
+// tick is the time between two messages to a peer. What a host spends on its
+// peers would else grow with their number: 79 of them, told ten times a
+// second, took more than a small host has.
+func (ex *Exchanger) tick() time.Duration {
+	if ex.cfg.TellsPerSecond <= 0 {
+		return ex.cfg.Tick
+	}
+	ex.mu.Lock()
+	peers := len(ex.links)
+	ex.mu.Unlock()
+	return max(ex.cfg.Tick, time.Duration(peers)*time.Second/time.Duration(ex.cfg.TellsPerSecond))
+}
+
 func (ex *Exchanger) tellOnce(ctx context.Context, client exchangerpb.ExchangeClient, row *teller) {
 	loads := ex.ownLoadOf(time.Now())
 	message := row.message(loads)
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -168,7 +168,8 @@
 	}
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true,
-		Listener: listener, Tick: gatewayTick, Logger: g.cfg.Logger.Named("exchanger"),
+		Listener: listener, Tick: gatewayTick, TellsPerSecond: tellsPerSecond,
+		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
 	if err != nil {
 		return errors.Join(err, listener.Close())
@@ -211,6 +212,10 @@
 	g.forwarder.SetRepeatReserve(g.cfg.RepeatReserve * repeatSafety / float64(hosts))
 }
 
+// tellsPerSecond is how many messages a second a host sends to its peers at
+// most: about a tenth of a percent of a core each.
+const tellsPerSecond = 90
+
 // fleet is the one zone of the authority over all engines' roles: engines of
 // any zone serve all.
 const fleet = "fleet"
