--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -68,8 +68,11 @@
 	ServerTLS *tls.Config // nil: plain text
 	ClientTLS *tls.Config // nil: plain text
 	Tick      time.Duration
-	Silence   time.Duration // after which a peer counts as unreachable
-	Logger    hclog.Logger
+	// TellsPerSecond bounds the messages to all peers together, by a longer tick
+	// where there are many; 0: no bound.
+	TellsPerSecond int
+	Silence        time.Duration // after which a peer counts as unreachable
+	Logger         hclog.Logger
 }
 
 // LeavingEndpoint names one process of an endpoint that takes no new work.
