--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -46,21 +46,6 @@
 	Class  Class
 }
 
-// Application is what is configured of a group of endpoints.
-type Application struct {
-	Name           string
-	MaxConnections int           // that one endpoint accepts from all hosts together; 0: not told
-	Engine         *EngineTraits // nil: plain services
-}
-
-// EngineTraits are what all engines of an application have in common.
-type EngineTraits struct {
-	Slots       int           // requests that run at once
-	CacheTokens int           // that the memory holds
-	HandleTTL   time.Duration // after which an exported KV cache is dropped
-	SwitchTime  time.Duration // that a change of role takes after the running work
-}
-
 // Limits bound what callers may send.
 type Limits struct {
 	MaxBodyBytes int64
@@ -71,7 +56,7 @@
 type Snapshot struct {
 	Version      int64
 	Rules        []Rule
-	Applications []Application
+	Applications []string // names of the groups of endpoints
 	Limits       Limits
 }
 
@@ -87,9 +72,8 @@
 type index struct {
 	snapshot     *Snapshot
 	hosts        map[string][]Rule // longest prefix first
-	applications map[string]Application
+	applications map[string]bool
 	classes      map[string]Class
-	installed    time.Time
 }
 
 // New makes a Classifier without a configuration.
@@ -112,8 +96,8 @@
 
 func newIndex(snapshot *Snapshot) *index {
 	x := &index{
-		snapshot: snapshot, hosts: map[string][]Rule{}, installed: time.Now(),
-		applications: map[string]Application{}, classes: map[string]Class{},
+		snapshot: snapshot, hosts: map[string][]Rule{},
+		applications: map[string]bool{}, classes: map[string]Class{},
 	}
 	for _, rule := range snapshot.Rules {
 		host := strings.ToLower(rule.Host)
@@ -124,7 +108,7 @@
 		slices.SortStableFunc(rules, func(a, b Rule) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for _, application := range snapshot.Applications {
-		x.applications[application.Name] = application
+		x.applications[application] = true
 	}
 	return x
 }
@@ -155,29 +139,14 @@
 	return found.Class, ok
 }
 
-// Application returns what the scheduler needs of an application.
+// Application says whether an application is configured. Operators here state no
+// more of one than its name.
 func (c *Classifier) Application(name string) (application configurer.Application, ok bool) {
-	found, ok := c.Group(name)
-	return configurer.Application{Name: found.Name}, ok
-}
-
-// Group returns what is configured of an application's endpoints.
-func (c *Classifier) Group(name string) (application Application, ok bool) {
-	x := c.current.Load()
-	if x == nil {
-		return Application{}, false
-	}
-	application, ok = x.applications[name]
-	return application, ok
-}
-
-// Groups returns all applications.
-func (c *Classifier) Groups() []Application {
 	x := c.current.Load()
-	if x == nil {
-		return nil
+	if x == nil || !x.applications[name] {
+		return configurer.Application{}, false
 	}
-	return x.snapshot.Applications
+	return configurer.Application{Name: name}, true
 }
 
 // Limits are those in force; zero before the first configuration.
@@ -198,14 +167,5 @@
 	return x.snapshot.Version
 }
 
-// Age is how long the version has been in force here.
-func (c *Classifier) Age() time.Duration {
-	x := c.current.Load()
-	if x == nil {
-		return 0
-	}
-	return time.Since(x.installed)
-}
-
 // Ready is true once a configuration is in force.
 func (c *Classifier) Ready() bool { return c.current.Load() != nil }
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -66,7 +66,6 @@
 	revision int64     // up to which all is known
 	isKnown  bool      // all topics have been read
 	lostAt   time.Time // zero while the store answers
-	heardAt  time.Time // when the store last answered
 }
 
 // New makes a Follower that has read nothing yet.
@@ -84,13 +83,6 @@
 	return f.isKnown
 }
 
-// HeardAt is when the store last answered; zero: never.
-func (f *Follower) HeardAt() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.heardAt
-}
-
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	pause := retryFirst
@@ -251,7 +243,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	lostAt := f.lostAt
-	f.lostAt, f.heardAt = time.Time{}, now
+	f.lostAt = time.Time{}
 	f.mu.Unlock()
 	if lostAt.IsZero() {
 		return
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -125,7 +125,6 @@
 	settings Settings
 
 	mu     sync.Mutex
-	limit  int
 	pools  map[string]*pool
 	closed bool
 	swept  time.Time
@@ -154,7 +153,7 @@
 	setDefault(&settings.UserTimeout, DefaultUserTimeout)
 	setDefault(&settings.IdleTimeout, DefaultIdleTimeout)
 	setDefault(&settings.MaxConnections, DefaultMaxConnections)
-	return &Transporter{settings: settings, limit: settings.MaxConnections, pools: map[string]*pool{}}
+	return &Transporter{settings: settings, pools: map[string]*pool{}}
 }
 
 func setDefault[T int | time.Duration](value *T, otherwise T) {
@@ -163,13 +162,6 @@
 	}
 }
 
-// SetMaxConnections changes the most connections to one address.
-func (t *Transporter) SetMaxConnections(limit int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.limit = max(limit, 1)
-}
-
 // Close closes idle connections, refuses new requests and waits until those
 // under way have ended.
 func (t *Transporter) Close() error {
@@ -281,7 +273,7 @@
 		p = &pool{}
 		t.pools[address] = p
 	}
-	if p.open >= t.limit {
+	if p.open >= t.settings.MaxConnections {
 		return ErrNoConn
 	}
 	p.open++
--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -226,8 +226,8 @@
 		<-release
 		x.Answer(200, "whole")
 	})
-	tr := newTransporter(t)
-	tr.SetMaxConnections(1)
+	tr := New(Settings{IDHeader: "Request-Id", MaxConnections: 1})
+	t.Cleanup(func() { assert.NilError(t, tr.Close()) })
 	var first errgroup.Group
 	first.Go(func() error {
 		_, _, err := send(t, tr, endpoint.Address(), request("r1"))
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -160,96 +158,13 @@
 	return policy
 }
 
-// buildPeers makes the own entry in the store and the peer protocol.
-func (g *Gateway) buildPeers() (err error) {
-	listener, err := net.Listen("tcp", g.cfg.PeersAddress)
-	if err != nil {
-		return fmt.Errorf("peers' address: %w", err)
-	}
-	g.exchanger, err = exchanger.New(exchanger.Config{
-		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true,
-		Listener: listener, Tick: gatewayTick, TellsPerSecond: tellsPerSecond,
-		Logger: g.cfg.Logger.Named("exchanger"),
-	}, g)
-	if err != nil {
-		return errors.Join(err, listener.Close())
-	}
-	g.registrar = registrar.New(registrar.Config{
-		Store: g.cfg.Store, Changed: g.setPeers, Logger: g.cfg.Logger.Named("registrar"),
-		Own: registrar.Host{HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, Address: g.cfg.PeersAddress},
-	})
-	return nil
-}
-
-func (g *Gateway) setPeers(hosts []registrar.Host) {
-	peers := make([]exchanger.Peer, 0, len(hosts))
-	for _, host := range hosts {
-		peers = append(peers, exchanger.Peer{HostID: host.HostID, Zone: host.Zone, Address: host.Address})
-	}
-	if err := g.exchanger.SetPeers(peers); err != nil {
-		g.cfg.Logger.Error("peer not usable", "error", err)
-	}
-	g.shareRepeats(len(peers) + 1)
-}
-
-const (
-	// unknownHosts is how many hosts a host counts on that knows no other: its
-	// part of what all share is then too small rather than too large.
-	unknownHosts = 32
-	// repeatSafety is the part of the fleet's repeats that hosts give
-	// themselves. Requests are counted by the windows in which they are sent,
-	// and repeats by those in which they arrive.
-	repeatSafety = 0.85
-)
-
-// shareRepeats gives this host its part of the fleet's reserve of repeats. The
-// most hosts ever seen count: one that is not listed may still be serving.
-func (g *Gateway) shareRepeats(hosts int) {
-	g.peersMu.Lock()
-	g.mostHosts = max(g.mostHosts, hosts)
-	hosts = g.mostHosts
-	g.peersMu.Unlock()
-	g.forwarder.SetRepeatReserve(g.cfg.RepeatReserve * repeatSafety / float64(hosts))
-}
-
-// tellsPerSecond is how many messages a second a host sends to its peers at
-// most: about a tenth of a percent of a core each.
-const tellsPerSecond = 90
-
-// fleet is the one zone of the authority over all engines' roles: engines of
-// any zone serve all.
-const fleet = "fleet"
-
-// buildAuthority makes what gives the engines their roles.
-func (g *Gateway) buildAuthority() (err error) {
-	g.leaser, err = leaser.New(leaser.Config{
-		Zone: fleet, HostID: g.cfg.HostID, Incarnation: g.incarnation, Address: g.cfg.PeersAddress,
-		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Log: g.cfg.Logger.Named("leaser"),
-	})
-	if err != nil {
-		return err
-	}
-	g.rebalancer = rebalancer.New(rebalancer.Config{
-		Leaser: g.leaser, Driver: g.cfg.Driver, HostID: g.cfg.HostID, Guard: g.cfg.LeaseTTL,
-		Plan: g.scheduler.PlanSplit, Target: g.engine, SetChanging: g.registrations.SetChanging,
-		Ordered: func(string, driver.Role) { g.meter.CountRoleChange(g.cfg.Zone, "") },
-		Logger:  g.cfg.Logger.Named("rebalancer"),
-	})
-	return nil
-}
-
-// engine finds an engine's process and its role.
-func (g *Gateway) engine(endpointID string) (target driver.Target, role driver.Role, ok bool) {
-	host, ok := g.registrations.Find(endpointID)
-	return driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation, Address: host.Address}, driver.Role(host.Role), ok
-}
-
 // Start serves. It fails when an address can't be listened on.
 func (g *Gateway) Start() (err error) {
 	defer func() { err = eris.Wrap(err, "start entry host") }()
 	if err := errors.Join(g.callers.Start(), g.readiness.Start()); err != nil {
 		return err
 	}
+	g.registerGauges()
 	g.group.Go(func() error { return g.follower.Run(g.ctx) })
 	g.exchanger.Start()
 	g.group.Go(func() error { return g.registrar.Run(g.ctx) })
@@ -261,6 +176,22 @@
 	return nil
 }
 
+// registerGauges shows the host's state on the metrics.
+func (g *Gateway) registerGauges() {
+	g.meter.GaugeReady(func() bool {
+		ready, _ := g.Ready()
+		return ready
+	})
+	g.meter.GaugeConfigRevision(func() float64 { return float64(g.classifier.Revision()) })
+	g.meter.GaugeInFlight(func() float64 { return float64(g.forwarder.Active()) })
+	g.meter.GaugeLeaseHeld(fleet, func() bool {
+		_, holds := g.leaser.Holder()
+		return holds
+	})
+	g.meter.GaugePeers("known", func() float64 { return float64(len(g.registrar.Peers())) })
+	g.meter.GaugeEndpoints("listed", func() float64 { return float64(len(g.registrations.Hosts())) })
+}
+
 // Addresses are where callers and balancers are served.
 func (g *Gateway) Addresses() (callers, readiness string) {
 	return g.callers.Address(), g.readiness.Address()
@@ -407,28 +338,3 @@
 			"rules", len(snapshot.Rules), "applications", len(snapshot.Applications))
 	}
 }
-
-// OwnLoad implements exchanger.Local.
-func (g *Gateway) OwnLoad() map[string]exchanger.Load { return ownLoad(g.scheduler) }
-
-// Leaving implements exchanger.Local.
-func (g *Gateway) Leaving() []exchanger.LeavingEndpoint { return g.registrations.Leaving() }
-
-// Draining implements exchanger.Local.
-func (g *Gateway) Draining() bool { return g.draining.Load() }
-
-// ConfigurationRevision implements exchanger.Local.
-func (g *Gateway) ConfigurationRevision() int64 { return g.classifier.Revision() }
-
-// Hosts implements exchanger.Local.
-func (g *Gateway) Hosts() (hosts []provider.Host, revision int64) { return nil, 0 }
-
-// HearLoad implements exchanger.Local.
-func (g *Gateway) HearLoad(hostID string, loads map[string]exchanger.Load, now time.Time) {
-	hearLoad(g.scheduler, hostID, loads, now)
-}
-
-// HearLeaving implements exchanger.Local.
-func (g *Gateway) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
-	g.registrations.HearLeaving(leaving, now)
-}
