--- a/internal/commander/settings_test.go
+++ b/internal/commander/settings_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// settingRow is how OPERATING.md documents a setting.
+// settingRow is how OPERATIONS.md documents a setting.
 func settingRow(flag cli.DocGenerationFlag) string {
 	value := strings.Trim(flag.GetValue(), `[]"`)
 	if value != "" {
@@ -24,10 +24,10 @@
 	return fmt.Sprintf("| %s | %s | %s |", name, value, usage)
 }
 
-// TestEverySettingIsDocumented compares the table in OPERATING.md with the
+// TestEverySettingIsDocumented compares the table in OPERATIONS.md with the
 // flags. It prints the rows that are missing, to be copied there.
 func TestEverySettingIsDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	var missing []string
 	known := make(map[string]bool)
--- a/pkg/endivemast/metrics_test.go
+++ b/pkg/endivemast/metrics_test.go
@@ -33,7 +33,7 @@
 	return samples
 }
 
-// TestMetricsOfARunningHost looks for each metric that OPERATING.md has an
+// TestMetricsOfARunningHost looks for each metric that OPERATIONS.md has an
 // alarm for, after a request of each outcome.
 func TestMetricsOfARunningHost(t *testing.T) {
 	f := startFleet(t, 2)
