--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -75,7 +75,6 @@
 // Replace takes all entries.
 func (r *Registrations) Replace(entries []provider.Entry, now time.Time) {
 	r.mu.Lock()
-	r.isKnown = true
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
 		listed[r.put(entry)] = true
@@ -87,6 +86,11 @@
 	}
 	r.mu.Unlock()
 	r.publish(now)
+	// Known only now: a host that called itself ready between the two refused
+	// its first requests as if there were no endpoints.
+	r.mu.Lock()
+	r.isKnown = true
+	r.mu.Unlock()
 }
 
 // Apply takes one change.
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -95,3 +95,20 @@
 		})
 	}
 }
+
+// A host that is told that the list is known finds the endpoints in its tables.
+func TestKnownIsSaidAfterTheListIsPublished(t *testing.T) {
+	t.Parallel()
+	var r *Registrations
+	published := 0
+	r = NewRegistrations(RegistrationsConfig{
+		Prefix: "s/", Decode: decodeState, DrainTime: time.Second, Logger: hclog.NewNullLogger(),
+		Changed: func([]provider.Host, time.Time) {
+			published++
+			assert.Assert(t, !r.Known())
+		},
+	})
+	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive)}, time.Now())
+	assert.Equal(t, published, 1)
+	assert.Assert(t, r.Known())
+}
