--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -46,7 +46,6 @@
 // Reasons of a FailureError of an opaque request.
 const (
 	ReasonTimeout   = "timeout"    // the class's time is over
-	ReasonNoBudget  = "no_budget"  // the repeat that it needs is not left in the budget
 	ReasonBrokenOff = "broken_off" // the answer had begun
 )
 
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -24,9 +24,8 @@
 )
 
 var (
-	errTimeout  = errors.New("time for the request is over")
-	errNoBudget = errors.New("no repeat left in the budget")
-	errTooLong  = errors.New("answer is too long")
+	errTimeout = errors.New("time for the request is over")
+	errTooLong = errors.New("answer is too long")
 	// errServerFault is an answer with which an endpoint reports a fault of its own.
 	errServerFault = errors.New("endpoint reported a fault of its own")
 )
@@ -109,7 +108,7 @@
 // mayRepeat says whether another attempt may follow a failed one.
 func (p *passage) mayRepeat(err error) bool {
 	var refusal *scheduler.RefusalError
-	if errors.As(err, &refusal) || errors.Is(err, errCallerGone) || errors.Is(err, errNoBudget) || p.sends >= maxSends {
+	if errors.As(err, &refusal) || errors.Is(err, errCallerGone) || p.sends >= maxSends {
 		return false
 	}
 	if p.hasRun(err) {
@@ -172,8 +171,9 @@
 	return err
 }
 
-// tookHandle is true where the endpoint may have fetched the KV cache, or could
-// not: an engine that refuses for want of room has not tried.
+// tookHandle is true where the KV cache is not to be counted on any more: the
+// endpoint may have fetched it, or has turned the request away because it could
+// not, which its answer does not tell from a want of room.
 func (p *passage) tookHandle(err error) bool {
 	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrReplaced)
 }
