TestPriorityGoesFirst: the second answer is too long to end before it is looked at

Cause: the low request's ten tokens had ended too before the test read the count, which only has to show that the urgent one ended before the low one began. The replacement is as strict: exactly one has ended when the low one's first token is there.

--- a/standins/engineserver/engineserver_test.go
+++ b/standins/engineserver/engineserver_test.go
@@ -184,7 +184,7 @@
 	first := open(t, drv, target, newCall("first", 10, 100_000))
 	_, err := first.Next()
 	assert.NilError(t, err)
-	low := open(t, drv, target, newCall("low", 10, 10))
+	low := open(t, drv, target, newCall("low", 10, 100_000))
 	urgent := newCall("urgent", 10, 10)
 	urgent.Priority = 1
 	high := open(t, drv, target, urgent)
@@ -193,6 +193,7 @@
 
 	_, err = low.Next()
 	assert.NilError(t, err)
+	// The other is too long to end as well, however late this is looked at.
 	assert.Equal(t, engine.Stats().Completed, int64(1), "the urgent one ended before the other began")
 	_, _, err = rest(high)
 	assert.NilError(t, err)
