An engine that leaves while the prompt is read elsewhere gets nothing

Cause: the engine that decodes is chosen before the prompt is read, and an entry that goes without a word stays listed for 1.2 s; a reading of a second more passed the 2 s. Before the request is sent the grant is asked whether its engine still takes work.

--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -71,6 +71,7 @@
 func (g *fakeGrant) Target() driver.Target          { return driver.Target{EndpointID: g.id} }
 func (g *fakeGrant) Prefill() (driver.Target, bool) { return driver.Target{}, false }
 func (g *fakeGrant) Basis() scheduler.Basis         { return scheduler.Basis{} }
+func (g *fakeGrant) IsCurrent() bool                { return true }
 func (g *fakeGrant) Fetch() (driver.Target, bool)   { return driver.Target{}, false }
 func (g *fakeGrant) Priority() int                  { return 0 }
 func (g *fakeGrant) Prefilled(error)                {}
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -26,6 +26,8 @@
 var (
 	errTimeout = errors.New("time for the request is over")
 	errTooLong = errors.New("answer is too long")
+	// errLeft is an endpoint that has left since it was chosen.
+	errLeft = errors.New("endpoint no longer takes work")
 	// errServerFault is an answer with which an endpoint reports a fault of its own.
 	errServerFault = errors.New("endpoint reported a fault of its own")
 )
@@ -247,6 +249,9 @@
 
 // send sends the request and passes the answer on.
 func (p *passage) send(ctx context.Context, grant scheduler.Grant) error {
+	if !grant.IsCurrent() {
+		return fmt.Errorf("%w: %w", driver.ErrNotSent, errLeft)
+	}
 	call := p.call()
 	call.Import = p.handle
 	answer, err := p.forwarder.cfg.Driver.Forward(ctx, grant.Target(), call)
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -121,6 +121,13 @@
 	return g.targets.fetch, g.choice.FetchFrom != nil
 }
 
+// IsCurrent implements Grant.
+func (g *grant) IsCurrent() bool {
+	g.s.mu.Lock()
+	defer g.s.mu.Unlock()
+	return g.choice.Decode.TakesNewWork()
+}
+
 // Basis implements Grant.
 func (g *grant) Basis() Basis { return g.basis }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -37,6 +37,9 @@
 	Fetch() (target driver.Target, ok bool)
 	// Priority is what the engine is to be told; higher goes first.
 	Priority() int
+	// IsCurrent is false where Target no longer takes work, though it did when it
+	// was granted: the prompt may have been read for a second since.
+	IsCurrent() bool
 	// Basis is what the choice of Target was made on, for the log.
 	Basis() Basis
 	// Prefilled says that the separate prefill has ended; err is nil when it
