A few hosts of a large zone watch the store and pass changes on

Peers' connections that fall silent for good are given up (TCP user timeout, server pings). Ruled out: longer waits alone (the wakes are the cost).

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -33,11 +33,13 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/transporter"
 )
 
 // Limits and defaults of the peer protocol.
@@ -48,7 +50,14 @@
 	maxMessageBytes  = 4 << 20
 	tellTimeout      = time.Second
 	reconnectMaximum = time.Second
-	maxCount         = 1 << 31 // of requests or tokens that one host has at an endpoint
+	// userTimeout is how long bytes to a peer may stay unacknowledged before the
+	// connection is given up and made anew. A connection may fall silent for good
+	// while new ones work; a few lost packets in a row take less.
+	userTimeout = 3 * time.Second
+	// pingEvery is after how long without a word a server asks whether its peer
+	// is still there, so that calls of one that is gone end.
+	pingEvery = 10 * time.Second
+	maxCount  = 1 << 31 // of requests or tokens that one host has at an endpoint
 	// secretHeader ends in -bin, so that gRPC takes any bytes: a secret from
 	// /dev/urandom would otherwise fail each call.
 	secretHeader = "endivemast-peer-secret-bin"
@@ -226,6 +235,7 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.UnaryInterceptor(ex.checkUnary),
 		grpc.StreamInterceptor(ex.checkStream),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: userTimeout}),
 	}
 	if ex.cfg.ServerTLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(ex.cfg.ServerTLS)))
@@ -238,11 +248,15 @@
 	if ex.cfg.ClientTLS != nil {
 		security = credentials.NewTLS(ex.cfg.ClientTLS)
 	}
+	dialer := net.Dialer{Timeout: reconnectMaximum, Control: transporter.UserTimeout(userTimeout)}
 	retry := backoff.DefaultConfig
 	retry.BaseDelay = 50 * time.Millisecond
 	retry.MaxDelay = reconnectMaximum
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(security),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}),
 		grpc.WithPerRPCCredentials(peerSecret{secret: ex.cfg.Secret}),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: reconnectMaximum}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
@@ -325,6 +339,17 @@
 	return statuses
 }
 
+// IsAway is true for a peer that has spoken once and is silent, or drains.
+func (ex *Exchanger) IsAway(hostID string) bool {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	row := ex.heard[hostID]
+	if row == nil || row.status.LastHeard.IsZero() {
+		return false
+	}
+	return !row.status.Reachable || row.status.Draining
+}
+
 // Tell takes a peer's message. A message that does not follow the last one is
 // answered with a request for the full state.
 func (ex *Exchanger) Tell(_ context.Context, message *exchangerpb.TellRequest) (*exchangerpb.TellReply, error) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -51,6 +51,9 @@
 type Config struct {
 	Store  provider.Store
 	Topics []Topic
+	// IsDirect says whether a watch goes to the store itself rather than to
+	// peers that hear it; nil: always.
+	IsDirect func() bool
 	// Lost and Regained are told of each loss of the store and of its return;
 	// nil: nobody.
 	Lost     func(cause error)
@@ -64,6 +67,7 @@
 
 	mu       sync.Mutex
 	revision int64     // up to which all is known
+	hasMoved bool      // the last watch ended for another way to hear changes
 	isKnown  bool      // all topics have been read
 	lostAt   time.Time // zero while the store answers
 }
@@ -96,6 +100,9 @@
 			f.cfg.Logger.Info("store has dropped its history; reading all keys again", "revision", f.seen())
 			f.reset()
 			continue
+		case errors.Is(err, provider.ErrMoved):
+			f.setMoved(true)
+			continue
 		}
 		if f.lose(err) {
 			pause = retryFirst
@@ -126,11 +133,12 @@
 		if err := f.read(ctx); err != nil {
 			return err
 		}
-	case f.isLost():
+	case f.isDirect() && (f.isLost() || f.isMoved()):
 		if err := f.probe(ctx); err != nil {
 			return err
 		}
 	}
+	f.setMoved(false)
 	watcher, err := f.cfg.Store.Watch(ctx, f.commonPrefix(), f.seen()+1)
 	if err != nil {
 		return err
@@ -189,12 +197,28 @@
 	return nil
 }
 
+func (f *Follower) isDirect() bool { return f.cfg.IsDirect == nil || f.cfg.IsDirect() }
+
 func (f *Follower) isLost() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return !f.lostAt.IsZero()
 }
 
+// isMoved is true where changes were heard by way of peers until now: whether
+// the store answers this host is not known.
+func (f *Follower) isMoved() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hasMoved
+}
+
+func (f *Follower) setMoved(moved bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hasMoved = moved
+}
+
 func (f *Follower) apply(changes []provider.Change) {
 	now := time.Now()
 	for _, change := range changes {
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -66,6 +66,10 @@
 	// incarnation. The Leaser does not stand until ok. Nil: stand at once, with
 	// no proof by the list for a successor.
 	Listed func() (revision int64, ok bool)
+	// Stands says whether this process is a candidate now; nil: always. In a
+	// large fleet a few are enough, as each of them has to ask whether the
+	// holder lives.
+	Stands func() bool
 	// Now is a monotonic clock; nil: time.Now.
 	Now func() time.Time
 	Log hclog.Logger // nil: none
@@ -167,9 +171,10 @@
 
 // step does what is due and returns how long to wait.
 func (l *Leaser) step(ctx context.Context) time.Duration {
-	if l.isHeld() {
+	switch {
+	case l.isHeld():
 		l.renew(ctx)
-	} else {
+	case l.cfg.Stands == nil || l.cfg.Stands():
 		l.note(l.stand(ctx))
 	}
 	if l.isHeld() {
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -45,6 +45,9 @@
 	// ErrCompacted says that a watch's start revision is no longer held: the
 	// watcher has to read the state anew.
 	ErrCompacted = errors.New("watch revision compacted")
+	// ErrMoved says that a watch is to be asked for again at once, since there
+	// is a better way to hear the changes now. Nothing is lost.
+	ErrMoved = errors.New("watch has moved")
 )
 
 // MaxValueBytes is the largest value that the service holds.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -47,6 +47,8 @@
 	Incarnation string `json:"incarnation"`
 	Zone        string `json:"zone"`
 	Address     string `json:"address"` // IP and port of the peer protocol
+	// ProcessorShare is how many cores the host has; 0: not told.
+	ProcessorShare float64 `json:"processor_share,omitempty"`
 }
 
 // Config sets up a Registrar.
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/rebalancer"
 	"github.com/endivemast/endivemast/internal/registrar"
+	"github.com/endivemast/endivemast/internal/relayer"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
 )
@@ -47,6 +48,9 @@
 	ReadinessAddress string // IP and port
 	PeersAddress     string // IP and port
 	MaxConnections   int    // of callers
+	// ProcessorShare is how many cores the host has; hosts with more do more of
+	// what a few do for all.
+	ProcessorShare float64
 	// Grace is the time from the planned stop's beginning until the process is killed.
 	Grace time.Duration
 	// DrainTime is how long an endpoint serves on after it has said that it leaves.
@@ -84,6 +88,7 @@
 
 	classifier    *classifier.Classifier
 	registrations *lister.Registrations
+	relayer       *relayer.Relayer
 	follower      *follower.Follower
 	scheduler     *scheduler.Scheduler
 	forwarder     *dispatcher.Forwarder
@@ -126,7 +131,7 @@
 		return nil, errors.Join(err, g.exchanger.Close())
 	}
 	g.follower = follower.New(follower.Config{
-		Store: cfg.Store, Logger: cfg.Logger.Named("follower"),
+		Store: g.relayer, IsDirect: g.relayer.Feeds, Logger: cfg.Logger.Named("follower"),
 		Topics: []follower.Topic{
 			{Prefix: cfg.ConfigurationKey, Sink: &snapshotSink{gateway: g}},
 			{Prefix: cfg.EndpointPrefix, Sink: g.registrations},
@@ -294,7 +299,7 @@
 	g.cancel()
 	return errors.Join(ignoreCanceled(g.callers.Close(now)), ignoreCanceled(g.readiness.Close(now)),
 		g.scheduler.Close(), g.forwarder.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(),
-		g.exchanger.Close(), g.cfg.Driver.Close())
+		g.relayer.Close(), g.exchanger.Close(), g.cfg.Driver.Close())
 }
 
 // ignoreCanceled drops the error of a stop that was asked to wait for nothing.
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -12,6 +12,7 @@
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/rebalancer"
 	"github.com/endivemast/endivemast/internal/registrar"
+	"github.com/endivemast/endivemast/internal/relayer"
 )
 
 // How a Gateway's hosts find one another, what they tell each other, and which
@@ -33,11 +34,30 @@
 	}
 	g.registrar = registrar.New(registrar.Config{
 		Store: g.cfg.Store, Changed: g.setPeers, Logger: g.cfg.Logger.Named("registrar"),
-		Own: registrar.Host{HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, Address: g.cfg.PeersAddress},
+		Own: registrar.Host{
+			HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, Address: g.cfg.PeersAddress,
+			ProcessorShare: g.cfg.ProcessorShare,
+		},
 	})
+	g.relayer = relayer.New(relayer.Config{
+		HostID: g.cfg.HostID, Store: g.cfg.Store, Pool: g.exchanger, Hosts: g.zoneHosts, Logger: g.cfg.Logger.Named("relayer"),
+	})
+	g.relayer.Register(g.exchanger.Registrar())
 	return nil
 }
 
+// zoneHosts are the hosts of this zone that the store lists and that have not
+// fallen silent, this one included.
+func (g *Gateway) zoneHosts() []relayer.Candidate {
+	hosts := []relayer.Candidate{{HostID: g.cfg.HostID, ProcessorShare: g.cfg.ProcessorShare}}
+	for _, peer := range g.registrar.Peers() {
+		if peer.Zone == g.cfg.Zone && !g.exchanger.IsAway(peer.HostID) {
+			hosts = append(hosts, relayer.Candidate{HostID: peer.HostID, ProcessorShare: peer.ProcessorShare})
+		}
+	}
+	return hosts
+}
+
 func (g *Gateway) setPeers(hosts []registrar.Host) {
 	peers := make([]exchanger.Peer, 0, len(hosts))
 	for _, host := range hosts {
@@ -81,7 +101,7 @@
 func (g *Gateway) buildAuthority() (err error) {
 	g.leaser, err = leaser.New(leaser.Config{
 		Zone: fleet, HostID: g.cfg.HostID, Incarnation: g.incarnation, Address: g.cfg.PeersAddress,
-		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Log: g.cfg.Logger.Named("leaser"),
+		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Stands: g.relayer.Feeds, Log: g.cfg.Logger.Named("leaser"),
 	})
 	if err != nil {
 		return err
