Losses of processes are told on; repeats are allowed by window

Change: a host tells the others that nobody listens at an address, or that another process answers there; such an engine gets nothing more until its entry goes. Repeats are counted over the window by its least favourable reading, so that what was not used in it may be used at once. A misdirected answer of the process itself (its role does not fit) is told apart. TestAllowancesOfAllHosts failed first with requests of the last window alone (3,069 repeats of 14,922 requests after a burst).

--- a/internal/dispatcher/budget.go
+++ b/internal/dispatcher/budget.go
@@ -25,20 +25,6 @@
 	return &budget{share: share, reserve: reserve, left: reserve}
 }
 
-// newEmptyBudget returns a budget whose reserve has to be earned first: this
-// host's last process may have spent it a moment ago.
-func newEmptyBudget(share, reserve float64) *budget {
-	return &budget{share: share, reserve: reserve}
-}
-
-// setReserve changes the reserve; what is left is cut to it.
-func (b *budget) setReserve(reserve float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.reserve = reserve
-	b.left = min(b.left, reserve)
-}
-
 // deposit pays in for one request.
 func (b *budget) deposit() {
 	b.mu.Lock()
@@ -47,22 +33,12 @@
 }
 
 // withdraw takes one retry out; false when there is none.
-func (b *budget) withdraw() bool { return b.withdrawSome(1) }
-
-// withdrawSome takes several retries out, or none and is false.
-func (b *budget) withdrawSome(count float64) bool {
+func (b *budget) withdraw() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.left < count {
+	if b.left < 1 {
 		return false
 	}
-	b.left -= count
+	b.left--
 	return true
 }
-
-// remaining is how many retries are left.
-func (b *budget) remaining() float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.left
-}
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -63,6 +63,8 @@
 	// sent to a second endpoint. These are this host's parts.
 	RepeatShare   float64
 	RepeatReserve float64
+	// RepeatWindow is the time over which both are counted.
+	RepeatWindow time.Duration
 }
 
 // Forwarder passes opaque requests on. It takes an endpoint from the scheduler,
@@ -75,14 +77,14 @@
 	cleanup errgroup.Group // releases of KV caches that were not taken
 
 	mu      sync.Mutex
-	budgets map[string]*budget // by application
+	budgets map[string]*allowance // by application
 	reserve float64
 }
 
 // NewForwarder prepares a Forwarder.
 func NewForwarder(cfg ForwarderConfig) *Forwarder {
 	return &Forwarder{
-		cfg: cfg, story: newStoryteller(cfg.Logger), budgets: map[string]*budget{}, reserve: cfg.RepeatReserve,
+		cfg: cfg, story: newStoryteller(cfg.Logger), budgets: map[string]*allowance{}, reserve: cfg.RepeatReserve,
 	}
 }
 
@@ -102,12 +104,12 @@
 	}
 }
 
-func (f *Forwarder) budget(application string) *budget {
+func (f *Forwarder) budget(application string) *allowance {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.budgets[application]
 	if b == nil {
-		b = newEmptyBudget(f.cfg.RepeatShare, f.reserve)
+		b = newAllowance(f.cfg.RepeatShare, f.reserve, f.cfg.RepeatWindow, time.Now)
 		f.budgets[application] = b
 	}
 	return b
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -38,7 +38,7 @@
 	request     *OpaqueRequest
 	answerer    Answerer
 	application string
-	budget      *budget
+	budget      *allowance
 
 	sends    int // calls that went to an endpoint, prefills left out
 	runs     int // of these, those that may have run
@@ -121,7 +121,7 @@
 	if errors.Is(err, driver.ErrNotSent) {
 		return true // nothing has arrived; the next send is the first
 	}
-	return p.budget.withdrawSome(p.repeatCost())
+	return p.budget.withdraw(p.repeatCost())
 }
 
 // repeatCost is how many calls the next attempt adds beyond the first of the
@@ -177,7 +177,7 @@
 // endpoint may have fetched it, or has turned the request away because it could
 // not, which its answer does not tell from a want of room.
 func (p *passage) tookHandle(err error) bool {
-	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrReplaced)
+	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrReplaced) && !errors.Is(err, driver.ErrWrongRole)
 }
 
 func (p *passage) work() scheduler.Work {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -35,6 +35,9 @@
 	// ErrNotSent says that no byte of the call reached the endpoint: it has
 	// certainly not run.
 	ErrNotSent = errors.New("call not sent")
+	// ErrNobodyListens is an ErrNotSent where the host answers that no process
+	// has the address: the endpoint's process has ended.
+	ErrNobodyListens = fmt.Errorf("%w: nobody listens at the address", ErrNotSent)
 	// ErrRefused says that the endpoint answered that it did not run the call
 	// (busy, draining or not serving this application).
 	ErrRefused = errors.New("endpoint refused the call")
@@ -42,6 +45,9 @@
 	ErrBusy = fmt.Errorf("%w: no room", ErrRefused)
 	// ErrReplaced is an ErrRefused of another process than the one named.
 	ErrReplaced = fmt.Errorf("%w: another process has the address", ErrRefused)
+	// ErrWrongRole is an ErrRefused of an engine whose present role or model does
+	// not serve such calls.
+	ErrWrongRole = fmt.Errorf("%w: its role or model does not serve it", ErrRefused)
 	// ErrFailed says that the endpoint ran the call and reported a failure.
 	ErrFailed = errors.New("endpoint failed the call")
 	// ErrOutcomeUnknown says that the call was sent and not answered whole.
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -91,8 +91,19 @@
 type LeavingEndpoint struct {
 	EndpointID  string
 	Incarnation string
+	Why         Why
 }
 
+// Why says what a host knows of an endpoint that takes no new work.
+type Why int
+
+// What is known.
+const (
+	Leaving     Why = iota // it leaves, or changes its role
+	Replaced               // another process has its address
+	Unreachable            // nobody listens at its address
+)
+
 // Local is this host's state as the Exchanger reads and feeds it.
 type Local interface {
 	// OwnLoad returns a map that is not changed any more.
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -38,6 +38,7 @@
 	l.asked++
 	return copyLoads(l.own)
 }
+
 func (l *fakeLocal) Leaving() []LeavingEndpoint {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -164,7 +164,7 @@
 	messages := make([]*exchangerpb.LeavingEndpoint, 0, len(leaving))
 	for _, endpoint := range leaving {
 		messages = append(messages, &exchangerpb.LeavingEndpoint{
-			EndpointId: endpoint.EndpointID, Incarnation: endpoint.Incarnation,
+			EndpointId: endpoint.EndpointID, Incarnation: endpoint.Incarnation, Why: exchangerpb.Why(endpoint.Why),
 		})
 	}
 	return messages
@@ -174,7 +174,7 @@
 	leaving := make([]LeavingEndpoint, 0, len(messages))
 	for _, message := range messages {
 		leaving = append(leaving, LeavingEndpoint{
-			EndpointID: message.GetEndpointId(), Incarnation: message.GetIncarnation(),
+			EndpointID: message.GetEndpointId(), Incarnation: message.GetIncarnation(), Why: Why(message.GetWhy()),
 		})
 	}
 	return leaving
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -249,6 +249,7 @@
 func (g *grant) fail(endpoint *tracker.Endpoint, isProbe *bool, err error, now time.Time) {
 	wasNotTaken := errors.Is(err, driver.ErrNotSent) || errors.Is(err, driver.ErrRefused)
 	endpoint.Breaker.Fail(*isProbe, wasNotTaken, g.s.rand.Float64(), now)
+	g.s.noteLoss(endpoint, err, now)
 	*isProbe = false
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -48,6 +48,7 @@
 	rand     *rand.Rand
 	queues   map[string]*queue // by application
 	grants   []*grant
+	losses   map[Loss]time.Time // when this host found each out
 	wishes   planner.State
 	nextID   int64
 	isClosed bool
@@ -75,6 +76,7 @@
 		router: router.New(cfg.Policy.Routing, source),
 		rand:   source,
 		queues: make(map[string]*queue),
+		losses: make(map[Loss]time.Time),
 	}
 }
 
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -29,6 +29,7 @@
 	Listed        bool
 	Draining      bool      // its report says so, or it changes role or model
 	MarkedLeaving time.Time // an answer or a peer said so; zero: nobody
+	ReplacedUntil time.Time // another process answered at its address; zero: none did
 	Role          driver.Role
 	Limit         int     // requests that it is given at once
 	Speed         float64 // factor against its application's model; above 1 is slower
@@ -76,7 +77,7 @@
 
 // TakesNewWork is false where the endpoint leaves or drains.
 func (e *Endpoint) TakesNewWork() bool {
-	return e.Listed && !e.Leaving && !e.Draining && e.MarkedLeaving.IsZero()
+	return e.Listed && !e.Leaving && !e.Draining && e.MarkedLeaving.IsZero() && e.ReplacedUntil.IsZero()
 }
 
 // CanPrefill is true where the role allows prefill.
@@ -143,8 +144,20 @@
 	}
 }
 
-// fade lets the correction go as the report behind it ages.
+// replacedHold is how long an endpoint gets no work at whose address another
+// process has answered. Its entry goes within a few heartbeats; should the
+// answer have been false, the endpoint is not lost for ever.
+const replacedHold = 8 * time.Second
+
+// MarkReplaced notes that another process has the endpoint's address.
+func (e *Endpoint) MarkReplaced(now time.Time) { e.ReplacedUntil = now.Add(replacedHold) }
+
+// fade lets go what ages: the mark of a replaced process, and the correction
+// as the report behind it ages.
 func (e *Endpoint) fade(now time.Time) {
+	if now.After(e.ReplacedUntil) {
+		e.ReplacedUntil = time.Time{}
+	}
 	if e.Correction.IsZero() {
 		return
 	}
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -59,6 +59,7 @@
 	// sent to a second endpoint by all hosts together.
 	RepeatShare   float64
 	RepeatReserve float64
+	RepeatWindow  time.Duration // over which both are counted
 
 	Store             provider.Store
 	Driver            driver.Forwarder
@@ -145,6 +146,7 @@
 	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
 		RepeatShare: cfg.RepeatShare * repeatSafety, RepeatReserve: cfg.RepeatReserve * repeatSafety / unknownHosts,
+		RepeatWindow: cfg.RepeatWindow,
 	})
 	g.callers = server.NewPlain(server.PlainConfig{
 		Address: cfg.CallersAddress, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -13,6 +13,7 @@
 	"github.com/endivemast/endivemast/internal/rebalancer"
 	"github.com/endivemast/endivemast/internal/registrar"
 	"github.com/endivemast/endivemast/internal/relayer"
+	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
 // How a Gateway's hosts find one another, what they tell each other, and which
@@ -129,7 +130,17 @@
 func (g *Gateway) OwnLoad() map[string]exchanger.Load { return ownLoad(g.scheduler) }
 
 // Leaving implements exchanger.Local.
-func (g *Gateway) Leaving() []exchanger.LeavingEndpoint { return g.registrations.Leaving() }
+func (g *Gateway) Leaving() []exchanger.LeavingEndpoint {
+	leaving := g.registrations.Leaving()
+	for _, loss := range g.scheduler.Losses() {
+		why := exchanger.Unreachable
+		if loss.IsReplaced {
+			why = exchanger.Replaced
+		}
+		leaving = append(leaving, exchanger.LeavingEndpoint{EndpointID: loss.EndpointID, Incarnation: loss.Incarnation, Why: why})
+	}
+	return leaving
+}
 
 // Draining implements exchanger.Local.
 func (g *Gateway) Draining() bool { return g.draining.Load() }
@@ -147,5 +158,19 @@
 
 // HearLeaving implements exchanger.Local.
 func (g *Gateway) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
-	g.registrations.HearLeaving(leaving, now)
+	var leave []exchanger.LeavingEndpoint
+	var losses []scheduler.Loss
+	for _, endpoint := range leaving {
+		if endpoint.Why == exchanger.Leaving {
+			leave = append(leave, endpoint)
+			continue
+		}
+		losses = append(losses, scheduler.Loss{
+			EndpointID: endpoint.EndpointID, Incarnation: endpoint.Incarnation, IsReplaced: endpoint.Why == exchanger.Replaced,
+		})
+	}
+	g.registrations.HearLeaving(leave, now)
+	if len(losses) > 0 {
+		g.scheduler.HearLosses(losses, now)
+	}
 }
