--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -21,6 +21,9 @@
 	errSilent = eris.New("peer fell silent")
 	// errOwnTurn is that this host is to watch the store itself.
 	errOwnTurn = eris.New("this host watches the store itself")
+	// errBetter is that a peer that comes first is there again. To stay would
+	// keep ever more hosts watching as hosts are restarted one after the other.
+	errBetter = eris.New("a peer that comes first may be followed")
 )
 
 // following is the state of one watch by way of peers.
@@ -75,6 +78,9 @@
 		if f.watcher.ctx.Err() != nil || errors.Is(err, errOwnTurn) {
 			return
 		}
+		if errors.Is(err, errBetter) {
+			continue
+		}
 		f.relayer.noteFailure(peer, err)
 		if f.endIfDeaf() {
 			return
@@ -96,6 +102,15 @@
 	return "", false
 }
 
+// isFirst is true for a peer that is among the first that may be followed, or
+// where the other feed is not heard, so that one always is.
+func (f *following) isFirst(peer string) bool {
+	candidates := f.relayer.feeders(time.Now())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard < exchanger.HubsPerZone || slices.Contains(candidates[:min(len(candidates), exchanger.HubsPerZone)], peer)
+}
+
 // endIfDeaf is true where no peer speaks on any feed. The host then turns to the
 // store at once: peers that are tried one after the other may all be following
 // the one that has gone.
@@ -111,7 +126,7 @@
 
 // follow delivers what one peer tells until it fails.
 func (f *following) follow(peer string) (err error) {
-	isHeard := false
+	isHeard, begun := false, time.Now()
 	defer func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
@@ -150,6 +165,9 @@
 		if f.relayer.Feeds() {
 			return errOwnTurn
 		}
+		if time.Since(begun) > restAfterFailure && !f.isFirst(peer) {
+			return errBetter
+		}
 	}
 }
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -51,6 +51,9 @@
 	// host's entry would else wake all the others: 72 hosts made 5,600 calls in
 	// eight seconds.
 	pauseAfterChanges = 200 * time.Millisecond
+	// pauseInLargeZone is the same for a host that only watches until it can
+	// follow others.
+	pauseInLargeZone = 600 * time.Millisecond
 )
 
 // Config sets up a Relayer.
@@ -180,13 +183,25 @@
 		if time.Since(begun) >= watchAtLeast && !r.Feeds() {
 			return provider.ErrMoved
 		}
-		if len(changes) > 0 && !w.pause(pauseAfterChanges) {
+		if len(changes) > 0 && !w.pause(r.restAfterChanges()) {
 			return w.ctx.Err()
 		}
 	}
 	return inner.Err()
 }
 
+// restAfterChanges is how long a watch rests after changes. Until a host knows
+// its zone's hosts, it is not known whether it will be one to follow.
+func (r *Relayer) restAfterChanges() time.Duration {
+	r.mu.Lock()
+	isFollowed := r.followers > 0
+	r.mu.Unlock()
+	if !isFollowed && len(r.feeders(time.Now())) > 0 {
+		return pauseInLargeZone
+	}
+	return pauseAfterChanges
+}
+
 // setWatching notes whether this host hears the store itself; followers are
 // told when it does not any more.
 func (r *Relayer) setWatching(watching bool) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -122,14 +122,23 @@
 		if !w.deliver(changes) {
 			return w.ctx.Err()
 		}
+		wait := time.NewTimer(watchWait)
 		select {
 		case <-grown:
+		case <-wait.C:
 		case <-w.ctx.Done():
-			return w.ctx.Err()
+		}
+		wait.Stop()
+		if err := w.ctx.Err(); err != nil {
+			return err
 		}
 	}
 }
 
+// watchWait is how long the store lets a watch wait before it answers that
+// nothing has changed.
+const watchWait = 200 * time.Millisecond
+
 // testHost is one host with its relay, and what it has heard.
 type testHost struct {
 	id     string
@@ -306,6 +315,21 @@
 	f.checkOrder()
 }
 
+// Hosts return to those that come first once these are back, so that no more
+// hosts watch the store than before.
+func TestHostsReturnToTheFirst(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 7)
+	f.awaitWatches("h0", "h1")
+	f.store.cut("h0", true)
+	f.awaitChange(f.hosts[2:]...)
+	f.await("another host watches", func() bool { return len(f.store.watches()) > 1 })
+	f.store.cut("h0", false)
+	f.awaitWatches("h0", "h1")
+	f.awaitChange(f.hosts...)
+	f.checkOrder()
+}
+
 // A host that the store turns away says so, and those that follow it go
 // elsewhere; itself it may follow others.
 func TestFeederCutOffFromTheStore(t *testing.T) {
