TestRegistrations looks on both sides of half of the drain time

The row that looked at 1 s, the very end, now looks at 900 ms; the one that looked at 1.9 s for the entry to be gone now looks at 1.1 s, which is stricter.

--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -58,8 +58,8 @@
 	}{
 		"says that it leaves":        {act: func(r *Registrations) { r.Apply(set(provider.HostLeaving), start) }, want: provider.HostLeaving},
 		"leaves and goes":            {act: func(r *Registrations) { r.Apply(set(provider.HostLeaving), start); r.Apply(gone, start) }, want: ""},
-		"goes without a word":        {act: func(r *Registrations) { r.Apply(gone, start) }, at: time.Second, want: provider.HostLive},
-		"gone within the drain time": {act: func(r *Registrations) { r.Apply(gone, start) }, at: 1900 * time.Millisecond, want: ""},
+		"goes without a word":        {act: func(r *Registrations) { r.Apply(gone, start) }, at: 900 * time.Millisecond, want: provider.HostLive},
+		"gone within the drain time": {act: func(r *Registrations) { r.Apply(gone, start) }, at: 1100 * time.Millisecond, want: ""},
 		"comes back":                 {act: func(r *Registrations) { r.Apply(gone, start); r.Apply(set(provider.HostLive), start) }, at: time.Minute, want: provider.HostLive},
 		"missing after an outage": {
 			act: func(r *Registrations) {
