--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -101,6 +101,7 @@
 			changeCommand(),
 			statusCommand(),
 			drainCommand(),
+			explainCommand(),
 			versionCommand(),
 		}, extra...),
 	}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -201,6 +201,10 @@
 	}
 	before := ex.layout
 	next := layoutOf(hosts)
+	isHub := next.hubs[ex.cfg.HostID]
+	if before != nil && (before.isFlat != next.isFlat || before.hubs[ex.cfg.HostID] != isHub) {
+		ex.cfg.Logger.Info("part in telling load", "is_hub", isHub, "all_tell_all", next.isFlat, "hosts", len(hosts))
+	}
 	ex.layout, ex.told = &next, 0
 	for _, l := range ex.links {
 		if ex.partFor(&next, l.peer) != exchangerpb.Part_PART_NONE {
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -158,6 +158,7 @@
 		if !isHeard {
 			isHeard = true
 			f.hear()
+			f.relayer.cfg.Logger.Info("hears changes from a peer", "peer", peer, "from_revision", f.relayer.log.latest()+1)
 		}
 		if !f.deliver(changesFromMessage(reply.GetChanges())) {
 			return f.watcher.ctx.Err()
@@ -195,7 +196,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.failed[peer] = time.Now()
-	r.cfg.Logger.Debug("peer not followed any more", "peer", peer, "error", err)
+	r.cfg.Logger.Info("peer not followed any more", "peer", peer, "error", err)
 }
 
 // Follow implements relayerpb.RelayServer: it passes on what this host hears.
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -160,6 +160,7 @@
 		w.cancel()
 		return nil, err
 	}
+	r.cfg.Logger.Info("hears changes from the store itself", "from_revision", from)
 	// The caller has just read from the store; the first answer of a watch may
 	// take as long as the store lets it wait.
 	r.setWatching(true)
--- a/internal/scheduler/losses.go
+++ b/internal/scheduler/losses.go
@@ -39,6 +39,9 @@
 		endpoint.MarkReplaced(now)
 	}
 	loss := Loss{EndpointID: endpoint.Target.EndpointID, Incarnation: endpoint.Target.Incarnation, IsReplaced: isReplaced}
+	if _, isKnown := s.losses[loss]; !isKnown {
+		s.logger.Info("endpoint's process has ended", "endpoint_id", loss.EndpointID, "is_replaced", isReplaced, "error", err.Error())
+	}
 	s.losses[loss] = now
 }
 
@@ -67,6 +70,9 @@
 		switch {
 		case endpoint == nil || endpoint.Target.Incarnation != loss.Incarnation:
 		case loss.IsReplaced:
+			if endpoint.ReplacedUntil.IsZero() {
+				s.logger.Info("peers say that another process has an endpoint's address", "endpoint_id", loss.EndpointID)
+			}
 			endpoint.MarkReplaced(now)
 		default:
 			endpoint.Breaker.Miss(s.rand.Float64(), now)
