--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -45,6 +45,7 @@
 	read     int // prefills that an engine accepted
 	excluded []string
 	basis    scheduler.Basis // of the latest attempt
+	times    passageTimes
 
 	handle   *driver.KVHandle // of the prompt, not taken yet
 	handleAt time.Time
@@ -55,6 +56,13 @@
 	fault     *wholeAnswer
 }
 
+// passageTimes is where a request's time went, over all its attempts.
+type passageTimes struct {
+	queued time.Duration // until endpoints were given
+	read   time.Duration // the prompt, by another engine
+	first  time.Duration // from the caller's request to the first event; 0: none
+}
+
 // wholeAnswer is an answer that is held until it is clear that no better one
 // comes.
 type wholeAnswer struct {
@@ -156,6 +164,7 @@
 		return err
 	}
 	p.basis = grant.Basis()
+	p.times.queued += time.Since(waited)
 	p.forwarder.cfg.Meter.ObserveQueue("", p.request.Class.Name, time.Since(waited))
 	if err := p.prefill(ctx, grant); err != nil {
 		grant.Done(scheduler.Abandoned{})
@@ -220,7 +229,9 @@
 	if holder, ok := grant.Fetch(); ok {
 		call.FetchFrom = holder.Address
 	}
+	begun := time.Now()
 	handle, err := p.forwarder.cfg.Driver.ForwardPrefill(ctx, target, call)
+	p.times.read += time.Since(begun)
 	if err == nil {
 		grant.Prefilled(nil)
 		p.read++
@@ -341,7 +352,8 @@
 			return errors.Join(errCallerGone, err)
 		}
 		p.begun = true
-		p.forwarder.cfg.Meter.ObserveFirstToken("", p.request.Class.Name, time.Since(p.request.Arrived))
+		p.times.first = time.Since(p.request.Arrived)
+		p.forwarder.cfg.Meter.ObserveFirstToken("", p.request.Class.Name, p.times.first)
 	}
 	if err := p.answerer.Write(events); err != nil {
 		return errors.Join(errCallerGone, err)
--- a/internal/dispatcher/story.go
+++ b/internal/dispatcher/story.go
@@ -76,7 +76,10 @@
 func (s *storyteller) ended(ctx context.Context, p *passage, err error) {
 	var failure *FailureError
 	level := hclog.Warn
-	args := []any{"sends", p.sends, "runs", p.runs, "begun", p.begun, "budget_left", p.budget.remaining()}
+	args := []any{
+		"sends", p.sends, "runs", p.runs, "begun", p.begun, "budget_left", p.budget.remaining(),
+		"queued_ms", p.times.queued.Milliseconds(), "read_ms", p.times.read.Milliseconds(),
+	}
 	if errors.As(err, &failure) {
 		args = append(args, "outcome", failure.Outcome, "reason", failure.Reason, "detail", failure.Detail, "retry_after_ms", failure.RetryAfter.Milliseconds())
 	} else {
@@ -97,5 +100,7 @@
 	}
 	s.tellWithin(limiter, hclog.Info, "request served", p, "endpoint_id", p.basis.EndpointID, "prefill_endpoint_id", p.basis.PrefillID,
 		"requests_there", p.basis.Requests, "peers_part", p.basis.PeerRequests, "prompt_tokens_ahead", p.basis.TokensAhead,
-		"estimated_first_ms", p.basis.First.Milliseconds(), "sends", p.sends, "runs", p.runs, "events", p.events)
+		"estimated_first_ms", p.basis.First.Milliseconds(), "queued_ms", p.times.queued.Milliseconds(),
+		"read_ms", p.times.read.Milliseconds(), "first_ms", p.times.first.Milliseconds(),
+		"sends", p.sends, "runs", p.runs, "events", p.events)
 }
