--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -17,7 +17,6 @@
 
 import (
 	"context"
-	"crypto/subtle"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -30,12 +29,9 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
-	"google.golang.org/grpc/metadata"
-	"google.golang.org/grpc/status"
 
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
@@ -160,16 +156,6 @@
 	cancel context.CancelFunc
 }
 
-// heardPeer is the receiving side's row of one peer.
-type heardPeer struct {
-	status   PeerStatus
-	sequence uint64
-	part     exchangerpb.Part
-	hosts    int // that the load is of
-	loads    map[string]Load
-	leaving  []LeavingEndpoint
-}
-
 // New prepares the server and a lazy connection to each peer.
 func New(cfg Config, local Local) (ex *Exchanger, err error) {
 	defer func() { err = eris.Wrap(err, "peer protocol") }()
@@ -419,70 +405,6 @@
 	return !row.status.Reachable || row.status.Draining
 }
 
-// Tell takes a peer's message. A message that does not follow the last one is
-// answered with a request for the full state.
-func (ex *Exchanger) Tell(_ context.Context, message *exchangerpb.TellRequest) (*exchangerpb.TellReply, error) {
-	now := time.Now()
-	reply := &exchangerpb.TellReply{Incarnation: ex.cfg.Incarnation}
-	ex.mu.Lock()
-	peer, known := ex.heard[message.GetHostId()]
-	if !known && !ex.cfg.IsOpen {
-		ex.mu.Unlock()
-		return nil, status.Error(codes.PermissionDenied, "host is not among the peers of this host's settings")
-	}
-	if !known {
-		peer = ex.heardLocked(Peer{HostID: message.GetHostId(), Zone: message.GetZone()})
-	}
-	reply.Resync = !peer.take(message, now)
-	loads, hosts, source := copyLoads(peer.loads), peer.hosts, ex.sourceOf(ex.layout, peer)
-	ex.mu.Unlock()
-	if !reply.Resync && source != "" {
-		ex.local.HearLoad(source, hosts, loads, now)
-	}
-	ex.local.HearLeaving(leavingFromMessage(message.GetLeaving()), now)
-	return reply, nil
-}
-
-// take applies a message to the row; it is false when messages are missing.
-func (p *heardPeer) take(message *exchangerpb.TellRequest, now time.Time) bool {
-	restarted := p.status.Incarnation != message.GetIncarnation()
-	p.status.Incarnation = message.GetIncarnation()
-	p.status.Draining = message.GetDraining()
-	p.status.LastHeard = now
-	p.status.Reachable = true
-	p.status.ConfigurationRevision = message.GetConfigurationRevision()
-	p.part, p.hosts = message.GetPart(), int(min(max(message.GetHosts(), 1), maxHosts))
-	p.leaving = leavingFromMessage(message.GetLeaving())
-	if !message.GetFull() && (restarted || message.GetSequence() != p.sequence+1) {
-		return false
-	}
-	p.sequence = message.GetSequence()
-	if message.GetFull() {
-		p.loads = map[string]Load{}
-	}
-	for _, load := range message.GetLoads() {
-		p.set(load)
-	}
-	return true
-}
-
-func (p *heardPeer) set(message *exchangerpb.EndpointLoad) {
-	load := Load{
-		Requests:      count(message.GetRequests()),
-		PrefillTokens: count(message.GetPrefillTokens()),
-		DecodeTokens:  count(message.GetDecodeTokens()),
-	}
-	if load == (Load{}) {
-		delete(p.loads, message.GetEndpointId())
-		return
-	}
-	p.loads[message.GetEndpointId()] = load
-}
-
-// count takes a count from a message. One below 0 would make an endpoint look
-// idle, and the sum of a few huge ones would run over and do the same.
-func count(n int64) int { return int(min(max(n, 0), maxCount)) }
-
 // Hosts gives the platform's list as this host last read it.
 func (ex *Exchanger) Hosts(_ context.Context, request *exchangerpb.HostsRequest) (*exchangerpb.HostsReply, error) {
 	hosts, revision := ex.local.Hosts()
@@ -491,74 +413,3 @@
 	}
 	return &exchangerpb.HostsReply{Revision: revision, Hosts: hostsToMessage(hosts)}, nil
 }
-
-// forgetSilent drops the load of peers that have not spoken for a while.
-func (ex *Exchanger) forgetSilent(ctx context.Context) error {
-	ticker := time.NewTicker(ex.cfg.Silence / 4)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			for _, source := range ex.silent(now) {
-				ex.local.HearLoad(source, 0, nil, now)
-			}
-		}
-	}
-}
-
-// silent marks the peers that have fallen silent and returns whose load is to
-// be forgotten. A sum is not: another hub tells it as well, and without one it
-// ages with the tables.
-func (ex *Exchanger) silent(now time.Time) (sources []string) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	for hostID, peer := range ex.heard {
-		if peer.status.Reachable && now.Sub(peer.status.LastHeard) > ex.cfg.Silence {
-			peer.status.Reachable = false
-			peer.loads = map[string]Load{}
-			peer.sequence = 0
-			peer.leaving = nil
-			if ex.sourceOf(ex.layout, peer) == hostID {
-				sources = append(sources, hostID)
-			}
-		}
-	}
-	return sources
-}
-
-// checkUnary refuses calls without the peers' secret.
-func (ex *Exchanger) checkUnary(ctx context.Context, request any, _ *grpc.UnaryServerInfo, handler grpc.UnaryHandler) (any, error) {
-	if err := ex.checkSecret(ctx); err != nil {
-		return nil, err
-	}
-	return handler(ctx, request)
-}
-
-func (ex *Exchanger) checkStream(server any, stream grpc.ServerStream, _ *grpc.StreamServerInfo, handler grpc.StreamHandler) error {
-	if err := ex.checkSecret(stream.Context()); err != nil {
-		return err
-	}
-	return handler(server, stream)
-}
-
-func (ex *Exchanger) checkSecret(ctx context.Context) error {
-	values := metadata.ValueFromIncomingContext(ctx, secretHeader)
-	if len(values) == 1 && subtle.ConstantTimeCompare([]byte(values[0]), []byte(ex.cfg.Secret)) == 1 {
-		return nil
-	}
-	return status.Error(codes.Unauthenticated, "peer secret missing or wrong")
-}
-
-// peerSecret sends the peers' secret with each call.
-type peerSecret struct{ secret string }
-
-// GetRequestMetadata returns the header that carries the secret.
-func (p peerSecret) GetRequestMetadata(context.Context, ...string) (map[string]string, error) {
-	return map[string]string{secretHeader: p.secret}, nil
-}
-
-// RequireTransportSecurity is false: whether plain text is allowed between
-// hosts is decided, by name, in the settings.
-func (p peerSecret) RequireTransportSecurity() bool { return false }
--- /dev/null
+++ b/internal/exchanger/hearer.go
@@ -0,0 +1,121 @@
+package exchanger
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
+)
+
+// heardPeer is the receiving side's row of one peer.
+type heardPeer struct {
+	status   PeerStatus
+	sequence uint64
+	part     exchangerpb.Part
+	hosts    int // that the load is of
+	loads    map[string]Load
+	leaving  []LeavingEndpoint
+}
+
+// Tell takes a peer's message. A message that does not follow the last one is
+// answered with a request for the full state.
+func (ex *Exchanger) Tell(_ context.Context, message *exchangerpb.TellRequest) (*exchangerpb.TellReply, error) {
+	now := time.Now()
+	reply := &exchangerpb.TellReply{Incarnation: ex.cfg.Incarnation}
+	ex.mu.Lock()
+	peer, known := ex.heard[message.GetHostId()]
+	if !known && !ex.cfg.IsOpen {
+		ex.mu.Unlock()
+		return nil, status.Error(codes.PermissionDenied, "host is not among the peers of this host's settings")
+	}
+	if !known {
+		peer = ex.heardLocked(Peer{HostID: message.GetHostId(), Zone: message.GetZone()})
+	}
+	reply.Resync = !peer.take(message, now)
+	loads, hosts, source := copyLoads(peer.loads), peer.hosts, ex.sourceOf(ex.layout, peer)
+	ex.mu.Unlock()
+	if !reply.Resync && source != "" {
+		ex.local.HearLoad(source, hosts, loads, now)
+	}
+	ex.local.HearLeaving(leavingFromMessage(message.GetLeaving()), now)
+	return reply, nil
+}
+
+// take applies a message to the row; it is false when messages are missing.
+func (p *heardPeer) take(message *exchangerpb.TellRequest, now time.Time) bool {
+	restarted := p.status.Incarnation != message.GetIncarnation()
+	p.status.Incarnation = message.GetIncarnation()
+	p.status.Draining = message.GetDraining()
+	p.status.LastHeard = now
+	p.status.Reachable = true
+	p.status.ConfigurationRevision = message.GetConfigurationRevision()
+	p.part, p.hosts = message.GetPart(), int(min(max(message.GetHosts(), 1), maxHosts))
+	p.leaving = leavingFromMessage(message.GetLeaving())
+	if !message.GetFull() && (restarted || message.GetSequence() != p.sequence+1) {
+		return false
+	}
+	p.sequence = message.GetSequence()
+	if message.GetFull() {
+		p.loads = map[string]Load{}
+	}
+	for _, load := range message.GetLoads() {
+		p.set(load)
+	}
+	return true
+}
+
+func (p *heardPeer) set(message *exchangerpb.EndpointLoad) {
+	load := Load{
+		Requests:      count(message.GetRequests()),
+		PrefillTokens: count(message.GetPrefillTokens()),
+		DecodeTokens:  count(message.GetDecodeTokens()),
+	}
+	if load == (Load{}) {
+		delete(p.loads, message.GetEndpointId())
+		return
+	}
+	p.loads[message.GetEndpointId()] = load
+}
+
+// count takes a count from a message. One below 0 would make an endpoint look
+// idle, and the sum of a few huge ones would run over and do the same.
+func count(n int64) int { return int(min(max(n, 0), maxCount)) }
+
+// forgetSilent drops the load of peers that have not spoken for a while.
+func (ex *Exchanger) forgetSilent(ctx context.Context) error {
+	ticker := time.NewTicker(ex.cfg.Silence / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			for _, source := range ex.silent(now) {
+				ex.local.HearLoad(source, 0, nil, now)
+			}
+		}
+	}
+}
+
+// silent marks the peers that have fallen silent and returns whose load is to
+// be forgotten. A sum is not: another hub tells it as well, and without one it
+// ages with the tables.
+func (ex *Exchanger) silent(now time.Time) (sources []string) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for hostID, peer := range ex.heard {
+		if peer.status.Reachable && now.Sub(peer.status.LastHeard) > ex.cfg.Silence {
+			peer.status.Reachable = false
+			peer.loads = map[string]Load{}
+			peer.sequence = 0
+			peer.leaving = nil
+			if ex.sourceOf(ex.layout, peer) == hostID {
+				sources = append(sources, hostID)
+			}
+		}
+	}
+	return sources
+}
