--- a/internal/dispatcher/allowance.go
+++ b/internal/dispatcher/allowance.go
@@ -100,6 +100,17 @@
 // reserve is there only after a whole window: this host's last process may
 // have spent it a moment ago.
 func (a *allowance) left() float64 {
+	since, repeats := a.counts()
+	left := a.share*leastFavourable(since[:]) - repeats
+	if a.number() > windowSlots {
+		left += a.reserve
+	}
+	return left
+}
+
+// counts returns how many requests came in the latest slots, by the number of
+// slots, over two windows; and the repeats of one window.
+func (a *allowance) counts() (since [len(a.slots) + 1]float64, repeats float64) {
 	number := a.number()
 	var ages [len(a.slots)]*allowanceSlot
 	for i := range a.slots {
@@ -107,8 +118,6 @@
 			ages[age] = &a.slots[i]
 		}
 	}
-	repeats := 0.0
-	var since [len(ages) + 1]float64 // requests of the slots from the present one back to an age, that one left out
 	for age, slot := range ages {
 		since[age+1] = since[age]
 		if slot == nil {
@@ -119,11 +128,7 @@
 			repeats += slot.repeats
 		}
 	}
-	left := a.share*leastFavourable(since[:]) - repeats
-	if number > windowSlots {
-		left += a.reserve
-	}
-	return left
+	return since, repeats
 }
 
 // leastFavourable is how many requests are certain to be counted for each
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -136,10 +136,10 @@
 	mu    sync.Mutex
 	links map[string]*link // by host id
 	heard map[string]*heardPeer
-	// layout is made anew with each change of the peers; told is how many of
+	// layout is made anew with each change of the peers; toldPeers is how many of
 	// them this host tells load.
-	layout *layout
-	told   int
+	layout    *layout
+	toldPeers int
 
 	own ownLoad
 
@@ -191,10 +191,10 @@
 	if before != nil && (before.isFlat != next.isFlat || before.hubs[ex.cfg.HostID] != isHub) {
 		ex.cfg.Logger.Info("part in telling load", "is_hub", isHub, "all_tell_all", next.isFlat, "hosts", len(hosts))
 	}
-	ex.layout, ex.told = &next, 0
+	ex.layout, ex.toldPeers = &next, 0
 	for _, l := range ex.links {
 		if ex.partFor(&next, l.peer) != exchangerpb.Part_PART_NONE {
-			ex.told++
+			ex.toldPeers++
 		}
 	}
 	for _, row := range ex.heard {
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -64,7 +64,7 @@
 		return ex.cfg.Tick
 	}
 	ex.mu.Lock()
-	told := ex.told
+	told := ex.toldPeers
 	ex.mu.Unlock()
 	return max(ex.cfg.Tick, time.Duration(told)*time.Second/time.Duration(ex.cfg.TellsPerSecond))
 }
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -66,7 +66,7 @@
 // any more: this host then watches the store itself.
 func (f *following) keepFeed() {
 	defer f.watcher.cancel()
-	for f.watcher.ctx.Err() == nil && !f.relayer.Feeds() {
+	for f.watcher.ctx.Err() == nil && !f.relayer.IsDirect() {
 		peer, ok := f.pick()
 		if !ok {
 			if f.endIfDeaf() || !f.watcher.pause(restAfterFailure) {
@@ -163,7 +163,7 @@
 		if !f.deliver(changesFromMessage(reply.GetChanges())) {
 			return f.watcher.ctx.Err()
 		}
-		if f.relayer.Feeds() {
+		if f.relayer.IsDirect() {
 			return errOwnTurn
 		}
 		if time.Since(begun) > restAfterFailure && !f.isFirst(peer) {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -109,8 +109,8 @@
 	return nil
 }
 
-// Feeds is true where this host is to watch the store itself.
-func (r *Relayer) Feeds() bool {
+// IsDirect is true where this host is to watch the store itself.
+func (r *Relayer) IsDirect() bool {
 	now := time.Now()
 	r.mu.Lock()
 	has := r.followers > 0 || now.Sub(r.deafAt) < watchAtLeast
@@ -121,10 +121,10 @@
 // Watch delivers the changes from a revision on, as provider.Store does. The
 // prefix has to be the same in all calls, since what is passed on is what this
 // host watches. It ends with provider.ErrMoved when it is to be asked again.
-// Where Feeds is true, the caller has just heard the store.
+// Where IsDirect is true, the caller has just heard the store.
 func (r *Relayer) Watch(ctx context.Context, prefix string, from int64) (provider.Watcher, error) {
 	r.log.resume(from)
-	if r.Feeds() {
+	if r.IsDirect() {
 		return r.watchStore(ctx, prefix, from)
 	}
 	return r.followPeers(ctx), nil
@@ -181,7 +181,7 @@
 		if !w.deliver(r.log.add(changes)) {
 			return w.ctx.Err()
 		}
-		if time.Since(begun) >= watchAtLeast && !r.Feeds() {
+		if time.Since(begun) >= watchAtLeast && !r.IsDirect() {
 			return provider.ErrMoved
 		}
 		if len(changes) > 0 && !w.pause(r.restAfterChanges()) {
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -225,7 +225,7 @@
 	for _, host := range f.hosts {
 		ctx, cancel := context.WithCancel(context.Background())
 		host.cancel = cancel
-		fo := follower.New(follower.Config{Store: host.relay, IsDirect: host.relay.Feeds, Topics: []follower.Topic{{Prefix: "", Sink: host}}})
+		fo := follower.New(follower.Config{Store: host.relay, IsDirect: host.relay.IsDirect, Topics: []follower.Topic{{Prefix: "", Sink: host}}})
 		host.group.Go(func() error { return fo.Run(ctx) })
 	}
 	return f
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -106,7 +106,7 @@
 func (g *Gateway) buildAuthority() (err error) {
 	g.leaser, err = leaser.New(leaser.Config{
 		Zone: fleet, HostID: g.cfg.HostID, Incarnation: g.incarnation, Address: g.cfg.PeersAddress,
-		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Stands: g.relayer.Feeds, Log: g.cfg.Logger.Named("leaser"),
+		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Stands: g.relayer.IsDirect, Log: g.cfg.Logger.Named("leaser"),
 	})
 	if err != nil {
 		return err
