--- a/internal/dispatcher/allowance.go
+++ b/internal/dispatcher/allowance.go
@@ -11,6 +11,9 @@
 // a little more than the window, and the requests over a little less.
 const windowSlots = 20
 
+// slotCount is how many slots are kept: two windows and the slot that has begun.
+const slotCount = 2*windowSlots + 1
+
 // allowance is how many repeats a host may send: in any window, a share of the
 // requests of that time and its part of a reserve. All hosts together then
 // keep the fleet's bound, since each counts its own requests.
@@ -33,7 +36,7 @@
 
 	mu      sync.Mutex
 	reserve float64
-	slots   [2*windowSlots + 1]allowanceSlot
+	slots   [slotCount]allowanceSlot
 }
 
 // allowanceSlot is what was counted in one part of a window.
@@ -46,7 +49,7 @@
 func newAllowance(share, reserve float64, window time.Duration, now func() time.Time) *allowance {
 	a := &allowance{share: share, reserve: reserve, window: window, now: now, begun: now()}
 	for i := range a.slots {
-		a.slots[i].number = -int64(len(a.slots)) // before all that count
+		a.slots[i].number = -slotCount // before all that count
 	}
 	return a
 }
@@ -89,7 +92,7 @@
 
 func (a *allowance) current() *allowanceSlot {
 	number := a.number()
-	slot := &a.slots[number%int64(len(a.slots))]
+	slot := &a.slots[number%slotCount]
 	if slot.number != number {
 		*slot = allowanceSlot{number: number}
 	}
@@ -110,9 +113,9 @@
 
 // counts returns how many requests came in the latest slots, by the number of
 // slots, over two windows; and the repeats of one window.
-func (a *allowance) counts() (since [len(a.slots) + 1]float64, repeats float64) {
+func (a *allowance) counts() (since [slotCount + 1]float64, repeats float64) {
 	number := a.number()
-	var ages [len(a.slots)]*allowanceSlot
+	var ages [slotCount]*allowanceSlot
 	for i := range a.slots {
 		if age := number - a.slots[i].number; age >= 0 && age < int64(len(ages)) {
 			ages[age] = &a.slots[i]
