Only the users' platform has hubs

endivemast entry asks peers for more than load (configuration, tickets, lists of hosts) and shows who is reachable; with hubs, hosts of other zones would have fallen silent for it in zones of more than four hosts. Found by reading the diff; the row "no hubs" of TestTickGrowsWithThePeers.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -76,6 +76,9 @@
 	ServerTLS *tls.Config // nil: plain text
 	ClientTLS *tls.Config // nil: plain text
 	Tick      time.Duration
+	// HasHubs lets large zones have hubs. Parts that ask all peers for more than
+	// load need to hear from each of them, and leave it out.
+	HasHubs bool
 	// TellsPerSecond bounds the messages with load to all peers together, by a
 	// longer tick where there are many; 0: no bound.
 	TellsPerSecond int
@@ -186,7 +189,10 @@
 		hosts = append(hosts, l.peer)
 	}
 	before := ex.layout
-	next := layoutOf(hosts)
+	next := layout{isFlat: true}
+	if ex.cfg.HasHubs {
+		next = layoutOf(hosts)
+	}
 	isHub := next.hubs[ex.cfg.HostID]
 	if before != nil && (before.isFlat != next.isFlat || before.hubs[ex.cfg.HostID] != isHub) {
 		ex.cfg.Logger.Info("part in telling load", "is_hub", isHub, "all_tell_all", next.isFlat, "hosts", len(hosts))
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -205,15 +205,17 @@
 	t.Parallel()
 	same := func(int) string { return "z" }
 	for name, test := range map[string]struct {
-		peers []Peer
-		share float64
-		most  int
-		want  time.Duration
+		peers  []Peer
+		isFlat bool
+		share  float64
+		most   int
+		want   time.Duration
 	}{
 		"no bound":            {peers: peersIn(80, strconv.Itoa), want: 100 * time.Millisecond},
 		"few peers":           {peers: peersIn(8, strconv.Itoa), most: 90, want: 100 * time.Millisecond},
 		"many peers":          {peers: peersIn(90, strconv.Itoa), most: 90, want: time.Second},
 		"hub of a large zone": {peers: peersIn(90, same), share: 1, most: 90, want: time.Second},
+		"no hubs":             {peers: peersIn(90, same), share: 0.1, isFlat: true, most: 90, want: time.Second},
 		"others of that zone": {peers: peersIn(90, same), share: 0.1, most: 90, want: 100 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -222,7 +224,7 @@
 			assert.NilError(t, err)
 			ex, err := New(Config{
 				HostID: "own", Zone: "z", ProcessorShare: test.share, Listener: listener, Logger: hclog.NewNullLogger(),
-				Tick: 100 * time.Millisecond, TellsPerSecond: test.most, Peers: test.peers,
+				Tick: 100 * time.Millisecond, TellsPerSecond: test.most, Peers: test.peers, HasHubs: !test.isFlat,
 			}, newLocal())
 			assert.NilError(t, err)
 			assert.Equal(t, ex.tick(), test.want)
--- a/internal/exchanger/hub_test.go
+++ b/internal/exchanger/hub_test.go
@@ -85,7 +85,7 @@
 		// The tick is one that a busy machine keeps: with 5 ms the fleets of all
 		// tests together sent more than it could, and silent hosts came and went.
 		ex, err := New(Config{
-			HostID: peer.HostID, Incarnation: peer.HostID, Zone: peer.Zone, ProcessorShare: peer.ProcessorShare,
+			HostID: peer.HostID, Incarnation: peer.HostID, Zone: peer.Zone, ProcessorShare: peer.ProcessorShare, HasHubs: true,
 			Listener: listeners[peer.HostID], Tick: 50 * time.Millisecond, Silence: 2 * time.Second, Logger: hclog.NewNullLogger(),
 		}, local)
 		assert.NilError(t, err)
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -26,7 +26,7 @@
 		return fmt.Errorf("peers' address: %w", err)
 	}
 	g.exchanger, err = exchanger.New(exchanger.Config{
-		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true,
+		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
 		Listener:       listener, Tick: gatewayTick, TellsPerSecond: tellsPerSecond,
 		Logger: g.cfg.Logger.Named("exchanger"),
