--- a/internal/server/plain_test.go
+++ b/internal/server/plain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -25,7 +26,12 @@
 		prepare(p)
 	}
 	assert.NilError(t, p.Start())
-	t.Cleanup(func() { assert.NilError(t, p.Close(t.Context())) })
+	t.Cleanup(func() {
+		// The test's own context has ended by now.
+		ctx, cancel := context.WithTimeout(context.Background(), plainTimeout)
+		defer cancel()
+		assert.NilError(t, p.Close(ctx))
+	})
 	return p.Address()
 }
 
