--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -11,28 +11,40 @@
 	"github.com/endivemast/endivemast/internal/explainer"
 )
 
-// explainCommand tells a request's story from logs.
+// explainCommand tells a request's story, or an account of all, from logs.
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "tell a request's story from the logs of the entry hosts, one file a host",
-		ArgsUsage: "REQUEST_ID FILE...",
-		Description: `Example:
-   endivemast explain 9c41d07be2a35f68 logs/entry-*.log`,
+		Usage:     "tell a request's story, or what binds all of them, from the logs of the entry hosts, one file a host",
+		ArgsUsage: "[REQUEST_ID] FILE...",
+		Description: `Examples:
+   endivemast explain 9c41d07be2a35f68 logs/entry-*.log
+   endivemast explain --all logs/entry-*.log`,
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "all", Usage: "no request id: what became of all requests, by class and second"},
+		},
 		Action: func(_ context.Context, cmd *cli.Command) (err error) {
-			if cmd.NArg() < 2 {
-				return usageError("explain needs a request id and at least one log file")
+			isAll, paths := cmd.Bool("all"), cmd.Args().Slice()
+			var requestID string
+			if !isAll && len(paths) > 0 {
+				requestID, paths = paths[0], paths[1:]
+			}
+			if len(paths) == 0 {
+				return usageError("explain needs a request id or --all, and at least one log file")
+			}
+			sources, closeAll, err := openLogs(paths)
+			defer func() { err = errors.Join(err, closeAll()) }()
+			if err != nil {
+				return err
 			}
-			var sources []explainer.Source
-			for _, path := range cmd.Args().Slice()[1:] {
-				file, openErr := os.Open(path)
-				if openErr != nil {
-					return openErr
+			if isAll {
+				account, err := explainer.Summarise(sources...)
+				if err != nil {
+					return err
 				}
-				defer func() { err = errors.Join(err, file.Close()) }()
-				sources = append(sources, explainer.Source{Name: filepath.Base(path), Log: file})
+				return account.Print(cmd.Root().Writer)
 			}
-			story, err := explainer.Explain(cmd.Args().First(), sources...)
+			story, err := explainer.Explain(requestID, sources...)
 			if err != nil {
 				return err
 			}
@@ -40,3 +52,23 @@
 		},
 	}
 }
+
+// openLogs opens the files; closeAll closes those that were opened.
+func openLogs(paths []string) (sources []explainer.Source, closeAll func() error, err error) {
+	var files []*os.File
+	closeAll = func() (err error) {
+		for _, file := range files {
+			err = errors.Join(err, file.Close())
+		}
+		return err
+	}
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, closeAll, err
+		}
+		files = append(files, file)
+		sources = append(sources, explainer.Source{Name: filepath.Base(path), Log: file})
+	}
+	return sources, closeAll, nil
+}
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -61,6 +61,8 @@
 	queued time.Duration // until endpoints were given
 	read   time.Duration // the prompt, by another engine
 	first  time.Duration // from the caller's request to the first event; 0: none
+	pause  time.Duration // the longest between two events, as they were passed on
+	lastAt time.Time     // of the latest event
 }
 
 // wholeAnswer is an answer that is held until it is clear that no better one
@@ -354,7 +356,10 @@
 		p.begun = true
 		p.times.first = time.Since(p.request.Arrived)
 		p.forwarder.cfg.Meter.ObserveFirstToken("", p.request.Class.Name, p.times.first)
+	} else {
+		p.times.pause = max(p.times.pause, time.Since(p.times.lastAt))
 	}
+	p.times.lastAt = time.Now()
 	if err := p.answerer.Write(events); err != nil {
 		return errors.Join(errCallerGone, err)
 	}
--- a/internal/dispatcher/story.go
+++ b/internal/dispatcher/story.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/time/rate"
 
+	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
@@ -79,7 +80,9 @@
 	args := []any{
 		"sends", p.sends, "runs", p.runs, "begun", p.begun, "budget_left", p.budget.remaining(),
 		"queued_ms", p.times.queued.Milliseconds(), "read_ms", p.times.read.Milliseconds(),
+		"first_ms", p.times.first.Milliseconds(), "events", p.events,
 	}
+	args = append(args, promptArgs(p)...)
 	if errors.As(err, &failure) {
 		args = append(args, "outcome", failure.Outcome, "reason", failure.Reason, "detail", failure.Detail, "retry_after_ms", failure.RetryAfter.Milliseconds())
 	} else {
@@ -98,9 +101,47 @@
 	if p.sends > 1 {
 		limiter = s.limiter
 	}
-	s.tellWithin(limiter, hclog.Info, "request served", p, "endpoint_id", p.basis.EndpointID, "prefill_endpoint_id", p.basis.PrefillID,
+	args := []any{
+		"late", lateness(p), "endpoint_id", p.basis.EndpointID, "prefill_endpoint_id", p.basis.PrefillID,
+		"course", p.basis.Course, "read_tokens", p.basis.ReadTokens, "fetch_endpoint_id", p.basis.FetchID,
 		"requests_there", p.basis.Requests, "peers_part", p.basis.PeerRequests, "prompt_tokens_ahead", p.basis.TokensAhead,
 		"estimated_first_ms", p.basis.First.Milliseconds(), "queued_ms", p.times.queued.Milliseconds(),
 		"read_ms", p.times.read.Milliseconds(), "first_ms", p.times.first.Milliseconds(),
-		"sends", p.sends, "runs", p.runs, "events", p.events)
+		"first_target_ms", p.request.Class.FirstTokenTargetMS, "longest_pause_ms", p.times.pause.Milliseconds(),
+		"pause_target_ms", p.request.Class.BetweenTokensTargetMS,
+		"sends", p.sends, "runs", p.runs, "events", p.events,
+	}
+	s.tellWithin(limiter, hclog.Info, "request served", p, append(args, promptArgs(p)...)...)
+}
+
+// promptArgs says how large a generation's prompt is; nothing of a call.
+func promptArgs(p *passage) []any {
+	if p.request.Class.Kind != configurer.KindGenerate {
+		return nil
+	}
+	return []any{"prompt_tokens", p.request.Prompt.Tokens, "shared_tokens", p.request.Prompt.SharedTokens}
+}
+
+// Ways in which a whole answer was late.
+const (
+	lateFirst = "first" // its first event, or the answer of a call
+	latePause = "pause" // a pause between two events
+)
+
+// lateness says by which of its class's targets a whole answer was late; empty:
+// by none, as far as this host has seen.
+func lateness(p *passage) string {
+	class := &p.request.Class
+	isCall := class.Kind != configurer.KindGenerate
+	first, target := p.times.first, class.FirstTokenTarget()
+	if isCall {
+		first, target = time.Since(p.request.Arrived), class.CompletionTarget()
+	}
+	switch {
+	case target > 0 && first > target:
+		return lateFirst
+	case !isCall && class.BetweenTokensTargetMS > 0 && p.times.pause > class.BetweenTokensTarget():
+		return latePause
+	}
+	return ""
 }
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -17,7 +17,7 @@
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, single Choice, verdict Verdict,
 ) (Choice, Verdict) {
 	if q.IsRead {
-		if decode, ok := bestDecode(application, q, endpoints, Choice{}, &verdict); ok {
+		if decode, ok := bestDecode(application, q, endpoints, Choice{Course: CourseRead}, &verdict); ok {
 			return decode, Verdict{Kind: Chosen}
 		}
 		return single, verdict
@@ -83,7 +83,7 @@
 			verdict.note(Busy)
 			continue
 		}
-		choice := Choice{Decode: endpoint, Ahead: total.PrefillTokens}
+		choice := Choice{Course: CourseDirect, Decode: endpoint, Ahead: total.PrefillTokens}
 		choice.reuse(application, q, endpoint)
 		choice.First = estimator.Scale(application.Model.Direct(choice.Ahead+choice.PrefillTokens), endpoint.Speed)
 		gap := estimator.Scale(application.Model.Gap(total.Requests+1), endpoint.Speed)
@@ -111,9 +111,10 @@
 			verdict.note(Busy)
 			continue
 		}
-		choice := Choice{Prefill: endpoint, Ahead: endpoint.Total().PrefillTokens}
+		choice := Choice{Course: CourseSoonest, Prefill: endpoint, Ahead: endpoint.Total().PrefillTokens}
 		choice.reuse(application, q, endpoint)
 		if home != nil {
+			choice.Course = CourseHome
 			choice.assumeHome(q, before)
 		}
 		took := application.Model.Reading(choice.Ahead + choice.PrefillTokens)
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -72,8 +72,21 @@
 	Now          time.Time
 }
 
+// Course is by which way a prompt gets to the engine that decodes, for the log.
+type Course string
+
+// Courses of a Choice.
+const (
+	CourseWhole   Course = "whole"   // one engine reads and decodes, or serves the call
+	CourseDirect  Course = "direct"  // an engine that only decodes reads the prompt too
+	CourseHome    Course = "home"    // the home of the prompt's prefix reads it
+	CourseSoonest Course = "soonest" // the engine that would have read it first
+	CourseRead    Course = "read"    // the prompt has been read before
+)
+
 // Choice is where the work is to go.
 type Choice struct {
+	Course        Course
 	Decode        *tracker.Endpoint // decodes, or serves the call
 	Prefill       *tracker.Endpoint // computes the prompt first; nil: Decode does both
 	FetchFrom     *tracker.Endpoint // where Prefill fetches the prefix first; nil: nowhere
@@ -255,7 +268,7 @@
 func estimate(application *tracker.Application, q *Query, endpoint *tracker.Endpoint) Choice {
 	model := &application.Model
 	total := endpoint.Total()
-	choice := Choice{Decode: endpoint}
+	choice := Choice{Course: CourseWhole, Decode: endpoint}
 	if q.Kind == configurer.KindCall {
 		choice.First = estimator.Scale(model.Call(total.Requests), endpoint.Speed)
 		choice.Finish = choice.First
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler/router"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
 
@@ -57,6 +58,9 @@
 type Basis struct {
 	EndpointID   string
 	PrefillID    string        // of the engine that reads the prompt; empty: the same, or none
+	Course       router.Course // by which way the prompt gets to EndpointID
+	ReadTokens   int           // of the prompt, that were believed to have to be read
+	FetchID      string        // of the engine from which a part of the prompt was to be fetched; empty: none
 	Requests     int           // in flight there, all hosts'
 	PeerRequests int           // of these, those that peers had told of
 	TokensAhead  int           // prompt tokens that waited at the engine that reads
