--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -52,50 +52,6 @@
 	return bestDecode(application, q, endpoints, prefill, verdict)
 }
 
-// directPenalty times the time for reading a prompt is added where the engine
-// that decodes reads it too, and the more of its slots are taken the more: all
-// its streams wait meanwhile. With a penalty that did not grow, a burst of short
-// prompts kept the engines that decode reading for nearly all of their time,
-// while those that only read had little to do.
-const (
-	directPenalty = 2
-	// fullSlots is where the penalty would be without bound; a little above one,
-	// as slots that are taken are known with a delay.
-	fullSlots = 1.1
-)
-
-func directCost(application *tracker.Application, endpoint *tracker.Endpoint, tokens int) time.Duration {
-	taken := float64(endpoint.Total().Requests) / float64(max(endpoint.Limit, 1))
-	spare := max(fullSlots-taken, fullSlots-1)
-	return estimator.Scale(application.Model.DirectCost(tokens), directPenalty/spare)
-}
-
-// bestDirect looks for an engine that decodes to read the prompt as well. That
-// is slower than on an engine that only reads, but spares short prompts a
-// second engine and the way between the two.
-func bestDirect(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict) (chosen Choice, ok bool) {
-	for _, endpoint := range endpoints {
-		if !verdict.usable(endpoint, q) || !endpoint.CanDecode() || endpoint.CanPrefill() {
-			continue
-		}
-		total := endpoint.Total()
-		if !q.IgnoreLimits && total.Requests >= endpoint.Limit {
-			verdict.note(Busy)
-			continue
-		}
-		choice := Choice{Course: CourseDirect, Decode: endpoint, Ahead: total.PrefillTokens}
-		choice.reuse(application, q, endpoint)
-		choice.First = estimator.Scale(application.Model.Direct(choice.Ahead+choice.PrefillTokens), endpoint.Speed)
-		gap := estimator.Scale(application.Model.Gap(total.Requests+1), endpoint.Speed)
-		choice.finish(q, gap)
-		choice.score = withZone(choice.score, endpoint) + directCost(application, endpoint, choice.PrefillTokens)
-		if !ok || choice.score < chosen.score {
-			chosen, ok = choice, true
-		}
-	}
-	return chosen, ok
-}
-
 func bestPrefill(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict,
 ) (chosen Choice) {
