--- /dev/null
+++ b/internal/cachewatcher/cachewatcher.go
@@ -0,0 +1,138 @@
+// Package cachewatcher keeps up with what engines keep of prompts: a call to each
+// engine waits there for news.
+//
+// # Usage
+//
+//	w := cachewatcher.New(cachewatcher.Config{Driver: drv, Heard: s.HearCache, ...})
+//	w.SetTargets(engines) // at each change of the list
+//	defer w.Close()
+package cachewatcher
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+const (
+	// newsWait is how long an engine may keep a call waiting for news; engines
+	// allow a second.
+	newsWait = time.Second
+	// newsPause is left between two calls to an engine, so that a busy one tells
+	// many changes at a time.
+	newsPause = 100 * time.Millisecond
+	// retryPause follows a call that failed.
+	retryPause = time.Second
+)
+
+// Config sets up a Watcher.
+type Config struct {
+	Driver driver.Forwarder
+	// Heard takes the news of one engine's process. IsWhole says that it is all
+	// that the engine keeps, and not what has changed.
+	Heard  func(target driver.Target, news driver.CacheNews, isWhole bool)
+	Logger hclog.Logger
+}
+
+// Watcher watches engines' caches. It is safe for concurrent use.
+type Watcher struct {
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  errgroup.Group
+
+	mu      sync.Mutex
+	watched map[driver.Target]context.CancelFunc
+	closed  bool
+}
+
+// New makes a Watcher that watches nothing yet.
+func New(cfg Config) *Watcher {
+	w := &Watcher{cfg: cfg, watched: map[driver.Target]context.CancelFunc{}}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	return w
+}
+
+// Close ends all calls and waits for them.
+func (w *Watcher) Close() error {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.cancel()
+	return w.group.Wait()
+}
+
+// SetTargets says which engines' processes there are.
+func (w *Watcher) SetTargets(targets []driver.Target) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return
+	}
+	wanted := make(map[driver.Target]bool, len(targets))
+	for _, target := range targets {
+		wanted[target] = true
+		if w.watched[target] == nil {
+			ctx, cancel := context.WithCancel(w.ctx)
+			w.watched[target] = cancel
+			w.group.Go(func() error { return w.watch(ctx, target) })
+		}
+	}
+	for target, cancel := range w.watched {
+		if !wanted[target] {
+			cancel()
+			delete(w.watched, target)
+		}
+	}
+}
+
+// watch keeps up with one engine until ctx ends.
+func (w *Watcher) watch(ctx context.Context, target driver.Target) error {
+	var state progress
+	for ctx.Err() == nil {
+		pause := newsPause
+		if err := w.ask(ctx, target, &state); err != nil && ctx.Err() == nil {
+			w.cfg.Logger.Debug("no news of an engine's cache", "endpoint_id", target.EndpointID, "error", err)
+			pause = retryPause
+		}
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// progress is how far an engine's news have been heard.
+type progress struct {
+	epoch string
+	next  int64
+}
+
+// ask waits for news and passes them on. After a gap all is read again.
+func (w *Watcher) ask(ctx context.Context, target driver.Target, p *progress) error {
+	news, err := w.cfg.Driver.CacheNews(ctx, target, p.next, newsWait)
+	if err != nil {
+		return err
+	}
+	isWhole := news.HasGap || p.epoch != "" && news.Epoch != p.epoch
+	if isWhole {
+		if news, err = w.cfg.Driver.CacheList(ctx, target); err != nil {
+			return err
+		}
+	}
+	p.epoch, p.next = news.Epoch, news.Next
+	w.cfg.Heard(target, news, isWhole)
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivemast/endivemast/internal/classifier"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
 // OpaqueRequest is a request that is passed on unchanged.
@@ -32,6 +33,7 @@
 	MaxOutput    int    // tokens
 	SharedKey    string // names the parts that other requests have in common with this one
 	SharedTokens int
+	SharedParts  []scheduler.Part // of which they consist, in order
 }
 
 // Answerer sends an answer to the caller. Its errors mean that the caller has
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -201,7 +201,7 @@
 	return scheduler.Work{
 		RequestID: p.request.ID, Class: class, Arrived: p.request.Arrived,
 		PromptTokens: p.request.Prompt.Tokens, PrefixKey: p.request.Prompt.SharedKey,
-		PrefixTokens: p.request.Prompt.SharedTokens, MaxOutputTokens: p.request.Prompt.MaxOutput,
+		PrefixTokens: p.request.Prompt.SharedTokens, PrefixParts: p.request.Prompt.SharedParts, MaxOutputTokens: p.request.Prompt.MaxOutput,
 		DeliveredTokens: p.events, Excluded: p.excluded, IsRead: p.holdsCache(),
 	}
 }
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -84,12 +84,32 @@
 	// OrderRole sends an order once, over a connection of its own. Its errors:
 	// ErrNotSent, ErrStaleEpoch, ErrRefused, ErrOutcomeUnknown.
 	OrderRole(ctx context.Context, target Target, order RoleOrder) error
+	// CacheNews waits until an engine has news of what it keeps of prompts, behind
+	// the number since, or for as long as wait.
+	CacheNews(ctx context.Context, target Target, since int64, wait time.Duration) (CacheNews, error)
+	// CacheList reads all that an engine keeps. It holds up the engine's work.
+	CacheList(ctx context.Context, target Target) (CacheNews, error)
 	// Inspect reads an engine's own view of itself.
 	Inspect(ctx context.Context, target Target) (Inspection, error)
 	// Close closes idle connections and waits for running calls to end.
 	Close() error
 }
 
+// CacheNews is what an engine says of the parts of prompts that it keeps.
+type CacheNews struct {
+	Epoch string // changes when the engine starts anew
+	Next  int64  // to ask from the next time
+	// HasGap says that changes before these are missing.
+	HasGap  bool
+	Changes []CacheChange // in order; of a list, all that is kept
+}
+
+// CacheChange is one part of prompts that an engine keeps or has dropped.
+type CacheChange struct {
+	PartID string
+	Tokens int // kept now; 0: dropped
+}
+
 // Inspection is what an engine says of itself when asked.
 type Inspection struct {
 	Role       Role
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -90,6 +90,7 @@
 		g.prefillLoad = tracker.Load{Requests: 1, PrefillTokens: choice.PrefillTokens}
 		g.isPrefillProbe = choice.Prefill.Breaker.Take()
 		choice.Prefill.Give(g.prefillLoad)
+		choice.Prefill.Cache.Expect(work.PrefixParts)
 	} else if work.Class.Kind == configurer.KindGenerate {
 		g.decodeLoad.PrefillTokens = choice.PrefillTokens
 	}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -159,6 +159,7 @@
 		PromptTokens: application.Tokens(work.PromptTokens) + work.DeliveredTokens,
 		PrefixKey:    work.PrefixKey,
 		PrefixTokens: work.PrefixTokens,
+		PrefixParts:  work.PrefixParts,
 		OutputTokens: w.expected,
 		GapTarget:    work.Class.BetweenTokensTarget(),
 		Excluded:     work.Excluded,
--- a/internal/scheduler/roles_bench_test.go
+++ b/internal/scheduler/roles_bench_test.go
@@ -61,6 +61,9 @@
 	tallies map[string]*rolesTally
 	rand    *rand.Rand // of what callers ask for
 	paths   *rand.Rand // of the hosts that they reach
+	// tellsCaches has engines tell what they keep; their words are 100 to 200 ms old.
+	tellsCaches bool
+	news        map[string]driver.CacheNews
 }
 
 // rolesEvent is something that happens at a time.
@@ -87,7 +90,8 @@
 	zones := []string{"a", "b", "c"}
 	b := &rolesBench{
 		now: start, engines: map[string]*modeler.Engine{}, tallies: map[string]*rolesTally{}, rand: rand.New(rand.NewPCG(5, 6)),
-		paths: rand.New(rand.NewPCG(7, 8)),
+		paths:       rand.New(rand.NewPCG(7, 8)),
+		tellsCaches: true, news: map[string]driver.CacheNews{},
 	}
 	for i := range engines {
 		role := driver.RoleDecode
@@ -129,9 +133,12 @@
 		for _, engine := range b.order {
 			engine.Advance(b.now)
 		}
-		if i%100 == 0 {
+		if i%20 == 0 {
 			b.exchange()
 		}
+		if i%100 == 0 && b.tellsCaches {
+			b.tellCaches()
+		}
 	}
 	for name, c := range b.tallies {
 		t.Logf("%s: %d offered, %.3f in time, %d late by the first event, %d by a pause, %d refused",
@@ -180,6 +187,7 @@
 	}}
 	if m.prefixes > 0 {
 		job.work.PrefixKey = fmt.Sprintf("%s-%d", m.class.Name, b.rand.IntN(m.prefixes))
+		job.work.PrefixParts = []Part{{ID: job.work.PrefixKey, Tokens: m.prefixTokens}}
 	}
 	b.tally(job).offered++
 	b.arrive(job)
@@ -291,6 +299,26 @@
 	}
 }
 
+// tellCaches passes on what engines kept a moment ago.
+func (b *rolesBench) tellCaches() {
+	for _, host := range b.list {
+		if news, ok := b.news[host.ID]; ok {
+			for _, s := range b.hosts {
+				s.HearCache(driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation}, news, true)
+			}
+		}
+		b.news[host.ID] = b.engines[host.ID].News()
+	}
+}
+
+// prefixesRead is how many tokens of prefixes were read, by all engines.
+func (b *rolesBench) prefixesRead() (tokens int) {
+	for _, engine := range b.order {
+		tokens += engine.PrefixesRead
+	}
+	return tokens
+}
+
 // lending is a load of long prompts that vary widely, short questions, and
 // prompts with hardly an answer. At 1 it keeps six engines reading.
 func lending(load float64) []rolesMix {
--- a/internal/scheduler/roles_load_test.go
+++ b/internal/scheduler/roles_load_test.go
@@ -17,3 +17,25 @@
 		assert.Assert(t, 100*c.latePause <= c.offered, "%s: %d of %d late by a pause", name, c.latePause, c.offered)
 	}
 }
+
+// Where hosts know what engines keep, prompts go to where their prefix is, or it
+// is fetched from there: far less is read again than where hosts remember their
+// own prompts only, and more is in time.
+func TestKnownCachesSaveReading(t *testing.T) {
+	t.Parallel()
+	play := func(isTold bool) (prefixes int, inTime float64) {
+		b := newRolesBench(6, 18, 12, rolesTiming())
+		b.tellsCaches = isTold
+		b.run(t, 20*time.Second, lending(1.5))
+		var offered, served int
+		for _, c := range b.tallies {
+			offered, served = offered+c.offered, served+c.inTime
+		}
+		t.Logf("caches told: %v; %d tokens of prefixes read, %d of %d in time", isTold, b.prefixesRead(), served, offered)
+		return b.prefixesRead(), float64(served) / float64(offered)
+	}
+	told, inTime := play(true)
+	untold, inTimeUntold := play(false)
+	assert.Assert(t, 2*told < untold)
+	assert.Assert(t, inTime > inTimeUntold)
+}
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/endivemast/endivemast/internal/scheduler/estimator"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
@@ -52,14 +50,13 @@
 	return bestDecode(application, q, endpoints, prefill, verdict)
 }
 
+// bestPrefill looks for the engine that would have read the prompt soonest, what
+// a copy of its prefix costs others included.
 func bestPrefill(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, verdict *Verdict,
 ) (chosen Choice) {
-	home, before := homeOf(application, q, endpoints)
+	homes := homesOf(application, q, endpoints)
 	for _, endpoint := range endpoints {
-		if home != nil && endpoint != home {
-			continue
-		}
 		if !verdict.usable(endpoint, q) || !endpoint.CanPrefill() {
 			continue
 		}
@@ -69,13 +66,10 @@
 		}
 		choice := Choice{Course: CourseSoonest, Prefill: endpoint, Ahead: endpoint.Total().PrefillTokens}
 		choice.reuse(application, q, endpoint)
-		if home != nil {
-			choice.Course = CourseHome
-			choice.assumeHome(q, before)
-		}
+		copying := homes.place(application, q, &choice)
 		took := application.Model.Reading(choice.Ahead + choice.PrefillTokens)
-		choice.First = estimator.Scale(took, endpoint.Speed)
-		choice.score = withZone(choice.First, endpoint)
+		choice.First = estimator.Scale(took, endpoint.Speed) + copying.takes
+		choice.score = withZone(choice.First+copying.costs, endpoint) + lateness(application, q, choice.First)
 		if chosen.Prefill == nil || choice.score < chosen.score {
 			chosen = choice
 		}
@@ -83,6 +77,14 @@
 	return chosen
 }
 
+// lateness is what it counts that a prompt is read too late for its first token.
+func lateness(application *tracker.Application, q *Query, read time.Duration) time.Duration {
+	if q.FirstTokenDue <= 0 {
+		return 0
+	}
+	return latePenalty * max(read+handover(application, q)-q.FirstTokenDue, 0)
+}
+
 // isBacklogged is true where an engine that only prefills has more prompts
 // waiting than it reads while this one may wait. A window as short as that of
 // engines that also decode would send prompts away from the engine that holds
@@ -130,71 +132,7 @@
 	return application.Model.Handover(q.PromptTokens)
 }
 
-// homeWorth is from how long a prefix takes to be read on that it is kept to its
-// home. Shorter ones are read again wherever the prompt goes.
-const homeWorth = 10 * time.Millisecond
-
-// homeOf is the engine that reads all prompts with a prefix; nil: any may. All
-// hosts choose it alike, by a hash of prefix and engine: they know little of
-// each other's prompts, and an engine that comes or goes moves its own part of
-// the prefixes only.
-//
-// Work waits for its home rather than go elsewhere. Spread over engines with
-// less to do, prefixes drove each other out of all caches, each prompt was read
-// whole, and the engines were full with half of the work: with it, 2.5 million
-// of 9.4 million tokens read were prefixes read again, without it 0.4 of 7.6.
-//
-// Where a role has changed a moment ago, before is the engine that was the home
-// until then and still has the prefix in its cache.
-func homeOf(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint) (home, before *tracker.Endpoint) {
-	if q.PrefixKey == "" || application.Model.ReadingCost(q.PrefixTokens) < homeWorth {
-		return nil, nil
-	}
-	var best, next, gone uint64 // hashes: of home, of the one behind it, of the best that no longer prefills
-	var second, former *tracker.Endpoint
-	for _, endpoint := range endpoints {
-		weight := xxhash.Sum64String(q.PrefixKey + "@" + endpoint.Target.EndpointID)
-		isNew := q.Now.Sub(endpoint.RoleSince) < cacheOutlasts
-		switch {
-		case !endpoint.CanPrefill():
-			if isNew && weight > gone {
-				former, gone = endpoint, weight
-			}
-		case !isReachable(endpoint, q):
-		case home == nil || weight > best:
-			second, next = home, best
-			home, best = endpoint, weight
-		case second == nil || weight > next:
-			second, next = endpoint, weight
-		}
-	}
-	switch {
-	case home == nil:
-		return nil, nil
-	case former != nil && gone > best:
-		return home, former
-	case q.Now.Sub(home.RoleSince) < cacheOutlasts:
-		return home, second
-	}
-	return home, nil
-}
-
-// cacheOutlasts is for how long after a change of role the caches of before it
-// are worth a fetch: prefixes in use move to their new homes within seconds.
-const cacheOutlasts = 10 * time.Second
-
 // isReachable is true where the engine takes work of this request now.
 func isReachable(endpoint *tracker.Endpoint, q *Query) bool {
 	return endpoint.TakesNewWork() && endpoint.Breaker.Allows(q.Now) && !slices.Contains(q.Excluded, endpoint.Target.EndpointID)
 }
-
-// assumeHome counts a prefix as held at its home, where any host's work with it
-// goes, or as fetched from where its home was before.
-func (c *Choice) assumeHome(q *Query, before *tracker.Endpoint) {
-	shared := min(q.PrefixTokens, q.PromptTokens)
-	if c.ReusedTokens < shared {
-		c.FetchFrom = before
-	}
-	c.ReusedTokens = shared
-	c.PrefillTokens = q.PromptTokens - shared
-}
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -56,9 +56,10 @@
 	PromptTokens  int // to be computed, delivered tokens included
 	PrefixKey     string
 	PrefixTokens  int
-	OutputTokens  int           // expected
-	FirstTokenDue time.Duration // until the first-token target; 0: none, or passed
-	GapTarget     time.Duration // 0: none
+	PrefixParts   []tracker.Part // that the prefix consists of; nil: not known
+	OutputTokens  int            // expected
+	FirstTokenDue time.Duration  // until the first-token target; 0: none, or passed
+	GapTarget     time.Duration  // 0: none
 	Excluded      []string
 	IsRead        bool // the KV cache of the prompt is kept; an engine that decodes is wanted
 	// CalmBatch is the batch beyond which the work would slow more urgent work
@@ -286,11 +287,18 @@
 
 // reuse splits the prompt into what the prefix cache probably gives and the rest.
 func (c *Choice) reuse(application *tracker.Application, q *Query, endpoint *tracker.Endpoint) {
-	expected := application.Prefixes.Expected(q.PrefixKey, endpoint, q.Now)
-	c.ReusedTokens = min(expected, q.PrefixTokens, q.PromptTokens)
+	c.ReusedTokens = min(held(application, q, endpoint), q.PrefixTokens, q.PromptTokens)
 	c.PrefillTokens = q.PromptTokens - c.ReusedTokens
 }
 
+// held is how many tokens of the prompt's prefix an endpoint probably keeps.
+func held(application *tracker.Application, q *Query, endpoint *tracker.Endpoint) int {
+	if endpoint.Cache.IsKnown && len(q.PrefixParts) > 0 {
+		return endpoint.Cache.Prefix(q.PrefixParts)
+	}
+	return application.Prefixes.Expected(q.PrefixKey, endpoint, q.Now)
+}
+
 // finish sets the end and the score. Time beyond a target counts more than the
 // time itself, so that an endpoint within the targets goes before a faster one
 // that misses one of them.
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -34,6 +34,7 @@
 	Limit         int     // requests that it is given at once
 	Speed         float64 // factor against its application's model; above 1 is slower
 	Breaker       Breaker
+	Cache         Cache
 
 	Own         Load
 	Recent      Load // of Own, given since the last tick, which peers don't know of
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -17,6 +17,7 @@
 	PromptTokens    int
 	PrefixKey       string
 	PrefixTokens    int
+	PrefixParts     []Part // of which the prefix consists, in order; nil: not known
 	MaxOutputTokens int
 	DeliveredTokens int      // already with the caller, when resuming
 	Excluded        []string // endpoint ids that have failed this request
@@ -108,5 +109,8 @@
 	return "refused: " + string(r.Reason) + ", retry after " + r.RetryAfter.String()
 }
 
+// Part is a part of a prompt that other prompts may share.
+type Part = tracker.Part
+
 // Load is work in flight at one endpoint, as one host counts it.
 type Load = tracker.Load
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/endivemast/endivemast/internal/cachewatcher"
 	"github.com/endivemast/endivemast/internal/classifier"
 	"github.com/endivemast/endivemast/internal/dispatcher"
 	"github.com/endivemast/endivemast/internal/driver"
@@ -37,6 +38,8 @@
 	stopMargin = 700 * time.Millisecond
 	// gatewayTick is how often the systems over the tables run.
 	gatewayTick = 100 * time.Millisecond
+	// peersTick is how often hosts tell each other what has changed of their loads.
+	peersTick = 100 * time.Millisecond
 )
 
 // GatewayConfig is what an entry host for opaque requests is told at start, and
@@ -95,6 +98,7 @@
 	forwarder     *dispatcher.Forwarder
 	exchanger     *exchanger.Exchanger
 	registrar     *registrar.Registrar
+	caches        *cachewatcher.Watcher
 	leaser        *leaser.Leaser
 	rebalancer    *rebalancer.Rebalancer
 	meter         *meter.Meter
@@ -123,8 +127,9 @@
 	})
 	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
-		Changed: g.scheduler.SetHosts, Logger: cfg.Logger.Named("lister"),
+		Changed: g.setEndpoints, Logger: cfg.Logger.Named("lister"),
 	})
+	g.caches = cachewatcher.New(cachewatcher.Config{Driver: cfg.Driver, Heard: g.scheduler.HearCache, Logger: cfg.Logger.Named("cachewatcher")})
 	if err := g.buildPeers(); err != nil {
 		return nil, err
 	}
@@ -300,7 +305,7 @@
 	cancel()
 	g.cancel()
 	return errors.Join(ignoreCanceled(g.callers.Close(now)), ignoreCanceled(g.readiness.Close(now)),
-		g.scheduler.Close(), g.forwarder.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(),
+		g.scheduler.Close(), g.forwarder.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(), g.caches.Close(),
 		g.relayer.Close(), g.exchanger.Close(), g.cfg.Driver.Close())
 }
 
@@ -312,6 +317,18 @@
 	return err
 }
 
+// setEndpoints takes the list of endpoints.
+func (g *Gateway) setEndpoints(hosts []provider.Host, now time.Time) {
+	g.scheduler.SetHosts(hosts, now)
+	var engines []driver.Target
+	for i := range hosts {
+		if hosts[i].Kind == provider.HostEngine {
+			engines = append(engines, driver.Target{EndpointID: hosts[i].ID, Incarnation: hosts[i].Incarnation, Address: hosts[i].Address})
+		}
+	}
+	g.caches.SetTargets(engines)
+}
+
 // snapshotSink puts each configuration in force that the store tells.
 type snapshotSink struct{ gateway *Gateway }
 
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -28,7 +28,7 @@
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
-		Listener:       listener, Tick: gatewayTick, TellsPerSecond: tellsPerSecond,
+		Listener:       listener, Tick: peersTick, TellsPerSecond: tellsPerSecond,
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
 	if err != nil {
@@ -96,7 +96,7 @@
 // tellsPerSecond is how many messages a second with load a host sends to its
 // peers at most, at some 50 µs of processor time each (BenchmarkTell): a
 // hundredth of a core, of hosts that have a fifth at least.
-const tellsPerSecond = 200
+const tellsPerSecond = 300
 
 // fleet is the one zone of the authority over all engines' roles: engines of
 // any zone serve all.
--- a/standins/modeler/modeler.go
+++ b/standins/modeler/modeler.go
@@ -90,6 +90,16 @@
 	return key != "" && slices.ContainsFunc(e.kept, func(p prefix) bool { return p.key == key })
 }
 
+// News is all that the engine keeps, as it would tell it.
+func (e *Engine) News() (news driver.CacheNews) {
+	for _, p := range e.kept {
+		if p.key != "" {
+			news.Changes = append(news.Changes, driver.CacheChange{PartID: p.key, Tokens: p.tokens})
+		}
+	}
+	return news
+}
+
 // IsIdle is true where nothing is at the engine.
 func (e *Engine) IsIdle() bool { return len(e.reading)+len(e.streams) == 0 }
 
--- a/standins/opaqueserver/opaqueserver.go
+++ b/standins/opaqueserver/opaqueserver.go
@@ -57,13 +57,15 @@
 	script   Script
 	// ReadBodies is false where bodies are left to the script.
 	readBodies bool
+	done       chan struct{} // closed with the server
 
 	mu     sync.Mutex
 	seen   []Request
 	conns  map[net.Conn]bool
 	number int
 	opened int
-	gone   int // connections that the other side has closed
+	gone   int    // connections that the other side has closed
+	cache  Script // answers questions about an engine's cache; nil: there is no news
 	group  sync.WaitGroup
 }
 
@@ -78,7 +80,7 @@
 	if err != nil {
 		panic(err) // loopback is always there
 	}
-	s := &Server{listener: listener, script: script, readBodies: readBodies, conns: map[net.Conn]bool{}}
+	s := &Server{listener: listener, script: script, readBodies: readBodies, conns: map[net.Conn]bool{}, done: make(chan struct{})}
 	s.group.Go(s.accept)
 	return s
 }
@@ -89,6 +91,7 @@
 // Close ends the endpoint and cuts its connections.
 func (s *Server) Close() {
 	s.listener.Close()
+	close(s.done)
 	s.mu.Lock()
 	for conn := range s.conns {
 		_ = conn.Close()
@@ -155,6 +158,10 @@
 			}
 			request.Body = string(body)
 		}
+		if strings.HasPrefix(request.Path, cachePath) || request.Path == cacheListPath {
+			s.answerCache(&Exchange{Request: request, Conn: conn})
+			continue
+		}
 		s.mu.Lock()
 		s.number++
 		x := &Exchange{Request: request, Conn: conn, Number: s.number}
@@ -167,6 +174,39 @@
 	}
 }
 
+const (
+	// cachePath and cacheListPath begin the paths of questions about an engine's cache.
+	cachePath     = "/api/kv-events"
+	cacheListPath = "/api/kv-list"
+	// cacheWait is how long an engine without news keeps a question waiting.
+	cacheWait = 200 * time.Millisecond
+)
+
+// ScriptCache sets what answers questions about the engine's cache. They are not
+// among those that Seen returns: hosts ask all the time.
+func (s *Server) ScriptCache(script Script) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cache = script
+}
+
+func (s *Server) answerCache(x *Exchange) {
+	s.mu.Lock()
+	script := s.cache
+	s.mu.Unlock()
+	if script != nil {
+		script(x)
+		return
+	}
+	timer := time.NewTimer(cacheWait)
+	defer timer.Stop()
+	select {
+	case <-s.done:
+	case <-timer.C:
+		x.Answer(http.StatusOK, `{"epoch":1,"next":0,"lost":false,"events":[]}`)
+	}
+}
+
 // Write writes bytes as they are.
 func (x *Exchange) Write(data string) {
 	if _, err := io.WriteString(x.Conn, data); err != nil && !errors.Is(err, net.ErrClosed) {
