--- a/internal/scheduler/roles_bench_test.go
+++ b/internal/scheduler/roles_bench_test.go
@@ -64,6 +64,7 @@
 	// tellsCaches has engines tell what they keep; their words are 100 to 200 ms old.
 	tellsCaches bool
 	news        map[string]driver.CacheNews
+	exchangeMS  int // between two exchanges of loads
 }
 
 // rolesEvent is something that happens at a time.
@@ -90,8 +91,8 @@
 	zones := []string{"a", "b", "c"}
 	b := &rolesBench{
 		now: start, engines: map[string]*modeler.Engine{}, tallies: map[string]*rolesTally{}, rand: rand.New(rand.NewPCG(5, 6)),
-		paths:       rand.New(rand.NewPCG(7, 8)),
-		tellsCaches: true, news: map[string]driver.CacheNews{},
+		paths:      rand.New(rand.NewPCG(7, 8)),
+		exchangeMS: 20, tellsCaches: true, news: map[string]driver.CacheNews{},
 	}
 	for i := range engines {
 		role := driver.RoleDecode
@@ -133,7 +134,7 @@
 		for _, engine := range b.order {
 			engine.Advance(b.now)
 		}
-		if i%20 == 0 {
+		if i%b.exchangeMS == 0 {
 			b.exchange()
 		}
 		if i%100 == 0 && b.tellsCaches {
--- a/internal/scheduler/roles_load_test.go
+++ b/internal/scheduler/roles_load_test.go
@@ -39,3 +39,21 @@
 	assert.Assert(t, 2*told < untold)
 	assert.Assert(t, inTime > inTimeUntold)
 }
+
+// Hosts that hear of each other's prompts within 20 ms seldom choose the same
+// engine; with words 100 ms old, more prompts wait behind others.
+func TestFreshWordsKeepHostsApart(t *testing.T) {
+	t.Parallel()
+	late := func(exchangeMS int) (late int) {
+		b := newRolesBench(6, 18, 12, rolesTiming())
+		b.exchangeMS = exchangeMS
+		b.run(t, 20*time.Second, lending(1.3))
+		for _, c := range b.tallies {
+			late += c.lateFirst + c.refused
+		}
+		return late
+	}
+	fresh, old := late(20), late(100)
+	t.Logf("late or refused: %d with words of 20 ms, %d of 100 ms", fresh, old)
+	assert.Assert(t, 2*fresh < old)
+}
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -94,9 +94,9 @@
 }
 
 // tellsPerSecond is how many messages a second with load a host sends to its
-// peers at most, at some 50 µs of processor time each (BenchmarkTell): a
-// hundredth of a core, of hosts that have a fifth at least.
-const tellsPerSecond = 300
+// peers at most, at some 50 µs of processor time each (BenchmarkTell): 1.2
+// hundredths of a core, of hosts that have a fifth at least.
+const tellsPerSecond = 240
 
 // fleet is the one zone of the authority over all engines' roles: engines of
 // any zone serve all.
