--- a/internal/cachewatcher/cachewatcher.go
+++ b/internal/cachewatcher/cachewatcher.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// newsWait is how long an engine may keep a call waiting for news. Engines
-	// allow a second; a shorter wait shows sooner that an engine can't be reached.
-	newsWait = 250 * time.Millisecond
+	// newsWait is how long an engine may keep a call waiting for news; engines
+	// allow a second.
+	newsWait = time.Second
 	// newsPause is left between two calls to an engine, so that a busy one tells
 	// many changes at a time.
 	newsPause = 100 * time.Millisecond
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -74,7 +74,6 @@
 func (g *fakeGrant) IsCurrent() bool                { return true }
 func (g *fakeGrant) IsPrefillCurrent() bool         { return true }
 func (g *fakeGrant) Fetch() (driver.Target, bool)   { return driver.Target{}, false }
-func (g *fakeGrant) Lost() context.Context          { return context.Background() }
 func (g *fakeGrant) Priority() int                  { return 0 }
 func (g *fakeGrant) Prefilled(error)                {}
 func (g *fakeGrant) Token()                         {}
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -28,8 +28,6 @@
 	errTooLong = errors.New("answer is too long")
 	// errLeft is an endpoint that has left since it was chosen.
 	errLeft = errors.New("endpoint no longer takes work")
-	// errSilent is an endpoint that can't be heard any more.
-	errSilent = errors.New("endpoint has fallen silent")
 	// errServerFault is an answer with which an endpoint reports a fault of its own.
 	errServerFault = errors.New("endpoint reported a fault of its own")
 )
@@ -201,7 +199,7 @@
 	class := p.request.Class.Class
 	class.Application = p.application
 	return scheduler.Work{
-		RequestID: p.request.ID, Class: class, Arrived: p.request.Arrived, Deadline: p.request.Arrived.Add(patienceOf(p.request)),
+		RequestID: p.request.ID, Class: class, Arrived: p.request.Arrived,
 		PromptTokens: p.request.Prompt.Tokens, PrefixKey: p.request.Prompt.SharedKey,
 		PrefixTokens: p.request.Prompt.SharedTokens, PrefixParts: p.request.Prompt.SharedParts, MaxOutputTokens: p.request.Prompt.MaxOutput,
 		DeliveredTokens: p.events, Excluded: p.excluded, IsRead: p.holdsCache(),
@@ -234,9 +232,7 @@
 		call.FetchFrom = holder.Address
 	}
 	begun := time.Now()
-	attempt, end := p.whileHeard(ctx, grant)
-	handle, err := p.forwarder.cfg.Driver.ForwardPrefill(attempt, target, call)
-	end()
+	handle, err := p.forwarder.cfg.Driver.ForwardPrefill(ctx, target, call)
 	p.times.read += time.Since(begun)
 	if err == nil {
 		grant.Prefilled(nil)
@@ -253,25 +249,6 @@
 	return fmt.Errorf("%w: %w", driver.ErrRefused, err)
 }
 
-// costliestRepeat is the most that a repeat takes from the allowance.
-const costliestRepeat = 2
-
-// whileHeard is the context of a call that may be made again elsewhere: it ends
-// when the endpoint that has it falls silent, unless no repeats are left. The
-// end has to be called.
-func (p *passage) whileHeard(ctx context.Context, grant scheduler.Grant) (attempt context.Context, end func()) {
-	attempt, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(grant.Lost(), func() {
-		if p.budget.remaining() >= costliestRepeat {
-			cancel(errSilent)
-		}
-	})
-	return attempt, func() {
-		stop()
-		cancel(nil)
-	}
-}
-
 func (p *passage) call() driver.ForwardCall {
 	call := driver.ForwardCall{
 		RequestID: p.request.ID, Payload: p.request.Payload, Urgency: min(p.request.Class.Rank, maxUrgency),
@@ -291,11 +268,6 @@
 	}
 	call := p.call()
 	call.Import, call.IsWanted = p.handle, grant.IsCurrent
-	if p.request.Class.Repeatable && p.runs+1 < p.request.Class.MaxAttempts {
-		attempt, end := p.whileHeard(ctx, grant)
-		defer end()
-		ctx = attempt
-	}
 	answer, err := p.forwarder.cfg.Driver.Forward(ctx, grant.Target(), call)
 	if !errors.Is(err, driver.ErrNotSent) {
 		p.sends++
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -116,8 +116,6 @@
 	// empty when the source is forgotten.
 	HearLoad(source string, hosts int, loads map[string]Load, now time.Time)
 	HearLeaving(leaving []LeavingEndpoint, now time.Time)
-	// HearZone notes that a host of a zone has spoken.
-	HearZone(zone string, now time.Time)
 }
 
 // PeerStatus is what is known of a peer.
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -47,8 +47,6 @@
 func (l *fakeLocal) Draining() bool                  { return true }
 func (l *fakeLocal) ConfigurationRevision() int64    { return 7 }
 func (l *fakeLocal) Hosts() ([]provider.Host, int64) { return l.hosts, int64(len(l.hosts)) }
-func (l *fakeLocal) HearZone(string, time.Time)      {}
-
 func (l *fakeLocal) HearLoad(hostID string, _ int, loads map[string]Load, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/exchanger/hearer.go
+++ b/internal/exchanger/hearer.go
@@ -40,7 +40,6 @@
 	if !reply.Resync && source != "" {
 		ex.local.HearLoad(source, hosts, loads, now)
 	}
-	ex.local.HearZone(message.GetZone(), now)
 	ex.local.HearLeaving(leavingFromMessage(message.GetLeaving()), now)
 	return reply, nil
 }
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -69,9 +69,6 @@
 	return max(ex.cfg.Tick, time.Duration(told)*time.Second/time.Duration(ex.cfg.TellsPerSecond))
 }
 
-// Heartbeat is how often hosts that tell each other load speak at least.
-func (ex *Exchanger) Heartbeat() time.Duration { return ex.tick() * heartbeatTicks }
-
 // pauseFor is the time until a peer is looked at again. One that is told no
 // load only has to hear that this host lives.
 func (ex *Exchanger) pauseFor(row *teller) time.Duration {
--- a/internal/scheduler/cache.go
+++ b/internal/scheduler/cache.go
@@ -10,6 +10,5 @@
 	endpoint := s.table.Endpoints[target.EndpointID]
 	if endpoint != nil && endpoint.Target.Incarnation == target.Incarnation {
 		endpoint.Cache.Hear(news, isWhole)
-		endpoint.Hear(s.now())
 	}
 }
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -70,9 +70,6 @@
 	// Configuration gives the applications' targets for role changes; nil: none
 	// are tolerated.
 	Configuration configurer.Reader
-	// ZoneSilence is after how long without a word of any host or endpoint of
-	// another zone that zone counts as cut off; nil: silence says nothing.
-	ZoneSilence func() time.Duration
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 	// Seed makes random choices repeatable in tests; 0: a random seed.
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"context"
 	"errors"
 	"sync/atomic"
 	"time"
@@ -29,11 +28,6 @@
 	beside   int // requests at choice.Decode when it was granted
 	targets  targets
 	basis    Basis
-	lost     context.Context // ends when the endpoint falls silent
-	lose     context.CancelFunc
-	// wasSilent says that it was chosen though its zone had fallen silent, since
-	// there was nothing else.
-	wasSilent bool
 
 	// isProbe and isPrefillProbe say that the use probes an endpoint set aside.
 	isProbe, isPrefillProbe bool
@@ -80,12 +74,11 @@
 
 func (s *Scheduler) newGrant(work *Work, choice *router.Choice, expected int, latestStart, now time.Time) *grant {
 	g := &grant{
-		s: s, work: *work, choice: *choice, granted: now, targets: targetsOf(choice), wasSilent: choice.Decode.IsSilent,
+		s: s, work: *work, choice: *choice, granted: now, targets: targetsOf(choice),
 		beside:     choice.Decode.Total().Requests,
 		priority:   s.priority(work, latestStart),
 		decodeLoad: tracker.Load{Requests: 1, DecodeTokens: expected},
 	}
-	g.lost, g.lose = context.WithCancel(context.Background())
 	g.basis = Basis{
 		EndpointID: choice.Decode.Target.EndpointID, Requests: g.beside, PeerRequests: choice.Decode.Peers.Requests,
 		TokensAhead: choice.Ahead, First: choice.First, RoleAge: now.Sub(choice.Decode.RoleSince),
@@ -134,7 +127,7 @@
 func (g *grant) IsCurrent() bool {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
-	return g.choice.Decode.TakesNewWork() && (g.wasSilent || !g.choice.Decode.IsSilent)
+	return g.choice.Decode.TakesNewWork()
 }
 
 // IsPrefillCurrent implements Grant.
@@ -144,9 +137,6 @@
 	return g.choice.Prefill != nil && g.choice.Prefill.TakesNewWork()
 }
 
-// Lost implements Grant.
-func (g *grant) Lost() context.Context { return g.lost }
-
 // Basis implements Grant.
 func (g *grant) Basis() Basis { return g.basis }
 
@@ -168,7 +158,6 @@
 		return
 	}
 	g.prefilledAt = now
-	prefill.Hear(now)
 	prefill.Breaker.Succeed(g.isPrefillProbe)
 	g.isPrefillProbe = false
 	g.application().Model.ObserveReading(g.choice.PrefillTokens, now.Sub(g.granted))
@@ -195,7 +184,6 @@
 	g.sampledAt = now.UnixNano()
 	g.collected = 1
 	decode := g.choice.Decode
-	decode.Hear(now)
 	decode.Breaker.Succeed(g.isProbe)
 	g.isProbe = false
 	switch {
@@ -235,7 +223,6 @@
 	}
 	g.collect()
 	g.isDone = true
-	g.lose()
 	g.s.forget(g)
 	g.setDecodeLoad(tracker.Load{})
 	g.setPrefillLoad(tracker.Load{})
@@ -252,7 +239,6 @@
 
 func (g *grant) completed(end driver.End, now time.Time) {
 	endpoint := g.choice.Decode
-	endpoint.Hear(now)
 	endpoint.Breaker.Succeed(g.isProbe)
 	g.isProbe = false
 	if g.work.Class.Kind == configurer.KindCall {
@@ -287,9 +273,6 @@
 // collect takes in the tokens that came since the last time.
 func (g *grant) collect() {
 	tokens, at := g.tokens.Load(), g.lastAt.Load()
-	if at > 0 {
-		g.choice.Decode.Hear(time.Unix(0, at))
-	}
 	if g.isDone || g.firstAt.IsZero() || tokens == g.collected {
 		return
 	}
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -167,10 +167,6 @@
 		IgnoreLimits: item.IsStarted || s.cfg.Policy.Admission == AdmitAll,
 		Now:          now,
 	}
-	if !work.Deadline.IsZero() {
-		query.CompletionDue = max(work.Deadline.Sub(now), 0)
-		query.OutputUpper = s.class(work).Length.Upper(work.DeliveredTokens, work.MaxOutputTokens)
-	}
 	if target := work.Class.FirstTokenTarget(); target > 0 && !item.IsStarted {
 		query.FirstTokenDue = max(work.Arrived.Add(target).Sub(now), 1)
 	}
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -118,9 +118,6 @@
 		choice := prefill
 		choice.Decode = endpoint
 		choice.First += handover(application, q)
-		if prefill.Prefill != nil && prefill.Prefill.Zone != endpoint.Zone {
-			choice.First += handover(application, q) // between zones it takes twice as long
-		}
 		gap := estimator.Scale(application.Model.Gap(total.Requests+1), endpoint.Speed)
 		choice.finish(q, gap)
 		choice.score = withZone(choice.score, endpoint)
@@ -137,5 +134,5 @@
 
 // isReachable is true where the engine takes work of this request now.
 func isReachable(endpoint *tracker.Endpoint, q *Query) bool {
-	return endpoint.TakesNewWork() && !isAvoided(endpoint, q) && endpoint.Breaker.Allows(q.Now) && !slices.Contains(q.Excluded, endpoint.Target.EndpointID)
+	return endpoint.TakesNewWork() && endpoint.Breaker.Allows(q.Now) && !slices.Contains(q.Excluded, endpoint.Target.EndpointID)
 }
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -58,12 +58,9 @@
 	PrefixTokens  int
 	PrefixParts   []tracker.Part // that the prefix consists of; nil: not known
 	OutputTokens  int            // expected
-	OutputUpper   int            // that most answers stay below; 0: not known
-	CompletionDue time.Duration  // until the answer is of no use any more; 0: not known, or passed
 	FirstTokenDue time.Duration  // until the first-token target; 0: none, or passed
 	GapTarget     time.Duration  // 0: none
 	Excluded      []string
-	AllowSilent   bool // endpoints of zones that have fallen silent will do
 	IsRead        bool // the KV cache of the prompt is kept; an engine that decodes is wanted
 	// CalmBatch is the batch beyond which the work would slow more urgent work
 	// down too much; 0: no bound.
@@ -132,21 +129,8 @@
 	return &Router{routing: routing, rand: source, turn: make(map[string]int)}
 }
 
-// Choose chooses among an application's endpoints. Those of zones that have
-// fallen silent come last: only where no other endpoint takes work at all.
+// Choose chooses among an application's endpoints.
 func (r *Router) Choose(application *tracker.Application, q *Query) (Choice, Verdict) {
-	choice, verdict := r.choose(application, q)
-	if verdict.Kind != None || q.AllowSilent {
-		return choice, verdict
-	}
-	q.AllowSilent = true
-	return r.choose(application, q)
-}
-
-// isAvoided is true where an endpoint is not to be used though it takes work.
-func isAvoided(endpoint *tracker.Endpoint, q *Query) bool { return endpoint.IsSilent && !q.AllowSilent }
-
-func (r *Router) choose(application *tracker.Application, q *Query) (Choice, Verdict) {
 	if r.routing != EstimatedFinish {
 		return r.chooseBaseline(application, q)
 	}
@@ -233,7 +217,7 @@
 // usable is true where the endpoint may be considered; otherwise the verdict
 // learns why not.
 func (v *Verdict) usable(endpoint *tracker.Endpoint, q *Query) bool {
-	if !endpoint.TakesNewWork() || slices.Contains(q.Excluded, endpoint.Target.EndpointID) || isAvoided(endpoint, q) {
+	if !endpoint.TakesNewWork() || slices.Contains(q.Excluded, endpoint.Target.EndpointID) {
 		return false
 	}
 	if endpoint.Breaker.Allows(q.Now) {
@@ -328,9 +312,6 @@
 	if q.GapTarget > 0 && gap > q.GapTarget {
 		c.score += gapPenalty * rest * (gap - q.GapTarget)
 	}
-	if longest := c.First + time.Duration(q.OutputUpper)*gap; q.CompletionDue > 0 && longest > q.CompletionDue {
-		c.score += latePenalty * (longest - q.CompletionDue)
-	}
 }
 
 func withZone(score time.Duration, endpoint *tracker.Endpoint) time.Duration {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -162,7 +162,6 @@
 	for _, g := range s.grants {
 		g.collect()
 	}
-	s.noteSilence(now)
 	s.table.Tick(now)
 	for _, q := range s.queues {
 		q.pace.tick(len(q.items) > 0, s.table.Application(q.application).Summary.Capacity, now)
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -35,7 +35,6 @@
 	Speed         float64 // factor against its application's model; above 1 is slower
 	Breaker       Breaker
 	Cache         Cache
-	IsSilent      bool // it or its zone has fallen silent
 
 	Own         Load
 	Recent      Load // of Own, given since the last tick, which peers don't know of
@@ -46,7 +45,6 @@
 	OrderState  driver.OrderState
 	RoleSince   time.Time // when the present role was first seen
 
-	heardAt     time.Time // that it answered anything last
 	correctedAt time.Time
 	crowded     bool // many requests waited in the last report
 	history     history
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -89,9 +89,6 @@
 	Classes      map[ClassKey]*Class
 	Tenants      map[TenantKey]*Tenant
 	Peers        map[string]Peer
-
-	heard  map[string]time.Time // by zone: when one of its hosts was heard last
-	silent map[string]bool      // by zone
 }
 
 // NewTable returns empty tables for a host in the zone.
@@ -103,8 +100,6 @@
 		Classes:      make(map[ClassKey]*Class),
 		Tenants:      make(map[TenantKey]*Tenant),
 		Peers:        make(map[string]Peer),
-		heard:        make(map[string]time.Time),
-		silent:       make(map[string]bool),
 	}
 }
 
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"context"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/configurer"
@@ -15,7 +14,6 @@
 	RequestID       string
 	Class           configurer.Class
 	Arrived         time.Time // at this host; targets count from here
-	Deadline        time.Time // when the caller gives up; zero: not known
 	PromptTokens    int
 	PrefixKey       string
 	PrefixTokens    int
@@ -46,9 +44,6 @@
 	IsCurrent() bool
 	// IsPrefillCurrent is the same for the engine of Prefill.
 	IsPrefillCurrent() bool
-	// Lost ends when the endpoint that has the work can't be heard any more: it or
-	// its zone has fallen silent. The work may still be done there.
-	Lost() context.Context
 	// Basis is what the choice of Target was made on, for the log.
 	Basis() Basis
 	// Prefilled says that the separate prefill has ended; err is nil when it
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -127,7 +127,7 @@
 	g.meter = meter.New(meter.Config{})
 	g.scheduler = scheduler.New(scheduler.Config{
 		HostID: cfg.HostID, Zone: cfg.Zone, Configuration: g.classifier, Logger: cfg.Logger.Named("scheduler"),
-		Policy: cfg.policy(), ZoneSilence: g.zoneSilence,
+		Policy: cfg.policy(),
 	})
 	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -48,20 +48,6 @@
 	return nil
 }
 
-const (
-	// minZoneSilence is after how long without any word of a zone it counts as cut
-	// off: four of its hosts' heartbeats, where hosts are few, and of more than one
-	// of its engines the time in which they answer a question about their caches.
-	minZoneSilence = 400 * time.Millisecond
-	// silentHeartbeats is how many heartbeats in a row must be missing.
-	silentHeartbeats = 4
-)
-
-// zoneSilence implements scheduler.Config: a longer time where hosts speak less often.
-func (g *Gateway) zoneSilence() time.Duration {
-	return max(minZoneSilence, silentHeartbeats*g.exchanger.Heartbeat())
-}
-
 // zoneHosts are the hosts of this zone that the store lists and that have not
 // fallen silent, this one included.
 func (g *Gateway) zoneHosts() []exchanger.Peer {
@@ -170,9 +156,6 @@
 	hearLoad(g.scheduler, source, hosts, loads, now)
 }
 
-// HearZone implements exchanger.Local.
-func (g *Gateway) HearZone(zone string, now time.Time) { g.scheduler.HearZone(zone, now) }
-
 // HearLeaving implements exchanger.Local.
 func (g *Gateway) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
 	var leave []exchanger.LeavingEndpoint
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -199,9 +199,6 @@
 // Hosts implements exchanger.Local.
 func (e *Entry) Hosts() (hosts []provider.Host, revision int64) { return e.lister.Hosts() }
 
-// HearZone implements exchanger.Local.
-func (e *Entry) HearZone(zone string, now time.Time) { e.scheduler.HearZone(zone, now) }
-
 // HearLoad implements exchanger.Local.
 func (e *Entry) HearLoad(source string, hosts int, loads map[string]exchanger.Load, now time.Time) {
 	hearLoad(e.scheduler, source, hosts, loads, now)
