Lines about requests tell the word that an endpoint was chosen by

Cause for it: nothing told the three hypotheses of the incident apart: whether the host that sends to an endpoint that leaves has lost the store, has missed a change, or knew.

Change: each line about an attempt or a served request has word_revision, word_age_ms and store_away_ms; a gauge shows for how long the store is away. No logic changes.

--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -61,6 +61,9 @@
 	Driver    driver.Forwarder
 	Meter     Meter
 	Logger    hclog.Logger
+	// StoreAway is for how long the platform's store has not answered this host,
+	// for the lines about requests; nil: never away.
+	StoreAway func() time.Duration
 	// RepeatShare of an application's requests, and RepeatReserve more, may be
 	// sent to a second endpoint. These are this host's parts.
 	RepeatShare   float64
@@ -86,7 +89,7 @@
 // NewForwarder prepares a Forwarder.
 func NewForwarder(cfg ForwarderConfig) *Forwarder {
 	return &Forwarder{
-		cfg: cfg, story: newStoryteller(cfg.Logger), budgets: map[string]*allowance{}, reserve: cfg.RepeatReserve,
+		cfg: cfg, story: newStoryteller(cfg.Logger, cfg.StoreAway), budgets: map[string]*allowance{}, reserve: cfg.RepeatReserve,
 	}
 }
 
--- a/internal/dispatcher/story.go
+++ b/internal/dispatcher/story.go
@@ -29,13 +29,17 @@
 // request that was not simply served, and one for its end.
 type storyteller struct {
 	logger  hclog.Logger
+	away    func() time.Duration
 	limiter *rate.Limiter // of lines about what failed
 	served  *rate.Limiter // of lines about what did not
 	left    counter       // lines left out since the last one
 }
 
-func newStoryteller(logger hclog.Logger) *storyteller {
-	return &storyteller{logger: logger, limiter: rate.NewLimiter(storyRate, storyBurst), served: rate.NewLimiter(servedRate, servedBurst)}
+func newStoryteller(logger hclog.Logger, away func() time.Duration) *storyteller {
+	if away == nil {
+		away = func() time.Duration { return 0 }
+	}
+	return &storyteller{logger: logger, away: away, limiter: rate.NewLimiter(storyRate, storyBurst), served: rate.NewLimiter(servedRate, servedBurst)}
 }
 
 // tell writes a line unless there are too many. The number of those left out
@@ -62,10 +66,22 @@
 // attempted tells of an attempt that failed, and of what was decided on then.
 func (s *storyteller) attempted(p *passage, grant scheduler.Grant, step string, err error) {
 	basis := grant.Basis()
-	s.tell(hclog.Info, "attempt failed", p, "step", step, "endpoint_id", basis.EndpointID, "error", err.Error(),
+	args := []any{
+		"step", step, "endpoint_id", basis.EndpointID, "error", err.Error(),
 		"requests_there", basis.Requests, "peers_part", basis.PeerRequests, "prompt_tokens_ahead", basis.TokensAhead,
 		"estimated_first_ms", basis.First.Milliseconds(), "listed_for_ms", basis.RoleAge.Milliseconds(),
-		"sends", p.sends, "may_have_run", p.runs > 0)
+		"sends", p.sends, "may_have_run", p.runs > 0,
+	}
+	s.tell(hclog.Info, "attempt failed", p, append(args, s.wordArgs(&basis)...)...)
+}
+
+// wordArgs says which word of the platform an endpoint was chosen by, and
+// whether this host could have heard a later one.
+func (s *storyteller) wordArgs(basis *scheduler.Basis) []any {
+	return []any{
+		"word_revision", basis.WordRevision, "word_age_ms", basis.WordAge.Milliseconds(),
+		"store_away_ms", s.away().Milliseconds(),
+	}
 }
 
 // repeated tells that a request goes to another endpoint.
@@ -111,6 +127,7 @@
 		"pause_target_ms", p.request.Class.BetweenTokensTargetMS,
 		"sends", p.sends, "runs", p.runs, "events", p.events,
 	}
+	args = append(args, s.wordArgs(&p.basis)...)
 	s.tellWithin(limiter, hclog.Info, "request served", p, append(args, promptArgs(p)...)...)
 }
 
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -213,6 +213,16 @@
 	return f.hasMoved
 }
 
+// Away is for how long the store has not answered; 0 while it does.
+func (f *Follower) Away() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostAt.IsZero() {
+		return 0
+	}
+	return time.Since(f.lostAt)
+}
+
 func (f *Follower) setMoved(moved bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -139,6 +139,7 @@
 		r.cfg.Logger.Error("registration not understood; the endpoint is not used", "endpoint_id", id, "error", err)
 		return id
 	}
+	host.Revision = entry.Revision
 	before, isKnown := r.hosts[id]
 	r.hosts[id] = host
 	delete(r.missing, id)
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -167,6 +167,11 @@
 	m.set.GetOrCreateGauge(metricName("endivemast_orders", label{"state", state}), value)
 }
 
+// GaugeStoreAway shows for how long the platform's store has not answered this host.
+func (m *Meter) GaugeStoreAway(value func() time.Duration) {
+	m.set.GetOrCreateGauge("endivemast_store_away_seconds", func() float64 { return value().Seconds() })
+}
+
 // GaugePeers shows how many other entry hosts are in a state.
 func (m *Meter) GaugePeers(state string, value func() float64) {
 	m.set.GetOrCreateGauge(metricName("endivemast_peers", label{"state", state}), value)
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -150,6 +150,8 @@
 	Role string `json:"role,omitempty"`
 	// Slots is how many requests an endpoint runs at once; 0: not told.
 	Slots int `json:"slots,omitempty"`
+	// Revision is the store's, of the entry that says all this; 0: not told.
+	Revision int64 `json:"revision,omitempty"`
 	// ChecksFencing is true where the endpoint refuses an order that carries
 	// an old fencing number. False, or not stated, means that it does not.
 	ChecksFencing bool `json:"checks_fencing"`
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -82,6 +82,7 @@
 	g.basis = Basis{
 		EndpointID: choice.Decode.Target.EndpointID, Requests: g.beside, PeerRequests: choice.Decode.Peers.Requests,
 		TokensAhead: choice.Ahead, First: choice.First, RoleAge: now.Sub(choice.Decode.RoleSince),
+		WordRevision: choice.Decode.Word.Revision, WordAge: choice.Decode.Word.Age(now),
 		Course: choice.Course, ReadTokens: choice.PrefillTokens, FetchID: g.targets.fetch.EndpointID,
 	}
 	g.basis.PrefillID = g.targets.prefill.EndpointID
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -25,6 +25,7 @@
 	Kind        provider.HostKind
 	Local       bool // in this host's zone
 
+	Word          Word // of the platform, which all of this comes from
 	Leaving       bool // the platform says so; holds for the incarnation
 	Listed        bool
 	Draining      bool      // its report says so, or it changes role or model
@@ -50,6 +51,15 @@
 	history     history
 }
 
+// Word is what the platform has said of an endpoint last.
+type Word struct {
+	Revision int64 // of the platform's store; 0: not told
+	HeardAt  time.Time
+}
+
+// Age is the time since the word was heard.
+func (w *Word) Age(now time.Time) time.Duration { return now.Sub(w.HeardAt) }
+
 // Total is the endpoint's load as far as this host can tell.
 func (e *Endpoint) Total() Load {
 	return e.Own.Plus(e.Peers).Plus(e.Correction).AtLeast(e.Own)
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -152,6 +152,9 @@
 		t.Endpoints[host.ID] = endpoint
 		endpoint.Peers = t.peerSum(host.ID)
 	}
+	if isNew || endpoint.Word.Revision != host.Revision {
+		endpoint.Word = Word{Revision: host.Revision, HeardAt: now}
+	}
 	endpoint.Target.Address = host.Address
 	endpoint.Zone = host.Zone
 	endpoint.Application = host.Application
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -67,6 +67,8 @@
 	TokensAhead  int           // prompt tokens that waited at the engine that reads
 	First        time.Duration // estimated time to the first token, or to the answer of a call
 	RoleAge      time.Duration // since its present role, or the endpoint itself, was first seen
+	WordRevision int64         // of the store, of what the platform has said of the endpoint last
+	WordAge      time.Duration // since this host heard that
 }
 
 // Result is how a Grant's use ended: Completed, Abandoned or Broken.
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -154,6 +154,7 @@
 	})
 	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
+		StoreAway: g.follower.Away,
 		RepeatShare: cfg.RepeatShare * repeatSafety, RepeatReserve: cfg.RepeatReserve * repeatSafety / unknownHosts,
 		RepeatWindow: cfg.RepeatWindow,
 	})
@@ -199,6 +200,7 @@
 		return ready
 	})
 	g.meter.GaugeConfigRevision(func() float64 { return float64(g.classifier.Revision()) })
+	g.meter.GaugeStoreAway(g.follower.Away)
 	g.meter.GaugeInFlight(func() float64 { return float64(g.forwarder.Active()) })
 	g.meter.GaugeLeaseHeld(fleet, func() bool {
 		_, holds := g.leaser.Holder()
