--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -400,6 +400,18 @@
 	return statuses
 }
 
+// Heard is how many peers have spoken lately.
+func (ex *Exchanger) Heard() (n int) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for _, row := range ex.heard {
+		if row.status.Reachable {
+			n++
+		}
+	}
+	return n
+}
+
 // IsAway is true for a peer that has spoken once and is silent, or drains.
 func (ex *Exchanger) IsAway(hostID string) bool {
 	ex.mu.Lock()
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -154,7 +154,7 @@
 	})
 	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
-		StoreAway: g.follower.Away,
+		StoreAway:   g.follower.Away,
 		RepeatShare: cfg.RepeatShare * repeatSafety, RepeatReserve: cfg.RepeatReserve * repeatSafety / unknownHosts,
 		RepeatWindow: cfg.RepeatWindow,
 	})
@@ -207,6 +207,7 @@
 		return holds
 	})
 	g.meter.GaugePeers("known", func() float64 { return float64(len(g.registrar.Peers())) })
+	g.meter.GaugePeers("heard", func() float64 { return float64(g.exchanger.Heard()) })
 	g.meter.GaugeEndpoints("listed", func() float64 { return float64(len(g.registrations.Hosts())) })
 }
 
--- a/standins/storeserver/storeserver.go
+++ b/standins/storeserver/storeserver.go
@@ -195,23 +195,28 @@
 		s.calls[r.URL.Path]++
 		fault := s.fault
 		s.mu.Unlock()
-		switch fault {
-		case FaultBusy:
-			http.Error(w, "busy", http.StatusServiceUnavailable)
-		case FaultSilent:
-			select {
-			case <-r.Context().Done():
-			case <-s.closed:
-			}
-		case FaultLost:
-			next.ServeHTTP(httptest.NewRecorder(), r)
-			panic(http.ErrAbortHandler)
-		default:
-			next.ServeHTTP(w, r)
-		}
+		fail(fault, next, s.closed, w, r)
 	})
 }
 
+// fail answers a call, or fails as asked. A call that gets no answer ends with done.
+func fail(fault Fault, next http.Handler, done <-chan struct{}, w http.ResponseWriter, r *http.Request) {
+	switch fault {
+	case FaultBusy:
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+	case FaultSilent:
+		select {
+		case <-r.Context().Done():
+		case <-done:
+		}
+	case FaultLost:
+		next.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	default:
+		next.ServeHTTP(w, r)
+	}
+}
+
 func answer(w http.ResponseWriter, status int, message any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
