Words of an endpoint are ordered by its starts and their counts

Cause: the word that came last was taken for the latest. A write of an endpoint that is held up is carried out behind later ones; in a trial with endpoints that crash behind a cut, earlier words had their entries listed as ready again 3.3 to 3.7 s after these had gone, on all hosts, for 3.6 s. An endpoint that had said that it leaves would be given work again. Nothing read the count that each entry has.

The list leaves out a word of an earlier start or a lower count, also for a minute after an endpoint has left the list. A peer's word that an engine takes no work holds for that process only. An endpoint whose entry is spoilt is not used until it has said again what it is.

TestRegistrations: an entry that is not understood now leaves the endpoint unused, as the users ask, where it left the earlier one in use; the cases of a peer's word name the process.

--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -110,10 +110,11 @@
 	return locals, exchangers
 }
 
-func awaitLoads(t *testing.T, local *fakeLocal, hostID string, want map[string]Load) {
+// awaitLoads waits until a host has heard that load of host a.
+func awaitLoads(t *testing.T, local *fakeLocal, want map[string]Load) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		got := local.heardOf(hostID)
+		got := local.heardOf("a")
 		if len(got) != len(want) {
 			return poll.Continue("%v", got)
 		}
@@ -129,15 +130,15 @@
 func TestPeersHearDifferencesAndForgetTheSilent(t *testing.T) {
 	locals, exchangers := startPair(t, "secret")
 	locals[0].setOwn(map[string]Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
-	awaitLoads(t, locals[1], "a", map[string]Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
+	awaitLoads(t, locals[1], map[string]Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
 	locals[0].setOwn(map[string]Load{"e1": {Requests: 3}})
-	awaitLoads(t, locals[1], "a", map[string]Load{"e1": {Requests: 3}})
+	awaitLoads(t, locals[1], map[string]Load{"e1": {Requests: 3}})
 	statuses := exchangers[1].Statuses()
 	assert.Equal(t, statuses[0].Reachable, true)
 	assert.Equal(t, statuses[0].Draining, true)
 	assert.Equal(t, statuses[0].ConfigurationRevision, int64(7))
 	assert.NilError(t, exchangers[0].Close())
-	awaitLoads(t, locals[1], "a", nil)
+	awaitLoads(t, locals[1], nil)
 	assert.Equal(t, exchangers[1].Statuses()[0].Reachable, false)
 }
 
@@ -165,7 +166,7 @@
 			assert.Equal(t, len(exchangers[0].Peers()) == 1, test.isServing)
 			if test.isServing {
 				locals[0].setOwn(map[string]Load{"e1": {Requests: 3}})
-				awaitLoads(t, locals[1], "a", map[string]Load{"e1": {Requests: 3}})
+				awaitLoads(t, locals[1], map[string]Load{"e1": {Requests: 3}})
 			}
 			assert.NilError(t, test.end(exchangers[1]))
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -20,8 +20,20 @@
 	// its entry has lapsed, and comes back. The rest of the time is for hearing
 	// of it, which takes up to 400 ms, and for requests under way.
 	removalShare = 0.5
+	// goneKept is how long an endpoint's last word is kept once it is not listed
+	// any more. Words that are held up come within seconds: behind a cut, once it
+	// heals; at the store, 6 s after they were sent.
+	goneKept = time.Minute
+	// mostUnread is how many entries are remembered as told of in the log.
+	mostUnread = 256
 )
 
+// goneHost is an endpoint that is not listed any more.
+type goneHost struct {
+	word provider.Host // the last one
+	at   time.Time     // when it left the list
+}
+
 // RegistrationsConfig sets up Registrations.
 type RegistrationsConfig struct {
 	Prefix string // of the keys; the endpoint's id follows
@@ -45,17 +57,21 @@
 	mu       sync.Mutex
 	hosts    map[string]provider.Host
 	missing  map[string]time.Time // entries that are gone, and until when they stay listed
+	gone     map[string]goneHost  // the last words of endpoints that are not listed any more
+	spoilt   map[string]bool      // endpoints whose entry some other writer has made
 	regained time.Time
 	isKnown  bool
 	changing map[string]bool      // engines that this host gives another role
 	heard    map[string]heardWord // peers' words that an engine takes no work
+	unread   map[string]int64     // revisions of entries that could not be read, by id
 }
 
 // NewRegistrations makes an empty list.
 func NewRegistrations(cfg RegistrationsConfig) *Registrations {
 	return &Registrations{
 		cfg: cfg, hosts: map[string]provider.Host{}, missing: map[string]time.Time{},
-		changing: map[string]bool{}, heard: map[string]heardWord{},
+		gone: map[string]goneHost{}, spoilt: map[string]bool{},
+		changing: map[string]bool{}, heard: map[string]heardWord{}, unread: map[string]int64{},
 	}
 }
 
@@ -116,11 +132,18 @@
 	for id, until := range r.missing {
 		if !now.Before(until) {
 			r.cfg.Logger.Info("endpoint gone", "endpoint_id", id)
+			r.gone[id] = goneHost{word: r.hosts[id], at: now}
 			delete(r.missing, id)
 			delete(r.hosts, id)
+			delete(r.spoilt, id)
 			dropped = true
 		}
 	}
+	for id, host := range r.gone {
+		if now.Sub(host.at) > goneKept {
+			delete(r.gone, id)
+		}
+	}
 	for id, word := range r.heard {
 		if now.Sub(word.at) > peerWordHolds {
 			delete(r.heard, id)
@@ -138,13 +161,20 @@
 	id = strings.TrimPrefix(entry.Key, r.cfg.Prefix)
 	host, err := r.cfg.Decode(entry)
 	if err != nil {
-		r.cfg.Logger.Error("registration not understood; the endpoint is not used", "endpoint_id", id, "error", err)
+		r.spoil(id, &entry, err)
 		return id
 	}
 	host.Revision = entry.Revision
 	before, isKnown := r.hosts[id]
+	if r.isLate(&host) {
+		r.cfg.Logger.Info("late word of an endpoint left out", "endpoint_id", id, "revision", entry.Revision,
+			"born", host.Born, "sequence", host.Sequence, "state", host.State, "known_state", before.State, "listed", isKnown)
+		return id
+	}
 	r.hosts[id] = host
 	delete(r.missing, id)
+	delete(r.gone, id)
+	delete(r.spoilt, id)
 	if !isKnown || before != host {
 		r.cfg.Logger.Info("endpoint registered", "endpoint_id", id, "application", host.Application, "address", host.Address,
 			"zone", host.Zone, "state", host.State, "role", host.Role, "revision", entry.Revision)
@@ -152,6 +182,45 @@
 	return id
 }
 
+// spoil notes an entry that names no endpoint. One that was known by it is not
+// used until it has said again what it is.
+func (r *Registrations) spoil(id string, entry *provider.Entry, err error) {
+	_, isKnown := r.hosts[id]
+	if isKnown {
+		r.spoilt[id] = true
+	}
+	if r.unread[id] == entry.Revision && entry.Revision != 0 {
+		return // told before
+	}
+	if len(r.unread) >= mostUnread {
+		clear(r.unread)
+	}
+	r.unread[id] = entry.Revision
+	r.cfg.Logger.Error("registration not understood; it names no endpoint", "key", entry.Key, "revision", entry.Revision,
+		"was_known", isKnown, "error", err)
+}
+
+// isLate is true for a word that is older than what is known: of an earlier
+// start of the endpoint, or an earlier word of the same. The store's own order
+// does not tell, since a write may be held up on its way: processes that had
+// crashed behind a cut were listed as ready again by their own earlier words, 3.3
+// to 3.7 s after their entries had gone, and one that had said that it leaves
+// would be given work again. What has gone is remembered for that.
+func (r *Registrations) isLate(host *provider.Host) bool {
+	known, ok := r.hosts[host.ID]
+	if !ok {
+		known, ok = r.gone[host.ID].word, r.gone[host.ID].word.ID != ""
+	}
+	switch {
+	case !ok:
+		return false
+	case host.Born != known.Born:
+		return host.Born < known.Born
+	default:
+		return host.Sequence < known.Sequence
+	}
+}
+
 // miss notes that an endpoint's entry is gone. One that has said before that
 // it leaves goes at once.
 func (r *Registrations) miss(id string, now time.Time) {
@@ -179,7 +248,7 @@
 	defer r.mu.Unlock()
 	hosts = make([]provider.Host, 0, len(r.hosts))
 	for _, host := range r.hosts {
-		if r.changing[host.ID] || r.isHeard(host.ID) {
+		if r.changing[host.ID] || r.spoilt[host.ID] || r.isHeard(&host) {
 			host.State = provider.HostLeaving
 		}
 		hosts = append(hosts, host)
@@ -187,9 +256,10 @@
 	return hosts
 }
 
-func (r *Registrations) isHeard(id string) bool {
-	_, ok := r.heard[id]
-	return ok
+// isHeard is true where a peer says of this very process that it takes no work.
+func (r *Registrations) isHeard(host *provider.Host) bool {
+	word, ok := r.heard[host.ID]
+	return ok && word.incarnation == host.Incarnation
 }
 
 // Find returns an endpoint as it has registered itself.
@@ -217,7 +287,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id := range r.changing {
-		leaving = append(leaving, exchanger.LeavingEndpoint{EndpointID: id, Incarnation: id})
+		if host, ok := r.hosts[id]; ok {
+			leaving = append(leaving, exchanger.LeavingEndpoint{EndpointID: id, Incarnation: host.Incarnation})
+		}
 	}
 	return leaving
 }
@@ -230,7 +302,7 @@
 	r.mu.Lock()
 	isNew := false
 	for _, endpoint := range leaving {
-		isNew = isNew || !r.isHeard(endpoint.EndpointID)
+		isNew = isNew || r.heard[endpoint.EndpointID].incarnation != endpoint.Incarnation
 		r.heard[endpoint.EndpointID] = heardWord{incarnation: endpoint.Incarnation, at: now}
 	}
 	r.mu.Unlock()
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -73,16 +73,26 @@
 				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond))
 			}, at: 2100 * time.Millisecond, want: "",
 		},
-		"not understood":       {act: func(r *Registrations) { r.Apply(set(""), start) }, want: provider.HostLive},
+		"not understood": {act: func(r *Registrations) { r.Apply(set(""), start) }, want: provider.HostLeaving},
+		"not understood, then says again what it is": {
+			act: func(r *Registrations) { r.Apply(set(""), start); r.Apply(set(provider.HostLive), start) }, want: provider.HostLive,
+		},
+		"not understood, then gone": {
+			act: func(r *Registrations) { r.Apply(set(""), start); r.Apply(gone, start) }, at: 1100 * time.Millisecond, want: "",
+		},
 		"changes its role":     {act: func(r *Registrations) { r.SetChanging([]string{"e1"}) }, at: time.Hour, want: provider.HostLeaving},
 		"has changed its role": {act: func(r *Registrations) { r.SetChanging([]string{"e1"}); r.SetChanging(nil) }, want: provider.HostLive},
 		"a peer changes its role": {
-			act: func(r *Registrations) { r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1"}}, start) },
-			at:  500 * time.Millisecond, want: provider.HostLeaving,
+			act: func(r *Registrations) {
+				r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1"}}, start)
+			},
+			at: 500 * time.Millisecond, want: provider.HostLeaving,
 		},
 		"a peer falls silent": {
-			act: func(r *Registrations) { r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1"}}, start) },
-			at:  2 * time.Second, want: provider.HostLive,
+			act: func(r *Registrations) {
+				r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1"}}, start)
+			},
+			at: 2 * time.Second, want: provider.HostLive,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -162,6 +162,12 @@
 	Slots int `json:"slots,omitempty"`
 	// Revision is the store's, of the entry that says all this; 0: not told.
 	Revision int64 `json:"revision,omitempty"`
+	// Born is when the process started, in Unix milliseconds; 0: not told. It
+	// orders the processes that an endpoint has had.
+	Born int64 `json:"born,omitempty"`
+	// Sequence is how many words the process has said of itself; 0: not told. It
+	// orders these: one that is held up on its way may come behind later ones.
+	Sequence int64 `json:"sequence,omitempty"`
 	// ChecksFencing is true where the endpoint refuses an order that carries
 	// an old fencing number. False, or not stated, means that it does not.
 	ChecksFencing bool `json:"checks_fencing"`
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -213,14 +214,30 @@
 }
 
 func (r *Registrar) putLocked(entry provider.Entry) {
-	var host Host
-	if err := json.Unmarshal(entry.Value, &host); err != nil {
-		r.cfg.Logger.Error("entry of another host not understood", "key", entry.Key, "error", err)
+	hostID := entry.Key[len(Prefix):]
+	if hostID == r.cfg.Own.HostID {
 		return
 	}
-	if host.HostID != r.cfg.Own.HostID {
-		r.hosts[host.HostID] = host
+	host, err := decodeHost(hostID, entry.Value)
+	if err != nil {
+		r.cfg.Logger.Error("entry of another host not understood; it names no host", "key", entry.Key, "revision", entry.Revision, "error", err)
+		delete(r.hosts, hostID)
+		return
+	}
+	r.hosts[hostID] = host
+}
+
+// errIncomplete is an entry that no host has written.
+var errIncomplete = errors.New("not a whole entry of a host")
+
+func decodeHost(hostID string, value []byte) (host Host, err error) {
+	if err := json.Unmarshal(value, &host); err != nil {
+		return Host{}, err
+	}
+	if _, err := netip.ParseAddrPort(host.Address); err != nil || host.HostID != hostID || host.Zone == "" || host.Incarnation == "" {
+		return Host{}, errors.Join(errIncomplete, err)
 	}
+	return host, nil
 }
 
 // Peers returns the other hosts.
--- a/internal/relayer/log.go
+++ b/internal/relayer/log.go
@@ -21,8 +21,8 @@
 type changeLog struct {
 	mu      sync.Mutex
 	entries map[string]provider.Entry // by key
-	after   int64 // all changes behind this revision are kept
-	head    int64 // the latest revision heard of
+	after   int64                     // all changes behind this revision are kept
+	head    int64                     // the latest revision heard of
 	batches []batch
 	bytes   int
 	grown   chan struct{} // closed with the next batch
@@ -31,7 +31,7 @@
 type batch struct {
 	changes  []provider.Change
 	heardAt  time.Time // when they had no age
-	revision int64 // the highest among them
+	revision int64     // the highest among them
 	bytes    int
 }
 
