A change of role ends with the process that it was of

One that started again under its id was kept from work until the former process's change had taken too long.

Change: the change names the incarnation and ends with it.

Test: TestSettle (its case 'started again' failed first; the others held).

--- a/internal/rebalancer/rebalancer.go
+++ b/internal/rebalancer/rebalancer.go
@@ -62,11 +62,14 @@
 	Logger      hclog.Logger
 }
 
-// change is one engine's change of role.
+// change is one process's change of role. It ends with the process: the engine's
+// next one has none of its roles, and would else be kept from work until the
+// change has taken too long.
 type change struct {
-	role  driver.Role
-	since time.Time
-	isSet bool // the order was accepted, or may have been
+	incarnation string // of the process; empty: not known
+	role        driver.Role
+	since       time.Time
+	isSet       bool // the order was accepted, or may have been
 }
 
 // Rebalancer gives orders while this host holds the lease.
@@ -156,13 +159,14 @@
 	r.mu.Lock()
 	ended := 0
 	for id, c := range r.changes {
-		_, role, ok := r.cfg.Target(id)
+		target, role, ok := r.cfg.Target(id)
+		ok = ok && target.Incarnation == c.incarnation
 		if ok && role != c.role && now.Sub(c.since) < changeTimeout {
 			continue
 		}
 		delete(r.changes, id)
 		ended++
-		r.cfg.Logger.Info("role change ended", "endpoint_id", id, "role", c.role, "in_effect", role == c.role,
+		r.cfg.Logger.Info("role change ended", "endpoint_id", id, "role", c.role, "in_effect", ok && role == c.role,
 			"took_ms", now.Sub(c.since).Milliseconds())
 	}
 	r.mu.Unlock()
@@ -172,8 +176,9 @@
 }
 
 func (r *Rebalancer) begin(proposal planner.Proposal, now time.Time) {
+	target, _, _ := r.cfg.Target(proposal.EndpointID)
 	r.mu.Lock()
-	r.changes[proposal.EndpointID] = &change{role: proposal.Role, since: now}
+	r.changes[proposal.EndpointID] = &change{incarnation: target.Incarnation, role: proposal.Role, since: now}
 	r.mu.Unlock()
 	r.cfg.Logger.Info("role change planned", "endpoint_id", proposal.EndpointID, "role", proposal.Role, "reason", proposal.Reason)
 	r.tell()
--- /dev/null
+++ b/internal/rebalancer/rebalancer_test.go
@@ -0,0 +1,52 @@
+package rebalancer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler/planner"
+)
+
+// A change of role ends when it has taken effect, when it has taken too long, and
+// with the process that it was of.
+func TestSettle(t *testing.T) {
+	t.Parallel()
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for name, test := range map[string]struct {
+		incarnation string
+		role        driver.Role
+		isListed    bool
+		after       time.Duration
+		isChanging  bool
+	}{
+		"under way":       {incarnation: "e1@1", role: driver.RoleDecode, isListed: true, after: time.Second, isChanging: true},
+		"in effect":       {incarnation: "e1@1", role: driver.RolePrefill, isListed: true, after: time.Second},
+		"for too long":    {incarnation: "e1@1", role: driver.RoleDecode, isListed: true, after: changeTimeout},
+		"not listed":      {after: time.Second},
+		"started again":   {incarnation: "e1@2", role: driver.RoleDecode, isListed: true, after: time.Second},
+		"again, the role": {incarnation: "e1@2", role: driver.RolePrefill, isListed: true, after: time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			incarnation, role, isListed := "e1@1", driver.RoleDecode, true
+			var changing []string
+			r := New(Config{
+				Target: func(id string) (driver.Target, driver.Role, bool) {
+					return driver.Target{EndpointID: id, Incarnation: incarnation}, role, isListed
+				},
+				SetChanging: func(ids []string) { changing = ids },
+				Logger:      hclog.NewNullLogger(),
+			})
+			r.begin(planner.Proposal{EndpointID: "e1", Role: driver.RolePrefill}, start)
+			assert.DeepEqual(t, changing, []string{"e1"})
+			incarnation, role, isListed = test.incarnation, test.role, test.isListed
+			r.settle(start.Add(test.after))
+			assert.Equal(t, len(changing) == 1, test.isChanging)
+			assert.Equal(t, len(r.changing()) == 1, test.isChanging)
+		})
+	}
+}
