Two gaps in the order of words

Found on reading the diff: all entries of a peer could overrule a topic that had been read from the store later (TestEarlierWordIsLeftOut), and an entry that lacks the start that its process told before left the earlier one in use (TestWordsAreOrdered, 'the start is missing').

--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -77,7 +77,7 @@
 		return false
 	}
 	if update.IsWhole {
-		f.replaceAll(update.Changes)
+		f.replaceAll(update)
 	} else {
 		f.applyLocked(update.Changes)
 	}
@@ -89,12 +89,16 @@
 	return true
 }
 
-// replaceAll gives each topic its part of all entries.
-func (f *Follower) replaceAll(changes []provider.Change) {
+// replaceAll gives each topic its part of all entries, unless it was read from
+// the store later.
+func (f *Follower) replaceAll(update provider.Update) {
 	now := time.Now()
 	for _, topic := range f.cfg.Topics {
+		if f.lastRead(topic.Prefix) > update.Revision {
+			continue
+		}
 		var entries []provider.Entry
-		for _, change := range changes {
+		for _, change := range update.Changes {
 			if strings.HasPrefix(change.Entry.Key, topic.Prefix) {
 				entries = append(entries, change.Entry)
 			}
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -132,6 +132,13 @@
 	assert.Assert(t, first.has("a/1", 20), "a late peer's change was applied")
 	f.replace(f.cfg.Topics[0], []provider.Entry{entry("a/1", 12)}, 12)
 	assert.Assert(t, first.has("a/1", 20), "a late read was applied")
+	// After a loss the first topic is read ahead of the others.
+	f.replace(f.cfg.Topics[0], []provider.Entry{entry("a/1", 30)}, 30)
+	whole := changes(25)
+	whole = append(whole, provider.Change{Entry: entry("b/3", 24)})
+	assert.Assert(t, f.take(provider.Update{Revision: 25, IsWhole: true, Changes: whole}))
+	assert.Assert(t, first.has("a/1", 30), "all entries of a peer overruled a later read")
+	assert.Assert(t, second.has("b/3", 24) && second.has("b/2", 0))
 }
 
 // The topics are read one after the other, and the watch begins at the first
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -1,6 +1,7 @@
 package lister
 
 import (
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,10 @@
 	mostUnread = 256
 )
 
+// errNoStart is an entry that does not tell the start of a process that told it
+// before.
+var errNoStart = errors.New("the start of the process is missing")
+
 // goneHost is an endpoint that is not listed any more.
 type goneHost struct {
 	word provider.Host // the last one
@@ -160,12 +165,15 @@
 func (r *Registrations) put(entry provider.Entry) (id string) {
 	id = strings.TrimPrefix(entry.Key, r.cfg.Prefix)
 	host, err := r.cfg.Decode(entry)
+	before, isKnown := r.hosts[id]
+	if err == nil && host.Born == 0 && before.Born != 0 {
+		err = errNoStart
+	}
 	if err != nil {
 		r.spoil(id, &entry, err)
 		return id
 	}
 	host.Revision = entry.Revision
-	before, isKnown := r.hosts[id]
 	if r.isLate(&host) {
 		r.cfg.Logger.Info("late word of an endpoint left out", "endpoint_id", id, "revision", entry.Revision,
 			"born", host.Born, "sequence", host.Sequence, "state", host.State, "known_state", before.State, "listed", isKnown)
@@ -207,18 +215,14 @@
 // to 3.7 s after their entries had gone, and one that had said that it leaves
 // would be given work again. What has gone is remembered for that.
 func (r *Registrations) isLate(host *provider.Host) bool {
-	known, ok := r.hosts[host.ID]
-	if !ok {
-		known, ok = r.gone[host.ID].word, r.gone[host.ID].word.ID != ""
+	known, isListed := r.hosts[host.ID]
+	if !isListed {
+		known = r.gone[host.ID].word // of no start and no words where there is none
 	}
-	switch {
-	case !ok:
-		return false
-	case host.Born != known.Born:
+	if host.Born != known.Born {
 		return host.Born < known.Born
-	default:
-		return host.Sequence < known.Sequence
 	}
+	return host.Sequence < known.Sequence
 }
 
 // miss notes that an endpoint's entry is gone. One that has said before that
--- a/internal/lister/words_test.go
+++ b/internal/lister/words_test.go
@@ -49,6 +49,7 @@
 		"gone, later start":                {known: word(t, 1000, 9, leaving), late: word(t, 2000, 1, live), isGone: true, want: live},
 		"gone, same start, lower count":    {known: word(t, 1000, 9, leaving), late: word(t, 1000, 8, live), isGone: true, want: ""},
 		"gone, same start, higher count":   {known: word(t, 1000, 9, live), late: word(t, 1000, 10, live), isGone: true, want: live},
+		"the start is missing":             {known: word(t, 1000, 9, live), late: word(t, 0, 10, live), want: leaving},
 		"no start told, lower count":       {known: word(t, 0, 9, leaving), late: word(t, 0, 8, live), want: leaving},
 		"no start told, gone, lower count": {known: word(t, 0, 9, leaving), late: word(t, 0, 8, live), isGone: true, want: ""},
 	} {
