--- /dev/null
+++ b/internal/dispatcher/story_test.go
@@ -0,0 +1,58 @@
+package dispatcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler"
+)
+
+// chosen is a grant of an endpoint by some word of the platform.
+type chosen struct {
+	scheduler.Grant
+	basis scheduler.Basis
+}
+
+func (c *chosen) Basis() scheduler.Basis { return c.basis }
+
+// Each line about an endpoint that was chosen says by which word, how old it
+// was, and whether a later one could have been heard: this tells a host that has
+// lost the store from one that has missed a word, and from one that knew.
+func TestLinesTellTheWord(t *testing.T) {
+	t.Parallel()
+	basis := scheduler.Basis{EndpointID: "e1", WordRevision: 39, WordAge: 1200 * time.Millisecond}
+	for name, tell := range map[string]func(s *storyteller, p *passage){
+		"request served": func(s *storyteller, p *passage) { s.servedBy(p) },
+		"attempt failed": func(s *storyteller, p *passage) {
+			s.attempted(p, &chosen{basis: basis}, "send", errors.Join(driver.ErrNotSent, errLeft))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var output bytes.Buffer
+			s := newStoryteller(
+				hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &output}),
+				func() time.Duration { return 3 * time.Second },
+			)
+			tell(s, &passage{request: &OpaqueRequest{ID: "r1", Arrived: time.Now()}, basis: basis})
+			var line struct {
+				Message  string `json:"@message"`
+				Revision int64  `json:"word_revision"`
+				AgeMS    int64  `json:"word_age_ms"`
+				AwayMS   int64  `json:"store_away_ms"`
+			}
+			assert.NilError(t, json.Unmarshal(output.Bytes(), &line))
+			assert.Equal(t, line.Message, name)
+			assert.Equal(t, line.Revision, int64(39))
+			assert.Equal(t, line.AgeMS, int64(1200))
+			assert.Equal(t, line.AwayMS, int64(3000))
+		})
+	}
+}
