--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -210,10 +210,11 @@
 
 // isLate is true for a word that is older than what is known: of an earlier
 // start of the endpoint, or an earlier word of the same. The store's own order
-// does not tell, since a write may be held up on its way: processes that had
-// crashed behind a cut were listed as ready again by their own earlier words, 3.3
-// to 3.7 s after their entries had gone, and one that had said that it leaves
-// would be given work again. What has gone is remembered for that.
+// does not tell, since a write may be held up on its way: in a played day three
+// processes that had crashed behind a cut were listed as ready again by their own
+// earlier words, 3.7 s after their entries had gone and for 3.6 s, and one that
+// had said that it leaves would be given work again. What has gone is remembered
+// for that.
 func (r *Registrations) isLate(host *provider.Host) bool {
 	known, isListed := r.hosts[host.ID]
 	if !isListed {
