--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -9,8 +9,9 @@
 // at once. Nothing rests on who does what: a host that is followed watches, a
 // host that hears nothing watches, and what is heard twice counts once.
 //
-// In zones of any size a host that is behind its peers asks one of them for what
-// it lacks: the store turns some hosts away and serves the others.
+// In zones of any size a host that is to watch the store itself, and is behind its
+// peers, asks one of them for what it lacks: the store turns some hosts away and
+// serves the others.
 //
 // # Usage
 //
