--- a/pkg/endivemast/config.go
+++ b/pkg/endivemast/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/endivemast/endivemast/internal/claimer"
 	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/scheduler/planner"
@@ -21,6 +22,7 @@
 // Defaults of a Config.
 const (
 	DefaultLeaseTTL     = 3 * time.Second
+	DefaultStoreTimeout = claimer.DefaultStoreTimeout
 	DefaultDrainGrace   = 2 * time.Second
 	DefaultDrainTimeout = 10 * time.Minute
 	DefaultTick         = 100 * time.Millisecond
@@ -66,7 +68,11 @@
 	// MetricTenants is how many tenants have histograms of their own.
 	MetricTenants int
 
-	LeaseTTL     time.Duration
+	LeaseTTL time.Duration
+	// StoreTimeout is how long a call to the key-value service, or one commit of
+	// claims to it, may take. Requests whose commit takes longer are answered
+	// as "unknown".
+	StoreTimeout time.Duration
 	DrainGrace   time.Duration // from not ready until the listeners close
 	DrainTimeout time.Duration // for running requests
 	Tick         time.Duration
@@ -139,6 +145,7 @@
 // WithDefaults returns the configuration with defaults in place of zero values.
 func (cfg Config) WithDefaults() Config {
 	setDefault(&cfg.LeaseTTL, DefaultLeaseTTL)
+	setDefault(&cfg.StoreTimeout, DefaultStoreTimeout)
 	setDefault(&cfg.DrainGrace, DefaultDrainGrace)
 	setDefault(&cfg.DrainTimeout, DefaultDrainTimeout)
 	setDefault(&cfg.Tick, DefaultTick)
@@ -178,6 +185,7 @@
 	f.notNegative("max-connections", int64(cfg.MaxConnections))
 	f.notNegative("metric-tenants", int64(cfg.MetricTenants))
 	f.positive("lease-ttl", cfg.LeaseTTL)
+	f.positive("store-timeout", cfg.StoreTimeout)
 	f.positive("drain-grace", cfg.DrainGrace)
 	f.positive("drain-timeout", cfg.DrainTimeout)
 	f.positive("tick", cfg.Tick)
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -123,6 +123,7 @@
 func (e *Entry) buildRim() (err error) {
 	e.store, err = etcdprovider.New(etcdprovider.Config{
 		Endpoints: baseURLs(e.cfg.StoreAddresses...), PlatformEndpoints: baseURLs(e.cfg.PlatformAddress),
+		CallTimeout: e.cfg.StoreTimeout,
 	})
 	e.driver = httpdriver.New(httpdriver.Settings{})
 	e.meter = meter.New(meter.Config{TopTenants: e.cfg.MetricTenants})
@@ -174,6 +175,7 @@
 	e.claimer, err = claimer.New(claimer.Config{
 		HostID: e.cfg.HostID, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
 		Store: e.store, Pool: e.exchanger, Secret: secret, Logger: e.logger.Named("claimer"),
+		StoreTimeout: e.cfg.StoreTimeout,
 	})
 	if err != nil {
 		return err
