Heartbeats between hosts of a zone don't follow the tick of the loads

Cause, by reading and a count: a host speaks each fifth tick to the hosts of its zone that it tells no load. With the tick of 20 ms that is each 100 ms: 360 messages a second of each of 39 hosts of a zone, some 66,000 a second of 195 hosts. Change: three within the silence after which a peer counts as gone (3 s). Measured: TestHeartbeatsDoNotFollowTheTick: 360 a second before, 36 after.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -40,12 +40,17 @@
 
 // Limits and defaults of the peer protocol.
 const (
-	DefaultTick      = 200 * time.Millisecond
-	DefaultSilence   = 3 * time.Second
-	heartbeatTicks   = 5 // an idle host still speaks every fifth tick
-	maxMessageBytes  = 4 << 20
-	tellTimeout      = time.Second
-	reconnectMaximum = time.Second
+	DefaultTick    = 200 * time.Millisecond
+	DefaultSilence = 3 * time.Second
+	heartbeatTicks = 5 // an idle host still speaks every fifth tick
+	// heartbeatsInSilence is how often a host speaks to a peer that it tells no
+	// load, in the time after which that one counts it as gone. Each host of a
+	// zone has most others as such peers: with heartbeats each 100 ms, 39 hosts of
+	// a zone sent each other 13,300 a second.
+	heartbeatsInSilence = 3
+	maxMessageBytes     = 4 << 20
+	tellTimeout         = time.Second
+	reconnectMaximum    = time.Second
 	// userTimeout is how long bytes to a peer may stay unacknowledged before the
 	// connection is given up and made anew. A connection may fall silent for good
 	// while new ones work; a few lost packets in a row take less.
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -273,3 +273,24 @@
 		})
 	}
 }
+
+// Hosts of a zone that tell each other no load only say that they live, a few
+// times within the silence after which they count as gone: 39 hosts of a zone
+// with a tick of 20 ms sent each other 13,300 messages a second.
+func TestHeartbeatsDoNotFollowTheTick(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ex, err := New(Config{
+		HostID: "own", Zone: "z", ProcessorShare: 0.1, Listener: listener, Logger: hclog.NewNullLogger(), HasHubs: true,
+		Tick: 20 * time.Millisecond, TellsPerSecond: 240, Peers: peersIn(38, func(int) string { return "z" }),
+	}, newLocal())
+	assert.NilError(t, err)
+	perSecond := 0.0
+	for range 38 - HubsPerZone {
+		perSecond += 1 / ex.pauseFor(&teller{part: exchangerpb.Part_PART_NONE}).Seconds()
+	}
+	assert.Assert(t, perSecond <= 38, "%.0f heartbeats a second", perSecond)
+	assert.Assert(t, ex.pauseFor(&teller{part: exchangerpb.Part_PART_NONE}) <= ex.cfg.Silence/2, "a host would be forgotten")
+	assert.NilError(t, ex.Close())
+}
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -73,7 +73,7 @@
 // load only has to hear that this host lives.
 func (ex *Exchanger) pauseFor(row *teller) time.Duration {
 	if row.part == exchangerpb.Part_PART_NONE {
-		return ex.tick() * heartbeatTicks
+		return max(ex.tick()*heartbeatTicks, ex.cfg.Silence/heartbeatsInSilence)
 	}
 	return ex.tick()
 }
