Two hosts ask an engine for news of its cache, and tell the others

Cause: each host asked each engine. An engine keeps a bounded number of calls waiting, so that with 195 hosts and 59 engines nearly all of 177,513 calls in 9 s were refused or answered at once, for 14,762 requests. Change: package cachesharer. Hosts of an engine's zone ask it, two of them, by a hash that all work out alike from the hosts that live. What they hear of parts that prompts share goes to the others with the loads, by the same hubs: only changes, ordered by the numbers of the engine's news, in messages of at most 128 parts; a peer that is new, restarted or far behind is told all that is known. Whoever gives away a prompt says which of its parts are shared.

--- /dev/null
+++ b/internal/cachesharer/cachesharer_test.go
@@ -0,0 +1,220 @@
+package cachesharer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
+)
+
+var engineA = driver.Target{EndpointID: "a", Incarnation: "1", Address: "127.0.0.1:1"}
+
+// listener keeps what a Sharer says of one engine, as the scheduler's table does.
+type listener struct{ cache tracker.Cache }
+
+func newHost(targets ...driver.Target) (*Sharer, *listener) {
+	l := &listener{}
+	s := New(Config{Heard: func(_ driver.Target, news driver.CacheNews, isWhole bool) { l.cache.Hear(news, isWhole) }})
+	s.SetTargets(targets)
+	return s, l
+}
+
+// keeps is how many tokens of a part the engine is believed to keep.
+func (l *listener) keeps(id string) int {
+	return l.cache.Prefix([]tracker.Part{{ID: id, Tokens: 1 << 20}})
+}
+
+func word(number int64, isWhole bool, parts ...exchanger.CachePart) exchanger.CacheWord {
+	return exchanger.CacheWord{EndpointID: "a", Incarnation: "1", Number: number, IsWhole: isWhole, Parts: parts}
+}
+
+func part(id string, tokens int) exchanger.CachePart {
+	return exchanger.CachePart{ID: id, Tokens: tokens}
+}
+
+// Words come twice, late and by two ways. The later number of the engine's news
+// counts, and another process's words count for nothing here.
+func TestWordsAreOrderedByTheEnginesNumbers(t *testing.T) {
+	t.Parallel()
+	other := word(9, false, part("x", 70))
+	other.Incarnation = "2"
+	for name, test := range map[string]struct {
+		words []exchanger.CacheWord
+		want  map[string]int
+	}{
+		"in order":                  {[]exchanger.CacheWord{word(1, false, part("x", 50)), word(2, false, part("x", 0))}, map[string]int{"x": 0}},
+		"a late word":               {[]exchanger.CacheWord{word(1, false, part("x", 50)), word(3, false, part("x", 90)), word(2, false, part("x", 0))}, map[string]int{"x": 90}},
+		"twice":                     {[]exchanger.CacheWord{word(1, false, part("x", 50)), word(1, false, part("x", 50))}, map[string]int{"x": 50}},
+		"whole drops the rest":      {[]exchanger.CacheWord{word(1, false, part("x", 50)), word(5, true, part("y", 40))}, map[string]int{"x": 0, "y": 40}},
+		"an earlier whole does not": {[]exchanger.CacheWord{word(5, false, part("x", 50)), word(4, true, part("y", 40))}, map[string]int{"x": 50, "y": 40}},
+		"of another process":        {[]exchanger.CacheWord{word(1, false, part("x", 50)), other}, map[string]int{"x": 50}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, l := newHost(engineA)
+			s.HearWords(test.words, true)
+			for id, want := range test.want {
+				assert.Equal(t, l.keeps(id), want, id)
+			}
+		})
+	}
+}
+
+// What is heard of a process before the platform lists it counts once it does.
+func TestWordsBeforeTheListCount(t *testing.T) {
+	t.Parallel()
+	s, l := newHost()
+	s.HearWords([]exchanger.CacheWord{word(1, false, part("x", 50))}, true)
+	assert.Equal(t, l.keeps("x"), 0)
+	s.SetTargets([]driver.Target{engineA})
+	assert.Equal(t, l.keeps("x"), 50)
+}
+
+// Only parts that prompts share are told: the rest of each prompt is news too,
+// and would be nearly all that is told.
+func TestOnlySharedPartsAreTold(t *testing.T) {
+	t.Parallel()
+	s, _ := newHost(engineA)
+	s.NoteShared([]tracker.Part{{ID: "x", Tokens: 50}})
+	_, begin := s.Words(0, exchanger.ScopeOwn)
+	s.HearNews(engineA, driver.CacheNews{Next: 3, Changes: []driver.CacheChange{{PartID: "x", Tokens: 50}, {PartID: "own", Tokens: 900}, {PartID: "y", Tokens: 60}}}, false)
+	words, position := s.Words(begin, exchanger.ScopeOwn)
+	assert.DeepEqual(t, words, []exchanger.CacheWord{word(3, false, part("x", 50))})
+	// A part that becomes known as shared later is told as it is kept by then.
+	s.HearWords([]exchanger.CacheWord{{Parts: []exchanger.CachePart{{ID: "y"}}}}, true)
+	words, _ = s.Words(position, exchanger.ScopeOwn)
+	assert.DeepEqual(t, words, []exchanger.CacheWord{word(3, false, part("y", 60))})
+}
+
+// fleet is hosts whose words travel as loads do: a host's own to its zone's
+// hub, a zone's to the other hubs, all to the hosts of the zone.
+type fleet struct {
+	hosts map[string]*Sharer
+	heard map[string]*listener
+	told  map[[2]string]uint64 // positions by teller and peer
+	bytes int                  // parts told
+}
+
+const (
+	fleetZones  = 3
+	hostsInZone = 4
+)
+
+func newFleet() *fleet {
+	f := &fleet{hosts: map[string]*Sharer{}, heard: map[string]*listener{}, told: map[[2]string]uint64{}}
+	for z := range fleetZones {
+		for h := range hostsInZone {
+			id := fmt.Sprintf("%d/%d", z, h)
+			f.hosts[id], f.heard[id] = newHost(engineA)
+		}
+	}
+	return f
+}
+
+func (f *fleet) tell(from, to string, scope exchanger.Scope, isOwnZone bool) {
+	link := [2]string{from, to}
+	words, position := f.hosts[from].Words(f.told[link], scope)
+	f.told[link] = position
+	for _, w := range words {
+		f.bytes += len(w.Parts)
+	}
+	f.hosts[to].HearWords(words, isOwnZone)
+}
+
+// round is one tick of everybody.
+func (f *fleet) round() {
+	for z := range fleetZones {
+		hub := fmt.Sprintf("%d/0", z)
+		for h := 1; h < hostsInZone; h++ {
+			f.tell(fmt.Sprintf("%d/%d", z, h), hub, exchanger.ScopeOwn, true)
+			f.tell(hub, fmt.Sprintf("%d/%d", z, h), exchanger.ScopeAll, true)
+		}
+		for other := range fleetZones {
+			if other != z {
+				f.tell(hub, fmt.Sprintf("%d/0", other), exchanger.ScopeZone, false)
+			}
+		}
+	}
+}
+
+// What one host hears of an engine all know a few ticks later, also one that is
+// started anew; and nothing is told round and round.
+func TestFleetKnowsWhatOneHostAsks(t *testing.T) {
+	t.Parallel()
+	f := newFleet()
+	f.hosts["1/2"].NoteShared([]tracker.Part{{ID: "x", Tokens: 50}})
+	f.hosts["0/1"].HearNews(engineA, driver.CacheNews{Next: 4, Changes: []driver.CacheChange{{PartID: "x", Tokens: 50}}}, false)
+	for range 6 {
+		f.round()
+	}
+	f.heardEverywhere(t, 50)
+	f.hosts["2/3"], f.heard["2/3"] = newHost(engineA)
+	delete(f.told, [2]string{"2/0", "2/3"}) // as the exchanger does for another process
+	f.round()
+	f.heardEverywhere(t, 50)
+	f.hosts["0/1"].HearNews(engineA, driver.CacheNews{Next: 9, Changes: []driver.CacheChange{{PartID: "x"}}}, false)
+	for range 6 {
+		f.round()
+	}
+	f.heardEverywhere(t, 0)
+	f.bytes = 0
+	f.round()
+	assert.Equal(t, f.bytes, 0, "told again")
+}
+
+func (f *fleet) heardEverywhere(t *testing.T, want int) {
+	t.Helper()
+	for _, id := range slices.Sorted(maps.Keys(f.heard)) {
+		assert.Equal(t, f.heard[id].keeps("x"), want, "host %s", id)
+	}
+}
+
+// A peer that is far behind is told everything that is kept, and no more.
+func TestPeerFarBehindIsToldEverything(t *testing.T) {
+	t.Parallel()
+	s, _ := newHost(engineA)
+	s.NoteShared([]tracker.Part{{ID: "x"}, {ID: "y"}, {ID: "z"}})
+	peer, l := newHost(engineA)
+	s.HearNews(engineA, driver.CacheNews{Next: 1, Changes: []driver.CacheChange{{PartID: "z", Tokens: 50}}}, false)
+	words, behind := s.Words(0, exchanger.ScopeOwn)
+	peer.HearWords(words, true)
+	assert.Equal(t, l.keeps("z"), 50)
+	s.HearNews(engineA, driver.CacheNews{Next: 2, Changes: []driver.CacheChange{{PartID: "z"}}}, false)
+	for i := range int64(4 * maxLog) {
+		s.HearNews(engineA, driver.CacheNews{Next: i + 3, Changes: []driver.CacheChange{{PartID: "x", Tokens: int(i%2) * 50}, {PartID: "y", Tokens: 50}}}, false)
+	}
+	assert.Assert(t, len(s.log.words) <= 2*maxLog)
+	words, _ = s.Words(behind, exchanger.ScopeOwn)
+	peer.HearWords(words, true)
+	assert.Equal(t, l.keeps("x"), 50)
+	assert.Equal(t, l.keeps("y"), 50)
+	assert.Equal(t, l.keeps("z"), 0, "dropped meanwhile")
+	assert.Assert(t, len(words) < 4, "%d words", len(words))
+}
+
+// Words are cut into pieces that fit a message, and only the first is whole.
+func TestManyPartsAreManyWords(t *testing.T) {
+	t.Parallel()
+	s, _ := newHost(engineA)
+	var shared []tracker.Part
+	var changes []driver.CacheChange
+	for i := range 3*maxWordParts + 1 {
+		shared = append(shared, tracker.Part{ID: fmt.Sprint(i)})
+		changes = append(changes, driver.CacheChange{PartID: fmt.Sprint(i), Tokens: 10})
+	}
+	s.NoteShared(shared)
+	_, begin := s.Words(0, exchanger.ScopeOwn)
+	s.HearNews(engineA, driver.CacheNews{Next: 4, Changes: changes}, true)
+	words, _ := s.Words(begin, exchanger.ScopeOwn)
+	assert.Equal(t, len(words), 4)
+	for i := range words {
+		assert.Equal(t, words[i].IsWhole, i == 0)
+		assert.Assert(t, len(words[i].Parts) <= maxWordParts)
+	}
+}
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -84,6 +84,8 @@
 	// HasHubs lets large zones have hubs. Parts that ask all peers for more than
 	// load need to hear from each of them, and leave it out.
 	HasHubs bool
+	// Caches is told and heard with the loads; nil: nothing of the kind is.
+	Caches Caches
 	// TellsPerSecond bounds the messages with load to all peers together, by a
 	// longer tick where there are many; 0: no bound.
 	TellsPerSecond int
--- a/internal/exchanger/hearer.go
+++ b/internal/exchanger/hearer.go
@@ -36,7 +36,11 @@
 	}
 	reply.Resync = !peer.take(message, now)
 	loads, hosts, source := copyLoads(peer.loads), peer.hosts, ex.sourceOf(ex.layout, peer)
+	isOwnZone := peer.status.Peer.Zone == ex.cfg.Zone
 	ex.mu.Unlock()
+	if ex.cfg.Caches != nil && len(message.GetCaches()) > 0 {
+		ex.cfg.Caches.HearWords(cachesFromMessage(message.GetCaches()), isOwnZone)
+	}
 	if !reply.Resync && source != "" {
 		ex.local.HearLoad(source, hosts, loads, now)
 	}
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -17,6 +17,7 @@
 	idle     int             // ticks since the last message
 	part     exchangerpb.Part
 	leaving  int // endpoints named as leaving in the last message
+	caches   cacheTeller
 }
 
 // ownLoad keeps this host's load for all tellers of a tick. To collect it the
@@ -81,7 +82,10 @@
 func (ex *Exchanger) tellOnce(ctx context.Context, client exchangerpb.ExchangeClient, row *teller, peer Peer) {
 	layout := ex.currentLayout()
 	part := ex.partFor(layout, peer)
-	row.full = row.full || part != row.part
+	if part != row.part {
+		row.full = true
+		row.caches.restart()
+	}
 	row.part = part
 	if part == exchangerpb.Part_PART_NONE && peer.Zone != ex.cfg.Zone {
 		return // the zones' hubs speak to each other
@@ -89,12 +93,14 @@
 	word := ex.wordFor(part, peer, ex.ownLoadOf(time.Now()))
 	message := row.message(word.loads)
 	row.idle++
-	if !row.isDue(message, len(word.leaving)) {
+	words := row.caches.next(ex.cfg.Caches, part)
+	if !row.isDue(message, len(word.leaving)) && len(words) == 0 {
 		return
 	}
 	message.HostId, message.Incarnation, message.Zone = ex.cfg.HostID, ex.cfg.Incarnation, ex.cfg.Zone
 	message.Part, message.Hosts = part, int64(word.hosts)
 	message.Leaving = leavingToMessage(word.leaving)
+	message.Caches = cachesToMessage(words)
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
@@ -105,6 +111,9 @@
 	defer cancel()
 	reply, err := client.Tell(ctx, message)
 	row.settle(word.loads, err == nil && !reply.GetResync())
+	if err == nil {
+		row.caches.settle(len(words), reply.GetIncarnation())
+	}
 }
 
 // isDue is false where a message would say nothing new and the peer has heard
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -29,3 +29,38 @@
 	PrefillTokens int // prompt tokens not yet prefilled
 	DecodeTokens  int // expected output tokens not yet generated
 }
+
+// CacheWord says what an engine's process keeps of prompts; without an
+// EndpointID, which parts of prompts are shared.
+type CacheWord struct {
+	EndpointID  string
+	Incarnation string
+	Number      int64 // of the engine's news up to which this speaks
+	IsWhole     bool  // nothing else was kept at that number
+	Parts       []CachePart
+}
+
+// CachePart is a part of prompts.
+type CachePart struct {
+	ID     string
+	Tokens int // kept; 0: dropped
+}
+
+// Scope says whose words a peer is told, each including those before it.
+type Scope int
+
+// Scopes.
+const (
+	ScopeOwn  Scope = iota // of this host
+	ScopeZone              // of the hosts of this availability zone
+	ScopeAll               // of all hosts
+)
+
+// Caches is what this host knows of engines' caches, as the Exchanger tells and
+// hears it.
+type Caches interface {
+	// Words are those behind a position, in order, and the position reached. At
+	// position 0, or one that is too far back, they are all that is known.
+	Words(after uint64, scope Scope) (words []CacheWord, position uint64)
+	HearWords(words []CacheWord, isOwnZone bool)
+}
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -70,6 +70,10 @@
 	// Configuration gives the applications' targets for role changes; nil: none
 	// are tolerated.
 	Configuration configurer.Reader
+	// SharesPrefix is told of the parts that a prompt given away shares with
+	// others, where they take long enough to read to be kept to few engines. It
+	// must not call the Scheduler; nil: nobody is told.
+	SharesPrefix func(parts []Part)
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 	// Seed makes random choices repeatable in tests; 0: a random seed.
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -92,6 +92,7 @@
 		g.isPrefillProbe = choice.Prefill.Breaker.Take()
 		choice.Prefill.Give(g.prefillLoad)
 		choice.Prefill.Cache.Expect(work.PrefixParts)
+		s.tellShared(work, choice)
 	} else if work.Class.Kind == configurer.KindGenerate {
 		g.decodeLoad.PrefillTokens = choice.PrefillTokens
 	}
@@ -101,6 +102,17 @@
 	return g
 }
 
+// tellShared says which parts of a prompt are shared, where its prefix is one that
+// has homes.
+func (s *Scheduler) tellShared(work *Work, choice *router.Choice) {
+	if s.cfg.SharesPrefix == nil || len(work.PrefixParts) == 0 {
+		return
+	}
+	if router.HasHomes(s.table.Application(choice.Prefill.Application), work.PrefixTokens) {
+		s.cfg.SharesPrefix(work.PrefixParts)
+	}
+}
+
 // priority is by deadline only where admission keeps the work to what can be
 // in time. Without it, the earliest deadline goes first until everything is
 // late, and the class's patience serves better.
--- a/internal/scheduler/router/home.go
+++ b/internal/scheduler/router/home.go
@@ -42,7 +42,7 @@
 
 // homesOf finds a prefix's homes among engines that take work, and who keeps it.
 func homesOf(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint) (h homes) {
-	if q.PrefixKey == "" || application.Model.ReadingCost(q.PrefixTokens) < homeWorth {
+	if q.PrefixKey == "" || !HasHomes(application, q.PrefixTokens) {
 		return h
 	}
 	var readers []ranked
@@ -61,6 +61,12 @@
 	return h
 }
 
+// HasHomes is true for a prefix that takes long enough to read to be kept to its
+// homes.
+func HasHomes(application *tracker.Application, prefixTokens int) bool {
+	return application.Model.ReadingCost(prefixTokens) >= homeWorth
+}
+
 // note takes a keeper in where it is among the two best.
 func (h *homes) note(k keeper) {
 	switch {
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/endivemast/endivemast/internal/cachesharer"
 	"github.com/endivemast/endivemast/internal/cachewatcher"
 	"github.com/endivemast/endivemast/internal/classifier"
 	"github.com/endivemast/endivemast/internal/dispatcher"
@@ -102,7 +103,8 @@
 	forwarder     *dispatcher.Forwarder
 	exchanger     *exchanger.Exchanger
 	registrar     *registrar.Registrar
-	caches        *cachewatcher.Watcher
+	caches        *cachesharer.Sharer
+	cacheWatcher  *cachewatcher.Watcher
 	leaser        *leaser.Leaser
 	rebalancer    *rebalancer.Rebalancer
 	meter         *meter.Meter
@@ -125,15 +127,16 @@
 	g = &Gateway{cfg: cfg, incarnation: uuid.NewString(), classifier: classifier.New()}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.meter = meter.New(meter.Config{})
+	g.caches = cachesharer.New(cachesharer.Config{Heard: g.hearCache, Logger: cfg.Logger.Named("cachesharer")})
+	g.cacheWatcher = cachewatcher.New(cachewatcher.Config{Driver: cfg.Driver, Heard: g.caches.HearNews, Logger: cfg.Logger.Named("cachewatcher")})
 	g.scheduler = scheduler.New(scheduler.Config{
 		HostID: cfg.HostID, Zone: cfg.Zone, Configuration: g.classifier, Logger: cfg.Logger.Named("scheduler"),
-		Policy: cfg.policy(),
+		Policy: cfg.policy(), SharesPrefix: g.caches.NoteShared,
 	})
 	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
 		Changed: g.setEndpoints, Logger: cfg.Logger.Named("lister"),
 	})
-	g.caches = cachewatcher.New(cachewatcher.Config{Driver: cfg.Driver, Heard: g.scheduler.HearCache, Logger: cfg.Logger.Named("cachewatcher")})
 	if err := g.buildPeers(); err != nil {
 		return nil, err
 	}
@@ -220,6 +223,7 @@
 func (g *Gateway) tick() error {
 	ticker := time.NewTicker(gatewayTick)
 	defer ticker.Stop()
+	var lookedAt time.Time
 	for {
 		select {
 		case <-g.ctx.Done():
@@ -227,6 +231,10 @@
 		case now := <-ticker.C:
 			g.registrations.Tick(now)
 			g.scheduler.Tick(now)
+			if now.Sub(lookedAt) >= askersEvery {
+				lookedAt = now
+				g.chooseAsked()
+			}
 		}
 	}
 }
@@ -312,7 +320,7 @@
 	cancel()
 	g.cancel()
 	return errors.Join(ignoreCanceled(g.callers.Close(now)), ignoreCanceled(g.readiness.Close(now)),
-		g.scheduler.Close(), g.forwarder.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(), g.caches.Close(),
+		g.scheduler.Close(), g.forwarder.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(), g.cacheWatcher.Close(),
 		g.relayer.Close(), g.exchanger.Close(), g.cfg.Driver.Close())
 }
 
@@ -324,18 +332,6 @@
 	return err
 }
 
-// setEndpoints takes the list of endpoints.
-func (g *Gateway) setEndpoints(hosts []provider.Host, now time.Time) {
-	g.scheduler.SetHosts(hosts, now)
-	var engines []driver.Target
-	for i := range hosts {
-		if hosts[i].Kind == provider.HostEngine {
-			engines = append(engines, driver.Target{EndpointID: hosts[i].ID, Incarnation: hosts[i].Incarnation, Address: hosts[i].Address})
-		}
-	}
-	g.caches.SetTargets(engines)
-}
-
 // snapshotSink puts each configuration in force that the store tells.
 type snapshotSink struct{ gateway *Gateway }
 
--- /dev/null
+++ b/pkg/endivemast/gateway_caches.go
@@ -0,0 +1,63 @@
+package endivemast
+
+import (
+	"time"
+
+	"github.com/endivemast/endivemast/internal/cachesharer"
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// Which engines a Gateway's host asks for news of their caches.
+
+// askersEvery is how often a host looks which engines it is to ask: a host that
+// has fallen silent is replaced within it.
+const askersEvery = 500 * time.Millisecond
+
+// setEndpoints takes the list of endpoints.
+func (g *Gateway) setEndpoints(hosts []provider.Host, now time.Time) {
+	g.scheduler.SetHosts(hosts, now)
+	var engines []driver.Target
+	for i := range hosts {
+		if hosts[i].Kind == provider.HostEngine {
+			engines = append(engines, targetOf(&hosts[i]))
+		}
+	}
+	g.caches.SetTargets(engines)
+}
+
+func targetOf(host *provider.Host) driver.Target {
+	return driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation, Address: host.Address}
+}
+
+// hearCache takes what is new of an engine's cache.
+func (g *Gateway) hearCache(target driver.Target, news driver.CacheNews, isWhole bool) {
+	g.scheduler.HearCache(target, news, isWhole)
+}
+
+// chooseAsked has this host ask the engines that it is an asker of.
+func (g *Gateway) chooseAsked() {
+	hosts := g.liveHosts()
+	own := cachesharer.Host{ID: g.cfg.HostID, Zone: g.cfg.Zone}
+	var engines []cachesharer.Engine
+	for _, host := range g.registrations.Hosts() {
+		if host.Kind == provider.HostEngine {
+			engines = append(engines, cachesharer.Engine{Target: targetOf(&host), Zone: host.Zone})
+		}
+	}
+	asked := cachesharer.Asked(own, hosts, engines)
+	g.caches.SetAsked(asked)
+	g.cacheWatcher.SetTargets(asked)
+}
+
+// liveHosts are the hosts that the store lists and that have not fallen silent,
+// this one included. Of most hosts of other zones only the store is heard.
+func (g *Gateway) liveHosts() []cachesharer.Host {
+	hosts := []cachesharer.Host{{ID: g.cfg.HostID, Zone: g.cfg.Zone}}
+	for _, peer := range g.registrar.Peers() {
+		if !g.exchanger.IsAway(peer.HostID) {
+			hosts = append(hosts, cachesharer.Host{ID: peer.HostID, Zone: peer.Zone})
+		}
+	}
+	return hosts
+}
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -28,7 +28,7 @@
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
-		Listener:       listener, Tick: peersTick, TellsPerSecond: tellsPerSecond,
+		Listener:       listener, Tick: peersTick, TellsPerSecond: tellsPerSecond, Caches: g.caches,
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
 	if err != nil {
