--- a/internal/exchanger/hub.go
+++ b/internal/exchanger/hub.go
@@ -69,6 +69,25 @@
 	return l
 }
 
+// IsAmongFirst says whether this host is one of the first n hubs that have not
+// fallen silent, by the order of hubs.
+func (ex *Exchanger) IsAmongFirst(n int) bool {
+	own := Peer{HostID: ex.cfg.HostID, ProcessorShare: ex.cfg.ProcessorShare}
+	before := 0
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	if !ex.layout.hubs[own.HostID] {
+		return false
+	}
+	for hostID := range ex.layout.hubs {
+		row := ex.heard[hostID]
+		if row != nil && row.status.Reachable && !row.status.Draining && Order(row.status.Peer, own) < 0 {
+			before++
+		}
+	}
+	return before < n
+}
+
 // partFor says whose load is told to a peer.
 func (ex *Exchanger) partFor(l *layout, peer Peer) exchangerpb.Part {
 	isHub, isOwnZone := l.hubs[ex.cfg.HostID], peer.Zone == ex.cfg.Zone
--- a/internal/exchanger/hub_test.go
+++ b/internal/exchanger/hub_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -216,3 +217,36 @@
 		})
 	}
 }
+
+// The first hubs are those that live, by the order of all hubs; a host that
+// hears nobody is the first.
+func TestIsAmongFirst(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		share  float64 // of this host; the others have 0.5
+		silent []string
+		zone   func(int) string
+		want   bool
+	}{
+		"strongest":              {share: 1, zone: strconv.Itoa, want: true},
+		"weakest":                {share: 0.1, zone: strconv.Itoa},
+		"weakest of those alive": {share: 0.1, silent: []string{"0", "1", "2", "3", "4"}, zone: strconv.Itoa, want: true},
+		"no hub":                 {share: 0.1, silent: []string{"0", "1", "2", "3", "4", "5"}, zone: func(int) string { return "own" }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			ex, err := New(Config{
+				HostID: "own", Zone: "own", ProcessorShare: test.share, Listener: listener, Logger: hclog.NewNullLogger(),
+				Peers: peersIn(6, test.zone), HasHubs: true,
+			}, newLocal())
+			assert.NilError(t, err)
+			for id, row := range ex.heard {
+				row.status.Reachable = !slices.Contains(test.silent, id)
+			}
+			assert.Equal(t, ex.IsAmongFirst(3), test.want)
+			assert.NilError(t, ex.Close())
+		})
+	}
+}
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -49,6 +49,10 @@
 	maxEpoch = 1 << 62
 	// renewShare is how often a lease is renewed within its TTL.
 	renewShare = 3
+	// restFactor is how many looks a candidate passes over that is not among the
+	// first. Three of them that all can't reach the service leave a zone without
+	// authority for that long.
+	restFactor = 5
 )
 
 // Config sets up a Leaser.
@@ -70,6 +74,11 @@
 	// large fleet a few are enough, as each of them has to ask whether the
 	// holder lives.
 	Stands func() bool
+	// IsFirst says whether this candidate is one of the few that look each
+	// PollEvery; the others look only restFactor times as seldom, in case the few
+	// don't reach the service. Nil: always. With 20 candidates that all looked each
+	// 3 s, a quarter of all calls of the service were theirs.
+	IsFirst func() bool
 	// Now is a monotonic clock; nil: time.Now.
 	Now func() time.Time
 	Log hclog.Logger // nil: none
@@ -88,6 +97,7 @@
 	record     Record // last record known to be written by this holder
 	revision   int64  // its revision
 	lease      provider.LeaseID
+	passed     int // looks passed over since the last one
 	validUntil time.Time
 	barred     int64 // no action at or below this epoch starts
 	actions    map[*Action]struct{}
@@ -174,7 +184,7 @@
 	switch {
 	case l.isHeld():
 		l.renew(ctx)
-	case l.cfg.Stands == nil || l.cfg.Stands():
+	case (l.cfg.Stands == nil || l.cfg.Stands()) && l.looks():
 		l.note(l.stand(ctx))
 	}
 	if l.isHeld() {
@@ -183,6 +193,18 @@
 	return l.cfg.PollEvery
 }
 
+// looks says whether this is a time at which the candidate asks for the holder.
+func (l *Leaser) looks() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.passed++
+	if l.cfg.IsFirst != nil && !l.cfg.IsFirst() && l.passed < restFactor {
+		return false
+	}
+	l.passed = 0
+	return true
+}
+
 func (l *Leaser) wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -103,11 +103,16 @@
 // any zone serve all.
 const fleet = "fleet"
 
+// firstCandidates is how many hosts ask all the time whether the holder of the
+// authority lives: enough that two may be cut off from the store.
+const firstCandidates = 3
+
 // buildAuthority makes what gives the engines their roles.
 func (g *Gateway) buildAuthority() (err error) {
 	g.leaser, err = leaser.New(leaser.Config{
 		Zone: fleet, HostID: g.cfg.HostID, Incarnation: g.incarnation, Address: g.cfg.PeersAddress,
-		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Stands: g.relayer.IsDirect, Log: g.cfg.Logger.Named("leaser"),
+		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Stands: g.relayer.IsDirect,
+		IsFirst: func() bool { return g.exchanger.IsAmongFirst(firstCandidates) }, Log: g.cfg.Logger.Named("leaser"),
 	})
 	if err != nil {
 		return err
