--- a/internal/cachesharer/cachesharer.go
+++ b/internal/cachesharer/cachesharer.go
@@ -30,6 +30,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -51,6 +52,8 @@
 	maxWordParts = 64
 	// maxViews bounds the engines' processes that are remembered, listed or not.
 	maxViews = 4096
+	// fullEvery bounds the lines about engines beyond maxViews.
+	fullEvery = 10 * time.Second
 )
 
 // Config sets up a Sharer.
@@ -92,6 +95,7 @@
 	views  map[process]*view
 	shared generations
 	log    wordLog
+	fullAt time.Time // when it was last told that there are too many engines
 }
 
 // New makes a Sharer that knows nothing yet.
@@ -179,6 +183,7 @@
 			s.dropUnlistedLocked()
 		}
 		if len(s.views) >= maxViews {
+			s.noteFull(p)
 			return nil
 		}
 		v = &view{parts: map[string]kept{}, origin: exchanger.ScopeAll}
@@ -187,6 +192,16 @@
 	return v
 }
 
+// noteFull tells, now and then, that words about engines are passed over.
+func (s *Sharer) noteFull(p process) {
+	now := time.Now()
+	if now.Sub(s.fullAt) < fullEvery {
+		return
+	}
+	s.fullAt = now
+	s.cfg.Logger.Warn("words about caches passed over: too many engines", "engines", len(s.views), "endpoint_id", p.endpointID)
+}
+
 func (s *Sharer) dropUnlistedLocked() {
 	for p := range s.views {
 		if _, isListed := s.listed[p]; !isListed {
--- a/internal/cachesharer/cachesharer_test.go
+++ b/internal/cachesharer/cachesharer_test.go
@@ -218,3 +218,20 @@
 		assert.Assert(t, len(words[i].Parts) <= maxWordParts)
 	}
 }
+
+// A flood of words about engines that nobody lists takes bounded memory, and
+// leaves what is known of those that are listed.
+func TestUnknownEnginesAreBounded(t *testing.T) {
+	t.Parallel()
+	s, l := newHost(engineA)
+	s.HearWords([]exchanger.CacheWord{word(1, false, part("x", 50))}, true)
+	for i := range maxViews + 10 {
+		w := word(1, false, part("x", 50))
+		w.EndpointID = fmt.Sprint("unknown", i)
+		s.HearWords([]exchanger.CacheWord{w}, true)
+	}
+	assert.Assert(t, len(s.views) <= maxViews)
+	s.HearWords([]exchanger.CacheWord{word(2, false, part("y", 60))}, true)
+	assert.Equal(t, l.keeps("x"), 50)
+	assert.Equal(t, l.keeps("y"), 60)
+}
--- a/internal/cachewatcher/cachewatcher.go
+++ b/internal/cachewatcher/cachewatcher.go
@@ -1,10 +1,11 @@
-// Package cachewatcher keeps up with what engines keep of prompts: a call to each
-// engine waits there for news.
+// Package cachewatcher keeps up with what some engines keep of prompts: a call to
+// each of them waits there for news. Package cachesharer says which, and tells the
+// other hosts.
 //
 // # Usage
 //
-//	w := cachewatcher.New(cachewatcher.Config{Driver: drv, Heard: s.HearCache, ...})
-//	w.SetTargets(engines) // at each change of the list
+//	w := cachewatcher.New(cachewatcher.Config{Driver: drv, Heard: sharer.HearNews, ...})
+//	w.SetTargets(engines) // those that this host asks
 //	defer w.Close()
 package cachewatcher
 
@@ -24,7 +25,8 @@
 	// allow a second.
 	newsWait = time.Second
 	// newsPause is left between two calls to an engine, so that a busy one tells
-	// many changes at a time.
+	// many changes at a time. With 400 ms the worth of three deployments of 6 and 9
+	// hosts was 0.009 to 0.014 lower (means of five days each, no processor time).
 	newsPause = 100 * time.Millisecond
 	// retryPause follows a call that failed.
 	retryPause = time.Second
@@ -75,9 +77,11 @@
 		return
 	}
 	wanted := make(map[driver.Target]bool, len(targets))
+	begun, ended := 0, 0
 	for _, target := range targets {
 		wanted[target] = true
 		if w.watched[target] == nil {
+			begun++
 			ctx, cancel := context.WithCancel(w.ctx)
 			w.watched[target] = cancel
 			w.group.Go(func() error { return w.watch(ctx, target) })
@@ -85,10 +89,14 @@
 	}
 	for target, cancel := range w.watched {
 		if !wanted[target] {
+			ended++
 			cancel()
 			delete(w.watched, target)
 		}
 	}
+	if begun+ended > 0 {
+		w.cfg.Logger.Info("engines asked for news of their caches", "engines", len(w.watched), "begun", begun, "ended", ended)
+	}
 }
 
 // watch keeps up with one engine until ctx ends.
