--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -18,9 +18,7 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
-	"sort"
 	"sync"
 	"time"
 
@@ -28,14 +26,9 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
-	"github.com/endivemast/endivemast/internal/transporter"
 )
 
 // Limits and defaults of the peer protocol.
@@ -127,17 +120,6 @@
 	HearLeaving(leaving []LeavingEndpoint, now time.Time)
 }
 
-// PeerStatus is what is known of a peer.
-type PeerStatus struct {
-	Peer                  Peer
-	Incarnation           string
-	Reachable             bool // it has spoken within Config.Silence
-	Draining              bool
-	LastHeard             time.Time
-	ConfigurationRevision int64
-	StoreRevision         int64 // up to which it has heard of the platform's store
-}
-
 // Exchanger runs the peer protocol. It implements Pool.
 type Exchanger struct {
 	exchangerpb.UnimplementedExchangeServer
@@ -161,17 +143,6 @@
 	group  *errgroup.Group // nil before Start
 }
 
-// link is the sending side's connection to one peer.
-type link struct {
-	peer   Peer
-	conn   *grpc.ClientConn
-	ctx    context.Context // ends when the peer is no longer one
-	cancel context.CancelFunc
-	// isUnlisted is true for a peer that is not among the peers any more and
-	// still speaks.
-	isUnlisted bool
-}
-
 // New prepares the server and a lazy connection to each peer.
 func New(cfg Config, local Local) (ex *Exchanger, err error) {
 	defer func() { err = eris.Wrap(err, "peer protocol") }()
@@ -194,58 +165,6 @@
 	return ex, nil
 }
 
-// layOutLocked finds the hubs among the peers. Load heard from others than
-// before is forgotten: it would count twice.
-func (ex *Exchanger) layOutLocked() (forgotten []string) {
-	hosts := []Peer{{HostID: ex.cfg.HostID, Zone: ex.cfg.Zone, ProcessorShare: ex.cfg.ProcessorShare}}
-	for _, l := range ex.links {
-		hosts = append(hosts, l.peer)
-	}
-	before := ex.layout
-	next := layout{isFlat: true}
-	if ex.cfg.HasHubs {
-		next = layoutOf(hosts)
-	}
-	isHub := next.hubs[ex.cfg.HostID]
-	if before != nil && (before.isFlat != next.isFlat || before.hubs[ex.cfg.HostID] != isHub) {
-		ex.cfg.Logger.Info("part in telling load", "is_hub", isHub, "all_tell_all", next.isFlat, "hosts", len(hosts))
-	}
-	ex.layout, ex.toldPeers = &next, 0
-	for _, l := range ex.links {
-		if ex.partFor(&next, l.peer) != exchangerpb.Part_PART_NONE {
-			ex.toldPeers++
-		}
-	}
-	for _, row := range ex.heard {
-		if before == nil {
-			break
-		}
-		if source := ex.sourceOf(before, row); source != "" && source != ex.sourceOf(&next, row) {
-			forgotten = append(forgotten, source)
-		}
-	}
-	return forgotten
-}
-
-func (ex *Exchanger) currentLayout() *layout {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	return ex.layout
-}
-
-// addLocked makes a lazy connection to a peer.
-func (ex *Exchanger) addLocked(peer Peer) (*link, error) {
-	conn, err := grpc.NewClient("passthrough:///"+peer.Address, ex.dialOptions()...)
-	if err != nil {
-		return nil, err
-	}
-	l := &link{peer: peer, conn: conn}
-	l.ctx, l.cancel = context.WithCancel(ex.ctx)
-	ex.links[peer.HostID] = l
-	ex.heardLocked(peer)
-	return l, nil
-}
-
 // heardLocked returns the receiving side's row of a peer, and makes it on first use.
 func (ex *Exchanger) heardLocked(peer Peer) *heardPeer {
 	row := ex.heard[peer.HostID]
@@ -257,100 +176,6 @@
 	return row
 }
 
-// SetPeers replaces the peers. Connections to those that stay are kept.
-func (ex *Exchanger) SetPeers(peers []Peer) (err error) {
-	defer func() { err = eris.Wrap(err, "set peers") }()
-	ex.mu.Lock()
-	err = ex.setPeersLocked(peers)
-	forgotten := ex.layOutLocked()
-	ex.mu.Unlock()
-	now := time.Now()
-	for _, source := range forgotten {
-		ex.local.HearLoad(source, 0, nil, now)
-	}
-	return err
-}
-
-func (ex *Exchanger) setPeersLocked(peers []Peer) (err error) {
-	named := make(map[string]bool, len(peers))
-	for _, peer := range peers {
-		named[peer.HostID] = true
-		if l := ex.links[peer.HostID]; l != nil {
-			if l.peer == peer {
-				l.isUnlisted = false
-				continue
-			}
-			ex.dropLocked(l)
-		}
-		l, addErr := ex.addLocked(peer)
-		if addErr != nil {
-			err = errors.Join(err, addErr)
-			continue
-		}
-		if ex.group != nil {
-			ex.group.Go(func() error { return ex.tellPeer(l) })
-		}
-	}
-	for hostID, l := range ex.links {
-		if named[hostID] {
-			continue
-		}
-		if l.isUnlisted = ex.speaksLocked(hostID); !l.isUnlisted {
-			ex.dropLocked(l)
-		}
-	}
-	return err
-}
-
-// speaksLocked is true for a peer that lives, as it says itself. The entry of a
-// host that the store turns away lapses while the host serves; told nothing any
-// more, it would neither count its peers' load nor hear what they know.
-func (ex *Exchanger) speaksLocked(hostID string) bool {
-	row := ex.heard[hostID]
-	return row != nil && row.status.Reachable && !row.status.Draining
-}
-
-func (ex *Exchanger) dropLocked(l *link) {
-	l.cancel()
-	delete(ex.links, l.peer.HostID)
-	_ = l.conn.Close() // calls on it end; there is nothing to be told
-}
-
-func (ex *Exchanger) serverOptions() []grpc.ServerOption {
-	options := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(maxMessageBytes),
-		grpc.UnaryInterceptor(ex.checkUnary),
-		grpc.StreamInterceptor(ex.checkStream),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: userTimeout}),
-	}
-	if ex.cfg.ServerTLS != nil {
-		options = append(options, grpc.Creds(credentials.NewTLS(ex.cfg.ServerTLS)))
-	}
-	return options
-}
-
-func (ex *Exchanger) dialOptions() []grpc.DialOption {
-	security := insecure.NewCredentials()
-	if ex.cfg.ClientTLS != nil {
-		security = credentials.NewTLS(ex.cfg.ClientTLS)
-	}
-	dialer := net.Dialer{Timeout: reconnectMaximum, Control: transporter.UserTimeout(userTimeout)}
-	retry := backoff.DefaultConfig
-	retry.BaseDelay = 50 * time.Millisecond
-	retry.MaxDelay = reconnectMaximum
-	return []grpc.DialOption{
-		grpc.WithTransportCredentials(security),
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}),
-		grpc.WithPerRPCCredentials(peerSecret{secret: ex.cfg.Secret}),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: reconnectMaximum}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
-		// A call that the peer may have run must not be sent twice by the library.
-		grpc.WithDisableRetry(),
-	}
-}
-
 // Registrar is where other parts register their gRPC services, before Start.
 func (ex *Exchanger) Registrar() grpc.ServiceRegistrar { return ex.server }
 
@@ -384,74 +209,6 @@
 	return group.Wait()
 }
 
-// Peers returns the other entry hosts, own zone first, then by host id.
-func (ex *Exchanger) Peers() []Peer {
-	ex.mu.Lock()
-	peers := make([]Peer, 0, len(ex.links))
-	for _, l := range ex.links {
-		peers = append(peers, l.peer)
-	}
-	ex.mu.Unlock()
-	sort.Slice(peers, func(i, j int) bool {
-		ownI, ownJ := peers[i].Zone == ex.cfg.Zone, peers[j].Zone == ex.cfg.Zone
-		if ownI != ownJ {
-			return ownI
-		}
-		return peers[i].HostID < peers[j].HostID
-	})
-	return peers
-}
-
-// Conn returns the connection to a peer.
-func (ex *Exchanger) Conn(hostID string) (conn grpc.ClientConnInterface, err error) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	l, ok := ex.links[hostID]
-	if !ok {
-		return nil, eris.Errorf("no peer %q", hostID)
-	}
-	return l.conn, nil
-}
-
-// Statuses returns what is known of each peer, by host id.
-func (ex *Exchanger) Statuses() []PeerStatus {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	statuses := make([]PeerStatus, 0, len(ex.heard))
-	for _, peer := range ex.heard {
-		statuses = append(statuses, peer.status)
-	}
-	sort.Slice(statuses, func(i, j int) bool { return statuses[i].Peer.HostID < statuses[j].Peer.HostID })
-	return statuses
-}
-
-// Heard is how many peers have spoken lately.
-func (ex *Exchanger) Heard() (n int) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	for _, row := range ex.heard {
-		if row.status.Reachable {
-			n++
-		}
-	}
-	return n
-}
-
-// IsAway is true for a peer that has spoken once and is silent, or drains.
-func (ex *Exchanger) IsAway(hostID string) bool {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	return ex.isAwayLocked(hostID)
-}
-
-func (ex *Exchanger) isAwayLocked(hostID string) bool {
-	row := ex.heard[hostID]
-	if row == nil || row.status.LastHeard.IsZero() {
-		return false
-	}
-	return !row.status.Reachable || row.status.Draining
-}
-
 // Hosts gives the platform's list as this host last read it.
 func (ex *Exchanger) Hosts(_ context.Context, request *exchangerpb.HostsRequest) (*exchangerpb.HostsReply, error) {
 	hosts, revision := ex.local.Hosts()
--- a/internal/exchanger/hub.go
+++ b/internal/exchanger/hub.go
@@ -1,11 +1,6 @@
 package exchanger
 
 import (
-	"cmp"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 )
 
@@ -39,81 +34,6 @@
 	zoneSource = "/zone/"
 )
 
-// Order puts hosts in the order in which they become hubs, the same on all hosts.
-func Order(a, b Peer) int {
-	if a.ProcessorShare != b.ProcessorShare {
-		return cmp.Compare(b.ProcessorShare, a.ProcessorShare)
-	}
-	return cmp.Compare(xxhash.Sum64String(a.HostID), xxhash.Sum64String(b.HostID))
-}
-
-// layout is who is a hub, as this host sees it. It is not changed once made.
-type layout struct {
-	isFlat bool // no zone is large: each host tells all others
-	hubs   map[string]bool
-	// speakers are the hosts of whom all others of their zone know that they live.
-	speakers map[string]bool
-}
-
-// layoutOf finds the hubs among hosts, own one included.
-func layoutOf(hosts []Peer) layout {
-	zones := map[string][]Peer{}
-	for _, host := range hosts {
-		zones[host.Zone] = append(zones[host.Zone], host)
-	}
-	l := layout{isFlat: true, hubs: map[string]bool{}, speakers: map[string]bool{}}
-	for _, members := range zones {
-		slices.SortFunc(members, Order)
-		count := len(members)
-		if count > SmallZone {
-			l.isFlat = false
-			count = HubsPerZone
-		}
-		for _, hub := range members[:count] {
-			l.hubs[hub.HostID] = true
-		}
-		for _, speaker := range members[:min(speakersPerZone, len(members))] {
-			l.speakers[speaker.HostID] = true
-		}
-	}
-	return l
-}
-
-// IsAmongFirst says whether this host is one of the first n hubs that have not
-// fallen silent, by the order of hubs.
-func (ex *Exchanger) IsAmongFirst(n int) bool {
-	own := Peer{HostID: ex.cfg.HostID, ProcessorShare: ex.cfg.ProcessorShare}
-	before := 0
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	if !ex.layout.hubs[own.HostID] {
-		return false
-	}
-	for hostID := range ex.layout.hubs {
-		row := ex.heard[hostID]
-		if row != nil && row.status.Reachable && !row.status.Draining && Order(row.status.Peer, own) < 0 {
-			before++
-		}
-	}
-	return before < n
-}
-
-// Speakers are the hosts that all others of their zone know to live, without
-// those that have fallen silent; this host is among them where it is one.
-func (ex *Exchanger) Speakers() (hosts []Peer) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	if ex.layout.speakers[ex.cfg.HostID] {
-		hosts = append(hosts, Peer{HostID: ex.cfg.HostID, Zone: ex.cfg.Zone, ProcessorShare: ex.cfg.ProcessorShare})
-	}
-	for hostID, l := range ex.links {
-		if ex.layout.speakers[hostID] && !ex.isAwayLocked(hostID) {
-			hosts = append(hosts, l.peer)
-		}
-	}
-	return hosts
-}
-
 // partFor says whose load is told to a peer.
 func (ex *Exchanger) partFor(l *layout, peer Peer) exchangerpb.Part {
 	isHub, isOwnZone := l.hubs[ex.cfg.HostID], peer.Zone == ex.cfg.Zone
--- /dev/null
+++ b/internal/exchanger/links.go
@@ -0,0 +1,167 @@
+package exchanger
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sort"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/endivemast/endivemast/internal/transporter"
+)
+
+// Connections to the peers, and who is one.
+
+// link is the sending side's connection to one peer.
+type link struct {
+	peer   Peer
+	conn   *grpc.ClientConn
+	ctx    context.Context // ends when the peer is no longer one
+	cancel context.CancelFunc
+	// isUnlisted is true for a peer that is not among the peers any more and
+	// still speaks.
+	isUnlisted bool
+}
+
+// addLocked makes a lazy connection to a peer.
+func (ex *Exchanger) addLocked(peer Peer) (*link, error) {
+	conn, err := grpc.NewClient("passthrough:///"+peer.Address, ex.dialOptions()...)
+	if err != nil {
+		return nil, err
+	}
+	l := &link{peer: peer, conn: conn}
+	l.ctx, l.cancel = context.WithCancel(ex.ctx)
+	ex.links[peer.HostID] = l
+	ex.heardLocked(peer)
+	return l, nil
+}
+
+// SetPeers replaces the peers. Connections to those that stay are kept.
+func (ex *Exchanger) SetPeers(peers []Peer) (err error) {
+	defer func() { err = eris.Wrap(err, "set peers") }()
+	ex.mu.Lock()
+	err = ex.setPeersLocked(peers)
+	forgotten := ex.layOutLocked()
+	ex.mu.Unlock()
+	now := time.Now()
+	for _, source := range forgotten {
+		ex.local.HearLoad(source, 0, nil, now)
+	}
+	return err
+}
+
+func (ex *Exchanger) setPeersLocked(peers []Peer) (err error) {
+	named := make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		named[peer.HostID] = true
+		if l := ex.links[peer.HostID]; l != nil {
+			if l.peer == peer {
+				l.isUnlisted = false
+				continue
+			}
+			ex.dropLocked(l)
+		}
+		l, addErr := ex.addLocked(peer)
+		if addErr != nil {
+			err = errors.Join(err, addErr)
+			continue
+		}
+		if ex.group != nil {
+			ex.group.Go(func() error { return ex.tellPeer(l) })
+		}
+	}
+	for hostID, l := range ex.links {
+		if named[hostID] {
+			continue
+		}
+		if l.isUnlisted = ex.speaksLocked(hostID); !l.isUnlisted {
+			ex.dropLocked(l)
+		}
+	}
+	return err
+}
+
+// speaksLocked is true for a peer that lives, as it says itself. The entry of a
+// host that the store turns away lapses while the host serves; told nothing any
+// more, it would neither count its peers' load nor hear what they know.
+func (ex *Exchanger) speaksLocked(hostID string) bool {
+	row := ex.heard[hostID]
+	return row != nil && row.status.Reachable && !row.status.Draining
+}
+
+func (ex *Exchanger) dropLocked(l *link) {
+	l.cancel()
+	delete(ex.links, l.peer.HostID)
+	_ = l.conn.Close() // calls on it end; there is nothing to be told
+}
+
+func (ex *Exchanger) serverOptions() []grpc.ServerOption {
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.UnaryInterceptor(ex.checkUnary),
+		grpc.StreamInterceptor(ex.checkStream),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: userTimeout}),
+	}
+	if ex.cfg.ServerTLS != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(ex.cfg.ServerTLS)))
+	}
+	return options
+}
+
+func (ex *Exchanger) dialOptions() []grpc.DialOption {
+	security := insecure.NewCredentials()
+	if ex.cfg.ClientTLS != nil {
+		security = credentials.NewTLS(ex.cfg.ClientTLS)
+	}
+	dialer := net.Dialer{Timeout: reconnectMaximum, Control: transporter.UserTimeout(userTimeout)}
+	retry := backoff.DefaultConfig
+	retry.BaseDelay = 50 * time.Millisecond
+	retry.MaxDelay = reconnectMaximum
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(security),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}),
+		grpc.WithPerRPCCredentials(peerSecret{secret: ex.cfg.Secret}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: reconnectMaximum}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		// A call that the peer may have run must not be sent twice by the library.
+		grpc.WithDisableRetry(),
+	}
+}
+
+// Peers returns the other entry hosts, own zone first, then by host id.
+func (ex *Exchanger) Peers() []Peer {
+	ex.mu.Lock()
+	peers := make([]Peer, 0, len(ex.links))
+	for _, l := range ex.links {
+		peers = append(peers, l.peer)
+	}
+	ex.mu.Unlock()
+	sort.Slice(peers, func(i, j int) bool {
+		ownI, ownJ := peers[i].Zone == ex.cfg.Zone, peers[j].Zone == ex.cfg.Zone
+		if ownI != ownJ {
+			return ownI
+		}
+		return peers[i].HostID < peers[j].HostID
+	})
+	return peers
+}
+
+// Conn returns the connection to a peer.
+func (ex *Exchanger) Conn(hostID string) (conn grpc.ClientConnInterface, err error) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	l, ok := ex.links[hostID]
+	if !ok {
+		return nil, eris.Errorf("no peer %q", hostID)
+	}
+	return l.conn, nil
+}
