--- a/internal/follower/direct_test.go
+++ b/internal/follower/direct_test.go
@@ -1,11 +1,9 @@
 package follower
 
 import (
-	"context"
 	"testing"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivemast/endivemast/internal/provider"
@@ -21,13 +19,7 @@
 		Store: store, Peers: peers, IsDirect: func() bool { return false },
 		Topics: []Topic{{Prefix: "a/", Sink: &recorder{}}},
 	})
-	ctx, cancel := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error { return f.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, group.Wait())
-	})
+	keepRunning(t, f)
 	await(t, "watch", func() bool { return store.lastWatch() == 8 })
 	begun := time.Now()
 	await(t, "more than the time to fall behind", func() bool { return time.Since(begun) > behindFor+2*keepUpEvery })
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -110,12 +110,9 @@
 	return r.keys[key] == revision
 }
 
-// run follows two topics until the test ends.
-func run(t *testing.T, store *fakeStore) (f *Follower, first, second *recorder) {
+// keepRunning runs a Follower until the test ends.
+func keepRunning(t *testing.T, f *Follower) {
 	t.Helper()
-	store.watch = make(chan watchStep)
-	first, second = &recorder{}, &recorder{}
-	f = New(Config{Store: store, Topics: []Topic{{Prefix: "a/", Sink: first}, {Prefix: "b/", Sink: second}}})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group errgroup.Group
 	group.Go(func() error { return f.Run(ctx) })
@@ -123,6 +120,15 @@
 		cancel()
 		assert.NilError(t, group.Wait())
 	})
+}
+
+// run follows two topics until the test ends.
+func run(t *testing.T, store *fakeStore) (f *Follower, first, second *recorder) {
+	t.Helper()
+	store.watch = make(chan watchStep)
+	first, second = &recorder{}, &recorder{}
+	f = New(Config{Store: store, Topics: []Topic{{Prefix: "a/", Sink: first}, {Prefix: "b/", Sink: second}}})
+	keepRunning(t, f)
 	return f, first, second
 }
 
@@ -236,13 +242,7 @@
 	store.watch = make(chan watchStep)
 	first, second := &recorder{}, &recorder{}
 	f := New(Config{Store: store, Topics: []Topic{{Prefix: "a/", Sink: first}, {Prefix: "b/", Sink: second}}})
-	ctx, cancel := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error { return f.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, group.Wait())
-	})
+	keepRunning(t, f)
 	await(t, "the watch", func() bool { return store.lastWatch() == 5 })
 	assert.Assert(t, first.has("a/1", 9) && second.has("b/1", 3))
 	store.watch <- watchStep{changes: []provider.Change{
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sync/errgroup"
 	"gotest.tools/v3/assert"
 
 	"github.com/endivemast/endivemast/internal/provider"
@@ -58,13 +57,7 @@
 	store.watch = make(chan watchStep)
 	first, second = &recorder{}, &recorder{}
 	f = New(Config{Store: store, Peers: peers, Topics: []Topic{{Prefix: "a/", Sink: first}, {Prefix: "b/", Sink: second}}})
-	ctx, cancel := context.WithCancel(context.Background())
-	var group errgroup.Group
-	group.Go(func() error { return f.Run(ctx) })
-	t.Cleanup(func() {
-		cancel()
-		assert.NilError(t, group.Wait())
-	})
+	keepRunning(t, f)
 	await(t, "watch", func() bool { return store.lastWatch() == 8 })
 	return f, first, second
 }
