--- a/internal/cachesharer/cachesharer.go
+++ b/internal/cachesharer/cachesharer.go
@@ -43,9 +43,8 @@
 	// maxShared bounds the shared parts that a host remembers: two generations of
 	// so many. A fleet of this size has some hundred long prefixes in use.
 	maxShared = 16384
-	// maxLog is how many words are kept for peers that are behind. At some 100
-	// words a second that is more than a minute; a peer that is further behind is
-	// told everything.
+	// maxLog is how many words are kept for peers that are behind. Each
+	// takes some 100 bytes; a peer that is further behind is told everything.
 	maxLog = 8192
 	// maxWordParts bounds the parts of one word, so that a message can be bounded
 	// by its words.
--- a/internal/cachewatcher/cachewatcher.go
+++ b/internal/cachewatcher/cachewatcher.go
@@ -25,8 +25,8 @@
 	// allow a second.
 	newsWait = time.Second
 	// newsPause is left between two calls to an engine, so that a busy one tells
-	// many changes at a time. With 400 ms the worth of three deployments of 6 and 9
-	// hosts was 0.009 to 0.014 lower (means of five days each, no processor time).
+	// many changes at a time. How much a longer pause costs is not
+	// measured by itself.
 	newsPause = 100 * time.Millisecond
 	// retryPause follows a call that failed.
 	retryPause = time.Second
