--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -48,7 +48,7 @@
 	basis    scheduler.Basis // of the latest attempt
 	times    passageTimes
 
-	latest   attemptTimes
+	latest attemptTimes
 
 	handle   *driver.KVHandle // of the prompt, not taken yet
 	handleAt time.Time
--- a/standins/opaqueserver/opaqueserver.go
+++ b/standins/opaqueserver/opaqueserver.go
@@ -80,6 +80,10 @@
 	if err != nil {
 		panic(err) // loopback is always there
 	}
+	return serve(listener, script, readBodies)
+}
+
+func serve(listener net.Listener, script Script, readBodies bool) *Server {
 	s := &Server{listener: listener, script: script, readBodies: readBodies, conns: map[net.Conn]bool{}, done: make(chan struct{})}
 	s.group.Go(s.accept)
 	return s
