A request's name leaves out the address that it came from; one trial at a time by announcement

Cause: the name held the caller's address, and a customer's request comes from machines in all zones, each of which reaches hosts of its own zone only. Thirty addresses made thirty requests of one, and others that ran beside them were set aside in its place.

Change: the name is of method, host, path and body. A host that tries a request again announces it, and the others wait for how that ends (before: turns of a second, in which two hosts could overlap).

--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -103,9 +103,7 @@
 // identityOf is what makes a request the same when it comes again.
 func identityOf(request *OpaqueRequest) quarantiner.Request {
 	payload := &request.Payload
-	return quarantiner.Request{
-		Caller: request.Caller, Method: payload.Method, Host: payload.Host, Path: payload.Path, Body: payload.Body,
-	}
+	return quarantiner.Request{Method: payload.Method, Host: payload.Host, Path: payload.Path, Body: payload.Body}
 }
 
 // admitAndRun runs a request unless it is one under which endpoints end.
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -21,9 +21,11 @@
 //   - what is sent again after ends for other causes: it would have to be hit
 //     three times running.
 //
-// A request that is set aside is refused at once, by all hosts. After a pause it
-// is tried again, by one host at a time; the pause doubles each time that an
-// endpoint ends, and a run that goes well ends the matter.
+// A request that is set aside is refused at once, by all hosts. After a pause one
+// host tries it, and the others wait for how that ends: the pause doubles where an
+// endpoint ends, and a run that goes well ends the matter. So a caller can have
+// another's request set aside only by sending that very request, whole, while it
+// keeps the engines from running it, and for a pause at a time.
 //
 // # Usage
 //
--- a/internal/quarantiner/name.go
+++ b/internal/quarantiner/name.go
@@ -9,22 +9,24 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Request is what makes two requests the same, whatever ids they bear and to
-// whichever hosts they come.
+// Request is what makes two requests the same, whatever ids they bear, to
+// whichever hosts they come and from whichever address. A customer's machines
+// have addresses of their own, and reach hosts of their own zone: one request was
+// seen at all hosts of three zones within 6 s. What an endpoint does with it does
+// not depend on the address, and the customer is told by the host in the URL.
 type Request struct {
-	Caller string // address of who sent it, without the port
 	Method string
-	Host   string
+	Host   string // that the caller asked for
 	Path   string // with its query
 	Body   []byte
 }
 
-// nameBytes is the length of a name. To find a body that has somebody else's
-// name would take 2^128 tries, and the caller is part of the name.
+// nameBytes is the length of a name. To find another body that has a request's
+// name would take 2^128 tries.
 const nameBytes = 16
 
 // Name names a request: the beginning of a SHA-256 of all that makes it the
-// same. Nobody can make a request that has the name of another caller's.
+// same. Only who sends the very same request, whole, has its name.
 type Name [nameBytes]byte
 
 // String is the name as logs show it.
@@ -43,7 +45,7 @@
 // one of 1 MB (BenchmarkName), which is why it is not asked for each request.
 func (r *Request) Name() (n Name) {
 	h := sha256.New()
-	for _, part := range []string{r.Caller, r.Method, r.Host, r.Path} {
+	for _, part := range []string{r.Method, r.Host, r.Path} {
 		addPart(h, []byte(part))
 	}
 	addPart(h, r.Body)
@@ -66,7 +68,7 @@
 
 func (r *Request) key() key {
 	d := xxhash.New()
-	for _, part := range []string{r.Caller, r.Method, r.Host, r.Path} {
+	for _, part := range []string{r.Method, r.Host, r.Path} {
 		_, _ = d.WriteString(part) // a digest does not fail
 		_, _ = d.Write([]byte{0})
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -1,10 +1,8 @@
 package quarantiner
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -111,12 +109,11 @@
 		return a
 	}
 	now := q.cfg.Now()
-	a = Admission{IsRefused: true, Name: name, RetryAfter: max(r.until.Sub(now), turnLength)}
-	if q.takeTurnLocked(name, r, now) {
-		a = Admission{IsTrial: true, Name: name}
-		q.cfg.Logger.Info("request that was set aside is tried again", "request_name", name.String(), "turn", r.turn, "pause_ms", r.pause.Milliseconds())
+	if q.mayTryLocked(name, r, now) {
+		q.tryLocked(name, r, now)
+		return Admission{IsTrial: true, Name: name}
 	}
-	return a
+	return Admission{IsRefused: true, Name: name, RetryAfter: max(r.until.Sub(now), mostStagger)}
 }
 
 // IsAside is true for a request that is to be ended where it is under way.
@@ -146,23 +143,28 @@
 	return request.Name(), true
 }
 
-// takeTurnLocked is true where this host may try a request now. Hosts take turns,
-// in an order of the request's own, so that not two of them try it at once.
-func (q *Quarantiner) takeTurnLocked(name Name, r *record, now time.Time) bool {
-	if now.Before(r.until) {
-		return false
-	}
-	turn := int64(now.Sub(r.until)/turnLength) + 1
-	if turn == r.turn {
-		return false
+// mayTryLocked is true where this host may try a request now. Hosts may one after
+// the other, in an order of the request's own, so that not all of them try it in
+// the moment in which its pause ends.
+func (q *Quarantiner) mayTryLocked(name Name, r *record, now time.Time) bool {
+	waited := now.Sub(r.until)
+	if waited < 0 || waited >= mostStagger {
+		return waited >= 0
 	}
-	hosts := slices.Clone(q.cfg.Hosts())
-	slices.SortFunc(hosts, func(a, b string) int { return cmp.Compare(weightOf(a, name), weightOf(b, name)) })
-	if len(hosts) == 0 || hosts[int(turn-1)%len(hosts)] != q.cfg.HostID {
-		return false
+	own, before := weightOf(q.cfg.HostID, name), 0
+	for _, host := range q.cfg.Hosts() {
+		if weightOf(host, name) < own {
+			before++
+		}
 	}
-	r.turn = turn
-	return true
+	return waited >= time.Duration(before)*trialStagger
+}
+
+// tryLocked has this host try a request; the others wait for how that ends.
+func (q *Quarantiner) tryLocked(name Name, r *record, now time.Time) {
+	q.cfg.Logger.Info("request that was set aside is tried again", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
+	r.until, r.isTried = now.Add(trialTime), true
+	q.log.Add(exchanger.CrashWord{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
 }
 
 func weightOf(hostID string, name Name) uint64 { return xxhash.Sum64String(hostID + name.String()) }
@@ -256,6 +258,24 @@
 			"requests", len(fresh), "request_names", namesOf(fresh))
 	}
 	q.log.Add(wordOfEnd(process, at, fresh), origin)
+	for _, run := range fresh {
+		if r := q.table.records[run.name]; r.isAside() {
+			q.extendLocked(run.name, r)
+		}
+	}
+}
+
+// extendLocked keeps a request set aside for longer where it is to blame for more
+// ends; where a trial of this host's was one, the others are told by how much.
+func (q *Quarantiner) extendLocked(name Name, r *record) {
+	wasTried := r.isTried
+	for _, e := range q.table.blamedFor(name, q.cfg.Now()) {
+		r.extend(e.at)
+	}
+	if wasTried && !r.isTried {
+		q.cfg.Logger.Info("trial of a request has ended an endpoint", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
+		q.log.Add(exchanger.CrashWord{At: q.cfg.Now(), Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
+	}
 }
 
 // SetProcesses takes the listed processes: where one has the id or the address of
@@ -319,9 +339,6 @@
 
 func (q *Quarantiner) judgeLocked(now time.Time) (isNew bool) {
 	for name, r := range q.table.aside {
-		for _, e := range q.table.blamedFor(name, now) {
-			r.extend(e.at)
-		}
 		q.table.reconsider(name, r, now)
 	}
 	for name, r := range q.table.suspects {
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -144,7 +144,7 @@
 
 // release has a request run again.
 func (t *table) release(name Name, r *record) {
-	r.until, r.pause, r.turn = time.Time{}, 0, 0
+	r.until, r.pause, r.isTried = time.Time{}, 0, false
 	delete(t.aside, name)
 	t.dropIfIdle(name, r)
 }
--- a/internal/quarantiner/words.go
+++ b/internal/quarantiner/words.go
@@ -20,6 +20,10 @@
 	return word
 }
 
+func quarantineOf(name Name, r *record) exchanger.Quarantine {
+	return exchanger.Quarantine{RequestName: exchanger.RequestName{Name: name, Key: uint64(r.key)}, Until: r.until, Pause: r.pause}
+}
+
 func namesOf(runs []run) (names []string) {
 	for _, run := range runs {
 		names = append(names, run.name.String())
@@ -43,9 +47,7 @@
 func (q *Quarantiner) allLocked() (words []exchanger.CrashWord) {
 	var aside []exchanger.Quarantine
 	for name, r := range q.table.aside {
-		aside = append(aside, exchanger.Quarantine{
-			RequestName: exchanger.RequestName{Name: name, Key: uint64(r.key)}, Until: r.until, Pause: r.pause,
-		})
+		aside = append(aside, quarantineOf(name, r))
 	}
 	if len(aside) > 0 {
 		words = append(words, exchanger.CrashWord{At: q.cfg.Now(), Quarantines: aside})
@@ -89,13 +91,12 @@
 		q.clearLocked(Name(name), word.At, origin)
 	}
 	for i := range word.Quarantines {
-		q.adoptLocked(&word.Quarantines[i])
+		q.adoptLocked(&word.Quarantines[i], origin)
 	}
 }
 
-// adoptLocked takes over what a peer has set aside. It is told to hosts that have
-// just started only, so it is not told on.
-func (q *Quarantiner) adoptLocked(told *exchanger.Quarantine) {
+// adoptLocked takes over what a peer has set aside, for a trial or for longer.
+func (q *Quarantiner) adoptLocked(told *exchanger.Quarantine, origin exchanger.Scope) {
 	name := Name(told.Name)
 	lastEnd := told.Until.Add(-told.Pause)
 	if at, ok := q.table.released[name]; ok && !lastEnd.After(at) {
@@ -109,7 +110,8 @@
 		q.cfg.Logger.Warn("request set aside: a peer has found that endpoints end that run it", "request_name", name.String(),
 			"until_ms", told.Until.Sub(q.cfg.Now()).Milliseconds())
 	}
-	r.until, r.pause, r.turn = told.Until, told.Pause, 0
+	r.until, r.pause = told.Until, max(told.Pause, r.pause)
 	q.table.aside[name] = r
+	q.log.Add(exchanger.CrashWord{At: q.cfg.Now(), Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, origin)
 	q.known.Store(int64(len(q.table.records)))
 }
