--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -220,15 +220,15 @@
 }
 
 // setAside has a request set aside at all hosts.
-func (f *fleet) setAside(body string) {
+func (f *fleet) setAside() {
 	f.t.Helper()
 	for n := range endsToBlame {
 		f.clock.advance(time.Second)
-		f.end(runSpec{body: body, host: n % len(f.hosts), took: shortRun})
+		f.end(runSpec{body: "crashing", host: n % len(f.hosts), took: shortRun})
 	}
 	f.settle()
 	for _, q := range f.hosts {
-		assert.Assert(f.t, q.IsAside(letter(body)))
+		assert.Assert(f.t, q.IsAside(letter("crashing")))
 	}
 }
 
@@ -237,7 +237,7 @@
 func TestTrials(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 4)
-	f.setAside("crashing")
+	f.setAside()
 	tries := func() (trials int) {
 		for _, q := range f.hosts {
 			a := q.Admit(letter("crashing"))
@@ -279,7 +279,7 @@
 func TestTrialsAreStaggered(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 9)
-	f.setAside("crashing")
+	f.setAside()
 	f.clock.advance(firstPause - settle)
 	trials := 0
 	for _, q := range f.hosts {
@@ -295,7 +295,7 @@
 func TestHostsThatComeLateAreTold(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3)
-	f.setAside("crashing")
+	f.setAside()
 	late := f.newHost("host-late")
 	words, _ := f.hosts[1].Words(0, exchanger.ScopeOwn)
 	late.HearWords(words, true)
@@ -381,7 +381,7 @@
 func TestManyRequestsThatEndEngines(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2)
-	f.setAside("crashing")
+	f.setAside()
 	for n := range 1000 {
 		runs := []runSpec{{body: fmt.Sprint("poison ", n), took: shortRun}}
 		for i := range 2 * maxRunsPerEnd {
