--- a/internal/exchanger/fuzz_test.go
+++ b/internal/exchanger/fuzz_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"testing"
+	"time"
 
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/hashicorp/go-hclog"
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
@@ -63,3 +66,44 @@
 		assert.DeepEqual(t, hostsFromMessage(hostsToMessage(hosts)), hosts)
 	})
 }
+
+// FuzzCrashWords checks that words about crashes are read as they were written,
+// that a name of a wrong length is left out without the rest, and that no age runs
+// over.
+func FuzzCrashWords(f *testing.F) {
+	now := time.Unix(1000, 0)
+	word := CrashWord{
+		EndpointID: "e1", Incarnation: "e1@1", At: now.Add(-time.Second),
+		Runs:        []CrashRun{{RequestName{[16]byte{1}, 7}, 60 * time.Millisecond}},
+		Cleared:     [][16]byte{{2}},
+		Quarantines: []Quarantine{{RequestName{[16]byte{3}, 8}, now.Add(30 * time.Second), 30 * time.Second}},
+	}
+	whole := &exchangerpb.TellRequest{HostId: "b", Crashes: crashesToMessage([]CrashWord{word}, now)}
+	broken := proto.Clone(whole).(*exchangerpb.TellRequest)
+	broken.Crashes[0].Runs[0].Name = broken.GetCrashes()[0].GetRuns()[0].GetName()[:9]
+	broken.Crashes[0].AgeMs = math.MinInt64
+	for _, message := range []*exchangerpb.TellRequest{whole, broken, {}} {
+		wire, err := proto.Marshal(message)
+		assert.NilError(f, err)
+		f.Add(wire)
+	}
+	ex := &Exchanger{cfg: Config{Logger: hclog.NewNullLogger()}}
+	assert.DeepEqual(f, ex.crashesFromMessage(whole, now), []CrashWord{word})
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		message := &exchangerpb.TellRequest{}
+		if proto.Unmarshal(wire, message) != nil {
+			return
+		}
+		words := ex.crashesFromMessage(message, now)
+		assert.Equal(t, len(words), len(message.GetCrashes()))
+		again := ex.crashesFromMessage(&exchangerpb.TellRequest{Crashes: crashesToMessage(words, now)}, now)
+		assert.DeepEqual(t, again, words, cmpopts.EquateEmpty())
+		for i, word := range words {
+			assert.Assert(t, !word.At.After(now) && now.Sub(word.At) <= maxWordAge)
+			assert.Assert(t, len(word.Runs) <= len(message.GetCrashes()[i].GetRuns()))
+			for _, run := range word.Runs {
+				assert.Assert(t, run.Took >= 0 && run.Took <= maxWordAge)
+			}
+		}
+	})
+}
--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -70,6 +70,10 @@
 	// ranAt is when it was last heard to have run well; ends before that don't count.
 	ranAt time.Time
 
+	// weighed is the weight as counted last, for one moment.
+	weighed   int
+	weighedAt time.Time
+
 	// until is when a request that was set aside may be tried again; zero: it is not.
 	until time.Time
 	pause time.Duration
@@ -85,14 +89,21 @@
 	return e.at.After(r.ranAt) && now.Sub(e.at) < memory
 }
 
-// weight is how many ends speak against the request.
-func (r *record) weight(now time.Time) (n int) {
+// weight is how many ends speak against the request. It is asked of each request
+// at each end of each other one there, and so counted once a moment: 64 requests
+// that were all at the same 128 ends took 10 ms a tick without that, and 0.5 ms
+// with it (BenchmarkTick).
+func (r *record) weight(now time.Time) int {
+	if r.weighedAt.Equal(now) {
+		return r.weighed
+	}
+	r.weighedAt, r.weighed = now, 0
 	for _, e := range r.ends {
 		if r.counts(e, now) {
-			n++
+			r.weighed++
 		}
 	}
-	return n
+	return r.weighed
 }
 
 // blamedFor are the ends for which the request is to blame: no other one that was
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -309,7 +309,7 @@
 	if r.weight(at) == 0 && !r.isAside() {
 		return // nothing speaks against it
 	}
-	r.ranAt = at
+	r.ranAt, r.weighedAt = at, time.Time{}
 	if r.isAside() {
 		q.cfg.Logger.Info("request runs again and is no longer set aside", "request_name", name.String())
 		q.table.released[name] = at
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -64,7 +64,7 @@
 		}
 		e.runs[run.name] = run.took
 		r := t.record(run.name, run.key)
-		r.ends = append(r.ends, e)
+		r.ends, r.weighedAt = append(r.ends, e), time.Time{}
 		if len(r.ends) >= endsToBlame {
 			t.suspects[run.name] = r
 		}
