Hosts that were suspended or frozen: a clock that counts sleep, and what a host does when it wakes

Cause (by reading): the steady clock stands still while a host is suspended, so that a lease that is over counted as one that holds, requests ran on past their callers' time, connections of before were used, and words of before stood for words of now.

Change: package timekeeper (CLOCK_BOOTTIME; a detector that finds suspended and frozen hosts alike, by no look for a second). The lease, the quarantine's times and callers' time left go by it. A host that wakes says so (a line, a counter), ends requests whose time is over, gives up kept connections, counts its sleep against entries that are gone, ends its watch, and waits up to 0.2 s for the first peer that has heard more before it sends anything.

--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -75,6 +75,9 @@
 	RepeatReserve float64
 	// RepeatWindow is the time over which both are counted.
 	RepeatWindow time.Duration
+	// Slept is how long the host has slept so far: callers' time goes on meanwhile,
+	// and timers don't. Nil: it never sleeps.
+	Slept func() time.Duration
 	// Quarantine keeps requests from endpoints that end the endpoints that run
 	// them; nil: none is kept.
 	Quarantine *quarantiner.Quarantiner
@@ -97,6 +100,9 @@
 
 // NewForwarder prepares a Forwarder.
 func NewForwarder(cfg ForwarderConfig) *Forwarder {
+	if cfg.Slept == nil {
+		cfg.Slept = func() time.Duration { return 0 }
+	}
 	return &Forwarder{
 		cfg: cfg, story: newStoryteller(cfg.Logger, cfg.StoreAway), budgets: map[string]*allowance{}, reserve: cfg.RepeatReserve,
 		running: map[*passage]context.CancelCauseFunc{},
@@ -179,6 +185,19 @@
 	}
 }
 
+// EndOverdue ends the requests under way whose time has passed while the host
+// slept.
+func (f *Forwarder) EndOverdue() {
+	f.mu.Lock()
+	running := maps.Clone(f.running)
+	f.mu.Unlock()
+	for p, cut := range running {
+		if p.timeLeft() <= 0 {
+			cut(errTimeout)
+		}
+	}
+}
+
 // unboundedPatience is for a class without a timeout and a caller who does not
 // say how long they wait.
 const unboundedPatience = time.Minute
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -44,6 +44,8 @@
 	application string
 	budget      *allowance
 
+	sleptBefore time.Duration // by the host, until the request came
+
 	identity  quarantiner.Request
 	admission quarantiner.Admission
 	isTrial   atomic.Bool // of a request that was set aside
@@ -97,6 +99,7 @@
 	return &passage{
 		forwarder: f, request: request, answerer: answerer, application: application,
 		budget: b, lastEvent: request.ResumeAfter, identity: identityOf(request),
+		sleptBefore: f.cfg.Slept(),
 	}
 }
 
@@ -164,6 +167,9 @@
 			return false
 		}
 	}
+	if errors.Is(err, errTimeout) {
+		return false
+	}
 	if errors.Is(err, driver.ErrNotSent) {
 		return true // nothing has arrived; the next send is the first
 	}
@@ -311,10 +317,17 @@
 		RequestID: p.request.ID, Payload: p.request.Payload, Urgency: min(p.request.Class.Rank, maxUrgency),
 		ResumeAfter: p.lastEvent,
 	}
-	call.TimeLeft = max(time.Until(p.request.Arrived.Add(patienceOf(p.request))), time.Millisecond)
+	call.TimeLeft = max(p.timeLeft(), time.Millisecond)
 	return call
 }
 
+// timeLeft is how long an answer is still of use. The caller's time goes on while
+// the host sleeps: an endpoint that is told more works for nobody.
+func (p *passage) timeLeft() time.Duration {
+	slept := p.forwarder.cfg.Slept() - p.sleptBefore
+	return time.Until(p.request.Arrived.Add(patienceOf(p.request))) - slept
+}
+
 // maxUrgency is the least urgent rank that engines tell apart.
 const maxUrgency = 9
 
@@ -323,6 +336,9 @@
 	if !grant.IsCurrent() {
 		return fmt.Errorf("%w: %w", driver.ErrNotSent, errLeft)
 	}
+	if p.timeLeft() <= 0 {
+		return fmt.Errorf("%w: %w", driver.ErrNotSent, errTimeout)
+	}
 	call := p.call()
 	call.Import, call.IsWanted = p.handle, grant.IsCurrent
 	p.latest = attemptTimes{sentAt: time.Now()}
@@ -461,7 +477,7 @@
 		failure.Reason, failure.RetryAfter = ReasonEndsEndpoints, max(p.admission.RetryAfter, retryAfterFault)
 	case errors.As(err, &refusal):
 		failure.Reason, failure.RetryAfter = string(refusal.Reason), refusal.RetryAfter
-	case errors.Is(context.Cause(ctx), errTimeout):
+	case errors.Is(err, errTimeout) || errors.Is(context.Cause(ctx), errTimeout):
 		failure.Reason = ReasonTimeout
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
 		failure.Reason = ReasonCallerGone
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -79,8 +79,10 @@
 	HasHubs bool
 	// Caches is told and heard with the loads; nil: nothing of the kind is.
 	Caches Caches
-	// Crashes is told and heard likewise; nil: nothing of the kind is.
+	// Crashes is told and heard likewise; nil: nothing of the kind is. Clock is that
+	// of its words' times; nil: time.Now.
 	Crashes Crashes
+	Clock   func() time.Time
 	// TellsPerSecond bounds the messages with load to all peers together, by a
 	// longer tick where there are many; 0: no bound.
 	TellsPerSecond int
@@ -151,6 +153,9 @@
 	if cfg.Tick == 0 {
 		cfg.Tick = DefaultTick
 	}
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
 	if cfg.Silence == 0 {
 		cfg.Silence = DefaultSilence
 	}
--- a/internal/exchanger/hearer.go
+++ b/internal/exchanger/hearer.go
@@ -42,7 +42,7 @@
 		ex.cfg.Caches.HearWords(cachesFromMessage(message.GetCaches()), isOwnZone)
 	}
 	if ex.cfg.Crashes != nil && len(message.GetCrashes()) > 0 {
-		ex.cfg.Crashes.HearWords(ex.crashesFromMessage(message, now), isOwnZone)
+		ex.cfg.Crashes.HearWords(ex.crashesFromMessage(message, ex.cfg.Clock()), isOwnZone)
 	}
 	if !reply.Resync && source != "" {
 		ex.local.HearLoad(source, hosts, loads, now)
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -102,7 +102,7 @@
 	message.HostId, message.Incarnation, message.Zone = ex.cfg.HostID, ex.cfg.Incarnation, ex.cfg.Zone
 	message.Part, message.Hosts = part, int64(word.hosts)
 	message.Leaving = leavingToMessage(word.leaving)
-	message.Caches, message.Crashes = cachesToMessage(cacheWords), crashesToMessage(crashWords, time.Now())
+	message.Caches, message.Crashes = cachesToMessage(cacheWords), crashesToMessage(crashWords, ex.cfg.Clock())
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -85,14 +85,18 @@
 	applyMu sync.Mutex // held while the sinks are told; taken before mu
 
 	mu       sync.Mutex
-	revision int64            // up to which all is known
-	readAt   map[string]int64 // by prefix: the revision at which the topic was read last
-	hasMoved bool             // the last watch ended for another way to hear changes
-	isKnown  bool             // all topics have been read
-	hasGap   bool             // the store has dropped what came behind the last reading
-	lostAt   time.Time        // zero while the store answers
+	revision int64                   // up to which all is known
+	readAt   map[string]int64        // by prefix: the revision at which the topic was read last
+	hasMoved bool                    // the last watch ended for another way to hear changes
+	isKnown  bool                    // all topics have been read
+	hasGap   bool                    // the store has dropped what came behind the last reading
+	lostAt   time.Time               // zero while the store answers
+	endWatch context.CancelCauseFunc // of the present watch; nil: none
 }
 
+// errWoke ends the watch of a host that was away.
+var errWoke = errors.New("host was away")
+
 // New makes a Follower that has read nothing yet.
 func New(cfg Config) *Follower {
 	if cfg.Logger == nil {
@@ -130,7 +134,7 @@
 			f.cfg.Logger.Info("store has dropped its history; reading all keys again", "revision", f.seen())
 			f.reset()
 			continue
-		case errors.Is(err, provider.ErrMoved):
+		case errors.Is(err, provider.ErrMoved) || errors.Is(err, errWoke):
 			f.setMoved(true)
 			continue
 		}
@@ -169,17 +173,60 @@
 		}
 	}
 	f.setMoved(false)
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	f.setWatch(end)
+	defer f.setWatch(nil)
 	watcher, err := f.cfg.Store.Watch(ctx, f.commonPrefix(), f.seen()+1)
 	if err != nil {
-		return err
+		return errors.Join(err, wokeCause(ctx))
 	}
 	for changes := range watcher.Changes() {
 		f.regain()
 		f.apply(changes)
 	}
-	return errors.Join(watcher.Err(), watcher.Close())
+	return errors.Join(watcher.Err(), watcher.Close(), wokeCause(ctx))
+}
+
+// wokeCause is errWoke where that has ended a watch.
+func wokeCause(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), errWoke) {
+		return errWoke
+	}
+	return nil
+}
+
+func (f *Follower) setWatch(end context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endWatch = end
+}
+
+// Woke is told that the host was away: its watch may hang on a connection that has
+// fallen silent, and what it knows is of before, also of who is ahead of it. The
+// store is read and watched anew, and the first peer that says that it has heard
+// more is asked. It returns once that one has answered, or with ctx.
+func (f *Follower) Woke(ctx context.Context) {
+	f.mu.Lock()
+	end := f.endWatch
+	f.mu.Unlock()
+	if end != nil {
+		end(errWoke)
+	}
+	if f.cfg.Peers == nil || !f.Known() {
+		return
+	}
+	for !f.cfg.Peers.Ahead(f.seen()) {
+		if !sleep(ctx, wokeLook) {
+			return
+		}
+	}
+	f.ask(ctx)
 }
 
+// wokeLook is how often a host that was away looks whether a peer has spoken.
+const wokeLook = 10 * time.Millisecond
+
 // commonPrefix is what all topics' prefixes begin with.
 func (f *Follower) commonPrefix() string {
 	common := f.cfg.Topics[0].Prefix
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -254,3 +254,24 @@
 	await(t, "the second watch", func() bool { return store.lastWatch() == 10 })
 	assert.DeepEqual(t, store.stale, []string{"b/"})
 }
+
+// A host that was away does not wait for a watch that may hang on a connection of
+// before: it reads the store, and watches anew from where it was.
+func TestHostThatWasAwayWatchesAnew(t *testing.T) {
+	t.Parallel()
+	store := &fakeStore{lists: map[string][]provider.Entry{"a/": {{Key: "a/1", Revision: 3}}}, revision: 4}
+	f, first, _ := run(t, store)
+	watches := func() int {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		return len(store.watches)
+	}
+	await(t, "a watch", func() bool { return watches() == 1 })
+	store.mu.Lock()
+	store.lists["a/"], store.revision = []provider.Entry{{Key: "a/1", Revision: 9}}, 9
+	store.mu.Unlock()
+	f.Woke(t.Context())
+	await(t, "the change that the hanging watch has not told", func() bool { return first.has("a/1", 9) })
+	await(t, "another watch", func() bool { return watches() == 2 })
+	assert.Equal(t, f.Away(), time.Duration(0), "a loss of the store was made up")
+}
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -94,6 +94,17 @@
 	r.regained = now
 }
 
+// Slept takes in that the host has slept: what was to be dropped is dropped as
+// much sooner.
+func (r *Registrations) Slept(slept time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, until := range r.missing {
+		r.missing[id] = until.Add(-slept)
+	}
+	r.regained = r.regained.Add(-slept)
+}
+
 // Replace takes all entries.
 func (r *Registrations) Replace(entries []provider.Entry, now time.Time) {
 	r.mu.Lock()
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -122,3 +122,29 @@
 	assert.Equal(t, published, 1)
 	assert.Assert(t, r.Known())
 }
+
+// An entry that is gone keeps its endpoint listed for part of the time that it
+// serves on; a sleep of the host counts against that.
+func TestSleepCountsAgainstWhatIsGone(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		slept    time.Duration
+		isListed bool
+	}{"awake": {isListed: true}, "slept": {slept: time.Second}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := NewRegistrations(RegistrationsConfig{
+				Prefix: "servers/", DrainTime: time.Second, Changed: func([]provider.Host, time.Time) {}, Logger: hclog.NewNullLogger(),
+				Decode: func(entry provider.Entry) (provider.Host, error) {
+					return provider.Host{ID: "e1", Incarnation: "e1@1", State: provider.HostLive}, nil
+				},
+			})
+			now := time.Now()
+			r.Replace([]provider.Entry{{Key: "servers/e1", Revision: 1}}, now)
+			r.Apply(provider.Change{Entry: provider.Entry{Key: "servers/e1", Revision: 2}, Deleted: true}, now)
+			r.Slept(test.slept)
+			r.Tick(now.Add(100 * time.Millisecond))
+			assert.Equal(t, len(r.Hosts()) == 1, test.isListed)
+		})
+	}
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -134,6 +134,9 @@
 	m.set.GetOrCreateCounter(m.classMetric("endivemast_hedges_total", class)).Inc()
 }
 
+// CountWake counts a time that the host was suspended or frozen.
+func (m *Meter) CountWake() { m.set.GetOrCreateCounter("endivemast_wakes_total").Inc() }
+
 // CountRoleChange counts an order that changes an engine's role. Zones and
 // applications come from the configuration, and are few.
 func (m *Meter) CountRoleChange(zone, application string) {
--- /dev/null
+++ b/internal/timekeeper/timekeeper.go
@@ -0,0 +1,92 @@
+// Package timekeeper tells time that goes on while the host sleeps, and when the
+// host was away.
+//
+// The steady clock, from which time.Since and all timers take their differences,
+// stands still while a host is suspended. Whatever has to end while a host sleeps,
+// since others count on its end, is measured by this package's clock: a lease, the
+// time that a caller waits, words that were true a while ago. What measures work
+// and latency keeps the steady clock: a sleep says nothing of them.
+//
+// # Usage
+//
+//	clock := timekeeper.New()
+//	validUntil := clock.Now().Add(ttl)      // also passes while the host sleeps
+//	before := clock.Slept()                 // how much of a time was slept
+//	detector := timekeeper.NewDetector(clock)
+//	if away, ok := detector.Look(); ok { ... } // from each tick and each request
+package timekeeper
+
+import (
+	"sync"
+	"time"
+)
+
+// Clock is a clock that counts sleep.
+type Clock interface {
+	// Now is never set, neither forward nor back. It bears no reading of the steady
+	// clock, and is to be compared with its own readings only.
+	Now() time.Time
+	// Slept is how much more this clock has counted than the steady one since it was
+	// made.
+	Slept() time.Duration
+}
+
+// system is the host's clock.
+type system struct {
+	steady time.Time     // when it was made, by the steady clock
+	wall   time.Time     // the same by the time of day; the origin of Now
+	boot   time.Duration // the same since the host's start, sleep included
+}
+
+// New makes the host's clock.
+func New() Clock {
+	now := time.Now()
+	return &system{steady: now, wall: now.Round(0), boot: sinceBoot(now)}
+}
+
+// Now implements Clock.
+func (s *system) Now() time.Time { return s.wall.Add(sinceBoot(time.Now()) - s.boot) }
+
+// Slept implements Clock.
+func (s *system) Slept() time.Duration {
+	now := time.Now()
+	return max(sinceBoot(now)-s.boot-now.Sub(s.steady), 0)
+}
+
+// awayAfter is how long nothing has to have run for a host to count as away. The
+// systems' tick comes each 100 ms, and late by some hundred where a host is busy;
+// what a host believes is of a second ago at most while it runs.
+const awayAfter = time.Second
+
+// Detector finds out that the host was away: suspended, or frozen. It is safe for
+// concurrent use.
+type Detector struct {
+	clock Clock
+
+	mu    sync.Mutex
+	last  time.Time
+	slept time.Duration
+}
+
+// NewDetector makes a Detector that has just looked.
+func NewDetector(clock Clock) *Detector {
+	return &Detector{clock: clock, last: clock.Now(), slept: clock.Slept()}
+}
+
+// Away says how long a host was away, and how much of that it slept; the rest it
+// was frozen, or had no processor time.
+type Away struct {
+	For   time.Duration
+	Slept time.Duration
+}
+
+// Look is to be called some times a second, and before anything is done that
+// relies on beliefs. It is true once for each time that the host was away.
+func (d *Detector) Look() (away Away, isAway bool) {
+	now, slept := d.clock.Now(), d.clock.Slept()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	away = Away{For: now.Sub(d.last), Slept: max(slept-d.slept, 0)}
+	d.last, d.slept = now, slept
+	return away, away.For >= awayAfter
+}
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -178,6 +178,19 @@
 	return nil
 }
 
+// DropIdle closes the connections that are kept: those of a host that was away may
+// have fallen silent.
+func (t *Transporter) DropIdle() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, p := range t.pools {
+		p.closeIdle()
+		if p.open == 0 {
+			delete(t.pools, address)
+		}
+	}
+}
+
 func (p *pool) closeIdle() {
 	for _, c := range p.idle {
 		_ = c.Close() // an idle connection has nothing to lose
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -30,6 +30,7 @@
 	"github.com/endivemast/endivemast/internal/relayer"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -81,6 +82,11 @@
 
 	LeaseTTL time.Duration // of the authority over the engines' roles
 
+	Clock timekeeper.Clock // counts the host's sleep; nil: the host's
+	// Woke is told that the host was away, to give up connections of before; nil:
+	// nobody is.
+	Woke func()
+
 	Routing      string // as in Config
 	Admission    string
 	Roles        string
@@ -103,6 +109,7 @@
 	scheduler     *scheduler.Scheduler
 	forwarder     *dispatcher.Forwarder
 	quarantiner   *quarantiner.Quarantiner
+	detector      *timekeeper.Detector
 	exchanger     *exchanger.Exchanger
 	registrar     *registrar.Registrar
 	caches        *cachesharer.Sharer
@@ -116,6 +123,8 @@
 	peersMu   sync.Mutex
 	mostHosts int // most hosts known at a time
 
+	wakeMu sync.Mutex // held while a host that was away is brought up to date
+
 	draining atomic.Bool
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -127,6 +136,10 @@
 func NewGateway(cfg GatewayConfig) (g *Gateway, err error) {
 	defer func() { err = eris.Wrap(err, "prepare entry host") }()
 	g = &Gateway{cfg: cfg, incarnation: uuid.NewString(), classifier: classifier.New()}
+	if g.cfg.Clock == nil {
+		g.cfg.Clock = timekeeper.New()
+	}
+	g.detector = timekeeper.NewDetector(g.cfg.Clock)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.meter = meter.New(meter.Config{})
 	g.caches = cachesharer.New(cachesharer.Config{Heard: g.hearCache, Logger: cfg.Logger.Named("cachesharer")})
@@ -160,7 +173,7 @@
 	})
 	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
-		StoreAway: g.follower.Away, Quarantine: g.quarantiner,
+		StoreAway: g.follower.Away, Quarantine: g.quarantiner, Slept: g.cfg.Clock.Slept,
 		RepeatShare: cfg.RepeatShare * repeatSafety, RepeatReserve: cfg.RepeatReserve * repeatSafety / unknownHosts,
 		RepeatWindow: cfg.RepeatWindow,
 	})
@@ -188,6 +201,7 @@
 		return err
 	}
 	g.registerGauges()
+	_, _ = g.detector.Look() // what was before the start is no matter
 	g.group.Go(func() error { return g.follower.Run(g.ctx) })
 	g.exchanger.Start()
 	g.group.Go(func() error { return g.registrar.Run(g.ctx) })
@@ -233,9 +247,10 @@
 		case <-g.ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			g.look()
 			g.registrations.Tick(now)
 			g.scheduler.Tick(now)
-			g.quarantiner.Tick(now)
+			g.quarantiner.Tick(g.cfg.Clock.Now())
 			if now.Sub(lookedAt) >= askersEvery {
 				lookedAt = now
 				g.chooseAsked()
@@ -267,11 +282,18 @@
 // another host will serve sooner.
 const retryNotReady = 100 * time.Millisecond
 
+// HoldsAuthority says whether this host may change the engines' roles now.
+func (g *Gateway) HoldsAuthority() bool {
+	_, holds := g.leaser.Holder()
+	return holds
+}
+
 // Limits bound what callers may send.
 func (g *Gateway) Limits() classifier.Limits { return g.classifier.Limits() }
 
 // Forward runs a request to its end. See dispatcher.Forwarder.
 func (g *Gateway) Forward(ctx context.Context, request dispatcher.OpaqueRequest, answerer dispatcher.Answerer) error {
+	g.look()
 	return g.forwarder.Forward(ctx, request, answerer)
 }
 
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -29,7 +29,7 @@
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
-		Listener:       listener, Tick: peersTick, TellsPerSecond: tellsPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
+		Listener:       listener, Tick: peersTick, TellsPerSecond: tellsPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner, Clock: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
 	if err != nil {
@@ -123,7 +123,7 @@
 func (g *Gateway) buildAuthority() (err error) {
 	g.leaser, err = leaser.New(leaser.Config{
 		Zone: fleet, HostID: g.cfg.HostID, Incarnation: g.incarnation, Address: g.cfg.PeersAddress,
-		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Stands: g.relayer.IsDirect,
+		Store: g.cfg.Store, TTL: g.cfg.LeaseTTL, Stands: g.relayer.IsDirect, Now: g.cfg.Clock.Now,
 		IsFirst: func() bool { return g.exchanger.IsAmongFirst(firstCandidates) }, Log: g.cfg.Logger.Named("leaser"),
 	})
 	if err != nil {
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -11,8 +11,8 @@
 func (g *Gateway) buildQuarantine() {
 	g.quarantiner = quarantiner.New(quarantiner.Config{
 		HostID: g.cfg.HostID, Ask: g.cfg.Driver.Reach, IsLeaving: g.isLeaving, Hosts: g.hostsInTouch,
-		SetAside: func() { g.forwarder.EndSetAside() },
-		Logger:   g.cfg.Logger.Named("quarantiner"),
+		SetAside: func() { g.forwarder.EndSetAside() }, Now: g.cfg.Clock.Now,
+		Logger: g.cfg.Logger.Named("quarantiner"),
 	})
 }
 
--- /dev/null
+++ b/pkg/endivemast/gateway_wake.go
@@ -0,0 +1,42 @@
+package endivemast
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/timekeeper"
+)
+
+// What a Gateway's host does that was away: suspended, or frozen. Others have gone
+// on without it, and nothing of that has reached it.
+
+// wakeTime bounds how long requests wait for a peer's word of what has happened
+// meanwhile: peers say each 100 ms up to where they have heard, and answer in
+// milliseconds. Where nothing has happened, or nobody speaks, it passes in full.
+const wakeTime = 200 * time.Millisecond
+
+// look finds out whether the host was away. The one that does first brings the
+// host up to date, before anything else is sent; others that look meanwhile wait
+// for it.
+func (g *Gateway) look() {
+	g.wakeMu.Lock()
+	defer g.wakeMu.Unlock()
+	if away, isAway := g.detector.Look(); isAway {
+		g.wake(away)
+	}
+}
+
+func (g *Gateway) wake(away timekeeper.Away) {
+	g.cfg.Logger.Warn("host was away", "away_ms", away.For.Milliseconds(), "slept_ms", away.Slept.Milliseconds(),
+		"running_requests", g.forwarder.Active(), "holds_authority", g.HoldsAuthority())
+	g.meter.CountWake()
+	g.forwarder.EndOverdue()
+	if g.cfg.Woke != nil {
+		g.cfg.Woke()
+	}
+	g.registrations.Slept(away.Slept)
+	g.registrations.Tick(time.Now())
+	ctx, cancel := context.WithTimeout(g.ctx, wakeTime)
+	defer cancel()
+	g.follower.Woke(ctx)
+}
