--- /dev/null
+++ b/tests/crashing_test.go
@@ -0,0 +1,293 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/standins/opaqueserver"
+	"github.com/endivemast/endivemast/standins/storeserver"
+)
+
+// A request that ends the engines that run it, with the real programs: three
+// hosts in two availability zones as processes, callers that repeat at other
+// hosts at once, one host that is frozen, one that starts in the middle, and
+// engines that end for other reasons too.
+
+const (
+	crashBody        = "a letter that no engine survives"
+	crashDelay       = 40 * time.Millisecond
+	crashedAway      = 700 * time.Millisecond
+	crashSettle      = 3 * time.Second // from the third end until all hosts in touch are to know
+	crashSends       = 3               // that may follow
+	crashReason      = "ends_endpoints"
+	crashLasts       = 14 * time.Second
+	crashEngines     = 9
+	crashOtherEvery  = 2 * time.Second // a third of the engines ends for other reasons
+	crashWrongShare  = 0.001           // of the other callers' requests that may be refused for it
+	crashPoisonEvery = 100 * time.Millisecond
+)
+
+// crashing is the deployment.
+type crashing struct {
+	t         *testing.T
+	store     *storeserver.Server
+	engines   []*opaqueserver.Crasher
+	processes []*process
+
+	mu    sync.Mutex
+	hosts []string // callers' addresses
+
+	sent, failed, wrong, told atomic.Int64
+}
+
+const crashConfiguration = `{"version":1,"routes":[{"name":"fill","hostname":"h.example","prefix":"/fill/","route_type":"stream",` +
+	`"timeout_ms":3000,"target_latency_ms":1000,"priority":1,"backend":"llm","max_attempts":2,"resumable":true,"target_gap_ms":500}],` +
+	`"services":[{"name":"llm","max_connections":100,"engine":{"slots":16,"kv_capacity_tokens":100000,"handle_ttl_s":5,"role_switch_s":1}}],` +
+	`"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+func newCrashing(t *testing.T) *crashing {
+	t.Helper()
+	c := &crashing{t: t, store: storeserver.Start()}
+	t.Cleanup(c.store.Close)
+	c.store.Put("op/config", []byte(crashConfiguration))
+	for n := range crashEngines {
+		id := fmt.Sprintf("engine-%d", n)
+		engine := opaqueserver.StartCrasher(crashedAway, func(address string, start time.Time) {
+			entry, err := json.Marshal(map[string]any{
+				"backend": "llm", "address": address, "zone": "z0", "slots": 16, "state": "ready", "stage": "decode",
+				"version": "v1", "cold_remaining_ms": 0, "sequence": 1, "born": start.UnixMilli(),
+			})
+			assert.Check(t, err)
+			c.store.Put("servers/"+id, entry)
+		}, answerOrCrash)
+		t.Cleanup(engine.Close)
+		c.engines = append(c.engines, engine)
+	}
+	return c
+}
+
+func answerOrCrash(x *opaqueserver.Exchange, crash func()) {
+	x.Head(http.StatusOK, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")
+	if x.Body == crashBody {
+		if !x.Hang(crashDelay) {
+			crash()
+		}
+		return
+	}
+	for n := range 4 {
+		x.Chunk(fmt.Sprintf("id: %d\ndata: token\n\n", n+1))
+		<-time.After(25 * time.Millisecond) // a step
+	}
+	x.EndChunks()
+}
+
+// free is an address at which nobody listens.
+func (c *crashing) free() string {
+	c.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	defer func() { assert.NilError(c.t, listener.Close()) }()
+	return listener.Addr().String()
+}
+
+// start starts a host and waits until it is ready.
+func (c *crashing) start(id, zone string) {
+	c.t.Helper()
+	callers, readiness := c.free(), c.free()
+	p, err := startProcess(c.t.TempDir(), id, "endivemast", "platform", "--host-id", id, "--zone", zone,
+		"--callers-address", callers, "--readiness-address", readiness, "--peers-address", c.free(),
+		"--store", c.store.Address(), "--roles", "never", "--repeat-share", "1", "--repeat-reserve", "1000")
+	assert.NilError(c.t, err)
+	c.processes = append(c.processes, p)
+	c.t.Cleanup(func() { assert.NilError(c.t, p.kill()) })
+	ctx, cancel := context.WithTimeout(c.t.Context(), 10*time.Second)
+	defer cancel()
+	assert.NilError(c.t, await(ctx, id+" ready", func() error {
+		resp, err := http.Get("http://" + readiness + "/api/ready")
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %d", resp.StatusCode)
+		}
+		return nil
+	}))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts = append(c.hosts, callers)
+}
+
+// caller is a customer's machine that repeats what fails at another host.
+type crashCaller struct {
+	deployment *crashing
+	client     http.Client
+	random     *rand.Rand
+	name       string
+	n          int
+}
+
+func (c *crashing) caller(number int) *crashCaller {
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 3, byte(number))}}
+	return &crashCaller{
+		deployment: c, name: fmt.Sprintf("caller-%d", number), random: rand.New(rand.NewPCG(uint64(number), 33)),
+		client: http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialer.DialContext}},
+	}
+}
+
+// send makes one attempt; reason is that of a failure.
+func (c *crashCaller) send(ctx context.Context, body string) (isWhole bool, reason string) {
+	c.n++
+	c.deployment.mu.Lock()
+	host := c.deployment.hosts[c.random.IntN(len(c.deployment.hosts))]
+	c.deployment.mu.Unlock()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/fill/x", strings.NewReader(body))
+	assert.Check(c.deployment.t, err)
+	r.Host = "h.example"
+	for name, value := range map[string]string{
+		"Request-Id": fmt.Sprintf("%s-%d", c.name, c.n), "Deadline-Ms": "3000", "Token-Count": "300,10", "Prompt-Prefix": "aa:200,bb:100", "Model": "m",
+	} {
+		r.Header.Set(name, value)
+	}
+	resp, err := c.client.Do(r)
+	if err != nil {
+		return false, "broken"
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return false, strings.TrimSpace(string(answer))
+	}
+	return bytes.Count(answer, []byte("data: token")) == 4, ""
+}
+
+// work sends one letter, again at once where it fails, a few times.
+func (c *crashCaller) work(ctx context.Context) {
+	body := fmt.Sprintf("letter %d of %s", c.n, c.name)
+	if c.random.Float64() < 0.1 {
+		body = "a letter that many send"
+	}
+	c.deployment.sent.Add(1)
+	for range 6 {
+		isWhole, reason := c.send(ctx, body)
+		if reason == crashReason {
+			c.deployment.wrong.Add(1)
+			return
+		}
+		if isWhole || ctx.Err() != nil {
+			return
+		}
+	}
+	c.deployment.failed.Add(1)
+}
+
+// poison sends the request that ends engines, now and again.
+func (c *crashCaller) poison(ctx context.Context) {
+	ticker := time.NewTicker(crashPoisonEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if _, reason := c.send(ctx, crashBody); reason == crashReason {
+			c.deployment.told.Add(1)
+		}
+		<-ticker.C
+	}
+}
+
+// crashOthers ends a third of the engines now and then.
+func (c *crashing) crashOthers(ctx context.Context) {
+	random := rand.New(rand.NewPCG(5, 33))
+	ticker := time.NewTicker(crashOtherEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, n := range random.Perm(len(c.engines))[:len(c.engines)/3] {
+				c.engines[n].Crash()
+			}
+		}
+	}
+}
+
+// poisoned are when the crashing request came to engines, and when it had ended
+// the third of them, which is some time after it came there.
+func (c *crashing) poisoned() (arrivals []time.Time, third time.Time) {
+	for _, engine := range c.engines {
+		for _, arrival := range engine.Arrivals() {
+			if arrival.Body == crashBody {
+				arrivals = append(arrivals, arrival.At)
+			}
+		}
+	}
+	slices.SortFunc(arrivals, time.Time.Compare)
+	if len(arrivals) >= 3 {
+		third = arrivals[2].Add(crashDelay)
+	}
+	return arrivals, third
+}
+
+func TestCrashingRequestBeforeRealHosts(t *testing.T) {
+	t.Parallel()
+	c := newCrashing(t)
+	for n := range 3 {
+		c.start(fmt.Sprintf("host-%d", n), fmt.Sprintf("z%d", n%2))
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), crashLasts)
+	defer cancel()
+	var group sync.WaitGroup
+	for n := range 8 {
+		caller := c.caller(10 + n)
+		group.Go(func() {
+			for ctx.Err() == nil {
+				caller.work(ctx)
+			}
+		})
+	}
+	for n := range 3 {
+		group.Go(func() { c.caller(100 + n).poison(ctx) })
+	}
+	group.Go(func() { c.crashOthers(ctx) })
+	after := func(d time.Duration, do func()) {
+		timer := time.AfterFunc(d, do)
+		t.Cleanup(func() { timer.Stop() })
+	}
+	frozen := c.processes[1]
+	after(time.Second, func() { assert.Check(t, frozen.signal(syscall.SIGSTOP)) })
+	after(5*time.Second, func() { assert.Check(t, frozen.signal(syscall.SIGCONT)) })
+	<-time.After(2 * time.Second)
+	c.start("host-late", "z1")
+	group.Wait()
+
+	arrivals, third := c.poisoned()
+	late := 0
+	for _, at := range arrivals {
+		if at.After(third.Add(crashSettle)) {
+			late++
+		}
+	}
+	ends := 0
+	for _, engine := range c.engines {
+		ends += len(engine.Ended())
+	}
+	t.Logf("%d engines ended; the crashing request was sent %d times, %d of them %v and later after the third end, and refused %d times; "+
+		"of %d others' requests %d failed and %d were refused for it", ends, len(arrivals), late, crashSettle, c.told.Load(), c.sent.Load(), c.failed.Load(), c.wrong.Load())
+	assert.Assert(t, len(arrivals) >= 3, "sent %d times", len(arrivals))
+	assert.Assert(t, late <= crashSends, "sent %d times more, %v and later after the third end", late, crashSettle)
+	assert.Assert(t, float64(c.wrong.Load()) <= crashWrongShare*float64(c.sent.Load()), "%d of %d others' requests refused", c.wrong.Load(), c.sent.Load())
+}
