--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -56,7 +56,7 @@
 // general are the messages that concern every request of a host.
 var general = []string{
 	"configuration in force", "store lost", "store regained", "entry host started", "drain begun", "entry host stops",
-	"own entry lapsed; writing it again",
+	"own entry lapsed; writing it again", "host was away",
 }
 
 // Explain reads logs and picks out one request's story. It fails with
@@ -115,10 +115,14 @@
 }
 
 // beliefs are the latest lines before a request's end that say something of
-// the endpoints it names, or of the host, one of each kind and endpoint.
+// the endpoints it names, of the same request under other ids, or of the host,
+// one of each kind and endpoint.
 func beliefs(lines, own []Line) (found []Line) {
-	endpoints, end := map[string]bool{}, own[len(own)-1].At
+	endpoints, names, end := map[string]bool{}, map[string]bool{}, own[len(own)-1].At
 	for _, line := range own {
+		if name, ok := line.Fields["request_name"].(string); ok {
+			names[name] = true
+		}
 		for _, name := range []string{"endpoint_id", "prefill_endpoint_id"} {
 			if id, ok := line.Fields[name].(string); ok && id != "" {
 				endpoints[id] = true
@@ -128,8 +132,10 @@
 	latest := map[string]Line{}
 	for _, line := range lines {
 		id, _ := line.Fields["endpoint_id"].(string)
+		name, _ := line.Fields["request_name"].(string)
 		_, isRequest := line.Fields["request_id"]
-		if line.At.After(end) || isRequest || !endpoints[id] && !slices.Contains(general, line.Message) {
+		isOf := endpoints[id] || names[name] || slices.Contains(general, line.Message)
+		if line.At.After(end) || isRequest || !isOf {
 			continue
 		}
 		latest[line.Message+" "+id] = line
