--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -82,7 +82,9 @@
 
 // Close ends questions under way, and waits for them.
 func (q *Quarantiner) Close() error {
+	q.mu.Lock()
 	q.cancel()
+	q.mu.Unlock()
 	return q.group.Wait()
 }
 
@@ -194,12 +196,12 @@
 	broken := run{name: b.Request.Name(), key: b.Request.key(), took: b.Took}
 	now := q.cfg.Now()
 	q.mu.Lock()
-	isFirst, isKnown := q.pending.add(process, broken, now), q.table.ends[process] != nil
-	q.mu.Unlock()
+	defer q.mu.Unlock()
+	isFirst := q.pending.add(process, broken, now)
 	switch {
-	case isKnown:
-		q.Ended(process)
-	case isFirst && q.ctx.Err() == nil:
+	case q.table.ends[process] != nil:
+		q.endedLocked(process)
+	case isFirst && q.ctx.Err() == nil: // under the lock, so that Close waits for it
 		q.group.Go(func() error {
 			q.ask(process, b.Target)
 			return nil
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -405,3 +405,56 @@
 		assert.Equal(t, q.known.Load(), int64(0))
 	}
 }
+
+// Between large zones words go by way of hubs: from a host to its hub, to the other
+// zone's hub, and to that one's hosts. What comes back is not told on again.
+func TestWordsGoByWayOfHubs(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4)
+	near, nearHub, farHub, far := f.hosts[0], f.hosts[1], f.hosts[2], f.hosts[3]
+	ways := []struct {
+		from, to  *Quarantiner
+		scope     exchanger.Scope
+		isOwnZone bool
+		told      uint64
+	}{
+		{near, nearHub, exchanger.ScopeOwn, true, 0},
+		{nearHub, near, exchanger.ScopeAll, true, 0},
+		{nearHub, farHub, exchanger.ScopeZone, false, 0},
+		{farHub, nearHub, exchanger.ScopeZone, false, 0},
+		{far, farHub, exchanger.ScopeOwn, true, 0},
+		{farHub, far, exchanger.ScopeAll, true, 0},
+	}
+	pass := func() (words int) {
+		for n := range ways {
+			told, position := ways[n].from.Words(ways[n].told, ways[n].scope)
+			ways[n].told = position
+			ways[n].to.HearWords(told, ways[n].isOwnZone)
+			words += len(told)
+		}
+		return words
+	}
+	for n := range endsToBlame {
+		f.clock.advance(time.Second)
+		target := driver.Target{EndpointID: fmt.Sprintf("e%d", n), Incarnation: "1"}
+		near.BrokeOff(Break{Request: letter("crashing"), Target: target, Took: shortRun})
+		near.Ended(Process{target.EndpointID, target.Incarnation})
+		pass()
+	}
+	for range len(ways) {
+		pass()
+	}
+	assert.Equal(t, pass(), 0, "words go round for ever")
+	f.clock.advance(settle)
+	for n, q := range f.hosts {
+		q.Tick(f.clock.Now())
+		assert.Assert(t, q.IsAside(letter("crashing")), "host %d", n)
+	}
+	far.RanWell(letter("crashing"))
+	for range len(ways) {
+		pass()
+	}
+	for n, q := range f.hosts {
+		assert.Assert(t, !q.IsAside(letter("crashing")), "host %d", n)
+	}
+}
