--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -84,14 +83,6 @@
 	lastAt time.Time     // of the latest event
 }
 
-// wholeAnswer is an answer that is held until it is clear that no better one
-// comes.
-type wholeAnswer struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 func newPassage(f *Forwarder, request *OpaqueRequest, answerer Answerer) *passage {
 	application := pickShare(request.Class.Shares)
 	b := f.budget(application)
@@ -153,53 +144,6 @@
 	}
 }
 
-// mayRepeat says whether another attempt may follow a failed one.
-func (p *passage) mayRepeat(err error) bool {
-	var refusal *scheduler.RefusalError
-	if errors.As(err, &refusal) || errors.Is(err, errCallerGone) || p.sends >= maxSends {
-		return false
-	}
-	if p.admission.IsTrial && errors.Is(err, driver.ErrOutcomeUnknown) {
-		return false // a trial ends one endpoint at most
-	}
-	if p.hasRun(err) {
-		if !p.request.Class.Repeatable || p.runs >= p.request.Class.MaxAttempts {
-			return false
-		}
-	}
-	if errors.Is(err, errTimeout) {
-		return false
-	}
-	if errors.Is(err, driver.ErrNotSent) {
-		return true // nothing has arrived; the next send is the first
-	}
-	return p.budget.withdraw(p.repeatCost())
-}
-
-// repeatCost is how many calls the next attempt adds beyond the first of the
-// request: one, and another where the prompt has to be read a second time.
-func (p *passage) repeatCost() float64 {
-	if p.read > 0 && !p.holdsCache() {
-		return 2
-	}
-	return 1
-}
-
-// holdsCache is true while an engine keeps the prompt's KV cache for this
-// request.
-func (p *passage) holdsCache() bool {
-	return p.handle != nil && time.Since(p.handleAt) < handleUse
-}
-
-// handleUse is for how long a KV cache is counted on; engines keep it for some
-// seconds longer.
-const handleUse = 2 * time.Second
-
-// hasRun is true where the attempt that failed so may have run.
-func (p *passage) hasRun(err error) bool {
-	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrRefused)
-}
-
 // attempt takes an endpoint and sends the request to it, once.
 func (p *passage) attempt(ctx context.Context) error {
 	waited := time.Now()
@@ -321,13 +265,6 @@
 	return call
 }
 
-// timeLeft is how long an answer is still of use. The caller's time goes on while
-// the host sleeps: an endpoint that is told more works for nobody.
-func (p *passage) timeLeft() time.Duration {
-	slept := p.forwarder.cfg.Slept() - p.sleptBefore
-	return time.Until(p.request.Arrived.Add(patienceOf(p.request))) - slept
-}
-
 // maxUrgency is the least urgent rank that engines tell apart.
 const maxUrgency = 9
 
@@ -360,127 +297,3 @@
 	}
 	return p.passWhole(&answer)
 }
-
-// passWhole reads an answer to its end before any of it is passed on, so that
-// one that breaks off never looks whole.
-func (p *passage) passWhole(answer *driver.ForwardAnswer) error {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswer+1))
-	if err == nil && len(body) > maxWholeAnswer {
-		err = errTooLong
-	}
-	if err != nil {
-		return fmt.Errorf("%w: %w", driver.ErrOutcomeUnknown, err)
-	}
-	if p.begun {
-		// A stream that was to be gone on with has failed.
-		return fmt.Errorf("%w: status %d", driver.ErrFailed, answer.Status)
-	}
-	whole := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
-	if answer.Status >= http.StatusInternalServerError && p.request.Class.Repeatable {
-		p.fault = whole
-		return errServerFault
-	}
-	return p.deliver(whole)
-}
-
-func (p *passage) deliver(whole *wholeAnswer) error {
-	if err := p.answerer.Begin(whole.status, whole.header, int64(len(whole.body))); err != nil {
-		return errors.Join(errCallerGone, err)
-	}
-	p.begun = true
-	if err := p.answerer.Write(whole.body); err != nil {
-		return errors.Join(errCallerGone, err)
-	}
-	return nil
-}
-
-// passEvents passes a stream on, whole events only. The head goes out with the
-// first of them: until then another endpoint may take the request over.
-func (p *passage) passEvents(ctx context.Context, grant scheduler.Grant, answer *driver.ForwardAnswer) error {
-	reader := newEventReader(answer.Body)
-	for {
-		events, lastID, count, err := reader.next()
-		if errors.Is(err, io.EOF) {
-			return p.endStream(answer)
-		}
-		if err != nil {
-			return fmt.Errorf("%w: stream broke off: %w", driver.ErrOutcomeUnknown, err)
-		}
-		for range count {
-			grant.Token()
-		}
-		if p.latest.firstAt.IsZero() {
-			p.latest.firstAt = time.Now()
-			p.hasEvents.Store(true)
-		}
-		if err := p.passPiece(answer, events); err != nil {
-			return err
-		}
-		p.events += count
-		if lastID != "" {
-			p.lastEvent = lastID
-		}
-		if ctx.Err() != nil {
-			return context.Cause(ctx)
-		}
-	}
-}
-
-func (p *passage) passPiece(answer *driver.ForwardAnswer, events []byte) error {
-	if !p.begun {
-		if err := p.answerer.Begin(answer.Status, answer.Header, -1); err != nil {
-			return errors.Join(errCallerGone, err)
-		}
-		p.begun = true
-		p.times.first = time.Since(p.request.Arrived)
-		p.forwarder.cfg.Meter.ObserveFirstToken("", p.request.Class.Name, p.times.first)
-	} else {
-		p.times.pause = max(p.times.pause, time.Since(p.times.lastAt))
-	}
-	p.times.lastAt = time.Now()
-	if err := p.answerer.Write(events); err != nil {
-		return errors.Join(errCallerGone, err)
-	}
-	return nil
-}
-
-// endStream ends a whole stream; one without events has a head all the same.
-func (p *passage) endStream(answer *driver.ForwardAnswer) error {
-	if p.begun {
-		return nil
-	}
-	p.begun = true
-	if err := p.answerer.Begin(answer.Status, answer.Header, 0); err != nil {
-		return errors.Join(errCallerGone, err)
-	}
-	return nil
-}
-
-// finish says how a request without a whole answer ended.
-func (p *passage) finish(ctx context.Context, err error) error {
-	if p.handle != nil {
-		p.forwarder.release(*p.handle)
-	}
-	if p.begun {
-		return errors.Join(ErrBegun, err)
-	}
-	if p.fault != nil && ctx.Err() == nil {
-		return p.deliver(p.fault)
-	}
-	failure := &FailureError{RequestID: p.request.ID, Outcome: OutcomeNotRun, Reason: ReasonEndpointLost, Detail: err.Error(), RetryAfter: retryAfterFault}
-	if p.runs > 0 {
-		failure.Outcome = OutcomeUnknown
-	}
-	var refusal *scheduler.RefusalError
-	switch {
-	case errors.Is(err, errSetAside) || errors.Is(context.Cause(ctx), errSetAside):
-		failure.Reason, failure.RetryAfter = ReasonEndsEndpoints, max(p.admission.RetryAfter, retryAfterFault)
-	case errors.As(err, &refusal):
-		failure.Reason, failure.RetryAfter = string(refusal.Reason), refusal.RetryAfter
-	case errors.Is(err, errTimeout) || errors.Is(context.Cause(ctx), errTimeout):
-		failure.Reason = ReasonTimeout
-	case ctx.Err() != nil || errors.Is(err, errCallerGone):
-		failure.Reason = ReasonCallerGone
-	}
-	return failure
-}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -163,7 +163,7 @@
 		"three, each long after it had begun": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(3 * time.Second)
-				f.end(runSpec{body: "crashing", host: n, took: 2 * time.Second, ran: 2 * earlyRun})
+				f.end(runSpec{body: "crashing", host: n, took: 2 * time.Second, ran: time.Second})
 			}
 		}, map[string]bool{"crashing": false}},
 		"another request always there: neither is known to be to blame": {func(f *fleet) {
@@ -485,3 +485,30 @@
 		assert.Assert(t, !q.IsAside(letter("beside")))
 	}
 }
+
+// Hosts remember so many requests of an end, and not the same ones. One that lacks
+// the request to blame hears from the others that it is set aside.
+func TestVerdictReachesAHostThatLacksAWord(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	last := f.hosts[2]
+	for n := range endsToBlame {
+		f.clock.advance(time.Second)
+		if n == 0 {
+			process := Process{EndpointID: "e1", Incarnation: "1"}
+			for i := range maxRunsPerEnd { // no room for one more
+				last.BrokeOff(Break{
+					Request: letter(fmt.Sprint("letter ", i)), Took: shortRun,
+					Target: driver.Target{EndpointID: process.EndpointID, Incarnation: process.Incarnation},
+				})
+			}
+			last.Ended(process)
+		}
+		f.end(runSpec{body: "crashing", host: 0, took: shortRun})
+	}
+	f.settle()
+	f.tell()
+	for n, q := range f.hosts {
+		assert.Assert(t, q.IsAside(letter("crashing")), "host %d", n)
+	}
+}
