--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -52,8 +52,8 @@
 const (
 	ReasonTimeout   = "timeout"    // the class's time is over
 	ReasonBrokenOff = "broken_off" // the answer had begun
-	// ReasonEndsEndpoints is of a request under which endpoints end.
-	ReasonEndsEndpoints = "ends_endpoints"
+	// ReasonCrashesEndpoints is of a request that is quarantined.
+	ReasonCrashesEndpoints = "crashes_endpoints"
 )
 
 // ErrBegun is the error of a request whose answer broke off after its head had
@@ -78,8 +78,8 @@
 	// Slept is how long the host has slept so far: callers' time goes on meanwhile,
 	// and timers don't. Nil: it never sleeps.
 	Slept func() time.Duration
-	// Quarantine keeps requests from endpoints that end the endpoints that run
-	// them; nil: none is kept.
+	// Quarantine keeps requests from endpoints that crash the endpoints that
+	// run them; nil: none is kept.
 	Quarantine *quarantiner.Quarantiner
 }
 
@@ -171,16 +171,16 @@
 	f.running[p] = cut
 }
 
-// EndSetAside ends the requests under way that have been set aside since: those
-// that wait here or at an endpoint have not ended it yet. One that has an event
-// runs by now, and may go on to show that it does no harm.
-func (f *Forwarder) EndSetAside() {
+// CancelQuarantined cancels the requests under way that have been quarantined since:
+// those that wait here or at an endpoint have not crashed it yet. One that has an
+// event runs by now, and may go on to show that it does no harm.
+func (f *Forwarder) CancelQuarantined() {
 	f.mu.Lock()
 	running := maps.Clone(f.running)
 	f.mu.Unlock()
 	for p, cut := range running {
-		if !p.isTrial.Load() && !p.hasEvents.Load() && f.cfg.Quarantine.IsAside(&p.identity) {
-			cut(errSetAside)
+		if !p.isTrial.Load() && !p.hasEvents.Load() && f.cfg.Quarantine.IsQuarantined(&p.identity) {
+			cut(errQuarantined)
 		}
 	}
 }
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -31,8 +31,8 @@
 	errLeft = errors.New("endpoint no longer takes work")
 	// errServerFault is an answer with which an endpoint reports a fault of its own.
 	errServerFault = errors.New("endpoint reported a fault of its own")
-	// errSetAside is a request that is not to reach an endpoint any more.
-	errSetAside = errors.New("endpoints end that run the request")
+	// errQuarantined is a request that is not to reach an endpoint any more.
+	errQuarantined = errors.New("endpoints crash that run the request")
 )
 
 // passage is one opaque request on its way.
@@ -47,7 +47,7 @@
 
 	identity  quarantiner.Request
 	admission quarantiner.Admission
-	isTrial   atomic.Bool // of a request that was set aside
+	isTrial   atomic.Bool // of a quarantined request
 	hasEvents atomic.Bool // of its answer, from any endpoint
 
 	sends    int // calls that went to an endpoint, prefills left out
@@ -100,12 +100,12 @@
 	return quarantiner.Request{Method: payload.Method, Host: payload.Host, Path: payload.Path, Body: payload.Body}
 }
 
-// admitAndRun runs a request unless it is one under which endpoints end.
+// admitAndRun runs a request unless it is quarantined.
 func (p *passage) admitAndRun(ctx context.Context) error {
 	p.admission = p.forwarder.cfg.Quarantine.Admit(&p.identity)
 	p.isTrial.Store(p.admission.IsTrial)
 	if p.admission.IsRefused {
-		return p.finish(ctx, errSetAside)
+		return p.finish(ctx, errQuarantined)
 	}
 	return p.run(ctx)
 }
--- a/internal/dispatcher/passage_answer.go
+++ b/internal/dispatcher/passage_answer.go
@@ -134,8 +134,8 @@
 	}
 	var refusal *scheduler.RefusalError
 	switch {
-	case errors.Is(err, errSetAside) || errors.Is(context.Cause(ctx), errSetAside):
-		failure.Reason, failure.RetryAfter = ReasonEndsEndpoints, max(p.admission.RetryAfter, retryAfterFault)
+	case errors.Is(err, errQuarantined) || errors.Is(context.Cause(ctx), errQuarantined):
+		failure.Reason, failure.RetryAfter = ReasonCrashesEndpoints, max(p.admission.RetryAfter, retryAfterFault)
 	case errors.As(err, &refusal):
 		failure.Reason, failure.RetryAfter = string(refusal.Reason), refusal.RetryAfter
 	case errors.Is(err, errTimeout) || errors.Is(context.Cause(ctx), errTimeout):
--- a/internal/dispatcher/passage_repeat.go
+++ b/internal/dispatcher/passage_repeat.go
@@ -17,7 +17,7 @@
 		return false
 	}
 	if p.admission.IsTrial && errors.Is(err, driver.ErrOutcomeUnknown) {
-		return false // a trial ends one endpoint at most
+		return false // a trial crashes one endpoint at most
 	}
 	if p.hasRun(err) {
 		if !p.request.Class.Repeatable || p.runs >= p.request.Class.MaxAttempts {
--- a/internal/explainer/account.go
+++ b/internal/explainer/account.go
@@ -44,7 +44,7 @@
 type Account struct {
 	Classes []ClassAccount
 	Seconds []SecondAccount
-	Ends    []EndsAccount
+	Crashes []CrashAccount
 	LeftOut int // lines that hosts say they left out
 }
 
@@ -60,7 +60,7 @@
 func Summarise(sources ...Source) (account Account, err error) {
 	defer func() { err = eris.Wrap(err, "summarise requests") }()
 	classes, seconds := map[string]*tally{}, map[int64]*SecondAccount{}
-	ended := newEnds()
+	crashed := newCrashes()
 	for _, source := range sources {
 		lines, err := read(source)
 		if err != nil {
@@ -68,7 +68,7 @@
 		}
 		for i := range lines {
 			account.LeftOut += int(number(&lines[i], "lines_left_out"))
-			ended.take(&lines[i])
+			crashed.take(&lines[i])
 			if lines[i].Message == messageServed || lines[i].Message == messageNotServed {
 				count(&lines[i], classes, seconds)
 			}
@@ -80,7 +80,7 @@
 	for _, at := range slices.Sorted(maps.Keys(seconds)) {
 		account.Seconds = append(account.Seconds, *seconds[at])
 	}
-	account.Ends = ended.accounts()
+	account.Crashes = crashed.accounts()
 	return account, nil
 }
 
@@ -173,7 +173,7 @@
 		second := &a.Seconds[i]
 		fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\n", second.At.Unix()-a.Seconds[0].At.Unix(), second.InTime, second.LateFirst, second.LatePause, second.Others)
 	}
-	printEnds(t, a.Ends)
+	printCrashes(t, a.Crashes)
 	if a.LeftOut > 0 {
 		fmt.Fprintf(t, "\n%d lines were left out by the hosts\n", a.LeftOut)
 	}
--- a/internal/explainer/crashes.go
+++ b/internal/explainer/crashes.go
@@ -9,35 +9,35 @@
 	"strings"
 )
 
-// Messages of the lines that tell of requests under which endpoints ended.
+// Messages of the lines that tell of requests under which endpoints crashed.
 const (
-	messageEnded    = "endpoint ended under requests"
-	messageSetAside = "request set aside: endpoints end that run it"
+	messageCrashed     = "endpoint crashed under requests"
+	messageQuarantined = "request quarantined: endpoints crash that run it"
 )
 
-// fewestEnds is from how many endpoints on a request is listed: with each engine
-// that ends, all that ran there break off.
-const fewestEnds = 2
+// fewestCrashes is from how many endpoints on a request is listed: with each engine
+// that crashes, all that ran there break off.
+const fewestCrashes = 2
 
-// EndsAccount is a request, by its name, under which endpoints ended.
-type EndsAccount struct {
-	Name       string
-	Endpoints  []string // that ended while it had just begun there
-	Callers    []string // addresses that it came from, as far as lines tell
-	Hosts      []string // that had it under way
-	IsSetAside bool     // by any host
+// CrashAccount is a request, by its name, under which endpoints crashed.
+type CrashAccount struct {
+	Name          string
+	Endpoints     []string // that crashed while it had just begun there
+	Callers       []string // addresses that it came from, as far as lines tell
+	Hosts         []string // that had it under way
+	IsQuarantined bool     // by any host
 }
 
-// ends gathers the lines about such requests.
-type ends struct {
+// crashes gathers the lines about such requests.
+type crashes struct {
 	endpoints, callers, hosts map[string]map[string]bool // by the request's name
-	aside                     map[string]bool
+	quarantined               map[string]bool
 }
 
-func newEnds() *ends {
-	return &ends{
+func newCrashes() *crashes {
+	return &crashes{
 		endpoints: map[string]map[string]bool{}, callers: map[string]map[string]bool{}, hosts: map[string]map[string]bool{},
-		aside: map[string]bool{},
+		quarantined: map[string]bool{},
 	}
 }
 
@@ -48,22 +48,22 @@
 	of[name][value] = true
 }
 
-func (e *ends) take(line *Line) {
+func (c *crashes) take(line *Line) {
 	name := text(line, "request_name")
 	switch {
-	case line.Message == messageEnded:
+	case line.Message == messageCrashed:
 		for _, name := range namesIn(line) {
-			note(e.endpoints, name, text(line, "endpoint_id"))
-			note(e.hosts, name, line.Host)
+			note(c.endpoints, name, text(line, "endpoint_id"))
+			note(c.hosts, name, line.Host)
 		}
-	case line.Message == messageSetAside:
-		e.aside[name] = true
+	case line.Message == messageQuarantined:
+		c.quarantined[name] = true
 	case name != "" && text(line, "caller") != "":
-		note(e.callers, name, text(line, "caller"))
+		note(c.callers, name, text(line, "caller"))
 	}
 }
 
-// namesIn are the requests that a line about an endpoint's end lists.
+// namesIn are the requests that a line about an endpoint's crash lists.
 func namesIn(line *Line) (names []string) {
 	list, _ := line.Fields["request_names"].([]any)
 	for _, value := range list {
@@ -74,30 +74,30 @@
 	return names
 }
 
-// accounts are the requests with most ends first.
-func (e *ends) accounts() (accounts []EndsAccount) {
-	for name, endpoints := range e.endpoints {
-		if len(endpoints) < fewestEnds && !e.aside[name] {
+// accounts are the requests with most crashes first.
+func (c *crashes) accounts() (accounts []CrashAccount) {
+	for name, endpoints := range c.endpoints {
+		if len(endpoints) < fewestCrashes && !c.quarantined[name] {
 			continue
 		}
-		accounts = append(accounts, EndsAccount{
-			Name: name, Endpoints: slices.Sorted(maps.Keys(endpoints)), Callers: slices.Sorted(maps.Keys(e.callers[name])),
-			Hosts: slices.Sorted(maps.Keys(e.hosts[name])), IsSetAside: e.aside[name],
+		accounts = append(accounts, CrashAccount{
+			Name: name, Endpoints: slices.Sorted(maps.Keys(endpoints)), Callers: slices.Sorted(maps.Keys(c.callers[name])),
+			Hosts: slices.Sorted(maps.Keys(c.hosts[name])), IsQuarantined: c.quarantined[name],
 		})
 	}
-	slices.SortFunc(accounts, func(a, b EndsAccount) int {
+	slices.SortFunc(accounts, func(a, b CrashAccount) int {
 		return cmp.Or(cmp.Compare(len(b.Endpoints), len(a.Endpoints)), strings.Compare(a.Name, b.Name))
 	})
 	return accounts
 }
 
-func printEnds(w io.Writer, accounts []EndsAccount) {
+func printCrashes(w io.Writer, accounts []CrashAccount) {
 	if len(accounts) == 0 {
 		return
 	}
-	fmt.Fprintln(w, "\nrequest under which endpoints ended\tendpoints\tset aside\tat hosts\tfrom")
+	fmt.Fprintln(w, "\nrequest under which endpoints crashed\tendpoints\tquarantined\tat hosts\tfrom")
 	for _, account := range accounts {
-		fmt.Fprintf(w, "%s\t%d\t%t\t%s\t%s\n", account.Name, len(account.Endpoints), account.IsSetAside,
+		fmt.Fprintf(w, "%s\t%d\t%t\t%s\t%s\n", account.Name, len(account.Endpoints), account.IsQuarantined,
 			strings.Join(account.Hosts, ","), strings.Join(account.Callers, ","))
 	}
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -202,10 +202,10 @@
 	return 0
 }
 
-// GaugeRequestsSetAside shows how many requests are kept from endpoints, since
-// endpoints end that run them.
-func (m *Meter) GaugeRequestsSetAside(value func() float64) {
-	m.set.GetOrCreateGauge("endivemast_requests_set_aside", value)
+// GaugeRequestsQuarantined shows how many requests are kept from endpoints, since
+// endpoints crash that run them.
+func (m *Meter) GaugeRequestsQuarantined(value func() float64) {
+	m.set.GetOrCreateGauge("endivemast_requests_quarantined", value)
 }
 
 // GaugeInFlight shows how many requests of this host are in flight.
--- a/internal/quarantiner/bench_test.go
+++ b/internal/quarantiner/bench_test.go
@@ -18,8 +18,8 @@
 	})
 }
 
-// hearEnds has a host hear of ends with so many requests each.
-func hearEnds(q *Quarantiner, ends, each int) {
+// hearCrashes has a host hear of crashes with so many requests each.
+func hearCrashes(q *Quarantiner, ends, each int) {
 	for n := range ends {
 		word := exchanger.CrashWord{EndpointID: fmt.Sprint("e", n), At: time.Now()}
 		for i := range each {
@@ -41,13 +41,13 @@
 		isKnown bool
 	}{
 		"nothing has ended":     {request: letter("other")},
-		"another request":       {ends: maxEnds, request: letter("another, longer one")},
-		"another of 4 MB":       {ends: maxEnds, request: large},
-		"one of 4 MB of theirs": {ends: maxEnds, request: large, isKnown: true},
+		"another request":       {ends: maxCrashes, request: letter("another, longer one")},
+		"another of 4 MB":       {ends: maxCrashes, request: large},
+		"one of 4 MB of theirs": {ends: maxCrashes, request: large, isKnown: true},
 	} {
 		b.Run(name, func(b *testing.B) {
 			q := newIdle()
-			hearEnds(q, test.ends, 40)
+			hearCrashes(q, test.ends, 40)
 			if test.isKnown {
 				q.HearWords([]exchanger.CrashWord{{EndpointID: "x", At: time.Now(), Runs: []exchanger.CrashRun{{
 					RequestName: exchanger.RequestName{Name: test.request.Name(), Key: uint64(test.request.key())},
@@ -67,8 +67,8 @@
 	runtime.GC()
 	runtime.ReadMemStats(&before)
 	q := newIdle()
-	hearEnds(q, 2*maxEnds, maxRunsPerEnd)
-	hearSame(q, maxEnds/2, maxRunsPerEnd)
+	hearCrashes(q, 2*maxCrashes, maxRunsPerCrash)
+	hearSame(q, maxCrashes/2, maxRunsPerCrash)
 	q.Tick(time.Now())
 	runtime.GC()
 	runtime.ReadMemStats(&after)
@@ -79,7 +79,7 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
 }
 
-// hearSame has a host hear of ends that all have the same requests.
+// hearSame has a host hear of crashes that all have the same requests.
 func hearSame(q *Quarantiner, ends, each int) {
 	for n := range ends {
 		word := exchanger.CrashWord{EndpointID: fmt.Sprint("same", n), At: time.Now()}
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -1,31 +1,30 @@
-// Package quarantiner keeps requests from endpoints that end the endpoints that
+// Package quarantiner keeps requests from endpoints that crash the endpoints that
 // run them.
 //
 // A request may crash each engine that begins to run it. Its caller sends it
-// again, under another id and to another host, and the next engine ends, with all
-// streams of other callers on it: one request ended 31 engines within 16 s, and 5
-// to 16 streams with each. An attempt's own limits don't help: each attempt
-// begins with a clean sheet at a host that has never heard of the request.
+// again, under another id and to another host, and the next engine crashes, with
+// all streams of other callers on it: one request crashed 31 engines within 16 s,
+// and broke off 5 to 16 streams with each. An attempt's own limits don't help: each
+// attempt begins with a clean sheet at a host that has never heard of the request.
 //
 // So hosts name requests (see Name) and tell each other which of them were under
-// way at a process that has ended. All that were break off together, and one of
-// them may be to blame, or none. A request is set aside once three processes have
-// ended under it, each soon after it was begun there, one after the other, and
-// each time no other request there has as many ends to its name; and as long as
+// way at a process that has crashed. All that were break off together, and one of
+// them may be to blame, or none. A request is quarantined once three processes have
+// crashed under it, each soon after it was begun there, one after the other, and
+// each time no other request there has as many crashes to its name; and as long as
 // no run of it has gone on for a while. That leaves in peace
 //
-//   - what runs beside it: that ends up on engines that end less often, and runs
-//     well elsewhere;
-//   - a popular request that runs on many engines that something else ends: its
-//     runs there did not begin one after the other's end, and others run well;
-//   - what is sent again after ends for other causes: it would have to be hit
+//   - what runs beside it: it also runs on engines that do not crash;
+//   - a popular request that runs on many engines that something else crashes: its
+//     runs there did not begin one after the other's crash, and others run well;
+//   - what is sent again after crashes for other causes: it would have to be hit
 //     three times running.
 //
-// A request that one host sets aside is refused at once, by all hosts. After a pause one
-// host tries it, and the others wait for how that ends: the pause doubles where an
-// endpoint ends, and a run that goes well ends the matter. So a caller can have
-// another's request set aside only by sending that very request, whole, while it
-// keeps the engines from running it, and for a pause at a time.
+// A request that one host quarantines is refused at once, by all hosts. After a pause
+// one host tries it, and the others wait for the outcome: the pause doubles where an
+// endpoint crashes, and a run that goes well lifts the quarantine. So a caller can
+// have another's request quarantined only by sending that very request, whole, while
+// it keeps the engines from running it, and for a pause at a time.
 //
 // # Usage
 //
--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -7,39 +7,39 @@
 )
 
 const (
-	// endsToBlame is how many processes have to end under a request, one after the
-	// other, before it is set aside. Callers who send a request again at once while
-	// engines end for other reasons may be hit twice running; that none is hit three
+	// crashesToBlame is how many processes have to crash under a request, one after
+	// the other, before it is quarantined. Callers who send a request again at once
+	// while engines crash for other reasons may be hit twice running; that none is hit three
 	// times with no run going well between is what the model of the tests shows, for
 	// 2,310,000 requests but 55.
-	endsToBlame = 3
+	crashesToBlame = 3
 	// earlyRun is how long after its first event a run counts as just begun. The
-	// engines that were seen to end did so 45 to 100 ms after they had begun the
+	// engines that were seen to crash did so 45 to 100 ms after they had begun the
 	// request; what has run for longer has shown that it can be run.
 	earlyRun = 500 * time.Millisecond
-	// settle is how long after it was first heard of an end counts. The hosts whose
+	// settle is how long after it was first heard of a crash counts. The hosts whose
 	// runs broke off with a process learn of it within some milliseconds of each
 	// other and say so with their next word, which takes up to three of their ticks
 	// through the hubs of large zones; judged earlier, a request that was told first
 	// would look as if it had been there alone.
 	settle = 200 * time.Millisecond
-	// memory is for how long ends count. A caller that waits longer between two
-	// attempts ends an engine each ten minutes at most.
+	// memory is for how long crashes count. A caller that waits longer between two
+	// attempts crashes an engine each ten minutes at most.
 	memory = 10 * time.Minute
-	// firstPause is for how long a request is set aside at first. Engines that end
+	// firstPause is for how long a request is quarantined at first. Crashed engines
 	// are back after some seconds, and a caller was seen to come back after 28.
 	firstPause = 30 * time.Second
-	// contestedPause is the first one where other processes end as well. A caller
-	// that ends an engine each 100 ms, with another request each time, has what many
-	// others send set aside as well; the model of the tests saw 9,124 of 375,000
+	// contestedPause is the first one where other processes crash as well. A caller
+	// that crashes an engine each 100 ms, with another request each time, has what
+	// many others send quarantined as well; the model of the tests saw 9,124 of 375,000
 	// requests refused for it with this pause; 8,443 of 225,000 with the other one.
 	contestedPause = 15 * time.Second
-	// contestMargin is the time before the first end over which other ends are
+	// contestMargin is the time before the first crash over which other crashes are
 	// counted as well: three may come within half a second.
 	contestMargin = time.Second
 	// longestPause bounds how long a fleet that has been mended refuses a request.
 	longestPause = 5 * time.Minute
-	// trialTime is how long the other hosts wait for how a trial ends, before one of
+	// trialTime is how long the other hosts wait for a trial's outcome, before one of
 	// them may try.
 	trialTime = 3 * time.Second
 	// trialStagger is between the moments from which one host and the next may try a
@@ -56,8 +56,8 @@
 	Incarnation string
 }
 
-// end is the end of a process, and the requests that had just begun there.
-type end struct {
+// crash is the crash of a process, and the requests that had just begun there.
+type crash struct {
 	process Process
 	at      time.Time
 	heardAt time.Time
@@ -66,40 +66,41 @@
 
 // record is what is known of a request.
 type record struct {
-	key  key
-	ends []*end // in the order in which they were heard of
-	// ranAt is when it was last heard to have run well; ends before that don't count.
+	key     key
+	crashes []*crash // in the order in which they were heard of
+	// ranAt is when it was last heard to have run well; crashes before that don't count.
 	ranAt time.Time
 
 	// weighed is the weight as counted last, for one moment.
 	weighed   int
 	weighedAt time.Time
 
-	// until is when a request that was set aside may be tried again; zero: it is not.
+	// until is when a quarantined request may be tried again; zero: it is not
+	// quarantined.
 	until time.Time
 	pause time.Duration
-	// isTried is true from a trial of this host's to the next end.
+	// isTried is true from a trial of this host's to the next crash.
 	isTried bool
 }
 
-// isAside is true for a request that was set aside and has not run well since.
-func (r *record) isAside() bool { return !r.until.IsZero() }
+// isQuarantined is true until the request has run well.
+func (r *record) isQuarantined() bool { return !r.until.IsZero() }
 
-// counts is true for an end that still speaks against the request.
-func (r *record) counts(e *end, now time.Time) bool {
+// counts is true for a crash that still speaks against the request.
+func (r *record) counts(e *crash, now time.Time) bool {
 	return e.at.After(r.ranAt) && now.Sub(e.at) < memory
 }
 
-// weight is how many ends speak against the request. It is asked of each request
-// at each end of each other one there, and so counted once a moment: 64 requests
-// that were all at the same 128 ends took 10 ms a tick without that, and 0.5 ms
+// weight is how many crashes speak against the request. It is asked of each request
+// at each crash of each other one there, and so counted once a moment: 64 requests
+// that were all at the same 128 crashes took 10 ms a tick without that, and 0.5 ms
 // with it; 128 of them take 1.2 ms (BenchmarkTick).
 func (r *record) weight(now time.Time) int {
 	if r.weighedAt.Equal(now) {
 		return r.weighed
 	}
 	r.weighedAt, r.weighed = now, 0
-	for _, e := range r.ends {
+	for _, e := range r.crashes {
 		if r.counts(e, now) {
 			r.weighed++
 		}
@@ -107,49 +108,49 @@
 	return r.weighed
 }
 
-// blamedFor are the ends for which the request is to blame: no other one that was
-// there is set aside already, or has as many ends to its name where this one is
-// not set aside itself.
-func (t *table) blamedFor(name Name, now time.Time) (ends []*end) {
+// blamedFor are the crashes for which the request is to blame: no other one that was
+// there is quarantined already, or has as many crashes to its name where this one
+// is not quarantined itself.
+func (t *table) blamedFor(name Name, now time.Time) (crashes []*crash) {
 	r := t.records[name]
 	weight := r.weight(now)
-	if r.isAside() {
+	if r.isQuarantined() {
 		weight = math.MaxInt
 	}
-	for _, e := range r.ends {
-		// A trial that ends an endpoint has to be known before the next one.
-		isSettled := r.isAside() || now.Sub(e.heardAt) >= settle
+	for _, e := range r.crashes {
+		// A trial that crashes an endpoint has to be known before the next one.
+		isSettled := r.isQuarantined() || now.Sub(e.heardAt) >= settle
 		if !r.counts(e, now) || !isSettled {
 			continue
 		}
 		if !t.isExplained(e, name, weight, now) {
-			ends = append(ends, e)
+			crashes = append(crashes, e)
 		}
 	}
-	return ends
+	return crashes
 }
 
-// isExplained is true where another request explains a process's end as well.
-func (t *table) isExplained(e *end, name Name, weight int, now time.Time) bool {
+// isExplained is true where another request explains a crash as well.
+func (t *table) isExplained(e *crash, name Name, weight int, now time.Time) bool {
 	for other := range e.runs {
 		r := t.records[other]
 		if other == name || r == nil || !r.counts(e, now) {
 			continue
 		}
-		if r.isAside() || r.weight(now) >= weight {
+		if r.isQuarantined() || r.weight(now) >= weight {
 			return true
 		}
 	}
 	return false
 }
 
-// inTurn are those of the ends that came one after the other: the run that broke
-// off with each was sent only after the end before. When a rack loses its power,
+// inTurn are those of the crashes that came one after the other: the run that broke
+// off with each was sent only after the crash before. When a rack loses its power,
 // a popular request loses a run on each engine there at the same moment.
-func inTurn(name Name, ends []*end) (turns []*end) {
-	ends = slices.Clone(ends)
-	slices.SortFunc(ends, func(a, b *end) int { return a.at.Compare(b.at) })
-	for _, e := range ends {
+func inTurn(name Name, crashes []*crash) (turns []*crash) {
+	crashes = slices.Clone(crashes)
+	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	for _, e := range crashes {
 		sentAt := e.at.Add(-e.runs[name])
 		if len(turns) == 0 || sentAt.After(turns[len(turns)-1].at) {
 			turns = append(turns, e)
@@ -158,8 +159,8 @@
 	return turns
 }
 
-// isContested is true where as many processes ended without the request as it
-// takes to set one aside: something else ends processes too, and may have hit the
+// isContested is true where as many processes crashed without the request as it
+// takes to quarantine one: something else crashes processes too, and may have hit the
 // request each time.
 func (t *table) isContested(name Name, begin, until time.Time) bool {
 	others := 0
@@ -168,18 +169,18 @@
 			others++
 		}
 	}
-	return others >= endsToBlame
+	return others >= crashesToBlame
 }
 
-// reconsider has a request tried sooner where processes go on ending without it.
+// reconsider has a request tried sooner where processes go on crashing without it.
 func (t *table) reconsider(name Name, r *record, now time.Time) {
-	lastEnd := r.until.Add(-r.pause)
-	if r.pause == firstPause && t.isContested(name, lastEnd, now) {
-		r.pause, r.until = contestedPause, lastEnd.Add(contestedPause)
+	lastCrash := r.until.Add(-r.pause)
+	if r.pause == firstPause && t.isContested(name, lastCrash, now) {
+		r.pause, r.until = contestedPause, lastCrash.Add(contestedPause)
 	}
 }
 
-// extend keeps a request set aside for longer, for an end. That of a trial doubles
+// extend keeps a request quarantined for longer, for a crash. That of a trial doubles
 // the pause; others are of runs that were under way.
 func (r *record) extend(at time.Time) {
 	if r.isTried && !at.Before(r.until.Add(-trialTime)) {
--- a/internal/quarantiner/load_test.go
+++ b/internal/quarantiner/load_test.go
@@ -13,7 +13,7 @@
 )
 
 // The model plays callers, hosts and engines on a clock of its own: what is sent
-// to an engine runs there until it ends, or the engine does. Hosts pass words on
+// to an engine runs there until it ends, or the engine crashes. Hosts pass words on
 // each tick of the peer protocol and judge at each tick of their systems.
 
 const (
@@ -22,8 +22,8 @@
 	modelJudge  = 100 * time.Millisecond // between two ticks of a host's systems
 	modelAway   = 1500 * time.Millisecond
 	modelBegin  = 45 * time.Millisecond // from the send until the first event
-	modelCrash  = 45 * time.Millisecond // from there until an engine ends that runs the crashing request
-	modelSettle = 3 * time.Second       // from the third end until all hosts are to know
+	modelCrash  = 45 * time.Millisecond // from there until an engine crashes that runs the crashing request
+	modelSettle = 3 * time.Second       // from the third crash until all hosts are to know
 	modelRepeat = 8                     // attempts of a caller, each at once after the one before
 )
 
@@ -33,8 +33,8 @@
 	perSecond      int           // requests of callers
 	long           float64       // share of them that run for 1.5 s; the others for 50 to 300 ms
 	popular        float64       // share of them that are one caller's one body
-	crashes        int           // times that a third of the engines ends for other reasons
-	isSpread       bool          // these ends come one by one and not at the same moment
+	crashes        int           // times that a third of the engines crashes for other reasons
+	isSpread       bool          // these crashes come one by one and not at the same moment
 	poisonEvery    time.Duration // between two attempts of the crashing request; 0: there is none
 	isVaried       bool          // each of these has another body
 	poisonUntil    time.Duration // they come until then; 0: to the end
@@ -48,7 +48,7 @@
 	refused  int  // of them, wrongly
 	ends     int  // of engines
 	sends    int  // of the crashing request
-	late     int  // of these, later than modelSettle after the third end under it
+	late     int  // of these, later than modelSettle after the third crash under it
 	aside    bool // what is sent often, by any host, at the end
 }
 
@@ -76,7 +76,7 @@
 	n       int
 	result  modelResult
 	third   time.Duration // when the third engine ended under the crashing request; 0: not yet
-	poison  int           // ends under it
+	poison  int           // crashes under it
 }
 
 const (
@@ -109,12 +109,12 @@
 		}
 	}
 	for _, q := range m.fleet.hosts {
-		m.result.aside = m.result.aside || q.IsAside(letter(popularBody))
+		m.result.aside = m.result.aside || q.IsQuarantined(letter(popularBody))
 	}
 	return m.result
 }
 
-// planCrashes are the moments of ends for other reasons, in order.
+// planCrashes are the moments of crashes for other reasons, in order.
 func (m *model) planCrashes() (ends []time.Duration) {
 	each := m.load.engines / 3
 	total := m.load.crashes * each
@@ -236,7 +236,7 @@
 	}
 }
 
-// crash ends an engine; callers whose attempts broke off come again at once.
+// crash crashes an engine; callers whose attempts broke off come again at once.
 func (m *model) crash(n int) {
 	e := m.engines[n]
 	if e.backAt > m.now {
@@ -268,23 +268,23 @@
 // modelSends is how many sends of the crashing request may follow then.
 const modelSends = 3
 
-// wrongShare bounds the requests that are refused though no endpoint ends under
+// wrongShare bounds the requests that are refused though no endpoint crashes under
 // them for their own sake.
 const wrongShare = 0.001
 
 func TestNobodyElseIsRefused(t *testing.T) {
 	t.Parallel()
 	for name, load := range map[string]modelLoad{
-		"a third of the engines ends six times": {
+		"a third of the engines crashes six times": {
 			hosts: 9, engines: 14, perSecond: 250, long: 0.1, popular: 0.05, crashes: 6, lasts: 20 * time.Second,
 		},
-		"the same ends, one by one": {
+		"the same crashes, one by one": {
 			hosts: 9, engines: 14, perSecond: 250, long: 0.1, popular: 0.05, crashes: 6, isSpread: true, lasts: 20 * time.Second,
 		},
 		"long requests only": {
 			hosts: 9, engines: 14, perSecond: 60, long: 1, crashes: 6, isSpread: true, lasts: 20 * time.Second,
 		},
-		"beside a request that ends engines": {
+		"beside a request that crashes engines": {
 			hosts: 9, engines: 7, perSecond: 250, long: 0.1, popular: 0.05, poisonEvery: 300 * time.Millisecond, lasts: 20 * time.Second,
 		},
 		"beside a request that comes very often": {
@@ -321,8 +321,8 @@
 	}
 }
 
-// While a caller ends engine after engine, with another request each time, nearly
-// nothing runs well, and what others send often may be set aside. It is tried
+// While a caller crashes engine after engine, with another request each time, nearly
+// nothing runs well, and what others send often may be quarantined. It is tried
 // again once that is over, and runs.
 func TestFloodIsForgotten(t *testing.T) {
 	t.Parallel()
--- a/internal/quarantiner/pending.go
+++ b/internal/quarantiner/pending.go
@@ -30,7 +30,7 @@
 		b = &broken{at: now}
 		p[process], isFirst = b, true
 	}
-	if len(b.runs) < maxRunsPerEnd {
+	if len(b.runs) < maxRunsPerCrash {
 		b.runs = append(b.runs, r)
 	}
 	return isFirst
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -37,17 +37,17 @@
 	// connections end was to be expected.
 	IsLeaving func(process Process) bool
 	// Hosts are the ids of the hosts that are in touch, this one included. They
-	// take turns with trying a request that was set aside.
+	// take turns with trying a quarantined request.
 	Hosts func() []string
-	// SetAside is told of requests that are set aside from now on, without a lock:
-	// what is under way of them is to be ended.
-	SetAside func()
-	Now      func() time.Time // nil: time.Now
-	Logger   hclog.Logger
+	// OnQuarantine is called, without a lock, after requests have been quarantined: what
+	// is under way of them is to be cancelled.
+	OnQuarantine func()
+	Now          func() time.Time // nil: time.Now
+	Logger       hclog.Logger
 }
 
 // Quarantiner knows the requests that are not to be run. It is safe for
-// concurrent use. A nil one sets nothing aside.
+// concurrent use. A nil one quarantines nothing.
 type Quarantiner struct {
 	cfg Config
 	// known is how many requests there are records of: for nearly all requests the
@@ -57,10 +57,10 @@
 	mu      sync.Mutex
 	table   table
 	pending pending
-	// judgeUntil is when all that was heard has been judged: ends count only once
+	// judgeUntil is when all that was heard has been judged: crashes count only once
 	// they have settled.
 	judgeUntil time.Time
-	// isFresh is true from when a request has been set aside until SetAside is told.
+	// isFresh is true from when a request is quarantined until OnQuarantine is called.
 	isFresh bool
 	log     exchanger.WordLog[exchanger.CrashWord]
 
@@ -95,7 +95,7 @@
 	IsRefused  bool
 	RetryAfter time.Duration // when it may be tried again
 	Name       Name          // of a request that is refused, or tried
-	// IsTrial is true for the one run by which a request that was set aside may
+	// IsTrial is true for the one run by which a quarantined request may
 	// show that it can be run by now.
 	IsTrial bool
 }
@@ -109,7 +109,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.table.records[name]
-	if r == nil || !r.isAside() {
+	if r == nil || !r.isQuarantined() {
 		return a
 	}
 	now := q.cfg.Now()
@@ -120,8 +120,8 @@
 	return Admission{IsRefused: true, Name: name, RetryAfter: max(r.until.Sub(now), mostStagger)}
 }
 
-// IsAside is true for a request that is to be ended where it is under way.
-func (q *Quarantiner) IsAside(request *Request) bool {
+// IsQuarantined is true for a request that is to be cancelled where it is under way.
+func (q *Quarantiner) IsQuarantined(request *Request) bool {
 	name, ok := q.look(request)
 	if !ok {
 		return false
@@ -129,7 +129,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	r := q.table.records[name]
-	return r != nil && r.isAside()
+	return r != nil && r.isQuarantined()
 }
 
 // look finds a request's name where there may be a record of it.
@@ -164,9 +164,9 @@
 	return waited >= time.Duration(before)*trialStagger
 }
 
-// tryLocked has this host try a request; the others wait for how that ends.
+// tryLocked has this host try a request; the others wait for the outcome.
 func (q *Quarantiner) tryLocked(name Name, r *record, now time.Time) {
-	q.cfg.Logger.Info("request that was set aside is tried again", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
+	q.cfg.Logger.Info("quarantined request is tried again", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
 	r.until, r.isTried = now.Add(trialTime), true
 	q.log.Add(exchanger.CrashWord{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
 }
@@ -201,7 +201,7 @@
 	defer q.mu.Unlock()
 	isFirst := q.pending.add(process, broken, now)
 	switch {
-	case q.table.ends[process] != nil:
+	case q.table.crashes[process] != nil:
 		q.endedLocked(process)
 	case isFirst && q.ctx.Err() == nil: // under the lock, so that Close waits for it
 		q.group.Go(func() error {
@@ -249,7 +249,7 @@
 	q.addLocked(process, at, broken, exchanger.ScopeOwn)
 }
 
-// addLocked takes an end, and tells what is new of it.
+// addLocked takes a crash, and tells what is new of it.
 func (q *Quarantiner) addLocked(process Process, at time.Time, runs []run, origin exchanger.Scope) {
 	fresh := q.table.add(process, at, q.cfg.Now(), runs)
 	if len(fresh) == 0 {
@@ -258,26 +258,26 @@
 	q.known.Store(int64(len(q.table.records)))
 	q.judgeUntil = q.cfg.Now().Add(judgeFor)
 	if origin == exchanger.ScopeOwn {
-		q.cfg.Logger.Info("endpoint ended under requests", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation,
+		q.cfg.Logger.Info("endpoint crashed under requests", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation,
 			"requests", len(fresh), "request_names", namesOf(fresh))
 	}
-	q.log.Add(wordOfEnd(process, at, fresh), origin)
+	q.log.Add(wordOfCrash(process, at, fresh), origin)
 	for _, run := range fresh {
-		if r := q.table.records[run.name]; r.isAside() {
+		if r := q.table.records[run.name]; r.isQuarantined() {
 			q.extendLocked(run.name, r)
 		}
 	}
 }
 
-// extendLocked keeps a request set aside for longer where it is to blame for more
-// ends; where a trial of this host's was one, the others are told by how much.
+// extendLocked keeps a request quarantined for longer where it is to blame for more
+// crashes; where a trial of this host's was one, the others are told by how much.
 func (q *Quarantiner) extendLocked(name Name, r *record) {
 	wasTried := r.isTried
 	for _, e := range q.table.blamedFor(name, q.cfg.Now()) {
 		r.extend(e.at)
 	}
 	if wasTried && !r.isTried {
-		q.cfg.Logger.Info("trial of a request has ended an endpoint", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
+		q.cfg.Logger.Info("trial of a quarantined request has crashed an endpoint", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
 		q.log.Add(exchanger.CrashWord{At: q.cfg.Now(), Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
 	}
 }
@@ -294,7 +294,7 @@
 	}
 }
 
-// RanWell takes in that a request has been run: it ends nothing.
+// RanWell takes in that a request has been run: it crashes nothing.
 func (q *Quarantiner) RanWell(request *Request) {
 	name, ok := q.look(request)
 	if !ok {
@@ -310,12 +310,12 @@
 	if r == nil || !at.After(r.ranAt) {
 		return
 	}
-	if r.weight(at) == 0 && !r.isAside() {
+	if r.weight(at) == 0 && !r.isQuarantined() {
 		return // nothing speaks against it
 	}
 	r.ranAt, r.weighedAt = at, time.Time{}
-	if r.isAside() {
-		q.cfg.Logger.Info("request runs again and is no longer set aside", "request_name", name.String())
+	if r.isQuarantined() {
+		q.cfg.Logger.Info("request runs again and is no longer quarantined", "request_name", name.String())
 		q.table.released[name] = at
 		q.table.release(name, r)
 	}
@@ -324,8 +324,8 @@
 
 // Tick judges what has been heard, and forgets what is old.
 func (q *Quarantiner) Tick(now time.Time) {
-	if q.judge(now) && q.cfg.SetAside != nil {
-		q.cfg.SetAside()
+	if q.judge(now) && q.cfg.OnQuarantine != nil {
+		q.cfg.OnQuarantine()
 	}
 }
 
@@ -343,36 +343,36 @@
 }
 
 func (q *Quarantiner) judgeLocked(now time.Time) {
-	for name, r := range q.table.aside {
+	for name, r := range q.table.quarantined {
 		q.table.reconsider(name, r, now)
 	}
 	for name, r := range q.table.suspects {
-		if r.isAside() || r.weight(now) < endsToBlame {
+		if r.isQuarantined() || r.weight(now) < crashesToBlame {
 			continue
 		}
-		if turns := inTurn(name, q.table.blamedFor(name, now)); len(turns) >= endsToBlame {
-			q.setAsideLocked(name, r, turns, now)
+		if turns := inTurn(name, q.table.blamedFor(name, now)); len(turns) >= crashesToBlame {
+			q.quarantineLocked(name, r, turns, now)
 		}
 	}
 }
 
-// setAsideLocked sets a request aside, and tells the peers: all judge alike by what
-// they have heard, and one that lacks a word of an end would go on sending.
-func (q *Quarantiner) setAsideLocked(name Name, r *record, turns []*end, now time.Time) {
-	q.table.setAside(name, r, turns)
+// quarantineLocked quarantines a request, and tells the peers: all judge alike by what
+// they have heard, and one that lacks a word of a crash would go on sending.
+func (q *Quarantiner) quarantineLocked(name Name, r *record, turns []*crash, now time.Time) {
+	q.table.quarantine(name, r, turns)
 	q.isFresh = true
 	q.log.Add(exchanger.CrashWord{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
 	var endpointIDs []string
 	for _, e := range turns {
 		endpointIDs = append(endpointIDs, e.process.EndpointID)
 	}
-	q.cfg.Logger.Warn("request set aside: endpoints end that run it", "request_name", name.String(), "endpoint_ids", endpointIDs,
-		"first_end_ago_ms", now.Sub(turns[0].at).Milliseconds(), "until_ms", r.until.Sub(now).Milliseconds())
+	q.cfg.Logger.Warn("request quarantined: endpoints crash that run it", "request_name", name.String(), "endpoint_ids", endpointIDs,
+		"first_crash_ago_ms", now.Sub(turns[0].at).Milliseconds(), "until_ms", r.until.Sub(now).Milliseconds())
 }
 
-// Aside is how many requests are set aside.
-func (q *Quarantiner) Aside() int {
+// Count is how many requests are quarantined.
+func (q *Quarantiner) Count() int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return len(q.table.aside)
+	return len(q.table.quarantined)
 }
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -98,7 +98,7 @@
 	return &Request{Method: "POST", Host: "h.example", Path: "/draft/x", Body: []byte(body)}
 }
 
-// runSpec is a run that is under way at a process when it ends.
+// runSpec is a run that is under way at a process when it crashes.
 type runSpec struct {
 	body string
 	host int
@@ -106,8 +106,8 @@
 	ran  time.Duration
 }
 
-// end has a process end under some runs.
-func (f *fleet) end(runs ...runSpec) {
+// crash has a process crash under some runs.
+func (f *fleet) crash(runs ...runSpec) {
 	f.n++
 	process := Process{EndpointID: fmt.Sprintf("e%d", f.n), Incarnation: "1"}
 	for _, run := range runs {
@@ -124,7 +124,7 @@
 
 const shortRun = 60 * time.Millisecond
 
-func TestWhatIsSetAside(t *testing.T) {
+func TestWhatIsQuarantined(t *testing.T) {
 	t.Parallel()
 	crashing := func(host int) runSpec { return runSpec{body: "crashing", host: host, took: shortRun} }
 	beside := func(host int) runSpec { return runSpec{body: "beside", host: host, took: shortRun} }
@@ -132,28 +132,28 @@
 		play  func(f *fleet)
 		aside map[string]bool
 	}{
-		"three ends, one after the other, at three hosts": {func(f *fleet) {
+		"three crashes, one after the other, at three hosts": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(time.Second)
-				f.end(crashing(n), runSpec{body: fmt.Sprint("other ", n), host: 0, took: shortRun})
+				f.crash(crashing(n), runSpec{body: fmt.Sprint("other ", n), host: 0, took: shortRun})
 			}
 		}, map[string]bool{"crashing": true, "other 0": false, "other 2": false}},
-		"two ends": {func(f *fleet) {
+		"two crashes": {func(f *fleet) {
 			for n := range 2 {
 				f.clock.advance(time.Second)
-				f.end(crashing(n))
+				f.crash(crashing(n))
 			}
 		}, map[string]bool{"crashing": false}},
 		"three at the same moment, as when a rack loses its power": {func(f *fleet) {
 			f.clock.advance(time.Second)
 			for n := range 3 {
-				f.end(crashing(n))
+				f.crash(crashing(n))
 			}
 		}, map[string]bool{"crashing": false}},
 		"three, and it ran well between": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(time.Second)
-				f.end(crashing(n))
+				f.crash(crashing(n))
 				if n == 1 {
 					f.clock.advance(time.Second)
 					f.hosts[2].RanWell(letter("crashing"))
@@ -163,42 +163,42 @@
 		"three, each long after it had begun": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(3 * time.Second)
-				f.end(runSpec{body: "crashing", host: n, took: 2 * time.Second, ran: time.Second})
+				f.crash(runSpec{body: "crashing", host: n, took: 2 * time.Second, ran: time.Second})
 			}
 		}, map[string]bool{"crashing": false}},
 		"another request always there: neither is known to be to blame": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(time.Second)
-				f.end(crashing(n), beside(n))
+				f.crash(crashing(n), beside(n))
 			}
 		}, map[string]bool{"crashing": false, "beside": false}},
 		"another request there three times of four": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(time.Second)
-				f.end(crashing(n), beside(n))
+				f.crash(crashing(n), beside(n))
 			}
 			f.clock.advance(time.Second)
-			f.end(crashing(0))
+			f.crash(crashing(0))
 		}, map[string]bool{"crashing": true, "beside": false}},
 		"another request there that runs well elsewhere": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(time.Second)
-				f.end(crashing(n), beside(n))
+				f.crash(crashing(n), beside(n))
 			}
 			f.hosts[0].RanWell(letter("beside"))
 		}, map[string]bool{"crashing": true, "beside": false}},
-		"two requests that each end engines": {func(f *fleet) {
+		"two requests that each crash engines": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(time.Second)
-				f.end(crashing(n))
+				f.crash(crashing(n))
 				f.clock.advance(time.Second)
-				f.end(beside(n))
+				f.crash(beside(n))
 			}
 		}, map[string]bool{"crashing": true, "beside": true}},
-		"ends that lie too far apart": {func(f *fleet) {
+		"crashes that lie too far apart": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(memory)
-				f.end(crashing(n))
+				f.crash(crashing(n))
 			}
 		}, map[string]bool{"crashing": false}},
 	} {
@@ -209,7 +209,7 @@
 			f.settle()
 			for body, want := range test.aside {
 				for n, q := range f.hosts {
-					assert.Equal(t, q.IsAside(letter(body)), want, "%q at host %d", body, n)
+					assert.Equal(t, q.IsQuarantined(letter(body)), want, "%q at host %d", body, n)
 				}
 			}
 			other := letter("crashing")
@@ -219,25 +219,25 @@
 	}
 }
 
-// setAside has a request set aside at all hosts.
-func (f *fleet) setAside() {
+// quarantine has a request quarantined at all hosts.
+func (f *fleet) quarantine() {
 	f.t.Helper()
-	for n := range endsToBlame {
+	for n := range crashesToBlame {
 		f.clock.advance(time.Second)
-		f.end(runSpec{body: "crashing", host: n % len(f.hosts), took: shortRun})
+		f.crash(runSpec{body: "crashing", host: n % len(f.hosts), took: shortRun})
 	}
 	f.settle()
 	for _, q := range f.hosts {
-		assert.Assert(f.t, q.IsAside(letter("crashing")))
+		assert.Assert(f.t, q.IsQuarantined(letter("crashing")))
 	}
 }
 
 // Within its pause a request is refused by all hosts, with when to come back;
-// then one host tries it, and the others wait for how that ends.
+// then one host tries it, and the others wait for the outcome.
 func TestTrials(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 4)
-	f.setAside()
+	f.quarantine()
 	tries := func() (trials int) {
 		for _, q := range f.hosts {
 			a := q.Admit(letter("crashing"))
@@ -259,7 +259,7 @@
 	f.clock.advance(mostStagger + time.Millisecond)
 	assert.Equal(t, tries(), 1, "a trial that told nothing holds up the next")
 
-	f.end(runSpec{body: "crashing", host: 1, took: shortRun}) // the trial ends an endpoint
+	f.crash(runSpec{body: "crashing", host: 1, took: shortRun}) // the trial crashes an endpoint
 	f.clock.advance(trialTime)
 	assert.Equal(t, tries(), 0)
 	f.clock.advance(2*firstPause - trialTime - time.Millisecond)
@@ -279,7 +279,7 @@
 func TestTrialsAreStaggered(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 9)
-	f.setAside()
+	f.quarantine()
 	f.clock.advance(firstPause - settle)
 	trials := 0
 	for _, q := range f.hosts {
@@ -291,17 +291,17 @@
 }
 
 // A host that starts, or was away for so long that words are missing, is told by
-// any other what is set aside, also what hosts that are gone had told.
+// any other what is quarantined, also what hosts that are gone had told.
 func TestHostsThatComeLateAreTold(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3)
-	f.setAside()
+	f.quarantine()
 	late := f.newHost("host-late")
 	words, _ := f.hosts[1].Words(0, exchanger.ScopeOwn)
 	late.HearWords(words, true)
 	assert.Assert(t, late.Admit(letter("crashing")).IsRefused)
 
-	// Cleared while one host was away, it is not set aside anew when that one tells
+	// Cleared while one host was away, it is not quarantined anew when that one tells
 	// what it knew.
 	f.clock.advance(time.Second)
 	away := f.hosts[2]
@@ -311,7 +311,7 @@
 	stale, _ := away.Words(0, exchanger.ScopeOwn)
 	late.HearWords(stale, true)
 	late.Tick(f.clock.advance(settle))
-	assert.Assert(t, !late.IsAside(letter("crashing")))
+	assert.Assert(t, !late.IsQuarantined(letter("crashing")))
 }
 
 // Whether a process has ended is asked where runs broke off; a connection that
@@ -370,38 +370,38 @@
 			assert.NilError(t, q.group.Wait())
 			q.mu.Lock()
 			defer q.mu.Unlock()
-			e := q.table.ends[Process{"e1", "e1@1"}]
+			e := q.table.crashes[Process{"e1", "e1@1"}]
 			assert.Equal(t, e != nil && len(e.runs) == 2, test.isEnded)
 		})
 	}
 }
 
-// A caller that sends a thousand different requests that each end an engine, with
-// forty others beside it, takes up a bounded room; what is set aside stays so.
-func TestManyRequestsThatEndEngines(t *testing.T) {
+// A caller that sends a thousand different requests that each crash an engine, with
+// forty others beside it, takes up a bounded room; what is quarantined stays so.
+func TestManyRequestsThatCrashEngines(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2)
-	f.setAside()
+	f.quarantine()
 	for n := range 1000 {
 		runs := []runSpec{{body: fmt.Sprint("poison ", n), took: shortRun}}
-		for i := range 2 * maxRunsPerEnd {
+		for i := range 2 * maxRunsPerCrash {
 			runs = append(runs, runSpec{body: fmt.Sprint("letter ", n, i), host: i % 2, took: shortRun})
 		}
-		f.end(runs...)
+		f.crash(runs...)
 		f.clock.advance(20 * time.Millisecond)
 	}
 	f.settle()
 	for _, q := range f.hosts {
-		assert.Assert(t, q.IsAside(letter("crashing")))
-		assert.Assert(t, len(q.table.order) <= maxEnds)
-		assert.Assert(t, len(q.table.records) <= maxEnds*maxRunsPerEnd+1, "%d records", len(q.table.records))
+		assert.Assert(t, q.IsQuarantined(letter("crashing")))
+		assert.Assert(t, len(q.table.order) <= maxCrashes)
+		assert.Assert(t, len(q.table.records) <= maxCrashes*maxRunsPerCrash+1, "%d records", len(q.table.records))
 		assert.Assert(t, len(q.table.keys) <= len(q.table.records))
-		assert.Equal(t, q.Aside(), 1)
+		assert.Equal(t, q.Count(), 1)
 	}
 	f.clock.advance(2 * memory)
 	f.tell()
 	for _, q := range f.hosts {
-		assert.Equal(t, len(q.table.records)+len(q.table.keys)+len(q.table.ends)+q.Aside(), 0, "something is never forgotten")
+		assert.Equal(t, len(q.table.records)+len(q.table.keys)+len(q.table.crashes)+q.Count(), 0, "something is never forgotten")
 		assert.Equal(t, q.known.Load(), int64(0))
 	}
 }
@@ -434,7 +434,7 @@
 		}
 		return words
 	}
-	for n := range endsToBlame {
+	for n := range crashesToBlame {
 		f.clock.advance(time.Second)
 		target := driver.Target{EndpointID: fmt.Sprintf("e%d", n), Incarnation: "1"}
 		near.BrokeOff(Break{Request: letter("crashing"), Target: target, Took: shortRun})
@@ -448,26 +448,26 @@
 	f.clock.advance(settle)
 	for n, q := range f.hosts {
 		q.Tick(f.clock.Now())
-		assert.Assert(t, q.IsAside(letter("crashing")), "host %d", n)
+		assert.Assert(t, q.IsQuarantined(letter("crashing")), "host %d", n)
 	}
 	far.RanWell(letter("crashing"))
 	for range len(ways) {
 		pass()
 	}
 	for n, q := range f.hosts {
-		assert.Assert(t, !q.IsAside(letter("crashing")), "host %d", n)
+		assert.Assert(t, !q.IsQuarantined(letter("crashing")), "host %d", n)
 	}
 }
 
-// Of an end the hosts' words come one after the other. Judged by the first of them,
+// Of a crash the hosts' words come one after the other. Judged by the first of them,
 // a request that was only beside the one to blame would look as if it had been there
-// alone, and would be set aside.
-func TestEndsAreJudgedOnceAllHaveSpoken(t *testing.T) {
+// alone, and would be quarantined.
+func TestCrashesAreJudgedOnceAllHaveSpoken(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 2)
-	for range endsToBlame - 1 {
+	for range crashesToBlame - 1 {
 		f.clock.advance(time.Second)
-		f.end(runSpec{body: "crashing", host: 1, took: shortRun}, runSpec{body: "beside", host: 0, took: shortRun})
+		f.crash(runSpec{body: "crashing", host: 1, took: shortRun}, runSpec{body: "beside", host: 0, took: shortRun})
 	}
 	f.clock.advance(time.Second)
 	process := Process{EndpointID: "last", Incarnation: "1"}
@@ -476,27 +476,27 @@
 	f.hosts[0].Ended(process)
 	f.clock.advance(settle - 50*time.Millisecond) // the other host's word takes so long
 	f.hosts[0].Tick(f.clock.Now())
-	assert.Assert(t, !f.hosts[0].IsAside(letter("beside")))
+	assert.Assert(t, !f.hosts[0].IsQuarantined(letter("beside")))
 	f.hosts[1].BrokeOff(Break{Request: letter("crashing"), Target: target, Took: shortRun})
 	f.hosts[1].Ended(process)
 	f.tell()
 	f.settle()
 	for _, q := range f.hosts {
-		assert.Assert(t, !q.IsAside(letter("beside")))
+		assert.Assert(t, !q.IsQuarantined(letter("beside")))
 	}
 }
 
-// Hosts remember so many requests of an end, and not the same ones. One that lacks
-// the request to blame hears from the others that it is set aside.
+// Hosts remember so many requests of a crash, and not the same ones. One that lacks
+// the request to blame hears from the others that it is quarantined.
 func TestVerdictReachesAHostThatLacksAWord(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, 3)
 	last := f.hosts[2]
-	for n := range endsToBlame {
+	for n := range crashesToBlame {
 		f.clock.advance(time.Second)
 		if n == 0 {
 			process := Process{EndpointID: "e1", Incarnation: "1"}
-			for i := range maxRunsPerEnd { // no room for one more
+			for i := range maxRunsPerCrash { // no room for one more
 				last.BrokeOff(Break{
 					Request: letter(fmt.Sprint("letter ", i)), Took: shortRun,
 					Target: driver.Target{EndpointID: process.EndpointID, Incarnation: process.Incarnation},
@@ -504,11 +504,11 @@
 			}
 			last.Ended(process)
 		}
-		f.end(runSpec{body: "crashing", host: 0, took: shortRun})
+		f.crash(runSpec{body: "crashing", host: 0, took: shortRun})
 	}
 	f.settle()
 	f.tell()
 	for n, q := range f.hosts {
-		assert.Assert(t, q.IsAside(letter("crashing")), "host %d", n)
+		assert.Assert(t, q.IsQuarantined(letter("crashing")), "host %d", n)
 	}
 }
--- a/internal/quarantiner/words.go
+++ b/internal/quarantiner/words.go
@@ -10,7 +10,7 @@
 // or to its hubs where zones are large, and on from these. A word may come twice
 // or by two ways: what is known already is not told on.
 
-func wordOfEnd(process Process, at time.Time, runs []run) exchanger.CrashWord {
+func wordOfCrash(process Process, at time.Time, runs []run) exchanger.CrashWord {
 	word := exchanger.CrashWord{EndpointID: process.EndpointID, Incarnation: process.Incarnation, At: at}
 	for _, run := range runs {
 		word.Runs = append(word.Runs, exchanger.CrashRun{
@@ -42,15 +42,15 @@
 }
 
 // allLocked is everything that a peer is told that has just started, or was away:
-// all that is set aside, and all ends, of whichever host. Who told them first may
+// all that is quarantined, and all crashes, of whichever host. Who told them first may
 // be gone by now.
 func (q *Quarantiner) allLocked() (words []exchanger.CrashWord) {
-	var aside []exchanger.Quarantine
-	for name, r := range q.table.aside {
-		aside = append(aside, quarantineOf(name, r))
+	var quarantines []exchanger.Quarantine
+	for name, r := range q.table.quarantined {
+		quarantines = append(quarantines, quarantineOf(name, r))
 	}
-	if len(aside) > 0 {
-		words = append(words, exchanger.CrashWord{At: q.cfg.Now(), Quarantines: aside})
+	if len(quarantines) > 0 {
+		words = append(words, exchanger.CrashWord{At: q.cfg.Now(), Quarantines: quarantines})
 	}
 	for _, e := range q.table.order {
 		var runs []run
@@ -59,7 +59,7 @@
 				runs = append(runs, run{name: name, key: r.key, took: took})
 			}
 		}
-		words = append(words, wordOfEnd(e.process, e.at, runs))
+		words = append(words, wordOfCrash(e.process, e.at, runs))
 	}
 	return words
 }
@@ -95,24 +95,24 @@
 	}
 }
 
-// adoptLocked takes over what a peer has set aside, for a trial or for longer.
+// adoptLocked takes over what a peer has quarantined, for a trial or for longer.
 func (q *Quarantiner) adoptLocked(told *exchanger.Quarantine, origin exchanger.Scope) {
 	name := Name(told.Name)
-	lastEnd := told.Until.Add(-told.Pause)
-	if at, ok := q.table.released[name]; ok && !lastEnd.After(at) {
+	lastCrash := told.Until.Add(-told.Pause)
+	if at, ok := q.table.released[name]; ok && !lastCrash.After(at) {
 		return // it has run well since
 	}
 	r := q.table.record(name, key(told.Key))
 	if !told.Until.After(r.until) {
 		return
 	}
-	if !r.isAside() {
+	if !r.isQuarantined() {
 		q.isFresh = true
-		q.cfg.Logger.Warn("request set aside: a peer has found that endpoints end that run it", "request_name", name.String(),
+		q.cfg.Logger.Warn("request quarantined: a peer has found that endpoints crash that run it", "request_name", name.String(),
 			"until_ms", told.Until.Sub(q.cfg.Now()).Milliseconds())
 	}
 	r.until, r.pause = told.Until, max(told.Pause, r.pause)
-	q.table.aside[name] = r
+	q.table.quarantined[name] = r
 	q.log.Add(exchanger.CrashWord{At: q.cfg.Now(), Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, origin)
 	q.known.Store(int64(len(q.table.records)))
 }
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -5,13 +5,13 @@
 	"github.com/endivemast/endivemast/internal/quarantiner"
 )
 
-// How a Gateway's host knows that an endpoint's process has ended under requests,
+// How a Gateway's host knows that an endpoint's process has crashed under requests,
 // and which hosts try such a request again.
 
 func (g *Gateway) buildQuarantine() {
 	g.quarantiner = quarantiner.New(quarantiner.Config{
 		HostID: g.cfg.HostID, Ask: g.cfg.Driver.Reach, IsLeaving: g.isLeaving, Hosts: g.hostsInTouch,
-		SetAside: func() { g.forwarder.EndSetAside() }, Now: g.cfg.Clock.Now,
+		OnQuarantine: func() { g.forwarder.CancelQuarantined() }, Now: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("quarantiner"),
 	})
 }
--- a/tests/crashing_test.go
+++ b/tests/crashing_test.go
@@ -23,21 +23,21 @@
 	"github.com/endivemast/endivemast/standins/storeserver"
 )
 
-// A request that ends the engines that run it, with the real programs: three
+// A request that crashes the engines that run it, with the real programs: three
 // hosts in two availability zones as processes, callers that repeat at other
 // hosts at once, one host that is frozen, one that starts in the middle, and
-// engines that end for other reasons too.
+// engines that crash for other reasons too.
 
 const (
 	crashBody        = "a letter that no engine survives"
 	crashDelay       = 40 * time.Millisecond
 	crashedAway      = 700 * time.Millisecond
-	crashSettle      = 3 * time.Second // from the third end until all hosts in touch are to know
+	crashSettle      = 3 * time.Second // from the third crash until all hosts in touch are to know
 	crashSends       = 3               // that may follow
-	crashReason      = "ends_endpoints"
+	crashReason      = "crashes_endpoints"
 	crashLasts       = 14 * time.Second
 	crashEngines     = 9
-	crashOtherEvery  = 2 * time.Second // a third of the engines ends for other reasons
+	crashOtherEvery  = 2 * time.Second // a third of the engines crashes for other reasons
 	crashWrongShare  = 0.001           // of the other callers' requests that may be refused for it
 	crashPoisonEvery = 100 * time.Millisecond
 )
@@ -196,7 +196,7 @@
 	c.deployment.failed.Add(1)
 }
 
-// poison sends the request that ends engines, now and again.
+// poison sends the request that crashes engines, now and again.
 func (c *crashCaller) poison(ctx context.Context) {
 	ticker := time.NewTicker(crashPoisonEvery)
 	defer ticker.Stop()
@@ -208,7 +208,7 @@
 	}
 }
 
-// crashOthers ends a third of the engines now and then.
+// crashOthers crashes a third of the engines now and then.
 func (c *crashing) crashOthers(ctx context.Context) {
 	random := rand.New(rand.NewPCG(5, 33))
 	ticker := time.NewTicker(crashOtherEvery)
@@ -225,7 +225,7 @@
 	}
 }
 
-// poisoned are when the crashing request came to engines, and when it had ended
+// poisoned are when the crashing request came to engines, and when it had crashed
 // the third of them, which is some time after it came there.
 func (c *crashing) poisoned() (arrivals []time.Time, third time.Time) {
 	for _, engine := range c.engines {
@@ -285,9 +285,9 @@
 	for _, engine := range c.engines {
 		ends += len(engine.Ended())
 	}
-	t.Logf("%d engines ended; the crashing request was sent %d times, %d of them %v and later after the third end, and refused %d times; "+
+	t.Logf("%d engines crashed; the crashing request was sent %d times, %d of them %v and later after the third crash, and refused %d times; "+
 		"of %d others' requests %d failed and %d were refused for it", ends, len(arrivals), late, crashSettle, c.told.Load(), c.sent.Load(), c.failed.Load(), c.wrong.Load())
 	assert.Assert(t, len(arrivals) >= 3, "sent %d times", len(arrivals))
-	assert.Assert(t, late <= crashSends, "sent %d times more, %v and later after the third end", late, crashSettle)
+	assert.Assert(t, late <= crashSends, "sent %d times more, %v and later after the third crash", late, crashSettle)
 	assert.Assert(t, float64(c.wrong.Load()) <= crashWrongShare*float64(c.sent.Load()), "%d of %d others' requests refused", c.wrong.Load(), c.sent.Load())
 }
