--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -9,9 +9,9 @@
 const (
 	// crashesToBlame is how many processes have to crash under a request, one after
 	// the other, before it is quarantined. Callers who send a request again at once
-	// while engines crash for other reasons may be hit twice running; that none is hit three
-	// times with no run going well between is what the model of the tests shows, for
-	// 2,310,000 requests but 55.
+	// while engines crash for other reasons may be hit twice running; three times,
+	// with no run going well between, the model of the tests saw for 55 of 2,310,000
+	// requests, all of them beside a caller with another crashing request each 150 ms.
 	crashesToBlame = 3
 	// earlyRun is how long after its first event a run counts as just begun. The
 	// engines that were seen to crash did so 45 to 100 ms after they had begun the
@@ -31,8 +31,8 @@
 	firstPause = 30 * time.Second
 	// contestedPause is the first one where other processes crash as well. A caller
 	// that crashes an engine each 100 ms, with another request each time, has what
-	// many others send quarantined as well; the model of the tests saw 9,124 of 375,000
-	// requests refused for it with this pause; 8,443 of 225,000 with the other one.
+	// many others send quarantined as well: in the model of the tests 9,124 of 375,000
+	// requests with this pause, and 15,588 with the other one.
 	contestedPause = 15 * time.Second
 	// contestMargin is the time before the first crash over which other crashes are
 	// counted as well: three may come within half a second.
@@ -87,8 +87,8 @@
 func (r *record) isQuarantined() bool { return !r.until.IsZero() }
 
 // counts is true for a crash that still speaks against the request.
-func (r *record) counts(e *crash, now time.Time) bool {
-	return e.at.After(r.ranAt) && now.Sub(e.at) < memory
+func (r *record) counts(c *crash, now time.Time) bool {
+	return c.at.After(r.ranAt) && now.Sub(c.at) < memory
 }
 
 // weight is how many crashes speak against the request. It is asked of each request
@@ -100,8 +100,8 @@
 		return r.weighed
 	}
 	r.weighedAt, r.weighed = now, 0
-	for _, e := range r.crashes {
-		if r.counts(e, now) {
+	for _, c := range r.crashes {
+		if r.counts(c, now) {
 			r.weighed++
 		}
 	}
@@ -117,24 +117,24 @@
 	if r.isQuarantined() {
 		weight = math.MaxInt
 	}
-	for _, e := range r.crashes {
+	for _, c := range r.crashes {
 		// A trial that crashes an endpoint has to be known before the next one.
-		isSettled := r.isQuarantined() || now.Sub(e.heardAt) >= settle
-		if !r.counts(e, now) || !isSettled {
+		isSettled := r.isQuarantined() || now.Sub(c.heardAt) >= settle
+		if !r.counts(c, now) || !isSettled {
 			continue
 		}
-		if !t.isExplained(e, name, weight, now) {
-			crashes = append(crashes, e)
+		if !t.isExplained(c, name, weight, now) {
+			crashes = append(crashes, c)
 		}
 	}
 	return crashes
 }
 
 // isExplained is true where another request explains a crash as well.
-func (t *table) isExplained(e *crash, name Name, weight int, now time.Time) bool {
-	for other := range e.runs {
+func (t *table) isExplained(c *crash, name Name, weight int, now time.Time) bool {
+	for other := range c.runs {
 		r := t.records[other]
-		if other == name || r == nil || !r.counts(e, now) {
+		if other == name || r == nil || !r.counts(c, now) {
 			continue
 		}
 		if r.isQuarantined() || r.weight(now) >= weight {
@@ -150,10 +150,10 @@
 func inTurn(name Name, crashes []*crash) (turns []*crash) {
 	crashes = slices.Clone(crashes)
 	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
-	for _, e := range crashes {
-		sentAt := e.at.Add(-e.runs[name])
+	for _, c := range crashes {
+		sentAt := c.at.Add(-c.runs[name])
 		if len(turns) == 0 || sentAt.After(turns[len(turns)-1].at) {
-			turns = append(turns, e)
+			turns = append(turns, c)
 		}
 	}
 	return turns
@@ -164,8 +164,8 @@
 // request each time.
 func (t *table) isContested(name Name, begin, until time.Time) bool {
 	others := 0
-	for _, e := range t.order {
-		if _, isThere := e.runs[name]; !isThere && e.at.After(begin) && !e.at.After(until) {
+	for _, c := range t.order {
+		if _, isThere := c.runs[name]; !isThere && c.at.After(begin) && !c.at.After(until) {
 			others++
 		}
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -273,8 +273,8 @@
 // crashes; where a trial of this host's was one, the others are told by how much.
 func (q *Quarantiner) extendLocked(name Name, r *record) {
 	wasTried := r.isTried
-	for _, e := range q.table.blamedFor(name, q.cfg.Now()) {
-		r.extend(e.at)
+	for _, c := range q.table.blamedFor(name, q.cfg.Now()) {
+		r.extend(c.at)
 	}
 	if wasTried && !r.isTried {
 		q.cfg.Logger.Info("trial of a quarantined request has crashed an endpoint", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
@@ -363,8 +363,8 @@
 	q.isFresh = true
 	q.log.Add(exchanger.CrashWord{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
 	var endpointIDs []string
-	for _, e := range turns {
-		endpointIDs = append(endpointIDs, e.process.EndpointID)
+	for _, c := range turns {
+		endpointIDs = append(endpointIDs, c.process.EndpointID)
 	}
 	q.cfg.Logger.Warn("request quarantined: endpoints crash that run it", "request_name", name.String(), "endpoint_ids", endpointIDs,
 		"first_crash_ago_ms", now.Sub(turns[0].at).Milliseconds(), "until_ms", r.until.Sub(now).Milliseconds())
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -52,19 +52,19 @@
 
 // add takes a crash with some runs there, and returns those that were not known.
 func (t *table) add(process Process, at, now time.Time, runs []run) (fresh []run) {
-	e := t.crashes[process]
-	if e == nil {
-		e = &crash{process: process, at: at, heardAt: now, runs: map[Name]time.Duration{}}
-		t.crashes[process] = e
-		t.order = append(t.order, e)
+	c := t.crashes[process]
+	if c == nil {
+		c = &crash{process: process, at: at, heardAt: now, runs: map[Name]time.Duration{}}
+		t.crashes[process] = c
+		t.order = append(t.order, c)
 	}
 	for _, run := range runs {
-		if _, isKnown := e.runs[run.name]; isKnown || len(e.runs) >= maxRunsPerCrash {
+		if _, isKnown := c.runs[run.name]; isKnown || len(c.runs) >= maxRunsPerCrash {
 			continue
 		}
-		e.runs[run.name] = run.took
+		c.runs[run.name] = run.took
 		r := t.record(run.name, run.key)
-		r.crashes, r.weighedAt = append(r.crashes, e), time.Time{}
+		r.crashes, r.weighedAt = append(r.crashes, c), time.Time{}
 		if len(r.crashes) >= crashesToBlame {
 			t.suspects[run.name] = r
 		}
@@ -107,11 +107,11 @@
 	}
 }
 
-func (t *table) dropCrash(e *crash) {
-	delete(t.crashes, e.process)
-	for name := range e.runs {
+func (t *table) dropCrash(c *crash) {
+	delete(t.crashes, c.process)
+	for name := range c.runs {
 		r := t.records[name]
-		r.crashes = slices.DeleteFunc(r.crashes, func(other *crash) bool { return other == e })
+		r.crashes = slices.DeleteFunc(r.crashes, func(other *crash) bool { return other == c })
 		if len(r.crashes) < crashesToBlame {
 			delete(t.suspects, name)
 		}
@@ -136,8 +136,8 @@
 	if t.isContested(name, turns[0].at.Add(-contestMargin), turns[len(turns)-1].at) {
 		r.pause = contestedPause
 	}
-	for _, e := range turns {
-		r.extend(e.at)
+	for _, c := range turns {
+		r.extend(c.at)
 	}
 	t.quarantined[name] = r
 }
--- a/internal/quarantiner/words.go
+++ b/internal/quarantiner/words.go
@@ -52,14 +52,14 @@
 	if len(quarantines) > 0 {
 		words = append(words, exchanger.CrashWord{At: q.cfg.Now(), Quarantines: quarantines})
 	}
-	for _, e := range q.table.order {
+	for _, c := range q.table.order {
 		var runs []run
-		for name, took := range e.runs {
-			if r := q.table.records[name]; r != nil && e.at.After(r.ranAt) {
+		for name, took := range c.runs {
+			if r := q.table.records[name]; r != nil && c.at.After(r.ranAt) {
 				runs = append(runs, run{name: name, key: r.key, took: took})
 			}
 		}
-		words = append(words, wordOfCrash(e.process, e.at, runs))
+		words = append(words, wordOfCrash(c.process, c.at, runs))
 	}
 	return words
 }
