--- a/internal/quarantiner/name.go
+++ b/internal/quarantiner/name.go
@@ -66,14 +66,14 @@
 // have it. Only where it is among those that are looked for is the name computed.
 type key uint64
 
+// keyRoom holds what most keys are of without another allocation, in bytes.
+const keyRoom = 256
+
 func (r *Request) key() key {
-	d := xxhash.New()
+	b := make([]byte, 0, keyRoom)
 	for _, part := range []string{r.Method, r.Host, r.Path} {
-		_, _ = d.WriteString(part) // a digest does not fail
-		_, _ = d.Write([]byte{0})
+		b = append(b, part...)
+		b = append(b, 0)
 	}
-	var length [8]byte
-	binary.BigEndian.PutUint64(length[:], uint64(len(r.Body)))
-	_, _ = d.Write(length[:])
-	return key(d.Sum64())
+	return key(xxhash.Sum64(binary.BigEndian.AppendUint64(b, uint64(len(r.Body)))))
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -36,8 +36,8 @@
 	// IsLeaving is true for a process that is known to take no new work: that its
 	// connections end was to be expected.
 	IsLeaving func(process Process) bool
-	// Hosts are the ids of the hosts that are in touch, this one included. They
-	// take turns with trying a quarantined request.
+	// Hosts are the ids of the hosts that this one hears, itself included: the order in
+	// which they may try a quarantined request is of these.
 	Hosts func() []string
 	// OnQuarantine is called, without a lock, after requests have been quarantined: what
 	// is under way of them is to be cancelled.
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -139,7 +139,6 @@
 	if g.cfg.Clock == nil {
 		g.cfg.Clock = timekeeper.New()
 	}
-	g.detector = timekeeper.NewDetector(g.cfg.Clock)
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.meter = meter.New(meter.Config{})
 	g.caches = cachesharer.New(cachesharer.Config{Heard: g.hearCache, Logger: cfg.Logger.Named("cachesharer")})
@@ -197,11 +196,11 @@
 // Start serves. It fails when an address can't be listened on.
 func (g *Gateway) Start() (err error) {
 	defer func() { err = eris.Wrap(err, "start entry host") }()
+	g.detector = timekeeper.NewDetector(g.cfg.Clock)
 	if err := errors.Join(g.callers.Start(), g.readiness.Start()); err != nil {
 		return err
 	}
 	g.registerGauges()
-	_, _ = g.detector.Look() // what was before the start is no matter
 	g.group.Go(func() error { return g.follower.Run(g.ctx) })
 	g.exchanger.Start()
 	g.group.Go(func() error { return g.registrar.Run(g.ctx) })
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -10,7 +10,7 @@
 
 func (g *Gateway) buildQuarantine() {
 	g.quarantiner = quarantiner.New(quarantiner.Config{
-		HostID: g.cfg.HostID, Ask: g.cfg.Driver.Reach, IsLeaving: g.isLeaving, Hosts: g.hostsInTouch,
+		HostID: g.cfg.HostID, Ask: g.cfg.Driver.Reach, IsLeaving: g.isLeaving, Hosts: g.hostsHeard,
 		OnQuarantine: func() { g.forwarder.CancelQuarantined() }, Now: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("quarantiner"),
 	})
@@ -23,8 +23,8 @@
 	return !ok || host.Incarnation == process.Incarnation && host.State == provider.HostLeaving
 }
 
-// hostsInTouch are the hosts that have not fallen silent, this one included.
-func (g *Gateway) hostsInTouch() []string {
+// hostsHeard are the hosts that have not fallen silent, this one included.
+func (g *Gateway) hostsHeard() []string {
 	ids := []string{g.cfg.HostID}
 	for _, status := range g.exchanger.Statuses() {
 		if status.Reachable && !status.Draining {
