--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -22,9 +22,10 @@
 //
 // A request that one host quarantines is refused at once, by all hosts. After a pause
 // one host tries it, and the others wait for the outcome: the pause doubles where an
-// endpoint crashes, and a run that goes well lifts the quarantine. So a caller can
-// have another's request quarantined only by sending that very request, whole, while
-// it keeps the engines from running it, and for a pause at a time.
+// endpoint crashes, and a run that goes well lifts the quarantine. A caller that
+// crashes engine after engine, with another request each time, keeps nearly all runs
+// from going well, and can have what others send often quarantined for a pause at a
+// time; it can't forge a name.
 //
 // # Usage
 //
