--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -282,8 +282,8 @@
 	}
 }
 
-// SetProcesses takes the listed processes: where one has the id or the address of
-// one whose runs broke off, that one has ended.
+// SetProcesses takes the listed processes: where one has the id of one whose runs
+// broke off, and another incarnation, that one has ended.
 func (q *Quarantiner) SetProcesses(incarnationOf func(endpointID string) (incarnation string, ok bool)) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
