Sight: a line for each refusal with what the host believed of its endpoints

Cause sought: of 12 to 28 refusals "overload" in the milliseconds after a host had stood still, it could not be told whether the endpoints were busy or were only held for silent. The line (at debug level, like those about attempts) gives usable endpoints of how many, capacity, pace, queue, age and when to come back.

--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -113,6 +113,7 @@
 		}
 	}
 	if refused, ok := s.refuseUnreachable(verdict, &item, now); ok {
+		s.logRefusal(q, w, refused.refusal)
 		return nil, refused
 	}
 	q.insert(position, item, w)
@@ -274,7 +275,21 @@
 	if reason == ReasonTooLate {
 		s.class(&w.work).DoubtFirst()
 	}
-	w.outcome <- refusal(reason, after)
+	refused := refusal(reason, after)
+	s.logRefusal(q, w, refused.refusal)
+	w.outcome <- refused
+}
+
+// logRefusal tells what the host believed when it refused work.
+func (s *Scheduler) logRefusal(q *queue, w *waiter, refused *RefusalError) {
+	if !s.logger.IsDebug() {
+		return
+	}
+	application := s.table.Application(q.application)
+	s.logger.Debug("work refused", "request_id", w.work.RequestID, "class", w.work.Class.Name, "reason", refused.Reason,
+		"retry_after_ms", refused.RetryAfter.Milliseconds(), "age_ms", s.now().Sub(w.work.Arrived).Milliseconds(),
+		"endpoints", application.Len(), "usable", application.Summary.Usable, "capacity", application.Summary.Capacity,
+		"pace", q.pace.factor(), "queued", len(q.items), "excluded", len(w.work.Excluded))
 }
 
 func (s *Scheduler) refuseAll(q *queue, reason RefusalReason) {
@@ -308,6 +323,7 @@
 		}
 		if refused, ok := s.refuseUnreachable(verdict, &q.items[position], now); ok {
 			s.take(q, position)
+			s.logRefusal(q, w, refused.refusal)
 			w.outcome <- refused
 			continue
 		}
