--- a/tests/doc_test.go
+++ b/tests/doc_test.go
@@ -36,6 +36,7 @@
 //	note work HOST            notes how much work the endpoint has taken so far
 //	check noted-work HOST     it has taken none since
 //	crash|pause|resume|terminate|start HOST...   by SIGKILL, SIGSTOP, SIGCONT, SIGTERM
+//	stall 3s HOST...          hosts stand still for a time, and go on
 //	replace HOST              terminate, start and await ready
 //	leaving HOST              the platform lists the host as leaving
 //	listed HOST               the platform lists the host as live
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -59,6 +59,7 @@
 			"check":   command((*script).check),
 			"crash":   command(each((*cluster).kill)),
 			"pause":   command(each(func(_ *cluster, m *member) error { return withTimeout(m.process.pause) })),
+			"stall":   command((*script).stall),
 			"resume":  command(each(func(_ *cluster, m *member) error { return m.process.signal(syscall.SIGCONT) })),
 			"terminate": command(each(func(c *cluster, m *member) error {
 				return withTimeout(func(ctx context.Context) error { return c.terminate(ctx, m) })
