Limits on waiting for others stand still while the process does

What callers saw: a host that had stood still for some seconds (stopped, starved, a virtual machine that is moved) told them "unknown", refused them as overload before idle engines, and had engines do the work of its running requests twice. Cause: when such a process goes on, the limits of all that it waits for are over, and are looked at before its sockets, where the answers lie. Log of a host stopped for 2 s: 10 attempts "endpoint fell silent" and "commit of claims failed" within 2 ms of going on, then 28 refusals within 28 ms; of hosts stopped for 3 s: "usable":0 of 3, "capacity":0. Ruled out: load (52 to 77 busy loops do not bring it out), the engines (they were idle). Change: timekeeper.Timer counts the time for which the process runs, and takes the place of the limits that judge others: silence and hedges of a round, streams, dials, reports, calls of the store and of peers, commits of claims, votes, feeds. Limits that are a promise (leases, the sending of orders) stay as they were. Peers are not held for silent at the first look after the host was away. Why it holds: what is left of a limit when the process stops is left when it goes on, so that sockets are read first; a part that ends late is waited for once more, as often as there are parts at most, so nobody waits for ever. Cost: the same timer with eight parts; none fires for an answer within an eighth of its limit.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -14,6 +14,7 @@
 	"github.com/endivemast/endivemast/internal/claimer/claimerpb"
 	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // Defaults of a Config.
@@ -187,7 +188,7 @@
 	if c.health.check() == nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, c.cfg.StoreTimeout)
+	ctx, cancel := timekeeper.WithTimeout(c.ctx, c.cfg.StoreTimeout)
 	defer cancel()
 	_, err := c.cfg.Store.Get(ctx, c.shards[0].headKey())
 	if errors.Is(err, provider.ErrNotFound) {
--- a/internal/claimer/peers.go
+++ b/internal/claimer/peers.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivemast/endivemast/internal/claimer/claimerpb"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -126,7 +127,7 @@
 }
 
 func (t *peerTable) greet(ctx context.Context, hostID string) {
-	ctx, cancel := context.WithTimeout(ctx, t.cfg.PeerTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, t.cfg.PeerTimeout)
 	defer cancel()
 	client, err := t.client(hostID)
 	if err != nil {
--- a/internal/claimer/shard.go
+++ b/internal/claimer/shard.go
@@ -15,6 +15,7 @@
 
 	"github.com/endivemast/endivemast/internal/claimer/claimerpb"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -193,7 +194,7 @@
 		s.deliverAll(ops, outcome{err: err})
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	decisions, err := s.commit(ctx, ops)
 	s.health.report(err)
--- a/internal/claimer/target.go
+++ b/internal/claimer/target.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/endivemast/endivemast/internal/claimer/claimerpb"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // target is the register of a key: a storeTarget or a ticketTarget.
@@ -103,7 +104,7 @@
 	if err != nil {
 		return decision{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.PeerTimeout+c.cfg.CommitGap)
+	ctx, cancel := timekeeper.WithTimeout(ctx, c.cfg.PeerTimeout+c.cfg.CommitGap)
 	defer cancel()
 	reply, err := client.Commit(ctx, &claimerpb.CommitRequest{Entry: encodeEntry(where.key, wanted)})
 	if !errors.Is(ctx.Err(), context.Canceled) { // the caller's leaving says nothing of the writer
@@ -153,7 +154,7 @@
 	if err != nil {
 		return unavailable
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, c.cfg.PeerTimeout)
+	ctx, cancel := timekeeper.WithTimeout(c.ctx, c.cfg.PeerTimeout)
 	defer cancel()
 	reply, err := client.Vote(ctx, &claimerpb.VoteRequest{
 		Tenant: where.tenant, Ticket: where.sealed, Entry: encodeEntry(where.key, wanted),
--- a/internal/configurer/applier.go
+++ b/internal/configurer/applier.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -228,7 +229,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", provider.ErrUnavailable, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	_, err = c.cfg.Store.Swap(ctx, provider.Write{Key: c.headKey(), Value: value, IfRevision: entry.Revision})
 	return err
--- a/internal/configurer/relayer.go
+++ b/internal/configurer/relayer.go
@@ -12,6 +12,7 @@
 
 	"github.com/endivemast/endivemast/internal/configurer/configurerpb"
 	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -151,7 +152,7 @@
 }
 
 func (c *Configurer) push(ctx context.Context, client configurerpb.ConfigurerClient, request *configurerpb.PushRequest) (*configurerpb.PushReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	return client.Push(ctx, request)
 }
@@ -289,7 +290,7 @@
 }
 
 func (c *Configurer) compare(ctx context.Context, client configurerpb.ConfigurerClient, request *configurerpb.CompareRequest) (*configurerpb.CompareReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	return client.Compare(ctx, request)
 }
@@ -367,7 +368,7 @@
 }
 
 func (c *Configurer) fetchPage(ctx context.Context, client configurerpb.ConfigurerClient, first uint32, shards map[int]*shard) (page *configurerpb.FetchReply, err error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	page, err = client.Fetch(ctx, &configurerpb.FetchRequest{FirstShard: first})
 	if err != nil {
--- a/internal/configurer/storer.go
+++ b/internal/configurer/storer.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -37,7 +38,7 @@
 // readHead reads the head document; both are zero where there is none yet.
 func (c *Configurer) readHead(ctx context.Context) (entry provider.Entry, h head, err error) {
 	defer func() { err = eris.Wrap(err, "read head document") }()
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	entry, err = c.cfg.Store.Get(ctx, c.headKey())
 	switch {
@@ -84,7 +85,7 @@
 }
 
 func (c *Configurer) listGroup(ctx context.Context, prefix string, shards map[int]*shard) error {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	entries, _, err := c.cfg.Store.List(ctx, prefix)
 	if err != nil {
@@ -132,7 +133,7 @@
 // means that somebody wrote meanwhile, or that the answer was lost: both are
 // told apart by reading the document again.
 func (c *Configurer) tryFold(ctx context.Context, i int, s *shard, value []byte) (done bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	entry, err := c.cfg.Store.Get(ctx, c.shardKey(i))
 	if err != nil && !errors.Is(err, provider.ErrNotFound) {
--- a/internal/configurer/watcher.go
+++ b/internal/configurer/watcher.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -136,7 +137,7 @@
 // listHead takes in the head document, and returns its store revision and the
 // one to watch from.
 func (c *Configurer) listHead(ctx context.Context) (seen, next int64, err error) {
-	listCtx, cancel := context.WithTimeout(ctx, c.cfg.CallTimeout)
+	listCtx, cancel := timekeeper.WithTimeout(ctx, c.cfg.CallTimeout)
 	defer cancel()
 	entries, revision, err := c.cfg.Store.List(listCtx, c.headKey())
 	if err != nil {
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -9,6 +9,7 @@
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // once is one call that may not be repeated.
@@ -44,7 +45,7 @@
 	o := &once{dispatcher: d, request: request, class: class, arrived: arrived, claim: claim}
 	// A caller that goes away does not stop the call: the service may have
 	// run it, and the claim's record has to tell a repeat what came of it.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(giveUpFactor*class.CompletionTarget(), minimumCallTime))
+	ctx, cancel := timekeeper.WithTimeout(context.WithoutCancel(ctx), max(giveUpFactor*class.CompletionTarget(), minimumCallTime))
 	defer cancel()
 	return o.dispatch(ctx)
 }
@@ -205,7 +206,7 @@
 	recorded := make(chan struct{})
 	o.dispatcher.records.Go(func() error {
 		defer close(recorded)
-		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		ctx, cancel := timekeeper.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
 		if err := o.claim.Finish(ctx, record); err != nil {
 			o.dispatcher.cfg.Logger.Debug("claim not finished", "request_id", o.request.RequestID, "state", record.State, "error", err)
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -12,6 +12,7 @@
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // Errors that end an attempt from this side.
@@ -172,21 +173,23 @@
 		err = errors.Join(err, race.close())
 	}()
 	race.start(ctx)
-	hedge := time.NewTimer(r.hedgeDelay())
+	hedge, hedgeDue := timekeeper.NewTimer(r.hedgeDelay())
 	defer hedge.Stop()
 	// Before the first token the round's silence is bounded by the completion
-	// target, behind which waiting on for these endpoints is of no use.
-	silence := time.NewTimer(max(r.class.CompletionTarget(), r.dispatcher.cfg.Stall))
+	// target, behind which waiting on for these endpoints is of no use. Both limits
+	// stand still while this process does: the events that came meanwhile are yet
+	// to be read, and a hedge for each request at once would double the work.
+	silence, isSilent := timekeeper.NewTimer(max(r.class.CompletionTarget(), r.dispatcher.cfg.Stall))
 	defer silence.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-hedge.C:
+		case <-hedgeDue:
 			if !race.hedge(ctx) {
 				hedge.Reset(r.hedgeDelay())
 			}
-		case <-silence.C:
+		case <-isSilent:
 			race.stall()
 			return errStalled
 		case event := <-race.events:
--- a/internal/etcdprovider/caller.go
+++ b/internal/etcdprovider/caller.go
@@ -11,6 +11,7 @@
 	"sync"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // maxAnswerBytes bounds a whole answer, and one frame of a watch.
@@ -125,7 +126,7 @@
 }
 
 func (p *Provider) attempt(ctx context.Context, endpoint string, send sendFunc) error {
-	ctx, cancel := context.WithTimeout(ctx, p.cfg.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, p.cfg.CallTimeout)
 	defer cancel()
 	return send(ctx, endpoint)
 }
--- a/internal/etcdprovider/provider.go
+++ b/internal/etcdprovider/provider.go
@@ -42,6 +42,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // Defaults of a Config.
@@ -122,7 +123,6 @@
 
 func newClient(dialTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{
-		Timeout: dialTimeout,
 		// Finds hosts that were cut off while a connection to them was idle.
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3,
@@ -132,7 +132,11 @@
 	protocols.SetHTTP1(true) // the reasoning at onceBody is about HTTP/1
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				ctx, cancel := timekeeper.WithTimeout(ctx, dialTimeout)
+				defer cancel()
+				return dialer.DialContext(ctx, network, address)
+			},
 			Protocols:           protocols,
 			MaxIdleConnsPerHost: 16,
 			IdleConnTimeout:     30 * time.Second,
--- a/internal/etcdprovider/watcher.go
+++ b/internal/etcdprovider/watcher.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 var (
@@ -91,7 +92,7 @@
 func (p *Provider) openStream(
 	ctx context.Context, cancel context.CancelCauseFunc, endpoint string, body []byte,
 ) (stream *frameReader, err error) {
-	timer := time.AfterFunc(p.cfg.CallTimeout, func() { cancel(errNotOpened) })
+	timer := timekeeper.AfterFunc(p.cfg.CallTimeout, func() { cancel(errNotOpened) })
 	defer timer.Stop()
 	answer, err := p.open(ctx, endpoint+"/v3/watch", bytes.NewReader(body))
 	if err != nil {
@@ -181,7 +182,7 @@
 
 // idleTimer ends a watch that receives nothing; a nil timer never does.
 type idleTimer struct {
-	timer   *time.Timer
+	timer   *timekeeper.Timer
 	timeout time.Duration
 }
 
@@ -189,7 +190,7 @@
 	if p.cfg.WatchIdleTimeout < 0 {
 		return idleTimer{}
 	}
-	timer := time.AfterFunc(p.cfg.WatchIdleTimeout, func() { cancel(errIdle) })
+	timer := timekeeper.AfterFunc(p.cfg.WatchIdleTimeout, func() { cancel(errIdle) })
 	return idleTimer{timer: timer, timeout: p.cfg.WatchIdleTimeout}
 }
 
--- a/internal/exchanger/hearer.go
+++ b/internal/exchanger/hearer.go
@@ -8,6 +8,7 @@
 	"google.golang.org/grpc/status"
 
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // heardPeer is the receiving side's row of one peer.
@@ -92,15 +93,21 @@
 // idle, and the sum of a few huge ones would run over and do the same.
 func count(n int64) int { return int(min(max(n, 0), maxCount)) }
 
-// forgetSilent drops the load of peers that have not spoken for a while.
+// forgetSilent drops the load of peers that have not spoken for a while. After this
+// host was away itself it judges nobody at first: what peers have said meanwhile is
+// still to be read.
 func (ex *Exchanger) forgetSilent(ctx context.Context) error {
 	ticker := time.NewTicker(ex.cfg.Silence / 4)
 	defer ticker.Stop()
+	detector := timekeeper.NewDetector(timekeeper.New())
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if _, isAway := detector.Look(); isAway {
+				continue
+			}
 			for _, source := range ex.silent(now) {
 				ex.local.HearLoad(source, 0, nil, now)
 			}
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -7,6 +7,7 @@
 
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // teller is the sending side's row of one peer.
@@ -109,7 +110,7 @@
 	row.idle, row.leaving = 0, len(word.leaving)
 	row.sequence++
 	message.Sequence = row.sequence
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	reply, err := client.Tell(ctx, message)
 	row.settle(word.loads, err == nil && !reply.GetResync())
@@ -243,7 +244,7 @@
 }
 
 func (ex *Exchanger) askPeer(ctx context.Context, peer Peer, newerThan int64) (*exchangerpb.HostsReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, tellTimeout)
 	defer cancel()
 	conn, err := ex.Conn(peer.HostID)
 	if err != nil {
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -59,7 +60,7 @@
 }
 
 func (f *Follower) ask(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	update, err := f.cfg.Peers.AskPeers(ctx, f.seen())
 	if err != nil {
--- a/internal/httpdriver/conn.go
+++ b/internal/httpdriver/conn.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivemast/endivemast/internal/timekeeper"
 	"github.com/endivemast/endivemast/internal/transporter"
 )
 
@@ -102,10 +103,9 @@
 // connection: a pause plus a partition would then deliver an order after its
 // sender's lease has lapsed.
 func dial(ctx context.Context, address string, timeout, userTimeout time.Duration) (*countingConn, error) {
-	dialer := net.Dialer{
-		Timeout: timeout,
-		Control: transporter.UserTimeout(userTimeout),
-	}
+	dialer := net.Dialer{Control: transporter.UserTimeout(userTimeout)}
+	ctx, cancel := timekeeper.WithTimeout(ctx, timeout)
+	defer cancel()
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/httpdriver/driver.go
+++ b/internal/httpdriver/driver.go
@@ -31,6 +31,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 var (
@@ -159,7 +160,7 @@
 func (d *Driver) Call(ctx context.Context, target driver.Target, call driver.ServiceCall) (_ driver.ServiceAnswer, err error) {
 	defer func() { err = eris.Wrapf(err, "call service %s", target.EndpointID) }()
 
-	ctx, cancel := context.WithTimeout(ctx, d.settings.CallTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, d.settings.CallTimeout)
 	defer cancel()
 	var answer CallAnswer
 	echoed := func() string { return answer.AttemptID }
@@ -174,7 +175,7 @@
 func (d *Driver) Cancel(ctx context.Context, target driver.Target, attemptID string) (err error) {
 	defer func() { err = eris.Wrapf(err, "cancel at %s", target.EndpointID) }()
 
-	ctx, cancel := context.WithTimeout(ctx, d.settings.ControlTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, d.settings.ControlTimeout)
 	defer cancel()
 	var answer CancelMessage
 	echoed := func() string { return answer.AttemptID }
@@ -249,7 +250,7 @@
 		return report, err
 	}
 	defer d.running.Done()
-	ctx, cancel := context.WithTimeout(ctx, d.settings.ControlTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, d.settings.ControlTimeout)
 	defer cancel()
 	query := url.Values{QueryCacheSequence: {strconv.FormatInt(cacheSequence, 10)}}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+PathReport+"?"+query.Encode(), http.NoBody)
--- a/internal/httpdriver/stream.go
+++ b/internal/httpdriver/stream.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // lineBufferBytes is the buffer of each open stream: room for some tokens'
@@ -95,7 +96,7 @@
 	body    io.ReadCloser
 	lines   lineReader
 	idle    time.Duration
-	timer   *time.Timer // ends the answer when the engine is silent; stopped while nobody reads
+	timer   *timekeeper.Timer // ends the answer when the engine is silent; stopped while nobody reads
 }
 
 // open sends a POST and returns its streamed answer. The caller calls either
@@ -105,7 +106,7 @@
 	s := &answer{ctx: ctx, cancel: cancel, attempt: &attempt{}, idle: d.settings.StreamIdleTimeout}
 	// The engine answers the headers when it accepts the call, so that its
 	// silence before them counts like silence within the stream.
-	s.timer = time.AfterFunc(s.idle, func() { cancel(errSilent) })
+	s.timer = timekeeper.AfterFunc(s.idle, func() { cancel(errSilent) })
 	defer func() {
 		s.timer.Stop()
 		if err != nil {
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -25,6 +25,7 @@
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // Defaults of a Config.
@@ -176,7 +177,7 @@
 
 // readList reads the platform's list, or a peer's while the platform is away.
 func (l *Lister) readList() {
-	ctx, cancel := context.WithTimeout(l.ctx, listTimeout)
+	ctx, cancel := timekeeper.WithTimeout(l.ctx, listTimeout)
 	hosts, revision, err := l.cfg.Platform.Hosts(ctx)
 	cancel()
 	if err != nil {
--- a/internal/lister/reader.go
+++ b/internal/lister/reader.go
@@ -7,6 +7,7 @@
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // reader is the row of one endpoint whose reports are read.
@@ -60,7 +61,7 @@
 
 func (l *Lister) readReport(ctx context.Context, row *reader) {
 	target := driver.Target{EndpointID: row.host.ID, Incarnation: row.host.Incarnation, Address: row.host.Address}
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	requested := time.Now()
 	report, err := l.cfg.Driver.Report(ctx, target, row.cacheSequence)
--- a/internal/orderer/tick.go
+++ b/internal/orderer/tick.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivemast/endivemast/internal/leaser"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // maxAsks bounds the questions to former holders that run at once.
@@ -207,7 +208,7 @@
 
 // ask asks former holders side by side whether they make no more sends.
 func (o *Orderer) ask(ctx context.Context, record leaser.Record, holders map[string]leaser.Holder) error {
-	ctx, cancel := context.WithTimeout(ctx, o.cfg.AskTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, o.cfg.AskTimeout)
 	defer cancel()
 	var group errgroup.Group
 	group.SetLimit(maxAsks)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -214,7 +215,7 @@
 // ask asks whether a process still listens. Where that can't be told, runs that
 // broke off wait for somebody else's word.
 func (q *Quarantiner) ask(process Process, target driver.Target) {
-	ctx, cancel := context.WithTimeout(q.ctx, askTimeout)
+	ctx, cancel := timekeeper.WithTimeout(q.ctx, askTimeout)
 	defer cancel()
 	err := q.cfg.Ask(ctx, target)
 	isEnded := errors.Is(err, driver.ErrNobodyListens) || errors.Is(err, driver.ErrReplaced)
--- a/internal/relayer/feed.go
+++ b/internal/relayer/feed.go
@@ -14,6 +14,7 @@
 	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/relayer/relayerpb"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 var (
@@ -141,7 +142,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(f.watcher.ctx)
 	defer cancel(nil)
-	guard := time.AfterFunc(silence, func() { cancel(errSilent) })
+	guard := timekeeper.AfterFunc(silence, func() { cancel(errSilent) })
 	defer guard.Stop()
 	stream, err := relayerpb.NewRelayClient(conn).Follow(ctx, &relayerpb.FollowRequest{
 		HostId: f.relayer.cfg.HostID, FromRevision: f.relayer.log.latest() + 1,
--- a/internal/timekeeper/timekeeper.go
+++ b/internal/timekeeper/timekeeper.go
@@ -1,5 +1,5 @@
-// Package timekeeper tells time that goes on while the host sleeps, and when the
-// host was away.
+// Package timekeeper tells time that goes on while the host sleeps, when the host was
+// away, and how long to wait for others by the time for which this process runs.
 //
 // The steady clock, from which time.Since and all timers take their differences,
 // stands still while a host is suspended. Whatever has to end while a host sleeps,
@@ -14,6 +14,12 @@
 //	before := clock.Slept()                 // how much of a time was slept
 //	detector := timekeeper.NewDetector(clock)
 //	if away, ok := detector.Look(); ok { ... } // from each tick and each request
+//
+// A limit on waiting for somebody else's answer is a Timer's, so that an answer that
+// came while this process stood still is heard before the wait is over:
+//
+//	ctx, cancel := timekeeper.WithTimeout(ctx, time.Second)
+//	defer cancel()
 package timekeeper
 
 import (
--- /dev/null
+++ b/internal/timekeeper/timer.go
@@ -0,0 +1,142 @@
+package timekeeper
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	// slices is into how many parts a limit is cut. A process that stood still
+	// loses the part at most in which that began.
+	slices = 8
+	// lateAfter is by how much a timer has to be late, at least, for the process to
+	// count as having stood still. A busy process's timers are late by some
+	// milliseconds.
+	lateAfter = 50 * time.Millisecond
+)
+
+// Timer is a limit on waiting that counts the time for which this process runs.
+//
+// A process that stood still (stopped, starved, or on a machine that stalled) finds
+// the limits of all that it waits for over at the moment at which it goes on. The
+// answers came meanwhile and lie in its sockets, unread: with time.Timer each of
+// these waits ends as "no answer", endpoints count as silent that have answered,
+// and a store as away. With a Timer, what is left of the limit when the process
+// stops is left when it goes on, so that answers that are there are read first.
+//
+// It is for limits that judge somebody else: who has not answered, though there was
+// time. A promise to others that holds until a moment (a lease, the sending of an
+// order) ends with that moment whether the process runs or not, and takes no Timer.
+//
+// The limit is waited for in parts; one that ends late is waited for once more. As
+// many are at most as there are parts, so that a process that is starved for good
+// waits some time longer and not for ever.
+type Timer struct {
+	expired func()
+
+	mu      sync.Mutex
+	running *time.Timer
+	due     time.Time // of the present part
+	part    time.Duration
+	left    int // parts, the present one included
+	again   int // how many parts may yet be waited for once more
+	round   int // tells a part that has ended from the one of a later Reset
+}
+
+// AfterFunc calls expired, in a goroutine of its own, once the process has run for d.
+func AfterFunc(d time.Duration, expired func()) *Timer {
+	t := &Timer{expired: expired}
+	t.Reset(d)
+	return t
+}
+
+// Reset begins anew, with another limit.
+func (t *Timer) Reset(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stop()
+	t.part, t.left, t.again = max(d/slices, 0), slices, slices
+	t.begin()
+}
+
+// Stop ends the wait. It is false where the limit was over already, or stopped.
+func (t *Timer) Stop() (stopped bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stopped = t.left > 0
+	t.stop()
+	return stopped
+}
+
+func (t *Timer) stop() {
+	t.round++
+	t.left = 0
+	if t.running != nil {
+		t.running.Stop()
+	}
+}
+
+// begin waits for a part.
+func (t *Timer) begin() {
+	round := t.round
+	t.due = time.Now().Add(t.part)
+	t.running = time.AfterFunc(t.part, func() { t.ended(round) })
+}
+
+// ended takes the end of a part.
+func (t *Timer) ended(round int) {
+	t.mu.Lock()
+	if round != t.round {
+		t.mu.Unlock()
+		return
+	}
+	if late := time.Since(t.due); late > max(t.part, lateAfter) && t.again > 0 {
+		t.again--
+	} else {
+		t.left--
+	}
+	if t.left > 0 {
+		t.begin()
+		t.mu.Unlock()
+		return
+	}
+	t.mu.Unlock()
+	t.expired()
+}
+
+// NewTimer makes a Timer that sends on a channel.
+func NewTimer(d time.Duration) (t *Timer, over <-chan struct{}) {
+	ended := make(chan struct{}, 1)
+	t = AfterFunc(d, func() {
+		select {
+		case ended <- struct{}{}:
+		default:
+		}
+	})
+	return t, ended
+}
+
+// WithTimeout is context.WithTimeout with a Timer's limit. The context states no
+// deadline: when it ends depends on how the process runs.
+func WithTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	ended, cancel := context.WithCancelCause(ctx)
+	timer := AfterFunc(d, func() { cancel(context.DeadlineExceeded) })
+	return limited{ended}, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
+// limited is the context of WithTimeout.
+type limited struct{ context.Context }
+
+// Err tells the limit's end from the end of the context behind it.
+func (l limited) Err() error {
+	err := l.Context.Err()
+	if err != nil && errors.Is(context.Cause(l.Context), context.DeadlineExceeded) {
+		return context.DeadlineExceeded
+	}
+	return err
+}
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -28,6 +28,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // Defaults of Settings.
@@ -327,7 +329,9 @@
 }
 
 func (t *Transporter) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: t.settings.DialTimeout, KeepAlive: -1, Control: UserTimeout(t.settings.UserTimeout)}
+	dialer := net.Dialer{KeepAlive: -1, Control: UserTimeout(t.settings.UserTimeout)}
+	ctx, cancel := timekeeper.WithTimeout(ctx, t.settings.DialTimeout)
+	defer cancel()
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
