Requests that an endpoint may have run are tried again while that is of use

What callers saw: "unknown" for a letter or a fill, which may be repeated, while engines had room or were back soon. Cause: an attempt that came to nothing late (a crossed answer from a slow engine, a connection that broke) was followed by a new asking for an endpoint that was admitted like a fresh request: refused as too_late once the first token was overdue, as overload in a burst, as no_endpoint while the others were set aside. Change: the scheduler is told that work was sent (IsSent) and treats it as begun; such a request waits for endpoints for as long as late attempts are made (three times the target). Retries stay bounded by their budget. Why it holds: all three refusals ask for work that has not begun. Work that never reached an endpoint is refused as before.

--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -122,6 +122,36 @@
 	}
 }
 
+// TestSentRequestIsNotGivenUpAtItsTarget stands for an engine whose answer is found
+// worthless when the request is nearly overdue, while the others are set aside:
+// given up there, work that may be repeated ended as unknown.
+func TestSentRequestIsNotGivenUpAtItsTarget(t *testing.T) {
+	tests := map[string]struct {
+		first   error
+		absent  int
+		outcome Outcome
+		sent    []bool // as the scheduler was told, of the first askings
+	}{
+		"engines return behind the target": {first: driver.ErrCrossed, absent: 4, outcome: outcomeWhole, sent: []bool{false, true, true}},
+		"engines are gone":                 {first: driver.ErrCrossed, absent: 1000, outcome: OutcomeUnknown, sent: []bool{false, true, true}},
+		"not sent, and engines are gone":   {first: driver.ErrNotSent, absent: 1000, outcome: OutcomeNotRun, sent: []bool{false, false, false}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			whole := script{tokens: []int{0, 1, 2, 3}, ending: "end"}
+			endpoints := &fakeEndpoints{scripts: []script{{sendErr: test.first}, whole}, absent: test.absent}
+			class := configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 300}
+			d := newTestDispatcher(class, endpoints, nil)
+			began := time.Now()
+			_, err := d.Generate(context.Background(), Request{Tenant: "vitosha", Class: "work", MaxOutputTokens: 4}, nil)
+			assert.Equal(t, outcomeOf(t, err), test.outcome)
+			assert.DeepEqual(t, endpoints.sent[:len(test.sent)], test.sent)
+			assert.Assert(t, time.Since(began) < 10*giveUpFactor*class.CompletionTarget(), "held back without end")
+		})
+	}
+}
+
 // TestGoneCallerOfAFrozenEngine guards the count of outcomes: the engine has
 // the request, so "not run" would be false.
 func TestGoneCallerOfAFrozenEngine(t *testing.T) {
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -43,6 +43,7 @@
 	refusal  *scheduler.RefusalError
 	// absent is how many askings behind the first find no endpoint.
 	absent int
+	sent   []bool        // whether each work that was asked for had been sent before
 	queued time.Duration // that the first attempt waits for its grant
 }
 
@@ -52,6 +53,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.sent = append(f.sent, work.IsSent)
 	if f.refusal != nil {
 		return nil, f.refusal
 	}
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -118,9 +118,10 @@
 
 // waitForEndpoint says whether to ask again after a refusal: the request's own
 // attempts have failed, or an answer has begun and is not given up while it is
-// of use.
+// of use. The same holds once an endpoint may have run the request: given up, it
+// ends as unknown, though it may be repeated and late attempts are still made.
 func (r *run) waitForEndpoint(ctx context.Context, refusal *scheduler.RefusalError) bool {
-	begun := len(r.delivered) > 0
+	begun := len(r.delivered) > 0 || r.sent
 	if !begun && !endpointsMayReturn(refusal, r.excluded, r.pauses) {
 		return false
 	}
@@ -230,7 +231,7 @@
 		RequestID: r.request.RequestID, Class: r.class, Arrived: r.arrived,
 		PromptTokens: promptTokens(r.request.Prompt), PrefixKey: r.request.PrefixKey,
 		PrefixTokens: r.request.PrefixTokens, MaxOutputTokens: r.request.MaxOutputTokens,
-		DeliveredTokens: len(r.delivered), Excluded: append([]string(nil), r.excluded...),
+		DeliveredTokens: len(r.delivered), IsSent: r.sent, Excluded: append([]string(nil), r.excluded...),
 	}
 }
 
--- a/internal/scheduler/admitter/admitter.go
+++ b/internal/scheduler/admitter/admitter.go
@@ -61,7 +61,7 @@
 	Patience    time.Duration
 	ServedShare float64 // of the class
 	IsOverShare bool    // the tenant has used more than its fair share
-	IsStarted   bool    // its caller already has a part of the answer; never a victim
+	IsStarted   bool    // its caller has a part of the answer, or an endpoint may have run it; never a victim
 }
 
 // Estimate is how long work would take from the moment it has an endpoint.
@@ -71,8 +71,7 @@
 }
 
 // LatestStart is the last moment at which work of the class can get an endpoint
-// and still be in time. Work whose first token is with the caller has only the
-// completion target left.
+// and still be in time. Work that has begun has only the completion target left.
 func LatestStart(class *configurer.Class, arrived time.Time, isStarted bool, estimate Estimate) time.Time {
 	latest := arrived.Add(class.CompletionTarget() - estimate.Finish)
 	target := class.FirstTokenTarget()
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -52,8 +52,8 @@
 
 // Acquire gives work an endpoint. It waits in this host's queue while the work
 // can still be in time, and fails with a *RefusalError as soon as it can't, or with
-// ctx's error. Work whose caller already has tokens is never refused for lack
-// of capacity.
+// ctx's error. Work that has begun is never refused for lack of capacity: its
+// caller has tokens already, or an endpoint may have run it.
 func (s *Scheduler) Acquire(ctx context.Context, work Work) (Grant, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
@@ -215,7 +215,7 @@
 		cost = estimator.Scale(cost, application.Summary.CostScale)
 	}
 	s.nextID++
-	isStarted := work.DeliveredTokens > 0
+	isStarted := work.DeliveredTokens > 0 || work.IsSent
 	tenant := s.table.Tenant(tenantKey(work))
 	fair := application.Summary.FairUse
 	return admitter.Item{
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -199,13 +199,21 @@
 
 func TestStartedWorkIsNotRefusedForLackOfRoom(t *testing.T) {
 	t.Parallel()
-	s, now := newScheduler(t, engines(1))
-	fill(t, s, *now)
-	work := letter(now.Add(-time.Hour)) // long past its targets
-	work.DeliveredTokens = 5
-	grant, err := s.Acquire(t.Context(), work)
-	assert.NilError(t, err)
-	grant.Done(Abandoned{})
+	for name, begin := range map[string]func(work *Work){
+		"its caller has tokens":       func(work *Work) { work.DeliveredTokens = 5 },
+		"an endpoint may have run it": func(work *Work) { work.IsSent = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, now := newScheduler(t, engines(1))
+			fill(t, s, *now)
+			work := letter(now.Add(-time.Hour)) // long past its targets
+			begin(&work)
+			grant, err := s.Acquire(t.Context(), work)
+			assert.NilError(t, err)
+			grant.Done(Abandoned{})
+		})
+	}
 }
 
 // One failure to reach an endpoint sets it aside; a single probe follows, and
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -21,6 +21,10 @@
 	MaxOutputTokens int
 	DeliveredTokens int      // already with the caller, when resuming
 	Excluded        []string // endpoint ids that have failed this request
+	// IsSent says that an endpoint may have run an earlier attempt at work that may
+	// be repeated. It is not refused for lack of capacity: it was let in before, and
+	// its caller could only be told that it may have run.
+	IsSent bool
 	// IsRead says that an engine keeps the prompt's KV cache for this request:
 	// only an engine that decodes is wanted.
 	IsRead bool
