Load: a loader that stood still puts off what is to come

All 60 requests of the 2 s went out in one burst, and were counted from times at which nobody had sent them; 8 to 21 requests a class, so that a stall of 2 s within a load of 2 s leaves none as stated. Change: the loader's pacer puts later arrivals off by the time that the loader itself stood still (250 ms or more late), says so in its account (stood_still_ms), and its readiness checks don't take a stall of its own for a host that is not ready. Arrivals still do not wait for answers, so slow hosts are not spared.

--- a/internal/loader/balancer.go
+++ b/internal/loader/balancer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -52,7 +54,7 @@
 }
 
 func (b *balancer) probe(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", nil)
 	if err != nil {
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -54,7 +54,7 @@
 	accountant *accountant
 	watcher    *roleWatcher
 	arrivals   []arrival
-	begun      time.Time
+	pacer      *pacer
 
 	stopArrivals context.CancelFunc
 	stopWatches  context.CancelFunc
@@ -114,8 +114,8 @@
 	return &Run{
 		options: options, client: client, arrivals: arrivals,
 		balancer: newBalancer(client, options.Entries), sender: &sender{client: client},
-		accountant: newAccountant(),
-		watcher:    newRoleWatcher(client, options.Operators, options.OperatorToken),
+		accountant: newAccountant(), pacer: &pacer{},
+		watcher: newRoleWatcher(client, options.Operators, options.OperatorToken),
 	}
 }
 
@@ -177,17 +177,20 @@
 	arriving, stop := context.WithCancel(ctx)
 	r.stopArrivals = stop
 	ctx = context.WithoutCancel(ctx)
-	r.begun = time.Now()
-	r.watcher.begin(r.begun)
+	r.pacer.begun = time.Now()
+	r.watcher.begin(r.pacer.begun)
 	r.callers.Go(func() error {
 		for _, next := range r.arrivals {
-			at := r.begun.Add(next.at)
-			if !waitUntil(arriving, at) {
+			due := r.pacer.due(next.at)
+			if !waitUntil(arriving, due) {
 				return nil
 			}
-			r.accountant.send(time.Since(at))
+			now := time.Now()
+			r.accountant.send(now.Sub(due))
+			arrived := r.pacer.send(due, now)
+			next.at = arrived.Sub(r.pacer.begun)
 			r.callers.Go(func() error {
-				r.accountant.add(r.caller(next, at).serve(ctx))
+				r.accountant.add(r.caller(next, arrived).serve(ctx))
 				return nil
 			})
 		}
@@ -222,7 +225,7 @@
 	p := r.accountant.progress()
 	p.Ready = r.balancer.readyCount()
 	if p.Sent > 0 {
-		p.Elapsed = time.Since(r.begun)
+		p.Elapsed = time.Since(r.pacer.begun)
 	}
 	return p
 }
@@ -237,13 +240,13 @@
 	r.waitOnce.Do(func() {
 		_ = r.callers.Wait()
 		r.stopArrivals()
-		elapsed := time.Since(r.begun)
+		elapsed := time.Since(r.pacer.begun)
 		r.endWatches()
 		records, lag := r.accountant.take()
 		judged := r.judge(records)
 		r.client.CloseIdleConnections()
 		r.report = makeReport(&r.options, judged, r.watcher, elapsed)
-		r.report.LagMS = lag
+		r.report.LagMS, r.report.StoodStillMS = lag, milliseconds(r.pacer.stoodStill())
 	})
 	return r.report, r.err
 }
--- a/internal/loader/reporter.go
+++ b/internal/loader/reporter.go
@@ -82,10 +82,13 @@
 	RunsJudged      bool          `json:"runs_judged"` // whether the services' run counts were compared
 	// LagMS is how late the loader itself sent requests. Where it is not far
 	// below the targets the machine was too busy for the run to count.
-	LagMS   Quantiles      `json:"lag_ms"`
-	Seconds []SecondReport `json:"seconds"`
-	Roles   []RolePoint    `json:"roles"`
-	Faults  []Fault        `json:"faults"` // the first of them
+	LagMS Quantiles `json:"lag_ms"`
+	// StoodStillMS is for how long the loader stood still, as on a machine that
+	// stalls. What came later was put off by as long.
+	StoodStillMS float64        `json:"stood_still_ms"`
+	Seconds      []SecondReport `json:"seconds"`
+	Roles        []RolePoint    `json:"roles"`
+	Faults       []Fault        `json:"faults"` // the first of them
 	// Examples has the first detail that came with each reason.
 	Examples map[string]string `json:"examples"`
 }
@@ -261,6 +264,9 @@
 		return eris.Wrap(err, "write table")
 	}
 	fmt.Fprintf(w, "weighted goodput %.3f, role changes %d; the loader sent %s ms late\n", r.WeightedGoodput, r.RoleChanges, r.LagMS)
+	if r.StoodStillMS > 0 {
+		fmt.Fprintf(w, "the loader stood still for %.0f ms; what came later was put off by as long\n", r.StoodStillMS)
+	}
 	if !r.RunsJudged {
 		fmt.Fprintln(w, "the services' run counts were not compared (no --service)")
 	}
