Platform hosts: what has come for a caller while the host stood still is passed on

What callers saw: 504 "timeout" for a call that had run and been answered, where the host had stood still over the end of the class's time and the caller still waited; of a call that may not be repeated, "unknown".

--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -16,6 +16,7 @@
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/quarantiner"
 	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // OpaqueRequest is a request that is passed on unchanged.
@@ -141,12 +142,12 @@
 func (f *Forwarder) Forward(ctx context.Context, request OpaqueRequest, answerer Answerer) (err error) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	patience := patienceOf(&request)
-	ctx, cancel := context.WithDeadlineCause(ctx, request.Arrived.Add(patience), errTimeout)
-	defer cancel()
 	p := newPassage(f, &request, answerer)
 	ctx, cut := context.WithCancelCause(ctx)
 	defer cut(nil)
+	// A host that stood still passes on what has come for the caller meanwhile.
+	deadline := timekeeper.AtDeadline(request.Arrived.Add(patienceOf(&request)), func() { cut(errTimeout) })
+	defer deadline.Stop()
 	f.setRunning(p, cut)
 	defer f.setRunning(p, nil)
 	err = p.admitAndRun(ctx)
--- a/internal/timekeeper/timer_test.go
+++ b/internal/timekeeper/timer_test.go
@@ -152,3 +152,24 @@
 		})
 	}
 }
+
+func TestDeadline(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		at, least time.Duration // from now
+	}{
+		"the process runs":         {at: 80 * time.Millisecond, least: 75 * time.Millisecond},
+		"it stood still meanwhile": {at: -time.Second, least: readyTime - 5*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			begun, over := time.Now(), make(chan struct{})
+			d := AtDeadline(begun.Add(test.at), func() { close(over) })
+			<-over
+			assert.Assert(t, time.Since(begun) >= test.least, "over after %v", time.Since(begun))
+			assert.Assert(t, !d.Stop(), "stopped after its end")
+		})
+	}
+	d := AtDeadline(time.Now().Add(time.Hour), func() { t.Error("over though stopped") })
+	assert.Assert(t, d.Stop())
+}
--- a/pkg/endivemast/gateway_wake.go
+++ b/pkg/endivemast/gateway_wake.go
@@ -30,7 +30,6 @@
 	g.cfg.Logger.Warn("host was away", "away_ms", away.For.Milliseconds(), "slept_ms", away.Slept.Milliseconds(),
 		"running_requests", g.forwarder.Active(), "holds_authority", g.HoldsAuthority())
 	g.meter.CountWake()
-	g.forwarder.EndOverdue()
 	if g.cfg.Woke != nil {
 		g.cfg.Woke()
 	}
@@ -39,4 +38,6 @@
 	ctx, cancel := context.WithTimeout(g.ctx, wakeTime)
 	defer cancel()
 	g.follower.Woke(ctx)
+	// Last, so that answers that have come meanwhile are passed on first.
+	g.forwarder.EndOverdue()
 }
