A queue's pace is not measured over time for which the host stood still

What callers saw: refusals as overload just after a host had stood still with work in its queue. Cause: the pace compares what was granted with the capacity over a window; one that covers 3 s of standing still has nothing granted, counts as half the capacity, and lowers the factor to 0.85 (TestPace: failed before with 0.85). Change: a window of more than four times the usual one is not measured, and begins anew.

--- a/internal/scheduler/pace.go
+++ b/internal/scheduler/pace.go
@@ -5,8 +5,11 @@
 const (
 	paceWindow = 500 * time.Millisecond
 	paceFade   = 0.7
-	minPace    = 0.5
-	maxPace    = 2
+	// longestWindow is what may be measured over. A host that stood still gave
+	// nothing meanwhile, and took its engines for half as fast as they are.
+	longestWindow = 4 * paceWindow
+	minPace       = 0.5
+	maxPace       = 2
 )
 
 // pace compares how fast a queue is really worked off with the capacity that
@@ -31,6 +34,10 @@
 	if window < paceWindow {
 		return
 	}
+	if window > longestWindow {
+		p.granted, p.since = 0, now
+		return
+	}
 	measured := p.granted / max(capacity*window.Seconds(), 1e-9)
 	measured = min(max(measured, minPace), maxPace)
 	p.excess = p.excess*paceFade + (measured-1)*(1-paceFade)
