Judge of orders: the engine is asked before its log is read

Whose fault: the check's, of orders_frozen_fenced ("an order is not in the log"). It read an engine's log and then asked the engine for its orders; an order that came in between was in the second only. As strict: an engine logs an order under the lock under which it tells it, so what it tells has to be in a log read later; TestComparedOrders finds an order that was never logged, and fails with the two looks in their old order.

--- a/tests/authority_test.go
+++ b/tests/authority_test.go
@@ -250,13 +250,10 @@
 func (c *cluster) judgeOrders() (applied int, err error) {
 	var faults []string
 	for _, m := range c.kind(provider.HostEngine) {
-		orders, err := m.loggedOrders()
+		orders, err := m.comparedOrders()
 		if err != nil {
 			return 0, err
 		}
-		if err := m.compareOrders(orders); err != nil {
-			return 0, err
-		}
 		for i := range orders {
 			if orders[i].Effect != "" {
 				applied++
@@ -271,21 +268,26 @@
 	return applied, nil
 }
 
-// compareOrders fails when the log lacks an order that a running engine has.
-func (m *member) compareOrders(logged []engineserver.OrderRecord) error {
-	if !m.process.running() {
-		return nil
+// comparedOrders reads an engine's log, and fails when that lacks an order that the
+// running engine has. The engine is asked first: it writes an order's line before it
+// tells of the order, so that the log, read behind the answer, has all that it told.
+// Read the other way round, an order that came in between was missing in the log.
+func (m *member) comparedOrders() (logged []engineserver.OrderRecord, err error) {
+	var told []engineserver.OrderRecord
+	if m.process.running() {
+		if err := getJSON("http://"+m.Address+httpdriver.PathOrders, &told); err != nil {
+			return nil, err
+		}
 	}
-	var orders []engineserver.OrderRecord
-	if err := getJSON("http://"+m.Address+httpdriver.PathOrders, &orders); err != nil {
-		return err
+	if logged, err = m.loggedOrders(); err != nil {
+		return nil, err
 	}
-	for i := range orders {
-		if !slices.ContainsFunc(logged, func(r engineserver.OrderRecord) bool { return r.OrderID == orders[i].OrderID }) {
-			return eris.Errorf("%s: order %s is not in the log", m.ID, orders[i].OrderID)
+	for i := range told {
+		if !slices.ContainsFunc(logged, func(r engineserver.OrderRecord) bool { return r.OrderID == told[i].OrderID }) {
+			return nil, eris.Errorf("%s: order %s is not in the log", m.ID, told[i].OrderID)
 		}
 	}
-	return nil
+	return logged, nil
 }
 
 // loggedOrders reads what an engine's processes have written of their orders,
--- /dev/null
+++ b/tests/orders_test.go
@@ -0,0 +1,74 @@
+package tests
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/standins/engineserver"
+)
+
+// orderingEngine is an engine to which an order comes just before it is asked for
+// its orders.
+type orderingEngine struct {
+	t       *testing.T
+	log     *os.File
+	isMute  bool // the order that comes is not logged
+	records []engineserver.OrderRecord
+}
+
+func (e *orderingEngine) take(id string) {
+	record := engineserver.OrderRecord{OrderID: id, Received: int64(len(e.records) + 1)}
+	e.records = append(e.records, record)
+	line, err := json.Marshal(map[string]any{"@message": "order received", "order": record})
+	assert.Check(e.t, err)
+	if !e.isMute {
+		_, err = e.log.Write(append(line, '\n'))
+		assert.Check(e.t, err)
+	}
+}
+
+func (e *orderingEngine) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	e.take("second")
+	assert.Check(e.t, json.NewEncoder(w).Encode(e.records))
+}
+
+// The log is compared with what the engine tells, without a moment in which an order
+// is in one of them only: a planner may order a further engine at any time.
+func TestComparedOrders(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		isMute bool
+		fault  string // that is found
+	}{
+		"an order comes between two looks": {},
+		"an order that is not logged":      {isMute: true, fault: "order second is not in the log"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			log, err := os.CreateTemp(t.TempDir(), "engine")
+			assert.NilError(t, err)
+			defer log.Close()
+			engine := &orderingEngine{t: t, log: log}
+			engine.take("first")
+			engine.isMute = test.isMute
+			server := httptest.NewServer(engine)
+			defer server.Close()
+			host := provider.Host{ID: "e1", Address: strings.TrimPrefix(server.URL, "http://")}
+			m := &member{Host: host, process: &process{output: log, exited: make(chan struct{})}}
+			orders, err := m.comparedOrders()
+			if test.fault != "" {
+				assert.ErrorContains(t, err, test.fault)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, len(orders), 2)
+		})
+	}
+}
