Timer: a Reset makes no new runtime timer

Streams and feeds set their limit anew with each line that they read. A part's end that is not due yet is told from the present one by its time, so the runtime's timer can be used again.

--- a/internal/timekeeper/timer.go
+++ b/internal/timekeeper/timer.go
@@ -42,7 +42,6 @@
 	part    time.Duration
 	left    int // parts, the present one included
 	again   int // how many parts may yet be waited for once more
-	round   int // tells a part that has ended from the one of a later Reset
 }
 
 // AfterFunc calls expired, in a goroutine of its own, once the process has run for d.
@@ -71,7 +70,6 @@
 }
 
 func (t *Timer) stop() {
-	t.round++
 	t.left = 0
 	if t.running != nil {
 		t.running.Stop()
@@ -80,19 +78,24 @@
 
 // begin waits for a part.
 func (t *Timer) begin() {
-	round := t.round
 	t.due = time.Now().Add(t.part)
-	t.running = time.AfterFunc(t.part, func() { t.ended(round) })
+	if t.running == nil {
+		t.running = time.AfterFunc(t.part, t.ended)
+		return
+	}
+	t.running.Reset(t.part)
 }
 
-// ended takes the end of a part.
-func (t *Timer) ended(round int) {
+// ended takes the end of a part. One that ends before it is due is that of a wait
+// which was stopped or begun anew meanwhile.
+func (t *Timer) ended() {
 	t.mu.Lock()
-	if round != t.round {
+	late := time.Since(t.due)
+	if t.left == 0 || late < 0 {
 		t.mu.Unlock()
 		return
 	}
-	if late := time.Since(t.due); late > max(t.part, lateAfter) && t.again > 0 {
+	if late > max(t.part, lateAfter) && t.again > 0 {
 		t.again--
 	} else {
 		t.left--
--- a/internal/timekeeper/timer_test.go
+++ b/internal/timekeeper/timer_test.go
@@ -122,7 +122,7 @@
 	parts := 0
 	for ; !isOver && parts < 100; parts++ {
 		timer.due = time.Now().Add(-time.Hour)
-		timer.ended(timer.round)
+		timer.ended()
 	}
 	assert.Equal(t, parts, 2*slices)
 }
