--- a/tests/orders_test.go
+++ b/tests/orders_test.go
@@ -54,7 +54,7 @@
 			t.Parallel()
 			log, err := os.CreateTemp(t.TempDir(), "engine")
 			assert.NilError(t, err)
-			defer log.Close()
+			defer func() { assert.Check(t, log.Close()) }()
 			engine := &orderingEngine{t: t, log: log}
 			engine.take("first")
 			engine.isMute = test.isMute
