Sight: an entry host that stood still says so

What operators saw: engines "unreachable", claims "not recorded" and an authority let go, with nothing that told that the host itself had not run. Hosts of the users' platform had the line "host was away" and the counter; endivemast entry had neither. Change: the same line and counter from its tick. TestStalledHostSaysSo fails without (awaited in vain for 30 s).

--- a/pkg/endivemast/gateway_wake.go
+++ b/pkg/endivemast/gateway_wake.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
@@ -26,9 +28,14 @@
 	}
 }
 
+// logAway says that the host was away, and what it had in hand.
+func logAway(logger hclog.Logger, away timekeeper.Away, running int64, holdsAuthority bool) {
+	logger.Warn("host was away", "away_ms", away.For.Milliseconds(), "slept_ms", away.Slept.Milliseconds(),
+		"running_requests", running, "holds_authority", holdsAuthority)
+}
+
 func (g *Gateway) wake(away timekeeper.Away) {
-	g.cfg.Logger.Warn("host was away", "away_ms", away.For.Milliseconds(), "slept_ms", away.Slept.Milliseconds(),
-		"running_requests", g.forwarder.Active(), "holds_authority", g.HoldsAuthority())
+	logAway(g.cfg.Logger, away, g.forwarder.Active(), g.HoldsAuthority())
 	g.meter.CountWake()
 	if g.cfg.Woke != nil {
 		g.cfg.Woke()
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -10,6 +10,7 @@
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/scheduler/planner"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // The systems that run over the tables, and the feeds between the parts.
@@ -24,11 +25,17 @@
 func (e *Entry) tick() error {
 	ticker := time.NewTicker(e.cfg.Tick)
 	defer ticker.Stop()
+	detector := timekeeper.NewDetector(timekeeper.New())
 	for {
 		select {
 		case <-e.ctx.Done():
 			return nil
 		case now := <-ticker.C:
+			if away, isAway := detector.Look(); isAway {
+				_, holds := e.leaser.Holder()
+				logAway(e.logger, away, e.dispatcher.Active(), holds)
+				e.meter.CountWake()
+			}
 			e.scheduler.Tick(now)
 		}
 	}
--- a/tests/stall_test.go
+++ b/tests/stall_test.go
@@ -1,10 +1,19 @@
 package tests
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"os"
 	"syscall"
+	"testing"
 	"time"
+
+	"github.com/rotisserie/eris"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/standins/placer"
 )
 
 // stall has hosts stand still, as on a machine that stalls, and go on: stall
@@ -49,3 +58,29 @@
 		return nil
 	}
 }
+
+// A host that stood still says so, with how long and with what it had in hand: what
+// follows in its log is else taken for a fault of the endpoints or of the store.
+func TestStalledHostSaysSo(t *testing.T) {
+	t.Parallel()
+	scenario, err := readScenario("vitosha-steady")
+	assert.NilError(t, err)
+	clusterSlots <- struct{}{}
+	defer func() { <-clusterSlots }()
+	c, err := startCluster(t.TempDir(), clusterOptions{Deployment: placer.Vitosha().Small(), Scenario: scenario})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, c.Close()) }()
+	host := c.kind(provider.HostEntry)[0]
+	err = withTimeout(func(ctx context.Context) error { return standStill(ctx, []*member{host}, 2*time.Second) })
+	assert.NilError(t, err)
+	err = withTimeout(func(ctx context.Context) error {
+		return await(ctx, "word of the stall", func() error {
+			data, err := os.ReadFile(host.process.output.Name())
+			if err == nil && !bytes.Contains(data, []byte(`"@message":"host was away"`)) {
+				err = eris.New("it says nothing")
+			}
+			return err
+		})
+	})
+	assert.NilError(t, err)
+}
