Entry hosts and embedders: leases and claims end while the host sleeps

What callers could see: two holders giving orders, or a call that may not be repeated sent twice, after a host of endivemast entry, or one that embeds pkg/leaser or pkg/claimer, had been suspended. Cause: the leaser's clock and a claim's deadline had readings of the steady clock, which stands still while a host is suspended; only hosts of the users' platform gave the leaser the clock that counts sleep. Change: that clock is the leaser's own where none is given; a claim's deadline is by the time of day. Tests: TestLeaseEndsWhileTheHostSleeps, TestDeadlinePassesWhileTheHostSleeps; both failed before.

--- a/internal/claimer/claimer.go
+++ b/internal/claimer/claimer.go
@@ -222,7 +222,8 @@
 		entry: entry{
 			body: hashBytes(body), claimID: hash(uuid.New()), owner: c.cfg.Incarnation, state: StateClaimed,
 		},
-		deadline: c.cfg.Clock().Add(c.cfg.Retention / 2),
+		// By the time of day, since a host that was suspended is overdue as well.
+		deadline: c.cfg.Clock().Round(0).Add(c.cfg.Retention / 2),
 	}
 	result, err := c.record(ctx, target, granted.entry)
 	if c.mustRenounce(target, result, err) {
--- a/internal/claimer/claimer_test.go
+++ b/internal/claimer/claimer_test.go
@@ -63,6 +63,19 @@
 	}
 }
 
+// A host that slept for longer than claims are kept must find its own overdue: by
+// the steady clock, which stood still, the call would be sent a second time.
+func TestDeadlinePassesWhileTheHostSleeps(t *testing.T) {
+	store := newMemoryStore() // no bubble: its clock has no steady reading
+	n := newNetwork(func(string) provider.Store { return store }, nil, "a")
+	defer n.close()
+	claim, _, err := n.hosts["a"].Claim(context.Background(), Key{Tenant: "vitosha", Key: "own"}, []byte("b"))
+	assert.NilError(t, err)
+	deadline, ok := claim.(Bounded).Deadline()
+	assert.Assert(t, ok)
+	assert.Equal(t, deadline, deadline.Round(0), "a reading of the steady clock")
+}
+
 func TestTicketIsBoundToItsTenant(t *testing.T) {
 	secret := []byte("0123456789abcdef")
 	sealed, err := sealTicket(secret, "vitosha", &claimerpb.Ticket{Voters: []*claimerpb.Voter{{HostId: "a"}}})
--- a/internal/claimer/types.go
+++ b/internal/claimer/types.go
@@ -58,7 +58,8 @@
 // claim may no longer be kept, and a repeat may hold a fresh one.
 type Bounded interface {
 	Claim
-	// Deadline is that moment on this host's clock; ok is false when there is none.
+	// Deadline is that moment by the time of day, which also passes while the host
+	// sleeps; ok is false when there is none.
 	Deadline() (deadline time.Time, ok bool)
 }
 
--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -38,6 +38,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // Defaults of a Config.
@@ -79,7 +80,9 @@
 	// don't reach the service. Nil: always. With 20 candidates that all looked each
 	// 3 s, a quarter of all calls of the service were theirs.
 	IsFirst func() bool
-	// Now is a monotonic clock; nil: time.Now.
+	// Now is a clock that is never set, and that goes on while the host sleeps; nil:
+	// the host's. By the steady clock a host that was suspended would take a lease
+	// that somebody else has by now for its own.
 	Now func() time.Time
 	Log hclog.Logger // nil: none
 }
@@ -124,7 +127,7 @@
 		cfg.PollEvery = cfg.TTL
 	}
 	if cfg.Now == nil {
-		cfg.Now = time.Now
+		cfg.Now = timekeeper.New().Now
 	}
 	if cfg.Log == nil {
 		cfg.Log = hclog.NewNullLogger()
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -207,6 +207,17 @@
 	assert.ErrorIs(t, err, leaser.ErrNotHolder)
 }
 
+// A host that sleeps takes its lease for over when it wakes: the clock counts sleep,
+// which one with a reading of the steady clock does not.
+func TestLeaseEndsWhileTheHostSleeps(t *testing.T) {
+	t.Parallel()
+	l, _ := run(t, newStore(t), "a", nil)
+	awaitHolder(t, l)
+	until := l.Status().ValidUntil
+	assert.Assert(t, !until.IsZero())
+	assert.Equal(t, until, until.Round(0), "a reading of the steady clock")
+}
+
 func TestStandDownWaitsForActions(t *testing.T) {
 	t.Parallel()
 	s := newStore(t)
