A retry waits for an endpoint only while it is of use

Change: the scheduler is told until when an attempt is of use (RetryUntil, in place of IsSent); a retry is refused at once where the endpoints are set aside for longer, and is not a victim of overload before. Test: TestRetryIsGivenUpOnceItIsOfNoUse.

--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -53,7 +53,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.sent = append(f.sent, work.IsSent)
+	f.sent = append(f.sent, !work.RetryUntil.IsZero())
 	if f.refusal != nil {
 		return nil, f.refusal
 	}
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -39,7 +39,7 @@
 	firstToken time.Duration
 	lastToken  time.Time
 
-	attempts int
+	attempts int  // that were given an endpoint, in the rounds that have ended
 	sent     bool // an endpoint may have seen an attempt
 	excluded []string
 	pauses   int // waits for an endpoint after all had failed
@@ -227,12 +227,16 @@
 }
 
 func (r *run) work() scheduler.Work {
-	return scheduler.Work{
+	work := scheduler.Work{
 		RequestID: r.request.RequestID, Class: r.class, Arrived: r.arrived,
 		PromptTokens: promptTokens(r.request.Prompt), PrefixKey: r.request.PrefixKey,
 		PrefixTokens: r.request.PrefixTokens, MaxOutputTokens: r.request.MaxOutputTokens,
-		DeliveredTokens: len(r.delivered), IsSent: r.sent, Excluded: append([]string(nil), r.excluded...),
+		DeliveredTokens: len(r.delivered), Excluded: append([]string(nil), r.excluded...),
 	}
+	if r.sent {
+		work.RetryUntil = r.arrived.Add(giveUpFactor * r.class.CompletionTarget())
+	}
+	return work
 }
 
 // bytesPerToken is the estimate of a prompt's tokens before an engine has
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -112,7 +112,7 @@
 			return nil, outcome{grant: g}
 		}
 	}
-	if refused, ok := s.refuseUnreachable(verdict, &item, now); ok {
+	if refused, ok := refuseUnreachable(work, verdict, &item, now); ok {
 		s.logRefusal(q, w, refused.refusal)
 		return nil, refused
 	}
@@ -136,12 +136,12 @@
 }
 
 // refuseUnreachable refuses work that has nowhere to wait for.
-func (s *Scheduler) refuseUnreachable(verdict router.Verdict, item *admitter.Item, now time.Time) (outcome, bool) {
+func refuseUnreachable(work *Work, verdict router.Verdict, item *admitter.Item, now time.Time) (outcome, bool) {
 	switch verdict.Kind {
 	case router.None:
 		return refusal(ReasonNoEndpoint, retryWithoutEndpoint), true
 	case router.SetAside:
-		if item.IsStarted || verdict.Until.Before(item.GiveUp) {
+		if item.IsStarted && !work.isRetry() || verdict.Until.Before(item.GiveUp) {
 			return outcome{}, false
 		}
 		return refusal(ReasonNoEndpoint, max(verdict.Until.Sub(now), time.Millisecond)), true
@@ -215,14 +215,18 @@
 		cost = estimator.Scale(cost, application.Summary.CostScale)
 	}
 	s.nextID++
-	isStarted := work.DeliveredTokens > 0 || work.IsSent
+	isStarted := work.DeliveredTokens > 0 || work.isRetry()
+	giveUp := admitter.LatestStart(&work.Class, work.Arrived, isStarted, mean)
+	if work.isRetry() {
+		giveUp = work.RetryUntil
+	}
 	tenant := s.table.Tenant(tenantKey(work))
 	fair := application.Summary.FairUse
 	return admitter.Item{
 		ID:          s.nextID,
 		Arrived:     work.Arrived,
 		LatestStart: admitter.LatestStart(&work.Class, work.Arrived, isStarted, most),
-		GiveUp:      admitter.LatestStart(&work.Class, work.Arrived, isStarted, mean),
+		GiveUp:      giveUp,
 		Cost:        cost,
 		Used:        tenant.Used + float64(tenant.Queued)*cost.Seconds(),
 		Patience:    admitter.Patience(&work.Class),
@@ -321,7 +325,7 @@
 			w.outcome <- outcome{grant: g}
 			continue
 		}
-		if refused, ok := s.refuseUnreachable(verdict, &q.items[position], now); ok {
+		if refused, ok := refuseUnreachable(&w.work, verdict, &q.items[position], now); ok {
 			s.take(q, position)
 			s.logRefusal(q, w, refused.refusal)
 			w.outcome <- refused
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -201,7 +201,7 @@
 	t.Parallel()
 	for name, begin := range map[string]func(work *Work){
 		"its caller has tokens":       func(work *Work) { work.DeliveredTokens = 5 },
-		"an endpoint may have run it": func(work *Work) { work.IsSent = true },
+		"an endpoint may have run it": func(work *Work) { work.RetryUntil = start.Add(time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -216,6 +216,43 @@
 	}
 }
 
+// A retry waits for an endpoint that is set aside only where that is back while an
+// attempt is still of use.
+func TestRetryIsGivenUpOnceItIsOfNoUse(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		until   time.Duration // from now
+		isAside bool          // longer than until
+	}{
+		"the endpoint is back in time": {until: 10 * time.Second},
+		"it is back too late":          {until: 50 * time.Millisecond, isAside: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, now := newScheduler(t, engines(1))
+			s.MarkUnreachable("engine-0") // for 125 ms at least
+			work := letter(now.Add(-time.Hour))
+			work.RetryUntil = now.Add(test.until)
+			ctx, cancel := context.WithCancel(t.Context())
+			var group errgroup.Group
+			group.Go(func() error {
+				_, err := s.Acquire(ctx, work)
+				return err
+			})
+			if !test.isAside {
+				waitForQueue(t, s, 1)
+				cancel()
+				assert.ErrorIs(t, group.Wait(), context.Canceled)
+				return
+			}
+			defer cancel()
+			var refusal *RefusalError
+			assert.Assert(t, errors.As(group.Wait(), &refusal))
+			assert.Equal(t, refusal.Reason, ReasonNoEndpoint)
+		})
+	}
+}
+
 // One failure to reach an endpoint sets it aside; a single probe follows, and
 // its first token brings the endpoint back.
 func TestBrokenEndpointIsProbedOnce(t *testing.T) {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -21,15 +21,20 @@
 	MaxOutputTokens int
 	DeliveredTokens int      // already with the caller, when resuming
 	Excluded        []string // endpoint ids that have failed this request
-	// IsSent says that an endpoint may have run an earlier attempt at work that may
-	// be repeated. It is not refused for lack of capacity: it was let in before, and
-	// its caller could only be told that it may have run.
-	IsSent bool
+	// RetryUntil is set where an endpoint may have run an earlier attempt at work that
+	// may be repeated. Until then it is not refused for lack of capacity: it was let in
+	// before, and its caller could only be told that it may have run. Behind it no
+	// attempt is of use.
+	RetryUntil time.Time
 	// IsRead says that an engine keeps the prompt's KV cache for this request:
 	// only an engine that decodes is wanted.
 	IsRead bool
 }
 
+// isRetry is true for work whose caller has nothing yet of an attempt that an
+// endpoint may have run.
+func (w *Work) isRetry() bool { return w.DeliveredTokens == 0 && !w.RetryUntil.IsZero() }
+
 // Grant is the scheduler's leave to use an endpoint. Its holder reports what
 // it sees, and calls Done exactly once. Further calls of Done do nothing.
 type Grant interface {
