An asking that found no endpoint is no attempt

What callers saw: "unknown" for a letter or a fill long before it was of no use, after attempts at two or three engines. Cause: the most attempts of a request (6) counted each asking for an endpoint, also those that were refused while all were set aside; log: two attempts, two refusals no_endpoint, a hedge without an endpoint, "request ended" outcome unknown at 3.8 s of the 7.5 s for which a fill is retried. Change: attempts count once they were given an endpoint. The row "many askings, and another loss" failed before.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -74,7 +74,6 @@
 // start starts an attempt on a goroutine of the round's group.
 func (c *race) start(ctx context.Context) {
 	r := c.run
-	r.attempts++
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
 		run: r, id: r.dispatcher.attemptID(), cancel: cancel,
@@ -103,7 +102,7 @@
 	if c.running[0].endpointID() == "" {
 		return false
 	}
-	if r.attempts >= r.dispatcher.cfg.MaxAttempts || !r.dispatcher.retries.withdraw() {
+	if r.attempts+len(c.started) >= r.dispatcher.cfg.MaxAttempts || !r.dispatcher.retries.withdraw() {
 		return true
 	}
 	r.dispatcher.cfg.Meter.CountHedge(r.class.Name)
@@ -149,11 +148,15 @@
 	return c.winner == a
 }
 
-// close waits for the attempts, and notes whether an endpoint may have seen
-// one of them: only then is it known for each.
+// close waits for the attempts, and notes how many were given an endpoint and whether
+// one may have seen any of them: only then is it known for each. An asking that found
+// no endpoint is no attempt: a few of them while all were set aside left none over.
 func (c *race) close() error {
 	err := c.group.Wait()
 	for _, a := range c.started {
+		if a.endpointID() != "" {
+			c.run.attempts++
+		}
 		c.run.sent = c.run.sent || a.sent.Load()
 	}
 	return err
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -127,21 +127,28 @@
 // given up there, work that may be repeated ended as unknown.
 func TestSentRequestIsNotGivenUpAtItsTarget(t *testing.T) {
 	tests := map[string]struct {
-		first   error
+		losses  []error // of attempts before the whole one
 		absent  int
+		target  time.Duration
 		outcome Outcome
 		sent    []bool // as the scheduler was told, of the first askings
 	}{
-		"engines return behind the target": {first: driver.ErrCrossed, absent: 4, outcome: outcomeWhole, sent: []bool{false, true, true}},
-		"engines are gone":                 {first: driver.ErrCrossed, absent: 1000, outcome: OutcomeUnknown, sent: []bool{false, true, true}},
-		"not sent, and engines are gone":   {first: driver.ErrNotSent, absent: 1000, outcome: OutcomeNotRun, sent: []bool{false, false, false}},
+		"engines return behind the target": {losses: []error{driver.ErrCrossed}, absent: 4, outcome: outcomeWhole, sent: []bool{false, true, true}},
+		"many askings, and another loss":   {losses: []error{driver.ErrCrossed, driver.ErrCrossed}, absent: 6, target: 2 * time.Second, outcome: outcomeWhole, sent: []bool{false, true, true}},
+		"engines are gone":                 {losses: []error{driver.ErrCrossed}, absent: 1000, outcome: OutcomeUnknown, sent: []bool{false, true, true}},
+		"not sent, and engines are gone":   {losses: []error{driver.ErrNotSent}, absent: 1000, outcome: OutcomeNotRun, sent: []bool{false, false, false}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			whole := script{tokens: []int{0, 1, 2, 3}, ending: "end"}
-			endpoints := &fakeEndpoints{scripts: []script{{sendErr: test.first}, whole}, absent: test.absent}
-			class := configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 300}
+			var scripts []script
+			for _, loss := range test.losses {
+				scripts = append(scripts, script{sendErr: loss})
+			}
+			scripts = append(scripts, script{tokens: []int{0, 1, 2, 3}, ending: "end"})
+			endpoints := &fakeEndpoints{scripts: scripts, absent: test.absent}
+			target := max(test.target, 300*time.Millisecond)
+			class := configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: target.Milliseconds()}
 			d := newTestDispatcher(class, endpoints, nil)
 			began := time.Now()
 			_, err := d.Generate(context.Background(), Request{Tenant: "vitosha", Class: "work", MaxOutputTokens: 4}, nil)
