--- a/internal/timekeeper/timer.go
+++ b/internal/timekeeper/timer.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// slices is into how many parts a limit is cut. A process that stood still
-	// loses the part at most in which that began.
-	slices = 8
+	// partCount is into how many parts a limit is cut: a stall shorter than a part is
+	// not told from a busy process, and each part that ends costs a wake-up.
+	partCount = 8
 	// lateAfter is by how much a timer has to be late, at least, for the process to
 	// count as having stood still. A busy process's timers are late by some
 	// milliseconds.
@@ -30,9 +30,9 @@
 // time. A promise to others that holds until a moment (a lease, the sending of an
 // order) ends with that moment whether the process runs or not, and takes no Timer.
 //
-// The limit is waited for in parts; one that ends late is waited for once more. As
-// many are at most as there are parts, so that a process that is starved for good
-// waits some time longer and not for ever.
+// The limit is waited for in parts. One that ends late is waited for again, since
+// the process stood still within it; as many parts as there are may be waited for
+// again, so that a process that is starved for good waits longer, but not for ever.
 type Timer struct {
 	expired func()
 
@@ -56,7 +56,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.stop()
-	t.part, t.left, t.again = max(d/slices, 0), slices, slices
+	t.part, t.left, t.again = max(d/partCount, 0), partCount, partCount
 	t.begin()
 }
 
--- a/internal/timekeeper/timer_test.go
+++ b/internal/timekeeper/timer_test.go
@@ -124,7 +124,7 @@
 		timer.due = time.Now().Add(-time.Hour)
 		timer.ended()
 	}
-	assert.Equal(t, parts, 2*slices)
+	assert.Equal(t, parts, 2*partCount)
 }
 
 func TestWhyALimitedContextEnded(t *testing.T) {
--- a/tests/frozen_test.go
+++ b/tests/frozen_test.go
@@ -37,7 +37,7 @@
 	t.Parallel()
 	for name, test := range map[string]struct{ path, want string }{
 		"a whole answer":        {path: "/fill/x", want: "the answer"},
-		"what a stream goes on": {path: "/letter/x", want: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+		"the rest of a stream": {path: "/letter/x", want: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
