--- a/tests/frozen_test.go
+++ b/tests/frozen_test.go
@@ -36,7 +36,7 @@
 func TestFrozenHostPassesOnWhatHasCome(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct{ path, want string }{
-		"a whole answer":        {path: "/fill/x", want: "the answer"},
+		"a whole answer":       {path: "/fill/x", want: "the answer"},
 		"the rest of a stream": {path: "/letter/x", want: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
