Routing: a retry probes an endpoint that was silent before its pause is over

Cause: the only engine of the scenario is silent for 2.7 s and set aside by a pause that doubles, up to 15 s. A fill that has been sent may be repeated for three times its target. Where that time ends before the pause, the scheduler refused the retry, and its caller could only be told that it may have run, with the engine free again. TestRetryProbesEndpointThatWasSilent gives the same refusal without processes or a clock: "refused: no_endpoint, retry after 366.978268ms".

Ruled out: the load of the machine (the unit test has none).

Change: such a retry is an early probe of an endpoint that takes work, one at a time. A failed early probe does not lengthen the pause. New work is refused as before, and so are retries where the endpoint can't be reached.

--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -86,10 +86,10 @@
 		Course: choice.Course, ReadTokens: choice.PrefillTokens, FetchID: g.targets.fetch.EndpointID,
 	}
 	g.basis.PrefillID = g.targets.prefill.EndpointID
-	g.isProbe = choice.Decode.Breaker.Take()
+	g.isProbe = choice.Decode.Breaker.Take(now)
 	if choice.Prefill != nil {
 		g.prefillLoad = tracker.Load{Requests: 1, PrefillTokens: choice.PrefillTokens}
-		g.isPrefillProbe = choice.Prefill.Breaker.Take()
+		g.isPrefillProbe = choice.Prefill.Breaker.Take(now)
 		choice.Prefill.Give(g.prefillLoad)
 		choice.Prefill.Cache.Expect(work.PrefixParts)
 		s.tellShared(work, choice)
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -150,7 +150,9 @@
 	}
 }
 
-// try gives work an endpoint if there is one now.
+// try gives work an endpoint if there is one now. A retry for which all endpoints are
+// set aside for longer than it is of use probes one of them early: else its caller is
+// told that it may have run.
 func (s *Scheduler) try(
 	application *tracker.Application, w *waiter, item *admitter.Item, now time.Time,
 ) (*grant, router.Verdict) {
@@ -176,6 +178,10 @@
 		query.Excess = application.Summary.Excess
 	}
 	choice, verdict := s.router.Choose(application, &query)
+	if verdict.Kind == router.SetAside && work.isRetry() && !verdict.Until.Before(item.GiveUp) {
+		query.ProbesEarly = true
+		choice, verdict = s.router.Choose(application, &query)
+	}
 	if verdict.Kind != router.Chosen {
 		return nil, verdict
 	}
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -70,6 +70,8 @@
 	Excess float64
 	// IgnoreLimits lets the work on at full endpoints too.
 	IgnoreLimits bool
+	// ProbesEarly lets the work on at endpoints that are set aside and still take work.
+	ProbesEarly bool
 	Now          time.Time
 }
 
@@ -220,7 +222,7 @@
 	if !endpoint.TakesNewWork() || slices.Contains(q.Excluded, endpoint.Target.EndpointID) {
 		return false
 	}
-	if endpoint.Breaker.Allows(q.Now) {
+	if endpoint.Breaker.Allows(q.Now) || q.ProbesEarly && endpoint.Breaker.AllowsEarly() {
 		return true
 	}
 	v.note(SetAside)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -253,6 +253,36 @@
 	}
 }
 
+// A retry for which the only endpoint is set aside for too long, though it takes
+// work, is its probe; new work is refused. The pause is none the longer for it.
+func TestRetryProbesEndpointThatWasSilent(t *testing.T) {
+	t.Parallel()
+	s, now := newScheduler(t, engines(1))
+	silent := Broken{Err: driver.ErrOutcomeUnknown}
+	for range 2 { // as many as set an endpoint aside
+		grant, err := s.Acquire(t.Context(), letter(*now))
+		assert.NilError(t, err)
+		grant.Done(silent)
+	}
+	until := s.table.Endpoints["engine-0"].Breaker.Until
+	retry := letter(now.Add(-time.Hour))
+	retry.RetryUntil = now.Add(50 * time.Millisecond)
+	for range 3 {
+		grant, err := s.Acquire(t.Context(), retry)
+		assert.NilError(t, err)
+		_, err = s.Acquire(t.Context(), letter(now.Add(-time.Hour)))
+		var refusal *RefusalError
+		assert.Assert(t, errors.As(err, &refusal), "new work: %v", err)
+		grant.Done(silent)
+		assert.Equal(t, s.table.Endpoints["engine-0"].Breaker.Until, until)
+	}
+	grant, err := s.Acquire(t.Context(), retry)
+	assert.NilError(t, err)
+	grant.Token()
+	grant.Done(Completed{})
+	assert.Assert(t, !s.table.Endpoints["engine-0"].Breaker.IsOpen(), "an early probe that succeeds brings the endpoint back")
+}
+
 // One failure to reach an endpoint sets it aside; a single probe follows, and
 // its first token brings the endpoint back.
 func TestBrokenEndpointIsProbedOnce(t *testing.T) {
--- a/internal/scheduler/tracker/breaker.go
+++ b/internal/scheduler/tracker/breaker.go
@@ -19,6 +19,8 @@
 	// Unreachable is true where the last failure was that the endpoint could
 	// not be reached or would not take work.
 	Unreachable bool
+	// isEarly is true while a probe is under way that came before the pause was over.
+	isEarly bool
 }
 
 // Allows is true where the endpoint may be given work.
@@ -32,12 +34,16 @@
 // IsOpen is true while the endpoint is set aside or being probed.
 func (b *Breaker) IsOpen() bool { return !b.Until.IsZero() }
 
+// AllowsEarly is true where the endpoint may be probed before its pause is over:
+// it takes work, and has only been slow or wrong.
+func (b *Breaker) AllowsEarly() bool { return b.IsOpen() && !b.Probing && !b.Unreachable }
+
 // Take notes that work is given; it returns true when that work is a probe.
-func (b *Breaker) Take() bool {
+func (b *Breaker) Take(now time.Time) bool {
 	if !b.IsOpen() {
 		return false
 	}
-	b.Probing = true
+	b.Probing, b.isEarly = true, now.Before(b.Until)
 	return true
 }
 
@@ -70,7 +76,7 @@
 // Release ends a probe that says nothing about the endpoint.
 func (b *Breaker) Release(isProbe bool) {
 	if isProbe {
-		b.Probing = false
+		b.Probing, b.isEarly = false, false
 	}
 }
 
@@ -78,12 +84,16 @@
 // reached or would not take work. Jitter is a random number in [0, 1) that
 // keeps hosts from probing in step. While the breaker is open only the probe's
 // failure counts: when an engine with 30 streams dies, that is one failure and
-// not 30 doublings of the pause.
+// not 30 doublings of the pause. An early probe that fails leaves the pause as it is.
 func (b *Breaker) Fail(isProbe, unreachable bool, jitter float64, now time.Time) {
 	if b.IsOpen() && !isProbe {
 		return
 	}
-	b.Probing = false
+	wasEarly := b.isEarly
+	b.Probing, b.isEarly = false, false
+	if wasEarly && now.Before(b.Until) {
+		return
+	}
 	b.Unreachable = unreachable
 	b.Failures++
 	if unreachable {
--- a/internal/scheduler/tracker/tracker_test.go
+++ b/internal/scheduler/tracker/tracker_test.go
@@ -159,12 +159,12 @@
 		b.Fail(false, true, 0.5, start) // streams that die with the engine
 	}
 	now := start.Add(breakerBase)
-	assert.Assert(t, b.Allows(now) && b.Take(), "one pause")
+	assert.Assert(t, b.Allows(now) && b.Take(now), "one pause")
 	assert.Assert(t, !b.Allows(now), "one probe at a time")
 	b.Fail(true, true, 0.5, now)
 	assert.Assert(t, !b.Allows(now.Add(breakerBase)) && b.Allows(now.Add(2*breakerBase)), "doubled")
 	b.Reached(now)
-	assert.Assert(t, b.Allows(now) && b.Take(), "a report was read")
+	assert.Assert(t, b.Allows(now) && b.Take(now), "a report was read")
 	b.Succeed(true)
 	assert.Equal(t, b, Breaker{})
 }
