Keys, revocation, usage and scaling of the platform's hosts, thin

Cause: the shifted deployment asks for three things that the product did not have.

Change: packages authenticator (digests only), attester (proof that the configuration is the newest one, by the store or by a peer's answer, no older than the question), accountant (totals by host, window and tenant, merged by maximum), reporter (counts frozen by compare-and-swap before the call), scaler (pure decision) and provisioner (orders with a fencing number each).

Not seen to fail first: the new packages' own tests.

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/endivemast/endivemast/internal/authenticator"
 	"github.com/endivemast/endivemast/internal/configurer"
 )
 
@@ -29,6 +30,7 @@
 	MaxAttempts int           // endpoints that may run one request
 	Rank        int           // 0 is the most urgent
 	IsResumable bool          // a broken stream may be gone on with behind its last event
+	IsPublic    bool          // no key is needed, also where the configuration has tenants
 	// Shares spread the class over applications; never empty.
 	Shares []Share
 }
@@ -46,6 +48,25 @@
 	Class  Class
 }
 
+// Scaling is what the operator allows and pays for an application's engines.
+type Scaling struct {
+	Min, Max int           // engines in a zone
+	Boot     time.Duration // until a new engine serves
+	// Prices are by zone, of an engine and second. A zone without one costs DefaultPrice.
+	Prices map[string]float64
+}
+
+// DefaultPrice is that of an engine in a zone without a price of its own.
+const DefaultPrice = 1.0
+
+// Price is that of an engine in a zone.
+func (s *Scaling) Price(zone string) float64 {
+	if price, ok := s.Prices[zone]; ok {
+		return price
+	}
+	return DefaultPrice
+}
+
 // Limits bound what callers may send.
 type Limits struct {
 	MaxBodyBytes int64
@@ -58,6 +79,12 @@
 	Rules        []Rule
 	Applications []string // names of the groups of endpoints
 	Limits       Limits
+	// Scaling are the applications whose engines are ordered from the platform.
+	Scaling map[string]Scaling
+	// Tenants are those whose keys are accepted. Nil: requests carry no keys.
+	Tenants *authenticator.Directory
+	// Problems are the parts of the configuration that are not used, and why.
+	Problems []error
 }
 
 // Classifier holds the configuration in force. It is safe for concurrent use,
@@ -149,6 +176,25 @@
 	return configurer.Application{Name: name}, true
 }
 
+// Tenants are those in force; nil where requests carry no keys, and before the
+// first configuration.
+func (c *Classifier) Tenants() *authenticator.Directory {
+	x := c.current.Load()
+	if x == nil {
+		return nil
+	}
+	return x.snapshot.Tenants
+}
+
+// Scaling are the applications whose engines are ordered, as in force.
+func (c *Classifier) Scaling() map[string]Scaling {
+	x := c.current.Load()
+	if x == nil {
+		return nil
+	}
+	return x.snapshot.Scaling
+}
+
 // Limits are those in force; zero before the first configuration.
 func (c *Classifier) Limits() Limits {
 	x := c.current.Load()
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -24,6 +24,7 @@
 	ID          string // the caller's, of this one attempt of theirs
 	Caller      string // address that it came from, without the port
 	Class       classifier.Class
+	Tenant      string // for whom it runs; empty: requests carry no keys
 	Arrived     time.Time
 	TimeLeft    time.Duration // for which the caller waits, from Arrived; 0: not known
 	Payload     driver.Payload
@@ -79,6 +80,9 @@
 	// Slept is how long the host has slept so far: callers' time goes on meanwhile,
 	// and timers don't. Nil: it never sleeps.
 	Slept func() time.Duration
+	// Began is told of each run of a tenant's request that has begun at an endpoint,
+	// as its answer shows; nil: nobody is.
+	Began func(tenant string)
 	// Quarantine keeps requests from endpoints that crash the endpoints that
 	// run them; nil: none is kept.
 	Quarantine *quarantiner.Quarantiner
@@ -104,6 +108,9 @@
 	if cfg.Slept == nil {
 		cfg.Slept = func() time.Duration { return 0 }
 	}
+	if cfg.Began == nil {
+		cfg.Began = func(string) {}
+	}
 	return &Forwarder{
 		cfg: cfg, story: newStoryteller(cfg.Logger, cfg.StoreAway), budgets: map[string]*allowance{}, reserve: cfg.RepeatReserve,
 		running: map[*passage]context.CancelCauseFunc{},
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/passage.go
@@ -259,7 +259,7 @@
 func (p *passage) call() driver.ForwardCall {
 	call := driver.ForwardCall{
 		RequestID: p.request.ID, Payload: p.request.Payload, Urgency: min(p.request.Class.Rank, maxUrgency),
-		ResumeAfter: p.lastEvent,
+		ResumeAfter: p.lastEvent, Tenant: p.request.Tenant,
 	}
 	call.TimeLeft = max(p.timeLeft(), time.Millisecond)
 	return call
@@ -295,5 +295,6 @@
 	if isStream {
 		return p.passEvents(ctx, grant, &answer)
 	}
+	p.noteBegan()
 	return p.passWhole(&answer)
 }
--- a/internal/dispatcher/passage_answer.go
+++ b/internal/dispatcher/passage_answer.go
@@ -55,6 +55,13 @@
 	return nil
 }
 
+// noteBegan notes that a run has begun, for the tenant's usage.
+func (p *passage) noteBegan() {
+	if p.request.Tenant != "" {
+		p.forwarder.cfg.Began(p.request.Tenant)
+	}
+}
+
 // passEvents passes a stream on, whole events only. The head goes out with the
 // first of them: until then another endpoint may take the request over.
 func (p *passage) passEvents(ctx context.Context, grant scheduler.Grant, answer *driver.ForwardAnswer) error {
@@ -72,6 +79,7 @@
 		}
 		if p.latest.firstAt.IsZero() {
 			p.latest.firstAt = time.Now()
+			p.noteBegan()
 			p.hasEvents.Store(true)
 		}
 		if err := p.passPiece(answer, events); err != nil {
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -22,6 +22,7 @@
 	Payload   Payload
 	TimeLeft  time.Duration // until the caller gives up; 0: not known
 	Urgency   int           // 0 is the most urgent; engines admit by it
+	Tenant    string        // for whom the request runs; empty: requests carry no keys
 	// Import names a KV cache that another engine holds for this request; nil
 	// when none.
 	Import *KVHandle
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -83,6 +83,10 @@
 	// of its words' times; nil: time.Now.
 	Crashes Crashes
 	Clock   func() time.Time
+	// Attestations are given with each answer to a peer's message; nil: none are.
+	Attestations Attestations
+	// Usage is sent to hubs, and between them; nil: nothing of the kind is.
+	Usage Usage
 	// TellsPerSecond bounds the messages with load to all peers together, by a
 	// longer tick where there are many; 0: no bound.
 	TellsPerSecond int
--- a/internal/exchanger/hearer.go
+++ b/internal/exchanger/hearer.go
@@ -19,6 +19,8 @@
 	hosts    int // that the load is of
 	loads    map[string]Load
 	leaving  []LeavingEndpoint
+
+	wantsUsage bool
 }
 
 // Tell takes a peer's message. A message that does not follow the last one is
@@ -45,6 +47,10 @@
 	if ex.cfg.Crashes != nil && len(message.GetCrashes()) > 0 {
 		ex.cfg.Crashes.HearWords(ex.crashesFromMessage(message, ex.cfg.Clock()), isOwnZone)
 	}
+	if ex.cfg.Usage != nil && len(message.GetUsage()) > 0 {
+		ex.cfg.Usage.Merge(usageFromMessage(message.GetUsage()), isOwnZone)
+	}
+	reply.Attestation = ex.attestation()
 	if !reply.Resync && source != "" {
 		ex.local.HearLoad(source, hosts, loads, now)
 	}
@@ -62,7 +68,7 @@
 	p.status.ConfigurationRevision = message.GetConfigurationRevision()
 	p.status.StoreRevision = message.GetStoreRevision()
 	p.part, p.hosts = message.GetPart(), int(min(max(message.GetHosts(), 1), maxHosts))
-	p.leaving = leavingFromMessage(message.GetLeaving())
+	p.leaving, p.wantsUsage = leavingFromMessage(message.GetLeaving()), message.GetWantsUsage()
 	if !message.GetFull() && (restarted || message.GetSequence() != p.sequence+1) {
 		return false
 	}
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -20,6 +20,7 @@
 	leaving  int // endpoints named as leaving in the last message
 	caches   wordTeller[CacheWord]
 	crashes  wordTeller[CrashWord]
+	usage    wordTeller[UsageUpdate]
 }
 
 // ownLoad keeps this host's load for all tellers of a tick. To collect it the
@@ -88,6 +89,7 @@
 		row.full = true
 		row.caches.restart()
 		row.crashes.restart()
+		row.usage.restart()
 	}
 	row.part = part
 	if part == exchangerpb.Part_PART_NONE && (peer.Zone != ex.cfg.Zone || !layout.speakers[ex.cfg.HostID]) {
@@ -97,13 +99,15 @@
 	message := row.message(word.loads)
 	row.idle++
 	cacheWords, crashWords := ex.nextWords(row)
-	if !row.isDue(message, len(word.leaving)) && len(cacheWords) == 0 && len(crashWords) == 0 {
+	usage := ex.nextUsage(row, peer)
+	if !row.isDue(message, len(word.leaving)) && len(cacheWords) == 0 && len(crashWords) == 0 && len(usage) == 0 {
 		return
 	}
 	message.HostId, message.Incarnation, message.Zone = ex.cfg.HostID, ex.cfg.Incarnation, ex.cfg.Zone
 	message.Part, message.Hosts = part, int64(word.hosts)
 	message.Leaving = leavingToMessage(word.leaving)
 	message.Caches, message.Crashes = cachesToMessage(cacheWords), crashesToMessage(crashWords, ex.cfg.Clock())
+	message.Usage, message.WantsUsage = usageToMessage(usage), ex.cfg.Usage != nil && ex.cfg.Usage.IsWanted()
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
@@ -112,11 +116,14 @@
 	message.Sequence = row.sequence
 	ctx, cancel := timekeeper.WithTimeout(ctx, tellTimeout)
 	defer cancel()
+	sent := ex.cfg.Clock()
 	reply, err := client.Tell(ctx, message)
 	row.settle(word.loads, err == nil && !reply.GetResync())
 	if err == nil {
 		row.caches.settle(len(cacheWords), reply.GetIncarnation())
 		row.crashes.settle(len(crashWords), reply.GetIncarnation())
+		row.usage.settle(len(usage), reply.GetIncarnation())
+		ex.takeAttestation(reply.GetAttestation(), sent)
 	}
 }
 
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -69,6 +69,42 @@
 	HearWords(words []CacheWord, isOwnZone bool)
 }
 
+// Attestations prove that this host's configuration is the newest one; see package
+// attester.
+type Attestations interface {
+	// Statement says that a version was the newest one so long ago; ok is false
+	// without a proof.
+	Statement() (version int64, age time.Duration, ok bool)
+	// Attest takes in that a version was the newest one at a moment.
+	Attest(version int64, asOf time.Time)
+}
+
+// UsageUpdate are counts of the requests that began to run by way of one process of
+// an entry host. Counts are totals, so that repeats and reordering do no harm.
+type UsageUpdate struct {
+	HostID      string
+	Incarnation string
+	Counts      []UsageCount
+}
+
+// UsageCount is the count of one tenant in one window.
+type UsageCount struct {
+	Window   int64
+	Tenant   string
+	Requests int64
+}
+
+// Usage is what this host knows of usage.
+type Usage interface {
+	// Updates are those behind a position, in order, and the position reached. At
+	// position 0, or one that is too far back, they are all that is known.
+	Updates(after uint64, scope Scope) (updates []UsageUpdate, position uint64)
+	// IsWanted says that this host reports usage, so that hubs send it all of it.
+	IsWanted() bool
+	// Merge takes in a peer's updates.
+	Merge(updates []UsageUpdate, isOwnZone bool)
+}
+
 // RequestName names a request that a caller may send again under another id.
 // Hosts look it up by its key, which is cheap, before they compute the name.
 type RequestName struct {
--- /dev/null
+++ b/internal/exchanger/usage.go
@@ -0,0 +1,58 @@
+package exchanger
+
+import "github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
+
+// maxUsageCounts bounds the counts that one message holds, in some 20 bytes each.
+const maxUsageCounts = 512
+
+func usageCounts(update *UsageUpdate) int { return 1 + len(update.Counts) }
+
+// usageSource gives a Usage's updates to a wordTeller.
+type usageSource struct{ Usage }
+
+// Words implements wordSource.
+func (s usageSource) Words(after uint64, scope Scope) (updates []UsageUpdate, position uint64) {
+	return s.Updates(after, scope)
+}
+
+// nextUsage are the updates of a peer's next message. Hubs collect them, and send
+// them to the host that reports them; where there are no hubs, all hosts collect.
+func (ex *Exchanger) nextUsage(row *teller, peer Peer) []UsageUpdate {
+	if ex.cfg.Usage == nil || row.part == exchangerpb.Part_PART_REST && !ex.wantsUsage(peer) {
+		return nil
+	}
+	return row.usage.next(usageSource{ex.cfg.Usage}, row.part, maxUsageCounts, usageCounts)
+}
+
+func (ex *Exchanger) wantsUsage(peer Peer) bool {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	row := ex.heard[peer.HostID]
+	return row != nil && row.wantsUsage
+}
+
+func usageToMessage(updates []UsageUpdate) []*exchangerpb.UsageUpdate {
+	messages := make([]*exchangerpb.UsageUpdate, 0, len(updates))
+	for _, update := range updates {
+		message := &exchangerpb.UsageUpdate{HostId: update.HostID, Incarnation: update.Incarnation}
+		for _, count := range update.Counts {
+			message.Counts = append(message.Counts, &exchangerpb.UsageCount{
+				Window: count.Window, Tenant: count.Tenant, Requests: count.Requests,
+			})
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+func usageFromMessage(messages []*exchangerpb.UsageUpdate) []UsageUpdate {
+	updates := make([]UsageUpdate, 0, len(messages))
+	for _, message := range messages {
+		update := UsageUpdate{HostID: message.GetHostId(), Incarnation: message.GetIncarnation()}
+		for _, c := range message.GetCounts() {
+			update.Counts = append(update.Counts, UsageCount{Window: c.GetWindow(), Tenant: c.GetTenant(), Requests: c.GetRequests()})
+		}
+		updates = append(updates, update)
+	}
+	return updates
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -129,6 +129,22 @@
 	m.set.GetOrCreateCounter(m.classMetric("endivemast_retries_total", class)).Inc()
 }
 
+// CountAuthentication counts a request that carried an API key, or should have.
+func (m *Meter) CountAuthentication(outcome string) {
+	m.set.GetOrCreateCounter(`endivemast_authentications_total{outcome="` + outcome + `"}`).Inc()
+}
+
+// GaugeAttestationAge tells how old the proof is that the configuration in force is
+// the newest one.
+func (m *Meter) GaugeAttestationAge(age func() time.Duration) {
+	m.set.GetOrCreateGauge("endivemast_configuration_proof_age_seconds", func() float64 { return age().Seconds() })
+}
+
+// CountDutyCall counts a call that this host has made as the holder of a duty.
+func (m *Meter) CountDutyCall(duty, outcome string) {
+	m.set.GetOrCreateCounter(`endivemast_duty_calls_total{duty="` + duty + `",outcome="` + outcome + `"}`).Inc()
+}
+
 // CountHedge counts an attempt that was started beside a slow one.
 func (m *Meter) CountHedge(class string) {
 	m.set.GetOrCreateCounter(m.classMetric("endivemast_hedges_total", class)).Inc()
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -125,6 +125,14 @@
 	ListStale(ctx context.Context, prefix string) (entries []Entry, revision int64, err error)
 }
 
+// Poller is a Store that can be asked for changes without waiting for them.
+type Poller interface {
+	// Poll returns the changes of keys with a prefix behind a revision, and the
+	// revision up to which these are all, as of some time after the call was made. It
+	// fails with ErrCompacted where some are no longer held, or with ErrUnavailable.
+	Poll(ctx context.Context, prefix string, after int64) (changes []Change, revision int64, err error)
+}
+
 // Watcher is one open watch.
 type Watcher interface {
 	// Changes closes when the watch has ended.
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -13,6 +13,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/endivemast/endivemast/internal/accountant"
+	"github.com/endivemast/endivemast/internal/attester"
 	"github.com/endivemast/endivemast/internal/cachesharer"
 	"github.com/endivemast/endivemast/internal/cachewatcher"
 	"github.com/endivemast/endivemast/internal/classifier"
@@ -24,10 +26,13 @@
 	"github.com/endivemast/endivemast/internal/lister"
 	"github.com/endivemast/endivemast/internal/meter"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/provisioner"
 	"github.com/endivemast/endivemast/internal/quarantiner"
 	"github.com/endivemast/endivemast/internal/rebalancer"
 	"github.com/endivemast/endivemast/internal/registrar"
 	"github.com/endivemast/endivemast/internal/relayer"
+	"github.com/endivemast/endivemast/internal/reporter"
+	"github.com/endivemast/endivemast/internal/scaler"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
 	"github.com/endivemast/endivemast/internal/timekeeper"
@@ -82,6 +87,18 @@
 
 	LeaseTTL time.Duration // of the authority over the engines' roles
 
+	// RevocationBound is for how long at most a revoked API key is accepted, whatever
+	// keeps this host from hearing of it; 0: no bound is kept.
+	RevocationBound time.Duration
+	// UsageWindow is the length of the windows by which usage is reported, and
+	// ReportUsage makes the call; nil: nothing is counted.
+	UsageWindow time.Duration
+	ReportUsage func(ctx context.Context, report reporter.Report) error
+	// OrderEngines orders engines from the platform; nil: there are as many as there
+	// are. Scaling is the policy; empty: scaler.TargetTracking.
+	OrderEngines func(ctx context.Context, order provisioner.Order) error
+	Scaling      string
+
 	Clock timekeeper.Clock // counts the host's sleep; nil: the host's
 	// Woke is told that the host was away, to give up connections of before; nil:
 	// nobody is.
@@ -115,6 +132,11 @@
 	caches        *cachesharer.Sharer
 	cacheWatcher  *cachewatcher.Watcher
 	leaser        *leaser.Leaser
+	attester      *attester.Attester
+	accountant    *accountant.Accountant
+	reporter      *reporter.Reporter       // nil: usage is not reported
+	provisioner   *provisioner.Provisioner // nil: no engines are ordered
+	scaling       map[string]scaler.State  // by application; the provisioner's alone
 	rebalancer    *rebalancer.Rebalancer
 	meter         *meter.Meter
 	callers       *server.Plain
@@ -123,6 +145,9 @@
 	peersMu   sync.Mutex
 	mostHosts int // most hosts known at a time
 
+	checkMu   sync.Mutex
+	checkedTo int64 // revision of the store up to which its configurations are known; 0: none
+
 	wakeMu sync.Mutex // held while a host that was away is brought up to date
 
 	draining atomic.Bool
@@ -152,12 +177,15 @@
 		Changed: g.setEndpoints, Logger: cfg.Logger.Named("lister"),
 	})
 	g.buildQuarantine()
+	g.buildAttester()
+	g.buildUsage()
 	if err := g.buildPeers(); err != nil {
 		return nil, err
 	}
 	if err := g.buildAuthority(); err != nil {
 		return nil, errors.Join(err, g.exchanger.Close())
 	}
+	g.buildDuties()
 	g.follower = follower.New(follower.Config{
 		Store: g.relayer, IsDirect: g.relayer.IsDirect, Peers: g.relayer, Logger: cfg.Logger.Named("follower"),
 		Topics: []follower.Topic{
@@ -174,7 +202,7 @@
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
 		StoreAway: g.follower.Away, Quarantine: g.quarantiner, Slept: g.cfg.Clock.Slept,
 		RepeatShare: cfg.RepeatShare * repeatSafety, RepeatReserve: cfg.RepeatReserve * repeatSafety / unknownHosts,
-		RepeatWindow: cfg.RepeatWindow,
+		RepeatWindow: cfg.RepeatWindow, Began: g.accountant.Count,
 	})
 	g.callers = server.NewPlain(server.PlainConfig{
 		Address: cfg.CallersAddress, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
@@ -206,6 +234,8 @@
 	g.group.Go(func() error { return g.registrar.Run(g.ctx) })
 	g.group.Go(func() error { return g.leaser.Run(g.ctx) })
 	g.group.Go(func() error { return g.rebalancer.Run(g.ctx) })
+	g.group.Go(func() error { return g.attester.Run(g.ctx) })
+	g.startDuties()
 	g.group.Go(g.tick)
 	g.cfg.Logger.Info("entry host started", "incarnation", g.incarnation, "version", g.cfg.Version,
 		"callers_address", g.cfg.CallersAddress, "readiness_address", g.cfg.ReadinessAddress)
@@ -220,6 +250,10 @@
 	})
 	g.meter.GaugeConfigRevision(func() float64 { return float64(g.classifier.Revision()) })
 	g.meter.GaugeStoreAway(g.follower.Away)
+	g.meter.GaugeAttestationAge(func() time.Duration {
+		age, _ := g.attester.Age()
+		return age
+	})
 	g.meter.GaugeInFlight(func() float64 { return float64(g.forwarder.Active()) })
 	g.meter.GaugeLeaseHeld(fleet, func() bool {
 		_, holds := g.leaser.Holder()
@@ -250,6 +284,7 @@
 			g.registrations.Tick(now)
 			g.scheduler.Tick(now)
 			g.quarantiner.Tick(g.cfg.Clock.Now())
+			g.accountant.Tick()
 			if now.Sub(lookedAt) >= askersEvery {
 				lookedAt = now
 				g.chooseAsked()
--- /dev/null
+++ b/pkg/endivemast/gateway_access.go
@@ -0,0 +1,165 @@
+package endivemast
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/endivemast/endivemast/internal/attester"
+	"github.com/endivemast/endivemast/internal/authenticator"
+	"github.com/endivemast/endivemast/internal/dispatcher"
+	"github.com/endivemast/endivemast/internal/provider"
+)
+
+// Whose requests a Gateway's host accepts, and until when it knows that.
+
+const (
+	// denyAge is how old the proof of the configuration may be for an unknown key to
+	// be refused at once.
+	denyAge = 500 * time.Millisecond
+	// denyWait is how long a request with an unknown key waits for a newer proof: the
+	// key may be new.
+	denyWait = 300 * time.Millisecond
+	// denyAgeAtMost is how old the proof may be where no newer one came in that time.
+	// A new key has to be accepted within seconds.
+	denyAgeAtMost = 2 * time.Second
+	// retryNotCurrent is when to come back to a host that can't prove that its
+	// configuration is the newest one; another host will serve sooner.
+	retryNotCurrent = 200 * time.Millisecond
+)
+
+var (
+	errNoPoller = errors.New("the store can't be asked for changes")
+	errBehind   = errors.New("a later configuration is not in force")
+)
+
+func (g *Gateway) buildAttester() {
+	g.attester = attester.New(attester.Config{
+		Bound: g.cfg.RevocationBound, Version: g.classifier.Revision, Check: g.checkConfiguration,
+		Stands: func() bool { return g.relayer.IsDirect() }, Now: g.cfg.Clock.Now, Logger: g.cfg.Logger.Named("attester"),
+	})
+}
+
+// Authenticate finds a request's tenant by its key and sets what follows from it. The
+// error is a *dispatcher.FailureError.
+func (g *Gateway) Authenticate(ctx context.Context, request *dispatcher.OpaqueRequest, key string) error {
+	if request.Class.IsPublic || g.classifier.Tenants() == nil {
+		return nil
+	}
+	if !g.attester.IsCurrent() {
+		g.meter.CountAuthentication("not_current")
+		return notCurrent(request.ID)
+	}
+	sum, parseErr := authenticator.Parse(key)
+	tenant, ok := g.findTenant(sum, parseErr)
+	if !ok && parseErr == nil {
+		tenant, ok = g.findNewTenant(ctx, sum)
+	}
+	if ok {
+		g.meter.CountAuthentication("accepted")
+		request.Tenant = tenant.Name
+		if tenant.HasRank {
+			request.Class.Rank = tenant.Rank
+		}
+		return nil
+	}
+	if age, _ := g.attester.Age(); parseErr == nil && g.cfg.RevocationBound > 0 && age > denyAgeAtMost {
+		g.meter.CountAuthentication("not_current")
+		return notCurrent(request.ID)
+	}
+	g.meter.CountAuthentication("unknown_key")
+	g.cfg.Logger.Debug("request refused: unknown key", "request_id", request.ID, "class", request.Class.Name,
+		"version", g.classifier.Revision(), "error", parseErr)
+	return &dispatcher.FailureError{
+		RequestID: request.ID, Outcome: dispatcher.OutcomeNotRun, Reason: dispatcher.ReasonUnknownKey, Detail: "no tenant holds this API key",
+	}
+}
+
+func notCurrent(requestID string) error {
+	return &dispatcher.FailureError{
+		RequestID: requestID, Outcome: dispatcher.OutcomeNotRun, Reason: dispatcher.ReasonKeysNotCurrent,
+		Detail: "this host can't tell at present whether the API key holds", RetryAfter: retryNotCurrent,
+	}
+}
+
+func (g *Gateway) findTenant(sum authenticator.Digest, parseErr error) (tenant *authenticator.Tenant, ok bool) {
+	directory := g.classifier.Tenants()
+	if parseErr != nil || directory == nil {
+		return nil, false
+	}
+	return directory.Find(sum)
+}
+
+// findNewTenant looks again for the holder of an unknown key once the configuration is
+// known to be a newer one than the request, or after a short wait.
+func (g *Gateway) findNewTenant(ctx context.Context, sum authenticator.Digest) (tenant *authenticator.Tenant, ok bool) {
+	if age, hasProof := g.attester.Age(); g.cfg.RevocationBound <= 0 || hasProof && age <= denyAge {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, denyWait)
+	defer cancel()
+	g.attester.Await(ctx, g.cfg.Clock.Now())
+	return g.findTenant(sum, nil)
+}
+
+// checkConfiguration asks the store for configurations behind the one in force. It
+// fails where one can't be put in force.
+func (g *Gateway) checkConfiguration(ctx context.Context) (err error) {
+	defer func() { err = eris.Wrap(err, "check the configuration") }()
+	poller, ok := g.cfg.Store.(provider.Poller)
+	if !ok {
+		return errNoPoller
+	}
+	g.checkMu.Lock()
+	defer g.checkMu.Unlock()
+	if g.checkedTo == 0 {
+		return g.readConfiguration(ctx)
+	}
+	changes, revision, err := poller.Poll(ctx, g.cfg.ConfigurationKey, g.checkedTo)
+	if errors.Is(err, provider.ErrCompacted) {
+		return g.readConfiguration(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	for _, change := range changes {
+		if change.Entry.Key == g.cfg.ConfigurationKey && !change.Deleted {
+			if err := g.installNewest(change.Entry); err != nil {
+				return err
+			}
+		}
+	}
+	g.checkedTo = max(g.checkedTo, revision)
+	return nil
+}
+
+func (g *Gateway) readConfiguration(ctx context.Context) error {
+	entries, revision, err := g.cfg.Store.List(ctx, g.cfg.ConfigurationKey)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if entry.Key == g.cfg.ConfigurationKey {
+			if err := g.installNewest(entry); err != nil {
+				return err
+			}
+		}
+	}
+	g.checkedTo = revision
+	return nil
+}
+
+// installNewest puts an entry in force, unless a later one is. It fails where the
+// entry is not understood: what it takes away would stay.
+func (g *Gateway) installNewest(entry provider.Entry) error {
+	version, err := (&snapshotSink{gateway: g}).install(entry)
+	if err != nil {
+		return err
+	}
+	if g.classifier.Revision() < version {
+		return errBehind
+	}
+	return nil
+}
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -29,7 +29,8 @@
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
-		Listener:       listener, Tick: peersTick, TellsPerSecond: tellsPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner, Clock: g.cfg.Clock.Now,
+		Listener:       listener, Tick: peersTick, TellsPerSecond: tellsPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
+		Attestations: g.attester, Usage: g.usage(), Clock: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
 	if err != nil {
--- a/pkg/endivemast/gateway_snapshot.go
+++ b/pkg/endivemast/gateway_snapshot.go
@@ -14,30 +14,47 @@
 // Replace implements follower.Sink.
 func (s *snapshotSink) Replace(entries []provider.Entry, _ time.Time) {
 	for _, entry := range entries {
-		s.install(entry)
+		s.take(entry)
 	}
 }
 
 // Apply implements follower.Sink. A configuration that is removed stays in force.
 func (s *snapshotSink) Apply(change provider.Change, _ time.Time) {
 	if !change.Deleted {
-		s.install(change.Entry)
+		s.take(change.Entry)
 	}
 }
 
-func (s *snapshotSink) install(entry provider.Entry) {
-	g := s.gateway
-	if entry.Key != g.cfg.ConfigurationKey {
+func (s *snapshotSink) take(entry provider.Entry) {
+	if entry.Key != s.gateway.cfg.ConfigurationKey {
 		return
 	}
+	if _, err := s.install(entry); err != nil {
+		s.gateway.cfg.Logger.Error("configuration not understood; the one before stays in force", "error", err,
+			"revision", entry.Revision, "version", s.gateway.classifier.Revision())
+	}
+}
+
+// install puts a configuration in force unless a later one is, and returns its version.
+func (s *snapshotSink) install(entry provider.Entry) (version int64, err error) {
+	g := s.gateway
 	snapshot, err := g.cfg.DecodeSnapshot(entry.Value)
 	if err != nil {
-		g.cfg.Logger.Error("configuration not understood; the one before stays in force", "error", err,
-			"revision", entry.Revision, "version", g.classifier.Revision())
-		return
+		return 0, err
+	}
+	if !g.classifier.Install(snapshot) {
+		return snapshot.Version, nil
+	}
+	fields := []any{
+		"version", snapshot.Version, "revision", entry.Revision,
+		"rules", len(snapshot.Rules), "applications", len(snapshot.Applications),
+	}
+	if snapshot.Tenants != nil {
+		fields = append(fields, "tenants", snapshot.Tenants.Tenants(), "keys", snapshot.Tenants.Keys())
 	}
-	if g.classifier.Install(snapshot) {
-		g.cfg.Logger.Info("configuration in force", "version", snapshot.Version, "revision", entry.Revision,
-			"rules", len(snapshot.Rules), "applications", len(snapshot.Applications))
+	g.cfg.Logger.Info("configuration in force", fields...)
+	for _, problem := range snapshot.Problems {
+		g.cfg.Logger.Warn("part of the configuration not used", "version", snapshot.Version, "problem", problem)
 	}
+	return snapshot.Version, nil
 }
