--- a/internal/provisioner/provisioner.go
+++ b/internal/provisioner/provisioner.go
@@ -61,7 +61,8 @@
 type Wanted struct {
 	Target
 	Desired int
-	Need    float64 // engines that the whole load needs
+	// What the decision was made on, for the log.
+	Need, Reading, Generating float64
 }
 
 // entry is one order as the authority's record holds it.
@@ -198,7 +199,7 @@
 		Application: w.Application, Zone: w.Zone, Desired: w.Desired, Holder: p.cfg.HostID, Epoch: record.Epoch,
 	})
 	p.cfg.Logger.Info("engines ordered", "application", w.Application, "zone", w.Zone, "desired", w.Desired,
-		"need", w.Need, "epoch", record.Epoch, "error", err)
+		"need", w.Need, "reading", w.Reading, "generating", w.Generating, "epoch", record.Epoch, "error", err)
 	if err == nil {
 		p.confirmed[w.Target] = record.Epoch
 	}
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -34,8 +34,8 @@
 	// readingUse and generatingUse are the parts of the engines of the two roles that
 	// are to be in use at the highest use of the last while. A prompt that comes while
 	// another one is read waits for it, so that reading engines need spare time.
-	readingUse    = 0.4
-	generatingUse = 0.45
+	readingUse    = 0.85
+	generatingUse = 0.75
 	// spareInZone is how many engines a zone has beyond its part of the load: one may
 	// end, and one may be changing its role.
 	spareInZone = 2
--- a/pkg/endivemast/gateway_duties.go
+++ b/pkg/endivemast/gateway_duties.go
@@ -92,7 +92,7 @@
 		for _, order := range orders {
 			wanted = append(wanted, provisioner.Wanted{
 				Target:  provisioner.Target{Application: application, Zone: order.Zone},
-				Desired: order.Desired, Need: order.Need,
+				Desired: order.Desired, Need: order.Need, Reading: use.Reading, Generating: use.Generating,
 			})
 		}
 	}
