Updates to peers go by one stream a pair; hubs add up loads once a tick

Each update was a unary call: headers, a stream, a context with a timer and a goroutine; the transport pinged after each message to measure its window; and a hub added up all hosts' loads anew for each of its peers.

Change: one long-lived stream a pair, each update answered on it; a fixed window; the sum is made once in half a tick, and a peer's own part is taken out of it.

--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -83,7 +83,9 @@
 func (a *Accountant) Enabled() bool { return a.cfg.Window > 0 }
 
 // WindowAt is the window of a moment. Windows are counted from the start of 1970.
-func (a *Accountant) WindowAt(at time.Time) int64 { return at.UnixMilli() / a.cfg.Window.Milliseconds() }
+func (a *Accountant) WindowAt(at time.Time) int64 {
+	return at.UnixMilli() / a.cfg.Window.Milliseconds()
+}
 
 // EndOf is when a window ends.
 func (a *Accountant) EndOf(window int64) time.Time {
--- a/internal/exchanger/bench_test.go
+++ b/internal/exchanger/bench_test.go
@@ -42,7 +42,8 @@
 			ex[0].cfg.Tick = 1 // never started; the own load is collected for each message
 			ex[1].Start()
 			b.Cleanup(func() { assert.NilError(b, ex[1].Close()); assert.NilError(b, ex[0].Close()) })
-			client, row := exchangerpb.NewExchangeClient(ex[0].links["b"].conn), &teller{full: true}
+			client, row := newChannel(exchangerpb.NewExchangeClient(ex[0].links["b"].conn)), &teller{full: true}
+			b.Cleanup(client.close)
 			loads, n := map[string]Load{}, 0
 			before := processorTime(b)
 			for b.Loop() {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -42,8 +42,11 @@
 	// a zone sent each other 13,300 a second.
 	heartbeatsInSilence = 3
 	maxMessageBytes     = 4 << 20
-	tellTimeout         = time.Second
-	reconnectMaximum    = time.Second
+	// windowBytes is what a peer may send before it is read. A fixed window spares the
+	// transport the measuring of it, a ping for each message.
+	windowBytes      = 1 << 20
+	tellTimeout      = time.Second
+	reconnectMaximum = time.Second
 	// userTimeout is how long bytes to a peer may stay unacknowledged before the
 	// connection is given up and made anew. A connection may fall silent for good
 	// while new ones work; a few lost packets in a row take less.
@@ -144,7 +147,8 @@
 	layout    *layout
 	toldPeers int
 
-	own ownLoad
+	own  ownLoad
+	sums map[exchangerpb.Part]*sum // by part; under mu
 
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
@@ -163,7 +167,7 @@
 	if cfg.Silence == 0 {
 		cfg.Silence = DefaultSilence
 	}
-	ex = &Exchanger{cfg: cfg, local: local, links: map[string]*link{}, heard: map[string]*heardPeer{}}
+	ex = &Exchanger{cfg: cfg, local: local, links: map[string]*link{}, heard: map[string]*heardPeer{}, sums: map[exchangerpb.Part]*sum{}}
 	ex.ctx, ex.cancel = context.WithCancel(context.Background())
 	ex.server = grpc.NewServer(ex.serverOptions()...)
 	exchangerpb.RegisterExchangeServer(ex.server, ex)
--- a/internal/exchanger/fuzz_test.go
+++ b/internal/exchanger/fuzz_test.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"context"
 	"math"
 	"net"
 	"testing"
@@ -40,7 +39,7 @@
 		if proto.Unmarshal(wire, message) != nil {
 			return
 		}
-		_, err := ex.Tell(context.Background(), message)
+		_, err := ex.take(message)
 		assert.Equal(t, err == nil, message.GetHostId() == "b")
 		for endpointID, load := range local.heardOf("b") {
 			for _, n := range []int{load.Requests, load.PrefillTokens, load.DecodeTokens} {
--- a/internal/exchanger/hearer.go
+++ b/internal/exchanger/hearer.go
@@ -23,9 +23,9 @@
 	wantsUsage bool
 }
 
-// Tell takes a peer's message. A message that does not follow the last one is
-// answered with a request for the full state.
-func (ex *Exchanger) Tell(_ context.Context, message *exchangerpb.TellRequest) (*exchangerpb.TellReply, error) {
+// take takes a peer's update. One that does not follow the last one is answered with
+// a request for the full state.
+func (ex *Exchanger) take(message *exchangerpb.TellRequest) (*exchangerpb.TellReply, error) {
 	now := time.Now()
 	reply := &exchangerpb.TellReply{Incarnation: ex.cfg.Incarnation}
 	ex.mu.Lock()
--- a/internal/exchanger/hub.go
+++ b/internal/exchanger/hub.go
@@ -1,6 +1,8 @@
 package exchanger
 
 import (
+	"time"
+
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 )
 
@@ -89,18 +91,52 @@
 	if part == exchangerpb.Part_PART_OWN {
 		return w
 	}
-	w.loads = copyLoads(own)
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	newest := map[string]*heardPeer{} // of each other zone's hubs, the one heard last
+	sum := ex.sumLocked(part, own, time.Now())
+	w.loads, w.hosts = copyLoads(sum.loads), sum.hosts
 	for hostID, row := range ex.heard {
-		if hostID == peer.HostID || !row.status.Reachable {
+		if _, isIn := sum.parts[row]; isIn && hostID != peer.HostID {
+			w.leaving = append(w.leaving, row.leaving...)
+		}
+	}
+	if own, isIn := sum.parts[ex.heard[peer.HostID]]; isIn {
+		w.subtract(own)
+	}
+	return w
+}
+
+// sum is the load of several hosts. It is not changed once made.
+type sum struct {
+	at    time.Time
+	loads map[string]Load
+	hosts int
+	parts map[*heardPeer]sumPart // whose load is in it
+}
+
+// sumPart is what one row has given to a sum.
+type sumPart struct {
+	loads map[string]Load
+	hosts int
+}
+
+// sumLocked returns the load of all hosts whose load a part holds, this one's
+// included, at most half a tick old: to add it up for each peer anew would take a hub
+// as many times longer as it has peers.
+func (ex *Exchanger) sumLocked(part exchangerpb.Part, own map[string]Load, now time.Time) *sum {
+	if s := ex.sums[part]; s != nil && now.Sub(s.at) < ex.cfg.Tick/2 {
+		return s
+	}
+	s := &sum{at: now, loads: copyLoads(own), hosts: 1, parts: map[*heardPeer]sumPart{}}
+	newest := map[string]*heardPeer{} // of each other zone's hubs, the one heard last
+	for _, row := range ex.heard {
+		if !row.status.Reachable {
 			continue
 		}
 		zone := row.status.Peer.Zone
 		switch {
 		case row.part == exchangerpb.Part_PART_OWN && zone == ex.cfg.Zone:
-			w.add(row)
+			s.add(row)
 		case row.part == exchangerpb.Part_PART_ZONE && part == exchangerpb.Part_PART_REST && zone != ex.cfg.Zone:
 			if latest := newest[zone]; latest == nil || row.status.LastHeard.After(latest.status.LastHeard) {
 				newest[zone] = row
@@ -108,19 +144,36 @@
 		}
 	}
 	for _, row := range newest {
-		w.add(row)
+		s.add(row)
 	}
-	return w
+	ex.sums[part] = s
+	return s
 }
 
-func (w *word) add(row *heardPeer) {
-	w.hosts += row.hosts
-	w.leaving = append(w.leaving, row.leaving...)
+func (s *sum) add(row *heardPeer) {
+	s.parts[row] = sumPart{loads: copyLoads(row.loads), hosts: row.hosts}
+	s.hosts += row.hosts
 	for endpointID, load := range row.loads {
-		sum := w.loads[endpointID]
-		sum.Requests += load.Requests
-		sum.PrefillTokens += load.PrefillTokens
-		sum.DecodeTokens += load.DecodeTokens
-		w.loads[endpointID] = sum
+		total := s.loads[endpointID]
+		total.Requests += load.Requests
+		total.PrefillTokens += load.PrefillTokens
+		total.DecodeTokens += load.DecodeTokens
+		s.loads[endpointID] = total
+	}
+}
+
+// subtract takes a part out of a sum that it is in.
+func (w *word) subtract(part sumPart) {
+	w.hosts -= part.hosts
+	for endpointID, load := range part.loads {
+		rest := w.loads[endpointID]
+		rest.Requests -= load.Requests
+		rest.PrefillTokens -= load.PrefillTokens
+		rest.DecodeTokens -= load.DecodeTokens
+		if rest == (Load{}) {
+			delete(w.loads, endpointID)
+			continue
+		}
+		w.loads[endpointID] = rest
 	}
 }
--- a/internal/exchanger/links.go
+++ b/internal/exchanger/links.go
@@ -105,6 +105,8 @@
 func (ex *Exchanger) serverOptions() []grpc.ServerOption {
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
 		grpc.UnaryInterceptor(ex.checkUnary),
 		grpc.StreamInterceptor(ex.checkStream),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: userTimeout}),
@@ -131,6 +133,8 @@
 		}),
 		grpc.WithPerRPCCredentials(peerSecret{secret: ex.cfg.Secret}),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: reconnectMaximum}),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		// A call that the peer may have run must not be sent twice by the library.
 		grpc.WithDisableRetry(),
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -45,7 +45,8 @@
 // tellPeer tells one peer, each on its own goroutine: a peer that does not
 // answer holds up nobody else.
 func (ex *Exchanger) tellPeer(l *link) error {
-	client := exchangerpb.NewExchangeClient(l.conn)
+	client := newChannel(exchangerpb.NewExchangeClient(l.conn))
+	defer client.close()
 	row := &teller{full: true, told: map[string]Load{}}
 	timer := time.NewTimer(ex.tick())
 	defer timer.Stop()
@@ -82,7 +83,7 @@
 	return ex.tick()
 }
 
-func (ex *Exchanger) tellOnce(ctx context.Context, client exchangerpb.ExchangeClient, row *teller, peer Peer) {
+func (ex *Exchanger) tellOnce(ctx context.Context, client *channel, row *teller, peer Peer) {
 	layout := ex.currentLayout()
 	part := ex.partFor(layout, peer)
 	if part != row.part {
@@ -114,10 +115,8 @@
 	row.idle, row.leaving = 0, len(word.leaving)
 	row.sequence++
 	message.Sequence = row.sequence
-	ctx, cancel := timekeeper.WithTimeout(ctx, tellTimeout)
-	defer cancel()
 	sent := ex.cfg.Clock()
-	reply, err := client.Tell(ctx, message)
+	reply, err := client.exchange(ctx, message)
 	row.settle(word.loads, err == nil && !reply.GetResync())
 	if err == nil {
 		row.caches.settle(len(cacheWords), reply.GetIncarnation())
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -72,7 +72,7 @@
 	IgnoreLimits bool
 	// ProbesEarly lets the work on at endpoints that are set aside and still take work.
 	ProbesEarly bool
-	Now          time.Time
+	Now         time.Time
 }
 
 // Course is by which way a prompt gets to the engine that decodes, for the log.
