Scaling: most engines as spot engines, in the number found

Fewer engines lose more than they save: an engine keeps prefixes too.

Change: a third policy, spot_share, which keeps as many engines as were found and has two thirds of them as spot engines; on demand ones stay until these are there, and are ordered at once where a zone's are taken away. The first, as_found, and target_tracking can be set.

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -52,6 +52,9 @@
 type Scaling struct {
 	Min, Max int           // engines in a zone
 	Boot     time.Duration // until a new engine serves
+	// SpotPrice is the part of an engine's price that one costs which may be taken away
+	// at short notice; 0: there are none.
+	SpotPrice float64
 	// Prices are by zone, of an engine and second. A zone without one costs DefaultPrice.
 	Prices map[string]float64
 }
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -173,6 +173,8 @@
 	State       HostState `json:"state"`
 	// Role is an engine's present share of the work, as driver.Role; empty: not told.
 	Role string `json:"role,omitempty"`
+	// IsSpot is true for an engine that is cheaper and may be taken away at short notice.
+	IsSpot bool `json:"is_spot,omitempty"`
 	// Slots is how many requests an endpoint runs at once; 0: not told.
 	Slots int `json:"slots,omitempty"`
 	// Revision is the store's, of the entry that says all this; 0: not told.
--- a/internal/provisioner/provisioner.go
+++ b/internal/provisioner/provisioner.go
@@ -46,6 +46,7 @@
 type Order struct {
 	Application string
 	Zone        string
+	IsSpot      bool // of those that may be taken away at short notice
 	Desired     int
 	Holder      string // this host
 	Epoch       int64  // the fencing number
@@ -55,6 +56,7 @@
 type Target struct {
 	Application string
 	Zone        string
+	IsSpot      bool
 }
 
 // Wanted is an order to be made, and what for.
@@ -69,6 +71,7 @@
 type entry struct {
 	Application string `json:"application"`
 	Zone        string `json:"zone"`
+	IsSpot      bool   `json:"is_spot,omitempty"`
 	Desired     int    `json:"desired"`
 	Epoch       int64  `json:"epoch"`
 }
@@ -186,7 +189,7 @@
 		}
 		draft.Epoch++
 		list = slices.DeleteFunc(list, func(e entry) bool { return e.target() == w.Target })
-		list = append(list, entry{Application: w.Application, Zone: w.Zone, Desired: w.Desired, Epoch: draft.Epoch})
+		list = append(list, entry{Application: w.Application, Zone: w.Zone, IsSpot: w.IsSpot, Desired: w.Desired, Epoch: draft.Epoch})
 		return draft.SetSection(section, list)
 	})
 	if err != nil {
@@ -196,16 +199,18 @@
 	call, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	err = p.cfg.Send(call, Order{
-		Application: w.Application, Zone: w.Zone, Desired: w.Desired, Holder: p.cfg.HostID, Epoch: record.Epoch,
+		Application: w.Application, Zone: w.Zone, IsSpot: w.IsSpot, Desired: w.Desired, Holder: p.cfg.HostID, Epoch: record.Epoch,
 	})
-	p.cfg.Logger.Info("engines ordered", "application", w.Application, "zone", w.Zone, "desired", w.Desired,
+	p.cfg.Logger.Info("engines ordered", "application", w.Application, "zone", w.Zone, "is_spot", w.IsSpot, "desired", w.Desired,
 		"need", w.Need, "reading", w.Reading, "generating", w.Generating, "epoch", record.Epoch, "error", err)
 	if err == nil {
 		p.confirmed[w.Target] = record.Epoch
 	}
 }
 
-func (e *entry) target() Target { return Target{Application: e.Application, Zone: e.Zone} }
+func (e *entry) target() Target {
+	return Target{Application: e.Application, Zone: e.Zone, IsSpot: e.IsSpot}
+}
 
 func entriesOf(record *leaser.Record) (entries map[Target]entry, err error) {
 	var list []entry
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -1,11 +1,9 @@
 // Package scaler decides how many engines of an application each availability zone is
-// to have.
+// to have, and of which kind.
 //
 // It answers load that moves within seconds between prompts and answers while engines
-// take seconds to boot and are paid for by the second: it follows the highest use of
-// the last while, with room for what engines that boot could not carry, orders more at
-// once, and takes engines away only after a quiet while, a few at a time. Each zone
-// keeps what its own part of the load needs, since it may be cut off.
+// take seconds to boot and are paid for by the second. Engines are either on demand or
+// spot: much cheaper, and taken away at short notice, all of a zone at once.
 //
 // Plan is a pure function: what it has to remember goes in and out as a State.
 //
@@ -16,6 +14,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -26,14 +25,19 @@
 
 // Ways to scale.
 const (
-	AsFound        Policy = "as_found"        // never order anything
-	TargetTracking Policy = "target_tracking" // follow the use of the engines
+	// AsFound never orders anything.
+	AsFound Policy = "as_found"
+	// TargetTracking follows the use of the engines, all of them on demand.
+	TargetTracking Policy = "target_tracking"
+	// SpotShare keeps the number of engines found, or what the use needs where that is
+	// more, and has the larger part of them as spot engines.
+	SpotShare Policy = "spot_share"
 )
 
 const (
 	// readingUse and generatingUse are the parts of the engines of the two roles that
-	// are to be in use at the highest use of the last while. A prompt that comes while
-	// another one is read waits for it, so that reading engines need spare time.
+	// are to be in use at the highest use of the last while. A request counts as in use
+	// from its sending to its first event, so that these are near 1.
 	readingUse    = 0.85
 	generatingUse = 0.75
 	// spareInZone is how many engines a zone has beyond its part of the load: one may
@@ -42,32 +46,56 @@
 	// leastInZone is the fewest that a zone has: one that reads, one that generates,
 	// and one of each to take over.
 	leastInZone = 4
+	// onDemandShare of a zone's engines are on demand where the rest may be spot: with
+	// the spot engines of one of three zones gone, more than three quarters are left.
+	onDemandShare = 1.0 / 3
+	// settleTime is from the first engine seen until the number found is taken for
+	// whole: engines register one after the other.
+	settleTime = 3 * time.Second
+	// missTime is for how long, beyond a boot, spot engines have to be missing for them
+	// to be ordered again.
+	missTime = 4 * time.Second
 	// peakTime is for how long a use is remembered.
 	peakTime = 12 * time.Second
-	// warmTime is from the first use on until engines are taken away: caches are cold
-	// at first, and the load is not known.
+	// warmTime is from the first use on until engines are taken away by their use:
+	// caches are cold at first, and the load is not known.
 	warmTime = 4 * time.Second
 	// minUse is the use, in engines, from which on there is load at all.
 	minUse = 0.5
 	// restTime is the time between two orders that take engines of an application
-	// away, so that prefixes and roles move to those that stay.
+	// away under load, so that prefixes and roles move to those that stay.
 	restTime = 2 * time.Second
-	// mostAtOnce is how many engines one order takes away from a zone.
+	// mostAtOnce is how many engines one order takes away from a zone under load.
 	mostAtOnce = 2
 )
 
 // Zone is an availability zone that has, or may have, engines of the application.
 type Zone struct {
-	Name    string
-	Engines int     // that take work, or will after a change of role
-	Ordered int     // desired number that was ordered last; 0: none was
-	Price   float64 // of an engine and second, against other zones
+	Name     string
+	OnDemand Count
+	Spot     Count
+	Price    float64 // of an engine and second, against other zones
+}
+
+// Count is a number of engines of one kind.
+type Count struct {
+	Present int // that take work, or will after a change of role
+	Ordered int // desired number that was ordered last; 0: none was
+}
+
+// desired is the number that is to be there by the orders made so far.
+func (c Count) desired() int {
+	if c.Ordered > 0 {
+		return c.Ordered
+	}
+	return c.Present
 }
 
 // Bounds are what the operator allows of an application.
 type Bounds struct {
-	Min, Max int // engines in a zone
-	Boot     time.Duration
+	Min, Max  int // engines in a zone, of both kinds together
+	Boot      time.Duration
+	SpotPrice float64 // part of an engine's price; 0: there are no spot engines
 }
 
 // Input is what a decision is made on.
@@ -89,60 +117,168 @@
 // State is what Plan remembers of an application.
 type State struct {
 	samples []sample
-	loadAt  time.Time // of the first load
-	takenAt time.Time // when engines were taken away last
+	loadAt  time.Time            // of the first load
+	takenAt time.Time            // when engines were taken away last
+	seenAt  time.Time            // of the first engine
+	found   map[string]int       // engines by zone before anything was ordered
+	missed  map[string]time.Time // since when a zone has fewer spot engines than ordered
 }
 
 // Order is a desired number of engines in a zone.
 type Order struct {
 	Zone    string
+	IsSpot  bool
 	Desired int
 	Need    float64 // engines that the whole load needs, for the log
 }
 
 // Plan returns the orders that are due.
 func Plan(in *Input, state State) ([]Order, State) {
-	if in.Policy != TargetTracking || len(in.Zones) == 0 || in.Bounds.Max <= 0 {
+	if in.Policy == AsFound || len(in.Zones) == 0 || in.Bounds.Max <= 0 {
 		return nil, state
 	}
 	if in.Reading+in.Generating >= minUse && state.loadAt.IsZero() {
 		state.loadAt = in.Now
 	}
-	if state.loadAt.IsZero() {
+	if !state.isSettled(in) {
 		return nil, state
 	}
-	need := state.peak(in.Now, in.Reading/readingUse+in.Generating/generatingUse)
-	wanted := wantedInZone(in, need)
-	var orders []Order
+	p := &plan{in: in, state: state, need: state.peak(in.Now, in.Reading/readingUse+in.Generating/generatingUse)}
+	p.state.samples = state.samples
 	zones := slices.Clone(in.Zones)
 	// The dearest zone gives engines first.
 	slices.SortStableFunc(zones, func(a, b Zone) int { return cmp.Compare(b.Price, a.Price) })
-	for _, zone := range zones {
-		present := zone.Ordered
-		if present == 0 {
-			present = zone.Engines
-		}
+	for i := range zones {
 		switch {
-		case wanted > present:
-			orders = append(orders, Order{Zone: zone.Name, Desired: wanted, Need: need})
-		case wanted < present && state.mayTake(in.Now) && zone.Engines >= present:
-			orders = append(orders, Order{Zone: zone.Name, Desired: max(wanted, present-mostAtOnce), Need: need})
-			state.takenAt = in.Now
+		case in.Policy == SpotShare && in.Bounds.SpotPrice > 0:
+			p.shareSpot(&zones[i])
+		case in.Policy == TargetTracking && !state.loadAt.IsZero():
+			p.order(&zones[i], false, p.wantedInZone())
 		}
 	}
-	return orders, state
+	return p.orders, p.state
+}
+
+// plan is one decision under way.
+type plan struct {
+	in     *Input
+	state  State
+	need   float64
+	orders []Order
+}
+
+// wantedInZone is how many engines a zone needs for its part of the load, so that it
+// can serve it where it is cut off.
+func (p *plan) wantedInZone() int {
+	wanted := int(math.Ceil(p.need/float64(len(p.in.Zones)))) + spareInZone
+	return p.within(max(wanted, leastInZone))
+}
+
+func (p *plan) within(wanted int) int {
+	return min(max(wanted, p.in.Bounds.Min), p.in.Bounds.Max)
+}
+
+// shareSpot has the larger part of a zone's engines as spot engines. On demand are
+// those that are to stay whatever happens, and those for which there is no spot engine
+// yet, or no more.
+func (p *plan) shareSpot(zone *Zone) {
+	total := p.within(max(p.foundIn(zone), p.wantedInZone()))
+	base := baseOf(total)
+	// Until the spot engines are there, those on demand stay beside them, and both
+	// kinds together keep to the bounds.
+	spot := max(min(total-base, p.in.Bounds.Max-max(total, zone.OnDemand.desired())), zone.Spot.Ordered)
+	if spot <= 0 {
+		return
+	}
+	if spot > zone.Spot.Ordered || p.isMissing(zone) {
+		p.orders = append(p.orders, Order{Zone: zone.Name, IsSpot: true, Desired: spot, Need: p.need})
+	}
+	p.order(zone, false, min(max(total-min(zone.Spot.Present, spot), base), p.in.Bounds.Max-spot))
 }
 
-// wantedInZone is how many engines each zone is to have.
-func wantedInZone(in *Input, need float64) int {
-	wanted := int(math.Ceil(need/float64(len(in.Zones)))) + spareInZone
-	wanted = max(wanted, leastInZone, in.Bounds.Min)
-	return min(wanted, in.Bounds.Max)
+// baseOf is how many of a zone's engines are on demand at least.
+func baseOf(total int) int {
+	return min(max(int(math.Ceil(float64(total)*onDemandShare)), leastInZone), total)
+}
+
+// foundIn is how many engines a zone had before anything was ordered. A later holder
+// of the duty follows it from the former one's orders.
+func (p *plan) foundIn(zone *Zone) int {
+	if zone.Spot.Ordered > 0 {
+		total := zone.Spot.Ordered
+		for total-baseOf(total) < zone.Spot.Ordered {
+			total++
+		}
+		return total
+	}
+	found := maps.Clone(p.state.found)
+	if found == nil {
+		found = map[string]int{}
+	}
+	found[zone.Name] = max(found[zone.Name], zone.OnDemand.Present+zone.Spot.Present)
+	p.state.found = found
+	return found[zone.Name]
+}
+
+// isMissing says whether a zone has had fewer spot engines than ordered for so long
+// that they are to be ordered again.
+func (p *plan) isMissing(zone *Zone) bool {
+	missed := maps.Clone(p.state.missed)
+	if missed == nil {
+		missed = map[string]time.Time{}
+	}
+	p.state.missed = missed
+	since, ok := missed[zone.Name]
+	switch {
+	case zone.Spot.Present >= zone.Spot.Ordered:
+		delete(missed, zone.Name)
+		return false
+	case !ok:
+		missed[zone.Name] = p.in.Now
+		return false
+	case p.in.Now.Sub(since) < p.in.Bounds.Boot+missTime:
+		return false
+	}
+	missed[zone.Name] = p.in.Now
+	return true
+}
+
+// order orders engines of a kind where their number has to change: more at once, fewer
+// in steps under load, and none while an engine that was ordered is missing.
+func (p *plan) order(zone *Zone, isSpot bool, wanted int) {
+	count := zone.OnDemand
+	if isSpot {
+		count = zone.Spot
+	}
+	present := count.desired()
+	switch {
+	case wanted > present:
+		p.orders = append(p.orders, Order{Zone: zone.Name, IsSpot: isSpot, Desired: wanted, Need: p.need})
+	case wanted < present && p.mayTake() && count.Present >= present:
+		if !p.state.loadAt.IsZero() {
+			wanted = max(wanted, present-mostAtOnce)
+			p.state.takenAt = p.in.Now
+		}
+		p.orders = append(p.orders, Order{Zone: zone.Name, IsSpot: isSpot, Desired: wanted, Need: p.need})
+	}
 }
 
 // mayTake says whether engines may be taken away now.
-func (s *State) mayTake(now time.Time) bool {
-	return now.Sub(s.loadAt) >= warmTime && now.Sub(s.takenAt) >= restTime
+func (p *plan) mayTake() bool {
+	if p.state.loadAt.IsZero() {
+		return true
+	}
+	return p.in.Now.Sub(p.state.loadAt) >= warmTime && p.in.Now.Sub(p.state.takenAt) >= restTime
+}
+
+// isSettled is false until the engines that there are have registered.
+func (s *State) isSettled(in *Input) bool {
+	for i := range in.Zones {
+		if s.seenAt.IsZero() && in.Zones[i].OnDemand.Present+in.Zones[i].Spot.Present > 0 {
+			s.seenAt = in.Now
+		}
+	}
+	return !s.seenAt.IsZero() && in.Now.Sub(s.seenAt) >= settleTime
 }
 
 // peak notes a need and returns the highest one of the last while.
--- a/internal/scaler/scaler_test.go
+++ b/internal/scaler/scaler_test.go
@@ -1,6 +1,7 @@
 package scaler
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,16 +13,35 @@
 
 // fleet is three zones that get what was ordered some seconds later.
 type fleet struct {
-	in    Input
-	state State
-	boots map[time.Time]map[string]int
+	in     Input
+	state  State
+	boots  []boot
+	noSpot map[string]bool // zones without spot engines to be had
 }
 
-func newFleet(engines int) *fleet {
-	return &fleet{boots: map[time.Time]map[string]int{}, in: Input{
-		Policy: TargetTracking, Now: start, Bounds: Bounds{Min: 1, Max: 30, Boot: 4 * time.Second},
-		Zones: []Zone{{Name: "a", Engines: engines, Price: 1}, {Name: "b", Engines: engines, Price: 0.8}, {Name: "c", Engines: engines, Price: 1.25}},
+type boot struct {
+	at    time.Time
+	order Order
+}
+
+func newFleet(policy Policy, engines int) *fleet {
+	f := &fleet{noSpot: map[string]bool{}, in: Input{
+		Policy: policy, Now: start, Bounds: Bounds{Min: 1, Max: 30, Boot: 4 * time.Second, SpotPrice: 0.2},
+		Zones: []Zone{{Name: "a", Price: 1}, {Name: "b", Price: 0.8}, {Name: "c", Price: 1.25}},
 	}}
+	for i := range f.in.Zones {
+		f.in.Zones[i].OnDemand.Present = engines
+	}
+	return f
+}
+
+func (f *fleet) zone(name string) *Zone {
+	for i := range f.in.Zones {
+		if f.in.Zones[i].Name == name {
+			return &f.in.Zones[i]
+		}
+	}
+	return nil
 }
 
 // pass lets time go by with a constant use, and returns the orders.
@@ -29,29 +49,29 @@
 	const step = 250 * time.Millisecond
 	for end := f.in.Now.Add(d); f.in.Now.Before(end); f.in.Now = f.in.Now.Add(step) {
 		f.in.Reading, f.in.Generating = reading, generating
-		for at, zones := range f.boots {
-			if !at.After(f.in.Now) {
-				for i := range f.in.Zones {
-					if desired, ok := zones[f.in.Zones[i].Name]; ok {
-						f.in.Zones[i].Engines = desired
-					}
-				}
-				delete(f.boots, at)
+		f.boots = slices.DeleteFunc(f.boots, func(b boot) bool {
+			if b.at.After(f.in.Now) {
+				return false
 			}
-		}
+			zone := f.zone(b.order.Zone)
+			switch {
+			case !b.order.IsSpot:
+				zone.OnDemand.Present = b.order.Desired
+			case !f.noSpot[zone.Name]:
+				zone.Spot.Present = b.order.Desired
+			}
+			return true
+		})
 		due, state := Plan(&f.in, f.state)
 		f.state = state
 		for _, order := range due {
-			for i := range f.in.Zones {
-				if f.in.Zones[i].Name == order.Zone {
-					f.in.Zones[i].Ordered = order.Desired
-				}
-			}
-			at := f.in.Now.Add(f.in.Bounds.Boot)
-			if f.boots[at] == nil {
-				f.boots[at] = map[string]int{}
+			zone := f.zone(order.Zone)
+			if order.IsSpot {
+				zone.Spot.Ordered = order.Desired
+			} else {
+				zone.OnDemand.Ordered = order.Desired
 			}
-			f.boots[at][order.Zone] = order.Desired
+			f.boots = append(f.boots, boot{at: f.in.Now.Add(f.in.Bounds.Boot), order: order})
 		}
 		orders = append(orders, due...)
 	}
@@ -60,28 +80,30 @@
 
 func (f *fleet) engines() (sum int) {
 	for _, zone := range f.in.Zones {
-		sum += zone.Engines
+		sum += zone.OnDemand.Present + zone.Spot.Present
 	}
 	return sum
 }
 
-func TestNothingIsOrderedBeforeThereIsLoad(t *testing.T) {
+func TestNothingIsOrdered(t *testing.T) {
 	t.Parallel()
-	f := newFleet(15)
-	assert.Equal(t, len(f.pass(time.Minute, 0, 0)), 0)
-	f.in.Policy = AsFound
-	assert.Equal(t, len(f.pass(time.Minute, 1, 1)), 0)
+	assert.Equal(t, len(newFleet(TargetTracking, 15).pass(time.Minute, 0, 0)), 0, "before there is load")
+	assert.Equal(t, len(newFleet(AsFound, 15).pass(time.Minute, 9, 9)), 0)
+	f := newFleet(SpotShare, 15)
+	f.in.Bounds.SpotPrice = 0
+	assert.Equal(t, len(f.pass(time.Minute, 9, 9)), 0, "there are no spot engines")
+	assert.Equal(t, len(newFleet(SpotShare, 0).pass(time.Minute, 0, 0)), 0, "no engine has been seen")
 }
 
 // A fleet with far more engines than its load needs gives them back, the dearest
 // zone first, and keeps in each zone what it needs by itself.
 func TestSpareEnginesAreGivenBack(t *testing.T) {
 	t.Parallel()
-	f := newFleet(15)
+	f := newFleet(TargetTracking, 15)
 	orders := f.pass(3*time.Minute, 3, 1)
 	assert.Equal(t, orders[0].Zone, "c")
 	for _, zone := range f.in.Zones {
-		assert.Assert(t, zone.Engines >= leastInZone && zone.Engines < 10, "%s: %d", zone.Name, zone.Engines)
+		assert.Assert(t, zone.OnDemand.Present >= leastInZone && zone.OnDemand.Present < 10, "%+v", zone)
 	}
 	assert.Equal(t, len(f.pass(time.Minute, 3, 1)), 0, "and then nothing is ordered")
 }
@@ -89,7 +111,7 @@
 // Bursts that alternate within seconds keep the engines that their peaks need.
 func TestBurstsKeepTheirEngines(t *testing.T) {
 	t.Parallel()
-	f := newFleet(15)
+	f := newFleet(TargetTracking, 15)
 	for range 20 {
 		f.pass(3*time.Second, 8, 1)
 		f.pass(3*time.Second, 2, 2)
@@ -100,7 +122,8 @@
 
 func TestMoreAreOrderedAtOnce(t *testing.T) {
 	t.Parallel()
-	f := newFleet(4)
+	f := newFleet(TargetTracking, 4)
+	f.pass(settleTime, 0, 0)
 	orders := f.pass(250*time.Millisecond, 12, 2)
 	assert.Equal(t, len(orders), 3)
 	for _, order := range orders {
@@ -111,26 +134,79 @@
 // An engine that is lost is not taken for one that was given back.
 func TestLostEngineDelaysGivingBack(t *testing.T) {
 	t.Parallel()
-	f := newFleet(14)
+	f := newFleet(TargetTracking, 14)
 	for i := range f.in.Zones {
-		f.in.Zones[i].Ordered = 15
+		f.in.Zones[i].OnDemand.Ordered = 15
 	}
 	assert.Equal(t, len(f.pass(time.Minute, 3, 1)), 0)
 }
 
+// Spot engines take the place of most engines on demand, which stay until they are
+// there: there are never fewer than were found.
+func TestSpotEnginesTakeThePlaceOfOthers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(SpotShare, 15)
+	for range 60 {
+		f.pass(250*time.Millisecond, 0, 0)
+		assert.Assert(t, f.engines() >= 45, "%+v", f.in.Zones)
+	}
+	for _, zone := range f.in.Zones {
+		assert.Equal(t, zone.OnDemand.Present, 5)
+		assert.Equal(t, zone.Spot.Present, 10)
+	}
+	assert.Equal(t, len(f.pass(time.Minute, 3, 1)), 0, "a load that they can carry changes nothing")
+}
+
+// A zone loses all its spot engines, and no more are to be had there: engines on demand
+// are ordered at once, and given back once there are spot engines again.
+func TestSpotEnginesAreTakenAway(t *testing.T) {
+	t.Parallel()
+	f := newFleet(SpotShare, 15)
+	f.pass(20*time.Second, 0, 0)
+	f.noSpot["b"] = true
+	f.zone("b").Spot.Present = 0
+	orders := f.pass(250*time.Millisecond, 5, 2)
+	assert.Equal(t, len(orders), 1)
+	assert.DeepEqual(t, orders[0], Order{Zone: "b", Desired: 15, Need: orders[0].Need})
+	again := f.pass(20*time.Second, 5, 2)
+	assert.Assert(t, slices.ContainsFunc(again, func(o Order) bool { return o.IsSpot && o.Zone == "b" }), "they are asked for again")
+	assert.Equal(t, f.zone("b").OnDemand.Present, 15)
+	f.noSpot["b"] = false
+	f.pass(time.Minute, 5, 2)
+	assert.Equal(t, f.zone("b").OnDemand.Present, 5)
+	assert.Equal(t, f.zone("b").Spot.Present, 10)
+}
+
+// A new holder of the duty knows only what was ordered, and goes on as the former one.
+func TestNewHolderGoesOn(t *testing.T) {
+	t.Parallel()
+	f := newFleet(SpotShare, 15)
+	f.pass(20*time.Second, 0, 0)
+	f.state = State{}
+	assert.Equal(t, len(f.pass(time.Minute, 5, 2)), 0)
+}
+
 func TestOrdersStayWithinBounds(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
-		f := newFleet(rapid.IntRange(1, 40).Draw(rt, "engines"))
+		f := newFleet(rapid.SampledFrom([]Policy{TargetTracking, SpotShare}).Draw(rt, "policy"), rapid.IntRange(1, 20).Draw(rt, "engines"))
 		f.in.Bounds.Min = rapid.IntRange(0, 5).Draw(rt, "min")
-		f.in.Bounds.Max = f.in.Bounds.Min + rapid.IntRange(1, 30).Draw(rt, "more")
+		f.in.Bounds.Max = 20 + rapid.IntRange(0, 30).Draw(rt, "more")
 		for range 10 {
 			use := rapid.Float64Range(0, 100)
+			if rapid.Bool().Draw(rt, "reclaim") {
+				f.in.Zones[rapid.IntRange(0, 2).Draw(rt, "zone")].Spot.Present = 0
+			}
 			for _, order := range f.pass(2*time.Second, use.Draw(rt, "reading"), use.Draw(rt, "generating")) {
-				if order.Desired < f.in.Bounds.Min || order.Desired > max(f.in.Bounds.Max, 40) {
+				if order.Desired <= 0 || order.Desired > f.in.Bounds.Max {
 					rt.Fatalf("%+v with %+v", order, f.in.Bounds)
 				}
 			}
+			for _, zone := range f.in.Zones {
+				if zone.OnDemand.Ordered+zone.Spot.Ordered > f.in.Bounds.Max {
+					rt.Fatalf("%+v with %+v", zone, f.in.Bounds)
+				}
+			}
 		}
 	})
 }
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -95,7 +95,7 @@
 	UsageWindow time.Duration
 	ReportUsage func(ctx context.Context, report reporter.Report) error
 	// OrderEngines orders engines from the platform; nil: there are as many as there
-	// are. Scaling is the policy; empty: scaler.TargetTracking.
+	// are. Scaling is the policy; empty: scaler.SpotShare.
 	OrderEngines func(ctx context.Context, order provisioner.Order) error
 	Scaling      string
 
--- a/pkg/endivemast/gateway_duties.go
+++ b/pkg/endivemast/gateway_duties.go
@@ -68,22 +68,27 @@
 
 // planEngines says how many engines each zone is to have.
 func (g *Gateway) planEngines(ordered map[provisioner.Target]int, now time.Time) (wanted []provisioner.Wanted) {
-	policy := scaler.Policy(cmp.Or(g.cfg.Scaling, string(scaler.TargetTracking)))
+	policy := scaler.Policy(cmp.Or(g.cfg.Scaling, string(scaler.SpotShare)))
 	for application, scaling := range g.classifier.Scaling() {
 		use := g.scheduler.EngineUse(application)
 		in := scaler.Input{
 			Policy: policy, Now: now, Reading: use.Reading, Generating: use.Generating,
-			Bounds: scaler.Bounds{Min: scaling.Min, Max: scaling.Max, Boot: scaling.Boot},
+			Bounds: scaler.Bounds{Min: scaling.Min, Max: scaling.Max, Boot: scaling.Boot, SpotPrice: scaling.SpotPrice},
 		}
 		for target := range ordered { // a zone may have lost all its engines
 			if target.Application == application && use.Engines != nil {
-				use.Engines[target.Zone] += 0
+				use.Engines[target.Zone] = use.Engines[target.Zone]
 			}
 		}
 		for zone, engines := range use.Engines {
 			in.Zones = append(in.Zones, scaler.Zone{
-				Name: zone, Engines: engines, Price: scaling.Price(zone),
-				Ordered: ordered[provisioner.Target{Application: application, Zone: zone}],
+				Name: zone, Price: scaling.Price(zone),
+				OnDemand: scaler.Count{
+					Present: engines.OnDemand, Ordered: ordered[provisioner.Target{Application: application, Zone: zone}],
+				},
+				Spot: scaler.Count{
+					Present: engines.Spot, Ordered: ordered[provisioner.Target{Application: application, Zone: zone, IsSpot: true}],
+				},
 			})
 		}
 		slices.SortFunc(in.Zones, func(a, b scaler.Zone) int { return strings.Compare(a.Name, b.Name) })
@@ -91,7 +96,7 @@
 		g.scaling[application] = state
 		for _, order := range orders {
 			wanted = append(wanted, provisioner.Wanted{
-				Target:  provisioner.Target{Application: application, Zone: order.Zone},
+				Target:  provisioner.Target{Application: application, Zone: order.Zone, IsSpot: order.IsSpot},
 				Desired: order.Desired, Need: order.Need, Reading: use.Reading, Generating: use.Generating,
 			})
 		}
