Each host of a large zone gets the loads of all others from one hub

Cause: both hubs of a zone sent each of its hosts the same sum, 960 messages a second a hub; the second copy only covers the first hub's silence.

Change: the hubs share the zone's hosts between them by a hash; a hub that has not sent anything for 500 ms is covered by the other one. The tick is as it was, so loads are no older.

Test: TestEachHostIsFedByOneHub (fails without the change: two feeders).

--- a/internal/exchanger/hub.go
+++ b/internal/exchanger/hub.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 )
 
@@ -38,6 +40,15 @@
 
 // partFor says whose load is told to a peer.
 func (ex *Exchanger) partFor(l *layout, peer Peer) exchangerpb.Part {
+	part := ex.partOf(l, peer)
+	if part == exchangerpb.Part_PART_REST && !ex.feeds(l, peer) {
+		return exchangerpb.Part_PART_NONE
+	}
+	return part
+}
+
+// partOf is partFor where all other hubs are silent.
+func (ex *Exchanger) partOf(l *layout, peer Peer) exchangerpb.Part {
 	isHub, isOwnZone := l.hubs[ex.cfg.HostID], peer.Zone == ex.cfg.Zone
 	switch {
 	case l.isFlat:
@@ -53,6 +64,28 @@
 	}
 }
 
+// feeds says whether this hub sends the load of all hosts to a host of its zone. The
+// zone's hubs share their hosts between them, and one whose other hub has fallen silent
+// feeds all.
+func (ex *Exchanger) feeds(l *layout, peer Peer) bool {
+	hubs := l.zoneHubs[ex.cfg.Zone]
+	if len(hubs) == 0 {
+		return true
+	}
+	feeder := hubs[xxhash.Sum64String(peer.HostID)%uint64(len(hubs))]
+	if feeder == ex.cfg.HostID {
+		return true
+	}
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	row := ex.heard[feeder]
+	return row == nil || !row.status.Reachable || time.Since(row.status.LastHeard) > hubSilence
+}
+
+// hubSilence is after how long without an update a hub takes over another one's hosts.
+// Hubs send each other their loads some tens of times a second.
+const hubSilence = 500 * time.Millisecond
+
 // sourceOf names a row's load for this host; empty where it is not to be
 // counted, since it comes by another way.
 func (ex *Exchanger) sourceOf(l *layout, row *heardPeer) string {
--- a/internal/exchanger/hub_test.go
+++ b/internal/exchanger/hub_test.go
@@ -290,3 +290,59 @@
 		return poll.Success()
 	}, poll.WithTimeout(15*time.Second), poll.WithDelay(5*time.Millisecond))
 }
+
+// Each host of a large zone gets the load of all others from one hub, not from both,
+// and from the other one once that hub has fallen silent.
+func TestEachHostIsFedByOneHub(t *testing.T) {
+	t.Parallel()
+	f := startHubFleet(t, map[string]int{"a": 8, "b": 6})
+	f.awaitSums()
+	feeders := func(id string) (feeders []string) {
+		ex := f.ex[id]
+		ex.mu.Lock()
+		defer ex.mu.Unlock()
+		for hub, row := range ex.heard {
+			if row.part == exchangerpb.Part_PART_REST && row.status.Reachable {
+				feeders = append(feeders, hub)
+			}
+		}
+		return feeders
+	}
+	fed := map[string]int{}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		clear(fed)
+		for _, peer := range f.peers {
+			if f.ex[peer.HostID].isHub() {
+				continue
+			}
+			from := feeders(peer.HostID)
+			if len(from) != 1 {
+				return poll.Continue("%s is fed by %v", peer.HostID, from)
+			}
+			fed[from[0]]++
+		}
+		return poll.Success()
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(20*time.Millisecond))
+	for hub, hosts := range fed {
+		assert.Assert(t, hosts < 8, "%s feeds %d", hub, hosts)
+	}
+	for _, peer := range f.peers {
+		if f.ex[peer.HostID].isHub() && peer.Zone == "a" {
+			assert.NilError(t, f.ex[peer.HostID].Close())
+			f.ex[peer.HostID] = nil
+			f.own[peer.HostID] = 0
+			break
+		}
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, peer := range f.peers {
+			if ex := f.ex[peer.HostID]; ex == nil || ex.isHub() || peer.Zone != "a" {
+				continue
+			}
+			if len(feeders(peer.HostID)) == 0 {
+				return poll.Continue("%s is not fed", peer.HostID)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(15*time.Second), poll.WithDelay(20*time.Millisecond))
+}
--- a/internal/exchanger/layout.go
+++ b/internal/exchanger/layout.go
@@ -30,7 +30,7 @@
 	}
 	ex.layout, ex.toldPeers = &next, 0
 	for _, l := range ex.links {
-		if ex.partFor(&next, l.peer) != exchangerpb.Part_PART_NONE {
+		if ex.partOf(&next, l.peer) != exchangerpb.Part_PART_NONE {
 			ex.toldPeers++
 		}
 	}
@@ -63,6 +63,8 @@
 type layout struct {
 	isFlat bool // no zone is large: each host tells all others
 	hubs   map[string]bool
+	// zoneHubs are the hubs of a large zone, in their order.
+	zoneHubs map[string][]string
 	// speakers are the hosts of whom all others of their zone know that they live.
 	speakers map[string]bool
 }
@@ -73,8 +75,8 @@
 	for _, host := range hosts {
 		zones[host.Zone] = append(zones[host.Zone], host)
 	}
-	l := layout{isFlat: true, hubs: map[string]bool{}, speakers: map[string]bool{}}
-	for _, members := range zones {
+	l := layout{isFlat: true, hubs: map[string]bool{}, speakers: map[string]bool{}, zoneHubs: map[string][]string{}}
+	for zone, members := range zones {
 		slices.SortFunc(members, Order)
 		count := len(members)
 		if count > SmallZone {
@@ -83,6 +85,9 @@
 		}
 		for _, hub := range members[:count] {
 			l.hubs[hub.HostID] = true
+			if len(members) > SmallZone {
+				l.zoneHubs[zone] = append(l.zoneHubs[zone], hub.HostID)
+			}
 		}
 		for _, speaker := range members[:min(speakersPerZone, len(members))] {
 			l.speakers[speaker.HostID] = true
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -16,6 +16,7 @@
 	told     map[string]Load // as the peer has acknowledged it
 	full     bool            // the next message has to carry everything
 	idle     int             // ticks since the last message
+	sentAt   time.Time       // of the last message
 	part     exchangerpb.Part
 	leaving  int // endpoints named as leaving in the last message
 	caches   wordTeller[CacheWord]
@@ -74,18 +75,31 @@
 	return max(ex.cfg.Tick, time.Duration(told)*time.Second/time.Duration(ex.cfg.TellsPerSecond))
 }
 
-// pauseFor is the time until a peer is looked at again. One that is told no
-// load only has to hear that this host lives.
+// pauseFor is the time until a peer is looked at again. One that is sent no load only
+// has to hear that this host lives; a hub looks sooner whether it has to take over a
+// host of its zone.
 func (ex *Exchanger) pauseFor(row *teller) time.Duration {
-	if row.part == exchangerpb.Part_PART_NONE {
-		return max(ex.tick()*heartbeatTicks, ex.cfg.Silence/heartbeatsInSilence)
+	switch {
+	case row.part != exchangerpb.Part_PART_NONE:
+		return ex.tick()
+	case ex.isHub():
+		return ex.tick() * heartbeatTicks
+	default:
+		return max(ex.tick()*heartbeatTicks, ex.heartbeat())
 	}
-	return ex.tick()
 }
 
+// heartbeat is how often a peer hears that this host lives.
+func (ex *Exchanger) heartbeat() time.Duration { return ex.cfg.Silence / heartbeatsInSilence }
+
+func (ex *Exchanger) isHub() bool { return ex.currentLayout().hubs[ex.cfg.HostID] }
+
 func (ex *Exchanger) tellOnce(ctx context.Context, client *channel, row *teller, peer Peer) {
 	layout := ex.currentLayout()
 	part := ex.partFor(layout, peer)
+	if part == exchangerpb.Part_PART_NONE && part == row.part && time.Since(row.sentAt) < ex.heartbeat()/2 {
+		return
+	}
 	if part != row.part {
 		row.full = true
 		row.caches.restart()
@@ -112,7 +126,7 @@
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
-	row.idle, row.leaving = 0, len(word.leaving)
+	row.idle, row.leaving, row.sentAt = 0, len(word.leaving), time.Now()
 	row.sequence++
 	message.Sequence = row.sequence
 	sent := ex.cfg.Clock()
