Scaling: what is found is counted once no more engines register

Log: orders followed from 11, 12 and 10 engines in the zones that have 15 each; they registered for 3 s more. Test: TestFoundOnceAllHaveRegistered (fails with the wait from the first engine).

--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -49,9 +49,9 @@
 	// onDemandShare of a zone's engines are on demand where the rest may be spot: with
 	// the spot engines of one of three zones gone, more than three quarters are left.
 	onDemandShare = 1.0 / 3
-	// settleTime is from the first engine seen until the number found is taken for
-	// whole: engines register one after the other.
-	settleTime = 3 * time.Second
+	// settleTime is for how long the number of engines has to have stopped growing to be
+	// taken for whole: engines register one after the other, within some heartbeats.
+	settleTime = 2500 * time.Millisecond
 	// missTime is for how long, beyond a boot, spot engines have to be missing for them
 	// to be ordered again.
 	missTime = 4 * time.Second
@@ -117,9 +117,11 @@
 // State is what Plan remembers of an application.
 type State struct {
 	samples []sample
-	loadAt  time.Time            // of the first load
-	takenAt time.Time            // when engines were taken away last
-	seenAt  time.Time            // of the first engine
+	loadAt  time.Time // of the first load
+	takenAt time.Time // when engines were taken away last
+	seen    int       // most engines seen at a time, before the first decision
+	seenAt  time.Time // when there were as many first
+	settled bool
 	found   map[string]int       // engines by zone before anything was ordered
 	missed  map[string]time.Time // since when a zone has fewer spot engines than ordered
 }
@@ -273,12 +275,15 @@
 
 // isSettled is false until the engines that there are have registered.
 func (s *State) isSettled(in *Input) bool {
+	engines := 0
 	for i := range in.Zones {
-		if s.seenAt.IsZero() && in.Zones[i].OnDemand.Present+in.Zones[i].Spot.Present > 0 {
-			s.seenAt = in.Now
-		}
+		engines += in.Zones[i].OnDemand.Present + in.Zones[i].Spot.Present
+	}
+	if engines > s.seen {
+		s.seen, s.seenAt = engines, in.Now
 	}
-	return !s.seenAt.IsZero() && in.Now.Sub(s.seenAt) >= settleTime
+	s.settled = s.settled || s.seen > 0 && in.Now.Sub(s.seenAt) >= settleTime
+	return s.settled
 }
 
 // peak notes a need and returns the highest one of the last while.
--- a/internal/scaler/scaler_test.go
+++ b/internal/scaler/scaler_test.go
@@ -123,7 +123,7 @@
 func TestMoreAreOrderedAtOnce(t *testing.T) {
 	t.Parallel()
 	f := newFleet(TargetTracking, 4)
-	f.pass(settleTime, 0, 0)
+	f.pass(settleTime+time.Second, 0, 0)
 	orders := f.pass(250*time.Millisecond, 12, 2)
 	assert.Equal(t, len(orders), 3)
 	for _, order := range orders {
@@ -157,6 +157,20 @@
 	assert.Equal(t, len(f.pass(time.Minute, 3, 1)), 0, "a load that they can carry changes nothing")
 }
 
+// Engines that register one after the other are all counted as found.
+func TestFoundOnceAllHaveRegistered(t *testing.T) {
+	t.Parallel()
+	f := newFleet(SpotShare, 3)
+	for engines := 3; engines <= 15; engines++ {
+		for i := range f.in.Zones {
+			f.in.Zones[i].OnDemand.Present = engines
+		}
+		assert.Equal(t, len(f.pass(time.Second, 0, 0)), 0, "%d engines", engines)
+	}
+	f.pass(20*time.Second, 0, 0)
+	assert.Equal(t, f.engines(), 45)
+}
+
 // A zone loses all its spot engines, and no more are to be had there: engines on demand
 // are ordered at once, and given back once there are spot engines again.
 func TestSpotEnginesAreTakenAway(t *testing.T) {
