--- a/internal/server/access.go
+++ b/internal/server/access.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -13,6 +10,8 @@
 	"strings"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/endivemast/endivemast/internal/authenticator"
 )
 
 // Role says what the owner of an API key may do.
@@ -48,22 +47,13 @@
 	tenant string
 }
 
-// digest is the SHA-256 of a token.
-type digest [sha256.Size]byte
-
 // Keys are the API keys that are accepted. The zero Keys accept none.
 type Keys struct {
-	byDigest map[digest]keyEntry
-}
-
-// keyEntry is one accepted key.
-type keyEntry struct {
-	digest digest
-	owner  identity
+	table authenticator.Table[identity]
 }
 
 // Len is the number of keys.
-func (k Keys) Len() int { return len(k.byDigest) }
+func (k Keys) Len() int { return k.table.Len() }
 
 // LoadKeys reads a keys file; ParseKeys tells its format.
 func LoadKeys(path string) (keys Keys, err error) {
@@ -94,22 +84,20 @@
 
 // NewKeys makes Keys from their entries. No two may have the same token.
 func NewKeys(entries []Key) (keys Keys, err error) {
-	keys.byDigest = make(map[digest]keyEntry, len(entries))
 	for i, entry := range entries {
 		sum, err := entry.digest()
 		if err != nil {
 			return Keys{}, fmt.Errorf("entry %d: %w", i, err)
 		}
-		if _, ok := keys.byDigest[sum]; ok {
+		if !keys.table.Add(sum, identity{role: entry.Role, tenant: entry.Tenant}) {
 			return Keys{}, fmt.Errorf("entry %d: %w: the same token twice", i, errKeyInvalid)
 		}
-		keys.byDigest[sum] = keyEntry{digest: sum, owner: identity{role: entry.Role, tenant: entry.Tenant}}
 	}
 	return keys, nil
 }
 
 // digest checks an entry and returns the digest of its token.
-func (k Key) digest() (sum digest, err error) {
+func (k Key) digest() (sum authenticator.Digest, err error) {
 	switch k.Role {
 	case RoleCaller:
 		if k.Tenant == "" {
@@ -129,25 +117,18 @@
 		if len(k.Token) < minTokenBytes {
 			return sum, fmt.Errorf("%w: token is shorter than %d bytes", errKeyInvalid, minTokenBytes)
 		}
-		return sha256.Sum256([]byte(k.Token)), nil
+		return authenticator.DigestOf(k.Token), nil
 	}
-	raw, err := hex.DecodeString(k.TokenSHA256)
-	if err != nil || len(raw) != len(sum) {
+	sum, err = authenticator.ParseDigest(k.TokenSHA256)
+	if err != nil {
 		return sum, fmt.Errorf("%w: token_sha256 must be 64 hexadecimal digits", errKeyInvalid)
 	}
-	return digest(raw), nil
+	return sum, nil
 }
 
-// lookup finds whose token it is. What a client can learn from the time that
-// the map takes is about the digest of its own guess, not about the token; the
-// digests themselves are compared in constant time.
+// lookup finds whose token it is.
 func (k Keys) lookup(token string) (owner identity, ok bool) {
-	sum := digest(sha256.Sum256([]byte(token)))
-	entry, ok := k.byDigest[sum]
-	if !ok || subtle.ConstantTimeCompare(entry.digest[:], sum[:]) != 1 {
-		return identity{}, false
-	}
-	return entry.owner, true
+	return k.table.Find(authenticator.DigestOf(token))
 }
 
 // identityKey is the context key of the identity.
