--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -51,7 +51,7 @@
 	onDemandShare = 1.0 / 3
 	// settleTime is for how long the number of engines has to have stopped growing to be
 	// taken for whole: engines register one after the other, within some heartbeats.
-	settleTime = 2500 * time.Millisecond
+	settleTime = 1600 * time.Millisecond
 	// missTime is for how long, beyond a boot, spot engines have to be missing for them
 	// to be ordered again.
 	missTime = 4 * time.Second
@@ -65,8 +65,10 @@
 	// restTime is the time between two orders that take engines of an application
 	// away under load, so that prefixes and roles move to those that stay.
 	restTime = 2 * time.Second
-	// mostAtOnce is how many engines one order takes away from a zone under load.
-	mostAtOnce = 2
+	// mostAtOnce is how many engines one order takes away from a zone under load, and
+	// mostReplaced the same where as many others are there in their place.
+	mostAtOnce   = 2
+	mostReplaced = 5
 )
 
 // Zone is an availability zone that has, or may have, engines of the application.
@@ -155,7 +157,7 @@
 		case in.Policy == SpotShare && in.Bounds.SpotPrice > 0:
 			p.shareSpot(&zones[i])
 		case in.Policy == TargetTracking && !state.loadAt.IsZero():
-			p.order(&zones[i], false, p.wantedInZone())
+			p.order(&zones[i], p.wantedInZone(), mostAtOnce)
 		}
 	}
 	return p.orders, p.state
@@ -195,7 +197,7 @@
 	if spot > zone.Spot.Ordered || p.isMissing(zone) {
 		p.orders = append(p.orders, Order{Zone: zone.Name, IsSpot: true, Desired: spot, Need: p.need})
 	}
-	p.order(zone, false, min(max(total-min(zone.Spot.Present, spot), base), p.in.Bounds.Max-spot))
+	p.order(zone, min(max(total-min(zone.Spot.Present, spot), base), p.in.Bounds.Max-spot), mostReplaced)
 }
 
 // baseOf is how many of a zone's engines are on demand at least.
@@ -245,23 +247,20 @@
 	return true
 }
 
-// order orders engines of a kind where their number has to change: more at once, fewer
+// order orders engines on demand where their number has to change: more at once, fewer
 // in steps under load, and none while an engine that was ordered is missing.
-func (p *plan) order(zone *Zone, isSpot bool, wanted int) {
+func (p *plan) order(zone *Zone, wanted, most int) {
 	count := zone.OnDemand
-	if isSpot {
-		count = zone.Spot
-	}
 	present := count.desired()
 	switch {
 	case wanted > present:
-		p.orders = append(p.orders, Order{Zone: zone.Name, IsSpot: isSpot, Desired: wanted, Need: p.need})
+		p.orders = append(p.orders, Order{Zone: zone.Name, Desired: wanted, Need: p.need})
 	case wanted < present && p.mayTake() && count.Present >= present:
 		if !p.state.loadAt.IsZero() {
-			wanted = max(wanted, present-mostAtOnce)
+			wanted = max(wanted, present-most)
 			p.state.takenAt = p.in.Now
 		}
-		p.orders = append(p.orders, Order{Zone: zone.Name, IsSpot: isSpot, Desired: wanted, Need: p.need})
+		p.orders = append(p.orders, Order{Zone: zone.Name, Desired: wanted, Need: p.need})
 	}
 }
 
