A host that has just started is ready once it can accept keys

Between being ready and its first proof of the configuration (some 0.1 s) a host refused requests with keys. TestKeys' first request failed before.

--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -340,6 +340,8 @@
 		return false, server.ReasonNoConfiguration
 	case !g.registrations.Known():
 		return false, reasonNoHosts
+	case !g.mayAcceptKeys():
+		return false, reasonNoProof
 	}
 	return true, ""
 }
--- a/pkg/endivemast/gateway_access.go
+++ b/pkg/endivemast/gateway_access.go
@@ -42,6 +42,16 @@
 	})
 }
 
+// reasonNoProof is why a host is not ready that has just started and would refuse keys.
+const reasonNoProof = "configuration not proven current yet"
+
+// mayAcceptKeys is false until there has been a first proof. A host that loses its
+// proof later stays ready: public routes go on, and it may be the same everywhere.
+func (g *Gateway) mayAcceptKeys() bool {
+	_, hasProof := g.attester.Age()
+	return hasProof || g.cfg.RevocationBound <= 0 || g.classifier.Tenants() == nil
+}
+
 // Authenticate finds a request's tenant by its key and sets what follows from it. The
 // error is a *dispatcher.FailureError.
 func (g *Gateway) Authenticate(ctx context.Context, request *dispatcher.OpaqueRequest, key string) error {
