--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -353,6 +353,7 @@
 			http.Error(w, reason, http.StatusServiceUnavailable)
 		}
 	})
+	mux.HandleFunc("GET /status", g.serveStatus)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { g.meter.WritePrometheus(w) })
 	return mux
 }
--- a/pkg/endivemast/gateway_access.go
+++ b/pkg/endivemast/gateway_access.go
@@ -43,7 +43,7 @@
 }
 
 // reasonNoProof is why a host is not ready that has just started and would refuse keys.
-const reasonNoProof = "configuration not proven current yet"
+const reasonNoProof = "configuration_not_proven"
 
 // mayAcceptKeys is false until there has been a first proof. A host that loses its
 // proof later stays ready: public routes go on, and it may be the same everywhere.
