--- a/internal/exchanger/channel.go
+++ b/internal/exchanger/channel.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 
 	"google.golang.org/grpc"
@@ -38,7 +39,7 @@
 	}
 	c.guard.Reset(tellTimeout)
 	defer c.guard.Stop()
-	if err := c.stream.Send(update); err != nil && err != io.EOF {
+	if err := c.stream.Send(update); err != nil && !errors.Is(err, io.EOF) {
 		return nil, err
 	}
 	return c.stream.Recv() // also says why a stream has ended
@@ -71,7 +72,7 @@
 
 // ignoreEnd drops the error of a stream that the peer has ended.
 func ignoreEnd(err error) error {
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		return nil
 	}
 	return err
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -97,7 +97,8 @@
 func (ex *Exchanger) tellOnce(ctx context.Context, client *channel, row *teller, peer Peer) {
 	layout := ex.currentLayout()
 	part := ex.partFor(layout, peer)
-	if part == exchangerpb.Part_PART_NONE && part == row.part && time.Since(row.sentAt) < ex.heartbeat()/2 {
+	isStill := part == row.part && part == exchangerpb.Part_PART_NONE
+	if isStill && time.Since(row.sentAt) < ex.heartbeat()/2 {
 		return
 	}
 	if part != row.part {
--- a/pkg/endivemast/gateway_duties.go
+++ b/pkg/endivemast/gateway_duties.go
@@ -12,6 +12,7 @@
 	"github.com/endivemast/endivemast/internal/provisioner"
 	"github.com/endivemast/endivemast/internal/reporter"
 	"github.com/endivemast/endivemast/internal/scaler"
+	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
 // The platform's duties, which one host at a time does for all: the holder of the
@@ -76,8 +77,8 @@
 			Bounds: scaler.Bounds{Min: scaling.Min, Max: scaling.Max, Boot: scaling.Boot, SpotPrice: scaling.SpotPrice},
 		}
 		for target := range ordered { // a zone may have lost all its engines
-			if target.Application == application && use.Engines != nil {
-				use.Engines[target.Zone] = use.Engines[target.Zone]
+			if _, ok := use.Engines[target.Zone]; !ok && target.Application == application && use.Engines != nil {
+				use.Engines[target.Zone] = scheduler.EngineCount{}
 			}
 		}
 		for zone, engines := range use.Engines {
