--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/teller.go
@@ -97,15 +97,13 @@
 func (ex *Exchanger) tellOnce(ctx context.Context, client *channel, row *teller, peer Peer) {
 	layout := ex.currentLayout()
 	part := ex.partFor(layout, peer)
-	isStill := part == row.part && part == exchangerpb.Part_PART_NONE
-	if isStill && time.Since(row.sentAt) < ex.heartbeat()/2 {
-		return
-	}
 	if part != row.part {
 		row.full = true
 		row.caches.restart()
 		row.crashes.restart()
 		row.usage.restart()
+	} else if part == exchangerpb.Part_PART_NONE && time.Since(row.sentAt) < ex.heartbeat()/2 {
+		return
 	}
 	row.part = part
 	if part == exchangerpb.Part_PART_NONE && (peer.Zone != ex.cfg.Zone || !layout.speakers[ex.cfg.HostID]) {
