--- a/internal/accountant/accountant.go
+++ b/internal/accountant/accountant.go
@@ -64,7 +64,7 @@
 	sheets      map[process]*sheet
 	unpublished map[exchanger.UsageCount]struct{} // window and tenant of own counts that have grown
 	publishedAt time.Time
-	log         exchanger.WordLog[exchanger.UsageUpdate]
+	log         exchanger.UpdateLog[exchanger.UsageUpdate]
 	tenants     int // names kept in all sheets
 }
 
@@ -75,7 +75,7 @@
 	return &Accountant{
 		cfg: cfg, own: process{cfg.HostID, cfg.Incarnation}, sheets: map[process]*sheet{},
 		unpublished: map[exchanger.UsageCount]struct{}{},
-		log:         exchanger.NewWordLog[exchanger.UsageUpdate](logLength),
+		log:         exchanger.NewUpdateLog[exchanger.UsageUpdate](logLength),
 	}
 }
 
--- a/internal/cachesharer/cachesharer.go
+++ b/internal/cachesharer/cachesharer.go
@@ -24,8 +24,8 @@
 //	s.SetTargets(engines)               // at each change of the list
 //	s.NoteShared(parts)                 // of a prompt that is given away
 //	s.HearNews(target, news, isWhole)   // from package cachewatcher
-//	words, position := s.Words(position, exchanger.ScopeOwn) // for peers
-//	s.HearWords(words, isOwnZone)       // from peers
+//	words, position := s.Updates(position, exchanger.ScopeOwn) // for peers
+//	s.Merge(words, isOwnZone)       // from peers
 package cachesharer
 
 import (
@@ -93,7 +93,7 @@
 	listed map[process]driver.Target
 	views  map[process]*view
 	shared generations
-	log    exchanger.WordLog[exchanger.CacheWord]
+	log    exchanger.UpdateLog[exchanger.CacheUpdate]
 	fullAt time.Time // when it was last told that there are too many engines
 }
 
@@ -104,7 +104,7 @@
 	}
 	return &Sharer{
 		cfg: cfg, listed: map[process]driver.Target{}, views: map[process]*view{},
-		shared: newGenerations(maxShared), log: exchanger.NewWordLog[exchanger.CacheWord](maxLog),
+		shared: newGenerations(maxShared), log: exchanger.NewUpdateLog[exchanger.CacheUpdate](maxLog),
 	}
 }
 
@@ -220,7 +220,7 @@
 		}
 	}
 	if len(fresh) > 0 {
-		s.tellLocked(exchanger.CacheWord{Parts: fresh}, exchanger.ScopeOwn)
+		s.tellLocked(exchanger.CacheUpdate{Parts: fresh}, exchanger.ScopeOwn)
 		s.tellOfSharedLocked(fresh)
 	}
 }
@@ -242,8 +242,8 @@
 	}
 }
 
-func wordOf(p process, v *view, parts []exchanger.CachePart) exchanger.CacheWord {
-	return exchanger.CacheWord{EndpointID: p.endpointID, Incarnation: p.incarnation, Number: v.number, Parts: parts}
+func wordOf(p process, v *view, parts []exchanger.CachePart) exchanger.CacheUpdate {
+	return exchanger.CacheUpdate{EndpointID: p.endpointID, Incarnation: p.incarnation, Number: v.number, Parts: parts}
 }
 
 // HearNews takes the news of an engine that this host asks; isWhole says that
@@ -284,9 +284,9 @@
 	s.deliver([]delivery{{target, news, isWhole}})
 }
 
-// HearWords takes words of a peer. What is new is passed on to those peers that
+// Merge takes updates of a peer. What is new is passed on to those peers that
 // do not hear it from its teller.
-func (s *Sharer) HearWords(words []exchanger.CacheWord, isOwnZone bool) {
+func (s *Sharer) Merge(words []exchanger.CacheUpdate, isOwnZone bool) {
 	origin := exchanger.ScopeAll
 	if isOwnZone {
 		origin = exchanger.ScopeZone
@@ -304,7 +304,7 @@
 	s.deliver(deliveries)
 }
 
-func (s *Sharer) hearSharedLocked(word exchanger.CacheWord, origin exchanger.Scope) {
+func (s *Sharer) hearSharedLocked(word exchanger.CacheUpdate, origin exchanger.Scope) {
 	var fresh []exchanger.CachePart
 	for _, part := range word.Parts {
 		if s.shared.add(part.ID, origin) {
@@ -312,14 +312,14 @@
 		}
 	}
 	if len(fresh) > 0 {
-		s.tellLocked(exchanger.CacheWord{Parts: fresh}, origin)
+		s.tellLocked(exchanger.CacheUpdate{Parts: fresh}, origin)
 		s.tellOfSharedLocked(fresh)
 	}
 }
 
 // hearViewLocked takes a word about an engine; ok is false where it says nothing
 // new of a listed process.
-func (s *Sharer) hearViewLocked(word exchanger.CacheWord, origin exchanger.Scope) (d delivery, ok bool) {
+func (s *Sharer) hearViewLocked(word exchanger.CacheUpdate, origin exchanger.Scope) (d delivery, ok bool) {
 	p := process{word.EndpointID, word.Incarnation}
 	v := s.viewLocked(p)
 	if v == nil || v.all != nil {
@@ -359,7 +359,7 @@
 	return number >= known.number && part.Tokens != known.tokens
 }
 
-func (s *Sharer) tellLocked(word exchanger.CacheWord, origin exchanger.Scope) {
+func (s *Sharer) tellLocked(word exchanger.CacheUpdate, origin exchanger.Scope) {
 	for _, piece := range split(word) {
 		s.log.Add(piece, origin)
 	}
@@ -367,7 +367,7 @@
 
 // split cuts a word with many parts into several; only the first says that it is
 // whole.
-func split(word exchanger.CacheWord) (words []exchanger.CacheWord) {
+func split(word exchanger.CacheUpdate) (words []exchanger.CacheUpdate) {
 	for len(word.Parts) > maxWordParts {
 		head := word
 		head.Parts = word.Parts[:maxWordParts]
@@ -377,8 +377,8 @@
 	return append(words, word)
 }
 
-// Words implements exchanger.Caches.
-func (s *Sharer) Words(after uint64, scope exchanger.Scope) (words []exchanger.CacheWord, position uint64) {
+// Updates implements exchanger.Caches.
+func (s *Sharer) Updates(after uint64, scope exchanger.Scope) (words []exchanger.CacheUpdate, position uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if words, ok := s.log.Since(after, scope); ok {
@@ -391,9 +391,9 @@
 // behind: it may believe in parts that have been dropped since. The words don't
 // say that they are whole, since a host that has just started knows less than
 // those that it tells.
-func (s *Sharer) allLocked(scope exchanger.Scope) (words []exchanger.CacheWord) {
+func (s *Sharer) allLocked(scope exchanger.Scope) (words []exchanger.CacheUpdate) {
 	if parts := s.shared.parts(scope); len(parts) > 0 {
-		words = append(words, split(exchanger.CacheWord{Parts: parts})...)
+		words = append(words, split(exchanger.CacheUpdate{Parts: parts})...)
 	}
 	for p, v := range s.views {
 		if v.origin > scope {
--- a/internal/cachesharer/cachesharer_test.go
+++ b/internal/cachesharer/cachesharer_test.go
@@ -30,8 +30,8 @@
 	return l.cache.Prefix([]tracker.Part{{ID: id, Tokens: 1 << 20}})
 }
 
-func word(number int64, isWhole bool, parts ...exchanger.CachePart) exchanger.CacheWord {
-	return exchanger.CacheWord{EndpointID: "a", Incarnation: "1", Number: number, IsWhole: isWhole, Parts: parts}
+func word(number int64, isWhole bool, parts ...exchanger.CachePart) exchanger.CacheUpdate {
+	return exchanger.CacheUpdate{EndpointID: "a", Incarnation: "1", Number: number, IsWhole: isWhole, Parts: parts}
 }
 
 func part(id string, tokens int) exchanger.CachePart {
@@ -45,20 +45,20 @@
 	other := word(9, false, part("x", 70))
 	other.Incarnation = "2"
 	for name, test := range map[string]struct {
-		words []exchanger.CacheWord
+		words []exchanger.CacheUpdate
 		want  map[string]int
 	}{
-		"in order":                  {[]exchanger.CacheWord{word(1, false, part("x", 50)), word(2, false, part("x", 0))}, map[string]int{"x": 0}},
-		"a late word":               {[]exchanger.CacheWord{word(1, false, part("x", 50)), word(3, false, part("x", 90)), word(2, false, part("x", 0))}, map[string]int{"x": 90}},
-		"twice":                     {[]exchanger.CacheWord{word(1, false, part("x", 50)), word(1, false, part("x", 50))}, map[string]int{"x": 50}},
-		"whole drops the rest":      {[]exchanger.CacheWord{word(1, false, part("x", 50)), word(5, true, part("y", 40))}, map[string]int{"x": 0, "y": 40}},
-		"an earlier whole does not": {[]exchanger.CacheWord{word(5, false, part("x", 50)), word(4, true, part("y", 40))}, map[string]int{"x": 50, "y": 40}},
-		"of another process":        {[]exchanger.CacheWord{word(1, false, part("x", 50)), other}, map[string]int{"x": 50}},
+		"in order":                  {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), word(2, false, part("x", 0))}, map[string]int{"x": 0}},
+		"a late word":               {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), word(3, false, part("x", 90)), word(2, false, part("x", 0))}, map[string]int{"x": 90}},
+		"twice":                     {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), word(1, false, part("x", 50))}, map[string]int{"x": 50}},
+		"whole drops the rest":      {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), word(5, true, part("y", 40))}, map[string]int{"x": 0, "y": 40}},
+		"an earlier whole does not": {[]exchanger.CacheUpdate{word(5, false, part("x", 50)), word(4, true, part("y", 40))}, map[string]int{"x": 50, "y": 40}},
+		"of another process":        {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), other}, map[string]int{"x": 50}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, l := newHost(engineA)
-			s.HearWords(test.words, true)
+			s.Merge(test.words, true)
 			for id, want := range test.want {
 				assert.Equal(t, l.keeps(id), want, id)
 			}
@@ -70,7 +70,7 @@
 func TestWordsBeforeTheListCount(t *testing.T) {
 	t.Parallel()
 	s, l := newHost()
-	s.HearWords([]exchanger.CacheWord{word(1, false, part("x", 50))}, true)
+	s.Merge([]exchanger.CacheUpdate{word(1, false, part("x", 50))}, true)
 	assert.Equal(t, l.keeps("x"), 0)
 	s.SetTargets([]driver.Target{engineA})
 	assert.Equal(t, l.keeps("x"), 50)
@@ -82,14 +82,14 @@
 	t.Parallel()
 	s, _ := newHost(engineA)
 	s.NoteShared([]tracker.Part{{ID: "x", Tokens: 50}})
-	_, begin := s.Words(0, exchanger.ScopeOwn)
+	_, begin := s.Updates(0, exchanger.ScopeOwn)
 	s.HearNews(engineA, driver.CacheNews{Next: 3, Changes: []driver.CacheChange{{PartID: "x", Tokens: 50}, {PartID: "own", Tokens: 900}, {PartID: "y", Tokens: 60}}}, false)
-	words, position := s.Words(begin, exchanger.ScopeOwn)
-	assert.DeepEqual(t, words, []exchanger.CacheWord{word(3, false, part("x", 50))})
+	words, position := s.Updates(begin, exchanger.ScopeOwn)
+	assert.DeepEqual(t, words, []exchanger.CacheUpdate{word(3, false, part("x", 50))})
 	// A part that becomes known as shared later is told as it is kept by then.
-	s.HearWords([]exchanger.CacheWord{{Parts: []exchanger.CachePart{{ID: "y"}}}}, true)
-	words, _ = s.Words(position, exchanger.ScopeOwn)
-	assert.DeepEqual(t, words, []exchanger.CacheWord{word(3, false, part("y", 60))})
+	s.Merge([]exchanger.CacheUpdate{{Parts: []exchanger.CachePart{{ID: "y"}}}}, true)
+	words, _ = s.Updates(position, exchanger.ScopeOwn)
+	assert.DeepEqual(t, words, []exchanger.CacheUpdate{word(3, false, part("y", 60))})
 }
 
 // fleet is hosts whose words travel as loads do: a host's own to its zone's
@@ -119,12 +119,12 @@
 
 func (f *fleet) tell(from, to string, scope exchanger.Scope, isOwnZone bool) {
 	link := [2]string{from, to}
-	words, position := f.hosts[from].Words(f.told[link], scope)
+	words, position := f.hosts[from].Updates(f.told[link], scope)
 	f.told[link] = position
 	for _, w := range words {
 		f.bytes += len(w.Parts)
 	}
-	f.hosts[to].HearWords(words, isOwnZone)
+	f.hosts[to].Merge(words, isOwnZone)
 }
 
 // round is one tick of everybody.
@@ -182,16 +182,16 @@
 	s.NoteShared([]tracker.Part{{ID: "x"}, {ID: "y"}, {ID: "z"}})
 	peer, l := newHost(engineA)
 	s.HearNews(engineA, driver.CacheNews{Next: 1, Changes: []driver.CacheChange{{PartID: "z", Tokens: 50}}}, false)
-	words, behind := s.Words(0, exchanger.ScopeOwn)
-	peer.HearWords(words, true)
+	words, behind := s.Updates(0, exchanger.ScopeOwn)
+	peer.Merge(words, true)
 	assert.Equal(t, l.keeps("z"), 50)
 	s.HearNews(engineA, driver.CacheNews{Next: 2, Changes: []driver.CacheChange{{PartID: "z"}}}, false)
 	for i := range int64(4 * maxLog) {
 		s.HearNews(engineA, driver.CacheNews{Next: i + 3, Changes: []driver.CacheChange{{PartID: "x", Tokens: int(i%2) * 50}, {PartID: "y", Tokens: 50}}}, false)
 	}
 	assert.Assert(t, s.log.Len() <= 2*maxLog)
-	words, _ = s.Words(behind, exchanger.ScopeOwn)
-	peer.HearWords(words, true)
+	words, _ = s.Updates(behind, exchanger.ScopeOwn)
+	peer.Merge(words, true)
 	assert.Equal(t, l.keeps("x"), 50)
 	assert.Equal(t, l.keeps("y"), 50)
 	assert.Equal(t, l.keeps("z"), 0, "dropped meanwhile")
@@ -209,9 +209,9 @@
 		changes = append(changes, driver.CacheChange{PartID: fmt.Sprint(i), Tokens: 10})
 	}
 	s.NoteShared(shared)
-	_, begin := s.Words(0, exchanger.ScopeOwn)
+	_, begin := s.Updates(0, exchanger.ScopeOwn)
 	s.HearNews(engineA, driver.CacheNews{Next: 4, Changes: changes}, true)
-	words, _ := s.Words(begin, exchanger.ScopeOwn)
+	words, _ := s.Updates(begin, exchanger.ScopeOwn)
 	assert.Equal(t, len(words), 4)
 	for i := range words {
 		assert.Equal(t, words[i].IsWhole, i == 0)
@@ -224,14 +224,14 @@
 func TestUnknownEnginesAreBounded(t *testing.T) {
 	t.Parallel()
 	s, l := newHost(engineA)
-	s.HearWords([]exchanger.CacheWord{word(1, false, part("x", 50))}, true)
+	s.Merge([]exchanger.CacheUpdate{word(1, false, part("x", 50))}, true)
 	for i := range maxViews + 10 {
 		w := word(1, false, part("x", 50))
 		w.EndpointID = fmt.Sprint("unknown", i)
-		s.HearWords([]exchanger.CacheWord{w}, true)
+		s.Merge([]exchanger.CacheUpdate{w}, true)
 	}
 	assert.Assert(t, len(s.views) <= maxViews)
-	s.HearWords([]exchanger.CacheWord{word(2, false, part("y", 60))}, true)
+	s.Merge([]exchanger.CacheUpdate{word(2, false, part("y", 60))}, true)
 	assert.Equal(t, l.keeps("x"), 50)
 	assert.Equal(t, l.keeps("y"), 60)
 }
--- a/internal/exchanger/attestations.go
+++ b/internal/exchanger/attestations.go
@@ -22,7 +22,7 @@
 // takeAttestation takes in what a peer has answered. The peer's proof was that old at
 // some time after the question was sent, so it is at most that much older now.
 func (ex *Exchanger) takeAttestation(message *exchangerpb.Attestation, sent time.Time) {
-	if ex.cfg.Attestations == nil || message == nil || message.GetAgeUs() < 0 || message.GetAgeUs() > maxWordAge.Microseconds() {
+	if ex.cfg.Attestations == nil || message == nil || message.GetAgeUs() < 0 || message.GetAgeUs() > maxUpdateAge.Microseconds() {
 		return
 	}
 	ex.cfg.Attestations.Attest(message.GetVersion(), sent.Add(-time.Duration(message.GetAgeUs())*time.Microsecond))
--- a/internal/exchanger/bench_test.go
+++ b/internal/exchanger/bench_test.go
@@ -23,10 +23,10 @@
 	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e3
 }
 
-// BenchmarkTell shows the processor time of a message at its sender and its
+// BenchmarkPeerUpdate shows the processor time of a message at its sender and its
 // receiver together, and its bytes without the transport's, by the number of
 // endpoints whose load has changed.
-func BenchmarkTell(b *testing.B) {
+func BenchmarkPeerUpdate(b *testing.B) {
 	for _, endpoints := range []int{0, 10, 100, 1000} {
 		b.Run(fmt.Sprintf("endpoints=%d", endpoints), func(b *testing.B) {
 			locals, ex := [2]*fakeLocal{newLocal(), newLocal()}, [2]*Exchanger{}
@@ -42,7 +42,7 @@
 			ex[0].cfg.Tick = 1 // never started; the own load is collected for each message
 			ex[1].Start()
 			b.Cleanup(func() { assert.NilError(b, ex[1].Close()); assert.NilError(b, ex[0].Close()) })
-			client, row := newChannel(exchangerpb.NewExchangeClient(ex[0].links["b"].conn)), &teller{full: true}
+			client, row := newChannel(exchangerpb.NewExchangeClient(ex[0].links["b"].conn)), &publisher{full: true}
 			b.Cleanup(client.close)
 			loads, n := map[string]Load{}, 0
 			before := processorTime(b)
@@ -53,11 +53,11 @@
 				}
 				locals[0].setOwn(loads)
 				row.idle = heartbeatTicks
-				ex[0].tellOnce(context.Background(), client, row, Peer{HostID: "b", Zone: "z"})
+				ex[0].publish(context.Background(), client, row, Peer{HostID: "b", Zone: "z"})
 				assert.Assert(b, !row.full)
 			}
 			b.ReportMetric((processorTime(b)-before)/float64(n), "cpu-us/message")
-			row.told = map[string]Load{}
+			row.acked = map[string]Load{}
 			b.ReportMetric(float64(proto.Size(row.message(loads))), "B/message")
 		})
 	}
--- a/internal/exchanger/caches.go
+++ b/internal/exchanger/caches.go
@@ -4,19 +4,19 @@
 
 // maxCacheParts bounds the parts that one message names, in some 15 bytes each.
 // At the 240 messages a second that a host sends at most that is 0.5 MB a second
-// on its link, and only while somebody is told everything.
+// on its link, and only while somebody is sent everything.
 const maxCacheParts = 128
 
-// cacheParts counts the parts that a word names.
-func cacheParts(word *CacheWord) int { return len(word.Parts) }
+// cacheParts counts the parts that an update names.
+func cacheParts(update *CacheUpdate) int { return len(update.Parts) }
 
-func cachesToMessage(words []CacheWord) []*exchangerpb.CacheWord {
-	messages := make([]*exchangerpb.CacheWord, 0, len(words))
-	for i := range words {
-		message := &exchangerpb.CacheWord{
-			EndpointId: words[i].EndpointID, Incarnation: words[i].Incarnation, Number: words[i].Number, IsWhole: words[i].IsWhole,
+func cachesToMessage(updates []CacheUpdate) []*exchangerpb.CacheUpdate {
+	messages := make([]*exchangerpb.CacheUpdate, 0, len(updates))
+	for i := range updates {
+		message := &exchangerpb.CacheUpdate{
+			EndpointId: updates[i].EndpointID, Incarnation: updates[i].Incarnation, Number: updates[i].Number, IsWhole: updates[i].IsWhole,
 		}
-		for _, part := range words[i].Parts {
+		for _, part := range updates[i].Parts {
 			message.Parts = append(message.Parts, &exchangerpb.CachePart{Id: part.ID, Tokens: int64(part.Tokens)})
 		}
 		messages = append(messages, message)
@@ -24,16 +24,16 @@
 	return messages
 }
 
-func cachesFromMessage(messages []*exchangerpb.CacheWord) []CacheWord {
-	words := make([]CacheWord, 0, len(messages))
+func cachesFromMessage(messages []*exchangerpb.CacheUpdate) []CacheUpdate {
+	updates := make([]CacheUpdate, 0, len(messages))
 	for _, message := range messages {
-		word := CacheWord{
+		update := CacheUpdate{
 			EndpointID: message.GetEndpointId(), Incarnation: message.GetIncarnation(), Number: message.GetNumber(), IsWhole: message.GetIsWhole(),
 		}
 		for _, part := range message.GetParts() {
-			word.Parts = append(word.Parts, CachePart{ID: part.GetId(), Tokens: count(part.GetTokens())})
+			update.Parts = append(update.Parts, CachePart{ID: part.GetId(), Tokens: count(part.GetTokens())})
 		}
-		words = append(words, word)
+		updates = append(updates, update)
 	}
-	return words
+	return updates
 }
--- a/internal/exchanger/channel.go
+++ b/internal/exchanger/channel.go
@@ -15,7 +15,7 @@
 // call for each update costs several times as much processor time on both sides.
 type channel struct {
 	client exchangerpb.ExchangeClient
-	stream grpc.BidiStreamingClient[exchangerpb.TellRequest, exchangerpb.TellReply] // nil: to be opened
+	stream grpc.BidiStreamingClient[exchangerpb.PeerUpdate, exchangerpb.PeerAck] // nil: to be opened
 	cancel context.CancelFunc
 	guard  *timekeeper.Timer // ends a stream on which an answer is overdue
 }
@@ -24,7 +24,7 @@
 
 // exchange sends an update and waits for its answer. After a failure the next update
 // goes by another stream.
-func (c *channel) exchange(ctx context.Context, update *exchangerpb.TellRequest) (reply *exchangerpb.TellReply, err error) {
+func (c *channel) exchange(ctx context.Context, update *exchangerpb.PeerUpdate) (reply *exchangerpb.PeerAck, err error) {
 	defer func() {
 		if err != nil {
 			c.close()
@@ -32,12 +32,12 @@
 	}()
 	if c.stream == nil {
 		ctx, c.cancel = context.WithCancel(ctx)
-		c.guard = timekeeper.AfterFunc(tellTimeout, c.cancel)
+		c.guard = timekeeper.AfterFunc(updateTimeout, c.cancel)
 		if c.stream, err = c.client.Publish(ctx); err != nil {
 			return nil, err
 		}
 	}
-	c.guard.Reset(tellTimeout)
+	c.guard.Reset(updateTimeout)
 	defer c.guard.Stop()
 	if err := c.stream.Send(update); err != nil && !errors.Is(err, io.EOF) {
 		return nil, err
@@ -54,7 +54,7 @@
 }
 
 // Publish implements exchangerpb.ExchangeServer.
-func (ex *Exchanger) Publish(stream grpc.BidiStreamingServer[exchangerpb.TellRequest, exchangerpb.TellReply]) error {
+func (ex *Exchanger) Publish(stream grpc.BidiStreamingServer[exchangerpb.PeerUpdate, exchangerpb.PeerAck]) error {
 	for {
 		update, err := stream.Recv()
 		if err != nil {
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -1,7 +1,7 @@
 // Package exchanger is the peer protocol between entry hosts: one gRPC server
-// and a connection to each peer, and what hosts tell each other each tick.
+// and a connection to each peer, and what hosts send each other each tick.
 //
-// Each host counts its own work exactly. Each tick it tells every peer what
+// Each host counts its own work exactly. Each tick it sends every peer what
 // has changed of its load at each endpoint, which endpoints have said that
 // they are leaving, and that it is draining itself. A receiver that missed a
 // message asks for the full state; a peer that falls silent is forgotten, so
@@ -36,7 +36,7 @@
 	DefaultTick    = 200 * time.Millisecond
 	DefaultSilence = 3 * time.Second
 	heartbeatTicks = 5 // an idle host still speaks every fifth tick
-	// heartbeatsInSilence is how often a host speaks to a peer that it tells no
+	// heartbeatsInSilence is how often a host speaks to a peer that it sends no
 	// load, in the time after which that one counts it as gone. Each host of a
 	// zone has most others as such peers: with heartbeats each 100 ms, 39 hosts of
 	// a zone sent each other 13,300 a second.
@@ -45,17 +45,17 @@
 	// windowBytes is what a peer may send before it is read. A fixed window spares the
 	// transport the measuring of it, a ping for each message.
 	windowBytes      = 1 << 20
-	tellTimeout      = time.Second
+	updateTimeout    = time.Second
 	reconnectMaximum = time.Second
 	// userTimeout is how long bytes to a peer may stay unacknowledged before the
 	// connection is given up and made anew. A connection may fall silent for good
 	// while new ones work; a few lost packets in a row take less.
 	userTimeout = 3 * time.Second
-	// pingEvery is after how long without a word a server asks whether its peer
+	// pingEvery is after how long without an update a server asks whether its peer
 	// is still there, so that calls of one that is gone end.
 	pingEvery = 10 * time.Second
 	maxCount  = 1 << 31 // of requests or tokens that one host has at an endpoint
-	maxHosts  = 1 << 16 // whose load one message tells
+	maxHosts  = 1 << 16 // whose load one message sends
 	// secretHeader ends in -bin, so that gRPC takes any bytes: a secret from
 	// /dev/urandom would otherwise fail each call.
 	secretHeader = "endivemast-peer-secret-bin"
@@ -78,23 +78,23 @@
 	ClientTLS *tls.Config // nil: plain text
 	Tick      time.Duration
 	// HasHubs lets large zones have hubs. Parts that ask all peers for more than
-	// load need to hear from each of them, and leave it out.
+	// load need to receive from each of them, and leave it out.
 	HasHubs bool
-	// Caches is told and heard with the loads; nil: nothing of the kind is.
+	// Caches is sent and received with the loads; nil: nothing of the kind is.
 	Caches Caches
-	// Crashes is told and heard likewise; nil: nothing of the kind is. Clock is that
-	// of its words' times; nil: time.Now.
+	// Crashes is sent and received likewise; nil: nothing of the kind is. Clock is that
+	// of its updates' times; nil: time.Now.
 	Crashes Crashes
 	Clock   func() time.Time
 	// Attestations are given with each answer to a peer's message; nil: none are.
 	Attestations Attestations
 	// Usage is sent to hubs, and between them; nil: nothing of the kind is.
 	Usage Usage
-	// TellsPerSecond bounds the messages with load to all peers together, by a
+	// UpdatesPerSecond bounds the messages with load to all peers together, by a
 	// longer tick where there are many; 0: no bound.
-	TellsPerSecond int
-	Silence        time.Duration // after which a peer counts as unreachable
-	Logger         hclog.Logger
+	UpdatesPerSecond int
+	Silence          time.Duration // after which a peer counts as unreachable
+	Logger           hclog.Logger
 }
 
 // LeavingEndpoint names one process of an endpoint that takes no new work.
@@ -121,14 +121,14 @@
 	Leaving() []LeavingEndpoint
 	Draining() bool
 	ConfigurationRevision() int64
-	// StoreRevision is up to which this host has heard of the platform's store.
+	// StoreRevision is up to which this host has learnt of the platform's store.
 	StoreRevision() int64
 	// Hosts is the platform's list as last read, and its revision.
 	Hosts() (hosts []provider.Host, revision int64)
-	// HearLoad takes all load of a source, a peer or a sum over several hosts;
+	// TakeLoad takes all load of a source, a peer or a sum over several hosts;
 	// empty when the source is forgotten.
-	HearLoad(source string, hosts int, loads map[string]Load, now time.Time)
-	HearLeaving(leaving []LeavingEndpoint, now time.Time)
+	TakeLoad(source string, hosts int, loads map[string]Load, now time.Time)
+	TakeLeaving(leaving []LeavingEndpoint, now time.Time)
 }
 
 // Exchanger runs the peer protocol. It implements Pool.
@@ -139,13 +139,13 @@
 	local  Local
 	server *grpc.Server
 
-	mu    sync.Mutex
-	links map[string]*link // by host id
-	heard map[string]*heardPeer
-	// layout is made anew with each change of the peers; toldPeers is how many of
-	// them this host tells load.
-	layout    *layout
-	toldPeers int
+	mu     sync.Mutex
+	links  map[string]*link // by host id
+	states map[string]*peerState
+	// layout is made anew with each change of the peers; fedPeers is how many of
+	// them this host sends load.
+	layout   *layout
+	fedPeers int
 
 	own  ownLoad
 	sums map[exchangerpb.Part]*sum // by part; under mu
@@ -167,7 +167,7 @@
 	if cfg.Silence == 0 {
 		cfg.Silence = DefaultSilence
 	}
-	ex = &Exchanger{cfg: cfg, local: local, links: map[string]*link{}, heard: map[string]*heardPeer{}, sums: map[exchangerpb.Part]*sum{}}
+	ex = &Exchanger{cfg: cfg, local: local, links: map[string]*link{}, states: map[string]*peerState{}, sums: map[exchangerpb.Part]*sum{}}
 	ex.ctx, ex.cancel = context.WithCancel(context.Background())
 	ex.server = grpc.NewServer(ex.serverOptions()...)
 	exchangerpb.RegisterExchangeServer(ex.server, ex)
@@ -180,12 +180,12 @@
 	return ex, nil
 }
 
-// heardLocked returns the receiving side's row of a peer, and makes it on first use.
-func (ex *Exchanger) heardLocked(peer Peer) *heardPeer {
-	row := ex.heard[peer.HostID]
+// stateLocked returns the receiving side's row of a peer, and makes it on first use.
+func (ex *Exchanger) stateLocked(peer Peer) *peerState {
+	row := ex.states[peer.HostID]
 	if row == nil {
-		row = &heardPeer{loads: map[string]Load{}}
-		ex.heard[peer.HostID] = row
+		row = &peerState{loads: map[string]Load{}}
+		ex.states[peer.HostID] = row
 	}
 	row.status.Peer = peer
 	return row
@@ -194,14 +194,14 @@
 // Registrar is where other parts register their gRPC services, before Start.
 func (ex *Exchanger) Registrar() grpc.ServiceRegistrar { return ex.server }
 
-// Start serves the peer protocol and begins to tell the peers.
+// Start serves the peer protocol and begins to publish to the peers.
 func (ex *Exchanger) Start() {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	ex.group = &errgroup.Group{}
 	ex.group.Go(func() error { return ex.server.Serve(ex.cfg.Listener) })
 	for _, l := range ex.links {
-		ex.group.Go(func() error { return ex.tellPeer(l) })
+		ex.group.Go(func() error { return ex.publishTo(l) })
 	}
 	ex.group.Go(func() error { return ex.forgetSilent(ex.ctx) })
 }
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -22,7 +22,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// fakeLocal is a host's state with what it has heard.
+// fakeLocal is a host's state with what it has received.
 type fakeLocal struct {
 	isServing atomic.Bool
 	mu        sync.Mutex
@@ -30,7 +30,7 @@
 	leaving   []LeavingEndpoint
 	hosts     []provider.Host
 	heard     map[string]map[string]Load
-	words     []LeavingEndpoint
+	updates   []LeavingEndpoint
 	asked     int // times that the own load was collected
 }
 
@@ -50,16 +50,16 @@
 func (l *fakeLocal) ConfigurationRevision() int64    { return 7 }
 func (l *fakeLocal) StoreRevision() int64            { return 9 }
 func (l *fakeLocal) Hosts() ([]provider.Host, int64) { return l.hosts, int64(len(l.hosts)) }
-func (l *fakeLocal) HearLoad(hostID string, _ int, loads map[string]Load, _ time.Time) {
+func (l *fakeLocal) TakeLoad(hostID string, _ int, loads map[string]Load, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.heard[hostID] = loads
 }
 
-func (l *fakeLocal) HearLeaving(leaving []LeavingEndpoint, _ time.Time) {
+func (l *fakeLocal) TakeLeaving(leaving []LeavingEndpoint, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.words = append(l.words, leaving...)
+	l.updates = append(l.updates, leaving...)
 }
 
 func (l *fakeLocal) setOwn(loads map[string]Load) {
@@ -74,7 +74,7 @@
 	l.leaving = leaving
 }
 
-func (l *fakeLocal) heardOf(hostID string) map[string]Load {
+func (l *fakeLocal) receivedOf(hostID string) map[string]Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.heard[hostID]
@@ -110,11 +110,11 @@
 	return locals, exchangers
 }
 
-// awaitLoads waits until a host has heard that load of host a.
+// awaitLoads waits until a host has received that load of host a.
 func awaitLoads(t *testing.T, local *fakeLocal, want map[string]Load) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		got := local.heardOf("a")
+		got := local.receivedOf("a")
 		if len(got) != len(want) {
 			return poll.Continue("%v", got)
 		}
@@ -127,7 +127,7 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
-func TestPeersHearDifferencesAndForgetTheSilent(t *testing.T) {
+func TestPeersReceiveDifferencesAndForgetTheSilent(t *testing.T) {
 	locals, exchangers := startPair(t, "secret")
 	locals[0].setOwn(map[string]Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
 	awaitLoads(t, locals[1], map[string]Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
@@ -142,7 +142,7 @@
 	assert.Equal(t, exchangers[1].Statuses()[0].Reachable, false)
 }
 
-// A peer that is not listed any more and still speaks is told on, since the
+// A peer that is not listed any more and still speaks is sent on, since the
 // store may only have turned it away; once it is silent, or drains, it is not.
 func TestUnlistedPeerIsAPeerWhileItSpeaks(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -180,10 +180,10 @@
 }
 
 func TestReceiverAsksForTheFullStateAfterAGap(t *testing.T) {
-	row := &heardPeer{loads: map[string]Load{}}
+	row := &peerState{loads: map[string]Load{}}
 	now := time.Now()
 	tell := func(incarnation string, sequence uint64, full bool) bool {
-		return row.take(&exchangerpb.TellRequest{
+		return row.take(&exchangerpb.PeerUpdate{
 			Incarnation: incarnation, Sequence: sequence, Full: full,
 			Loads: []*exchangerpb.EndpointLoad{{EndpointId: "e1", Requests: int64(sequence)}},
 		}, now)
@@ -240,8 +240,8 @@
 	return peers
 }
 
-// The tick grows with the peers that are told load: all of them where zones
-// are small, and in a large zone those that a hub tells, or the hubs.
+// The tick grows with the peers that are sent load: all of them where zones
+// are small, and in a large zone those that a hub sends to, or the hubs.
 func TestTickGrowsWithThePeers(t *testing.T) {
 	t.Parallel()
 	same := func(int) string { return "z" }
@@ -265,7 +265,7 @@
 			assert.NilError(t, err)
 			ex, err := New(Config{
 				HostID: "own", Zone: "z", ProcessorShare: test.share, Listener: listener, Logger: hclog.NewNullLogger(),
-				Tick: 100 * time.Millisecond, TellsPerSecond: test.most, Peers: test.peers, HasHubs: !test.isFlat,
+				Tick: 100 * time.Millisecond, UpdatesPerSecond: test.most, Peers: test.peers, HasHubs: !test.isFlat,
 			}, newLocal())
 			assert.NilError(t, err)
 			assert.Equal(t, ex.tick(), test.want)
@@ -274,7 +274,7 @@
 	}
 }
 
-// Hosts of a zone that tell each other no load only say that they live, a few
+// Hosts of a zone that send each other no load only say that they live, a few
 // times within the silence after which they count as gone: 39 hosts of a zone
 // with a tick of 20 ms sent each other 13,300 messages a second.
 func TestHeartbeatsDoNotFollowTheTick(t *testing.T) {
@@ -283,14 +283,14 @@
 	assert.NilError(t, err)
 	ex, err := New(Config{
 		HostID: "own", Zone: "z", ProcessorShare: 0.1, Listener: listener, Logger: hclog.NewNullLogger(), HasHubs: true,
-		Tick: 20 * time.Millisecond, TellsPerSecond: 240, Peers: peersIn(38, func(int) string { return "z" }),
+		Tick: 20 * time.Millisecond, UpdatesPerSecond: 240, Peers: peersIn(38, func(int) string { return "z" }),
 	}, newLocal())
 	assert.NilError(t, err)
 	perSecond := 0.0
 	for range 38 - HubsPerZone {
-		perSecond += 1 / ex.pauseFor(&teller{part: exchangerpb.Part_PART_NONE}).Seconds()
+		perSecond += 1 / ex.pauseFor(&publisher{part: exchangerpb.Part_PART_NONE}).Seconds()
 	}
 	assert.Assert(t, perSecond <= 38, "%.0f heartbeats a second", perSecond)
-	assert.Assert(t, ex.pauseFor(&teller{part: exchangerpb.Part_PART_NONE}) <= ex.cfg.Silence/2, "a host would be forgotten")
+	assert.Assert(t, ex.pauseFor(&publisher{part: exchangerpb.Part_PART_NONE}) <= ex.cfg.Silence/2, "a host would be forgotten")
 	assert.NilError(t, ex.Close())
 }
--- a/internal/exchanger/fuzz_test.go
+++ b/internal/exchanger/fuzz_test.go
@@ -15,10 +15,10 @@
 	"github.com/endivemast/endivemast/internal/provider"
 )
 
-// FuzzTell checks that no message makes a host count less than no work, or so
-// much that sums run over, and that only peers of the settings are heard.
-func FuzzTell(f *testing.F) {
-	message, err := proto.Marshal(&exchangerpb.TellRequest{
+// FuzzPeerUpdate checks that no message makes a host count less than no work, or so
+// much that sums run over, and that only peers of the settings are accepted.
+func FuzzPeerUpdate(f *testing.F) {
+	message, err := proto.Marshal(&exchangerpb.PeerUpdate{
 		HostId: "b", Incarnation: "b-1", Zone: "z", Sequence: 1, Full: true,
 		Loads:   []*exchangerpb.EndpointLoad{{EndpointId: "e1", Requests: 2, PrefillTokens: 30, DecodeTokens: 4}},
 		Leaving: []*exchangerpb.LeavingEndpoint{{EndpointId: "e2", Incarnation: "e2-1"}},
@@ -35,13 +35,13 @@
 	assert.NilError(f, err)
 	f.Cleanup(func() { assert.NilError(f, ex.Close()) })
 	f.Fuzz(func(t *testing.T, wire []byte) {
-		message := &exchangerpb.TellRequest{}
+		message := &exchangerpb.PeerUpdate{}
 		if proto.Unmarshal(wire, message) != nil {
 			return
 		}
 		_, err := ex.take(message)
 		assert.Equal(t, err == nil, message.GetHostId() == "b")
-		for endpointID, load := range local.heardOf("b") {
+		for endpointID, load := range local.receivedOf("b") {
 			for _, n := range []int{load.Requests, load.PrefillTokens, load.DecodeTokens} {
 				assert.Assert(t, n >= 0 && n <= maxCount, "%s: %v", endpointID, load)
 			}
@@ -66,42 +66,42 @@
 	})
 }
 
-// FuzzCrashWords checks that words about crashes are read as they were written,
+// FuzzCrashUpdates checks that updates about crashes are read as they were written,
 // that a name of a wrong length is left out without the rest, and that no age runs
 // over.
-func FuzzCrashWords(f *testing.F) {
+func FuzzCrashUpdates(f *testing.F) {
 	now := time.Unix(1000, 0)
-	word := CrashWord{
+	update := CrashUpdate{
 		EndpointID: "e1", Incarnation: "e1@1", At: now.Add(-time.Second),
 		Runs:        []CrashRun{{RequestName{[16]byte{1}, 7}, 60 * time.Millisecond}},
 		Cleared:     [][16]byte{{2}},
 		Quarantines: []Quarantine{{RequestName{[16]byte{3}, 8}, now.Add(30 * time.Second), 30 * time.Second}},
 	}
-	whole := &exchangerpb.TellRequest{HostId: "b", Crashes: crashesToMessage([]CrashWord{word}, now)}
-	broken := proto.Clone(whole).(*exchangerpb.TellRequest)
+	whole := &exchangerpb.PeerUpdate{HostId: "b", Crashes: crashesToMessage([]CrashUpdate{update}, now)}
+	broken := proto.Clone(whole).(*exchangerpb.PeerUpdate)
 	broken.Crashes[0].Runs[0].Name = broken.GetCrashes()[0].GetRuns()[0].GetName()[:9]
 	broken.Crashes[0].AgeMs = math.MinInt64
-	for _, message := range []*exchangerpb.TellRequest{whole, broken, {}} {
+	for _, message := range []*exchangerpb.PeerUpdate{whole, broken, {}} {
 		wire, err := proto.Marshal(message)
 		assert.NilError(f, err)
 		f.Add(wire)
 	}
 	ex := &Exchanger{cfg: Config{Logger: hclog.NewNullLogger()}}
-	assert.DeepEqual(f, ex.crashesFromMessage(whole, now), []CrashWord{word})
+	assert.DeepEqual(f, ex.crashesFromMessage(whole, now), []CrashUpdate{update})
 	f.Fuzz(func(t *testing.T, wire []byte) {
-		message := &exchangerpb.TellRequest{}
+		message := &exchangerpb.PeerUpdate{}
 		if proto.Unmarshal(wire, message) != nil {
 			return
 		}
-		words := ex.crashesFromMessage(message, now)
-		assert.Equal(t, len(words), len(message.GetCrashes()))
-		again := ex.crashesFromMessage(&exchangerpb.TellRequest{Crashes: crashesToMessage(words, now)}, now)
-		assert.DeepEqual(t, again, words, cmpopts.EquateEmpty())
-		for i, word := range words {
-			assert.Assert(t, !word.At.After(now) && now.Sub(word.At) <= maxWordAge)
-			assert.Assert(t, len(word.Runs) <= len(message.GetCrashes()[i].GetRuns()))
-			for _, run := range word.Runs {
-				assert.Assert(t, run.Took >= 0 && run.Took <= maxWordAge)
+		updates := ex.crashesFromMessage(message, now)
+		assert.Equal(t, len(updates), len(message.GetCrashes()))
+		again := ex.crashesFromMessage(&exchangerpb.PeerUpdate{Crashes: crashesToMessage(updates, now)}, now)
+		assert.DeepEqual(t, again, updates, cmpopts.EquateEmpty())
+		for i, update := range updates {
+			assert.Assert(t, !update.At.After(now) && now.Sub(update.At) <= maxUpdateAge)
+			assert.Assert(t, len(update.Runs) <= len(message.GetCrashes()[i].GetRuns()))
+			for _, run := range update.Runs {
+				assert.Assert(t, run.Took >= 0 && run.Took <= maxUpdateAge)
 			}
 		}
 	})
--- a/internal/exchanger/hub.go
+++ b/internal/exchanger/hub.go
@@ -8,13 +8,13 @@
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 )
 
-// Where a zone has many hosts, each telling all others costs more than a small
-// host has, and telling seldom is worse: with words 0.9 s old, 80 hosts all saw
+// Where a zone has many hosts, each sending to all others costs more than a small
+// host has, and sending seldom is worse: with updates 0.9 s old, 80 hosts all saw
 // the same idle engine, gave it 50 requests within 300 ms, and let others idle.
 // So the first hosts of a large zone, by an order that all work out alike, are
-// its hubs. A hub hears the load of each host of its zone and of the other
-// zones' hubs the sum of theirs, and tells each host of its zone the sum of all
-// but that host's own. Words are then two or three ticks old at any size.
+// its hubs. A hub receives the load of each host of its zone and of the other
+// zones' hubs the sum of theirs, and sends each host of its zone the sum of all
+// but that host's own. Updates are then two or three ticks old at any size.
 //
 // Hosts may disagree for a moment about who is a hub. Each message says whose
 // load it carries, and a host takes only what fits its own part: else a load
@@ -25,7 +25,7 @@
 	// killed, frozen or cut off holds up nobody.
 	HubsPerZone = 2
 	// SmallZone is up to how many hosts of a zone all count as hubs. A fleet
-	// with small zones only has none: each host tells all others.
+	// with small zones only has none: each host sends to all others.
 	SmallZone = 4
 	// speakersPerZone hosts of a zone say to all others of it that they live: the
 	// hubs, those that would be hubs next, and those that may do for all what a few
@@ -38,7 +38,7 @@
 	zoneSource = "/zone/"
 )
 
-// partFor says whose load is told to a peer.
+// partFor says whose load is sent to a peer.
 func (ex *Exchanger) partFor(l *layout, peer Peer) exchangerpb.Part {
 	part := ex.partOf(l, peer)
 	if part == exchangerpb.Part_PART_REST && !ex.feeds(l, peer) {
@@ -78,8 +78,8 @@
 	}
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	row := ex.heard[feeder]
-	return row == nil || !row.status.Reachable || time.Since(row.status.LastHeard) > hubSilence
+	row := ex.states[feeder]
+	return row == nil || !row.status.Reachable || time.Since(row.status.LastUpdate) > hubSilence
 }
 
 // hubSilence is after how long without an update a hub takes over another one's hosts.
@@ -88,7 +88,7 @@
 
 // sourceOf names a row's load for this host; empty where it is not to be
 // counted, since it comes by another way.
-func (ex *Exchanger) sourceOf(l *layout, row *heardPeer) string {
+func (ex *Exchanger) sourceOf(l *layout, row *peerState) string {
 	isHub := l.isFlat || l.hubs[ex.cfg.HostID]
 	switch row.part {
 	case exchangerpb.Part_PART_OWN:
@@ -107,16 +107,16 @@
 	return ""
 }
 
-// word is what a host tells a peer.
-type word struct {
+// update is what a host sends a peer.
+type update struct {
 	loads   map[string]Load
 	leaving []LeavingEndpoint
 	hosts   int
 }
 
-// wordFor puts together what a part holds.
-func (ex *Exchanger) wordFor(part exchangerpb.Part, peer Peer, own map[string]Load) word {
-	w := word{leaving: ex.local.Leaving()}
+// contentFor puts together what a part holds.
+func (ex *Exchanger) contentFor(part exchangerpb.Part, peer Peer, own map[string]Load) update {
+	w := update{leaving: ex.local.Leaving()}
 	if part == exchangerpb.Part_PART_NONE {
 		return w
 	}
@@ -128,12 +128,12 @@
 	defer ex.mu.Unlock()
 	sum := ex.sumLocked(part, own, time.Now())
 	w.loads, w.hosts = copyLoads(sum.loads), sum.hosts
-	for hostID, row := range ex.heard {
+	for hostID, row := range ex.states {
 		if _, isIn := sum.parts[row]; isIn && hostID != peer.HostID {
 			w.leaving = append(w.leaving, row.leaving...)
 		}
 	}
-	if own, isIn := sum.parts[ex.heard[peer.HostID]]; isIn {
+	if own, isIn := sum.parts[ex.states[peer.HostID]]; isIn {
 		w.subtract(own)
 	}
 	return w
@@ -144,7 +144,7 @@
 	at    time.Time
 	loads map[string]Load
 	hosts int
-	parts map[*heardPeer]sumPart // whose load is in it
+	parts map[*peerState]sumPart // whose load is in it
 }
 
 // sumPart is what one row has given to a sum.
@@ -160,9 +160,9 @@
 	if s := ex.sums[part]; s != nil && now.Sub(s.at) < ex.cfg.Tick/2 {
 		return s
 	}
-	s := &sum{at: now, loads: copyLoads(own), hosts: 1, parts: map[*heardPeer]sumPart{}}
-	newest := map[string]*heardPeer{} // of each other zone's hubs, the one heard last
-	for _, row := range ex.heard {
+	s := &sum{at: now, loads: copyLoads(own), hosts: 1, parts: map[*peerState]sumPart{}}
+	newest := map[string]*peerState{} // of each other zone's hubs, the one with the latest update
+	for _, row := range ex.states {
 		if !row.status.Reachable {
 			continue
 		}
@@ -171,7 +171,7 @@
 		case row.part == exchangerpb.Part_PART_OWN && zone == ex.cfg.Zone:
 			s.add(row)
 		case row.part == exchangerpb.Part_PART_ZONE && part == exchangerpb.Part_PART_REST && zone != ex.cfg.Zone:
-			if latest := newest[zone]; latest == nil || row.status.LastHeard.After(latest.status.LastHeard) {
+			if latest := newest[zone]; latest == nil || row.status.LastUpdate.After(latest.status.LastUpdate) {
 				newest[zone] = row
 			}
 		}
@@ -183,7 +183,7 @@
 	return s
 }
 
-func (s *sum) add(row *heardPeer) {
+func (s *sum) add(row *peerState) {
 	s.parts[row] = sumPart{loads: copyLoads(row.loads), hosts: row.hosts}
 	s.hosts += row.hosts
 	for endpointID, load := range row.loads {
@@ -196,7 +196,7 @@
 }
 
 // subtract takes a part out of a sum that it is in.
-func (w *word) subtract(part sumPart) {
+func (w *update) subtract(part sumPart) {
 	w.hosts -= part.hosts
 	for endpointID, load := range part.loads {
 		rest := w.loads[endpointID]
--- a/internal/exchanger/hub_test.go
+++ b/internal/exchanger/hub_test.go
@@ -17,7 +17,7 @@
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 )
 
-// summedLocal adds up what it hears, as the scheduler's tables do.
+// summedLocal adds up what it receives, as the scheduler's tables do.
 type summedLocal struct {
 	fakeLocal
 
@@ -27,13 +27,13 @@
 	leaving map[string]time.Time
 }
 
-func (l *summedLocal) HearLoad(source string, hosts int, loads map[string]Load, _ time.Time) {
+func (l *summedLocal) TakeLoad(source string, hosts int, loads map[string]Load, _ time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.loads[source], l.hosts[source] = loads, hosts
 }
 
-func (l *summedLocal) HearLeaving(leaving []LeavingEndpoint, now time.Time) {
+func (l *summedLocal) TakeLeaving(leaving []LeavingEndpoint, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, endpoint := range leaving {
@@ -51,7 +51,7 @@
 	return requests, hosts
 }
 
-func (l *summedLocal) heardLeaving(endpointID string, since time.Time) bool {
+func (l *summedLocal) receivedLeaving(endpointID string, since time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.leaving[endpointID].After(since)
@@ -108,7 +108,7 @@
 	assert.NilError(f.t, f.ex[id].SetPeers(others))
 }
 
-// awaitSums waits until each host has heard of all others' requests, once.
+// awaitSums waits until each host has learnt of all others' requests, once.
 func (f *hubFleet) awaitSums() {
 	f.t.Helper()
 	total := 0
@@ -126,7 +126,7 @@
 	}, poll.WithTimeout(15*time.Second), poll.WithDelay(5*time.Millisecond))
 }
 
-// Each host counts the work of all others once, whoever tells it.
+// Each host counts the work of all others once, whoever sends it.
 func TestSumsByWayOfHubs(t *testing.T) {
 	t.Parallel()
 	for name, sizes := range map[string]map[string]int{
@@ -170,10 +170,12 @@
 	speaker := f.locals["a-6"]
 	speaker.setLeaving([]LeavingEndpoint{{EndpointID: "e"}})
 	begun := time.Now()
-	f.awaitAll("the word", func(local *summedLocal) bool { return local.heardLeaving("e", begun) })
+	f.awaitAll("the update", func(local *summedLocal) bool { return local.receivedLeaving("e", begun) })
 	speaker.setLeaving(nil)
-	// A word that is repeated is heard again after each moment.
-	f.awaitAll("silence", func(local *summedLocal) bool { return !local.heardLeaving("e", time.Now().Add(-500*time.Millisecond)) })
+	// An update that is repeated is received again after each moment.
+	f.awaitAll("silence", func(local *summedLocal) bool {
+		return !local.receivedLeaving("e", time.Now().Add(-500*time.Millisecond))
+	})
 }
 
 func (f *hubFleet) awaitAll(what string, isSo func(*summedLocal) bool) {
@@ -212,14 +214,14 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			ex := &Exchanger{cfg: Config{HostID: test.self, Zone: "z"}}
-			row := &heardPeer{part: test.part, status: PeerStatus{Peer: Peer{HostID: "sender", Zone: test.zone}}}
+			row := &peerState{part: test.part, status: PeerStatus{Peer: Peer{HostID: "sender", Zone: test.zone}}}
 			assert.Equal(t, ex.sourceOf(&l, row), test.want)
 		})
 	}
 }
 
 // The first hubs are those that live, by the order of all hubs; a host that
-// hears nobody is the first.
+// receives nobody is the first.
 func TestIsAmongFirst(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
@@ -242,7 +244,7 @@
 				Peers: peersIn(6, test.zone), HasHubs: true,
 			}, newLocal())
 			assert.NilError(t, err)
-			for id, row := range ex.heard {
+			for id, row := range ex.states {
 				row.status.Reachable = !slices.Contains(test.silent, id)
 			}
 			assert.Equal(t, ex.IsAmongFirst(3), test.want)
@@ -252,7 +254,7 @@
 }
 
 // In a large zone eight hosts say to all others that they live. The rest is
-// heard by the hubs only, and all agree on who may be counted on.
+// received by the hubs only, and all agree on who may be counted on.
 func TestFewHostsOfALargeZoneSpeakToAll(t *testing.T) {
 	t.Parallel()
 	f := startHubFleet(t, map[string]int{"a": speakersPerZone + 3})
@@ -269,7 +271,7 @@
 			ex := f.ex[to]
 			ex.mu.Lock()
 			if i != j {
-				assert.Assert(t, ex.heard[from].status.LastHeard.IsZero(), "%s spoke to %s", from, to)
+				assert.Assert(t, ex.states[from].status.LastUpdate.IsZero(), "%s spoke to %s", from, to)
 			}
 			ex.mu.Unlock()
 		}
@@ -301,7 +303,7 @@
 		ex := f.ex[id]
 		ex.mu.Lock()
 		defer ex.mu.Unlock()
-		for hub, row := range ex.heard {
+		for hub, row := range ex.states {
 			if row.part == exchangerpb.Part_PART_REST && row.status.Reachable {
 				feeders = append(feeders, hub)
 			}
--- a/internal/exchanger/layout.go
+++ b/internal/exchanger/layout.go
@@ -12,7 +12,7 @@
 // Who is a hub of its zone, and who says to all of it that it lives, as this host
 // sees it.
 
-// layOutLocked finds the hubs among the peers. Load heard from others than
+// layOutLocked finds the hubs among the peers. Load received from others than
 // before is forgotten: it would count twice.
 func (ex *Exchanger) layOutLocked() (forgotten []string) {
 	hosts := []Peer{{HostID: ex.cfg.HostID, Zone: ex.cfg.Zone, ProcessorShare: ex.cfg.ProcessorShare}}
@@ -28,13 +28,13 @@
 	if before != nil && (before.isFlat != next.isFlat || before.hubs[ex.cfg.HostID] != isHub) {
 		ex.cfg.Logger.Info("part in telling load", "is_hub", isHub, "all_tell_all", next.isFlat, "hosts", len(hosts))
 	}
-	ex.layout, ex.toldPeers = &next, 0
+	ex.layout, ex.fedPeers = &next, 0
 	for _, l := range ex.links {
 		if ex.partOf(&next, l.peer) != exchangerpb.Part_PART_NONE {
-			ex.toldPeers++
+			ex.fedPeers++
 		}
 	}
-	for _, row := range ex.heard {
+	for _, row := range ex.states {
 		if before == nil {
 			break
 		}
@@ -61,7 +61,7 @@
 
 // layout is who is a hub, as this host sees it. It is not changed once made.
 type layout struct {
-	isFlat bool // no zone is large: each host tells all others
+	isFlat bool // no zone is large: each host sends to all others
 	hubs   map[string]bool
 	// zoneHubs are the hubs of a large zone, in their order.
 	zoneHubs map[string][]string
@@ -107,7 +107,7 @@
 		return false
 	}
 	for hostID := range ex.layout.hubs {
-		row := ex.heard[hostID]
+		row := ex.states[hostID]
 		if row != nil && row.status.Reachable && !row.status.Draining && Order(row.status.Peer, own) < 0 {
 			before++
 		}
--- a/internal/exchanger/links.go
+++ b/internal/exchanger/links.go
@@ -39,7 +39,7 @@
 	l := &link{peer: peer, conn: conn}
 	l.ctx, l.cancel = context.WithCancel(ex.ctx)
 	ex.links[peer.HostID] = l
-	ex.heardLocked(peer)
+	ex.stateLocked(peer)
 	return l, nil
 }
 
@@ -52,7 +52,7 @@
 	ex.mu.Unlock()
 	now := time.Now()
 	for _, source := range forgotten {
-		ex.local.HearLoad(source, 0, nil, now)
+		ex.local.TakeLoad(source, 0, nil, now)
 	}
 	return err
 }
@@ -74,7 +74,7 @@
 			continue
 		}
 		if ex.group != nil {
-			ex.group.Go(func() error { return ex.tellPeer(l) })
+			ex.group.Go(func() error { return ex.publishTo(l) })
 		}
 	}
 	for hostID, l := range ex.links {
@@ -89,17 +89,17 @@
 }
 
 // speaksLocked is true for a peer that lives, as it says itself. The entry of a
-// host that the store turns away lapses while the host serves; told nothing any
-// more, it would neither count its peers' load nor hear what they know.
+// host that the store turns away lapses while the host serves; sent nothing any
+// more, it would neither count its peers' load nor receive what they know.
 func (ex *Exchanger) speaksLocked(hostID string) bool {
-	row := ex.heard[hostID]
+	row := ex.states[hostID]
 	return row != nil && row.status.Reachable && !row.status.Draining
 }
 
 func (ex *Exchanger) dropLocked(l *link) {
 	l.cancel()
 	delete(ex.links, l.peer.HostID)
-	_ = l.conn.Close() // calls on it end; there is nothing to be told
+	_ = l.conn.Close() // calls on it end; there is nothing to be sent
 }
 
 func (ex *Exchanger) serverOptions() []grpc.ServerOption {
--- a/internal/exchanger/hearer.go
+++ b/internal/exchanger/peerstate.go
@@ -11,8 +11,8 @@
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
-// heardPeer is the receiving side's row of one peer.
-type heardPeer struct {
+// peerState is the receiving side's row of one peer.
+type peerState struct {
 	status   PeerStatus
 	sequence uint64
 	part     exchangerpb.Part
@@ -25,45 +25,45 @@
 
 // take takes a peer's update. One that does not follow the last one is answered with
 // a request for the full state.
-func (ex *Exchanger) take(message *exchangerpb.TellRequest) (*exchangerpb.TellReply, error) {
+func (ex *Exchanger) take(message *exchangerpb.PeerUpdate) (*exchangerpb.PeerAck, error) {
 	now := time.Now()
-	reply := &exchangerpb.TellReply{Incarnation: ex.cfg.Incarnation}
+	reply := &exchangerpb.PeerAck{Incarnation: ex.cfg.Incarnation}
 	ex.mu.Lock()
-	peer, known := ex.heard[message.GetHostId()]
+	peer, known := ex.states[message.GetHostId()]
 	if !known && !ex.cfg.IsOpen {
 		ex.mu.Unlock()
 		return nil, status.Error(codes.PermissionDenied, "host is not among the peers of this host's settings")
 	}
 	if !known {
-		peer = ex.heardLocked(Peer{HostID: message.GetHostId(), Zone: message.GetZone()})
+		peer = ex.stateLocked(Peer{HostID: message.GetHostId(), Zone: message.GetZone()})
 	}
 	reply.Resync = !peer.take(message, now)
 	loads, hosts, source := copyLoads(peer.loads), peer.hosts, ex.sourceOf(ex.layout, peer)
 	isOwnZone := peer.status.Peer.Zone == ex.cfg.Zone
 	ex.mu.Unlock()
 	if ex.cfg.Caches != nil && len(message.GetCaches()) > 0 {
-		ex.cfg.Caches.HearWords(cachesFromMessage(message.GetCaches()), isOwnZone)
+		ex.cfg.Caches.Merge(cachesFromMessage(message.GetCaches()), isOwnZone)
 	}
 	if ex.cfg.Crashes != nil && len(message.GetCrashes()) > 0 {
-		ex.cfg.Crashes.HearWords(ex.crashesFromMessage(message, ex.cfg.Clock()), isOwnZone)
+		ex.cfg.Crashes.Merge(ex.crashesFromMessage(message, ex.cfg.Clock()), isOwnZone)
 	}
 	if ex.cfg.Usage != nil && len(message.GetUsage()) > 0 {
 		ex.cfg.Usage.Merge(usageFromMessage(message.GetUsage()), isOwnZone)
 	}
 	reply.Attestation = ex.attestation()
 	if !reply.Resync && source != "" {
-		ex.local.HearLoad(source, hosts, loads, now)
+		ex.local.TakeLoad(source, hosts, loads, now)
 	}
-	ex.local.HearLeaving(leavingFromMessage(message.GetLeaving()), now)
+	ex.local.TakeLeaving(leavingFromMessage(message.GetLeaving()), now)
 	return reply, nil
 }
 
 // take applies a message to the row; it is false when messages are missing.
-func (p *heardPeer) take(message *exchangerpb.TellRequest, now time.Time) bool {
+func (p *peerState) take(message *exchangerpb.PeerUpdate, now time.Time) bool {
 	restarted := p.status.Incarnation != message.GetIncarnation()
 	p.status.Incarnation = message.GetIncarnation()
 	p.status.Draining = message.GetDraining()
-	p.status.LastHeard = now
+	p.status.LastUpdate = now
 	p.status.Reachable = true
 	p.status.ConfigurationRevision = message.GetConfigurationRevision()
 	p.status.StoreRevision = message.GetStoreRevision()
@@ -82,7 +82,7 @@
 	return true
 }
 
-func (p *heardPeer) set(message *exchangerpb.EndpointLoad) {
+func (p *peerState) set(message *exchangerpb.EndpointLoad) {
 	load := Load{
 		Requests:      count(message.GetRequests()),
 		PrefillTokens: count(message.GetPrefillTokens()),
@@ -115,20 +115,20 @@
 				continue
 			}
 			for _, source := range ex.silent(now) {
-				ex.local.HearLoad(source, 0, nil, now)
+				ex.local.TakeLoad(source, 0, nil, now)
 			}
 		}
 	}
 }
 
 // silent marks the peers that have fallen silent and returns whose load is to
-// be forgotten. A sum is not: another hub tells it as well, and without one it
+// be forgotten. A sum is not: another hub sends it as well, and without one it
 // ages with the tables.
 func (ex *Exchanger) silent(now time.Time) (sources []string) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	for hostID, peer := range ex.heard {
-		if peer.status.Reachable && now.Sub(peer.status.LastHeard) > ex.cfg.Silence {
+	for hostID, peer := range ex.states {
+		if peer.status.Reachable && now.Sub(peer.status.LastUpdate) > ex.cfg.Silence {
 			peer.status.Reachable = false
 			peer.loads = map[string]Load{}
 			peer.sequence = 0
--- a/internal/exchanger/teller.go
+++ b/internal/exchanger/publisher.go
@@ -10,18 +10,18 @@
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
-// teller is the sending side's row of one peer.
-type teller struct {
+// publisher is the sending side's row of one peer.
+type publisher struct {
 	sequence uint64
-	told     map[string]Load // as the peer has acknowledged it
+	acked    map[string]Load // as the peer has acknowledged it
 	full     bool            // the next message has to carry everything
 	idle     int             // ticks since the last message
 	sentAt   time.Time       // of the last message
 	part     exchangerpb.Part
 	leaving  int // endpoints named as leaving in the last message
-	caches   wordTeller[CacheWord]
-	crashes  wordTeller[CrashWord]
-	usage    wordTeller[UsageUpdate]
+	caches   logCursor[CacheUpdate]
+	crashes  logCursor[CrashUpdate]
+	usage    logCursor[UsageUpdate]
 }
 
 // ownLoad keeps this host's load for all tellers of a tick. To collect it the
@@ -43,12 +43,12 @@
 	return ex.own.loads
 }
 
-// tellPeer tells one peer, each on its own goroutine: a peer that does not
+// publishTo publishes to one peer, each on its own goroutine: a peer that does not
 // answer holds up nobody else.
-func (ex *Exchanger) tellPeer(l *link) error {
+func (ex *Exchanger) publishTo(l *link) error {
 	client := newChannel(exchangerpb.NewExchangeClient(l.conn))
 	defer client.close()
-	row := &teller{full: true, told: map[string]Load{}}
+	row := &publisher{full: true, acked: map[string]Load{}}
 	timer := time.NewTimer(ex.tick())
 	defer timer.Stop()
 	for {
@@ -57,28 +57,28 @@
 			return nil
 		case <-timer.C:
 			timer.Reset(ex.pauseFor(row))
-			ex.tellOnce(l.ctx, client, row, l.peer)
+			ex.publish(l.ctx, client, row, l.peer)
 		}
 	}
 }
 
 // tick is the time between two messages to a peer. What a host spends on its
-// peers would else grow with their number: 79 of them, told ten times a
+// peers would else grow with their number: 79 of them, sent to ten times a
 // second, took more than a small host has.
 func (ex *Exchanger) tick() time.Duration {
-	if ex.cfg.TellsPerSecond <= 0 {
+	if ex.cfg.UpdatesPerSecond <= 0 {
 		return ex.cfg.Tick
 	}
 	ex.mu.Lock()
-	told := ex.toldPeers
+	told := ex.fedPeers
 	ex.mu.Unlock()
-	return max(ex.cfg.Tick, time.Duration(told)*time.Second/time.Duration(ex.cfg.TellsPerSecond))
+	return max(ex.cfg.Tick, time.Duration(told)*time.Second/time.Duration(ex.cfg.UpdatesPerSecond))
 }
 
 // pauseFor is the time until a peer is looked at again. One that is sent no load only
-// has to hear that this host lives; a hub looks sooner whether it has to take over a
+// has to know that this host lives; a hub looks sooner whether it has to take over a
 // host of its zone.
-func (ex *Exchanger) pauseFor(row *teller) time.Duration {
+func (ex *Exchanger) pauseFor(row *publisher) time.Duration {
 	switch {
 	case row.part != exchangerpb.Part_PART_NONE:
 		return ex.tick()
@@ -89,12 +89,12 @@
 	}
 }
 
-// heartbeat is how often a peer hears that this host lives.
+// heartbeat is how often a peer learns that this host lives.
 func (ex *Exchanger) heartbeat() time.Duration { return ex.cfg.Silence / heartbeatsInSilence }
 
 func (ex *Exchanger) isHub() bool { return ex.currentLayout().hubs[ex.cfg.HostID] }
 
-func (ex *Exchanger) tellOnce(ctx context.Context, client *channel, row *teller, peer Peer) {
+func (ex *Exchanger) publish(ctx context.Context, client *channel, row *publisher, peer Peer) {
 	layout := ex.currentLayout()
 	part := ex.partFor(layout, peer)
 	if part != row.part {
@@ -107,40 +107,40 @@
 	}
 	row.part = part
 	if part == exchangerpb.Part_PART_NONE && (peer.Zone != ex.cfg.Zone || !layout.speakers[ex.cfg.HostID]) {
-		return // the zones' hubs speak to each other, and hubs hear all hosts of theirs
+		return // the zones' hubs speak to each other, and hubs receive all hosts of theirs
 	}
-	word := ex.wordFor(part, peer, ex.ownLoadOf(time.Now()))
-	message := row.message(word.loads)
+	update := ex.contentFor(part, peer, ex.ownLoadOf(time.Now()))
+	message := row.message(update.loads)
 	row.idle++
-	cacheWords, crashWords := ex.nextWords(row)
+	cacheUpdates, crashUpdates := ex.nextUpdates(row)
 	usage := ex.nextUsage(row, peer)
-	if !row.isDue(message, len(word.leaving)) && len(cacheWords) == 0 && len(crashWords) == 0 && len(usage) == 0 {
+	if !row.isDue(message, len(update.leaving)) && len(cacheUpdates) == 0 && len(crashUpdates) == 0 && len(usage) == 0 {
 		return
 	}
 	message.HostId, message.Incarnation, message.Zone = ex.cfg.HostID, ex.cfg.Incarnation, ex.cfg.Zone
-	message.Part, message.Hosts = part, int64(word.hosts)
-	message.Leaving = leavingToMessage(word.leaving)
-	message.Caches, message.Crashes = cachesToMessage(cacheWords), crashesToMessage(crashWords, ex.cfg.Clock())
+	message.Part, message.Hosts = part, int64(update.hosts)
+	message.Leaving = leavingToMessage(update.leaving)
+	message.Caches, message.Crashes = cachesToMessage(cacheUpdates), crashesToMessage(crashUpdates, ex.cfg.Clock())
 	message.Usage, message.WantsUsage = usageToMessage(usage), ex.cfg.Usage != nil && ex.cfg.Usage.IsWanted()
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
-	row.idle, row.leaving, row.sentAt = 0, len(word.leaving), time.Now()
+	row.idle, row.leaving, row.sentAt = 0, len(update.leaving), time.Now()
 	row.sequence++
 	message.Sequence = row.sequence
 	sent := ex.cfg.Clock()
 	reply, err := client.exchange(ctx, message)
-	row.settle(word.loads, err == nil && !reply.GetResync())
+	row.settle(update.loads, err == nil && !reply.GetResync())
 	if err == nil {
-		row.caches.settle(len(cacheWords), reply.GetIncarnation())
-		row.crashes.settle(len(crashWords), reply.GetIncarnation())
+		row.caches.settle(len(cacheUpdates), reply.GetIncarnation())
+		row.crashes.settle(len(crashUpdates), reply.GetIncarnation())
 		row.usage.settle(len(usage), reply.GetIncarnation())
 		ex.takeAttestation(reply.GetAttestation(), sent)
 	}
 }
 
-// nextWords are the words about caches and crashes of a peer's next message.
-func (ex *Exchanger) nextWords(row *teller) (caches []CacheWord, crashes []CrashWord) {
+// nextUpdates are the updates about caches and crashes of a peer's next message.
+func (ex *Exchanger) nextUpdates(row *publisher) (caches []CacheUpdate, crashes []CrashUpdate) {
 	if ex.cfg.Caches != nil {
 		caches = row.caches.next(ex.cfg.Caches, row.part, maxCacheParts, cacheParts)
 	}
@@ -150,9 +150,9 @@
 	return caches, crashes
 }
 
-// isDue is false where a message would say nothing new and the peer has heard
+// isDue is false where a message would say nothing new and the peer has received
 // from this host a moment ago.
-func (t *teller) isDue(message *exchangerpb.TellRequest, leaving int) bool {
+func (t *publisher) isDue(message *exchangerpb.PeerUpdate, leaving int) bool {
 	if t.part == exchangerpb.Part_PART_NONE {
 		return true
 	}
@@ -160,17 +160,17 @@
 }
 
 // message builds the differences since the peer's last acknowledgement.
-func (t *teller) message(loads map[string]Load) *exchangerpb.TellRequest {
-	message := &exchangerpb.TellRequest{Full: t.full}
+func (t *publisher) message(loads map[string]Load) *exchangerpb.PeerUpdate {
+	message := &exchangerpb.PeerUpdate{Full: t.full}
 	for endpointID, load := range loads {
-		if t.full || t.told[endpointID] != load {
+		if t.full || t.acked[endpointID] != load {
 			message.Loads = append(message.Loads, loadToMessage(endpointID, load))
 		}
 	}
 	if t.full {
 		return message
 	}
-	for endpointID := range t.told {
+	for endpointID := range t.acked {
 		if _, still := loads[endpointID]; !still {
 			message.Loads = append(message.Loads, loadToMessage(endpointID, Load{}))
 		}
@@ -180,10 +180,10 @@
 
 // settle records what the peer knows. After a failure it is not known whether
 // the message arrived, so the next one is full.
-func (t *teller) settle(loads map[string]Load, acknowledged bool) {
+func (t *publisher) settle(loads map[string]Load, acknowledged bool) {
 	t.full = !acknowledged
 	if acknowledged {
-		t.told = loads // a new map each tick, never changed
+		t.acked = loads // a new map each tick, never changed
 	}
 }
 
@@ -263,7 +263,7 @@
 }
 
 func (ex *Exchanger) askPeer(ctx context.Context, peer Peer, newerThan int64) (*exchangerpb.HostsReply, error) {
-	ctx, cancel := timekeeper.WithTimeout(ctx, tellTimeout)
+	ctx, cancel := timekeeper.WithTimeout(ctx, updateTimeout)
 	defer cancel()
 	conn, err := ex.Conn(peer.HostID)
 	if err != nil {
--- a/internal/exchanger/status.go
+++ b/internal/exchanger/status.go
@@ -13,17 +13,17 @@
 	Incarnation           string
 	Reachable             bool // it has spoken within Config.Silence
 	Draining              bool
-	LastHeard             time.Time
+	LastUpdate            time.Time
 	ConfigurationRevision int64
-	StoreRevision         int64 // up to which it has heard of the platform's store
+	StoreRevision         int64 // up to which it has learnt of the platform's store
 }
 
 // Statuses returns what is known of each peer, by host id.
 func (ex *Exchanger) Statuses() []PeerStatus {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	statuses := make([]PeerStatus, 0, len(ex.heard))
-	for _, peer := range ex.heard {
+	statuses := make([]PeerStatus, 0, len(ex.states))
+	for _, peer := range ex.states {
 		statuses = append(statuses, peer.status)
 	}
 	sort.Slice(statuses, func(i, j int) bool { return statuses[i].Peer.HostID < statuses[j].Peer.HostID })
@@ -34,7 +34,7 @@
 func (ex *Exchanger) Heard() (n int) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	for _, row := range ex.heard {
+	for _, row := range ex.states {
 		if row.status.Reachable {
 			n++
 		}
@@ -50,8 +50,8 @@
 }
 
 func (ex *Exchanger) isAwayLocked(hostID string) bool {
-	row := ex.heard[hostID]
-	if row == nil || row.status.LastHeard.IsZero() {
+	row := ex.states[hostID]
+	if row == nil || row.status.LastUpdate.IsZero() {
 		return false
 	}
 	return !row.status.Reachable || row.status.Draining
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -12,7 +12,7 @@
 	Zone    string
 	Address string // IP and port of its peer protocol
 	// ProcessorShare is how many cores the host has; hosts with more do more of
-	// what a few do for all. 0: not told.
+	// what a few do for all. 0: not known.
 	ProcessorShare float64
 }
 
@@ -34,9 +34,9 @@
 	DecodeTokens  int // expected output tokens not yet generated
 }
 
-// CacheWord says what an engine's process keeps of prompts; without an
+// CacheUpdate says what an engine's process keeps of prompts; without an
 // EndpointID, which parts of prompts are shared.
-type CacheWord struct {
+type CacheUpdate struct {
 	EndpointID  string
 	Incarnation string
 	Number      int64 // of the engine's news up to which this speaks
@@ -50,7 +50,7 @@
 	Tokens int // kept; 0: dropped
 }
 
-// Scope says whose words a peer is told, each including those before it.
+// Scope says whose updates a peer is sent, each including those before it.
 type Scope int
 
 // Scopes.
@@ -60,13 +60,13 @@
 	ScopeAll               // of all hosts
 )
 
-// Caches is what this host knows of engines' caches, as the Exchanger tells and
-// hears it.
+// Caches is what this host knows of engines' caches, as the Exchanger sends and
+// receives it.
 type Caches interface {
-	// Words are those behind a position, in order, and the position reached. At
+	// Updates are those behind a position, in order, and the position reached. At
 	// position 0, or one that is too far back, they are all that is known.
-	Words(after uint64, scope Scope) (words []CacheWord, position uint64)
-	HearWords(words []CacheWord, isOwnZone bool)
+	Updates(after uint64, scope Scope) (updates []CacheUpdate, position uint64)
+	Merge(updates []CacheUpdate, isOwnZone bool)
 }
 
 // Attestations prove that this host's configuration is the newest one; see package
@@ -112,10 +112,10 @@
 	Key  uint64
 }
 
-// CrashWord says one of three things: which requests were under way at an
+// CrashUpdate says one of three things: which requests were under way at an
 // endpoint's process that has ended; which are not to blame for such ends; which
 // are in quarantine.
-type CrashWord struct {
+type CrashUpdate struct {
 	EndpointID  string // empty where Runs is
 	Incarnation string
 	At          time.Time // that the process ended, or that the requests ran on
@@ -138,9 +138,9 @@
 }
 
 // Crashes is what this host knows of requests that end endpoints' processes, as
-// the Exchanger tells and hears it.
+// the Exchanger sends and receives it.
 type Crashes interface {
-	// Words are those behind a position, as with Caches.
-	Words(after uint64, scope Scope) (words []CrashWord, position uint64)
-	HearWords(words []CrashWord, isOwnZone bool)
+	// Updates are those behind a position, as with Caches.
+	Updates(after uint64, scope Scope) (updates []CrashUpdate, position uint64)
+	Merge(updates []CrashUpdate, isOwnZone bool)
 }
--- a/internal/exchanger/usage.go
+++ b/internal/exchanger/usage.go
@@ -7,27 +7,19 @@
 
 func usageCounts(update *UsageUpdate) int { return 1 + len(update.Counts) }
 
-// usageSource gives a Usage's updates to a wordTeller.
-type usageSource struct{ Usage }
-
-// Words implements wordSource.
-func (s usageSource) Words(after uint64, scope Scope) (updates []UsageUpdate, position uint64) {
-	return s.Updates(after, scope)
-}
-
 // nextUsage are the updates of a peer's next message. Hubs collect them, and send
 // them to the host that reports them; where there are no hubs, all hosts collect.
-func (ex *Exchanger) nextUsage(row *teller, peer Peer) []UsageUpdate {
+func (ex *Exchanger) nextUsage(row *publisher, peer Peer) []UsageUpdate {
 	if ex.cfg.Usage == nil || row.part == exchangerpb.Part_PART_REST && !ex.wantsUsage(peer) {
 		return nil
 	}
-	return row.usage.next(usageSource{ex.cfg.Usage}, row.part, maxUsageCounts, usageCounts)
+	return row.usage.next(ex.cfg.Usage, row.part, maxUsageCounts, usageCounts)
 }
 
 func (ex *Exchanger) wantsUsage(peer Peer) bool {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	row := ex.heard[peer.HostID]
+	row := ex.states[peer.HostID]
 	return row != nil && row.wantsUsage
 }
 
--- a/internal/lister/lister.go
+++ b/internal/lister/lister.go
@@ -149,8 +149,8 @@
 	return leaving
 }
 
-// HearLeaving takes a peer's words.
-func (l *Lister) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
+// TakeLeaving takes a peer's words.
+func (l *Lister) TakeLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
 	if len(leaving) == 0 {
 		return
 	}
--- a/internal/lister/lister_test.go
+++ b/internal/lister/lister_test.go
@@ -120,7 +120,7 @@
 		},
 		"peer's word, platform down": func(w *world, l *Lister) {
 			w.set(func() { w.platformDown = true })
-			l.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "i1"}}, time.Now())
+			l.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "i1"}}, time.Now())
 		},
 	}
 	for name, say := range tests {
@@ -149,7 +149,7 @@
 	w := &world{hosts: engine(provider.HostLive), revision: 1, incarnation: "i1"}
 	l := start(t, w)
 	w.awaitState(t, provider.HostLive)
-	l.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "i0"}}, time.Now())
+	l.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "i0"}}, time.Now())
 	w.awaitState(t, provider.HostLive)
 }
 
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -310,8 +310,8 @@
 	return leaving
 }
 
-// HearLeaving takes a peer's words. They hold for a moment unless repeated.
-func (r *Registrations) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
+// TakeLeaving takes a peer's words. They hold for a moment unless repeated.
+func (r *Registrations) TakeLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
 	if len(leaving) == 0 {
 		return
 	}
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -84,13 +84,13 @@
 		"has changed its role": {act: func(r *Registrations) { r.SetChanging([]string{"e1"}); r.SetChanging(nil) }, want: provider.HostLive},
 		"a peer changes its role": {
 			act: func(r *Registrations) {
-				r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1"}}, start)
+				r.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1"}}, start)
 			},
 			at: 500 * time.Millisecond, want: provider.HostLeaving,
 		},
 		"a peer falls silent": {
 			act: func(r *Registrations) {
-				r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1"}}, start)
+				r.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1"}}, start)
 			},
 			at: 2 * time.Second, want: provider.HostLive,
 		},
--- a/internal/lister/words_test.go
+++ b/internal/lister/words_test.go
@@ -86,8 +86,8 @@
 	t.Parallel()
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	r, published := newRegistrations(t, start)
-	r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1 before"}}, start)
+	r.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1 before"}}, start)
 	assert.Equal(t, (*published)["e1"], provider.HostLive)
-	r.HearLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1"}}, start)
+	r.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e1", Incarnation: "e1"}}, start)
 	assert.Equal(t, (*published)["e1"], provider.HostLeaving)
 }
--- a/internal/quarantiner/bench_test.go
+++ b/internal/quarantiner/bench_test.go
@@ -21,12 +21,12 @@
 // hearCrashes has a host hear of crashes with so many requests each.
 func hearCrashes(q *Quarantiner, ends, each int) {
 	for n := range ends {
-		word := exchanger.CrashWord{EndpointID: fmt.Sprint("e", n), At: time.Now()}
+		word := exchanger.CrashUpdate{EndpointID: fmt.Sprint("e", n), At: time.Now()}
 		for i := range each {
 			r := letter(fmt.Sprint(n, " ", i))
 			word.Runs = append(word.Runs, exchanger.CrashRun{RequestName: exchanger.RequestName{Name: r.Name(), Key: uint64(r.key())}})
 		}
-		q.HearWords([]exchanger.CrashWord{word}, true)
+		q.Merge([]exchanger.CrashUpdate{word}, true)
 	}
 }
 
@@ -49,7 +49,7 @@
 			q := newIdle()
 			hearCrashes(q, test.ends, 40)
 			if test.isKnown {
-				q.HearWords([]exchanger.CrashWord{{EndpointID: "x", At: time.Now(), Runs: []exchanger.CrashRun{{
+				q.Merge([]exchanger.CrashUpdate{{EndpointID: "x", At: time.Now(), Runs: []exchanger.CrashRun{{
 					RequestName: exchanger.RequestName{Name: test.request.Name(), Key: uint64(test.request.key())},
 				}}}}, true)
 			}
@@ -82,11 +82,11 @@
 // hearSame has a host hear of crashes that all have the same requests.
 func hearSame(q *Quarantiner, ends, each int) {
 	for n := range ends {
-		word := exchanger.CrashWord{EndpointID: fmt.Sprint("same", n), At: time.Now()}
+		word := exchanger.CrashUpdate{EndpointID: fmt.Sprint("same", n), At: time.Now()}
 		for i := range each {
 			r := letter(fmt.Sprint("same ", i))
 			word.Runs = append(word.Runs, exchanger.CrashRun{RequestName: exchanger.RequestName{Name: r.Name(), Key: uint64(r.key())}})
 		}
-		q.HearWords([]exchanger.CrashWord{word}, true)
+		q.Merge([]exchanger.CrashUpdate{word}, true)
 	}
 }
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -36,6 +36,6 @@
 //	q.RanWell(&request)                            // a whole answer
 //	q.Ended(process)                               // from whoever learns it
 //	q.Tick(now)                                    // several times a second
-//	words, position := q.Words(position, exchanger.ScopeOwn) // for peers
-//	q.HearWords(words, isOwnZone)                            // from peers
+//	words, position := q.Updates(position, exchanger.ScopeOwn) // for peers
+//	q.Merge(words, isOwnZone)                            // from peers
 package quarantiner
--- a/internal/quarantiner/load_test.go
+++ b/internal/quarantiner/load_test.go
@@ -138,11 +138,11 @@
 		if (m.now+time.Duration(n)*modelStep)%every != 0 {
 			continue
 		}
-		words, position := from.Words(m.fleet.told[n], exchanger.ScopeOwn)
+		words, position := from.Updates(m.fleet.told[n], exchanger.ScopeOwn)
 		m.fleet.told[n] = position
 		for _, to := range m.fleet.hosts {
 			if to != from {
-				to.HearWords(words, true)
+				to.Merge(words, true)
 			}
 		}
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -63,7 +63,7 @@
 	judgeUntil time.Time
 	// isFresh is true from when a request is quarantined until OnQuarantine is called.
 	isFresh bool
-	log     exchanger.WordLog[exchanger.CrashWord]
+	log     exchanger.UpdateLog[exchanger.CrashUpdate]
 
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
@@ -78,7 +78,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
-	q := &Quarantiner{cfg: cfg, table: newTable(), pending: pending{}, log: exchanger.NewWordLog[exchanger.CrashWord](maxLog)}
+	q := &Quarantiner{cfg: cfg, table: newTable(), pending: pending{}, log: exchanger.NewUpdateLog[exchanger.CrashUpdate](maxLog)}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	return q
 }
@@ -169,7 +169,7 @@
 func (q *Quarantiner) tryLocked(name Name, r *record, now time.Time) {
 	q.cfg.Logger.Info("quarantined request is tried again", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
 	r.until, r.isTried = now.Add(trialTime), true
-	q.log.Add(exchanger.CrashWord{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
+	q.log.Add(exchanger.CrashUpdate{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
 }
 
 func weightOf(hostID string, name Name) uint64 { return xxhash.Sum64String(hostID + name.String()) }
@@ -279,7 +279,7 @@
 	}
 	if wasTried && !r.isTried {
 		q.cfg.Logger.Info("trial of a quarantined request has crashed an endpoint", "request_name", name.String(), "pause_ms", r.pause.Milliseconds())
-		q.log.Add(exchanger.CrashWord{At: q.cfg.Now(), Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
+		q.log.Add(exchanger.CrashUpdate{At: q.cfg.Now(), Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
 	}
 }
 
@@ -320,7 +320,7 @@
 		q.table.released[name] = at
 		q.table.release(name, r)
 	}
-	q.log.Add(exchanger.CrashWord{At: at, Cleared: [][16]byte{name}}, origin)
+	q.log.Add(exchanger.CrashUpdate{At: at, Cleared: [][16]byte{name}}, origin)
 }
 
 // Tick judges what has been heard, and forgets what is old.
@@ -362,7 +362,7 @@
 func (q *Quarantiner) quarantineLocked(name Name, r *record, turns []*crash, now time.Time) {
 	q.table.quarantine(name, r, turns)
 	q.isFresh = true
-	q.log.Add(exchanger.CrashWord{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
+	q.log.Add(exchanger.CrashUpdate{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, exchanger.ScopeOwn)
 	var endpointIDs []string
 	for _, c := range turns {
 		endpointIDs = append(endpointIDs, c.process.EndpointID)
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -76,11 +76,11 @@
 func (f *fleet) tell() {
 	f.t.Helper()
 	for n, from := range f.hosts {
-		words, position := from.Words(f.told[n], exchanger.ScopeOwn)
+		words, position := from.Updates(f.told[n], exchanger.ScopeOwn)
 		f.told[n] = position
 		for _, to := range f.hosts {
 			if to != from {
-				to.HearWords(words, true)
+				to.Merge(words, true)
 			}
 		}
 	}
@@ -314,10 +314,10 @@
 			q.SetProcesses(func(string) (string, bool) { return target.Incarnation, true })
 		}},
 		"a peer says so": {then: func(q *Quarantiner) {
-			q.HearWords([]exchanger.CrashWord{{EndpointID: "e1", Incarnation: "e1@1", At: time.Unix(1000, 0)}}, true)
+			q.Merge([]exchanger.CrashUpdate{{EndpointID: "e1", Incarnation: "e1@1", At: time.Unix(1000, 0)}}, true)
 		}, isEnded: true},
 		"a peer says so of another process": {then: func(q *Quarantiner) {
-			q.HearWords([]exchanger.CrashWord{{EndpointID: "e1", Incarnation: "e1@0", At: time.Unix(1000, 0)}}, true)
+			q.Merge([]exchanger.CrashUpdate{{EndpointID: "e1", Incarnation: "e1@0", At: time.Unix(1000, 0)}}, true)
 		}},
 		"it is found out too late": {then: func(q *Quarantiner) {
 			q.Tick(time.Unix(1000, 0).Add(pendingFor))
--- a/internal/quarantiner/words.go
+++ b/internal/quarantiner/words.go
@@ -10,8 +10,8 @@
 // or to its hubs where zones are large, and on from these. A word may come twice
 // or by two ways: what is known already is not told on.
 
-func wordOfCrash(process Process, at time.Time, runs []run) exchanger.CrashWord {
-	word := exchanger.CrashWord{EndpointID: process.EndpointID, Incarnation: process.Incarnation, At: at}
+func wordOfCrash(process Process, at time.Time, runs []run) exchanger.CrashUpdate {
+	word := exchanger.CrashUpdate{EndpointID: process.EndpointID, Incarnation: process.Incarnation, At: at}
 	for _, run := range runs {
 		word.Runs = append(word.Runs, exchanger.CrashRun{
 			RequestName: exchanger.RequestName{Name: run.name, Key: uint64(run.key)}, Took: run.took,
@@ -31,8 +31,8 @@
 	return names
 }
 
-// Words implements exchanger.Crashes.
-func (q *Quarantiner) Words(after uint64, scope exchanger.Scope) (words []exchanger.CrashWord, position uint64) {
+// Updates implements exchanger.Crashes.
+func (q *Quarantiner) Updates(after uint64, scope exchanger.Scope) (words []exchanger.CrashUpdate, position uint64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if words, ok := q.log.Since(after, scope); ok {
@@ -44,13 +44,13 @@
 // allLocked is everything that a peer is told that has just started, or was away:
 // all that is quarantined, and all crashes, of whichever host. Who told them first may
 // be gone by now.
-func (q *Quarantiner) allLocked() (words []exchanger.CrashWord) {
+func (q *Quarantiner) allLocked() (words []exchanger.CrashUpdate) {
 	var quarantines []exchanger.Quarantine
 	for name, r := range q.table.quarantined {
 		quarantines = append(quarantines, quarantineOf(name, r))
 	}
 	if len(quarantines) > 0 {
-		words = append(words, exchanger.CrashWord{At: q.cfg.Now(), Quarantines: quarantines})
+		words = append(words, exchanger.CrashUpdate{At: q.cfg.Now(), Quarantines: quarantines})
 	}
 	for _, c := range q.table.order {
 		var runs []run
@@ -64,8 +64,8 @@
 	return words
 }
 
-// HearWords implements exchanger.Crashes.
-func (q *Quarantiner) HearWords(words []exchanger.CrashWord, isOwnZone bool) {
+// Merge implements exchanger.Crashes.
+func (q *Quarantiner) Merge(words []exchanger.CrashUpdate, isOwnZone bool) {
 	origin := exchanger.ScopeAll
 	if isOwnZone {
 		origin = exchanger.ScopeZone
@@ -77,7 +77,7 @@
 	q.mu.Unlock()
 }
 
-func (q *Quarantiner) hearLocked(word *exchanger.CrashWord, origin exchanger.Scope) {
+func (q *Quarantiner) hearLocked(word *exchanger.CrashUpdate, origin exchanger.Scope) {
 	if word.EndpointID != "" {
 		process := Process{word.EndpointID, word.Incarnation}
 		runs := make([]run, 0, len(word.Runs))
@@ -113,6 +113,6 @@
 	}
 	r.until, r.pause = told.Until, max(told.Pause, r.pause)
 	q.table.quarantined[name] = r
-	q.log.Add(exchanger.CrashWord{At: q.cfg.Now(), Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, origin)
+	q.log.Add(exchanger.CrashUpdate{At: q.cfg.Now(), Quarantines: []exchanger.Quarantine{quarantineOf(name, r)}}, origin)
 	q.known.Store(int64(len(q.table.records)))
 }
--- a/internal/quarantiner/words_test.go
+++ b/internal/quarantiner/words_test.go
@@ -18,8 +18,8 @@
 	f := newFleet(t, 3)
 	f.quarantine()
 	late := f.newHost("host-late")
-	words, _ := f.hosts[1].Words(0, exchanger.ScopeOwn)
-	late.HearWords(words, true)
+	words, _ := f.hosts[1].Updates(0, exchanger.ScopeOwn)
+	late.Merge(words, true)
 	assert.Assert(t, late.Admit(letter("crashing")).IsRefused)
 
 	// Cleared while one host was away, it is not quarantined anew when that one tells
@@ -27,10 +27,10 @@
 	f.clock.advance(time.Second)
 	away := f.hosts[2]
 	f.hosts[0].RanWell(letter("crashing"))
-	words, _ = f.hosts[0].Words(f.told[0], exchanger.ScopeOwn)
-	late.HearWords(words, true)
-	stale, _ := away.Words(0, exchanger.ScopeOwn)
-	late.HearWords(stale, true)
+	words, _ = f.hosts[0].Updates(f.told[0], exchanger.ScopeOwn)
+	late.Merge(words, true)
+	stale, _ := away.Updates(0, exchanger.ScopeOwn)
+	late.Merge(stale, true)
 	late.Tick(f.clock.advance(settle))
 	assert.Assert(t, !late.IsQuarantined(letter("crashing")))
 }
@@ -56,9 +56,9 @@
 	}
 	pass := func() (words int) {
 		for n := range ways {
-			told, position := ways[n].from.Words(ways[n].told, ways[n].scope)
+			told, position := ways[n].from.Updates(ways[n].told, ways[n].scope)
 			ways[n].told = position
-			ways[n].to.HearWords(told, ways[n].isOwnZone)
+			ways[n].to.Merge(told, ways[n].isOwnZone)
 			words += len(told)
 		}
 		return words
--- a/internal/relayer/catchup.go
+++ b/internal/relayer/catchup.go
@@ -103,7 +103,7 @@
 	if len(statuses) == 0 {
 		return "", false
 	}
-	isFresh := func(status exchanger.PeerStatus) bool { return now.Sub(status.LastHeard) <= fresh }
+	isFresh := func(status exchanger.PeerStatus) bool { return now.Sub(status.LastUpdate) <= fresh }
 	if slices.ContainsFunc(statuses, isFresh) {
 		statuses = slices.DeleteFunc(statuses, func(status exchanger.PeerStatus) bool { return !isFresh(status) })
 	}
--- a/internal/relayer/catchup_test.go
+++ b/internal/relayer/catchup_test.go
@@ -31,7 +31,7 @@
 	t.Parallel()
 	now := time.Now()
 	speaks := func(id string, revision int64, ago time.Duration) exchanger.PeerStatus {
-		return exchanger.PeerStatus{Peer: exchanger.Peer{HostID: id}, Reachable: true, StoreRevision: revision, LastHeard: now.Add(-ago)}
+		return exchanger.PeerStatus{Peer: exchanger.Peer{HostID: id}, Reachable: true, StoreRevision: revision, LastUpdate: now.Add(-ago)}
 	}
 	drains := speaks("drains", 9, 0)
 	drains.Draining = true
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -29,7 +29,7 @@
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
-		Listener:       listener, Tick: peersTick, TellsPerSecond: tellsPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
+		Listener:       listener, Tick: peersTick, UpdatesPerSecond: updatesPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
 		Attestations: g.attester, Usage: g.usage(), Clock: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
@@ -97,19 +97,19 @@
 }
 
 const (
-	// tellsPerCore is how many messages a second with load a host sends to its
+	// updatesPerCore is how many messages a second with load a host sends to its
 	// peers at most, for each core that it has: at some 50 µs of processor time
 	// each (BenchmarkTell) 6 in 100 of what it has. The hubs of a zone of 39 hosts,
 	// of 0.8 cores, tell each of 46 peers all 50 ms so; with a bound that was alike
 	// for all, words took 190 ms twice on their way between zones.
-	tellsPerCore = 1200
-	// fewestTells is the bound of the smallest hosts, and of those that are not
+	updatesPerCore = 1200
+	// fewestUpdates is the bound of the smallest hosts, and of those that are not
 	// told how many cores they have.
-	fewestTells = 240
+	fewestUpdates = 240
 )
 
-func tellsPerSecond(cores float64) int {
-	return max(fewestTells, int(cores*tellsPerCore))
+func updatesPerSecond(cores float64) int {
+	return max(fewestUpdates, int(cores*updatesPerCore))
 }
 
 // fleet is the one zone of the authority over all engines' roles: engines of
@@ -173,13 +173,13 @@
 // Hosts implements exchanger.Local.
 func (g *Gateway) Hosts() (hosts []provider.Host, revision int64) { return nil, 0 }
 
-// HearLoad implements exchanger.Local.
-func (g *Gateway) HearLoad(source string, hosts int, loads map[string]exchanger.Load, now time.Time) {
-	hearLoad(g.scheduler, source, hosts, loads, now)
+// TakeLoad implements exchanger.Local.
+func (g *Gateway) TakeLoad(source string, hosts int, loads map[string]exchanger.Load, now time.Time) {
+	takeLoad(g.scheduler, source, hosts, loads, now)
 }
 
-// HearLeaving implements exchanger.Local.
-func (g *Gateway) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
+// TakeLeaving implements exchanger.Local.
+func (g *Gateway) TakeLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
 	var leave []exchanger.LeavingEndpoint
 	var losses []scheduler.Loss
 	for _, endpoint := range leaving {
@@ -191,7 +191,7 @@
 			EndpointID: endpoint.EndpointID, Incarnation: endpoint.Incarnation, IsReplaced: endpoint.Why == exchanger.Replaced,
 		})
 	}
-	g.registrations.HearLeaving(leave, now)
+	g.registrations.TakeLeaving(leave, now)
 	if len(losses) > 0 {
 		g.scheduler.HearLosses(losses, now)
 	}
--- a/pkg/endivemast/gateway_peers_test.go
+++ b/pkg/endivemast/gateway_peers_test.go
@@ -14,13 +14,13 @@
 		cores float64
 		want  int
 	}{
-		"not told": {0, fewestTells},
-		"small":    {0.192, fewestTells},
+		"not told": {0, fewestUpdates},
+		"small":    {0.192, fewestUpdates},
 		"hub":      {0.8, 960},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			assert.Equal(t, tellsPerSecond(test.cores), test.want)
+			assert.Equal(t, updatesPerSecond(test.cores), test.want)
 		})
 	}
 }
--- a/pkg/endivemast/systems.go
+++ b/pkg/endivemast/systems.go
@@ -210,12 +210,12 @@
 // Hosts implements exchanger.Local.
 func (e *Entry) Hosts() (hosts []provider.Host, revision int64) { return e.lister.Hosts() }
 
-// HearLoad implements exchanger.Local.
-func (e *Entry) HearLoad(source string, hosts int, loads map[string]exchanger.Load, now time.Time) {
-	hearLoad(e.scheduler, source, hosts, loads, now)
+// TakeLoad implements exchanger.Local.
+func (e *Entry) TakeLoad(source string, hosts int, loads map[string]exchanger.Load, now time.Time) {
+	takeLoad(e.scheduler, source, hosts, loads, now)
 }
 
-func hearLoad(s *scheduler.Scheduler, source string, hosts int, loads map[string]exchanger.Load, now time.Time) {
+func takeLoad(s *scheduler.Scheduler, source string, hosts int, loads map[string]exchanger.Load, now time.Time) {
 	heard := make(map[string]scheduler.Load, len(loads))
 	for endpointID, load := range loads {
 		heard[endpointID] = scheduler.Load(load)
@@ -223,9 +223,9 @@
 	s.SetPeerLoad(source, hosts, heard, now)
 }
 
-// HearLeaving implements exchanger.Local.
-func (e *Entry) HearLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
-	e.lister.HearLeaving(leaving, now)
+// TakeLeaving implements exchanger.Local.
+func (e *Entry) TakeLeaving(leaving []exchanger.LeavingEndpoint, now time.Time) {
+	e.lister.TakeLeaving(leaving, now)
 }
 
 // authority is what this host knows of its zone's authority.
