--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -38,8 +38,7 @@
 	heartbeatTicks = 5 // an idle host still speaks every fifth tick
 	// heartbeatsInSilence is how often a host speaks to a peer that it sends no
 	// load, in the time after which that one counts it as gone. Each host of a
-	// zone has most others as such peers: with heartbeats each 100 ms, 39 hosts of
-	// a zone sent each other 13,300 a second.
+	// zone has most others as such peers.
 	heartbeatsInSilence = 3
 	maxMessageBytes     = 4 << 20
 	// windowBytes is what a peer may send before it is read. A fixed window spares the
--- a/internal/exchanger/hub.go
+++ b/internal/exchanger/hub.go
@@ -9,9 +9,8 @@
 )
 
 // Where a zone has many hosts, each sending to all others costs more than a small
-// host has, and sending seldom is worse: with updates 0.9 s old, 80 hosts all saw
-// the same idle engine, gave it 50 requests within 300 ms, and let others idle.
-// So the first hosts of a large zone, by an order that all work out alike, are
+// host has, and sending seldom is worse: all of them then see the same idle engine
+// and choose it. So the first hosts of a large zone, by an order that all work out alike, are
 // its hubs. A hub receives the load of each host of its zone and of the other
 // zones' hubs the sum of theirs, and sends each host of its zone the sum of all
 // but that host's own. Updates are then two or three ticks old at any size.
@@ -29,8 +28,8 @@
 	SmallZone = 4
 	// speakersPerZone hosts of a zone say to all others of it that they live: the
 	// hubs, those that would be hubs next, and those that may do for all what a few
-	// are enough for. When all did, 195 hosts sent each other 7,400 such messages a
-	// second, more than all others together.
+	// are enough for. From all of them these messages would grow with the square of
+	// the zone.
 	speakersPerZone = 8
 	// restSource and zoneSource name sums among the sources of load; hosts' ids
 	// hold no slash.
--- a/internal/exchanger/publisher.go
+++ b/internal/exchanger/publisher.go
@@ -25,8 +25,8 @@
 }
 
 // ownLoad keeps this host's load for all tellers of a tick. To collect it the
-// scheduler is locked and all endpoints are gone through: once for each of
-// 389 peers, that alone would take more than a core at 12,000 endpoints.
+// scheduler is locked and all endpoints are gone through, which is too dear to be done
+// for each peer.
 type ownLoad struct {
 	mu    sync.Mutex
 	loads map[string]Load // not changed any more; nil: none yet
@@ -62,17 +62,16 @@
 	}
 }
 
-// tick is the time between two messages to a peer. What a host spends on its
-// peers would else grow with their number: 79 of them, sent to ten times a
-// second, took more than a small host has.
+// tick is the time between two messages to a peer. It grows with the number of peers,
+// so that what a host spends on them does not.
 func (ex *Exchanger) tick() time.Duration {
 	if ex.cfg.UpdatesPerSecond <= 0 {
 		return ex.cfg.Tick
 	}
 	ex.mu.Lock()
-	told := ex.fedPeers
+	peers := ex.fedPeers
 	ex.mu.Unlock()
-	return max(ex.cfg.Tick, time.Duration(told)*time.Second/time.Duration(ex.cfg.UpdatesPerSecond))
+	return max(ex.cfg.Tick, time.Duration(peers)*time.Second/time.Duration(ex.cfg.UpdatesPerSecond))
 }
 
 // pauseFor is the time until a peer is looked at again. One that is sent no load only
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -52,8 +52,7 @@
 	watchAtLeast = 1500 * time.Millisecond
 	// pauseAfterChanges is how long a watch rests after changes, so that those
 	// that come in quick succession cost one call. When a fleet starts, each
-	// host's entry would else wake all the others: 72 hosts made 5,600 calls in
-	// eight seconds.
+	// host's entry would else wake all the others.
 	pauseAfterChanges = 200 * time.Millisecond
 	// pauseInLargeZone is the same for a host that only watches until it can
 	// follow others.
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -249,16 +249,13 @@
 
 // limitFor is how many requests the endpoint takes before work of this kind
 // has to wait. Patient work leaves room where the tokens of urgent classes
-// would come too slowly: in the overload test, engines full of consultations
-// made a third of the urgent answers late though each had started in time.
-// It never leaves more than half, since small batches waste the engine.
+// would come too slowly. It never leaves more than half, since small batches waste
+// the engine.
 //
-// A host ahead of its equal share leaves some places to the others. Whoever
-// ends work at an engine knows of the free place first, so that under overload
-// the hosts with most work in flight took nearly all places, and those with
-// little refused nearly all their callers: in the test of nine hosts one served
-// 95% of its consultations and another 9%. The part grows with the excess: a
-// fixed one of an eighth still left them between 17% and 83%.
+// A host ahead of its equal share leaves some places to the others. Whoever ends
+// work at an engine knows of the free place first, so that under overload the hosts
+// with most work in flight would take nearly all places, and those with little would
+// refuse nearly all their callers. The part grows with the excess.
 func limitFor(q *Query, endpoint *tracker.Endpoint) int {
 	limit := endpoint.Limit
 	if q.CalmBatch > 0 {
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -46,11 +46,9 @@
 	stopMargin = 700 * time.Millisecond
 	// gatewayTick is how often the systems over the tables run.
 	gatewayTick = 100 * time.Millisecond
-	// peersTick is how often hosts tell each other what has changed of their loads,
-	// where they are few. A prompt keeps an engine for 100 ms on average, and for a
-	// second at most: with words 100 ms old, hosts chose engines for short prompts at
-	// which a long one had just begun. Worth against 100 ms: +0.011 to +0.016 on
-	// three deployments of 6 and 9 hosts, 15 or 20 days each (docs/DECISIONS.md).
+	// peersTick is how often hosts send each other what has changed of their loads,
+	// where they are few. It is short against the time for which a prompt keeps an
+	// engine, so that no host chooses one at which a long prompt has just begun.
 	peersTick = 20 * time.Millisecond
 )
 
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -98,10 +98,8 @@
 
 const (
 	// updatesPerCore is how many messages a second with load a host sends to its
-	// peers at most, for each core that it has: at some 50 µs of processor time
-	// each (BenchmarkTell) 6 in 100 of what it has. The hubs of a zone of 39 hosts,
-	// of 0.8 cores, tell each of 46 peers all 50 ms so; with a bound that was alike
-	// for all, words took 190 ms twice on their way between zones.
+	// peers at most, for each core that it has: a few hundredths of its processor
+	// time (BenchmarkPeerUpdate).
 	updatesPerCore = 1200
 	// fewestUpdates is the bound of the smallest hosts, and of those that are not
 	// told how many cores they have.
