--- a/internal/cachesharer/cachesharer.go
+++ b/internal/cachesharer/cachesharer.go
@@ -1,31 +1,31 @@
 // Package cachesharer has all hosts know what engines keep of prompts, where a
 // few hosts ask each engine and tell the others.
 //
-// An engine keeps a bounded number of calls for news waiting. When each host
+// An engine keeps a bounded number of calls for events waiting. When each host
 // asked each engine, 195 hosts before 59 engines made 177,513 calls in 9 s for
 // 14,762 requests, nearly all refused or answered at once, and 0.28 GB crossed
 // between zones in 23 s.
 //
 // Two things are told. That a part of prompts is shared: whoever first gives
-// away a prompt that begins with it says so, since an engine's own words don't
+// away a prompt that begins with it says so, since an engine's own updates don't
 // tell a part that other prompts share from the rest of one prompt. And what an
-// engine keeps of the shared parts, by the hosts that ask it. Words go the way
+// engine keeps of the shared parts, by the hosts that ask it. Updates go the way
 // that loads go (package exchanger): a host's own to its hubs, a zone's to the
 // other zones' hubs, all of them from the hubs to the hosts of their zone.
 //
-// Words may come twice, late, or by two ways: each says up to which number of
-// the engine's news it speaks, and a part's later number wins. A host that has
+// Updates may come twice, late, or by two ways: each says up to which number of
+// the engine's events it speaks, and a part's later number wins. A host that has
 // heard nothing of an engine chooses by what it gave it to read, and by the
 // prefixes' homes, which all hosts work out alike.
 //
 // # Usage
 //
-//	s := cachesharer.New(cachesharer.Config{Heard: sch.HearCache})
+//	s := cachesharer.New(cachesharer.Config{Changed: sch.TakeCacheEvents})
 //	s.SetTargets(engines)               // at each change of the list
 //	s.NoteShared(parts)                 // of a prompt that is given away
-//	s.HearNews(target, news, isWhole)   // from package cachewatcher
-//	words, position := s.Updates(position, exchanger.ScopeOwn) // for peers
-//	s.Merge(words, isOwnZone)       // from peers
+//	s.TakeEvents(target, events, isWhole)   // from package cachewatcher
+//	updates, position := s.Updates(position, exchanger.ScopeOwn) // for peers
+//	s.Merge(updates, isOwnZone)       // from peers
 package cachesharer
 
 import (
@@ -43,11 +43,11 @@
 	// maxShared bounds the shared parts that a host remembers: two generations of
 	// so many. A fleet of this size has some hundred long prefixes in use.
 	maxShared = 16384
-	// maxLog is how many words are kept for peers that are behind. Each
+	// maxLog is how many updates are kept for peers that are behind. Each
 	// takes some 100 bytes; a peer that is further behind is told everything.
 	maxLog = 8192
-	// maxWordParts bounds the parts of one word, so that a message can be bounded
-	// by its words.
+	// maxWordParts bounds the parts of one update, so that a message can be bounded
+	// by its updates.
 	maxWordParts = 64
 	// maxViews bounds the engines' processes that are remembered, listed or not.
 	maxViews = 4096
@@ -57,9 +57,9 @@
 
 // Config sets up a Sharer.
 type Config struct {
-	// Heard takes what is new about the shared parts that an engine keeps.
-	Heard  func(target driver.Target, news driver.CacheNews, isWhole bool)
-	Logger hclog.Logger
+	// Changed takes what is new about the shared parts that an engine keeps.
+	Changed func(target driver.Target, events driver.CacheEvents, isWhole bool)
+	Logger  hclog.Logger
 }
 
 // process names an engine's process.
@@ -70,7 +70,7 @@
 
 // view is what is known of an engine's process.
 type view struct {
-	number int64           // of the engine's news, up to which something was heard
+	number int64           // of the engine's events, up to which something was heard
 	parts  map[string]kept // shared parts
 	origin exchanger.Scope // the nearest host that told it
 	// all is everything that the engine keeps, shared or not; nil where this host
@@ -81,7 +81,7 @@
 // kept is how much of a part an engine keeps.
 type kept struct {
 	tokens int   // 0: dropped
-	number int64 // of the engine's news
+	number int64 // of the engine's events
 }
 
 // Sharer knows what engines keep, and what to tell the peers of it. It is safe
@@ -120,7 +120,7 @@
 		s.listed[p] = target
 		_, isOld := before[p]
 		if v := s.views[p]; v != nil && !isOld {
-			early = append(early, delivery{target, driver.CacheNews{Changes: v.changes()}, true})
+			early = append(early, delivery{target, driver.CacheEvents{Changes: v.changes()}, true})
 		}
 	}
 	for p := range before {
@@ -148,18 +148,18 @@
 	}
 }
 
-// delivery is one call of Config.Heard.
+// delivery is one call of Config.Changed.
 type delivery struct {
 	target  driver.Target
-	news    driver.CacheNews
+	events  driver.CacheEvents
 	isWhole bool
 }
 
-// deliver calls Config.Heard, without the lock: the scheduler calls NoteShared
+// deliver calls Config.Changed, without the lock: the scheduler calls NoteShared
 // with its own.
 func (s *Sharer) deliver(deliveries []delivery) {
 	for _, d := range deliveries {
-		s.cfg.Heard(d.target, d.news, d.isWhole)
+		s.cfg.Changed(d.target, d.events, d.isWhole)
 	}
 }
 
@@ -191,14 +191,14 @@
 	return v
 }
 
-// noteFull tells, now and then, that words about engines are passed over.
+// noteFull tells, now and then, that updates about engines are passed over.
 func (s *Sharer) noteFull(p process) {
 	now := time.Now()
 	if now.Sub(s.fullAt) < fullEvery {
 		return
 	}
 	s.fullAt = now
-	s.cfg.Logger.Warn("words about caches passed over: too many engines", "engines", len(s.views), "endpoint_id", p.endpointID)
+	s.cfg.Logger.Warn("updates about caches passed over: too many engines", "engines", len(s.views), "endpoint_id", p.endpointID)
 }
 
 func (s *Sharer) dropUnlistedLocked() {
@@ -246,9 +246,9 @@
 	return exchanger.CacheUpdate{EndpointID: p.endpointID, Incarnation: p.incarnation, Number: v.number, Parts: parts}
 }
 
-// HearNews takes the news of an engine that this host asks; isWhole says that
+// TakeEvents takes the events of an engine that this host asks; isWhole says that
 // they are all that it keeps.
-func (s *Sharer) HearNews(target driver.Target, news driver.CacheNews, isWhole bool) {
+func (s *Sharer) TakeEvents(target driver.Target, events driver.CacheEvents, isWhole bool) {
 	p := process{target.EndpointID, target.Incarnation}
 	s.mu.Lock()
 	v := s.viewLocked(p)
@@ -257,46 +257,46 @@
 		return
 	}
 	if v.all == nil || isWhole {
-		v.all = make(map[string]int, len(news.Changes))
+		v.all = make(map[string]int, len(events.Changes))
 	}
-	v.number, v.origin = max(v.number, news.Next), exchanger.ScopeOwn
+	v.number, v.origin = max(v.number, events.Next), exchanger.ScopeOwn
 	if isWhole {
 		clear(v.parts)
 	}
 	var parts []exchanger.CachePart
-	for _, change := range news.Changes {
+	for _, change := range events.Changes {
 		if change.Tokens > 0 {
 			v.all[change.PartID] = change.Tokens
 		} else {
 			delete(v.all, change.PartID)
 		}
 		if s.shared.has(change.PartID) {
-			v.parts[change.PartID] = kept{change.Tokens, news.Next}
+			v.parts[change.PartID] = kept{change.Tokens, events.Next}
 			parts = append(parts, exchanger.CachePart{ID: change.PartID, Tokens: change.Tokens})
 		}
 	}
 	if len(parts) > 0 || isWhole {
-		word := wordOf(p, v, parts)
-		word.IsWhole = isWhole
-		s.tellLocked(word, exchanger.ScopeOwn)
+		update := wordOf(p, v, parts)
+		update.IsWhole = isWhole
+		s.tellLocked(update, exchanger.ScopeOwn)
 	}
 	s.mu.Unlock()
-	s.deliver([]delivery{{target, news, isWhole}})
+	s.deliver([]delivery{{target, events, isWhole}})
 }
 
 // Merge takes updates of a peer. What is new is passed on to those peers that
 // do not hear it from its teller.
-func (s *Sharer) Merge(words []exchanger.CacheUpdate, isOwnZone bool) {
+func (s *Sharer) Merge(updates []exchanger.CacheUpdate, isOwnZone bool) {
 	origin := exchanger.ScopeAll
 	if isOwnZone {
 		origin = exchanger.ScopeZone
 	}
 	s.mu.Lock()
 	var deliveries []delivery
-	for _, word := range words {
-		if word.EndpointID == "" {
-			s.hearSharedLocked(word, origin)
-		} else if d, ok := s.hearViewLocked(word, origin); ok {
+	for _, update := range updates {
+		if update.EndpointID == "" {
+			s.takeSharedLocked(update, origin)
+		} else if d, ok := s.takeViewLocked(update, origin); ok {
 			deliveries = append(deliveries, d)
 		}
 	}
@@ -304,9 +304,9 @@
 	s.deliver(deliveries)
 }
 
-func (s *Sharer) hearSharedLocked(word exchanger.CacheUpdate, origin exchanger.Scope) {
+func (s *Sharer) takeSharedLocked(update exchanger.CacheUpdate, origin exchanger.Scope) {
 	var fresh []exchanger.CachePart
-	for _, part := range word.Parts {
+	for _, part := range update.Parts {
 		if s.shared.add(part.ID, origin) {
 			fresh = append(fresh, part)
 		}
@@ -317,37 +317,37 @@
 	}
 }
 
-// hearViewLocked takes a word about an engine; ok is false where it says nothing
+// takeViewLocked takes an update about an engine; ok is false where it says nothing
 // new of a listed process.
-func (s *Sharer) hearViewLocked(word exchanger.CacheUpdate, origin exchanger.Scope) (d delivery, ok bool) {
-	p := process{word.EndpointID, word.Incarnation}
+func (s *Sharer) takeViewLocked(update exchanger.CacheUpdate, origin exchanger.Scope) (d delivery, ok bool) {
+	p := process{update.EndpointID, update.Incarnation}
 	v := s.viewLocked(p)
 	if v == nil || v.all != nil {
 		return d, false // this host hears the engine itself
 	}
-	isWhole := word.IsWhole && word.Number > v.number
+	isWhole := update.IsWhole && update.Number > v.number
 	if isWhole {
 		clear(v.parts)
 	}
 	var fresh []exchanger.CachePart
-	for _, part := range word.Parts {
-		if s.isNewsLocked(v, part, word.Number) {
-			v.parts[part.ID] = kept{part.Tokens, word.Number}
+	for _, part := range update.Parts {
+		if s.isNewsLocked(v, part, update.Number) {
+			v.parts[part.ID] = kept{part.Tokens, update.Number}
 			fresh = append(fresh, part)
 		}
 	}
-	v.number, v.origin = max(v.number, word.Number), min(v.origin, origin)
+	v.number, v.origin = max(v.number, update.Number), min(v.origin, origin)
 	if len(fresh) == 0 && !isWhole {
 		return d, false
 	}
-	word.Parts, word.IsWhole = fresh, isWhole
-	s.tellLocked(word, origin)
+	update.Parts, update.IsWhole = fresh, isWhole
+	s.tellLocked(update, origin)
 	target, ok := s.listed[p]
-	news := driver.CacheNews{Next: word.Number}
+	events := driver.CacheEvents{Next: update.Number}
 	for _, part := range fresh {
-		news.Changes = append(news.Changes, driver.CacheChange{PartID: part.ID, Tokens: part.Tokens})
+		events.Changes = append(events.Changes, driver.CacheChange{PartID: part.ID, Tokens: part.Tokens})
 	}
-	return delivery{target, news, isWhole}, ok
+	return delivery{target, events, isWhole}, ok
 }
 
 // isNewsLocked is false for what is known, or known better by a later number.
@@ -359,41 +359,41 @@
 	return number >= known.number && part.Tokens != known.tokens
 }
 
-func (s *Sharer) tellLocked(word exchanger.CacheUpdate, origin exchanger.Scope) {
-	for _, piece := range split(word) {
+func (s *Sharer) tellLocked(update exchanger.CacheUpdate, origin exchanger.Scope) {
+	for _, piece := range split(update) {
 		s.log.Add(piece, origin)
 	}
 }
 
-// split cuts a word with many parts into several; only the first says that it is
+// split cuts an update with many parts into several; only the first says that it is
 // whole.
-func split(word exchanger.CacheUpdate) (words []exchanger.CacheUpdate) {
-	for len(word.Parts) > maxWordParts {
-		head := word
-		head.Parts = word.Parts[:maxWordParts]
-		words = append(words, head)
-		word.Parts, word.IsWhole = word.Parts[maxWordParts:], false
-	}
-	return append(words, word)
+func split(update exchanger.CacheUpdate) (updates []exchanger.CacheUpdate) {
+	for len(update.Parts) > maxWordParts {
+		head := update
+		head.Parts = update.Parts[:maxWordParts]
+		updates = append(updates, head)
+		update.Parts, update.IsWhole = update.Parts[maxWordParts:], false
+	}
+	return append(updates, update)
 }
 
 // Updates implements exchanger.Caches.
-func (s *Sharer) Updates(after uint64, scope exchanger.Scope) (words []exchanger.CacheUpdate, position uint64) {
+func (s *Sharer) Updates(after uint64, scope exchanger.Scope) (updates []exchanger.CacheUpdate, position uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if words, ok := s.log.Since(after, scope); ok {
-		return words, s.log.Head()
+	if updates, ok := s.log.Since(after, scope); ok {
+		return updates, s.log.Head()
 	}
 	return s.allLocked(scope), s.log.Head()
 }
 
 // allLocked is everything that a peer is to be told that knows nothing, or is far
-// behind: it may believe in parts that have been dropped since. The words don't
+// behind: it may believe in parts that have been dropped since. The updates don't
 // say that they are whole, since a host that has just started knows less than
 // those that it tells.
-func (s *Sharer) allLocked(scope exchanger.Scope) (words []exchanger.CacheUpdate) {
+func (s *Sharer) allLocked(scope exchanger.Scope) (updates []exchanger.CacheUpdate) {
 	if parts := s.shared.parts(scope); len(parts) > 0 {
-		words = append(words, split(exchanger.CacheUpdate{Parts: parts})...)
+		updates = append(updates, split(exchanger.CacheUpdate{Parts: parts})...)
 	}
 	for p, v := range s.views {
 		if v.origin > scope {
@@ -404,8 +404,8 @@
 			parts = append(parts, exchanger.CachePart{ID: id, Tokens: k.tokens})
 		}
 		if len(parts) > 0 {
-			words = append(words, split(wordOf(p, v, parts))...)
+			updates = append(updates, split(wordOf(p, v, parts))...)
 		}
 	}
-	return words
+	return updates
 }
--- a/internal/cachesharer/cachesharer_test.go
+++ b/internal/cachesharer/cachesharer_test.go
@@ -20,7 +20,7 @@
 
 func newHost(targets ...driver.Target) (*Sharer, *listener) {
 	l := &listener{}
-	s := New(Config{Heard: func(_ driver.Target, news driver.CacheNews, isWhole bool) { l.cache.Hear(news, isWhole) }})
+	s := New(Config{Changed: func(_ driver.Target, events driver.CacheEvents, isWhole bool) { l.cache.Hear(events, isWhole) }})
 	s.SetTargets(targets)
 	return s, l
 }
@@ -30,7 +30,7 @@
 	return l.cache.Prefix([]tracker.Part{{ID: id, Tokens: 1 << 20}})
 }
 
-func word(number int64, isWhole bool, parts ...exchanger.CachePart) exchanger.CacheUpdate {
+func update(number int64, isWhole bool, parts ...exchanger.CachePart) exchanger.CacheUpdate {
 	return exchanger.CacheUpdate{EndpointID: "a", Incarnation: "1", Number: number, IsWhole: isWhole, Parts: parts}
 }
 
@@ -38,27 +38,27 @@
 	return exchanger.CachePart{ID: id, Tokens: tokens}
 }
 
-// Words come twice, late and by two ways. The later number of the engine's news
-// counts, and another process's words count for nothing here.
+// Updates come twice, late and by two ways. The later number of the engine's events
+// counts, and another process's updates count for nothing here.
 func TestWordsAreOrderedByTheEnginesNumbers(t *testing.T) {
 	t.Parallel()
-	other := word(9, false, part("x", 70))
+	other := update(9, false, part("x", 70))
 	other.Incarnation = "2"
 	for name, test := range map[string]struct {
-		words []exchanger.CacheUpdate
-		want  map[string]int
+		updates []exchanger.CacheUpdate
+		want    map[string]int
 	}{
-		"in order":                  {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), word(2, false, part("x", 0))}, map[string]int{"x": 0}},
-		"a late word":               {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), word(3, false, part("x", 90)), word(2, false, part("x", 0))}, map[string]int{"x": 90}},
-		"twice":                     {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), word(1, false, part("x", 50))}, map[string]int{"x": 50}},
-		"whole drops the rest":      {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), word(5, true, part("y", 40))}, map[string]int{"x": 0, "y": 40}},
-		"an earlier whole does not": {[]exchanger.CacheUpdate{word(5, false, part("x", 50)), word(4, true, part("y", 40))}, map[string]int{"x": 50, "y": 40}},
-		"of another process":        {[]exchanger.CacheUpdate{word(1, false, part("x", 50)), other}, map[string]int{"x": 50}},
+		"in order":                  {[]exchanger.CacheUpdate{update(1, false, part("x", 50)), update(2, false, part("x", 0))}, map[string]int{"x": 0}},
+		"a late update":             {[]exchanger.CacheUpdate{update(1, false, part("x", 50)), update(3, false, part("x", 90)), update(2, false, part("x", 0))}, map[string]int{"x": 90}},
+		"twice":                     {[]exchanger.CacheUpdate{update(1, false, part("x", 50)), update(1, false, part("x", 50))}, map[string]int{"x": 50}},
+		"whole drops the rest":      {[]exchanger.CacheUpdate{update(1, false, part("x", 50)), update(5, true, part("y", 40))}, map[string]int{"x": 0, "y": 40}},
+		"an earlier whole does not": {[]exchanger.CacheUpdate{update(5, false, part("x", 50)), update(4, true, part("y", 40))}, map[string]int{"x": 50, "y": 40}},
+		"of another process":        {[]exchanger.CacheUpdate{update(1, false, part("x", 50)), other}, map[string]int{"x": 50}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, l := newHost(engineA)
-			s.Merge(test.words, true)
+			s.Merge(test.updates, true)
 			for id, want := range test.want {
 				assert.Equal(t, l.keeps(id), want, id)
 			}
@@ -70,29 +70,29 @@
 func TestWordsBeforeTheListCount(t *testing.T) {
 	t.Parallel()
 	s, l := newHost()
-	s.Merge([]exchanger.CacheUpdate{word(1, false, part("x", 50))}, true)
+	s.Merge([]exchanger.CacheUpdate{update(1, false, part("x", 50))}, true)
 	assert.Equal(t, l.keeps("x"), 0)
 	s.SetTargets([]driver.Target{engineA})
 	assert.Equal(t, l.keeps("x"), 50)
 }
 
-// Only parts that prompts share are told: the rest of each prompt is news too,
+// Only parts that prompts share are told: the rest of each prompt is events too,
 // and would be nearly all that is told.
 func TestOnlySharedPartsAreTold(t *testing.T) {
 	t.Parallel()
 	s, _ := newHost(engineA)
 	s.NoteShared([]tracker.Part{{ID: "x", Tokens: 50}})
 	_, begin := s.Updates(0, exchanger.ScopeOwn)
-	s.HearNews(engineA, driver.CacheNews{Next: 3, Changes: []driver.CacheChange{{PartID: "x", Tokens: 50}, {PartID: "own", Tokens: 900}, {PartID: "y", Tokens: 60}}}, false)
-	words, position := s.Updates(begin, exchanger.ScopeOwn)
-	assert.DeepEqual(t, words, []exchanger.CacheUpdate{word(3, false, part("x", 50))})
+	s.TakeEvents(engineA, driver.CacheEvents{Next: 3, Changes: []driver.CacheChange{{PartID: "x", Tokens: 50}, {PartID: "own", Tokens: 900}, {PartID: "y", Tokens: 60}}}, false)
+	updates, position := s.Updates(begin, exchanger.ScopeOwn)
+	assert.DeepEqual(t, updates, []exchanger.CacheUpdate{update(3, false, part("x", 50))})
 	// A part that becomes known as shared later is told as it is kept by then.
 	s.Merge([]exchanger.CacheUpdate{{Parts: []exchanger.CachePart{{ID: "y"}}}}, true)
-	words, _ = s.Updates(position, exchanger.ScopeOwn)
-	assert.DeepEqual(t, words, []exchanger.CacheUpdate{word(3, false, part("y", 60))})
+	updates, _ = s.Updates(position, exchanger.ScopeOwn)
+	assert.DeepEqual(t, updates, []exchanger.CacheUpdate{update(3, false, part("y", 60))})
 }
 
-// fleet is hosts whose words travel as loads do: a host's own to its zone's
+// fleet is hosts whose updates travel as loads do: a host's own to its zone's
 // hub, a zone's to the other hubs, all to the hosts of the zone.
 type fleet struct {
 	hosts map[string]*Sharer
@@ -119,12 +119,12 @@
 
 func (f *fleet) tell(from, to string, scope exchanger.Scope, isOwnZone bool) {
 	link := [2]string{from, to}
-	words, position := f.hosts[from].Updates(f.told[link], scope)
+	updates, position := f.hosts[from].Updates(f.told[link], scope)
 	f.told[link] = position
-	for _, w := range words {
+	for _, w := range updates {
 		f.bytes += len(w.Parts)
 	}
-	f.hosts[to].Merge(words, isOwnZone)
+	f.hosts[to].Merge(updates, isOwnZone)
 }
 
 // round is one tick of everybody.
@@ -149,7 +149,7 @@
 	t.Parallel()
 	f := newFleet()
 	f.hosts["1/2"].NoteShared([]tracker.Part{{ID: "x", Tokens: 50}})
-	f.hosts["0/1"].HearNews(engineA, driver.CacheNews{Next: 4, Changes: []driver.CacheChange{{PartID: "x", Tokens: 50}}}, false)
+	f.hosts["0/1"].TakeEvents(engineA, driver.CacheEvents{Next: 4, Changes: []driver.CacheChange{{PartID: "x", Tokens: 50}}}, false)
 	for range 6 {
 		f.round()
 	}
@@ -158,7 +158,7 @@
 	delete(f.told, [2]string{"2/0", "2/3"}) // as the exchanger does for another process
 	f.round()
 	f.heardEverywhere(t, 50)
-	f.hosts["0/1"].HearNews(engineA, driver.CacheNews{Next: 9, Changes: []driver.CacheChange{{PartID: "x"}}}, false)
+	f.hosts["0/1"].TakeEvents(engineA, driver.CacheEvents{Next: 9, Changes: []driver.CacheChange{{PartID: "x"}}}, false)
 	for range 6 {
 		f.round()
 	}
@@ -181,24 +181,24 @@
 	s, _ := newHost(engineA)
 	s.NoteShared([]tracker.Part{{ID: "x"}, {ID: "y"}, {ID: "z"}})
 	peer, l := newHost(engineA)
-	s.HearNews(engineA, driver.CacheNews{Next: 1, Changes: []driver.CacheChange{{PartID: "z", Tokens: 50}}}, false)
-	words, behind := s.Updates(0, exchanger.ScopeOwn)
-	peer.Merge(words, true)
+	s.TakeEvents(engineA, driver.CacheEvents{Next: 1, Changes: []driver.CacheChange{{PartID: "z", Tokens: 50}}}, false)
+	updates, behind := s.Updates(0, exchanger.ScopeOwn)
+	peer.Merge(updates, true)
 	assert.Equal(t, l.keeps("z"), 50)
-	s.HearNews(engineA, driver.CacheNews{Next: 2, Changes: []driver.CacheChange{{PartID: "z"}}}, false)
+	s.TakeEvents(engineA, driver.CacheEvents{Next: 2, Changes: []driver.CacheChange{{PartID: "z"}}}, false)
 	for i := range int64(4 * maxLog) {
-		s.HearNews(engineA, driver.CacheNews{Next: i + 3, Changes: []driver.CacheChange{{PartID: "x", Tokens: int(i%2) * 50}, {PartID: "y", Tokens: 50}}}, false)
+		s.TakeEvents(engineA, driver.CacheEvents{Next: i + 3, Changes: []driver.CacheChange{{PartID: "x", Tokens: int(i%2) * 50}, {PartID: "y", Tokens: 50}}}, false)
 	}
 	assert.Assert(t, s.log.Len() <= 2*maxLog)
-	words, _ = s.Updates(behind, exchanger.ScopeOwn)
-	peer.Merge(words, true)
+	updates, _ = s.Updates(behind, exchanger.ScopeOwn)
+	peer.Merge(updates, true)
 	assert.Equal(t, l.keeps("x"), 50)
 	assert.Equal(t, l.keeps("y"), 50)
 	assert.Equal(t, l.keeps("z"), 0, "dropped meanwhile")
-	assert.Assert(t, len(words) < 4, "%d words", len(words))
+	assert.Assert(t, len(updates) < 4, "%d updates", len(updates))
 }
 
-// Words are cut into pieces that fit a message, and only the first is whole.
+// Updates are cut into pieces that fit a message, and only the first is whole.
 func TestManyPartsAreManyWords(t *testing.T) {
 	t.Parallel()
 	s, _ := newHost(engineA)
@@ -210,28 +210,28 @@
 	}
 	s.NoteShared(shared)
 	_, begin := s.Updates(0, exchanger.ScopeOwn)
-	s.HearNews(engineA, driver.CacheNews{Next: 4, Changes: changes}, true)
-	words, _ := s.Updates(begin, exchanger.ScopeOwn)
-	assert.Equal(t, len(words), 4)
-	for i := range words {
-		assert.Equal(t, words[i].IsWhole, i == 0)
-		assert.Assert(t, len(words[i].Parts) <= maxWordParts)
+	s.TakeEvents(engineA, driver.CacheEvents{Next: 4, Changes: changes}, true)
+	updates, _ := s.Updates(begin, exchanger.ScopeOwn)
+	assert.Equal(t, len(updates), 4)
+	for i := range updates {
+		assert.Equal(t, updates[i].IsWhole, i == 0)
+		assert.Assert(t, len(updates[i].Parts) <= maxWordParts)
 	}
 }
 
-// A flood of words about engines that nobody lists takes bounded memory, and
+// A flood of updates about engines that nobody lists takes bounded memory, and
 // leaves what is known of those that are listed.
 func TestUnknownEnginesAreBounded(t *testing.T) {
 	t.Parallel()
 	s, l := newHost(engineA)
-	s.Merge([]exchanger.CacheUpdate{word(1, false, part("x", 50))}, true)
+	s.Merge([]exchanger.CacheUpdate{update(1, false, part("x", 50))}, true)
 	for i := range maxViews + 10 {
-		w := word(1, false, part("x", 50))
+		w := update(1, false, part("x", 50))
 		w.EndpointID = fmt.Sprint("unknown", i)
 		s.Merge([]exchanger.CacheUpdate{w}, true)
 	}
 	assert.Assert(t, len(s.views) <= maxViews)
-	s.Merge([]exchanger.CacheUpdate{word(2, false, part("y", 60))}, true)
+	s.Merge([]exchanger.CacheUpdate{update(2, false, part("y", 60))}, true)
 	assert.Equal(t, l.keeps("x"), 50)
 	assert.Equal(t, l.keeps("y"), 60)
 }
--- a/internal/cachewatcher/cachewatcher.go
+++ b/internal/cachewatcher/cachewatcher.go
@@ -1,10 +1,10 @@
 // Package cachewatcher keeps up with what some engines keep of prompts: a call to
-// each of them waits there for news. Package cachesharer says which, and tells the
+// each of them waits there for events. Package cachesharer says which, and tells the
 // other hosts.
 //
 // # Usage
 //
-//	w := cachewatcher.New(cachewatcher.Config{Driver: drv, Heard: sharer.HearNews, ...})
+//	w := cachewatcher.New(cachewatcher.Config{Driver: drv, Changed: sharer.TakeEvents, ...})
 //	w.SetTargets(engines) // those that this host asks
 //	defer w.Close()
 package cachewatcher
@@ -21,7 +21,7 @@
 )
 
 const (
-	// newsWait is how long an engine may keep a call waiting for news; engines
+	// newsWait is how long an engine may keep a call waiting for events; engines
 	// allow a second.
 	newsWait = time.Second
 	// newsPause is left between two calls to an engine, so that a busy one tells
@@ -35,10 +35,10 @@
 // Config sets up a Watcher.
 type Config struct {
 	Driver driver.Forwarder
-	// Heard takes the news of one engine's process. IsWhole says that it is all
+	// Changed takes the events of one engine's process. IsWhole says that it is all
 	// that the engine keeps, and not what has changed.
-	Heard  func(target driver.Target, news driver.CacheNews, isWhole bool)
-	Logger hclog.Logger
+	Changed func(target driver.Target, events driver.CacheEvents, isWhole bool)
+	Logger  hclog.Logger
 }
 
 // Watcher watches engines' caches. It is safe for concurrent use.
@@ -95,7 +95,7 @@
 		}
 	}
 	if begun+ended > 0 {
-		w.cfg.Logger.Info("engines asked for news of their caches", "engines", len(w.watched), "begun", begun, "ended", ended)
+		w.cfg.Logger.Info("engines asked for events of their caches", "engines", len(w.watched), "begun", begun, "ended", ended)
 	}
 }
 
@@ -105,7 +105,7 @@
 	for ctx.Err() == nil {
 		pause := newsPause
 		if err := w.ask(ctx, target, &state); err != nil && ctx.Err() == nil {
-			w.cfg.Logger.Debug("no news of an engine's cache", "endpoint_id", target.EndpointID, "error", err)
+			w.cfg.Logger.Debug("no events of an engine's cache", "endpoint_id", target.EndpointID, "error", err)
 			pause = retryPause
 		}
 		sleep(ctx, pause)
@@ -113,26 +113,26 @@
 	return nil
 }
 
-// progress is how far an engine's news have been heard.
+// progress is how far an engine's events have been heard.
 type progress struct {
 	epoch string
 	next  int64
 }
 
-// ask waits for news and passes them on. After a gap all is read again.
+// ask waits for events and passes them on. After a gap all is read again.
 func (w *Watcher) ask(ctx context.Context, target driver.Target, p *progress) error {
-	news, err := w.cfg.Driver.CacheNews(ctx, target, p.next, newsWait)
+	events, err := w.cfg.Driver.CacheEvents(ctx, target, p.next, newsWait)
 	if err != nil {
 		return err
 	}
-	isWhole := news.HasGap || p.epoch != "" && news.Epoch != p.epoch
+	isWhole := events.HasGap || p.epoch != "" && events.Epoch != p.epoch
 	if isWhole {
-		if news, err = w.cfg.Driver.CacheList(ctx, target); err != nil {
+		if events, err = w.cfg.Driver.CacheList(ctx, target); err != nil {
 			return err
 		}
 	}
-	p.epoch, p.next = news.Epoch, news.Next
-	w.cfg.Heard(target, news, isWhole)
+	p.epoch, p.next = events.Epoch, events.Next
+	w.cfg.Changed(target, events, isWhole)
 	return nil
 }
 
--- a/internal/cachewatcher/cachewatcher_test.go
+++ b/internal/cachewatcher/cachewatcher_test.go
@@ -14,45 +14,45 @@
 )
 
 // fakeEngine answers with what its script says, one call after the other, and
-// then has no news.
+// then has no events.
 type fakeEngine struct {
 	driver.Forwarder
 
 	mu     sync.Mutex
-	news   []driver.CacheNews
-	list   driver.CacheNews
+	events []driver.CacheEvents
+	list   driver.CacheEvents
 	err    error
-	asked  []int64 // numbers behind which news were asked for
+	asked  []int64 // numbers behind which events were asked for
 	listed int
 }
 
-func (e *fakeEngine) CacheNews(ctx context.Context, _ driver.Target, since int64, wait time.Duration) (driver.CacheNews, error) {
+func (e *fakeEngine) CacheEvents(ctx context.Context, _ driver.Target, since int64, wait time.Duration) (driver.CacheEvents, error) {
 	e.mu.Lock()
 	e.asked = append(e.asked, since)
 	if e.err != nil {
 		defer e.mu.Unlock()
-		return driver.CacheNews{}, e.err
+		return driver.CacheEvents{}, e.err
 	}
-	if len(e.news) > 0 {
+	if len(e.events) > 0 {
 		defer e.mu.Unlock()
-		news := e.news[0]
-		e.news = e.news[1:]
-		return news, nil
+		events := e.events[0]
+		e.events = e.events[1:]
+		return events, nil
 	}
 	e.mu.Unlock()
 	sleep(ctx, wait)
-	return driver.CacheNews{}, ctx.Err()
+	return driver.CacheEvents{}, ctx.Err()
 }
 
-func (e *fakeEngine) CacheList(context.Context, driver.Target) (driver.CacheNews, error) {
+func (e *fakeEngine) CacheList(context.Context, driver.Target) (driver.CacheEvents, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.listed++
 	return e.list, nil
 }
 
-// heardNews is one call of Heard.
-type heardNews struct {
+// takenEvents is one call of Heard.
+type takenEvents struct {
 	count   int
 	isWhole bool
 }
@@ -63,31 +63,31 @@
 	two := []driver.CacheChange{{PartID: "a", Tokens: 5}, {PartID: "b", Tokens: 7}}
 	for name, test := range map[string]struct {
 		engine *fakeEngine
-		want   []heardNews
+		want   []takenEvents
 		asked  []int64
 	}{
 		"changes in turn": {
-			&fakeEngine{news: []driver.CacheNews{{Epoch: "1", Next: 3, Changes: one}, {Epoch: "1", Next: 5, Changes: two}}},
-			[]heardNews{{1, false}, {2, false}},
+			&fakeEngine{events: []driver.CacheEvents{{Epoch: "1", Next: 3, Changes: one}, {Epoch: "1", Next: 5, Changes: two}}},
+			[]takenEvents{{1, false}, {2, false}},
 			[]int64{0, 3, 5},
 		},
 		"a gap has all read": {
-			&fakeEngine{news: []driver.CacheNews{{Epoch: "1", Next: 90, HasGap: true, Changes: one}}, list: driver.CacheNews{Epoch: "1", Next: 95, Changes: two}},
-			[]heardNews{{2, true}},
+			&fakeEngine{events: []driver.CacheEvents{{Epoch: "1", Next: 90, HasGap: true, Changes: one}}, list: driver.CacheEvents{Epoch: "1", Next: 95, Changes: two}},
+			[]takenEvents{{2, true}},
 			[]int64{0, 95},
 		},
 		"so has a new start": {
-			&fakeEngine{news: []driver.CacheNews{{Epoch: "1", Next: 3, Changes: one}, {Epoch: "2", Next: 1, Changes: one}}, list: driver.CacheNews{Epoch: "2", Next: 1}},
-			[]heardNews{{1, false}, {0, true}},
+			&fakeEngine{events: []driver.CacheEvents{{Epoch: "1", Next: 3, Changes: one}, {Epoch: "2", Next: 1, Changes: one}}, list: driver.CacheEvents{Epoch: "2", Next: 1}},
+			[]takenEvents{{1, false}, {0, true}},
 			[]int64{0, 3, 1},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			engine := test.engine
-			heard := make(chan heardNews, 8)
-			w := New(Config{Driver: engine, Logger: hclog.NewNullLogger(), Heard: func(_ driver.Target, news driver.CacheNews, isWhole bool) {
-				heard <- heardNews{len(news.Changes), isWhole}
+			heard := make(chan takenEvents, 8)
+			w := New(Config{Driver: engine, Logger: hclog.NewNullLogger(), Changed: func(_ driver.Target, events driver.CacheEvents, isWhole bool) {
+				heard <- takenEvents{len(events.Changes), isWhole}
 			}})
 			w.SetTargets([]driver.Target{{EndpointID: "e1", Incarnation: "1"}})
 			for _, want := range test.want {
@@ -120,7 +120,7 @@
 func TestWatcherLeavesEngines(t *testing.T) {
 	t.Parallel()
 	engine := &fakeEngine{err: errors.New("no room for the call")}
-	w := New(Config{Driver: engine, Logger: hclog.NewNullLogger(), Heard: func(driver.Target, driver.CacheNews, bool) {}})
+	w := New(Config{Driver: engine, Logger: hclog.NewNullLogger(), Changed: func(driver.Target, driver.CacheEvents, bool) {}})
 	w.SetTargets([]driver.Target{{EndpointID: "e1", Incarnation: "1"}})
 	awaitAsked(t, engine, 1)
 	w.SetTargets(nil)
--- a/internal/dispatcher/budget_test.go
+++ b/internal/dispatcher/budget_test.go
@@ -99,13 +99,13 @@
 	t.Parallel()
 	kept := &driver.KVHandle{HandleID: "abc"}
 	for name, test := range map[string]struct {
-		p    *passage
+		p    *forwarding
 		want float64
 	}{
-		"nothing read":            {p: &passage{}, want: 1},
-		"read and kept":           {p: &passage{read: 1, handle: kept, handleAt: time.Now()}, want: 1},
-		"read and taken":          {p: &passage{read: 1}, want: 2},
-		"read, kept for too long": {p: &passage{read: 1, handle: kept, handleAt: time.Now().Add(-time.Minute)}, want: 2},
+		"nothing read":            {p: &forwarding{}, want: 1},
+		"read and kept":           {p: &forwarding{read: 1, handle: kept, handleAt: time.Now()}, want: 1},
+		"read and taken":          {p: &forwarding{read: 1}, want: 2},
+		"read, kept for too long": {p: &forwarding{read: 1, handle: kept, handleAt: time.Now().Add(-time.Minute)}, want: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -92,15 +92,15 @@
 // or two where the prompt is read apart, passes the answer on as it comes, and
 // sends a request again only where that is certain to do no harm.
 type Forwarder struct {
-	cfg     ForwarderConfig
-	story   *storyteller
-	active  atomic.Int64
-	cleanup errgroup.Group // releases of KV caches that were not taken
+	cfg        ForwarderConfig
+	requestLog *requestLogger
+	active     atomic.Int64
+	cleanup    errgroup.Group // releases of KV caches that were not taken
 
 	mu      sync.Mutex
 	budgets map[string]*allowance // by application
 	reserve float64
-	running map[*passage]context.CancelCauseFunc
+	running map[*forwarding]context.CancelCauseFunc
 }
 
 // NewForwarder prepares a Forwarder.
@@ -112,8 +112,8 @@
 		cfg.Began = func(string) {}
 	}
 	return &Forwarder{
-		cfg: cfg, story: newStoryteller(cfg.Logger, cfg.StoreAway), budgets: map[string]*allowance{}, reserve: cfg.RepeatReserve,
-		running: map[*passage]context.CancelCauseFunc{},
+		cfg: cfg, requestLog: newRequestLogger(cfg.Logger, cfg.StoreAway), budgets: map[string]*allowance{}, reserve: cfg.RepeatReserve,
+		running: map[*forwarding]context.CancelCauseFunc{},
 	}
 }
 
@@ -149,7 +149,7 @@
 func (f *Forwarder) Forward(ctx context.Context, request OpaqueRequest, answerer Answerer) (err error) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	p := newPassage(f, &request, answerer)
+	p := newForwarding(f, &request, answerer)
 	ctx, cut := context.WithCancelCause(ctx)
 	defer cut(nil)
 	// A host that stood still passes on what has come for the caller meanwhile.
@@ -160,16 +160,16 @@
 	err = p.admitAndRun(ctx)
 	f.count(p, err)
 	if err != nil {
-		f.story.ended(ctx, p, err)
+		f.requestLog.ended(ctx, p, err)
 	} else {
-		f.story.servedBy(p)
+		f.requestLog.servedBy(p)
 	}
 	return err
 }
 
 // setRunning notes how to end a request that is under way, and that it has ended
 // where cut is nil.
-func (f *Forwarder) setRunning(p *passage, cut context.CancelCauseFunc) {
+func (f *Forwarder) setRunning(p *forwarding, cut context.CancelCauseFunc) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if cut == nil {
@@ -222,7 +222,7 @@
 	return patience
 }
 
-func (f *Forwarder) count(p *passage, err error) {
+func (f *Forwarder) count(p *forwarding, err error) {
 	name := p.request.Class.Name
 	var failure *FailureError
 	switch {
--- a/internal/dispatcher/passage.go
+++ b/internal/dispatcher/forwarding.go
@@ -35,8 +35,8 @@
 	errQuarantined = errors.New("endpoints crash that run the request")
 )
 
-// passage is one opaque request on its way.
-type passage struct {
+// forwarding is one opaque request on its way.
+type forwarding struct {
 	forwarder   *Forwarder
 	request     *OpaqueRequest
 	answerer    Answerer
@@ -55,7 +55,7 @@
 	read     int // prefills that an engine accepted
 	excluded []string
 	basis    scheduler.Basis // of the latest attempt
-	times    passageTimes
+	times    forwardingTimes
 
 	latest attemptTimes
 
@@ -74,8 +74,8 @@
 	firstAt time.Time // of its first event; zero: none came
 }
 
-// passageTimes is where a request's time went, over all its attempts.
-type passageTimes struct {
+// forwardingTimes is where a request's time went, over all its attempts.
+type forwardingTimes struct {
 	queued time.Duration // until endpoints were given
 	read   time.Duration // the prompt, by another engine
 	first  time.Duration // from the caller's request to the first event; 0: none
@@ -83,11 +83,11 @@
 	lastAt time.Time     // of the latest event
 }
 
-func newPassage(f *Forwarder, request *OpaqueRequest, answerer Answerer) *passage {
+func newForwarding(f *Forwarder, request *OpaqueRequest, answerer Answerer) *forwarding {
 	application := pickShare(request.Class.Shares)
 	b := f.budget(application)
 	b.deposit()
-	return &passage{
+	return &forwarding{
 		forwarder: f, request: request, answerer: answerer, application: application,
 		budget: b, lastEvent: request.ResumeAfter, identity: identityOf(request),
 		sleptBefore: f.cfg.Slept(),
@@ -101,7 +101,7 @@
 }
 
 // admitAndRun runs a request unless it is quarantined.
-func (p *passage) admitAndRun(ctx context.Context) error {
+func (p *forwarding) admitAndRun(ctx context.Context) error {
 	p.admission = p.forwarder.cfg.Quarantine.Admit(&p.identity)
 	p.isTrial.Store(p.admission.IsTrial)
 	if p.admission.IsRefused {
@@ -129,7 +129,7 @@
 }
 
 // run makes attempts until the answer is whole or nothing more can be done.
-func (p *passage) run(ctx context.Context) error {
+func (p *forwarding) run(ctx context.Context) error {
 	for {
 		err := p.attempt(ctx)
 		if err == nil {
@@ -137,7 +137,7 @@
 		}
 		if ctx.Err() == nil && p.mayRepeat(err) {
 			p.forwarder.cfg.Meter.CountRetry(p.request.Class.Name)
-			p.forwarder.story.repeated(p)
+			p.forwarder.requestLog.repeated(p)
 			continue
 		}
 		return p.finish(ctx, err)
@@ -145,7 +145,7 @@
 }
 
 // attempt takes an endpoint and sends the request to it, once.
-func (p *passage) attempt(ctx context.Context) error {
+func (p *forwarding) attempt(ctx context.Context) error {
 	waited := time.Now()
 	grant, err := p.forwarder.cfg.Scheduler.Acquire(ctx, p.work())
 	if err != nil {
@@ -163,7 +163,7 @@
 	grant.Done(p.result(ctx, err))
 	if err != nil {
 		p.excluded = append(p.excluded, grant.Target().EndpointID)
-		p.forwarder.story.attempted(p, grant, "send", err)
+		p.forwarder.requestLog.attempted(p, grant, "send", err)
 	}
 	if p.tookHandle(err) {
 		p.handle = nil
@@ -173,7 +173,7 @@
 
 // noteFate has the quarantine know how a call to an endpoint ended: whether the
 // endpoint's process lives, and whether it has run this request.
-func (p *passage) noteFate(ctx context.Context, target driver.Target, err error) {
+func (p *forwarding) noteFate(ctx context.Context, target driver.Target, err error) {
 	quarantine := p.forwarder.cfg.Quarantine
 	switch {
 	case err == nil || errors.Is(err, errServerFault):
@@ -191,12 +191,12 @@
 
 // tookHandle is true where the KV cache is not to be counted on any more: the
 // endpoint may have fetched it, or has turned the request away because it could
-// not, which its answer does not tell from a want of room.
-func (p *passage) tookHandle(err error) bool {
+// not, which its answer does not write from a want of room.
+func (p *forwarding) tookHandle(err error) bool {
 	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrReplaced) && !errors.Is(err, driver.ErrWrongRole)
 }
 
-func (p *passage) work() scheduler.Work {
+func (p *forwarding) work() scheduler.Work {
 	if p.handle != nil && !p.holdsCache() {
 		p.forwarder.release(*p.handle)
 		p.handle = nil
@@ -212,7 +212,7 @@
 }
 
 // result is what the scheduler learns from an attempt.
-func (p *passage) result(ctx context.Context, err error) scheduler.Result {
+func (p *forwarding) result(ctx context.Context, err error) scheduler.Result {
 	switch {
 	case err == nil:
 		return scheduler.Completed{End: driver.End{OutputTokens: p.events, ReusedTokens: -1}}
@@ -226,7 +226,7 @@
 }
 
 // prefill has another engine read the prompt where the scheduler says so.
-func (p *passage) prefill(ctx context.Context, grant scheduler.Grant) error {
+func (p *forwarding) prefill(ctx context.Context, grant scheduler.Grant) error {
 	target, ok := grant.Prefill()
 	if !ok {
 		return nil
@@ -251,12 +251,12 @@
 	}
 	p.noteFate(ctx, target, err)
 	p.excluded = append(p.excluded, target.EndpointID)
-	p.forwarder.story.attempted(p, grant, "prefill", err)
+	p.forwarder.requestLog.attempted(p, grant, "prefill", err)
 	// The prompt was read at most; the request has not run.
 	return fmt.Errorf("%w: %w", driver.ErrRefused, err)
 }
 
-func (p *passage) call() driver.ForwardCall {
+func (p *forwarding) call() driver.ForwardCall {
 	call := driver.ForwardCall{
 		RequestID: p.request.ID, Payload: p.request.Payload, Urgency: min(p.request.Class.Rank, maxUrgency),
 		ResumeAfter: p.lastEvent, Tenant: p.request.Tenant,
@@ -265,11 +265,11 @@
 	return call
 }
 
-// maxUrgency is the least urgent rank that engines tell apart.
+// maxUrgency is the least urgent rank that engines write apart.
 const maxUrgency = 9
 
 // send sends the request and passes the answer on.
-func (p *passage) send(ctx context.Context, grant scheduler.Grant) error {
+func (p *forwarding) send(ctx context.Context, grant scheduler.Grant) error {
 	if !grant.IsCurrent() {
 		return fmt.Errorf("%w: %w", driver.ErrNotSent, errLeft)
 	}
@@ -293,8 +293,8 @@
 	defer answer.Body.Close()
 	isStream := p.request.Class.Kind == configurer.KindGenerate && answer.Status < http.StatusMultipleChoices
 	if isStream {
-		return p.passEvents(ctx, grant, &answer)
+		return p.forwardEvents(ctx, grant, &answer)
 	}
 	p.noteBegan()
-	return p.passWhole(&answer)
+	return p.forwardWhole(&answer)
 }
--- a/internal/dispatcher/passage_answer.go
+++ b/internal/dispatcher/forwarding_answer.go
@@ -22,9 +22,9 @@
 	body   []byte
 }
 
-// passWhole reads an answer to its end before any of it is passed on, so that
+// forwardWhole reads an answer to its end before any of it is passed on, so that
 // one that breaks off never looks whole.
-func (p *passage) passWhole(answer *driver.ForwardAnswer) error {
+func (p *forwarding) forwardWhole(answer *driver.ForwardAnswer) error {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxWholeAnswer+1))
 	if err == nil && len(body) > maxWholeAnswer {
 		err = errTooLong
@@ -44,7 +44,7 @@
 	return p.deliver(whole)
 }
 
-func (p *passage) deliver(whole *wholeAnswer) error {
+func (p *forwarding) deliver(whole *wholeAnswer) error {
 	if err := p.answerer.Begin(whole.status, whole.header, int64(len(whole.body))); err != nil {
 		return errors.Join(errCallerGone, err)
 	}
@@ -56,15 +56,15 @@
 }
 
 // noteBegan notes that a run has begun, for the tenant's usage.
-func (p *passage) noteBegan() {
+func (p *forwarding) noteBegan() {
 	if p.request.Tenant != "" {
 		p.forwarder.cfg.Began(p.request.Tenant)
 	}
 }
 
-// passEvents passes a stream on, whole events only. The head goes out with the
+// forwardEvents passes a stream on, whole events only. The head goes out with the
 // first of them: until then another endpoint may take the request over.
-func (p *passage) passEvents(ctx context.Context, grant scheduler.Grant, answer *driver.ForwardAnswer) error {
+func (p *forwarding) forwardEvents(ctx context.Context, grant scheduler.Grant, answer *driver.ForwardAnswer) error {
 	reader := newEventReader(answer.Body)
 	for {
 		events, lastID, count, err := reader.next()
@@ -82,7 +82,7 @@
 			p.noteBegan()
 			p.hasEvents.Store(true)
 		}
-		if err := p.passPiece(answer, events); err != nil {
+		if err := p.forwardPiece(answer, events); err != nil {
 			return err
 		}
 		p.events += count
@@ -95,7 +95,7 @@
 	}
 }
 
-func (p *passage) passPiece(answer *driver.ForwardAnswer, events []byte) error {
+func (p *forwarding) forwardPiece(answer *driver.ForwardAnswer, events []byte) error {
 	if !p.begun {
 		if err := p.answerer.Begin(answer.Status, answer.Header, -1); err != nil {
 			return errors.Join(errCallerGone, err)
@@ -114,7 +114,7 @@
 }
 
 // endStream ends a whole stream; one without events has a head all the same.
-func (p *passage) endStream(answer *driver.ForwardAnswer) error {
+func (p *forwarding) endStream(answer *driver.ForwardAnswer) error {
 	if p.begun {
 		return nil
 	}
@@ -126,7 +126,7 @@
 }
 
 // finish says how a request without a whole answer ended.
-func (p *passage) finish(ctx context.Context, err error) error {
+func (p *forwarding) finish(ctx context.Context, err error) error {
 	if p.handle != nil {
 		p.forwarder.release(*p.handle)
 	}
--- a/internal/dispatcher/passage_repeat.go
+++ b/internal/dispatcher/forwarding_repeat.go
@@ -11,7 +11,7 @@
 // Whether another attempt may follow, and for how long that is of use.
 
 // mayRepeat says whether another attempt may follow a failed one.
-func (p *passage) mayRepeat(err error) bool {
+func (p *forwarding) mayRepeat(err error) bool {
 	var refusal *scheduler.RefusalError
 	if errors.As(err, &refusal) || errors.Is(err, errCallerGone) || p.sends >= maxSends {
 		return false
@@ -35,7 +35,7 @@
 
 // repeatCost is how many calls the next attempt adds beyond the first of the
 // request: one, and another where the prompt has to be read a second time.
-func (p *passage) repeatCost() float64 {
+func (p *forwarding) repeatCost() float64 {
 	if p.read > 0 && !p.holdsCache() {
 		return 2
 	}
@@ -44,7 +44,7 @@
 
 // holdsCache is true while an engine keeps the prompt's KV cache for this
 // request.
-func (p *passage) holdsCache() bool {
+func (p *forwarding) holdsCache() bool {
 	return p.handle != nil && time.Since(p.handleAt) < handleUse
 }
 
@@ -53,13 +53,13 @@
 const handleUse = 2 * time.Second
 
 // hasRun is true where the attempt that failed so may have run.
-func (p *passage) hasRun(err error) bool {
+func (p *forwarding) hasRun(err error) bool {
 	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrRefused)
 }
 
 // timeLeft is how long an answer is still of use. The caller's time goes on while
 // the host sleeps: an endpoint that is told more works for nobody.
-func (p *passage) timeLeft() time.Duration {
+func (p *forwarding) timeLeft() time.Duration {
 	slept := p.forwarder.cfg.Slept() - p.sleptBefore
 	return time.Until(p.request.Arrived.Add(patienceOf(p.request))) - slept
 }
--- a/internal/dispatcher/once.go
+++ b/internal/dispatcher/once.go
@@ -44,7 +44,7 @@
 	}
 	o := &once{dispatcher: d, request: request, class: class, arrived: arrived, claim: claim}
 	// A caller that goes away does not stop the call: the service may have
-	// run it, and the claim's record has to tell a repeat what came of it.
+	// run it, and the claim's record has to write a repeat what came of it.
 	ctx, cancel := timekeeper.WithTimeout(context.WithoutCancel(ctx), max(giveUpFactor*class.CompletionTarget(), minimumCallTime))
 	defer cancel()
 	return o.dispatch(ctx)
@@ -91,7 +91,7 @@
 	default:
 		// This submission was not dispatched and will not be. An earlier one
 		// with the same key may have run, and only the claim's register could
-		// tell: "not run" would be a guess.
+		// write: "not run" would be a guess.
 		failure.Reason, failure.RetryAfter = ReasonClaimUnavailable, retryAfterFault
 		var unavailable *claimer.UnavailableError
 		if errors.As(err, &unavailable) {
--- a/internal/dispatcher/story.go
+++ b/internal/dispatcher/requestlog.go
@@ -14,21 +14,21 @@
 )
 
 const (
-	// storyRate is how many lines about requests a second a host writes. A host
+	// requestLogRate is how many lines about requests a second a host writes. A host
 	// serves tens of requests a second; under a flood of failures the first ones
-	// tell the cause, and the count of those left out tells how many there were.
-	storyRate = 60
-	// storyBurst is how many may come at once.
-	storyBurst = 120
+	// write the cause, and the count of those left out tells how many there were.
+	requestLogRate = 60
+	// requestLogBurst is how many may come at once.
+	requestLogBurst = 120
 	// servedRate is how many lines a second there are besides about requests that
-	// were served at once; they do not take room from those that tell of failures.
+	// were served at once; they do not take room from those that write of failures.
 	servedRate  = 60
 	servedBurst = 60
 )
 
-// storyteller writes the lines about requests: one for each decision of a
+// requestLogger writes the lines about requests: one for each decision of a
 // request that was not simply served, and one for its end.
-type storyteller struct {
+type requestLogger struct {
 	logger  hclog.Logger
 	away    func() time.Duration
 	limiter *rate.Limiter // of lines about what failed
@@ -36,20 +36,20 @@
 	left    counter       // lines left out since the last one
 }
 
-func newStoryteller(logger hclog.Logger, away func() time.Duration) *storyteller {
+func newRequestLogger(logger hclog.Logger, away func() time.Duration) *requestLogger {
 	if away == nil {
 		away = func() time.Duration { return 0 }
 	}
-	return &storyteller{logger: logger, away: away, limiter: rate.NewLimiter(storyRate, storyBurst), served: rate.NewLimiter(servedRate, servedBurst)}
+	return &requestLogger{logger: logger, away: away, limiter: rate.NewLimiter(requestLogRate, requestLogBurst), served: rate.NewLimiter(servedRate, servedBurst)}
 }
 
-// tell writes a line unless there are too many. The number of those left out
+// write writes a line unless there are too many. The number of those left out
 // stands on the next one.
-func (s *storyteller) tell(level hclog.Level, message string, p *passage, args ...any) {
-	s.tellWithin(s.limiter, level, message, p, args...)
+func (s *requestLogger) write(level hclog.Level, message string, p *forwarding, args ...any) {
+	s.writeWithin(s.limiter, level, message, p, args...)
 }
 
-func (s *storyteller) tellWithin(limiter *rate.Limiter, level hclog.Level, message string, p *passage, args ...any) {
+func (s *requestLogger) writeWithin(limiter *rate.Limiter, level hclog.Level, message string, p *forwarding, args ...any) {
 	if !limiter.Allow() {
 		s.left.add()
 		return
@@ -65,7 +65,7 @@
 }
 
 // attempted tells of an attempt that failed, and of what was decided on then.
-func (s *storyteller) attempted(p *passage, grant scheduler.Grant, step string, err error) {
+func (s *requestLogger) attempted(p *forwarding, grant scheduler.Grant, step string, err error) {
 	basis := grant.Basis()
 	args := []any{
 		"step", step, "endpoint_id", basis.EndpointID, "error", err.Error(),
@@ -76,12 +76,12 @@
 	if errors.Is(err, driver.ErrOutcomeUnknown) {
 		args = append(args, brokenArgs(p)...)
 	}
-	s.tell(hclog.Info, "attempt failed", p, append(args, s.wordArgs(&basis)...)...)
+	s.write(hclog.Info, "attempt failed", p, append(args, s.wordArgs(&basis)...)...)
 }
 
 // brokenArgs says which request broke off, by a name that it has at all hosts and
 // under any id, and how far its run came.
-func brokenArgs(p *passage) []any {
+func brokenArgs(p *forwarding) []any {
 	args := []any{"request_name", p.identity.Name().String(), "caller", p.request.Caller, "sent_ago_ms", time.Since(p.latest.sentAt).Milliseconds()}
 	if !p.latest.firstAt.IsZero() {
 		args = append(args, "ran_ms", time.Since(p.latest.firstAt).Milliseconds())
@@ -91,7 +91,7 @@
 
 // wordArgs says which word of the platform an endpoint was chosen by, and
 // whether this host could have heard a later one.
-func (s *storyteller) wordArgs(basis *scheduler.Basis) []any {
+func (s *requestLogger) wordArgs(basis *scheduler.Basis) []any {
 	return []any{
 		"word_revision", basis.WordRevision, "word_age_ms", basis.WordAge.Milliseconds(),
 		"store_away_ms", s.away().Milliseconds(),
@@ -99,12 +99,12 @@
 }
 
 // repeated tells that a request goes to another endpoint.
-func (s *storyteller) repeated(p *passage) {
-	s.tell(hclog.Info, "request repeated", p, "excluded", p.excluded, "resume_after", p.lastEvent, "budget_left", p.budget.remaining())
+func (s *requestLogger) repeated(p *forwarding) {
+	s.write(hclog.Info, "request repeated", p, "excluded", p.excluded, "resume_after", p.lastEvent, "budget_left", p.budget.remaining())
 }
 
 // ended tells how a request without a whole answer ended, and why.
-func (s *storyteller) ended(ctx context.Context, p *passage, err error) {
+func (s *requestLogger) ended(ctx context.Context, p *forwarding, err error) {
 	var failure *FailureError
 	level := hclog.Warn
 	args := []any{
@@ -124,12 +124,12 @@
 	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeout) {
 		level = hclog.Info // the caller has left
 	}
-	s.tell(level, "request not served", p, args...)
+	s.write(level, "request not served", p, args...)
 }
 
 // servedBy tells which endpoints served a request, and what was believed of
 // them when they were chosen.
-func (s *storyteller) servedBy(p *passage) {
+func (s *requestLogger) servedBy(p *forwarding) {
 	limiter := s.served
 	if p.sends > 1 {
 		limiter = s.limiter
@@ -145,11 +145,11 @@
 		"sends", p.sends, "runs", p.runs, "events", p.events,
 	}
 	args = append(args, s.wordArgs(&p.basis)...)
-	s.tellWithin(limiter, hclog.Info, "request served", p, append(args, promptArgs(p)...)...)
+	s.writeWithin(limiter, hclog.Info, "request served", p, append(args, promptArgs(p)...)...)
 }
 
 // promptArgs says how large a generation's prompt is; nothing of a call.
-func promptArgs(p *passage) []any {
+func promptArgs(p *forwarding) []any {
 	if p.request.Class.Kind != configurer.KindGenerate {
 		return nil
 	}
@@ -164,7 +164,7 @@
 
 // lateness says by which of its class's targets a whole answer was late; empty:
 // by none, as far as this host has seen.
-func lateness(p *passage) string {
+func lateness(p *forwarding) string {
 	class := &p.request.Class
 	isCall := class.Kind != configurer.KindGenerate
 	first, target := p.times.first, class.FirstTokenTarget()
--- a/internal/dispatcher/story_test.go
+++ b/internal/dispatcher/requestlog_test.go
@@ -28,20 +28,20 @@
 func TestLinesTellTheWord(t *testing.T) {
 	t.Parallel()
 	basis := scheduler.Basis{EndpointID: "e1", WordRevision: 39, WordAge: 1200 * time.Millisecond}
-	for name, tell := range map[string]func(s *storyteller, p *passage){
-		"request served": func(s *storyteller, p *passage) { s.servedBy(p) },
-		"attempt failed": func(s *storyteller, p *passage) {
+	for name, write := range map[string]func(s *requestLogger, p *forwarding){
+		"request served": func(s *requestLogger, p *forwarding) { s.servedBy(p) },
+		"attempt failed": func(s *requestLogger, p *forwarding) {
 			s.attempted(p, &chosen{basis: basis}, "send", errors.Join(driver.ErrNotSent, errLeft))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var output bytes.Buffer
-			s := newStoryteller(
+			s := newRequestLogger(
 				hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &output}),
 				func() time.Duration { return 3 * time.Second },
 			)
-			tell(s, &passage{request: &OpaqueRequest{ID: "r1", Arrived: time.Now()}, basis: basis})
+			write(s, &forwarding{request: &OpaqueRequest{ID: "r1", Arrived: time.Now()}, basis: basis})
 			var line struct {
 				Message  string `json:"@message"`
 				Revision int64  `json:"word_revision"`
@@ -68,9 +68,9 @@
 	},
 	) {
 		var output bytes.Buffer
-		s := newStoryteller(hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &output}), nil)
+		s := newRequestLogger(hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &output}), nil)
 		request := &OpaqueRequest{ID: id, Caller: caller, Arrived: time.Now(), Payload: driver.Payload{Method: "POST", Path: "/fill/x", Body: []byte(body)}}
-		p := &passage{request: request, identity: identityOf(request), latest: attemptTimes{firstAt: time.Now().Add(-2 * time.Second)}}
+		p := &forwarding{request: request, identity: identityOf(request), latest: attemptTimes{firstAt: time.Now().Add(-2 * time.Second)}}
 		s.attempted(p, &chosen{}, "send", errors.Join(driver.ErrOutcomeUnknown, errors.New("broke off")))
 		assert.NilError(t, json.Unmarshal(output.Bytes(), &told))
 		return told
--- a/internal/dispatcher/sleep_test.go
+++ b/internal/dispatcher/sleep_test.go
@@ -27,7 +27,7 @@
 			slept := test.before
 			f := NewForwarder(ForwarderConfig{RepeatWindow: time.Second, Slept: func() time.Duration { return slept }})
 			class := classifier.Class{Timeout: 2 * time.Second, Shares: []classifier.Share{{Application: "a"}}}
-			p := newPassage(f, &OpaqueRequest{Class: class, Arrived: time.Now()}, nil)
+			p := newForwarding(f, &OpaqueRequest{Class: class, Arrived: time.Now()}, nil)
 			slept += test.since
 			left := p.timeLeft()
 			assert.Assert(t, left <= test.want && left > test.want-100*time.Millisecond, "%v left", left)
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -85,11 +85,11 @@
 	// OrderRole sends an order once, over a connection of its own. Its errors:
 	// ErrNotSent, ErrStaleEpoch, ErrRefused, ErrOutcomeUnknown.
 	OrderRole(ctx context.Context, target Target, order RoleOrder) error
-	// CacheNews waits until an engine has news of what it keeps of prompts, behind
+	// CacheEvents waits until an engine has news of what it keeps of prompts, behind
 	// the number since, or for as long as wait.
-	CacheNews(ctx context.Context, target Target, since int64, wait time.Duration) (CacheNews, error)
+	CacheEvents(ctx context.Context, target Target, since int64, wait time.Duration) (CacheEvents, error)
 	// CacheList reads all that an engine keeps. It holds up the engine's work.
-	CacheList(ctx context.Context, target Target) (CacheNews, error)
+	CacheList(ctx context.Context, target Target) (CacheEvents, error)
 	// Reach opens a connection to an endpoint and gives it nothing to do. It fails
 	// with ErrNobodyListens where the endpoint's process has ended.
 	Reach(ctx context.Context, target Target) error
@@ -99,8 +99,8 @@
 	Close() error
 }
 
-// CacheNews is what an engine says of the parts of prompts that it keeps.
-type CacheNews struct {
+// CacheEvents is what an engine says of the parts of prompts that it keeps.
+type CacheEvents struct {
 	Epoch string // changes when the engine starts anew
 	Next  int64  // to ask from the next time
 	// HasGap says that changes before these are missing.
--- a/internal/scheduler/cache.go
+++ b/internal/scheduler/cache.go
@@ -2,9 +2,9 @@
 
 import "github.com/endivemast/endivemast/internal/driver"
 
-// HearCache takes what an engine says of the parts of prompts that it keeps;
+// TakeCacheEvents takes what an engine says of the parts of prompts that it keeps;
 // isWhole says that it is all.
-func (s *Scheduler) HearCache(target driver.Target, news driver.CacheNews, isWhole bool) {
+func (s *Scheduler) TakeCacheEvents(target driver.Target, news driver.CacheEvents, isWhole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	endpoint := s.table.Endpoints[target.EndpointID]
--- a/internal/scheduler/roles_bench_test.go
+++ b/internal/scheduler/roles_bench_test.go
@@ -63,7 +63,7 @@
 	paths   *rand.Rand // of the hosts that they reach
 	// tellsCaches has engines tell what they keep; their words are 100 to 200 ms old.
 	tellsCaches bool
-	news        map[string]driver.CacheNews
+	news        map[string]driver.CacheEvents
 	exchangeMS  int // between two exchanges of loads
 }
 
@@ -92,7 +92,7 @@
 	b := &rolesBench{
 		now: start, engines: map[string]*modeler.Engine{}, tallies: map[string]*rolesTally{}, rand: rand.New(rand.NewPCG(5, 6)),
 		paths:      rand.New(rand.NewPCG(7, 8)),
-		exchangeMS: 20, tellsCaches: true, news: map[string]driver.CacheNews{},
+		exchangeMS: 20, tellsCaches: true, news: map[string]driver.CacheEvents{},
 	}
 	for i := range engines {
 		role := driver.RoleDecode
@@ -305,7 +305,7 @@
 	for _, host := range b.list {
 		if news, ok := b.news[host.ID]; ok {
 			for _, s := range b.hosts {
-				s.HearCache(driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation}, news, true)
+				s.TakeCacheEvents(driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation}, news, true)
 			}
 		}
 		b.news[host.ID] = b.engines[host.ID].News()
--- a/internal/scheduler/tracker/cache.go
+++ b/internal/scheduler/tracker/cache.go
@@ -22,7 +22,7 @@
 }
 
 // Hear takes an engine's news; isWhole says that they are all that it keeps.
-func (c *Cache) Hear(news driver.CacheNews, isWhole bool) {
+func (c *Cache) Hear(news driver.CacheEvents, isWhole bool) {
 	c.IsKnown = true
 	if c.kept == nil || isWhole || len(c.kept) > maxParts {
 		c.kept = make(map[string]int, len(news.Changes))
--- a/internal/scheduler/tracker/cache_test.go
+++ b/internal/scheduler/tracker/cache_test.go
@@ -11,7 +11,7 @@
 func TestCachePrefix(t *testing.T) {
 	t.Parallel()
 	system, letter := Part{ID: "system", Tokens: 500}, Part{ID: "letter", Tokens: 4000}
-	kept := driver.CacheNews{Changes: []driver.CacheChange{{PartID: "system", Tokens: 500}, {PartID: "letter", Tokens: 4000}}}
+	kept := driver.CacheEvents{Changes: []driver.CacheChange{{PartID: "system", Tokens: 500}, {PartID: "letter", Tokens: 4000}}}
 	for name, test := range map[string]struct {
 		arrange func(c *Cache)
 		want    int
@@ -22,11 +22,11 @@
 		"behind a gap nothing helps": {func(c *Cache) { c.Hear(kept, false); c.Hear(drop("system"), false) }, 0},
 		"a part is kept in part": {func(c *Cache) {
 			c.Hear(kept, false)
-			c.Hear(driver.CacheNews{Changes: []driver.CacheChange{{PartID: "letter", Tokens: 1000}}}, false)
+			c.Hear(driver.CacheEvents{Changes: []driver.CacheChange{{PartID: "letter", Tokens: 1000}}}, false)
 		}, 1500},
 		"a list replaces what was known": {func(c *Cache) {
 			c.Hear(kept, false)
-			c.Hear(driver.CacheNews{Changes: []driver.CacheChange{{PartID: "system", Tokens: 500}}}, true)
+			c.Hear(driver.CacheEvents{Changes: []driver.CacheChange{{PartID: "system", Tokens: 500}}}, true)
 		}, 500},
 		"what is being read is expected": {func(c *Cache) { c.Expect([]Part{system, letter}) }, 4500},
 	} {
@@ -39,6 +39,6 @@
 	}
 }
 
-func drop(id string) driver.CacheNews {
-	return driver.CacheNews{Changes: []driver.CacheChange{{PartID: id}}}
+func drop(id string) driver.CacheEvents {
+	return driver.CacheEvents{Changes: []driver.CacheChange{{PartID: id}}}
 }
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -164,8 +164,8 @@
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.meter = meter.New(meter.Config{})
-	g.caches = cachesharer.New(cachesharer.Config{Heard: g.hearCache, Logger: cfg.Logger.Named("cachesharer")})
-	g.cacheWatcher = cachewatcher.New(cachewatcher.Config{Driver: cfg.Driver, Heard: g.caches.HearNews, Logger: cfg.Logger.Named("cachewatcher")})
+	g.caches = cachesharer.New(cachesharer.Config{Changed: g.takeCacheEvents, Logger: cfg.Logger.Named("cachesharer")})
+	g.cacheWatcher = cachewatcher.New(cachewatcher.Config{Driver: cfg.Driver, Changed: g.caches.TakeEvents, Logger: cfg.Logger.Named("cachewatcher")})
 	g.scheduler = scheduler.New(scheduler.Config{
 		HostID: cfg.HostID, Zone: cfg.Zone, Configuration: g.classifier, Logger: cfg.Logger.Named("scheduler"),
 		Policy: cfg.policy(), SharesPrefix: g.caches.NoteShared,
--- a/pkg/endivemast/gateway_caches.go
+++ b/pkg/endivemast/gateway_caches.go
@@ -31,9 +31,9 @@
 	return driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation, Address: host.Address}
 }
 
-// hearCache takes what is new of an engine's cache.
-func (g *Gateway) hearCache(target driver.Target, news driver.CacheNews, isWhole bool) {
-	g.scheduler.HearCache(target, news, isWhole)
+// takeCacheEvents takes what is new of an engine's cache.
+func (g *Gateway) takeCacheEvents(target driver.Target, news driver.CacheEvents, isWhole bool) {
+	g.scheduler.TakeCacheEvents(target, news, isWhole)
 }
 
 // chooseAsked has this host ask the engines that it is an asker of.
--- a/standins/modeler/modeler.go
+++ b/standins/modeler/modeler.go
@@ -91,7 +91,7 @@
 }
 
 // News is all that the engine keeps, as it would tell it.
-func (e *Engine) News() (news driver.CacheNews) {
+func (e *Engine) News() (news driver.CacheEvents) {
 	for _, p := range e.kept {
 		if p.key != "" {
 			news.Changes = append(news.Changes, driver.CacheChange{PartID: p.key, Tokens: p.tokens})
