--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -286,6 +286,20 @@
 	return host, ok
 }
 
+// Registered are the endpoints as they have registered themselves: one that changes
+// its role is among them, and one that has said that it leaves, or whose entry is gone,
+// is not.
+func (r *Registrations) Registered() (hosts []provider.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, host := range r.hosts {
+		if _, isMissing := r.missing[id]; !isMissing && host.State == provider.HostLive {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
 // SetChanging names the engines that this host is giving another role.
 func (r *Registrations) SetChanging(ids []string) {
 	r.mu.Lock()
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -65,10 +65,8 @@
 	// restTime is the time between two orders that take engines of an application
 	// away under load, so that prefixes and roles move to those that stay.
 	restTime = 2 * time.Second
-	// mostAtOnce is how many engines one order takes away from a zone under load, and
-	// mostReplaced the same where as many others are there in their place.
-	mostAtOnce   = 2
-	mostReplaced = 5
+	// mostAtOnce is how many engines one order takes away from a zone under load.
+	mostAtOnce = 2
 )
 
 // Zone is an availability zone that has, or may have, engines of the application.
@@ -157,7 +155,7 @@
 		case in.Policy == SpotShare && in.Bounds.SpotPrice > 0:
 			p.shareSpot(&zones[i])
 		case in.Policy == TargetTracking && !state.loadAt.IsZero():
-			p.order(&zones[i], p.wantedInZone(), mostAtOnce)
+			p.order(&zones[i], p.wantedInZone())
 		}
 	}
 	return p.orders, p.state
@@ -197,7 +195,7 @@
 	if spot > zone.Spot.Ordered || p.isMissing(zone) {
 		p.orders = append(p.orders, Order{Zone: zone.Name, IsSpot: true, Desired: spot, Need: p.need})
 	}
-	p.order(zone, min(max(total-min(zone.Spot.Present, spot), base), p.in.Bounds.Max-spot), mostReplaced)
+	p.order(zone, min(max(total-min(zone.Spot.Present, spot), base), p.in.Bounds.Max-spot))
 }
 
 // baseOf is how many of a zone's engines are on demand at least.
@@ -249,7 +247,7 @@
 
 // order orders engines on demand where their number has to change: more at once, fewer
 // in steps under load, and none while an engine that was ordered is missing.
-func (p *plan) order(zone *Zone, wanted, most int) {
+func (p *plan) order(zone *Zone, wanted int) {
 	count := zone.OnDemand
 	present := count.desired()
 	switch {
@@ -257,7 +255,7 @@
 		p.orders = append(p.orders, Order{Zone: zone.Name, Desired: wanted, Need: p.need})
 	case wanted < present && p.mayTake() && count.Present >= present:
 		if !p.state.loadAt.IsZero() {
-			wanted = max(wanted, present-most)
+			wanted = max(wanted, present-mostAtOnce)
 			p.state.takenAt = p.in.Now
 		}
 		p.orders = append(p.orders, Order{Zone: zone.Name, Desired: wanted, Need: p.need})
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -23,7 +23,6 @@
 	Zone        string
 	Application string
 	Kind        provider.HostKind
-	IsSpot      bool // it may be taken away at short notice
 	Local       bool // in this host's zone
 
 	Word          Word // of the platform, which all of this comes from
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -159,7 +159,6 @@
 	endpoint.Zone = host.Zone
 	endpoint.Application = host.Application
 	endpoint.Kind = host.Kind
-	endpoint.IsSpot = host.IsSpot
 	endpoint.Local = host.Zone == t.Zone
 	endpoint.Listed = true
 	// The lister joins the platform's list with peers' and endpoints' words, and
--- a/pkg/endivemast/gateway_duties.go
+++ b/pkg/endivemast/gateway_duties.go
@@ -8,11 +8,12 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/accountant"
+	"github.com/endivemast/endivemast/internal/classifier"
 	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/provisioner"
 	"github.com/endivemast/endivemast/internal/reporter"
 	"github.com/endivemast/endivemast/internal/scaler"
-	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
 // The platform's duties, which one host at a time does for all: the holder of the
@@ -76,22 +77,7 @@
 			Policy: policy, Now: now, Reading: use.Reading, Generating: use.Generating,
 			Bounds: scaler.Bounds{Min: scaling.Min, Max: scaling.Max, Boot: scaling.Boot, SpotPrice: scaling.SpotPrice},
 		}
-		for target := range ordered { // a zone may have lost all its engines
-			if _, ok := use.Engines[target.Zone]; !ok && target.Application == application && use.Engines != nil {
-				use.Engines[target.Zone] = scheduler.EngineCount{}
-			}
-		}
-		for zone, engines := range use.Engines {
-			in.Zones = append(in.Zones, scaler.Zone{
-				Name: zone, Price: scaling.Price(zone),
-				OnDemand: scaler.Count{
-					Present: engines.OnDemand, Ordered: ordered[provisioner.Target{Application: application, Zone: zone}],
-				},
-				Spot: scaler.Count{
-					Present: engines.Spot, Ordered: ordered[provisioner.Target{Application: application, Zone: zone, IsSpot: true}],
-				},
-			})
-		}
+		in.Zones = zonesOf(application, &scaling, g.registrations.Registered(), ordered)
 		slices.SortFunc(in.Zones, func(a, b scaler.Zone) int { return strings.Compare(a.Name, b.Name) })
 		orders, state := scaler.Plan(&in, g.scaling[application])
 		g.scaling[application] = state
@@ -105,6 +91,42 @@
 	return wanted
 }
 
+// zonesOf counts an application's engines by zone and kind. A zone for which engines
+// were ordered is one also where it has lost them all.
+func zonesOf(
+	application string, scaling *classifier.Scaling, hosts []provider.Host, ordered map[provisioner.Target]int,
+) (zones []scaler.Zone) {
+	byName := map[string]*scaler.Zone{}
+	zone := func(name string) *scaler.Zone {
+		if byName[name] == nil {
+			byName[name] = &scaler.Zone{Name: name, Price: scaling.Price(name)}
+		}
+		return byName[name]
+	}
+	for _, host := range hosts {
+		switch {
+		case host.Application != application || host.Kind != provider.HostEngine:
+		case host.IsSpot:
+			zone(host.Zone).Spot.Present++
+		default:
+			zone(host.Zone).OnDemand.Present++
+		}
+	}
+	for target, desired := range ordered {
+		switch {
+		case target.Application != application:
+		case target.IsSpot:
+			zone(target.Zone).Spot.Ordered = desired
+		default:
+			zone(target.Zone).OnDemand.Ordered = desired
+		}
+	}
+	for _, z := range byName {
+		zones = append(zones, *z)
+	}
+	return zones
+}
+
 func (g *Gateway) countDuty(duty string, err error) {
 	outcome := "taken"
 	if err != nil {
