Scaling: one zone's spot engines to spare

Change: so many spot engines that as many engines as found are left without those of one zone; on demand ones are ordered only where more are lost.

--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -30,7 +30,8 @@
 	// TargetTracking follows the use of the engines, all of them on demand.
 	TargetTracking Policy = "target_tracking"
 	// SpotShare keeps the number of engines found, or what the use needs where that is
-	// more, and has the larger part of them as spot engines.
+	// more, and has the larger part of them as spot engines: so many that as many
+	// engines are left where one zone loses all its own.
 	SpotShare Policy = "spot_share"
 )
 
@@ -46,8 +47,8 @@
 	// leastInZone is the fewest that a zone has: one that reads, one that generates,
 	// and one of each to take over.
 	leastInZone = 4
-	// onDemandShare of a zone's engines are on demand where the rest may be spot: with
-	// the spot engines of one of three zones gone, more than three quarters are left.
+	// onDemandShare of the engines that a zone is to have are on demand where the rest
+	// may be spot.
 	onDemandShare = 1.0 / 3
 	// settleTime is for how long the number of engines has to have stopped growing to be
 	// taken for whole: engines register one after the other, within some heartbeats.
@@ -188,14 +189,40 @@
 	base := baseOf(total)
 	// Until the spot engines are there, those on demand stay beside them, and both
 	// kinds together keep to the bounds.
-	spot := max(min(total-base, p.in.Bounds.Max-max(total, zone.OnDemand.desired())), zone.Spot.Ordered)
+	spot := max(min(p.spotFor(total), p.in.Bounds.Max-max(total, zone.OnDemand.desired())), zone.Spot.Ordered)
 	if spot <= 0 {
 		return
 	}
 	if spot > zone.Spot.Ordered || p.isMissing(zone) {
 		p.orders = append(p.orders, Order{Zone: zone.Name, IsSpot: true, Desired: spot, Need: p.need})
 	}
-	p.order(zone, min(max(total-min(zone.Spot.Present, spot), base), p.in.Bounds.Max-spot))
+	wanted := base
+	if p.lacks(total) {
+		wanted = max(total-zone.Spot.Present, base)
+	}
+	p.order(zone, min(wanted, p.in.Bounds.Max-spot))
+}
+
+// spotFor is how many spot engines a zone has beside those on demand, so that the
+// fleet keeps its number where one zone loses all of its own. A fleet of one zone has
+// none to spare.
+func (p *plan) spotFor(total int) int {
+	missing := total - baseOf(total)
+	zones := len(p.in.Zones)
+	if zones < 2 {
+		return missing
+	}
+	return (zones*missing + zones - 2) / (zones - 1)
+}
+
+// lacks says whether the fleet would have fewer engines than it is to have, with those
+// on demand at their least.
+func (p *plan) lacks(total int) bool {
+	engines := 0
+	for i := range p.in.Zones {
+		engines += p.in.Zones[i].Spot.Present + baseOf(total)
+	}
+	return engines < total*len(p.in.Zones)
 }
 
 // baseOf is how many of a zone's engines are on demand at least.
@@ -207,8 +234,8 @@
 // of the duty follows it from the former one's orders.
 func (p *plan) foundIn(zone *Zone) int {
 	if zone.Spot.Ordered > 0 {
-		total := zone.Spot.Ordered
-		for total-baseOf(total) < zone.Spot.Ordered {
+		total := 0
+		for p.spotFor(total) < zone.Spot.Ordered && total < p.in.Bounds.Max {
 			total++
 		}
 		return total
