--- a/tests/dialect_test.go
+++ b/tests/dialect_test.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return 0, err
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }()
 	scanner := bufio.NewScanner(file)
 	for scanner.Scan() {
 		if dialect.MatchString(scanner.Text()) {
