Observer: what endpoints say of themselves in their answers is decoded, logged and counted

Neither a log line nor a metric told what an endpoint had said of itself, so that the hypotheses on LIMIT, DRAIN and BUDGET could not be told apart. The adapter now decodes Server-Load, Server-Limit, Server-Leaving and Retry-After of each answer at its head, refusals, reports, orders and cache questions included (not of releases of KV caches, which name no process), into driver.Signals; package observer keeps them by process, logs each change and counts them, and the status page lists them. Malformed signals are counted and change nothing. No decision reads any of it yet. ForwardAnswer.Load and IsLeaving, which nobody read, are gone.

--- a/internal/dispatcher/forwarding.go
+++ b/internal/dispatcher/forwarding.go
@@ -179,7 +179,7 @@
 	case err == nil || errors.Is(err, errServerFault):
 		quarantine.RanWell(&p.identity)
 	case errors.Is(err, driver.ErrNobodyListens) || errors.Is(err, driver.ErrReplaced):
-		quarantine.Ended(quarantiner.Process{EndpointID: target.EndpointID, Incarnation: target.Incarnation})
+		quarantine.Ended(target.Process())
 	case errors.Is(err, driver.ErrOutcomeUnknown) && ctx.Err() == nil:
 		broken := quarantiner.Break{Request: &p.identity, Target: target, Took: time.Since(p.latest.sentAt)}
 		if !p.latest.firstAt.IsZero() {
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -45,17 +45,6 @@
 	// Body ends with io.EOF only where the answer is whole. Closing it earlier
 	// cancels the work at the endpoint.
 	Body io.ReadCloser
-	Load *EndpointLoad // nil: not told
-	// IsLeaving is true where the endpoint closes the connection after this
-	// answer; it may be about to leave.
-	IsLeaving bool
-}
-
-// EndpointLoad is what an endpoint said of its load with an answer.
-type EndpointLoad struct {
-	Running int
-	Waiting int
-	Slots   int
 }
 
 // RoleOrder tells an engine to change its role, in the name of the holder of a
@@ -95,6 +84,10 @@
 	Reach(ctx context.Context, target Target) error
 	// Inspect reads an engine's own view of itself.
 	Inspect(ctx context.Context, target Target) (Inspection, error)
+	// SetObserver sets who is told what endpoints say of themselves at the head of
+	// each answer, refusals included. It is called once, before any other method, and
+	// the observer must not block.
+	SetObserver(observe func(Observation))
 	// Close closes idle connections and waits for running calls to end.
 	Close() error
 }
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -129,6 +129,16 @@
 	m.set.GetOrCreateCounter(m.classMetric("endivemast_retries_total", class)).Inc()
 }
 
+// CountSignal counts an answer in which an endpoint said something of itself.
+func (m *Meter) CountSignal(signal string) {
+	m.set.GetOrCreateCounter(`endivemast_endpoint_signals_total{signal="` + signal + `"}`).Inc()
+}
+
+// CountMalformedSignal counts an answer with a signal that could not be read.
+func (m *Meter) CountMalformedSignal(signal string) {
+	m.set.GetOrCreateCounter(`endivemast_endpoint_signals_malformed_total{signal="` + signal + `"}`).Inc()
+}
+
 // CountAuthentication counts a request that carried an API key, or should have.
 func (m *Meter) CountAuthentication(outcome string) {
 	m.set.GetOrCreateCounter(`endivemast_authentications_total{outcome="` + outcome + `"}`).Inc()
--- /dev/null
+++ b/internal/observer/observer.go
@@ -0,0 +1,217 @@
+// Package observer keeps what endpoints say of themselves in their answers: the limit
+// on their requests, that they leave, and for how long they want none from this host.
+//
+// A statement belongs to one process of an endpoint and ends with it. That a process
+// leaves is never taken back. A limit holds until a later answer names another one, or
+// none; see reading.take for which answer is the later one.
+//
+// # Usage
+//
+//	o := observer.New(observer.Config{Clock: clock.Now, ...})
+//	drv.SetObserver(o.Observe)
+//	states := o.States()
+package observer
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+const (
+	// maxProcesses bounds the processes that are remembered, in some 200 bytes each.
+	maxProcesses = 4096
+	// keptFor is how long a process is remembered of which nothing is said any more. Its
+	// entry may come back by a late write meanwhile.
+	keptFor = 10 * time.Minute
+	// logEvery is the least time between two log lines of one kind about a process whose
+	// statement changes with each answer.
+	logEvery = time.Second
+)
+
+// Config sets up an Observer.
+type Config struct {
+	// Clock counts the host's sleep.
+	Clock  func() time.Time
+	Meter  Meter
+	Logger hclog.Logger
+}
+
+// Meter counts signals.
+type Meter interface {
+	CountSignal(signal string)
+	CountMalformedSignal(signal string)
+}
+
+// State is what a process has said of itself.
+type State struct {
+	Process   driver.Process
+	Limit     Limit
+	IsLeaving bool
+	RestUntil time.Time            // of this host; zero: it has asked for none
+	Load      *driver.EndpointLoad // nil: not said
+}
+
+// Limit is a bound on the requests that all hosts together may send a process. The
+// zero value is no bound.
+type Limit struct {
+	PerSecond float64
+	IsSet     bool
+}
+
+// Observer keeps the states. It is safe for concurrent use.
+type Observer struct {
+	cfg Config
+
+	mu      sync.Mutex
+	records map[driver.Process]*record
+}
+
+// record is a process's state with what orders its changes.
+type record struct {
+	limit     reading
+	isLeaving bool
+	restUntil time.Time
+	load      *driver.EndpointLoad
+	saidAt    time.Time // of the latest statement
+	loggedAt  map[driver.Signal]time.Time
+}
+
+// New makes an Observer without states.
+func New(cfg Config) *Observer {
+	return &Observer{cfg: cfg, records: map[driver.Process]*record{}}
+}
+
+// Observe takes in what an answer said.
+func (o *Observer) Observe(observation driver.Observation) {
+	now := o.cfg.Clock()
+	signals := &observation.Signals
+	o.count(signals)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.records[observation.Process]
+	if r == nil {
+		if !signals.HasLimit && !signals.IsLeaving && signals.Rest == 0 {
+			return
+		}
+		r = o.addLocked(observation.Process, now)
+	}
+	r.saidAt, r.load = now, signals.Load
+	if !slices.Contains(signals.Malformed, driver.SignalLimit) {
+		said := reading{
+			limit:  Limit{PerSecond: signals.LimitPerSecond, IsSet: signals.HasLimit},
+			sentAt: now.Add(-observation.Took), receivedAt: now,
+		}
+		o.takeLimitLocked(observation.Process, r, said)
+	}
+	if signals.IsLeaving {
+		o.takeLeavingLocked(observation.Process, r)
+	}
+	if signals.Rest > 0 {
+		o.takeRestLocked(observation.Process, r, now, signals.Rest)
+	}
+}
+
+func (o *Observer) count(signals *driver.Signals) {
+	for _, signal := range signals.Malformed {
+		o.cfg.Meter.CountMalformedSignal(string(signal))
+	}
+	for signal, isSaid := range map[driver.Signal]bool{
+		driver.SignalLimit: signals.HasLimit, driver.SignalLeaving: signals.IsLeaving, driver.SignalRest: signals.Rest > 0,
+	} {
+		if isSaid {
+			o.cfg.Meter.CountSignal(string(signal))
+		}
+	}
+}
+
+// addLocked makes a record, and drops the one of which nothing was said for longest
+// where there are too many.
+func (o *Observer) addLocked(process driver.Process, now time.Time) *record {
+	if len(o.records) >= maxProcesses {
+		var oldest driver.Process
+		at := now
+		for p, r := range o.records {
+			if !r.saidAt.After(at) {
+				oldest, at = p, r.saidAt
+			}
+		}
+		delete(o.records, oldest)
+	}
+	r := &record{saidAt: now, loggedAt: map[driver.Signal]time.Time{}}
+	o.records[process] = r
+	return r
+}
+
+func (o *Observer) takeLimitLocked(process driver.Process, r *record, said reading) {
+	before := r.limit.limit
+	if !r.limit.take(said) || r.limit.limit == before {
+		return
+	}
+	if o.mayLogLocked(r, driver.SignalLimit, said.receivedAt) || !r.limit.limit.IsSet {
+		o.cfg.Logger.Info("endpoint's limit changed", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation,
+			"limit_per_second", r.limit.limit.PerSecond, "is_limited", r.limit.limit.IsSet,
+			"limit_before", before.PerSecond, "was_limited", before.IsSet)
+	}
+}
+
+func (o *Observer) takeLeavingLocked(process driver.Process, r *record) {
+	if r.isLeaving {
+		return
+	}
+	r.isLeaving = true
+	o.cfg.Logger.Info("endpoint says in an answer that it leaves", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation)
+}
+
+func (o *Observer) takeRestLocked(process driver.Process, r *record, now time.Time, rest time.Duration) {
+	until := now.Add(rest)
+	if !until.After(r.restUntil) {
+		return
+	}
+	r.restUntil = until
+	if o.mayLogLocked(r, driver.SignalRest, now) {
+		o.cfg.Logger.Info("endpoint asks for rest", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation,
+			"rest_ms", rest.Milliseconds())
+	}
+}
+
+// mayLogLocked keeps the lines about statements that change with each answer few.
+func (o *Observer) mayLogLocked(r *record, signal driver.Signal, now time.Time) bool {
+	if now.Sub(r.loggedAt[signal]) < logEvery {
+		return false
+	}
+	r.loggedAt[signal] = now
+	return true
+}
+
+// Tick forgets processes of which nothing was said for long. It is to be called
+// several times a minute.
+func (o *Observer) Tick() {
+	now := o.cfg.Clock()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for process, r := range o.records {
+		if now.Sub(r.saidAt) > keptFor && now.After(r.restUntil) {
+			delete(o.records, process)
+		}
+	}
+}
+
+// States are those of all processes that have said something, by endpoint id.
+func (o *Observer) States() []State {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	states := make([]State, 0, len(o.records))
+	for process, r := range o.records {
+		states = append(states, State{
+			Process: process, Limit: r.limit.limit, IsLeaving: r.isLeaving, RestUntil: r.restUntil, Load: r.load,
+		})
+	}
+	slices.SortFunc(states, func(a, b State) int { return strings.Compare(a.Process.EndpointID, b.Process.EndpointID) })
+	return states
+}
--- /dev/null
+++ b/internal/observer/observer_test.go
@@ -0,0 +1,106 @@
+package observer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/driver"
+)
+
+// noMeter counts nothing.
+type noMeter struct{}
+
+func (noMeter) CountSignal(string)          {}
+func (noMeter) CountMalformedSignal(string) {}
+
+// fixture is an Observer on a clock that stands until it is moved.
+type fixture struct {
+	*Observer
+	now time.Time
+}
+
+func newFixture() *fixture {
+	f := &fixture{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	f.Observer = New(Config{Clock: func() time.Time { return f.now }, Meter: noMeter{}, Logger: hclog.NewNullLogger()})
+	return f
+}
+
+var process = driver.Process{EndpointID: "e1", Incarnation: "e1@1"}
+
+// said has an answer come now to a request sent so long ago.
+func (f *fixture) said(signals driver.Signals, took time.Duration) {
+	f.Observe(driver.Observation{Process: process, Signals: signals, Took: took})
+}
+
+func limited(n float64) driver.Signals { return driver.Signals{HasLimit: true, LimitPerSecond: n} }
+
+func TestLaterAnswerSetsTheLimit(t *testing.T) {
+	t.Parallel()
+	type answer struct {
+		signals        driver.Signals
+		sentAt, headAt time.Duration
+	}
+	named := func(n float64) Limit { return Limit{PerSecond: n, IsSet: true} }
+	for name, test := range map[string]struct {
+		answers []answer
+		want    Limit
+	}{
+		"named":                  {[]answer{{limited(7.6), 0, 10}}, named(7.6)},
+		"raised":                 {[]answer{{limited(7), 0, 10}, {limited(70), 11, 20}}, named(70)},
+		"ended":                  {[]answer{{limited(7), 0, 10}, {driver.Signals{}, 11, 20}}, Limit{}},
+		"malformed ends nothing": {[]answer{{limited(7), 0, 10}, {driver.Signals{Malformed: []driver.Signal{driver.SignalLimit}}, 11, 20}}, named(7)},
+		"overtaken by a named":   {[]answer{{limited(7), 5, 10}, {driver.Signals{}, 0, 20}}, named(7)},
+		"overtaken by a lower":   {[]answer{{limited(7), 5, 10}, {limited(70), 0, 20}}, named(7)},
+		"overlaps, lower":        {[]answer{{limited(70), 5, 10}, {limited(7), 0, 20}}, named(7)},
+		"overlaps, then later":   {[]answer{{limited(7), 5, 10}, {driver.Signals{}, 0, 20}, {driver.Signals{}, 11, 30}}, Limit{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture()
+			start := f.now
+			for _, a := range test.answers {
+				f.now = start.Add(a.headAt * time.Millisecond)
+				f.said(a.signals, (a.headAt-a.sentAt)*time.Millisecond)
+			}
+			assert.Equal(t, f.States()[0].Limit, test.want)
+		})
+	}
+}
+
+func TestProcessThatLeavesNeverComesBack(t *testing.T) {
+	t.Parallel()
+	f := newFixture()
+	f.said(driver.Signals{IsLeaving: true}, time.Millisecond)
+	f.now = f.now.Add(time.Minute)
+	f.said(driver.Signals{}, time.Millisecond)
+	assert.Assert(t, f.States()[0].IsLeaving)
+	assert.Equal(t, f.States()[0].Process, process)
+}
+
+func TestShorterRestDoesNotCutTheFirst(t *testing.T) {
+	t.Parallel()
+	f := newFixture()
+	until := f.now.Add(3 * time.Second)
+	f.said(driver.Signals{Rest: 3 * time.Second}, 0)
+	f.now = f.now.Add(time.Second)
+	f.said(driver.Signals{Rest: time.Second}, 0)
+	assert.Equal(t, f.States()[0].RestUntil, until)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	t.Parallel()
+	f := newFixture()
+	for n := range maxProcesses + 10 {
+		f.now = f.now.Add(time.Millisecond)
+		f.Observe(driver.Observation{
+			Process: driver.Process{EndpointID: "e", Incarnation: f.now.String()}, Signals: driver.Signals{IsLeaving: true},
+		})
+		assert.Assert(t, len(f.records) <= maxProcesses, "%d", n)
+	}
+	f.now = f.now.Add(keptFor + time.Second)
+	f.Tick()
+	assert.Equal(t, len(f.records), 0)
+}
--- /dev/null
+++ b/internal/observer/reading.go
@@ -0,0 +1,35 @@
+package observer
+
+import "time"
+
+// reading is a limit as an answer told it. The endpoint said so at some moment between
+// the request's send and the answer's head.
+type reading struct {
+	limit              Limit
+	sentAt, receivedAt time.Time
+}
+
+// take takes in another reading; false where the known one holds on.
+//
+// Answers overtake each other, so that the last to come need not be the latest. One
+// whose request was sent behind the known answer is later. Of two whose times overlap
+// the stricter one holds: the next answer tells.
+func (r *reading) take(said reading) bool {
+	switch {
+	case !said.sentAt.Before(r.receivedAt):
+	case !r.sentAt.Before(said.receivedAt):
+		return false
+	case said.limit == r.limit:
+		if said.receivedAt.Before(r.receivedAt) {
+			return false
+		}
+	case !said.limit.isStricter(r.limit):
+		return false
+	}
+	*r = said
+	return true
+}
+
+func (l Limit) isStricter(than Limit) bool {
+	return l.IsSet && (!than.IsSet || l.PerSecond < than.PerSecond)
+}
--- a/internal/quarantiner/judge.go
+++ b/internal/quarantiner/judge.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/endivemast/endivemast/internal/driver"
 )
 
 const (
@@ -51,10 +53,7 @@
 )
 
 // Process names a process of an endpoint.
-type Process struct {
-	EndpointID  string
-	Incarnation string
-}
+type Process = driver.Process
 
 // crash is the crash of a process, and the requests that had just begun there.
 type crash struct {
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -192,7 +192,7 @@
 		q.RanWell(b.Request)
 		return
 	}
-	process := Process{b.Target.EndpointID, b.Target.Incarnation}
+	process := b.Target.Process()
 	if q.cfg.IsLeaving(process) {
 		return
 	}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -321,7 +321,7 @@
 		}},
 		"it is found out too late": {then: func(q *Quarantiner) {
 			q.Tick(time.Unix(1000, 0).Add(pendingFor))
-			q.Ended(Process{"e1", "e1@1"})
+			q.Ended(Process{EndpointID: "e1", Incarnation: "e1@1"})
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -346,7 +346,7 @@
 			assert.NilError(t, q.group.Wait())
 			q.mu.Lock()
 			defer q.mu.Unlock()
-			e := q.table.crashes[Process{"e1", "e1@1"}]
+			e := q.table.crashes[Process{EndpointID: "e1", Incarnation: "e1@1"}]
 			assert.Equal(t, e != nil && len(e.runs) == 2, test.isEnded)
 		})
 	}
--- a/internal/quarantiner/words.go
+++ b/internal/quarantiner/words.go
@@ -79,7 +79,7 @@
 
 func (q *Quarantiner) hearLocked(word *exchanger.CrashUpdate, origin exchanger.Scope) {
 	if word.EndpointID != "" {
-		process := Process{word.EndpointID, word.Incarnation}
+		process := Process{EndpointID: word.EndpointID, Incarnation: word.Incarnation}
 		runs := make([]run, 0, len(word.Runs))
 		for _, r := range word.Runs {
 			runs = append(runs, run{name: Name(r.Name), key: key(r.Key), took: r.Took})
--- a/internal/quarantiner/words_test.go
+++ b/internal/quarantiner/words_test.go
@@ -67,7 +67,7 @@
 		f.clock.advance(time.Second)
 		target := driver.Target{EndpointID: fmt.Sprintf("e%d", n), Incarnation: "1"}
 		near.BrokeOff(Break{Request: letter("crashing"), Target: target, Took: shortRun})
-		near.Ended(Process{target.EndpointID, target.Incarnation})
+		near.Ended(target.Process())
 		pass()
 	}
 	for range len(ways) {
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/endivemast/endivemast/internal/leaser"
 	"github.com/endivemast/endivemast/internal/lister"
 	"github.com/endivemast/endivemast/internal/meter"
+	"github.com/endivemast/endivemast/internal/observer"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/provisioner"
 	"github.com/endivemast/endivemast/internal/quarantiner"
@@ -124,6 +125,7 @@
 	scheduler     *scheduler.Scheduler
 	forwarder     *dispatcher.Forwarder
 	quarantiner   *quarantiner.Quarantiner
+	observer      *observer.Observer
 	detector      *timekeeper.Detector
 	exchanger     *exchanger.Exchanger
 	registrar     *registrar.Registrar
@@ -174,6 +176,8 @@
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
 		Changed: g.setEndpoints, Logger: cfg.Logger.Named("lister"),
 	})
+	g.observer = observer.New(observer.Config{Clock: g.cfg.Clock.Now, Meter: g.meter, Logger: cfg.Logger.Named("observer")})
+	cfg.Driver.SetObserver(g.observer.Observe)
 	g.buildQuarantine()
 	g.buildAttester()
 	g.buildUsage()
@@ -285,6 +289,7 @@
 			g.accountant.Tick()
 			if now.Sub(lookedAt) >= askersEvery {
 				lookedAt = now
+				g.observer.Tick()
 				g.chooseAsked()
 			}
 		}
--- a/pkg/endivemast/gateway_status.go
+++ b/pkg/endivemast/gateway_status.go
@@ -19,9 +19,19 @@
 	ProofAgeMS           *int64 `json:"proof_age_ms,omitempty"` // of the configuration; absent: there is none
 	AcceptsKeys          bool   `json:"accepts_keys"`
 
-	HoldsAuthority bool          `json:"holds_authority"`
-	Usage          *usageStatus  `json:"usage,omitempty"`   // what this host has reported last
-	Engines        []orderStatus `json:"engines,omitempty"` // ordered last, as the holder knows
+	HoldsAuthority bool             `json:"holds_authority"`
+	Endpoints      []endpointStatus `json:"endpoints,omitempty"` // that have said something of themselves
+	Usage          *usageStatus     `json:"usage,omitempty"`     // what this host has reported last
+	Engines        []orderStatus    `json:"engines,omitempty"`   // ordered last, as the holder knows
+}
+
+// endpointStatus is what an endpoint has said of itself in its answers.
+type endpointStatus struct {
+	EndpointID     string   `json:"endpoint_id"`
+	Incarnation    string   `json:"incarnation"`
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"` // absent: it names none
+	IsLeaving      bool     `json:"is_leaving"`
+	RestMS         int64    `json:"rest_ms"` // that are left
 }
 
 type usageStatus struct {
@@ -52,6 +62,17 @@
 		ms := age.Milliseconds()
 		s.ProofAgeMS = &ms
 	}
+	now := g.cfg.Clock.Now()
+	for _, state := range g.observer.States() {
+		endpoint := endpointStatus{
+			EndpointID: state.Process.EndpointID, Incarnation: state.Process.Incarnation, IsLeaving: state.IsLeaving,
+			RestMS: max(state.RestUntil.Sub(now), 0).Milliseconds(),
+		}
+		if state.Limit.IsSet {
+			endpoint.LimitPerSecond = &state.Limit.PerSecond
+		}
+		s.Endpoints = append(s.Endpoints, endpoint)
+	}
 	if g.reporter != nil {
 		if last := g.reporter.Status(); !last.At.IsZero() {
 			s.Usage = &usageStatus{Window: last.Window, IsConfirmed: last.IsConfirmed, At: last.At, LastError: last.LastError}
