ratelimiter: hosts share an endpoint's limit by slots that one of them gives out

Equal parts waste what skewed callers want, and hundreds of buckets with one token each send at once.

--- a/internal/driver/signals.go
+++ b/internal/driver/signals.go
@@ -26,12 +26,9 @@
 
 // Signals are what an endpoint says of itself at the head of an answer.
 type Signals struct {
-	Load *EndpointLoad // nil: not said
-	// LimitPerSecond is how many requests a second the endpoint takes from all hosts
-	// together, where HasLimit is set.
-	LimitPerSecond float64
-	HasLimit       bool
-	IsLeaving      bool
+	Load      *EndpointLoad // nil: not said
+	Limit     Limit
+	IsLeaving bool
 	// Rest is for how long the endpoint wants no requests from this host; 0: not said.
 	Rest time.Duration
 	// Malformed are the signals that were there and could not be read. They neither
@@ -39,6 +36,13 @@
 	Malformed []Signal
 }
 
+// Limit bounds the requests a second that an endpoint takes from all hosts together.
+// The zero value is no bound.
+type Limit struct {
+	PerSecond float64
+	IsSet     bool
+}
+
 // EndpointLoad is what an endpoint said of its load with an answer.
 type EndpointLoad struct {
 	Running int
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -51,19 +51,12 @@
 // State is what a process has said of itself.
 type State struct {
 	Process   driver.Process
-	Limit     Limit
+	Limit     driver.Limit
 	IsLeaving bool
 	RestUntil time.Time            // of this host; zero: it has asked for none
 	Load      *driver.EndpointLoad // nil: not said
 }
 
-// Limit is a bound on the requests that all hosts together may send a process. The
-// zero value is no bound.
-type Limit struct {
-	PerSecond float64
-	IsSet     bool
-}
-
 // Observer keeps the states. It is safe for concurrent use.
 type Observer struct {
 	cfg Config
@@ -96,7 +89,7 @@
 	defer o.mu.Unlock()
 	r := o.records[observation.Process]
 	if r == nil {
-		if !signals.HasLimit && !signals.IsLeaving && signals.Rest == 0 {
+		if !signals.Limit.IsSet && !signals.IsLeaving && signals.Rest == 0 {
 			return
 		}
 		r = o.addLocked(observation.Process, now)
@@ -104,8 +97,7 @@
 	r.saidAt, r.load = now, signals.Load
 	if !slices.Contains(signals.Malformed, driver.SignalLimit) {
 		said := reading{
-			limit:  Limit{PerSecond: signals.LimitPerSecond, IsSet: signals.HasLimit},
-			sentAt: now.Add(-observation.Took), receivedAt: now,
+			limit: signals.Limit, sentAt: now.Add(-observation.Took), receivedAt: now,
 		}
 		o.takeLimitLocked(observation.Process, r, said)
 	}
@@ -122,7 +114,7 @@
 		o.cfg.Meter.CountMalformedSignal(string(signal))
 	}
 	for signal, isSaid := range map[driver.Signal]bool{
-		driver.SignalLimit: signals.HasLimit, driver.SignalLeaving: signals.IsLeaving, driver.SignalRest: signals.Rest > 0,
+		driver.SignalLimit: signals.Limit.IsSet, driver.SignalLeaving: signals.IsLeaving, driver.SignalRest: signals.Rest > 0,
 	} {
 		if isSaid {
 			o.cfg.Meter.CountSignal(string(signal))
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -35,7 +35,9 @@
 	f.Observe(driver.Observation{Process: process, Signals: signals, Took: took})
 }
 
-func limited(n float64) driver.Signals { return driver.Signals{HasLimit: true, LimitPerSecond: n} }
+func limited(n float64) driver.Signals {
+	return driver.Signals{Limit: driver.Limit{PerSecond: n, IsSet: true}}
+}
 
 func TestLaterAnswerSetsTheLimit(t *testing.T) {
 	t.Parallel()
@@ -43,19 +45,19 @@
 		signals        driver.Signals
 		sentAt, headAt time.Duration
 	}
-	named := func(n float64) Limit { return Limit{PerSecond: n, IsSet: true} }
+	named := func(n float64) driver.Limit { return driver.Limit{PerSecond: n, IsSet: true} }
 	for name, test := range map[string]struct {
 		answers []answer
-		want    Limit
+		want    driver.Limit
 	}{
 		"named":                  {[]answer{{limited(7.6), 0, 10}}, named(7.6)},
 		"raised":                 {[]answer{{limited(7), 0, 10}, {limited(70), 11, 20}}, named(70)},
-		"ended":                  {[]answer{{limited(7), 0, 10}, {driver.Signals{}, 11, 20}}, Limit{}},
+		"ended":                  {[]answer{{limited(7), 0, 10}, {driver.Signals{}, 11, 20}}, driver.Limit{}},
 		"malformed ends nothing": {[]answer{{limited(7), 0, 10}, {driver.Signals{Malformed: []driver.Signal{driver.SignalLimit}}, 11, 20}}, named(7)},
 		"overtaken by a named":   {[]answer{{limited(7), 5, 10}, {driver.Signals{}, 0, 20}}, named(7)},
 		"overtaken by a lower":   {[]answer{{limited(7), 5, 10}, {limited(70), 0, 20}}, named(7)},
 		"overlaps, lower":        {[]answer{{limited(70), 5, 10}, {limited(7), 0, 20}}, named(7)},
-		"overlaps, then later":   {[]answer{{limited(7), 5, 10}, {driver.Signals{}, 0, 20}, {driver.Signals{}, 11, 30}}, Limit{}},
+		"overlaps, then later":   {[]answer{{limited(7), 5, 10}, {driver.Signals{}, 0, 20}, {driver.Signals{}, 11, 30}}, driver.Limit{}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/observer/reading.go
+++ b/internal/observer/reading.go
@@ -1,11 +1,15 @@
 package observer
 
-import "time"
+import (
+	"time"
+
+	"github.com/endivemast/endivemast/internal/driver"
+)
 
 // reading is a limit as an answer told it. The endpoint said so at some moment between
 // the request's send and the answer's head.
 type reading struct {
-	limit              Limit
+	limit              driver.Limit
 	sentAt, receivedAt time.Time
 }
 
@@ -23,13 +27,13 @@
 		if said.receivedAt.Before(r.receivedAt) {
 			return false
 		}
-	case !said.limit.isStricter(r.limit):
+	case !isStricter(said.limit, r.limit):
 		return false
 	}
 	*r = said
 	return true
 }
 
-func (l Limit) isStricter(than Limit) bool {
+func isStricter(l, than driver.Limit) bool {
 	return l.IsSet && (!than.IsSet || l.PerSecond < than.PerSecond)
 }
--- /dev/null
+++ b/internal/ratelimiter/ratelimiter.go
@@ -0,0 +1,373 @@
+// Package ratelimiter has all hosts together keep to the limit that an endpoint names on
+// its requests.
+//
+// One host gives out the slots of a process, one for each request that it takes; the
+// others ask that one for as many as they have requests waiting, and send no request
+// without one. A slot that is not used in time is lost. So no host has to know how many
+// others there are or what they want, and one that is cut off, frozen or gone can send no
+// more than it was given.
+//
+// Which host that is follows from a hash of the process and the hosts. Where hosts differ
+// for a moment about who is there, two may give out slots; slots are short, and a host
+// that hears less than half of the others gives out none.
+//
+// # Usage
+//
+//	l := ratelimiter.New(ratelimiter.Config{...})
+//	l.Register(ex.Registrar())
+//	l.SetLimit(process, driver.Limit{PerSecond: 7.6, IsSet: true})
+//	if !l.HasSlot(process) { l.Want(process, waiting) } // Refill follows
+//	slot, ok := l.Take(process)
+//	isLeave := l.Renew(process, &slot) // when it is sent
+package ratelimiter
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/ratelimiter/ratelimiterpb"
+	"github.com/endivemast/endivemast/internal/timekeeper"
+)
+
+const (
+	// askTimeout bounds an ask for slots.
+	askTimeout = 300 * time.Millisecond
+	// maxAsked is how many hosts are asked, one after the other, before an ask counts as
+	// unanswered.
+	maxAsked = 3
+	// shunned is for how long a host is not asked that has not answered, or does not give
+	// out the slots.
+	shunned = 500 * time.Millisecond
+	// maxCount bounds the slots that an ask may want.
+	maxCount = 1 << 16
+)
+
+var errRefused = errors.New("host does not give out the slots")
+
+// Config sets up a Limiter.
+type Config struct {
+	HostID string
+	// Hosts are those that may give out slots, this one included.
+	Hosts func() []Host
+	Conn  func(hostID string) (grpc.ClientConnInterface, error)
+	// Refill is told that a slot of a process can be used from now on.
+	Refill func(process driver.Process)
+	// Clock counts the host's sleep.
+	Clock  func() time.Time
+	Logger hclog.Logger
+}
+
+// Limiter keeps this host's requests to limited endpoints within its slots, and gives out
+// those of others. It is safe for concurrent use.
+type Limiter struct {
+	ratelimiterpb.UnimplementedRateLimiterServer
+
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  errgroup.Group
+
+	limits atomic.Int64 // processes with a limit
+
+	mu       sync.Mutex
+	demands  map[driver.Process]*demand
+	allotter allotter
+	shunned  map[string]time.Time // hosts that are not asked until then
+	quorum   quorum
+	isClosed bool
+}
+
+// New makes a Limiter that knows no limit.
+func New(cfg Config) *Limiter {
+	l := &Limiter{
+		cfg: cfg, demands: map[driver.Process]*demand{}, shunned: map[string]time.Time{},
+		allotter: allotter{buckets: map[driver.Process]*bucket{}},
+	}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	return l
+}
+
+// Register serves the other hosts on the peer protocol's server.
+func (l *Limiter) Register(registrar grpc.ServiceRegistrar) {
+	ratelimiterpb.RegisterRateLimiterServer(registrar, l)
+}
+
+// Close ends all asks and waits for them.
+func (l *Limiter) Close() error {
+	l.mu.Lock()
+	l.isClosed = true
+	l.mu.Unlock()
+	l.cancel()
+	return l.group.Wait()
+}
+
+// Tick looks which hosts are heard. It is to be called several times a second.
+func (l *Limiter) Tick() { l.settled() }
+
+// settled are the hosts, of which those count as heard that have been for a while.
+func (l *Limiter) settled() []Host {
+	hosts, now := l.cfg.Hosts(), l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.quorum.settle(l.cfg.HostID, hosts, now)
+}
+
+// Woke takes in that this host was away. What it then reads from others may be of before.
+func (l *Limiter) Woke() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quorum = quorum{}
+}
+
+// SetLimit takes in what a process says of its limit.
+func (l *Limiter) SetLimit(process driver.Process, limit driver.Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.demands[process]
+	switch {
+	case !limit.IsSet || limit.PerSecond >= maxRate:
+		delete(l.demands, process)
+	case d == nil:
+		l.demands[process] = &demand{perSecond: limit.PerSecond}
+	default:
+		d.limit(limit.PerSecond)
+	}
+	l.limits.Store(int64(len(l.demands)))
+}
+
+// Limit is the limit of a process; ok is false where it has none. Rate is 0 while no
+// host answers that gives out its slots.
+func (l *Limiter) Limit(process driver.Process) (rate float64, ok bool) {
+	if l.limits.Load() == 0 {
+		return 0, false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.demands[process]
+	if d == nil {
+		return 0, false
+	}
+	if d.isStarved {
+		return 0, true
+	}
+	return rateOf(d.perSecond), true
+}
+
+// HasSlot is true where a request may be sent to a process now.
+func (l *Limiter) HasSlot(process driver.Process) bool {
+	if l.limits.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.demands[process]
+	return d == nil || d.has(l.cfg.Clock())
+}
+
+// Take uses up a slot. It is the zero Slot where there is none.
+func (l *Limiter) Take(process driver.Process) (slot Slot) {
+	if l.limits.Load() == 0 {
+		return slot
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d := l.demands[process]; d != nil {
+		slot, _ = d.take(l.cfg.Clock())
+	}
+	return slot
+}
+
+// Renew says whether a request may be sent with a slot that was taken before. One that
+// has passed is replaced where there is another.
+func (l *Limiter) Renew(process driver.Process, slot *Slot) bool {
+	if l.limits.Load() == 0 {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d, now := l.demands[process], l.cfg.Clock()
+	if d == nil || slot.isValid(now) {
+		return true
+	}
+	taken, ok := d.take(now)
+	if ok {
+		*slot = taken
+	}
+	return ok
+}
+
+// Want says how many requests wait for slots of a process. It does not block; Refill is
+// called for each slot.
+func (l *Limiter) Want(process driver.Process, count int) {
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.demands[process]
+	if d == nil || l.isClosed {
+		return
+	}
+	d.want(count, now)
+	l.startLocked(process, d, now)
+}
+
+// startLocked asks for what is wanted, unless that is under way.
+func (l *Limiter) startLocked(process driver.Process, d *demand, now time.Time) {
+	count := d.nextAsk(now)
+	if count == 0 {
+		return
+	}
+	d.isAsking = true
+	perSecond := d.perSecond
+	l.group.Go(func() error {
+		l.ask(process, perSecond, count)
+		return nil
+	})
+}
+
+// ask gets slots and has them used as they begin.
+func (l *Limiter) ask(process driver.Process, perSecond float64, count int) {
+	sentAt, reply, err := l.askHosts(process, perSecond, count)
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	d := l.demands[process]
+	if d == nil {
+		l.mu.Unlock()
+		return
+	}
+	if err != nil {
+		if !d.isStarved {
+			l.cfg.Logger.Warn("no host gives out an endpoint's slots", "endpoint_id", process.EndpointID,
+				"incarnation", process.Incarnation, "limit_per_second", perSecond, "error", err)
+		}
+		d.miss(now)
+		l.mu.Unlock()
+		return
+	}
+	if d.isStarved {
+		l.cfg.Logger.Info("an endpoint's slots are given out again", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation)
+	}
+	delays := make([]time.Duration, 0, len(reply.GetDelaysUs()))
+	for _, us := range reply.GetDelaysUs()[:min(len(reply.GetDelaysUs()), count)] {
+		delays = append(delays, time.Duration(min(max(us, 0), time.Minute.Microseconds()))*time.Microsecond)
+	}
+	pause := min(time.Duration(max(reply.GetPauseUs(), 0))*time.Microsecond, maxPause)
+	d.receive(delays, pause, sentAt, now)
+	l.mu.Unlock()
+	l.cfg.Logger.Debug("slots of a limited endpoint", "endpoint_id", process.EndpointID, "limit_per_second", perSecond,
+		"wanted", count, "given", len(delays), "pause_ms", pause.Milliseconds(), "took_ms", now.Sub(sentAt).Milliseconds())
+	l.refill(process, delays)
+}
+
+// refill has slots used as they begin, and asks for more where more is wanted by then.
+func (l *Limiter) refill(process driver.Process, delays []time.Duration) {
+	begun := time.Now()
+	for _, delay := range delays {
+		if !sleep(l.ctx, delay-time.Since(begun)) {
+			return
+		}
+		l.cfg.Refill(process)
+	}
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d := l.demands[process]; d != nil && !l.isClosed {
+		l.startLocked(process, d, now)
+	}
+}
+
+// sleep waits; false where ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// askHosts asks the host that gives out a process's slots, and those that would next
+// where it does not answer.
+func (l *Limiter) askHosts(process driver.Process, perSecond float64, count int) (sentAt time.Time, reply *ratelimiterpb.AllotReply, err error) {
+	request := &ratelimiterpb.AllotRequest{
+		EndpointId: process.EndpointID, Incarnation: process.Incarnation, PerSecond: perSecond, Count: int64(count),
+	}
+	err = errRefused
+	for _, hostID := range l.candidates(process) {
+		sentAt = l.cfg.Clock()
+		if reply, err = l.askHost(hostID, request); err == nil && reply.GetIsRefused() {
+			err = errRefused
+		}
+		if err == nil || l.ctx.Err() != nil {
+			break
+		}
+		l.mu.Lock()
+		l.shunned[hostID] = l.cfg.Clock().Add(shunned)
+		l.mu.Unlock()
+	}
+	return sentAt, reply, err
+}
+
+// candidates are the hosts to ask, in order.
+func (l *Limiter) candidates(process driver.Process) (ids []string) {
+	ranked := rank(process, l.cfg.Hosts())
+	now := l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for hostID, until := range l.shunned {
+		if !now.Before(until) {
+			delete(l.shunned, hostID)
+		}
+	}
+	for _, h := range ranked {
+		if _, isShunned := l.shunned[h.HostID]; !isShunned && !h.IsSilent && !h.IsDraining && len(ids) < maxAsked {
+			ids = append(ids, h.HostID)
+		}
+	}
+	return ids
+}
+
+func (l *Limiter) askHost(hostID string, request *ratelimiterpb.AllotRequest) (*ratelimiterpb.AllotReply, error) {
+	if hostID == l.cfg.HostID {
+		return l.Allot(l.ctx, request)
+	}
+	ctx, cancel := timekeeper.WithTimeout(l.ctx, askTimeout)
+	defer cancel()
+	conn, err := l.cfg.Conn(hostID)
+	if err != nil {
+		return nil, err
+	}
+	return ratelimiterpb.NewRateLimiterClient(conn).Allot(ctx, request)
+}
+
+// Allot implements ratelimiterpb.RateLimiterServer.
+func (l *Limiter) Allot(_ context.Context, request *ratelimiterpb.AllotRequest) (*ratelimiterpb.AllotReply, error) {
+	process := driver.Process{EndpointID: request.GetEndpointId(), Incarnation: request.GetIncarnation()}
+	if !isOwner(l.cfg.HostID, process, l.settled()) {
+		return &ratelimiterpb.AllotReply{IsRefused: true}, nil
+	}
+	perSecond, now := request.GetPerSecond(), l.cfg.Clock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d := l.demands[process]; d != nil {
+		perSecond = d.perSecond
+	}
+	delays, pause := l.allotter.allot(process, perSecond, int(min(max(request.GetCount(), 1), maxCount)), now)
+	reply := &ratelimiterpb.AllotReply{PauseUs: pause.Microseconds()}
+	for _, delay := range delays {
+		reply.DelaysUs = append(reply.DelaysUs, delay.Microseconds())
+	}
+	return reply, nil
+}
