An endpoint's limit is kept by all hosts together

Callers saw nothing; two engines in need got 94 and 115 requests in 4 s, three seconds after they had named limits that allow 51 and 72.

Change: package observer tells the ratelimiter each change of a limit, and the other hosts too, by the updates that hosts send each other; a limit holds until a later answer names another or none. The router passes over a limited endpoint while this host has no slot for it, with first sends, retries, resumed streams, separate readings of prompts, probes and early probes alike, and asks for slots: as many as requests wait for, and for a part of the other requests, so that hosts hear when the limit ends. A grant whose slot has passed while a connection was opened or the prompt was read is not sent (driver.ErrNotWanted, which neither excludes the endpoint nor counts as its failure). The capacity that admission works with counts a limited endpoint for as many requests as it takes.

--- a/internal/dispatcher/forwarding.go
+++ b/internal/dispatcher/forwarding.go
@@ -27,7 +27,8 @@
 var (
 	errTimeout = errors.New("time for the request is over")
 	errTooLong = errors.New("answer is too long")
-	// errLeft is an endpoint that has left since it was chosen.
+	// errLeft is an endpoint that has left since it was chosen, or for which the slot of
+	// this request has passed.
 	errLeft = errors.New("endpoint no longer takes work")
 	// errServerFault is an answer with which an endpoint reports a fault of its own.
 	errServerFault = errors.New("endpoint reported a fault of its own")
@@ -162,7 +163,7 @@
 	p.noteFate(ctx, grant.Target(), err)
 	grant.Done(p.result(ctx, err))
 	if err != nil {
-		p.excluded = append(p.excluded, grant.Target().EndpointID)
+		p.exclude(grant.Target(), err)
 		p.forwarder.requestLog.attempted(p, grant, "send", err)
 	}
 	if p.tookHandle(err) {
@@ -171,6 +172,14 @@
 	return err
 }
 
+// exclude keeps the request from an endpoint that has failed it. One to which nothing was
+// sent since it takes no more work for now may take the request later.
+func (p *forwarding) exclude(target driver.Target, err error) {
+	if !errors.Is(err, driver.ErrNotWanted) {
+		p.excluded = append(p.excluded, target.EndpointID)
+	}
+}
+
 // noteFate has the quarantine know how a call to an endpoint ended: whether the
 // endpoint's process lives, and whether it has run this request.
 func (p *forwarding) noteFate(ctx context.Context, target driver.Target, err error) {
@@ -218,7 +227,7 @@
 		return scheduler.Completed{End: driver.End{OutputTokens: p.events, ReusedTokens: -1}}
 	case errors.Is(err, errServerFault):
 		return scheduler.Completed{}
-	case ctx.Err() != nil || errors.Is(err, errCallerGone):
+	case ctx.Err() != nil || errors.Is(err, errCallerGone) || errors.Is(err, driver.ErrNotWanted):
 		return scheduler.Abandoned{}
 	default:
 		return scheduler.Broken{Err: err}
@@ -246,12 +255,15 @@
 		p.handle, p.handleAt = &handle, time.Now()
 		return nil
 	}
+	p.forwarder.requestLog.attempted(p, grant, "prefill", err)
+	if errors.Is(err, driver.ErrNotWanted) {
+		return err
+	}
 	if ctx.Err() == nil {
 		grant.Prefilled(err)
 	}
 	p.noteFate(ctx, target, err)
-	p.excluded = append(p.excluded, target.EndpointID)
-	p.forwarder.requestLog.attempted(p, grant, "prefill", err)
+	p.exclude(target, err)
 	// The prompt was read at most; the request has not run.
 	return fmt.Errorf("%w: %w", driver.ErrRefused, err)
 }
@@ -271,7 +283,7 @@
 // send sends the request and passes the answer on.
 func (p *forwarding) send(ctx context.Context, grant scheduler.Grant) error {
 	if !grant.IsCurrent() {
-		return fmt.Errorf("%w: %w", driver.ErrNotSent, errLeft)
+		return fmt.Errorf("%w: %w", driver.ErrNotWanted, errLeft)
 	}
 	if p.timeLeft() <= 0 {
 		return fmt.Errorf("%w: %w", driver.ErrNotSent, errTimeout)
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -38,6 +38,9 @@
 	// ErrNobodyListens is an ErrNotSent where the host answers that no process
 	// has the address: the endpoint's process has ended.
 	ErrNobodyListens = fmt.Errorf("%w: nobody listens at the address", ErrNotSent)
+	// ErrNotWanted is an ErrNotSent of a call that was no longer wanted once a
+	// connection was open. It says nothing of the endpoint.
+	ErrNotWanted = fmt.Errorf("%w: no longer wanted", ErrNotSent)
 	// ErrRefused says that the endpoint answered that it did not run the call
 	// (busy, draining or not serving this application).
 	ErrRefused = errors.New("endpoint refused the call")
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -87,6 +87,8 @@
 	Clock   func() time.Time
 	// Attestations are given with each answer to a peer's message; nil: none are.
 	Attestations Attestations
+	// Signals are sent and received like caches; nil: nothing of the kind is.
+	Signals Signals
 	// Usage is sent to hubs, and between them; nil: nothing of the kind is.
 	Usage Usage
 	// UpdatesPerSecond bounds the messages with load to all peers together, by a
--- a/internal/exchanger/layout.go
+++ b/internal/exchanger/layout.go
@@ -130,3 +130,18 @@
 	}
 	return hosts
 }
+
+// Hubs are the hubs as this host sees them, itself among them where it is one. Where no
+// zone is large they are all hosts.
+func (ex *Exchanger) Hubs() (hubs []PeerStatus) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for hostID := range ex.layout.hubs {
+		status := PeerStatus{Peer: Peer{HostID: hostID}}
+		if row := ex.states[hostID]; row != nil {
+			status = row.status
+		}
+		hubs = append(hubs, status)
+	}
+	return hubs
+}
--- a/internal/exchanger/peerstate.go
+++ b/internal/exchanger/peerstate.go
@@ -50,6 +50,9 @@
 	if ex.cfg.Usage != nil && len(message.GetUsage()) > 0 {
 		ex.cfg.Usage.Merge(usageFromMessage(message.GetUsage()), isOwnZone)
 	}
+	if ex.cfg.Signals != nil && len(message.GetSignals()) > 0 {
+		ex.cfg.Signals.Merge(signalsFromMessage(message.GetSignals(), ex.cfg.Clock()), isOwnZone)
+	}
 	reply.Attestation = ex.attestation()
 	if !reply.Resync && source != "" {
 		ex.local.TakeLoad(source, hosts, loads, now)
--- a/internal/exchanger/publisher.go
+++ b/internal/exchanger/publisher.go
@@ -22,6 +22,7 @@
 	caches   logCursor[CacheUpdate]
 	crashes  logCursor[CrashUpdate]
 	usage    logCursor[UsageUpdate]
+	signals  logCursor[SignalUpdate]
 }
 
 // ownLoad keeps this host's load for all tellers of a tick. To collect it the
@@ -101,6 +102,7 @@
 		row.caches.restart()
 		row.crashes.restart()
 		row.usage.restart()
+		row.signals.restart()
 	} else if part == exchangerpb.Part_PART_NONE && time.Since(row.sentAt) < ex.heartbeat()/2 {
 		return
 	}
@@ -112,8 +114,9 @@
 	message := row.message(update.loads)
 	row.idle++
 	cacheUpdates, crashUpdates := ex.nextUpdates(row)
-	usage := ex.nextUsage(row, peer)
-	if !row.isDue(message, len(update.leaving)) && len(cacheUpdates) == 0 && len(crashUpdates) == 0 && len(usage) == 0 {
+	usage, signals := ex.nextUsage(row, peer), ex.nextSignals(row)
+	hasUpdates := len(cacheUpdates) > 0 || len(crashUpdates) > 0 || len(usage) > 0 || len(signals) > 0
+	if !row.isDue(message, len(update.leaving)) && !hasUpdates {
 		return
 	}
 	message.HostId, message.Incarnation, message.Zone = ex.cfg.HostID, ex.cfg.Incarnation, ex.cfg.Zone
@@ -121,6 +124,7 @@
 	message.Leaving = leavingToMessage(update.leaving)
 	message.Caches, message.Crashes = cachesToMessage(cacheUpdates), crashesToMessage(crashUpdates, ex.cfg.Clock())
 	message.Usage, message.WantsUsage = usageToMessage(usage), ex.cfg.Usage != nil && ex.cfg.Usage.IsWanted()
+	message.Signals = signalsToMessage(signals, ex.cfg.Clock())
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
@@ -134,6 +138,7 @@
 		row.caches.settle(len(cacheUpdates), reply.GetIncarnation())
 		row.crashes.settle(len(crashUpdates), reply.GetIncarnation())
 		row.usage.settle(len(usage), reply.GetIncarnation())
+		row.signals.settle(len(signals), reply.GetIncarnation())
 		ex.takeAttestation(reply.GetAttestation(), sent)
 	}
 }
@@ -149,6 +154,14 @@
 	return caches, crashes
 }
 
+// nextSignals are the updates about endpoints' signals of a peer's next message.
+func (ex *Exchanger) nextSignals(row *publisher) []SignalUpdate {
+	if ex.cfg.Signals == nil {
+		return nil
+	}
+	return row.signals.next(ex.cfg.Signals, row.part, maxSignals, oneSignal)
+}
+
 // isDue is false where a message would say nothing new and the peer has received
 // from this host a moment ago.
 func (t *publisher) isDue(message *exchangerpb.PeerUpdate, leaving int) bool {
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -9,6 +9,7 @@
 //
 //	o := observer.New(observer.Config{Clock: clock.Now, ...})
 //	drv.SetObserver(o.Observe)
+//	ex, err := exchanger.New(exchanger.Config{Signals: o, ...}, local)
 //	states := o.States()
 package observer
 
@@ -21,6 +22,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/exchanger"
 )
 
 const (
@@ -32,14 +34,20 @@
 	// logEvery is the least time between two log lines of one kind about a process whose
 	// statement changes with each answer.
 	logEvery = time.Second
+	// logLength is how many updates are kept for peers; one that is further behind is sent
+	// all that is known.
+	logLength = 1024
 )
 
 // Config sets up an Observer.
 type Config struct {
 	// Clock counts the host's sleep.
-	Clock  func() time.Time
-	Meter  Meter
-	Logger hclog.Logger
+	Clock func() time.Time
+	Meter Meter
+	// LimitChanged is told each change of a process's limit, in order. It must not block,
+	// nor call the Observer.
+	LimitChanged func(process driver.Process, limit driver.Limit)
+	Logger       hclog.Logger
 }
 
 // Meter counts signals.
@@ -63,6 +71,7 @@
 
 	mu      sync.Mutex
 	records map[driver.Process]*record
+	log     exchanger.UpdateLog[exchanger.SignalUpdate]
 }
 
 // record is a process's state with what orders its changes.
@@ -77,7 +86,9 @@
 
 // New makes an Observer without states.
 func New(cfg Config) *Observer {
-	return &Observer{cfg: cfg, records: map[driver.Process]*record{}}
+	return &Observer{
+		cfg: cfg, records: map[driver.Process]*record{}, log: exchanger.NewUpdateLog[exchanger.SignalUpdate](logLength),
+	}
 }
 
 // Observe takes in what an answer said.
@@ -99,7 +110,7 @@
 		said := reading{
 			limit: signals.Limit, sentAt: now.Add(-observation.Took), receivedAt: now,
 		}
-		o.takeLimitLocked(observation.Process, r, said)
+		o.takeLimitLocked(observation.Process, r, said, exchanger.ScopeOwn)
 	}
 	if signals.IsLeaving {
 		o.takeLeavingLocked(observation.Process, r)
@@ -133,22 +144,24 @@
 				oldest, at = p, r.saidAt
 			}
 		}
-		delete(o.records, oldest)
+		o.forgetLocked(oldest)
 	}
 	r := &record{saidAt: now, loggedAt: map[driver.Signal]time.Time{}}
 	o.records[process] = r
 	return r
 }
 
-func (o *Observer) takeLimitLocked(process driver.Process, r *record, said reading) {
+func (o *Observer) takeLimitLocked(process driver.Process, r *record, said reading, origin exchanger.Scope) {
 	before := r.limit.limit
 	if !r.limit.take(said) || r.limit.limit == before {
 		return
 	}
+	o.cfg.LimitChanged(process, r.limit.limit)
+	o.log.Add(r.update(process), origin)
 	if o.mayLogLocked(r, driver.SignalLimit, said.receivedAt) || !r.limit.limit.IsSet {
 		o.cfg.Logger.Info("endpoint's limit changed", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation,
 			"limit_per_second", r.limit.limit.PerSecond, "is_limited", r.limit.limit.IsSet,
-			"limit_before", before.PerSecond, "was_limited", before.IsSet)
+			"limit_before", before.PerSecond, "was_limited", before.IsSet, "by_peer", origin != exchanger.ScopeOwn)
 	}
 }
 
@@ -189,11 +202,18 @@
 	defer o.mu.Unlock()
 	for process, r := range o.records {
 		if now.Sub(r.saidAt) > keptFor && now.After(r.restUntil) {
-			delete(o.records, process)
+			o.forgetLocked(process)
 		}
 	}
 }
 
+func (o *Observer) forgetLocked(process driver.Process) {
+	if o.records[process].limit.limit.IsSet {
+		o.cfg.LimitChanged(process, driver.Limit{})
+	}
+	delete(o.records, process)
+}
+
 // States are those of all processes that have said something, by endpoint id.
 func (o *Observer) States() []State {
 	o.mu.Lock()
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -74,6 +74,9 @@
 	// others, where they take long enough to read to be kept to few engines. It
 	// must not call the Scheduler; nil: nobody is told.
 	SharesPrefix func(parts []Part)
+	// Limiter keeps requests to endpoints that name a limit within this host's slots; nil:
+	// no endpoint names one.
+	Limiter Limiter
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 	// Seed makes random choices repeatable in tests; 0: a random seed.
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -7,6 +7,7 @@
 
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/ratelimiter"
 	"github.com/endivemast/endivemast/internal/scheduler/admitter"
 	"github.com/endivemast/endivemast/internal/scheduler/estimator"
 	"github.com/endivemast/endivemast/internal/scheduler/router"
@@ -29,6 +30,9 @@
 	targets  targets
 	basis    Basis
 
+	// decodeSlot and prefillSlot are the slots of endpoints that name a limit.
+	decodeSlot, prefillSlot ratelimiter.Slot
+
 	// isProbe and isPrefillProbe say that the use probes an endpoint set aside.
 	isProbe, isPrefillProbe bool
 
@@ -87,9 +91,11 @@
 	}
 	g.basis.PrefillID = g.targets.prefill.EndpointID
 	g.isProbe = choice.Decode.Breaker.Take(now)
+	g.decodeSlot = s.cfg.Limiter.Take(choice.Decode.Target.Process())
 	if choice.Prefill != nil {
 		g.prefillLoad = tracker.Load{Requests: 1, PrefillTokens: choice.PrefillTokens}
 		g.isPrefillProbe = choice.Prefill.Breaker.Take(now)
+		g.prefillSlot = s.cfg.Limiter.Take(choice.Prefill.Target.Process())
 		choice.Prefill.Give(g.prefillLoad)
 		choice.Prefill.Cache.Expect(work.PrefixParts)
 		s.tellShared(work, choice)
@@ -140,14 +146,15 @@
 func (g *grant) IsCurrent() bool {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
-	return g.choice.Decode.TakesNewWork()
+	return g.choice.Decode.TakesNewWork() && g.s.cfg.Limiter.Renew(g.targets.decode.Process(), &g.decodeSlot)
 }
 
 // IsPrefillCurrent implements Grant.
 func (g *grant) IsPrefillCurrent() bool {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
-	return g.choice.Prefill != nil && g.choice.Prefill.TakesNewWork()
+	return g.choice.Prefill != nil && g.choice.Prefill.TakesNewWork() &&
+		g.s.cfg.Limiter.Renew(g.targets.prefill.Process(), &g.prefillSlot)
 }
 
 // Basis implements Grant.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -168,6 +168,7 @@
 		Excluded:     work.Excluded,
 		IsRead:       work.IsRead,
 		IgnoreLimits: item.IsStarted || s.cfg.Policy.Admission == AdmitAll,
+		HasSlot:      s.cfg.Limiter.HasSlot,
 		Now:          now,
 	}
 	if target := work.Class.FirstTokenTarget(); target > 0 && !item.IsStarted {
@@ -182,9 +183,11 @@
 		query.ProbesEarly = true
 		choice, verdict = s.router.Choose(application, &query)
 	}
+	s.wantSlots(application, &verdict)
 	if verdict.Kind != router.Chosen {
 		return nil, verdict
 	}
+	application.ObserveCost(item.Cost)
 	g := s.newGrant(work, &choice, w.expected, item.LatestStart, now)
 	if len(work.Excluded) == 0 && !item.IsStarted {
 		s.class(work).Served++
--- a/internal/scheduler/router/baseline.go
+++ b/internal/scheduler/router/baseline.go
@@ -22,7 +22,7 @@
 		choice.reuse(application, q, choice.Prefill)
 		choice.Ahead = choice.Prefill.Total().PrefillTokens
 	}
-	return choice, Verdict{Kind: Chosen}
+	return choice, verdict.chosen()
 }
 
 func (r *Router) pick(
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -16,7 +16,7 @@
 ) (Choice, Verdict) {
 	if q.IsRead {
 		if decode, ok := bestDecode(application, q, endpoints, Choice{Course: CourseRead}, &verdict); ok {
-			return decode, Verdict{Kind: Chosen}
+			return decode, verdict.chosen()
 		}
 		return single, verdict
 	}
@@ -30,7 +30,7 @@
 	if !ok || single.Decode != nil && single.score <= pair.score {
 		return single, verdict
 	}
-	return pair, Verdict{Kind: Chosen}
+	return pair, verdict.chosen()
 }
 
 // hasReader is true where some engine that only prefills takes work, though it
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/scheduler/estimator"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
@@ -72,7 +73,10 @@
 	IgnoreLimits bool
 	// ProbesEarly lets the work on at endpoints that are set aside and still take work.
 	ProbesEarly bool
-	Now         time.Time
+	// HasSlot is false for a process that names a limit on its requests while this host
+	// may send it none; nil: none names one.
+	HasSlot func(process driver.Process) bool
+	Now     time.Time
 }
 
 // Course is by which way a prompt gets to the engine that decodes, for the log.
@@ -116,6 +120,8 @@
 type Verdict struct {
 	Kind  VerdictKind
 	Until time.Time // of SetAside: when the first may be probed
+	// Limited are the endpoints that were passed over for want of a slot.
+	Limited []*tracker.Endpoint
 }
 
 // Router chooses. It is not safe for concurrent use.
@@ -223,7 +229,7 @@
 		return false
 	}
 	if endpoint.Breaker.Allows(q.Now) || q.ProbesEarly && endpoint.Breaker.AllowsEarly() {
-		return true
+		return v.hasSlot(endpoint, q)
 	}
 	v.note(SetAside)
 	if v.Until.IsZero() || endpoint.Breaker.Until.Before(v.Until) {
@@ -232,6 +238,21 @@
 	return false
 }
 
+// hasSlot is true where the endpoint names no limit, or this host has a slot of it.
+func (v *Verdict) hasSlot(endpoint *tracker.Endpoint, q *Query) bool {
+	if q.HasSlot == nil || q.HasSlot(endpoint.Target.Process()) {
+		return true
+	}
+	v.note(Busy)
+	if !slices.Contains(v.Limited, endpoint) {
+		v.Limited = append(v.Limited, endpoint)
+	}
+	return false
+}
+
+// chosen is the verdict where an endpoint was found.
+func (v *Verdict) chosen() Verdict { return Verdict{Kind: Chosen, Limited: v.Limited} }
+
 func (v *Verdict) note(kind VerdictKind) { v.Kind = min(v.Kind, kind) }
 
 // isFull is true where more work would wait at the endpoint and not here.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -67,8 +67,11 @@
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
+	if cfg.Limiter == nil {
+		cfg.Limiter = unlimited{}
+	}
 	source := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15))
-	return &Scheduler{
+	s := &Scheduler{
 		cfg:    cfg,
 		logger: cfg.Logger,
 		now:    cfg.Now,
@@ -78,6 +81,8 @@
 		queues: make(map[string]*queue),
 		losses: make(map[Loss]time.Time),
 	}
+	s.table.LimitOf = cfg.Limiter.Limit
+	return s
 }
 
 // Close refuses all work that waits and any that comes, and returns when the
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -50,7 +50,7 @@
 	}
 	peers := t.PeerHosts()
 	for _, application := range t.Applications {
-		application.Summary = application.summary(peers, now)
+		application.Summary = t.summary(application, peers, now)
 		if u := uses[application.Name]; u.count > 1 {
 			application.Summary.FairUse = u.sum / float64(u.count) * tenantShareSlack
 		}
@@ -89,12 +89,25 @@
 	}
 }
 
+// capacity is the engine seconds a second that an endpoint gives. One that names a limit
+// gives what that many requests take.
+func (t *Table) capacity(a *Application, endpoint *Endpoint) float64 {
+	speed := 1 / endpoint.Speed
+	if t.LimitOf == nil || a.Cost <= 0 {
+		return speed
+	}
+	if rate, ok := t.LimitOf(endpoint.Target.Process()); ok {
+		return min(speed, rate*a.Cost)
+	}
+	return speed
+}
+
 // summary counts the usable endpoints. This host's part of their capacity is
 // that of one of equal hosts, since the platform's balancer spreads callers
 // evenly. Its part of the work in flight would be the wrong measure: a host
 // that has refused a little more than others would then believe that it has
 // less capacity, refuse more, and end with nearly none.
-func (a *Application) summary(peers int, now time.Time) (s Summary) {
+func (t *Table) summary(a *Application, peers int, now time.Time) (s Summary) {
 	s.Peers = peers
 	requests, ahead, own, others := 0, 0, 0, 0
 	var speed float64
@@ -107,7 +120,7 @@
 			continue
 		}
 		s.Usable++
-		speed += 1 / endpoint.Speed
+		speed += t.capacity(a, endpoint)
 		own += endpoint.Own.Requests
 		others += endpoint.Peers.Requests
 		total := endpoint.Total()
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -24,6 +24,8 @@
 	Use      Use       // of engines with separate roles
 	SplitAt  time.Time // when the split between them was changed last
 	Summary  Summary
+	// Cost is what a request costs in the mean, in engine seconds; 0: not seen yet.
+	Cost float64
 	// TokenRatio is how many prompt tokens engines count for each that the
 	// dispatcher estimates from the prompt's bytes; 0: not seen yet.
 	TokenRatio float64
@@ -32,7 +34,19 @@
 	RoleChanges []time.Time
 }
 
-const tokenRatioFade = 0.95
+const (
+	tokenRatioFade = 0.95
+	costFade       = 0.95
+)
+
+// ObserveCost takes in the cost of a request.
+func (a *Application) ObserveCost(cost time.Duration) {
+	if a.Cost <= 0 {
+		a.Cost = cost.Seconds()
+		return
+	}
+	a.Cost = a.Cost*costFade + cost.Seconds()*(1-costFade)
+}
 
 // Tokens corrects an estimate of prompt tokens.
 func (a *Application) Tokens(estimated int) int {
@@ -89,6 +103,9 @@
 	Classes      map[ClassKey]*Class
 	Tenants      map[TenantKey]*Tenant
 	Peers        map[string]Peer
+	// LimitOf is how many requests a second a process takes from all hosts; ok is false
+	// where it names no limit. Nil: none does.
+	LimitOf func(process driver.Process) (rate float64, ok bool)
 }
 
 // NewTable returns empty tables for a host in the zone.
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -48,8 +48,9 @@
 	Fetch() (target driver.Target, ok bool)
 	// Priority is what the engine is to be told; higher goes first.
 	Priority() int
-	// IsCurrent is false where Target no longer takes work, though it did when it
-	// was granted: the prompt may have been read for a second since.
+	// IsCurrent is false where Target no longer takes this work, though it did when it
+	// was granted: it leaves, or has named a limit and this host has no slot left. The
+	// prompt may have been read for a second since.
 	IsCurrent() bool
 	// IsPrefillCurrent is the same for the engine of Prefill.
 	IsPrefillCurrent() bool
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -29,6 +29,7 @@
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/provisioner"
 	"github.com/endivemast/endivemast/internal/quarantiner"
+	"github.com/endivemast/endivemast/internal/ratelimiter"
 	"github.com/endivemast/endivemast/internal/rebalancer"
 	"github.com/endivemast/endivemast/internal/registrar"
 	"github.com/endivemast/endivemast/internal/relayer"
@@ -126,6 +127,7 @@
 	forwarder     *dispatcher.Forwarder
 	quarantiner   *quarantiner.Quarantiner
 	observer      *observer.Observer
+	limiter       *ratelimiter.Limiter
 	detector      *timekeeper.Detector
 	exchanger     *exchanger.Exchanger
 	registrar     *registrar.Registrar
@@ -168,16 +170,15 @@
 	g.meter = meter.New(meter.Config{})
 	g.caches = cachesharer.New(cachesharer.Config{Changed: g.takeCacheEvents, Logger: cfg.Logger.Named("cachesharer")})
 	g.cacheWatcher = cachewatcher.New(cachewatcher.Config{Driver: cfg.Driver, Changed: g.caches.TakeEvents, Logger: cfg.Logger.Named("cachewatcher")})
+	g.buildSignals()
 	g.scheduler = scheduler.New(scheduler.Config{
 		HostID: cfg.HostID, Zone: cfg.Zone, Configuration: g.classifier, Logger: cfg.Logger.Named("scheduler"),
-		Policy: cfg.policy(), SharesPrefix: g.caches.NoteShared,
+		Policy: cfg.policy(), SharesPrefix: g.caches.NoteShared, Limiter: g.limiter,
 	})
 	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
 		Changed: g.setEndpoints, Logger: cfg.Logger.Named("lister"),
 	})
-	g.observer = observer.New(observer.Config{Clock: g.cfg.Clock.Now, Meter: g.meter, Logger: cfg.Logger.Named("observer")})
-	cfg.Driver.SetObserver(g.observer.Observe)
 	g.buildQuarantine()
 	g.buildAttester()
 	g.buildUsage()
@@ -284,6 +285,7 @@
 		case now := <-ticker.C:
 			g.look()
 			g.registrations.Tick(now)
+			g.limiter.Tick()
 			g.scheduler.Tick(now)
 			g.quarantiner.Tick(g.cfg.Clock.Now())
 			g.accountant.Tick()
@@ -387,7 +389,7 @@
 	cancel()
 	g.cancel()
 	return errors.Join(ignoreCanceled(g.callers.Close(now)), ignoreCanceled(g.readiness.Close(now)),
-		g.scheduler.Close(), g.forwarder.Close(), g.quarantiner.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(), g.cacheWatcher.Close(),
+		g.scheduler.Close(), g.forwarder.Close(), g.quarantiner.Close(), g.limiter.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(), g.cacheWatcher.Close(),
 		g.relayer.Close(), g.exchanger.Close(), g.cfg.Driver.Close())
 }
 
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -30,7 +30,7 @@
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, IsOpen: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
 		Listener:       listener, Tick: peersTick, UpdatesPerSecond: updatesPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
-		Attestations: g.attester, Usage: g.usage(), Clock: g.cfg.Clock.Now,
+		Attestations: g.attester, Usage: g.usage(), Signals: g.observer, Clock: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
 	if err != nil {
@@ -48,6 +48,7 @@
 		Statuses: g.exchanger.Statuses, Logger: g.cfg.Logger.Named("relayer"),
 	})
 	g.relayer.Register(g.exchanger.Registrar())
+	g.limiter.Register(g.exchanger.Registrar())
 	return nil
 }
 
--- /dev/null
+++ b/pkg/endivemast/gateway_signals.go
@@ -0,0 +1,46 @@
+package endivemast
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/observer"
+	"github.com/endivemast/endivemast/internal/ratelimiter"
+)
+
+// What endpoints say of themselves in their answers, and what a Gateway's host does about
+// it.
+
+func (g *Gateway) buildSignals() {
+	g.limiter = ratelimiter.New(ratelimiter.Config{
+		HostID: g.cfg.HostID, Hosts: g.limiterHosts, Refill: g.refill, Clock: g.cfg.Clock.Now,
+		Conn:   func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
+		Logger: g.cfg.Logger.Named("ratelimiter"),
+	})
+	g.observer = observer.New(observer.Config{
+		Clock: g.cfg.Clock.Now, Meter: g.meter, LimitChanged: g.limiter.SetLimit, Logger: g.cfg.Logger.Named("observer"),
+	})
+	g.cfg.Driver.SetObserver(g.observer.Observe)
+}
+
+func (g *Gateway) refill(process driver.Process) { g.scheduler.Refill(process, time.Now()) }
+
+// limiterHosts are the hosts that may give out the slots of limited endpoints: the hubs,
+// who hear each other.
+func (g *Gateway) limiterHosts() (hosts []ratelimiter.Host) {
+	now := time.Now()
+	for _, hub := range g.exchanger.Hubs() {
+		if hub.Peer.HostID == g.cfg.HostID {
+			hosts = append(hosts, ratelimiter.Host{HostID: hub.Peer.HostID, IsHeard: true, IsDraining: g.draining.Load()})
+			continue
+		}
+		hosts = append(hosts, ratelimiter.Host{
+			HostID: hub.Peer.HostID, IsDraining: hub.Draining,
+			IsHeard:  hub.Reachable && now.Sub(hub.LastUpdate) <= ratelimiter.HeardWithin,
+			IsSilent: !hub.Reachable && !hub.LastUpdate.IsZero(),
+		})
+	}
+	return hosts
+}
