A process that says in its answers that it leaves gets no requests any more

A host that had passed on an answer with Server-Leaving sent requests to that endpoint 2.1 s later; 2.0 are allowed.

Cause: the header was read nowhere (hypothesis 1; 2 and 3 struck out). The store was away for all hosts from 34.6 to 47.5 s, so that neither the list nor peers who read it could say so; only the answers could.

Peers get it with the updates about signals. The provisioner no longer counts such a process.

--- a/internal/exchanger/signals.go
+++ b/internal/exchanger/signals.go
@@ -18,6 +18,7 @@
 	// SentAt and ReceivedAt are when the request of that answer was sent and the
 	// answer's head was received. A peer's count from the arrival of its message.
 	SentAt, ReceivedAt time.Time
+	IsLeaving          bool
 }
 
 // Signals is what this host knows of endpoints by their answers, as the Exchanger sends
@@ -37,6 +38,7 @@
 			EndpointId: update.Process.EndpointID, Incarnation: update.Process.Incarnation,
 			HasLimit: update.Limit.IsSet, LimitPerSecond: update.Limit.PerSecond,
 			SentAgeUs: now.Sub(update.SentAt).Microseconds(), ReceivedAgeUs: now.Sub(update.ReceivedAt).Microseconds(),
+			IsLeaving: update.IsLeaving,
 		})
 	}
 	return messages
@@ -53,7 +55,7 @@
 		updates = append(updates, SignalUpdate{
 			Process: driver.Process{EndpointID: m.GetEndpointId(), Incarnation: m.GetIncarnation()},
 			Limit:   driver.Limit{PerSecond: max(m.GetLimitPerSecond(), 0), IsSet: m.GetHasLimit()},
-			SentAt:  sent, ReceivedAt: received,
+			SentAt:  sent, ReceivedAt: received, IsLeaving: m.GetIsLeaving(),
 		})
 	}
 	return updates
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/provider"
 )
@@ -46,6 +47,9 @@
 	// DrainTime is how long an endpoint serves on after its entry says that it
 	// leaves, or is gone.
 	DrainTime time.Duration
+	// HasLeft is true for a process that has itself said that it leaves, whatever its entry
+	// says; nil: none has.
+	HasLeft func(process driver.Process) bool
 	// Changed is told the list after each change.
 	Changed func(hosts []provider.Host, now time.Time)
 	Logger  hclog.Logger
@@ -73,6 +77,9 @@
 
 // NewRegistrations makes an empty list.
 func NewRegistrations(cfg RegistrationsConfig) *Registrations {
+	if cfg.HasLeft == nil {
+		cfg.HasLeft = func(driver.Process) bool { return false }
+	}
 	return &Registrations{
 		cfg: cfg, hosts: map[string]provider.Host{}, missing: map[string]time.Time{},
 		gone: map[string]goneHost{}, spoilt: map[string]bool{},
@@ -248,7 +255,7 @@
 		return
 	}
 	until := now
-	if host.State == provider.HostLive {
+	if host.State == provider.HostLive && !r.hasLeft(&host) {
 		until = now.Add(time.Duration(float64(r.cfg.DrainTime) * removalShare))
 		if back := r.regained.Add(returnHold); back.After(until) && back.Before(now.Add(r.cfg.DrainTime)) {
 			until = back
@@ -264,7 +271,7 @@
 	defer r.mu.Unlock()
 	hosts = make([]provider.Host, 0, len(r.hosts))
 	for _, host := range r.hosts {
-		if r.changing[host.ID] || r.spoilt[host.ID] || r.isHeard(&host) {
+		if r.changing[host.ID] || r.spoilt[host.ID] || r.isHeard(&host) || r.hasLeft(&host) {
 			host.State = provider.HostLeaving
 		}
 		hosts = append(hosts, host)
@@ -278,11 +285,23 @@
 	return ok && word.incarnation == host.Incarnation
 }
 
-// Find returns an endpoint as it has registered itself.
+// hasLeft is true where the process has said in its answers that it leaves.
+func (r *Registrations) hasLeft(host *provider.Host) bool {
+	return r.cfg.HasLeft(driver.Process{EndpointID: host.ID, Incarnation: host.Incarnation})
+}
+
+// Refresh has the list made anew: some process has said that it leaves.
+func (r *Registrations) Refresh() { r.publish(time.Now()) }
+
+// Find returns an endpoint as it has registered itself, or as leaving where it has said so
+// itself.
 func (r *Registrations) Find(id string) (host provider.Host, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	host, ok = r.hosts[id]
+	if ok && r.hasLeft(&host) {
+		host.State = provider.HostLeaving
+	}
 	return host, ok
 }
 
@@ -293,7 +312,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, host := range r.hosts {
-		if _, isMissing := r.missing[id]; !isMissing && host.State == provider.HostLive {
+		if _, isMissing := r.missing[id]; !isMissing && host.State == provider.HostLive && !r.hasLeft(&host) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/provider"
 )
@@ -148,3 +149,27 @@
 		})
 	}
 }
+
+// A process that has said in an answer that it leaves stays so whatever is written of it later.
+func TestLateEntryDoesNotReviveAProcessThatSaysItLeaves(t *testing.T) {
+	t.Parallel()
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	left := map[string]bool{}
+	var state provider.HostState
+	r := NewRegistrations(RegistrationsConfig{
+		Prefix: "s/", Decode: decodeHost, DrainTime: 2 * time.Second, Logger: hclog.NewNullLogger(),
+		HasLeft: func(process driver.Process) bool { return left[process.Incarnation] },
+		Changed: func(hosts []provider.Host, _ time.Time) { state = hosts[0].State },
+	})
+	first := word(t, 1000, 1, provider.HostLive)
+	r.Apply(first, start)
+	host, _ := r.Find("e1")
+	left[host.Incarnation] = true
+	r.Refresh()
+	assert.Equal(t, state, provider.HostLeaving)
+	r.Apply(word(t, 1000, 9, provider.HostLive), start)
+	assert.Equal(t, state, provider.HostLeaving)
+	assert.Equal(t, len(r.Registered()), 0)
+	r.Apply(word(t, 2000, 1, provider.HostLive), start)
+	assert.Equal(t, state, provider.HostLive, "another process has the id")
+}
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -28,8 +28,8 @@
 const (
 	// maxProcesses bounds the processes that are remembered, in some 200 bytes each.
 	maxProcesses = 4096
-	// keptFor is how long a process is remembered of which nothing is said any more. Its
-	// entry may come back by a late write meanwhile.
+	// keptFor is how long a process is remembered that is not listed and of which nothing is
+	// said any more. Its entry may come back by a late write meanwhile.
 	keptFor = 10 * time.Minute
 	// logEvery is the least time between two log lines of one kind about a process whose
 	// statement changes with each answer.
@@ -47,7 +47,9 @@
 	// LimitChanged is told each change of a process's limit, in order. It must not block,
 	// nor call the Observer.
 	LimitChanged func(process driver.Process, limit driver.Limit)
-	Logger       hclog.Logger
+	// Leaves is told that a process leaves. It may call the Observer.
+	Leaves func()
+	Logger hclog.Logger
 }
 
 // Meter counts signals.
@@ -71,6 +73,7 @@
 
 	mu      sync.Mutex
 	records map[driver.Process]*record
+	listed  map[driver.Process]bool
 	log     exchanger.UpdateLog[exchanger.SignalUpdate]
 }
 
@@ -93,15 +96,22 @@
 
 // Observe takes in what an answer said.
 func (o *Observer) Observe(observation driver.Observation) {
-	now := o.cfg.Clock()
-	signals := &observation.Signals
-	o.count(signals)
+	o.count(&observation.Signals)
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	leaves := o.observeLocked(&observation, o.cfg.Clock())
+	o.mu.Unlock()
+	if leaves {
+		o.cfg.Leaves()
+	}
+}
+
+// observeLocked is true where the process leaves, which was not known.
+func (o *Observer) observeLocked(observation *driver.Observation, now time.Time) (leaves bool) {
+	signals := &observation.Signals
 	r := o.records[observation.Process]
 	if r == nil {
 		if !signals.Limit.IsSet && !signals.IsLeaving && signals.Rest == 0 {
-			return
+			return false
 		}
 		r = o.addLocked(observation.Process, now)
 	}
@@ -112,12 +122,10 @@
 		}
 		o.takeLimitLocked(observation.Process, r, said, exchanger.ScopeOwn)
 	}
-	if signals.IsLeaving {
-		o.takeLeavingLocked(observation.Process, r)
-	}
 	if signals.Rest > 0 {
 		o.takeRestLocked(observation.Process, r, now, signals.Rest)
 	}
+	return signals.IsLeaving && o.takeLeavingLocked(observation.Process, r, exchanger.ScopeOwn)
 }
 
 func (o *Observer) count(signals *driver.Signals) {
@@ -165,12 +173,32 @@
 	}
 }
 
-func (o *Observer) takeLeavingLocked(process driver.Process, r *record) {
+// takeLeavingLocked is true where that was not known.
+func (o *Observer) takeLeavingLocked(process driver.Process, r *record, origin exchanger.Scope) bool {
 	if r.isLeaving {
-		return
+		return false
 	}
 	r.isLeaving = true
-	o.cfg.Logger.Info("endpoint says in an answer that it leaves", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation)
+	o.log.Add(r.update(process), origin)
+	o.cfg.Logger.Info("endpoint says in an answer that it leaves", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation,
+		"by_peer", origin != exchanger.ScopeOwn)
+	return true
+}
+
+// HasLeft is true for a process that has said that it leaves.
+func (o *Observer) HasLeft(process driver.Process) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r := o.records[process]
+	return r != nil && r.isLeaving
+}
+
+// SetListed takes the processes that the platform lists. What they have said is kept for
+// as long as they are.
+func (o *Observer) SetListed(listed map[driver.Process]bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.listed = listed
 }
 
 func (o *Observer) takeRestLocked(process driver.Process, r *record, now time.Time, rest time.Duration) {
@@ -201,7 +229,10 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for process, r := range o.records {
-		if now.Sub(r.saidAt) > keptFor && now.After(r.restUntil) {
+		switch {
+		case o.listed[process]:
+			r.saidAt = now
+		case now.Sub(r.saidAt) > keptFor && now.After(r.restUntil):
 			o.forgetLocked(process)
 		}
 	}
--- a/internal/observer/updates.go
+++ b/internal/observer/updates.go
@@ -16,6 +16,7 @@
 func (r *record) update(process driver.Process) exchanger.SignalUpdate {
 	return exchanger.SignalUpdate{
 		Process: process, Limit: r.limit.limit, SentAt: r.limit.sentAt, ReceivedAt: r.limit.receivedAt,
+		IsLeaving: r.isLeaving,
 	}
 }
 
@@ -28,7 +29,7 @@
 	}
 	// All that is known, of whichever host: who has sent it first may be gone by now.
 	for process, r := range o.records {
-		if !r.limit.receivedAt.IsZero() {
+		if r.isLeaving || !r.limit.receivedAt.IsZero() {
 			updates = append(updates, r.update(process))
 		}
 	}
@@ -41,27 +42,34 @@
 	if isOwnZone {
 		origin = exchanger.ScopeZone
 	}
-	now := o.cfg.Clock()
+	leaves := false
 	o.mu.Lock()
-	defer o.mu.Unlock()
+	now := o.cfg.Clock()
 	for i := range updates {
-		o.mergeLocked(&updates[i], now, origin)
+		leaves = o.mergeLocked(&updates[i], now, origin) || leaves
+	}
+	o.mu.Unlock()
+	if leaves {
+		o.cfg.Leaves()
 	}
 }
 
-func (o *Observer) mergeLocked(update *exchanger.SignalUpdate, now time.Time, origin exchanger.Scope) {
+// mergeLocked is true where the process leaves, which was not known.
+func (o *Observer) mergeLocked(update *exchanger.SignalUpdate, now time.Time, origin exchanger.Scope) (leaves bool) {
 	r := o.records[update.Process]
 	if r == nil {
-		if !update.Limit.IsSet {
-			return
+		if !update.Limit.IsSet && !update.IsLeaving {
+			return false
 		}
 		r = o.addLocked(update.Process, now)
 	}
+	leaves = update.IsLeaving && o.takeLeavingLocked(update.Process, r, origin)
 	said := reading{limit: update.Limit, sentAt: update.SentAt, receivedAt: update.ReceivedAt}
 	isRelaxing := said.limit != r.limit.limit && !isStricter(said.limit, r.limit.limit)
 	if isRelaxing && said.sentAt.Before(r.limit.receivedAt.Add(relaxMargin)) {
-		return
+		return leaves
 	}
 	r.saidAt = now
 	o.takeLimitLocked(update.Process, r, said, origin)
+	return leaves
 }
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -177,7 +177,7 @@
 	})
 	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
-		Changed: g.setEndpoints, Logger: cfg.Logger.Named("lister"),
+		HasLeft: g.observer.HasLeft, Changed: g.setEndpoints, Logger: cfg.Logger.Named("lister"),
 	})
 	g.buildQuarantine()
 	g.buildAttester()
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -20,7 +20,8 @@
 		Logger: g.cfg.Logger.Named("ratelimiter"),
 	})
 	g.observer = observer.New(observer.Config{
-		Clock: g.cfg.Clock.Now, Meter: g.meter, LimitChanged: g.limiter.SetLimit, Logger: g.cfg.Logger.Named("observer"),
+		Clock: g.cfg.Clock.Now, Meter: g.meter, LimitChanged: g.limiter.SetLimit,
+		Leaves: func() { g.registrations.Refresh() }, Logger: g.cfg.Logger.Named("observer"),
 	})
 	g.cfg.Driver.SetObserver(g.observer.Observe)
 }
