An endpoint that asks a host for rest gets no requests from it until the end of that time

An engine answered 503 with Retry-After: 3 and got three requests from the same host within these 3 s; two are allowed.

Cause: the engine's Retry-After was read nowhere. The breaker's pause is its own, 250 ms times 0.5 to 1.5 that doubles, which makes some three probes in 3 s, and one request went on to the next resting engine within 4 ms (hypothesis 1; 2 is another way to the same, through Reached and early probes, and is closed by the same change; 3 struck out).

The router passes over a resting endpoint before it looks at the breaker, so that neither probes nor early probes, retries, resumed streams nor readings of prompts go there; a grant that waits for a connection is asked again. Where all endpoints of an application rest, requests are refused at once with the time that is left, spread over a quarter more; work of which a caller has a part waits. Questions about caches pause too. Peers are not told: the endpoint asks one host.

--- a/internal/cachewatcher/cachewatcher.go
+++ b/internal/cachewatcher/cachewatcher.go
@@ -38,7 +38,10 @@
 	// Changed takes the events of one engine's process. IsWhole says that it is all
 	// that the engine keeps, and not what has changed.
 	Changed func(target driver.Target, events driver.CacheEvents, isWhole bool)
-	Logger  hclog.Logger
+	// RestLeft is for how much longer a process wants nothing from this host; nil: none
+	// has asked for rest.
+	RestLeft func(process driver.Process) time.Duration
+	Logger   hclog.Logger
 }
 
 // Watcher watches engines' caches. It is safe for concurrent use.
@@ -55,6 +58,9 @@
 
 // New makes a Watcher that watches nothing yet.
 func New(cfg Config) *Watcher {
+	if cfg.RestLeft == nil {
+		cfg.RestLeft = func(driver.Process) time.Duration { return 0 }
+	}
 	w := &Watcher{cfg: cfg, watched: map[driver.Target]context.CancelFunc{}}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
@@ -103,6 +109,10 @@
 func (w *Watcher) watch(ctx context.Context, target driver.Target) error {
 	var state progress
 	for ctx.Err() == nil {
+		if left := w.cfg.RestLeft(target.Process()); left > 0 {
+			sleep(ctx, left)
+			continue
+		}
 		pause := newsPause
 		if err := w.ask(ctx, target, &state); err != nil && ctx.Err() == nil {
 			w.cfg.Logger.Debug("no events of an engine's cache", "endpoint_id", target.EndpointID, "error", err)
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -71,6 +72,8 @@
 type Observer struct {
 	cfg Config
 
+	restsTo atomic.Int64 // when the last rest ends, in nanoseconds since 1970
+
 	mu      sync.Mutex
 	records map[driver.Process]*record
 	listed  map[driver.Process]bool
@@ -185,6 +188,20 @@
 	return true
 }
 
+// RestLeft is for how much longer a process wants nothing from this host.
+func (o *Observer) RestLeft(process driver.Process) time.Duration {
+	now := o.cfg.Clock()
+	if now.UnixNano() >= o.restsTo.Load() {
+		return 0
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if r := o.records[process]; r != nil {
+		return max(r.restUntil.Sub(now), 0)
+	}
+	return 0
+}
+
 // HasLeft is true for a process that has said that it leaves.
 func (o *Observer) HasLeft(process driver.Process) bool {
 	o.mu.Lock()
@@ -207,6 +224,7 @@
 		return
 	}
 	r.restUntil = until
+	o.restsTo.Store(max(o.restsTo.Load(), until.UnixNano()))
 	if o.mayLogLocked(r, driver.SignalRest, now) {
 		o.cfg.Logger.Info("endpoint asks for rest", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation,
 			"rest_ms", rest.Milliseconds())
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -7,6 +7,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/scheduler/planner"
 	"github.com/endivemast/endivemast/internal/scheduler/router"
 )
@@ -77,6 +78,9 @@
 	// Limiter keeps requests to endpoints that name a limit within this host's slots; nil:
 	// no endpoint names one.
 	Limiter Limiter
+	// RestLeft is for how much longer an endpoint's process wants nothing from this host;
+	// it must not call the Scheduler. Nil: none has asked for rest.
+	RestLeft func(process driver.Process) time.Duration
 	// Now is the clock; nil: time.Now.
 	Now func() time.Time
 	// Seed makes random choices repeatable in tests; 0: a random seed.
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -146,15 +146,20 @@
 func (g *grant) IsCurrent() bool {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
-	return g.choice.Decode.TakesNewWork() && g.s.cfg.Limiter.Renew(g.targets.decode.Process(), &g.decodeSlot)
+	return g.s.isCurrent(g.choice.Decode, &g.decodeSlot)
 }
 
 // IsPrefillCurrent implements Grant.
 func (g *grant) IsPrefillCurrent() bool {
 	g.s.mu.Lock()
 	defer g.s.mu.Unlock()
-	return g.choice.Prefill != nil && g.choice.Prefill.TakesNewWork() &&
-		g.s.cfg.Limiter.Renew(g.targets.prefill.Process(), &g.prefillSlot)
+	return g.choice.Prefill != nil && g.s.isCurrent(g.choice.Prefill, &g.prefillSlot)
+}
+
+// isCurrent is true where an endpoint may be sent what it was given a moment ago.
+func (s *Scheduler) isCurrent(endpoint *tracker.Endpoint, slot *ratelimiter.Slot) bool {
+	process := endpoint.Target.Process()
+	return endpoint.TakesNewWork() && s.cfg.RestLeft(process) <= 0 && s.cfg.Limiter.Renew(process, slot)
 }
 
 // Basis implements Grant.
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -19,6 +19,8 @@
 	// retryWithoutEndpoint is when to come back while nothing serves the
 	// application: the platform's list and the engines' roles move in seconds.
 	retryWithoutEndpoint = time.Second
+	// restSpread of the rest that is left is over how much more time callers come back.
+	restSpread = 0.25
 	// waitMargin is by how much more than its estimate a wait has to fit. What
 	// comes later may go before what waits, and costs and capacity are
 	// estimates. Without it work waited for more than a second of a target of
@@ -112,7 +114,7 @@
 			return nil, outcome{grant: g}
 		}
 	}
-	if refused, ok := refuseUnreachable(work, verdict, &item, now); ok {
+	if refused, ok := s.refuseUnreachable(work, &verdict, &item, now); ok {
 		s.logRefusal(q, w, refused.refusal)
 		return nil, refused
 	}
@@ -136,7 +138,7 @@
 }
 
 // refuseUnreachable refuses work that has nowhere to wait for.
-func refuseUnreachable(work *Work, verdict router.Verdict, item *admitter.Item, now time.Time) (outcome, bool) {
+func (s *Scheduler) refuseUnreachable(work *Work, verdict *router.Verdict, item *admitter.Item, now time.Time) (outcome, bool) {
 	switch verdict.Kind {
 	case router.None:
 		return refusal(ReasonNoEndpoint, retryWithoutEndpoint), true
@@ -145,11 +147,27 @@
 			return outcome{}, false
 		}
 		return refusal(ReasonNoEndpoint, max(verdict.Until.Sub(now), time.Millisecond)), true
+	case router.Resting:
+		if item.IsStarted && (!work.isRetry() || verdict.Until.Before(item.GiveUp)) {
+			return outcome{}, false
+		}
+		return refusal(ReasonResting, s.afterRest(verdict, now)), true
 	default:
 		return outcome{}, false
 	}
 }
 
+// afterRest is when callers may come back while endpoints rest. They come back one after
+// the other.
+func (s *Scheduler) afterRest(verdict *router.Verdict, now time.Time) time.Duration {
+	left := max(verdict.Until.Sub(now), time.Millisecond)
+	left += time.Duration(float64(left) * restSpread * s.rand.Float64())
+	if verdict.HasExcluded {
+		return min(left, retryWithoutEndpoint)
+	}
+	return left
+}
+
 // try gives work an endpoint if there is one now. A retry for which all endpoints are
 // set aside for longer than it is of use probes one of them early: else its caller is
 // told that it may have run.
@@ -169,6 +187,7 @@
 		IsRead:       work.IsRead,
 		IgnoreLimits: item.IsStarted || s.cfg.Policy.Admission == AdmitAll,
 		HasSlot:      s.cfg.Limiter.HasSlot,
+		RestLeft:     s.cfg.RestLeft,
 		Now:          now,
 	}
 	if target := work.Class.FirstTokenTarget(); target > 0 && !item.IsStarted {
@@ -334,7 +353,7 @@
 			w.outcome <- outcome{grant: g}
 			continue
 		}
-		if refused, ok := refuseUnreachable(&w.work, verdict, &q.items[position], now); ok {
+		if refused, ok := s.refuseUnreachable(&w.work, &verdict, &q.items[position], now); ok {
 			s.take(q, position)
 			s.logRefusal(q, w, refused.refusal)
 			w.outcome <- refused
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -134,5 +134,5 @@
 
 // isReachable is true where the engine takes work of this request now.
 func isReachable(endpoint *tracker.Endpoint, q *Query) bool {
-	return endpoint.TakesNewWork() && endpoint.Breaker.Allows(q.Now) && !slices.Contains(q.Excluded, endpoint.Target.EndpointID)
+	return endpoint.TakesNewWork() && q.restLeft(endpoint) <= 0 && endpoint.Breaker.Allows(q.Now) && !slices.Contains(q.Excluded, endpoint.Target.EndpointID)
 }
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -76,7 +76,10 @@
 	// HasSlot is false for a process that names a limit on its requests while this host
 	// may send it none; nil: none names one.
 	HasSlot func(process driver.Process) bool
-	Now     time.Time
+	// RestLeft is for how much longer a process wants nothing from this host; nil: none
+	// has asked for rest.
+	RestLeft func(process driver.Process) time.Duration
+	Now      time.Time
 }
 
 // Course is by which way a prompt gets to the engine that decodes, for the log.
@@ -113,13 +116,16 @@
 	Chosen   VerdictKind = iota
 	Busy                 // endpoints would serve, but all are full
 	SetAside             // only endpoints that are set aside for failures
+	Resting              // only endpoints that have asked for rest
 	None                 // no endpoint
 )
 
 // Verdict is the outcome of Choose.
 type Verdict struct {
 	Kind  VerdictKind
-	Until time.Time // of SetAside: when the first may be probed
+	Until time.Time // of SetAside: when the first may be probed; of Resting: when the first rest ends
+	// HasExcluded says that an endpoint takes work and is excluded for this work alone.
+	HasExcluded bool
 	// Limited are the endpoints that were passed over for want of a slot.
 	Limited []*tracker.Endpoint
 }
@@ -225,19 +231,42 @@
 // usable is true where the endpoint may be considered; otherwise the verdict
 // learns why not.
 func (v *Verdict) usable(endpoint *tracker.Endpoint, q *Query) bool {
-	if !endpoint.TakesNewWork() || slices.Contains(q.Excluded, endpoint.Target.EndpointID) {
+	if !endpoint.TakesNewWork() {
+		return false
+	}
+	if left := q.restLeft(endpoint); left > 0 {
+		v.pause(Resting, q.Now.Add(left))
+		return false
+	}
+	if slices.Contains(q.Excluded, endpoint.Target.EndpointID) {
+		v.HasExcluded = true
 		return false
 	}
 	if endpoint.Breaker.Allows(q.Now) || q.ProbesEarly && endpoint.Breaker.AllowsEarly() {
 		return v.hasSlot(endpoint, q)
 	}
-	v.note(SetAside)
-	if v.Until.IsZero() || endpoint.Breaker.Until.Before(v.Until) {
-		v.Until = endpoint.Breaker.Until
-	}
+	v.pause(SetAside, endpoint.Breaker.Until)
 	return false
 }
 
+// pause notes an endpoint that takes no work until a moment.
+func (v *Verdict) pause(kind VerdictKind, until time.Time) {
+	switch {
+	case kind < v.Kind:
+		v.Kind, v.Until = kind, until
+	case kind == v.Kind && until.Before(v.Until):
+		v.Until = until
+	}
+}
+
+// restLeft is for how much longer an endpoint wants nothing from this host.
+func (q *Query) restLeft(endpoint *tracker.Endpoint) time.Duration {
+	if q.RestLeft == nil {
+		return 0
+	}
+	return q.RestLeft(endpoint.Target.Process())
+}
+
 // hasSlot is true where the endpoint names no limit, or this host has a slot of it.
 func (v *Verdict) hasSlot(endpoint *tracker.Endpoint, q *Query) bool {
 	if q.HasSlot == nil || q.HasSlot(endpoint.Target.Process()) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -70,6 +70,9 @@
 	if cfg.Limiter == nil {
 		cfg.Limiter = unlimited{}
 	}
+	if cfg.RestLeft == nil {
+		cfg.RestLeft = func(driver.Process) time.Duration { return 0 }
+	}
 	source := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15))
 	s := &Scheduler{
 		cfg:    cfg,
@@ -81,7 +84,7 @@
 		queues: make(map[string]*queue),
 		losses: make(map[Loss]time.Time),
 	}
-	s.table.LimitOf = cfg.Limiter.Limit
+	s.table.LimitOf, s.table.RestLeft = cfg.Limiter.Limit, cfg.RestLeft
 	return s
 }
 
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -102,6 +102,10 @@
 	return speed
 }
 
+func (t *Table) isResting(endpoint *Endpoint) bool {
+	return t.RestLeft != nil && t.RestLeft(endpoint.Target.Process()) > 0
+}
+
 // summary counts the usable endpoints. This host's part of their capacity is
 // that of one of equal hosts, since the platform's balancer spreads callers
 // evenly. Its part of the work in flight would be the wrong measure: a host
@@ -116,7 +120,7 @@
 		if endpoint.Role == driver.RoleDecode || endpoint.Role == driver.RolePrefill {
 			s.IsSplit = true
 		}
-		if !endpoint.TakesNewWork() || !endpoint.Breaker.Allows(now) {
+		if !endpoint.TakesNewWork() || !endpoint.Breaker.Allows(now) || t.isResting(endpoint) {
 			continue
 		}
 		s.Usable++
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -106,6 +106,9 @@
 	// LimitOf is how many requests a second a process takes from all hosts; ok is false
 	// where it names no limit. Nil: none does.
 	LimitOf func(process driver.Process) (rate float64, ok bool)
+	// RestLeft is for how much longer a process wants nothing from this host; nil: none
+	// has asked for rest.
+	RestLeft func(process driver.Process) time.Duration
 }
 
 // NewTable returns empty tables for a host in the zone.
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -49,8 +49,8 @@
 	// Priority is what the engine is to be told; higher goes first.
 	Priority() int
 	// IsCurrent is false where Target no longer takes this work, though it did when it
-	// was granted: it leaves, or has named a limit and this host has no slot left. The
-	// prompt may have been read for a second since.
+	// was granted: it leaves, has asked for rest, or has named a limit and this host has
+	// no slot left. The prompt may have been read for a second since.
 	IsCurrent() bool
 	// IsPrefillCurrent is the same for the engine of Prefill.
 	IsPrefillCurrent() bool
@@ -105,6 +105,7 @@
 const (
 	ReasonOverload    RefusalReason = "overload"     // cannot be in time behind the backlog
 	ReasonNoEndpoint  RefusalReason = "no_endpoint"  // no endpoint of the application can be reached
+	ReasonResting     RefusalReason = "resting"      // all endpoints of the application have asked for rest
 	ReasonTenantShare RefusalReason = "tenant_share" // the tenant has used up its fair share
 	ReasonDraining    RefusalReason = "draining"     // this host takes no new work
 	ReasonTooLate     RefusalReason = "too_late"     // the target has passed while waiting
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -169,11 +169,14 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.meter = meter.New(meter.Config{})
 	g.caches = cachesharer.New(cachesharer.Config{Changed: g.takeCacheEvents, Logger: cfg.Logger.Named("cachesharer")})
-	g.cacheWatcher = cachewatcher.New(cachewatcher.Config{Driver: cfg.Driver, Changed: g.caches.TakeEvents, Logger: cfg.Logger.Named("cachewatcher")})
+	g.cacheWatcher = cachewatcher.New(cachewatcher.Config{
+		Driver: cfg.Driver, Changed: g.caches.TakeEvents, RestLeft: func(process driver.Process) time.Duration { return g.observer.RestLeft(process) },
+		Logger: cfg.Logger.Named("cachewatcher"),
+	})
 	g.buildSignals()
 	g.scheduler = scheduler.New(scheduler.Config{
 		HostID: cfg.HostID, Zone: cfg.Zone, Configuration: g.classifier, Logger: cfg.Logger.Named("scheduler"),
-		Policy: cfg.policy(), SharesPrefix: g.caches.NoteShared, Limiter: g.limiter,
+		Policy: cfg.policy(), SharesPrefix: g.caches.NoteShared, Limiter: g.limiter, RestLeft: g.observer.RestLeft,
 	})
 	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
