--- a/internal/scheduler/router/baseline.go
+++ b/internal/scheduler/router/baseline.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if !q.IgnoreLimits && endpoint.Own.Requests >= endpoint.Limit {
-			verdict.note(Busy)
+			verdict.busy()
 			continue
 		}
 		if chosen == nil || endpoint.Own.Requests < chosen.Own.Requests {
--- a/internal/scheduler/router/direct.go
+++ b/internal/scheduler/router/direct.go
@@ -42,7 +42,7 @@
 		choice.reuse(application, q, endpoint)
 		isFull := total.Requests >= endpoint.Limit || hasReaders && choice.Ahead+choice.PrefillTokens > readingRoom(application, endpoint)
 		if !q.IgnoreLimits && isFull {
-			verdict.note(Busy)
+			verdict.busy()
 			continue
 		}
 		choice.First = estimator.Scale(application.Model.Direct(choice.Ahead+choice.PrefillTokens), endpoint.Speed)
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		if !q.IgnoreLimits && isBacklogged(application, q, endpoint) {
-			verdict.note(Busy)
+			verdict.busy()
 			continue
 		}
 		choice := Choice{Course: CourseSoonest, Prefill: endpoint, Ahead: endpoint.Total().PrefillTokens}
@@ -112,7 +112,7 @@
 		}
 		total := endpoint.Total()
 		if !q.IgnoreLimits && total.Requests >= endpoint.Limit {
-			verdict.note(Busy)
+			verdict.busy()
 			continue
 		}
 		choice := prefill
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -213,7 +213,7 @@
 			continue
 		}
 		if !q.IgnoreLimits && isFull(application, q, endpoint) {
-			verdict.note(Busy)
+			verdict.busy()
 			continue
 		}
 		choice := estimate(application, q, endpoint)
@@ -272,7 +272,7 @@
 	if q.HasSlot == nil || q.HasSlot(endpoint.Target.Process()) {
 		return true
 	}
-	v.note(Busy)
+	v.busy()
 	if !slices.Contains(v.Limited, endpoint) {
 		v.Limited = append(v.Limited, endpoint)
 	}
@@ -282,7 +282,8 @@
 // chosen is the verdict where an endpoint was found.
 func (v *Verdict) chosen() Verdict { return Verdict{Kind: Chosen, Limited: v.Limited} }
 
-func (v *Verdict) note(kind VerdictKind) { v.Kind = min(v.Kind, kind) }
+// busy notes an endpoint that would serve and has no room.
+func (v *Verdict) busy() { v.Kind = min(v.Kind, Busy) }
 
 // isFull is true where more work would wait at the endpoint and not here.
 func isFull(application *tracker.Application, q *Query, endpoint *tracker.Endpoint) bool {
