TestSignalsBeforeRealHosts: limits, leaving and rest before real hosts, in series and overlapping

Four host processes in two zones, eight endpoints that state each signal on every kind of answer (whole answers, streams, readings of prompts, refusals); hosts are frozen, and killed and replaced, the store comes and goes, limits fall, endpoints leave and start anew under their ids and ask for rest, by seed; callers keep connections. It judges each arrival at the endpoint by what that process had said to the host that sent it.

--- /dev/null
+++ b/tests/signals_test.go
@@ -0,0 +1,356 @@
+package tests
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/standins/opaqueserver"
+	"github.com/endivemast/endivemast/standins/storeserver"
+)
+
+// Endpoints that name limits, leave and ask for rest in all their answers, before real
+// hosts that are stopped, killed and replaced while the store comes and goes.
+
+// signalSeeds is how many runs there are; 50 by hand.
+const signalSeeds = 1
+
+const (
+	signalLasts   = 16 * time.Second
+	signalHosts   = 4
+	signalLimited = 2 * time.Second // until endpoints name their limits
+	signalSettle  = 3 * time.Second
+	signalWindow  = 4 * time.Second
+	signalLeaves  = 2 * time.Second // for which an endpoint that leaves may be sent to
+	signalGrace   = 500 * time.Millisecond
+	signalRest    = 3 * time.Second
+	signalExcuse  = time.Second // after a host was disturbed
+	headerVia     = "X-Via"     // the host that a caller has sent its request to
+)
+
+// signaller is one endpoint and what it says of itself.
+type signaller struct {
+	*opaqueserver.Crasher
+	isLimited bool
+
+	mu       sync.Mutex
+	limit    float64 // 0: none
+	restsTo  time.Time
+	leavesAt time.Time            // zero: it does not
+	told     map[string]time.Time // that it leaves, by host
+	asked    map[string]time.Time // for rest, by host
+	broken   []string
+	resting  map[string]int // requests within the rest, by host
+}
+
+// soak is one run.
+type soak struct {
+	*crashing
+	random     *rand.Rand
+	signallers []*signaller
+	names      []string
+	args       [][]string
+
+	mu        sync.Mutex
+	processes []*process
+	disturbed map[string]time.Time // until when a host's doings are excused
+
+	served, refused, failed, slow atomic.Int64
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{
+		crashing: &crashing{t: t, store: storeserver.Start()}, random: rand.New(rand.NewPCG(seed, 45)),
+		disturbed: map[string]time.Time{},
+	}
+	t.Cleanup(s.store.Close)
+	route := func(name, kind, backend string) string {
+		return fmt.Sprintf(`{"name":%q,"hostname":"h.example","prefix":"/%s/","route_type":%q,"timeout_ms":2000,"target_latency_ms":1000,`+
+			`"priority":1,"backend":%q,"max_attempts":2,"resumable":true,"target_gap_ms":500}`, name, name, kind, backend)
+	}
+	s.store.Put("op/config", []byte(`{"version":1,"routes":[`+route("fill", "stream", "llm")+","+route("look", "safe", "desk")+`],"services":[`+
+		`{"name":"llm","max_connections":100,"engine":{"slots":16,"kv_capacity_tokens":100000,"handle_ttl_s":5,"role_switch_s":1}},`+
+		`{"name":"desk","max_connections":100}],`+
+		`"limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`))
+	for n, kind := range []string{"decode", "decode", "decode", "prefill", "prefill", "", "", ""} {
+		s.addSignaller(fmt.Sprint("e", n), kind, n == 0 || n == 3 || n == 5)
+	}
+	for n := range signalHosts {
+		name := fmt.Sprint("host-", n)
+		callers, readiness, peers := s.free(), s.free(), s.free()
+		s.names, s.hosts = append(s.names, name), append(s.hosts, callers)
+		s.args = append(s.args, []string{
+			"platform", "--host-id", name, "--zone", fmt.Sprint("z", n%2), "--callers-address", callers, "--readiness-address", readiness,
+			"--peers-address", peers, "--store", s.store.Address(), "--roles", "never", "--repeat-share", "1", "--repeat-reserve", "1000", "--grace", "3s",
+		})
+		s.processes = append(s.processes, nil)
+		s.launch(n)
+	}
+	t.Cleanup(func() {
+		for _, p := range s.processes {
+			assert.Check(t, p.kill())
+		}
+	})
+	return s
+}
+
+func (s *soak) launch(n int) {
+	p, err := startProcess(s.t.TempDir(), s.names[n], "endivemast", s.args[n]...)
+	assert.Check(s.t, err)
+	s.processes[n] = p
+}
+
+func (s *soak) addSignaller(id, stage string, isLimited bool) {
+	e := &signaller{isLimited: isLimited}
+	entry := map[string]any{"backend": "desk", "zone": "z0", "slots": 64, "state": "ready", "version": "v1", "cold_remaining_ms": 0, "sequence": 1}
+	if stage != "" {
+		entry["backend"], entry["stage"] = "llm", stage
+	}
+	e.Crasher = opaqueserver.StartCrasher(300*time.Millisecond, func(address string, start time.Time) {
+		e.mu.Lock()
+		e.leavesAt, e.restsTo = time.Time{}, time.Time{}
+		e.told, e.asked, e.resting = map[string]time.Time{}, map[string]time.Time{}, map[string]int{}
+		e.mu.Unlock()
+		entry["address"], entry["born"] = address, start.UnixMilli()
+		value, err := json.Marshal(entry)
+		assert.Check(s.t, err)
+		s.store.Put("servers/"+id, value)
+	}, func(x *opaqueserver.Exchange, _ func()) { s.answer(e, x) })
+	s.t.Cleanup(e.Close)
+	s.signallers = append(s.signallers, e)
+}
+
+// answer judges a request by what the endpoint has said, and answers it.
+func (s *soak) answer(e *signaller, x *opaqueserver.Exchange) {
+	now, via := time.Now(), x.Header.Get(headerVia)
+	e.mu.Lock()
+	if at, isTold := e.told[via]; isTold && now.Sub(at) > signalLeaves && !s.isExcused(via, at) {
+		e.broken = append(e.broken, fmt.Sprintf("sent to by %s %v after it was told that it leaves", via, now.Sub(at)))
+	}
+	if at, isAsked := e.asked[via]; isAsked && now.Sub(at) > signalGrace && now.Sub(at) < signalRest && !s.isExcused(via, at) {
+		if e.resting[via]++; e.resting[via] > 2 {
+			e.broken = append(e.broken, fmt.Sprintf("sent to by %s %v after it was asked for rest", via, now.Sub(at)))
+		}
+	}
+	var headers []string
+	if e.limit > 0 {
+		headers = append(headers, fmt.Sprintf("Server-Limit: %.1f", e.limit))
+	}
+	if !e.leavesAt.IsZero() {
+		headers = append(headers, "Server-Leaving: 1")
+		if _, isTold := e.told[via]; !isTold {
+			e.told[via] = now
+		}
+	}
+	isResting := now.Before(e.restsTo)
+	if at, isAsked := e.asked[via]; isResting && (!isAsked || now.Sub(at) > signalRest) {
+		e.asked[via], e.resting[via] = now, 0
+	}
+	e.mu.Unlock()
+	switch {
+	case isResting:
+		x.Answer(http.StatusServiceUnavailable, "", append(headers, "Not-Executed: 1", fmt.Sprint("Retry-After: ", signalRest.Seconds()))...)
+	case x.Header.Get("Serving-Stage") == "prefill":
+		x.Answer(http.StatusOK, `{"kv_handle":"`+x.ID()+`","tokens":300,"version":1}`, headers...)
+	case x.Header.Get("Token-Count") != "":
+		x.Head(http.StatusOK, append(headers, "Content-Type: text/event-stream", "Transfer-Encoding: chunked")...)
+		x.Chunk("id: 1\ndata: token\n\n")
+		x.EndChunks()
+	default:
+		x.Answer(http.StatusOK, "whole", headers...)
+	}
+}
+
+// isExcused is true where a host was disturbed since a moment.
+func (s *soak) isExcused(host string, since time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.disturbed[host].After(since)
+}
+
+func (s *soak) disturb(n int, until time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.disturbed[s.names[n]] = time.Now().Add(until + signalExcuse)
+}
+
+// call sends requests over connections that are kept for as long as the host keeps them.
+func (s *soak) call(ctx context.Context, n int) {
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		host := (n + i/20) % signalHosts
+		path, id := "/look/x", fmt.Sprintf("c%d-%d", n, i)
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.hosts[host]+path, strings.NewReader("prompt"))
+		assert.Check(s.t, err)
+		if i%2 == 0 {
+			r.URL.Path = "/fill/x"
+			r.Header.Set("Token-Count", "300,10")
+			r.Header.Set("Prompt-Prefix", fmt.Sprintf("%x:200,bb:100", id))
+		}
+		r.Host = "h.example"
+		r.Header.Set("Request-Id", id)
+		r.Header.Set("Deadline-Ms", "2000")
+		r.Header.Set(headerVia, s.names[host])
+		s.judge(ctx, client, r, s.names[host])
+		<-time.After(20 * time.Millisecond)
+	}
+}
+
+func (s *soak) judge(ctx context.Context, client *http.Client, r *http.Request, via string) {
+	begun := time.Now()
+	resp, err := client.Do(r)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close() // read whole, or broken off
+	}
+	switch {
+	case ctx.Err() != nil || s.isExcused(via, begun.Add(-signalExcuse)):
+	case err != nil:
+		s.failed.Add(1)
+	case resp.StatusCode == http.StatusOK:
+		s.served.Add(1)
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		s.refused.Add(1)
+		if time.Since(begun) > 1500*time.Millisecond {
+			s.slow.Add(1)
+		}
+	default:
+		s.failed.Add(1)
+	}
+}
+
+func (s *soak) wait(ctx context.Context, low, high float64) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Duration((low + s.random.Float64()*(high-low)) * float64(time.Second))):
+		return true
+	}
+}
+
+// disturbAll disturbs hosts, the store and endpoints, overlapping.
+func (s *soak) disturbAll(ctx context.Context) {
+	for s.wait(ctx, 0.3, 1) {
+		n, span := s.random.IntN(signalHosts), time.Duration((0.3+2*s.random.Float64())*float64(time.Second))
+		e := s.signallers[s.random.IntN(len(s.signallers))]
+		switch kind := s.random.IntN(6); kind {
+		case 0: // frozen
+			p := s.processes[n]
+			s.disturb(n, span)
+			assert.Check(s.t, p.signal(syscall.SIGSTOP))
+			time.AfterFunc(span, func() {
+				if p.running() {
+					assert.Check(s.t, p.signal(syscall.SIGCONT))
+				}
+			})
+		case 1: // killed and replaced
+			s.disturb(n, 2*time.Second)
+			assert.Check(s.t, s.processes[n].kill())
+			s.launch(n)
+		case 2:
+			s.store.SetFault([]storeserver.Fault{storeserver.FaultSilent, storeserver.FaultBusy}[s.random.IntN(2)])
+			time.AfterFunc(span, func() { s.store.SetFault(storeserver.FaultNone) })
+		case 3, 4:
+			if e.isLimited {
+				continue
+			}
+			e.mu.Lock()
+			if kind == 3 && e.leavesAt.IsZero() {
+				e.leavesAt = time.Now()
+				time.AfterFunc(signalLeaves+time.Second, e.Crash)
+			} else if kind == 4 {
+				e.restsTo = time.Now().Add(span)
+			}
+			e.mu.Unlock()
+		case 5: // the limits fall
+			for _, limited := range s.signallers {
+				limited.mu.Lock()
+				limited.limit = max(limited.limit/4, min(limited.limit, 2))
+				limited.mu.Unlock()
+			}
+		}
+	}
+}
+
+// assertLimits counts what came to endpoints that named a limit all the while.
+func (s *soak) assertLimits(named time.Time, limit float64) {
+	for _, e := range s.signallers {
+		var times []time.Time
+		for _, arrival := range e.Arrivals() {
+			if arrival.Header.Get(headerVia) != "" && arrival.At.After(named) && !s.isExcused(arrival.Header.Get(headerVia), arrival.At) {
+				times = append(times, arrival.At)
+			}
+		}
+		most := int(1.5*limit*signalWindow.Seconds()) + 5
+		for i, end := range times {
+			begin, _ := slices.BinarySearchFunc(times, end.Add(-signalWindow), time.Time.Compare)
+			if e.isLimited && end.Sub(named) > signalSettle {
+				assert.Check(s.t, i-begin < most, "%d requests in %v at an endpoint with a limit of %v", i-begin+1, signalWindow, limit)
+			}
+		}
+	}
+}
+
+func TestSignalsBeforeRealHosts(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(signalSeeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSoak(t, seed)
+			ctx, cancel := context.WithTimeout(t.Context(), signalLasts)
+			defer cancel()
+			assert.NilError(t, await(ctx, "hosts that listen", func() error {
+				for _, host := range s.hosts {
+					conn, err := net.DialTimeout("tcp", host, time.Second)
+					if err != nil {
+						return err
+					}
+					_ = conn.Close() // nothing was sent
+				}
+				return nil
+			}))
+			var group sync.WaitGroup
+			for n := range 12 {
+				group.Go(func() { s.call(ctx, n) })
+			}
+			<-time.After(signalLimited)
+			named, limit := time.Now(), 8.0
+			for _, e := range s.signallers {
+				if e.isLimited {
+					e.mu.Lock()
+					e.limit = limit
+					e.mu.Unlock()
+				}
+			}
+			s.disturbAll(ctx)
+			group.Wait()
+			s.store.SetFault(storeserver.FaultNone)
+			for n, p := range s.processes {
+				if p.running() {
+					assert.Check(t, p.signal(syscall.SIGCONT), s.names[n])
+				}
+			}
+			s.assertLimits(named, limit)
+			for _, e := range s.signallers {
+				assert.Check(t, len(e.broken) == 0, "%v", e.broken)
+			}
+			served, refused, failed := s.served.Load(), s.refused.Load(), s.failed.Load()
+			t.Logf("%d requests served, %d refused, %d of them late, %d failed", served, refused, s.slow.Load(), failed)
+			assert.Check(t, served > 4*(refused+failed), "%d served, %d refused, %d failed", served, refused, failed)
+		})
+	}
+}
