--- a/tests/signals_test.go
+++ b/tests/signals_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -64,6 +66,7 @@
 	names      []string
 	args       [][]string
 
+	later     sync.WaitGroup // ends of disturbances
 	mu        sync.Mutex
 	processes []*process
 	disturbed map[string]time.Time // until when a host's doings are excused
@@ -77,6 +80,9 @@
 		disturbed: map[string]time.Time{},
 	}
 	t.Cleanup(s.store.Close)
+	ports, err := takePorts()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ports.mark.Close() }) // only the mark of the block
 	route := func(name, kind, backend string) string {
 		return fmt.Sprintf(`{"name":%q,"hostname":"h.example","prefix":"/%s/","route_type":%q,"timeout_ms":2000,"target_latency_ms":1000,`+
 			`"priority":1,"backend":%q,"max_attempts":2,"resumable":true,"target_gap_ms":500}`, name, name, kind, backend)
@@ -90,7 +96,7 @@
 	}
 	for n := range signalHosts {
 		name := fmt.Sprint("host-", n)
-		callers, readiness, peers := s.free(), s.free(), s.free()
+		callers, readiness, peers := ports.take(), ports.take(), ports.take()
 		s.names, s.hosts = append(s.names, name), append(s.hosts, callers)
 		s.args = append(s.args, []string{
 			"platform", "--host-id", name, "--zone", fmt.Sprint("z", n%2), "--callers-address", callers, "--readiness-address", readiness,
@@ -242,6 +248,14 @@
 	}
 }
 
+// after ends a disturbance some time later; the run waits for it.
+func (s *soak) after(span time.Duration, end func()) {
+	s.later.Go(func() {
+		<-time.After(span)
+		end()
+	})
+}
+
 // disturbAll disturbs hosts, the store and endpoints, overlapping.
 func (s *soak) disturbAll(ctx context.Context) {
 	for s.wait(ctx, 0.3, 1) {
@@ -252,10 +266,9 @@
 			p := s.processes[n]
 			s.disturb(n, span)
 			assert.Check(s.t, p.signal(syscall.SIGSTOP))
-			time.AfterFunc(span, func() {
-				if p.running() {
-					assert.Check(s.t, p.signal(syscall.SIGCONT))
-				}
+			s.after(span, func() {
+				err := p.cmd.Process.Signal(syscall.SIGCONT)
+				assert.Check(s.t, err == nil || errors.Is(err, os.ErrProcessDone), "%v", err)
 			})
 		case 1: // killed and replaced
 			s.disturb(n, 2*time.Second)
@@ -263,7 +276,7 @@
 			s.launch(n)
 		case 2:
 			s.store.SetFault([]storeserver.Fault{storeserver.FaultSilent, storeserver.FaultBusy}[s.random.IntN(2)])
-			time.AfterFunc(span, func() { s.store.SetFault(storeserver.FaultNone) })
+			s.after(span, func() { s.store.SetFault(storeserver.FaultNone) })
 		case 3, 4:
 			if e.isLimited {
 				continue
@@ -271,7 +284,7 @@
 			e.mu.Lock()
 			if kind == 3 && e.leavesAt.IsZero() {
 				e.leavesAt = time.Now()
-				time.AfterFunc(signalLeaves+time.Second, e.Crash)
+				s.after(signalLeaves+time.Second, e.Crash)
 			} else if kind == 4 {
 				e.restsTo = time.Now().Add(span)
 			}
@@ -338,12 +351,7 @@
 			}
 			s.disturbAll(ctx)
 			group.Wait()
-			s.store.SetFault(storeserver.FaultNone)
-			for n, p := range s.processes {
-				if p.running() {
-					assert.Check(t, p.signal(syscall.SIGCONT), s.names[n])
-				}
-			}
+			s.later.Wait()
 			s.assertLimits(named, limit)
 			for _, e := range s.signallers {
 				assert.Check(t, len(e.broken) == 0, "%v", e.broken)
