--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -134,6 +134,11 @@
 	m.set.GetOrCreateCounter(`endivemast_endpoint_signals_total{signal="` + signal + `"}`).Inc()
 }
 
+// CountSlotAsk counts an ask for slots of an endpoint that names a limit.
+func (m *Meter) CountSlotAsk(outcome string) {
+	m.set.GetOrCreateCounter(`endivemast_slot_asks_total{outcome="` + outcome + `"}`).Inc()
+}
+
 // CountMalformedSignal counts an answer with a signal that could not be read.
 func (m *Meter) CountMalformedSignal(signal string) {
 	m.set.GetOrCreateCounter(`endivemast_endpoint_signals_malformed_total{signal="` + signal + `"}`).Inc()
--- a/internal/ratelimiter/ratelimiter.go
+++ b/internal/ratelimiter/ratelimiter.go
@@ -62,9 +62,20 @@
 	Refill func(process driver.Process)
 	// Clock counts the host's sleep.
 	Clock  func() time.Time
+	Meter  Meter
 	Logger hclog.Logger
 }
 
+// Meter counts asks by their outcome.
+type Meter interface{ CountSlotAsk(outcome string) }
+
+// Outcomes of an ask for slots.
+const (
+	outcomeGiven      = "given"
+	outcomeNone       = "none" // all are given out for now
+	outcomeUnanswered = "unanswered"
+)
+
 // Limiter keeps this host's requests to limited endpoints within its slots, and gives out
 // those of others. It is safe for concurrent use.
 type Limiter struct {
@@ -249,6 +260,7 @@
 		}
 		d.miss(now)
 		l.mu.Unlock()
+		l.cfg.Meter.CountSlotAsk(outcomeUnanswered)
 		return
 	}
 	if d.isStarved {
@@ -261,6 +273,11 @@
 	pause := min(time.Duration(max(reply.GetPauseUs(), 0))*time.Microsecond, maxPause)
 	d.receive(delays, pause, sentAt, now)
 	l.mu.Unlock()
+	outcome := outcomeGiven
+	if len(delays) == 0 {
+		outcome = outcomeNone
+	}
+	l.cfg.Meter.CountSlotAsk(outcome)
 	l.cfg.Logger.Debug("slots of a limited endpoint", "endpoint_id", process.EndpointID, "limit_per_second", perSecond,
 		"wanted", count, "given", len(delays), "pause_ms", pause.Milliseconds(), "took_ms", now.Sub(sentAt).Milliseconds())
 	l.refill(process, delays)
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -268,6 +268,7 @@
 	g.meter.GaugePeers("known", func() float64 { return float64(len(g.registrar.Peers())) })
 	g.meter.GaugePeers("heard", func() float64 { return float64(g.exchanger.Heard()) })
 	g.meter.GaugeRequestsQuarantined(func() float64 { return float64(g.quarantiner.Count()) })
+	g.gaugeSignals()
 	g.meter.GaugeEndpoints("listed", func() float64 { return float64(len(g.registrations.Hosts())) })
 }
 
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -16,8 +16,8 @@
 func (g *Gateway) buildSignals() {
 	g.limiter = ratelimiter.New(ratelimiter.Config{
 		HostID: g.cfg.HostID, Hosts: g.limiterHosts, Refill: g.refill, Clock: g.cfg.Clock.Now,
-		Conn:   func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
-		Logger: g.cfg.Logger.Named("ratelimiter"),
+		Conn:  func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
+		Meter: g.meter, Logger: g.cfg.Logger.Named("ratelimiter"),
 	})
 	g.observer = observer.New(observer.Config{
 		Clock: g.cfg.Clock.Now, Meter: g.meter, LimitChanged: g.limiter.SetLimit,
@@ -26,6 +26,23 @@
 	g.cfg.Driver.SetObserver(g.observer.Observe)
 }
 
+// gaugeSignals shows how many listed endpoints say something of themselves.
+func (g *Gateway) gaugeSignals() {
+	count := func(isCounted func(state *observer.State) bool) func() float64 {
+		return func() (n float64) {
+			for _, state := range g.observer.States() {
+				if isCounted(&state) {
+					n++
+				}
+			}
+			return n
+		}
+	}
+	g.meter.GaugeEndpoints("limited", count(func(state *observer.State) bool { return state.Limit.IsSet }))
+	g.meter.GaugeEndpoints("said_leaving", count(func(state *observer.State) bool { return state.IsLeaving }))
+	g.meter.GaugeEndpoints("resting", count(func(state *observer.State) bool { return state.RestUntil.After(g.cfg.Clock.Now()) }))
+}
+
 func (g *Gateway) refill(process driver.Process) { g.scheduler.Refill(process, time.Now()) }
 
 // limiterHosts are the hosts that may give out the slots of limited endpoints: the hubs,
