TestWholePath waits for both classes at all hosts

The test awaited the class drafts at host 2 and bookings at host 1, and then took bookings for in force at host 2; each class is a revision of its own, written in a map's order.

--- a/pkg/endivemast/entry_test.go
+++ b/pkg/endivemast/entry_test.go
@@ -163,6 +163,13 @@
 		status, answer := f.send(t, 0, true, http.MethodPut, "/v1/operator/classes/vitosha/"+name, "", class)
 		assert.Equal(t, status, http.StatusOK, answer)
 	}
+	for host := range 3 {
+		for _, name := range []string{"drafts", "bookings"} {
+			f.awaitStatus(t, http.StatusOK, func() (int, string) {
+				return f.send(t, host, true, http.MethodGet, "/v1/operator/classes/vitosha/"+name, "", nil)
+			})
+		}
+	}
 	prompt := strings.Repeat("Dear Sir or Madam, ", 20)
 	want := strings.Join(answerer.Answer("letters", prompt, 12), "")
 	generate := map[string]any{"prompt": prompt, "max_output_tokens": 12}
