--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -72,7 +72,8 @@
 type Observer struct {
 	cfg Config
 
-	restsTo atomic.Int64 // when the last rest ends, in nanoseconds since 1970
+	known   atomic.Int64 // processes with a record
+	restsTo atomic.Int64 // when the last rest ends, in nanoseconds since 1970; 0: nobody rests
 
 	mu      sync.Mutex
 	records map[driver.Process]*record
@@ -99,7 +100,12 @@
 
 // Observe takes in what an answer said.
 func (o *Observer) Observe(observation driver.Observation) {
-	o.count(&observation.Signals)
+	signals := &observation.Signals
+	isSaid := signals.Limit.IsSet || signals.IsLeaving || signals.Rest > 0
+	if !isSaid && len(signals.Malformed) == 0 && o.known.Load() == 0 {
+		return
+	}
+	o.count(signals)
 	o.mu.Lock()
 	leaves := o.observeLocked(&observation, o.cfg.Clock())
 	o.mu.Unlock()
@@ -135,12 +141,14 @@
 	for _, signal := range signals.Malformed {
 		o.cfg.Meter.CountMalformedSignal(string(signal))
 	}
-	for signal, isSaid := range map[driver.Signal]bool{
-		driver.SignalLimit: signals.Limit.IsSet, driver.SignalLeaving: signals.IsLeaving, driver.SignalRest: signals.Rest > 0,
-	} {
-		if isSaid {
-			o.cfg.Meter.CountSignal(string(signal))
-		}
+	if signals.Limit.IsSet {
+		o.cfg.Meter.CountSignal(string(driver.SignalLimit))
+	}
+	if signals.IsLeaving {
+		o.cfg.Meter.CountSignal(string(driver.SignalLeaving))
+	}
+	if signals.Rest > 0 {
+		o.cfg.Meter.CountSignal(string(driver.SignalRest))
 	}
 }
 
@@ -159,6 +167,7 @@
 	}
 	r := &record{saidAt: now, loggedAt: map[driver.Signal]time.Time{}}
 	o.records[process] = r
+	o.known.Store(int64(len(o.records)))
 	return r
 }
 
@@ -190,10 +199,10 @@
 
 // RestLeft is for how much longer a process wants nothing from this host.
 func (o *Observer) RestLeft(process driver.Process) time.Duration {
-	now := o.cfg.Clock()
-	if now.UnixNano() >= o.restsTo.Load() {
+	if o.restsTo.Load() == 0 {
 		return 0
 	}
+	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if r := o.records[process]; r != nil {
@@ -246,6 +255,9 @@
 	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if now.UnixNano() >= o.restsTo.Load() {
+		o.restsTo.Store(0)
+	}
 	for process, r := range o.records {
 		switch {
 		case o.listed[process]:
@@ -261,6 +273,7 @@
 		o.cfg.LimitChanged(process, driver.Limit{})
 	}
 	delete(o.records, process)
+	o.known.Store(int64(len(o.records)))
 }
 
 // States are those of all processes that have said something, by endpoint id.
