A read behind an answer's end does not look at the connection any more

The first io.EOF of an answer's body gives its connection back; a second read, as the reader of events makes, asked the connection's reader again whether bytes are left over, while the next request already read from it. Nothing came of it but the race: what is asked then is thrown away. Now it is asked once. TestReadBehindTheEndTouchesNoConnection fails before (under -race) and passes.

--- a/internal/transporter/exchange.go
+++ b/internal/transporter/exchange.go
@@ -138,7 +138,7 @@
 func (x *exchange) Read(p []byte) (int, error) {
 	n, err := x.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
-		x.end(x.isReusable())
+		x.end(x.isReusable)
 	}
 	return n, err
 }
@@ -153,17 +153,20 @@
 
 // Close ends the exchange; before the body's end it cuts the connection.
 func (x *exchange) Close() error {
-	x.end(false)
+	x.end(never)
 	return nil
 }
 
-// end gives the connection back, once.
-func (x *exchange) end(isReusable bool) {
+// never is asked of an exchange whose connection is not used again.
+func never() bool { return false }
+
+// end gives the connection back, once. Behind that it may be another exchange's, so that
+// isReusable is asked no more.
+func (x *exchange) end(isReusable func() bool) {
 	x.once.Do(func() {
 		defer x.transporter.running.Done()
 		// A stop that comes too late means that the connection is being cut.
-		isReusable = x.stop() && isReusable
-		if isReusable {
+		if isWhole := isReusable(); x.stop() && isWhole {
 			x.transporter.keep(x.conn, x.keepFor)
 			return
 		}
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -217,7 +217,7 @@
 	x.stop = context.AfterFunc(ctx, func() { c.cut() })
 	answer, failure := x.run()
 	if failure != nil {
-		x.end(false)
+		x.end(never)
 		failure.Cause = causeOf(ctx, failure.Cause)
 		return nil, failure
 	}
--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -293,3 +293,24 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, len(endpoint.Seen()), 1)
 }
+
+// Fails under the race detector where a read behind an answer's end looks at its connection.
+func TestReadBehindTheEndTouchesNoConnection(t *testing.T) {
+	t.Parallel()
+	endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) { x.Answer(200, "whole") })
+	tr := newTransporter(t)
+	for range 20 {
+		answer, err := tr.Send(t.Context(), endpoint.Address(), request("r1"))
+		assert.NilError(t, err)
+		_, err = io.ReadAll(answer.Body)
+		assert.NilError(t, err)
+		var group errgroup.Group
+		group.Go(func() error {
+			_, _, err := send(t, tr, endpoint.Address(), request("r2"))
+			return err
+		})
+		_, err = answer.Body.Read(make([]byte, 1))
+		assert.Equal(t, err, io.EOF)
+		assert.NilError(t, group.Wait())
+	}
+}
