--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -45,10 +45,10 @@
 	// Clock counts the host's sleep.
 	Clock func() time.Time
 	Meter Meter
-	// LimitChanged is told each change of a process's limit, in order. It must not block,
+	// LimitChanged is called for each change of a process's limit, in order. It must not block,
 	// nor call the Observer.
 	LimitChanged func(process driver.Process, limit driver.Limit)
-	// Leaves is told that a process leaves. It may call the Observer.
+	// Leaves is called when a process has said that it leaves. It may call the Observer.
 	Leaves func()
 	Logger hclog.Logger
 }
--- a/internal/observer/reading.go
+++ b/internal/observer/reading.go
@@ -6,7 +6,7 @@
 	"github.com/endivemast/endivemast/internal/driver"
 )
 
-// reading is a limit as an answer told it. The endpoint said so at some moment between
+// reading is a limit as an answer stated it. The endpoint said so at some moment between
 // the request's send and the answer's head.
 type reading struct {
 	limit              driver.Limit
@@ -17,7 +17,7 @@
 //
 // Answers overtake each other, so that the last to come need not be the latest. One
 // whose request was sent behind the known answer is later. Of two whose times overlap
-// the stricter one holds: the next answer tells.
+// the stricter one holds until the next answer.
 func (r *reading) take(said reading) bool {
 	switch {
 	case !said.sentAt.Before(r.receivedAt):
--- a/internal/ratelimiter/model_test.go
+++ b/internal/ratelimiter/model_test.go
@@ -103,7 +103,7 @@
 		f.hosts = append(f.hosts, h)
 	}
 	for n, h := range f.hosts {
-		h.quorum.settle(h.id, f.view(n), f.now.Add(-HeardWithin))
+		h.quorum.settle(h.id, f.view(n), f.now.Add(-ReachableWithin))
 	}
 	return f
 }
@@ -135,8 +135,8 @@
 			silence = 0
 		}
 		hosts = append(hosts, Host{
-			HostID: f.hosts[g].id, IsHeard: n < f.givers && silence <= HeardWithin,
-			IsSilent: n < f.givers && silence > modelSilent && f.now.Sub(h.wokeAt) > modelSilent,
+			HostID: f.hosts[g].id, IsReachable: n < f.givers && silence <= ReachableWithin,
+			IsDown: n < f.givers && silence > modelSilent && f.now.Sub(h.wokeAt) > modelSilent,
 		})
 	}
 	return hosts
@@ -264,7 +264,7 @@
 	if count := h.demand.nextAsk(f.now); count > 0 {
 		h.demand.isAsking = true
 		for _, giver := range rank(modelProcess, f.view(n)) {
-			if !giver.IsSilent && len(h.candidates) < maxAsked {
+			if !giver.IsDown && len(h.candidates) < maxAsked {
 				h.candidates = append(h.candidates, f.number(giver.HostID))
 			}
 		}
--- a/internal/ratelimiter/owner.go
+++ b/internal/ratelimiter/owner.go
@@ -10,40 +10,42 @@
 	"github.com/endivemast/endivemast/internal/driver"
 )
 
-// Host is a host that may give out slots, as this host sees it. One that has never spoken
-// is neither heard nor silent.
+// Host is a host that may give out slots, as this host sees it. One that has never sent
+// anything is neither reachable nor down.
 type Host struct {
 	HostID string
-	// IsHeard says that it has spoken to this host a moment ago, within HeardWithin. This
-	// host itself always is.
-	IsHeard bool
-	// IsSilent says that it spoke before and has been silent for so long that another one
-	// may take its place: for longer than it takes itself for heard by others.
-	IsSilent   bool
+	// IsReachable says that a message of it has come within ReachableWithin. This host
+	// itself always is.
+	IsReachable bool
+	// IsDown says that messages of it came before, and none for so long that another host
+	// may take its place. That is longer than ReachableWithin, so that a host that is cut off
+	// stops first.
+	IsDown     bool
 	IsDraining bool
 }
 
-// HeardWithin is how recently a host has to have spoken to count as heard.
-const HeardWithin = 1500 * time.Millisecond
+// ReachableWithin is how recently a message of a host has to have come for it to count as
+// reachable.
+const ReachableWithin = 1500 * time.Millisecond
 
-// quorum keeps since when hosts have been heard without a break. One that was heard by a
-// part of the fleet until a moment ago may still count there.
+// quorum keeps since when hosts have been reachable without a break. One that another part
+// of the fleet reached until a moment ago may still count there.
 type quorum struct {
 	since map[string]time.Time
 }
 
-// settle takes in who is heard, and lets only those count as heard that have been for
-// HeardWithin. It is to be called several times a second.
+// settle takes in which hosts are reachable, and lets only those count that have been for
+// ReachableWithin. It is to be called several times a second.
 func (q *quorum) settle(own string, hosts []Host, now time.Time) (settled []Host) {
 	since := make(map[string]time.Time, len(hosts))
 	for _, h := range hosts {
-		if h.IsHeard && h.HostID != own {
+		if h.IsReachable && h.HostID != own {
 			at, isKnown := q.since[h.HostID]
 			if !isKnown {
 				at = now
 			}
 			since[h.HostID] = at
-			h.IsHeard = now.Sub(at) >= HeardWithin
+			h.IsReachable = now.Sub(at) >= ReachableWithin
 		}
 		settled = append(settled, h)
 	}
@@ -65,20 +67,20 @@
 }
 
 // isOwner is true where this host gives out a process's slots: it is the first that is not
-// silent, and it hears most of the hosts. Of two parts of a fleet that are cut off from
+// down, and it reaches most of the hosts. Of two parts of a fleet that are cut off from
 // each other one has most, or, of two halves, the first. A host that is cut off stops
-// before another takes its place. IsHeard is to be settled.
+// before another takes its place. IsReachable is to be settled.
 func isOwner(own string, process driver.Process, hosts []Host) bool {
 	ranked := rank(process, hosts)
-	heard, first := 0, ""
+	reachable, first := 0, ""
 	for _, h := range ranked {
-		if h.IsHeard {
-			heard++
+		if h.IsReachable {
+			reachable++
 		}
-		if first == "" && !h.IsSilent && !h.IsDraining {
+		if first == "" && !h.IsDown && !h.IsDraining {
 			first = h.HostID
 		}
 	}
-	isQuorate := 2*heard > len(ranked) || 2*heard == len(ranked) && ranked[0].IsHeard
+	isQuorate := 2*reachable > len(ranked) || 2*reachable == len(ranked) && ranked[0].IsReachable
 	return first == own && isQuorate
 }
--- a/internal/ratelimiter/ratelimiter.go
+++ b/internal/ratelimiter/ratelimiter.go
@@ -9,7 +9,7 @@
 //
 // Which host that is follows from a hash of the process and the hosts. Where hosts differ
 // for a moment about who is there, two may give out slots; slots are short, and a host
-// that hears less than half of the others gives out none.
+// that reaches less than half of the others gives out none.
 //
 // # Usage
 //
@@ -58,7 +58,7 @@
 	// Hosts are those that may give out slots, this one included.
 	Hosts func() []Host
 	Conn  func(hostID string) (grpc.ClientConnInterface, error)
-	// Refill is told that a slot of a process can be used from now on.
+	// Refill is called when a slot of a process can be used from now on.
 	Refill func(process driver.Process)
 	// Clock counts the host's sleep.
 	Clock  func() time.Time
@@ -120,10 +120,10 @@
 	return l.group.Wait()
 }
 
-// Tick looks which hosts are heard. It is to be called several times a second.
+// Tick looks which hosts are reachable. It is to be called several times a second.
 func (l *Limiter) Tick() { l.settled() }
 
-// settled are the hosts, of which those count as heard that have been for a while.
+// settled are the hosts, of which those count as reachable that have been for a while.
 func (l *Limiter) settled() []Host {
 	hosts, now := l.cfg.Hosts(), l.cfg.Clock()
 	l.mu.Lock()
@@ -349,7 +349,7 @@
 		}
 	}
 	for _, h := range ranked {
-		if _, isShunned := l.shunned[h.HostID]; !isShunned && !h.IsSilent && !h.IsDraining && len(ids) < maxAsked {
+		if _, isShunned := l.shunned[h.HostID]; !isShunned && !h.IsDown && !h.IsDraining && len(ids) < maxAsked {
 			ids = append(ids, h.HostID)
 		}
 	}
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -46,18 +46,18 @@
 func (g *Gateway) refill(process driver.Process) { g.scheduler.Refill(process, time.Now()) }
 
 // limiterHosts are the hosts that may give out the slots of limited endpoints: the hubs,
-// who hear each other.
+// who reach each other.
 func (g *Gateway) limiterHosts() (hosts []ratelimiter.Host) {
 	now := time.Now()
 	for _, hub := range g.exchanger.Hubs() {
 		if hub.Peer.HostID == g.cfg.HostID {
-			hosts = append(hosts, ratelimiter.Host{HostID: hub.Peer.HostID, IsHeard: true, IsDraining: g.draining.Load()})
+			hosts = append(hosts, ratelimiter.Host{HostID: hub.Peer.HostID, IsReachable: true, IsDraining: g.draining.Load()})
 			continue
 		}
 		hosts = append(hosts, ratelimiter.Host{
 			HostID: hub.Peer.HostID, IsDraining: hub.Draining,
-			IsHeard:  hub.Reachable && now.Sub(hub.LastUpdate) <= ratelimiter.HeardWithin,
-			IsSilent: !hub.Reachable && !hub.LastUpdate.IsZero(),
+			IsReachable: hub.Reachable && now.Sub(hub.LastUpdate) <= ratelimiter.ReachableWithin,
+			IsDown:      !hub.Reachable && !hub.LastUpdate.IsZero(),
 		})
 	}
 	return hosts
