A silent endpoint's late answer is not thrown away while no other endpoint takes the request

Callers of a request that may be repeated got unknown (endpoint_lost, endpoint fell silent): the round gave its one attempt up at the target, though no other engine was there, and the answer came 2.7 s late.

A silent attempt that loses still counts as a failure of its endpoint.

TestLateAnswerOfTheOnlyEndpointIsNotThrownAway failed before (unknown: no_endpoint) and passes.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -51,6 +51,9 @@
 	started []*attempt
 	running []*attempt
 	winner  *attempt
+	// isOverdue is true once the attempts have been silent for too long, and another one is
+	// tried beside them.
+	isOverdue bool
 }
 
 // attempt is one use of an endpoint.
@@ -62,6 +65,8 @@
 	work   scheduler.Work
 	resume []string
 	sent   atomic.Bool
+	// isOverdue says that the endpoint has been silent for too long, whatever ends the attempt.
+	isOverdue atomic.Bool
 }
 
 func (a *attempt) endpointID() string {
@@ -82,6 +87,9 @@
 	for _, other := range c.running {
 		a.work.Excluded = append(a.work.Excluded, other.endpointID())
 	}
+	if c.isOverdue {
+		a.work.RetryUntil = r.giveUpAt()
+	}
 	c.started = append(c.started, a)
 	c.running = append(c.running, a)
 	c.group.Go(func() error {
@@ -110,6 +118,32 @@
 	return true
 }
 
+// retryBeside starts the next attempt while the silent ones go on, once and before any of
+// them has yielded something. Where no other endpoint takes it, a silent one's late answer
+// is better than none: given up, the request would end as unknown.
+func (c *race) retryBeside(ctx context.Context) bool {
+	r := c.run
+	if c.winner != nil || c.isOverdue || !time.Now().Before(r.giveUpAt()) {
+		return false
+	}
+	c.isOverdue = true
+	for _, a := range c.running {
+		a.isOverdue.Store(true)
+	}
+	if r.attempts+len(c.started) < r.dispatcher.cfg.MaxAttempts && r.dispatcher.retries.withdraw() {
+		r.dispatcher.cfg.Meter.CountRetry(r.class.Name)
+		c.start(ctx)
+	}
+	return true
+}
+
+// isRefusedBeside is true where an attempt found no endpoint beside one that is silent.
+func (c *race) isRefusedBeside(event event) bool {
+	failure, isFailure := event.(failEvent)
+	var refusal *scheduler.RefusalError
+	return isFailure && c.isOverdue && c.winner == nil && errors.As(failure.err, &refusal)
+}
+
 // take handles one event; done says that the answer is whole.
 func (c *race) take(event event) (done bool, err error) {
 	switch event := event.(type) {
@@ -207,7 +241,7 @@
 	final := a.use(ctx, grant, events)
 	// The grant is given back before the round hears of the end, so that what
 	// the caller does next already finds the endpoint's load reduced.
-	grant.Done(result(ctx, final))
+	grant.Done(a.result(ctx, final))
 	a.run.dispatcher.logAttempt(a.run.request, a.id, target.EndpointID, failureOf(final))
 	a.emit(ctx, events, final)
 }
@@ -221,18 +255,20 @@
 }
 
 // result turns an attempt's last event into what the scheduler learns from it.
-func result(ctx context.Context, final event) scheduler.Result {
+func (a *attempt) result(ctx context.Context, final event) scheduler.Result {
 	switch final := final.(type) {
 	case endEvent:
 		return scheduler.Completed{End: final.end}
 	case answerEvent:
 		return scheduler.Completed{}
 	case failEvent:
-		stalled := errors.Is(context.Cause(ctx), errStalled)
-		if ctx.Err() != nil && !stalled {
-			return scheduler.Abandoned{}
+		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errStalled) {
+			return scheduler.Broken{Err: final.err}
+		}
+		if a.isOverdue.Load() {
+			return scheduler.Broken{Err: errStalled}
 		}
-		return scheduler.Broken{Err: final.err}
+		return scheduler.Abandoned{}
 	default:
 		return scheduler.Abandoned{}
 	}
--- a/internal/dispatcher/dispatcher_test.go
+++ b/internal/dispatcher/dispatcher_test.go
@@ -253,3 +253,18 @@
 	assert.Equal(t, failure.Reason, ReasonKeyMissing)
 	assert.Equal(t, failure.Outcome, OutcomeNotRun)
 }
+
+func TestLateAnswerOfTheOnlyEndpointIsNotThrownAway(t *testing.T) {
+	t.Parallel()
+	const target = 100 * time.Millisecond
+	endpoints := &fakeEndpoints{
+		scripts: []script{{tokens: []int{0, 1, 2, 3}, ending: "end", silence: 3 * target / 2}}, absent: 100,
+	}
+	d := newTestDispatcher(configurer.Class{
+		Kind: configurer.KindGenerate, Application: "letters", Repeatable: true, CompletionTargetMS: target.Milliseconds(),
+	}, endpoints, &fakeClaimer{})
+	answer, err := d.Generate(t.Context(), Request{Tenant: "vitosha", Class: "work", RequestID: "r1", Prompt: "p", MaxOutputTokens: 4}, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, answer.Text, "abcd")
+	assert.Equal(t, endpoints.held, 0)
+}
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -22,9 +22,10 @@
 // script is how the fake endpoint treats one attempt: it sends tokens up to
 // a sequence, then does what ending says.
 type script struct {
-	sendErr error  // before anything runs
-	tokens  []int  // sequences sent
-	ending  string // "end", "break", "short", "silent"
+	sendErr error         // before anything runs
+	tokens  []int         // sequences sent
+	ending  string        // "end", "break", "short", "silent"
+	silence time.Duration // before the first token
 }
 
 // fakeEndpoints is a driver and a scheduler over endpoints e0, e1, … that
@@ -117,6 +118,13 @@
 }
 
 func (s *fakeStream) Next() (driver.Event, error) {
+	if s.next == 0 && s.script.silence > 0 {
+		select {
+		case <-time.After(s.script.silence):
+		case <-s.ctx.Done():
+			return nil, s.ctx.Err()
+		}
+	}
 	if s.next < len(s.script.tokens) {
 		sequence := s.script.tokens[s.next]
 		s.next++
--- a/internal/dispatcher/run.go
+++ b/internal/dispatcher/run.go
@@ -150,10 +150,15 @@
 	return len(excluded) > 0 || pauses > 0 && pauses < maxPauses
 }
 
+// backoff is a jittered time that grows with the number of pauses.
+func backoff(n int) time.Duration {
+	d := min(backoffBase<<min(n-1, 10), backoffMaximum)
+	return d/2 + rand.N(d/2)
+}
+
 // pause waits for a jittered, growing time.
 func pause(ctx context.Context, n int) error {
-	d := min(backoffBase<<min(n-1, 10), backoffMaximum)
-	timer := time.NewTimer(d/2 + rand.N(d/2))
+	timer := time.NewTimer(backoff(n))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -182,6 +187,8 @@
 	// to be read, and a hedge for each request at once would double the work.
 	silence, isSilent := timekeeper.NewTimer(max(r.class.CompletionTarget(), r.dispatcher.cfg.Stall))
 	defer silence.Stop()
+	again, isAskedAgain := timekeeper.NewTimer(never)
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -191,21 +198,35 @@
 				hedge.Reset(r.hedgeDelay())
 			}
 		case <-isSilent:
+			if race.retryBeside(ctx) {
+				silence.Reset(max(time.Until(r.giveUpAt()), r.dispatcher.cfg.Stall))
+				continue
+			}
 			race.stall()
 			return errStalled
+		case <-isAskedAgain:
+			race.start(ctx)
 		case event := <-race.events:
 			done, err := race.take(event)
 			if done || err != nil {
 				return err
 			}
+			if race.isRefusedBeside(event) {
+				r.pauses++
+				again.Reset(backoff(r.pauses))
+			}
 			if race.winner != nil {
 				hedge.Stop()
+				again.Stop()
 				silence.Reset(r.dispatcher.cfg.Stall)
 			}
 		}
 	}
 }
 
+// never is the delay of a timer that is not to fire.
+const never = time.Duration(1<<63 - 1)
+
 // hedgeDelay is how long the first token, or a call's answer, is waited for
 // before a second attempt starts.
 func (r *run) hedgeDelay() time.Duration {
@@ -215,7 +236,7 @@
 		target = r.class.CompletionTarget()
 	}
 	if share < 0 {
-		return time.Duration(1<<63 - 1)
+		return never
 	}
 	return time.Duration(share * float64(target))
 }
@@ -234,11 +255,16 @@
 		DeliveredTokens: len(r.delivered), Excluded: append([]string(nil), r.excluded...),
 	}
 	if r.sent {
-		work.RetryUntil = r.arrived.Add(giveUpFactor * r.class.CompletionTarget())
+		work.RetryUntil = r.giveUpAt()
 	}
 	return work
 }
 
+// giveUpAt is until when late attempts are made, and late answers are of use.
+func (r *run) giveUpAt() time.Time {
+	return r.arrived.Add(giveUpFactor * r.class.CompletionTarget())
+}
+
 // bytesPerToken is the estimate of a prompt's tokens before an engine has
 // counted them.
 const bytesPerToken = 4
