A limit that falls little by little does not throw slots away

Read, not seen: an endpoint that names a somewhat lower limit in each answer had each host drop the slots that it had just been given. Slots of a limit of more than twice the new one are dropped as before.

--- a/internal/ratelimiter/demand.go
+++ b/internal/ratelimiter/demand.go
@@ -11,6 +11,9 @@
 	batchSpan = 100 * time.Millisecond
 	// wantHolds is how long a count of requests that wait for a slot holds.
 	wantHolds = 120 * time.Millisecond
+	// staleShare of its former value is below which a limit has fallen too far for slots that
+	// were given out before.
+	staleShare = 0.5
 	// unansweredPause follows an ask that no host has answered.
 	unansweredPause = 200 * time.Millisecond
 )
@@ -94,9 +97,10 @@
 	d.pausedUntil = now.Add(unansweredPause)
 }
 
-// limit changes the limit. Slots of a higher one are not used any more.
+// limit changes the limit. Slots of a much higher one are not used any more; those of a
+// limit that falls little by little pass soon enough.
 func (d *demand) limit(perSecond float64) {
-	if perSecond < d.perSecond {
+	if perSecond < d.perSecond*staleShare {
 		d.slots = nil
 	}
 	d.perSecond = perSecond
