--- a/internal/ratelimiter/ratelimiter.go
+++ b/internal/ratelimiter/ratelimiter.go
@@ -43,9 +43,9 @@
 	// maxAsked is how many hosts are asked, one after the other, before an ask counts as
 	// unanswered.
 	maxAsked = 3
-	// shunned is for how long a host is not asked that has not answered, or does not give
-	// out the slots.
-	shunned = 500 * time.Millisecond
+	// retryHostAfter is for how long a host is not asked that has not answered, or does not
+	// give out the slots.
+	retryHostAfter = 500 * time.Millisecond
 	// maxCount bounds the slots that an ask may want.
 	maxCount = 1 << 16
 )
@@ -91,7 +91,7 @@
 	mu       sync.Mutex
 	demands  map[driver.Process]*demand
 	allotter allotter
-	shunned  map[string]time.Time // hosts that are not asked until then
+	skipped  map[string]time.Time // hosts that are not asked until then
 	quorum   quorum
 	isClosed bool
 }
@@ -99,7 +99,7 @@
 // New makes a Limiter that knows no limit.
 func New(cfg Config) *Limiter {
 	l := &Limiter{
-		cfg: cfg, demands: map[driver.Process]*demand{}, shunned: map[string]time.Time{},
+		cfg: cfg, demands: map[driver.Process]*demand{}, skipped: map[string]time.Time{},
 		allotter: allotter{buckets: map[driver.Process]*bucket{}},
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
@@ -266,11 +266,7 @@
 	if d.isStarved {
 		l.cfg.Logger.Info("an endpoint's slots are given out again", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation)
 	}
-	delays := make([]time.Duration, 0, len(reply.GetDelaysUs()))
-	for _, us := range reply.GetDelaysUs()[:min(len(reply.GetDelaysUs()), count)] {
-		delays = append(delays, time.Duration(min(max(us, 0), time.Minute.Microseconds()))*time.Microsecond)
-	}
-	pause := min(time.Duration(max(reply.GetPauseUs(), 0))*time.Microsecond, maxPause)
+	delays, pause := decode(reply, count)
 	d.receive(delays, pause, sentAt, now)
 	l.mu.Unlock()
 	outcome := outcomeGiven
@@ -283,6 +279,17 @@
 	l.refill(process, delays)
 }
 
+// decode reads a reply. A peer's figures are bounded: a slot begins within the horizon.
+func decode(reply *ratelimiterpb.AllotReply, count int) (delays []time.Duration, pause time.Duration) {
+	duration := func(us int64, most time.Duration) time.Duration {
+		return time.Duration(min(max(us, 0), most.Microseconds())) * time.Microsecond
+	}
+	for _, us := range reply.GetDelaysUs()[:min(len(reply.GetDelaysUs()), count)] {
+		delays = append(delays, duration(us, horizon))
+	}
+	return delays, duration(reply.GetPauseUs(), maxPause)
+}
+
 // refill has slots used as they begin, and asks for more where more is wanted by then.
 func (l *Limiter) refill(process driver.Process, delays []time.Duration) {
 	begun := time.Now()
@@ -331,7 +338,7 @@
 			break
 		}
 		l.mu.Lock()
-		l.shunned[hostID] = l.cfg.Clock().Add(shunned)
+		l.skipped[hostID] = l.cfg.Clock().Add(retryHostAfter)
 		l.mu.Unlock()
 	}
 	return sentAt, reply, err
@@ -343,13 +350,13 @@
 	now := l.cfg.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for hostID, until := range l.shunned {
+	for hostID, until := range l.skipped {
 		if !now.Before(until) {
-			delete(l.shunned, hostID)
+			delete(l.skipped, hostID)
 		}
 	}
 	for _, h := range ranked {
-		if _, isShunned := l.shunned[h.HostID]; !isShunned && !h.IsDown && !h.IsDraining && len(ids) < maxAsked {
+		if _, isSkipped := l.skipped[h.HostID]; !isSkipped && !h.IsDown && !h.IsDraining && len(ids) < maxAsked {
 			ids = append(ids, h.HostID)
 		}
 	}
