--- a/internal/dispatcher/forwarding.go
+++ b/internal/dispatcher/forwarding.go
@@ -27,8 +27,8 @@
 var (
 	errTimeout = errors.New("time for the request is over")
 	errTooLong = errors.New("answer is too long")
-	// errLeft is an endpoint that has left since it was chosen, or for which the slot of
-	// this request has passed.
+	// errLeft is an endpoint that does not take the request any more since it was chosen: it
+	// leaves, has asked for rest, or this host's slot of its limit has passed.
 	errLeft = errors.New("endpoint no longer takes work")
 	// errServerFault is an answer with which an endpoint reports a fault of its own.
 	errServerFault = errors.New("endpoint reported a fault of its own")
