--- a/internal/ratelimiter/model_test.go
+++ b/internal/ratelimiter/model_test.go
@@ -396,3 +396,12 @@
 		})
 	}
 }
+
+// Hosts that move between two parts of a fleet within ReachableWithin count in both.
+func TestHostsThatMoveBetweenPartsOfAFleet(t *testing.T) {
+	t.Parallel()
+	f := newModelFleet(5349, 9, true)
+	f.play(4, true, false)
+	full, _ := f.worst()
+	assert.Assert(t, full <= 1, "%.2f of what is allowed came in a window", full)
+}
