Observer asks which processes are listed, and is not given the list with each change of it

Read on the last look at the diff: each change of an endpoint's entry built a map of all processes, at each host. TestListedProcessIsNotForgotten and the package's tests pass, also under the race detector; what it cost was not measured.

--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -48,6 +48,9 @@
 	// LimitChanged is called for each change of a process's limit, in order. It must not block,
 	// nor call the Observer.
 	LimitChanged func(process driver.Process, limit driver.Limit)
+	// IsListed is true for a process that the platform lists. What it has said is kept for as
+	// long as it is.
+	IsListed func(process driver.Process) bool
 	// Leaves is called when a process has said that it leaves. It may call the Observer.
 	Leaves func()
 	Logger hclog.Logger
@@ -77,7 +80,6 @@
 
 	mu      sync.Mutex
 	records map[driver.Process]*record
-	listed  map[driver.Process]bool
 	log     exchanger.UpdateLog[exchanger.SignalUpdate]
 }
 
@@ -214,20 +216,15 @@
 
 // HasLeft is true for a process that has said that it leaves.
 func (o *Observer) HasLeft(process driver.Process) bool {
+	if o.known.Load() == 0 {
+		return false
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r := o.records[process]
 	return r != nil && r.isLeaving
 }
 
-// SetListed takes the processes that the platform lists. What they have said is kept for
-// as long as they are.
-func (o *Observer) SetListed(listed map[driver.Process]bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.listed = listed
-}
-
 func (o *Observer) takeRestLocked(process driver.Process, r *record, now time.Time, rest time.Duration) {
 	until := now.Add(rest)
 	if !until.After(r.restUntil) {
@@ -253,6 +250,10 @@
 // Tick forgets processes of which nothing was said for long. It is to be called
 // several times a minute.
 func (o *Observer) Tick() {
+	listed := map[driver.Process]bool{}
+	for _, state := range o.States() {
+		listed[state.Process] = o.cfg.IsListed(state.Process) // asked without the lock: it may call HasLeft
+	}
 	now := o.cfg.Clock()
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -261,7 +262,7 @@
 	}
 	for process, r := range o.records {
 		switch {
-		case o.listed[process]:
+		case listed[process]:
 			r.saidAt = now
 		case now.Sub(r.saidAt) > keptFor && now.After(r.restUntil):
 			o.forgetLocked(process)
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -19,12 +19,16 @@
 // fixture is an Observer on a clock that stands until it is moved.
 type fixture struct {
 	*Observer
-	now time.Time
+	now    time.Time
+	listed map[driver.Process]bool
 }
 
 func newFixture() *fixture {
 	f := &fixture{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
-	f.Observer = New(Config{Clock: func() time.Time { return f.now }, Meter: noMeter{}, LimitChanged: func(driver.Process, driver.Limit) {}, Leaves: func() {}, Logger: hclog.NewNullLogger()})
+	f.Observer = New(Config{
+		Clock: func() time.Time { return f.now }, Meter: noMeter{}, LimitChanged: func(driver.Process, driver.Limit) {}, Leaves: func() {},
+		IsListed: func(process driver.Process) bool { return f.listed[process] }, Logger: hclog.NewNullLogger(),
+	})
 	return f
 }
 
--- a/internal/observer/updates_test.go
+++ b/internal/observer/updates_test.go
@@ -81,7 +81,7 @@
 	t.Parallel()
 	f := newFixture()
 	f.said(driver.Signals{IsLeaving: true}, 0)
-	f.SetListed(map[driver.Process]bool{process: true})
+	f.listed = map[driver.Process]bool{process: true}
 	for range 3 {
 		f.now = f.now.Add(keptFor - time.Second)
 		f.Tick()
--- a/pkg/endivemast/gateway_caches.go
+++ b/pkg/endivemast/gateway_caches.go
@@ -19,14 +19,11 @@
 	g.scheduler.SetHosts(hosts, now)
 	g.noteProcesses(hosts)
 	var engines []driver.Target
-	listed := make(map[driver.Process]bool, len(hosts))
 	for i := range hosts {
-		listed[targetOf(&hosts[i]).Process()] = true
 		if hosts[i].Kind == provider.HostEngine {
 			engines = append(engines, targetOf(&hosts[i]))
 		}
 	}
-	g.observer.SetListed(listed)
 	g.caches.SetTargets(engines)
 }
 
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -21,12 +21,17 @@
 	})
 	g.observer = observer.New(observer.Config{
 		Clock: g.cfg.Clock.Now, Meter: g.meter, LimitChanged: g.limiter.SetLimit,
-		Leaves: func() { g.registrations.Refresh() }, Logger: g.cfg.Logger.Named("observer"),
+		IsListed: g.isListed, Leaves: func() { g.registrations.Refresh() }, Logger: g.cfg.Logger.Named("observer"),
 	})
 	g.cfg.Driver.SetObserver(g.observer.Observe)
 }
 
-// gaugeSignals shows how many listed endpoints say something of themselves.
+func (g *Gateway) isListed(process driver.Process) bool {
+	host, ok := g.registrations.Find(process.EndpointID)
+	return ok && host.Incarnation == process.Incarnation
+}
+
+// gaugeSignals shows how many endpoints say something of themselves.
 func (g *Gateway) gaugeSignals() {
 	count := func(isCounted func(state *observer.State) bool) func() float64 {
 		return func() (n float64) {
