Endpoints' load of four figures is read

Cause: loadOf took exactly three figures. An endpoint that also says how long work takes on its machine (demands/) had its whole load thrown away, and each of its answers was counted as malformed.

Change: the fourth figure is optional and kept as Slowness. Nothing decides by it yet.

Test: TestSignalsOf "load and slowness", which failed before.

--- a/internal/driver/signals.go
+++ b/internal/driver/signals.go
@@ -48,6 +48,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowness is how long work takes there at this moment, in hundredths of the usual; 0: not
+	// said.
+	Slowness int
 }
 
 // Observation is what one answer of an endpoint's process said of it.
