Tenants' limits are kept by all hosts together

Nothing read rate_per_s, burst_size, unit or plain_tokens; the digests of keys even dropped them from what hosts pass on.

Change: a tenant's limit is charged by the mechanism that shares endpoints' limits. A limit has one owner by hash; each request asks it before an endpoint is looked for, with the tokens that it names; requests that come meanwhile go in the next ask. One beyond the limit is refused at once with 429 and when the bucket would allow it. A charge lapses after a second and is renewed when the request is sent later; a second run is charged whatever the limit; what nothing was sent of is given back.

An owner now gives out as much of a limit as it reaches of the hosts, in place of all or nothing by majority: two parts of a cut fleet together keep the limit, whoever moves between them. A new owner gives out what has come since it may own the limit. While no owner answers, a host goes on for a second as before, at most each ten.

Found on the way: a host that was a hub for a moment at the start held other zones' hubs for down ever after, since it no longer received their updates, and asked the wrong owner (3 of 59 hosts, 335 requests refused for that in 12 s).

Model (virtual time, 1 to 2,000 hosts): no window beyond the rule.

--- a/internal/authenticator/authenticator.go
+++ b/internal/authenticator/authenticator.go
@@ -108,12 +108,47 @@
 	Rank    int
 	HasRank bool
 	Keys    []Digest
+	Limit   Limit
+}
+
+// Unit is what a limit counts.
+type Unit int
+
+// Units.
+const (
+	Requests Unit = iota
+	Tokens        // those of the prompt, and those that may be generated
+)
+
+// Limit is what a tenant may use; the zero value: as much as it likes.
+type Limit struct {
+	PerSecond float64
+	Burst     float64 // that may accumulate while less is used
+	Unit      Unit
+	// PlainTokens is what a request counts for that names no tokens.
+	PlainTokens int64
+}
+
+// IsSet says whether there is a limit.
+func (l *Limit) IsSet() bool { return l.PerSecond > 0 }
+
+// UnitsOf is what a request counts for. Tokens are those of its prompt and the most that it
+// may generate, whatever it does in the end.
+func (l *Limit) UnitsOf(tokens int) int64 {
+	switch {
+	case l.Unit == Requests:
+		return 1
+	case tokens <= 0:
+		return l.PlainTokens
+	}
+	return int64(tokens)
 }
 
 // Directory finds tenants by their keys. It is not changed once made.
 type Directory struct {
 	tenants int
 	keys    Table[*Tenant]
+	limits  map[string]Limit // by the tenant's name
 }
 
 // Errors of a tenant in a configuration.
@@ -126,7 +161,7 @@
 // NewDirectory makes a Directory, and says what of the tenants is not used. A key
 // that two tenants hold would let one act as the other, so it is left out.
 func NewDirectory(tenants []Tenant) (directory *Directory, problems []error) {
-	directory = &Directory{}
+	directory = &Directory{limits: map[string]Limit{}}
 	shared := map[Digest]bool{}
 	holders := map[Digest]string{}
 	for i := range tenants {
@@ -148,6 +183,9 @@
 			continue
 		}
 		directory.tenants++
+		if tenant.Limit.IsSet() {
+			directory.limits[tenant.Name] = tenant.Limit
+		}
 		for _, sum := range tenant.Keys {
 			if shared[sum] {
 				problems = append(problems, fmt.Errorf("%w: %q", ErrSharedKey, tenant.Name))
@@ -162,6 +200,12 @@
 // Find returns the tenant that holds a key.
 func (d *Directory) Find(sum Digest) (tenant *Tenant, ok bool) { return d.keys.Find(sum) }
 
+// LimitOf is the limit of a tenant; ok is false where it has none.
+func (d *Directory) LimitOf(name string) (limit Limit, ok bool) {
+	limit, ok = d.limits[name]
+	return limit, ok
+}
+
 // Tenants is the number of tenants that have a key.
 func (d *Directory) Tenants() int { return d.tenants }
 
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -83,6 +83,8 @@
 	// Began is told of each run of a tenant's request that has begun at an endpoint,
 	// as its answer shows; nil: nobody is.
 	Began func(tenant string)
+	// Limits keeps tenants' requests within their limits; nil: there are none.
+	Limits TenantLimits
 	// Quarantine keeps requests from endpoints that crash the endpoints that
 	// run them; nil: none is kept.
 	Quarantine *quarantiner.Quarantiner
@@ -108,6 +110,9 @@
 	if cfg.Slept == nil {
 		cfg.Slept = func() time.Duration { return 0 }
 	}
+	if cfg.Limits == nil {
+		cfg.Limits = noLimits{}
+	}
 	if cfg.Began == nil {
 		cfg.Began = func(string) {}
 	}
@@ -158,6 +163,7 @@
 	f.setRunning(p, cut)
 	defer f.setRunning(p, nil)
 	err = p.admitAndRun(ctx)
+	p.refund(err)
 	f.count(p, err)
 	if err != nil {
 		f.requestLog.ended(ctx, p, err)
--- a/internal/dispatcher/forwarding.go
+++ b/internal/dispatcher/forwarding.go
@@ -51,6 +51,8 @@
 	isTrial   atomic.Bool // of a quarantined request
 	hasEvents atomic.Bool // of its answer, from any endpoint
 
+	charge Charge // to its tenant's limit
+
 	sends    int // calls that went to an endpoint, prefills left out
 	runs     int // of these, those that may have run
 	read     int // prefills that an engine accepted
@@ -108,6 +110,9 @@
 	if p.admission.IsRefused {
 		return p.finish(ctx, errQuarantined)
 	}
+	if err := p.chargeFirst(ctx); err != nil {
+		return p.finish(ctx, err)
+	}
 	return p.run(ctx)
 }
 
@@ -155,7 +160,11 @@
 	p.basis = grant.Basis()
 	p.times.queued += time.Since(waited)
 	p.forwarder.cfg.Meter.ObserveQueue("", p.request.Class.Name, time.Since(waited))
-	if err := p.prefill(ctx, grant); err != nil {
+	err = p.chargeAgain(ctx)
+	if err == nil {
+		err = p.prefill(ctx, grant)
+	}
+	if err != nil {
 		grant.Done(scheduler.Abandoned{})
 		return err
 	}
--- a/internal/dispatcher/forwarding_answer.go
+++ b/internal/dispatcher/forwarding_answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/ratelimiter"
 	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
@@ -141,11 +142,16 @@
 		failure.Outcome = OutcomeUnknown
 	}
 	var refusal *scheduler.RefusalError
+	var overLimit *ratelimiter.OverLimitError
 	switch {
 	case errors.Is(err, errQuarantined) || errors.Is(context.Cause(ctx), errQuarantined):
 		failure.Reason, failure.RetryAfter = ReasonCrashesEndpoints, max(p.admission.RetryAfter, retryAfterFault)
 	case errors.As(err, &refusal):
 		failure.Reason, failure.RetryAfter = string(refusal.Reason), refusal.RetryAfter
+	case errors.As(err, &overLimit):
+		failure.Reason, failure.RetryAfter = ReasonTenantLimit, overLimit.RetryAfter
+	case errors.Is(err, ratelimiter.ErrUnanswered):
+		failure.Reason, failure.RetryAfter = ReasonLimitUnknown, retryLimitUnknown
 	case errors.Is(err, errTimeout) || errors.Is(context.Cause(ctx), errTimeout):
 		failure.Reason = ReasonTimeout
 	case ctx.Err() != nil || errors.Is(err, errCallerGone):
--- a/internal/dispatcher/forwarding_repeat.go
+++ b/internal/dispatcher/forwarding_repeat.go
@@ -13,7 +13,7 @@
 // mayRepeat says whether another attempt may follow a failed one.
 func (p *forwarding) mayRepeat(err error) bool {
 	var refusal *scheduler.RefusalError
-	if errors.As(err, &refusal) || errors.Is(err, errCallerGone) || p.sends >= maxSends {
+	if errors.As(err, &refusal) || isOverLimit(err) || errors.Is(err, errCallerGone) || p.sends >= maxSends {
 		return false
 	}
 	if p.admission.IsTrial && errors.Is(err, driver.ErrOutcomeUnknown) {
--- a/internal/dispatcher/types.go
+++ b/internal/dispatcher/types.go
@@ -73,6 +73,8 @@
 	ReasonEndpointLost     = "endpoint_lost" // no answer, or not whole, and no retry left
 	ReasonNotReady         = "not_ready"     // the host has no configuration yet
 	ReasonCallerGone       = "caller_gone"
-	ReasonUnknownKey       = "unknown_key"      // no tenant holds the request's API key
-	ReasonKeysNotCurrent   = "keys_not_current" // whether the key holds is not known at present
+	ReasonUnknownKey       = "unknown_key"          // no tenant holds the request's API key
+	ReasonKeysNotCurrent   = "keys_not_current"     // whether the key holds is not known at present
+	ReasonTenantLimit      = "tenant_limit"         // beyond what the tenant may use
+	ReasonLimitUnknown     = "tenant_limit_unknown" // no host says what the tenant may use at present
 )
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -134,6 +134,11 @@
 	m.set.GetOrCreateCounter(`endivemast_endpoint_signals_total{signal="` + signal + `"}`).Inc()
 }
 
+// CountTenantCharge counts a request charged to its tenant's limit.
+func (m *Meter) CountTenantCharge(outcome string) {
+	m.set.GetOrCreateCounter(`endivemast_tenant_charges_total{outcome="` + outcome + `"}`).Inc()
+}
+
 // CountSlotAsk counts an ask for slots of an endpoint that names a limit.
 func (m *Meter) CountSlotAsk(outcome string) {
 	m.set.GetOrCreateCounter(`endivemast_slot_asks_total{outcome="` + outcome + `"}`).Inc()
--- a/internal/ratelimiter/model_test.go
+++ b/internal/ratelimiter/model_test.go
@@ -23,6 +23,7 @@
 	modelWaits  = time.Second     // that a caller's request waits for a slot
 	modelSilent = 3 * time.Second // after which a host counts as silent
 	modelLearn  = 300 * time.Millisecond
+	modelLead   = 10 * time.Second // that hosts run before the callers come
 )
 
 // modelFleet plays hosts that share one process's limit: the decisions are the package's,
@@ -32,11 +33,15 @@
 	now     time.Time
 	start   time.Time
 	hosts   []*modelHost
-	givers  int // the first so many hosts may give out slots
-	mail    []modelMail
-	changes []modelChange
-	sent    []time.Time
-	end     time.Time
+	givers  int // the first so many hosts may own limits
+	subject Subject
+	// takeReply takes in an owner's answer.
+	takeReply func(m modelMail)
+	burstSpan float64 // of a tenant's limit, in seconds of it
+	mail      []modelMail
+	changes   []modelChange
+	sent      []time.Time
+	end       time.Time
 }
 
 type modelHost struct {
@@ -55,8 +60,10 @@
 	sentAt     time.Time
 	even       float64 // tokens, where hosts have equal parts
 	evenAt     time.Time
-	quorum     quorum
+	reach      reach
+	account    account
 	wasFrozen  bool
+	frozeAt    time.Time
 	wokeAt     time.Time
 }
 
@@ -70,6 +77,8 @@
 	delays    []time.Duration
 	pause     time.Duration
 	refused   bool
+	charges   *charges
+	waits     []time.Duration
 }
 
 type modelChange struct {
@@ -77,12 +86,12 @@
 	perSecond float64
 }
 
-var modelProcess = driver.Process{EndpointID: "e1", Incarnation: "1"}
+var modelProcess = Subject{Process: driver.Process{EndpointID: "e1", Incarnation: "1"}}
 
 func newModelFleet(seed uint64, hosts int, hasFaults bool) *modelFleet {
 	f := &modelFleet{random: rand.New(rand.NewPCG(seed, uint64(hosts)))}
 	f.start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	f.now, f.givers = f.start, min(hosts, 10)
+	f.now, f.givers, f.subject = f.start, min(hosts, 10), modelProcess
 	limit := []float64{0.5, 2, 7.6, 40}[f.random.IntN(4)]
 	f.changes = []modelChange{{f.now, limit}}
 	if hasFaults && f.random.IntN(2) == 0 {
@@ -103,7 +112,8 @@
 		f.hosts = append(f.hosts, h)
 	}
 	for n, h := range f.hosts {
-		h.quorum.settle(h.id, f.view(n), f.now.Add(-ReachableWithin))
+		h.reach.settle(h.id, f.view(n), f.now.Add(-ReachableWithin))
+		h.allotter.review(h.id, f.view(n), f.now.Add(-modelLead))
 	}
 	return f
 }
@@ -113,7 +123,7 @@
 }
 
 func (h *modelHost) restart(now time.Time) {
-	h.demand, h.allotter = &demand{perSecond: h.known}, allotter{buckets: map[driver.Process]*bucket{}}
+	h.demand, h.allotter = &demand{perSecond: h.known}, allotter{}
 	h.waiting, h.candidates, h.evenAt, h.even = nil, nil, now, 0
 }
 
@@ -192,14 +202,22 @@
 	f.mail = kept
 	for _, m := range due {
 		if m.isReply {
-			f.receive(m)
+			f.takeReply(m)
 			continue
 		}
 		h := f.hosts[m.to]
 		reply := modelMail{to: m.from, from: m.to, ask: m.ask, isReply: true}
-		reply.refused = !isOwner(h.id, modelProcess, h.quorum.settle(h.id, f.view(m.to), f.now))
-		if !reply.refused {
-			reply.delays, reply.pause = h.allotter.allot(modelProcess, h.known, m.count, f.now)
+		hosts := h.reach.settle(h.id, f.view(m.to), f.now)
+		h.allotter.review(h.id, hosts, f.now)
+		reply.refused = !isOwner(h.id, f.subject, hosts)
+		switch {
+		case reply.refused:
+		case m.charges != nil:
+			asked := *m.charges
+			asked.limit = f.tenantLimit(h.known)
+			reply.charges, reply.waits = m.charges, h.allotter.charge(f.subject.Tenant, &asked, shareOf(hosts), f.now)
+		default:
+			reply.delays, reply.pause = h.allotter.bucketOf(f.subject).allot(rateOf(h.known*shareOf(hosts)), m.count, f.now)
 		}
 		f.post(reply)
 	}
@@ -263,7 +281,7 @@
 	h.demand.want(len(h.waiting), f.now)
 	if count := h.demand.nextAsk(f.now); count > 0 {
 		h.demand.isAsking = true
-		for _, giver := range rank(modelProcess, f.view(n)) {
+		for _, giver := range rank(f.subject, f.view(n)) {
 			if !giver.IsDown && len(h.candidates) < maxAsked {
 				h.candidates = append(h.candidates, f.number(giver.HostID))
 			}
@@ -286,28 +304,28 @@
 
 // play plays the fleet; pressure is callers' requests against the limit.
 func (f *modelFleet) play(pressure float64, hasFaults, isEven bool) {
+	f.takeReply = f.receive
+	f.run(hasFaults, func(h *modelHost, limit float64) {
+		h.known = limit
+		h.demand.limit(limit)
+	}, func(n int, limit, part float64) {
+		f.step(n, pressure*limit*modelStep.Seconds()*part, isEven)
+	})
+}
+
+// run runs the fleet to its end. learn has a host take in a limit that has changed; step
+// plays one host, to which a part of all requests comes.
+func (f *modelFleet) run(hasFaults bool, learn func(h *modelHost, limit float64), step func(n int, limit, part float64)) {
 	var weights float64
 	for _, h := range f.hosts {
 		weights += h.weight
 	}
-	for step := 0; f.now.Before(f.end); step, f.now = step+1, f.now.Add(modelStep) {
+	for count := 0; f.now.Before(f.end); count, f.now = count+1, f.now.Add(modelStep) {
 		if hasFaults {
 			f.disturb()
 		}
-		for n := range f.hosts {
-			h := f.hosts[n]
-			if h.wasFrozen && f.runs(n) {
-				h.wokeAt, h.quorum = f.now, quorum{}
-			}
-			h.wasFrozen = !f.runs(n)
-			if n < f.givers && f.runs(n) && step%modelTick == 0 {
-				h.quorum.settle(h.id, f.view(n), f.now)
-			}
-			for g := range f.givers {
-				if n < f.givers && f.runs(n) && f.runs(g) && f.reaches(n, g) {
-					h.lastHeard[g] = f.now
-				}
-			}
+		for n := range f.givers {
+			f.look(n, count%modelTick == 0)
 		}
 		f.deliver()
 		limit := f.limitAt(f.now)
@@ -316,14 +334,44 @@
 				continue
 			}
 			if h.known != limit && f.random.Float64() < float64(modelStep)/float64(modelLearn)*3 {
-				h.known = limit
-				h.demand.limit(limit)
+				learn(h, limit)
 			}
-			f.step(n, pressure*limit*modelStep.Seconds()*h.weight/weights, isEven)
+			step(n, limit, h.weight/weights)
+		}
+	}
+}
+
+// look has a host that may own limits take in which others it reaches.
+func (f *modelFleet) look(n int, isTick bool) {
+	h := f.hosts[n]
+	if h.wasFrozen && f.runs(n) {
+		h.wokeAt, h.reach = f.now, reach{}
+		if f.now.Sub(h.frozeAt) > ReachableWithin {
+			h.allotter.forget(f.now)
+		}
+	}
+	if !h.wasFrozen {
+		h.frozeAt = f.now
+	}
+	h.wasFrozen = !f.runs(n)
+	if f.runs(n) && isTick {
+		h.allotter.review(h.id, h.reach.settle(h.id, f.view(n), f.now), f.now)
+	}
+	for g := range f.givers {
+		if f.runs(n) && f.runs(g) && f.reaches(n, g) {
+			h.lastHeard[g] = f.now
 		}
 	}
 }
 
+// mostBetween is the highest limit that some host may have believed.
+func (f *modelFleet) mostBetween(from, to time.Time) (limit float64) {
+	for at := from; !at.After(to); at = at.Add(100 * time.Millisecond) {
+		limit = max(limit, f.limitAt(at))
+	}
+	return limit
+}
+
 // worst is the fullest window against what is allowed in it, and used the part of the
 // limit that was used.
 func (f *modelFleet) worst() (worst, used float64) {
@@ -332,10 +380,7 @@
 		for !f.sent[first].After(end.Add(-modelWindow)) {
 			first++
 		}
-		limit := 0.0 // the highest that some host may have believed
-		for at := end.Add(-modelWindow - time.Second); !at.After(end); at = at.Add(100 * time.Millisecond) {
-			limit = max(limit, f.limitAt(at))
-		}
+		limit := f.mostBetween(end.Add(-modelWindow-time.Second), end)
 		allowed := 1.5*limit*modelWindow.Seconds() + 5
 		worst = max(worst, float64(i-first+1)/allowed)
 	}
--- a/internal/ratelimiter/ratelimiter.go
+++ b/internal/ratelimiter/ratelimiter.go
@@ -1,24 +1,26 @@
-// Package ratelimiter has all hosts together keep to the limit that an endpoint names on
-// its requests.
+// Package ratelimiter has all hosts together keep to a limit: the one that an endpoint
+// names on its requests, or the one that the operator sets on a tenant's.
 //
-// One host gives out the slots of a process, one for each request that it takes; the
-// others ask that one for as many as they have requests waiting, and send no request
-// without one. A slot that is not used in time is lost. So no host has to know how many
-// others there are or what they want, and one that is cut off, frozen or gone can send no
-// more than it was given.
+// One host owns each limit and gives out its units; the others ask that one, and send
+// nothing without what they were given. What is not used in time is lost. So no host has to
+// know how many others there are or what they want, and one that is cut off, frozen or gone
+// can send no more than it was given.
 //
-// Which host that is follows from a hash of the process and the hosts. Where hosts differ
-// for a moment about who is there, two may give out slots; slots are short, and a host
-// that reaches less than half of the others gives out none.
+// Who owns a limit follows from a hash of its subject and the hosts. An owner gives out as
+// much of the limit as it reaches of the hosts, so that the parts of a fleet that is cut
+// in two together keep it.
 //
 // # Usage
 //
 //	l := ratelimiter.New(ratelimiter.Config{...})
 //	l.Register(ex.Registrar())
+//
 //	l.SetLimit(process, driver.Limit{PerSecond: 7.6, IsSet: true})
 //	if !l.HasSlot(process) { l.Want(process, waiting) } // Refill follows
-//	slot, ok := l.Take(process)
+//	slot := l.Take(process)
 //	isLeave := l.Renew(process, &slot) // when it is sent
+//
+//	until, err := l.Charge(ctx, "tenant-7", ratelimiter.TenantLimit{PerSecond: 40_000, Burst: 40_000}, tokens)
 package ratelimiter
 
 import (
@@ -50,14 +52,20 @@
 	maxCount = 1 << 16
 )
 
-var errRefused = errors.New("host does not give out the slots")
+var (
+	errRefused   = errors.New("host does not own the limit")
+	errMalformed = errors.New("reply does not fit what was asked")
+)
 
 // Config sets up a Limiter.
 type Config struct {
 	HostID string
-	// Hosts are those that may give out slots, this one included.
+	// Hosts are those that may own limits, this one included.
 	Hosts func() []Host
 	Conn  func(hostID string) (grpc.ClientConnInterface, error)
+	// TenantLimit is a tenant's limit as this host knows it; ok is false where it knows none.
+	// Nil: no tenant has one.
+	TenantLimit func(tenant string) (limit TenantLimit, ok bool)
 	// Refill is called when a slot of a process can be used from now on.
 	Refill func(process driver.Process)
 	// Clock counts the host's sleep.
@@ -66,10 +74,13 @@
 	Logger hclog.Logger
 }
 
-// Meter counts asks by their outcome.
-type Meter interface{ CountSlotAsk(outcome string) }
+// Meter counts asks for slots and charges by their outcome.
+type Meter interface {
+	CountSlotAsk(outcome string)
+	CountTenantCharge(outcome string)
+}
 
-// Outcomes of an ask for slots.
+// Outcomes of an ask for slots, and of a charge.
 const (
 	outcomeGiven      = "given"
 	outcomeNone       = "none" // all are given out for now
@@ -92,15 +103,20 @@
 	demands  map[driver.Process]*demand
 	allotter allotter
 	skipped  map[string]time.Time // hosts that are not asked until then
-	quorum   quorum
+	reach    reach
+	accounts map[string]*account // by tenant
 	isClosed bool
+
+	accountsSweptAt time.Time
 }
 
 // New makes a Limiter that knows no limit.
 func New(cfg Config) *Limiter {
+	if cfg.TenantLimit == nil {
+		cfg.TenantLimit = func(string) (limit TenantLimit, ok bool) { return limit, false }
+	}
 	l := &Limiter{
-		cfg: cfg, demands: map[driver.Process]*demand{}, skipped: map[string]time.Time{},
-		allotter: allotter{buckets: map[driver.Process]*bucket{}},
+		cfg: cfg, demands: map[driver.Process]*demand{}, skipped: map[string]time.Time{}, accounts: map[string]*account{},
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
 	return l
@@ -128,14 +144,21 @@
 	hosts, now := l.cfg.Hosts(), l.cfg.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.quorum.settle(l.cfg.HostID, hosts, now)
+	hosts = l.reach.settle(l.cfg.HostID, hosts, now)
+	l.allotter.review(l.cfg.HostID, hosts, now)
+	l.sweepAccountsLocked(now)
+	return hosts
 }
 
-// Woke takes in that this host was away. What it then reads from others may be of before.
-func (l *Limiter) Woke() {
+// Woke takes in that this host was away for so long. What it then reads from others may be
+// of before, and another host may have taken its place meanwhile.
+func (l *Limiter) Woke(away time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.quorum = quorum{}
+	l.reach = reach{}
+	if away > ReachableWithin {
+		l.allotter.forget(l.cfg.Clock())
+	}
 }
 
 // SetLimit takes in what a process says of its limit.
@@ -245,7 +268,9 @@
 
 // ask gets slots and has them used as they begin.
 func (l *Limiter) ask(process driver.Process, perSecond float64, count int) {
-	sentAt, reply, err := l.askHosts(process, perSecond, count)
+	sentAt, reply, err := l.askHosts(Subject{Process: process}, &ratelimiterpb.AllotRequest{
+		EndpointId: process.EndpointID, Incarnation: process.Incarnation, PerSecond: perSecond, Count: int64(count),
+	}, askTimeout, maxAsked)
 	now := l.cfg.Clock()
 	l.mu.Lock()
 	d := l.demands[process]
@@ -322,16 +347,13 @@
 	}
 }
 
-// askHosts asks the host that gives out a process's slots, and those that would next
-// where it does not answer.
-func (l *Limiter) askHosts(process driver.Process, perSecond float64, count int) (sentAt time.Time, reply *ratelimiterpb.AllotReply, err error) {
-	request := &ratelimiterpb.AllotRequest{
-		EndpointId: process.EndpointID, Incarnation: process.Incarnation, PerSecond: perSecond, Count: int64(count),
-	}
+// askHosts asks the owner of a subject's limit, and up to most hosts in all that would
+// be next where it does not answer.
+func (l *Limiter) askHosts(subject Subject, request *ratelimiterpb.AllotRequest, timeout time.Duration, most int) (sentAt time.Time, reply *ratelimiterpb.AllotReply, err error) {
 	err = errRefused
-	for _, hostID := range l.candidates(process) {
+	for _, hostID := range l.candidates(subject, most) {
 		sentAt = l.cfg.Clock()
-		if reply, err = l.askHost(hostID, request); err == nil && reply.GetIsRefused() {
+		if reply, err = l.askHost(hostID, request, timeout); err == nil && reply.GetIsRefused() {
 			err = errRefused
 		}
 		if err == nil || l.ctx.Err() != nil {
@@ -345,8 +367,8 @@
 }
 
 // candidates are the hosts to ask, in order.
-func (l *Limiter) candidates(process driver.Process) (ids []string) {
-	ranked := rank(process, l.cfg.Hosts())
+func (l *Limiter) candidates(subject Subject, most int) (ids []string) {
+	ranked := rank(subject, l.cfg.Hosts())
 	now := l.cfg.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -356,18 +378,18 @@
 		}
 	}
 	for _, h := range ranked {
-		if _, isSkipped := l.skipped[h.HostID]; !isSkipped && !h.IsDown && !h.IsDraining && len(ids) < maxAsked {
+		if _, isSkipped := l.skipped[h.HostID]; !isSkipped && h.mayOwn() && len(ids) < most {
 			ids = append(ids, h.HostID)
 		}
 	}
 	return ids
 }
 
-func (l *Limiter) askHost(hostID string, request *ratelimiterpb.AllotRequest) (*ratelimiterpb.AllotReply, error) {
+func (l *Limiter) askHost(hostID string, request *ratelimiterpb.AllotRequest, timeout time.Duration) (*ratelimiterpb.AllotReply, error) {
 	if hostID == l.cfg.HostID {
 		return l.Allot(l.ctx, request)
 	}
-	ctx, cancel := timekeeper.WithTimeout(l.ctx, askTimeout)
+	ctx, cancel := timekeeper.WithTimeout(l.ctx, timeout)
 	defer cancel()
 	conn, err := l.cfg.Conn(hostID)
 	if err != nil {
@@ -378,17 +400,24 @@
 
 // Allot implements ratelimiterpb.RateLimiterServer.
 func (l *Limiter) Allot(_ context.Context, request *ratelimiterpb.AllotRequest) (*ratelimiterpb.AllotReply, error) {
-	process := driver.Process{EndpointID: request.GetEndpointId(), Incarnation: request.GetIncarnation()}
-	if !isOwner(l.cfg.HostID, process, l.settled()) {
+	subject := Subject{
+		Tenant: request.GetTenant(), Process: driver.Process{EndpointID: request.GetEndpointId(), Incarnation: request.GetIncarnation()},
+	}
+	hosts := l.settled()
+	if !isOwner(l.cfg.HostID, subject, hosts) {
 		return &ratelimiterpb.AllotReply{IsRefused: true}, nil
 	}
+	share := shareOf(hosts)
+	if subject.Tenant != "" {
+		return l.allotCharges(request, share, l.cfg.Clock()), nil
+	}
 	perSecond, now := request.GetPerSecond(), l.cfg.Clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if d := l.demands[process]; d != nil {
+	if d := l.demands[subject.Process]; d != nil {
 		perSecond = d.perSecond
 	}
-	delays, pause := l.allotter.allot(process, perSecond, int(min(max(request.GetCount(), 1), maxCount)), now)
+	delays, pause := l.allotter.bucketOf(subject).allot(rateOf(perSecond*share), int(min(max(request.GetCount(), 1), maxCount)), now)
 	reply := &ratelimiterpb.AllotReply{PauseUs: pause.Microseconds()}
 	for _, delay := range delays {
 		reply.DelaysUs = append(reply.DelaysUs, delay.Microseconds())
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -208,7 +208,7 @@
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
 		StoreAway: g.follower.Away, Quarantine: g.quarantiner, Slept: g.cfg.Clock.Slept,
 		RepeatShare: cfg.RepeatShare * repeatSafety, RepeatReserve: cfg.RepeatReserve * repeatSafety / unknownHosts,
-		RepeatWindow: cfg.RepeatWindow, Began: g.accountant.Count,
+		RepeatWindow: cfg.RepeatWindow, Began: g.accountant.Count, Limits: &tenantLimits{gateway: g},
 	})
 	g.callers = server.NewPlain(server.PlainConfig{
 		Address: cfg.CallersAddress, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
--- /dev/null
+++ b/pkg/endivemast/gateway_limits.go
@@ -0,0 +1,68 @@
+package endivemast
+
+import (
+	"context"
+
+	"github.com/endivemast/endivemast/internal/authenticator"
+	"github.com/endivemast/endivemast/internal/dispatcher"
+	"github.com/endivemast/endivemast/internal/ratelimiter"
+)
+
+// tenantLimits charges requests to the limits that the configuration in force sets on
+// tenants. It implements dispatcher.TenantLimits.
+type tenantLimits struct{ gateway *Gateway }
+
+// limitOf is a tenant's limit; ok is false where it has none.
+func (g *Gateway) limitOf(tenant string) (limit authenticator.Limit, ok bool) {
+	directory := g.classifier.Tenants()
+	if directory == nil {
+		return limit, false
+	}
+	return directory.LimitOf(tenant)
+}
+
+// tenantLimit is limitOf as the limiter has it.
+func (g *Gateway) tenantLimit(tenant string) (ratelimiter.TenantLimit, bool) {
+	limit, ok := g.limitOf(tenant)
+	return ratelimiter.TenantLimit{PerSecond: limit.PerSecond, Burst: limit.Burst}, ok
+}
+
+// unitsOf is a request's tenant's limit, and what the request counts for.
+func (t *tenantLimits) unitsOf(request *dispatcher.OpaqueRequest) (limit ratelimiter.TenantLimit, units int64, ok bool) {
+	set, ok := t.gateway.limitOf(request.Tenant)
+	limit = ratelimiter.TenantLimit{PerSecond: set.PerSecond, Burst: set.Burst}
+	return limit, set.UnitsOf(request.Prompt.Tokens + request.Prompt.MaxOutput), ok
+}
+
+// Charge implements dispatcher.TenantLimits.
+func (t *tenantLimits) Charge(ctx context.Context, request *dispatcher.OpaqueRequest) (charge dispatcher.Charge, err error) {
+	limit, units, ok := t.unitsOf(request)
+	if !ok {
+		return charge, nil
+	}
+	charge.Until, err = t.gateway.limiter.Charge(ctx, request.Tenant, limit, units)
+	return charge, err
+}
+
+// Renew implements dispatcher.TenantLimits.
+func (t *tenantLimits) Renew(ctx context.Context, request *dispatcher.OpaqueRequest, charge dispatcher.Charge) (renewed dispatcher.Charge, err error) {
+	if charge.Until.IsZero() || t.gateway.cfg.Clock.Now().Before(charge.Until) {
+		return charge, nil
+	}
+	return t.Charge(ctx, request)
+}
+
+// ChargeDue implements dispatcher.TenantLimits.
+func (t *tenantLimits) ChargeDue(request *dispatcher.OpaqueRequest) {
+	if limit, units, ok := t.unitsOf(request); ok {
+		t.gateway.limiter.ChargeDue(request.Tenant, limit, units)
+	}
+}
+
+// Refund implements dispatcher.TenantLimits. A charge that has lapsed is lost: the limit
+// may have allowed others as much since.
+func (t *tenantLimits) Refund(request *dispatcher.OpaqueRequest, charge dispatcher.Charge) {
+	if limit, units, ok := t.unitsOf(request); ok && t.gateway.cfg.Clock.Now().Before(charge.Until) {
+		t.gateway.limiter.Refund(request.Tenant, limit, units)
+	}
+}
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -1,11 +1,13 @@
 package endivemast
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/grpc"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/observer"
 	"github.com/endivemast/endivemast/internal/ratelimiter"
 )
@@ -15,7 +17,7 @@
 
 func (g *Gateway) buildSignals() {
 	g.limiter = ratelimiter.New(ratelimiter.Config{
-		HostID: g.cfg.HostID, Hosts: g.limiterHosts, Refill: g.refill, Clock: g.cfg.Clock.Now,
+		HostID: g.cfg.HostID, Hosts: g.limiterHosts, Refill: g.refill, Clock: g.cfg.Clock.Now, TenantLimit: g.tenantLimit,
 		Conn:  func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
 		Meter: g.meter, Logger: g.cfg.Logger.Named("ratelimiter"),
 	})
@@ -50,20 +52,28 @@
 
 func (g *Gateway) refill(process driver.Process) { g.scheduler.Refill(process, time.Now()) }
 
-// limiterHosts are the hosts that may give out the slots of limited endpoints: the hubs,
-// who reach each other.
+// limiterHosts are the hosts that may own limits: the hubs, who reach each other.
 func (g *Gateway) limiterHosts() (hosts []ratelimiter.Host) {
-	now := time.Now()
-	for _, hub := range g.exchanger.Hubs() {
-		if hub.Peer.HostID == g.cfg.HostID {
-			hosts = append(hosts, ratelimiter.Host{HostID: hub.Peer.HostID, IsReachable: true, IsDraining: g.draining.Load()})
+	return limiterHostsOf(g.exchanger.Hubs(), g.cfg.HostID, g.cfg.Zone, g.draining.Load(), time.Now())
+}
+
+// limiterHostsOf is limiterHosts of what a host knows of the hubs. Only hubs receive
+// updates of other zones' hubs; to other hosts the silence of one says nothing.
+func limiterHostsOf(hubs []exchanger.PeerStatus, own, zone string, isDraining bool, now time.Time) (hosts []ratelimiter.Host) {
+	isHub := slices.ContainsFunc(hubs, func(hub exchanger.PeerStatus) bool { return hub.Peer.HostID == own })
+	for i := range hubs {
+		hub := &hubs[i]
+		if hub.Peer.HostID == own {
+			hosts = append(hosts, ratelimiter.Host{HostID: own, IsReachable: true, IsDraining: isDraining})
 			continue
 		}
-		hosts = append(hosts, ratelimiter.Host{
-			HostID: hub.Peer.HostID, IsDraining: hub.Draining,
-			IsReachable: hub.Reachable && now.Sub(hub.LastUpdate) <= ratelimiter.ReachableWithin,
-			IsDown:      !hub.Reachable && !hub.LastUpdate.IsZero(),
-		})
+		host := ratelimiter.Host{HostID: hub.Peer.HostID}
+		if isHub || hub.Peer.Zone == zone {
+			host.IsDraining = hub.Draining
+			host.IsReachable = hub.Reachable && now.Sub(hub.LastUpdate) <= ratelimiter.ReachableWithin
+			host.IsDown = !hub.Reachable && !hub.LastUpdate.IsZero()
+		}
+		hosts = append(hosts, host)
 	}
 	return hosts
 }
