A change of one endpoint costs what one endpoint costs

Cause: each change of the list of endpoints was told as the whole list.

Change: lister tells what has changed; the scheduler's tables, the caches' targets and the quarantine take just that. What is summed over all endpoints is made anew when a decision reads it, or with the next tick.

--- a/internal/cachesharer/cachesharer.go
+++ b/internal/cachesharer/cachesharer.go
@@ -89,12 +89,13 @@
 type Sharer struct {
 	cfg Config
 
-	mu     sync.Mutex
-	listed map[process]driver.Target
-	views  map[process]*view
-	shared generations
-	log    exchanger.UpdateLog[exchanger.CacheUpdate]
-	fullAt time.Time // when it was last told that there are too many engines
+	mu           sync.Mutex
+	listed       map[process]driver.Target
+	incarnations map[string]string // of the listed processes, by the engine's id
+	views        map[process]*view
+	shared       generations
+	log          exchanger.UpdateLog[exchanger.CacheUpdate]
+	fullAt       time.Time // when it was last told that there are too many engines
 }
 
 // New makes a Sharer that knows nothing yet.
@@ -103,7 +104,7 @@
 		cfg.Logger = hclog.NewNullLogger()
 	}
 	return &Sharer{
-		cfg: cfg, listed: map[process]driver.Target{}, views: map[process]*view{},
+		cfg: cfg, listed: map[process]driver.Target{}, incarnations: map[string]string{}, views: map[process]*view{},
 		shared: newGenerations(maxShared), log: exchanger.NewUpdateLog[exchanger.CacheUpdate](maxLog),
 	}
 }
@@ -114,10 +115,12 @@
 	s.mu.Lock()
 	before := s.listed
 	s.listed = make(map[process]driver.Target, len(targets))
+	s.incarnations = make(map[string]string, len(targets))
 	var early []delivery
 	for _, target := range targets {
 		p := process{target.EndpointID, target.Incarnation}
 		s.listed[p] = target
+		s.incarnations[target.EndpointID] = target.Incarnation
 		_, isOld := before[p]
 		if v := s.views[p]; v != nil && !isOld {
 			early = append(early, delivery{target, driver.CacheEvents{Changes: v.changes()}, true})
@@ -132,6 +135,41 @@
 	s.deliver(early)
 }
 
+// UpdateTargets says which engines' processes are new or have changed, and which engines
+// are gone.
+func (s *Sharer) UpdateTargets(targets []driver.Target, removed []string) {
+	s.mu.Lock()
+	var early []delivery
+	for _, id := range removed {
+		s.unlistLocked(id)
+	}
+	for _, target := range targets {
+		p := process{target.EndpointID, target.Incarnation}
+		if _, isOld := s.listed[p]; !isOld {
+			s.unlistLocked(target.EndpointID)
+			if v := s.views[p]; v != nil {
+				early = append(early, delivery{target, driver.CacheEvents{Changes: v.changes()}, true})
+			}
+		}
+		s.listed[p] = target
+		s.incarnations[target.EndpointID] = target.Incarnation
+	}
+	s.mu.Unlock()
+	s.deliver(early)
+}
+
+// unlistLocked drops what is known of an engine's listed process.
+func (s *Sharer) unlistLocked(endpointID string) {
+	incarnation, ok := s.incarnations[endpointID]
+	if !ok {
+		return
+	}
+	p := process{endpointID, incarnation}
+	delete(s.listed, p)
+	delete(s.views, p)
+	delete(s.incarnations, endpointID)
+}
+
 // SetAsked says which engines' processes this host asks itself. Of the others it
 // drops what only an asker needs.
 func (s *Sharer) SetAsked(targets []driver.Target) {
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -50,11 +52,19 @@
 	// HasLeft is true for a process that has itself said that it leaves, whatever its entry
 	// says; nil: none has.
 	HasLeft func(process driver.Process) bool
-	// Changed is told the list after each change.
-	Changed func(hosts []provider.Host, now time.Time)
+	// Changed is told each change of the list.
+	Changed func(change ListChange, now time.Time)
 	Logger  hclog.Logger
 }
 
+// ListChange is a change of the list of endpoints.
+type ListChange struct {
+	// Hosts are those that are new or have changed; all there are where IsWhole is true.
+	Hosts   []provider.Host
+	Removed []string // ids; of those among them that were never listed nothing is known
+	IsWhole bool
+}
+
 // Registrations is the list of endpoints that register themselves in the
 // platform's store, each under a key of its own. It implements follower.Sink
 // and is safe for concurrent use.
@@ -125,7 +135,7 @@
 		}
 	}
 	r.mu.Unlock()
-	r.publish(now)
+	r.publishAll(now)
 	// Known only now: a host that called itself ready between the two refused
 	// its first requests as if there were no endpoints.
 	r.mu.Lock()
@@ -135,23 +145,24 @@
 
 // Apply takes one change.
 func (r *Registrations) Apply(change provider.Change, now time.Time) {
+	id := strings.TrimPrefix(change.Entry.Key, r.cfg.Prefix)
 	r.mu.Lock()
 	if change.Deleted {
 		// A host that hears late counts from when its peers heard: the endpoint
 		// serves on for as long as it does, whoever hears when.
-		r.miss(strings.TrimPrefix(change.Entry.Key, r.cfg.Prefix), now.Add(-change.Age))
+		r.miss(id, now.Add(-change.Age))
 	} else {
 		r.put(change.Entry)
 	}
 	r.mu.Unlock()
-	r.publish(now)
+	r.publish(now, id)
 }
 
 // Tick drops endpoints whose entries have been gone for too long. It is to be
 // called several times a second.
 func (r *Registrations) Tick(now time.Time) {
 	r.mu.Lock()
-	dropped := false
+	var changed []string
 	for id, until := range r.missing {
 		if !now.Before(until) {
 			r.cfg.Logger.Info("endpoint gone", "endpoint_id", id)
@@ -159,7 +170,7 @@
 			delete(r.missing, id)
 			delete(r.hosts, id)
 			delete(r.spoilt, id)
-			dropped = true
+			changed = append(changed, id)
 		}
 	}
 	for id, host := range r.gone {
@@ -170,13 +181,11 @@
 	for id, word := range r.heard {
 		if now.Sub(word.at) > peerWordHolds {
 			delete(r.heard, id)
-			dropped = true
+			changed = append(changed, id)
 		}
 	}
 	r.mu.Unlock()
-	if dropped {
-		r.publish(now)
-	}
+	r.publish(now, changed...)
 }
 
 // put takes one entry and returns its endpoint's id.
@@ -271,14 +280,19 @@
 	defer r.mu.Unlock()
 	hosts = make([]provider.Host, 0, len(r.hosts))
 	for _, host := range r.hosts {
-		if r.changing[host.ID] || r.spoilt[host.ID] || r.isHeard(&host) || r.hasLeft(&host) {
-			host.State = provider.HostLeaving
-		}
-		hosts = append(hosts, host)
+		hosts = append(hosts, r.effective(host))
 	}
 	return hosts
 }
 
+// effective is an endpoint with all that is known of it besides its entry.
+func (r *Registrations) effective(host provider.Host) provider.Host {
+	if r.changing[host.ID] || r.spoilt[host.ID] || r.isHeard(&host) || r.hasLeft(&host) {
+		host.State = provider.HostLeaving
+	}
+	return host
+}
+
 // isHeard is true where a peer says of this very process that it takes no work.
 func (r *Registrations) isHeard(host *provider.Host) bool {
 	word, ok := r.heard[host.ID]
@@ -291,7 +305,7 @@
 }
 
 // Refresh has the list made anew: some process has said that it leaves.
-func (r *Registrations) Refresh() { r.publish(time.Now()) }
+func (r *Registrations) Refresh() { r.publishAll(time.Now()) }
 
 // Find returns an endpoint as it has registered itself, or as leaving where it has said so
 // itself.
@@ -322,12 +336,13 @@
 // SetChanging names the engines that this host is giving another role.
 func (r *Registrations) SetChanging(ids []string) {
 	r.mu.Lock()
+	changed := slices.Collect(maps.Keys(r.changing))
 	clear(r.changing)
 	for _, id := range ids {
 		r.changing[id] = true
 	}
 	r.mu.Unlock()
-	r.publish(time.Now())
+	r.publish(time.Now(), append(changed, ids...)...)
 }
 
 // Leaving names the endpoints that take no work though their entries say so,
@@ -349,19 +364,40 @@
 		return
 	}
 	r.mu.Lock()
-	isNew := false
+	var changed []string
 	for _, endpoint := range leaving {
-		isNew = isNew || r.heard[endpoint.EndpointID].incarnation != endpoint.Incarnation
+		if r.heard[endpoint.EndpointID].incarnation != endpoint.Incarnation {
+			changed = append(changed, endpoint.EndpointID)
+		}
 		r.heard[endpoint.EndpointID] = heardWord{incarnation: endpoint.Incarnation, at: now}
 	}
 	r.mu.Unlock()
-	if isNew {
-		r.publish(now)
+	r.publish(now, changed...)
+}
+
+// publish tells what some endpoints are now.
+func (r *Registrations) publish(now time.Time, ids ...string) {
+	if len(ids) == 0 {
+		return
+	}
+	r.publishMu.Lock()
+	defer r.publishMu.Unlock()
+	var change ListChange
+	r.mu.Lock()
+	for _, id := range ids {
+		if host, ok := r.hosts[id]; ok {
+			change.Hosts = append(change.Hosts, r.effective(host))
+		} else {
+			change.Removed = append(change.Removed, id)
+		}
 	}
+	r.mu.Unlock()
+	r.cfg.Changed(change, now)
 }
 
-func (r *Registrations) publish(now time.Time) {
+// publishAll tells the whole list.
+func (r *Registrations) publishAll(now time.Time) {
 	r.publishMu.Lock()
 	defer r.publishMu.Unlock()
-	r.cfg.Changed(r.Hosts(), now)
+	r.cfg.Changed(ListChange{Hosts: r.Hosts(), IsWhole: true}, now)
 }
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -33,13 +34,7 @@
 	published = &map[string]provider.HostState{}
 	r = NewRegistrations(RegistrationsConfig{
 		Prefix: "s/", Decode: decodeState, DrainTime: 2 * time.Second, Logger: hclog.NewNullLogger(),
-		Changed: func(hosts []provider.Host, _ time.Time) {
-			states := map[string]provider.HostState{}
-			for _, host := range hosts {
-				states[host.ID] = host.State
-			}
-			*published = states
-		},
+		Changed: func(change ListChange, _ time.Time) { takeChange(*published, change) },
 	})
 	assert.Assert(t, !r.Known())
 	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive), stateEntry("e2", provider.HostLive)}, now)
@@ -47,6 +42,52 @@
 	return r, published
 }
 
+// takeChange keeps the states of a list by the changes that are told of it.
+func takeChange(states map[string]provider.HostState, change ListChange) {
+	if change.IsWhole {
+		clear(states)
+	}
+	for _, id := range change.Removed {
+		delete(states, id)
+	}
+	for _, host := range change.Hosts {
+		states[host.ID] = host.State
+	}
+}
+
+// What is told of a change does not grow with the list.
+func TestChangeTellsOfWhatChanged(t *testing.T) {
+	t.Parallel()
+	var told []ListChange
+	r := NewRegistrations(RegistrationsConfig{
+		Prefix: "s/", Decode: decodeState, DrainTime: 2 * time.Second, Logger: hclog.NewNullLogger(),
+		Changed: func(change ListChange, _ time.Time) { told = append(told, change) },
+	})
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var entries []provider.Entry
+	for n := range 1000 {
+		entries = append(entries, stateEntry(fmt.Sprint("e", n), provider.HostLive))
+	}
+	r.Replace(entries, now)
+	r.Apply(provider.Change{Entry: stateEntry("e7", provider.HostLeaving)}, now)
+	r.Apply(provider.Change{Entry: provider.Entry{Key: "s/e8"}, Deleted: true}, now)
+	r.Tick(now.Add(time.Minute))
+	r.SetChanging([]string{"e9"})
+	r.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e10", Incarnation: "e10"}}, now)
+	r.Tick(now.Add(2 * time.Minute))
+	assert.Assert(t, told[0].IsWhole && len(told[0].Hosts) == 1000)
+	var ids [][]string
+	for _, change := range told[1:] {
+		assert.Assert(t, !change.IsWhole)
+		var named []string
+		for _, host := range change.Hosts {
+			named = append(named, host.ID+" "+string(host.State))
+		}
+		ids = append(ids, append(named, change.Removed...))
+	}
+	assert.DeepEqual(t, ids, [][]string{{"e7 leaving"}, {"e8 live"}, {"e8"}, {"e9 leaving"}, {"e10 leaving"}, {"e10 live"}})
+}
+
 func TestRegistrations(t *testing.T) {
 	t.Parallel()
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -114,7 +155,7 @@
 	published := 0
 	r = NewRegistrations(RegistrationsConfig{
 		Prefix: "s/", Decode: decodeState, DrainTime: time.Second, Logger: hclog.NewNullLogger(),
-		Changed: func([]provider.Host, time.Time) {
+		Changed: func(ListChange, time.Time) {
 			published++
 			assert.Assert(t, !r.Known())
 		},
@@ -135,7 +176,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := NewRegistrations(RegistrationsConfig{
-				Prefix: "servers/", DrainTime: time.Second, Changed: func([]provider.Host, time.Time) {}, Logger: hclog.NewNullLogger(),
+				Prefix: "servers/", DrainTime: time.Second, Changed: func(ListChange, time.Time) {}, Logger: hclog.NewNullLogger(),
 				Decode: func(entry provider.Entry) (provider.Host, error) {
 					return provider.Host{ID: "e1", Incarnation: "e1@1", State: provider.HostLive}, nil
 				},
@@ -159,7 +200,7 @@
 	r := NewRegistrations(RegistrationsConfig{
 		Prefix: "s/", Decode: decodeHost, DrainTime: 2 * time.Second, Logger: hclog.NewNullLogger(),
 		HasLeft: func(process driver.Process) bool { return left[process.Incarnation] },
-		Changed: func(hosts []provider.Host, _ time.Time) { state = hosts[0].State },
+		Changed: func(change ListChange, _ time.Time) { state = change.Hosts[0].State },
 	})
 	first := word(t, 1000, 1, provider.HostLive)
 	r.Apply(first, start)
--- a/internal/lister/words_test.go
+++ b/internal/lister/words_test.go
@@ -58,9 +58,9 @@
 			var state provider.HostState
 			r := NewRegistrations(RegistrationsConfig{
 				Prefix: "s/", Decode: decodeHost, DrainTime: 2 * time.Second, Logger: hclog.NewNullLogger(),
-				Changed: func(hosts []provider.Host, _ time.Time) {
+				Changed: func(change ListChange, _ time.Time) {
 					state = ""
-					for _, host := range hosts {
+					for _, host := range change.Hosts {
 						state = host.State
 					}
 				},
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -63,7 +63,9 @@
 	s.mu.Lock()
 	s.waiting.Add(1)
 	defer s.waiting.Done()
-	w, result := s.admit(&work, s.now())
+	now := s.now()
+	s.table.Refresh(now)
+	w, result := s.admit(&work, now)
 	s.mu.Unlock()
 	if w != nil {
 		var err error
@@ -343,6 +345,7 @@
 	if q == nil || len(q.items) == 0 {
 		return
 	}
+	s.table.Refresh(now)
 	application := s.table.Application(name)
 	blocked := 0
 	for position := 0; position < len(q.items) && blocked < blockedAhead; {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -109,6 +109,15 @@
 	s.pumpAll(now)
 }
 
+// UpdateHosts takes what has changed of the list: hosts that are new or have changed, and
+// the ids of those that are gone.
+func (s *Scheduler) UpdateHosts(hosts []provider.Host, removed []string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.UpdateHosts(hosts, removed, now)
+	s.pumpAll(now)
+}
+
 // SetReport takes an endpoint's report.
 func (s *Scheduler) SetReport(endpointID string, report driver.Report, now time.Time) {
 	s.mu.Lock()
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -35,6 +35,7 @@
 }
 
 func (t *Table) summarise(now time.Time) {
+	t.isStale = false
 	type use struct {
 		sum   float64
 		count int
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -103,6 +103,7 @@
 	Classes      map[ClassKey]*Class
 	Tenants      map[TenantKey]*Tenant
 	Peers        map[string]Peer
+	isStale      bool // the summaries are older than the list
 	// LimitOf is how many requests a second a process takes from all hosts; ok is false
 	// where it names no limit. Nil: none does.
 	LimitOf func(process driver.Process) (rate float64, ok bool)
@@ -154,6 +155,61 @@
 	t.summarise(now)
 }
 
+// UpdateHosts takes what has changed of the list: hosts that are new or have changed, and
+// the ids of those that are gone. Its cost does not grow with the list; what decisions read
+// of all endpoints together is made anew by Refresh.
+func (t *Table) UpdateHosts(hosts []provider.Host, removed []string, now time.Time) {
+	for _, id := range removed {
+		if endpoint := t.Endpoints[id]; endpoint != nil {
+			endpoint.Listed = false
+			t.ungroup(endpoint)
+			delete(t.Endpoints, id)
+		}
+	}
+	for i := range hosts {
+		if hosts[i].Kind == provider.HostEntry {
+			continue
+		}
+		if endpoint := t.Endpoints[hosts[i].ID]; endpoint != nil {
+			t.ungroup(endpoint)
+		}
+		t.setHost(&hosts[i], now)
+		t.regroup(t.Endpoints[hosts[i].ID])
+	}
+	t.isStale = true
+}
+
+// Refresh makes the applications' summaries anew where the list has changed since.
+func (t *Table) Refresh(now time.Time) {
+	if t.isStale {
+		t.summarise(now)
+	}
+}
+
+// listOf is the list of its application that an endpoint is in.
+func (t *Table) listOf(endpoint *Endpoint) *[]*Endpoint {
+	application := t.Application(endpoint.Application)
+	if endpoint.Local {
+		return &application.Local
+	}
+	return &application.Remote
+}
+
+// ungroup takes an endpoint out of its application's lists.
+func (t *Table) ungroup(endpoint *Endpoint) {
+	list := t.listOf(endpoint)
+	if i, ok := slices.BinarySearchFunc(*list, endpoint, byID); ok {
+		*list = slices.Delete(*list, i, i+1)
+	}
+}
+
+// regroup puts an endpoint into its application's lists.
+func (t *Table) regroup(endpoint *Endpoint) {
+	list := t.listOf(endpoint)
+	i, _ := slices.BinarySearchFunc(*list, endpoint, byID)
+	*list = slices.Insert(*list, i, endpoint)
+}
+
 func (t *Table) setHost(host *provider.Host, now time.Time) {
 	endpoint := t.Endpoints[host.ID]
 	isNew := endpoint == nil ||
--- a/pkg/endivemast/gateway_caches.go
+++ b/pkg/endivemast/gateway_caches.go
@@ -5,6 +5,7 @@
 
 	"github.com/endivemast/endivemast/internal/cachesharer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/lister"
 	"github.com/endivemast/endivemast/internal/provider"
 )
 
@@ -14,17 +15,27 @@
 // has fallen silent is replaced within it.
 const askersEvery = 500 * time.Millisecond
 
-// setEndpoints takes the list of endpoints.
-func (g *Gateway) setEndpoints(hosts []provider.Host, now time.Time) {
-	g.scheduler.SetHosts(hosts, now)
-	g.noteProcesses(hosts)
+// setEndpoints takes a change of the list of endpoints.
+func (g *Gateway) setEndpoints(change lister.ListChange, now time.Time) {
 	var engines []driver.Target
-	for i := range hosts {
-		if hosts[i].Kind == provider.HostEngine {
-			engines = append(engines, targetOf(&hosts[i]))
+	for i := range change.Hosts {
+		host := &change.Hosts[i]
+		if host.Kind == provider.HostEngine {
+			engines = append(engines, targetOf(host))
 		}
 	}
-	g.caches.SetTargets(engines)
+	if change.IsWhole {
+		g.scheduler.SetHosts(change.Hosts, now)
+		g.caches.SetTargets(engines)
+	} else {
+		g.scheduler.UpdateHosts(change.Hosts, change.Removed, now)
+		g.caches.UpdateTargets(engines, change.Removed)
+	}
+	// A process that has started anew has ended before.
+	g.quarantiner.SetProcesses(func(endpointID string) (incarnation string, ok bool) {
+		host, ok := g.registrations.Find(endpointID)
+		return host.Incarnation, ok
+	})
 }
 
 func targetOf(host *provider.Host) driver.Target {
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -33,16 +33,3 @@
 	}
 	return ids
 }
-
-// noteProcesses takes the list of endpoints: one that has started anew has ended
-// before.
-func (g *Gateway) noteProcesses(hosts []provider.Host) {
-	incarnations := make(map[string]string, len(hosts))
-	for i := range hosts {
-		incarnations[hosts[i].ID] = hosts[i].Incarnation
-	}
-	g.quarantiner.SetProcesses(func(endpointID string) (incarnation string, ok bool) {
-		incarnation, ok = incarnations[endpointID]
-		return incarnation, ok
-	})
-}
