A host connects to the peers that it sends something to

Cause: each host held a gRPC connection, a publisher and its timer for each other host: four goroutines and some 20 KB a peer, 11.6 MB of stacks and as much heap at 985 hosts, nearly all for peers that it never speaks to. Most hosts speak to the two hubs of their zone.

Change: a connection is made when it is first used; a publisher runs while the layout has something to send to its peer, and ends with it.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -156,7 +156,7 @@
 	group  *errgroup.Group // nil before Start
 }
 
-// New prepares the server and a lazy connection to each peer.
+// New prepares the server.
 func New(cfg Config, local Local) (ex *Exchanger, err error) {
 	defer func() { err = eris.Wrap(err, "peer protocol") }()
 	if cfg.Tick == 0 {
@@ -173,9 +173,7 @@
 	ex.server = grpc.NewServer(ex.serverOptions()...)
 	exchangerpb.RegisterExchangeServer(ex.server, ex)
 	for _, peer := range cfg.Peers {
-		if _, err := ex.addLocked(peer); err != nil {
-			return nil, err
-		}
+		ex.addLocked(peer)
 	}
 	ex.layOutLocked()
 	return ex, nil
@@ -201,9 +199,7 @@
 	defer ex.mu.Unlock()
 	ex.group = &errgroup.Group{}
 	ex.group.Go(func() error { return ex.server.Serve(ex.cfg.Listener) })
-	for _, l := range ex.links {
-		ex.group.Go(func() error { return ex.publishTo(l) })
-	}
+	ex.runPublishersLocked()
 	ex.group.Go(func() error { return ex.forgetSilent(ex.ctx) })
 }
 
@@ -215,7 +211,7 @@
 	_ = ex.cfg.Listener.Close() // Stop has closed it, unless Start was never called
 	ex.mu.Lock()
 	for _, l := range ex.links {
-		_ = l.conn.Close()
+		l.close()
 	}
 	group := ex.group
 	ex.mu.Unlock()
--- a/internal/exchanger/layout.go
+++ b/internal/exchanger/layout.go
@@ -34,6 +34,7 @@
 			ex.fedPeers++
 		}
 	}
+	ex.runPublishersLocked()
 	for _, row := range ex.states {
 		if before == nil {
 			break
--- a/internal/exchanger/links.go
+++ b/internal/exchanger/links.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sort"
 	"time"
@@ -14,50 +13,82 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/transporter"
 )
 
 // Connections to the peers, and who is one.
 
-// link is the sending side's connection to one peer.
+// link is the sending side's row of one peer. Most peers of a large fleet are never sent
+// anything: a connection is made when it is first used, and a publisher runs only for
+// those that this host has something to send to.
 type link struct {
-	peer   Peer
-	conn   *grpc.ClientConn
-	ctx    context.Context // ends when the peer is no longer one
-	cancel context.CancelFunc
+	peer Peer
+	conn *grpc.ClientConn // nil: not used yet
+	// stop ends the publisher; nil: none runs.
+	stop context.CancelFunc
 	// isUnlisted is true for a peer that is not among the peers any more and
 	// still speaks.
 	isUnlisted bool
 }
 
-// addLocked makes a lazy connection to a peer.
-func (ex *Exchanger) addLocked(peer Peer) (*link, error) {
-	conn, err := grpc.NewClient("passthrough:///"+peer.Address, ex.dialOptions()...)
-	if err != nil {
-		return nil, err
-	}
-	l := &link{peer: peer, conn: conn}
-	l.ctx, l.cancel = context.WithCancel(ex.ctx)
-	ex.links[peer.HostID] = l
+func (ex *Exchanger) addLocked(peer Peer) {
+	ex.links[peer.HostID] = &link{peer: peer}
 	ex.stateLocked(peer)
-	return l, nil
+}
+
+// connLocked returns a peer's connection, which is made on first use.
+func (ex *Exchanger) connLocked(l *link) (conn *grpc.ClientConn, err error) {
+	if l.conn == nil {
+		l.conn, err = grpc.NewClient("passthrough:///"+l.peer.Address, ex.dialOptions()...)
+	}
+	return l.conn, err
+}
+
+// runPublishersLocked starts the publishers of the peers that this host has something to
+// send to, and ends those of the others.
+func (ex *Exchanger) runPublishersLocked() {
+	if ex.group == nil || ex.ctx.Err() != nil {
+		return
+	}
+	for hostID, l := range ex.links {
+		isSpokenTo := ex.speaksTo(ex.layout, l.peer)
+		switch {
+		case isSpokenTo && l.stop == nil:
+			conn, err := ex.connLocked(l)
+			if err != nil {
+				ex.cfg.Logger.Error("peer can't be sent anything", "peer", hostID, "address", l.peer.Address, "error", err)
+				continue
+			}
+			ctx, stop := context.WithCancel(ex.ctx)
+			l.stop = stop
+			ex.group.Go(func() error { return ex.publishTo(ctx, conn, l.peer) })
+		case !isSpokenTo && l.stop != nil:
+			l.stop()
+			l.stop = nil
+		}
+	}
+}
+
+// speaksTo is true for the peers that this host sends its load, the load of others, or
+// that it lives.
+func (ex *Exchanger) speaksTo(l *layout, peer Peer) bool {
+	return ex.partOf(l, peer) != exchangerpb.Part_PART_NONE || peer.Zone == ex.cfg.Zone && l.speakers[ex.cfg.HostID]
 }
 
 // SetPeers replaces the peers. Connections to those that stay are kept.
-func (ex *Exchanger) SetPeers(peers []Peer) (err error) {
-	defer func() { err = eris.Wrap(err, "set peers") }()
+func (ex *Exchanger) SetPeers(peers []Peer) {
 	ex.mu.Lock()
-	err = ex.setPeersLocked(peers)
+	ex.setPeersLocked(peers)
 	forgotten := ex.layOutLocked()
 	ex.mu.Unlock()
 	now := time.Now()
 	for _, source := range forgotten {
 		ex.local.TakeLoad(source, 0, nil, now)
 	}
-	return err
 }
 
-func (ex *Exchanger) setPeersLocked(peers []Peer) (err error) {
+func (ex *Exchanger) setPeersLocked(peers []Peer) {
 	named := make(map[string]bool, len(peers))
 	for _, peer := range peers {
 		named[peer.HostID] = true
@@ -68,14 +99,7 @@
 			}
 			ex.dropLocked(l)
 		}
-		l, addErr := ex.addLocked(peer)
-		if addErr != nil {
-			err = errors.Join(err, addErr)
-			continue
-		}
-		if ex.group != nil {
-			ex.group.Go(func() error { return ex.publishTo(l) })
-		}
+		ex.addLocked(peer)
 	}
 	for hostID, l := range ex.links {
 		if named[hostID] {
@@ -85,7 +109,6 @@
 			ex.dropLocked(l)
 		}
 	}
-	return err
 }
 
 // speaksLocked is true for a peer that lives, as it says itself. The entry of a
@@ -97,9 +120,18 @@
 }
 
 func (ex *Exchanger) dropLocked(l *link) {
-	l.cancel()
 	delete(ex.links, l.peer.HostID)
-	_ = l.conn.Close() // calls on it end; there is nothing to be sent
+	l.close()
+}
+
+// close ends the publisher and all calls to the peer.
+func (l *link) close() {
+	if l.stop != nil {
+		l.stop()
+	}
+	if l.conn != nil {
+		_ = l.conn.Close() // there is nothing to be sent
+	}
 }
 
 func (ex *Exchanger) serverOptions() []grpc.ServerOption {
@@ -167,5 +199,5 @@
 	if !ok {
 		return nil, eris.Errorf("no peer %q", hostID)
 	}
-	return l.conn, nil
+	return ex.connLocked(l)
 }
--- a/internal/exchanger/publisher.go
+++ b/internal/exchanger/publisher.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/timekeeper"
@@ -46,19 +48,19 @@
 
 // publishTo publishes to one peer, each on its own goroutine: a peer that does not
 // answer holds up nobody else.
-func (ex *Exchanger) publishTo(l *link) error {
-	client := newChannel(exchangerpb.NewExchangeClient(l.conn))
+func (ex *Exchanger) publishTo(ctx context.Context, conn grpc.ClientConnInterface, peer Peer) error {
+	client := newChannel(exchangerpb.NewExchangeClient(conn))
 	defer client.close()
 	row := &publisher{full: true, acked: map[string]Load{}}
 	timer := time.NewTimer(ex.tick())
 	defer timer.Stop()
 	for {
 		select {
-		case <-l.ctx.Done():
+		case <-ctx.Done():
 			return nil
 		case <-timer.C:
 			timer.Reset(ex.pauseFor(row))
-			ex.publish(l.ctx, client, row, l.peer)
+			ex.publish(ctx, client, row, peer)
 		}
 	}
 }
@@ -107,7 +109,7 @@
 		return
 	}
 	row.part = part
-	if part == exchangerpb.Part_PART_NONE && (peer.Zone != ex.cfg.Zone || !layout.speakers[ex.cfg.HostID]) {
+	if !ex.speaksTo(layout, peer) {
 		return // the zones' hubs speak to each other, and hubs receive all hosts of theirs
 	}
 	update := ex.contentFor(part, peer, ex.ownLoadOf(time.Now()))
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -71,9 +71,7 @@
 			HostID: host.HostID, Zone: host.Zone, Address: host.Address, ProcessorShare: host.ProcessorShare,
 		})
 	}
-	if err := g.exchanger.SetPeers(peers); err != nil {
-		g.cfg.Logger.Error("peer not usable", "error", err)
-	}
+	g.exchanger.SetPeers(peers)
 	g.shareRepeats(len(peers) + 1)
 }
 
