Of engines' caches those are asked that are in use

Cause: two hosts of a zone kept a call waiting at each engine, a second long, used or not: 19,216 waiting calls and connections at 9,608 engines, more than 20 times the requests, held by eight hosts of each zone (480 each; 180 to 409 MB resident where others had 47).

Change: an engine is asked while some host has work there and for 2 s after, besides 32 idle ones a host, so that fleets with fewer engines a host ask as before. How far an engine's events were read is kept meanwhile.

Test: TestWatcherAsksEnginesInUse.

--- a/internal/cachewatcher/cachewatcher.go
+++ b/internal/cachewatcher/cachewatcher.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	newsPause = 100 * time.Millisecond
 	// retryPause follows a call that failed.
 	retryPause = time.Second
+	// idleAsked is how many idle engines are asked at most.
+	idleAsked = 32
 )
 
 // Config sets up a Watcher.
@@ -53,7 +56,9 @@
 
 	mu      sync.Mutex
 	watched map[driver.Target]context.CancelFunc
-	closed  bool
+	// paused is how far the events were read of targets that are not watched at present.
+	paused map[driver.Target]progress
+	closed bool
 }
 
 // New makes a Watcher that watches nothing yet.
@@ -61,7 +66,7 @@
 	if cfg.RestLeft == nil {
 		cfg.RestLeft = func(driver.Process) time.Duration { return 0 }
 	}
-	w := &Watcher{cfg: cfg, watched: map[driver.Target]context.CancelFunc{}}
+	w := &Watcher{cfg: cfg, watched: map[driver.Target]context.CancelFunc{}, paused: map[driver.Target]progress{}}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
 }
@@ -75,39 +80,54 @@
 	return w.group.Wait()
 }
 
-// SetTargets says which engines' processes there are.
-func (w *Watcher) SetTargets(targets []driver.Target) {
+// SetTargets says which engines' processes this host keeps up with, and which of them it
+// is to ask now: isIdle is true for those whose caches change little at present. A
+// few of these are asked all the same, so that a small fleet learns of their first use
+// at once.
+func (w *Watcher) SetTargets(targets []driver.Target, isIdle func(process driver.Process) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
 		return
 	}
-	wanted := make(map[driver.Target]bool, len(targets))
-	begun, ended := 0, 0
+	kept, wanted := make(map[driver.Target]bool, len(targets)), make(map[driver.Target]bool, len(targets))
+	begun, ended, idle := 0, 0, 0
 	for _, target := range targets {
+		kept[target] = true
+		if isIdle(target.Process()) {
+			if idle++; idle > idleAsked {
+				continue
+			}
+		}
 		wanted[target] = true
 		if w.watched[target] == nil {
 			begun++
 			ctx, cancel := context.WithCancel(w.ctx)
 			w.watched[target] = cancel
-			w.group.Go(func() error { return w.watch(ctx, target) })
+			state := w.paused[target]
+			delete(w.paused, target)
+			w.group.Go(func() error { return w.watch(ctx, target, state) })
 		}
 	}
+	maps.DeleteFunc(w.paused, func(target driver.Target, _ progress) bool { return !kept[target] })
 	for target, cancel := range w.watched {
 		if !wanted[target] {
 			ended++
 			cancel()
 			delete(w.watched, target)
+			if kept[target] {
+				w.paused[target] = progress{}
+			}
 		}
 	}
 	if begun+ended > 0 {
-		w.cfg.Logger.Info("engines asked for events of their caches", "engines", len(w.watched), "begun", begun, "ended", ended)
+		w.cfg.Logger.Info("engines asked for events of their caches", "engines", len(w.watched), "begun", begun, "ended", ended, "kept", len(kept))
 	}
 }
 
 // watch keeps up with one engine until ctx ends.
-func (w *Watcher) watch(ctx context.Context, target driver.Target) error {
-	var state progress
+func (w *Watcher) watch(ctx context.Context, target driver.Target, state progress) error {
+	defer w.pause(target, &state)
 	for ctx.Err() == nil {
 		if left := w.cfg.RestLeft(target.Process()); left > 0 {
 			sleep(ctx, left)
@@ -123,6 +143,15 @@
 	return nil
 }
 
+// pause keeps how far the events of a target were read that may be watched again.
+func (w *Watcher) pause(target driver.Target, state *progress) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if _, isPaused := w.paused[target]; isPaused {
+		w.paused[target] = *state
+	}
+}
+
 // progress is how far an engine's events have been heard.
 type progress struct {
 	epoch string
--- a/internal/cachewatcher/cachewatcher_test.go
+++ b/internal/cachewatcher/cachewatcher_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/endivemast/endivemast/internal/driver"
 )
@@ -89,7 +91,7 @@
 			w := New(Config{Driver: engine, Logger: hclog.NewNullLogger(), Changed: func(_ driver.Target, events driver.CacheEvents, isWhole bool) {
 				heard <- takenEvents{len(events.Changes), isWhole}
 			}})
-			w.SetTargets([]driver.Target{{EndpointID: "e1", Incarnation: "1"}})
+			w.SetTargets([]driver.Target{{EndpointID: "e1", Incarnation: "1"}}, neverIdle)
 			for _, want := range test.want {
 				assert.Equal(t, <-heard, want)
 			}
@@ -121,11 +123,59 @@
 	t.Parallel()
 	engine := &fakeEngine{err: errors.New("no room for the call")}
 	w := New(Config{Driver: engine, Logger: hclog.NewNullLogger(), Changed: func(driver.Target, driver.CacheEvents, bool) {}})
-	w.SetTargets([]driver.Target{{EndpointID: "e1", Incarnation: "1"}})
+	w.SetTargets([]driver.Target{{EndpointID: "e1", Incarnation: "1"}}, neverIdle)
 	awaitAsked(t, engine, 1)
-	w.SetTargets(nil)
+	w.SetTargets(nil, neverIdle)
 	assert.NilError(t, w.Close())
 	assert.Equal(t, len(engine.asked), 1)
-	w.SetTargets([]driver.Target{{EndpointID: "e2", Incarnation: "1"}})
+	w.SetTargets([]driver.Target{{EndpointID: "e2", Incarnation: "1"}}, neverIdle)
 	assert.Equal(t, len(engine.asked), 1)
 }
+
+func neverIdle(driver.Process) bool { return false }
+
+// Of a large fleet's engines those are asked that are in use, and a few others; one that is
+// in use again is asked for what has come since.
+func TestWatcherAsksEnginesInUse(t *testing.T) {
+	t.Parallel()
+	engine := &fakeEngine{events: []driver.CacheEvents{{Epoch: "1", Next: 7}}}
+	heard := make(chan driver.Target, 8)
+	w := New(Config{Driver: engine, Logger: hclog.NewNullLogger(), Changed: func(target driver.Target, _ driver.CacheEvents, _ bool) {
+		select {
+		case heard <- target:
+		default:
+		}
+	}})
+	defer func() { assert.NilError(t, w.Close()) }()
+	var targets []driver.Target
+	for n := range 500 {
+		targets = append(targets, driver.Target{EndpointID: fmt.Sprint("e", n), Incarnation: "1"})
+	}
+	last := targets[len(targets)-1]
+	watched := func() (count int, isLast bool) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.watched), w.watched[last] != nil
+	}
+	w.SetTargets([]driver.Target{last}, neverIdle)
+	assert.Equal(t, <-heard, last)
+	awaitAsked(t, engine, 2)
+	w.SetTargets(targets, func(process driver.Process) bool { return process != last.Process() })
+	count, isLast := watched()
+	assert.Assert(t, count == idleAsked+1 && isLast, "%d engines are asked", count)
+	w.SetTargets(targets, func(driver.Process) bool { return true })
+	count, isLast = watched()
+	assert.Assert(t, count == idleAsked && !isLast, "%d engines are asked", count)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.paused[last].next == 7 {
+			return poll.Success()
+		}
+		return poll.Continue("not kept yet how far the events were read")
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+	w.SetTargets(targets[:1], neverIdle)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Equal(t, len(w.paused), 0, "nothing is kept of engines that are gone")
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -138,6 +138,21 @@
 	s.table.SetPeerLoad(source, hosts, loads, now)
 }
 
+// UsedSince says at which of some processes some host had work since a moment, as far as
+// this host has seen.
+func (s *Scheduler) UsedSince(targets []driver.Target, since time.Time) map[driver.Process]bool {
+	used := map[driver.Process]bool{}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range targets {
+		endpoint := s.table.Endpoints[targets[i].EndpointID]
+		if endpoint != nil && endpoint.UsedAt.After(since) {
+			used[targets[i].Process()] = true
+		}
+	}
+	return used
+}
+
 // MarkLeaving says that an endpoint itself, or a peer, says that it leaves. It
 // gets no new work from now on.
 func (s *Scheduler) MarkLeaving(endpointID string) {
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -37,6 +37,7 @@
 	Breaker       Breaker
 	Cache         Cache
 
+	UsedAt      time.Time // when some host last had work there, as far as this one has seen
 	Own         Load
 	Recent      Load // of Own, given since the last tick, which peers don't know of
 	Peers       Load
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -320,6 +320,7 @@
 	for id, load := range loads {
 		if endpoint := t.Endpoints[id]; endpoint != nil {
 			endpoint.Peers = endpoint.Peers.Plus(load)
+			endpoint.UsedAt = now
 		}
 	}
 	t.Peers[peerID] = Peer{Hosts: hosts, Loads: loads, At: now}
@@ -379,6 +380,9 @@
 		}
 		endpoint.fade(now)
 		endpoint.Recent = Load{}
+		if !endpoint.Own.IsZero() || !endpoint.Peers.IsZero() {
+			endpoint.UsedAt = now
+		}
 		endpoint.record(last, now)
 		use.add(endpoint)
 	}
--- a/pkg/endivemast/gateway_caches.go
+++ b/pkg/endivemast/gateway_caches.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/cachesharer"
@@ -16,6 +17,10 @@
 // has fallen silent is replaced within it.
 const askersEvery = 500 * time.Millisecond
 
+// askedAfterUse is for how long after its last use an engine is asked for events of its
+// cache: they come some hundred milliseconds late.
+const askedAfterUse = 2 * time.Second
+
 // setEndpoints takes a change of the list of endpoints.
 func (g *Gateway) setEndpoints(change lister.ListChange, now time.Time) {
 	var engines []driver.Target
@@ -65,5 +70,7 @@
 	}
 	asked := cachesharer.Asked(own, hosts, engines)
 	g.caches.SetAsked(asked)
-	g.cacheWatcher.SetTargets(asked)
+	slices.SortFunc(asked, func(a, b driver.Target) int { return strings.Compare(a.EndpointID, b.EndpointID) })
+	isUsed := g.scheduler.UsedSince(asked, time.Now().Add(-askedAfterUse))
+	g.cacheWatcher.SetTargets(asked, func(process driver.Process) bool { return !isUsed[process] })
 }
