Hosts renew their entries at 0.6 of the lease

Cause: each host renewed its entry three times in its 9 s, a fifth of all calls of the store in a small fleet and nearly all of them in a large one (counted at 985 hosts: 16,700 of 17,300).

Change: at 0.6 of the TTL; the 3.6 s left are some seven tries.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -34,8 +34,9 @@
 	// DefaultTTL is that of a host's lease. Peers notice a silent host much
 	// sooner by themselves; the lease only clears up behind it.
 	DefaultTTL = 9 * time.Second
-	// renewShare is how often a lease is renewed within its TTL.
-	renewShare = 3
+	// renewAfter is the part of its TTL after which a lease is renewed. The rest is for
+	// trying again: at the default TTL, some seven times.
+	renewAfter = 0.6
 	// retryEvery is when a write that failed is tried again, with jitter.
 	retryEvery = 500 * time.Millisecond
 	// endTimeout bounds the removal of the entry at a planned stop.
@@ -84,7 +85,7 @@
 // Run keeps the entry until ctx ends.
 func (r *Registrar) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause := r.cfg.TTL / renewShare
+		pause := time.Duration(float64(r.cfg.TTL) * renewAfter)
 		if err := r.step(ctx); err != nil {
 			if ctx.Err() == nil {
 				r.cfg.Logger.Debug("own entry not kept", "error", err)
