Two hosts of a zone watch the store, whatever the zone's size

Change: zones of three and four hosts do as larger ones: two watch, the others hear it from them. One way for all sizes.

--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -1,5 +1,5 @@
 // Package relayer spares the platform's store: in an availability zone with
-// many entry hosts, a few watch the store and pass what they hear on to the
+// more than two entry hosts, two watch the store and pass what they hear on to the
 // others.
 //
 // The store's rates, and the price of its calls, grow with the number of
@@ -140,7 +140,7 @@
 // to watch the store itself.
 func (r *Relayer) feeders(now time.Time) (hostIDs []string) {
 	hosts := r.cfg.Hosts()
-	if len(hosts) <= exchanger.SmallZone {
+	if len(hosts) <= exchanger.HubsPerZone {
 		return nil
 	}
 	slices.SortFunc(hosts, exchanger.Order)
