--- a/internal/cachewatcher/cachewatcher_test.go
+++ b/internal/cachewatcher/cachewatcher_test.go
@@ -139,10 +139,10 @@
 func TestWatcherAsksEnginesInUse(t *testing.T) {
 	t.Parallel()
 	engine := &fakeEngine{events: []driver.CacheEvents{{Epoch: "1", Next: 7}}}
-	heard := make(chan driver.Target, 8)
+	changed := make(chan driver.Target, 8)
 	w := New(Config{Driver: engine, Logger: hclog.NewNullLogger(), Changed: func(target driver.Target, _ driver.CacheEvents, _ bool) {
 		select {
-		case heard <- target:
+		case changed <- target:
 		default:
 		}
 	}})
@@ -158,7 +158,7 @@
 		return len(w.watched), w.watched[last] != nil
 	}
 	w.SetTargets([]driver.Target{last}, neverIdle)
-	assert.Equal(t, <-heard, last)
+	assert.Equal(t, <-changed, last)
 	awaitAsked(t, engine, 2)
 	w.SetTargets(targets, func(process driver.Process) bool { return process != last.Process() })
 	count, isLast := watched()
--- a/internal/dispatcher/forwarding_limit.go
+++ b/internal/dispatcher/forwarding_limit.go
@@ -42,7 +42,7 @@
 func (noLimits) ChargeDue(*OpaqueRequest)      {}
 func (noLimits) Refund(*OpaqueRequest, Charge) {}
 
-// retryLimitUnknown is when to come back to a host that can't tell what a tenant may use;
+// retryLimitUnknown is when to come back to a host that does not know what a tenant may use;
 // another host may.
 const retryLimitUnknown = 200 * time.Millisecond
 
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -52,7 +52,7 @@
 	// HasLeft is true for a process that has itself said that it leaves, whatever its entry
 	// says; nil: none has.
 	HasLeft func(process driver.Process) bool
-	// Changed is told each change of the list.
+	// Changed is called with each change of the list.
 	Changed func(change ListChange, now time.Time)
 	Logger  hclog.Logger
 }
@@ -375,7 +375,7 @@
 	r.publish(now, changed...)
 }
 
-// publish tells what some endpoints are now.
+// publish passes on what some endpoints are now.
 func (r *Registrations) publish(now time.Time, ids ...string) {
 	if len(ids) == 0 {
 		return
@@ -395,7 +395,7 @@
 	r.cfg.Changed(change, now)
 }
 
-// publishAll tells the whole list.
+// publishAll passes on the whole list.
 func (r *Registrations) publishAll(now time.Time) {
 	r.publishMu.Lock()
 	defer r.publishMu.Unlock()
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -42,7 +42,7 @@
 	return r, published
 }
 
-// takeChange keeps the states of a list by the changes that are told of it.
+// takeChange keeps the states of a list by its changes.
 func takeChange(states map[string]provider.HostState, change ListChange) {
 	if change.IsWhole {
 		clear(states)
@@ -55,13 +55,13 @@
 	}
 }
 
-// What is told of a change does not grow with the list.
-func TestChangeTellsOfWhatChanged(t *testing.T) {
+// A change that is published does not grow with the list.
+func TestChangeHoldsWhatChanged(t *testing.T) {
 	t.Parallel()
-	var told []ListChange
+	var published []ListChange
 	r := NewRegistrations(RegistrationsConfig{
 		Prefix: "s/", Decode: decodeState, DrainTime: 2 * time.Second, Logger: hclog.NewNullLogger(),
-		Changed: func(change ListChange, _ time.Time) { told = append(told, change) },
+		Changed: func(change ListChange, _ time.Time) { published = append(published, change) },
 	})
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	var entries []provider.Entry
@@ -75,9 +75,9 @@
 	r.SetChanging([]string{"e9"})
 	r.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e10", Incarnation: "e10"}}, now)
 	r.Tick(now.Add(2 * time.Minute))
-	assert.Assert(t, told[0].IsWhole && len(told[0].Hosts) == 1000)
+	assert.Assert(t, published[0].IsWhole && len(published[0].Hosts) == 1000)
 	var ids [][]string
-	for _, change := range told[1:] {
+	for _, change := range published[1:] {
 		assert.Assert(t, !change.IsWhole)
 		var named []string
 		for _, host := range change.Hosts {
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -50,7 +50,7 @@
 	correctedAt time.Time
 	crowded     bool     // many requests waited in the last report
 	wasIdle     bool     // at some tick
-	history     *history // nil: it has been idle at each tick
+	log         *loadLog // nil: it has been idle at each tick
 }
 
 // Word is what the platform has said of an endpoint last.
@@ -90,7 +90,7 @@
 
 // isIdle is true where a tick changes nothing.
 func (e *Endpoint) isIdle() bool {
-	isIdle := e.history == nil && e.ReplacedUntil.IsZero() &&
+	isIdle := e.log == nil && e.ReplacedUntil.IsZero() &&
 		e.Own.IsZero() && e.Recent.IsZero() && e.Peers.IsZero() && e.Correction.IsZero()
 	e.wasIdle = e.wasIdle || isIdle
 	return isIdle
@@ -99,13 +99,13 @@
 // record notes the load for reports that speak of this moment. Last is when the tick
 // before was.
 func (e *Endpoint) record(last, now time.Time) {
-	if e.history == nil {
-		e.history = &history{}
+	if e.log == nil {
+		e.log = &loadLog{}
 		if e.wasIdle {
-			e.history.record(Load{}, last)
+			e.log.record(Load{}, last)
 		}
 	}
-	e.history.record(e.Own.Plus(e.Peers), now)
+	e.log.record(e.Own.Plus(e.Peers), now)
 }
 
 // TakesNewWork is false where the endpoint leaves or drains.
@@ -138,7 +138,7 @@
 	}
 	// An engine knows no answer's length and reports the longest possible, so
 	// its decode backlog can't be compared with the expected one and is left out.
-	known := e.history.at(at, e.Own.Plus(e.Peers))
+	known := e.log.at(at, e.Own.Plus(e.Peers))
 	reported := Load{
 		Requests:      report.RunningRequests + report.WaitingRequests,
 		PrefillTokens: report.PrefillBacklog,
@@ -204,50 +204,50 @@
 }
 
 const (
-	historyLength  = 8
-	historySpacing = 100 * time.Millisecond
+	loadLogLength  = 8
+	loadLogSpacing = 100 * time.Millisecond
 )
 
-// history remembers what was counted at an endpoint over the last moments, to
+// loadLog remembers what was counted at an endpoint over the last moments, to
 // compare a lagging report with what was known then.
-type history struct {
-	samples [historyLength]historySample
+type loadLog struct {
+	samples [loadLogLength]loadLogSample
 	next    int8
 	count   int8
 }
 
-type historySample struct {
+type loadLogSample struct {
 	at                        int64 // nanoseconds
 	requests, prefill, decode int32
 }
 
-func (h *history) record(load Load, now time.Time) {
-	sample := historySample{
+func (h *loadLog) record(load Load, now time.Time) {
+	sample := loadLogSample{
 		at:       now.UnixNano(),
 		requests: int32(load.Requests),
 		prefill:  int32(load.PrefillTokens),
 		decode:   int32(load.DecodeTokens),
 	}
 	if h.count > 0 {
-		last := h.samples[(h.next+historyLength-1)%historyLength]
+		last := h.samples[(h.next+loadLogLength-1)%loadLogLength]
 		isSame := last.requests == sample.requests && last.prefill == sample.prefill && last.decode == sample.decode
-		if isSame || sample.at-last.at < int64(historySpacing) {
+		if isSame || sample.at-last.at < int64(loadLogSpacing) {
 			return
 		}
 	}
 	h.samples[h.next] = sample
-	h.next = (h.next + 1) % historyLength
-	h.count = min(h.count+1, historyLength)
+	h.next = (h.next + 1) % loadLogLength
+	h.count = min(h.count+1, loadLogLength)
 }
 
 // at returns the load in force at a time: the last sample before it, or the
 // oldest one, or the present load when there is none.
-func (h *history) at(at time.Time, present Load) Load {
+func (h *loadLog) at(at time.Time, present Load) Load {
 	if h == nil {
 		return present
 	}
 	for i := int8(1); i <= h.count; i++ {
-		sample := h.samples[(h.next+historyLength-i)%historyLength]
+		sample := h.samples[(h.next+loadLogLength-i)%loadLogLength]
 		if sample.at <= at.UnixNano() || i == h.count {
 			return Load{
 				Requests:      int(sample.requests),
--- a/internal/scheduler/tracker/update_test.go
+++ b/internal/scheduler/tracker/update_test.go
@@ -12,7 +12,7 @@
 	"github.com/endivemast/endivemast/internal/provider"
 )
 
-// The tables are the same whether the list is told whole or by its changes.
+// The tables are the same whether the list comes whole or by its changes.
 func TestUpdateHostsIsAsSetHosts(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(50) {
