A process that says that it leaves has its endpoint looked at, not the list

Cause: the last caller that had the whole list told again: where many endpoints are replaced at once, each of them cost every host what the list costs.

Test: TestChangeHoldsWhatChanged.

--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -304,8 +304,8 @@
 	return r.cfg.HasLeft(driver.Process{EndpointID: host.ID, Incarnation: host.Incarnation})
 }
 
-// Refresh has the list made anew: some process has said that it leaves.
-func (r *Registrations) Refresh() { r.publishAll(time.Now()) }
+// Refresh looks at some endpoints anew: their processes have said that they leave.
+func (r *Registrations) Refresh(ids ...string) { r.publish(time.Now(), ids...) }
 
 // Find returns an endpoint as it has registered itself, or as leaving where it has said so
 // itself.
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -73,6 +73,7 @@
 	r.Apply(provider.Change{Entry: provider.Entry{Key: "s/e8"}, Deleted: true}, now)
 	r.Tick(now.Add(time.Minute))
 	r.SetChanging([]string{"e9"})
+	r.Refresh("e11")
 	r.TakeLeaving([]exchanger.LeavingEndpoint{{EndpointID: "e10", Incarnation: "e10"}}, now)
 	r.Tick(now.Add(2 * time.Minute))
 	assert.Assert(t, published[0].IsWhole && len(published[0].Hosts) == 1000)
@@ -85,7 +86,7 @@
 		}
 		ids = append(ids, append(named, change.Removed...))
 	}
-	assert.DeepEqual(t, ids, [][]string{{"e7 leaving"}, {"e8 live"}, {"e8"}, {"e9 leaving"}, {"e10 leaving"}, {"e10 live"}})
+	assert.DeepEqual(t, ids, [][]string{{"e7 leaving"}, {"e8 live"}, {"e8"}, {"e9 leaving"}, {"e11 live"}, {"e10 leaving"}, {"e10 live"}})
 }
 
 func TestRegistrations(t *testing.T) {
@@ -206,7 +207,7 @@
 	r.Apply(first, start)
 	host, _ := r.Find("e1")
 	left[host.Incarnation] = true
-	r.Refresh()
+	r.Refresh("e1")
 	assert.Equal(t, state, provider.HostLeaving)
 	r.Apply(word(t, 1000, 9, provider.HostLive), start)
 	assert.Equal(t, state, provider.HostLeaving)
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -51,8 +51,9 @@
 	// IsListed is true for a process that the platform lists. What it has said is kept for as
 	// long as it is.
 	IsListed func(process driver.Process) bool
-	// Leaves is called when a process has said that it leaves. It may call the Observer.
-	Leaves func()
+	// Leaves is called when processes have said that they leave, with their endpoints' ids. It
+	// may call the Observer.
+	Leaves func(endpointIDs ...string)
 	Logger hclog.Logger
 }
 
@@ -112,7 +113,7 @@
 	leaves := o.observeLocked(&observation, o.cfg.Clock())
 	o.mu.Unlock()
 	if leaves {
-		o.cfg.Leaves()
+		o.cfg.Leaves(observation.Process.EndpointID)
 	}
 }
 
--- a/internal/observer/observer_test.go
+++ b/internal/observer/observer_test.go
@@ -26,7 +26,7 @@
 func newFixture() *fixture {
 	f := &fixture{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	f.Observer = New(Config{
-		Clock: func() time.Time { return f.now }, Meter: noMeter{}, LimitChanged: func(driver.Process, driver.Limit) {}, Leaves: func() {},
+		Clock: func() time.Time { return f.now }, Meter: noMeter{}, LimitChanged: func(driver.Process, driver.Limit) {}, Leaves: func(...string) {},
 		IsListed: func(process driver.Process) bool { return f.listed[process] }, Logger: hclog.NewNullLogger(),
 	})
 	return f
--- a/internal/observer/updates.go
+++ b/internal/observer/updates.go
@@ -42,15 +42,17 @@
 	if isOwnZone {
 		origin = exchanger.ScopeZone
 	}
-	leaves := false
+	var leaving []string
 	o.mu.Lock()
 	now := o.cfg.Clock()
 	for i := range updates {
-		leaves = o.mergeLocked(&updates[i], now, origin) || leaves
+		if o.mergeLocked(&updates[i], now, origin) {
+			leaving = append(leaving, updates[i].Process.EndpointID)
+		}
 	}
 	o.mu.Unlock()
-	if leaves {
-		o.cfg.Leaves()
+	if len(leaving) > 0 {
+		o.cfg.Leaves(leaving...)
 	}
 }
 
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -23,7 +23,7 @@
 	})
 	g.observer = observer.New(observer.Config{
 		Clock: g.cfg.Clock.Now, Meter: g.meter, LimitChanged: g.limiter.SetLimit,
-		IsListed: g.isListed, Leaves: func() { g.registrations.Refresh() }, Logger: g.cfg.Logger.Named("observer"),
+		IsListed: g.isListed, Leaves: func(endpointIDs ...string) { g.registrations.Refresh(endpointIDs...) }, Logger: g.cfg.Logger.Named("observer"),
 	})
 	g.cfg.Driver.SetObserver(g.observer.Observe)
 }
