A host that does not own a limit names the one that does

Cause: hosts that are no hubs don't know which hubs of other zones are down.

Change: a refusal names the owner, which is asked next; up to five hosts are asked.

--- a/internal/ratelimiter/account.go
+++ b/internal/ratelimiter/account.go
@@ -24,8 +24,9 @@
 const (
 	// chargeTimeout bounds an ask that charges a tenant's limit; the request waits for it.
 	chargeTimeout = 200 * time.Millisecond
-	// maxChargeAsked is how many hosts are asked before a charge counts as unanswered.
-	maxChargeAsked = 2
+	// maxChargeAsked is how many hosts are asked before a charge counts as unanswered: three
+	// that are down, one that names the owner, and the owner.
+	maxChargeAsked = 5
 	// chargeLife is for how long a request that was charged may be sent.
 	chargeLife = time.Second
 	// maxCharges bounds the requests of one ask.
--- a/internal/ratelimiter/allotter.go
+++ b/internal/ratelimiter/allotter.go
@@ -44,7 +44,7 @@
 	if eligible := strings.Join(ids, "\n"); eligible != a.eligible || a.since.IsZero() {
 		a.eligible, a.since = eligible, now
 		for subject := range a.buckets {
-			if !isOwner(own, subject, hosts) {
+			if ownerOf(subject, hosts) != own {
 				delete(a.buckets, subject)
 			}
 		}
--- a/internal/ratelimiter/model_test.go
+++ b/internal/ratelimiter/model_test.go
@@ -77,6 +77,7 @@
 	delays    []time.Duration
 	pause     time.Duration
 	refused   bool
+	owner     string // as the host knows that refuses
 	charges   *charges
 	waits     []time.Duration
 }
@@ -209,7 +210,8 @@
 		reply := modelMail{to: m.from, from: m.to, ask: m.ask, isReply: true}
 		hosts := h.reach.settle(h.id, f.view(m.to), f.now)
 		h.allotter.review(h.id, hosts, f.now)
-		reply.refused = !isOwner(h.id, f.subject, hosts)
+		reply.owner = ownerOf(f.subject, hosts)
+		reply.refused = reply.owner != h.id
 		switch {
 		case reply.refused:
 		case m.charges != nil:
@@ -229,12 +231,20 @@
 		return // given up
 	}
 	if m.refused {
+		f.prefer(h, m)
 		f.askNext(m.to)
 		return
 	}
 	h.demand.receive(m.delays, m.pause, h.sentAt, f.now)
 }
 
+// prefer has a host ask next whom a refusal names.
+func (f *modelFleet) prefer(h *modelHost, m modelMail) {
+	if m.owner != "" && f.number(m.owner) != m.from && len(h.candidates) > 0 {
+		h.candidates = append([]int{f.number(m.owner)}, h.candidates[:len(h.candidates)-1]...)
+	}
+}
+
 func (f *modelFleet) askNext(n int) {
 	h := f.hosts[n]
 	if len(h.candidates) == 0 {
--- a/internal/ratelimiter/owner.go
+++ b/internal/ratelimiter/owner.go
@@ -73,15 +73,15 @@
 	return ranked
 }
 
-// isOwner is true where this host owns a subject's limit: it is the first that is
-// neither down nor draining.
-func isOwner(own string, subject Subject, hosts []Host) bool {
+// ownerOf is the host that owns a subject's limit: the first that is neither down nor
+// draining. Empty: nobody does.
+func ownerOf(subject Subject, hosts []Host) (hostID string) {
 	for _, h := range rank(subject, hosts) {
 		if h.mayOwn() {
-			return h.HostID == own
+			return h.HostID
 		}
 	}
-	return false
+	return ""
 }
 
 // shareOf is the part of a limit that its owner gives out: as much of it as it reaches
--- a/internal/ratelimiter/ratelimiter.go
+++ b/internal/ratelimiter/ratelimiter.go
@@ -26,6 +26,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -348,13 +349,25 @@
 }
 
 // askHosts asks the owner of a subject's limit, and up to most hosts in all that would
-// be next where it does not answer.
+// be next where it does not answer. A host that refuses names the owner: hosts that are no
+// hubs do not know which hubs of other zones are down.
 func (l *Limiter) askHosts(subject Subject, request *ratelimiterpb.AllotRequest, timeout time.Duration, most int) (sentAt time.Time, reply *ratelimiterpb.AllotReply, err error) {
 	err = errRefused
-	for _, hostID := range l.candidates(subject, most) {
+	candidates, asked := l.candidates(subject), map[string]bool{}
+	for len(candidates) > 0 && len(asked) < most {
+		hostID := candidates[0]
+		candidates = candidates[1:]
+		if asked[hostID] {
+			continue
+		}
+		asked[hostID] = true
 		sentAt = l.cfg.Clock()
 		if reply, err = l.askHost(hostID, request, timeout); err == nil && reply.GetIsRefused() {
 			err = errRefused
+			if reply.GetOwner() != "" {
+				candidates = slices.Insert(candidates, 0, reply.GetOwner())
+			}
+			continue
 		}
 		if err == nil || l.ctx.Err() != nil {
 			break
@@ -367,7 +380,7 @@
 }
 
 // candidates are the hosts to ask, in order.
-func (l *Limiter) candidates(subject Subject, most int) (ids []string) {
+func (l *Limiter) candidates(subject Subject) (ids []string) {
 	ranked := rank(subject, l.cfg.Hosts())
 	now := l.cfg.Clock()
 	l.mu.Lock()
@@ -378,7 +391,7 @@
 		}
 	}
 	for _, h := range ranked {
-		if _, isSkipped := l.skipped[h.HostID]; !isSkipped && h.mayOwn() && len(ids) < most {
+		if _, isSkipped := l.skipped[h.HostID]; !isSkipped && h.mayOwn() {
 			ids = append(ids, h.HostID)
 		}
 	}
@@ -404,8 +417,8 @@
 		Tenant: request.GetTenant(), Process: driver.Process{EndpointID: request.GetEndpointId(), Incarnation: request.GetIncarnation()},
 	}
 	hosts := l.settled()
-	if !isOwner(l.cfg.HostID, subject, hosts) {
-		return &ratelimiterpb.AllotReply{IsRefused: true}, nil
+	if owner := ownerOf(subject, hosts); owner != l.cfg.HostID {
+		return &ratelimiterpb.AllotReply{IsRefused: true, Owner: owner}, nil
 	}
 	share := shareOf(hosts)
 	if subject.Tenant != "" {
--- a/internal/ratelimiter/tenant_model_test.go
+++ b/internal/ratelimiter/tenant_model_test.go
@@ -110,6 +110,7 @@
 	case m.ask != h.asks || !a.isAsking:
 		return
 	case m.refused:
+		f.prefer(h, m)
 		f.askNext(m.to)
 		return
 	}
