Another host takes a silent owner's place after two seconds

Cause: for three seconds after a zone was cut off, no host of the others gave out the limits that hosts of the cut zone own, and all held for one second only.

Change: an owner that is cut off gives out less after 1.5 s, since its share follows the hosts that it reaches; so another may begin after 2 s.

--- a/internal/ratelimiter/model_test.go
+++ b/internal/ratelimiter/model_test.go
@@ -20,8 +20,7 @@
 	modelLasts  = 14 * time.Second
 	modelSlots  = 40 // of the limit that a fleet plays through at least
 	modelWindow = 4 * time.Second
-	modelWaits  = time.Second     // that a caller's request waits for a slot
-	modelSilent = 3 * time.Second // after which a host counts as silent
+	modelWaits  = time.Second // that a caller's request waits for a slot
 	modelLearn  = 300 * time.Millisecond
 	modelLead   = 10 * time.Second // that hosts run before the callers come
 )
@@ -147,7 +146,7 @@
 		}
 		hosts = append(hosts, Host{
 			HostID: f.hosts[g].id, IsReachable: n < f.givers && silence <= ReachableWithin,
-			IsDown: n < f.givers && silence > modelSilent && f.now.Sub(h.wokeAt) > modelSilent,
+			IsDown: n < f.givers && silence > DownAfter && f.now.Sub(h.wokeAt) > DownAfter,
 		})
 	}
 	return hosts
--- a/internal/ratelimiter/owner.go
+++ b/internal/ratelimiter/owner.go
@@ -36,6 +36,10 @@
 // reachable.
 const ReachableWithin = 1500 * time.Millisecond
 
+// DownAfter is after how long without a message another host may take a host's place. An
+// owner that is cut off gives out less after ReachableWithin.
+const DownAfter = 2 * time.Second
+
 // reach keeps since when hosts have been reachable without a break. One that another part
 // of the fleet reached until a moment ago may still count there.
 type reach struct {
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -71,7 +71,7 @@
 		if isHub || hub.Peer.Zone == zone {
 			host.IsDraining = hub.Draining
 			host.IsReachable = hub.Reachable && now.Sub(hub.LastUpdate) <= ratelimiter.ReachableWithin
-			host.IsDown = !hub.Reachable && !hub.LastUpdate.IsZero()
+			host.IsDown = !hub.LastUpdate.IsZero() && (!hub.Reachable || now.Sub(hub.LastUpdate) > ratelimiter.DownAfter)
 		}
 		hosts = append(hosts, host)
 	}
--- a/pkg/endivemast/gateway_signals_test.go
+++ b/pkg/endivemast/gateway_signals_test.go
@@ -20,7 +20,7 @@
 	}
 	hubs := []exchanger.PeerStatus{
 		hub("a1", "a", true, time.Second), hub("a2", "a", false, time.Minute), hub("b1", "b", false, time.Minute),
-		hub("b2", "b", true, 2*time.Second),
+		hub("b2", "b", true, 2*time.Second), hub("b3", "b", true, 2100*time.Millisecond),
 		{Peer: exchanger.Peer{HostID: "c1"}},
 	}
 	for name, test := range map[string]struct {
@@ -29,13 +29,13 @@
 		want       []ratelimiter.Host
 	}{
 		"no hub": {own: "a7", zone: "a", want: []ratelimiter.Host{
-			{HostID: "a1", IsReachable: true}, {HostID: "a2", IsDown: true}, {HostID: "b1"}, {HostID: "b2"}, {HostID: "c1"},
+			{HostID: "a1", IsReachable: true}, {HostID: "a2", IsDown: true}, {HostID: "b1"}, {HostID: "b2"}, {HostID: "b3"}, {HostID: "c1"},
 		}},
 		"hub": {own: "a1", zone: "a", want: []ratelimiter.Host{
-			{HostID: "a1", IsReachable: true}, {HostID: "a2", IsDown: true}, {HostID: "b1", IsDown: true}, {HostID: "b2"}, {HostID: "c1"},
+			{HostID: "a1", IsReachable: true}, {HostID: "a2", IsDown: true}, {HostID: "b1", IsDown: true}, {HostID: "b2"}, {HostID: "b3", IsDown: true}, {HostID: "c1"},
 		}},
 		"hub that drains": {own: "a1", zone: "a", isDraining: true, want: []ratelimiter.Host{
-			{HostID: "a1", IsReachable: true, IsDraining: true}, {HostID: "a2", IsDown: true}, {HostID: "b1", IsDown: true}, {HostID: "b2"}, {HostID: "c1"},
+			{HostID: "a1", IsReachable: true, IsDraining: true}, {HostID: "a2", IsDown: true}, {HostID: "b1", IsDown: true}, {HostID: "b2"}, {HostID: "b3", IsDown: true}, {HostID: "c1"},
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
