A process that has just started counts the hosts that it hears at once

Change: what a process receives in its first 1.5 s counts at once. One that was away may read what is of before, and waits as it did.

--- a/internal/ratelimiter/model_test.go
+++ b/internal/ratelimiter/model_test.go
@@ -44,26 +44,27 @@
 }
 
 type modelHost struct {
-	id         string
-	demand     *demand
-	allotter   allotter
-	known      float64 // the limit
-	waiting    []time.Time
-	weight     float64
-	frozenTo   time.Time
-	group      int // hosts of one group reach each other
-	groupTo    time.Time
-	lastHeard  []time.Time // by giver
-	asks       int         // sent so far
-	candidates []int
-	sentAt     time.Time
-	even       float64 // tokens, where hosts have equal parts
-	evenAt     time.Time
-	reach      reach
-	account    account
-	wasFrozen  bool
-	frozeAt    time.Time
-	wokeAt     time.Time
+	id          string
+	demand      *demand
+	allotter    allotter
+	known       float64 // the limit
+	waiting     []time.Time
+	weight      float64
+	frozenTo    time.Time
+	group       int // hosts of one group reach each other
+	groupTo     time.Time
+	lastHeard   []time.Time // by giver
+	asks        int         // sent so far
+	candidates  []int
+	sentAt      time.Time
+	even        float64 // tokens, where hosts have equal parts
+	evenAt      time.Time
+	reach       reach
+	account     account
+	wasFrozen   bool
+	isRestarted bool
+	frozeAt     time.Time
+	wokeAt      time.Time
 }
 
 type modelMail struct {
@@ -170,6 +171,7 @@
 			h.frozenTo = f.now.Add(f.between(0.2, 5))
 		case 1:
 			h.restart(f.now)
+			h.isRestarted = true
 			h.frozenTo = f.now.Add(f.between(0.3, 2))
 		case 2:
 			h.group, h.groupTo = n+1, f.now.Add(f.between(0.5, 6))
@@ -354,7 +356,10 @@
 func (f *modelFleet) look(n int, isTick bool) {
 	h := f.hosts[n]
 	if h.wasFrozen && f.runs(n) {
-		h.wokeAt, h.reach = f.now, reach{}
+		h.wokeAt, h.reach = f.now, wokenReach()
+		if h.isRestarted {
+			h.reach, h.isRestarted = reach{}, false
+		}
 		if f.now.Sub(h.frozeAt) > ReachableWithin {
 			h.allotter.forget(f.now)
 		}
--- a/internal/ratelimiter/owner.go
+++ b/internal/ratelimiter/owner.go
@@ -44,17 +44,29 @@
 // of the fleet reached until a moment ago may still count there.
 type reach struct {
 	since map[string]time.Time
+	// startedAt is when this host's process first looked. What it receives then is of now, and
+	// counts at once; a host that was away may read what is of before.
+	startedAt time.Time
 }
 
+// wokenReach is what is known of the hosts after this one was away.
+func wokenReach() reach { return reach{startedAt: time.Unix(0, 0)} }
+
 // settle takes in which hosts are reachable, and lets only those count that have been for
 // ReachableWithin. It is to be called several times a second.
 func (r *reach) settle(own string, hosts []Host, now time.Time) (settled []Host) {
+	if r.startedAt.IsZero() {
+		r.startedAt = now
+	}
 	since := make(map[string]time.Time, len(hosts))
 	for _, h := range hosts {
 		if h.IsReachable && h.HostID != own {
 			at, isKnown := r.since[h.HostID]
 			if !isKnown {
 				at = now
+				if now.Sub(r.startedAt) <= ReachableWithin {
+					at = now.Add(-ReachableWithin)
+				}
 			}
 			since[h.HostID] = at
 			h.IsReachable = now.Sub(at) >= ReachableWithin
--- a/internal/ratelimiter/ratelimiter.go
+++ b/internal/ratelimiter/ratelimiter.go
@@ -156,7 +156,7 @@
 func (l *Limiter) Woke(away time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.reach = reach{}
+	l.reach = wokenReach()
 	if away > ReachableWithin {
 		l.allotter.forget(l.cfg.Clock())
 	}
