--- a/standins/storeserver/storeserver.go
+++ b/standins/storeserver/storeserver.go
@@ -1,6 +1,7 @@
 // Package storeserver is a stand-in for the store of the users' platform: keys
 // with revisions, leases, conditional transactions and long-polling watches
-// over HTTP. It can be unreachable, lose answers and drop its history.
+// over HTTP. It can be unreachable, lose answers, drop its history, and come
+// back from an older copy of its state.
 //
 // # Usage
 //
@@ -12,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -54,24 +56,42 @@
 type Server struct {
 	http *httptest.Server
 
-	mu       sync.Mutex
+	mu      sync.Mutex
+	state   state
+	era     int64 // rises with each Restore
+	fault   Fault
+	calls   map[string]int
+	changed chan struct{} // closed with each change
+	closed  chan struct{}
+}
+
+// state is what a copy of the store holds.
+type state struct {
 	items    map[string]Item
-	leases   map[int64]*lease
+	leases   map[int64]lease
 	history  []Item // changes, oldest first
 	oldest   int64  // lowest revision whose changes are in history
 	revision int64
-	nextID   int64
-	fault    Fault
-	calls    map[string]int
-	changed  chan struct{} // closed with each change
-	closed   chan struct{}
+	nextID   int64 // of a lease
+}
+
+// Copy is a copy of the store's state.
+type Copy struct{ state state }
+
+// Revision returns the revision of the last change in the copy.
+func (c Copy) Revision() int64 { return c.state.revision }
+
+func (s *state) clone() state {
+	next := *s
+	next.items, next.leases, next.history = maps.Clone(s.items), maps.Clone(s.leases), slices.Clone(s.history)
+	return next
 }
 
 // Start starts an empty store on loopback.
 func Start() *Server {
 	s := &Server{
-		items: map[string]Item{}, leases: map[int64]*lease{}, calls: map[string]int{},
-		changed: make(chan struct{}), closed: make(chan struct{}), oldest: 1,
+		state: state{items: map[string]Item{}, leases: map[int64]lease{}, oldest: 1},
+		calls: map[string]int{}, changed: make(chan struct{}), closed: make(chan struct{}), era: 1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/kv-key", s.key)
@@ -122,7 +142,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
-	item, ok = s.items[key]
+	item, ok = s.state.items[key]
 	return item, ok
 }
 
@@ -130,16 +150,45 @@
 // watches.
 func (s *Server) DropHistory() {
 	s.mu.Lock()
-	s.history, s.oldest = nil, s.revision+1
+	s.state.history, s.state.oldest = nil, s.state.revision+1
 	s.mu.Unlock()
 	s.http.CloseClientConnections()
 }
 
+// Copy returns a copy of the state.
+func (s *Server) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{state: s.state.clone()}
+}
+
+// Restore replaces the state by a copy, and starts the next era: revisions and ids of
+// leases are given out again. Leases of the copy run for their time from now on.
+// Connections are closed.
+func (s *Server) Restore(c Copy) {
+	s.mu.Lock()
+	s.state = c.state.clone()
+	s.era++
+	for id, l := range s.state.leases {
+		l.expiresAt = time.Now().Add(l.ttl)
+		s.state.leases[id] = l
+	}
+	s.mu.Unlock()
+	s.http.CloseClientConnections()
+}
+
+// Revision returns the revision of the last change.
+func (s *Server) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.revision
+}
+
 // RevokeAll revokes all leases and deletes their keys.
 func (s *Server) RevokeAll() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id := range s.leases {
+	for id := range s.state.leases {
 		s.endLocked(id)
 	}
 }
@@ -152,27 +201,27 @@
 }
 
 func (s *Server) writeLocked(item Item) int64 {
-	s.revision++
-	item.Revision = s.revision
-	item.Created = s.revision
-	if before, ok := s.items[item.Key]; ok {
+	s.state.revision++
+	item.Revision = s.state.revision
+	item.Created = s.state.revision
+	if before, ok := s.state.items[item.Key]; ok {
 		item.Created = before.Created
 	}
 	if item.Tombstone {
 		item.Created = 0
-		delete(s.items, item.Key)
+		delete(s.state.items, item.Key)
 	} else {
-		s.items[item.Key] = item
+		s.state.items[item.Key] = item
 	}
-	s.history = append(s.history, item)
+	s.state.history = append(s.state.history, item)
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.revision
+	return s.state.revision
 }
 
 func (s *Server) expireLocked() {
 	now := time.Now()
-	for id, l := range s.leases {
+	for id, l := range s.state.leases {
 		if now.After(l.expiresAt) {
 			s.endLocked(id)
 		}
@@ -180,8 +229,8 @@
 }
 
 func (s *Server) endLocked(id int64) {
-	delete(s.leases, id)
-	for key, item := range s.items {
+	delete(s.state.leases, id)
+	for key, item := range s.state.items {
 		if item.Lease == id {
 			s.writeLocked(Item{Key: key, Tombstone: true})
 		}
@@ -194,8 +243,9 @@
 		s.mu.Lock()
 		s.expireLocked()
 		s.calls[r.URL.Path]++
-		fault := s.fault
+		fault, era := s.fault, s.era
 		s.mu.Unlock()
+		setEra(w, era)
 		serveWithFault(fault, next, s.closed, w, r)
 	})
 }
@@ -219,6 +269,12 @@
 	}
 }
 
+// headerEra says how often the store has come back from a copy.
+const headerEra = "Store-Era"
+
+// setEra states the era of an answer, which has to be that of the state it describes.
+func setEra(w http.ResponseWriter, era int64) { w.Header().Set(headerEra, strconv.FormatInt(era, 10)) }
+
 func answer(w http.ResponseWriter, status int, message any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -226,7 +282,10 @@
 }
 
 func (s *Server) key(w http.ResponseWriter, r *http.Request) {
-	item, ok := s.Get(r.URL.Query().Get("key"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	setEra(w, s.era)
+	item, ok := s.state.items[r.URL.Query().Get("key")]
 	if !ok {
 		answer(w, http.StatusNotFound, struct{}{})
 		return
@@ -237,9 +296,10 @@
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	setEra(w, s.era)
 	query := r.URL.Query()
 	var keys []string
-	for key := range s.items {
+	for key := range s.state.items {
 		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
 			keys = append(keys, key)
 		}
@@ -249,9 +309,9 @@
 		Items   []Item `json:"items"`
 		HasMore bool   `json:"has_more"`
 		AsOf    int64  `json:"as_of"`
-	}{Items: []Item{}, HasMore: len(keys) > PageItems, AsOf: s.revision}
+	}{Items: []Item{}, HasMore: len(keys) > PageItems, AsOf: s.state.revision}
 	for _, key := range keys[:min(len(keys), PageItems)] {
-		page.Items = append(page.Items, s.items[key])
+		page.Items = append(page.Items, s.state.items[key])
 	}
 	answer(w, http.StatusOK, page)
 }
@@ -265,12 +325,13 @@
 	for timedOut := false; ; {
 		s.mu.Lock()
 		s.expireLocked()
-		if after+1 < s.oldest {
+		setEra(w, s.era)
+		if after+1 < s.state.oldest || after > s.state.revision {
 			s.mu.Unlock()
 			answer(w, http.StatusGone, struct{}{})
 			return
 		}
-		events, changed, asOf := s.sinceLocked(after, query.Get("prefix")), s.changed, s.revision
+		events, changed, asOf := s.sinceLocked(after, query.Get("prefix")), s.changed, s.state.revision
 		s.mu.Unlock()
 		if len(events) > 0 || timedOut {
 			answer(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
@@ -290,7 +351,7 @@
 
 func (s *Server) sinceLocked(after int64, prefix string) []Item {
 	events := []Item{}
-	for _, item := range s.history {
+	for _, item := range s.state.history {
 		if item.Revision > after && strings.HasPrefix(item.Key, prefix) {
 			events = append(events, item)
 		}
@@ -319,14 +380,15 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	setEra(w, s.era)
 	for _, expected := range message.Expected {
-		if s.items[expected.Key].Revision != expected.Revision {
-			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []Item{s.items[expected.Key]}})
+		if s.state.items[expected.Key].Revision != expected.Revision {
+			answer(w, http.StatusPreconditionFailed, map[string]any{"items": []Item{s.state.items[expected.Key]}})
 			return
 		}
 	}
 	for _, put := range message.Puts {
-		if put.Lease != 0 && s.leases[put.Lease] == nil {
+		if _, ok := s.state.leases[put.Lease]; put.Lease != 0 && !ok {
 			answer(w, http.StatusNotFound, struct{}{})
 			return
 		}
@@ -337,7 +399,7 @@
 	for _, key := range message.Deletes {
 		s.writeLocked(Item{Key: key, Tombstone: true})
 	}
-	answer(w, http.StatusOK, map[string]int64{"revision": s.revision})
+	answer(w, http.StatusOK, map[string]int64{"revision": s.state.revision})
 }
 
 func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
@@ -350,22 +412,25 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nextID++
+	setEra(w, s.era)
+	s.state.nextID++
 	ttl := time.Duration(message.TTL) * time.Millisecond
-	s.leases[s.nextID] = &lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
-	answer(w, http.StatusOK, map[string]int64{"lease": s.nextID, "ttl_ms": message.TTL})
+	s.state.leases[s.state.nextID] = lease{ttl: ttl, expiresAt: time.Now().Add(ttl)}
+	answer(w, http.StatusOK, map[string]int64{"lease": s.state.nextID, "ttl_ms": message.TTL})
 }
 
 func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
 	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.leases[id]
-	if l == nil {
+	setEra(w, s.era)
+	l, ok := s.state.leases[id]
+	if !ok {
 		answer(w, http.StatusNotFound, struct{}{})
 		return
 	}
 	l.expiresAt = time.Now().Add(l.ttl)
+	s.state.leases[id] = l
 	answer(w, http.StatusOK, map[string]int64{"ttl_ms": l.ttl.Milliseconds()})
 }
 
@@ -373,7 +438,8 @@
 	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.leases[id] == nil {
+	setEra(w, s.era)
+	if _, ok := s.state.leases[id]; !ok {
 		answer(w, http.StatusNotFound, struct{}{})
 		return
 	}
