Revisions hold the store's era, so that one given out again is later

Cause: revisions were compared as if the store never went back. It came back from a copy at revision 178. Hosts read it again there, but peers that had not were "ahead" with 181 and passed the lost changes on, so that the hosts took the next three changes, 179 to 181 for the second time, for known ones. The same happens without peers where the revisions overtake the known one while a host has lost the store.

Change: the adapter reads the era that the store states and puts it above the store's number in every revision, so that the comparisons in the follower, the relay and between peers order states of different eras too. A watch from an earlier era has a gap, a write at an earlier era's revision is a conflict, and a lease of an earlier era is lost; ids of leases are the client's own, since the store gives them out again. An answer of an earlier era counts as none. Within an era an older revision stays stale. Entries of endpoints and of this host are treated as after an outage.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -7,7 +7,10 @@
 //
 // All updates are ordered by the store's revisions, whether they come from a watch,
 // a read or a peer that is ahead of this host. An update that is older than the
-// known state of the sinks is dropped, so that it never replaces a later one.
+// known state of the sinks is dropped, so that it never replaces a later one. A store
+// that comes back from an older copy starts a new era, all of whose revisions are later
+// (see package provider); its keys are then read again, or fetched from a peer that has
+// read them.
 //
 // # Usage
 //
@@ -76,6 +79,9 @@
 	// answering, and when it answers again; nil: not called.
 	OnStoreLost     func(cause error)
 	OnStoreRegained func(unreachable time.Duration)
+	// OnStoreRestored is called when the store is found to have come back from an older
+	// copy, before the state of its new era is applied; nil: not called.
+	OnStoreRestored func(era int64)
 	Logger          hclog.Logger
 }
 
@@ -91,6 +97,7 @@
 	hasWatchMoved    bool                    // the last watch ended because the source of changes moved
 	isSynced         bool                    // all topics have been read
 	hasHistoryGap    bool                    // the store has compacted changes after the last read
+	latestRevision   int64                   // highest revision applied, also before the last gap
 	unreachableSince time.Time               // zero while the store answers
 	cancelWatch      context.CancelCauseFunc // cancels the current watch; nil: none
 }
@@ -132,7 +139,7 @@
 			continue // stopped by the caller; this is not a loss of the store
 		case errors.Is(err, provider.ErrCompacted):
 			// The missed changes are unknown, so all keys are read again.
-			f.cfg.Logger.Info("store has compacted its history; reading all keys again", "revision", f.knownRevision())
+			f.cfg.Logger.Info("store has compacted its history; reading all keys again", "revision", f.knownRevision(), "error", err)
 			f.reset()
 			continue
 		case errors.Is(err, provider.ErrWatchSourceChanged) || errors.Is(err, errResumed):
@@ -284,6 +291,7 @@
 	if revision < f.knownRevision() {
 		return
 	}
+	f.noteRevision(revision)
 	f.setReadRevision(topic.Prefix, revision)
 	topic.Sink.Replace(entries, time.Now())
 }
@@ -354,12 +362,29 @@
 				topic.Sink.Apply(change, now)
 			}
 		}
+		f.noteRevision(change.Entry.Revision)
 		f.mu.Lock()
 		f.revision = max(f.revision, change.Entry.Revision)
 		f.mu.Unlock()
 	}
 }
 
+// noteRevision detects whether the store has come back from an older copy, by the era of
+// a revision that is about to be applied.
+func (f *Follower) noteRevision(revision int64) {
+	f.mu.Lock()
+	latest := f.latestRevision
+	f.latestRevision = max(latest, revision)
+	f.mu.Unlock()
+	if latest == 0 || provider.EraOf(revision) <= provider.EraOf(latest) {
+		return
+	}
+	f.cfg.Logger.Warn("store restored from an older copy", "era", provider.EraOf(revision), "revision", revision, "previous_revision", latest)
+	if f.cfg.OnStoreRestored != nil {
+		f.cfg.OnStoreRestored(provider.EraOf(revision))
+	}
+}
+
 func (f *Follower) setReadRevision(prefix string, revision int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -38,10 +38,10 @@
 	// ErrOutcomeUnknown: a write was sent and not answered; it may have taken effect, or
 	// may still do so.
 	ErrOutcomeUnknown = errors.New("outcome of the write unknown")
-	// ErrLeaseLost: the lease has expired or was revoked.
+	// ErrLeaseLost: the lease has expired, was revoked, or was granted in an earlier era.
 	ErrLeaseLost = errors.New("lease lost")
-	// ErrCompacted: the start revision of a watch is no longer held; the watcher has to
-	// read the state again.
+	// ErrCompacted: the start revision of a watch is no longer held, or belongs to an
+	// earlier era; the watcher has to read the state again.
 	ErrCompacted = errors.New("watch revision compacted")
 	// ErrWatchSourceChanged: the watch must be opened again at once, since a better source
 	// of the changes is available. No change is lost.
@@ -51,6 +51,27 @@
 // MaxValueBytes is the largest value that the service holds.
 const MaxValueBytes = 1 << 20
 
+// The revisions of a store that comes back from an older copy go back, and are given out
+// again. Such a store states its era, which rises each time. A revision holds the era in
+// its decimal digits above the fifteenth, so that every later state has a higher revision,
+// and revisions of different eras are never equal. The era is 0 for a store that states
+// none.
+const revisionsPerEra = 1_000_000_000_000_000
+
+// MaxEra is the highest era that a revision can hold.
+const MaxEra = 9_000
+
+// Revision returns the revision for the number that a store gave out in an era.
+func Revision(era, number int64) int64 { return era*revisionsPerEra + number }
+
+// SplitRevision returns the era of a revision, and the number that the store gave out.
+func SplitRevision(revision int64) (era, number int64) {
+	return revision / revisionsPerEra, revision % revisionsPerEra
+}
+
+// EraOf returns the era of a revision.
+func EraOf(revision int64) int64 { return revision / revisionsPerEra }
+
 // LeaseID identifies a lease of the key-value service. NoLease stands for none.
 type LeaseID int64
 
@@ -61,7 +82,7 @@
 type Entry struct {
 	Key      string
 	Value    []byte
-	Revision int64 // revision of the last change of this key; 0 when absent
+	Revision int64 // of the last change of this key, with its era; 0 when absent
 	Lease    LeaseID
 }
 
@@ -116,6 +137,12 @@
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
+// EraReporter is a Store that states its era.
+type EraReporter interface {
+	// Era returns the latest era that the store has stated to this client; 0: none.
+	Era() int64
+}
+
 // StaleLister is a Store with cheaper reads that may return an old state.
 type StaleLister interface {
 	// ListStale is List at a revision that may be some seconds old. A watch from that
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -201,10 +201,8 @@
 			{Prefix: cfg.EndpointPrefix, Sink: g.registrations},
 			{Prefix: registrar.Prefix, Sink: g.registrar},
 		},
-		OnStoreRegained: func(time.Duration) {
-			g.registrations.StoreRegained(time.Now())
-			g.registrar.StoreRegained()
-		},
+		OnStoreRegained: func(time.Duration) { g.storeRegained() },
+		OnStoreRestored: func(int64) { g.storeRegained() },
 	})
 	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
@@ -223,6 +221,13 @@
 	return g, nil
 }
 
+// storeRegained is called when entries may be missing from the store until their writers
+// write them again: after an outage, and when it has come back from an older copy.
+func (g *Gateway) storeRegained() {
+	g.registrations.StoreRegained(time.Now())
+	g.registrar.StoreRegained()
+}
+
 func (cfg *GatewayConfig) policy() scheduler.Policy {
 	policy := Config{Routing: cfg.Routing, Admission: cfg.Admission, Roles: cfg.Roles}.policy()
 	policy.PrefillShare = cfg.PrefillShare
