registrar: replace the entry of this host's previous process at once

A store that comes back from an older copy may hold the entry that this host's previous process wrote. The host then looked after its own entry only at the next renewal, up to 5.4 s later; an entry under its key was enough for it to wait.

TestEntryOfPreviousProcessIsReplacedAtOnce fails without the change.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -187,12 +187,12 @@
 	r.hosts = map[string]Host{}
 	hasOwn := false
 	for _, entry := range entries {
-		hasOwn = hasOwn || entry.Key == Prefix+r.cfg.Own.HostID
+		hasOwn = hasOwn || r.isOwn(entry)
 		r.putLocked(entry)
 	}
 	r.mu.Unlock()
 	if !hasOwn {
-		r.StoreRegained() // not written yet, or removed meanwhile
+		r.StoreRegained() // not written yet, removed meanwhile, or that of an earlier process
 	}
 	r.publish()
 }
@@ -213,6 +213,15 @@
 	r.publish()
 }
 
+// isOwn reports whether an entry is that of this process.
+func (r *Registrar) isOwn(entry provider.Entry) bool {
+	if entry.Key != Prefix+r.cfg.Own.HostID {
+		return false
+	}
+	host, err := decodeHost(r.cfg.Own.HostID, entry.Value)
+	return err == nil && host.Incarnation == r.cfg.Own.Incarnation
+}
+
 func (r *Registrar) putLocked(entry provider.Entry) {
 	hostID := entry.Key[len(Prefix):]
 	if hostID == r.cfg.Own.HostID {
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -104,3 +104,24 @@
 		})
 	}
 }
+
+// The store may come back from a copy that holds the entry of this host's previous process.
+func TestEntryOfPreviousProcessIsReplacedAtOnce(t *testing.T) {
+	t.Parallel()
+	own := Host{HostID: "own", Incarnation: "two", Zone: "z", Address: "127.0.0.1:80"}
+	for name, test := range map[string]struct {
+		incarnation string
+		want        bool // the entry is checked at once
+	}{"previous process": {"one", true}, "this process": {"two", false}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := New(Config{Own: own, OnChange: func([]Host) {}, Logger: hclog.NewNullLogger()})
+			stored := own
+			stored.Incarnation = test.incarnation
+			value, err := json.Marshal(stored)
+			assert.NilError(t, err)
+			r.Replace([]provider.Entry{{Key: Prefix + "own", Value: value}}, time.Now())
+			assert.Equal(t, len(r.renewNow) > 0, test.want)
+		})
+	}
+}
