lister: hold restored entries of endpoints that were removed before

A copy of the store may hold entries that were removed after it was made. When the store came back, endpoints that had ended, or that left without saying so, were listed again and got requests until the store removed them once more. An entry that was removed in an earlier era, of a process that did not say that it leaves, and without a newer report, is now held for 5 s: the store removes the entry of an ended process sooner, and an endpoint that lives has it used then, or with its next report that changes it.

--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -29,6 +29,10 @@
 	// not listed any more. Delayed entries arrive within seconds: when a network
 	// partition ends, or 6 s after they were sent if the store delays them.
 	removedRetention = time.Minute
+	// restoredEntryHold is how long an entry is not used that was removed and is back in a
+	// later era of the store, since the copy may be older than the removal. The store
+	// removes the entry of an ended process again after some seconds.
+	restoredEntryHold = 5 * time.Second
 	// maxInvalidLogged limits how many invalid entries are remembered as logged.
 	maxInvalidLogged = 256
 )
@@ -41,6 +45,19 @@
 type removedHost struct {
 	last      provider.Host // as last listed
 	removedAt time.Time     // from the list
+	era       int64         // of the store, when the entry was removed
+}
+
+// missingEntry is the removed entry of an endpoint that is still listed.
+type missingEntry struct {
+	until time.Time // when the endpoint is removed from the list
+	era   int64     // of the store, when the entry was removed
+}
+
+// heldEntry is an entry that is not used yet.
+type heldEntry struct {
+	entry provider.Entry
+	until time.Time
 }
 
 // RegistrationsConfig configures Registrations.
@@ -76,9 +93,11 @@
 
 	mu              sync.Mutex
 	hosts           map[string]provider.Host
-	missingUntil    map[string]time.Time   // endpoints whose entry is removed, and until when they stay listed
-	removed         map[string]removedHost // last states of endpoints that are not listed any more
-	invalid         map[string]bool        // listed endpoints whose current entry is invalid
+	missing         map[string]missingEntry // endpoints whose entry is removed
+	removed         map[string]removedHost  // last states of endpoints that are not listed any more
+	held            map[string]heldEntry    // restored entries of removed endpoints
+	era             int64                   // latest one of the store
+	invalid         map[string]bool         // listed endpoints whose current entry is invalid
 	storeRegainedAt time.Time
 	isSynced        bool
 	changingRole    map[string]bool       // engines whose role this host is changing
@@ -92,8 +111,8 @@
 		cfg.IsLeaving = func(driver.Process) bool { return false }
 	}
 	return &Registrations{
-		cfg: cfg, hosts: map[string]provider.Host{}, missingUntil: map[string]time.Time{},
-		removed: map[string]removedHost{}, invalid: map[string]bool{},
+		cfg: cfg, hosts: map[string]provider.Host{}, missing: map[string]missingEntry{},
+		removed: map[string]removedHost{}, held: map[string]heldEntry{}, invalid: map[string]bool{},
 		changingRole: map[string]bool{}, peerReports: map[string]peerReport{}, loggedInvalid: map[string]int64{},
 	}
 }
@@ -112,13 +131,21 @@
 	r.storeRegainedAt = now
 }
 
+// StoreRestored records that the store has come back from an older copy, in a new era. It
+// has to be called before the entries of that era are applied.
+func (r *Registrations) StoreRestored(era int64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.era, r.storeRegainedAt = era, now
+}
+
 // Resumed is called after the host was suspended: pending removals take place
 // earlier by that time.
 func (r *Registrations) Resumed(suspended time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, until := range r.missingUntil {
-		r.missingUntil[id] = until.Add(-suspended)
+	for id, m := range r.missing {
+		r.missing[id] = missingEntry{until: m.until.Add(-suspended), era: m.era}
 	}
 	r.storeRegainedAt = r.storeRegainedAt.Add(-suspended)
 }
@@ -128,13 +155,14 @@
 	r.mu.Lock()
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
-		listed[r.applyEntry(entry)] = true
+		listed[r.applyEntry(entry, now)] = true
 	}
 	for id := range r.hosts {
 		if !listed[id] {
 			r.markMissing(id, now)
 		}
 	}
+	maps.DeleteFunc(r.held, func(id string, _ heldEntry) bool { return !listed[id] })
 	r.mu.Unlock()
 	r.publishAll(now)
 	// Set only after the list is published: a host that reported itself ready in
@@ -148,12 +176,14 @@
 func (r *Registrations) Apply(change provider.Change, now time.Time) {
 	id := strings.TrimPrefix(change.Entry.Key, r.cfg.Prefix)
 	r.mu.Lock()
+	r.era = max(r.era, provider.EraOf(change.Entry.Revision))
 	if change.Deleted {
 		// A host that receives the removal late counts from when its peers received it:
 		// the endpoint's drain time does not depend on when a host receives it.
 		r.markMissing(id, now.Add(-change.Age))
+		delete(r.held, id)
 	} else {
-		r.applyEntry(change.Entry)
+		r.applyEntry(change.Entry, now)
 	}
 	r.mu.Unlock()
 	r.publish(now, id)
@@ -164,11 +194,11 @@
 func (r *Registrations) Tick(now time.Time) {
 	r.mu.Lock()
 	var changed []string
-	for id, until := range r.missingUntil {
-		if !now.Before(until) {
+	for id, m := range r.missing {
+		if !now.Before(m.until) {
 			r.cfg.Logger.Info("endpoint removed from the list", "endpoint_id", id)
-			r.removed[id] = removedHost{last: r.hosts[id], removedAt: now}
-			delete(r.missingUntil, id)
+			r.removed[id] = removedHost{last: r.hosts[id], removedAt: now, era: m.era}
+			delete(r.missing, id)
 			delete(r.hosts, id)
 			delete(r.invalid, id)
 			changed = append(changed, id)
@@ -179,6 +209,12 @@
 			delete(r.removed, id)
 		}
 	}
+	for id, h := range r.held {
+		if !now.Before(h.until) {
+			r.release(id)
+			changed = append(changed, id)
+		}
+	}
 	for id, report := range r.peerReports {
 		if now.Sub(report.receivedAt) > peerReportTTL {
 			delete(r.peerReports, id)
@@ -189,8 +225,18 @@
 	r.publish(now, changed...)
 }
 
+// release makes a held entry count, whatever came before it.
+func (r *Registrations) release(id string) {
+	entry := r.held[id].entry
+	delete(r.held, id)
+	delete(r.removed, id)
+	delete(r.missing, id)
+	delete(r.hosts, id)
+	r.applyEntry(entry, time.Time{})
+}
+
 // applyEntry applies one entry and returns its endpoint's id.
-func (r *Registrations) applyEntry(entry provider.Entry) (id string) {
+func (r *Registrations) applyEntry(entry provider.Entry, now time.Time) (id string) {
 	id = strings.TrimPrefix(entry.Key, r.cfg.Prefix)
 	host, err := r.cfg.Decode(entry)
 	before, isKnown := r.hosts[id]
@@ -202,14 +248,24 @@
 		return id
 	}
 	host.Revision = entry.Revision
+	r.era = max(r.era, provider.EraOf(entry.Revision))
+	if r.isRestored(&host) {
+		if _, isHeld := r.held[id]; !isHeld {
+			r.cfg.Logger.Info("holding a restored entry of a removed endpoint", "endpoint_id", id, "revision", entry.Revision,
+				"sequence", host.Sequence, "hold_ms", restoredEntryHold.Milliseconds())
+			r.held[id] = heldEntry{entry: entry, until: now.Add(restoredEntryHold)}
+		}
+		return id
+	}
 	if r.isStale(&host) {
 		r.cfg.Logger.Info("ignored a stale entry of an endpoint", "endpoint_id", id, "revision", entry.Revision,
 			"born", host.StartedAt, "sequence", host.Sequence, "state", host.State, "known_state", before.State, "listed", isKnown)
 		return id
 	}
 	r.hosts[id] = host
-	delete(r.missingUntil, id)
+	delete(r.missing, id)
 	delete(r.removed, id)
+	delete(r.held, id)
 	delete(r.invalid, id)
 	if !isKnown || before != host {
 		r.cfg.Logger.Info("endpoint registered", "endpoint_id", id, "application", host.Application, "address", host.Address,
@@ -254,6 +310,20 @@
 	return host.Sequence < known.Sequence
 }
 
+// isRestored reports whether an entry was removed in an earlier era of the store, and
+// nothing in it is newer than the removed one. A process that had announced that it was
+// leaving does not count: its entry is stale.
+func (r *Registrations) isRestored(host *provider.Host) bool {
+	last, era := r.removed[host.ID].last, r.removed[host.ID].era
+	if m, isMissing := r.missing[host.ID]; isMissing {
+		last, era = r.hosts[host.ID], m.era
+	} else if _, isListed := r.hosts[host.ID]; isListed || last.ID == "" {
+		return false
+	}
+	return era < provider.EraOf(host.Revision) && host.StartedAt == last.StartedAt && host.Sequence <= last.Sequence &&
+		last.State == provider.HostLive
+}
+
 // markMissing records that an endpoint's entry is removed. An endpoint that has
 // announced that it is leaving is removed from the list at once.
 func (r *Registrations) markMissing(id string, now time.Time) {
@@ -261,7 +331,7 @@
 	if !ok {
 		return
 	}
-	if _, isMissing := r.missingUntil[id]; isMissing {
+	if _, isMissing := r.missing[id]; isMissing {
 		return
 	}
 	until := now
@@ -271,7 +341,7 @@
 			until = graceEnd
 		}
 	}
-	r.missingUntil[id] = until
+	r.missing[id] = missingEntry{until: until, era: r.era}
 	r.cfg.Logger.Info("endpoint's entry is missing from the store", "endpoint_id", id, "state", host.State, "listed_for_ms", until.Sub(now).Milliseconds())
 }
 
@@ -330,7 +400,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, host := range r.hosts {
-		if _, isMissing := r.missingUntil[id]; !isMissing && host.State == provider.HostLive && !r.isLeaving(&host) {
+		if _, isMissing := r.missing[id]; !isMissing && host.State == provider.HostLive && !r.isLeaving(&host) {
 			hosts = append(hosts, host)
 		}
 	}
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -201,8 +201,14 @@
 			{Prefix: cfg.EndpointPrefix, Sink: g.registrations},
 			{Prefix: registrar.Prefix, Sink: g.registrar},
 		},
-		OnStoreRegained: func(time.Duration) { g.storeRegained() },
-		OnStoreRestored: func(int64) { g.storeRegained() },
+		OnStoreRegained: func(time.Duration) {
+			g.registrations.StoreRegained(time.Now())
+			g.registrar.StoreRegained()
+		},
+		OnStoreRestored: func(era int64) {
+			g.registrations.StoreRestored(era, time.Now())
+			g.registrar.StoreRegained()
+		},
 	})
 	g.forwarder = dispatcher.NewForwarder(dispatcher.ForwarderConfig{
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
@@ -221,13 +227,6 @@
 	return g, nil
 }
 
-// storeRegained is called when entries may be missing from the store until their writers
-// write them again: after an outage, and when it has come back from an older copy.
-func (g *Gateway) storeRegained() {
-	g.registrations.StoreRegained(time.Now())
-	g.registrar.StoreRegained()
-}
-
 func (cfg *GatewayConfig) policy() scheduler.Policy {
 	policy := Config{Routing: cfg.Routing, Admission: cfg.Admission, Roles: cfg.Roles}.policy()
 	policy.PrefillShare = cfg.PrefillShare
