leaser: fencing numbers and the record survive a store that goes back

A holder that had not noticed could overwrite its successor's record, at a revision given out again, and renew or end the successor's lease.

The record of each era has a key of its own, so that a write of an earlier era meets no later record. A take-over in a later era starts from the record with the highest epoch of any era and raises it by a million for each era, more than can have been written since the copy. An authority ends as soon as any answer states a later era. The liveness key stays one for all eras: it keeps a candidate waiting until a restored lease has run out. The record notes the restoration for what is recorded in it.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -186,6 +186,7 @@
 // step renews the lease or tries to take over, and returns how long to wait before
 // the next step.
 func (l *Leaser) step(ctx context.Context) time.Duration {
+	l.loseIfRestored()
 	switch {
 	case l.isHeld():
 		l.renew(ctx)
@@ -295,7 +296,7 @@
 }
 
 func (l *Leaser) validLocked() bool {
-	return l.held && !l.stopped && l.cfg.Now().Before(l.validUntil)
+	return l.held && !l.stopped && l.record.Era == l.era() && l.cfg.Now().Before(l.validUntil)
 }
 
 // Status returns the current state, for display.
--- a/internal/leaser/record.go
+++ b/internal/leaser/record.go
@@ -74,28 +74,64 @@
 // process was applied late, or a successor has written.
 func (l *Leaser) refresh(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "reread zone record") }()
-	record, revision, err := l.readRecord(ctx)
+	stored, err := l.readRecord(ctx)
 	if err != nil {
 		return err
 	}
-	if record.Holder.Incarnation != l.cfg.Incarnation {
-		l.loseAuthority("succeeded by " + record.Holder.HostID)
+	if l.loseIfRestored() {
+		return ErrNotHolder
+	}
+	if stored.record.Holder.Incarnation != l.cfg.Incarnation {
+		l.loseAuthority("succeeded by " + stored.record.Holder.HostID)
 		l.wakeRun()
 		return ErrNotHolder
 	}
-	return l.setRecord(record, revision)
+	return l.setRecord(stored.record, stored.revision)
+}
+
+// storedRecord is a record as read in an era of the store.
+type storedRecord struct {
+	record   Record // the latest one, which may be of an earlier era; zero: none
+	revision int64  // of the record's key in that era; 0: absent
+	era      int64
 }
 
-func (l *Leaser) readRecord(ctx context.Context) (record Record, revision int64, err error) {
+func (l *Leaser) readRecord(ctx context.Context) (stored storedRecord, err error) {
+	if _, hasEras := l.cfg.Store.(provider.EraReporter); hasEras {
+		return l.readRecordOfEra(ctx)
+	}
 	entry, err := l.cfg.Store.Get(ctx, RecordKey(l.cfg.Zone))
 	if errors.Is(err, provider.ErrNotFound) {
-		return Record{}, 0, nil
+		return storedRecord{}, nil
 	}
 	if err != nil {
-		return Record{}, 0, err
+		return storedRecord{}, err
 	}
-	record, err = decodeRecord(entry.Value)
-	return record, entry.Revision, err
+	stored.revision = entry.Revision
+	stored.record, err = decodeRecord(entry.Value)
+	return stored, err
+}
+
+// readRecordOfEra reads the records of all eras.
+func (l *Leaser) readRecordOfEra(ctx context.Context) (stored storedRecord, err error) {
+	entries, revision, err := l.cfg.Store.List(ctx, RecordKey(l.cfg.Zone))
+	if err != nil {
+		return storedRecord{}, err
+	}
+	stored.era = provider.EraOf(revision)
+	for _, entry := range entries {
+		record, err := decodeRecord(entry.Value)
+		if err != nil {
+			return storedRecord{}, err
+		}
+		if entry.Key == eraRecordKey(l.cfg.Zone, stored.era) {
+			stored.revision = entry.Revision
+		}
+		if record.Epoch > stored.record.Epoch {
+			stored.record = record
+		}
+	}
+	return stored, nil
 }
 
 // swapRecord writes a record and returns its new revision. A write without an
@@ -108,11 +144,13 @@
 	if err != nil {
 		return 0, err
 	}
-	write := provider.Write{Key: RecordKey(l.cfg.Zone), Value: value, IfRevision: ifRevision}
+	write := provider.Write{Key: eraRecordKey(l.cfg.Zone, record.Era), Value: value, IfRevision: ifRevision}
 	for range maxSwapTries {
 		entry, swapErr := l.cfg.Store.Swap(ctx, write)
 		isUnknown := err != nil
 		switch {
+		case swapErr == nil && provider.EraOf(entry.Revision) != record.Era:
+			return 0, errRestored
 		case swapErr == nil:
 			return entry.Revision, nil
 		case errors.Is(swapErr, provider.ErrOutcomeUnknown):
@@ -129,14 +167,41 @@
 // findOwnWrite returns the revision of the record if this process's write was
 // applied, or ErrConflict if it wasn't.
 func (l *Leaser) findOwnWrite(ctx context.Context, writeID string) (revision int64, err error) {
-	record, revision, err := l.readRecord(ctx)
+	stored, err := l.readRecord(ctx)
 	if err != nil {
 		return 0, errors.Join(provider.ErrOutcomeUnknown, err)
 	}
-	if record.WriteID != writeID {
+	if stored.record.WriteID != writeID {
 		return 0, provider.ErrConflict
 	}
-	return revision, nil
+	if stored.era != stored.record.Era {
+		return 0, errRestored
+	}
+	return stored.revision, nil
+}
+
+// errRestored means that the store has come back from an older copy, in a new era.
+var errRestored = eris.New("store restored from an older copy")
+
+// era returns the era that the store has stated; 0: none.
+func (l *Leaser) era() int64 {
+	if reporter, ok := l.cfg.Store.(provider.EraReporter); ok {
+		return reporter.Era()
+	}
+	return 0
+}
+
+// loseIfRestored gives up an authority of an earlier era, whose lease and record are
+// gone, and reports whether it did.
+func (l *Leaser) loseIfRestored() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.held || l.record.Era == l.era() {
+		return false
+	}
+	l.loseAuthorityLocked(errRestored.Error())
+	l.wakeRun()
+	return true
 }
 
 // tryTakeOver takes over if the zone has no live holder.
@@ -206,30 +271,42 @@
 // takeOver creates the liveness key, so that at most one candidate at a time
 // proceeds, and then replaces the holder in the record.
 func (l *Leaser) takeOver(ctx context.Context, self Holder, lease provider.LeaseID) (result takeOverResult, err error) {
-	current, revision, err := l.readRecord(ctx)
+	stored, err := l.readRecord(ctx)
 	if err != nil {
 		return takeOverResult{}, err
 	}
-	next := TakeOver(current, l.cfg.Zone, self, newWriteID())
+	era, next := stored.era, l.nextRecord(&stored, self)
 	if err := l.createLiveness(ctx, next, lease); err != nil {
 		return takeOverResult{}, err
 	}
 	for range maxTakeOverTries {
-		revision, err = l.swapRecord(ctx, next, revision)
+		revision, err := l.swapRecord(ctx, next, stored.revision)
 		if err == nil {
 			return takeOverResult{record: next, revision: revision}, nil
 		}
 		if !errors.Is(err, provider.ErrConflict) {
 			return takeOverResult{}, err
 		}
-		if current, revision, err = l.readRecord(ctx); err != nil {
+		if stored, err = l.readRecord(ctx); err != nil {
 			return takeOverResult{}, err
 		}
-		next = TakeOver(current, l.cfg.Zone, self, newWriteID())
+		if stored.era != era {
+			return takeOverResult{}, errRestored // the liveness key is gone
+		}
+		next = l.nextRecord(&stored, self)
 	}
 	return takeOverResult{}, provider.ErrConflict
 }
 
+// nextRecord returns the record with which this process takes over.
+func (l *Leaser) nextRecord(stored *storedRecord, self Holder) Record {
+	record := stored.record
+	if record.Era < stored.era {
+		record = CarryOver(record, stored.era, l.cfg.Now())
+	}
+	return TakeOver(record, l.cfg.Zone, self, newWriteID())
+}
+
 func (l *Leaser) createLiveness(ctx context.Context, next Record, lease provider.LeaseID) error {
 	next.Payload = nil
 	value, err := json.Marshal(next)
--- a/internal/leaser/types.go
+++ b/internal/leaser/types.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"strconv"
 	"time"
 )
 
@@ -40,11 +41,24 @@
 	Term    int64  `json:"term"` // epoch of the holder's take-over
 	Holder  Holder `json:"holder"`
 	WriteID string `json:"write_id"` // unique; identifies a write whose answer was lost
+	// Era is the store's era in which the record was written; 0: the store states none.
+	Era int64 `json:"era,omitempty"`
+	// Restoration is set if the authority was taken over in this era from a record that
+	// may be older than the last one written.
+	Restoration *Restoration `json:"restoration,omitempty"`
 	// Payload is application data that the holder keeps. A take-over carries it
 	// over unchanged.
 	Payload json.RawMessage `json:"payload,omitempty"`
 }
 
+// Restoration describes the first take-over after the store has come back from an older
+// copy. Payload that was written below Epoch may have been replaced before by a write
+// that the store has lost.
+type Restoration struct {
+	AtMS  int64 `json:"at_ms"` // Unix milliseconds, by the clock of the holder
+	Epoch int64 `json:"epoch"` // of the take-over
+}
+
 // Draft is the part of a Record that an Update sees; changes to Epoch and Payload
 // are written.
 type Draft struct {
@@ -94,6 +108,20 @@
 	return next
 }
 
+// epochsPerEra exceeds the number of epochs that can be written while a copy of the store
+// is made and restored.
+const epochsPerEra = 1_000_000
+
+// CarryOver returns the record of an earlier era for a take-over in a later one. Its
+// epoch is higher than all epochs that the store has lost.
+func CarryOver(stored Record, era int64, now time.Time) Record {
+	next := stored
+	next.Epoch += (era - stored.Era) * epochsPerEra
+	next.Era = era
+	next.Restoration = &Restoration{AtMS: now.UnixMilli(), Epoch: next.Epoch + 1}
+	return next
+}
+
 // Revise returns the record as changed by edit. The holder stays the same.
 func Revise(current Record, writeID string, edit func(*Draft) error) (Record, error) {
 	draft := Draft{Epoch: current.Epoch, Holder: current.Holder, Payload: current.Payload}
@@ -113,8 +141,19 @@
 // ZonesPrefix is the prefix of all zones' keys.
 const ZonesPrefix = "endivemast/zones/"
 
-// RecordKey returns the key of a zone's Record.
+// RecordKey returns the key of a zone's Record in a store that states no era, and the
+// prefix of the keys in one that does.
 func RecordKey(zone string) string { return ZonesPrefix + zone + "/authority" }
 
+// eraRecordKey returns the key of a zone's Record in an era. Each era has its own: with
+// one key, a holder that hasn't noticed the restoration could overwrite its successor's
+// record, since the revision that it expects may have been given out again.
+func eraRecordKey(zone string, era int64) string {
+	if era == 0 {
+		return RecordKey(zone)
+	}
+	return RecordKey(zone) + "/" + strconv.FormatInt(era, 10)
+}
+
 // LivenessKey returns the key that exists while a zone's holder renews its lease.
 func LivenessKey(zone string) string { return ZonesPrefix + zone + "/holder" }
