provisioner: do not repeat orders of an earlier era of the store

The record that the store came back with may hold an order that a later one had replaced; the next holder sent it again, with a new fencing number, and took away engines. Orders recorded below the epoch of the restoration are left out: what is needed follows from the engines that are there.

TestRestoredOrderIsNotSentAgain failed before (5 engines instead of 9).

--- a/internal/provisioner/provisioner.go
+++ b/internal/provisioner/provisioner.go
@@ -210,6 +210,8 @@
 	return Target{Application: e.Application, Zone: e.Zone, IsSpot: e.IsSpot}
 }
 
+// recordedOrders returns the recorded orders by target. It omits those of an earlier era
+// of the store: orders that replaced them may have been lost.
 func recordedOrders(record *leaser.Record) (orders map[Target]recordedOrder, err error) {
 	var list []recordedOrder
 	if _, err := record.Section(section, &list); err != nil {
@@ -217,7 +219,9 @@
 	}
 	orders = map[Target]recordedOrder{}
 	for _, e := range list {
-		orders[e.target()] = e
+		if record.Restoration == nil || e.Epoch >= record.Restoration.Epoch {
+			orders[e.target()] = e
+		}
 	}
 	return orders, nil
 }
--- a/internal/provisioner/provisioner_test.go
+++ b/internal/provisioner/provisioner_test.go
@@ -152,3 +152,23 @@
 	assert.ErrorIs(t, sim.accept(sim.delayedOrder), ErrStaleEpoch)
 	assert.DeepEqual(t, hosts[0].Ordered(), map[Target]int{target: 5})
 }
+
+// The store loses the record of the latest order, and comes back with an earlier one.
+func TestRestoredOrderIsNotSentAgain(t *testing.T) {
+	t.Parallel()
+	sim, hosts := newSimulation(2)
+	sim.planned = 5
+	sim.advance(t, hosts, time.Second)
+	copied := sim.record
+	sim.planned = 9
+	sim.advance(t, hosts, time.Second)
+	assert.Equal(t, sim.engines, 9)
+	sim.record = leaser.CarryOver(copied, 1, sim.now)
+	sim.takeOver(hosts[1])
+	sim.planned = 0 // the successor needs no change
+	sim.advance(t, hosts, 10*time.Second)
+	assert.Equal(t, sim.engines, 9)
+	sim.planned = 7
+	sim.advance(t, hosts, 10*time.Second)
+	assert.Equal(t, sim.engines, 7)
+}
