reporter: windows before a restoration of the store are not counted anew

The counts of a window are frozen in the authority's record before they are sent. A store that came back from an older copy has lost the last ones, and the next holder froze the window again with the counts that it had by then: two reports with different counts for one window. The first window of a new era is the one of its first take-over, which nobody can have reported; counts that are in the copy are repeated as before. Up to three windows may thus be missing.

TestLostReportIsNotSentAgainWithOtherCounts failed before in its three cases.

--- a/internal/reporter/reporter.go
+++ b/internal/reporter/reporter.go
@@ -101,7 +101,7 @@
 	status Status
 
 	term            int64 // term of the authority that the fields below belong to
-	firstWindow     int64 // window to start with if none was recorded
+	firstWindow     int64 // earliest window to report
 	actAfter        time.Time
 	retryAt         time.Time
 	confirmedWindow int64 // window of the last confirmed report; 0: none in this term
@@ -166,6 +166,10 @@
 			r.actAfter = now.Add(r.cfg.TakeoverDelay)
 			r.firstWindow -= maxWindowsBehind // a former holder may not have reported these
 		}
+		if record.Restoration != nil {
+			// Earlier windows may have been reported with counts that the store has lost.
+			r.firstWindow = max(r.firstWindow, r.cfg.WindowAt(time.UnixMilli(record.Restoration.AtMS)))
+		}
 	}
 	return !now.Before(r.actAfter) && !now.Before(r.retryAt)
 }
@@ -176,7 +180,7 @@
 	if !isRecorded {
 		last = r.firstWindow - 1
 	}
-	return max(last+1, r.cfg.WindowAt(now)-maxWindowsBehind)
+	return max(last+1, r.cfg.WindowAt(now)-maxWindowsBehind, r.firstWindow)
 }
 
 // recordCounts writes a window's counts into the record. If an earlier write succeeded
--- a/internal/reporter/reporter_test.go
+++ b/internal/reporter/reporter_test.go
@@ -266,3 +266,36 @@
 	sim.advance(window + settlingDelay + 5*time.Second)
 	assert.DeepEqual(t, sim.platform.accepted[n], map[string]int64{"x": 7})
 }
+
+// The store loses the record of a report that was sent, and the next holder has counted
+// more requests since.
+func TestLostReportIsNotSentAgainWithOtherCounts(t *testing.T) {
+	t.Parallel()
+	for name, takeOverAfter := range map[string]time.Duration{"at once": 0, "later in the window": window / 2, "in the next window": window} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			sim := newSimulation(t, true, 3)
+			former, successor, third := sim.hosts[0], sim.hosts[1], sim.hosts[2]
+			copied := sim.store.record
+			n := former.reporter.cfg.WindowAt(sim.now)
+			sim.setCount(former, 7)
+			sim.advance(window + settlingDelay + 2*stepInterval)
+			assert.DeepEqual(t, sim.platform.accepted[n], map[string]int64{"x": 7})
+			for _, h := range sim.hosts {
+				h.counts[n] = map[string]int64{"x": 8} // one more count has arrived since
+			}
+			sim.store.holder = nil // its authority is lost with the era
+			sim.advance(takeOverAfter)
+			sim.store.record = leaser.CarryOver(copied, 1, sim.now)
+			sim.takeOver(successor)
+			sim.advance(window / 2)
+			sim.takeOver(third) // in the same era
+			sim.setCount(third, 5)
+			current := third.reporter.cfg.WindowAt(sim.now)
+			sim.advance(3 * window)
+			assert.Equal(t, len(sim.platform.violations), 0, "%v", sim.platform.violations)
+			assert.DeepEqual(t, sim.platform.accepted[n], map[string]int64{"x": 7})
+			assert.DeepEqual(t, sim.platform.accepted[current], map[string]int64{"x": 5})
+		})
+	}
+}
