Keys: a store that has just come back proves no configuration

A host that read the configuration from a restored store took it for the newest one. The store may have lost the one that revokes a key, and a host that was cut off again before it was written once more accepted the key for the whole revocation bound from then on. For 2 s after a host has noticed the restoration a read counts as no proof; proofs from before hold as long as they did. An older configuration that is read and ignored has a line.

--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -152,6 +152,8 @@
 	checkMu         sync.Mutex
 	checkedRevision int64 // store revision up to which configurations have been read; 0: none
 
+	restored atomic.Value // time.Time at which the store was found to be restored
+
 	resumeMu sync.Mutex // held while the state is updated after a suspension
 
 	draining atomic.Bool
@@ -206,6 +208,7 @@
 			g.registrar.StoreRegained()
 		},
 		OnStoreRestored: func(era int64) {
+			g.noteRestoration()
 			g.registrations.StoreRestored(era, time.Now())
 			g.registrar.StoreRegained()
 		},
--- a/pkg/endivemast/gateway_access.go
+++ b/pkg/endivemast/gateway_access.go
@@ -26,6 +26,9 @@
 	// maxDenyProofAge is the age of the proof up to which an unknown key is refused if no
 	// newer proof came in that time. A new key has to be accepted within seconds.
 	maxDenyProofAge = 2 * time.Second
+	// restoreSettleTime is how long after the store has come back from an older copy its
+	// configuration proves nothing: operators write again what it has lost.
+	restoreSettleTime = 2 * time.Second
 	// retryNotCurrent is the retry delay of a request at a host that can't prove that its
 	// configuration is the newest one; another host will serve it sooner.
 	retryNotCurrent = 200 * time.Millisecond
@@ -34,6 +37,7 @@
 var (
 	errNoPoller     = errors.New("store does not support polling for changes")
 	errNotInstalled = errors.New("later configuration not in force")
+	errRestored     = errors.New("store has just come back from an older copy")
 )
 
 func (g *Gateway) buildAttester() {
@@ -117,7 +121,7 @@
 }
 
 // checkConfiguration reads the configurations after the one in force from the store. It
-// fails if one can't be installed.
+// fails if one can't be installed, and if the store may have lost one.
 func (g *Gateway) checkConfiguration(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "check the configuration") }()
 	poller, ok := g.cfg.Store.(provider.Poller)
@@ -126,6 +130,11 @@
 	}
 	g.checkMu.Lock()
 	defer g.checkMu.Unlock()
+	defer func() {
+		if err == nil && g.cfg.Clock.Now().Sub(g.restoredAt()) < restoreSettleTime {
+			err = errRestored
+		}
+	}()
 	if g.checkedRevision == 0 {
 		return g.readConfiguration(ctx)
 	}
@@ -159,10 +168,23 @@
 			}
 		}
 	}
+	if g.checkedRevision != 0 && provider.EraOf(revision) > provider.EraOf(g.checkedRevision) {
+		g.noteRestoration()
+	}
 	g.checkedRevision = revision
 	return nil
 }
 
+// noteRestoration records that the store has come back from an older copy.
+func (g *Gateway) noteRestoration() { g.restored.Store(g.cfg.Clock.Now()) }
+
+// restoredAt returns when the store was last found to have come back from an older copy;
+// zero: never.
+func (g *Gateway) restoredAt() time.Time {
+	at, _ := g.restored.Load().(time.Time)
+	return at
+}
+
 // installNewest installs the configuration of an entry unless a later one is in force. It
 // fails if the configuration can't be decoded: keys that it revokes would stay accepted.
 func (g *Gateway) installNewest(entry provider.Entry) error {
--- a/pkg/endivemast/gateway_snapshot.go
+++ b/pkg/endivemast/gateway_snapshot.go
@@ -44,6 +44,9 @@
 		return 0, err
 	}
 	if !g.classifier.Install(snapshot) {
+		if inForce := g.classifier.Revision(); snapshot.Version < inForce {
+			g.cfg.Logger.Info("older configuration ignored", "version", snapshot.Version, "version_in_force", inForce, "revision", entry.Revision)
+		}
 		return snapshot.Version, nil
 	}
 	fields := []any{
