A host that starts gets a configuration that the store has lost

Between a restoration and the operator's next write the store holds an older configuration than the one in force. Hosts that run keep theirs, but one that started then had nothing else and served the older one.

A host whose peers have a later version in force, though they know no later revision of the store than itself, fetches it from one of them after two checks half a second apart. Hosts pass the configuration in force on beside the entries of the store. A peer that is merely ahead of the store's watch does not count, so that no large configuration is requested while it is on its way.

--- a/internal/relayer/catchup.go
+++ b/internal/relayer/catchup.go
@@ -45,6 +45,47 @@
 	if !ok {
 		return update, errNoPeerAhead
 	}
+	return r.fetchFrom(ctx, peer, after)
+}
+
+// IsConfigurationLost reports whether a reachable peer has a configuration after a
+// version in force, although it knows no later revision of the store than this host: the
+// store has lost that configuration.
+func (r *Relayer) IsConfigurationLost(version int64) bool {
+	_, isLost := r.pickPeerWithConfiguration(version)
+	return isLost
+}
+
+// FetchLostConfiguration requests a configuration after a version from a peer, for a
+// store that has lost it.
+func (r *Relayer) FetchLostConfiguration(ctx context.Context, version int64) (entry provider.Entry, err error) {
+	defer func() { err = eris.Wrap(err, "fetch configuration from a peer") }()
+	peer, ok := r.pickPeerWithConfiguration(version)
+	if !ok {
+		return entry, errNoPeerAhead
+	}
+	update, err := r.fetchFrom(ctx, peer, 0)
+	if err != nil || len(update.Changes) == 0 {
+		return entry, err
+	}
+	return update.Changes[len(update.Changes)-1].Entry, nil
+}
+
+// pickPeerWithConfiguration picks the peer with the latest configuration after a version,
+// among those that know no later revision of the store than this host.
+func (r *Relayer) pickPeerWithConfiguration(version int64) (hostID string, ok bool) {
+	revision, now := r.log.latestRevision(), time.Now()
+	for _, status := range r.cfg.PeerStatuses() {
+		if status.Reachable && !status.Draining && status.ConfigurationRevision > version && status.StoreRevision <= revision &&
+			r.canQuery(status.Peer.HostID, now) {
+			hostID, version, ok = status.Peer.HostID, status.ConfigurationRevision, true
+		}
+	}
+	return hostID, ok
+}
+
+// fetchFrom requests the changes after a revision from a peer.
+func (r *Relayer) fetchFrom(ctx context.Context, peer string, after int64) (update provider.Update, err error) {
 	conn, err := r.cfg.Pool.Conn(peer)
 	if err != nil {
 		r.recordFailure(peer, err)
@@ -143,6 +184,12 @@
 // are valid whether or not it reaches the store at present.
 func (r *Relayer) CatchUp(_ context.Context, request *relayerpb.CatchUpRequest) (*relayerpb.CatchUpReply, error) {
 	update := r.log.updateSince(request.GetAfterRevision())
+	if r.cfg.Configuration != nil && (update.IsSnapshot || request.GetAfterRevision() == 0) {
+		// The last one, so that it replaces an older one that the store came back with.
+		if entry, ok := r.cfg.Configuration(); ok {
+			update.Changes = append(update.Changes, provider.Change{Entry: entry})
+		}
+	}
 	return &relayerpb.CatchUpReply{
 		Changes: changesToMessage(update.Changes), Revision: update.Revision, IsWhole: update.IsSnapshot,
 	}, nil
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -71,7 +71,10 @@
 	ZoneHosts func() []exchanger.Peer
 	// PeerStatuses returns the latest status of each peer.
 	PeerStatuses func() []exchanger.PeerStatus
-	Logger       hclog.Logger
+	// Configuration returns the entry of the configuration in force, which may be newer
+	// than the store's if that has come back from an older copy; nil: none is passed on.
+	Configuration func() (entry provider.Entry, ok bool)
+	Logger        hclog.Logger
 }
 
 // Relayer is a provider.Store whose watches may be served by peers. The other
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -152,7 +152,9 @@
 	checkMu         sync.Mutex
 	checkedRevision int64 // store revision up to which configurations have been read; 0: none
 
-	restored atomic.Value // time.Time at which the store was found to be restored
+	installMu sync.Mutex                     // keeps installed in step with the classifier
+	installed atomic.Pointer[provider.Entry] // of the configuration in force; nil: none
+	restored  atomic.Value                   // time.Time at which the store was found to be restored
 
 	resumeMu sync.Mutex // held while the state is updated after a suspension
 
@@ -252,6 +254,7 @@
 	g.group.Go(func() error { return g.attester.Run(g.ctx) })
 	g.startDuties()
 	g.group.Go(g.tick)
+	g.group.Go(g.fetchLostConfigurations)
 	g.cfg.Logger.Info("entry host started", "incarnation", g.incarnation, "version", g.cfg.Version,
 		"callers_address", g.cfg.CallersAddress, "readiness_address", g.cfg.ReadinessAddress)
 	return nil
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -45,7 +45,7 @@
 	})
 	g.relayer = relayer.New(relayer.Config{
 		HostID: g.cfg.HostID, Store: g.cfg.Store, Pool: g.exchanger, ZoneHosts: g.zoneHosts,
-		PeerStatuses: g.exchanger.Statuses, Logger: g.cfg.Logger.Named("relayer"),
+		PeerStatuses: g.exchanger.Statuses, Configuration: g.installedConfiguration, Logger: g.cfg.Logger.Named("relayer"),
 	})
 	g.relayer.Register(g.exchanger.Registrar())
 	g.limiter.Register(g.exchanger.Registrar())
--- a/pkg/endivemast/gateway_snapshot.go
+++ b/pkg/endivemast/gateway_snapshot.go
@@ -4,9 +4,21 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
-// How a Gateway installs the configuration from the store.
+// How a Gateway installs the configuration from the store, or from a peer if the store has
+// lost it.
+
+const (
+	// lostConfigurationInterval is how often a host checks whether a peer has a
+	// configuration that the store has lost. If two checks in a row find one, it is
+	// fetched: the host's own watch may be about to deliver it.
+	lostConfigurationInterval = 500 * time.Millisecond
+	// configurationFetchTimeout limits a fetch. A configuration of 430 KB takes 0.35 s on a
+	// link of 10 Mbit/s.
+	configurationFetchTimeout = time.Second
+)
 
 // snapshotSink installs each configuration that the store delivers.
 type snapshotSink struct{ gateway *Gateway }
@@ -43,12 +55,15 @@
 	if err != nil {
 		return 0, err
 	}
+	g.installMu.Lock()
+	defer g.installMu.Unlock()
 	if !g.classifier.Install(snapshot) {
 		if inForce := g.classifier.Revision(); snapshot.Version < inForce {
 			g.cfg.Logger.Info("older configuration ignored", "version", snapshot.Version, "version_in_force", inForce, "revision", entry.Revision)
 		}
 		return snapshot.Version, nil
 	}
+	g.installed.Store(&entry)
 	fields := []any{
 		"version", snapshot.Version, "revision", entry.Revision,
 		"rules", len(snapshot.Rules), "applications", len(snapshot.Applications),
@@ -62,3 +77,46 @@
 	}
 	return snapshot.Version, nil
 }
+
+// installedConfiguration returns the entry of the configuration in force.
+func (g *Gateway) installedConfiguration() (entry provider.Entry, ok bool) {
+	installed := g.installed.Load()
+	if installed == nil {
+		return provider.Entry{}, false
+	}
+	return *installed, true
+}
+
+// fetchLostConfigurations installs configurations that peers have in force and the store
+// has lost, until the host is closed.
+func (g *Gateway) fetchLostConfigurations() error {
+	ticker := time.NewTicker(lostConfigurationInterval)
+	defer ticker.Stop()
+	for wasLost := false; ; {
+		select {
+		case <-g.ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		isLost := g.follower.HasSynced() && g.relayer.IsConfigurationLost(g.classifier.Revision())
+		if isLost && wasLost {
+			g.fetchLostConfiguration()
+		}
+		wasLost = isLost
+	}
+}
+
+func (g *Gateway) fetchLostConfiguration() {
+	ctx, cancel := timekeeper.WithTimeout(g.ctx, configurationFetchTimeout)
+	defer cancel()
+	before := g.classifier.Revision()
+	entry, err := g.relayer.FetchLostConfiguration(ctx, before)
+	if err == nil && entry.Key == g.cfg.ConfigurationKey {
+		_, err = (&snapshotSink{gateway: g}).install(entry)
+	}
+	if err != nil {
+		g.cfg.Logger.Warn("configuration that the store has lost not fetched", "error", err, "version", before)
+		return
+	}
+	g.cfg.Logger.Info("fetched a configuration that the store has lost", "version", g.classifier.Revision(), "version_before", before)
+}
