--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -357,12 +357,12 @@
 		if change.Entry.Revision <= knownRevision {
 			continue
 		}
+		f.noteRevision(change.Entry.Revision)
 		for _, topic := range f.cfg.Topics {
 			if strings.HasPrefix(change.Entry.Key, topic.Prefix) && change.Entry.Revision > f.readRevision(topic.Prefix) {
 				topic.Sink.Apply(change, now)
 			}
 		}
-		f.noteRevision(change.Entry.Revision)
 		f.mu.Lock()
 		f.revision = max(f.revision, change.Entry.Revision)
 		f.mu.Unlock()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -211,6 +211,12 @@
 	m.set.GetOrCreateGauge("endivemast_store_away_seconds", func() float64 { return value().Seconds() })
 }
 
+// GaugeStoreEra shows the era of the store's state that this host uses; 0: the store
+// states none. It rises each time the store comes back from an older copy.
+func (m *Meter) GaugeStoreEra(value func() int64) {
+	m.set.GetOrCreateGauge("endivemast_store_era", func() float64 { return float64(value()) })
+}
+
 // GaugePeers shows how many other entry hosts are in a state.
 func (m *Meter) GaugePeers(state string, value func() float64) {
 	m.set.GetOrCreateGauge(metricName("endivemast_peers", label{"state", state}), value)
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -268,6 +268,7 @@
 	})
 	g.meter.GaugeConfigRevision(func() float64 { return float64(g.classifier.Revision()) })
 	g.meter.GaugeStoreUnreachable(g.follower.StoreUnreachableFor)
+	g.meter.GaugeStoreEra(func() int64 { return provider.EraOf(g.relayer.LatestRevision()) })
 	g.meter.GaugeAttestationAge(func() time.Duration {
 		age, _ := g.attester.Age()
 		return age
