relayer: a lost configuration is fetched alone, from any of the peers that have it

Hosts that start together asked the same peer for all entries and the configuration. They ask a random one of those with the latest version now, for the configuration only. TestPeersWithLostConfiguration has who is asked.

--- a/internal/relayer/catchup.go
+++ b/internal/relayer/catchup.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -48,40 +50,52 @@
 	return r.fetchFrom(ctx, peer, after)
 }
 
+// configurationOnly in place of a revision requests the configuration in force and no
+// changes.
+const configurationOnly = math.MaxInt64
+
 // IsConfigurationLost reports whether a reachable peer has a configuration after a
 // version in force, although it knows no later revision of the store than this host: the
 // store has lost that configuration.
 func (r *Relayer) IsConfigurationLost(version int64) bool {
-	_, isLost := r.pickPeerWithConfiguration(version)
-	return isLost
+	return len(r.peersWithConfiguration(version)) > 0
 }
 
 // FetchLostConfiguration requests a configuration after a version from a peer, for a
-// store that has lost it.
+// store that has lost it. It takes a random one of the peers with the latest version,
+// since many hosts may have started at once.
 func (r *Relayer) FetchLostConfiguration(ctx context.Context, version int64) (entry provider.Entry, err error) {
 	defer func() { err = eris.Wrap(err, "fetch configuration from a peer") }()
-	peer, ok := r.pickPeerWithConfiguration(version)
-	if !ok {
+	peers := r.peersWithConfiguration(version)
+	if len(peers) == 0 {
 		return entry, errNoPeerAhead
 	}
-	update, err := r.fetchFrom(ctx, peer, 0)
-	if err != nil || len(update.Changes) == 0 {
+	update, err := r.fetchFrom(ctx, peers[rand.IntN(len(peers))], configurationOnly)
+	if err != nil {
 		return entry, err
 	}
-	return update.Changes[len(update.Changes)-1].Entry, nil
+	if len(update.Changes) == 0 {
+		return entry, provider.ErrNotFound
+	}
+	return update.Changes[0].Entry, nil
 }
 
-// pickPeerWithConfiguration picks the peer with the latest configuration after a version,
+// peersWithConfiguration returns the peers with the latest configuration after a version,
 // among those that know no later revision of the store than this host.
-func (r *Relayer) pickPeerWithConfiguration(version int64) (hostID string, ok bool) {
+func (r *Relayer) peersWithConfiguration(version int64) (hostIDs []string) {
 	revision, now := r.log.latestRevision(), time.Now()
 	for _, status := range r.cfg.PeerStatuses() {
-		if status.Reachable && !status.Draining && status.ConfigurationRevision > version && status.StoreRevision <= revision &&
-			r.canQuery(status.Peer.HostID, now) {
-			hostID, version, ok = status.Peer.HostID, status.ConfigurationRevision, true
+		if !status.Reachable || status.Draining || status.StoreRevision > revision || !r.canQuery(status.Peer.HostID, now) {
+			continue
+		}
+		if status.ConfigurationRevision > version {
+			version, hostIDs = status.ConfigurationRevision, nil
+		} else if len(hostIDs) == 0 || status.ConfigurationRevision < version {
+			continue
 		}
+		hostIDs = append(hostIDs, status.Peer.HostID)
 	}
-	return hostID, ok
+	return hostIDs
 }
 
 // fetchFrom requests the changes after a revision from a peer.
@@ -183,14 +197,23 @@
 // CatchUp implements relayerpb.RelayServer. Changes that this host has received
 // are valid whether or not it reaches the store at present.
 func (r *Relayer) CatchUp(_ context.Context, request *relayerpb.CatchUpRequest) (*relayerpb.CatchUpReply, error) {
-	update := r.log.updateSince(request.GetAfterRevision())
-	if r.cfg.Configuration != nil && (update.IsSnapshot || request.GetAfterRevision() == 0) {
-		// The last one, so that it replaces an older one that the store came back with.
-		if entry, ok := r.cfg.Configuration(); ok {
-			update.Changes = append(update.Changes, provider.Change{Entry: entry})
-		}
+	if request.GetAfterRevision() == configurationOnly {
+		return r.configurationReply(), nil
 	}
+	update := r.log.updateSince(request.GetAfterRevision())
 	return &relayerpb.CatchUpReply{
 		Changes: changesToMessage(update.Changes), Revision: update.Revision, IsWhole: update.IsSnapshot,
 	}, nil
 }
+
+// configurationReply holds the configuration in force, if there is one.
+func (r *Relayer) configurationReply() *relayerpb.CatchUpReply {
+	reply := &relayerpb.CatchUpReply{}
+	if r.cfg.Configuration == nil {
+		return reply
+	}
+	if entry, ok := r.cfg.Configuration(); ok {
+		reply.Changes = changesToMessage([]provider.Change{{Entry: entry}})
+	}
+	return reply
+}
--- a/internal/relayer/catchup_test.go
+++ b/internal/relayer/catchup_test.go
@@ -58,3 +58,36 @@
 		})
 	}
 }
+
+// Only a peer that knows no later revision of the store shows that the store has lost a
+// configuration: any other is merely ahead of this host's watch.
+func TestPeersWithLostConfiguration(t *testing.T) {
+	t.Parallel()
+	status := func(id string, version, revision int64) exchanger.PeerStatus {
+		return exchanger.PeerStatus{Peer: exchanger.Peer{HostID: id}, Reachable: true, ConfigurationRevision: version, StoreRevision: revision}
+	}
+	draining, silent := status("draining", 18, 178), status("silent", 18, 178)
+	draining.Draining, silent.Reachable = true, false
+	for name, test := range map[string]struct {
+		statuses []exchanger.PeerStatus
+		want     []string
+	}{
+		"same version":             {[]exchanger.PeerStatus{status("a", 11, 178)}, nil},
+		"later version":            {[]exchanger.PeerStatus{status("a", 18, 178)}, []string{"a"}},
+		"of an earlier revision":   {[]exchanger.PeerStatus{status("a", 18, 100)}, []string{"a"}},
+		"ahead of this host":       {[]exchanger.PeerStatus{status("a", 18, 179)}, nil},
+		"latest version":           {[]exchanger.PeerStatus{status("a", 13, 178), status("b", 18, 178), status("c", 16, 178), status("d", 18, 178)}, []string{"b", "d"}},
+		"draining, silent, former": {[]exchanger.PeerStatus{draining, silent, status("former", 18, 178)}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := New(Config{
+				HostID: "own", Pool: fakePool{"a": true, "b": true, "c": true, "d": true, "draining": true, "silent": true},
+				PeerStatuses: func() []exchanger.PeerStatus { return test.statuses },
+			})
+			r.log.continueFrom(179)
+			assert.DeepEqual(t, r.peersWithConfiguration(11), test.want)
+			assert.Equal(t, r.IsConfigurationLost(11), len(test.want) > 0)
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -71,8 +71,8 @@
 	ZoneHosts func() []exchanger.Peer
 	// PeerStatuses returns the latest status of each peer.
 	PeerStatuses func() []exchanger.PeerStatus
-	// Configuration returns the entry of the configuration in force, which may be newer
-	// than the store's if that has come back from an older copy; nil: none is passed on.
+	// Configuration returns the entry of the configuration in force, for peers that start
+	// while the store has lost it; nil: none is passed on.
 	Configuration func() (entry provider.Entry, ok bool)
 	Logger        hclog.Logger
 }
