relayer: no configuration is lost in a store that states no era

Where hosts read all keys again after a compaction, one that has read the configuration still states its old revision for a moment. That is no sign of a restoration, and a large configuration must not be requested twice then.

--- a/internal/relayer/catchup.go
+++ b/internal/relayer/catchup.go
@@ -84,6 +84,9 @@
 // among those that know no later revision of the store than this host.
 func (r *Relayer) peersWithConfiguration(version int64) (hostIDs []string) {
 	revision, now := r.log.latestRevision(), time.Now()
+	if provider.EraOf(revision) == 0 {
+		return nil // the store states no era, and loses nothing
+	}
 	for _, status := range r.cfg.PeerStatuses() {
 		if !status.Reachable || status.Draining || status.StoreRevision > revision || !r.canQuery(status.Peer.HostID, now) {
 			continue
--- a/internal/relayer/catchup_test.go
+++ b/internal/relayer/catchup_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/provider"
 )
 
 // fakePool has connections to some peers only.
@@ -63,8 +64,10 @@
 // configuration: any other is merely ahead of this host's watch.
 func TestPeersWithLostConfiguration(t *testing.T) {
 	t.Parallel()
-	status := func(id string, version, revision int64) exchanger.PeerStatus {
-		return exchanger.PeerStatus{Peer: exchanger.Peer{HostID: id}, Reachable: true, ConfigurationRevision: version, StoreRevision: revision}
+	status := func(id string, version, number int64) exchanger.PeerStatus {
+		return exchanger.PeerStatus{
+			Peer: exchanger.Peer{HostID: id}, Reachable: true, ConfigurationRevision: version, StoreRevision: provider.Revision(2, number),
+		}
 	}
 	draining, silent := status("draining", 18, 178), status("silent", 18, 178)
 	draining.Draining, silent.Reachable = true, false
@@ -86,6 +89,8 @@
 				PeerStatuses: func() []exchanger.PeerStatus { return test.statuses },
 			})
 			r.log.continueFrom(179)
+			assert.Assert(t, !r.IsConfigurationLost(11), "the store states no era")
+			r.log.continueFrom(provider.Revision(2, 179))
 			assert.DeepEqual(t, r.peersWithConfiguration(11), test.want)
 			assert.Equal(t, r.IsConfigurationLost(11), len(test.want) > 0)
 		})
