--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -291,7 +291,7 @@
 	if revision < f.knownRevision() {
 		return
 	}
-	f.noteRevision(revision)
+	f.detectRestoration(revision)
 	f.setReadRevision(topic.Prefix, revision)
 	topic.Sink.Replace(entries, time.Now())
 }
@@ -357,7 +357,7 @@
 		if change.Entry.Revision <= knownRevision {
 			continue
 		}
-		f.noteRevision(change.Entry.Revision)
+		f.detectRestoration(change.Entry.Revision)
 		for _, topic := range f.cfg.Topics {
 			if strings.HasPrefix(change.Entry.Key, topic.Prefix) && change.Entry.Revision > f.readRevision(topic.Prefix) {
 				topic.Sink.Apply(change, now)
@@ -369,9 +369,9 @@
 	}
 }
 
-// noteRevision detects whether the store has come back from an older copy, by the era of
-// a revision that is about to be applied.
-func (f *Follower) noteRevision(revision int64) {
+// detectRestoration checks by the era of a revision that is about to be applied whether
+// the store has come back from an older copy.
+func (f *Follower) detectRestoration(revision int64) {
 	f.mu.Lock()
 	latest := f.latestRevision
 	f.latestRevision = max(latest, revision)
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -82,7 +82,7 @@
 	if !f.HasSynced() || update.Revision <= f.knownRevision() {
 		return false
 	}
-	f.noteRevision(update.Revision)
+	f.detectRestoration(update.Revision)
 	if update.IsSnapshot {
 		f.replaceAll(update)
 	} else {
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -225,7 +225,17 @@
 	r.publish(now, changed...)
 }
 
-// release makes a held entry count, whatever came before it.
+// hold keeps an entry unused for restoredEntryHold from when it was first seen.
+func (r *Registrations) hold(id string, entry provider.Entry, now time.Time) {
+	if _, isHeld := r.held[id]; isHeld {
+		return
+	}
+	r.cfg.Logger.Info("holding a restored entry of a removed endpoint", "endpoint_id", id, "revision", entry.Revision,
+		"hold_ms", restoredEntryHold.Milliseconds())
+	r.held[id] = heldEntry{entry: entry, until: now.Add(restoredEntryHold)}
+}
+
+// release uses a held entry. What was known of the endpoint before no longer counts.
 func (r *Registrations) release(id string) {
 	entry := r.held[id].entry
 	delete(r.held, id)
@@ -250,11 +260,7 @@
 	host.Revision = entry.Revision
 	r.era = max(r.era, provider.EraOf(entry.Revision))
 	if r.isRestored(&host) {
-		if _, isHeld := r.held[id]; !isHeld {
-			r.cfg.Logger.Info("holding a restored entry of a removed endpoint", "endpoint_id", id, "revision", entry.Revision,
-				"sequence", host.Sequence, "hold_ms", restoredEntryHold.Milliseconds())
-			r.held[id] = heldEntry{entry: entry, until: now.Add(restoredEntryHold)}
-		}
+		r.hold(id, entry, now)
 		return id
 	}
 	if r.isStale(&host) {
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -152,9 +152,9 @@
 	checkMu         sync.Mutex
 	checkedRevision int64 // store revision up to which configurations have been read; 0: none
 
-	installMu sync.Mutex                     // keeps installed in step with the classifier
-	installed atomic.Pointer[provider.Entry] // of the configuration in force; nil: none
-	restored  atomic.Value                   // time.Time at which the store was found to be restored
+	installMu   sync.Mutex                     // keeps installed in step with the classifier
+	installed   atomic.Pointer[provider.Entry] // of the configuration in force; nil: none
+	restoration atomic.Value                   // time.Time at which the store was found to be restored
 
 	resumeMu sync.Mutex // held while the state is updated after a suspension
 
@@ -210,7 +210,7 @@
 			g.registrar.StoreRegained()
 		},
 		OnStoreRestored: func(era int64) {
-			g.noteRestoration()
+			g.recordRestoration()
 			g.registrations.StoreRestored(era, time.Now())
 			g.registrar.StoreRegained()
 		},
--- a/pkg/endivemast/gateway_access.go
+++ b/pkg/endivemast/gateway_access.go
@@ -169,19 +169,19 @@
 		}
 	}
 	if g.checkedRevision != 0 && provider.EraOf(revision) > provider.EraOf(g.checkedRevision) {
-		g.noteRestoration()
+		g.recordRestoration()
 	}
 	g.checkedRevision = revision
 	return nil
 }
 
-// noteRestoration records that the store has come back from an older copy.
-func (g *Gateway) noteRestoration() { g.restored.Store(g.cfg.Clock.Now()) }
+// recordRestoration records that the store has come back from an older copy.
+func (g *Gateway) recordRestoration() { g.restoration.Store(g.cfg.Clock.Now()) }
 
 // restoredAt returns when the store was last found to have come back from an older copy;
 // zero: never.
 func (g *Gateway) restoredAt() time.Time {
-	at, _ := g.restored.Load().(time.Time)
+	at, _ := g.restoration.Load().(time.Time)
 	return at
 }
 
