storeserver: an unanswered write ends with its connection

The handler of FaultNoAnswer left the body unread, and net/http looks for a closed connection only behind it.

--- a/standins/storeserver/storeserver.go
+++ b/standins/storeserver/storeserver.go
@@ -13,6 +13,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -257,6 +258,10 @@
 	case FaultBusy:
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 	case FaultNoAnswer:
+		// The server notices a closed connection only behind the request's body.
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
 		select {
 		case <-r.Context().Done():
 		case <-done:
