tests: a dropped history is a disturbance of the store too

By the terms hosts are in touch only while the store has had no disturbance for the settle time; the test counted restorations, but not dropped histories. It does now, and from the outage's start; what is due by then has the bound of a disturbed store.

--- a/tests/restored_test.go
+++ b/tests/restored_test.go
@@ -253,6 +253,7 @@
 // written is written again within rewriteTime.
 func (s *restoreTest) restore(c storeserver.Copy, outage time.Duration) {
 	s.store.SetFault([]storeserver.Fault{storeserver.FaultNoAnswer, storeserver.FaultBusy}[s.random.IntN(2)])
+	s.markDisturbed()
 	s.store.Restore(c)
 	<-time.After(outage)
 	s.store.SetFault(storeserver.FaultNone)
@@ -273,14 +274,26 @@
 	}
 }
 
+// markDisturbed records the end of a disturbance of hosts, or without any of the store.
+// Changes that are not due yet have more time after one of the store.
 func (s *restoreTest) markDisturbed(hosts ...*restoreHost) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(hosts) == 0 {
-		s.disturbed = time.Now()
-	}
+	now := time.Now()
 	for _, h := range hosts {
-		h.disturbed = time.Now()
+		h.disturbed = now
+	}
+	if len(hosts) > 0 {
+		return
+	}
+	s.disturbed = now
+	if s.versionDue[s.version].After(now) {
+		s.versionDue[s.version] = s.due()
+	}
+	for _, e := range s.endpoints {
+		if e.due.After(now) {
+			e.due = s.due()
+		}
 	}
 }
 
@@ -310,6 +323,7 @@
 			suspended = append(suspended, h)
 		case 7:
 			s.store.DropHistory()
+			s.markDisturbed()
 		}
 		<-time.After(time.Duration(s.random.IntN(300)) * time.Millisecond)
 	}
@@ -327,10 +341,14 @@
 
 func TestRestoredStoreWithRealHosts(t *testing.T) {
 	t.Parallel()
+	seeds := []uint64{39}
 	for seed := range *restoreSeeds {
+		seeds = append(seeds, uint64(seed))
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			s := newRestoreTest(t, uint64(seed))
+			s := newRestoreTest(t, seed)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			var group sync.WaitGroup
