Recent state changes are logged again every 10 s; a host that is behind its peers says so

A recorder keeps the lines about the store, peers, endpoints and the configuration, and the host repeats them; the status has them too.

--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -34,12 +34,14 @@
 	ticker := time.NewTicker(peerPollInterval)
 	defer ticker.Stop()
 	var behindSince time.Time
+	isLogged := false // that this host is behind its peers
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
 			behindSince = f.behindSince(behindSince, now)
+			isLogged = f.logIfBehind(behindSince, now, isLogged)
 			if f.HasSynced() && f.watchesStore() && (f.isStoreLost() || !behindSince.IsZero() && now.Sub(behindSince) >= behindGracePeriod) {
 				f.queryPeers(ctx)
 			}
@@ -60,6 +62,19 @@
 	}
 }
 
+// logIfBehind logs that peers have been ahead for behindGracePeriod, and that they no longer are.
+func (f *Follower) logIfBehind(since, now time.Time, isLogged bool) bool {
+	isBehind := !since.IsZero() && now.Sub(since) >= behindGracePeriod
+	switch {
+	case isBehind && !isLogged:
+		f.cfg.Logger.Warn("behind peers", "revision", f.knownRevision(), "behind_ms", now.Sub(since).Milliseconds(),
+			"has_synced", f.HasSynced(), "watches_store", f.watchesStore(), "store_away_ms", f.StoreUnreachableFor().Milliseconds())
+	case isLogged && since.IsZero():
+		f.cfg.Logger.Info("caught up with peers", "revision", f.knownRevision())
+	}
+	return isBehind || isLogged && !since.IsZero()
+}
+
 func (f *Follower) queryPeers(ctx context.Context) {
 	ctx, cancel := timekeeper.WithTimeout(ctx, peerQueryTimeout)
 	defer cancel()
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/endivemast/endivemast/internal/quarantiner"
 	"github.com/endivemast/endivemast/internal/ratelimiter"
 	"github.com/endivemast/endivemast/internal/rebalancer"
+	"github.com/endivemast/endivemast/internal/recorder"
 	"github.com/endivemast/endivemast/internal/registrar"
 	"github.com/endivemast/endivemast/internal/relayer"
 	"github.com/endivemast/endivemast/internal/reporter"
@@ -49,6 +50,8 @@
 	stopMargin = 700 * time.Millisecond
 	// tickInterval is the interval of the periodic work of the components.
 	tickInterval = 100 * time.Millisecond
+	// stateLogInterval is how often the recorded state changes are logged again.
+	stateLogInterval = 10 * time.Second
 	// peerUpdateInterval is how often hosts send each other load changes in a small fleet.
 	// It is short compared to a prefill, so that no host selects an engine that has just
 	// started a long prompt.
@@ -112,6 +115,8 @@
 	PrefillShare float64 // share of prefill engines if Roles is fixed
 	Version      string
 	Logger       hclog.Logger
+	// Recorder keeps the lines of Logger that are logged again at intervals; nil: none.
+	Recorder *recorder.Recorder
 }
 
 // Gateway is an entry host that forwards opaque requests. Its configuration and the
@@ -294,7 +299,7 @@
 func (g *Gateway) tick() error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	var watchesUpdatedAt time.Time
+	var watchesUpdatedAt, stateLoggedAt time.Time
 	for {
 		select {
 		case <-g.ctx.Done():
@@ -311,10 +316,28 @@
 				g.observer.Tick()
 				g.updateWatches()
 			}
+			if now.Sub(stateLoggedAt) >= stateLogInterval {
+				stateLoggedAt = now
+				g.logStateChanges()
+			}
 		}
 	}
 }
 
+// logStateChanges logs the recorded lines again.
+func (g *Gateway) logStateChanges() {
+	if changes := g.recordedChanges(); len(changes) > 0 {
+		g.cfg.Logger.Named("recorder").Info("recent state changes", "changes", changes)
+	}
+}
+
+func (g *Gateway) recordedChanges() []string {
+	if g.cfg.Recorder == nil {
+		return nil
+	}
+	return g.cfg.Recorder.Entries()
+}
+
 // Classify returns the class of a request. The error is a *dispatcher.FailureError.
 func (g *Gateway) Classify(requestID, host, path string) (class classifier.Class, err error) {
 	if !g.classifier.Ready() {
--- a/pkg/endivemast/gateway_status.go
+++ b/pkg/endivemast/gateway_status.go
@@ -19,6 +19,10 @@
 	ProofAgeMS           *int64 `json:"proof_age_ms,omitempty"` // of the configuration's proof; absent: no proof
 	AcceptsKeys          bool   `json:"accepts_keys"`
 
+	StoreRevision      int64    `json:"store_revision"`       // up to which the store's changes are known
+	StoreUnreachableMS int64    `json:"store_unreachable_ms"` // 0 while the store answers
+	RecentChanges      []string `json:"recent_changes,omitempty"`
+
 	HoldsAuthority bool             `json:"holds_authority"`
 	Endpoints      []endpointStatus `json:"endpoints,omitempty"` // with signals in their answers
 	Usage          *usageStatus     `json:"usage,omitempty"`     // last report of this host
@@ -53,6 +57,8 @@
 	s = gatewayStatus{
 		HostID: g.cfg.HostID, Version: g.cfg.Version, ConfigurationVersion: g.classifier.Revision(),
 		AcceptsKeys: g.attester.IsCurrent(), HoldsAuthority: g.HoldsAuthority(),
+		StoreRevision: g.relayer.LatestRevision(), StoreUnreachableMS: g.follower.StoreUnreachableFor().Milliseconds(),
+		RecentChanges: g.recordedChanges(),
 	}
 	s.Ready, s.Reason = g.Ready()
 	if tenants := g.classifier.Tenants(); tenants != nil {
