--- a/standins/storeserver/proxy.go
+++ b/standins/storeserver/proxy.go
@@ -10,8 +10,9 @@
 // Proxy is another address of the store with a fault of its own, which affects
 // only clients that connect to this address.
 type Proxy struct {
-	http *httptest.Server
-	done chan struct{}
+	http     *httptest.Server
+	listener *silenceableListener
+	done     chan struct{}
 
 	mu    sync.Mutex
 	fault Fault
@@ -20,12 +21,19 @@
 // OpenProxy starts a proxy. It has to be closed before the store.
 func (s *Server) OpenProxy() *Proxy {
 	p := &Proxy{done: make(chan struct{})}
-	p.http = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	p.http = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		serveWithFault(p.current(), s.http.Config.Handler, p.done, w, r)
 	}))
+	p.listener = &silenceableListener{Listener: p.http.Listener, open: map[*silenceableConn]struct{}{}}
+	p.http.Listener = p.listener
+	p.http.Start()
 	return p
 }
 
+// SilenceConnections stops all transfers on the open connections for good, without closing them.
+// New connections work.
+func (p *Proxy) SilenceConnections() { p.listener.silence() }
+
 // Close stops the proxy and closes its connections.
 func (p *Proxy) Close() {
 	close(p.done)
