connector: the network between hosts and to the store can be replaced; an in-memory one

Listeners and connections of peers, callers and the store go through connector.Network; nil is TCP with the same timeouts as before. standins/networker is one in memory that runs in a testing/synctest bubble: cuts, silence, resets, retransmissions, user timeouts, keep-alive. The stand-in of the store serves on any listener, can return old copies to stale reads, and can have its watches see nothing.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -28,6 +28,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/endivemast/endivemast/internal/connector"
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
 )
@@ -67,8 +68,9 @@
 	Zone        string
 	// ProcessorShare is how many cores this host has; see Peer.
 	ProcessorShare float64
-	Listener       net.Listener // of the peer protocol; the Exchanger closes it
-	Peers          []Peer       // the other entry hosts that the settings name
+	Listener       net.Listener      // of the peer protocol; the Exchanger closes it
+	Network        connector.Network // for connections to peers; nil: TCP
+	Peers          []Peer            // the other entry hosts that the settings name
 	// AcceptsUnknownPeers accepts messages of hosts that are not among the peers yet. Where
 	// hosts discover one another through the store, a new one may send first.
 	AcceptsUnknownPeers bool
--- a/internal/exchanger/links.go
+++ b/internal/exchanger/links.go
@@ -13,8 +13,8 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"github.com/endivemast/endivemast/internal/connector"
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
-	"github.com/endivemast/endivemast/internal/transporter"
 )
 
 // This file manages the peers and the connections to them.
@@ -152,14 +152,14 @@
 	if ex.cfg.ClientTLS != nil {
 		security = credentials.NewTLS(ex.cfg.ClientTLS)
 	}
-	dialer := net.Dialer{Timeout: maxReconnectDelay, Control: transporter.UserTimeout(userTimeout)}
+	network := connector.OrTCP(ex.cfg.Network)
 	retry := backoff.DefaultConfig
 	retry.BaseDelay = 50 * time.Millisecond
 	retry.MaxDelay = maxReconnectDelay
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(security),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
+			return network.Dial(ctx, address, connector.Options{Timeout: maxReconnectDelay, UserTimeout: userTimeout})
 		}),
 		grpc.WithPerRPCCredentials(peerSecret{secret: ex.cfg.Secret}),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: maxReconnectDelay}),
--- a/internal/server/passthrough.go
+++ b/internal/server/passthrough.go
@@ -11,6 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/connector"
 )
 
 const (
@@ -26,7 +28,8 @@
 
 // PassthroughConfig holds the settings of a Passthrough.
 type PassthroughConfig struct {
-	Address        string // IP and port
+	Address        string            // IP and port
+	Network        connector.Network // nil: TCP
 	Handler        http.Handler
 	MaxConnections int
 	// IdleTimeout returns how long a connection may stay idle. It is called at each check, so
@@ -69,7 +72,7 @@
 // Start listens and serves. It fails if it can't listen on the address.
 func (p *Passthrough) Start() (err error) {
 	defer func() { err = eris.Wrap(err, "serve callers") }()
-	inner, err := net.Listen("tcp", p.cfg.Address)
+	inner, err := connector.OrTCP(p.cfg.Network).Listen(p.cfg.Address)
 	if err != nil {
 		return err
 	}
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/endivemast/endivemast/internal/cachesharer"
 	"github.com/endivemast/endivemast/internal/cachewatcher"
 	"github.com/endivemast/endivemast/internal/classifier"
+	"github.com/endivemast/endivemast/internal/connector"
 	"github.com/endivemast/endivemast/internal/dispatcher"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exchanger"
@@ -90,6 +91,9 @@
 	ReadinessPath     string
 	NewCallersHandler func(*Gateway) http.Handler
 
+	// Network carries the traffic with callers and peers; nil: TCP.
+	Network connector.Network
+
 	LeaseTTL time.Duration // of the authority over the engines' roles
 
 	// RevocationBound is the longest time for which a revoked API key is accepted, even if
@@ -227,11 +231,11 @@
 		RepeatWindow: cfg.RepeatWindow, OnRunStarted: g.accountant.Count, Limits: &tenantLimits{gateway: g},
 	})
 	g.callers = server.NewPassthrough(server.PassthroughConfig{
-		Address: cfg.CallersAddress, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
+		Address: cfg.CallersAddress, Network: cfg.Network, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
 		IdleTimeout: func() time.Duration { return g.classifier.Limits().IdleTimeout }, Logger: cfg.Logger.Named("server"),
 	})
 	g.readiness = server.NewPassthrough(server.PassthroughConfig{
-		Address: cfg.ReadinessAddress, Handler: g.readinessHandler(),
+		Address: cfg.ReadinessAddress, Network: cfg.Network, Handler: g.readinessHandler(),
 		IdleTimeout: func() time.Duration { return 0 }, Logger: cfg.Logger.Named("server"),
 	})
 	return g, nil
@@ -366,6 +370,9 @@
 	return holds
 }
 
+// Endpoints returns the endpoints as this host lists them, in no particular order.
+func (g *Gateway) Endpoints() []provider.Host { return g.registrations.Hosts() }
+
 // Limits returns the bounds on callers' requests.
 func (g *Gateway) Limits() classifier.Limits { return g.classifier.Limits() }
 
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"time"
 
+	"github.com/endivemast/endivemast/internal/connector"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/leaser"
@@ -22,14 +22,14 @@
 
 // buildPeers creates the registration of this host in the store and the peer protocol.
 func (g *Gateway) buildPeers() (err error) {
-	listener, err := net.Listen("tcp", g.cfg.PeersAddress)
+	listener, err := connector.OrTCP(g.cfg.Network).Listen(g.cfg.PeersAddress)
 	if err != nil {
 		return fmt.Errorf("peers' address: %w", err)
 	}
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, AcceptsUnknownPeers: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
-		Listener:       listener, Tick: peerUpdateInterval, UpdatesPerSecond: updatesPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
+		Listener:       listener, Network: g.cfg.Network, Tick: peerUpdateInterval, UpdatesPerSecond: updatesPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
 		Attestations: g.attester, Usage: g.usage(), Signals: g.observer, Clock: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
--- a/standins/storeserver/storeserver.go
+++ b/standins/storeserver/storeserver.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -61,6 +62,8 @@
 	state   state
 	era     int64 // rises with each Restore
 	fault   Fault
+	stale   *Copy // what stale reads return; nil: the current state
+	isMute  bool  // watches see no changes
 	calls   map[string]int
 	changed chan struct{} // closed with each change
 	closed  chan struct{}
@@ -90,6 +93,21 @@
 
 // Start starts an empty store on loopback.
 func Start() *Server {
+	s := newServer()
+	s.http.Start()
+	return s
+}
+
+// StartOn starts an empty store on a listener.
+func StartOn(listener net.Listener) *Server {
+	s := newServer()
+	_ = s.http.Listener.Close() // of loopback, not used
+	s.http.Listener = listener
+	s.http.Start()
+	return s
+}
+
+func newServer() *Server {
 	s := &Server{
 		state: state{items: map[string]Item{}, leases: map[int64]lease{}, oldest: 1},
 		calls: map[string]int{}, changed: make(chan struct{}), closed: make(chan struct{}), era: 1,
@@ -102,7 +120,7 @@
 	mux.HandleFunc("POST /api/kv-lease", s.grant)
 	mux.HandleFunc("POST /api/kv-keep/{id}", s.renew)
 	mux.HandleFunc("DELETE /api/kv-lease-end/{id}", s.revoke)
-	s.http = httptest.NewServer(s.withFaults(mux))
+	s.http = httptest.NewUnstartedServer(s.withFaults(mux))
 	return s
 }
 
@@ -178,6 +196,21 @@
 	s.http.CloseClientConnections()
 }
 
+// SetStale sets what stale reads return; nil: the current state.
+func (s *Server) SetStale(c *Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = c
+}
+
+// MuteWatches sets whether watches see no changes. Those that wait are answered as if there were
+// none.
+func (s *Server) MuteWatches(isMute bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isMute = isMute
+}
+
 // Revision returns the revision of the last change.
 func (s *Server) Revision() int64 {
 	s.mu.Lock()
@@ -303,8 +336,12 @@
 	defer s.mu.Unlock()
 	setEra(w, s.era)
 	query := r.URL.Query()
+	state := &s.state
+	if query.Get("stale_ok") != "" && s.stale != nil {
+		state = &s.stale.state
+	}
 	var keys []string
-	for key := range s.state.items {
+	for key := range state.items {
 		if strings.HasPrefix(key, query.Get("prefix")) && key > query.Get("after") {
 			keys = append(keys, key)
 		}
@@ -314,9 +351,9 @@
 		Items   []Item `json:"items"`
 		HasMore bool   `json:"has_more"`
 		AsOf    int64  `json:"as_of"`
-	}{Items: []Item{}, HasMore: len(keys) > PageItems, AsOf: s.state.revision}
+	}{Items: []Item{}, HasMore: len(keys) > PageItems, AsOf: state.revision}
 	for _, key := range keys[:min(len(keys), PageItems)] {
-		page.Items = append(page.Items, s.state.items[key])
+		page.Items = append(page.Items, state.items[key])
 	}
 	answer(w, http.StatusOK, page)
 }
@@ -337,6 +374,9 @@
 			return
 		}
 		events, changed, asOf := s.sinceLocked(after, query.Get("prefix")), s.changed, s.state.revision
+		if s.isMute {
+			events, asOf = []Item{}, after
+		}
 		s.mu.Unlock()
 		if len(events) > 0 || timedOut {
 			answer(w, http.StatusOK, map[string]any{"events": events, "as_of": asOf})
