A returning host does not keep an endpoint listed that was removed while it was away

What callers saw: requests reached an endpoint 12 s after its entry was removed, from a host that had been cut off and was back for 3.0 to 3.3 s. Cause: an entry that is removed without an announcement stays listed for a second, and for up to 2 s after the store's return, because entries that lapse while the store is down are written again. A host that learned of the removal late counted both from its own return: up to 1.9 s until the store is back and 2 s of listing are more than the 3 s after which it counts. Fix: a change that a host has missed is at most as old as the host's last complete state, and the listing counts from there. Where the host is connected to most of its peers and none of them is ahead, all hosts were without the store, and the change is recent. A host that has the store back asks a peer that is ahead first, since peers know the age. The listing never ends later than 95 in 100 of the drain time after the removal.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -42,8 +42,9 @@
 // Sink receives the entries and changes of one topic. Its methods are called one at
 // a time, in the order of the store's revisions.
 type Sink interface {
-	// Replace replaces all entries of the topic with those just read.
-	Replace(entries []provider.Entry, now time.Time)
+	// Replace replaces all entries of the topic with those just read. The changes that led to
+	// them may have been made at any time since missedSince.
+	Replace(entries []provider.Entry, missedSince, now time.Time)
 	// Apply applies one change.
 	Apply(change provider.Change, now time.Time)
 }
@@ -63,6 +64,9 @@
 	FetchFromPeers(ctx context.Context, after int64) (provider.Update, error)
 	// RecordUpdate records an update that the Follower has applied.
 	RecordUpdate(update provider.Update)
+	// MissedSince returns the earliest time at which a change may have been made that this
+	// host has not received.
+	MissedSince() time.Time
 }
 
 // Config configures a Follower.
@@ -180,6 +184,7 @@
 		if err := f.probe(ctx); err != nil {
 			return err
 		}
+		f.fetchMissedChanges(ctx)
 	}
 	f.setWatchMoved(false)
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -230,7 +235,7 @@
 			return
 		}
 	}
-	f.queryPeers(ctx)
+	f.queryPeers(ctx, peerQueryTimeout)
 }
 
 // resumePollInterval is how often a resumed host checks whether a peer is ahead.
@@ -293,7 +298,14 @@
 	}
 	f.detectRestoration(revision)
 	f.setReadRevision(topic.Prefix, revision)
-	topic.Sink.Replace(entries, time.Now())
+	topic.Sink.Replace(entries, f.missedSince(), time.Now())
+}
+
+func (f *Follower) missedSince() time.Time {
+	if f.cfg.Peers == nil {
+		return time.Now()
+	}
+	return f.cfg.Peers.MissedSince()
 }
 
 // probe reads the first topic after a loss of the store. A watch alone would take
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -24,6 +24,9 @@
 	// peerQueryTimeout limits a query. Peers answer in milliseconds; a configuration
 	// of 430 KB takes 0.35 s on a link of 10 Mbit/s.
 	peerQueryTimeout = time.Second
+	// returnQueryTimeout limits the query of a host that has the store back, and could read
+	// the changes from there.
+	returnQueryTimeout = 300 * time.Millisecond
 )
 
 // pollPeers queries peers while the store is lost, or when they have been ahead for
@@ -43,7 +46,7 @@
 			behindSince = f.behindSince(behindSince, now)
 			isLogged = f.logIfBehind(behindSince, now, isLogged)
 			if f.HasSynced() && f.watchesStore() && (f.isStoreLost() || !behindSince.IsZero() && now.Sub(behindSince) >= behindGracePeriod) {
-				f.queryPeers(ctx)
+				f.queryPeers(ctx, peerQueryTimeout)
 			}
 		}
 	}
@@ -75,8 +78,16 @@
 	return isBehind || isLogged && !since.IsZero()
 }
 
-func (f *Follower) queryPeers(ctx context.Context) {
-	ctx, cancel := timekeeper.WithTimeout(ctx, peerQueryTimeout)
+// fetchMissedChanges queries a peer that is ahead before changes are read from the store. Only
+// peers know how old the changes are.
+func (f *Follower) fetchMissedChanges(ctx context.Context) {
+	if f.cfg.Peers != nil && f.cfg.Peers.IsPeerAhead(f.knownRevision()) {
+		f.queryPeers(ctx, returnQueryTimeout)
+	}
+}
+
+func (f *Follower) queryPeers(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := timekeeper.WithTimeout(ctx, timeout)
 	defer cancel()
 	update, err := f.cfg.Peers.FetchFromPeers(ctx, f.knownRevision())
 	if err != nil {
@@ -115,7 +126,7 @@
 // replaceAll passes to each topic its part of the update's entries, unless the topic
 // was read from the store at a later revision.
 func (f *Follower) replaceAll(update provider.Update) {
-	now := time.Now()
+	missedSince, now := f.missedSince(), time.Now()
 	for _, topic := range f.cfg.Topics {
 		if f.readRevision(topic.Prefix) > update.Revision {
 			continue
@@ -126,6 +137,6 @@
 				entries = append(entries, change.Entry)
 			}
 		}
-		topic.Sink.Replace(entries, now)
+		topic.Sink.Replace(entries, missedSince, now)
 	}
 }
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -39,6 +39,8 @@
 	p.recorded = append(p.recorded, update.Revision)
 }
 
+func (p *fakePeers) MissedSince() time.Time { return time.Now() }
+
 func (p *fakePeers) setUpdate(update provider.Update) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -25,6 +25,9 @@
 	// is written again. The rest of the drain time is for receiving the change, which
 	// takes up to 400 ms, and for requests in progress.
 	removalDelayShare = 0.5
+	// outageRemovalDelayShare replaces removalDelayShare within reregistrationGrace of the
+	// store's return. The rest of the drain time is for the next Tick.
+	outageRemovalDelayShare = 0.95
 	// removedRetention is how long the last state of an endpoint is kept once it is
 	// not listed any more. Delayed entries arrive within seconds: when a network
 	// partition ends, or 6 s after they were sent if the store delays them.
@@ -150,8 +153,9 @@
 	r.storeRegainedAt = r.storeRegainedAt.Add(-suspended)
 }
 
-// Replace replaces all entries.
-func (r *Registrations) Replace(entries []provider.Entry, now time.Time) {
+// Replace replaces all entries. Those that are missing may have been removed at any time since
+// missedSince.
+func (r *Registrations) Replace(entries []provider.Entry, missedSince, now time.Time) {
 	r.mu.Lock()
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
@@ -159,7 +163,7 @@
 	}
 	for id := range r.hosts {
 		if !listed[id] {
-			r.markMissing(id, now)
+			r.markMissing(id, missedSince, now)
 		}
 	}
 	maps.DeleteFunc(r.held, func(id string, _ heldEntry) bool { return !listed[id] })
@@ -180,7 +184,7 @@
 	if change.Deleted {
 		// A host that receives the removal late counts from when its peers received it:
 		// the endpoint's drain time does not depend on when a host receives it.
-		r.markMissing(id, now.Add(-change.Age))
+		r.markMissing(id, now.Add(-change.Age), now)
 		delete(r.held, id)
 	} else {
 		r.applyEntry(change.Entry, now)
@@ -330,9 +334,9 @@
 		last.State == provider.HostLive
 }
 
-// markMissing records that an endpoint's entry is removed. An endpoint that has
+// markMissing records that an endpoint's entry was removed. An endpoint that has
 // announced that it is leaving is removed from the list at once.
-func (r *Registrations) markMissing(id string, now time.Time) {
+func (r *Registrations) markMissing(id string, removedAt, now time.Time) {
 	host, ok := r.hosts[id]
 	if !ok {
 		return
@@ -340,15 +344,31 @@
 	if _, isMissing := r.missing[id]; isMissing {
 		return
 	}
-	until := now
+	until := removedAt
 	if host.State == provider.HostLive && !r.isLeaving(&host) {
-		until = now.Add(time.Duration(float64(r.cfg.DrainTime) * removalDelayShare))
-		if graceEnd := r.storeRegainedAt.Add(reregistrationGrace); graceEnd.After(until) && graceEnd.Before(now.Add(r.cfg.DrainTime)) {
-			until = graceEnd
-		}
+		until = r.listedUntil(removedAt)
 	}
 	r.missing[id] = missingEntry{until: until, era: r.era}
-	r.cfg.Logger.Info("endpoint's entry is missing from the store", "endpoint_id", id, "state", host.State, "listed_for_ms", until.Sub(now).Milliseconds())
+	r.cfg.Logger.Info("endpoint's entry is missing from the store", "endpoint_id", id, "state", host.State,
+		"removed_ago_ms", now.Sub(removedAt).Milliseconds(), "listed_for_ms", max(until.Sub(now), 0).Milliseconds())
+}
+
+// listedUntil returns until when an endpoint stays listed whose entry was removed without an
+// announcement.
+func (r *Registrations) listedUntil(removedAt time.Time) time.Time {
+	after := func(share float64) time.Time {
+		return removedAt.Add(time.Duration(float64(r.cfg.DrainTime) * share))
+	}
+	until, latest := after(removalDelayShare), after(outageRemovalDelayShare)
+	graceEnd := r.storeRegainedAt.Add(reregistrationGrace)
+	switch {
+	case graceEnd.Before(until):
+		return until
+	case graceEnd.Before(latest):
+		return graceEnd
+	default:
+		return latest
+	}
 }
 
 // Hosts returns the endpoints with their effective states, in no particular order.
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -37,7 +37,7 @@
 		OnChange: func(change ListChange, _ time.Time) { applyChange(*published, change) },
 	})
 	assert.Assert(t, !r.HasSynced())
-	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive), stateEntry("e2", provider.HostLive)}, now)
+	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive), stateEntry("e2", provider.HostLive)}, now, now)
 	assert.Assert(t, r.HasSynced())
 	return r, published
 }
@@ -69,7 +69,7 @@
 	for n := range 1000 {
 		entries = append(entries, stateEntry(fmt.Sprint("e", n), provider.HostLive))
 	}
-	r.Replace(entries, now)
+	r.Replace(entries, now, now)
 	r.Apply(provider.Change{Entry: stateEntry("e7", provider.HostLeaving)}, now)
 	r.Apply(provider.Change{Entry: provider.Entry{Key: "s/e8"}, Deleted: true}, now)
 	r.Tick(now.Add(time.Minute))
@@ -108,15 +108,36 @@
 		"entry missing after an outage": {
 			act: func(r *Registrations) {
 				r.StoreRegained(start)
-				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond))
+				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond), start.Add(100*time.Millisecond))
 			}, at: 1900 * time.Millisecond, want: provider.HostLive,
 		},
 		"entry missing for too long after an outage": {
 			act: func(r *Registrations) {
 				r.StoreRegained(start)
-				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond))
+				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond), start.Add(100*time.Millisecond))
 			}, at: 2100 * time.Millisecond, want: "",
 		},
+		"entry removed long before this host's return": {
+			act: func(r *Registrations) {
+				r.StoreRegained(start)
+				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(-9*time.Second), start)
+			}, want: "",
+		},
+		"entry removed shortly before this host's return": {
+			act: func(r *Registrations) {
+				r.StoreRegained(start)
+				r.Apply(provider.Change{Entry: removal.Entry, Deleted: true, Age: time.Second}, start)
+			}, at: 850 * time.Millisecond, want: provider.HostLive,
+		},
+		"entry removed shortly before this host's return, drain time over": {
+			act: func(r *Registrations) {
+				r.StoreRegained(start)
+				r.Apply(provider.Change{Entry: removal.Entry, Deleted: true, Age: time.Second}, start)
+			}, at: 950 * time.Millisecond, want: "",
+		},
+		"entry removed as the store returns": {
+			act: func(r *Registrations) { r.StoreRegained(start); r.Apply(removal, start) }, at: 1950 * time.Millisecond, want: "",
+		},
 		"invalid entry": {act: func(r *Registrations) { r.Apply(set(""), start) }, want: provider.HostLeaving},
 		"invalid entry, then a valid one": {
 			act: func(r *Registrations) { r.Apply(set(""), start); r.Apply(set(provider.HostLive), start) }, want: provider.HostLive,
@@ -163,7 +184,7 @@
 			assert.Assert(t, !r.HasSynced())
 		},
 	})
-	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive)}, time.Now())
+	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive)}, time.Now(), time.Now())
 	assert.Equal(t, published, 1)
 	assert.Assert(t, r.HasSynced())
 }
@@ -185,7 +206,7 @@
 				},
 			})
 			now := time.Now()
-			r.Replace([]provider.Entry{{Key: "servers/e1", Revision: 1}}, now)
+			r.Replace([]provider.Entry{{Key: "servers/e1", Revision: 1}}, now, now)
 			r.Apply(provider.Change{Entry: provider.Entry{Key: "servers/e1", Revision: 2}, Deleted: true}, now)
 			r.Resumed(test.suspended)
 			r.Tick(now.Add(100 * time.Millisecond))
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -99,8 +99,8 @@
 type Change struct {
 	Entry   Entry
 	Deleted bool
-	// Age is the time since the first host received the change; 0 if it comes from the
-	// store itself.
+	// Age is the time since the first host received the change. For a host that has missed
+	// changes of the store it is the longest time since when the change may have been made.
 	Age time.Duration
 }
 
--- a/internal/relayer/changelog.go
+++ b/internal/relayer/changelog.go
@@ -23,6 +23,7 @@
 	entries   map[string]provider.Entry // by key
 	keptAfter int64                     // all changes after this revision are kept
 	latest    int64                     // latest revision received
+	currentAt time.Time                 // when latest was last known to be the store's latest
 	batches   []batch
 	bytes     int
 	appended  chan struct{} // closed when the next batch is appended
@@ -61,6 +62,7 @@
 	if update.Revision <= l.latest {
 		return
 	}
+	l.currentAt = time.Now()
 	clear(l.entries)
 	for _, change := range update.Changes {
 		l.entries[change.Entry.Key] = change.Entry
@@ -98,6 +100,7 @@
 	if from-1 == l.latest {
 		return
 	}
+	l.currentAt = time.Now() // all keys have been read again
 	l.keptAfter, l.latest, l.batches, l.bytes = from-1, from-1, nil, 0
 }
 
@@ -107,6 +110,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := batch{revision: l.latest, receivedAt: time.Now()}
+	l.currentAt = next.receivedAt
 	for _, change := range changes {
 		if change.Entry.Revision <= l.latest {
 			continue
@@ -178,3 +182,20 @@
 	defer l.mu.Unlock()
 	return l.latest
 }
+
+// missedSince returns when the log was last known to be complete.
+func (l *changeLog) missedSince() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.currentAt.IsZero() {
+		return time.Now() // nothing was known before
+	}
+	return l.currentAt
+}
+
+// resumed takes account of a suspension, during which the monotonic clock stood still.
+func (l *changeLog) resumed(suspended time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.currentAt = l.currentAt.Add(-suspended)
+}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -160,7 +160,7 @@
 
 // Replace implements follower.Sink. Entries that are later than all received changes
 // count as received.
-func (h *testHost) Replace(entries []provider.Entry, _ time.Time) {
+func (h *testHost) Replace(entries []provider.Entry, _, _ time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	slices.SortFunc(entries, func(a, b provider.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
@@ -256,7 +256,10 @@
 	assert.NilError(f.t, err)
 	f.conns[host.id] = conn
 	host.server = grpc.NewServer()
-	host.relayer = New(Config{HostID: host.id, Store: &hostStore{store: f.store, hostID: host.id}, Pool: f, ZoneHosts: f.zoneHosts})
+	host.relayer = New(Config{
+		HostID: host.id, Store: &hostStore{store: f.store, hostID: host.id}, Pool: f, ZoneHosts: f.zoneHosts,
+		PeerStatuses: func() []exchanger.PeerStatus { return nil },
+	})
 	host.relayer.Register(host.server)
 	host.group.Go(func() error { return host.server.Serve(listener) })
 }
--- a/pkg/endivemast/gateway_resume.go
+++ b/pkg/endivemast/gateway_resume.go
@@ -41,6 +41,7 @@
 		g.cfg.OnResume()
 	}
 	g.registrations.Resumed(suspension.MachineSuspended)
+	g.relayer.Resumed(suspension.MachineSuspended)
 	g.registrations.Tick(time.Now())
 	ctx, cancel := context.WithTimeout(g.ctx, catchUpTimeout)
 	defer cancel()
