A host does not wait for one silent connection to the store after the other

What callers saw: requests handled by a configuration that had been replaced over two seconds before, after all open connections had gone silent while new ones worked. Cause: a call without an answer ended its own connection only. Up to four idle ones stayed in the pool, and each try on the store waited callTimeout for the next of them. A host that had followed peers began with such a connection too.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -181,6 +181,9 @@
 			return err
 		}
 	case f.watchesStore() && (f.isStoreLost() || f.watchHasMoved()):
+		if dropper, ok := f.cfg.Store.(provider.IdleDropper); ok && f.watchHasMoved() {
+			dropper.DropIdle()
+		}
 		if err := f.probe(ctx); err != nil {
 			return err
 		}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -150,6 +150,12 @@
 	ListStale(ctx context.Context, prefix string) (entries []Entry, revision int64, err error)
 }
 
+// IdleDropper is a Store that can close its idle connections, some of which may have stopped
+// transferring data.
+type IdleDropper interface {
+	DropIdle()
+}
+
 // Poller is a Store that returns changes without waiting for them.
 type Poller interface {
 	// Poll returns the changes of keys with a prefix after a revision, and the revision up
--- a/internal/relayer/catchup.go
+++ b/internal/relayer/catchup.go
@@ -148,6 +148,13 @@
 	return entries, revision, err
 }
 
+// DropIdle implements provider.IdleDropper.
+func (r *Relayer) DropIdle() {
+	if dropper, ok := r.Store.(provider.IdleDropper); ok {
+		dropper.DropIdle()
+	}
+}
+
 // recentUpdateAge is the age of the last update up to which a peer is preferred
 // for queries. Peers send updates every 100 ms, or every 200 ms through hubs. A
 // killed peer counts as reachable for three seconds, and a call to it takes a
