--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,6 +64,9 @@
 	FetchFromPeers(ctx context.Context, after int64) (provider.Update, error)
 	// RecordUpdate records an update that the Follower has applied.
 	RecordUpdate(update provider.Update)
+	// IsIsolated reports whether no peer has sent an update recently, although there are
+	// peers.
+	IsIsolated() bool
 	// MissedSince returns the earliest time at which a change may have been made that this
 	// host has not received.
 	MissedSince() time.Time
@@ -106,8 +109,13 @@
 	cancelWatch      context.CancelCauseFunc // cancels the current watch; nil: none
 }
 
-// errResumed ends the watch of a host that was suspended.
-var errResumed = errors.New("host was suspended")
+var (
+	// errResumed ends the watch of a host that was suspended.
+	errResumed = errors.New("host was suspended")
+	// errIsolated ends the watch of a host that no peer sends updates to any more: the watch
+	// may hang, as the connections to the peers do.
+	errIsolated = errors.New("no updates from peers")
+)
 
 // New returns a Follower that has not read anything yet.
 func New(cfg Config) *Follower {
@@ -146,7 +154,7 @@
 			f.cfg.Logger.Info("store has compacted its history; reading all keys again", "revision", f.knownRevision(), "error", err)
 			f.reset()
 			continue
-		case errors.Is(err, provider.ErrWatchSourceChanged) || errors.Is(err, errResumed):
+		case errors.Is(err, provider.ErrWatchSourceChanged) || errors.Is(err, errResumed) || errors.Is(err, errIsolated):
 			f.setWatchMoved(true)
 			continue
 		}
@@ -196,21 +204,24 @@
 	defer f.setCancelWatch(nil)
 	watcher, err := f.cfg.Store.Watch(ctx, f.commonPrefix(), f.knownRevision()+1)
 	if err != nil {
-		return errors.Join(err, resumedCause(ctx))
+		return errors.Join(err, restartCause(ctx))
 	}
 	for changes := range watcher.Changes() {
 		f.markStoreRegained()
 		f.apply(changes)
 	}
-	return errors.Join(watcher.Err(), watcher.Close(), resumedCause(ctx))
+	return errors.Join(watcher.Err(), watcher.Close(), restartCause(ctx))
 }
 
-// resumedCause returns errResumed if that ended the watch of ctx.
-func resumedCause(ctx context.Context) error {
-	if errors.Is(context.Cause(ctx), errResumed) {
-		return errResumed
+// restartCause returns the error that ended the watch of ctx so that it is started again; nil:
+// it ended otherwise.
+func restartCause(ctx context.Context) error {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errResumed), errors.Is(cause, errIsolated):
+		return cause
+	default:
+		return nil
 	}
-	return nil
 }
 
 func (f *Follower) setCancelWatch(cancel context.CancelCauseFunc) {
@@ -224,12 +235,7 @@
 // Resumed restarts the watch, with a read of the store, and queries the first peer
 // that reports a later revision. It returns after that query, or when ctx ends.
 func (f *Follower) Resumed(ctx context.Context) {
-	f.mu.Lock()
-	cancelWatch := f.cancelWatch
-	f.mu.Unlock()
-	if cancelWatch != nil {
-		cancelWatch(errResumed)
-	}
+	f.restartWatch(errResumed)
 	if f.cfg.Peers == nil || !f.HasSynced() {
 		return
 	}
@@ -241,6 +247,16 @@
 	f.queryPeers(ctx, peerQueryTimeout)
 }
 
+// restartWatch ends the current watch, and has a new one begin with a read of the store.
+func (f *Follower) restartWatch(cause error) {
+	f.mu.Lock()
+	cancelWatch := f.cancelWatch
+	f.mu.Unlock()
+	if cancelWatch != nil {
+		cancelWatch(cause)
+	}
+}
+
 // resumePollInterval is how often a resumed host checks whether a peer is ahead.
 const resumePollInterval = 10 * time.Millisecond
 
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -38,6 +38,7 @@
 	defer ticker.Stop()
 	var behindSince time.Time
 	isLogged := false // that this host is behind its peers
+	wasIsolated := true
 	for {
 		select {
 		case <-ctx.Done():
@@ -45,6 +46,12 @@
 		case now := <-ticker.C:
 			behindSince = f.behindSince(behindSince, now)
 			isLogged = f.logIfBehind(behindSince, now, isLogged)
+			isIsolated := f.cfg.Peers.IsIsolated()
+			if isIsolated && !wasIsolated {
+				f.cfg.Logger.Warn("no updates from peers", "revision", f.knownRevision(), "store_away_ms", f.StoreUnreachableFor().Milliseconds())
+				f.restartWatch(errIsolated)
+			}
+			wasIsolated = isIsolated
 			if f.HasSynced() && f.watchesStore() && (f.isStoreLost() || !behindSince.IsZero() && now.Sub(behindSince) >= behindGracePeriod) {
 				f.queryPeers(ctx, peerQueryTimeout)
 			}
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,9 @@
 
 // fakePeers have received some changes from the store.
 type fakePeers struct {
+	isIsolated atomic.Bool
+	checks     atomic.Int64 // of isIsolated
+
 	mu       sync.Mutex
 	update   provider.Update
 	queries  []int64 // revisions after which changes were requested
@@ -39,6 +43,11 @@
 	p.recorded = append(p.recorded, update.Revision)
 }
 
+func (p *fakePeers) IsIsolated() bool {
+	p.checks.Add(1)
+	return p.isIsolated.Load()
+}
+
 func (p *fakePeers) MissedSince() time.Time { return time.Now() }
 
 func (p *fakePeers) setUpdate(update provider.Update) {
@@ -166,3 +175,16 @@
 	await(t, "more than the grace period", func() bool { return time.Since(started) > behindGracePeriod+2*peerPollInterval })
 	assert.Equal(t, peers.queryCount(), 0)
 }
+
+func TestHangingWatchIsRestartedWhenPeersAreSilent(t *testing.T) {
+	t.Parallel()
+	store := &fakeStore{lists: map[string][]provider.Entry{"a/": {entry("a/1", 4)}}, revision: 7}
+	peers := &fakePeers{}
+	_, first, _ := runWithPeers(t, store, peers)
+	await(t, "connected peers", func() bool { return peers.checks.Load() > 0 })
+	store.mu.Lock()
+	store.lists["a/"], store.revision = []provider.Entry{entry("a/1", 8)}, 8
+	store.mu.Unlock()
+	peers.isIsolated.Store(true)
+	await(t, "the missed change", func() bool { return first.has("a/1", 8) })
+}
--- a/internal/relayer/missed.go
+++ b/internal/relayer/missed.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/exchanger"
@@ -18,32 +19,36 @@
 // recent: no host has received them before, and while the store was down it made none but the
 // expiry of leases.
 func (r *Relayer) MissedSince() time.Time {
-	now := time.Now()
+	now, since := time.Now(), r.log.missedSince()
 	if r.isOutageShared(now) {
 		return now
 	}
-	return r.log.missedSince()
+	return since
+}
+
+// IsIsolated implements follower.Peers.
+func (r *Relayer) IsIsolated() bool {
+	now := time.Now()
+	peers := r.cfg.Pool.Peers()
+	connected := r.connectedPeers(peers, now)
+	return len(peers) > 0 && len(connected) == 0
 }
 
 // isOutageShared reports whether this host is connected to most of its peers, and none of them
 // has received later changes.
 func (r *Relayer) isOutageShared(now time.Time) bool {
-	statuses := map[string]exchanger.PeerStatus{}
-	for _, status := range r.cfg.PeerStatuses() {
-		statuses[status.Peer.HostID] = status
-	}
-	peers, connected := r.cfg.Pool.Peers(), 0
-	for _, peer := range peers {
-		status, ok := statuses[peer.HostID]
-		if !ok || now.Sub(status.LastUpdate) > freshUpdateAge {
-			continue
-		}
-		if status.StoreRevision > r.log.latestRevision() {
-			return false
-		}
-		connected++
-	}
-	return 2*connected >= len(peers)
+	peers, latest := r.cfg.Pool.Peers(), r.log.latestRevision()
+	connected := r.connectedPeers(peers, now)
+	isAhead := func(status exchanger.PeerStatus) bool { return status.StoreRevision > latest }
+	return 2*len(connected) >= len(peers) && !slices.ContainsFunc(connected, isAhead)
+}
+
+// connectedPeers returns the statuses of those peers that have sent an update recently.
+func (r *Relayer) connectedPeers(peers []exchanger.Peer, now time.Time) []exchanger.PeerStatus {
+	return slices.DeleteFunc(r.cfg.PeerStatuses(), func(status exchanger.PeerStatus) bool {
+		isPeer := slices.ContainsFunc(peers, func(peer exchanger.Peer) bool { return peer.HostID == status.Peer.HostID })
+		return !isPeer || now.Sub(status.LastUpdate) > freshUpdateAge
+	})
 }
 
 // Resumed takes account of a suspension of the host.
