Entries that a host misses after a short outage are not taken for lapsed ones

An entry cannot lapse for want of renewal in less than 2.5 s. A host whose watch hung for less counts the listing of a removed endpoint from its last complete state, though no peer is ahead: all hosts' connections to the store may have gone silent, and the endpoint have left meanwhile.

--- a/internal/relayer/missed.go
+++ b/internal/relayer/missed.go
@@ -15,12 +15,16 @@
 // that send no load send a heartbeat each second.
 const freshUpdateAge = 1200 * time.Millisecond
 
+// minLapseTime is the shortest time without the store after which entries may have lapsed
+// because endpoints could not renew them.
+const minLapseTime = 2500 * time.Millisecond
+
 // MissedSince implements follower.Peers. If all hosts were without the store, the changes are
 // recent: no host has received them before, and while the store was down it made none but the
 // expiry of leases.
 func (r *Relayer) MissedSince() time.Time {
 	now, since := time.Now(), r.log.missedSince()
-	if r.isOutageShared(now) {
+	if now.Sub(since) >= minLapseTime && r.isOutageShared(now) {
 		return now
 	}
 	return since
--- a/internal/relayer/missed_test.go
+++ b/internal/relayer/missed_test.go
@@ -54,6 +54,8 @@
 				return statuses
 			}})
 			r.log.appendNew([]provider.Change{{Entry: provider.Entry{Key: "k", Revision: 5}}})
+			appendedAt := time.Now()
+			assert.Assert(t, !r.MissedSince().After(appendedAt), "no entry has lapsed yet")
 			r.Resumed(time.Minute)
 			assert.Equal(t, now.Sub(r.MissedSince()) < time.Second, test.isRecent)
 		})
