A watch of the store waits before its next call, not before it hands over what it has

The watch made its next call while the relayer paused after changes, and held the answer back until the pause was over: a change could wait for two pauses, 1.2 s at a host of a large zone that watches the store for a while. The pause is now between two calls.

--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -174,6 +174,15 @@
 	Close() error
 }
 
+// PacedWatcher is a Watcher whose calls can be delayed after changes, so that several changes
+// cost one call.
+type PacedWatcher interface {
+	Watcher
+	// SetDelay sets the function that returns the delay between the delivery of changes and
+	// the next call.
+	SetDelay(delay func() time.Duration)
+}
+
 // HostKind is what runs on a host of the platform.
 type HostKind string
 
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -172,6 +172,9 @@
 		w.cancel()
 		return nil, err
 	}
+	if paced, ok := storeWatcher.(provider.PacedWatcher); ok {
+		paced.SetDelay(r.delayAfterChanges)
+	}
 	r.cfg.Logger.Info("watching the store for changes", "from_revision", from)
 	// The caller has just read from the store; the first response of a watch may
 	// take as long as the store's longest wait.
@@ -202,9 +205,6 @@
 		if time.Since(started) >= minStoreWatch && !r.WatchesStore() {
 			return provider.ErrWatchSourceChanged
 		}
-		if len(changes) > 0 && !w.pause(r.delayAfterChanges()) {
-			return w.ctx.Err()
-		}
 	}
 	return storeWatcher.Err()
 }
