A host that follows peers, or is to, queries one when it stays behind

What callers saw: a configuration that was not in force in time, at a host of a zone with more than two. Cause: only hosts that are to watch the store for good queried peers. One that watched it for a while, because its feeds had failed, did not, however far ahead they were; nor did one whose feed brought heartbeats and nothing else. Without a feed a host now queries after 0.8 s, as others do, and with a feed after 1.5 s, so that hosts of a large zone do not request a configuration while it is on its way to them. TestFeedWithoutChangesDoesNotKeepHostBehind failed before in both cases.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -64,6 +64,9 @@
 	FetchFromPeers(ctx context.Context, after int64) (provider.Update, error)
 	// RecordUpdate records an update that the Follower has applied.
 	RecordUpdate(update provider.Update)
+	// HasFeed reports whether a peer that watches the store passes its changes on to this
+	// host.
+	HasFeed() bool
 	// IsIsolated reports whether no peer has sent an update recently, although there are
 	// peers.
 	IsIsolated() bool
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -21,6 +21,10 @@
 	// it takes some 1.2 s of the two seconds in which a change has to be in force on
 	// all hosts. Without queries, a hanging watch is detected only after 2.6 s.
 	behindGracePeriod = 800 * time.Millisecond
+	// feedGracePeriod replaces behindGracePeriod on a host with a feed from a peer. In a
+	// large zone all hosts would request a large configuration while it is on its way to
+	// them, and delay it.
+	feedGracePeriod = 1500 * time.Millisecond
 	// peerQueryTimeout limits a query. Peers answer in milliseconds; a configuration
 	// of 430 KB takes 0.35 s on a link of 10 Mbit/s.
 	peerQueryTimeout = time.Second
@@ -29,10 +33,8 @@
 	returnQueryTimeout = 300 * time.Millisecond
 )
 
-// pollPeers queries peers while the store is lost, or when they have been ahead for
-// behindGracePeriod. A host that follows peers sends no queries: in a large zone
-// all hosts would request a large configuration while it is on its way to them, and
-// delay it.
+// pollPeers queries peers when they have been ahead for some time, or at once if this host has to
+// watch the store itself and has lost it.
 func (f *Follower) pollPeers(ctx context.Context) error {
 	ticker := time.NewTicker(peerPollInterval)
 	defer ticker.Stop()
@@ -52,13 +54,27 @@
 				f.restartWatch(errIsolated)
 			}
 			wasIsolated = isIsolated
-			if f.HasSynced() && f.watchesStore() && (f.isStoreLost() || !behindSince.IsZero() && now.Sub(behindSince) >= behindGracePeriod) {
+			if f.HasSynced() && f.isQueryDue(behindSince, now) {
 				f.queryPeers(ctx, peerQueryTimeout)
 			}
 		}
 	}
 }
 
+func (f *Follower) isQueryDue(behindSince, now time.Time) bool {
+	if behindSince.IsZero() {
+		return false
+	}
+	switch behind := now.Sub(behindSince); {
+	case f.cfg.Peers.HasFeed():
+		return behind >= feedGracePeriod
+	case f.isStoreLost() && f.watchesStore():
+		return true
+	default:
+		return behind >= behindGracePeriod
+	}
+}
+
 // behindSince returns since when peers have been ahead of this host; zero: they are
 // not ahead.
 func (f *Follower) behindSince(since, now time.Time) time.Time {
@@ -78,7 +94,7 @@
 	switch {
 	case isBehind && !isLogged:
 		f.cfg.Logger.Warn("behind peers", "revision", f.knownRevision(), "behind_ms", now.Sub(since).Milliseconds(),
-			"has_synced", f.HasSynced(), "watches_store", f.watchesStore(), "store_away_ms", f.StoreUnreachableFor().Milliseconds())
+			"has_synced", f.HasSynced(), "has_feed", f.cfg.Peers.HasFeed(), "store_away_ms", f.StoreUnreachableFor().Milliseconds())
 	case isLogged && since.IsZero():
 		f.cfg.Logger.Info("caught up with peers", "revision", f.knownRevision())
 	}
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -17,6 +17,7 @@
 type fakePeers struct {
 	isIsolated atomic.Bool
 	checks     atomic.Int64 // of isIsolated
+	hasFeed    bool
 
 	mu       sync.Mutex
 	update   provider.Update
@@ -48,6 +49,8 @@
 	return p.isIsolated.Load()
 }
 
+func (p *fakePeers) HasFeed() bool { return p.hasFeed }
+
 func (p *fakePeers) MissedSince() time.Time { return time.Now() }
 
 func (p *fakePeers) setUpdate(update provider.Update) {
--- a/internal/relayer/peerwatch.go
+++ b/internal/relayer/peerwatch.go
@@ -137,6 +137,7 @@
 		p.feedPeers = slices.DeleteFunc(p.feedPeers, func(id string) bool { return id == peer })
 		if isActive {
 			p.activeFeeds--
+			p.relayer.feeds.Add(-1)
 		}
 	}()
 	conn, err := p.relayer.cfg.Pool.Conn(peer)
@@ -180,8 +181,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.activeFeeds++
+	p.relayer.feeds.Add(1)
 }
 
+// HasFeed implements follower.Peers.
+func (r *Relayer) HasFeed() bool { return r.feeds.Load() > 0 }
+
 // deliver passes on the changes that are new. The lock keeps a batch of one feed
 // from being overtaken by the next batch of the other.
 func (p *peerWatch) deliver(changes []provider.Change) bool {
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -27,6 +27,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -85,9 +86,10 @@
 	provider.Store
 	relayerpb.UnimplementedRelayServer
 
-	cfg  Config
-	log  *changeLog
-	done chan struct{} // closed by Close
+	cfg   Config
+	log   *changeLog
+	done  chan struct{} // closed by Close
+	feeds atomic.Int64  // from peers that have sent a message
 
 	mu          sync.Mutex
 	isWatching  bool // this host receives changes from the store itself
