A host whose peers are silent watches the store itself, also while a query hangs

The check whether any peer still sends updates waited for queries, which take a second to fail on a silent connection, and a host that then restarted its watch followed silent peers for another second. Queries run apart from the check, and an isolated host watches the store.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -139,7 +139,9 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var group errgroup.Group
 	if f.cfg.Peers != nil {
-		group.Go(func() error { return f.pollPeers(ctx) })
+		queryDue := make(chan struct{})
+		group.Go(func() error { return f.observePeers(ctx, queryDue) })
+		group.Go(func() error { return f.runQueries(ctx, queryDue) })
 	}
 	group.Go(func() error { return f.followStore(ctx) })
 	return group.Wait()
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -33,9 +33,9 @@
 	returnQueryTimeout = 300 * time.Millisecond
 )
 
-// pollPeers queries peers when they have been ahead for some time, or at once if this host has to
-// watch the store itself and has lost it.
-func (f *Follower) pollPeers(ctx context.Context) error {
+// observePeers checks several times a second whether this host is behind its peers, or has lost
+// them. Queries run elsewhere: one that hangs must not delay the next check.
+func (f *Follower) observePeers(ctx context.Context, queryDue chan<- struct{}) error {
 	ticker := time.NewTicker(peerPollInterval)
 	defer ticker.Stop()
 	var behindSince time.Time
@@ -55,12 +55,27 @@
 			}
 			wasIsolated = isIsolated
 			if f.HasSynced() && f.isQueryDue(behindSince, now) {
-				f.queryPeers(ctx, peerQueryTimeout)
+				select {
+				case queryDue <- struct{}{}:
+				default: // a query is running
+				}
 			}
 		}
 	}
 }
 
+func (f *Follower) runQueries(ctx context.Context, queryDue <-chan struct{}) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-queryDue:
+			f.queryPeers(ctx, peerQueryTimeout)
+		}
+	}
+}
+
+// isQueryDue reports whether this host has been behind for so long that it queries a peer.
 func (f *Follower) isQueryDue(behindSince, now time.Time) bool {
 	if behindSince.IsZero() {
 		return false
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -16,8 +16,8 @@
 // fakePeers have received some changes from the store.
 type fakePeers struct {
 	isIsolated atomic.Bool
-	checks     atomic.Int64 // of isIsolated
 	hasFeed    bool
+	hangs      bool // queries are not answered
 
 	mu       sync.Mutex
 	update   provider.Update
@@ -31,7 +31,14 @@
 	return p.update.Revision > revision
 }
 
-func (p *fakePeers) FetchFromPeers(_ context.Context, after int64) (provider.Update, error) {
+func (p *fakePeers) FetchFromPeers(ctx context.Context, after int64) (provider.Update, error) {
+	if p.hangs {
+		p.mu.Lock()
+		p.queries = append(p.queries, after)
+		p.mu.Unlock()
+		<-ctx.Done()
+		return provider.Update{}, ctx.Err()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.queries = append(p.queries, after)
@@ -44,10 +51,7 @@
 	p.recorded = append(p.recorded, update.Revision)
 }
 
-func (p *fakePeers) IsIsolated() bool {
-	p.checks.Add(1)
-	return p.isIsolated.Load()
-}
+func (p *fakePeers) IsIsolated() bool { return p.isIsolated.Load() }
 
 func (p *fakePeers) HasFeed() bool { return p.hasFeed }
 
@@ -182,12 +186,15 @@
 func TestHangingWatchIsRestartedWhenPeersAreSilent(t *testing.T) {
 	t.Parallel()
 	store := &fakeStore{lists: map[string][]provider.Entry{"a/": {entry("a/1", 4)}}, revision: 7}
-	peers := &fakePeers{}
+	peers := &fakePeers{hangs: true}
 	_, first, _ := runWithPeers(t, store, peers)
-	await(t, "connected peers", func() bool { return peers.checks.Load() > 0 })
+	peers.setUpdate(provider.Update{Revision: 8})
+	await(t, "a query", func() bool { return peers.queryCount() > 0 })
 	store.mu.Lock()
 	store.lists["a/"], store.revision = []provider.Entry{entry("a/1", 8)}, 8
 	store.mu.Unlock()
 	peers.isIsolated.Store(true)
+	isolatedAt := time.Now()
 	await(t, "the missed change", func() bool { return first.has("a/1", 8) })
+	assert.Assert(t, time.Since(isolatedAt) < peerQueryTimeout/2, "after %s", time.Since(isolatedAt))
 }
--- a/internal/relayer/missed.go
+++ b/internal/relayer/missed.go
@@ -30,29 +30,35 @@
 	return since
 }
 
-// IsIsolated implements follower.Peers.
+// IsIsolated implements follower.Peers. It has to be called several times a second: a host that
+// is isolated watches the store itself.
 func (r *Relayer) IsIsolated() bool {
-	now := time.Now()
-	peers := r.cfg.Pool.Peers()
-	connected := r.connectedPeers(peers, now)
-	return len(peers) > 0 && len(connected) == 0
+	now, statuses := time.Now(), r.cfg.PeerStatuses()
+	isConnected := func(status exchanger.PeerStatus) bool { return now.Sub(status.LastUpdate) <= freshUpdateAge }
+	isIsolated := len(statuses) > 0 && !slices.ContainsFunc(statuses, isConnected)
+	r.isIsolated.Store(isIsolated)
+	return isIsolated
 }
 
 // isOutageShared reports whether this host is connected to most of its peers, and none of them
 // has received later changes.
 func (r *Relayer) isOutageShared(now time.Time) bool {
-	peers, latest := r.cfg.Pool.Peers(), r.log.latestRevision()
-	connected := r.connectedPeers(peers, now)
-	isAhead := func(status exchanger.PeerStatus) bool { return status.StoreRevision > latest }
-	return 2*len(connected) >= len(peers) && !slices.ContainsFunc(connected, isAhead)
-}
-
-// connectedPeers returns the statuses of those peers that have sent an update recently.
-func (r *Relayer) connectedPeers(peers []exchanger.Peer, now time.Time) []exchanger.PeerStatus {
-	return slices.DeleteFunc(r.cfg.PeerStatuses(), func(status exchanger.PeerStatus) bool {
-		isPeer := slices.ContainsFunc(peers, func(peer exchanger.Peer) bool { return peer.HostID == status.Peer.HostID })
-		return !isPeer || now.Sub(status.LastUpdate) > freshUpdateAge
-	})
+	statuses := map[string]exchanger.PeerStatus{}
+	for _, status := range r.cfg.PeerStatuses() {
+		statuses[status.Peer.HostID] = status
+	}
+	peers, latest, connected := r.cfg.Pool.Peers(), r.log.latestRevision(), 0
+	for _, peer := range peers {
+		status, ok := statuses[peer.HostID]
+		if !ok || now.Sub(status.LastUpdate) > freshUpdateAge {
+			continue
+		}
+		if status.StoreRevision > latest {
+			return false
+		}
+		connected++
+	}
+	return 2*connected >= len(peers)
 }
 
 // Resumed takes account of a suspension of the host.
--- a/internal/relayer/missed_test.go
+++ b/internal/relayer/missed_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -61,3 +62,26 @@
 		})
 	}
 }
+
+func TestIsolatedHostWatchesStore(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		silentFor time.Duration // of the peer that was connected last
+		want      bool
+	}{"connected": {0, false}, "isolated": {2 * time.Second, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			now := time.Now()
+			hosts := []exchanger.Peer{{HostID: "own"}, {HostID: "a"}, {HostID: "b"}, {HostID: "c"}}
+			statuses := []exchanger.PeerStatus{{LastUpdate: now.Add(-time.Minute)}, {LastUpdate: now.Add(-test.silentFor)}}
+			r := New(Config{
+				Pool: fakePool{}, ZoneHosts: func() []exchanger.Peer { return hosts },
+				PeerStatuses: func() []exchanger.PeerStatus { return statuses },
+			})
+			slices.SortFunc(hosts, exchanger.ComparePriority)
+			r.cfg.HostID = hosts[len(hosts)-1].HostID // one that follows peers
+			assert.Equal(t, r.IsIsolated(), test.want)
+			assert.Equal(t, r.WatchesStore(), test.want)
+		})
+	}
+}
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -86,10 +86,11 @@
 	provider.Store
 	relayerpb.UnimplementedRelayServer
 
-	cfg   Config
-	log   *changeLog
-	done  chan struct{} // closed by Close
-	feeds atomic.Int64  // from peers that have sent a message
+	cfg        Config
+	log        *changeLog
+	done       chan struct{} // closed by Close
+	feeds      atomic.Int64  // from peers that have sent a message
+	isIsolated atomic.Bool   // no peer has sent an update recently
 
 	mu          sync.Mutex
 	isWatching  bool // this host receives changes from the store itself
@@ -129,7 +130,7 @@
 	r.mu.Lock()
 	mustWatch := r.followers > 0 || now.Sub(r.feedsLostAt) < minStoreWatch
 	r.mu.Unlock()
-	return mustWatch || len(r.sourcePeers(now)) == 0
+	return mustWatch || r.isIsolated.Load() || len(r.sourcePeers(now)) == 0
 }
 
 // Watch delivers the changes from a revision on, as provider.Store does. The prefix
