One endpoint's removal after an outage of the store is not taken for a lapse

The longer time holds only while at least half of an application's endpoints have no entry, as after an outage. TestRemovalAfterOutageIsNotTakenForLapse.

--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -25,9 +25,10 @@
 	// is written again. The rest of the drain time is for receiving the change, which
 	// takes up to 400 ms, and for requests in progress.
 	removalDelayShare = 0.5
-	// outageRemovalDelayShare replaces removalDelayShare within reregistrationGrace of the
-	// store's return. The rest of the drain time is for the next Tick.
-	outageRemovalDelayShare = 0.95
+	// outageRemovalMargin is the part of the drain time that is left for receiving the
+	// removal and for the next Tick, where an endpoint stays listed for longer after an
+	// outage of the store.
+	outageRemovalMargin = 180 * time.Millisecond
 	// removedRetention is how long the last state of an endpoint is kept once it is
 	// not listed any more. Delayed entries arrive within seconds: when a network
 	// partition ends, or 6 s after they were sent if the store delays them.
@@ -53,8 +54,9 @@
 
 // missingEntry is the removed entry of an endpoint that is still listed.
 type missingEntry struct {
-	until time.Time // when the endpoint is removed from the list
-	era   int64     // of the store, when the entry was removed
+	removedAt   time.Time
+	isAnnounced bool  // the endpoint had announced that it was leaving
+	era         int64 // of the store, when the entry was removed
 }
 
 // heldEntry is an entry that is not used yet.
@@ -148,7 +150,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, m := range r.missing {
-		r.missing[id] = missingEntry{until: m.until.Add(-suspended), era: m.era}
+		m.removedAt = m.removedAt.Add(-suspended)
+		r.missing[id] = m
 	}
 	r.storeRegainedAt = r.storeRegainedAt.Add(-suspended)
 }
@@ -198,8 +201,9 @@
 func (r *Registrations) Tick(now time.Time) {
 	r.mu.Lock()
 	var changed []string
+	lapsed := r.lapsedApplications()
 	for id, m := range r.missing {
-		if !now.Before(m.until) {
+		if !now.Before(r.listedUntil(m, lapsed[r.hosts[id].Application])) {
 			r.cfg.Logger.Info("endpoint removed from the list", "endpoint_id", id)
 			r.removed[id] = removedHost{last: r.hosts[id], removedAt: now, era: m.era}
 			delete(r.missing, id)
@@ -344,31 +348,48 @@
 	if _, isMissing := r.missing[id]; isMissing {
 		return
 	}
-	until := removedAt
-	if host.State == provider.HostLive && !r.isLeaving(&host) {
-		until = r.listedUntil(removedAt)
-	}
-	r.missing[id] = missingEntry{until: until, era: r.era}
+	m := missingEntry{removedAt: removedAt, isAnnounced: host.State != provider.HostLive || r.isLeaving(&host), era: r.era}
+	r.missing[id] = m
 	r.cfg.Logger.Info("endpoint's entry is missing from the store", "endpoint_id", id, "state", host.State,
-		"removed_ago_ms", now.Sub(removedAt).Milliseconds(), "listed_for_ms", max(until.Sub(now), 0).Milliseconds())
+		"removed_ago_ms", now.Sub(removedAt).Milliseconds(), "listed_for_ms", max(r.listedUntil(m, false).Sub(now), 0).Milliseconds())
 }
 
-// listedUntil returns until when an endpoint stays listed whose entry was removed without an
-// announcement.
-func (r *Registrations) listedUntil(removedAt time.Time) time.Time {
-	after := func(share float64) time.Time {
-		return removedAt.Add(time.Duration(float64(r.cfg.DrainTime) * share))
+// lapsedApplications returns the applications of whose endpoints at least half have no entry. After
+// an outage of the store their entries have lapsed rather than been removed.
+func (r *Registrations) lapsedApplications() map[string]bool {
+	if len(r.missing) == 0 {
+		return nil
 	}
-	until, latest := after(removalDelayShare), after(outageRemovalDelayShare)
-	graceEnd := r.storeRegainedAt.Add(reregistrationGrace)
-	switch {
-	case graceEnd.Before(until):
+	listed, missing, lapsed := map[string]int{}, map[string]int{}, map[string]bool{}
+	for id := range r.hosts {
+		application := r.hosts[id].Application
+		listed[application]++
+		if _, isMissing := r.missing[id]; isMissing {
+			missing[application]++
+		}
+		lapsed[application] = 2*missing[application] >= listed[application]
+	}
+	return lapsed
+}
+
+// listedUntil returns until when an endpoint without an entry stays listed. isLapsed says whether
+// its entry would have lapsed in an outage of the store.
+func (r *Registrations) listedUntil(m missingEntry, isLapsed bool) time.Time {
+	if m.isAnnounced {
+		return m.removedAt
+	}
+	until := m.removedAt.Add(time.Duration(float64(r.cfg.DrainTime) * removalDelayShare))
+	if !isLapsed {
 		return until
-	case graceEnd.Before(latest):
+	}
+	latest, graceEnd := m.removedAt.Add(r.cfg.DrainTime-outageRemovalMargin), r.storeRegainedAt.Add(reregistrationGrace)
+	if graceEnd.After(latest) {
+		graceEnd = latest
+	}
+	if graceEnd.After(until) {
 		return graceEnd
-	default:
-		return latest
 	}
+	return until
 }
 
 // Hosts returns the endpoints with their effective states, in no particular order.
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -127,13 +127,13 @@
 			act: func(r *Registrations) {
 				r.StoreRegained(start)
 				r.Apply(provider.Change{Entry: removal.Entry, Deleted: true, Age: time.Second}, start)
-			}, at: 850 * time.Millisecond, want: provider.HostLive,
+			}, at: 800 * time.Millisecond, want: provider.HostLive,
 		},
 		"entry removed shortly before this host's return, drain time over": {
 			act: func(r *Registrations) {
 				r.StoreRegained(start)
 				r.Apply(provider.Change{Entry: removal.Entry, Deleted: true, Age: time.Second}, start)
-			}, at: 950 * time.Millisecond, want: "",
+			}, at: 850 * time.Millisecond, want: "",
 		},
 		"entry removed as the store returns": {
 			act: func(r *Registrations) { r.StoreRegained(start); r.Apply(removal, start) }, at: 1950 * time.Millisecond, want: "",
@@ -239,3 +239,26 @@
 	r.Apply(entryChange(t, 2000, 1, provider.HostLive), start)
 	assert.Equal(t, state, provider.HostLive, "another process has taken over the id")
 }
+
+func TestRemovalAfterOutageIsNotTakenForLapse(t *testing.T) {
+	t.Parallel()
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for name, test := range map[string]struct {
+		removed []string
+		want    provider.HostState // of e1, later than an endpoint is listed without an outage
+	}{"one of four": {[]string{"e1"}, ""}, "two of four": {[]string{"e1", "e2"}, provider.HostLive}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, published := newRegistrations(t, start.Add(-time.Minute))
+			for _, id := range []string{"e3", "e4"} {
+				r.Apply(provider.Change{Entry: stateEntry(id, provider.HostLive)}, start.Add(-time.Minute))
+			}
+			r.StoreRegained(start)
+			for _, id := range test.removed {
+				r.Apply(provider.Change{Entry: provider.Entry{Key: "s/" + id}, Deleted: true}, start)
+			}
+			r.Tick(start.Add(1100 * time.Millisecond))
+			assert.Equal(t, (*published)["e1"], test.want)
+		})
+	}
+}
