When a missed change was made is a period, not one age

The change may be as old as the receiving host's last complete state, and as young as its peers say.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -42,9 +42,9 @@
 // Sink receives the entries and changes of one topic. Its methods are called one at
 // a time, in the order of the store's revisions.
 type Sink interface {
-	// Replace replaces all entries of the topic with those just read. The changes that led to
-	// them may have been made at any time since missedSince.
-	Replace(entries []provider.Entry, missedSince, now time.Time)
+	// Replace replaces all entries of the topic with those just read. made says when the
+	// changes that led to them were made.
+	Replace(entries []provider.Entry, made provider.Period, now time.Time)
 	// Apply applies one change.
 	Apply(change provider.Change, now time.Time)
 }
@@ -70,9 +70,8 @@
 	// IsIsolated reports whether no peer has sent an update recently, although there are
 	// peers.
 	IsIsolated() bool
-	// MissedSince returns the earliest time at which a change may have been made that this
-	// host has not received.
-	MissedSince() time.Time
+	// MissedPeriod returns when a change may have been made that this host has not received.
+	MissedPeriod() provider.Period
 }
 
 // Config configures a Follower.
@@ -207,13 +206,15 @@
 	defer cancel(nil)
 	f.setCancelWatch(cancel)
 	defer f.setCancelWatch(nil)
+	missedSince := f.missedPeriod().Earliest
 	watcher, err := f.cfg.Store.Watch(ctx, f.commonPrefix(), f.knownRevision()+1)
 	if err != nil {
 		return errors.Join(err, restartCause(ctx))
 	}
 	for changes := range watcher.Changes() {
 		f.markStoreRegained()
-		f.apply(changes)
+		f.apply(changes, missedSince)
+		missedSince = time.Time{} // later changes are received as they are made
 	}
 	return errors.Join(watcher.Err(), watcher.Close(), restartCause(ctx))
 }
@@ -322,14 +323,15 @@
 	}
 	f.detectRestoration(revision)
 	f.setReadRevision(topic.Prefix, revision)
-	topic.Sink.Replace(entries, f.missedSince(), time.Now())
+	topic.Sink.Replace(entries, f.missedPeriod(), time.Now())
 }
 
-func (f *Follower) missedSince() time.Time {
+func (f *Follower) missedPeriod() provider.Period {
 	if f.cfg.Peers == nil {
-		return time.Now()
+		now := time.Now()
+		return provider.Period{Earliest: now, Latest: now}
 	}
-	return f.cfg.Peers.MissedSince()
+	return f.cfg.Peers.MissedPeriod()
 }
 
 // probe reads the first topic after a loss of the store. A watch alone would take
@@ -380,19 +382,23 @@
 }
 
 // apply passes changes that are not known yet to the sinks. The changes of one
-// transaction share a revision and come in one batch.
-func (f *Follower) apply(changes []provider.Change) {
+// transaction share a revision and come in one batch. This host may have missed changes since
+// missedSince; zero: it has not.
+func (f *Follower) apply(changes []provider.Change, missedSince time.Time) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	f.applyLocked(changes)
+	f.applyLocked(changes, missedSince)
 }
 
-func (f *Follower) applyLocked(changes []provider.Change) {
+func (f *Follower) applyLocked(changes []provider.Change, missedSince time.Time) {
 	now, knownRevision := time.Now(), f.knownRevision()
 	for _, change := range changes {
 		if change.Entry.Revision <= knownRevision {
 			continue
 		}
+		if !missedSince.IsZero() {
+			change.MaxAge = now.Sub(missedSince)
+		}
 		f.detectRestoration(change.Entry.Revision)
 		for _, topic := range f.cfg.Topics {
 			if strings.HasPrefix(change.Entry.Key, topic.Prefix) && change.Entry.Revision > f.readRevision(topic.Prefix) {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -85,7 +85,7 @@
 	keys map[string]int64
 }
 
-func (r *recorder) Replace(entries []provider.Entry, _, _ time.Time) {
+func (r *recorder) Replace(entries []provider.Entry, _ provider.Period, _ time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.keys = map[string]int64{}
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -150,7 +150,7 @@
 	if update.IsSnapshot {
 		f.replaceAll(update)
 	} else {
-		f.applyLocked(update.Changes)
+		f.applyLocked(update.Changes, f.missedPeriod().Earliest)
 	}
 	f.mu.Lock()
 	f.revision = update.Revision
@@ -164,7 +164,7 @@
 // replaceAll passes to each topic its part of the update's entries, unless the topic
 // was read from the store at a later revision.
 func (f *Follower) replaceAll(update provider.Update) {
-	missedSince, now := f.missedSince(), time.Now()
+	missed, now := f.missedPeriod(), time.Now()
 	for _, topic := range f.cfg.Topics {
 		if f.readRevision(topic.Prefix) > update.Revision {
 			continue
@@ -175,6 +175,6 @@
 				entries = append(entries, change.Entry)
 			}
 		}
-		topic.Sink.Replace(entries, missedSince, now)
+		topic.Sink.Replace(entries, missed, now)
 	}
 }
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -55,7 +55,9 @@
 
 func (p *fakePeers) HasFeed() bool { return p.hasFeed }
 
-func (p *fakePeers) MissedSince() time.Time { return time.Now() }
+func (p *fakePeers) MissedPeriod() provider.Period {
+	return provider.Period{Earliest: time.Now(), Latest: time.Now()}
+}
 
 func (p *fakePeers) setUpdate(update provider.Update) {
 	p.mu.Lock()
--- a/internal/lister/order_test.go
+++ b/internal/lister/order_test.go
@@ -75,7 +75,7 @@
 			}
 			r.Apply(test.late, now)
 			assert.Equal(t, state, test.want)
-			r.Replace([]provider.Entry{test.late.Entry}, now, now)
+			r.Replace([]provider.Entry{test.late.Entry}, period(now), now)
 			assert.Equal(t, state, test.want, "after a read of the same entry")
 		})
 	}
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -54,7 +54,7 @@
 
 // missingEntry is the removed entry of an endpoint that is still listed.
 type missingEntry struct {
-	removedAt   time.Time
+	removed     provider.Period
 	isAnnounced bool  // the endpoint had announced that it was leaving
 	era         int64 // of the store, when the entry was removed
 }
@@ -150,15 +150,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, m := range r.missing {
-		m.removedAt = m.removedAt.Add(-suspended)
+		m.removed.Earliest, m.removed.Latest = m.removed.Earliest.Add(-suspended), m.removed.Latest.Add(-suspended)
 		r.missing[id] = m
 	}
 	r.storeRegainedAt = r.storeRegainedAt.Add(-suspended)
 }
 
-// Replace replaces all entries. Those that are missing may have been removed at any time since
-// missedSince.
-func (r *Registrations) Replace(entries []provider.Entry, missedSince, now time.Time) {
+// Replace replaces all entries. made is when those that are missing were removed.
+func (r *Registrations) Replace(entries []provider.Entry, made provider.Period, now time.Time) {
 	r.mu.Lock()
 	listed := make(map[string]bool, len(entries))
 	for _, entry := range entries {
@@ -166,7 +165,7 @@
 	}
 	for id := range r.hosts {
 		if !listed[id] {
-			r.markMissing(id, missedSince, now)
+			r.markMissing(id, made, now)
 		}
 	}
 	maps.DeleteFunc(r.held, func(id string, _ heldEntry) bool { return !listed[id] })
@@ -185,9 +184,9 @@
 	r.mu.Lock()
 	r.era = max(r.era, provider.EraOf(change.Entry.Revision))
 	if change.Deleted {
-		// A host that receives the removal late counts from when its peers received it:
-		// the endpoint's drain time does not depend on when a host receives it.
-		r.markMissing(id, now.Add(-change.Age), now)
+		// The endpoint's drain time does not depend on when a host receives the removal.
+		removed := provider.Period{Earliest: now.Add(-max(change.Age, change.MaxAge)), Latest: now.Add(-change.Age)}
+		r.markMissing(id, removed, now)
 		delete(r.held, id)
 	} else {
 		r.applyEntry(change.Entry, now)
@@ -340,7 +339,7 @@
 
 // markMissing records that an endpoint's entry was removed. An endpoint that has
 // announced that it is leaving is removed from the list at once.
-func (r *Registrations) markMissing(id string, removedAt, now time.Time) {
+func (r *Registrations) markMissing(id string, removed provider.Period, now time.Time) {
 	host, ok := r.hosts[id]
 	if !ok {
 		return
@@ -348,10 +347,11 @@
 	if _, isMissing := r.missing[id]; isMissing {
 		return
 	}
-	m := missingEntry{removedAt: removedAt, isAnnounced: host.State != provider.HostLive || r.isLeaving(&host), era: r.era}
+	m := missingEntry{removed: removed, isAnnounced: host.State != provider.HostLive || r.isLeaving(&host), era: r.era}
 	r.missing[id] = m
 	r.cfg.Logger.Info("endpoint's entry is missing from the store", "endpoint_id", id, "state", host.State,
-		"removed_ago_ms", now.Sub(removedAt).Milliseconds(), "listed_for_ms", max(r.listedUntil(m, false).Sub(now), 0).Milliseconds())
+		"removed_ago_ms", now.Sub(removed.Latest).Milliseconds(), "removed_ago_max_ms", now.Sub(removed.Earliest).Milliseconds(),
+		"listed_for_ms", max(r.listedUntil(m, false).Sub(now), 0).Milliseconds())
 }
 
 // lapsedApplications returns the applications of whose endpoints at least half have no entry. After
@@ -376,13 +376,13 @@
 // its entry would have lapsed in an outage of the store.
 func (r *Registrations) listedUntil(m missingEntry, isLapsed bool) time.Time {
 	if m.isAnnounced {
-		return m.removedAt
+		return m.removed.Earliest
 	}
-	until := m.removedAt.Add(time.Duration(float64(r.cfg.DrainTime) * removalDelayShare))
+	until := m.removed.Earliest.Add(time.Duration(float64(r.cfg.DrainTime) * removalDelayShare))
 	if !isLapsed {
 		return until
 	}
-	latest, graceEnd := m.removedAt.Add(r.cfg.DrainTime-outageRemovalMargin), r.storeRegainedAt.Add(reregistrationGrace)
+	latest, graceEnd := m.removed.Latest.Add(r.cfg.DrainTime-outageRemovalMargin), r.storeRegainedAt.Add(reregistrationGrace)
 	if graceEnd.After(latest) {
 		graceEnd = latest
 	}
--- a/internal/lister/registrations_test.go
+++ b/internal/lister/registrations_test.go
@@ -37,7 +37,7 @@
 		OnChange: func(change ListChange, _ time.Time) { applyChange(*published, change) },
 	})
 	assert.Assert(t, !r.HasSynced())
-	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive), stateEntry("e2", provider.HostLive)}, now, now)
+	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive), stateEntry("e2", provider.HostLive)}, period(now), now)
 	assert.Assert(t, r.HasSynced())
 	return r, published
 }
@@ -69,7 +69,7 @@
 	for n := range 1000 {
 		entries = append(entries, stateEntry(fmt.Sprint("e", n), provider.HostLive))
 	}
-	r.Replace(entries, now, now)
+	r.Replace(entries, period(now), now)
 	r.Apply(provider.Change{Entry: stateEntry("e7", provider.HostLeaving)}, now)
 	r.Apply(provider.Change{Entry: provider.Entry{Key: "s/e8"}, Deleted: true}, now)
 	r.Tick(now.Add(time.Minute))
@@ -90,6 +90,8 @@
 	assert.DeepEqual(t, ids, [][]string{{"e7 leaving"}, {"e8 live"}, {"e8"}, {"e9 leaving"}, {"e11 live"}, {"e10 leaving"}, {"e10 live"}})
 }
 
+func period(at time.Time) provider.Period { return provider.Period{Earliest: at, Latest: at} }
+
 func TestRegistrations(t *testing.T) {
 	t.Parallel()
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -108,19 +110,19 @@
 		"entry missing after an outage": {
 			act: func(r *Registrations) {
 				r.StoreRegained(start)
-				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond), start.Add(100*time.Millisecond))
+				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, period(start.Add(100*time.Millisecond)), start.Add(100*time.Millisecond))
 			}, at: 1900 * time.Millisecond, want: provider.HostLive,
 		},
 		"entry missing for too long after an outage": {
 			act: func(r *Registrations) {
 				r.StoreRegained(start)
-				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(100*time.Millisecond), start.Add(100*time.Millisecond))
+				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, period(start.Add(100*time.Millisecond)), start.Add(100*time.Millisecond))
 			}, at: 2100 * time.Millisecond, want: "",
 		},
 		"entry removed long before this host's return": {
 			act: func(r *Registrations) {
 				r.StoreRegained(start)
-				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, start.Add(-9*time.Second), start)
+				r.Replace([]provider.Entry{stateEntry("e2", provider.HostLive)}, period(start.Add(-9*time.Second)), start)
 			}, want: "",
 		},
 		"entry removed shortly before this host's return": {
@@ -184,7 +186,7 @@
 			assert.Assert(t, !r.HasSynced())
 		},
 	})
-	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive)}, time.Now(), time.Now())
+	r.Replace([]provider.Entry{stateEntry("e1", provider.HostLive)}, provider.Period{}, time.Now())
 	assert.Equal(t, published, 1)
 	assert.Assert(t, r.HasSynced())
 }
@@ -206,7 +208,7 @@
 				},
 			})
 			now := time.Now()
-			r.Replace([]provider.Entry{{Key: "servers/e1", Revision: 1}}, now, now)
+			r.Replace([]provider.Entry{{Key: "servers/e1", Revision: 1}}, period(now), now)
 			r.Apply(provider.Change{Entry: provider.Entry{Key: "servers/e1", Revision: 2}, Deleted: true}, now)
 			r.Resumed(test.suspended)
 			r.Tick(now.Add(100 * time.Millisecond))
@@ -244,9 +246,17 @@
 	t.Parallel()
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for name, test := range map[string]struct {
-		removed []string
-		want    provider.HostState // of e1, later than an endpoint is listed without an outage
-	}{"one of four": {[]string{"e1"}, ""}, "two of four": {[]string{"e1", "e2"}, provider.HostLive}} {
+		removed     []string
+		age, maxAge time.Duration
+		at          time.Duration      // when the list is checked
+		want        provider.HostState // of e1
+	}{
+		"one of four":                        {removed: []string{"e1"}, at: 1100 * time.Millisecond, want: ""},
+		"one of four, perhaps long ago":      {removed: []string{"e1"}, maxAge: 5 * time.Second, want: ""},
+		"two of four":                        {removed: []string{"e1", "e2"}, at: 1100 * time.Millisecond, want: provider.HostLive},
+		"two of four, perhaps long ago":      {removed: []string{"e1", "e2"}, maxAge: 5 * time.Second, at: 1100 * time.Millisecond, want: provider.HostLive},
+		"two of four, received by peers ago": {removed: []string{"e1", "e2"}, age: 3 * time.Second, want: ""},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r, published := newRegistrations(t, start.Add(-time.Minute))
@@ -255,9 +265,9 @@
 			}
 			r.StoreRegained(start)
 			for _, id := range test.removed {
-				r.Apply(provider.Change{Entry: provider.Entry{Key: "s/" + id}, Deleted: true}, start)
+				r.Apply(provider.Change{Entry: provider.Entry{Key: "s/" + id}, Deleted: true, Age: test.age, MaxAge: test.maxAge}, start)
 			}
-			r.Tick(start.Add(1100 * time.Millisecond))
+			r.Tick(start.Add(test.at))
 			assert.Equal(t, (*published)["e1"], test.want)
 		})
 	}
--- a/internal/lister/restored_test.go
+++ b/internal/lister/restored_test.go
@@ -65,7 +65,7 @@
 				OnChange: func(change ListChange, _ time.Time) { applyChange(states, change) },
 			})
 			now := time.Now()
-			r.Replace([]provider.Entry{at(test.last, provider.Revision(1, 10)).Entry}, now, now)
+			r.Replace([]provider.Entry{at(test.last, provider.Revision(1, 10)).Entry}, period(now), now)
 			if test.isGone {
 				r.Apply(at(tombstone, provider.Revision(1, 20)), now)
 				now = now.Add(10 * time.Second)
@@ -77,7 +77,7 @@
 			for _, change := range test.restored {
 				entries = append(entries, at(change, provider.Revision(2, 10)).Entry)
 			}
-			r.Replace(entries, now, now)
+			r.Replace(entries, period(now), now)
 			for _, change := range test.then {
 				r.Apply(at(change, provider.Revision(2, 20)), now)
 			}
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -99,11 +99,17 @@
 type Change struct {
 	Entry   Entry
 	Deleted bool
-	// Age is the time since the first host received the change. For a host that has missed
-	// changes of the store it is the longest time since when the change may have been made.
+	// Age is the time since the first host received the change; 0 if it comes from the
+	// store itself.
 	Age time.Duration
+	// MaxAge is the longest time for which the change may have been made, where that is longer
+	// than Age because this host has missed changes. It is not passed on.
+	MaxAge time.Duration
 }
 
+// Period is the time within which a change was made.
+type Period struct{ Earliest, Latest time.Time }
+
 // Update holds the store changes after a revision that another host has received.
 type Update struct {
 	Changes  []Change // in the order of the store's revisions
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -182,7 +182,7 @@
 }
 
 // Replace implements follower.Sink.
-func (r *Registrar) Replace(entries []provider.Entry, _, _ time.Time) {
+func (r *Registrar) Replace(entries []provider.Entry, _ provider.Period, _ time.Time) {
 	r.mu.Lock()
 	r.hosts = map[string]Host{}
 	hasOwn := false
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -97,7 +97,7 @@
 			assert.NilError(t, err)
 			r.Replace([]provider.Entry{
 				{Key: Prefix + "h1", Value: encode(func(*Host) {})}, {Key: Prefix + "h2", Value: second},
-			}, time.Now(), time.Now())
+			}, provider.Period{}, time.Now())
 			assert.Equal(t, len(r.Peers()), 2)
 			r.Apply(provider.Change{Entry: provider.Entry{Key: Prefix + "h1", Value: test.value}}, time.Now())
 			assert.Equal(t, len(r.Peers()), test.want)
@@ -120,7 +120,7 @@
 			stored.Incarnation = test.incarnation
 			value, err := json.Marshal(stored)
 			assert.NilError(t, err)
-			r.Replace([]provider.Entry{{Key: Prefix + "own", Value: value}}, time.Now(), time.Now())
+			r.Replace([]provider.Entry{{Key: Prefix + "own", Value: value}}, provider.Period{}, time.Now())
 			assert.Equal(t, len(r.renewNow) > 0, test.want)
 		})
 	}
--- a/internal/relayer/missed.go
+++ b/internal/relayer/missed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/provider"
 )
 
 // This file determines how old a change may be that this host receives late. An endpoint whose
@@ -15,19 +16,15 @@
 // that send no load send a heartbeat each second.
 const freshUpdateAge = 1200 * time.Millisecond
 
-// minLapseTime is the shortest time without the store after which entries may have lapsed
-// because endpoints could not renew them.
-const minLapseTime = 2500 * time.Millisecond
-
-// MissedSince implements follower.Peers. If all hosts were without the store, the changes are
+// MissedPeriod implements follower.Peers. If all hosts were without the store, the changes are
 // recent: no host has received them before, and while the store was down it made none but the
 // expiry of leases.
-func (r *Relayer) MissedSince() time.Time {
+func (r *Relayer) MissedPeriod() provider.Period {
 	now, since := time.Now(), r.log.missedSince()
-	if now.Sub(since) >= minLapseTime && r.isOutageShared(now) {
-		return now
+	if r.isOutageShared(now) {
+		return provider.Period{Earliest: since, Latest: now}
 	}
-	return since
+	return provider.Period{Earliest: since, Latest: since}
 }
 
 // IsIsolated implements follower.Peers. It has to be called several times a second: a host that
--- a/internal/relayer/missed_test.go
+++ b/internal/relayer/missed_test.go
@@ -24,7 +24,7 @@
 	return peers
 }
 
-func TestMissedSince(t *testing.T) {
+func TestMissedPeriod(t *testing.T) {
 	t.Parallel()
 	type status struct {
 		id        string
@@ -56,9 +56,10 @@
 			}})
 			r.log.appendNew([]provider.Change{{Entry: provider.Entry{Key: "k", Revision: 5}}})
 			appendedAt := time.Now()
-			assert.Assert(t, !r.MissedSince().After(appendedAt), "no entry has lapsed yet")
 			r.Resumed(time.Minute)
-			assert.Equal(t, now.Sub(r.MissedSince()) < time.Second, test.isRecent)
+			missed := r.MissedPeriod()
+			assert.Assert(t, !missed.Earliest.After(appendedAt.Add(-time.Minute)))
+			assert.Equal(t, now.Sub(missed.Latest) < time.Second, test.isRecent)
 		})
 	}
 }
--- a/internal/relayer/relayer.go
+++ b/internal/relayer/relayer.go
@@ -196,12 +196,12 @@
 // can follow peers.
 func (r *Relayer) forwardChanges(w *watcher, storeWatcher provider.Watcher) error {
 	started := time.Now()
-	missed := max(started.Sub(r.MissedSince()), 0)
+	age := max(started.Sub(r.MissedPeriod().Latest), 0)
 	for changes := range storeWatcher.Changes() {
 		for i := range changes {
-			changes[i].Age = missed
+			changes[i].Age = age
 		}
-		missed = 0
+		age = 0 // later changes are received as they are made
 		if !w.deliver(r.log.appendNew(changes)) {
 			return w.ctx.Err()
 		}
--- a/internal/relayer/relayer_test.go
+++ b/internal/relayer/relayer_test.go
@@ -160,7 +160,7 @@
 
 // Replace implements follower.Sink. Entries that are later than all received changes
 // count as received.
-func (h *testHost) Replace(entries []provider.Entry, _, _ time.Time) {
+func (h *testHost) Replace(entries []provider.Entry, _ provider.Period, _ time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	slices.SortFunc(entries, func(a, b provider.Entry) int { return cmp.Compare(a.Revision, b.Revision) })
--- a/pkg/endivemast/gateway_snapshot.go
+++ b/pkg/endivemast/gateway_snapshot.go
@@ -24,7 +24,7 @@
 type snapshotSink struct{ gateway *Gateway }
 
 // Replace implements follower.Sink.
-func (s *snapshotSink) Replace(entries []provider.Entry, _, _ time.Time) {
+func (s *snapshotSink) Replace(entries []provider.Entry, _ provider.Period, _ time.Time) {
 	for _, entry := range entries {
 		s.installOrLog(entry)
 	}
