Connections between hosts are opened again within 0.9 s of a partition's end, and 1.2 s of silence

A connection that had gone silent was closed after 3 s of unacknowledged data, and one to a peer behind a partition tried again for up to 2.2 s after its end: a host was back as late as it counts.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -44,16 +44,22 @@
 	maxMessageBytes          = 4 << 20
 	// windowBytes is the fixed flow-control window. It disables the transport's bandwidth
 	// estimation, which sends a ping for each message.
-	windowBytes       = 1 << 20
-	updateTimeout     = time.Second
-	maxReconnectDelay = time.Second
+	windowBytes   = 1 << 20
+	updateTimeout = time.Second
+	// connectTimeout bounds the time to open a TCP connection, which does not depend on how
+	// busy the peer is. handshakeTimeout also covers the peer's first message.
+	connectTimeout   = 500 * time.Millisecond
+	handshakeTimeout = time.Second
+	// maxReconnectDelay bounds the delay between two attempts, before jitter of a fifth.
+	maxReconnectDelay = 300 * time.Millisecond
 	// userTimeout is how long data to a peer may stay unacknowledged before the connection is
 	// closed and opened again. A connection can stop transferring data permanently while new
-	// ones work; recovery from a few lost packets in a row takes less than this.
-	userTimeout = 3 * time.Second
+	// ones work; two retransmissions fit in this time.
+	userTimeout = 1200 * time.Millisecond
 	// pingInterval is the time without an update after which a server pings its peer, so that
 	// calls of an unreachable peer end.
 	pingInterval = 10 * time.Second
+	pingTimeout  = 3 * time.Second
 	maxCount     = 1 << 31 // requests or tokens of one host at an endpoint
 	maxHosts     = 1 << 16 // hosts whose load one message sums up
 	// secretHeader ends in -bin, so that gRPC accepts any bytes. Otherwise a binary secret,
--- a/internal/exchanger/links.go
+++ b/internal/exchanger/links.go
@@ -139,7 +139,7 @@
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.UnaryInterceptor(ex.checkUnary),
 		grpc.StreamInterceptor(ex.checkStream),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: userTimeout}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	}
 	if ex.cfg.ServerTLS != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(ex.cfg.ServerTLS)))
@@ -159,10 +159,10 @@
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(security),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return network.Dial(ctx, address, connector.Options{Timeout: maxReconnectDelay, UserTimeout: userTimeout})
+			return network.Dial(ctx, address, connector.Options{Timeout: connectTimeout, UserTimeout: userTimeout})
 		}),
 		grpc.WithPerRPCCredentials(peerSecret{secret: ex.cfg.Secret}),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: maxReconnectDelay}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: handshakeTimeout}),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
