ORDER: software versions of engines and resumed streams are logged

The software version of an engine's entry was required and dropped, and Resumes was read nowhere. Both are decoded now and appear in the lines about registrations, attempts and requests. No decision uses them yet. driver.Target.SoftwareVersion is that of the program; the Version fields of orders and reports are those of weights.

--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -30,6 +30,7 @@
 	Payload       driver.Payload
 	Prompt        Prompt  // of a generation
 	ResumeAfter   string  // ID of the last event that the caller received in an earlier attempt of theirs
+	Resumes       string  // ID of their attempt that brought the first event; empty: not stated
 	Origin        *Origin // of a request that a peer has passed to this host; nil: from a caller
 }
 
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -69,7 +69,7 @@
 func (l *requestLogger) logFailedAttempt(fr *forwardedRequest, grant scheduler.Grant, step string, err error) {
 	basis := grant.Basis()
 	args := []any{
-		"step", step, "endpoint_id", basis.EndpointID, "error", err.Error(),
+		"step", step, "endpoint_id", basis.EndpointID, "software_version", basis.SoftwareVersion, "error", err.Error(),
 		"requests_there", basis.Requests, "peers_part", basis.PeerRequests, "prompt_tokens_ahead", basis.TokensAhead,
 		"estimated_first_ms", basis.FirstToken.Milliseconds(), "listed_for_ms", basis.RoleAge.Milliseconds(),
 		"sends", fr.sends, "may_have_run", fr.runs > 0,
@@ -77,6 +77,7 @@
 	if errors.Is(err, driver.ErrOutcomeUnknown) {
 		args = append(args, interruptionArgs(fr)...)
 	}
+	args = append(args, resumptionArgs(fr)...)
 	l.write(hclog.Info, "attempt failed", fr, append(args, l.listEntryArgs(&basis)...)...)
 }
 
@@ -119,6 +120,7 @@
 		"first_ms", fr.timings.firstEvent.Milliseconds(), "events", fr.eventsSent,
 	}
 	args = append(args, promptArgs(fr)...)
+	args = append(args, resumptionArgs(fr)...)
 	args = append(args, hostArgs(fr)...)
 	if fr.admission.IsRefused || fr.admission.IsTrial {
 		args = append(args, "request_name", fr.admission.Fingerprint.String(), "caller", fr.request.CallerAddress, "is_trial", fr.admission.IsTrial)
@@ -141,7 +143,7 @@
 		limiter = l.failureLimiter
 	}
 	args := []any{
-		"late", missedTarget(fr), "endpoint_id", fr.basis.EndpointID, "prefill_endpoint_id", fr.basis.PrefillID,
+		"late", missedTarget(fr), "endpoint_id", fr.basis.EndpointID, "software_version", fr.basis.SoftwareVersion, "prefill_endpoint_id", fr.basis.PrefillID,
 		"course", fr.basis.Path, "read_tokens", fr.basis.PrefillTokens, "fetch_endpoint_id", fr.basis.FetchID,
 		"requests_there", fr.basis.Requests, "peers_part", fr.basis.PeerRequests, "prompt_tokens_ahead", fr.basis.TokensAhead,
 		"estimated_first_ms", fr.basis.FirstToken.Milliseconds(), "queued_ms", fr.timings.queued.Milliseconds(),
@@ -151,6 +153,7 @@
 		"sends", fr.sends, "runs", fr.runs, "events", fr.eventsSent,
 	}
 	args = append(args, l.listEntryArgs(&fr.basis)...)
+	args = append(args, resumptionArgs(fr)...)
 	args = append(args, hostArgs(fr)...)
 	l.writeLimited(limiter, hclog.Info, "request served", fr, append(args, promptArgs(fr)...)...)
 }
@@ -167,6 +170,15 @@
 	return args
 }
 
+// resumptionArgs states which stream the caller takes up, and after which event. It returns nothing
+// for a request that begins a stream.
+func resumptionArgs(fr *forwardedRequest) []any {
+	if fr.request.ResumeAfter == "" {
+		return nil
+	}
+	return []any{"resumes", fr.request.Resumes, "resumed_after", fr.request.ResumeAfter}
+}
+
 // promptArgs returns the size of a generation's prompt, and nothing for a call.
 func promptArgs(fr *forwardedRequest) []any {
 	if fr.request.Class.Kind != configurer.KindGenerate {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -64,6 +64,8 @@
 	EndpointID  string
 	Incarnation string // of the endpoint's process; empty: not known
 	Address     string // IP and port
+	// SoftwareVersion is that of the process's program, not of its weights; empty: not known.
+	SoftwareVersion string
 }
 
 // GenerateCall requests a generation from an engine.
--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -282,7 +282,7 @@
 	delete(r.invalid, id)
 	if !isKnown || before != host {
 		r.cfg.Logger.Info("endpoint registered", "endpoint_id", id, "application", host.Application, "address", host.Address,
-			"zone", host.Zone, "state", host.State, "role", host.Role, "revision", entry.Revision)
+			"zone", host.Zone, "state", host.State, "role", host.Role, "software_version", host.SoftwareVersion, "revision", entry.Revision)
 	}
 	return id
 }
--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -221,6 +221,9 @@
 	Role string `json:"role,omitempty"`
 	// IsSpot is true for a cheaper engine that may be withdrawn at short notice.
 	IsSpot bool `json:"is_spot,omitempty"`
+	// SoftwareVersion is that of the program that the endpoint runs, not of its weights;
+	// empty: not reported. Versions have no order.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// Slots is how many requests an endpoint runs at once; 0: not reported.
 	Slots int `json:"slots,omitempty"`
 	// Revision is the store revision of the endpoint's entry; 0: not known.
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -85,7 +85,7 @@
 		decodeLoad: tracker.Load{Requests: 1, DecodeTokens: expected},
 	}
 	g.basis = Basis{
-		EndpointID: choice.Decode.Target.EndpointID, Requests: g.concurrent, PeerRequests: choice.Decode.Peers.Requests,
+		EndpointID: choice.Decode.Target.EndpointID, SoftwareVersion: choice.Decode.Target.SoftwareVersion, Requests: g.concurrent, PeerRequests: choice.Decode.Peers.Requests,
 		TokensAhead: choice.TokensAhead, FirstToken: choice.TimeToFirstToken, RoleAge: now.Sub(choice.Decode.RoleSince),
 		ListRevision: choice.Decode.ListEntry.Revision, ListAge: choice.Decode.ListEntry.Age(now),
 		Path: choice.Path, PrefillTokens: choice.PrefillTokens, FetchID: g.targets.fetch.EndpointID,
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -239,7 +239,7 @@
 	if isNew || endpoint.ListEntry.Revision != host.Revision {
 		endpoint.ListEntry = ListEntry{Revision: host.Revision, ReceivedAt: now}
 	}
-	endpoint.Target.Address = host.Address
+	endpoint.Target.Address, endpoint.Target.SoftwareVersion = host.Address, host.SoftwareVersion
 	endpoint.Zone = host.Zone
 	endpoint.Application = host.Application
 	endpoint.Kind = host.Kind
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -67,18 +67,20 @@
 
 // Basis is this host's view of an endpoint when it was chosen.
 type Basis struct {
-	EndpointID    string
-	PrefillID     string            // of the engine that prefills the prompt; empty: EndpointID, or none
-	Path          router.PromptPath // how the prompt gets to EndpointID
-	PrefillTokens int               // prompt tokens expected to be prefilled
-	FetchID       string            // of the engine from which a part of the prefix is fetched; empty: none
-	Requests      int               // in flight there, of all hosts
-	PeerRequests  int               // of these, those reported by peers
-	TokensAhead   int               // prompt tokens queued at the prefilling engine
-	FirstToken    time.Duration     // estimated time to the first token, or to the answer of a call
-	RoleAge       time.Duration     // since its current role, or the endpoint itself, was first seen
-	ListRevision  int64             // store revision of the endpoint's latest platform list entry
-	ListAge       time.Duration     // since this host received that entry
+	EndpointID string
+	// SoftwareVersion is that of EndpointID's program; empty: not known.
+	SoftwareVersion string
+	PrefillID       string            // of the engine that prefills the prompt; empty: EndpointID, or none
+	Path            router.PromptPath // how the prompt gets to EndpointID
+	PrefillTokens   int               // prompt tokens expected to be prefilled
+	FetchID         string            // of the engine from which a part of the prefix is fetched; empty: none
+	Requests        int               // in flight there, of all hosts
+	PeerRequests    int               // of these, those reported by peers
+	TokensAhead     int               // prompt tokens queued at the prefilling engine
+	FirstToken      time.Duration     // estimated time to the first token, or to the answer of a call
+	RoleAge         time.Duration     // since its current role, or the endpoint itself, was first seen
+	ListRevision    int64             // store revision of the endpoint's latest platform list entry
+	ListAge         time.Duration     // since this host received that entry
 }
 
 // Result is how a Grant's use ended: Completed, Abandoned or Failed.
--- a/pkg/endivemast/gateway_caches.go
+++ b/pkg/endivemast/gateway_caches.go
@@ -46,7 +46,7 @@
 }
 
 func targetOf(host *provider.Host) driver.Target {
-	return driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation, Address: host.Address}
+	return driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation, Address: host.Address, SoftwareVersion: host.SoftwareVersion}
 }
 
 // applyCacheEvents applies changes of an engine's cache.
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -140,7 +140,7 @@
 // engine returns an engine's process and its role.
 func (g *Gateway) engine(endpointID string) (target driver.Target, role driver.Role, ok bool) {
 	host, ok := g.registrations.Find(endpointID)
-	return driver.Target{EndpointID: host.ID, Incarnation: host.Incarnation, Address: host.Address}, driver.Role(host.Role), ok
+	return targetOf(&host), driver.Role(host.Role), ok
 }
 
 // OwnLoad implements exchanger.Local.
