ORDER: a stream goes on only at the software version that began it, within an answer

What callers saw: an answer whose events come from engines of two software versions. Cause: the next attempt after a break took any engine but the one that had failed. A stream is bound to the version of the engine that writes its first event; the scheduler grants only endpoints of it and refuses at once (no_version) where none is left. Work for one version waits in a queue of its own, with that version's capacity, so that it delays nobody else. A peer is told the version, and says at which one it began a stream.

--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -53,7 +53,7 @@
 }
 
 func (fr *forwardedRequest) deliver(buffered *bufferedAnswer) error {
-	if err := fr.writer.WriteHeader(buffered.status, buffered.header, int64(len(buffered.body))); err != nil {
+	if err := fr.writer.WriteHeader(AnswerHead{Status: buffered.status, Header: buffered.header, Length: int64(len(buffered.body)), SoftwareVersion: fr.lastAttempt.softwareVersion}); err != nil {
 		return errors.Join(errCallerGone, err)
 	}
 	fr.isHeaderSent = true
@@ -108,7 +108,9 @@
 
 func (fr *forwardedRequest) writeEvents(answer *driver.ForwardAnswer, events []byte) error {
 	if !fr.isHeaderSent {
-		if err := fr.writer.WriteHeader(answer.Status, answer.Header, -1); err != nil {
+		fr.bindSoftwareVersion()
+		head := AnswerHead{Status: answer.Status, Header: answer.Header, Length: -1, SoftwareVersion: fr.softwareVersion}
+		if err := fr.writer.WriteHeader(head); err != nil {
 			return errors.Join(errCallerGone, err)
 		}
 		fr.isHeaderSent = true
@@ -130,7 +132,7 @@
 		return nil
 	}
 	fr.isHeaderSent = true
-	if err := fr.writer.WriteHeader(answer.Status, answer.Header, 0); err != nil {
+	if err := fr.writer.WriteHeader(AnswerHead{Status: answer.Status, Header: answer.Header, SoftwareVersion: fr.lastAttempt.softwareVersion}); err != nil {
 		return errors.Join(errCallerGone, err)
 	}
 	return nil
@@ -139,9 +141,7 @@
 // finishUnserved ends a request that has no complete answer, and returns its error. A buffered
 // fault answer of an endpoint is delivered instead, if there is one.
 func (fr *forwardedRequest) finishUnserved(ctx context.Context, err error) error {
-	if fr.cacheHandle != nil {
-		fr.forwarder.releaseCache(*fr.cacheHandle)
-	}
+	fr.dropCache()
 	if fr.isHeaderSent {
 		return errors.Join(ErrPartialAnswer, err)
 	}
--- a/internal/dispatcher/forwarded_charge_test.go
+++ b/internal/dispatcher/forwarded_charge_test.go
@@ -68,8 +68,8 @@
 
 type discardWriter struct{}
 
-func (discardWriter) WriteHeader(int, http.Header, int64) error { return nil }
-func (discardWriter) Write([]byte) error                        { return nil }
+func (discardWriter) WriteHeader(AnswerHead) error { return nil }
+func (discardWriter) Write([]byte) error           { return nil }
 
 // A request is charged once before it is sent. Further charges and the refund depend on what an
 // endpoint may have run of it.
--- a/internal/dispatcher/forwarded_repeat.go
+++ b/internal/dispatcher/forwarded_repeat.go
@@ -25,7 +25,7 @@
 			return false
 		}
 	}
-	if errors.Is(err, errTimeout) {
+	if errors.Is(err, errTimeout) || fr.isVersionUnknown {
 		return false
 	}
 	if errors.Is(err, driver.ErrNotSent) {
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -66,21 +66,27 @@
 	basis             scheduler.Basis // scheduling basis of the latest attempt
 	timings           requestTimings
 
-	lastAttempt attemptTimes
+	lastAttempt attemptState
 
 	cacheHandle  *driver.KVHandle // of the prompt's KV cache, not fetched by an engine yet
 	cacheReadyAt time.Time
 
 	isHeaderSent bool   // the status and header have been sent to the caller
 	lastEventID  string // ID of the last event that the caller has
-	eventsSent   int    // number of events that the caller has
-	faultAnswer  *bufferedAnswer
+	// softwareVersion is that of the endpoint that began the stream: only endpoints of the same
+	// one may go on with it. Empty before its first event.
+	softwareVersion string
+	// isVersionUnknown is true for a stream that a peer began without stating its software version.
+	isVersionUnknown bool
+	eventsSent       int // number of events that the caller has
+	faultAnswer      *bufferedAnswer
 }
 
-// attemptTimes holds the times of a request's latest send or prefill.
-type attemptTimes struct {
-	sentAt       time.Time
-	firstEventAt time.Time // of its first event; zero if none has arrived
+// attemptState describes a request's latest send or prefill.
+type attemptState struct {
+	softwareVersion string // of the endpoint, or stated by the peer
+	sentAt          time.Time
+	firstEventAt    time.Time // of its first event; zero if none has arrived
 }
 
 // requestTimings states where a request's time was spent, over all its attempts.
@@ -99,6 +105,7 @@
 	}
 	if origin := request.Origin; origin != nil {
 		fr.application, fr.runs, fr.eventsSent, fr.isHeaderSent = origin.Application, origin.Runs, origin.Events, origin.IsHeaderSent
+		fr.softwareVersion = origin.SoftwareVersion
 	} else {
 		fr.application = pickApplication(request.Class.Shares)
 	}
@@ -168,6 +175,10 @@
 	ctx, attempt := fr.beginAttempt(ctx)
 	defer attempt.end()
 	grant, err := fr.forwarder.cfg.Scheduler.Acquire(ctx, fr.work())
+	if fr.isCacheUnusable(err) {
+		fr.dropCache()
+		grant, err = fr.forwarder.cfg.Scheduler.Acquire(ctx, fr.work())
+	}
 	if err != nil {
 		return pathLost(ctx, err)
 	}
@@ -234,11 +245,43 @@
 	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrReplaced) && !errors.Is(err, driver.ErrWrongRole)
 }
 
-func (fr *forwardedRequest) work() scheduler.Work {
-	if fr.cacheHandle != nil && !fr.hasCache() {
+// isCacheUnusable reports whether a refusal is due to the KV cache alone: no endpoint of the
+// software version that has written it is left.
+func (fr *forwardedRequest) isCacheUnusable(err error) bool {
+	refusal := refusalOf(err)
+	return refusal != nil && refusal.Reason == scheduler.ReasonNoVersion && fr.softwareVersion == "" && fr.cacheHandle != nil
+}
+
+// dropCache releases the KV cache if there is one.
+func (fr *forwardedRequest) dropCache() {
+	if fr.cacheHandle != nil {
 		fr.forwarder.releaseCache(*fr.cacheHandle)
 		fr.cacheHandle = nil
 	}
+}
+
+// bindSoftwareVersion binds a stream whose first event has arrived to the software version of the
+// endpoint that has written it.
+func (fr *forwardedRequest) bindSoftwareVersion() {
+	if fr.softwareVersion != "" {
+		return
+	}
+	fr.softwareVersion = fr.lastAttempt.softwareVersion
+	fr.isVersionUnknown = fr.isAtPeer && fr.softwareVersion == ""
+}
+
+// neededVersion returns the software version that the next endpoint must have; empty: any.
+func (fr *forwardedRequest) neededVersion() string {
+	if fr.softwareVersion == "" && fr.hasCache() {
+		return fr.cacheHandle.SoftwareVersion
+	}
+	return fr.softwareVersion
+}
+
+func (fr *forwardedRequest) work() scheduler.Work {
+	if !fr.hasCache() {
+		fr.dropCache()
+	}
 	class := fr.request.Class.Class
 	class.Application = fr.application
 	return scheduler.Work{
@@ -246,6 +289,7 @@
 		PromptTokens: fr.request.Prompt.Tokens, PrefixKey: fr.request.Prompt.PrefixKey,
 		PrefixTokens: fr.request.Prompt.PrefixTokens, PrefixParts: fr.request.Prompt.PrefixParts, MaxOutputTokens: fr.request.Prompt.MaxOutputTokens,
 		DeliveredTokens: fr.eventsSent, Excluded: fr.excluded, IsPrefilled: fr.hasCache(),
+		SoftwareVersion: fr.neededVersion(), IsResumed: fr.request.ResumeAfter != "",
 	}
 }
 
@@ -275,7 +319,7 @@
 		call.FetchFrom = holder.Address
 	}
 	startedAt := time.Now()
-	fr.lastAttempt = attemptTimes{sentAt: startedAt}
+	fr.lastAttempt = attemptState{sentAt: startedAt}
 	handle, err := fr.forwarder.cfg.Driver.ForwardPrefill(ctx, target, call)
 	fr.timings.prefill += time.Since(startedAt)
 	if err == nil {
@@ -319,7 +363,7 @@
 	}
 	call := fr.newCall()
 	call.Import, call.IsStillNeeded = fr.cacheHandle, grant.IsAvailable
-	fr.lastAttempt = attemptTimes{sentAt: time.Now()}
+	fr.lastAttempt = attemptState{sentAt: time.Now(), softwareVersion: grant.Target().SoftwareVersion}
 	answer, err := fr.forwarder.cfg.Driver.Forward(ctx, grant.Target(), call)
 	if !errors.Is(err, driver.ErrNotSent) {
 		fr.sends++
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -43,11 +43,20 @@
 	PrefixParts     []scheduler.Part // parts of the prefix, in order
 }
 
+// AnswerHead is the head of an answer.
+type AnswerHead struct {
+	Status int
+	Header http.Header
+	Length int64 // of the body, in bytes; -1: unknown
+	// SoftwareVersion is that of the endpoint that answers; empty: not known. It is not sent to
+	// the caller.
+	SoftwareVersion string
+}
+
 // AnswerWriter sends an answer to the caller. An error means that the caller has disconnected.
 type AnswerWriter interface {
-	// WriteHeader sends the status and header. length is the body's length in bytes, or -1 if
-	// unknown.
-	WriteHeader(status int, header http.Header, length int64) error
+	// WriteHeader sends the head.
+	WriteHeader(head AnswerHead) error
 	// Write sends a piece of the body immediately.
 	Write(p []byte) error
 }
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -76,6 +76,8 @@
 	Runs         int // endpoints that may have run the request
 	Events       int // of the answer, that the caller has
 	IsHeaderSent bool
+	// SoftwareVersion is that at which the stream began; empty: it has not begun.
+	SoftwareVersion string
 }
 
 // PeerRequest is a request to pass to a peer.
@@ -93,6 +95,8 @@
 type PeerAnswer struct {
 	HostID string
 	driver.ForwardAnswer
+	// SoftwareVersion is that of the endpoint that answers; empty: the peer does not state it.
+	SoftwareVersion string
 	// Outcome returns how the request has ended at the peer; ok is false before its end, and if
 	// that is not known.
 	Outcome func() (outcome PeerOutcome, ok bool)
@@ -238,6 +242,7 @@
 		AcceptsEqual: fr.failedConnections >= maxFailedConnections,
 		Origin: Origin{
 			Application: fr.application, Runs: fr.runs, Events: fr.eventsSent, IsHeaderSent: fr.isHeaderSent,
+			SoftwareVersion: fr.softwareVersion,
 		},
 	}
 	hostID, ok := fr.forwarder.cfg.Peers.Choose(request)
@@ -252,10 +257,7 @@
 	attempt.setPeer(hostID, fr.mayAbandon())
 	answer, err := fr.forwarder.cfg.Peers.Forward(ctx, hostID, request)
 	fr.triedPeers = append(fr.triedPeers, hostID)
-	if fr.cacheHandle != nil {
-		fr.forwarder.releaseCache(*fr.cacheHandle)
-		fr.cacheHandle = nil
-	}
+	fr.dropCache()
 	if err == nil {
 		err = fr.forwardFromPeer(ctx, &answer)
 	}
@@ -270,6 +272,7 @@
 func (fr *forwardedRequest) forwardFromPeer(ctx context.Context, answer *PeerAnswer) error {
 	defer answer.Body.Close()
 	fr.isAtPeer = true
+	fr.lastAttempt = attemptState{sentAt: time.Now(), softwareVersion: answer.SoftwareVersion}
 	defer func() { fr.isAtPeer = false }()
 	isStream := fr.request.Class.Kind == configurer.KindGenerate && answer.Status < http.StatusMultipleChoices
 	var err error
--- a/internal/dispatcher/requestlog_test.go
+++ b/internal/dispatcher/requestlog_test.go
@@ -70,7 +70,7 @@
 		var output bytes.Buffer
 		l := newRequestLogger(hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &output}), nil)
 		request := &OpaqueRequest{ID: id, CallerAddress: caller, Arrived: time.Now(), Payload: driver.Payload{Method: "POST", Path: "/fill/x", Body: []byte(body)}}
-		fr := &forwardedRequest{request: request, identity: identityOf(request), lastAttempt: attemptTimes{firstEventAt: time.Now().Add(-2 * time.Second)}}
+		fr := &forwardedRequest{request: request, identity: identityOf(request), lastAttempt: attemptState{firstEventAt: time.Now().Add(-2 * time.Second)}}
 		l.logFailedAttempt(fr, &grantWithBasis{}, "send", errors.Join(driver.ErrOutcomeUnknown, errors.New("interrupted")))
 		assert.NilError(t, json.Unmarshal(output.Bytes(), &fields))
 		return fields
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -89,7 +89,9 @@
 	HandleID string `json:"handle_id"`
 	Address  string `json:"address"` // of the exporting engine
 	Tokens   int    `json:"tokens"`  // prompt tokens that it covers
-	Bytes    int64  `json:"bytes"`
+	// SoftwareVersion is that of the exporting engine; empty: not known.
+	SoftwareVersion string `json:"-"`
+	Bytes           int64  `json:"bytes"`
 }
 
 // Event is one part of the answer to a GenerateCall: Token or End.
--- a/internal/peerforwarder/client.go
+++ b/internal/peerforwarder/client.go
@@ -55,15 +55,14 @@
 		x.close(outcomeUnknown)
 		return answer, fmt.Errorf("%w: peer %s: %w", driver.ErrOutcomeUnknown, hostID, causeOf(ctx, err))
 	}
-	forwarded, err := x.receiveHead(request.Origin.IsHeaderSent)
+	answer, err = x.receiveHead(request.Origin.IsHeaderSent)
 	if err != nil {
 		if isUnsuitable(err) {
 			f.avoid(hostID, request.Origin.Application)
 		}
 		x.close(outcomeOf(err))
-		return answer, err
 	}
-	return dispatcher.PeerAnswer{HostID: hostID, ForwardAnswer: forwarded, Outcome: x.knownOutcome}, nil
+	return answer, err
 }
 
 // causeOf returns the cancellation cause of ctx if it has ended, and err otherwise.
@@ -118,16 +117,18 @@
 }
 
 // receiveHead waits for the head of the answer. An answer that continues an earlier one has none.
-func (x *exchange) receiveHead(isHeaderSent bool) (answer driver.ForwardAnswer, err error) {
+func (x *exchange) receiveHead(isHeaderSent bool) (answer dispatcher.PeerAnswer, err error) {
 	reply, err := x.stream.Recv()
 	if err != nil {
 		return answer, x.broken(err)
 	}
-	answer = driver.ForwardAnswer{Status: http.StatusOK, Length: -1, Body: x}
+	answer = dispatcher.PeerAnswer{
+		HostID: x.hostID, ForwardAnswer: driver.ForwardAnswer{Status: http.StatusOK, Length: -1, Body: x}, Outcome: x.knownOutcome,
+	}
 	switch part := reply.GetPart().(type) {
 	case *peerforwarderpb.ForwardReply_Head:
 		answer.Status, answer.Length = int(part.Head.GetStatus()), part.Head.GetLength()
-		answer.Header = headersFromMessage(part.Head.GetHeaders())
+		answer.Header, answer.SoftwareVersion = headersFromMessage(part.Head.GetHeaders()), part.Head.GetSoftwareVersion()
 	case *peerforwarderpb.ForwardReply_Body:
 		if !isHeaderSent {
 			return answer, x.broken(errNoHead)
--- a/internal/peerforwarder/messages.go
+++ b/internal/peerforwarder/messages.go
@@ -30,6 +30,7 @@
 		AgeUs: (time.Since(request.Arrived) + deadlineMargin).Microseconds(), CallerTimeoutUs: request.CallerTimeout.Microseconds(),
 		ResumeAfter: r.ResumeAfter, Application: r.Origin.Application, ConfigurationVersion: f.cfg.ConfigurationVersion(),
 		Runs: int64(r.Origin.Runs), Events: int64(r.Origin.Events), IsHeaderSent: r.Origin.IsHeaderSent, FromHost: f.cfg.HostID,
+		SoftwareVersion: r.Origin.SoftwareVersion,
 		Prompt: &peerforwarderpb.Prompt{
 			Tokens: int64(prompt.Tokens), MaxOutputTokens: int64(prompt.MaxOutputTokens), PrefixKey: prompt.PrefixKey,
 			PrefixTokens: int64(prompt.PrefixTokens),
@@ -57,6 +58,7 @@
 		Origin: &dispatcher.Origin{
 			HostID: head.GetFromHost(), Application: head.GetApplication(), Runs: int(max(head.GetRuns(), 0)),
 			Events: int(max(head.GetEvents(), 0)), IsHeaderSent: head.GetIsHeaderSent(),
+			SoftwareVersion: head.GetSoftwareVersion(),
 		},
 	}
 	for _, part := range prompt.GetPrefixParts() {
--- a/internal/peerforwarder/peerforwarder_test.go
+++ b/internal/peerforwarder/peerforwarder_test.go
@@ -124,7 +124,7 @@
 	body := strings.Repeat("answer", 100_000)
 	p := newPair(t, func(_ context.Context, request dispatcher.OpaqueRequest, w dispatcher.AnswerWriter) (dispatcher.PeerOutcome, error) {
 		received = request
-		err := w.WriteHeader(201, http.Header{"Server-Signature": {"s"}}, int64(len(body)))
+		err := w.WriteHeader(dispatcher.AnswerHead{Status: 201, Header: http.Header{"Server-Signature": {"s"}}, Length: int64(len(body))})
 		return dispatcher.PeerOutcome{IsComplete: true, Sends: 2, Runs: 2, EndpointID: "e1"}, errors.Join(err, w.Write([]byte(body)))
 	})
 	request := newRequest()
@@ -235,7 +235,7 @@
 func TestInterruptedAnswerIsNotComplete(t *testing.T) {
 	t.Parallel()
 	p := newPair(t, func(_ context.Context, _ dispatcher.OpaqueRequest, w dispatcher.AnswerWriter) (dispatcher.PeerOutcome, error) {
-		err := errors.Join(w.WriteHeader(200, nil, -1), w.Write([]byte("first")))
+		err := errors.Join(w.WriteHeader(dispatcher.AnswerHead{Status: 200, Length: -1}), w.Write([]byte("first")))
 		return dispatcher.PeerOutcome{IsPartial: true, Runs: 2}, err
 	})
 	answer, err := p.forward(context.Background(), newRequest())
@@ -277,7 +277,7 @@
 	var mu sync.Mutex
 	written := 0
 	p := newPair(t, func(ctx context.Context, request dispatcher.OpaqueRequest, w dispatcher.AnswerWriter) (dispatcher.PeerOutcome, error) {
-		if err := w.WriteHeader(200, nil, -1); err != nil {
+		if err := w.WriteHeader(dispatcher.AnswerHead{Status: 200, Length: -1}); err != nil {
 			return dispatcher.PeerOutcome{}, err
 		}
 		for n := 0; request.ID == "slow" && n < 1000; n++ {
@@ -313,7 +313,7 @@
 	release := make(chan struct{})
 	p := newPair(t, func(_ context.Context, _ dispatcher.OpaqueRequest, w dispatcher.AnswerWriter) (dispatcher.PeerOutcome, error) {
 		<-release
-		return dispatcher.PeerOutcome{IsComplete: true}, w.WriteHeader(200, nil, 0)
+		return dispatcher.PeerOutcome{IsComplete: true}, w.WriteHeader(dispatcher.AnswerHead{Status: 200})
 	})
 	var group errgroup.Group
 	group.Go(func() error {
--- a/internal/peerforwarder/server.go
+++ b/internal/peerforwarder/server.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net/http"
 	"strings"
 	"time"
 
@@ -143,9 +142,9 @@
 }
 
 // WriteHeader implements dispatcher.AnswerWriter.
-func (w *streamWriter) WriteHeader(status int, header http.Header, length int64) error {
+func (w *streamWriter) WriteHeader(head dispatcher.AnswerHead) error {
 	return w.stream.Send(&peerforwarderpb.ForwardReply{Part: &peerforwarderpb.ForwardReply_Head{Head: &peerforwarderpb.AnswerHead{
-		Status: int64(status), Headers: headersToMessage(header), Length: length,
+		Status: int64(head.Status), Headers: headersToMessage(head.Header), Length: head.Length, SoftwareVersion: head.SoftwareVersion,
 	}}})
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -32,12 +32,14 @@
 	urgentIntervalPercent = 120
 )
 
-// queue holds one application's waiting work in order. items[i] belongs to waiters[i].
+// queue holds one application's waiting work in order: that for any endpoint, or that for
+// endpoints of one software version. items[i] belongs to waiters[i].
 type queue struct {
-	application string
-	items       []admitter.Item
-	waiters     []*waiter
-	correction  capacityCorrection
+	application     string
+	softwareVersion string // empty: any
+	items           []admitter.Item
+	waiters         []*waiter
+	correction      capacityCorrection
 }
 
 // waiter is a waiting call of Acquire.
@@ -107,7 +109,7 @@
 	w.expected = s.expectedTokens(work)
 	s.recordOffered(application, w, now)
 	item := s.newItem(application, w, now)
-	q := s.queue(application.Name)
+	q := s.queueOf(work)
 	position := admitter.Position(q.items, &item)
 	verdict := router.Verdict{Kind: router.Busy}
 	if position == 0 || item.IsStarted {
@@ -143,14 +145,17 @@
 func (s *Scheduler) refuseUnservable(work *Work, verdict *router.Verdict, item *admitter.Item, now time.Time) (outcome, bool) {
 	switch verdict.Kind {
 	case router.NoEndpoint:
+		if work.SoftwareVersion != "" && !s.table.Application(work.Class.Application).HasSoftwareVersion(work.SoftwareVersion) {
+			return refusal(ReasonNoVersion, noEndpointRetryDelay), true
+		}
 		return refusal(ReasonNoEndpoint, noEndpointRetryDelay), true
 	case router.BreakerOpen:
-		if item.IsStarted && !work.isRetry() || verdict.RetryAt.Before(item.RefuseAt) {
+		if work.DeliveredTokens > 0 || verdict.RetryAt.Before(item.RefuseAt) {
 			return outcome{}, false
 		}
 		return refusal(ReasonNoEndpoint, max(verdict.RetryAt.Sub(now), time.Millisecond)), true
 	case router.BackingOff:
-		if item.IsStarted && (!work.isRetry() || verdict.RetryAt.Before(item.RefuseAt)) {
+		if item.IsStarted && (work.DeliveredTokens > 0 || verdict.RetryAt.Before(item.RefuseAt)) {
 			return outcome{}, false
 		}
 		return refusal(ReasonBackoff, s.retryAfterBackoff(verdict, now)), true
@@ -186,6 +191,7 @@
 		OutputTokens:        w.expected,
 		TokenIntervalTarget: work.Class.BetweenTokensTarget(),
 		Excluded:            work.Excluded,
+		SoftwareVersion:     work.SoftwareVersion,
 		IsPrefilled:         work.IsPrefilled,
 		IgnoreLimits:        item.IsStarted || s.cfg.Policy.Admission == AdmitAll,
 		HasSlot:             s.cfg.Limiter.HasSlot,
@@ -204,17 +210,18 @@
 		query.AllowEarlyProbe = true
 		choice, verdict = s.router.Choose(application, &query)
 	}
-	s.requestSlots(application, &verdict)
+	q := s.queueOf(work)
+	s.requestSlots(q, &verdict)
 	if verdict.Kind != router.Chosen {
 		return nil, verdict
 	}
 	application.ObserveCost(item.Cost)
 	g := s.newGrant(work, &choice, w.expected, item.LatestStart, now)
-	if len(work.Excluded) == 0 && !item.IsStarted {
+	if len(work.Excluded) == 0 && (!item.IsStarted || work.IsResumed) {
 		s.class(work).Served++
 	}
 	s.table.Tenant(tenantKey(work)).UsedSeconds += item.Cost.Seconds()
-	s.queue(application.Name).correction.grantedSeconds += item.Cost.Seconds()
+	q.correction.grantedSeconds += item.Cost.Seconds()
 	return g, verdict
 }
 
@@ -244,7 +251,7 @@
 		cost = estimator.Scale(cost, application.Summary.CostScale)
 	}
 	s.nextID++
-	isStarted := work.DeliveredTokens > 0 || work.isRetry()
+	isStarted := work.DeliveredTokens > 0 || work.isRetry() || work.IsResumed
 	refuseAt := admitter.LatestStart(&work.Class, work.Arrived, isStarted, mean)
 	if work.isRetry() {
 		refuseAt = work.RetryUntil
@@ -267,7 +274,12 @@
 
 // capacity returns the engine seconds per second that serve the queue.
 func (s *Scheduler) capacity(q *queue) float64 {
-	return s.table.Application(q.application).Summary.Capacity * q.correction.factor()
+	return s.engineSeconds(q) * q.correction.factor()
+}
+
+// engineSeconds is capacity without the queue's correction.
+func (s *Scheduler) engineSeconds(q *queue) float64 {
+	return s.table.Application(q.application).Summary.CapacityOf(q.softwareVersion)
 }
 
 // promptTokens estimates how many prompt tokens have to be prefilled.
@@ -322,7 +334,7 @@
 	s.logger.Debug("work refused", "request_id", w.work.RequestID, "class", w.work.Class.Name, "reason", refused.Reason,
 		"retry_after_ms", refused.RetryAfter.Milliseconds(), "age_ms", s.now().Sub(w.work.Arrived).Milliseconds(),
 		"endpoints", application.Len(), "usable", application.Summary.Usable, "capacity", application.Summary.Capacity,
-		"pace", q.correction.factor(), "queued", len(q.items), "excluded", len(w.work.Excluded))
+		"pace", q.correction.factor(), "queued", len(q.items), "excluded", len(w.work.Excluded), "software_version", w.work.SoftwareVersion)
 }
 
 func (s *Scheduler) refuseAll(q *queue, reason RefusalReason) {
@@ -337,15 +349,20 @@
 	}
 }
 
-// dispatchWaiting assigns waiting work to endpoints with free capacity, and refuses work
-// that can no longer meet its targets.
+// dispatchWaiting assigns an application's waiting work to endpoints with free capacity, and
+// refuses work that can no longer meet its targets.
 func (s *Scheduler) dispatchWaiting(name string, now time.Time) {
-	q := s.queues[name]
-	if q == nil || len(q.items) == 0 {
-		return
+	// Work for one software version has fewer endpoints to choose from.
+	for _, q := range slices.Backward(s.queues[name]) {
+		if len(q.items) > 0 {
+			s.dispatchQueue(q, now)
+		}
 	}
+}
+
+func (s *Scheduler) dispatchQueue(q *queue, now time.Time) {
 	s.table.Refresh(now)
-	application := s.table.Application(name)
+	application := s.table.Application(q.application)
 	skipped := 0
 	for position := 0; position < len(q.items) && skipped < maxSkipped; {
 		w := q.waiters[position]
@@ -367,12 +384,20 @@
 	s.refuseLate(q, now)
 }
 
-func (s *Scheduler) queue(application string) *queue {
-	q := s.queues[application]
-	if q == nil {
-		q = &queue{application: application}
-		s.queues[application] = q
+// queueOf returns the queue for work, and creates it on first use. An application's first queue
+// is the one for work that any endpoint may run.
+func (s *Scheduler) queueOf(work *Work) *queue {
+	name := work.Class.Application
+	if len(s.queues[name]) == 0 {
+		s.queues[name] = []*queue{{application: name}}
+	}
+	for _, q := range s.queues[name] {
+		if q.softwareVersion == work.SoftwareVersion {
+			return q
+		}
 	}
+	q := &queue{application: name, softwareVersion: work.SoftwareVersion}
+	s.queues[name] = append(s.queues[name], q)
 	return q
 }
 
@@ -390,7 +415,7 @@
 
 // removeWaiter removes a waiter from its queue; false if it already has an outcome.
 func (s *Scheduler) removeWaiter(w *waiter) bool {
-	q := s.queue(w.work.Class.Application)
+	q := s.queueOf(&w.work)
 	position := slices.Index(q.waiters, w)
 	if position < 0 {
 		return false
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -67,7 +67,8 @@
 	FirstTokenBudget    time.Duration  // time left until the first-token target; 0: no target, or it has passed
 	TokenIntervalTarget time.Duration  // target for the time between tokens; 0: none
 	Excluded            []string
-	IsPrefilled         bool // an engine keeps the KV cache of the prompt; only a decode engine is needed
+	SoftwareVersion     string // that the endpoints must have; empty: any
+	IsPrefilled         bool   // an engine keeps the KV cache of the prompt; only a decode engine is needed
 	// BatchLimit is the batch size beyond which the request would slow down more
 	// urgent ones too much; 0: no limit.
 	BatchLimit int
@@ -158,6 +159,10 @@
 	if r.strategy != EstimatedFinish {
 		return r.chooseBaseline(application, q)
 	}
+	if q.SoftwareVersion != "" {
+		r.scanVersion(application, q.SoftwareVersion)
+		return best(application, q, r.candidates)
+	}
 	if application.Summary.HasSeparateRoles {
 		// A few samples may miss one of the roles.
 		r.scan(application, maxScannedSeparate)
@@ -214,6 +219,21 @@
 	}
 }
 
+// scanVersion fills candidates with endpoints of a software version, from a random position.
+func (r *Router) scanVersion(application *tracker.Application, version string) {
+	r.candidates = r.candidates[:0]
+	count := application.Len()
+	if count == 0 {
+		return
+	}
+	start := r.rand.IntN(count)
+	for i := 0; i < count && len(r.candidates) < maxScanned; i++ {
+		if e := application.At((start + i) % count); e.Target.SoftwareVersion == version {
+			r.candidates = append(r.candidates, e)
+		}
+	}
+}
+
 // best returns the best single endpoint, or the best pair if engines have separate
 // roles and the pair has the better score.
 func best(application *tracker.Application, q *Query, endpoints []*tracker.Endpoint) (Choice, Verdict) {
@@ -242,7 +262,7 @@
 // isUsable reports whether the endpoint may be considered, and records in the
 // verdict why not.
 func (v *Verdict) isUsable(endpoint *tracker.Endpoint, q *Query) bool {
-	if !endpoint.TakesNewWork() {
+	if !endpoint.TakesNewWork() || !q.accepts(endpoint) {
 		return false
 	}
 	if remaining := q.backoffRemaining(endpoint); remaining > 0 {
@@ -264,6 +284,11 @@
 	return false
 }
 
+// accepts reports whether an endpoint has the software version that the request needs.
+func (q *Query) accepts(endpoint *tracker.Endpoint) bool {
+	return q.SoftwareVersion == "" || q.SoftwareVersion == endpoint.Target.SoftwareVersion
+}
+
 // noteUnavailable records an endpoint that takes no work until the given time.
 func (v *Verdict) noteUnavailable(kind VerdictKind, until time.Time) {
 	switch {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,7 +47,7 @@
 	table        *tracker.Table
 	router       *router.Router
 	rand         *rand.Rand
-	queues       map[string]*queue // by application
+	queues       map[string][]*queue // by application; one for each software version that work needs
 	grants       []*grant
 	processExits map[ProcessExit]time.Time // with the time at which this host last detected each
 	plannerState planner.State
@@ -84,7 +85,7 @@
 		table:        tracker.NewTable(cfg.Zone),
 		router:       router.New(cfg.Policy.Routing, source),
 		rand:         source,
-		queues:       make(map[string]*queue),
+		queues:       make(map[string][]*queue),
 		processExits: make(map[ProcessExit]time.Time),
 	}
 	s.table.RateLimitOf, s.table.BackoffRemaining = cfg.Limiter.Limit, cfg.BackoffRemaining
@@ -96,8 +97,10 @@
 func (s *Scheduler) Close() error {
 	s.mu.Lock()
 	s.isClosed = true
-	for _, q := range s.queues {
-		s.refuseAll(q, ReasonDraining)
+	for _, queues := range s.queues {
+		for _, q := range queues {
+			s.refuseAll(q, ReasonDraining)
+		}
 	}
 	s.mu.Unlock()
 	s.acquireCalls.Wait()
@@ -225,11 +228,14 @@
 		g.collectTokens()
 	}
 	s.table.Tick(now)
-	for _, q := range s.queues {
-		if len(q.items) > 0 {
-			s.table.Refresh(now)
+	for name, queues := range s.queues {
+		for _, q := range queues {
+			if len(q.items) > 0 {
+				s.table.Refresh(now)
+			}
+			q.correction.tick(len(q.items) > 0, s.engineSeconds(q), now)
 		}
-		q.correction.tick(len(q.items) > 0, s.table.Application(q.application).Summary.Capacity, now)
+		s.queues[name] = slices.DeleteFunc(queues, func(q *queue) bool { return q.softwareVersion != "" && len(q.items) == 0 })
 	}
 	s.dispatchAll(now)
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -109,11 +109,17 @@
 }
 
 func waitForQueue(t *testing.T, s *Scheduler, want int) {
+	t.Helper()
+	waitForVersionQueue(t, s, "", want)
+}
+
+// waitForVersionQueue waits for the length of the queue of one software version.
+func waitForVersionQueue(t *testing.T, s *Scheduler, version string, want int) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if got := len(s.queue("drafting").items); got != want {
+		if got := len(s.queueOf(&Work{Class: configurer.Class{Application: "drafting"}, SoftwareVersion: version}).items); got != want {
 			return poll.Continue("%d queued, want %d", got, want)
 		}
 		return poll.Success()
--- a/internal/scheduler/slots.go
+++ b/internal/scheduler/slots.go
@@ -6,7 +6,6 @@
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/ratelimiter"
 	"github.com/endivemast/endivemast/internal/scheduler/router"
-	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
 
 // An endpoint that announces a request limit gets a request only while this host has a
@@ -50,18 +49,18 @@
 // waits, it requests as many as there are waiters. Otherwise it requests one now and then,
 // so that a limited endpoint gets about its share of the requests and hosts detect the end
 // of the limit.
-func (s *Scheduler) requestSlots(application *tracker.Application, verdict *router.Verdict) {
+func (s *Scheduler) requestSlots(q *queue, verdict *router.Verdict) {
 	withoutSlot := verdict.WithoutSlot
 	if len(withoutSlot) == 0 {
 		return
 	}
 	if verdict.Kind == router.Chosen {
-		if n := s.rand.IntN(application.Len()); n < len(withoutSlot) {
+		if n := s.rand.IntN(s.table.Application(q.application).Len()); n < len(withoutSlot) {
 			s.cfg.Limiter.RequestSlots(withoutSlot[n].Target.Process(), 1)
 		}
 		return
 	}
-	waiting := len(s.queue(application.Name).items) + 1
+	waiting := len(q.items) + 1
 	perEndpoint := (waiting + len(withoutSlot) - 1) / len(withoutSlot)
 	for _, endpoint := range withoutSlot {
 		s.cfg.Limiter.RequestSlots(endpoint.Target.Process(), perEndpoint)
--- a/internal/scheduler/slots_test.go
+++ b/internal/scheduler/slots_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/ratelimiter"
 )
@@ -127,7 +128,7 @@
 	}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		s.mu.Lock()
-		waiting := len(s.queue("drafting").items)
+		waiting := len(s.queueOf(&Work{Class: configurer.Class{Application: "drafting"}}).items)
 		s.mu.Unlock()
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -13,11 +13,14 @@
 // Summary is the state of all endpoints of an application together. Refresh
 // recomputes it after ticks and changes of the host list.
 type Summary struct {
-	Peers           int     // other hosts that give work
-	Usable          int     // endpoints that take new work
-	Capacity        float64 // engine seconds per second that this host can count on
-	MeanBatch       int     // requests in flight at a usable endpoint
-	MeanTokensAhead int     // prompt tokens queued at a usable endpoint
+	Peers    int     // other hosts that give work
+	Usable   int     // endpoints that take new work
+	Capacity float64 // engine seconds per second that this host can count on
+	// SoftwareVersions holds the part of Capacity of each software version; nil if all usable
+	// endpoints have the same one.
+	SoftwareVersions map[string]float64
+	MeanBatch        int // requests in flight at a usable endpoint
+	MeanTokensAhead  int // prompt tokens queued at a usable endpoint
 	// MaxTokenInterval is the smallest Class.MaxTokenInterval among the classes with
 	// many requests; 0: none.
 	MaxTokenInterval time.Duration
@@ -36,6 +39,15 @@
 	FairShare float64
 }
 
+// CapacityOf returns the part of Capacity that endpoints of a software version provide; all of it
+// for work that any endpoint may run.
+func (s *Summary) CapacityOf(softwareVersion string) float64 {
+	if softwareVersion == "" || s.SoftwareVersions == nil {
+		return s.Capacity
+	}
+	return s.SoftwareVersions[softwareVersion]
+}
+
 func (t *Table) summarise(now time.Time) {
 	t.isStale = false
 	type tenantUse struct {
@@ -121,6 +133,7 @@
 	s.Peers = peers
 	requests, ahead, own, others := 0, 0, 0, 0
 	var speed float64
+	firstVersion := ""
 	for i := range a.Len() {
 		endpoint := a.At(i)
 		if endpoint.Role == driver.RoleDecode || endpoint.Role == driver.RolePrefill {
@@ -130,7 +143,17 @@
 			continue
 		}
 		s.Usable++
-		speed += t.capacity(a, endpoint)
+		capacity := t.capacity(a, endpoint)
+		version := endpoint.Target.SoftwareVersion
+		switch {
+		case s.SoftwareVersions != nil:
+			s.SoftwareVersions[version] += capacity
+		case s.Usable == 1:
+			firstVersion = version
+		case version != firstVersion:
+			s.SoftwareVersions = map[string]float64{firstVersion: speed, version: capacity}
+		}
+		speed += capacity
 		own += endpoint.Own.Requests
 		others += endpoint.Peers.Requests
 		total := endpoint.Total()
@@ -138,6 +161,9 @@
 		ahead += total.PrefillTokens
 	}
 	s.Capacity = speed / float64(1+peers)
+	for version := range s.SoftwareVersions {
+		s.SoftwareVersions[version] /= float64(1 + peers)
+	}
 	s.MeanBatch = max(1, requests/max(1, s.Usable))
 	s.ExcessShare = max(float64(own*(1+peers))/float64(max(own+others, 1))-1, 0)
 	s.MeanTokensAhead = ahead / max(1, s.Usable)
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -80,6 +80,16 @@
 // Len returns the number of endpoints.
 func (a *Application) Len() int { return len(a.Local) + len(a.Remote) }
 
+// HasSoftwareVersion reports whether an endpoint of a software version takes new work.
+func (a *Application) HasSoftwareVersion(version string) bool {
+	for i := range a.Len() {
+		if e := a.At(i); e.Target.SoftwareVersion == version && e.TakesNewWork() {
+			return true
+		}
+	}
+	return false
+}
+
 // At returns an endpoint by position, those of the local zone first.
 func (a *Application) At(i int) *Endpoint {
 	if i < len(a.Local) {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -21,6 +21,11 @@
 	MaxOutputTokens int
 	DeliveredTokens int      // already sent to the caller, when resuming
 	Excluded        []string // IDs of endpoints that have failed this request
+	// SoftwareVersion is the one that the endpoint must have, since the request's stream began
+	// at it, or its KV cache was written by it; empty: any.
+	SoftwareVersion string
+	// IsResumed is true for a stream that its caller takes up with a new request.
+	IsResumed bool
 	// RetryUntil is the deadline for the start of a retry. It is set if the request is
 	// repeatable and an endpoint may have run an earlier attempt. Until then the retry is
 	// not refused for lack of capacity: it was admitted before, and its caller could only
@@ -107,6 +112,7 @@
 const (
 	ReasonOverload    RefusalReason = "overload"     // the backlog is too long to meet the targets
 	ReasonNoEndpoint  RefusalReason = "no_endpoint"  // no endpoint of the application can be reached
+	ReasonNoVersion   RefusalReason = "no_version"   // no endpoint has the software version that the stream needs
 	ReasonBackoff     RefusalReason = "resting"      // all endpoints of the application are in backoff
 	ReasonTenantShare RefusalReason = "tenant_share" // the tenant has used up its fair share
 	ReasonDraining    RefusalReason = "draining"     // this host accepts no new work
