ORDER: a KV cache is used only by engines of the software version that wrote it

Cause, the same class: the prefill engine and the decode engine were chosen one after the other without regard to their versions, and so was the engine that a prefix is fetched from. What two versions write does not fit together, and engines do not check it. The pair is chosen for each version and the best one taken; a decode engine without a prefill engine of its version prefills itself.

--- a/internal/scheduler/router/home.go
+++ b/internal/scheduler/router/home.go
@@ -50,7 +50,7 @@
 	}
 	var candidates []rankedEngine
 	for _, endpoint := range endpoints {
-		if endpoint.Listed {
+		if endpoint.Listed && q.accepts(endpoint) {
 			h.addHolder(holder{endpoint, cachedTokens(application, q, endpoint)})
 		}
 		if endpoint.CanPrefill() && isAvailable(endpoint, q) {
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -11,8 +12,38 @@
 // bestPair returns a prefill engine and a decode engine if no single engine will
 // do or the pair has the better score. The two are chosen one after the other,
 // since neither's time depends on the other.
+//
+// A KV cache is used only by engines of the software version that has written it, so both engines
+// have the same one. The best choices of the versions are compared.
 func bestPair(
 	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, single Choice, verdict Verdict,
+) (Choice, Verdict) {
+	if q.SoftwareVersion != "" || application.Summary.SoftwareVersions == nil {
+		return bestPairOfVersion(application, q, endpoints, single, verdict)
+	}
+	chosen, merged := single, verdict
+	for _, version := range slices.Sorted(maps.Keys(application.Summary.SoftwareVersions)) {
+		ofVersion := *q
+		ofVersion.SoftwareVersion = version
+		choice, found := bestPairOfVersion(application, &ofVersion, endpoints, single, verdict)
+		merged.WithoutSlot = append(merged.WithoutSlot, found.WithoutSlot...)
+		switch {
+		case found.Kind == Chosen && (merged.Kind != Chosen || choice.score < chosen.score):
+			chosen, merged.Kind = choice, Chosen
+		case found.Kind != Chosen && merged.Kind != Chosen:
+			merged.noteUnavailable(found.Kind, found.RetryAt)
+			merged.HasExcluded = merged.HasExcluded || found.HasExcluded
+		}
+	}
+	if merged.Kind == Chosen {
+		return chosen, merged.asChosen()
+	}
+	return chosen, merged
+}
+
+// bestPairOfVersion is bestPair for engines of one software version.
+func bestPairOfVersion(
+	application *tracker.Application, q *Query, endpoints []*tracker.Endpoint, single Choice, verdict Verdict,
 ) (Choice, Verdict) {
 	if q.IsPrefilled {
 		if decode, ok := bestDecode(application, q, endpoints, Choice{Path: PathPrefilled}, &verdict); ok {
