--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -108,7 +108,7 @@
 
 func (fr *forwardedRequest) writeEvents(answer *driver.ForwardAnswer, events []byte) error {
 	if !fr.isHeaderSent {
-		fr.bindSoftwareVersion()
+		fr.recordOrigin()
 		head := AnswerHead{Status: answer.Status, Header: answer.Header, Length: -1, SoftwareVersion: fr.softwareVersion}
 		if err := fr.writer.WriteHeader(head); err != nil {
 			return errors.Join(errCallerGone, err)
@@ -160,6 +160,10 @@
 		failure.setFromPeer(atPeer.Outcome.Failure)
 	case errors.Is(err, errPathLost) || fr.isWithoutPath(refusalOf(err)):
 		failure.Reason, failure.RetryAfter = ReasonNoPath, noPathRetryAfter
+	case errors.Is(err, errStreamUnknown):
+		failure.Reason, failure.RetryAfter = ReasonStreamUnknown, unknownStreamRetryAfter
+	case errors.Is(err, errStreamMoved):
+		failure.Reason, failure.RetryAfter = ReasonStreamMoved, movedStreamRetryAfter
 	case errors.Is(err, errQuarantined) || errors.Is(context.Cause(ctx), errQuarantined):
 		failure.Reason, failure.RetryAfter = ReasonCrashesEndpoints, max(fr.admission.RetryAfter, faultRetryAfter)
 	case errors.As(err, &refusal):
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -104,18 +104,19 @@
 		suspendedBefore: f.cfg.SuspendedTime(),
 	}
 	if origin := request.Origin; origin != nil {
-		fr.application, fr.runs, fr.eventsSent, fr.isHeaderSent = origin.Application, origin.Runs, origin.Events, origin.IsHeaderSent
+		fr.runs, fr.eventsSent, fr.isHeaderSent = origin.Runs, origin.Events, origin.IsHeaderSent
 		fr.softwareVersion = origin.SoftwareVersion
+		fr.setApplication(origin.Application)
 	} else {
-		fr.application = pickApplication(request.Class.Shares)
-	}
-	fr.repeatBudget = f.repeatBudget(fr.application)
-	if request.Origin == nil {
-		fr.repeatBudget.deposit()
+		fr.setApplication(pickApplication(request.Class.Shares))
 	}
 	return fr
 }
 
+func (fr *forwardedRequest) setApplication(name string) {
+	fr.application, fr.repeatBudget = name, fr.forwarder.repeatBudget(name)
+}
+
 // identityOf returns the properties that identify a request when it is sent again.
 func identityOf(request *OpaqueRequest) quarantiner.Request {
 	payload := &request.Payload
@@ -129,6 +130,12 @@
 	if fr.admission.IsRefused {
 		return fr.finishUnserved(ctx, errQuarantined)
 	}
+	if err := fr.findOrigin(ctx); err != nil {
+		return fr.finishUnserved(ctx, err)
+	}
+	if fr.request.Origin == nil {
+		fr.repeatBudget.deposit()
+	}
 	if err := fr.chargeOnArrival(ctx); err != nil {
 		return fr.finishUnserved(ctx, err)
 	}
@@ -260,16 +267,6 @@
 	}
 }
 
-// bindSoftwareVersion binds a stream whose first event has arrived to the software version of the
-// endpoint that has written it.
-func (fr *forwardedRequest) bindSoftwareVersion() {
-	if fr.softwareVersion != "" {
-		return
-	}
-	fr.softwareVersion = fr.lastAttempt.softwareVersion
-	fr.isVersionUnknown = fr.isAtPeer && fr.softwareVersion == ""
-}
-
 // neededVersion returns the software version that the next endpoint must have; empty: any.
 func (fr *forwardedRequest) neededVersion() string {
 	if fr.softwareVersion == "" && fr.hasCache() {
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -99,6 +99,8 @@
 	// Quarantine keeps requests that crash endpoints from reaching further endpoints. Nil means
 	// that no request is quarantined.
 	Quarantine *quarantiner.Quarantiner
+	// Streams keeps where streams began. Nil means that they may go on at any endpoint.
+	Streams Streams
 	// Peers passes requests to peers that reach more endpoints. Nil means that there are none.
 	Peers PeerForwarder
 }
@@ -130,6 +132,9 @@
 	if cfg.OnRunStarted == nil {
 		cfg.OnRunStarted = func(string) {}
 	}
+	if cfg.Streams == nil {
+		cfg.Streams = noStreams{}
+	}
 	if cfg.Peers == nil {
 		cfg.Peers = noPeers{}
 	}
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -176,7 +176,7 @@
 	if fr.request.ResumeAfter == "" {
 		return nil
 	}
-	return []any{"resumes", fr.request.Resumes, "resumed_after", fr.request.ResumeAfter}
+	return []any{"resumes", fr.request.Resumes, "resumed_after", fr.request.ResumeAfter, "needed_version", fr.softwareVersion}
 }
 
 // promptArgs returns the size of a generation's prompt, and nothing for a call.
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -152,6 +152,16 @@
 	m.set.GetOrCreateCounter(`endivemast_slot_asks_total{outcome="` + outcome + `"}`).Inc()
 }
 
+// CountStreamRecord counts an event of a record of a stream's origin, or a lookup.
+func (m *Meter) CountStreamRecord(event string) {
+	m.set.GetOrCreateCounter(`endivemast_stream_records_total{event="` + event + `"}`).Inc()
+}
+
+// GaugeStreamRecords shows how many streams' origins the host keeps for all hosts.
+func (m *Meter) GaugeStreamRecords(value func() float64) {
+	m.set.GetOrCreateGauge("endivemast_stream_records", value)
+}
+
 // CountMalformedSignal counts an answer with a signal that could not be parsed.
 func (m *Meter) CountMalformedSignal(signal string) {
 	m.set.GetOrCreateCounter(`endivemast_endpoint_signals_malformed_total{signal="` + signal + `"}`).Inc()
--- a/internal/ratelimiter/owner.go
+++ b/internal/ratelimiter/owner.go
@@ -1,13 +1,10 @@
 package ratelimiter
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/ranker"
 )
 
 // Subject identifies what a limit applies to: a tenant, or a process of an endpoint.
@@ -80,17 +77,10 @@
 	return stable
 }
 
-// rank sorts hosts by the order in which they own a subject's limit (rendezvous hashing). All
-// hosts compute the same order, and adding or removing a host moves only the limits that it
-// owns.
+// rank sorts hosts by the order in which they own a subject's limit.
 func rank(subject Subject, hosts []Host) []Host {
 	name := subject.Tenant + "\x00" + subject.Process.EndpointID + "\x00" + subject.Process.Incarnation + "\x00"
-	weight := func(h Host) uint64 { return xxhash.Sum64String(name + h.HostID) }
-	ranked := slices.Clone(hosts)
-	slices.SortFunc(ranked, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.HostID, b.HostID))
-	})
-	return ranked
+	return ranker.Rank(name, hosts, func(h Host) string { return h.HostID })
 }
 
 // ownerOf returns the owner of a subject's limit: the first host that is neither down nor
--- /dev/null
+++ b/internal/streamkeeper/streamkeeper.go
@@ -0,0 +1,390 @@
+package streamkeeper
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"github.com/endivemast/endivemast/internal/streamkeeper/streamkeeperpb"
+	"github.com/endivemast/endivemast/internal/timekeeper"
+)
+
+const (
+	// maxRecords bounds the records of one host, at some 200 bytes each.
+	maxRecords = 32 << 10
+	// maxLifetime bounds for how long a record is kept.
+	maxLifetime = 2 * time.Minute
+	// sendDelay is how long streams are collected before they are sent to their keepers.
+	sendDelay = 5 * time.Millisecond
+	// maxPending bounds the streams that wait to be sent to one keeper.
+	maxPending = 4096
+	// recordTimeout and findTimeout bound the calls to a keeper.
+	recordTimeout = 500 * time.Millisecond
+	findTimeout   = 300 * time.Millisecond
+	// maxFinds bounds the lookups that run at a time. Callers can cause them with made-up ids.
+	maxFinds = 64
+)
+
+var (
+	// ErrUnknown means that the origin of a stream can't be determined.
+	ErrUnknown = errors.New("origin of the stream is not known")
+	errBusy    = errors.New("too many lookups of streams")
+)
+
+// Config configures a Keeper.
+type Config struct {
+	HostID string
+	Zone   string
+	Conn   func(hostID string) (grpc.ClientConnInterface, error)
+	// IsCurrent reports whether this host receives the platform's changes.
+	IsCurrent func() bool
+	Clock     func() time.Time // includes the time for which the host was suspended
+	Meter     Meter
+	Logger    hclog.Logger
+}
+
+// Meter counts what happens to records of streams.
+type Meter interface {
+	// CountStreamRecord counts an event of a record or a lookup.
+	CountStreamRecord(event string)
+}
+
+// Events for a Meter.
+const (
+	eventSent     = "sent"     // to a keeper
+	eventUnsent   = "unsent"   // a keeper did not answer
+	eventDropped  = "dropped"  // before its time, since there were too many
+	eventRecorded = "recorded" // a lookup that found a record
+	eventSingle   = "single"   // a lookup without a record; there is only one origin
+	eventUnknown  = "unknown"  // a lookup without a result
+)
+
+// Keeper keeps the origins of streams. It is safe for concurrent use.
+type Keeper struct {
+	cfg    Config
+	ctx    context.Context // cancelled by Close
+	cancel context.CancelFunc
+	group  errgroup.Group
+	finds  chan struct{} // holds an element for each lookup
+
+	mu       sync.Mutex
+	own      table // streams that this host has begun
+	kept     table // streams of all hosts that this host keeps
+	views    views
+	hosts    []Host
+	pending  map[string][]*streamkeeperpb.Stream // by keeper
+	isActive map[string]bool                     // keepers to which streams are being sent
+	isClosed bool
+}
+
+// New returns a Keeper without streams.
+func New(cfg Config) *Keeper {
+	k := &Keeper{
+		cfg: cfg, finds: make(chan struct{}, maxFinds), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(),
+		pending: map[string][]*streamkeeperpb.Stream{}, isActive: map[string]bool{},
+	}
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	return k
+}
+
+// Register serves the calls of other hosts on the peer protocol's server.
+func (k *Keeper) Register(registrar grpc.ServiceRegistrar) {
+	streamkeeperpb.RegisterStreamKeeperServer(registrar, &service{keeper: k})
+}
+
+// Close cancels the calls to other hosts and waits for them.
+func (k *Keeper) Close() error {
+	k.mu.Lock()
+	k.isClosed = true
+	k.mu.Unlock()
+	k.cancel()
+	return k.group.Wait()
+}
+
+// SetHosts sets the hosts that may be keepers, this one included.
+func (k *Keeper) SetHosts(hosts []Host) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hosts = hosts
+}
+
+// Tick drops records whose time is over. Call it several times a second.
+func (k *Keeper) Tick() {
+	now := k.cfg.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.own.trim(now)
+	k.kept.trim(now)
+}
+
+// Resumed must be called after this host was suspended: its view may be old.
+func (k *Keeper) Resumed() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.views.restart(k.cfg.Clock())
+}
+
+// SetClasses sets the applications that serve each class.
+func (k *Keeper) SetClasses(classes map[string][]string) {
+	now := k.cfg.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for class, applications := range classes {
+		k.views.setClass(class, applications, now)
+	}
+	k.sendUnsentLocked(now)
+}
+
+// UpdateEndpoints applies changes of the list of endpoints: new and changed ones, and the ids of
+// those that were removed. If isSnapshot is true, all others were removed.
+func (k *Keeper) UpdateEndpoints(endpoints map[string]Origin, removed []string, isSnapshot bool) {
+	now := k.cfg.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if isSnapshot {
+		for id := range k.views.endpoints {
+			if _, ok := endpoints[id]; !ok {
+				removed = append(removed, id)
+			}
+		}
+	}
+	for _, id := range removed {
+		k.views.removeEndpoint(id, now)
+	}
+	for id, origin := range endpoints {
+		k.views.setEndpoint(id, origin, now)
+	}
+	k.sendUnsentLocked(now)
+}
+
+// Count returns the number of records that this host keeps for all hosts.
+func (k *Keeper) Count() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.kept.order.Len()
+}
+
+// Begin records the origin of a stream, whose caller may take it up for the given time; 0: not
+// known. It does not block.
+func (k *Keeper) Begin(stream *Stream, origin Origin, lifetime time.Duration) {
+	isLong := lifetime <= 0 || lifetime >= streamLifetime
+	if lifetime <= 0 || lifetime > maxLifetime {
+		lifetime = maxLifetime
+	}
+	now := k.cfg.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	r := &record{key: stream.key(), origin: origin, until: now.Add(lifetime), class: stream.Class}
+	if k.own.put(r, now) {
+		k.cfg.Meter.CountStreamRecord(eventDropped)
+	}
+	if isLong || k.views.of(stream.Class, now).kind != viewSingle {
+		k.sendLocked(r, now)
+	}
+}
+
+// sendUnsentLocked sends the streams of classes that have several origins now.
+func (k *Keeper) sendUnsentLocked(now time.Time) {
+	kinds := map[string]viewKind{}
+	for element := k.own.order.Front(); element != nil; element = element.Next() {
+		r := element.Value.(*record)
+		if r.isSent || !now.Before(r.until) {
+			continue
+		}
+		kind, ok := kinds[r.class]
+		if !ok {
+			kind = k.views.of(r.class, now).kind
+			kinds[r.class] = kind
+		}
+		if kind == viewSeveral {
+			k.sendLocked(r, now)
+		}
+	}
+}
+
+// sendLocked has a stream sent to its keepers.
+func (k *Keeper) sendLocked(r *record, now time.Time) {
+	if k.isClosed {
+		return
+	}
+	r.isSent = true
+	for _, hostID := range keepersOf(r.key, k.hosts, k.cfg.Zone, keeperCount) {
+		if hostID == k.cfg.HostID {
+			k.keepLocked(&record{key: r.key, origin: r.origin, until: r.until}, now)
+			continue
+		}
+		if len(k.pending[hostID]) >= maxPending {
+			k.cfg.Meter.CountStreamRecord(eventDropped)
+			continue
+		}
+		k.pending[hostID] = append(k.pending[hostID], &streamkeeperpb.Stream{
+			Key: r.key[:], Application: r.origin.Application, SoftwareVersion: r.origin.SoftwareVersion, LeftMs: r.until.Sub(now).Milliseconds(),
+		})
+		if !k.isActive[hostID] {
+			k.isActive[hostID] = true
+			k.group.Go(func() error {
+				k.send(hostID)
+				return nil
+			})
+		}
+	}
+}
+
+func (k *Keeper) keepLocked(r *record, now time.Time) {
+	if k.kept.put(r, now) {
+		k.cfg.Meter.CountStreamRecord(eventDropped)
+	}
+}
+
+// send sends streams to a keeper until none is pending.
+func (k *Keeper) send(hostID string) {
+	delay := time.NewTimer(sendDelay)
+	defer delay.Stop()
+	for {
+		select {
+		case <-delay.C:
+		case <-k.ctx.Done():
+			return
+		}
+		k.mu.Lock()
+		streams := k.pending[hostID]
+		delete(k.pending, hostID)
+		if len(streams) == 0 {
+			delete(k.isActive, hostID)
+		}
+		k.mu.Unlock()
+		if len(streams) == 0 {
+			return
+		}
+		event := eventSent
+		if err := k.record(hostID, streams); err != nil {
+			event = eventUnsent
+			k.cfg.Logger.Info("origins of streams not recorded at a keeper", "keeper", hostID, "streams", len(streams), "error", err)
+		}
+		for range streams {
+			k.cfg.Meter.CountStreamRecord(event)
+		}
+		delay.Reset(sendDelay)
+	}
+}
+
+func (k *Keeper) record(hostID string, streams []*streamkeeperpb.Stream) error {
+	conn, err := k.cfg.Conn(hostID)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := timekeeper.WithTimeout(k.ctx, recordTimeout)
+	defer cancel()
+	_, err = streamkeeperpb.NewStreamKeeperClient(conn).Record(ctx, &streamkeeperpb.RecordRequest{Streams: streams})
+	return err
+}
+
+// Find returns the origin of a stream that a caller takes up. It fails with ErrUnknown if no host
+// that it reaches knows.
+func (k *Keeper) Find(ctx context.Context, stream *Stream) (origin Origin, err error) {
+	select {
+	case k.finds <- struct{}{}:
+		defer func() { <-k.finds }()
+	default:
+		k.cfg.Meter.CountStreamRecord(eventUnknown)
+		return origin, errors.Join(ErrUnknown, errBusy)
+	}
+	id, now := stream.key(), k.cfg.Clock()
+	k.mu.Lock()
+	own := k.replyLocked(id, stream.Class, now)
+	isAlone := len(k.hosts) <= 1
+	keepers := slices.DeleteFunc(keepersOf(id, k.hosts, k.cfg.Zone, askedCount), func(hostID string) bool { return hostID == k.cfg.HostID })
+	k.mu.Unlock()
+	if own.isRecorded {
+		k.cfg.Meter.CountStreamRecord(eventRecorded)
+		return own.origin, nil
+	}
+	replies := k.ask(ctx, id, stream.Class, keepers, own.view)
+	origin, ok := decide(own.view, replies, k.cfg.IsCurrent(), isAlone)
+	isRecorded := slices.ContainsFunc(replies, func(r reply) bool { return r.isRecorded })
+	switch {
+	case !ok:
+		k.cfg.Meter.CountStreamRecord(eventUnknown)
+		k.cfg.Logger.Info("origin of a stream is not known", "resumes", stream.RequestID, "class", stream.Class, "keepers", keepers,
+			"replies", len(replies), "own_view", own.view.kind, "is_current", k.cfg.IsCurrent())
+		return origin, ErrUnknown
+	case isRecorded:
+		k.cfg.Meter.CountStreamRecord(eventRecorded)
+	default:
+		k.cfg.Meter.CountStreamRecord(eventSingle)
+	}
+	return origin, nil
+}
+
+// replyLocked returns what this host knows of a stream.
+func (k *Keeper) replyLocked(id key, class string, now time.Time) (r reply) {
+	r.view = k.views.of(class, now)
+	found, ok := k.own.find(id, now)
+	if !ok {
+		found, ok = k.kept.find(id, now)
+	}
+	if ok {
+		r.isRecorded, r.origin = true, found.origin
+	}
+	return r
+}
+
+// ask asks the keepers at once, and returns their replies up to the first that decides.
+func (k *Keeper) ask(ctx context.Context, id key, class string, keepers []string, own view) (replies []reply) {
+	ctx, cancel := timekeeper.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	answers := make(chan *reply, len(keepers))
+	var group errgroup.Group
+	defer func() {
+		cancel()
+		_ = group.Wait() // the functions return no error
+	}()
+	for _, hostID := range keepers {
+		group.Go(func() error {
+			answers <- k.askKeeper(ctx, hostID, id, class)
+			return nil
+		})
+	}
+	for range keepers {
+		answer := <-answers
+		if answer == nil {
+			continue
+		}
+		replies = append(replies, *answer)
+		isSettled := own.kind == viewSingle && answer.view == own && k.cfg.IsCurrent()
+		if answer.isRecorded || isSettled {
+			break
+		}
+	}
+	return replies
+}
+
+// askKeeper returns nil if the keeper does not answer.
+func (k *Keeper) askKeeper(ctx context.Context, hostID string, id key, class string) *reply {
+	conn, err := k.cfg.Conn(hostID)
+	if err != nil {
+		return nil
+	}
+	answer, err := streamkeeperpb.NewStreamKeeperClient(conn).Find(ctx, &streamkeeperpb.FindRequest{Key: id[:], Class: class})
+	if err != nil {
+		if ctx.Err() == nil {
+			k.cfg.Logger.Info("keeper of a stream does not answer", "keeper", hostID, "error", err)
+		}
+		return nil
+	}
+	origin := Origin{Application: answer.GetApplication(), SoftwareVersion: answer.GetSoftwareVersion()}
+	r := &reply{origin: origin, isRecorded: answer.GetIsRecorded()}
+	switch answer.GetView() {
+	case streamkeeperpb.View_VIEW_SINGLE:
+		r.view = view{kind: viewSingle, origin: origin}
+	case streamkeeperpb.View_VIEW_SEVERAL:
+		r.view = view{kind: viewSeveral}
+	}
+	return r
+}
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -41,6 +41,7 @@
 	"github.com/endivemast/endivemast/internal/scaler"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
+	"github.com/endivemast/endivemast/internal/streamkeeper"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
@@ -142,6 +143,7 @@
 	observer      *observer.Observer
 	paths         *pathwatcher.Watcher
 	peerForwarder *peerforwarder.Forwarder
+	streams       *streamkeeper.Keeper
 	limiter       *ratelimiter.Limiter
 	detector      *timekeeper.Detector
 	exchanger     *exchanger.Exchanger
@@ -236,7 +238,7 @@
 		Scheduler: g.scheduler, Driver: cfg.Driver, Meter: g.meter, Logger: cfg.Logger.Named("dispatcher"),
 		StoreUnreachableFor: g.follower.StoreUnreachableFor, Quarantine: g.quarantiner, SuspendedTime: g.cfg.Clock.SuspendedTime,
 		RepeatShare: cfg.RepeatShare * repeatMargin, RepeatReserve: cfg.RepeatReserve * repeatMargin / assumedHosts,
-		RepeatWindow: cfg.RepeatWindow, OnRunStarted: g.accountant.Count, Limits: &tenantLimits{gateway: g}, Peers: g.peerForwarder,
+		RepeatWindow: cfg.RepeatWindow, OnRunStarted: g.accountant.Count, Limits: &tenantLimits{gateway: g}, Peers: g.peerForwarder, Streams: g.streams,
 	})
 	g.callers = server.NewPassthrough(server.PassthroughConfig{
 		Address: cfg.CallersAddress, Network: cfg.Network, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
@@ -298,6 +300,7 @@
 	g.meter.GaugePeers("known", func() float64 { return float64(len(g.registrar.Peers())) })
 	g.meter.GaugePeers("heard", func() float64 { return float64(g.exchanger.CountReachable()) })
 	g.meter.GaugeRequestsQuarantined(func() float64 { return float64(g.quarantiner.Count()) })
+	g.meter.GaugeStreamRecords(func() float64 { return float64(g.streams.Count()) })
 	g.gaugeSignals()
 	g.meter.GaugeEndpoints("listed", func() float64 { return float64(len(g.registrations.Hosts())) })
 }
@@ -323,7 +326,9 @@
 			if now.Sub(peersUpdatedAt) >= g.peerReachInterval() {
 				peersUpdatedAt = now
 				g.updatePeerReach(now)
+				g.updateKeepers()
 			}
+			g.streams.Tick()
 			g.paths.Tick()
 			g.abandonWithoutPath()
 			g.scheduler.Tick(now)
@@ -449,7 +454,7 @@
 	cancel()
 	g.cancel()
 	return errors.Join(ignoreCanceled(g.callers.Close(now)), ignoreCanceled(g.readiness.Close(now)),
-		g.scheduler.Close(), g.forwarder.Close(), g.quarantiner.Close(), g.paths.Close(), g.limiter.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(), g.cacheWatcher.Close(),
+		g.scheduler.Close(), g.forwarder.Close(), g.quarantiner.Close(), g.paths.Close(), g.limiter.Close(), g.streams.Close(), g.leaser.Close(), g.group.Wait(), g.registrar.Close(), g.cacheWatcher.Close(),
 		g.relayer.Close(), g.peerForwarder.Close(), g.exchanger.Close(), g.cfg.Driver.Close())
 }
 
--- a/pkg/endivemast/gateway_caches.go
+++ b/pkg/endivemast/gateway_caches.go
@@ -31,6 +31,7 @@
 		}
 	}
 	g.setPaths(&change)
+	g.setStreamEndpoints(&change)
 	if change.IsSnapshot {
 		g.scheduler.SetHosts(change.Hosts, now)
 		g.caches.SetTargets(engines)
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -49,6 +49,7 @@
 	})
 	g.relayer.Register(g.exchanger.Registrar())
 	g.limiter.Register(g.exchanger.Registrar())
+	g.buildStreams()
 	g.buildPeerForwarder()
 	return nil
 }
--- a/pkg/endivemast/gateway_resume.go
+++ b/pkg/endivemast/gateway_resume.go
@@ -37,6 +37,7 @@
 	logSuspension(g.cfg.Logger, suspension, g.forwarder.Active(), g.HoldsAuthority())
 	g.meter.CountResume()
 	g.limiter.Resumed(suspension.Duration)
+	g.streams.Resumed()
 	if g.cfg.OnResume != nil {
 		g.cfg.OnResume()
 	}
--- a/pkg/endivemast/gateway_snapshot.go
+++ b/pkg/endivemast/gateway_snapshot.go
@@ -64,6 +64,7 @@
 		return snapshot.Version, nil
 	}
 	g.installed.Store(&entry)
+	g.setStreamClasses(snapshot)
 	fields := []any{
 		"version", snapshot.Version, "revision", entry.Revision,
 		"rules", len(snapshot.Rules), "applications", len(snapshot.Applications),
--- /dev/null
+++ b/pkg/endivemast/gateway_streams.go
@@ -0,0 +1,76 @@
+package endivemast
+
+import (
+	"slices"
+
+	"google.golang.org/grpc"
+
+	"github.com/endivemast/endivemast/internal/classifier"
+	"github.com/endivemast/endivemast/internal/configurer"
+	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/lister"
+	"github.com/endivemast/endivemast/internal/streamkeeper"
+)
+
+// How the hosts of a Gateway's fleet know at which software version a stream began.
+
+// maxKeepersPerZone bounds the hosts of a zone that keep streams, and with them the connections of
+// each host.
+const maxKeepersPerZone = 8
+
+func (g *Gateway) buildStreams() {
+	g.streams = streamkeeper.New(streamkeeper.Config{
+		HostID: g.cfg.HostID, Zone: g.cfg.Zone, Clock: g.cfg.Clock.Now, Meter: g.meter, Logger: g.cfg.Logger.Named("streamkeeper"),
+		Conn:      func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
+		IsCurrent: func() bool { return g.follower.StoreUnreachableFor() == 0 },
+	})
+	g.streams.Register(g.exchanger.Registrar())
+}
+
+// updateKeepers sets which hosts may keep streams: some of each zone, the same ones at all hosts.
+func (g *Gateway) updateKeepers() {
+	peers := []exchanger.Peer{{HostID: g.cfg.HostID, Zone: g.cfg.Zone, ProcessorShare: g.cfg.ProcessorShare}}
+	for _, peer := range g.registrar.Peers() {
+		if !g.exchanger.IsUnavailable(peer.HostID) {
+			peers = append(peers, exchanger.Peer{HostID: peer.HostID, Zone: peer.Zone, ProcessorShare: peer.ProcessorShare})
+		}
+	}
+	slices.SortFunc(peers, exchanger.ComparePriority)
+	var hosts []streamkeeper.Host
+	counts := map[string]int{}
+	for _, peer := range peers {
+		if counts[peer.Zone]++; counts[peer.Zone] <= maxKeepersPerZone {
+			hosts = append(hosts, streamkeeper.Host{HostID: peer.HostID, Zone: peer.Zone})
+		}
+	}
+	g.streams.SetHosts(hosts)
+}
+
+// setStreamClasses applies the classes of a configuration.
+func (g *Gateway) setStreamClasses(snapshot *classifier.Snapshot) {
+	classes := map[string][]string{}
+	for i := range snapshot.Rules {
+		class := &snapshot.Rules[i].Class
+		if class.Kind != configurer.KindGenerate {
+			continue
+		}
+		applications := []string{}
+		for _, share := range class.Shares {
+			if share.Weight > 0 || len(class.Shares) == 1 {
+				applications = append(applications, share.Application)
+			}
+		}
+		classes[class.Name] = applications
+	}
+	g.streams.SetClasses(classes)
+}
+
+// setStreamEndpoints applies a change of the list of endpoints.
+func (g *Gateway) setStreamEndpoints(change *lister.ListChange) {
+	endpoints := make(map[string]streamkeeper.Origin, len(change.Hosts))
+	for i := range change.Hosts {
+		host := &change.Hosts[i]
+		endpoints[host.ID] = streamkeeper.Origin{Application: host.Application, SoftwareVersion: host.SoftwareVersion}
+	}
+	g.streams.UpdateEndpoints(endpoints, change.Removed, change.IsSnapshot)
+}
