--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,9 @@
 	maxLifetime = 2 * time.Minute
 	// sendDelay is how long streams are collected before they are sent to their keepers.
 	sendDelay = 5 * time.Millisecond
+	// retryDelay is how long a keeper that has not answered is avoided, and the delay before streams
+	// are sent to it again if there is no other one.
+	retryDelay = 250 * time.Millisecond
 	// maxPending bounds the streams that wait to be sent to one keeper.
 	maxPending = 4096
 	// recordTimeout and findTimeout bound the calls to a keeper.
@@ -78,8 +82,9 @@
 	kept     table // streams of all hosts that this host keeps
 	views    views
 	hosts    []Host
-	pending  map[string][]*streamkeeperpb.Stream // by keeper
-	isActive map[string]bool                     // keepers to which streams are being sent
+	pending  map[string][]*record // by keeper
+	isActive map[string]bool      // keepers to which streams are being sent
+	avoided  map[string]time.Time // keepers that have not answered, until when
 	isClosed bool
 }
 
@@ -87,7 +92,7 @@
 func New(cfg Config) *Keeper {
 	k := &Keeper{
 		cfg: cfg, finds: make(chan struct{}, maxFinds), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(),
-		pending: map[string][]*streamkeeperpb.Stream{}, isActive: map[string]bool{},
+		pending: map[string][]*record{}, isActive: map[string]bool{}, avoided: map[string]time.Time{},
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
 	return k
@@ -214,24 +219,54 @@
 		return
 	}
 	r.isSent = true
-	for _, hostID := range keepersOf(r.key, k.hosts, k.cfg.Zone, keeperCount) {
+	for _, hostID := range keepersOf(r.key, k.availableLocked(now), k.cfg.Zone, keeperCount) {
 		if hostID == k.cfg.HostID {
 			k.keepLocked(&record{key: r.key, origin: r.origin, until: r.until}, now)
 			continue
 		}
-		if len(k.pending[hostID]) >= maxPending {
-			k.cfg.Meter.CountStreamRecord(eventDropped)
-			continue
-		}
-		k.pending[hostID] = append(k.pending[hostID], &streamkeeperpb.Stream{
-			Key: r.key[:], Application: r.origin.Application, SoftwareVersion: r.origin.SoftwareVersion, LeftMs: r.until.Sub(now).Milliseconds(),
+		k.enqueueLocked(hostID, r)
+	}
+}
+
+// availableLocked returns the hosts that are not avoided.
+func (k *Keeper) availableLocked(now time.Time) []Host {
+	maps.DeleteFunc(k.avoided, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if len(k.avoided) == 0 {
+		return k.hosts
+	}
+	return slices.DeleteFunc(slices.Clone(k.hosts), func(h Host) bool {
+		_, isAvoided := k.avoided[h.HostID]
+		return isAvoided
+	})
+}
+
+func (k *Keeper) enqueueLocked(hostID string, r *record) {
+	if len(k.pending[hostID]) >= maxPending {
+		k.cfg.Meter.CountStreamRecord(eventDropped)
+		return
+	}
+	k.pending[hostID] = append(k.pending[hostID], r)
+	if !k.isActive[hostID] {
+		k.isActive[hostID] = true
+		k.group.Go(func() error {
+			k.send(hostID)
+			return nil
 		})
-		if !k.isActive[hostID] {
-			k.isActive[hostID] = true
-			k.group.Go(func() error {
-				k.send(hostID)
-				return nil
-			})
+	}
+}
+
+// requeueLocked has streams that a keeper did not accept sent to other ones, or to the same one
+// again if this host reaches no other.
+func (k *Keeper) requeueLocked(hostID string, streams []*record, now time.Time) {
+	k.avoided[hostID] = now.Add(retryDelay)
+	hasOther := slices.ContainsFunc(k.availableLocked(now), func(h Host) bool { return h.HostID != k.cfg.HostID })
+	for _, r := range streams {
+		switch {
+		case !now.Before(r.until):
+		case hasOther:
+			k.sendLocked(r, now)
+		default:
+			k.enqueueLocked(hostID, r)
 		}
 	}
 }
@@ -262,19 +297,29 @@
 		if len(streams) == 0 {
 			return
 		}
-		event := eventSent
+		event, next := eventSent, sendDelay
 		if err := k.record(hostID, streams); err != nil {
-			event = eventUnsent
+			event, next = eventUnsent, retryDelay
 			k.cfg.Logger.Info("origins of streams not recorded at a keeper", "keeper", hostID, "streams", len(streams), "error", err)
+			k.mu.Lock()
+			k.requeueLocked(hostID, streams, k.cfg.Clock())
+			k.mu.Unlock()
 		}
 		for range streams {
 			k.cfg.Meter.CountStreamRecord(event)
 		}
-		delay.Reset(sendDelay)
+		delay.Reset(next)
 	}
 }
 
-func (k *Keeper) record(hostID string, streams []*streamkeeperpb.Stream) error {
+func (k *Keeper) record(hostID string, records []*record) error {
+	now := k.cfg.Clock()
+	streams := make([]*streamkeeperpb.Stream, 0, len(records))
+	for _, r := range records {
+		streams = append(streams, &streamkeeperpb.Stream{
+			Key: r.key[:], Application: r.origin.Application, SoftwareVersion: r.origin.SoftwareVersion, LeftMs: r.until.Sub(now).Milliseconds(),
+		})
+	}
 	conn, err := k.cfg.Conn(hostID)
 	if err != nil {
 		return err
