--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -90,12 +90,21 @@
 // same on all hosts and under any request ID, and states how far the run got.
 func interruptionArgs(fr *forwardedRequest) []any {
 	args := []any{"request_name", fr.identity.Fingerprint().String(), "caller", fr.request.CallerAddress, "sent_ago_ms", time.Since(fr.lastAttempt.sentAt).Milliseconds()}
+	args = append(args, "prompt_parts", sharedPartIDs(&fr.request.Prompt))
 	if !fr.lastAttempt.firstEventAt.IsZero() {
 		args = append(args, "ran_ms", time.Since(fr.lastAttempt.firstEventAt).Milliseconds())
 	}
 	return args
 }
 
+// sharedPartIDs returns the ids of the parts of a prompt that other prompts may share, in order.
+func sharedPartIDs(prompt *Prompt) (ids []string) {
+	for _, part := range prompt.PrefixParts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // listEntryArgs states which revision of the platform's endpoint list an endpoint was chosen by,
 // how old its entry was, and whether this host could have received a later one.
 func (l *requestLogger) listEntryArgs(basis *scheduler.Basis) []any {
