--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -70,6 +70,10 @@
 	}
 }
 
+// soundRunTime is how long after its first event a run shows that its request crashes no endpoint:
+// crashes come within some 100 ms.
+const soundRunTime = 250 * time.Millisecond
+
 // tokenReceiver is called for each event of a stream.
 type tokenReceiver interface{ TokenReceived() }
 
@@ -93,6 +97,10 @@
 			fr.reportRunStarted()
 			fr.hasEvents.Store(true)
 		}
+		if !fr.lastAttempt.isSound && !fr.isAtPeer && time.Since(fr.lastAttempt.firstEventAt) >= soundRunTime {
+			fr.lastAttempt.isSound = true
+			fr.forwarder.cfg.Quarantine.RunSucceeded(&fr.identity, true)
+		}
 		if err := fr.writeEvents(answer, events); err != nil {
 			return err
 		}
--- a/internal/dispatcher/forwarded_repeat.go
+++ b/internal/dispatcher/forwarded_repeat.go
@@ -20,6 +20,9 @@
 	if fr.admission.IsTrial && errors.Is(err, driver.ErrOutcomeUnknown) {
 		return false // a trial crashes one endpoint at most
 	}
+	if errors.Is(err, driver.ErrOutcomeUnknown) && !fr.isAtPeer && !fr.forwarder.cfg.Quarantine.MayRepeat(&fr.identity) {
+		return false // it may crash the next endpoint too
+	}
 	if fr.mayHaveRun(err) {
 		if !fr.request.Class.Repeatable || fr.runs >= fr.request.Class.MaxAttempts {
 			return false
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -87,6 +87,7 @@
 	softwareVersion string // of the endpoint, or stated by the peer
 	sentAt          time.Time
 	firstEventAt    time.Time // of its first event; zero if none has arrived
+	isSound         bool      // the run has gone on for soundRunTime
 }
 
 // requestTimings states where a request's time was spent, over all its attempts.
@@ -114,13 +115,15 @@
 }
 
 func (fr *forwardedRequest) setApplication(name string) {
-	fr.application, fr.repeatBudget = name, fr.forwarder.repeatBudget(name)
+	fr.application, fr.identity.Application, fr.repeatBudget = name, name, fr.forwarder.repeatBudget(name)
 }
 
 // identityOf returns the properties that identify a request when it is sent again.
 func identityOf(request *OpaqueRequest) quarantiner.Request {
 	payload := &request.Payload
-	return quarantiner.Request{Method: payload.Method, Host: payload.Host, Path: payload.Path, Body: payload.Body}
+	return quarantiner.Request{
+		Method: payload.Method, Host: payload.Host, Path: payload.Path, Body: payload.Body, Parts: sharedPartIDs(&request.Prompt),
+	}
 }
 
 // admitAndRun runs a request unless it is quarantined or exceeds its tenant's limit.
@@ -233,7 +236,7 @@
 	quarantine := fr.forwarder.cfg.Quarantine
 	switch {
 	case err == nil || errors.Is(err, errEndpointFault):
-		quarantine.RunSucceeded(&fr.identity)
+		quarantine.RunSucceeded(&fr.identity, err == nil)
 	case errors.Is(err, driver.ErrReplaced): // a refused connection may be this host's own fault
 		quarantine.ProcessExited(target.Process())
 	case errors.Is(err, driver.ErrOutcomeUnknown) && ctx.Err() == nil:
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -132,7 +132,7 @@
 	args = append(args, resumptionArgs(fr)...)
 	args = append(args, hostArgs(fr)...)
 	if fr.admission.IsRefused || fr.admission.IsTrial {
-		args = append(args, "request_name", fr.admission.Fingerprint.String(), "caller", fr.request.CallerAddress, "is_trial", fr.admission.IsTrial)
+		args = append(args, "request_name", fr.admission.Fingerprint.String(), "quarantined_part", fr.admission.PartID, "caller", fr.request.CallerAddress, "is_trial", fr.admission.IsTrial)
 	}
 	if errors.As(err, &failure) {
 		args = append(args, "outcome", failure.Outcome, "reason", failure.Reason, "detail", failure.Detail, "retry_after_ms", failure.RetryAfter.Milliseconds())
--- a/internal/exchanger/crashes.go
+++ b/internal/exchanger/crashes.go
@@ -30,14 +30,14 @@
 			EndpointId: update.EndpointID, Incarnation: update.Incarnation, AgeMs: now.Sub(update.At).Milliseconds(),
 		}
 		for _, run := range update.Runs {
-			message.Runs = append(message.Runs, &exchangerpb.CrashRun{Name: run.Fingerprint[:], Key: run.Key, TookMs: run.SinceSend.Milliseconds()})
+			message.Runs = append(message.Runs, &exchangerpb.CrashRun{Name: run.Fingerprint[:], Key: run.Key, TookMs: run.SinceSend.Milliseconds(), Part: int32(run.Part)})
 		}
 		for _, fingerprint := range update.Cleared {
 			message.Cleared = append(message.Cleared, fingerprint[:])
 		}
 		for _, q := range update.Quarantines {
 			message.Quarantines = append(message.Quarantines, &exchangerpb.Quarantine{
-				Name: q.Fingerprint[:], Key: q.Key, LeftMs: q.Until.Sub(now).Milliseconds(), PauseMs: q.Pause.Milliseconds(),
+				Name: q.Fingerprint[:], Key: q.Key, Part: int32(q.Part), LeftMs: q.Until.Sub(now).Milliseconds(), PauseMs: q.Pause.Milliseconds(),
 			})
 		}
 		messages = append(messages, message)
@@ -45,6 +45,9 @@
 	return messages
 }
 
+// partFromMessage bounds the position of a part.
+func partFromMessage(part int32) int { return int(max(part, 0)) }
+
 // crashesFromMessage converts a message's updates. Fingerprints of a wrong length are skipped;
 // the rest of the message is used.
 func (ex *Exchanger) crashesFromMessage(message *exchangerpb.PeerUpdate, now time.Time) []CrashUpdate {
@@ -61,7 +64,7 @@
 		update := CrashUpdate{EndpointID: m.GetEndpointId(), Incarnation: m.GetIncarnation(), At: now.Add(-ageFromMillis(m.GetAgeMs()))}
 		for _, run := range m.GetRuns() {
 			if fingerprint, ok := parse(run.GetName()); ok {
-				update.Runs = append(update.Runs, CrashRun{RequestFingerprint{fingerprint, run.GetKey()}, ageFromMillis(run.GetTookMs())})
+				update.Runs = append(update.Runs, CrashRun{RequestFingerprint{fingerprint, run.GetKey(), partFromMessage(run.GetPart())}, ageFromMillis(run.GetTookMs())})
 			}
 		}
 		for _, value := range m.GetCleared() {
@@ -72,7 +75,7 @@
 		for _, q := range m.GetQuarantines() {
 			if fingerprint, ok := parse(q.GetName()); ok {
 				update.Quarantines = append(update.Quarantines, Quarantine{
-					RequestFingerprint: RequestFingerprint{fingerprint, q.GetKey()}, Until: now.Add(durationFromMillis(q.GetLeftMs())), Pause: ageFromMillis(q.GetPauseMs()),
+					RequestFingerprint: RequestFingerprint{fingerprint, q.GetKey(), partFromMessage(q.GetPart())}, Until: now.Add(durationFromMillis(q.GetLeftMs())), Pause: ageFromMillis(q.GetPauseMs()),
 				})
 			}
 		}
--- a/internal/exchanger/fuzz_test.go
+++ b/internal/exchanger/fuzz_test.go
@@ -74,9 +74,9 @@
 	now := time.Unix(1000, 0)
 	update := CrashUpdate{
 		EndpointID: "e1", Incarnation: "e1@1", At: now.Add(-time.Second),
-		Runs:        []CrashRun{{RequestFingerprint{[16]byte{1}, 7}, 60 * time.Millisecond}},
+		Runs:        []CrashRun{{RequestFingerprint{[16]byte{1}, 7, 2}, 60 * time.Millisecond}},
 		Cleared:     [][16]byte{{2}},
-		Quarantines: []Quarantine{{RequestFingerprint{[16]byte{3}, 8}, now.Add(30 * time.Second), 30 * time.Second}},
+		Quarantines: []Quarantine{{RequestFingerprint{[16]byte{3}, 8, 0}, now.Add(30 * time.Second), 30 * time.Second}},
 	}
 	whole := &exchangerpb.PeerUpdate{HostId: "b", Crashes: crashesToMessage([]CrashUpdate{update}, now)}
 	broken := proto.Clone(whole).(*exchangerpb.PeerUpdate)
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -119,11 +119,13 @@
 	Merge(updates []UsageUpdate, isOwnZone bool)
 }
 
-// RequestFingerprint identifies a request that a caller may repeat under another id. Hosts
-// look it up by its key, which is cheap, before they compute the fingerprint.
+// RequestFingerprint identifies a request that a caller may repeat under another id, or a part of
+// prompts. Hosts look it up by its key, which is cheap, before they compute the fingerprint.
 type RequestFingerprint struct {
 	Fingerprint [16]byte
 	Key         uint64
+	// Part is the position of a part in the prompts, from 1; 0: a whole request.
+	Part int
 }
 
 // CrashUpdate states one of three things: which requests were running at an endpoint's process
--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -39,6 +39,17 @@
 	// contestMargin is the time before the first crash in which other crashes are counted
 	// as well: three may happen within half a second.
 	contestMargin = time.Second
+	// partPause is the first pause of a part. A trial of it costs an engine with all its streams,
+	// and the part crashes engines until they are replaced.
+	partPause = time.Minute
+	// crashesOfSoundPart is crashesToQuarantine for a part with which requests have run well in
+	// the time before.
+	crashesOfSoundPart = 6
+	// soundMemory is for how long a successful run shows that a part was sound.
+	soundMemory = 10 * time.Minute
+	// simultaneousCrashes is the time between two crashes that count as one for a part: a rack
+	// loses power at once, with all the parts that are popular at the time.
+	simultaneousCrashes = 30 * time.Millisecond
 	// maxPause bounds for how long a request is still refused after the engines have been
 	// fixed.
 	maxPause = 5 * time.Minute
@@ -64,9 +75,10 @@
 	runs       map[Fingerprint]time.Duration // from the send to the interruption
 }
 
-// record is the known state of a request.
+// record is the known state of a request or a part.
 type record struct {
 	key     key
+	depth   int
 	crashes []*crash // in the order in which they were received
 	// succeededAt is the latest known successful run; crashes before it don't count.
 	succeededAt time.Time
@@ -87,6 +99,26 @@
 // has expired.
 func (r *record) isQuarantined() bool { return !r.until.IsZero() }
 
+func (r *record) isPart() bool { return r.depth < wholeRequest }
+
+// wasSound is true for a part with which a run has succeeded before the crashes that count.
+func (r *record) wasSound() bool { return r.isPart() && !r.succeededAt.IsZero() }
+
+// crashesNeeded is how many crashes it takes to quarantine.
+func (r *record) crashesNeeded() int {
+	if r.wasSound() {
+		return crashesOfSoundPart
+	}
+	return crashesToQuarantine
+}
+
+func (r *record) initialPause() time.Duration {
+	if r.isPart() {
+		return partPause
+	}
+	return initialPause
+}
+
 // isRelevant is true for a crash that still counts against the request.
 func (r *record) isRelevant(c *crash, now time.Time) bool {
 	return c.at.After(r.succeededAt) && now.Sub(c.at) < crashRetention
@@ -138,13 +170,44 @@
 		if other == fingerprint || r == nil || !r.isRelevant(c, now) {
 			continue
 		}
-		if r.isQuarantined() || r.crashCount(now) >= count {
+		if r.isQuarantined() || r.crashCount(now) >= count && r.isMoreLikely(t.records[fingerprint]) {
 			return true
 		}
 	}
 	return false
 }
 
+// isMoreLikely is true if this one rather than the other is responsible, or both equally likely,
+// for as many crashes: what has run well before is less likely, and so is an earlier part of
+// prompts, which more requests share.
+func (r *record) isMoreLikely(other *record) bool {
+	if r.wasSound() != other.wasSound() {
+		return other.wasSound()
+	}
+	return r.depth >= other.depth
+}
+
+// distinctCrashes returns those crashes that were not simultaneous with the one before.
+func distinctCrashes(crashes []*crash) (distinct []*crash) {
+	crashes = slices.Clone(crashes)
+	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	for i, c := range crashes {
+		if i == 0 || c.at.Sub(crashes[i-1].at) >= simultaneousCrashes {
+			distinct = append(distinct, c)
+		}
+	}
+	return distinct
+}
+
+// independentCrashes returns those of the attributed crashes that can't be one event.
+func (t *table) independentCrashes(fingerprint Fingerprint, now time.Time) []*crash {
+	crashes := t.attributedCrashes(fingerprint, now)
+	if t.records[fingerprint].isPart() {
+		return distinctCrashes(crashes)
+	}
+	return consecutiveCrashes(fingerprint, crashes)
+}
+
 // consecutiveCrashes returns those crashes whose interrupted run was sent only after
 // the previous one. When a rack loses power, a popular request loses a run on each
 // engine there at the same time; those count once.
@@ -177,7 +240,7 @@
 // the request.
 func (t *table) shortenContestedPause(fingerprint Fingerprint, r *record, now time.Time) {
 	lastCrash := r.until.Add(-r.pause)
-	if r.pause == initialPause && t.isContested(fingerprint, lastCrash, now) {
+	if r.pause == r.initialPause() && t.isContested(fingerprint, lastCrash, now) {
 		r.pause, r.until = contestedPause, lastCrash.Add(contestedPause)
 	}
 }
--- a/internal/quarantiner/fingerprint.go
+++ b/internal/quarantiner/fingerprint.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"hash"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -19,6 +20,51 @@
 	Host   string // requested by the caller
 	Path   string // including the query
 	Body   []byte
+	// Application is that of the endpoints, and Parts the ids of the prompt's parts that other
+	// prompts may share, in order.
+	Application string
+	Parts       []string
+}
+
+// wholeRequest is the depth of a request as a whole, below that of all its parts.
+const wholeRequest = math.MaxInt32
+
+// suspect is what may be responsible for a crash: a request, or a part of its prompt.
+type suspect struct {
+	fingerprint Fingerprint
+	key         key
+	depth       int // position of the part in the prompt, from 0; wholeRequest
+}
+
+func (s *suspect) isPart() bool { return s.depth < wholeRequest }
+
+// suspects returns the request and the parts of its prompt.
+func (r *Request) suspects() []suspect {
+	return append([]suspect{{r.Fingerprint(), r.key(), wholeRequest}}, r.partSuspects()...)
+}
+
+func (r *Request) partSuspects() (suspects []suspect) {
+	for depth, id := range r.Parts {
+		suspects = append(suspects, suspect{partFingerprint(r.Application, id), partKey(r.Application, id), depth})
+	}
+	return suspects
+}
+
+// partFingerprint returns the fingerprint of a part of prompts. A part may crash the engines of one
+// application only.
+func partFingerprint(application, id string) (f Fingerprint) {
+	h := sha256.New()
+	for _, part := range []string{"part", application, id} {
+		writePart(h, []byte(part))
+	}
+	copy(f[:], h.Sum(nil))
+	return f
+}
+
+func partKey(application, id string) key {
+	b := make([]byte, 0, keyBufferBytes)
+	b = append(append(append(b, application...), 0), id...)
+	return key(xxhash.Sum64(b))
 }
 
 // fingerprintBytes is the length of a fingerprint. Finding another body with the
--- a/internal/quarantiner/pending.go
+++ b/internal/quarantiner/pending.go
@@ -1,6 +1,9 @@
 package quarantiner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// pendingTimeout is how long interrupted runs wait for confirmation that the process
@@ -20,8 +23,8 @@
 	runs []run
 }
 
-// add adds a run; isFirst is true for the first one of its process.
-func (p pending) add(process Process, r run, now time.Time) (isFirst bool) {
+// add adds what was interrupted; isFirst is true for the first interruption of its process.
+func (p pending) add(process Process, now time.Time, runs ...run) (isFirst bool) {
 	entry := p[process]
 	if entry == nil {
 		if len(p) >= maxPending {
@@ -30,8 +33,11 @@
 		entry = &interruption{at: now}
 		p[process], isFirst = entry, true
 	}
-	if len(entry.runs) < maxRunsPerCrash {
-		entry.runs = append(entry.runs, r)
+	for _, r := range runs {
+		isKnown := r.isPart() && slices.ContainsFunc(entry.runs, func(other run) bool { return other.fingerprint == r.fingerprint })
+		if !isKnown && len(entry.runs) < maxRunsPerCrash {
+			entry.runs = append(entry.runs, r)
+		}
 	}
 	return isFirst
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -1,8 +1,12 @@
 package quarantiner
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +27,10 @@
 	// probeTimeout bounds the probe whether a process still listens. If it has exited, its
 	// host refuses the connection at once.
 	probeTimeout = 2 * time.Second
+	// maxSoundParts bounds the parts whose successful runs are remembered, at some 60 bytes each.
+	maxSoundParts = 16 << 10
+	// soundReportInterval is how often peers are sent a later successful run of a part.
+	soundReportInterval = time.Second
 	// evaluationPeriod is for how long after the last update suspects are evaluated at
 	// each tick: crashSettlingDelay and some ticks.
 	evaluationPeriod = 2 * time.Second
@@ -64,6 +72,7 @@
 	// isNotifyDue is true from when a request is quarantined until OnQuarantine is called.
 	isNotifyDue bool
 	log         exchanger.UpdateLog[exchanger.CrashUpdate]
+	sound       soundParts
 
 	ctx    context.Context // cancelled by Close
 	cancel context.CancelFunc
@@ -78,7 +87,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
-	q := &Quarantiner{cfg: cfg, table: newTable(), pending: pending{}, log: exchanger.NewUpdateLog[exchanger.CrashUpdate](maxLoggedUpdates)}
+	q := &Quarantiner{cfg: cfg, table: newTable(), pending: pending{}, sound: newSoundParts(maxSoundParts), log: exchanger.NewUpdateLog[exchanger.CrashUpdate](maxLoggedUpdates)}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	return q
 }
@@ -96,6 +105,7 @@
 	IsRefused   bool
 	RetryAfter  time.Duration // when it may be tried again
 	Fingerprint Fingerprint   // set if refused or a trial
+	PartID      string        // of the quarantined part; empty: the request as a whole
 	// IsTrial is true for the one run that tests whether a quarantined request can be run
 	// by now.
 	IsTrial bool
@@ -103,49 +113,84 @@
 
 // Admit decides whether a request may be run, before any other work on it.
 func (q *Quarantiner) Admit(request *Request) (a Admission) {
-	fingerprint, ok := q.lookUp(request)
-	if !ok {
+	suspects := q.lookUp(request)
+	if len(suspects) == 0 {
 		return a
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.table.records[fingerprint]
-	if r == nil || !r.isQuarantined() {
-		return a
-	}
 	now := q.cfg.Now()
-	if q.mayStartTrialLocked(fingerprint, r, now) {
-		q.startTrialLocked(fingerprint, r, now)
-		return Admission{IsTrial: true, Fingerprint: fingerprint}
+	var trials []suspect
+	for _, s := range suspects {
+		r := q.table.records[s.fingerprint]
+		if r == nil || !r.isQuarantined() {
+			continue
+		}
+		if !q.mayStartTrialLocked(s.fingerprint, r, now) {
+			return Admission{IsRefused: true, Fingerprint: s.fingerprint, RetryAfter: max(r.until.Sub(now), maxStagger), PartID: partIDOf(request, &s)}
+		}
+		trials = append(trials, s)
+	}
+	for _, s := range trials {
+		q.startTrialLocked(s.fingerprint, q.table.records[s.fingerprint], now)
+		a = Admission{IsTrial: true, Fingerprint: s.fingerprint, PartID: partIDOf(request, &s)}
 	}
-	return Admission{IsRefused: true, Fingerprint: fingerprint, RetryAfter: max(r.until.Sub(now), maxStagger)}
+	return a
+}
+
+func partIDOf(request *Request, s *suspect) string {
+	if s.isPart() {
+		return request.Parts[s.depth]
+	}
+	return ""
 }
 
 // IsQuarantined is true for a request whose running attempts are to be cancelled.
 func (q *Quarantiner) IsQuarantined(request *Request) bool {
-	fingerprint, ok := q.lookUp(request)
-	if !ok {
+	return q.anyRecord(request, (*record).isQuarantined)
+}
+
+// MayRepeat is false for a request that must not be sent to a second endpoint after the first one
+// has crashed under it: a part of its prompt has been in other crashes and in no successful run.
+func (q *Quarantiner) MayRepeat(request *Request) bool {
+	return !q.anyRecord(request, func(r *record) bool {
+		return r.isPart() && !r.wasSound() && r.crashCount(q.cfg.Now()) > 0
+	})
+}
+
+// anyRecord reports whether a record of the request or one of its parts matches.
+func (q *Quarantiner) anyRecord(request *Request, match func(r *record) bool) bool {
+	suspects := q.lookUp(request)
+	if len(suspects) == 0 {
 		return false
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.table.records[fingerprint]
-	return r != nil && r.isQuarantined()
+	return slices.ContainsFunc(suspects, func(s suspect) bool {
+		r := q.table.records[s.fingerprint]
+		return r != nil && match(r)
+	})
 }
 
-// lookUp returns the request's fingerprint if there may be a record of it.
-func (q *Quarantiner) lookUp(request *Request) (fingerprint Fingerprint, ok bool) {
+// lookUp returns those of the request and its parts of which there may be a record.
+func (q *Quarantiner) lookUp(request *Request) (suspects []suspect) {
 	if q == nil || q.recordCount.Load() == 0 {
-		return fingerprint, false
+		return nil
 	}
 	k := request.key()
 	q.mu.Lock()
-	_, ok = q.table.keyCounts[k]
+	_, isKnown := q.table.keyCounts[k]
+	for depth, id := range request.Parts {
+		partKey := partKey(request.Application, id)
+		if _, ok := q.table.keyCounts[partKey]; ok {
+			suspects = append(suspects, suspect{partFingerprint(request.Application, id), partKey, depth})
+		}
+	}
 	q.mu.Unlock()
-	if !ok {
-		return fingerprint, false
+	if isKnown {
+		suspects = append(suspects, suspect{request.Fingerprint(), k, wholeRequest})
 	}
-	return request.Fingerprint(), true
+	return suspects
 }
 
 // mayStartTrialLocked is true where this host may start a trial now. Hosts may do so one
@@ -191,18 +236,21 @@
 		return
 	}
 	if attempt.SinceFirstEvent > maxEarlyRun {
-		q.RunSucceeded(attempt.Request)
+		q.RunSucceeded(attempt.Request, true)
 		return
 	}
 	process := attempt.Target.Process()
 	if q.cfg.IsLeaving(process) {
 		return
 	}
-	interrupted := run{fingerprint: attempt.Request.Fingerprint(), key: attempt.Request.key(), sinceSend: attempt.SinceSend}
+	var interrupted []run
+	for _, s := range attempt.Request.suspects() {
+		interrupted = append(interrupted, run{suspect: s, sinceSend: attempt.SinceSend})
+	}
 	now := q.cfg.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	isFirst := q.pending.add(process, interrupted, now)
+	isFirst := q.pending.add(process, now, interrupted...)
 	switch {
 	case q.table.crashes[process] != nil:
 		q.processExitedLocked(process)
@@ -265,6 +313,7 @@
 			"requests", len(added), "request_names", fingerprintStrings(added))
 	}
 	q.log.Add(crashUpdate(process, at, added), origin)
+	q.reportSoundLocked(added)
 	for _, run := range added {
 		if r := q.table.records[run.fingerprint]; r.isQuarantined() {
 			q.extendLocked(run.fingerprint, r)
@@ -297,27 +346,63 @@
 	}
 }
 
-// RunSucceeded records that a request has been run without crashing its endpoint.
-func (q *Quarantiner) RunSucceeded(request *Request) {
-	fingerprint, ok := q.lookUp(request)
-	if !ok {
+// RunSucceeded records that a request has been run without crashing its endpoint, or that its run
+// goes on. wroteAnswer is false if the endpoint has written no answer on the prompt, which shows
+// nothing of its parts.
+func (q *Quarantiner) RunSucceeded(request *Request, wroteAnswer bool) {
+	if q == nil {
+		return
+	}
+	now := q.cfg.Now()
+	if wroteAnswer && len(request.Parts) > 0 {
+		q.mu.Lock()
+		for _, id := range request.Parts {
+			q.sound.add(partKey(request.Application, id), now)
+		}
+		q.mu.Unlock()
+	}
+	suspects := q.lookUp(request)
+	if len(suspects) == 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.clearLocked(fingerprint, q.cfg.Now(), exchanger.ScopeOwn)
+	for _, s := range suspects {
+		if wroteAnswer || !s.isPart() {
+			q.clearLocked(s.fingerprint, now, exchanger.ScopeOwn)
+		}
+	}
+}
+
+// reportSoundLocked applies and reports the successful runs of parts that are in a crash.
+func (q *Quarantiner) reportSoundLocked(runs []run) {
+	now := q.cfg.Now()
+	for i := range runs {
+		s := &runs[i].suspect
+		if !s.isPart() {
+			continue
+		}
+		if at, ok := q.sound.succeededAt(s.key, now); ok {
+			q.clearLocked(s.fingerprint, at, exchanger.ScopeOwn)
+		}
+	}
 }
 
 func (q *Quarantiner) clearLocked(fingerprint Fingerprint, at time.Time, origin exchanger.Scope) {
 	r := q.table.records[fingerprint]
+	if r == nil && at.After(q.table.clearedAt[fingerprint]) {
+		q.table.clearedAt[fingerprint] = at
+	}
 	if r == nil || !at.After(r.succeededAt) {
 		return
 	}
-	if r.crashCount(at) == 0 && !r.isQuarantined() {
+	isNews := r.isPart() && at.Sub(r.succeededAt) >= soundReportInterval
+	if r.crashCount(at) == 0 && !r.isQuarantined() && !isNews {
 		return // no crash counts against it
 	}
 	r.succeededAt, r.cachedCountAt = at, time.Time{}
-	if r.isQuarantined() {
+	lastCrash := r.until.Add(-r.pause)
+	if r.isQuarantined() && at.After(lastCrash) {
 		q.cfg.Logger.Info("quarantine lifted: request was run without a crash", "request_name", fingerprint.String())
 		q.table.releasedAt[fingerprint] = at
 		q.table.release(fingerprint, r)
@@ -349,12 +434,17 @@
 	for fingerprint, r := range q.table.quarantined {
 		q.table.shortenContestedPause(fingerprint, r, now)
 	}
-	for fingerprint, r := range q.table.suspects {
-		if r.isQuarantined() || r.crashCount(now) < crashesToQuarantine {
+	// The deepest part first: once it is quarantined, it explains the crashes of the others.
+	fingerprints := slices.SortedFunc(maps.Keys(q.table.suspects), func(a, b Fingerprint) int {
+		return cmp.Or(cmp.Compare(q.table.suspects[b].depth, q.table.suspects[a].depth), bytes.Compare(a[:], b[:]))
+	})
+	for _, fingerprint := range fingerprints {
+		r := q.table.suspects[fingerprint]
+		if r.isQuarantined() || r.crashCount(now) < r.crashesNeeded() {
 			continue
 		}
-		if consecutive := consecutiveCrashes(fingerprint, q.table.attributedCrashes(fingerprint, now)); len(consecutive) >= crashesToQuarantine {
-			q.quarantineLocked(fingerprint, r, consecutive, now)
+		if crashes := q.table.independentCrashes(fingerprint, now); len(crashes) >= r.crashesNeeded() {
+			q.quarantineLocked(fingerprint, r, crashes, now)
 		}
 	}
 }
@@ -369,7 +459,7 @@
 	for _, c := range consecutive {
 		endpointIDs = append(endpointIDs, c.process.EndpointID)
 	}
-	q.cfg.Logger.Warn("request quarantined: endpoints crash that run it", "request_name", fingerprint.String(), "endpoint_ids", endpointIDs,
+	q.cfg.Logger.Warn("request quarantined: endpoints crash that run it", "request_name", fingerprint.String(), "is_part", r.isPart(), "endpoint_ids", endpointIDs,
 		"first_crash_ago_ms", now.Sub(consecutive[0].at).Milliseconds(), "retry_in_ms", r.until.Sub(now).Milliseconds())
 }
 
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -155,7 +155,7 @@
 				f.crash(crashing(n))
 				if n == 1 {
 					f.clock.advance(time.Second)
-					f.hosts[2].RunSucceeded(newRequest("crashing"))
+					f.hosts[2].RunSucceeded(newRequest("crashing"), true)
 				}
 			}
 		}, map[string]bool{"crashing": false}},
@@ -184,7 +184,7 @@
 				f.clock.advance(time.Second)
 				f.crash(crashing(n), beside(n))
 			}
-			f.hosts[0].RunSucceeded(newRequest("beside"))
+			f.hosts[0].RunSucceeded(newRequest("beside"), true)
 		}, map[string]bool{"crashing": true, "beside": false}},
 		"two requests that each crash engines": {func(f *fleet) {
 			for n := range 3 {
@@ -266,7 +266,7 @@
 	f.clock.advance(maxStagger)
 	assert.Equal(t, admitAll(), 1)
 
-	f.hosts[2].RunSucceeded(newRequest("crashing")) // a successful trial
+	f.hosts[2].RunSucceeded(newRequest("crashing"), true) // a successful trial
 	f.exchangeUpdates()
 	for _, q := range f.hosts {
 		assert.Assert(t, !q.Admit(newRequest("crashing")).IsRefused)
--- a/internal/quarantiner/simulation_test.go
+++ b/internal/quarantiner/simulation_test.go
@@ -40,6 +40,8 @@
 	isPoisonVaried   bool          // each poison request has a different body
 	poisonUntil      time.Duration // when poison requests end; 0: at the end of the simulation
 	updateInterval   time.Duration // between two updates of a host; 0: simUpdateInterval
+	hasParts         bool          // requests share parts of their prompts; poison requests have a part of their own
+	isFirstPoison    bool          // that is their first part
 	duration         time.Duration
 }
 
@@ -55,6 +57,7 @@
 
 type simRun struct {
 	body     string
+	parts    []string
 	isPoison bool
 	host     int
 	sentAt   time.Duration
@@ -80,11 +83,41 @@
 	poisonCrashes int           // crashes caused by poison requests
 }
 
+// request returns the request of a run.
+func (r *simRun) request() *Request {
+	request := newRequest(r.body)
+	request.Application, request.Parts = "llm", r.parts
+	return request
+}
+
 const (
 	poisonBody  = "crashing"
 	popularBody = "popular"
+	poisonPart  = "bad"
+	firstParts  = 4   // of the prompts of as many customers
+	secondParts = 200 // some of them rare
 )
 
+// drawParts returns the shared parts of a sound prompt.
+func (s *simulation) drawParts() []string {
+	if !s.load.hasParts {
+		return nil
+	}
+	second := int(secondParts * s.rand.Float64() * s.rand.Float64() * s.rand.Float64())
+	return []string{fmt.Sprint("first", s.rand.IntN(firstParts)), fmt.Sprint("second", second)}
+}
+
+func (s *simulation) poisonParts() []string {
+	switch {
+	case !s.load.hasParts:
+		return nil
+	case s.load.isFirstPoison:
+		return append([]string{poisonPart}, s.drawParts()[1])
+	default:
+		return []string{s.drawParts()[0], poisonPart, s.drawParts()[1]}
+	}
+}
+
 func runSimulation(t *testing.T, load simLoad, seed uint64) simResult {
 	t.Helper()
 	s := &simulation{load: load, fleet: newFleet(t, load.hosts), rand: rand.New(rand.NewPCG(seed, 1))}
@@ -158,14 +191,14 @@
 		if s.rand.Float64() < s.load.popularShare {
 			body = popularBody
 		}
-		s.send(&simRun{body: body})
+		s.send(&simRun{body: body, parts: s.drawParts()})
 	}
 	if s.load.poisonInterval > 0 && s.now%s.load.poisonInterval == 0 && (s.load.poisonUntil == 0 || s.now < s.load.poisonUntil) {
 		body := poisonBody
 		if s.load.isPoisonVaried {
 			body = fmt.Sprint(poisonBody, s.now)
 		}
-		s.send(&simRun{body: body, isPoison: true})
+		s.send(&simRun{body: body, parts: s.poisonParts(), isPoison: true})
 	}
 }
 
@@ -180,7 +213,7 @@
 		s.result.requests++
 	}
 	r.attempts++
-	if s.fleet.hosts[r.host].Admit(newRequest(r.body)).IsRefused {
+	if s.fleet.hosts[r.host].Admit(r.request()).IsRefused {
 		if !r.isPoison {
 			s.result.refused++
 		}
@@ -225,7 +258,7 @@
 			kept = append(kept, r)
 			continue
 		}
-		s.fleet.hosts[r.host].RunSucceeded(newRequest(r.body))
+		s.fleet.hosts[r.host].RunSucceeded(r.request(), true)
 	}
 	e.runs = kept
 	if isCrash {
@@ -249,7 +282,7 @@
 	*e = simEngine{restartsAt: s.now + simRestartTime, incarnation: e.incarnation + 1}
 	for _, r := range runs {
 		s.fleet.hosts[r.host].RunInterrupted(InterruptedRun{
-			Request: newRequest(r.body), Target: driver.Target{EndpointID: process.EndpointID, Incarnation: process.Incarnation},
+			Request: r.request(), Target: driver.Target{EndpointID: process.EndpointID, Incarnation: process.Incarnation},
 			SinceSend: s.now - r.sentAt, SinceFirstEvent: max(s.now-r.sentAt-simFirstEventDelay, 0),
 		})
 	}
@@ -308,6 +341,25 @@
 			hosts: 9, engines: 14, perSecond: 250, longShare: 0.1, popularShare: 0.05, unrelatedCrashes: 6, isStaggered: true,
 			poisonInterval: 300 * time.Millisecond, duration: 20 * time.Second,
 		},
+		"a third of the engines crashes six times; prompts share parts": {
+			hosts: 9, engines: 14, perSecond: 250, longShare: 0.1, popularShare: 0.05, unrelatedCrashes: 6, hasParts: true, duration: 20 * time.Second,
+		},
+		"the same number of crashes, one by one; prompts share parts": {
+			hosts: 9, engines: 14, perSecond: 250, longShare: 0.1, unrelatedCrashes: 6, isStaggered: true, hasParts: true, duration: 20 * time.Second,
+		},
+		"next to a poison part": {
+			hosts: 9, engines: 7, perSecond: 250, longShare: 0.1, popularShare: 0.05, poisonInterval: 50 * time.Millisecond, isPoisonVaried: true, hasParts: true, duration: 20 * time.Second,
+		},
+		"next to a poison first part": {
+			hosts: 9, engines: 7, perSecond: 250, longShare: 0.1, poisonInterval: 50 * time.Millisecond, isPoisonVaried: true, hasParts: true, isFirstPoison: true, duration: 20 * time.Second,
+		},
+		"next to a rare poison part": {
+			hosts: 9, engines: 14, perSecond: 250, longShare: 0.1, poisonInterval: 1500 * time.Millisecond, isPoisonVaried: true, hasParts: true, duration: 20 * time.Second,
+		},
+		"next to a poison part and unrelated crashes": {
+			hosts: 9, engines: 14, perSecond: 250, longShare: 0.1, poisonInterval: 100 * time.Millisecond, isPoisonVaried: true, hasParts: true, unrelatedCrashes: 6, isStaggered: true,
+			duration: 20 * time.Second,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -315,7 +367,7 @@
 				got := runSimulation(t, load, seed)
 				t.Logf("seed %d: %+v", seed, got)
 				assert.Assert(t, float64(got.refused) <= maxWrongShare*float64(got.requests), "seed %d: %d of %d refused", seed, got.refused, got.requests)
-				if load.poisonInterval > 0 && !load.isPoisonVaried {
+				if load.poisonInterval > 0 && (!load.isPoisonVaried || load.hasParts) {
 					assert.Assert(t, got.latePoisonSends <= maxLatePoisonSends, "seed %d: %d poison requests sent after detection", seed, got.latePoisonSends)
 				}
 			}
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -11,9 +11,9 @@
 	// the oldest are dropped, and a request that is sent so rarely that 256 others have
 	// crashed in the meantime is not detected.
 	maxCrashes = 256
-	// maxRunsPerCrash bounds the requests that are kept of one crash. Engines run up to
-	// 48 at a time and queue as many.
-	maxRunsPerCrash = 128
+	// maxRunsPerCrash bounds the requests and parts that are kept of one crash. Engines run up to
+	// 48 requests at a time and queue as many.
+	maxRunsPerCrash = 256
 	// maxQuarantined bounds the quarantined requests, at some 200 bytes each. Beyond it
 	// the one with the earliest retry is released: it crashes one more process before it
 	// is detected again.
@@ -33,20 +33,21 @@
 	// releasedAt is when quarantined requests last succeeded. It prevents a peer that
 	// missed that from quarantining them again.
 	releasedAt map[Fingerprint]time.Time
+	// clearedAt is when runs succeeded of which peers reported this before their crashes.
+	clearedAt map[Fingerprint]time.Time
 }
 
 func newTable() table {
 	return table{
 		crashes: map[Process]*crash{}, records: map[Fingerprint]*record{}, keyCounts: map[key]int{}, suspects: map[Fingerprint]*record{},
-		quarantined: map[Fingerprint]*record{}, releasedAt: map[Fingerprint]time.Time{},
+		quarantined: map[Fingerprint]*record{}, releasedAt: map[Fingerprint]time.Time{}, clearedAt: map[Fingerprint]time.Time{},
 	}
 }
 
-// run is a run that was interrupted when its process exited.
+// run is a request, or a part of its prompt, whose run was interrupted when its process exited.
 type run struct {
-	fingerprint Fingerprint
-	key         key
-	sinceSend   time.Duration // from the send to the interruption
+	suspect
+	sinceSend time.Duration // from the send to the interruption
 }
 
 // add records a crash with some runs, and returns those that were not known.
@@ -62,7 +63,8 @@
 			continue
 		}
 		c.runs[run.fingerprint] = run.sinceSend
-		r := t.record(run.fingerprint, run.key)
+		r := t.record(&run.suspect)
+		r.depth = max(r.depth, run.depth)
 		r.crashes, r.cachedCountAt = append(r.crashes, c), time.Time{}
 		if len(r.crashes) >= crashesToQuarantine {
 			t.suspects[run.fingerprint] = r
@@ -73,12 +75,12 @@
 }
 
 // record returns a request's record, and creates it on first use.
-func (t *table) record(fingerprint Fingerprint, k key) *record {
-	r := t.records[fingerprint]
+func (t *table) record(s *suspect) *record {
+	r := t.records[s.fingerprint]
 	if r == nil {
-		r = &record{key: k}
-		t.records[fingerprint] = r
-		t.keyCounts[k]++
+		r = &record{key: s.key, depth: s.depth, succeededAt: t.clearedAt[s.fingerprint]}
+		t.records[s.fingerprint] = r
+		t.keyCounts[s.key]++
 	}
 	return r
 }
@@ -95,9 +97,11 @@
 			t.release(fingerprint, r)
 		}
 	}
-	for fingerprint, at := range t.releasedAt {
-		if now.Sub(at) >= crashRetention || len(t.releasedAt) > maxQuarantined {
-			delete(t.releasedAt, fingerprint)
+	for _, times := range []map[Fingerprint]time.Time{t.releasedAt, t.clearedAt} {
+		for fingerprint, at := range times {
+			if now.Sub(at) >= crashRetention || len(times) > maxQuarantined {
+				delete(times, fingerprint)
+			}
 		}
 	}
 	for len(t.quarantined) > maxQuarantined {
@@ -131,7 +135,7 @@
 
 // quarantine sets the pause of a request from the crashes that it caused.
 func (t *table) quarantine(fingerprint Fingerprint, r *record, consecutive []*crash) {
-	r.pause = initialPause
+	r.pause = r.initialPause()
 	if t.isContested(fingerprint, consecutive[0].at.Add(-contestMargin), consecutive[len(consecutive)-1].at) {
 		r.pause = contestedPause
 	}
--- a/internal/quarantiner/updates.go
+++ b/internal/quarantiner/updates.go
@@ -14,14 +14,14 @@
 	update := exchanger.CrashUpdate{EndpointID: process.EndpointID, Incarnation: process.Incarnation, At: at}
 	for _, run := range runs {
 		update.Runs = append(update.Runs, exchanger.CrashRun{
-			RequestFingerprint: exchanger.RequestFingerprint{Fingerprint: run.fingerprint, Key: uint64(run.key)}, SinceSend: run.sinceSend,
+			RequestFingerprint: exchanger.RequestFingerprint{Fingerprint: run.fingerprint, Key: uint64(run.key), Part: partOf(run.depth)}, SinceSend: run.sinceSend,
 		})
 	}
 	return update
 }
 
 func quarantineOf(fingerprint Fingerprint, r *record) exchanger.Quarantine {
-	return exchanger.Quarantine{RequestFingerprint: exchanger.RequestFingerprint{Fingerprint: fingerprint, Key: uint64(r.key)}, Until: r.until, Pause: r.pause}
+	return exchanger.Quarantine{RequestFingerprint: exchanger.RequestFingerprint{Fingerprint: fingerprint, Key: uint64(r.key), Part: partOf(r.depth)}, Until: r.until, Pause: r.pause}
 }
 
 func fingerprintStrings(runs []run) (values []string) {
@@ -55,7 +55,7 @@
 		var runs []run
 		for fingerprint, sinceSend := range c.runs {
 			if r := q.table.records[fingerprint]; r != nil && c.at.After(r.succeededAt) {
-				runs = append(runs, run{fingerprint: fingerprint, key: r.key, sinceSend: sinceSend})
+				runs = append(runs, run{suspect: suspect{fingerprint, r.key, r.depth}, sinceSend: sinceSend})
 			}
 		}
 		updates = append(updates, crashUpdate(c.process, c.at, runs))
@@ -81,7 +81,7 @@
 		process := Process{EndpointID: update.EndpointID, Incarnation: update.Incarnation}
 		runs := make([]run, 0, len(update.Runs))
 		for _, r := range update.Runs {
-			runs = append(runs, run{fingerprint: Fingerprint(r.Fingerprint), key: key(r.Key), sinceSend: r.SinceSend})
+			runs = append(runs, run{suspect: suspectOf(&r.RequestFingerprint), sinceSend: r.SinceSend})
 		}
 		q.addCrashLocked(process, update.At, runs, origin)
 		q.processExitedLocked(process) // this host's runs there were interrupted for the same reason
@@ -94,6 +94,22 @@
 	}
 }
 
+func suspectOf(remote *exchanger.RequestFingerprint) suspect {
+	depth := wholeRequest
+	if remote.Part > 0 {
+		depth = remote.Part - 1
+	}
+	return suspect{fingerprint: Fingerprint(remote.Fingerprint), key: key(remote.Key), depth: depth}
+}
+
+// partOf returns the position of a part as peers send it.
+func partOf(depth int) int {
+	if depth == wholeRequest {
+		return 0
+	}
+	return depth + 1
+}
+
 // adoptLocked applies a peer's quarantine: a new one, a trial, or a longer pause.
 func (q *Quarantiner) adoptLocked(remote *exchanger.Quarantine, origin exchanger.Scope) {
 	fingerprint := Fingerprint(remote.Fingerprint)
@@ -101,13 +117,14 @@
 	if at, ok := q.table.releasedAt[fingerprint]; ok && !lastCrash.After(at) {
 		return // it has succeeded since
 	}
-	r := q.table.record(fingerprint, key(remote.Key))
+	s := suspectOf(&remote.RequestFingerprint)
+	r := q.table.record(&s)
 	if !remote.Until.After(r.until) {
 		return
 	}
 	if !r.isQuarantined() {
 		q.isNotifyDue = true
-		q.cfg.Logger.Warn("request quarantined by a peer: endpoints crash that run it", "request_name", fingerprint.String(),
+		q.cfg.Logger.Warn("request quarantined by a peer: endpoints crash that run it", "request_name", fingerprint.String(), "is_part", r.isPart(),
 			"retry_in_ms", remote.Until.Sub(q.cfg.Now()).Milliseconds())
 	}
 	r.until, r.pause = remote.Until, max(remote.Pause, r.pause)
--- a/internal/quarantiner/updates_test.go
+++ b/internal/quarantiner/updates_test.go
@@ -26,7 +26,7 @@
 	// that host's snapshot.
 	f.clock.advance(time.Second)
 	lagging := f.hosts[2]
-	f.hosts[0].RunSucceeded(newRequest("crashing"))
+	f.hosts[0].RunSucceeded(newRequest("crashing"), true)
 	updates, _ = f.hosts[0].Updates(f.positions[0], exchanger.ScopeOwn)
 	late.Merge(updates, true)
 	stale, _ := lagging.Updates(0, exchanger.ScopeOwn)
@@ -79,7 +79,7 @@
 		q.Tick(f.clock.Now())
 		assert.Assert(t, q.IsQuarantined(newRequest("crashing")), "host %d", n)
 	}
-	far.RunSucceeded(newRequest("crashing"))
+	far.RunSucceeded(newRequest("crashing"), true)
 	for range len(links) {
 		relay()
 	}
