RECOVER: a host that serves far more requests than its peers closes new connections unread

What callers would see: a balancer that hands most new connections to one host has it serve all requests, while its peers are idle. Cause: the callers' listener knew a fixed number of connections only. Package shedder compares the requests that this host serves with those of the peers it hears from: beyond twice the mean, and 16, new connections are closed before anything is read of them, as long as a peer of the zone has room. Connections that callers keep open are served as ever.

Not tested: a host whose processor is the limit.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -157,6 +157,11 @@
 	m.set.GetOrCreateCounter(`endivemast_stream_records_total{event="` + event + `"}`).Inc()
 }
 
+// CountShedConnections counts new connections of callers that were closed unread.
+func (m *Meter) CountShedConnections(count int) {
+	m.set.GetOrCreateCounter("endivemast_connections_shed_total").Add(count)
+}
+
 // GaugeStreamRecords shows how many streams' origins the host keeps for all hosts.
 func (m *Meter) GaugeStreamRecords(value func() float64) {
 	m.set.GetOrCreateGauge("endivemast_stream_records", value)
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -7,11 +7,13 @@
 )
 
 // limitedListener limits the number of open connections. It closes connections beyond the
-// limit immediately: unaccepted, they would wait without an answer, whereas a closed
+// limit, and those that mayAccept rejects, immediately: unaccepted, they would wait without an answer, whereas a closed
 // connection makes the client try another host.
 type limitedListener struct {
 	net.Listener
 	limit int
+	// mayAccept reports whether a new connection is accepted.
+	mayAccept func() bool
 
 	mu     sync.Mutex
 	open   int
@@ -21,7 +23,7 @@
 
 // newLimitedListener returns a listener with a limit of open connections.
 func newLimitedListener(inner net.Listener, limit int) *limitedListener {
-	l := &limitedListener{Listener: inner, limit: limit, idle: make(chan struct{})}
+	l := &limitedListener{Listener: inner, limit: limit, mayAccept: func() bool { return true }, idle: make(chan struct{})}
 	close(l.idle)
 	return l
 }
@@ -33,7 +35,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.add() {
+		if l.mayAccept() && l.add() {
 			return &limitedConn{Conn: conn, listener: l}, nil
 		}
 		_ = conn.Close() // the error of closing a rejected connection does not matter
--- a/internal/server/passthrough.go
+++ b/internal/server/passthrough.go
@@ -32,6 +32,8 @@
 	Network        connector.Network // nil: TCP
 	Handler        http.Handler
 	MaxConnections int
+	// MayAccept reports whether a new connection is accepted; nil: all are. It must not block.
+	MayAccept func() bool
 	// IdleTimeout returns how long a connection may stay idle. It is called at each check, so
 	// that the timeout can change; 0 means no limit.
 	IdleTimeout func() time.Duration
@@ -77,6 +79,9 @@
 		return err
 	}
 	p.listener = newLimitedListener(inner, p.cfg.MaxConnections)
+	if p.cfg.MayAccept != nil {
+		p.listener.mayAccept = p.cfg.MayAccept
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.group.Go(func() error {
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -41,6 +41,7 @@
 	"github.com/endivemast/endivemast/internal/scaler"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
+	"github.com/endivemast/endivemast/internal/shedder"
 	"github.com/endivemast/endivemast/internal/streamkeeper"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
@@ -144,6 +145,8 @@
 	paths         *pathwatcher.Watcher
 	peerForwarder *peerforwarder.Forwarder
 	streams       *streamkeeper.Keeper
+	shedder       *shedder.Shedder
+	shedLoggedAt  time.Time // used by tick only
 	limiter       *ratelimiter.Limiter
 	detector      *timekeeper.Detector
 	exchanger     *exchanger.Exchanger
@@ -185,7 +188,7 @@
 // on the peers' address, or a setting is not usable.
 func NewGateway(cfg GatewayConfig) (g *Gateway, err error) {
 	defer func() { err = eris.Wrap(err, "prepare entry host") }()
-	g = &Gateway{cfg: cfg, incarnation: uuid.NewString(), classifier: classifier.New()}
+	g = &Gateway{cfg: cfg, incarnation: uuid.NewString(), classifier: classifier.New(), shedder: shedder.New(cfg.Zone)}
 	if g.cfg.Clock == nil {
 		g.cfg.Clock = timekeeper.New()
 	}
@@ -241,7 +244,7 @@
 		RepeatWindow: cfg.RepeatWindow, OnRunStarted: g.accountant.Count, Limits: &tenantLimits{gateway: g}, Peers: g.peerForwarder, Streams: g.streams,
 	})
 	g.callers = server.NewPassthrough(server.PassthroughConfig{
-		Address: cfg.CallersAddress, Network: cfg.Network, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections,
+		Address: cfg.CallersAddress, Network: cfg.Network, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections, MayAccept: g.mayAccept,
 		IdleTimeout: func() time.Duration { return g.classifier.Limits().IdleTimeout }, Logger: cfg.Logger.Named("server"),
 	})
 	g.readiness = server.NewPassthrough(server.PassthroughConfig{
@@ -329,6 +332,7 @@
 				g.updateKeepers()
 			}
 			g.streams.Tick()
+			g.updateShedder(now)
 			g.paths.Tick()
 			g.abandonWithoutPath()
 			g.scheduler.Tick(now)
