ORDER: a taken-up stream's application is known before the request is registered as running

Cause, found by reading: the application of a stream that a caller takes up was set while another goroutine may read the request's identity (a data race), and after the quarantine had been asked about the parts of its prompt at another application. The origin is looked up first.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -128,17 +128,14 @@
 
 // admitAndRun runs a request unless it is quarantined or exceeds its tenant's limit.
 func (fr *forwardedRequest) admitAndRun(ctx context.Context) error {
+	if fr.request.Origin == nil {
+		fr.repeatBudget.deposit()
+	}
 	fr.admission = fr.forwarder.cfg.Quarantine.Admit(&fr.identity)
 	fr.isTrial.Store(fr.admission.IsTrial)
 	if fr.admission.IsRefused {
 		return fr.finishUnserved(ctx, errQuarantined)
 	}
-	if err := fr.findOrigin(ctx); err != nil {
-		return fr.finishUnserved(ctx, err)
-	}
-	if fr.request.Origin == nil {
-		fr.repeatBudget.deposit()
-	}
 	if err := fr.chargeOnArrival(ctx); err != nil {
 		return fr.finishUnserved(ctx, err)
 	}
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -189,9 +189,13 @@
 	// is still forwarded.
 	deadline := timekeeper.AtDeadline(request.Arrived.Add(requestTimeout(&request)), func() { cancel(errTimeout) })
 	defer deadline.Stop()
-	f.setRunning(fr, cancel)
-	defer f.setRunning(fr, nil)
-	err = fr.admitAndRun(ctx)
+	if err = fr.findOrigin(ctx); err != nil {
+		err = fr.finishUnserved(ctx, err)
+	} else {
+		f.setRunning(fr, cancel) // others read the request's identity from now on
+		defer f.setRunning(fr, nil)
+		err = fr.admitAndRun(ctx)
+	}
 	fr.refund(err)
 	f.recordOutcome(fr, err)
 	if err != nil {
