BUDGET: the pause of a part is not shortened while other engines crash

Cause, found by reading: beside three other crashes the first pause became 15 s, so that a part would be tried twice within 45 s. Each trial costs an engine, and its prefill and its run both reach one: three more sends are allowed in all.

--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -240,7 +240,7 @@
 // the request.
 func (t *table) shortenContestedPause(fingerprint Fingerprint, r *record, now time.Time) {
 	lastCrash := r.until.Add(-r.pause)
-	if r.pause == r.initialPause() && t.isContested(fingerprint, lastCrash, now) {
+	if !r.isPart() && r.pause == initialPause && t.isContested(fingerprint, lastCrash, now) {
 		r.pause, r.until = contestedPause, lastCrash.Add(contestedPause)
 	}
 }
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -136,7 +136,7 @@
 // quarantine sets the pause of a request from the crashes that it caused.
 func (t *table) quarantine(fingerprint Fingerprint, r *record, consecutive []*crash) {
 	r.pause = r.initialPause()
-	if t.isContested(fingerprint, consecutive[0].at.Add(-contestMargin), consecutive[len(consecutive)-1].at) {
+	if !r.isPart() && t.isContested(fingerprint, consecutive[0].at.Add(-contestMargin), consecutive[len(consecutive)-1].at) {
 		r.pause = contestedPause
 	}
 	for _, c := range consecutive {
