BUDGET: the quarantine of a part ends once another part explains its crashes

Cause: the crashes of a part were attributed once, and not again when another part with more crashes was named.

--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -187,6 +187,27 @@
 	return r.depth >= other.depth
 }
 
+// isExplainedByOthers is true for a quarantined part if quarantined parts that are in more crashes
+// were there in nearly all of its own.
+func (t *table) isExplainedByOthers(fingerprint Fingerprint, now time.Time) bool {
+	r := t.records[fingerprint]
+	count, unexplained := r.crashCount(now), 0
+	for _, c := range r.crashes {
+		if !r.isRelevant(c, now) {
+			continue
+		}
+		isExplained := false
+		for other := range c.runs {
+			o := t.records[other]
+			isExplained = isExplained || o != nil && o.isPart() && o.isQuarantined() && o.crashCount(now) > count
+		}
+		if !isExplained {
+			unexplained++
+		}
+	}
+	return count > 0 && unexplained < r.crashesNeeded()
+}
+
 // distinctCrashes returns those crashes that were not simultaneous with the one before.
 func distinctCrashes(crashes []*crash) (distinct []*crash) {
 	crashes = slices.Clone(crashes)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -447,6 +447,21 @@
 			q.quarantineLocked(fingerprint, r, crashes, now)
 		}
 	}
+	q.releaseExplainedLocked(now)
+}
+
+// releaseExplainedLocked ends the quarantine of parts whose crashes are explained by another part
+// that has been quarantined since. Before any run with a part has succeeded, one that a few of the
+// requests with a bad part hold may be quarantined first.
+func (q *Quarantiner) releaseExplainedLocked(now time.Time) {
+	for fingerprint, r := range q.table.quarantined {
+		if !r.isPart() || r.isInTrial || !q.table.isExplainedByOthers(fingerprint, now) {
+			continue
+		}
+		q.cfg.Logger.Info("quarantine lifted: another part explains the crashes", "request_name", fingerprint.String())
+		q.table.releasedAt[fingerprint] = now
+		q.table.release(fingerprint, r)
+	}
 }
 
 // quarantineLocked quarantines a request and informs the peers: each host evaluates by the
