ORDER: classes that come and go leave no records, and lines about lookups are bounded

Found by reading: the keeper of streams' origins kept the views of classes and applications that no configuration has any more, and a flood of made-up Resumes wrote a line each. TestViewsAreBounded; ten lines a second.

--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	"github.com/endivemast/endivemast/internal/streamkeeper/streamkeeperpb"
@@ -33,6 +34,8 @@
 	findTimeout   = 300 * time.Millisecond
 	// maxFinds bounds the lookups that run at a time. Callers can cause them with made-up ids.
 	maxFinds = 64
+	// maxLogsPerSecond bounds the lines about lookups.
+	maxLogsPerSecond = 10
 )
 
 var (
@@ -76,6 +79,7 @@
 	cancel context.CancelFunc
 	group  errgroup.Group
 	finds  chan struct{} // holds an element for each lookup
+	logs   *rate.Limiter // of lines about lookups, which callers cause
 
 	mu       sync.Mutex
 	own      table // streams that this host has begun
@@ -91,7 +95,7 @@
 // New returns a Keeper without streams.
 func New(cfg Config) *Keeper {
 	k := &Keeper{
-		cfg: cfg, finds: make(chan struct{}, maxFinds), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(),
+		cfg: cfg, finds: make(chan struct{}, maxFinds), logs: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(),
 		pending: map[string][]*record{}, isActive: map[string]bool{}, avoided: map[string]time.Time{},
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
@@ -143,6 +147,7 @@
 	for class, applications := range classes {
 		k.views.setClass(class, applications, now)
 	}
+	k.views.trim(classes)
 	k.sendUnsentLocked(now)
 }
 
@@ -356,7 +361,7 @@
 	switch {
 	case !ok:
 		k.cfg.Meter.CountStreamRecord(eventUnknown)
-		k.cfg.Logger.Info("origin of a stream is not known", "resumes", stream.RequestID, "class", stream.Class, "keepers", keepers,
+		k.logLookup("origin of a stream is not known", "resumes", stream.RequestID, "class", stream.Class, "keepers", keepers,
 			"replies", len(replies), "own_view", own.view.kind, "is_current", k.cfg.IsCurrent())
 		return origin, ErrUnknown
 	case isRecorded:
@@ -367,6 +372,12 @@
 	return origin, nil
 }
 
+func (k *Keeper) logLookup(message string, args ...any) {
+	if k.logs.Allow() {
+		k.cfg.Logger.Info(message, args...)
+	}
+}
+
 // replyLocked returns what this host knows of a stream.
 func (k *Keeper) replyLocked(id key, class string, now time.Time) (r reply) {
 	r.view = k.views.of(class, now)
@@ -419,7 +430,7 @@
 	answer, err := streamkeeperpb.NewStreamKeeperClient(conn).Find(ctx, &streamkeeperpb.FindRequest{Key: id[:], Class: class})
 	if err != nil {
 		if ctx.Err() == nil {
-			k.cfg.Logger.Info("keeper of a stream does not answer", "keeper", hostID, "error", err)
+			k.logLookup("keeper of a stream does not answer", "keeper", hostID, "error", err)
 		}
 		return nil
 	}
--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -256,6 +256,20 @@
 	}
 }
 
+// Classes and applications that come and go leave nothing behind.
+func TestViewsAreBounded(t *testing.T) {
+	t.Parallel()
+	v, now := newViews(), time.Now()
+	for i := range 100 {
+		class, application := fmt.Sprint("c", i), fmt.Sprint("a", i)
+		v.setClass(class, []string{application}, now)
+		v.setEndpoint("e", Origin{application, "v1"}, now)
+		v.trim(map[string][]string{class: {application}})
+	}
+	assert.Equal(t, len(v.classes), 1)
+	assert.Equal(t, len(v.versions), 1)
+}
+
 // A flood of made-up ids costs a bounded number of calls at a time.
 func TestLookupsAreBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/streamkeeper/view.go
+++ b/internal/streamkeeper/view.go
@@ -100,6 +100,22 @@
 	}
 }
 
+// trim drops the classes that a configuration no longer has, and the applications that neither
+// serve a class nor have endpoints.
+func (v *views) trim(classes map[string][]string) {
+	used := map[string]bool{}
+	for _, applications := range classes {
+		for _, application := range applications {
+			used[application] = true
+		}
+	}
+	for _, origin := range v.endpoints {
+		used[origin.Application] = true
+	}
+	maps.DeleteFunc(v.classes, func(class string, _ *recentValues) bool { return classes[class] == nil })
+	maps.DeleteFunc(v.versions, func(application string, _ *recentValues) bool { return !used[application] })
+}
+
 // setEndpoint adds an endpoint, or changes it.
 func (v *views) setEndpoint(id string, origin Origin, now time.Time) {
 	if v.endpoints[id] == origin {
