--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -206,7 +206,10 @@
 			unexplained++
 		}
 	}
-	return count > 0 && unexplained < r.crashesNeeded()
+	if count < r.crashesNeeded() { // this host lacks crashes that its peers know
+		return count > 0 && unexplained == 0
+	}
+	return unexplained < count && unexplained < r.crashesNeeded()
 }
 
 // outnumbers is true for a part in more crashes than another, quarantined one, which therefore does
--- a/internal/quarantiner/updates_test.go
+++ b/internal/quarantiner/updates_test.go
@@ -115,6 +115,26 @@
 	}
 }
 
+// TestPartIsReleasedWithoutAnExplanation guards against a host that ends a peer's quarantine of a part since it knows fewer crashes.
+func TestPartIsReleasedWithoutAnExplanation(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	part := &Request{Method: "POST", Host: "h.example", Path: "/draft/x", Application: "llm", Parts: []string{"bad"}}
+	s := part.partSuspects()[0]
+	now := f.clock.Now()
+	f.hosts[0].Merge([]exchanger.CrashUpdate{
+		{EndpointID: "e1", Incarnation: "1", At: now, Runs: []exchanger.CrashRun{{RequestFingerprint: exchanger.RequestFingerprint{Fingerprint: s.fingerprint, Key: uint64(s.key), Part: 1}}}},
+		{At: now, Quarantines: []exchanger.Quarantine{{
+			RequestFingerprint: exchanger.RequestFingerprint{Fingerprint: s.fingerprint, Key: uint64(s.key), Part: 1}, Until: now.Add(partPause), Pause: partPause,
+		}}},
+	}, true)
+	f.passSettlingDelay()
+	f.exchangeUpdates()
+	for n, q := range f.hosts {
+		assert.Assert(t, q.IsQuarantined(part), "host %d", n)
+	}
+}
+
 // The hosts' updates about a crash arrive one after the other. If a crash were evaluated after
 // the first of them, a request that only ran next to the crashing one would look as if it had
 // run there alone, and would be quarantined.
