BUDGET: a request that many send is released once a bad part explains its crashes

Traced: a request that one in twenty callers sent was in the first seven crashes, as was the bad part, and was quarantined in its place; the part was named only after 13 crashes. A part that is in more crashes than a quarantined request is not explained by it, and explains its crashes.

--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -188,7 +188,7 @@
 	return r.depth >= other.depth
 }
 
-// isExplainedByOthers is true for a quarantined part if quarantined parts that are in more crashes
+// isExplainedByOthers is true for what is quarantined if quarantined parts that are in more crashes
 // were there in nearly all of its own.
 func (t *table) isExplainedByOthers(fingerprint Fingerprint, now time.Time) bool {
 	r := t.records[fingerprint]
@@ -212,11 +212,11 @@
 	return unexplained < count && unexplained < r.crashesNeeded()
 }
 
-// outnumbers is true for a part in more crashes than another, quarantined one, which therefore does
-// not explain them.
+// outnumbers is true for a part in more crashes than a quarantined part or request, which therefore
+// does not explain them.
 func (r *record) outnumbers(other *record, now time.Time) bool {
 	isLessLikely := r.wasSound() && !other.wasSound()
-	return r.isPart() && other.isPart() && !isLessLikely && r.crashCount(now) > other.crashCount(now)
+	return r.isPart() && !isLessLikely && r.crashCount(now) > other.crashCount(now)
 }
 
 // distinctCrashes returns those crashes that were not simultaneous with the one before.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -450,12 +450,12 @@
 	q.releaseExplainedLocked(now)
 }
 
-// releaseExplainedLocked ends the quarantine of parts whose crashes are explained by another part
-// that has been quarantined since. Before any run with a part has succeeded, one that a few of the
-// requests with a bad part hold may be quarantined first.
+// releaseExplainedLocked ends the quarantine of parts and requests whose crashes are explained by
+// another part that has been quarantined since. Before any run has succeeded, a part of some
+// requests with a bad part, or a request that many send, may be quarantined first.
 func (q *Quarantiner) releaseExplainedLocked(now time.Time) {
 	for fingerprint, r := range q.table.quarantined {
-		if !r.isPart() || r.isInTrial || !q.table.isExplainedByOthers(fingerprint, now) {
+		if r.isInTrial || !q.table.isExplainedByOthers(fingerprint, now) {
 			continue
 		}
 		q.cfg.Logger.Info("quarantine lifted: another part explains the crashes", "request_name", fingerprint.String())
--- a/internal/quarantiner/simulation_test.go
+++ b/internal/quarantiner/simulation_test.go
@@ -325,6 +325,14 @@
 	assert.Assert(t, got.latePoisonSends <= maxLatePoisonSends, "%d poison requests sent after detection", got.latePoisonSends)
 }
 
+// TestPopularRequestIsBlamedForABadPart guards against a request that many send and that is refused for crashes which a bad part explains.
+func TestPopularRequestIsBlamedForABadPart(t *testing.T) {
+	t.Parallel()
+	const seed = 138
+	got := runSimulation(t, poisonPartLoad, seed)
+	assert.Assert(t, float64(got.refused) <= 0.01*float64(got.requests), "%d of %d refused", got.refused, got.requests)
+}
+
 // TestSoundPartIsRefusedUntilTheBadOneFollows guards against sound requests that are refused while a part of theirs ties with the bad one.
 func TestSoundPartIsRefusedUntilTheBadOneFollows(t *testing.T) {
 	t.Parallel()
