--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -396,8 +396,8 @@
 	if r == nil || !at.After(r.succeededAt) {
 		return
 	}
-	isNews := r.isPart() && at.Sub(r.succeededAt) >= soundReportInterval
-	if r.crashCount(at) == 0 && !r.isQuarantined() && !isNews {
+	isLaterRun := r.isPart() && at.Sub(r.succeededAt) >= soundReportInterval
+	if r.crashCount(at) == 0 && !r.isQuarantined() && !isLaterRun {
 		return // no crash counts against it
 	}
 	r.succeededAt, r.cachedCountAt = at, time.Time{}
