BUDGET: successful runs of a part are reported once, and once after each crash

Found by reading: for ten minutes after any crash each host reported each part in it once a second to each peer, some 35 bytes each. A first success shows that the part was sound before; later ones only matter while a crash counts.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -29,8 +29,6 @@
 	probeTimeout = 2 * time.Second
 	// maxSoundParts bounds the parts whose successful runs are remembered, at some 60 bytes each.
 	maxSoundParts = 16 << 10
-	// soundReportInterval is how often peers are sent a later successful run of a part.
-	soundReportInterval = time.Second
 	// evaluationPeriod is for how long after the last update suspects are evaluated at
 	// each tick: crashSettlingDelay and some ticks.
 	evaluationPeriod = 2 * time.Second
@@ -396,8 +394,8 @@
 	if r == nil || !at.After(r.succeededAt) {
 		return
 	}
-	isLaterRun := r.isPart() && at.Sub(r.succeededAt) >= soundReportInterval
-	if r.crashCount(at) == 0 && !r.isQuarantined() && !isLaterRun {
+	isFirst := r.isPart() && r.succeededAt.IsZero() // shows that the part was sound before its crashes
+	if r.crashCount(at) == 0 && !r.isQuarantined() && !isFirst {
 		return // no crash counts against it
 	}
 	r.succeededAt, r.cachedCountAt = at, time.Time{}
