--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -286,7 +286,7 @@
 		PromptTokens: fr.request.Prompt.Tokens, PrefixKey: fr.request.Prompt.PrefixKey,
 		PrefixTokens: fr.request.Prompt.PrefixTokens, PrefixParts: fr.request.Prompt.PrefixParts, MaxOutputTokens: fr.request.Prompt.MaxOutputTokens,
 		DeliveredTokens: fr.eventsSent, Excluded: fr.excluded, IsPrefilled: fr.hasCache(),
-		SoftwareVersion: fr.neededVersion(), IsResumed: fr.request.ResumeAfter != "",
+		SoftwareVersion: fr.neededVersion(), IsResumed: fr.request.Class.IsResumable && fr.isTakenUp(),
 	}
 }
 
