--- /dev/null
+++ b/internal/exitverifier/exitverifier.go
@@ -0,0 +1,170 @@
+package exitverifier
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
+	"google.golang.org/grpc"
+
+	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/exitverifier/exitverifierpb"
+	"github.com/endivemast/endivemast/internal/timekeeper"
+)
+
+const (
+	// maxAsked bounds the peers that are asked about one process.
+	maxAsked = 8
+	// askTimeout bounds a call to a peer, whose probe may time out.
+	askTimeout = 800 * time.Millisecond
+	// maxVerifications and maxProbes bound the processes that this host asks its peers about, and
+	// those that it probes for them, at a time.
+	maxVerifications = 32
+	maxProbes        = 32
+)
+
+// Observation is what a host observes of a process.
+type Observation int
+
+// Observations.
+const (
+	ObservedNothing   Observation = iota // the process is not listed, or is not probed
+	ObservedReached                      // it accepts connections
+	ObservedRefused                      // nothing listens at its address
+	ObservedUnreached                    // no connection in time
+)
+
+// Peer is another host.
+type Peer struct{ HostID, Zone string }
+
+// Config configures a Verifier.
+type Config struct {
+	HostID string
+	// Peers returns the hosts that may be asked.
+	Peers func() []Peer
+	// Conn returns the connection to a peer.
+	Conn func(hostID string) (grpc.ClientConnInterface, error)
+	// Observe connects to a process over this host's own path.
+	Observe func(ctx context.Context, process driver.Process) Observation
+	Logger  hclog.Logger
+}
+
+// Verifier is safe for concurrent use.
+type Verifier struct {
+	cfg           Config
+	verifications atomic.Int64 // in progress
+	probes        atomic.Int64 // for peers, in progress
+	inFlight      singleflight.Group
+}
+
+// New returns a Verifier.
+func New(cfg Config) *Verifier {
+	if cfg.Logger == nil {
+		cfg.Logger = hclog.NewNullLogger()
+	}
+	return &Verifier{cfg: cfg}
+}
+
+// Register registers the service that peers ask.
+func (v *Verifier) Register(registrar grpc.ServiceRegistrar) {
+	exitverifierpb.RegisterExitVerifierServer(registrar, &service{verifier: v})
+}
+
+// HasExited reports whether peers confirm that a process has exited to which this host's connection
+// was refused.
+func (v *Verifier) HasExited(ctx context.Context, process driver.Process) bool {
+	if v.verifications.Add(1) > maxVerifications {
+		v.verifications.Add(-1)
+		v.cfg.Logger.Info("peers not asked about the exit of a process: too many at a time", "endpoint_id", process.EndpointID, "limit", maxVerifications)
+		return false
+	}
+	defer v.verifications.Add(-1)
+	peers := choosePeers(v.cfg.Peers(), process)
+	started := time.Now()
+	observations := v.ask(ctx, peers, process)
+	hasExited, reason := judge(observations)
+	v.cfg.Logger.Info("peers asked about the exit of a process", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation, "is_exited", hasExited,
+		"reason", reason, "asked", len(peers), "reached", count(observations, ObservedReached), "refused", count(observations, ObservedRefused),
+		"unreached", count(observations, ObservedUnreached), "took_ms", time.Since(started).Milliseconds())
+	return hasExited
+}
+
+// choosePeers returns up to maxAsked peers of as many availability zones as possible, since the paths
+// of one zone may break together. Different processes have different peers.
+func choosePeers(peers []Peer, process driver.Process) (chosen []Peer) {
+	rank := func(p Peer) uint64 {
+		return xxhash.Sum64String(p.HostID + "\x00" + process.EndpointID)
+	}
+	peers = slices.Clone(peers)
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.HostID, b.HostID)) })
+	ofZone := map[string]int{}
+	round := make(map[Peer]int, len(peers)) // position of the peer among those of its zone
+	for _, p := range peers {
+		round[p] = ofZone[p.Zone]
+		ofZone[p.Zone]++
+	}
+	slices.SortStableFunc(peers, func(a, b Peer) int { return cmp.Compare(round[a], round[b]) })
+	return peers[:min(len(peers), maxAsked)]
+}
+
+// ask returns the observation of each peer.
+func (v *Verifier) ask(ctx context.Context, peers []Peer, process driver.Process) []Observation {
+	ctx, cancel := timekeeper.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	observations := make([]Observation, len(peers))
+	var group errgroup.Group
+	for i, peer := range peers {
+		group.Go(func() (err error) {
+			observations[i], err = v.askPeer(ctx, peer, process)
+			if err != nil {
+				v.cfg.Logger.Info("peer did not say whether it reaches a process", "host_id", peer.HostID, "endpoint_id", process.EndpointID, "error", err.Error())
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // errors are logged, and leave an ObservedNothing
+	return observations
+}
+
+func (v *Verifier) askPeer(ctx context.Context, peer Peer, process driver.Process) (Observation, error) {
+	conn, err := v.cfg.Conn(peer.HostID)
+	if err != nil {
+		return ObservedNothing, err
+	}
+	reply, err := exitverifierpb.NewExitVerifierClient(conn).Probe(ctx, &exitverifierpb.ProbeRequest{
+		HostId: v.cfg.HostID, EndpointId: process.EndpointID, Incarnation: process.Incarnation,
+	})
+	if err != nil {
+		return ObservedNothing, err
+	}
+	return observationFromMessage(reply.GetObservation()), nil
+}
+
+func count(observations []Observation, kind Observation) (n int) {
+	for _, o := range observations {
+		if o == kind {
+			n++
+		}
+	}
+	return n
+}
+
+// judge reports whether a process has exited to which this host's connection was refused. Peers whose
+// own connections time out don't reach it either, but leave open why.
+func judge(observations []Observation) (hasExited bool, reason string) {
+	failed := count(observations, ObservedRefused) + count(observations, ObservedUnreached)
+	switch {
+	case count(observations, ObservedReached) > 0:
+		return false, "a peer reaches it"
+	case failed == 0 || 2*failed <= len(observations):
+		return false, "too few peers have tried"
+	default:
+		return true, "no peer reaches it"
+	}
+}
--- a/internal/pathwatcher/exits.go
+++ b/internal/pathwatcher/exits.go
@@ -76,6 +76,18 @@
 	return notifications{func() { w.cfg.OnExit(p.process) }}
 }
 
+// ConfirmExit records the exit of a process to which this host's connections are refused, on other
+// evidence than this host's own paths.
+func (w *Watcher) ConfirmExit(process driver.Process, reason string) {
+	w.mu.Lock()
+	var notify notifications
+	if p := w.findLocked(process); p != nil && !p.hasExited() && p.hasFailed() {
+		notify = w.confirmExitLocked(p, w.cfg.Now(), reason)
+	}
+	w.mu.Unlock()
+	notify.run()
+}
+
 // finishJudging ends the judgement of a refused connection.
 func (p *path) finishJudging() {
 	if p.judged != nil {
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/endivemast/endivemast/internal/dispatcher"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/exitverifier"
 	"github.com/endivemast/endivemast/internal/follower"
 	"github.com/endivemast/endivemast/internal/leaser"
 	"github.com/endivemast/endivemast/internal/lister"
@@ -141,6 +142,7 @@
 	scheduler     *scheduler.Scheduler
 	forwarder     *dispatcher.Forwarder
 	quarantiner   *quarantiner.Quarantiner
+	exitVerifier  *exitverifier.Verifier
 	observer      *observer.Observer
 	paths         *pathwatcher.Watcher
 	peerForwarder *peerforwarder.Forwarder
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -51,6 +51,7 @@
 	g.limiter.Register(g.exchanger.Registrar())
 	g.buildStreams()
 	g.buildPeerForwarder()
+	g.buildExitVerifier()
 	return nil
 }
 
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/exitverifier"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/quarantiner"
 )
@@ -25,15 +26,52 @@
 var errPathBroken = errors.New("connection refused, not taken for the exit of the process")
 
 // probeExit connects to an endpoint. It fails with driver.ErrConnectionRefused only if the process
-// is known to have exited.
+// is known to have exited. While this host reaches too few other endpoints to tell, it asks peers.
 func (g *Gateway) probeExit(ctx context.Context, target driver.Target) error {
 	err := g.cfg.Driver.Probe(ctx, target)
-	if errors.Is(err, driver.ErrConnectionRefused) && !g.paths.AwaitExit(ctx, target.Process()) {
+	if !errors.Is(err, driver.ErrConnectionRefused) || g.paths.AwaitExit(ctx, target.Process()) {
+		return err
+	}
+	if !g.exitVerifier.HasExited(ctx, target.Process()) {
 		return errPathBroken
 	}
+	g.paths.ConfirmExit(target.Process(), "no peer reaches it either")
 	return err
 }
 
+func (g *Gateway) buildExitVerifier() {
+	g.exitVerifier = exitverifier.New(exitverifier.Config{
+		HostID: g.cfg.HostID, Peers: g.exitWitnesses, Conn: g.exchanger.Conn, Observe: g.observeProcess, Logger: g.cfg.Logger.Named("exitverifier"),
+	})
+	g.exitVerifier.Register(g.exchanger.Registrar())
+}
+
+// exitWitnesses returns the peers that can tell whether they reach a process.
+func (g *Gateway) exitWitnesses() (peers []exitverifier.Peer) {
+	for _, status := range g.exchanger.Statuses() {
+		if status.Reachable {
+			peers = append(peers, exitverifier.Peer{HostID: status.Peer.HostID, Zone: status.Peer.Zone})
+		}
+	}
+	return peers
+}
+
+// observeProcess connects to a process for a peer.
+func (g *Gateway) observeProcess(ctx context.Context, process driver.Process) exitverifier.Observation {
+	host, ok := g.registrations.Find(process.EndpointID)
+	if !ok || host.Incarnation != process.Incarnation {
+		return exitverifier.ObservedNothing
+	}
+	switch err := g.cfg.Driver.Probe(ctx, targetOf(&host)); {
+	case err == nil:
+		return exitverifier.ObservedReached
+	case errors.Is(err, driver.ErrConnectionRefused):
+		return exitverifier.ObservedRefused
+	default:
+		return exitverifier.ObservedUnreached
+	}
+}
+
 // isLeaving is true for a process that has announced that it leaves, or whose entry was
 // removed.
 func (g *Gateway) isLeaving(process quarantiner.Process) bool {
