BUDGET: runs that are abandoned with a broken path count as interrupted

An attempt at a process that is no longer reached is cancelled by this host. Its end was not reported, so that the request had no crash to its name where the connection did not break by itself. Whether the process has exited is decided as for any other interruption.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -236,7 +236,7 @@
 		quarantine.RunSucceeded(&fr.identity, err == nil)
 	case errors.Is(err, driver.ErrReplaced): // a refused connection may be this host's own fault
 		quarantine.ProcessExited(target.Process())
-	case errors.Is(err, driver.ErrOutcomeUnknown) && ctx.Err() == nil:
+	case errors.Is(err, driver.ErrOutcomeUnknown) && (ctx.Err() == nil || errors.Is(context.Cause(ctx), errPathLost)):
 		interruption := quarantiner.InterruptedRun{Request: &fr.identity, Target: target, SinceSend: time.Since(fr.lastAttempt.sentAt)}
 		if !fr.lastAttempt.firstEventAt.IsZero() {
 			interruption.SinceFirstEvent = time.Since(fr.lastAttempt.firstEventAt)
