--- a/internal/quarantiner/pending.go
+++ b/internal/quarantiner/pending.go
@@ -3,43 +3,64 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/endivemast/endivemast/internal/driver"
 )
 
 const (
 	// pendingTimeout is how long interrupted runs wait for confirmation that the process
-	// of their endpoint has exited. A host that is reached reports that at once, peers
-	// within some ticks, and the store once the endpoint has restarted.
+	// of their endpoint has exited.
 	pendingTimeout = 10 * time.Second
 	// maxPending bounds the processes with interrupted runs. More at a time occur only
 	// when a network link is cut, and then no process has exited.
 	maxPending = 256
+	// interruptionWindow is within how long an exit interrupts all runs of its process. Runs that
+	// were interrupted before were not interrupted by it.
+	interruptionWindow = time.Second
+	// firstReprobeDelay is the time until a process is probed again whose exit could not be
+	// confirmed; it doubles.
+	firstReprobeDelay = 500 * time.Millisecond
 )
 
 // pending holds the runs that were interrupted with processes that may have exited.
 type pending map[Process]*interruption
 
 type interruption struct {
-	at   time.Time // of the first interruption
-	runs []run
+	target driver.Target
+	at     time.Time // of the latest interruption
+	runs   []interruptedRun
+
+	isProbing    bool
+	probedAt     time.Time // start of the latest probe
+	reprobeAt    time.Time // zero: not before another run is interrupted
+	reprobeDelay time.Duration
+}
+
+type interruptedRun struct {
+	run
+	at time.Time
 }
 
-// add adds what was interrupted; isFirst is true for the first interruption of its process.
-func (p pending) add(process Process, now time.Time, runs ...run) (isFirst bool) {
+// add adds what was interrupted, and returns nil if there is no room.
+func (p pending) add(target driver.Target, now time.Time, runs ...run) *interruption {
+	process := target.Process()
 	entry := p[process]
 	if entry == nil {
 		if len(p) >= maxPending {
-			return false
+			return nil
 		}
-		entry = &interruption{at: now}
-		p[process], isFirst = entry, true
+		entry = &interruption{target: target}
+		p[process] = entry
 	}
+	entry.at = now
+	entry.runs = slices.DeleteFunc(entry.runs, func(r interruptedRun) bool { return now.Sub(r.at) >= interruptionWindow })
 	for _, r := range runs {
-		isKnown := r.isPart() && slices.ContainsFunc(entry.runs, func(other run) bool { return other.fingerprint == r.fingerprint })
+		isKnown := r.isPart() && slices.ContainsFunc(entry.runs, func(other interruptedRun) bool { return other.fingerprint == r.fingerprint })
 		if !isKnown && len(entry.runs) < maxRunsPerCrash {
-			entry.runs = append(entry.runs, r)
+			entry.runs = append(entry.runs, interruptedRun{run: r, at: now})
 		}
 	}
-	return isFirst
+	return entry
 }
 
 // take removes and returns the interrupted runs of a process.
@@ -49,14 +70,47 @@
 		return nil, at, false
 	}
 	delete(p, process)
-	return entry.runs, entry.at, true
+	for _, r := range entry.runs {
+		runs = append(runs, r.run)
+	}
+	return runs, entry.at, true
+}
+
+// dueProbes returns the entries to probe now.
+func (p pending) dueProbes(now time.Time) (due []*interruption) {
+	for _, entry := range p {
+		if !entry.isProbing && !entry.reprobeAt.IsZero() && !now.Before(entry.reprobeAt) {
+			due = append(due, entry)
+		}
+	}
+	return due
 }
 
-// trim drops runs whose process has not been confirmed to have exited in time.
-func (p pending) trim(now time.Time) {
+// trim removes and returns runs whose process has not been confirmed to have exited in time.
+func (p pending) trim(now time.Time) (dropped []*interruption) {
 	for process, entry := range p {
 		if now.Sub(entry.at) >= pendingTimeout {
 			delete(p, process)
+			dropped = append(dropped, entry)
 		}
 	}
+	return dropped
+}
+
+// beginProbe records the start of a probe.
+func (e *interruption) beginProbe(now time.Time) {
+	e.isProbing, e.probedAt, e.reprobeAt = true, now, time.Time{}
+	e.reprobeDelay = max(2*e.reprobeDelay, firstReprobeDelay)
+}
+
+// endProbe records that a probe has not confirmed the exit, and when the next one is due: at once if
+// runs were interrupted since it began, and not at all if the process still listens.
+func (e *interruption) endProbe(now time.Time, isListening bool) {
+	e.isProbing = false
+	switch {
+	case e.at.After(e.probedAt):
+		e.reprobeAt, e.reprobeDelay = now, 0
+	case !isListening:
+		e.reprobeAt = now.Add(e.reprobeDelay)
+	}
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -248,28 +248,44 @@
 	now := q.cfg.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	isFirst := q.pending.add(process, now, interrupted...)
+	entry := q.pending.add(attempt.Target, now, interrupted...)
 	switch {
+	case entry == nil:
+		q.cfg.Logger.Info("interrupted run not considered: too many endpoints have interrupted runs", "endpoint_id", process.EndpointID, "limit", maxPending)
 	case q.table.crashes[process] != nil:
 		q.processExitedLocked(process)
-	case isFirst && q.ctx.Err() == nil: // checked under the lock, so that Close waits for the probe
-		q.group.Go(func() error {
-			q.probe(process, attempt.Target)
-			return nil
-		})
+	case !entry.isProbing:
+		q.startProbeLocked(entry, now)
 	}
 }
 
-// probe checks whether a process still listens. If the outcome is not clear, the
-// interrupted runs wait for information from another source.
-func (q *Quarantiner) probe(process Process, target driver.Target) {
+// startProbeLocked probes the process of interrupted runs. The context is checked under the lock, so
+// that Close waits for the probe.
+func (q *Quarantiner) startProbeLocked(entry *interruption, now time.Time) {
+	if q.ctx.Err() != nil {
+		return
+	}
+	entry.beginProbe(now)
+	q.group.Go(func() error {
+		q.probe(entry)
+		return nil
+	})
+}
+
+// probe checks whether a process still listens. If the outcome is not clear, the interrupted runs
+// wait for another probe or for information from another source.
+func (q *Quarantiner) probe(entry *interruption) {
 	ctx, cancel := timekeeper.WithTimeout(q.ctx, probeTimeout)
 	defer cancel()
-	err := q.cfg.Probe(ctx, target)
+	err := q.cfg.Probe(ctx, entry.target)
+	process := entry.target.Process()
 	hasExited := errors.Is(err, driver.ErrConnectionRefused) || errors.Is(err, driver.ErrReplaced)
 	q.cfg.Logger.Info("runs interrupted; probed whether the endpoint still listens", "endpoint_id", process.EndpointID, "is_ended", hasExited, "error", errorText(err))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	entry.endProbe(q.cfg.Now(), err == nil)
 	if hasExited {
-		q.ProcessExited(process)
+		q.processExitedLocked(process)
 	}
 }
 
@@ -418,7 +434,14 @@
 func (q *Quarantiner) evaluate(now time.Time) (notify bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.pending.trim(now)
+	for _, dropped := range q.pending.trim(now) {
+		process := dropped.target.Process()
+		q.cfg.Logger.Info("interrupted runs dropped: exit of the endpoint's process not confirmed", "endpoint_id", process.EndpointID,
+			"incarnation", process.Incarnation, "runs", len(dropped.runs), "interrupted_ago_ms", now.Sub(dropped.at).Milliseconds())
+	}
+	for _, entry := range q.pending.dueProbes(now) {
+		q.startProbeLocked(entry, now)
+	}
 	if now.Before(q.evaluateUntil) {
 		q.evaluateLocked(now)
 	}
