BUDGET: runs in a crash keep the time of their send, and a crash its earliest notice

Hosts notice the exit of one process at different times, by up to some hundred milliseconds where it ends without closing its connections. The time from a run's send to its interruption was applied to the time of whichever host reported first, so that a run sent after a crash seemed to have been sent before it, and crashes that followed one another did not count as such.

Rows with two engines and with the same ids still fail: crashes that are noticed at one moment count once.

--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -72,7 +72,7 @@
 	process    Process
 	at         time.Time
 	receivedAt time.Time
-	runs       map[Fingerprint]time.Duration // from the send to the interruption
+	runs       map[Fingerprint]time.Time // when they were sent
 }
 
 // record is the known state of a request or a part.
@@ -247,8 +247,7 @@
 	crashes = slices.Clone(crashes)
 	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for _, c := range crashes {
-		sentAt := c.at.Add(-c.runs[fingerprint])
-		if len(consecutive) == 0 || sentAt.After(consecutive[len(consecutive)-1].at) {
+		if len(consecutive) == 0 || c.runs[fingerprint].After(consecutive[len(consecutive)-1].at) {
 			consecutive = append(consecutive, c)
 		}
 	}
--- a/internal/quarantiner/pending.go
+++ b/internal/quarantiner/pending.go
@@ -63,17 +63,22 @@
 	return entry
 }
 
-// take removes and returns the interrupted runs of a process.
+// take removes and returns the interrupted runs of a process, and when the first one was
+// interrupted.
 func (p pending) take(process Process) (runs []run, at time.Time, ok bool) {
 	entry := p[process]
 	if entry == nil {
 		return nil, at, false
 	}
 	delete(p, process)
+	at = entry.at
 	for _, r := range entry.runs {
 		runs = append(runs, r.run)
+		if r.at.Before(at) {
+			at = r.at
+		}
 	}
-	return runs, entry.at, true
+	return runs, at, true
 }
 
 // dueProbes returns the entries to probe now.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -241,11 +241,11 @@
 	if q.cfg.IsLeaving(process) {
 		return
 	}
+	now := q.cfg.Now()
 	var interrupted []run
 	for _, s := range attempt.Request.suspects() {
-		interrupted = append(interrupted, run{suspect: s, sinceSend: attempt.SinceSend})
+		interrupted = append(interrupted, run{suspect: s, sentAt: now.Add(-attempt.SinceSend)})
 	}
-	now := q.cfg.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	entry := q.pending.add(attempt.Target, now, interrupted...)
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -47,22 +47,25 @@
 // run is a request, or a part of its prompt, whose run was interrupted when its process exited.
 type run struct {
 	suspect
-	sinceSend time.Duration // from the send to the interruption
+	sentAt time.Time
 }
 
 // add records a crash with some runs, and returns those that were not known.
 func (t *table) add(process Process, at, now time.Time, runs []run) (added []run) {
 	c := t.crashes[process]
 	if c == nil {
-		c = &crash{process: process, at: at, receivedAt: now, runs: map[Fingerprint]time.Duration{}}
+		c = &crash{process: process, at: at, receivedAt: now, runs: map[Fingerprint]time.Time{}}
 		t.crashes[process] = c
 		t.byArrival = append(t.byArrival, c)
 	}
+	if early := c.at.Sub(at); early > 0 && early < interruptionWindow {
+		c.at = at // hosts notice an exit at different times
+	}
 	for _, run := range runs {
 		if _, isKnown := c.runs[run.fingerprint]; isKnown || len(c.runs) >= maxRunsPerCrash {
 			continue
 		}
-		c.runs[run.fingerprint] = run.sinceSend
+		c.runs[run.fingerprint] = run.sentAt
 		r := t.record(&run.suspect)
 		r.depth = max(r.depth, run.depth)
 		r.crashes, r.cachedCountAt = append(r.crashes, c), time.Time{}
--- a/internal/quarantiner/updates.go
+++ b/internal/quarantiner/updates.go
@@ -14,7 +14,7 @@
 	update := exchanger.CrashUpdate{EndpointID: process.EndpointID, Incarnation: process.Incarnation, At: at}
 	for _, run := range runs {
 		update.Runs = append(update.Runs, exchanger.CrashRun{
-			RequestFingerprint: exchanger.RequestFingerprint{Fingerprint: run.fingerprint, Key: uint64(run.key), Part: partOf(run.depth)}, SinceSend: run.sinceSend,
+			RequestFingerprint: exchanger.RequestFingerprint{Fingerprint: run.fingerprint, Key: uint64(run.key), Part: partOf(run.depth)}, SinceSend: at.Sub(run.sentAt),
 		})
 	}
 	return update
@@ -53,9 +53,9 @@
 	}
 	for _, c := range q.table.byArrival {
 		var runs []run
-		for fingerprint, sinceSend := range c.runs {
+		for fingerprint, sentAt := range c.runs {
 			if r := q.table.records[fingerprint]; r != nil && c.at.After(r.succeededAt) {
-				runs = append(runs, run{suspect: suspect{fingerprint, r.key, r.depth}, sinceSend: sinceSend})
+				runs = append(runs, run{suspect: suspect{fingerprint, r.key, r.depth}, sentAt: sentAt})
 			}
 		}
 		updates = append(updates, crashUpdate(c.process, c.at, runs))
@@ -81,7 +81,7 @@
 		process := Process{EndpointID: update.EndpointID, Incarnation: update.Incarnation}
 		runs := make([]run, 0, len(update.Runs))
 		for _, r := range update.Runs {
-			runs = append(runs, run{suspect: suspectOf(&r.RequestFingerprint), sinceSend: r.SinceSend})
+			runs = append(runs, run{suspect: suspectOf(&r.RequestFingerprint), sentAt: update.At.Add(-r.SinceSend)})
 		}
 		q.addCrashLocked(process, update.At, runs, origin)
 		q.processExitedLocked(process) // this host's runs there were interrupted for the same reason
