BUDGET: crashes under concurrent runs of a request that has never succeeded count

Many callers that send one request at once crash all engines before the first crash is known. A host also notices the exits of silent processes all at once.

Four crashes under concurrent runs quarantine a request that has not succeeded within ten minutes at any host, for two seconds; the trial then tells whether they had another cause. Hosts remember the requests that succeeded (4,096), as they do for parts. The key of a request now covers its body, so that one does not vouch for another of the same length.

--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -31,6 +31,13 @@
 	// initialPause is the first pause of a quarantine. Crashed engines recover within
 	// some seconds, and a caller retried after 28 s.
 	initialPause = 30 * time.Second
+	// crashesOfConcurrentRuns is how many processes have to crash under a request that has never
+	// succeeded and that many callers send at once. They crash all engines before the first crash
+	// is known, so that their runs are not consecutive.
+	crashesOfConcurrentRuns = 4
+	// concurrentPause is the first pause after such crashes. They may have had one other cause,
+	// which the trial shows.
+	concurrentPause = 2 * time.Second
 	// contestedPause is the first pause where other processes crash as well. A caller
 	// that crashes an engine every 100 ms, with a different request each time, also has
 	// requests quarantined that many others send. A shorter pause refuses fewer of them
@@ -47,9 +54,9 @@
 	crashesOfSoundPart = 6
 	// soundMemory is for how long a successful run shows that a part was sound.
 	soundMemory = 10 * time.Minute
-	// simultaneousCrashes is the time between two crashes that count as one for a part: a rack
+	// simultaneousWindow is the time between two crashes that count as one for a part: a rack
 	// loses power at once, with all the parts that are popular at the time.
-	simultaneousCrashes = 30 * time.Millisecond
+	simultaneousWindow = 30 * time.Millisecond
 	// maxPause bounds for how long a request is still refused after the engines have been
 	// fixed.
 	maxPause = 5 * time.Minute
@@ -224,7 +231,7 @@
 	crashes = slices.Clone(crashes)
 	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for i, c := range crashes {
-		if i == 0 || c.at.Sub(crashes[i-1].at) >= simultaneousCrashes {
+		if i == 0 || c.at.Sub(crashes[i-1].at) >= simultaneousWindow {
 			distinct = append(distinct, c)
 		}
 	}
@@ -240,6 +247,24 @@
 	return consecutiveCrashes(fingerprint, crashes)
 }
 
+// concurrentCrashes returns the attributed crashes of a request that has never succeeded if some of
+// its runs were concurrent. A request that has succeeded before may lose a run on each engine when a
+// rack loses power.
+func (t *table) concurrentCrashes(fingerprint Fingerprint, now time.Time) []*crash {
+	r := t.records[fingerprint]
+	if r.isPart() || !r.succeededAt.IsZero() {
+		return nil
+	}
+	crashes := t.attributedCrashes(fingerprint, now)
+	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
+	for i := 1; i < len(crashes); i++ {
+		if crashes[i].runs[fingerprint].Before(crashes[i-1].at) {
+			return crashes
+		}
+	}
+	return nil
+}
+
 // consecutiveCrashes returns those crashes whose interrupted run was sent only after
 // the previous one. When a rack loses power, a popular request loses a run on each
 // engine there at the same time; those count once.
@@ -281,7 +306,7 @@
 func (r *record) extend(at time.Time) {
 	if r.isInTrial && !at.Before(r.until.Add(-trialTimeout)) {
 		r.isInTrial = false
-		r.pause = min(2*r.pause, maxPause)
+		r.pause = min(max(2*r.pause, r.initialPause()), maxPause)
 	}
 	if until := at.Add(r.pause); until.After(r.until) {
 		r.until = until
--- a/internal/quarantiner/fingerprint.go
+++ b/internal/quarantiner/fingerprint.go
@@ -109,7 +109,7 @@
 	h.Write(part)
 }
 
-// key is a cheap hash: identical requests have the same key, and few others share it. The
+// key is a cheap hash: identical requests have the same key, and hardly any others share it. The
 // fingerprint is computed only for keys that have a record.
 type key uint64
 
@@ -122,5 +122,5 @@
 		b = append(b, part...)
 		b = append(b, 0)
 	}
-	return key(xxhash.Sum64(binary.BigEndian.AppendUint64(b, uint64(len(r.Body)))))
+	return key(xxhash.Sum64(binary.BigEndian.AppendUint64(b, xxhash.Sum64(r.Body))))
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -27,8 +27,10 @@
 	// probeTimeout bounds the probe whether a process still listens. If it has exited, its
 	// host refuses the connection at once.
 	probeTimeout = 2 * time.Second
-	// maxSoundParts bounds the parts whose successful runs are remembered, at some 60 bytes each.
-	maxSoundParts = 16 << 10
+	// maxSoundParts and maxSoundRequests bound the parts and requests whose successful runs are
+	// remembered, at some 100 bytes each.
+	maxSoundParts    = 16 << 10
+	maxSoundRequests = 4 << 10
 	// evaluationPeriod is for how long after the last update suspects are evaluated at
 	// each tick: crashSettlingDelay and some ticks.
 	evaluationPeriod = 2 * time.Second
@@ -68,9 +70,10 @@
 	// only after crashSettlingDelay.
 	evaluateUntil time.Time
 	// isNotifyDue is true from when a request is quarantined until OnQuarantine is called.
-	isNotifyDue bool
-	log         exchanger.UpdateLog[exchanger.CrashUpdate]
-	sound       soundParts
+	isNotifyDue   bool
+	log           exchanger.UpdateLog[exchanger.CrashUpdate]
+	soundParts    successes
+	soundRequests successes
 
 	ctx    context.Context // cancelled by Close
 	cancel context.CancelFunc
@@ -85,7 +88,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
-	q := &Quarantiner{cfg: cfg, table: newTable(), pending: pending{}, sound: newSoundParts(maxSoundParts), log: exchanger.NewUpdateLog[exchanger.CrashUpdate](maxLoggedUpdates)}
+	q := &Quarantiner{cfg: cfg, table: newTable(), pending: pending{}, soundParts: newSuccesses(maxSoundParts), soundRequests: newSuccesses(maxSoundRequests), log: exchanger.NewUpdateLog[exchanger.CrashUpdate](maxLoggedUpdates)}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	return q
 }
@@ -368,13 +371,14 @@
 		return
 	}
 	now := q.cfg.Now()
-	if wroteAnswer && len(request.Parts) > 0 {
-		q.mu.Lock()
+	q.mu.Lock()
+	q.soundRequests.add(request.key(), now)
+	if wroteAnswer {
 		for _, id := range request.Parts {
-			q.sound.add(partKey(request.Application, id), now)
+			q.soundParts.add(partKey(request.Application, id), now)
 		}
-		q.mu.Unlock()
 	}
+	q.mu.Unlock()
 	suspects := q.lookUp(request)
 	if len(suspects) == 0 {
 		return
@@ -388,15 +392,16 @@
 	}
 }
 
-// reportSoundLocked applies and reports the successful runs of parts that are in a crash.
+// reportSoundLocked applies and reports the successful runs of requests and parts that are in a crash.
 func (q *Quarantiner) reportSoundLocked(runs []run) {
 	now := q.cfg.Now()
 	for i := range runs {
 		s := &runs[i].suspect
-		if !s.isPart() {
-			continue
+		known := &q.soundRequests
+		if s.isPart() {
+			known = &q.soundParts
 		}
-		if at, ok := q.sound.succeededAt(s.key, now); ok {
+		if at, ok := known.succeededAt(s.key, now); ok {
 			q.clearLocked(s.fingerprint, at, exchanger.ScopeOwn)
 		}
 	}
@@ -410,7 +415,7 @@
 	if r == nil || !at.After(r.succeededAt) {
 		return
 	}
-	isFirst := r.isPart() && r.succeededAt.IsZero() // shows that the part was sound before its crashes
+	isFirst := r.succeededAt.IsZero() // shows that it was sound before its crashes
 	if r.crashCount(at) == 0 && !r.isQuarantined() && !isFirst {
 		return // no crash counts against it
 	}
@@ -465,7 +470,9 @@
 			continue
 		}
 		if crashes := q.table.independentCrashes(fingerprint, now); len(crashes) >= r.crashesNeeded() {
-			q.quarantineLocked(fingerprint, r, crashes, now)
+			q.quarantineLocked(fingerprint, r, crashes, r.initialPause(), now)
+		} else if crashes := q.table.concurrentCrashes(fingerprint, now); len(crashes) >= crashesOfConcurrentRuns {
+			q.quarantineLocked(fingerprint, r, crashes, concurrentPause, now)
 		}
 	}
 	q.releaseExplainedLocked(now)
@@ -487,16 +494,16 @@
 
 // quarantineLocked quarantines a request and informs the peers: each host evaluates by the
 // updates that it has received, and one that lacks a crash would go on sending.
-func (q *Quarantiner) quarantineLocked(fingerprint Fingerprint, r *record, consecutive []*crash, now time.Time) {
-	q.table.quarantine(fingerprint, r, consecutive)
+func (q *Quarantiner) quarantineLocked(fingerprint Fingerprint, r *record, crashes []*crash, pause time.Duration, now time.Time) {
+	q.table.quarantine(fingerprint, r, crashes, pause)
 	q.isNotifyDue = true
 	q.log.Add(exchanger.CrashUpdate{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(fingerprint, r)}}, exchanger.ScopeOwn)
 	var endpointIDs []string
-	for _, c := range consecutive {
+	for _, c := range crashes {
 		endpointIDs = append(endpointIDs, c.process.EndpointID)
 	}
 	q.cfg.Logger.Warn("request quarantined: endpoints crash that run it", "request_name", fingerprint.String(), "is_part", r.isPart(), "endpoint_ids", endpointIDs,
-		"first_crash_ago_ms", now.Sub(consecutive[0].at).Milliseconds(), "retry_in_ms", r.until.Sub(now).Milliseconds())
+		"first_crash_ago_ms", now.Sub(crashes[0].at).Milliseconds(), "retry_in_ms", r.until.Sub(now).Milliseconds())
 }
 
 // Count returns the number of quarantined requests.
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -149,6 +149,19 @@
 				f.crash(crashing(n))
 			}
 		}, map[string]bool{"crashing": false}},
+		"four at the same time, of many callers": {func(f *fleet) {
+			f.clock.advance(time.Second)
+			for n := range 4 {
+				f.crash(crashing(n % 3))
+			}
+		}, map[string]bool{"crashing": true}},
+		"six at the same time, of a request that has succeeded before": {func(f *fleet) {
+			f.hosts[1].RunSucceeded(newRequest("crashing"), true)
+			f.clock.advance(time.Second)
+			for n := range 6 {
+				f.crash(crashing(n % 3))
+			}
+		}, map[string]bool{"crashing": false}},
 		"three with a successful run in between": {func(f *fleet) {
 			for n := range 3 {
 				f.clock.advance(time.Second)
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -137,12 +137,12 @@
 }
 
 // quarantine sets the pause of a request from the crashes that it caused.
-func (t *table) quarantine(fingerprint Fingerprint, r *record, consecutive []*crash) {
-	r.pause = r.initialPause()
-	if !r.isPart() && t.isContested(fingerprint, consecutive[0].at.Add(-contestMargin), consecutive[len(consecutive)-1].at) {
-		r.pause = contestedPause
+func (t *table) quarantine(fingerprint Fingerprint, r *record, crashes []*crash, pause time.Duration) {
+	r.pause = pause
+	if !r.isPart() && t.isContested(fingerprint, crashes[0].at.Add(-contestMargin), crashes[len(crashes)-1].at) {
+		r.pause = min(pause, contestedPause)
 	}
-	for _, c := range consecutive {
+	for _, c := range crashes {
 		r.extend(c.at)
 	}
 	t.quarantined[fingerprint] = r
