--- a/internal/quarantiner/updates.go
+++ b/internal/quarantiner/updates.go
@@ -41,7 +41,7 @@
 	return q.snapshotLocked(), q.log.Head()
 }
 
-// snapshotLocked returns all quarantines and crashes, from whichever host, for a peer that
+// snapshotLocked returns all quarantines, crashes and successful runs, from whichever host, for a peer that
 // has just started or missed updates. The hosts that first sent them may no longer run.
 func (q *Quarantiner) snapshotLocked() (updates []exchanger.CrashUpdate) {
 	var quarantines []exchanger.Quarantine
@@ -51,6 +51,11 @@
 	if len(quarantines) > 0 {
 		updates = append(updates, exchanger.CrashUpdate{At: q.cfg.Now(), Quarantines: quarantines})
 	}
+	for fingerprint, r := range q.table.records {
+		if !r.succeededAt.IsZero() {
+			updates = append(updates, exchanger.CrashUpdate{At: r.succeededAt, Cleared: [][16]byte{fingerprint}})
+		}
+	}
 	for _, c := range q.table.byArrival {
 		var runs []run
 		for fingerprint, sentAt := range c.runs {
