BUDGET: an idle connection does not outweigh calls that receive nothing

A refused connection was not taken for an exit as long as an idle one was open, however long calls had been silent: a machine that loses power closes none. The endpoint is now unreached once calls have been silent for as long as a connection that times out needs. Whether the process has exited is decided by other evidence.

--- a/internal/pathwatcher/exits.go
+++ b/internal/pathwatcher/exits.go
@@ -47,6 +47,10 @@
 		w.rejectExitLocked(p, "data has arrived since")
 		return notifications{func() { w.cfg.OnReached(p.process) }}
 	case p.application.brokenAt.Before(p.application.lastReceived()) && !p.brokenAt.After(p.lastReceived()) && w.cfg.IsConnected(p.Target):
+		if p.silence(now) >= loneSilenceTimeout {
+			w.rejectExitLocked(p, "another connection is open, but nothing arrives")
+			return nil // unreached, as if the connection had timed out
+		}
 		w.rejectExitLocked(p, "another connection is open")
 		p.connectFailedAt = time.Time{}
 		return notifications{func() { w.cfg.OnReached(p.process) }}
