BUDGET: a run that goes on for 0.25 s does not clear the crashes of its request

A run was taken for a success 0.25 s after its first event, and cleared the crashes before it; one interrupted later than 0.5 s after it was no crash at all.

Such a run now shows only that the parts of its prompt are sound, which crash engines as soon as an answer begins. Crashes of longer runs are weighed against the rate of crashes without the request, since any crash may hit a long run. Of several runs in one process the longest counts.

--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/quarantiner"
 	"github.com/endivemast/endivemast/internal/ratelimiter"
 	"github.com/endivemast/endivemast/internal/scheduler"
 )
@@ -70,10 +71,6 @@
 	}
 }
 
-// soundRunTime is how long after its first event a run shows that its request crashes no endpoint:
-// crashes come within some 100 ms.
-const soundRunTime = 250 * time.Millisecond
-
 // tokenReceiver is called for each event of a stream.
 type tokenReceiver interface{ TokenReceived() }
 
@@ -97,10 +94,7 @@
 			fr.reportRunStarted()
 			fr.hasEvents.Store(true)
 		}
-		if !fr.lastAttempt.isSound && !fr.isAtPeer && time.Since(fr.lastAttempt.firstEventAt) >= soundRunTime {
-			fr.lastAttempt.isSound = true
-			fr.forwarder.cfg.Quarantine.RunSucceeded(&fr.identity, true)
-		}
+		fr.reportContinuedRun()
 		if err := fr.writeEvents(answer, events); err != nil {
 			return err
 		}
@@ -114,6 +108,15 @@
 	}
 }
 
+// reportContinuedRun reports that the run goes on, each time that it has lasted twice as long.
+func (fr *forwardedRequest) reportContinuedRun() {
+	attempt := &fr.lastAttempt
+	if age := time.Since(attempt.firstEventAt); !fr.isAtPeer && age >= max(2*attempt.reportedAge, quarantiner.SoundRunTime) {
+		attempt.reportedAge = age
+		fr.forwarder.cfg.Quarantine.RunContinues(&fr.identity, time.Since(attempt.sentAt))
+	}
+}
+
 func (fr *forwardedRequest) writeEvents(answer *driver.ForwardAnswer, events []byte) error {
 	if !fr.isHeaderSent {
 		fr.recordOrigin()
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -86,8 +86,8 @@
 type attemptState struct {
 	softwareVersion string // of the endpoint, or stated by the peer
 	sentAt          time.Time
-	firstEventAt    time.Time // of its first event; zero if none has arrived
-	isSound         bool      // the run has gone on for soundRunTime
+	firstEventAt    time.Time     // of its first event; zero if none has arrived
+	reportedAge     time.Duration // of the run, when it was last reported as going on
 }
 
 // requestTimings states where a request's time was spent, over all its attempts.
--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -15,10 +15,12 @@
 	// successful run in between, hardly occurs unless another caller sends a different
 	// crashing request every 150 ms.
 	crashesToQuarantine = 3
-	// maxEarlyRun is how long after its first event a run counts as just started. Engines
-	// crash 45 to 100 ms after they start a request that crashes them; a run that goes
-	// on for longer shows that the request can be run.
+	// maxEarlyRun is how long after its send a run counts as just started. Engines crash 45 to
+	// 100 ms after they start a request that crashes them, unless it crashes them later.
 	maxEarlyRun = 500 * time.Millisecond
+	// SoundRunTime is how long after its first event a run shows that the parts of its prompt crash
+	// no endpoint: they do as soon as it begins to write an answer on them.
+	SoundRunTime = 250 * time.Millisecond
 	// crashSettlingDelay is how long after the first update about it a crash starts to
 	// count. Hosts whose runs were interrupted with the process learn of it within some
 	// milliseconds of each other and send that with their next update, which takes up to
@@ -283,13 +285,7 @@
 // period without running the request: something else crashes processes too, and may
 // have hit the request each time.
 func (t *table) isContested(fingerprint Fingerprint, begin, until time.Time) bool {
-	others := 0
-	for _, c := range t.byArrival {
-		if _, isPresent := c.runs[fingerprint]; !isPresent && c.at.After(begin) && !c.at.After(until) {
-			others++
-		}
-	}
-	return others >= crashesToQuarantine
+	return t.countCrashesWithout(fingerprint, begin, until) >= crashesToQuarantine
 }
 
 // shortenContestedPause shortens the first pause where processes go on crashing without
--- a/internal/quarantiner/pending.go
+++ b/internal/quarantiner/pending.go
@@ -55,8 +55,11 @@
 	entry.at = now
 	entry.runs = slices.DeleteFunc(entry.runs, func(r interruptedRun) bool { return now.Sub(r.at) >= interruptionWindow })
 	for _, r := range runs {
-		isKnown := r.isPart() && slices.ContainsFunc(entry.runs, func(other interruptedRun) bool { return other.fingerprint == r.fingerprint })
-		if !isKnown && len(entry.runs) < maxRunsPerCrash {
+		known := slices.IndexFunc(entry.runs, func(other interruptedRun) bool { return other.fingerprint == r.fingerprint })
+		switch {
+		case known >= 0 && r.sentAt.Before(entry.runs[known].sentAt):
+			entry.runs[known].sentAt = r.sentAt
+		case known < 0 && len(entry.runs) < maxRunsPerCrash:
 			entry.runs = append(entry.runs, interruptedRun{run: r, at: now})
 		}
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -45,6 +45,8 @@
 	// IsLeaving is true for a process that is known to take no new work, so that its
 	// connections are expected to close.
 	IsLeaving func(process Process) bool
+	// Endpoints returns how many endpoints are listed; nil: one.
+	Endpoints func() int
 	// Hosts returns the ids of the hosts that this one receives updates from, and its
 	// own. They determine the order in which hosts may try a quarantined request.
 	Hosts func() []string
@@ -88,6 +90,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
+	if cfg.Endpoints == nil {
+		cfg.Endpoints = func() int { return 1 }
+	}
 	q := &Quarantiner{cfg: cfg, table: newTable(), pending: pending{}, soundParts: newSuccesses(maxSoundParts), soundRequests: newSuccesses(maxSoundRequests), log: exchanger.NewUpdateLog[exchanger.CrashUpdate](maxLoggedUpdates)}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
 	return q
@@ -236,17 +241,17 @@
 	if q == nil {
 		return
 	}
-	if attempt.SinceFirstEvent > maxEarlyRun {
-		q.RunSucceeded(attempt.Request, true)
-		return
+	now, suspects := q.cfg.Now(), attempt.Request.suspects()
+	if attempt.SinceFirstEvent > SoundRunTime {
+		q.partsSucceeded(attempt.Request, now)
+		suspects = suspects[:1] // the request
 	}
 	process := attempt.Target.Process()
 	if q.cfg.IsLeaving(process) {
 		return
 	}
-	now := q.cfg.Now()
 	var interrupted []run
-	for _, s := range attempt.Request.suspects() {
+	for _, s := range suspects {
 		interrupted = append(interrupted, run{suspect: s, sentAt: now.Add(-attempt.SinceSend)})
 	}
 	q.mu.Lock()
@@ -363,8 +368,7 @@
 	}
 }
 
-// RunSucceeded records that a request has been run without crashing its endpoint, or that its run
-// goes on. wroteAnswer is false if the endpoint has written no answer on the prompt, which shows
+// RunSucceeded records that a request has been run without crashing its endpoint. wroteAnswer is false if the endpoint has written no answer on the prompt, which shows
 // nothing of its parts.
 func (q *Quarantiner) RunSucceeded(request *Request, wroteAnswer bool) {
 	if q == nil {
@@ -373,20 +377,49 @@
 	now := q.cfg.Now()
 	q.mu.Lock()
 	q.soundRequests.add(request.key(), now)
+	q.mu.Unlock()
 	if wroteAnswer {
-		for _, id := range request.Parts {
-			q.soundParts.add(partKey(request.Application, id), now)
-		}
+		q.partsSucceeded(request, now)
+	}
+	q.clearWhere(request, now, func(s *suspect, _ *record) bool { return !s.isPart() })
+}
+
+// RunContinues records that a run goes on, at least SoundRunTime after its first event.
+func (q *Quarantiner) RunContinues(request *Request, sinceSend time.Duration) {
+	if q == nil {
+		return
+	}
+	now := q.cfg.Now()
+	q.partsSucceeded(request, now)
+	q.clearWhere(request, now, func(s *suspect, r *record) bool {
+		return !s.isPart() && r != nil && r.outlivesCrashes(s.fingerprint, sinceSend, now)
+	})
+}
+
+// partsSucceeded records a run that has written an answer on the parts of a prompt.
+func (q *Quarantiner) partsSucceeded(request *Request, now time.Time) {
+	if len(request.Parts) == 0 {
+		return
+	}
+	q.mu.Lock()
+	for _, id := range request.Parts {
+		q.soundParts.add(partKey(request.Application, id), now)
 	}
 	q.mu.Unlock()
+	q.clearWhere(request, now, func(s *suspect, _ *record) bool { return s.isPart() })
+}
+
+// clearWhere clears those of the request and its parts that match. Their record may be missing.
+func (q *Quarantiner) clearWhere(request *Request, now time.Time, match func(s *suspect, r *record) bool) {
 	suspects := q.lookUp(request)
 	if len(suspects) == 0 {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, s := range suspects {
-		if wroteAnswer || !s.isPart() {
+	for i := range suspects {
+		s := &suspects[i]
+		if match(s, q.table.records[s.fingerprint]) {
 			q.clearLocked(s.fingerprint, now, exchanger.ScopeOwn)
 		}
 	}
@@ -469,15 +502,20 @@
 		if r.isQuarantined() || r.crashCount(now) < r.crashesNeeded() {
 			continue
 		}
-		if crashes := q.table.independentCrashes(fingerprint, now); len(crashes) >= r.crashesNeeded() {
+		if crashes := q.table.independentCrashes(fingerprint, now); len(crashes) >= r.crashesNeeded() && q.isImprobableLocked(fingerprint, r, crashes, now) {
 			q.quarantineLocked(fingerprint, r, crashes, r.initialPause(), now)
-		} else if crashes := q.table.concurrentCrashes(fingerprint, now); len(crashes) >= crashesOfConcurrentRuns {
+		} else if crashes := q.table.concurrentCrashes(fingerprint, now); len(crashes) >= crashesOfConcurrentRuns && q.isImprobableLocked(fingerprint, r, crashes, now) {
 			q.quarantineLocked(fingerprint, r, crashes, concurrentPause, now)
 		}
 	}
 	q.releaseExplainedLocked(now)
 }
 
+// isImprobableLocked reports whether other causes hardly explain the crashes. Parts crash endpoints early.
+func (q *Quarantiner) isImprobableLocked(fingerprint Fingerprint, r *record, crashes []*crash, now time.Time) bool {
+	return r.isPart() || q.table.isImprobable(fingerprint, crashes, q.cfg.Endpoints(), now)
+}
+
 // releaseExplainedLocked ends the quarantine of parts and requests whose crashes are explained by
 // another part that has been quarantined since. Before any run has succeeded, a part of some
 // requests with a bad part, or a request that many send, may be quarantined first.
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -50,7 +50,7 @@
 	sentAt time.Time
 }
 
-// add records a crash with some runs, and returns those that were not known.
+// add records a crash with some runs, and returns those that were not known, or not for as long.
 func (t *table) add(process Process, at, now time.Time, runs []run) (added []run) {
 	c := t.crashes[process]
 	if c == nil {
@@ -62,7 +62,13 @@
 		c.at = at // hosts notice an exit at different times
 	}
 	for _, run := range runs {
-		if _, isKnown := c.runs[run.fingerprint]; isKnown || len(c.runs) >= maxRunsPerCrash {
+		sentAt, isKnown := c.runs[run.fingerprint]
+		switch {
+		case isKnown && run.sentAt.Before(sentAt): // the longest of several runs is the likeliest cause
+			c.runs[run.fingerprint] = run.sentAt
+			added = append(added, run)
+			continue
+		case isKnown || len(c.runs) >= maxRunsPerCrash:
 			continue
 		}
 		c.runs[run.fingerprint] = run.sentAt
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -16,6 +16,7 @@
 func (g *Gateway) buildQuarantine() {
 	g.quarantiner = quarantiner.New(quarantiner.Config{
 		HostID: g.cfg.HostID, Probe: g.probeExit, IsLeaving: g.isLeaving, Hosts: g.reachableHosts,
+		Endpoints:    func() int { return len(g.registrations.Hosts()) },
 		OnQuarantine: func() { g.forwarder.CancelQuarantined() }, Now: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("quarantiner"),
 	})
