--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -45,6 +45,7 @@
 	hosts     []*Quarantiner
 	positions []uint64 // up to which each host's updates have been sent
 	n         int      // number of processes so far
+	endpoints int      // listed; 0: one
 }
 
 func newFleet(t *testing.T, hosts int) *fleet {
@@ -66,6 +67,7 @@
 		HostID: id, Now: f.clock.Now, Hosts: func() []string { return ids },
 		Probe:     func(context.Context, driver.Target) error { return errors.New("probes are not simulated") },
 		IsLeaving: func(Process) bool { return false },
+		Endpoints: func() int { return f.endpoints },
 	})
 	f.t.Cleanup(func() { assert.NilError(f.t, q.Close()) })
 	return q
--- a/internal/quarantiner/simulation_test.go
+++ b/internal/quarantiner/simulation_test.go
@@ -24,8 +24,9 @@
 	simRestartTime     = 1500 * time.Millisecond
 	simFirstEventDelay = 45 * time.Millisecond // from the send until the first event
 	simCrashDelay      = 45 * time.Millisecond // from the first event until a poison request crashes its engine
-	simDetectionTime   = 3 * time.Second       // from the third crash until all hosts have to know
-	simMaxAttempts     = 8                     // attempts of a caller, each right after the previous one
+	simLongRun         = 1500 * time.Millisecond
+	simDetectionTime   = 3 * time.Second // from the third crash until all hosts have to know
+	simMaxAttempts     = 8               // attempts of a caller, each right after the previous one
 )
 
 // simLoad configures a simulation.
@@ -37,6 +38,10 @@
 	unrelatedCrashes int           // number of times that a third of the engines crashes for other reasons
 	isStaggered      bool          // these crashes happen one by one and not at the same time
 	poisonInterval   time.Duration // between two poison requests; 0: there are none
+	poisonDelay      time.Duration // from the first event until a poison request crashes its engine; 0: simCrashDelay
+	longRun          time.Duration // run time of long requests; 0: simLongRun
+	resendsLater     bool          // interrupted requests are sent again in the next step, and not at the time of the crash
+	allCrash         bool          // unrelated crashes hit all engines at once and not a third
 	isPoisonVaried   bool          // each poison request has a different body
 	poisonUntil      time.Duration // when poison requests end; 0: at the end of the simulation
 	updateInterval   time.Duration // between two updates of a host; 0: simUpdateInterval
@@ -81,6 +86,7 @@
 	result        simResult
 	thirdCrashAt  time.Duration // when a poison request crashed the third engine; 0: not yet
 	poisonCrashes int           // crashes caused by poison requests
+	resends       []*simRun     // in the next step
 }
 
 // request returns the request of a run.
@@ -121,6 +127,7 @@
 func runSimulation(t *testing.T, load simLoad, seed uint64) simResult {
 	t.Helper()
 	s := &simulation{load: load, fleet: newFleet(t, load.hosts), rand: rand.New(rand.NewPCG(seed, 1))}
+	s.fleet.endpoints = load.engines
 	for range load.engines {
 		s.engines = append(s.engines, &simEngine{})
 	}
@@ -130,7 +137,7 @@
 		s.arrive()
 		for len(crashTimes) > 0 && crashTimes[0] <= s.now {
 			crashTimes = crashTimes[1:]
-			s.crash(s.rand.IntN(len(s.engines)))
+			s.crashUnrelated()
 		}
 		for n := range s.engines {
 			s.finishRuns(n)
@@ -151,6 +158,9 @@
 // planCrashes returns the times of crashes for other reasons, in order.
 func (s *simulation) planCrashes() (crashTimes []time.Duration) {
 	each := s.load.engines / 3
+	if s.load.allCrash {
+		each = 1
+	}
 	total := s.load.unrelatedCrashes * each
 	for n := range total {
 		at := s.load.duration * time.Duration(n/each+1) / time.Duration(s.load.unrelatedCrashes+1)
@@ -162,6 +172,17 @@
 	return crashTimes
 }
 
+// crashUnrelated crashes an engine, or all of them, for another reason than a request.
+func (s *simulation) crashUnrelated() {
+	if !s.load.allCrash {
+		s.crash(s.rand.IntN(len(s.engines)))
+		return
+	}
+	for n := range s.engines {
+		s.crash(n)
+	}
+}
+
 // exchangeUpdates sends updates, each host at its own times.
 func (s *simulation) exchangeUpdates() {
 	interval := s.load.updateInterval
@@ -184,6 +205,11 @@
 
 // arrive sends the new requests of a step, at a constant rate.
 func (s *simulation) arrive() {
+	resends := s.resends
+	s.resends = nil
+	for _, r := range resends {
+		s.send(r)
+	}
 	before, after := s.requestsBy(s.now), s.requestsBy(s.now+simStep)
 	for range after - before {
 		s.requestCount++
@@ -232,13 +258,13 @@
 	r.sentAt, r.endsAt = s.now, s.now+simFirstEventDelay+50*time.Millisecond+time.Duration(s.rand.IntN(250))*time.Millisecond
 	switch {
 	case r.isPoison:
-		r.endsAt = s.now + simFirstEventDelay + simCrashDelay
+		r.endsAt = s.now + simFirstEventDelay + max(s.load.poisonDelay, simCrashDelay)
 		s.result.poisonSends++
 		if s.thirdCrashAt > 0 && s.now > s.thirdCrashAt+simDetectionTime {
 			s.result.latePoisonSends++
 		}
 	case s.rand.Float64() < s.load.longShare:
-		r.endsAt = s.now + simFirstEventDelay + 1500*time.Millisecond
+		r.endsAt = s.now + simFirstEventDelay + max(s.load.longRun, simLongRun)
 	}
 	e.runs = append(e.runs, r)
 }
@@ -290,12 +316,58 @@
 		q.ProcessExited(process)
 	}
 	for _, r := range runs {
-		if r.attempts < simMaxAttempts && !r.isPoison {
+		switch {
+		case r.attempts >= simMaxAttempts || r.isPoison:
+		case s.load.resendsLater:
+			s.resends = append(s.resends, r)
+		default:
 			s.send(r)
 		}
 	}
 }
 
+// TestLongRunsHitByOtherCrashesAreNotRefused guards against long runs that are blamed for crashes which hit any run.
+func TestLongRunsHitByOtherCrashesAreNotRefused(t *testing.T) {
+	t.Parallel()
+	for name, load := range map[string]simLoad{
+		"streams of 10 s, crashes one by one": {
+			hosts: 9, engines: 14, perSecond: 30, longShare: 1, longRun: 10 * time.Second, unrelatedCrashes: 6, isStaggered: true, duration: 30 * time.Second, resendsLater: true,
+		},
+		"streams of 4 s, a third crashes at once": {
+			hosts: 9, engines: 14, perSecond: 60, longShare: 0.5, longRun: 4 * time.Second, popularShare: 0.05, unrelatedCrashes: 6, duration: 30 * time.Second, resendsLater: true,
+		},
+		"popular long requests, all engines crash at once": {
+			hosts: 9, engines: 7, perSecond: 100, longShare: 0.3, longRun: 3 * time.Second, popularShare: 0.2, unrelatedCrashes: 5, allCrash: true, duration: 30 * time.Second, resendsLater: true,
+		},
+		"popular requests, all engines crash at once": {
+			hosts: 9, engines: 7, perSecond: 250, longShare: 0.1, popularShare: 0.2, unrelatedCrashes: 6, allCrash: true, duration: 20 * time.Second, resendsLater: true,
+		},
+		"next to a request that crashes engines 0.3 s after the first event": {
+			hosts: 9, engines: 7, perSecond: 150, longShare: 0.2, longRun: 3 * time.Second, popularShare: 0.05, poisonInterval: 400 * time.Millisecond, poisonDelay: 300 * time.Millisecond, duration: 30 * time.Second, resendsLater: true,
+		},
+		"next to a request that crashes engines 2 s after the first event": {
+			hosts: 9, engines: 7, perSecond: 100, longShare: 0.3, longRun: 5 * time.Second, popularShare: 0.05, poisonInterval: 2100 * time.Millisecond, poisonDelay: 2 * time.Second, duration: 30 * time.Second, resendsLater: true,
+		},
+		"next to different requests that crash engines 0.8 s after the first event": {
+			hosts: 9, engines: 14, perSecond: 100, longShare: 0.3, longRun: 5 * time.Second, popularShare: 0.05, poisonInterval: 900 * time.Millisecond, poisonDelay: 800 * time.Millisecond, isPoisonVaried: true, duration: 30 * time.Second, resendsLater: true,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var total, refused int
+			for seed := range uint64(simSeeds) {
+				got := runSimulation(t, load, seed)
+				t.Logf("seed %d: %+v", seed, got)
+				total, refused = total+got.requests, refused+got.refused
+				if load.poisonInterval > 0 && !load.isPoisonVaried {
+					assert.Check(t, got.latePoisonSends <= maxLatePoisonSends, "seed %d: %d poison requests sent after detection", seed, got.latePoisonSends)
+				}
+			}
+			assert.Check(t, float64(refused) <= maxWrongShare*float64(total), "%d of %d refused", refused, total)
+		})
+	}
+}
+
 // simSeeds is the number of seeds per load.
 const simSeeds = 5
 
@@ -367,6 +439,12 @@
 		"the same number of crashes, one by one": {
 			hosts: 9, engines: 14, perSecond: 250, longShare: 0.1, popularShare: 0.05, unrelatedCrashes: 6, isStaggered: true, duration: 20 * time.Second,
 		},
+		"resent after the crash, one by one": {
+			hosts: 9, engines: 14, perSecond: 250, longShare: 0.1, popularShare: 0.05, unrelatedCrashes: 6, isStaggered: true, resendsLater: true, duration: 20 * time.Second,
+		},
+		"resent after the crash, next to a frequent poison request": {
+			hosts: 9, engines: 7, perSecond: 250, longShare: 0.1, popularShare: 0.05, poisonInterval: 50 * time.Millisecond, resendsLater: true, duration: 20 * time.Second,
+		},
 		"long requests only": {
 			hosts: 9, engines: 14, perSecond: 60, longShare: 1, unrelatedCrashes: 6, isStaggered: true, duration: 20 * time.Second,
 		},
