BUDGET: parts and requests of a crash have separate bounds

96 requests that an engine runs and queues have several parts each; whoever reported first filled the 256 records of a crash, and the request that caused it was left out at all hosts. TestPartsUseUpTheRunsOfACrash fails without it.

--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -82,6 +82,7 @@
 	at         time.Time
 	receivedAt time.Time
 	runs       map[Fingerprint]time.Time // when they were sent
+	room       room
 }
 
 // record is the known state of a request or a part.
--- a/internal/quarantiner/pending.go
+++ b/internal/quarantiner/pending.go
@@ -29,6 +29,7 @@
 	target driver.Target
 	at     time.Time // of the latest interruption
 	runs   []interruptedRun
+	room   room
 
 	isProbing    bool
 	probedAt     time.Time // start of the latest probe
@@ -53,19 +54,35 @@
 		p[process] = entry
 	}
 	entry.at = now
-	entry.runs = slices.DeleteFunc(entry.runs, func(r interruptedRun) bool { return now.Sub(r.at) >= interruptionWindow })
+	entry.dropEarlier(now)
 	for _, r := range runs {
 		known := slices.IndexFunc(entry.runs, func(other interruptedRun) bool { return other.fingerprint == r.fingerprint })
 		switch {
 		case known >= 0 && r.sentAt.Before(entry.runs[known].sentAt):
 			entry.runs[known].sentAt = r.sentAt
-		case known < 0 && len(entry.runs) < maxRunsPerCrash:
+		case known < 0 && entry.room.take(&r.suspect):
 			entry.runs = append(entry.runs, interruptedRun{run: r, at: now})
 		}
 	}
 	return entry
 }
 
+// dropEarlier drops runs that were interrupted before an exit that is noticed now. The runs are in the
+// order of their interruptions.
+func (e *interruption) dropEarlier(now time.Time) {
+	if len(e.runs) == 0 || now.Sub(e.runs[0].at) < interruptionWindow {
+		return
+	}
+	kept := e.runs[:0]
+	e.room = room{}
+	for _, r := range e.runs {
+		if now.Sub(r.at) < interruptionWindow && e.room.take(&r.suspect) {
+			kept = append(kept, r)
+		}
+	}
+	e.runs = kept
+}
+
 // take removes and returns the interrupted runs of a process, and when the first one was
 // interrupted.
 func (p pending) take(process Process) (runs []run, at time.Time, ok bool) {
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -395,3 +395,30 @@
 		assert.Equal(t, q.recordCount.Load(), int64(0))
 	}
 }
+
+// TestPartsUseUpTheRunsOfACrash guards against a crash whose records are full of other requests' parts when the request that caused it is reported.
+func TestPartsUseUpTheRunsOfACrash(t *testing.T) {
+	t.Parallel()
+	const otherRuns, partsPerRun = 96, 4 // as many as an engine runs and queues
+	f := newFleet(t, 2)
+	for n := range 3 {
+		f.clock.advance(time.Second)
+		target := driver.Target{EndpointID: fmt.Sprint("e", n), Incarnation: "1"}
+		for i := range otherRuns {
+			request := newRequest(fmt.Sprint("other ", n, " ", i))
+			for part := range partsPerRun {
+				request.Parts = append(request.Parts, fmt.Sprint(n, i, part))
+			}
+			f.hosts[0].RunInterrupted(InterruptedRun{Request: request, Target: target, SinceSend: shortRun})
+		}
+		f.hosts[1].RunInterrupted(InterruptedRun{Request: newRequest("crashing"), Target: target, SinceSend: shortRun})
+		for _, q := range f.hosts {
+			q.ProcessExited(target.Process())
+		}
+		f.exchangeUpdates()
+	}
+	f.passSettlingDelay()
+	for n, q := range f.hosts {
+		assert.Check(t, q.IsQuarantined(newRequest("crashing")), "at host %d", n)
+	}
+}
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -11,9 +11,10 @@
 	// the oldest are dropped, and a request that is sent so rarely that 256 others have
 	// crashed in the meantime is not detected.
 	maxCrashes = 256
-	// maxRunsPerCrash bounds the requests and parts that are kept of one crash. Engines run up to
-	// 48 requests at a time and queue as many.
-	maxRunsPerCrash = 256
+	// maxRunsPerCrash and maxPartsPerCrash bound the requests and parts that are kept of one crash. Engines run up to 48
+	// requests at a time and queue as many, each with several parts.
+	maxRunsPerCrash  = 256
+	maxPartsPerCrash = 256
 	// maxQuarantined bounds the quarantined requests, at some 200 bytes each. Beyond it
 	// the one with the earliest retry is released: it crashes one more process before it
 	// is detected again.
@@ -44,6 +45,22 @@
 	}
 }
 
+// room counts the requests and parts that are kept of one crash.
+type room struct{ requests, parts int }
+
+// take reports whether there is room for another one, and counts it.
+func (r *room) take(s *suspect) bool {
+	count, limit := &r.requests, maxRunsPerCrash
+	if s.isPart() {
+		count, limit = &r.parts, maxPartsPerCrash
+	}
+	if *count >= limit {
+		return false
+	}
+	*count++
+	return true
+}
+
 // run is a request, or a part of its prompt, whose run was interrupted when its process exited.
 type run struct {
 	suspect
@@ -68,7 +85,7 @@
 			c.runs[run.fingerprint] = run.sentAt
 			added = append(added, run)
 			continue
-		case isKnown || len(c.runs) >= maxRunsPerCrash:
+		case isKnown || !c.room.take(&run.suspect):
 			continue
 		}
 		c.runs[run.fingerprint] = run.sentAt
