BUDGET: a request is run once at a time after three crashes under concurrent runs

Three engines that crash at the same moment may be a rack's, so that they are no reason to refuse a request; but many callers went on to crash the others. After three such crashes hosts start one run at a time, while those that have begun go on, until one succeeds or the fourth crash quarantines the request. A trial whose outcome stays unknown, as at a process that ends silently, doubles a short pause: up to four trials ran in 16 s.

--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -35,11 +35,16 @@
 	initialPause = 30 * time.Second
 	// crashesOfConcurrentRuns is how many processes have to crash under a request that has never
 	// succeeded and that many callers send at once. They crash all engines before the first crash
-	// is known, so that their runs are not consecutive.
+	// is known, so that their runs are not consecutive. After crashesForProbation it is run once at
+	// a time.
 	crashesOfConcurrentRuns = 4
+	crashesForProbation     = 3
 	// concurrentPause is the first pause after such crashes. They may have had one other cause,
-	// which the trial shows.
-	concurrentPause = 2 * time.Second
+	// which the trial shows. It is longer than trialTimeout, so that the start of a trial does not
+	// move the time of the last crash.
+	concurrentPause = 4 * time.Second
+	// probationPause marks a request that is only run once at a time.
+	probationPause = trialTimeout
 	// contestedPause is the first pause where other processes crash as well. A caller
 	// that crashes an engine every 100 ms, with a different request each time, also has
 	// requests quarantined that many others send. A shorter pause refuses fewer of them
@@ -103,12 +108,29 @@
 	pause time.Duration
 	// isInTrial is true from the start of a trial at this host to the next crash.
 	isInTrial bool
+	trialAt   time.Time // its start
+}
+
+// beginTrial postpones the next trial until the outcome of this one should be known. It may remain
+// unknown if the process exits without closing its connections, so that short pauses grow.
+func (r *record) beginTrial(now time.Time) {
+	r.isInTrial, r.trialAt = true, now
+	wait := trialTimeout
+	if r.isBlamed() && r.pause < r.initialPause() {
+		r.pause *= 2
+		wait = max(wait, r.pause/2)
+	}
+	r.until = now.Add(wait)
 }
 
 // isQuarantined is true until the quarantine has been lifted by a successful run or
 // has expired.
 func (r *record) isQuarantined() bool { return !r.until.IsZero() }
 
+// isBlamed is true for a quarantined request that is considered to cause crashes. One on probation is
+// run as a trial, while runs that have begun go on.
+func (r *record) isBlamed() bool { return r.isQuarantined() && r.pause != probationPause }
+
 func (r *record) isPart() bool { return r.depth < wholeRequest }
 
 // wasSound is true for a part with which a run has succeeded before the crashes that count.
@@ -157,12 +179,12 @@
 func (t *table) attributedCrashes(fingerprint Fingerprint, now time.Time) (crashes []*crash) {
 	r := t.records[fingerprint]
 	count := r.crashCount(now)
-	if r.isQuarantined() {
+	if r.isBlamed() {
 		count = math.MaxInt
 	}
 	for _, c := range r.crashes {
 		// The crash caused by a trial has to take effect before the next trial.
-		isSettled := r.isQuarantined() || now.Sub(c.receivedAt) >= crashSettlingDelay
+		isSettled := r.isBlamed() || now.Sub(c.receivedAt) >= crashSettlingDelay
 		if !r.isRelevant(c, now) || !isSettled {
 			continue
 		}
@@ -181,7 +203,7 @@
 			continue
 		}
 		own := t.records[fingerprint]
-		if r.isQuarantined() && !own.outnumbers(r, now) || r.crashCount(now) >= count && r.isMoreLikely(own) {
+		if r.isBlamed() && !own.outnumbers(r, now) || r.crashCount(now) >= count && r.isMoreLikely(own) {
 			return true
 		}
 	}
@@ -210,7 +232,7 @@
 		isExplained := false
 		for other := range c.runs {
 			o := t.records[other]
-			isExplained = isExplained || o != nil && o.isPart() && o.isQuarantined() && o.crashCount(now) > count
+			isExplained = isExplained || o != nil && o.isPart() && o.isBlamed() && o.crashCount(now) > count
 		}
 		if !isExplained {
 			unexplained++
@@ -301,7 +323,7 @@
 // extend prolongs the quarantine for a crash. Only the crash of a trial doubles the
 // pause; other crashes are of runs that had started before the quarantine.
 func (r *record) extend(at time.Time) {
-	if r.isInTrial && !at.Before(r.until.Add(-trialTimeout)) {
+	if r.isInTrial && !at.Before(r.trialAt) {
 		r.isInTrial = false
 		r.pause = min(max(2*r.pause, r.initialPause()), maxPause)
 	}
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -153,7 +153,7 @@
 
 // IsQuarantined is true for a request whose running attempts are to be cancelled.
 func (q *Quarantiner) IsQuarantined(request *Request) bool {
-	return q.anyRecord(request, (*record).isQuarantined)
+	return q.anyRecord(request, (*record).isBlamed)
 }
 
 // MayRepeat is false for a request that must not be sent to a second endpoint after the first one
@@ -219,7 +219,7 @@
 // startTrialLocked starts a trial at this host; the other hosts wait for the outcome.
 func (q *Quarantiner) startTrialLocked(fingerprint Fingerprint, r *record, now time.Time) {
 	q.cfg.Logger.Info("trial of quarantined request started", "request_name", fingerprint.String(), "pause_ms", r.pause.Milliseconds())
-	r.until, r.isInTrial = now.Add(trialTimeout), true
+	r.beginTrial(now)
 	q.log.Add(exchanger.CrashUpdate{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(fingerprint, r)}}, exchanger.ScopeOwn)
 }
 
@@ -499,13 +499,19 @@
 	})
 	for _, fingerprint := range fingerprints {
 		r := q.table.suspects[fingerprint]
-		if r.isQuarantined() || r.crashCount(now) < r.crashesNeeded() {
+		if r.isBlamed() || r.crashCount(now) < r.crashesNeeded() {
 			continue
 		}
 		if crashes := q.table.independentCrashes(fingerprint, now); len(crashes) >= r.crashesNeeded() && q.isImprobableLocked(fingerprint, r, crashes, now) {
 			q.quarantineLocked(fingerprint, r, crashes, r.initialPause(), now)
-		} else if crashes := q.table.concurrentCrashes(fingerprint, now); len(crashes) >= crashesOfConcurrentRuns && q.isImprobableLocked(fingerprint, r, crashes, now) {
+			continue
+		}
+		crashes := q.table.concurrentCrashes(fingerprint, now)
+		switch {
+		case len(crashes) >= crashesOfConcurrentRuns && q.isImprobableLocked(fingerprint, r, crashes, now):
 			q.quarantineLocked(fingerprint, r, crashes, concurrentPause, now)
+		case len(crashes) >= crashesForProbation && !r.isQuarantined():
+			q.beginProbationLocked(fingerprint, r, now)
 		}
 	}
 	q.releaseExplainedLocked(now)
@@ -544,6 +550,14 @@
 		"first_crash_ago_ms", now.Sub(crashes[0].at).Milliseconds(), "retry_in_ms", r.until.Sub(now).Milliseconds())
 }
 
+// beginProbationLocked has hosts run a request once at a time.
+func (q *Quarantiner) beginProbationLocked(fingerprint Fingerprint, r *record, now time.Time) {
+	r.until, r.pause = now, probationPause
+	q.table.quarantined[fingerprint] = r
+	q.log.Add(exchanger.CrashUpdate{At: now, Quarantines: []exchanger.Quarantine{quarantineOf(fingerprint, r)}}, exchanger.ScopeOwn)
+	q.cfg.Logger.Warn("request on probation: endpoints crashed that ran it at the same time", "request_name", fingerprint.String(), "crashes", r.crashCount(now))
+}
+
 // Count returns the number of quarantined requests.
 func (q *Quarantiner) Count() int {
 	q.mu.Lock()
