--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -58,10 +58,11 @@
 }
 
 // outlivesCrashes reports whether a run of some age has gone on for much longer than the runs that
-// crashed.
+// crashed. Until a crash has settled, other hosts may report longer ones.
 func (r *record) outlivesCrashes(fingerprint Fingerprint, age time.Duration, now time.Time) bool {
 	for _, c := range r.crashes {
-		if r.isRelevant(c, now) && age < soundRunFactor*c.at.Sub(c.runs[fingerprint]) {
+		isSettled := now.Sub(c.receivedAt) >= crashSettlingDelay
+		if r.isRelevant(c, now) && (!isSettled || age < soundRunFactor*c.at.Sub(c.runs[fingerprint])) {
 			return false
 		}
 	}
