--- a/internal/pathwatcher/pathwatcher_test.go
+++ b/internal/pathwatcher/pathwatcher_test.go
@@ -27,6 +27,7 @@
 	linkReset            // as linkRefuse; calls in flight end without an answer
 	linkExited           // the process has exited
 	linkPaused           // connections are accepted; no data arrives
+	linkLost             // as linkPaused, but new connections are refused: the machine has lost power
 )
 
 // rig is a Watcher in virtual time with calls to its endpoints.
@@ -90,6 +91,12 @@
 	}
 }
 
+func (r *rig) setIdle(id string, isIdle bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isIdle[id] = isIdle
+}
+
 // probe is a connection without a request.
 func (r *rig) probe(ctx context.Context, target driver.Target) error {
 	r.mu.Lock()
@@ -109,7 +116,7 @@
 	case linkSilent:
 		<-ctx.Done()
 		return driver.ErrNotSent
-	case linkRefuse, linkReset, linkExited:
+	case linkRefuse, linkReset, linkExited, linkLost:
 		return driver.ErrConnectionRefused
 	default:
 		return nil
@@ -135,7 +142,7 @@
 				return
 			}
 		}
-		for r.state(id) == linkSilent || r.state(id) == linkPaused {
+		for slices.Contains([]linkState{linkSilent, linkPaused, linkLost}, r.state(id)) {
 			if ctx.Err() != nil {
 				u.End(nil)
 				return
@@ -181,17 +188,18 @@
 		exits     []string
 		maxProbes int
 	}{
-		"all reached":                          {length: 3 * time.Second, reached: 6},
-		"all silent":                           {links: map[linkState][]string{linkSilent: allIDs()}, length: 1500 * time.Millisecond},
-		"all reset":                            {links: map[linkState][]string{linkReset: allIDs()}, isNew: true, length: 500 * time.Millisecond},
-		"all refuse, open connections live on": {links: map[linkState][]string{linkRefuse: allIDs()}, length: 2 * time.Second, reached: 6},
-		"all refuse":                           {links: map[linkState][]string{linkRefuse: allIDs()}, isNew: true, length: time.Second},
-		"one process exits":                    {links: map[linkState][]string{linkExited: {"e2"}}, isNew: true, length: time.Second, reached: 5, exits: []string{"e2"}},
-		"two of six exit":                      {links: map[linkState][]string{linkExited: {"e2", "e4"}}, isNew: true, length: time.Second, reached: 4, exits: []string{"e2", "e4"}},
-		"most reset, one reached":              {links: map[linkState][]string{linkReset: {"e0", "e1", "e2", "e3", "e4"}}, isNew: true, length: time.Second, reached: 1},
-		"one silent for two seconds and more":  {links: map[linkState][]string{linkSilent: {"e1"}}, length: 4 * time.Second, reached: 5},
-		"one silent for a second":              {links: map[linkState][]string{linkSilent: {"e1"}}, length: time.Second, reached: 6},
-		"all slow":                             {links: map[linkState][]string{linkPaused: allIDs()}, length: 2 * time.Second, reached: 6},
+		"all reached":                                 {length: 3 * time.Second, reached: 6},
+		"all silent":                                  {links: map[linkState][]string{linkSilent: allIDs()}, length: 1500 * time.Millisecond},
+		"all reset":                                   {links: map[linkState][]string{linkReset: allIDs()}, isNew: true, length: 500 * time.Millisecond},
+		"all refuse, open connections live on":        {links: map[linkState][]string{linkRefuse: allIDs()}, length: 2 * time.Second, reached: 6},
+		"all refuse":                                  {links: map[linkState][]string{linkRefuse: allIDs()}, isNew: true, length: time.Second},
+		"one process exits":                           {links: map[linkState][]string{linkExited: {"e2"}}, isNew: true, length: time.Second, reached: 5, exits: []string{"e2"}},
+		"two of six exit":                             {links: map[linkState][]string{linkExited: {"e2", "e4"}}, isNew: true, length: time.Second, reached: 4, exits: []string{"e2", "e4"}},
+		"most reset, one reached":                     {links: map[linkState][]string{linkReset: {"e0", "e1", "e2", "e3", "e4"}}, isNew: true, length: time.Second, reached: 1},
+		"one silent for two seconds and more":         {links: map[linkState][]string{linkSilent: {"e1"}}, length: 4 * time.Second, reached: 5},
+		"one silent for a second":                     {links: map[linkState][]string{linkSilent: {"e1"}}, length: time.Second, reached: 6},
+		"one loses power, an idle connection is open": {links: map[linkState][]string{linkLost: {"e1"}}, length: 4 * time.Second, reached: 5},
+		"all slow":                                    {links: map[linkState][]string{linkPaused: allIDs()}, length: 2 * time.Second, reached: 6},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -201,6 +209,9 @@
 				r.run(time.Second, test.isNew)
 				for state, ids := range test.links {
 					r.set(state, ids...)
+					for _, id := range ids {
+						r.setIdle(id, state == linkLost)
+					}
 				}
 				r.run(test.length, test.isNew)
 				reach := r.watcher.Reach(testApplication)
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -422,3 +423,80 @@
 		assert.Check(t, q.IsQuarantined(newRequest("crashing")), "at host %d", n)
 	}
 }
+
+// TestEarlierInterruptionHidesACrash guards against a crash that is not probed, or dated to an earlier interruption, since the process was alive at that time.
+func TestEarlierInterruptionHidesACrash(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const between = 2 * time.Second
+		var probeErr error
+		q := New(Config{
+			Now: time.Now, IsLeaving: func(Process) bool { return false }, Hosts: func() []string { return nil },
+			Probe: func(context.Context, driver.Target) error { return probeErr },
+		})
+		defer func() { assert.NilError(t, q.Close()) }()
+		target := driver.Target{EndpointID: "e1", Incarnation: "1"}
+		q.RunInterrupted(InterruptedRun{Request: newRequest("earlier"), Target: target, SinceSend: shortRun})
+		time.Sleep(between)
+		probeErr = driver.ErrConnectionRefused
+		crashedAt := time.Now()
+		q.RunInterrupted(InterruptedRun{Request: newRequest("crashing"), Target: target, SinceSend: shortRun})
+		synctest.Wait()
+		updates, _ := q.Updates(0, exchanger.ScopeOwn)
+		assert.Equal(t, len(updates), 1)
+		assert.Equal(t, len(updates[0].Runs), 1)
+		assert.Equal(t, Fingerprint(updates[0].Runs[0].Fingerprint), newRequest("crashing").Fingerprint())
+		assert.Check(t, updates[0].At.Equal(crashedAt), "%s after it", updates[0].At.Sub(crashedAt))
+	})
+}
+
+// TestUnclearExitIsProbedAgain guards against a crash that stays unconfirmed because the first probe came too early.
+func TestUnclearExitIsProbedAgain(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		probes := 0
+		q := New(Config{
+			Now: time.Now, IsLeaving: func(Process) bool { return false }, Hosts: func() []string { return nil },
+			Probe: func(context.Context, driver.Target) error {
+				if probes++; probes < 3 {
+					return driver.ErrNotSent
+				}
+				return driver.ErrConnectionRefused
+			},
+		})
+		defer func() { assert.NilError(t, q.Close()) }()
+		q.RunInterrupted(InterruptedRun{Request: newRequest("crashing"), Target: driver.Target{EndpointID: "e1", Incarnation: "1"}, SinceSend: shortRun})
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			q.Tick(time.Now())
+		}
+		synctest.Wait()
+		assert.Equal(t, probes, 3)
+		updates, _ := q.Updates(0, exchanger.ScopeOwn)
+		assert.Equal(t, len(updates), 1)
+	})
+}
+
+// TestRunsNoticedAtDifferentTimesAreConsecutive guards against crashes that seem concurrent since hosts notice them at different times.
+func TestRunsNoticedAtDifferentTimesAreConsecutive(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	const noticedLater = 300 * time.Millisecond
+	for n := range 3 {
+		f.clock.advance(time.Second)
+		target := driver.Target{EndpointID: fmt.Sprint("e", n), Incarnation: "1"}
+		f.hosts[0].RunInterrupted(InterruptedRun{Request: newRequest("crashing"), Target: target, SinceSend: shortRun})
+		f.clock.advance(noticedLater) // the next process is sent the request meanwhile
+		f.hosts[1].RunInterrupted(InterruptedRun{Request: newRequest(fmt.Sprint("other ", n)), Target: target, SinceSend: noticedLater})
+		f.hosts[1].ProcessExited(target.Process()) // reports first
+		f.exchangeUpdates()
+		f.hosts[0].ProcessExited(target.Process())
+		f.exchangeUpdates()
+		f.clock.advance(-time.Second + shortRun) // the next crash follows at once
+	}
+	f.clock.advance(time.Second)
+	f.passSettlingDelay()
+	for n, q := range f.hosts {
+		assert.Check(t, q.IsQuarantined(newRequest("crashing")), "at host %d", n)
+	}
+}
