--- a/internal/quarantiner/evaluate.go
+++ b/internal/quarantiner/evaluate.go
@@ -173,7 +173,7 @@
 	return r.cachedCount
 }
 
-// attributedCrashes returns the crashes that the request is considered to have caused:
+// attributedCrashes returns the crashes, in order, that the request is considered to have caused:
 // those where no other request present is already quarantined, or has as many crashes
 // while this one is not quarantined itself.
 func (t *table) attributedCrashes(fingerprint Fingerprint, now time.Time) (crashes []*crash) {
@@ -192,6 +192,7 @@
 			crashes = append(crashes, c)
 		}
 	}
+	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	return crashes
 }
 
@@ -253,8 +254,6 @@
 
 // distinctCrashes returns those crashes that were not simultaneous with the one before.
 func distinctCrashes(crashes []*crash) (distinct []*crash) {
-	crashes = slices.Clone(crashes)
-	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for i, c := range crashes {
 		if i == 0 || c.at.Sub(crashes[i-1].at) >= simultaneousWindow {
 			distinct = append(distinct, c)
@@ -263,28 +262,24 @@
 	return distinct
 }
 
-// independentCrashes returns those of the attributed crashes that can't be one event.
-func (t *table) independentCrashes(fingerprint Fingerprint, now time.Time) []*crash {
-	crashes := t.attributedCrashes(fingerprint, now)
-	if t.records[fingerprint].isPart() {
-		return distinctCrashes(crashes)
+// independentCrashes returns those of the attributed crashes, in order, that can't be one event.
+func (r *record) independentCrashes(fingerprint Fingerprint, attributed []*crash) []*crash {
+	if r.isPart() {
+		return distinctCrashes(attributed)
 	}
-	return consecutiveCrashes(fingerprint, crashes)
+	return consecutiveCrashes(fingerprint, attributed)
 }
 
-// concurrentCrashes returns the attributed crashes of a request that has never succeeded if some of
-// its runs were concurrent. A request that has succeeded before may lose a run on each engine when a
-// rack loses power.
-func (t *table) concurrentCrashes(fingerprint Fingerprint, now time.Time) []*crash {
-	r := t.records[fingerprint]
+// concurrentCrashes returns the attributed crashes, in order, of a request that has never succeeded if
+// some of its runs were concurrent. A request that has succeeded before may lose a run on each engine
+// when a rack loses power.
+func (r *record) concurrentCrashes(fingerprint Fingerprint, attributed []*crash) []*crash {
 	if r.isPart() || !r.succeededAt.IsZero() {
 		return nil
 	}
-	crashes := t.attributedCrashes(fingerprint, now)
-	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
-	for i := 1; i < len(crashes); i++ {
-		if crashes[i].runs[fingerprint].Before(crashes[i-1].at) {
-			return crashes
+	for i := 1; i < len(attributed); i++ {
+		if attributed[i].runs[fingerprint].Before(attributed[i-1].at) {
+			return attributed
 		}
 	}
 	return nil
@@ -294,8 +289,6 @@
 // the previous one. When a rack loses power, a popular request loses a run on each
 // engine there at the same time; those count once.
 func consecutiveCrashes(fingerprint Fingerprint, crashes []*crash) (consecutive []*crash) {
-	crashes = slices.Clone(crashes)
-	slices.SortFunc(crashes, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for _, c := range crashes {
 		if len(consecutive) == 0 || c.runs[fingerprint].After(consecutive[len(consecutive)-1].at) {
 			consecutive = append(consecutive, c)
--- a/internal/quarantiner/fingerprint.go
+++ b/internal/quarantiner/fingerprint.go
@@ -113,6 +113,9 @@
 // fingerprint is computed only for keys that have a record.
 type key uint64
 
+// keyPieceBytes is how much of the beginning and of the end of a body a key covers.
+const keyPieceBytes = 2 << 10
+
 // keyBufferBytes is large enough for the input of most keys, to avoid an allocation.
 const keyBufferBytes = 256
 
@@ -122,5 +125,9 @@
 		b = append(b, part...)
 		b = append(b, 0)
 	}
-	return key(xxhash.Sum64(binary.BigEndian.AppendUint64(b, xxhash.Sum64(r.Body))))
+	b = binary.BigEndian.AppendUint64(b, uint64(len(r.Body)))
+	for _, piece := range [][]byte{r.Body[:min(len(r.Body), keyPieceBytes)], r.Body[max(len(r.Body)-keyPieceBytes, 0):]} {
+		b = binary.BigEndian.AppendUint64(b, xxhash.Sum64(piece))
+	}
+	return key(xxhash.Sum64(b))
 }
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -502,15 +502,14 @@
 		if r.isBlamed() || r.crashCount(now) < r.crashesNeeded() {
 			continue
 		}
-		if crashes := q.table.independentCrashes(fingerprint, now); len(crashes) >= r.crashesNeeded() && q.isImprobableLocked(fingerprint, r, crashes, now) {
-			q.quarantineLocked(fingerprint, r, crashes, r.initialPause(), now)
-			continue
-		}
-		crashes := q.table.concurrentCrashes(fingerprint, now)
+		attributed := q.table.attributedCrashes(fingerprint, now)
+		independent, concurrent := r.independentCrashes(fingerprint, attributed), r.concurrentCrashes(fingerprint, attributed)
 		switch {
-		case len(crashes) >= crashesOfConcurrentRuns && q.isImprobableLocked(fingerprint, r, crashes, now):
-			q.quarantineLocked(fingerprint, r, crashes, concurrentPause, now)
-		case len(crashes) >= crashesForProbation && !r.isQuarantined():
+		case len(independent) >= r.crashesNeeded() && q.isImprobableLocked(fingerprint, r, independent, now):
+			q.quarantineLocked(fingerprint, r, independent, r.initialPause(), now)
+		case len(concurrent) >= crashesOfConcurrentRuns && q.isImprobableLocked(fingerprint, r, concurrent, now):
+			q.quarantineLocked(fingerprint, r, concurrent, concurrentPause, now)
+		case len(concurrent) >= crashesForProbation && !r.isQuarantined():
 			q.beginProbationLocked(fingerprint, r, now)
 		}
 	}
