--- a/internal/exitverifier/doc.go
+++ b/internal/exitverifier/doc.go
@@ -1,7 +1,7 @@
 // Package exitverifier decides with the help of peers whether an endpoint's process has exited.
 //
-// A host whose connection to an endpoint is refused can't tell by itself whether the process has
-// exited or its own path is broken. Other endpoints that it reaches show that its paths work; while
+// A host whose connection to an endpoint is refused can't determine by itself whether the process
+// has exited or its own path is broken. Other endpoints that it reaches show that its paths work; while
 // most endpoints are down there are none. The Verifier therefore has peers connect to the same
 // process over their own paths: if one of them reaches it, the path is broken, and if none does, the
 // process has exited or is as good as gone for all of them.
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -27,7 +27,7 @@
 var errPathBroken = errors.New("connection refused, not taken for the exit of the process")
 
 // probeExit connects to an endpoint. It fails with driver.ErrConnectionRefused only if the process
-// is known to have exited. While this host reaches too few other endpoints to tell, it asks peers.
+// is known to have exited. While this host reaches too few other endpoints to compare, it asks peers.
 func (g *Gateway) probeExit(ctx context.Context, target driver.Target) error {
 	err := g.cfg.Driver.Probe(ctx, target)
 	if !errors.Is(err, driver.ErrConnectionRefused) || g.paths.AwaitExit(ctx, target.Process()) {
@@ -47,7 +47,7 @@
 	g.exitVerifier.Register(g.exchanger.Registrar())
 }
 
-// exitWitnesses returns the peers that can tell whether they reach a process.
+// exitWitnesses returns the peers that may be asked whether they reach a process.
 func (g *Gateway) exitWitnesses() (peers []exitverifier.Peer) {
 	for _, status := range g.exchanger.Statuses() {
 		if status.Reachable {
