ORDER: a stream is sent to all its keepers again after an outage of all of them

Callers that took up a stream got stream_unknown if the host that began it had reached no keeper at first. Each failed send was repeated at its own host, which may be one that the host that looks the stream up does not ask.

--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -271,6 +271,16 @@
 		case hasOther:
 			k.sendLocked(r, now)
 		default:
+			k.retryLocked(r)
+		}
+	}
+}
+
+// retryLocked has a stream sent to all its keepers once they are reached again, since the host that
+// looks it up asks those.
+func (k *Keeper) retryLocked(r *record) {
+	for _, hostID := range keepersOf(r.key, k.hosts, k.cfg.Zone, keeperCount) {
+		if hostID != k.cfg.HostID && !slices.Contains(k.pending[hostID], r) {
 			k.enqueueLocked(hostID, r)
 		}
 	}
