BUDGET: no attempt follows after its request has been quarantined

A stream that had begun to answer went on at another engine when its run broke off, whatever was known of its request by then, and one that waited for an engine was not cancelled. Each attempt now checks the quarantine when it begins and before its send.

--- a/internal/dispatcher/forwarded_repeat.go
+++ b/internal/dispatcher/forwarded_repeat.go
@@ -14,7 +14,7 @@
 func (fr *forwardedRequest) mayRepeat(err error) bool {
 	var refusal *scheduler.RefusalError
 	var atPeer *PeerError
-	if errors.As(err, &refusal) || errors.As(err, &atPeer) || isOverLimit(err) || errors.Is(err, errCallerGone) || fr.sends >= maxSends {
+	if errors.As(err, &refusal) || errors.As(err, &atPeer) || isOverLimit(err) || errors.Is(err, errCallerGone) || errors.Is(err, errQuarantined) || fr.sends >= maxSends {
 		return false
 	}
 	if fr.admission.IsTrial && errors.Is(err, driver.ErrOutcomeUnknown) {
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -178,6 +178,9 @@
 
 // attempt acquires an endpoint and sends the request to it once.
 func (fr *forwardedRequest) attempt(ctx context.Context) error {
+	if fr.isBlamed() {
+		return errQuarantined
+	}
 	queuedAt := time.Now()
 	ctx, attempt := fr.beginAttempt(ctx)
 	defer attempt.end()
@@ -198,9 +201,15 @@
 	fr.timings.queued += time.Since(queuedAt)
 	fr.forwarder.cfg.Meter.ObserveQueue("", fr.request.Class.Name, time.Since(queuedAt))
 	err = fr.chargeBeforeSend(ctx)
+	if err == nil && fr.isBlamed() {
+		err = errQuarantined
+	}
 	if err == nil {
 		err = fr.prefill(ctx, grant)
 	}
+	if err == nil && fr.isBlamed() {
+		err = errQuarantined
+	}
 	if err != nil {
 		grant.Done(scheduler.Abandoned{})
 		return pathLost(ctx, err)
@@ -219,6 +228,12 @@
 	return err
 }
 
+// isBlamed reports whether the request has been quarantined since it was admitted. It may wait for an
+// endpoint, or for another one after it has begun to answer.
+func (fr *forwardedRequest) isBlamed() bool {
+	return !fr.isTrial.Load() && fr.forwarder.cfg.Quarantine.IsQuarantined(&fr.identity)
+}
+
 // exclude excludes an endpoint that failed the request from further attempts. An endpoint that
 // only stopped accepting requests before anything was sent may be chosen again later.
 func (fr *forwardedRequest) exclude(target driver.Target, err error) {
