--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -438,6 +438,7 @@
 		target := driver.Target{EndpointID: "e1", Incarnation: "1"}
 		q.RunInterrupted(InterruptedRun{Request: newRequest("earlier"), Target: target, SinceSend: shortRun})
 		time.Sleep(between)
+		synctest.Wait()
 		probeErr = driver.ErrConnectionRefused
 		crashedAt := time.Now()
 		q.RunInterrupted(InterruptedRun{Request: newRequest("crashing"), Target: target, SinceSend: shortRun})
--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -70,6 +70,18 @@
 	}
 }
 
+func (g *group) setCut(isCut func(from, to string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isCut = isCut
+}
+
+func (g *group) isCutBetween(from, to string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.isCut(from, to)
+}
+
 // directConn calls a host's service.
 type directConn struct {
 	group    *group
@@ -78,7 +90,7 @@
 
 func (c *directConn) Invoke(ctx context.Context, _ string, args, out any, _ ...grpc.CallOption) error {
 	k := c.group.keepers[c.to]
-	if k == nil || c.group.isCut(c.from, c.to) {
+	if k == nil || c.group.isCutBetween(c.from, c.to) {
 		return errCut
 	}
 	s := &service{keeper: k}
@@ -228,11 +240,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup(t, sixHosts...)
 		g.all(func(k *Keeper) { k.UpdateEndpoints(map[string]Origin{"e2": v2}, nil, false) })
-		g.isCut = func(from, _ string) bool { return from == "a1" }
+		g.setCut(func(from, _ string) bool { return from == "a1" })
 		g.keepers["a1"].Begin(stream("s"), v2, 5*time.Second)
 		time.Sleep(2 * sendDelay)
 		synctest.Wait()
-		g.isCut = func(string, string) bool { return false }
+		g.setCut(func(string, string) bool { return false })
 		time.Sleep(4 * retryDelay)
 		g.start(Host{"a1", "a"})
 		got, err := g.keepers["c2"].Find(t.Context(), stream("s"))
