--- a/internal/exitverifier/server.go
+++ b/internal/exitverifier/server.go
@@ -27,15 +27,16 @@
 
 // observe connects to a process, once for all peers that ask at the same time.
 func (v *Verifier) observe(ctx context.Context, process driver.Process) Observation {
-	observation, _, _ := v.inFlight.Do(process.EndpointID+"\x00"+process.Incarnation, func() (any, error) {
-		defer v.probes.Add(-1)
-		if v.probes.Add(1) > maxProbes {
-			return ObservedNothing, nil
-		}
-		ctx, cancel := timekeeper.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
-		defer cancel()
-		return v.cfg.Observe(ctx, process), nil
-	})
+	observation, _, _ := v.inFlight.Do( // the function returns no error
+		process.EndpointID+"\x00"+process.Incarnation, func() (any, error) {
+			defer v.probes.Add(-1)
+			if v.probes.Add(1) > maxProbes {
+				return ObservedNothing, nil
+			}
+			ctx, cancel := timekeeper.WithTimeout(context.WithoutCancel(ctx), probeTimeout)
+			defer cancel()
+			return v.cfg.Observe(ctx, process), nil
+		})
 	return observation.(Observation)
 }
 
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -12,10 +12,14 @@
 // interrupted together; any one of them may be the cause, or none. A request is
 // quarantined once three processes have crashed while running it, if
 //
-//   - each crashed soon after the run started, and the runs were consecutive: each was
-//     sent after the previous crash;
+//   - the runs were consecutive: each was sent after the previous crash;
 //   - at each crash no other request in that process had as many crashes;
-//   - no run of it has succeeded or gone on for a while since.
+//   - no run of it has succeeded since, or gone on for much longer than those that crashed;
+//   - if the runs were long, crashes without the request are too rare to explain them.
+//
+// A request that many callers send at once crashes all processes before the first crash is
+// known. If it has never succeeded, it is run once at a time after three such crashes and
+// quarantined after four.
 //
 // These conditions spare
 //
@@ -39,7 +43,8 @@
 //	defer q.Close()
 //	admission := q.Admit(&request)                  // before any other work on the request
 //	q.RunInterrupted(quarantiner.InterruptedRun{Request: &request, ...})
-//	q.RunSucceeded(&request)                        // after a complete answer
+//	q.RunContinues(&request, sinceSend)             // while its run goes on
+//	q.RunSucceeded(&request, true)                  // after a complete answer
 //	q.ProcessExited(process)                        // from any source of that information
 //	q.Tick(now)                                     // several times a second
 //	updates, position := q.Updates(position, exchanger.ScopeOwn) // to send to peers
--- a/internal/quarantiner/evidence.go
+++ b/internal/quarantiner/evidence.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+// How crashes of longer runs are weighed, which any crash may hit.
+
 const (
 	// minLogEvidence is the natural logarithm of how many times more likely crashes have to be if
 	// the request causes them than if other causes hit its runs.
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -368,8 +368,8 @@
 	}
 }
 
-// RunSucceeded records that a request has been run without crashing its endpoint. wroteAnswer is false if the endpoint has written no answer on the prompt, which shows
-// nothing of its parts.
+// RunSucceeded records that a request has been run without crashing its endpoint. wroteAnswer is
+// false if the endpoint has written no answer on the prompt, which shows nothing of its parts.
 func (q *Quarantiner) RunSucceeded(request *Request, wroteAnswer bool) {
 	if q == nil {
 		return
@@ -425,7 +425,8 @@
 	}
 }
 
-// reportSoundLocked applies and reports the successful runs of requests and parts that are in a crash.
+// reportSoundLocked applies and reports the successful runs of requests and parts that are in a
+// crash.
 func (q *Quarantiner) reportSoundLocked(runs []run) {
 	now := q.cfg.Now()
 	for i := range runs {
@@ -516,7 +517,8 @@
 	q.releaseExplainedLocked(now)
 }
 
-// isImprobableLocked reports whether other causes hardly explain the crashes. Parts crash endpoints early.
+// isImprobableLocked reports whether other causes hardly explain the crashes. Parts crash endpoints
+// early.
 func (q *Quarantiner) isImprobableLocked(fingerprint Fingerprint, r *record, crashes []*crash, now time.Time) bool {
 	return r.isPart() || q.table.isImprobable(fingerprint, crashes, q.cfg.Endpoints(), now)
 }
--- a/internal/quarantiner/table.go
+++ b/internal/quarantiner/table.go
@@ -11,8 +11,8 @@
 	// the oldest are dropped, and a request that is sent so rarely that 256 others have
 	// crashed in the meantime is not detected.
 	maxCrashes = 256
-	// maxRunsPerCrash and maxPartsPerCrash bound the requests and parts that are kept of one crash. Engines run up to 48
-	// requests at a time and queue as many, each with several parts.
+	// maxRunsPerCrash and maxPartsPerCrash bound the requests and parts that are kept of one
+	// crash. Engines run up to 48 requests at a time and queue as many, each with several parts.
 	maxRunsPerCrash  = 256
 	maxPartsPerCrash = 256
 	// maxQuarantined bounds the quarantined requests, at some 200 bytes each. Beyond it
--- a/internal/quarantiner/updates.go
+++ b/internal/quarantiner/updates.go
@@ -41,8 +41,8 @@
 	return q.snapshotLocked(), q.log.Head()
 }
 
-// snapshotLocked returns all quarantines, crashes and successful runs, from whichever host, for a peer that
-// has just started or missed updates. The hosts that first sent them may no longer run.
+// snapshotLocked returns all quarantines, crashes and successful runs, from whichever host, for a
+// peer that has just started or missed updates. The hosts that first sent them may no longer run.
 func (q *Quarantiner) snapshotLocked() (updates []exchanger.CrashUpdate) {
 	var quarantines []exchanger.Quarantine
 	for fingerprint, r := range q.table.quarantined {
