BUDGET: a host whose paths have broken does not take refused connections for exits

cutoff-reset leaves some engines that none of nine hosts reaches. Now a verdict waits 0.25 s for the others of the same moment; if a peer reaches one of the processes that refuse this host, it confirms none of them for 15 s.

--- a/internal/exitverifier/exitverifier.go
+++ b/internal/exitverifier/exitverifier.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +29,14 @@
 	// those that it probes for them, at a time.
 	maxVerifications = 32
 	maxProbes        = 32
+	// confirmDelay is how long a verdict waits for others of the same moment: if a peer reaches one
+	// of the processes that refuse this host, its paths have broken.
+	confirmDelay = 250 * time.Millisecond
+	// distrustTime is for how long this host's refused connections show nothing after that. They
+	// belong to the same break.
+	distrustTime = 2 * time.Second
+	// maxBrokenPathAge is for how long a path that has broken counts once.
+	maxBrokenPathAge = 15 * time.Second
 )
 
 // Observation is what a host observes of a process.
@@ -61,6 +71,10 @@
 	verifications atomic.Int64 // in progress
 	probes        atomic.Int64 // for peers, in progress
 	inFlight      singleflight.Group
+
+	mu           sync.Mutex
+	brokenPaths  map[driver.Process]time.Time // to processes that refuse this host alone, or together with those
+	pathBrokenAt time.Time                    // of the latest one
 }
 
 // New returns a Verifier.
@@ -68,7 +82,7 @@
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
-	return &Verifier{cfg: cfg}
+	return &Verifier{cfg: cfg, brokenPaths: map[driver.Process]time.Time{}}
 }
 
 // Register registers the service that peers ask.
@@ -89,12 +103,47 @@
 	started := time.Now()
 	observations := v.ask(ctx, peers, process)
 	hasExited, reason := judge(observations)
+	if count(observations, ObservedReached) > 0 {
+		v.recordBrokenPath(process, time.Now())
+	}
+	if hasExited && !v.trustsOwnPath(ctx, process, started) {
+		hasExited, reason = false, "paths of this host have broken"
+	}
 	v.cfg.Logger.Info("peers asked about the exit of a process", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation, "is_exited", hasExited,
 		"reason", reason, "asked", len(peers), "reached", count(observations, ObservedReached), "refused", count(observations, ObservedRefused),
 		"unreached", count(observations, ObservedUnreached), "took_ms", time.Since(started).Milliseconds())
 	return hasExited
 }
 
+// recordBrokenPath records that a peer reaches a process that refuses this host.
+func (v *Verifier) recordBrokenPath(process driver.Process, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	maps.DeleteFunc(v.brokenPaths, func(_ driver.Process, at time.Time) bool { return now.Sub(at) >= maxBrokenPathAge })
+	if _, isKnown := v.brokenPaths[process]; !isKnown {
+		v.brokenPaths[process], v.pathBrokenAt = now, now
+	}
+}
+
+// trustsOwnPath waits for confirmDelay, and reports whether this host's path to a process has not
+// broken together with others. A path that has stays so for maxBrokenPathAge.
+func (v *Verifier) trustsOwnPath(ctx context.Context, process driver.Process, at time.Time) bool {
+	timer := time.NewTimer(confirmDelay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.pathBrokenAt.After(at.Add(-distrustTime)) {
+		v.brokenPaths[process] = at
+	}
+	_, isBroken := v.brokenPaths[process]
+	return !isBroken
+}
+
 // choosePeers returns up to maxAsked peers of as many availability zones as possible, since the paths
 // of one zone may break together. Different processes have different peers.
 func choosePeers(peers []Peer, process driver.Process) (chosen []Peer) {
