BUDGET: a host that drains starts no trial of a quarantined request

Cause: a draining host counted itself in the order of trials, and the other hosts did not count it. Result: TestHostThatDrainsStartsNoTrial failed before.

--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -48,7 +48,8 @@
 	// Endpoints returns how many endpoints are listed; nil: one.
 	Endpoints func() int
 	// Hosts returns the ids of the hosts that this one receives updates from, and its
-	// own. They determine the order in which hosts may try a quarantined request.
+	// own, without those that drain. They determine the order in which hosts may try a
+	// quarantined request.
 	Hosts func() []string
 	// OnQuarantine is called, without a lock held, after requests have been quarantined,
 	// to cancel their running attempts.
@@ -201,14 +202,18 @@
 
 // mayStartTrialLocked is true where this host may start a trial now. Hosts may do so one
 // after the other, in an order that depends on the request, so that they don't all start
-// one when the pause ends.
+// one when the pause ends. A host that drains comes last.
 func (q *Quarantiner) mayStartTrialLocked(fingerprint Fingerprint, r *record, now time.Time) bool {
 	waited := now.Sub(r.until)
 	if waited < 0 || waited >= maxStagger {
 		return waited >= 0
 	}
+	hosts := q.cfg.Hosts()
+	if !slices.Contains(hosts, q.cfg.HostID) {
+		return false
+	}
 	own, before := trialOrderHash(q.cfg.HostID, fingerprint), 0
-	for _, host := range q.cfg.Hosts() {
+	for _, host := range hosts {
 		if trialOrderHash(host, fingerprint) < own {
 			before++
 		}
--- a/internal/quarantiner/quarantiner_test.go
+++ b/internal/quarantiner/quarantiner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -60,12 +61,8 @@
 
 // newHost returns a host whose probes of processes have no clear outcome.
 func (f *fleet) newHost(id string) *Quarantiner {
-	var ids []string
-	for n := range f.positions {
-		ids = append(ids, fmt.Sprintf("host-%d", n))
-	}
 	q := New(Config{
-		HostID: id, Now: f.clock.Now, Hosts: func() []string { return ids },
+		HostID: id, Now: f.clock.Now, Hosts: f.hostIDs,
 		Probe:     func(context.Context, driver.Target) error { return errors.New("probes are not simulated") },
 		IsLeaving: func(Process) bool { return false },
 		Endpoints: func() int { return f.endpoints },
@@ -74,6 +71,13 @@
 	return q
 }
 
+func (f *fleet) hostIDs() (ids []string) {
+	for n := range f.positions {
+		ids = append(ids, fmt.Sprintf("host-%d", n))
+	}
+	return ids
+}
+
 // exchangeUpdates sends all updates, and has all hosts evaluate.
 func (f *fleet) exchangeUpdates() {
 	f.t.Helper()
@@ -305,6 +309,26 @@
 	assert.Equal(t, trials, 1)
 }
 
+// TestHostThatDrainsStartsNoTrial guards against a host that drains, which other hosts leave out of the order of trials.
+func TestHostThatDrainsStartsNoTrial(t *testing.T) {
+	t.Parallel()
+	const hosts = 9
+	for draining := range hosts {
+		f := newFleet(t, hosts)
+		f.quarantine()
+		f.clock.advance(initialPause - crashSettlingDelay)
+		trials := 0
+		for n, q := range f.hosts {
+			q.cfg.Hosts = func() []string { return slices.Delete(f.hostIDs(), draining, draining+1) }
+			if q.Admit(newRequest("crashing")).IsTrial {
+				assert.Assert(t, n != draining)
+				trials++
+			}
+		}
+		assert.Equal(t, trials, 1, "host %d drains", draining)
+	}
+}
+
 // A host probes a process whose runs were interrupted. A connection that was reset, or that
 // can't be made, doesn't show that the process has exited; the listing of the next process
 // does.
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -81,8 +81,10 @@
 }
 
 // reachableHosts returns the hosts that are reachable and do not drain, this one included.
-func (g *Gateway) reachableHosts() []string {
-	ids := []string{g.cfg.HostID}
+func (g *Gateway) reachableHosts() (ids []string) {
+	if !g.draining.Load() {
+		ids = append(ids, g.cfg.HostID)
+	}
 	for _, status := range g.exchanger.Statuses() {
 		if status.Reachable && !status.Draining {
 			ids = append(ids, status.Peer.HostID)
