BUDGET: a host that has just started asks its peers for quarantined requests before it runs any

Cause: a host learned of quarantines from its peers' first updates, 0.03 to 0.21 s after its start. A peer that has just started says so. Ruled out: faster updates; the restarted process is noticed by the reply to an update, so that two ticks always pass.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -131,6 +131,7 @@
 	if fr.request.Origin == nil {
 		fr.repeatBudget.deposit()
 	}
+	fr.forwarder.cfg.Quarantine.AwaitSync(ctx)
 	fr.admission = fr.forwarder.cfg.Quarantine.Admit(&fr.identity)
 	fr.isTrial.Store(fr.admission.IsTrial)
 	if fr.admission.IsRefused {
--- a/internal/exchanger/crashes.go
+++ b/internal/exchanger/crashes.go
@@ -1,9 +1,14 @@
 package exchanger
 
 import (
+	"context"
+	"math/rand/v2"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -13,6 +18,13 @@
 	// maxUpdateAge bounds the ages in messages. Older updates are not kept anywhere, and a
 	// huge age would overflow.
 	maxUpdateAge = time.Hour
+	// maxSnapshotFingerprints bounds the request fingerprints in the reply to a host that has just
+	// started: 300 KB.
+	maxSnapshotFingerprints = 8192
+	// maxAskedForCrashes bounds the peers that such a host asks at a time.
+	maxAskedForCrashes = 8
+	// crashesRetryInterval is the time between its attempts.
+	crashesRetryInterval = 50 * time.Millisecond
 )
 
 // countCrashFingerprints returns the number of fingerprints in an update, plus one for the
@@ -96,3 +108,86 @@
 	maxMillis := maxUpdateAge.Milliseconds()
 	return time.Duration(min(max(ms, -maxMillis), maxMillis)) * time.Millisecond
 }
+
+// Crashes implements exchangerpb.ExchangeServer: it returns what this host knows of requests that
+// crash endpoints.
+func (ex *Exchanger) Crashes(context.Context, *exchangerpb.CrashesRequest) (*exchangerpb.CrashesReply, error) {
+	if ex.cfg.Crashes == nil {
+		return &exchangerpb.CrashesReply{}, nil
+	}
+	updates, isComplete := ex.cfg.Crashes.Snapshot()
+	fingerprints := 0
+	for n := range updates {
+		if fingerprints += countCrashFingerprints(&updates[n]); fingerprints > maxSnapshotFingerprints {
+			updates = updates[:n]
+			break
+		}
+	}
+	return &exchangerpb.CrashesReply{Complete: isComplete, Crashes: crashesToMessage(updates, ex.cfg.Clock())}, nil
+}
+
+// FetchCrashes requests from peers what they know of requests that crash endpoints, and merges it. It
+// returns once a peer has sent all, or all peers have answered that they know no more, and fails if
+// neither has happened when ctx ends.
+func (ex *Exchanger) FetchCrashes(ctx context.Context) error {
+	for {
+		peers := ex.Peers()
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		if ex.fetchCrashesFrom(ctx, peers[:min(len(peers), maxAskedForCrashes)]) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(crashesRetryInterval):
+		}
+	}
+}
+
+// fetchCrashesFrom asks peers at the same time. It reports whether one has sent all that there is to
+// know, or all have answered.
+func (ex *Exchanger) fetchCrashesFrom(ctx context.Context, peers []Peer) (isDone bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	replies := make(chan *exchangerpb.CrashesReply, len(peers)) // nil: no answer
+	var group errgroup.Group
+	for _, peer := range peers {
+		group.Go(func() error {
+			reply, err := ex.askForCrashes(ctx, peer)
+			if err != nil {
+				ex.cfg.Logger.Debug("peer does not answer what it knows of crashes", "host_id", peer.HostID, "error", err)
+			}
+			replies <- reply
+			return nil
+		})
+	}
+	defer func() { _ = group.Wait() }() // the calls return no error
+	defer cancel()
+	answered := 0
+	for range peers {
+		reply := <-replies
+		if reply == nil {
+			continue
+		}
+		answered++
+		ex.cfg.Crashes.Merge(ex.crashesFromMessage(&exchangerpb.PeerUpdate{Crashes: reply.GetCrashes()}, ex.cfg.Clock()), false)
+		if reply.GetComplete() {
+			return true
+		}
+	}
+	return answered == len(peers)
+}
+
+// askForCrashes returns nil if the peer has not answered.
+func (ex *Exchanger) askForCrashes(ctx context.Context, peer Peer) (reply *exchangerpb.CrashesReply, err error) {
+	ctx, cancel := timekeeper.WithTimeout(ctx, updateTimeout)
+	defer cancel()
+	conn, err := ex.Conn(peer.HostID)
+	if err != nil {
+		return nil, err
+	}
+	if reply, err = exchangerpb.NewExchangeClient(conn).Crashes(ctx, &exchangerpb.CrashesRequest{}); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -85,7 +85,7 @@
 }
 
 // startPair starts hosts a and b as each other's peers.
-func startPair(t *testing.T, secretB string) (locals [2]*fakeLocal, exchangers [2]*Exchanger) {
+func startPair(t *testing.T, secretB string, change ...func(n int, cfg *Config)) (locals [2]*fakeLocal, exchangers [2]*Exchanger) {
 	t.Helper()
 	var listeners [2]net.Listener
 	for i := range listeners {
@@ -97,11 +97,15 @@
 	for i := range exchangers {
 		other := 1 - i
 		locals[i] = newLocal()
-		ex, err := New(Config{
+		cfg := Config{
 			HostID: names[i], Incarnation: names[i] + "-1", Zone: "z", Listener: listeners[i], Secret: secrets[i],
 			Peers: []Peer{{HostID: names[other], Zone: "z", Address: listeners[other].Addr().String()}},
 			Tick:  5 * time.Millisecond, PeerTimeout: 100 * time.Millisecond, Logger: hclog.NewNullLogger(),
-		}, locals[i])
+		}
+		for _, apply := range change {
+			apply(i, &cfg)
+		}
+		ex, err := New(cfg, locals[i])
 		assert.NilError(t, err)
 		ex.Start()
 		t.Cleanup(func() { assert.NilError(t, ex.Close()) })
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -158,4 +158,7 @@
 	// Updates returns updates as in Caches.
 	Updates(after uint64, scope Scope) (updates []CrashUpdate, position uint64)
 	Merge(updates []CrashUpdate, isOwnZone bool)
+	// Snapshot returns all that is known, quarantines first. It is not complete at a host that has
+	// just started and has received no peer's yet.
+	Snapshot() (updates []CrashUpdate, isComplete bool)
 }
--- a/internal/quarantiner/doc.go
+++ b/internal/quarantiner/doc.go
@@ -41,6 +41,8 @@
 //
 //	q := quarantiner.New(quarantiner.Config{Probe: drv.Reach, ...})
 //	defer q.Close()
+//	q.Start()                                       // fetches what peers know
+//	q.AwaitSync(ctx)                                // before Admit
 //	admission := q.Admit(&request)                  // before any other work on the request
 //	q.RunInterrupted(quarantiner.InterruptedRun{Request: &request, ...})
 //	q.RunContinues(&request, sinceSend)             // while its run goes on
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -54,8 +54,10 @@
 	// OnQuarantine is called, without a lock held, after requests have been quarantined,
 	// to cancel their running attempts.
 	OnQuarantine func()
-	Now          func() time.Time // nil: time.Now
-	Logger       hclog.Logger
+	// Fetch fetches what peers know, once, and merges it; nil: nothing is fetched or waited for.
+	Fetch  func(ctx context.Context) error
+	Now    func() time.Time // nil: time.Now
+	Logger hclog.Logger
 }
 
 // Quarantiner keeps track of the requests that must not be run. It is safe for
@@ -81,6 +83,9 @@
 	ctx    context.Context // cancelled by Close
 	cancel context.CancelFunc
 	group  errgroup.Group
+
+	syncCtx context.Context // cancelled once requests need not wait for peers' quarantines
+	endSync context.CancelFunc
 }
 
 // New returns a Quarantiner without records.
@@ -96,6 +101,10 @@
 	}
 	q := &Quarantiner{cfg: cfg, table: newTable(), pending: pending{}, soundParts: newSuccesses(maxSoundParts), soundRequests: newSuccesses(maxSoundRequests), log: exchanger.NewUpdateLog[exchanger.CrashUpdate](maxLoggedUpdates)}
 	q.ctx, q.cancel = context.WithCancel(context.Background())
+	q.syncCtx, q.endSync = context.WithCancel(q.ctx)
+	if cfg.Fetch == nil {
+		q.endSync()
+	}
 	return q
 }
 
--- /dev/null
+++ b/internal/quarantiner/sync_test.go
@@ -0,0 +1,57 @@
+package quarantiner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestFirstRequestsWaitForPeersQuarantines guards against a host that runs requests before it knows which ones are quarantined.
+func TestFirstRequestsWaitForPeersQuarantines(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		fetchTime time.Duration
+		fetchErr  error
+		callerFor time.Duration // until the caller goes away; 0: never
+		wait      time.Duration
+		isSynced  bool
+	}{
+		"peers answer":           {fetchTime: 200 * time.Millisecond, wait: 200 * time.Millisecond, isSynced: true},
+		"no peer answers":        {fetchTime: time.Hour, wait: maxSyncWait, isSynced: true},
+		"peers can't be asked":   {fetchTime: 100 * time.Millisecond, fetchErr: errors.New("no peers"), wait: 100 * time.Millisecond, isSynced: true},
+		"caller gives up before": {fetchTime: time.Hour, callerFor: 50 * time.Millisecond, wait: 50 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				q := New(Config{Hosts: func() []string { return nil }, Fetch: func(ctx context.Context) error {
+					select {
+					case <-time.After(test.fetchTime):
+						return test.fetchErr
+					case <-ctx.Done():
+						return ctx.Err()
+					}
+				}})
+				q.Start()
+				defer func() { assert.NilError(t, q.Close()) }()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if test.callerFor > 0 {
+					time.AfterFunc(test.callerFor, cancel)
+				}
+				started := time.Now()
+				q.AwaitSync(ctx)
+				assert.Equal(t, time.Since(started), test.wait)
+				q.AwaitSync(ctx)
+				assert.Equal(t, time.Since(started), test.wait, "a later request waits")
+				_, isComplete := q.Snapshot()
+				assert.Equal(t, isComplete, test.isSynced)
+			})
+		})
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -68,6 +68,8 @@
 	cfg Config
 
 	renewNow chan struct{}
+	listed   chan struct{} // closed once the other hosts are known
+	listOnce sync.Once
 
 	mu    sync.Mutex
 	hosts map[string]Host // the other hosts, by id
@@ -79,7 +81,7 @@
 	if cfg.TTL == 0 {
 		cfg.TTL = DefaultTTL
 	}
-	return &Registrar{cfg: cfg, renewNow: make(chan struct{}, 1), hosts: map[string]Host{}}
+	return &Registrar{cfg: cfg, renewNow: make(chan struct{}, 1), listed: make(chan struct{}), hosts: map[string]Host{}}
 }
 
 // Run maintains the entry until ctx ends.
@@ -195,6 +197,7 @@
 		r.StoreRegained() // not written yet, removed meanwhile, or that of an earlier process
 	}
 	r.publish()
+	r.listOnce.Do(func() { close(r.listed) })
 }
 
 // Apply implements follower.Sink.
@@ -249,6 +252,9 @@
 	return host, nil
 }
 
+// Listed is closed once the other hosts are known.
+func (r *Registrar) Listed() <-chan struct{} { return r.listed }
+
 // Peers returns the other hosts.
 func (r *Registrar) Peers() []Host {
 	r.mu.Lock()
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -272,6 +272,7 @@
 	g.registerGauges()
 	g.group.Go(func() error { return g.follower.Run(g.ctx) })
 	g.exchanger.Start()
+	g.quarantiner.Start()
 	g.group.Go(func() error { return g.registrar.Run(g.ctx) })
 	g.group.Go(func() error { return g.leaser.Run(g.ctx) })
 	g.group.Go(func() error { return g.rebalancer.Run(g.ctx) })
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -17,11 +17,21 @@
 	g.quarantiner = quarantiner.New(quarantiner.Config{
 		HostID: g.cfg.HostID, Probe: g.probeExit, IsLeaving: g.isLeaving, Hosts: g.reachableHosts,
 		Endpoints:    func() int { return len(g.registrations.Hosts()) },
-		OnQuarantine: func() { g.forwarder.CancelQuarantined() }, Now: g.cfg.Clock.Now,
+		OnQuarantine: func() { g.forwarder.CancelQuarantined() }, Fetch: g.fetchCrashes, Now: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("quarantiner"),
 	})
 }
 
+// fetchCrashes fetches what peers know of requests that crash endpoints, once the peers are known.
+func (g *Gateway) fetchCrashes(ctx context.Context) error {
+	select {
+	case <-g.registrar.Listed():
+		return g.exchanger.FetchCrashes(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // errPathBroken means that a connection was refused although the process has not exited, as far
 // as this host can determine.
 var errPathBroken = errors.New("connection refused, not taken for the exit of the process")
