Tests: hosts of TestCrashingRequestWithRealHosts listen on ports that nothing else takes

Cause: the ports were chosen by listening on port 0 and closing; another test's listener took one before the host process had started, which then ended. Change: ports of a reserved block below the ephemeral range, as in the other tests of processes; a host that has ended fails the wait at once, with its log.

--- a/tests/crashing_test.go
+++ b/tests/crashing_test.go
@@ -48,6 +48,7 @@
 	store     *storeserver.Server
 	engines   []*opaqueserver.Crasher
 	processes []*process
+	ports     *portBlock // of hosts started by startReadyHost
 
 	mu    sync.Mutex
 	hosts []string // callers' addresses
@@ -64,6 +65,10 @@
 	t.Helper()
 	c := &crashDeployment{t: t, store: storeserver.Start()}
 	t.Cleanup(c.store.Close)
+	var err error
+	c.ports, err = reservePorts()
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.ports.reservation.Close() }) // it only reserves the block
 	c.store.Put("op/config", []byte(crashConfiguration))
 	for n := range crashEngines {
 		id := fmt.Sprintf("engine-%d", n)
@@ -96,21 +101,12 @@
 	x.EndChunks()
 }
 
-// freeAddress returns a loopback address that is not in use.
-func (c *crashDeployment) freeAddress() string {
-	c.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(c.t, err)
-	defer func() { assert.NilError(c.t, listener.Close()) }()
-	return listener.Addr().String()
-}
-
 // startReadyHost starts a host and waits until it is ready.
 func (c *crashDeployment) startReadyHost(id, zone string) {
 	c.t.Helper()
-	callers, readiness := c.freeAddress(), c.freeAddress()
+	callers, readiness := c.ports.nextAddress(), c.ports.nextAddress()
 	p, err := startProcess(c.t.TempDir(), id, "endivemast", "platform", "--host-id", id, "--zone", zone,
-		"--callers-address", callers, "--readiness-address", readiness, "--peers-address", c.freeAddress(),
+		"--callers-address", callers, "--readiness-address", readiness, "--peers-address", c.ports.nextAddress(),
 		"--store", c.store.Address(), "--roles", "never", "--repeat-share", "1", "--repeat-reserve", "1000")
 	assert.NilError(c.t, err)
 	c.processes = append(c.processes, p)
@@ -118,6 +114,9 @@
 	ctx, cancel := context.WithTimeout(c.t.Context(), 10*time.Second)
 	defer cancel()
 	assert.NilError(c.t, await(ctx, id+" ready", func() error {
+		if err := p.checkRunning(); err != nil {
+			return err
+		}
 		resp, err := http.Get("http://" + readiness + "/api/ready")
 		if err != nil {
 			return err
--- a/tests/process_test.go
+++ b/tests/process_test.go
@@ -195,6 +195,17 @@
 	return line, eris.Errorf("%s does not listen yet: %s", p.name, tail(data))
 }
 
+// checkRunning fails permanently if the process has ended.
+func (p *process) checkRunning() error {
+	select {
+	case <-p.exited:
+	default:
+		return nil
+	}
+	data, err := os.ReadFile(p.output.Name())
+	return eris.Wrapf(errPermanent, "%s has ended (%v): %s", p.name, errors.Join(p.err, err), tail(data))
+}
+
 func tail(data []byte) []byte {
 	const maxBytes = 4 << 10
 	return data[max(0, len(data)-maxBytes):]
