A refused connection is judged also if data has arrived since an earlier one

Cause: of two refused connections to an endpoint only the first was judged. Change: the later refusal is judged anew, with the grace of any other.

--- a/internal/pathwatcher/exits.go
+++ b/internal/pathwatcher/exits.go
@@ -45,6 +45,10 @@
 	switch {
 	case p.lastReceived().After(p.refusedAt):
 		w.rejectExitLocked(p, "data has arrived since")
+		if p.hasFailed() { // refused again after that data
+			p.refusedAt, p.judged = p.connectFailedAt, make(chan struct{})
+			return nil
+		}
 		return notifications{func() { w.cfg.OnReached(p.process) }}
 	case p.application.brokenAt.Before(p.application.lastReceived()) && !p.brokenAt.After(p.lastReceived()) && w.cfg.IsConnected(p.Target):
 		if p.silence(now) >= loneSilenceTimeout {
@@ -131,6 +135,15 @@
 	return w.HasExited(process)
 }
 
+// ReceivedSince reports whether data has arrived from a process, or a connection to it was accepted,
+// after a time.
+func (w *Watcher) ReceivedSince(process driver.Process, at time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.findLocked(process)
+	return p != nil && p.lastReceived().After(at)
+}
+
 // IsExitPlausible reports whether a peer's report of an exit, which the peer observed some time
 // ago, agrees with what this host knows. If data had arrived from the process shortly before, the
 // report is verified by a probe, and OnExit is called if it is confirmed.
--- a/internal/pathwatcher/pathwatcher_test.go
+++ b/internal/pathwatcher/pathwatcher_test.go
@@ -225,3 +225,40 @@
 		})
 	}
 }
+
+// TestRefusalsWhileDataArrives guards against an endpoint that counts as unreached, so that its running calls are abandoned, after
+// the second of two refused connections although data arrives over open ones.
+func TestRefusalsWhileDataArrives(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		defer r.stop()
+		r.set(linkRefuse, "e1")
+		process := driver.Process{EndpointID: "e1", Incarnation: "1"}
+		started, isReached := time.Now(), true
+		r.calls.Go(func() {
+			u := r.watcher.Begin(process)
+			for time.Since(started) < 2*time.Second {
+				time.Sleep(10 * time.Millisecond)
+				u.Received()
+				r.mu.Lock()
+				reached, isNoted := r.reached["e1"]
+				isReached = isReached && (reached || !isNoted)
+				r.mu.Unlock()
+			}
+			u.End(nil)
+		})
+		for n := 0; time.Since(started) < 2*time.Second; n++ {
+			r.call("e1", true)
+			time.Sleep(13 * time.Millisecond)
+			if n%8 == 7 {
+				r.watcher.Tick()
+			}
+		}
+		r.calls.Wait()
+		assert.Check(t, isReached)
+		assert.Equal(t, len(r.exits), 0)
+		assert.Check(t, r.watcher.ReceivedSince(process, started.Add(time.Second)))
+		assert.Check(t, !r.watcher.ReceivedSince(process, time.Now()))
+	})
+}
