A broken path is not taken for an exit while data arrives over open connections, or where peers reach the process

Change: data that arrives while peers are asked speaks against an exit; a peer answers that a process is alive if data has just arrived over a connection that is open still; an exit concluded from other endpoints is confirmed unless a peer reaches the process or finds it alive, within 0.3 s; a peer's report waits as long as other refusals.

--- a/internal/exitverifier/exitverifier.go
+++ b/internal/exitverifier/exitverifier.go
@@ -25,6 +25,8 @@
 	maxAsked = 8
 	// askTimeout bounds a call to a peer, whose probe may time out.
 	askTimeout = 800 * time.Millisecond
+	// vetoTimeout bounds the question whether a peer reaches a process, which delays the report of an exit.
+	vetoTimeout = 300 * time.Millisecond
 	// maxVerifications and maxProbes bound the processes that this host asks its peers about, and
 	// those that it probes for them, at a time.
 	maxVerifications = 32
@@ -48,6 +50,7 @@
 	ObservedReached                      // it accepts connections
 	ObservedRefused                      // nothing listens at its address
 	ObservedUnreached                    // no connection in time
+	ObservedAlive                        // it refuses connections, but open ones show that it runs
 )
 
 // Peer is another host.
@@ -93,26 +96,52 @@
 // HasExited reports whether peers confirm that a process has exited to which this host's connection
 // was refused.
 func (v *Verifier) HasExited(ctx context.Context, process driver.Process) bool {
+	started := time.Now()
+	observations, ok := v.askPeers(ctx, process, askTimeout)
+	if !ok {
+		return false
+	}
+	hasExited, reason := judge(observations)
+	if hasExited && !v.trustsOwnPath(ctx, process, started) {
+		hasExited, reason = false, "paths of this host have broken"
+	}
+	v.log(process, observations, hasExited, reason, started)
+	return hasExited
+}
+
+// IsReached reports whether a peer reaches a process that has exited as far as this host can compare, or
+// has open connections to it.
+func (v *Verifier) IsReached(ctx context.Context, process driver.Process) bool {
+	started := time.Now()
+	observations, ok := v.askPeers(ctx, process, vetoTimeout)
+	if !ok {
+		return false
+	}
+	hasExited, reason := judge(observations)
+	isReached := !hasExited && count(observations, ObservedReached)+count(observations, ObservedAlive) > 0
+	v.log(process, observations, !isReached, reason, started)
+	return isReached
+}
+
+// askPeers returns what peers observe of a process; ok is false if too many are asked about already.
+func (v *Verifier) askPeers(ctx context.Context, process driver.Process, timeout time.Duration) (observations []Observation, ok bool) {
 	if v.verifications.Add(1) > maxVerifications {
 		v.verifications.Add(-1)
 		v.cfg.Logger.Info("peers not asked about the exit of a process: too many at a time", "endpoint_id", process.EndpointID, "limit", maxVerifications)
-		return false
+		return nil, false
 	}
 	defer v.verifications.Add(-1)
-	peers := choosePeers(v.cfg.Peers(), process)
-	started := time.Now()
-	observations := v.ask(ctx, peers, process)
-	hasExited, reason := judge(observations)
+	observations = v.ask(ctx, choosePeers(v.cfg.Peers(), process), process, timeout)
 	if count(observations, ObservedReached) > 0 {
 		v.recordBrokenPath(process, time.Now())
 	}
-	if hasExited && !v.trustsOwnPath(ctx, process, started) {
-		hasExited, reason = false, "paths of this host have broken"
-	}
+	return observations, true
+}
+
+func (v *Verifier) log(process driver.Process, observations []Observation, hasExited bool, reason string, started time.Time) {
 	v.cfg.Logger.Info("peers asked about the exit of a process", "endpoint_id", process.EndpointID, "incarnation", process.Incarnation, "is_exited", hasExited,
-		"reason", reason, "asked", len(peers), "reached", count(observations, ObservedReached), "refused", count(observations, ObservedRefused),
+		"reason", reason, "asked", len(observations), "reached", count(observations, ObservedReached), "alive", count(observations, ObservedAlive), "refused", count(observations, ObservedRefused),
 		"unreached", count(observations, ObservedUnreached), "took_ms", time.Since(started).Milliseconds())
-	return hasExited
 }
 
 // recordBrokenPath records that a peer reaches a process that refuses this host.
@@ -163,8 +192,8 @@
 }
 
 // ask returns the observation of each peer.
-func (v *Verifier) ask(ctx context.Context, peers []Peer, process driver.Process) []Observation {
-	ctx, cancel := timekeeper.WithTimeout(ctx, askTimeout)
+func (v *Verifier) ask(ctx context.Context, peers []Peer, process driver.Process, timeout time.Duration) []Observation {
+	ctx, cancel := timekeeper.WithTimeout(ctx, timeout)
 	defer cancel()
 	observations := make([]Observation, len(peers))
 	var group errgroup.Group
@@ -211,6 +240,8 @@
 	switch {
 	case count(observations, ObservedReached) > 0:
 		return false, "a peer reaches it"
+	case count(observations, ObservedAlive) > 0:
+		return false, "a peer has open connections to it"
 	case failed == 0 || 2*failed <= len(observations):
 		return false, "too few peers have tried"
 	default:
--- a/internal/exitverifier/exitverifier_test.go
+++ b/internal/exitverifier/exitverifier_test.go
@@ -81,13 +81,15 @@
 		<-ctx.Done()
 		return ObservedUnreached
 	}
-	reached, refused, unlisted := fixed(ObservedReached), fixed(ObservedRefused), fixed(ObservedNothing)
+	reached, refused, unlisted, alive := fixed(ObservedReached), fixed(ObservedRefused), fixed(ObservedNothing), fixed(ObservedAlive)
 	for name, test := range map[string]struct {
-		peers []func(context.Context, driver.Process) Observation
-		want  bool
+		peers     []func(context.Context, driver.Process) Observation
+		want      bool
+		isReached bool // also by a host that compares endpoints
 	}{
 		"all refused":                      {peers: []func(context.Context, driver.Process) Observation{refused, refused, refused}, want: true},
-		"one of many reaches it":           {peers: []func(context.Context, driver.Process) Observation{refused, refused, refused, refused, reached}},
+		"one of many reaches it":           {peers: []func(context.Context, driver.Process) Observation{refused, refused, refused, refused, reached}, isReached: true},
+		"one has open connections to it":   {peers: []func(context.Context, driver.Process) Observation{refused, refused, refused, refused, alive}, isReached: true},
 		"others time out":                  {peers: []func(context.Context, driver.Process) Observation{hangs, hangs, hangs}, want: true},
 		"one refused, most do not list it": {peers: []func(context.Context, driver.Process) Observation{refused, unlisted, unlisted}},
 		"most refused, one has no answer":  {peers: []func(context.Context, driver.Process) Observation{refused, refused, nil}, want: true},
@@ -102,6 +104,10 @@
 				started := time.Now()
 				assert.Equal(t, v.HasExited(t.Context(), process), test.want)
 				assert.Check(t, time.Since(started) <= askTimeout+confirmDelay)
+				started = time.Now()
+				assert.Equal(t, v.IsReached(t.Context(), process), test.isReached)
+				assert.Check(t, time.Since(started) <= vetoTimeout)
+				time.Sleep(probeTimeout) // peers that hang end their probes
 			})
 		})
 	}
--- a/internal/exitverifier/server.go
+++ b/internal/exitverifier/server.go
@@ -45,6 +45,7 @@
 	ObservedReached:   exitverifierpb.Observation_OBSERVATION_REACHED,
 	ObservedRefused:   exitverifierpb.Observation_OBSERVATION_REFUSED,
 	ObservedUnreached: exitverifierpb.Observation_OBSERVATION_UNREACHED,
+	ObservedAlive:     exitverifierpb.Observation_OBSERVATION_ALIVE,
 }
 
 func observationToMessage(o Observation) exitverifierpb.Observation { return messageOf[o] }
--- a/internal/pathwatcher/exits.go
+++ b/internal/pathwatcher/exits.go
@@ -50,6 +50,8 @@
 			return nil
 		}
 		return notifications{func() { w.cfg.OnReached(p.process) }}
+	case p.isExitReported && (p.calls == 0 || now.Sub(p.refusedAt) >= refusalGrace || now.Sub(p.lastReceived()) >= contactTime):
+		return w.confirmExitLocked(p, now, "reported by a peer and verified")
 	case p.application.brokenAt.Before(p.application.lastReceived()) && !p.brokenAt.After(p.lastReceived()) && w.cfg.IsConnected(p.Target):
 		if p.silence(now) >= loneSilenceTimeout {
 			w.rejectExitLocked(p, "another connection is open, but nothing arrives")
@@ -64,14 +66,48 @@
 	c := w.compareLocked(p)
 	isCompared := c.reached+c.failed >= maxComparedEndpoints || c.untried == 0
 	switch {
+	case p.isAsking:
 	case isCompared && c.reached > c.failed:
-		return w.confirmExitLocked(p, now, "other endpoints are reached")
+		return w.askElsewhereLocked(p, now)
 	case isCompared && c.failed > 0 || now.Sub(p.refusedAt) >= exitJudgingTime:
 		w.rejectExitLocked(p, "other endpoints are not reached either")
 	}
 	return nil
 }
 
+// askElsewhereLocked has other hosts confirm an exit that this one has concluded from reaching other
+// endpoints: a path to one endpoint may have broken.
+func (w *Watcher) askElsewhereLocked(p *path, now time.Time) notifications {
+	const reason = "other endpoints are reached"
+	if w.cfg.IsReachedElsewhere == nil || w.ctx.Err() != nil {
+		return w.confirmExitLocked(p, now, reason)
+	}
+	p.isAsking = true
+	judged := p.judged
+	w.group.Go(func() error {
+		isReached := w.cfg.IsReachedElsewhere(w.ctx, p.process)
+		w.mu.Lock()
+		var notify notifications
+		if p.judged == judged { // nothing has decided it meanwhile
+			now := w.cfg.Now()
+			switch {
+			case p.lastReceived().After(p.refusedAt): // judged at the next tick
+				p.isAsking = false
+			case isReached:
+				w.rejectExitLocked(p, "another host reaches it")
+			default:
+				notify = w.confirmExitLocked(p, now, reason)
+			}
+			notify = append(notify, w.evaluateLocked(p, now)...)
+			w.updateReachLocked()
+		}
+		w.mu.Unlock()
+		notify.run()
+		return nil
+	})
+	return nil
+}
+
 func (w *Watcher) rejectExitLocked(p *path, reason string) {
 	w.cfg.Logger.Info("refused connection not taken for an exit", "endpoint_id", p.process.EndpointID, "application", p.Application, "reason", reason)
 	p.finishJudging()
@@ -101,7 +137,7 @@
 	if p.judged != nil {
 		close(p.judged)
 	}
-	p.refusedAt, p.judged = time.Time{}, nil
+	p.refusedAt, p.judged, p.isExitReported, p.isAsking = time.Time{}, nil, false, false
 }
 
 // HasExited reports whether the exit of a process has been confirmed. A process that is not
@@ -144,6 +180,40 @@
 	return p != nil && p.lastReceived().After(at)
 }
 
+// IsAlive reports whether a process that refuses connections is alive by the open ones: they end with it,
+// within aliveDelay.
+func (w *Watcher) IsAlive(ctx context.Context, process driver.Process) bool {
+	ticker := time.NewTicker(aliveDelay / 5)
+	defer ticker.Stop()
+	for started := w.cfg.Now(); w.looksAlive(process); {
+		if w.cfg.Now().Sub(started) >= aliveDelay {
+			return true
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
+		case <-w.ctx.Done():
+			return false
+		}
+	}
+	return false
+}
+
+// looksAlive reports whether data has arrived a short time ago over a connection that is still open. The
+// connections of a machine that has lost power stay open.
+func (w *Watcher) looksAlive(process driver.Process) bool {
+	w.mu.Lock()
+	p := w.findLocked(process)
+	var silence time.Duration
+	hasCalls := false
+	if p != nil {
+		silence, hasCalls = w.cfg.Now().Sub(p.lastReceived()), p.calls > 0
+	}
+	w.mu.Unlock()
+	return p != nil && (hasCalls && silence < contactTime || silence < idleContactTime && w.cfg.IsConnected(p.Target))
+}
+
 // IsExitPlausible reports whether a peer's report of an exit, which the peer observed some time
 // ago, agrees with what this host knows. If data had arrived from the process shortly before, the
 // report is verified by a probe, and OnExit is called if it is confirmed.
--- a/internal/pathwatcher/path.go
+++ b/internal/pathwatcher/path.go
@@ -38,6 +38,13 @@
 	refusalGrace = 100 * time.Millisecond
 	// exitJudgingTime bounds the time to confirm an exit.
 	exitJudgingTime = 500 * time.Millisecond
+	// contactTime and idleContactTime are for how long after its last data a connection with a call in
+	// flight, and an idle one, show that a process is alive. Both are shorter than loneSilenceTimeout,
+	// after which a machine without power is noticed.
+	contactTime     = 200 * time.Millisecond
+	idleContactTime = time.Second
+	// aliveDelay is how long connections may stay open after the process has exited.
+	aliveDelay = 50 * time.Millisecond
 	// recentContact is how recently data must have arrived from a process for a peer's report
 	// of its exit to be verified by a probe.
 	recentContact = 2 * time.Second
@@ -75,9 +82,11 @@
 	// refusedAt is the time of a refused connection that is not judged yet; zero: none.
 	refusedAt time.Time
 	judged    chan struct{} // closed when it is judged
+	isAsking  bool          // other hosts are asked about it
 	exitedAt  time.Time     // when the exit was confirmed; zero: it was not
-	// isReported is true while a probe verifies a peer's report of an exit.
-	isReported bool
+	// isReported is true while a probe verifies a peer's report of an exit, and isExitReported once
+	// that probe was refused.
+	isReported, isExitReported bool
 }
 
 func (p *path) lastReceived() time.Time { return time.Unix(0, p.receivedAt.Load()) }
--- a/internal/pathwatcher/watcher.go
+++ b/internal/pathwatcher/watcher.go
@@ -21,6 +21,9 @@
 	// Probe connects to an endpoint without giving it work, and reports the outcome through
 	// Begin as any call does.
 	Probe func(ctx context.Context, target driver.Target) error
+	// IsReachedElsewhere asks other hosts whether they reach a process that has exited as far as this one
+	// can compare; nil: nobody is asked.
+	IsReachedElsewhere func(ctx context.Context, process driver.Process) bool
 	// IsConnected reports whether an idle connection to an endpoint is open; nil: none is.
 	IsConnected func(target driver.Target) bool
 	// OnUnreached is called when a process is no longer reached, and OnReached when it is
@@ -486,7 +489,7 @@
 	case !isRefused(err): // end has recorded a refused connection
 		p.connectFailedAt, p.wasRefused = now, false
 	case wasReported:
-		notify = w.confirmExitLocked(p, now, "reported by a peer and verified")
+		p.isExitReported = true
 	}
 	notify = append(notify, w.evaluateLocked(p, now)...)
 	w.updateReachLocked()
--- a/pkg/endivemast/gateway_paths.go
+++ b/pkg/endivemast/gateway_paths.go
@@ -20,7 +20,8 @@
 func (g *Gateway) buildPaths() {
 	g.paths = pathwatcher.New(pathwatcher.Config{
 		Probe: g.cfg.Driver.Probe, IsConnected: g.cfg.Driver.IsConnected, OnExit: g.processExited,
-		OnReached: func(process driver.Process) { g.scheduler.SetUnreached(process, false) },
+		IsReachedElsewhere: func(ctx context.Context, process driver.Process) bool { return g.exitVerifier.IsReached(ctx, process) },
+		OnReached:          func(process driver.Process) { g.scheduler.SetUnreached(process, false) },
 		OnUnreached: func(process driver.Process) {
 			g.scheduler.SetUnreached(process, true)
 			g.forwarder.AbandonProcess(process)
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exitverifier"
@@ -38,15 +39,17 @@
 
 // probeExit connects to an endpoint. It fails with driver.ErrConnectionRefused only if the process
 // is known to have exited. While this host reaches too few other endpoints to compare, it asks peers.
+// A process from which data arrives has not exited, whatever else they observe.
 func (g *Gateway) probeExit(ctx context.Context, target driver.Target) error {
+	process, started := target.Process(), time.Now()
 	err := g.cfg.Driver.Probe(ctx, target)
-	if !errors.Is(err, driver.ErrConnectionRefused) || g.paths.AwaitExit(ctx, target.Process()) {
+	if !errors.Is(err, driver.ErrConnectionRefused) || g.paths.AwaitExit(ctx, process) {
 		return err
 	}
-	if !g.exitVerifier.HasExited(ctx, target.Process()) {
+	if g.paths.ReceivedSince(process, started) || !g.exitVerifier.HasExited(ctx, process) || g.paths.ReceivedSince(process, started) {
 		return errPathBroken
 	}
-	g.paths.ConfirmExit(target.Process(), "no peer reaches it either")
+	g.paths.ConfirmExit(process, "no peer reaches it either")
 	return err
 }
 
@@ -76,6 +79,8 @@
 	switch err := g.cfg.Driver.Probe(ctx, targetOf(&host)); {
 	case err == nil:
 		return exitverifier.ObservedReached
+	case g.paths.IsAlive(ctx, process):
+		return exitverifier.ObservedAlive
 	case errors.Is(err, driver.ErrConnectionRefused):
 		return exitverifier.ObservedRefused
 	default:
