An exit is not confirmed because the host stops while peers are asked

Cause: a question that ends with the watcher counted as 'no peer reaches it': a host that stops could report the exit of an endpoint that runs. Change: nothing is concluded once the watcher is closed. The line about an exit that no peer contradicts says so also where there is none. Result: TestExitIsConfirmedElsewhere, 'closed before the answer', failed before.

--- a/internal/exitverifier/exitverifier.go
+++ b/internal/exitverifier/exitverifier.go
@@ -119,6 +119,9 @@
 	}
 	hasExited, reason := judge(observations)
 	isReached := !hasExited && count(observations, ObservedReached)+count(observations, ObservedAlive) > 0
+	if !isReached {
+		reason = "no peer reaches it"
+	}
 	v.log(process, observations, !isReached, reason, started)
 	return isReached
 }
--- a/internal/pathwatcher/doc.go
+++ b/internal/pathwatcher/doc.go
@@ -8,7 +8,9 @@
 //     endpoint that is only slow accepts connections. Suspected endpoints are probed with
 //     connections that carry no request.
 //   - A refused connection is confirmed as the exit of the endpoint's process if, after it,
-//     other endpoints were reached and most of those that were tried.
+//     other endpoints were reached and most of those that were tried, and no other host
+//     reaches it.
+//   - Open connections over which data has just arrived show that a process is alive.
 //   - A peer's report of an exit is rejected if data has arrived from the process since, and
 //     verified by a probe if data had arrived shortly before.
 //
--- a/internal/pathwatcher/exits.go
+++ b/internal/pathwatcher/exits.go
@@ -88,11 +88,11 @@
 		isReached := w.cfg.IsReachedElsewhere(w.ctx, p.process)
 		w.mu.Lock()
 		var notify notifications
-		if p.judged == judged { // nothing has decided it meanwhile
+		if p.judged == judged && w.ctx.Err() == nil { // nothing has decided it meanwhile
 			now := w.cfg.Now()
 			switch {
-			case p.lastReceived().After(p.refusedAt): // judged at the next tick
-				p.isAsking = false
+			case p.lastReceived().After(p.refusedAt):
+				p.isAsking = false // judged by that data below
 			case isReached:
 				w.rejectExitLocked(p, "another host reaches it")
 			default:
--- a/internal/pathwatcher/pathwatcher_test.go
+++ b/internal/pathwatcher/pathwatcher_test.go
@@ -262,3 +262,37 @@
 		assert.Check(t, !r.watcher.ReceivedSince(process, time.Now()))
 	})
 }
+
+// TestExitIsConfirmedElsewhere guards against a broken path to one endpoint that is taken for an exit, and against an exit that is
+// confirmed because the Watcher is closed while other hosts are asked.
+func TestExitIsConfirmedElsewhere(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		isReached, isClosed bool
+		exits               []string
+	}{
+		"another host reaches it":  {isReached: true},
+		"none does":                {exits: []string{"e1"}},
+		"closed before the answer": {isClosed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				r.watcher.cfg.IsReachedElsewhere = func(ctx context.Context, _ driver.Process) bool {
+					if test.isClosed {
+						<-ctx.Done()
+						return false
+					}
+					time.Sleep(100 * time.Millisecond)
+					return test.isReached
+				}
+				r.run(time.Second, true)
+				r.set(linkExited, "e1")
+				r.run(time.Second, true)
+				r.stop()
+				assert.DeepEqual(t, r.exits, test.exits)
+			})
+		})
+	}
+}
