--- a/tests/crashing_test.go
+++ b/tests/crashing_test.go
@@ -48,7 +48,7 @@
 	store     *storeserver.Server
 	engines   []*opaqueserver.Crasher
 	processes []*process
-	ports     *portBlock // of hosts started by startReadyHost
+	ports     *portBlock // nil: not reserved yet
 
 	mu    sync.Mutex
 	hosts []string // callers' addresses
@@ -65,10 +65,6 @@
 	t.Helper()
 	c := &crashDeployment{t: t, store: storeserver.Start()}
 	t.Cleanup(c.store.Close)
-	var err error
-	c.ports, err = reservePorts()
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = c.ports.reservation.Close() }) // it only reserves the block
 	c.store.Put("op/config", []byte(crashConfiguration))
 	for n := range crashEngines {
 		id := fmt.Sprintf("engine-%d", n)
@@ -101,12 +97,23 @@
 	x.EndChunks()
 }
 
+// nextAddress returns an address of a block that is reserved for the deployment.
+func (c *crashDeployment) nextAddress() string {
+	if c.ports == nil {
+		ports, err := reservePorts()
+		assert.NilError(c.t, err)
+		c.t.Cleanup(func() { _ = ports.reservation.Close() }) // it only reserves the block
+		c.ports = ports
+	}
+	return c.ports.nextAddress()
+}
+
 // startReadyHost starts a host and waits until it is ready.
 func (c *crashDeployment) startReadyHost(id, zone string) {
 	c.t.Helper()
-	callers, readiness := c.ports.nextAddress(), c.ports.nextAddress()
+	callers, readiness := c.nextAddress(), c.nextAddress()
 	p, err := startProcess(c.t.TempDir(), id, "endivemast", "platform", "--host-id", id, "--zone", zone,
-		"--callers-address", callers, "--readiness-address", readiness, "--peers-address", c.ports.nextAddress(),
+		"--callers-address", callers, "--readiness-address", readiness, "--peers-address", c.nextAddress(),
 		"--store", c.store.Address(), "--roles", "never", "--repeat-share", "1", "--repeat-reserve", "1000")
 	assert.NilError(c.t, err)
 	c.processes = append(c.processes, p)
