BUDGET: runs that end by their own time limit at a silent engine are reported

Cause: a host notices after one to two seconds that an engine has lost power. Change: a run whose time is over counts as interrupted if it has been without an event for 0.5 s. As before it counts for a crash only if the exit is confirmed.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -252,7 +252,7 @@
 		quarantine.RunSucceeded(&fr.identity, err == nil)
 	case errors.Is(err, driver.ErrReplaced): // a refused connection may be this host's own fault
 		quarantine.ProcessExited(target.Process())
-	case errors.Is(err, driver.ErrOutcomeUnknown) && (ctx.Err() == nil || errors.Is(context.Cause(ctx), errPathLost)):
+	case errors.Is(err, driver.ErrOutcomeUnknown) && fr.isInterrupted(ctx):
 		interruption := quarantiner.InterruptedRun{Request: &fr.identity, Target: target, SinceSend: time.Since(fr.lastAttempt.sentAt)}
 		if !fr.lastAttempt.firstEventAt.IsZero() {
 			interruption.SinceFirstEvent = time.Since(fr.lastAttempt.firstEventAt)
@@ -261,6 +261,23 @@
 	}
 }
 
+// silentRunTime is how long a run has been without an event, when its time is over, that its endpoint
+// has probably ended.
+const silentRunTime = 500 * time.Millisecond
+
+// isInterrupted reports whether a run without an outcome ended because of its endpoint or the path to
+// it, rather than by its caller or its own time limit.
+func (fr *forwardedRequest) isInterrupted(ctx context.Context) bool {
+	switch cause := context.Cause(ctx); {
+	case cause == nil || errors.Is(cause, errPathLost):
+		return true
+	case errors.Is(cause, errTimeout):
+		return !fr.lastAttempt.firstEventAt.IsZero() && time.Since(fr.timings.lastEventAt) >= silentRunTime
+	default:
+		return false
+	}
+}
+
 // isCacheSpent reports whether the KV cache can't be relied on any more: the endpoint may have
 // fetched it, or refused the request because fetching failed. An endpoint's refusal doesn't
 // distinguish this from a lack of capacity.
