--- a/internal/exchanger/crashes.go
+++ b/internal/exchanger/crashes.go
@@ -21,10 +21,8 @@
 	// maxSnapshotFingerprints bounds the request fingerprints in the reply to a host that has just
 	// started: 300 KB.
 	maxSnapshotFingerprints = 8192
-	// maxAskedForCrashes bounds the peers that such a host asks at a time.
+	// maxAskedForCrashes bounds the peers that such a host asks.
 	maxAskedForCrashes = 8
-	// crashesRetryInterval is the time between its attempts.
-	crashesRetryInterval = 50 * time.Millisecond
 )
 
 // countCrashFingerprints returns the number of fingerprints in an update, plus one for the
@@ -127,33 +125,17 @@
 }
 
 // FetchCrashes requests from peers what they know of requests that crash endpoints, and merges it. It
-// returns once a peer has sent all, or all peers have answered that they know no more, and fails if
-// neither has happened when ctx ends.
+// returns once a peer has sent all, or none of those that answer knows more; it fails if ctx ends before.
 func (ex *Exchanger) FetchCrashes(ctx context.Context) error {
-	for {
-		peers := ex.Peers()
-		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		if ex.fetchCrashesFrom(ctx, peers[:min(len(peers), maxAskedForCrashes)]) {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(crashesRetryInterval):
-		}
-	}
-}
-
-// fetchCrashesFrom asks peers at the same time. It reports whether one has sent all that there is to
-// know, or all have answered.
-func (ex *Exchanger) fetchCrashesFrom(ctx context.Context, peers []Peer) (isDone bool) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	peers := ex.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	peers = peers[:min(len(peers), maxAskedForCrashes)]
+	asking, cancel := context.WithCancel(ctx)
 	replies := make(chan *exchangerpb.CrashesReply, len(peers)) // nil: no answer
 	var group errgroup.Group
 	for _, peer := range peers {
 		group.Go(func() error {
-			reply, err := ex.askForCrashes(ctx, peer)
+			reply, err := ex.askForCrashes(asking, peer)
 			if err != nil {
 				ex.cfg.Logger.Debug("peer does not answer what it knows of crashes", "host_id", peer.HostID, "error", err)
 			}
@@ -161,21 +143,18 @@
 			return nil
 		})
 	}
-	defer func() { _ = group.Wait() }() // the calls return no error
-	defer cancel()
-	answered := 0
+	defer func() {
+		cancel()
+		_ = group.Wait() // the calls return no error
+	}()
 	for range peers {
 		reply := <-replies
-		if reply == nil {
-			continue
-		}
-		answered++
 		ex.cfg.Crashes.Merge(ex.crashesFromMessage(&exchangerpb.PeerUpdate{Crashes: reply.GetCrashes()}, ex.cfg.Clock()), false)
 		if reply.GetComplete() {
-			return true
+			return nil
 		}
 	}
-	return answered == len(peers)
+	return ctx.Err()
 }
 
 // askForCrashes returns nil if the peer has not answered.
--- a/internal/quarantiner/sync.go
+++ b/internal/quarantiner/sync.go
@@ -12,7 +12,7 @@
 // requests wait until it has received them.
 
 // maxSyncWait bounds that wait. Peers that don't answer within it are unreachable or suspended.
-const maxSyncWait = 500 * time.Millisecond
+const maxSyncWait = 300 * time.Millisecond
 
 // Start begins to fetch what peers know.
 func (q *Quarantiner) Start() {
@@ -49,7 +49,7 @@
 	case <-q.syncCtx.Done():
 	case <-waiting.Done():
 		if ctx.Err() == nil && !q.isSynced() {
-			q.cfg.Logger.Warn("requests run without the quarantines of peers: none has sent them", "waited_ms", maxSyncWait.Milliseconds())
+			q.cfg.Logger.Warn("requests run without the quarantines of peers: not all have answered", "waited_ms", maxSyncWait.Milliseconds())
 			q.endSync()
 		}
 	}
