--- a/internal/pathwatcher/pathwatcher_test.go
+++ b/internal/pathwatcher/pathwatcher_test.go
@@ -226,8 +226,7 @@
 	}
 }
 
-// TestRefusalsWhileDataArrives guards against an endpoint that counts as unreached, so that its running calls are abandoned, after
-// the second of two refused connections although data arrives over open ones.
+// TestRefusalsWhileDataArrives guards against an endpoint that counts as unreached while data arrives from it.
 func TestRefusalsWhileDataArrives(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
@@ -263,8 +262,7 @@
 	})
 }
 
-// TestExitIsConfirmedElsewhere guards against a broken path to one endpoint that is taken for an exit, and against an exit that is
-// confirmed because the Watcher is closed while other hosts are asked.
+// TestExitIsConfirmedElsewhere guards against exits that are concluded from a broken path to one endpoint, or while the Watcher is closed.
 func TestExitIsConfirmedElsewhere(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
