--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -261,12 +261,12 @@
 	}
 }
 
-// silentRunTime is how long a run has been without an event, when its time is over, that its endpoint
-// has probably ended.
+// silentRunTime is the time without an event after which a run that reaches its time limit counts as
+// interrupted by its endpoint.
 const silentRunTime = 500 * time.Millisecond
 
-// isInterrupted reports whether a run without an outcome ended because of its endpoint or the path to
-// it, rather than by its caller or its own time limit.
+// isInterrupted reports whether a run without an outcome was probably ended by its endpoint or the path
+// to it. A host may notice the exit of an endpoint only after the run's time limit.
 func (fr *forwardedRequest) isInterrupted(ctx context.Context) bool {
 	switch cause := context.Cause(ctx); {
 	case cause == nil || errors.Is(cause, errPathLost):
--- a/internal/exchanger/crashes.go
+++ b/internal/exchanger/crashes.go
@@ -157,7 +157,7 @@
 	return ctx.Err()
 }
 
-// askForCrashes returns nil if the peer has not answered.
+// askForCrashes requests from one peer what it knows; the reply is nil if it fails.
 func (ex *Exchanger) askForCrashes(ctx context.Context, peer Peer) (reply *exchangerpb.CrashesReply, err error) {
 	ctx, cancel := timekeeper.WithTimeout(ctx, updateTimeout)
 	defer cancel()
--- a/internal/pathwatcher/exits.go
+++ b/internal/pathwatcher/exits.go
@@ -180,8 +180,8 @@
 	return p != nil && p.lastReceived().After(at)
 }
 
-// IsAlive reports whether a process that refuses connections is alive by the open ones: they end with it,
-// within aliveDelay.
+// IsAlive reports whether open connections to a process that refuses new ones show that it is alive. If
+// it has exited, they end within aliveDelay.
 func (w *Watcher) IsAlive(ctx context.Context, process driver.Process) bool {
 	ticker := time.NewTicker(aliveDelay / 5)
 	defer ticker.Stop()
@@ -200,8 +200,8 @@
 	return false
 }
 
-// looksAlive reports whether data has arrived a short time ago over a connection that is still open. The
-// connections of a machine that has lost power stay open.
+// looksAlive reports whether data has just arrived over a connection that is still open. Connections to a
+// machine that has lost power stay open, so that their state alone shows nothing.
 func (w *Watcher) looksAlive(process driver.Process) bool {
 	w.mu.Lock()
 	p := w.findLocked(process)
