Types and meter of the demand of a host's callers

Cause: admission, tenants' shares and hosts' portions need what the callers of the whole fleet ask for. Nothing records or reads it yet. Measured: tests of internal/scheduler pass; no behaviour changes.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -30,6 +30,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/endivemast/endivemast/internal/aggregator"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/scheduler/planner"
@@ -53,6 +54,11 @@
 	plannerState planner.State
 	nextID       int64
 	isClosed     bool
+
+	demandMeter    *aggregator.Meter
+	othersDemand   aggregator.Snapshot
+	othersDemandAt time.Time // zero: not known
+
 	acquireCalls sync.WaitGroup // running calls of Acquire
 }
 
@@ -87,6 +93,7 @@
 		rand:         source,
 		queues:       make(map[string][]*queue),
 		processExits: make(map[ProcessExit]time.Time),
+		demandMeter:  aggregator.NewMeter(),
 	}
 	s.table.RateLimitOf, s.table.BackoffRemaining = cfg.Limiter.Limit, cfg.BackoffRemaining
 	return s
