Allocator: division of engine time among ranks and tenants

Each host decides alone, so a few costly requests per host take the engine time of the urgent work when engines are lost. The new pure package divides the engine time of an application among ranks, in order and with floors, and among the tenants of a rank by max-min fairness. Nothing uses it yet.

--- /dev/null
+++ b/internal/scheduler/allocator/allocator.go
@@ -0,0 +1,219 @@
+// Package allocator divides the engine time of an application among ranks and tenants when
+// the demand of the callers of all hosts exceeds it.
+//
+// It handles overload: a fleet that has lost three quarters of its engines, or whose callers
+// ask for six times the capacity. Without it, each host dispatches the few costly requests
+// that it sees, and together they take the engine time of the urgent work.
+//
+// # Ranks
+//
+// Ranks are served in order, 0 first. A rank gets what the ranks before it leave, but at
+// least its floor: the part of the engine time given by the shortest response target among
+// the ranks before it, divided by its own longest time limit. So, within each of its own
+// time limits, work of a rank delays more urgent work by at most one response target, and
+// the last rank is throttled but not without service.
+//
+// # Tenants
+//
+// Within a rank, engine time is divided by max-min fairness: no tenant gets more than its
+// demand, and what small tenants leave goes to large ones. This gives each tenant at least
+// an equal part of the rank's floor.
+//
+// # Usage
+//
+//	var ranks [allocator.Ranks]allocator.Rank
+//	ranks[2].Demand, ranks[2].TimeLimit = demand, 5*time.Second
+//	shares := allocator.Divide(&ranks, capacity)
+//	share := shares[2].Of(tenant)
+package allocator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/aggregator"
+)
+
+// Ranks is the number of ranks that are distinguished.
+const Ranks = aggregator.MaxRank + 1
+
+// maxFloors is the largest part of the engine time that all floors take together. Time limits
+// shorter than the response targets of more urgent ranks would otherwise leave those nothing.
+const maxFloors = 0.5
+
+// minDemand is the demand, in engine seconds per second, below which a rank does not count
+// as present. It is one request of 1 ms in 10 s.
+const minDemand = 1e-4
+
+// Rank is the demand of the work of one rank.
+type Rank struct {
+	Demand         aggregator.Demand
+	ResponseTarget time.Duration // the shortest of its classes; 0: not known
+	TimeLimit      time.Duration // the longest of its classes; 0: not known
+}
+
+// Share is the part of a rank's demand that may be admitted, from 0 to 1.
+type Share struct {
+	All     float64            // of the whole rank
+	Tenants map[string]float64 // of the named tenants; nil: All applies to each
+	Rest    float64            // of each other tenant
+}
+
+// Shares are the shares of all ranks.
+type Shares [Ranks]Share
+
+// Of returns the share of a tenant's demand.
+func (s *Share) Of(tenant string) float64 {
+	if s.Tenants == nil {
+		return s.All
+	}
+	if share, ok := s.Tenants[tenant]; ok {
+		return share
+	}
+	return s.Rest
+}
+
+// IsShort reports whether some demand may not be admitted.
+func (s *Shares) IsShort() bool {
+	return slices.ContainsFunc(s[:], func(share Share) bool { return share.All < 1 })
+}
+
+// Clamp returns the rank that a rank counts as.
+func Clamp(rank int) int { return min(max(rank, 0), Ranks-1) }
+
+// Divide returns the share of each rank's demand that may be admitted with an available
+// engine time of capacity engine seconds per second. Work without differing ranks and with
+// at most one tenant has the share 1: precedence cannot improve its service.
+func Divide(ranks *[Ranks]Rank, capacity float64) (shares Shares) {
+	for i := range shares {
+		shares[i] = Share{All: 1, Rest: 1}
+	}
+	var total float64
+	present, tenants := 0, 0
+	for i := range ranks {
+		demand := &ranks[i].Demand
+		total += demand.Offered
+		if demand.Offered >= minDemand {
+			present++
+			tenants = max(tenants, tenantCount(demand))
+		}
+	}
+	if total <= capacity || present <= 1 && tenants <= 1 {
+		return shares
+	}
+	reserved := floors(ranks, capacity)
+	left := max(capacity, 0)
+	for i := range reserved {
+		left -= reserved[i]
+	}
+	for i := range ranks {
+		demand := &ranks[i].Demand
+		if demand.Offered <= 0 {
+			continue
+		}
+		allotted := min(reserved[i]+left, demand.Offered)
+		left -= allotted - reserved[i]
+		shares[i] = divideAmongTenants(demand, allotted)
+	}
+	return shares
+}
+
+// floors returns the engine time reserved for each rank.
+func floors(ranks *[Ranks]Rank, capacity float64) (reserved [Ranks]float64) {
+	var response time.Duration // the shortest response target of the ranks before
+	var sum float64
+	for i := range ranks {
+		rank := &ranks[i]
+		if rank.Demand.Offered < minDemand {
+			continue
+		}
+		if response > 0 && rank.TimeLimit > 0 {
+			part := min(response.Seconds()/rank.TimeLimit.Seconds(), maxFloors)
+			reserved[i] = min(max(capacity, 0)*part, rank.Demand.Offered)
+			sum += reserved[i]
+		}
+		if target := rank.ResponseTarget; target > 0 && (response == 0 || target < response) {
+			response = target
+		}
+	}
+	if limit := max(capacity, 0) * maxFloors; sum > limit {
+		for i := range reserved {
+			reserved[i] *= limit / sum
+		}
+	}
+	return reserved
+}
+
+// tenantCount returns the number of tenants; callers without one count as one.
+func tenantCount(demand *aggregator.Demand) int {
+	count := len(demand.Tenants) + demand.RestTenants
+	if demand.RestTenants == 0 && demand.RestOffered >= minDemand {
+		count++
+	}
+	return count
+}
+
+// divideAmongTenants divides a rank's engine time by max-min fairness. The tenants that are
+// not named count as equal.
+func divideAmongTenants(demand *aggregator.Demand, allotted float64) Share {
+	share := Share{All: min(allotted/demand.Offered, 1)}
+	share.Rest = share.All
+	if len(demand.Tenants) == 0 || tenantCount(demand) <= 1 || share.All >= 1 {
+		return share
+	}
+	level := fairLevel(demand, allotted)
+	share.Tenants = make(map[string]float64, len(demand.Tenants))
+	for _, tenant := range demand.Tenants {
+		share.Tenants[tenant.Tenant] = partOf(level, tenant.Offered)
+	}
+	rest := max(demand.RestTenants, 1)
+	share.Rest = partOf(level, demand.RestOffered/float64(rest))
+	return share
+}
+
+// fairLevel returns the engine time at which the tenants' demands are cut off so that they
+// fit.
+func fairLevel(demand *aggregator.Demand, allotted float64) float64 {
+	type group struct {
+		offered float64 // by each
+		count   int
+	}
+	groups := make([]group, 0, len(demand.Tenants)+1)
+	left, count := allotted, 0
+	add := func(offered float64, n int) {
+		groups = append(groups, group{offered, n})
+		count += n
+	}
+	for _, tenant := range demand.Tenants {
+		add(tenant.Offered, 1)
+	}
+	if demand.RestOffered > 0 {
+		n := max(demand.RestTenants, 1)
+		add(demand.RestOffered/float64(n), n)
+	}
+	slices.SortFunc(groups, func(a, b group) int {
+		switch {
+		case a.offered < b.offered:
+			return -1
+		case a.offered > b.offered:
+			return 1
+		default:
+			return 0
+		}
+	})
+	for _, g := range groups {
+		if level := left / float64(count); g.offered > level {
+			return level
+		}
+		left -= g.offered * float64(g.count)
+		count -= g.count
+	}
+	return allotted
+}
+
+func partOf(level, offered float64) float64 {
+	if offered <= level {
+		return 1
+	}
+	return level / offered
+}
