Scheduler: admission by rank and tenant, and true costs for separate roles

Each host decided from its own queue. In a fleet that had lost three quarters of its engines, a quarter of the work (costly, less urgent prompts) took all engine time while urgent work was refused.

New work is now counted in the demand, and its rank's and tenant's share of the fleet's demand (package allocator, computed at most every 100 ms) is admitted through credit accounts; the rest is refused with the reason precedence, which is not passed to peers. While an application is short of capacity, its queue is ordered by rank, the least urgent rank is refused first, and waiting work doesn't block other ranks. Work that has been given an endpoint once, retries and resumed streams are not refused. A correction learned from the engines' backlog scales the capacity.

With separate roles, the cost of a prompt is the time at an engine that only prefills for the tokens that the best usable one has not cached; the model of engines with both roles stated 2.5 times that. Capacity considers the role that is the bottleneck.

Without ranks and with at most one tenant all shares are 1.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -61,6 +61,7 @@
 	// failedConnections is the number of attempts in which no connection to the endpoint could
 	// be opened.
 	failedConnections int
+	isAdmitted        bool            // an attempt was given an endpoint
 	triedPeers        []string        // ids of the peers that the request was passed to
 	isAtPeer          bool            // a peer relays the answer of the present attempt
 	basis             scheduler.Basis // scheduling basis of the latest attempt
@@ -193,6 +194,7 @@
 	if err != nil {
 		return pathLost(ctx, err)
 	}
+	fr.isAdmitted = true
 	if prefill, ok := grant.PrefillTarget(); ok && !fr.hasCache() {
 		attempt.setTarget(true, prefill)
 	} else {
@@ -316,6 +318,8 @@
 	class.Application = fr.application
 	return scheduler.Work{
 		RequestID: fr.request.ID, Class: class, Arrived: fr.request.Arrived,
+		Rank: fr.request.Class.Rank, Tenant: fr.request.Tenant, TimeLimit: fr.request.Class.Timeout,
+		IsAdmitted: fr.isAdmitted || fr.runs > 0, IsFromPeer: fr.request.Origin != nil,
 		PromptTokens: fr.request.Prompt.Tokens, PrefixKey: fr.request.Prompt.PrefixKey,
 		PrefixTokens: fr.request.Prompt.PrefixTokens, PrefixParts: fr.request.Prompt.PrefixParts, MaxOutputTokens: fr.request.Prompt.MaxOutputTokens,
 		DeliveredTokens: fr.eventsSent, Excluded: fr.excluded, IsPrefilled: fr.hasCache(),
--- a/internal/scheduler/admitter/admitter.go
+++ b/internal/scheduler/admitter/admitter.go
@@ -5,14 +5,15 @@
 //
 // Work is ordered by its latest start: the last time at which it can get an endpoint and
 // still meet the targets of its class. Within a band of latest starts, the tenant that has
-// used the least goes first.
+// used the least goes first. While an application is short of capacity for some of its
+// ranks, work of a more urgent rank goes before other work.
 //
 // # Refusal
 //
 // Waiting work is in time if, for each item, the engine time of the items before it fits
 // before its latest start. If it does not fit, one of the items up to that one is refused,
-// and so on until all fit. Items of tenants beyond their fair share are refused first,
-// then items that have not waited long. Among these, the item is refused whose class's
+// and so on until all fit. Items of the least urgent rank are refused first, then items
+// of tenants beyond their fair share, then items that have not waited long. Among these, the item is refused whose class's
 // served share, times the square root of its response target and of its cost, is highest.
 // The response target is the first-token target, or the completion target of a class
 // without one.
@@ -29,6 +30,11 @@
 //	position := admitter.Position(queue, item)
 //	positions := admitter.SelectRefusals(queue, capacity, now)
 //	wait := admitter.RetryAfter(queue, capacity, jitter)
+//
+// # Admission in part
+//
+// Work of which only a share may be admitted passes through an account of Credits for its
+// rank and tenant.
 package admitter
 
 import (
@@ -67,6 +73,9 @@
 	ServedShare    float64 // of the class
 	IsOverShare    bool    // the tenant has used more than its fair share
 	IsStarted      bool    // the caller has a part of the answer, or an endpoint may have run it; never refused
+	// Rank is the rank of the work, 0 first, if some work of the application was admitted
+	// only in part when the item was queued; otherwise 0.
+	Rank int
 }
 
 // Estimate holds estimated durations, measured from when the work gets an endpoint.
@@ -100,7 +109,7 @@
 	return completion
 }
 
-// Compare orders items: started ones first, then by band of latest start, by the
+// Compare orders items: started ones first, then by rank, by band of latest start, by the
 // tenant's use and by arrival.
 func Compare(a, b *Item) int {
 	if a.IsStarted != b.IsStarted {
@@ -109,6 +118,9 @@
 		}
 		return 1
 	}
+	if a.Rank != b.Rank {
+		return a.Rank - b.Rank
+	}
 	if order := a.LatestStart.Truncate(latestStartBand).Compare(b.LatestStart.Truncate(latestStartBand)); order != 0 {
 		return order
 	}
@@ -196,6 +208,9 @@
 // Among items with equal scores the costlier one is refused, since that frees most
 // capacity, then the later one.
 func isRefusedBefore(a, b *Item, now time.Time) bool {
+	if a.Rank != b.Rank {
+		return a.Rank > b.Rank
+	}
 	if a.IsOverShare != b.IsOverShare {
 		return a.IsOverShare
 	}
--- a/internal/scheduler/admitter/admitter_test.go
+++ b/internal/scheduler/admitter/admitter_test.go
@@ -45,6 +45,8 @@
 	over.IsOverShare, started.IsStarted = true, true
 	waitedLong := item(s, 2*s, s, 0.9)
 	waitedLong.Arrived = at(-600 * time.Millisecond)
+	lessUrgent := item(s/2, s, s, 0.1)
+	lessUrgent.Rank, lessUrgent.Arrived = 2, at(-600*time.Millisecond)
 	fresh := item(0, 2*s, s, 0.2)
 	fresh.Arrived = at(-400 * time.Millisecond)
 	tests := map[string]struct {
@@ -58,6 +60,7 @@
 		"higher served share is refused first":      {queue: []Item{item(0, 2*s, s, 0.9), item(s, 2*s, s, 0.2)}, want: []int{0}},
 		"costly item is kept at a low served share": {queue: []Item{item(0, 2*s, s, 0.2), item(s, s/10, s, 0.9)}, want: []int{1}},
 		"tenant over its share is refused first":    {queue: []Item{item(0, s, 9*s, 1), over, item(2*s-1, s, s, 1)}, want: []int{1}},
+		"least urgent rank is refused first":        {queue: []Item{over, lessUrgent}, want: []int{1}},
 		"item that has waited long is refused last": {queue: []Item{fresh, waitedLong}, want: []int{0}},
 		"started item is never refused":             {queue: []Item{started, item(s, s, s, 1)}, want: []int{1}},
 	}
@@ -79,6 +82,7 @@
 			ResponseTarget: time.Second,
 			TenantUse:      rapid.Float64Range(0, 5).Draw(t, "used"),
 			IsStarted:      rapid.IntRange(0, 9).Draw(t, "started") == 0,
+			Rank:           rapid.IntRange(0, 2).Draw(t, "rank"),
 		}
 		item.RefuseAt = item.LatestStart.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "more")) * time.Millisecond)
 		queue = slices.Insert(queue, Position(queue, &item), item)
--- a/internal/scheduler/allocator/allocator.go
+++ b/internal/scheduler/allocator/allocator.go
@@ -78,6 +78,14 @@
 	return slices.ContainsFunc(s[:], func(share Share) bool { return share.All < 1 })
 }
 
+// AllAdmitted returns shares that admit all work.
+func AllAdmitted() (shares Shares) {
+	for i := range shares {
+		shares[i] = Share{All: 1, Rest: 1}
+	}
+	return shares
+}
+
 // Clamp returns the rank that a rank counts as.
 func Clamp(rank int) int { return min(max(rank, 0), Ranks-1) }
 
@@ -85,9 +93,7 @@
 // engine time of capacity engine seconds per second. Work without differing ranks and with
 // at most one tenant has the share 1: precedence cannot improve its service.
 func Divide(ranks *[Ranks]Rank, capacity float64) (shares Shares) {
-	for i := range shares {
-		shares[i] = Share{All: 1, Rest: 1}
-	}
+	shares = AllAdmitted()
 	var total float64
 	present, tenants := 0, 0
 	for i := range ranks {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -7,14 +7,14 @@
 
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/scheduler/admitter"
-	"github.com/endivemast/endivemast/internal/scheduler/estimator"
+	"github.com/endivemast/endivemast/internal/scheduler/allocator"
 	"github.com/endivemast/endivemast/internal/scheduler/router"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
 
 const (
-	// maxSkipped is how many waiting requests without an available endpoint are skipped
-	// for those behind them, which may exclude other endpoints.
+	// maxSkipped is how many waiting requests of a rank without an available endpoint are
+	// skipped for those behind them, which may exclude other endpoints.
 	maxSkipped = 4
 	// noEndpointRetryDelay is the retry delay while no endpoint serves the application:
 	// the platform's host list and engine roles change within seconds.
@@ -46,6 +46,8 @@
 type waiter struct {
 	work     Work
 	expected int // output tokens
+	cost     engineCost
+	demand   demandShare
 	outcome  chan outcome
 }
 
@@ -110,9 +112,13 @@
 	s.recordOffered(application, w, now)
 	item := s.newItem(application, w, now)
 	q := s.queueOf(work)
+	if refused, ok := s.applyPrecedence(q, w, &item, now); ok {
+		s.logRefusal(q, w, refused.refusal)
+		return nil, refused
+	}
 	position := admitter.Position(q.items, &item)
 	verdict := router.Verdict{Kind: router.Busy}
-	if position == 0 || item.IsStarted {
+	if position == 0 || item.IsStarted || isFirstOfRank(q.items, position, &item) {
 		var g *grant
 		if g, verdict = s.tryGrant(application, w, &item, now); g != nil {
 			return nil, outcome{grant: g}
@@ -128,6 +134,12 @@
 	return w, outcome{}
 }
 
+// isFirstOfRank reports whether only work of more urgent ranks waits before a position.
+func isFirstOfRank(items []admitter.Item, position int, item *admitter.Item) bool {
+	before := &items[position-1]
+	return !before.IsStarted && before.Rank < item.Rank
+}
+
 // recordOffered counts new work in the application's demand and the class's statistics.
 // Retries and resumed work were counted at the first attempt.
 func (s *Scheduler) recordOffered(application *tracker.Application, w *waiter, now time.Time) {
@@ -238,6 +250,7 @@
 		mean.Completion = mean.FirstToken
 		conservative = mean
 		cost = mean.FirstToken / time.Duration(batch)
+		w.cost = engineCost{decode: cost}
 	} else {
 		upper := s.class(work).Length.UpperBound(work.DeliveredTokens, work.MaxOutputTokens)
 		mean.FirstToken = model.FirstToken(application.Summary.MeanTokensAhead + prompt)
@@ -247,8 +260,8 @@
 		mean.Completion = mean.FirstToken + model.Decode(w.expected, batch)
 		conservative.FirstToken = mean.FirstToken
 		conservative.Completion = conservative.FirstToken + model.Decode(upper, batch)
-		cost = model.PrefillCost(prompt) + model.DecodeCost(w.expected, batch)
-		cost = estimator.Scale(cost, application.Summary.CostScale)
+		w.cost = s.generationCost(application, w, now)
+		cost = w.cost.total()
 	}
 	s.nextID++
 	isStarted := work.DeliveredTokens > 0 || work.isRetry() || work.IsResumed
@@ -299,7 +312,7 @@
 	slices.Sort(positions)
 	after := admitter.RetryAfter(q.items, capacity, s.rand.Float64())
 	for _, position := range slices.Backward(positions) {
-		s.refuse(q, position, s.reason(&q.items[position], now), after)
+		s.refuse(q, position, s.reason(&q.items[position], now), after, now)
 	}
 }
 
@@ -314,12 +327,13 @@
 	}
 }
 
-func (s *Scheduler) refuse(q *queue, position int, reason RefusalReason, after time.Duration) {
+func (s *Scheduler) refuse(q *queue, position int, reason RefusalReason, after time.Duration, now time.Time) {
 	w := q.waiters[position]
 	s.removeAt(q, position)
 	if reason == ReasonTooLate {
 		s.class(&w.work).DecayFirstToken()
 	}
+	s.recordRefused(w, now)
 	refused := refusal(reason, after)
 	s.logRefusal(q, w, refused.refusal)
 	w.outcome <- refused
@@ -334,12 +348,14 @@
 	s.logger.Debug("work refused", "request_id", w.work.RequestID, "class", w.work.Class.Name, "reason", refused.Reason,
 		"retry_after_ms", refused.RetryAfter.Milliseconds(), "age_ms", s.now().Sub(w.work.Arrived).Milliseconds(),
 		"endpoints", application.Len(), "usable", application.Summary.Usable, "capacity", application.Summary.Capacity,
-		"pace", q.correction.factor(), "queued", len(q.items), "excluded", len(w.work.Excluded), "software_version", w.work.SoftwareVersion)
+		"pace", q.correction.factor(), "queued", len(q.items), "excluded", len(w.work.Excluded), "software_version", w.work.SoftwareVersion,
+		"rank", w.work.Rank, "tenant", w.work.Tenant, "cost_ms", w.cost.total().Milliseconds(),
+		"share", s.precedence(q.application).shares[allocator.Clamp(w.work.Rank)].Of(w.work.Tenant))
 }
 
 func (s *Scheduler) refuseAll(q *queue, reason RefusalReason) {
 	for len(q.items) > 0 {
-		s.refuse(q, 0, reason, noEndpointRetryDelay)
+		s.refuse(q, 0, reason, noEndpointRetryDelay, s.now())
 	}
 }
 
@@ -363,8 +379,15 @@
 func (s *Scheduler) dispatchQueue(q *queue, now time.Time) {
 	s.table.Refresh(now)
 	application := s.table.Application(q.application)
-	skipped := 0
-	for position := 0; position < len(q.items) && skipped < maxSkipped; {
+	var skipped [allocator.Ranks]int
+	for position := 0; position < len(q.items); {
+		rank := q.items[position].Rank
+		if skipped[rank] >= maxSkipped {
+			if position = nextRank(q.items, position); position < 0 {
+				break
+			}
+			continue
+		}
 		w := q.waiters[position]
 		g, verdict := s.tryGrant(application, w, &q.items[position], now)
 		if g != nil {
@@ -379,11 +402,24 @@
 			continue
 		}
 		position++
-		skipped++
+		skipped[rank]++
 	}
 	s.refuseLate(q, now)
 }
 
+// nextRank returns the position of the first item of another rank after a position, or -1.
+func nextRank(items []admitter.Item, position int) int {
+	if !items[position].IsStarted && items[len(items)-1].Rank == items[position].Rank {
+		return -1 // items that aren't started are in the order of their ranks
+	}
+	for i := position + 1; i < len(items); i++ {
+		if items[i].Rank != items[position].Rank {
+			return i
+		}
+	}
+	return -1
+}
+
 // queueOf returns the queue for work, and creates it on first use. An application's first queue
 // is the one for work that any endpoint may run.
 func (s *Scheduler) queueOf(work *Work) *queue {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -58,6 +58,9 @@
 	demandMeter    *aggregator.Meter
 	othersDemand   aggregator.Snapshot
 	othersDemandAt time.Time // zero: not known
+	smoothedDemand smoothedDemand
+	precedences    map[string]*precedence // by application
+	sharesAt       time.Time              // when the shares were last computed
 
 	acquireCalls sync.WaitGroup // running calls of Acquire
 }
@@ -94,6 +97,7 @@
 		queues:       make(map[string][]*queue),
 		processExits: make(map[ProcessExit]time.Time),
 		demandMeter:  aggregator.NewMeter(),
+		precedences:  make(map[string]*precedence),
 	}
 	s.table.RateLimitOf, s.table.BackoffRemaining = cfg.Limiter.Limit, cfg.BackoffRemaining
 	return s
@@ -244,5 +248,6 @@
 		}
 		s.queues[name] = slices.DeleteFunc(queues, func(q *queue) bool { return q.softwareVersion != "" && len(q.items) == 0 })
 	}
+	s.refreshShares(now)
 	s.dispatchAll(now)
 }
--- /dev/null
+++ b/internal/scheduler/smoothed_demand.go
@@ -0,0 +1,118 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/aggregator"
+)
+
+const (
+	// othersDemandTimeout is how long the demand of other hosts is used.
+	othersDemandTimeout = 2 * time.Second
+	// smoothedHalfLife is the half-life of this host's demand where it stands for that of
+	// all hosts. With the meter's second, a host that gets one costly request in two
+	// seconds would assume a shortage after two in one second.
+	smoothedHalfLife = 10 * time.Second
+	minSmoothed      = 1e-6 // engine seconds per second that are forgotten
+)
+
+// smoothedDemand is the demand of this host's callers, averaged over some seconds.
+type smoothedDemand struct {
+	offered   map[aggregator.Key]float64
+	startedAt time.Time
+	updatedAt time.Time
+	lastAt    time.Time // last new work
+}
+
+// update adds the present demand. A host that has just started averages over the time since.
+func (d *smoothedDemand) update(demands map[aggregator.Key]aggregator.Demand, now time.Time) {
+	if d.offered == nil {
+		d.offered, d.startedAt, d.updatedAt = make(map[aggregator.Key]float64), now, now
+	}
+	halfLife := min(max(now.Sub(d.startedAt), time.Second), smoothedHalfLife)
+	kept := math.Exp2(-float64(now.Sub(d.updatedAt)) / float64(halfLife))
+	d.updatedAt = now
+	for key, offered := range d.offered {
+		if d.offered[key] = offered * kept; d.offered[key] < minSmoothed {
+			delete(d.offered, key)
+		}
+	}
+	for key, demand := range demands {
+		d.offered[key] += demand.Offered * (1 - kept)
+	}
+}
+
+// demandOfAllHosts returns the demand of the callers of all hosts: this host's and that of
+// the others, or an estimate from this host's alone if the others' is not known.
+func (s *Scheduler) demandOfAllHosts(now time.Time) map[aggregator.Key]aggregator.Demand {
+	own := s.demandMeter.Snapshot(now).Demands
+	s.smoothedDemand.update(own, now)
+	if s.othersDemandAt.IsZero() || now.Sub(s.othersDemandAt) > othersDemandTimeout {
+		return s.estimatedDemand(own)
+	}
+	others := &s.othersDemand
+	if others.Hosts <= 0 {
+		if others.HostsWithout > 0 {
+			return s.estimatedDemand(own)
+		}
+		return own
+	}
+	// Hosts of builds that send no demand are taken to have the mean of the others.
+	scale := 1 + float64(max(others.HostsWithout, 0))/float64(others.Hosts)
+	for key, demand := range others.Demands {
+		own[key] = sumOfDemands(own[key], demand, scale)
+	}
+	return own
+}
+
+// estimatedDemand returns this host's demand times the number of hosts.
+func (s *Scheduler) estimatedDemand(own map[aggregator.Key]aggregator.Demand) map[aggregator.Key]aggregator.Demand {
+	estimated := make(map[aggregator.Key]aggregator.Demand, len(s.smoothedDemand.offered))
+	for key, offered := range s.smoothedDemand.offered {
+		application := s.table.Applications[key.Application]
+		if application == nil {
+			continue
+		}
+		demand := own[key]
+		if demand.Offered <= 0 {
+			demand = aggregator.Demand{Offered: 1}
+		}
+		scale := offered * float64(application.Summary.Peers+1) / demand.Offered
+		estimated[key] = sumOfDemands(aggregator.Demand{}, demand, scale)
+	}
+	return estimated
+}
+
+// sumOfDemands returns a plus b times a scale. The tenants without a name are mostly the
+// same at all hosts, so their number is not added up.
+func sumOfDemands(a, b aggregator.Demand, scale float64) aggregator.Demand {
+	sum := aggregator.Demand{
+		Offered:     a.Offered + b.Offered*scale,
+		Returning:   a.Returning + b.Returning*scale,
+		Refused:     a.Refused + b.Refused*scale,
+		RestOffered: a.RestOffered + b.RestOffered*scale,
+		RestTenants: max(a.RestTenants, b.RestTenants),
+	}
+	// A demand of callers without tenants has no rest, but is one beside tenants of others.
+	if len(a.Tenants) == 0 && len(b.Tenants) > 0 {
+		sum.RestOffered += a.Offered - a.RestOffered
+	}
+	if len(b.Tenants) == 0 && len(a.Tenants) > 0 {
+		sum.RestOffered += (b.Offered - b.RestOffered) * scale
+	}
+	positions := make(map[string]int, len(a.Tenants))
+	for _, tenant := range a.Tenants {
+		positions[tenant.Tenant] = len(sum.Tenants)
+		sum.Tenants = append(sum.Tenants, tenant)
+	}
+	for _, tenant := range b.Tenants {
+		tenant.Offered *= scale
+		if i, ok := positions[tenant.Tenant]; ok {
+			sum.Tenants[i].Offered += tenant.Offered
+		} else {
+			sum.Tenants = append(sum.Tenants, tenant)
+		}
+	}
+	return sum
+}
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -19,8 +19,14 @@
 	// SoftwareVersions holds the part of Capacity of each software version; nil if all usable
 	// endpoints have the same one.
 	SoftwareVersions map[string]float64
-	MeanBatch        int // requests in flight at a usable endpoint
-	MeanTokensAhead  int // prompt tokens queued at a usable endpoint
+	FleetCapacity    RoleCapacity // of all usable endpoints, for the callers of all hosts
+	MeanBatch        int          // requests in flight at a usable endpoint
+	MeanTokensAhead  int          // prompt tokens queued at a usable endpoint
+	// MeanPrefillAhead is the number of prompt tokens queued at a usable endpoint that prefills.
+	MeanPrefillAhead int
+	// SlotUse is the share in use of the request limits of usable endpoints, without those
+	// that only prefill.
+	SlotUse float64
 	// MaxTokenInterval is the smallest Class.MaxTokenInterval among the classes with
 	// many requests; 0: none.
 	MaxTokenInterval time.Duration
@@ -132,6 +138,7 @@
 func (t *Table) summary(a *Application, peers int, now time.Time) (s Summary) {
 	s.Peers = peers
 	requests, ahead, own, others := 0, 0, 0, 0
+	prefillEngines, prefillAhead, decodeRequests, decodeLimit := 0, 0, 0, 0
 	var speed float64
 	firstVersion := ""
 	for i := range a.Len() {
@@ -154,11 +161,20 @@
 			s.SoftwareVersions = map[string]float64{firstVersion: speed, version: capacity}
 		}
 		speed += capacity
+		s.FleetCapacity.add(endpoint.Role, capacity)
 		own += endpoint.Own.Requests
 		others += endpoint.Peers.Requests
 		total := endpoint.Total()
 		requests += total.Requests
 		ahead += total.PrefillTokens
+		if endpoint.CanPrefill() {
+			prefillEngines++
+			prefillAhead += total.PrefillTokens
+		}
+		if endpoint.CanDecode() {
+			decodeRequests += total.Requests
+			decodeLimit += endpoint.Limit
+		}
 	}
 	s.Capacity = speed / float64(1+peers)
 	for version := range s.SoftwareVersions {
@@ -167,5 +183,7 @@
 	s.MeanBatch = max(1, requests/max(1, s.Usable))
 	s.ExcessShare = max(float64(own*(1+peers))/float64(max(own+others, 1))-1, 0)
 	s.MeanTokensAhead = ahead / max(1, s.Usable)
+	s.MeanPrefillAhead = prefillAhead / max(1, prefillEngines)
+	s.SlotUse = float64(decodeRequests) / float64(max(1, decodeLimit))
 	return s
 }
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -11,8 +11,13 @@
 
 // Work is a request, or the remainder of one, that needs an endpoint.
 type Work struct {
-	RequestID       string
-	Class           configurer.Class
+	RequestID string
+	Class     configurer.Class
+	Rank      int    // 0 is the most urgent; ranks above 9 count as 9
+	Tenant    string // the caller's; empty: none. Class.Tenant is empty for opaque requests
+	// TimeLimit is the longest time until the request is answered; 0: the class's
+	// completion target.
+	TimeLimit       time.Duration
 	Arrived         time.Time // at this host; targets are measured from this time
 	PromptTokens    int
 	PrefixKey       string
@@ -34,6 +39,25 @@
 	// IsPrefilled is true if an engine holds the prompt's KV cache for this request, so
 	// that only an engine for decoding is needed.
 	IsPrefilled bool
+	// IsAdmitted is true if an earlier attempt of the request was given an endpoint.
+	IsAdmitted bool
+	// IsFromPeer is true for a request that another host has passed on. That host has
+	// counted it in its demand.
+	IsFromPeer bool
+}
+
+// isNew reports whether this is the first attempt of a new request.
+func (w *Work) isNew() bool {
+	return w.DeliveredTokens == 0 && len(w.Excluded) == 0 && w.RetryUntil.IsZero() &&
+		!w.IsResumed && !w.IsPrefilled && !w.IsAdmitted
+}
+
+// timeLimit returns TimeLimit or its default.
+func (w *Work) timeLimit() time.Duration {
+	if w.TimeLimit > 0 {
+		return w.TimeLimit
+	}
+	return w.Class.CompletionTarget()
 }
 
 // isRetry reports whether an endpoint may have run an earlier attempt from which the
@@ -117,6 +141,7 @@
 	ReasonTenantShare RefusalReason = "tenant_share" // the tenant has used up its fair share
 	ReasonDraining    RefusalReason = "draining"     // this host accepts no new work
 	ReasonTooLate     RefusalReason = "too_late"     // the target passed while the work waited
+	ReasonPrecedence  RefusalReason = "precedence"   // the capacity goes to more urgent work, or to other tenants
 )
 
 // RefusalError is the error for work that has not been run and will not be run.
--- a/internal/server/failure.go
+++ b/internal/server/failure.go
@@ -80,6 +80,7 @@
 	string(scheduler.ReasonNoEndpoint):  statusRefused,
 	string(scheduler.ReasonDraining):    statusRefused,
 	string(scheduler.ReasonTooLate):     statusRefused,
+	string(scheduler.ReasonPrecedence):  statusRefused,
 	dispatcher.ReasonNotReady:           statusRefused,
 	dispatcher.ReasonClaimUnavailable:   statusRefused,
 	reasonTicketUnavailable:             statusRefused,
