Scheduler: capacity by the mix of admitted work, and a model of the fleet

In a model of 9 to 300 hosts, the first version left engines idle: the mix of prefill and decoding was that of the offered work, of which the part that is not admitted needs more prefill, decode engines that prefill small prompts were not counted, and refusals of hosts with few requests lowered the correction to its bound.

The capacity now follows the mix of the admitted work by rank and counts direct prefill at half speed, and the correction aims at a median backlog of prompts at the engines. The division among ranks no longer yields a share of -1e-17 by rounding (found by its property test).

--- a/internal/scheduler/allocator/allocator.go
+++ b/internal/scheduler/allocator/allocator.go
@@ -110,7 +110,7 @@
 	reserved := floors(ranks, capacity)
 	left := max(capacity, 0)
 	for i := range reserved {
-		left -= reserved[i]
+		left = max(left-reserved[i], 0)
 	}
 	for i := range ranks {
 		demand := &ranks[i].Demand
@@ -118,7 +118,7 @@
 			continue
 		}
 		allotted := min(reserved[i]+left, demand.Offered)
-		left -= allotted - reserved[i]
+		left = max(left-(allotted-reserved[i]), 0) // rounding may leave less than nothing
 		shares[i] = divideAmongTenants(demand, allotted)
 	}
 	return shares
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -22,6 +22,14 @@
 	// targetRetention is how long the targets of a rank are kept after the last request
 	// that has them.
 	targetRetention = time.Minute
+	// mixSteps is how often the capacity is computed for the mix of the admitted work. With
+	// one step, a shortage of prefill engines left a quarter of them idle, since the work
+	// that is not admitted needs more prefill.
+	mixSteps = 3
+	// directPrefillDivisor: a prompt counts as one that decode engines can prefill if its
+	// prefill takes at most the response target divided by this. A longer one pauses the
+	// running requests of a decode engine for too long.
+	directPrefillDivisor = 20
 	// mixHalfLife is the half-life of the share of prefill in the cost of new work.
 	mixHalfLife = 5 * time.Second
 )
@@ -33,7 +41,7 @@
 	capacity   float64
 	credits    admitter.Credits
 	targets    [allocator.Ranks]rankTargets
-	mix        prefillMix
+	mixes      [allocator.Ranks]prefillMix
 	correction fleetCorrection
 	counts     [allocator.Ranks]admissionCount
 	log        shortageLog
@@ -63,24 +71,21 @@
 	}
 }
 
-// prefillMix holds decaying sums of the cost of new work.
+// prefillMix holds decaying sums of the cost of new work of one rank.
 type prefillMix struct {
-	prefill, total float64
-	updatedAt      time.Time
+	prefill, direct, total float64
+	updatedAt              time.Time
 }
 
-func (m *prefillMix) observe(cost engineCost, now time.Time) {
+func (m *prefillMix) observe(cost engineCost, isDirect bool, now time.Time) {
 	factor := math.Exp2(-float64(now.Sub(m.updatedAt)) / float64(mixHalfLife))
 	m.prefill = m.prefill*factor + cost.prefill.Seconds()
 	m.total = m.total*factor + cost.total().Seconds()
-	m.updatedAt = now
-}
-
-func (m *prefillMix) prefillShare() float64 {
-	if m.total <= 0 {
-		return 0
+	m.direct *= factor
+	if isDirect {
+		m.direct += cost.prefill.Seconds()
 	}
-	return m.prefill / m.total
+	m.updatedAt = now
 }
 
 func (s *Scheduler) precedence(application string) *precedence {
@@ -114,11 +119,9 @@
 	key := admitter.CreditKey{Rank: rank, Tenant: work.Tenant}
 	if share >= 1 || p.credits.Admit(key, share, item.Cost.Seconds(), s.rand.Float64(), now) {
 		p.counts[rank].admitted++
-		p.correction.admittedSeconds += item.Cost.Seconds()
 		return outcome{}, false
 	}
 	p.counts[rank].refused++
-	p.correction.withheldSeconds += item.Cost.Seconds()
 	if w.demand.seconds > 0 {
 		s.demandMeter.RecordRefused(w.demand.key, w.demand.seconds, now)
 	}
@@ -131,7 +134,7 @@
 func (s *Scheduler) recordDemand(p *precedence, w *waiter, item *admitter.Item, now time.Time) {
 	work, rank := &w.work, allocator.Clamp(w.work.Rank)
 	p.targets[rank].observe(admitter.ResponseTarget(&work.Class), work.timeLimit(), now)
-	p.mix.observe(w.cost, now)
+	p.mixes[rank].observe(w.cost, w.cost.prefill*directPrefillDivisor <= admitter.ResponseTarget(&work.Class), now)
 	if work.IsFromPeer {
 		return
 	}
@@ -142,10 +145,6 @@
 
 // recordRefused counts the refusal of queued work in the demand.
 func (s *Scheduler) recordRefused(w *waiter, now time.Time) {
-	if !w.work.isNew() {
-		return
-	}
-	s.precedence(w.work.Class.Application).correction.lateSeconds += w.cost.total().Seconds()
 	if w.demand.seconds > 0 {
 		s.demandMeter.RecordRefused(w.demand.key, w.demand.seconds, now)
 	}
@@ -182,24 +181,48 @@
 	p.correction.tick(p.isShort, engineState{
 		backlog: s.engineBacklog(application), slotUse: summary.SlotUse, response: shortestResponse(&ranks),
 	}, now)
-	p.capacity = summary.FleetCapacity.Of(p.mix.prefillShare()) * p.correction.factor()
 	p.shares = allocator.AllAdmitted()
-	// A host without usable endpoints refuses work as having no endpoint, so that it is
-	// passed on to a peer that reaches some.
-	if summary.Usable > 0 && p.capacity > 0 {
-		p.shares = allocator.Divide(&ranks, p.capacity)
+	// The capacity depends on the mix of the admitted work, and this on the capacity.
+	for range mixSteps {
+		p.capacity = summary.FleetCapacity.Of(p.mix(&ranks)) * p.correction.factor()
+		// A host without usable endpoints refuses work as having no endpoint, so that it is
+		// passed on to a peer that reaches some.
+		if summary.Usable == 0 || p.capacity <= 0 {
+			p.shares = allocator.AllAdmitted()
+			break
+		}
+		if p.shares = allocator.Divide(&ranks, p.capacity); !p.shares.IsShort() {
+			break
+		}
 	}
 	p.isShort = p.shares.IsShort()
 	s.logShortage(application, p, &ranks, now)
 }
 
+// mix returns the mix of the work that the shares admit.
+func (p *precedence) mix(ranks *[allocator.Ranks]allocator.Rank) (mix tracker.WorkMix) {
+	var total float64
+	for i := range ranks {
+		if m := &p.mixes[i]; m.total > 0 {
+			admitted := ranks[i].Demand.Offered * p.shares[i].All
+			mix.Prefill += admitted * m.prefill / m.total
+			mix.Direct += admitted * m.direct / m.total
+			total += admitted
+		}
+	}
+	if total > 0 {
+		mix.Prefill, mix.Direct = mix.Prefill/total, mix.Direct/total
+	}
+	return mix
+}
+
 // engineBacklog returns how long the prompts queued at an engine take on average.
 func (s *Scheduler) engineBacklog(application *tracker.Application) time.Duration {
 	summary := &application.Summary
 	if summary.HasSeparateRoles {
-		return application.Model.DedicatedPrefillCost(summary.MeanPrefillAhead)
+		return max(application.Model.DedicatedPrefillCost(summary.MedianPrefillAhead), application.Model.DirectPrefillCost(summary.MedianDirectAhead))
 	}
-	return application.Model.PrefillCost(summary.MeanPrefillAhead)
+	return application.Model.PrefillCost(summary.MedianPrefillAhead)
 }
 
 func shortestResponse(ranks *[allocator.Ranks]allocator.Rank) (shortest time.Duration) {
--- a/internal/scheduler/tracker/rolecapacity.go
+++ b/internal/scheduler/tracker/rolecapacity.go
@@ -18,20 +18,40 @@
 	}
 }
 
-// Of returns the engine time that serves work of which a share is prefill. One role is the
-// bottleneck if the work needs more of it than the engines provide; the others are idle in
-// part then. Without engines that prefill, decode engines do it.
-func (c *RoleCapacity) Of(prefillShare float64) float64 {
+// WorkMix states which parts of the engine time of work are prefill. The rest is decoding.
+type WorkMix struct {
+	Prefill float64 // all prefill
+	Direct  float64 // part of Prefill that decode engines can do as well
+}
+
+// directSlowdown is how much longer a decode engine takes for a prompt than an engine that
+// only prefills, since it decodes at the same time.
+const directSlowdown = 2
+
+// Of returns the engine time that serves work of a mix. One role is the bottleneck if the
+// work needs more of it than its engines provide; the others are idle in part then. If it is
+// prefill, decode engines prefill some of the small prompts with what they have left.
+// Without engines that prefill, decode engines do it all.
+func (c *RoleCapacity) Of(mix WorkMix) float64 {
 	prefill, decode := c.Mixed+c.Prefill, c.Mixed+c.Decode
 	if prefill <= 0 {
 		return c.Decode
 	}
-	total := c.Mixed + c.Prefill + c.Decode
-	if prefillShare > 0 {
-		total = min(total, prefill/prefillShare)
+	total := prefill + c.Decode
+	if mix.Prefill < 1 {
+		total = min(total, decode/(1-mix.Prefill))
+	}
+	if mix.Prefill*total <= prefill {
+		return total
+	}
+	if mix.Direct <= 0 {
+		return prefill / mix.Prefill
 	}
-	if prefillShare < 1 {
-		total = min(total, decode/(1-prefillShare))
+	// With d of the prefill done by decode engines, mix.Prefill × total - d fills the engines
+	// that prefill, and (1 - mix.Prefill) × total + directSlowdown × d the others.
+	shared := (c.Decode + directSlowdown*prefill) / (1 - mix.Prefill + directSlowdown*mix.Prefill)
+	if mix.Prefill > mix.Direct {
+		shared = min(shared, prefill/(mix.Prefill-mix.Direct))
 	}
-	return total
+	return min(total, max(shared, prefill/mix.Prefill))
 }
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -1,6 +1,7 @@
 package tracker
 
 import (
+	"slices"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/driver"
@@ -22,8 +23,11 @@
 	FleetCapacity    RoleCapacity // of all usable endpoints, for the callers of all hosts
 	MeanBatch        int          // requests in flight at a usable endpoint
 	MeanTokensAhead  int          // prompt tokens queued at a usable endpoint
-	// MeanPrefillAhead is the number of prompt tokens queued at a usable endpoint that prefills.
-	MeanPrefillAhead int
+	// MedianPrefillAhead is the number of prompt tokens queued at a usable endpoint that
+	// prefills. It is not the mean, since long prompts queue at the few engines that cache
+	// their prefix while the others have room.
+	MedianPrefillAhead int
+	MedianDirectAhead  int // the same for usable endpoints that only decode
 	// SlotUse is the share in use of the request limits of usable endpoints, without those
 	// that only prefill.
 	SlotUse float64
@@ -138,7 +142,8 @@
 func (t *Table) summary(a *Application, peers int, now time.Time) (s Summary) {
 	s.Peers = peers
 	requests, ahead, own, others := 0, 0, 0, 0
-	prefillEngines, prefillAhead, decodeRequests, decodeLimit := 0, 0, 0, 0
+	var prefillAhead, directAhead []int
+	decodeRequests, decodeLimit := 0, 0
 	var speed float64
 	firstVersion := ""
 	for i := range a.Len() {
@@ -168,8 +173,9 @@
 		requests += total.Requests
 		ahead += total.PrefillTokens
 		if endpoint.CanPrefill() {
-			prefillEngines++
-			prefillAhead += total.PrefillTokens
+			prefillAhead = append(prefillAhead, total.PrefillTokens)
+		} else {
+			directAhead = append(directAhead, total.PrefillTokens)
 		}
 		if endpoint.CanDecode() {
 			decodeRequests += total.Requests
@@ -183,7 +189,16 @@
 	s.MeanBatch = max(1, requests/max(1, s.Usable))
 	s.ExcessShare = max(float64(own*(1+peers))/float64(max(own+others, 1))-1, 0)
 	s.MeanTokensAhead = ahead / max(1, s.Usable)
-	s.MeanPrefillAhead = prefillAhead / max(1, prefillEngines)
+	s.MedianPrefillAhead, s.MedianDirectAhead = median(prefillAhead), median(directAhead)
 	s.SlotUse = float64(decodeRequests) / float64(max(1, decodeLimit))
 	return s
 }
+
+// median returns the lower median, or 0 without values.
+func median(values []int) int {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
