Metrics of the admission by application and rank

An operator could not see why work of a rank is refused with the reason precedence. The shares, the admitted and the refused requests are written by application and rank.

--- a/internal/dispatcher/peer_test.go
+++ b/internal/dispatcher/peer_test.go
@@ -73,6 +73,7 @@
 		"no endpoint reached":                     {peers: scriptedPeers{isPreferred: true}, passes: 1},
 		"refused for lack of endpoints":           {refusal: noEndpoint, passes: 1},
 		"refused since the target has passed":     {refusal: &scheduler.RefusalError{Reason: scheduler.ReasonTooLate, RetryAfter: time.Second}, outcome: OutcomeNotRun, reason: "too_late"},
+		"refused by precedence, as at all peers":  {refusal: &scheduler.RefusalError{Reason: scheduler.ReasonPrecedence, RetryAfter: time.Second}, outcome: OutcomeNotRun, reason: "precedence"},
 		"two connections refused":                 {errs: []error{driver.ErrConnectionRefused, driver.ErrConnectionRefused}, sends: 2, passes: 1},
 		"one connection refused":                  {errs: []error{driver.ErrConnectionRefused}, sends: 2},
 		"a request of a peer is never passed on":  {peers: scriptedPeers{isPreferred: true}, origin: &Origin{HostID: "h"}, refusal: noEndpoint, outcome: OutcomeNotRun, reason: ReasonNoPath},
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -308,6 +308,7 @@
 	g.meter.GaugeRequestsQuarantined(func() float64 { return float64(g.quarantiner.Count()) })
 	g.meter.GaugeStreamRecords(func() float64 { return float64(g.streams.Count()) })
 	g.gaugeSignals()
+	g.meter.RegisterAdmissions(g.admissions)
 	g.meter.GaugeEndpoints("listed", func() float64 { return float64(len(g.registrations.Hosts())) })
 }
 
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -8,6 +8,7 @@
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/meter"
 	"github.com/endivemast/endivemast/internal/observer"
 	"github.com/endivemast/endivemast/internal/ratelimiter"
 )
@@ -49,6 +50,14 @@
 	g.meter.GaugeEndpoints("resting", count(func(state *observer.State) bool { return state.BackoffUntil.After(g.cfg.Clock.Now()) }))
 }
 
+// admissions returns the admission by application and rank, for the metrics.
+func (g *Gateway) admissions() (admissions []meter.Admission) {
+	for _, status := range g.scheduler.Admissions() {
+		admissions = append(admissions, meter.Admission(status))
+	}
+	return admissions
+}
+
 func (g *Gateway) refill(process driver.Process) { g.scheduler.NotifySlots(process, time.Now()) }
 
 // limiterHosts returns the hosts that may own limits: the hubs, which can reach each
