--- /dev/null
+++ b/internal/scheduler/precedence.go
@@ -0,0 +1,236 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+
+	"github.com/endivemast/endivemast/internal/aggregator"
+	"github.com/endivemast/endivemast/internal/scheduler/admitter"
+	"github.com/endivemast/endivemast/internal/scheduler/allocator"
+	"github.com/endivemast/endivemast/internal/scheduler/tracker"
+)
+
+// This file applies the shares of package allocator to new work.
+
+const (
+	// shareInterval bounds how often the shares are computed. With Tick's interval, they
+	// follow a loss of engines within 0.2 s.
+	shareInterval = 100 * time.Millisecond
+	// idleAfter is how long after the last new work the shares are still computed in Tick.
+	// The demand has decayed to a thousandth by then.
+	idleAfter = 10 * time.Second
+	// targetRetention is how long the targets of a rank are kept after the last request
+	// that has them.
+	targetRetention = time.Minute
+	// mixSteps is how often the capacity is computed for the mix of the admitted work. With
+	// one step, a shortage of prefill engines left a quarter of them idle, since the work
+	// that is not admitted needs more prefill.
+	mixSteps = 3
+	// directPrefillDivisor: a prompt counts as one that decode engines can prefill if its
+	// prefill takes at most the response target divided by this. A longer one pauses the
+	// running requests of a decode engine for too long.
+	directPrefillDivisor = 20
+	// mixHalfLife is the half-life of the share of prefill in the cost of new work.
+	mixHalfLife = 5 * time.Second
+)
+
+// precedence is the state of the admission of one application's work by rank and tenant.
+type precedence struct {
+	shares     allocator.Shares
+	isShort    bool // some share is below 1
+	capacity   float64
+	credits    admitter.Credits
+	targets    [allocator.Ranks]rankTargets
+	mixes      [allocator.Ranks]prefillMix
+	correction fleetCorrection
+	counts     [allocator.Ranks]admissionCount
+	log        shortageLog
+}
+
+// admissionCount counts the new work of one rank.
+type admissionCount struct{ admitted, refused uint64 }
+
+// demandShare is what a request counts for in the demand of this host's callers.
+type demandShare struct {
+	key     aggregator.Key
+	seconds float64 // 0: not counted
+}
+
+// rankTargets holds the targets of the classes of one rank, as far as this host has seen them.
+type rankTargets struct {
+	response, limit     time.Duration // the shortest response target and the longest time limit
+	responseAt, limitAt time.Time     // last request with them
+}
+
+func (r *rankTargets) observe(response, limit time.Duration, now time.Time) {
+	if response > 0 && (r.response == 0 || response <= r.response || now.Sub(r.responseAt) > targetRetention) {
+		r.response, r.responseAt = response, now
+	}
+	if limit >= r.limit || now.Sub(r.limitAt) > targetRetention {
+		r.limit, r.limitAt = limit, now
+	}
+}
+
+// prefillMix holds decaying sums of the cost of new work of one rank.
+type prefillMix struct {
+	prefill, direct, total float64
+	updatedAt              time.Time
+}
+
+func (m *prefillMix) observe(cost engineCost, isDirect bool, now time.Time) {
+	factor := math.Exp2(-float64(now.Sub(m.updatedAt)) / float64(mixHalfLife))
+	m.prefill = m.prefill*factor + cost.prefill.Seconds()
+	m.total = m.total*factor + cost.total().Seconds()
+	m.direct *= factor
+	if isDirect {
+		m.direct += cost.prefill.Seconds()
+	}
+	m.updatedAt = now
+}
+
+func (s *Scheduler) precedence(application string) *precedence {
+	p := s.precedences[application]
+	if p == nil {
+		p = &precedence{shares: allocator.AllAdmitted()}
+		s.precedences[application] = p
+	}
+	return p
+}
+
+// applyPrecedence counts new work in the demand, and refuses it if its rank or tenant has
+// used up its share. It sets the rank by which the item is ordered.
+func (s *Scheduler) applyPrecedence(q *queue, w *waiter, item *admitter.Item, now time.Time) (outcome, bool) {
+	if s.cfg.Policy.Admission == AdmitAll {
+		return outcome{}, false
+	}
+	work, rank := &w.work, allocator.Clamp(w.work.Rank)
+	p := s.precedence(q.application)
+	if work.isNew() {
+		s.recordDemand(p, w, item, now)
+	}
+	s.refreshShares(now)
+	if p.isShort {
+		item.Rank = rank
+	}
+	if !work.isNew() {
+		return outcome{}, false
+	}
+	share := p.shares[rank].Of(work.Tenant)
+	key := admitter.CreditKey{Rank: rank, Tenant: work.Tenant}
+	if share >= 1 || p.credits.Admit(key, share, item.Cost.Seconds(), s.rand.Float64(), now) {
+		p.counts[rank].admitted++
+		return outcome{}, false
+	}
+	p.counts[rank].refused++
+	if w.demand.seconds > 0 {
+		s.demandMeter.RecordRefused(w.demand.key, w.demand.seconds, now)
+	}
+	after := admitter.RetryAfter(q.items, s.capacity(q), s.rand.Float64())
+	return refusal(ReasonPrecedence, after), true
+}
+
+// recordDemand counts new work in the demand of this host's callers. Work that a peer has
+// passed on is in the demand of that peer's callers.
+func (s *Scheduler) recordDemand(p *precedence, w *waiter, item *admitter.Item, now time.Time) {
+	work, rank := &w.work, allocator.Clamp(w.work.Rank)
+	p.targets[rank].observe(admitter.ResponseTarget(&work.Class), work.timeLimit(), now)
+	p.mixes[rank].observe(w.cost, w.cost.prefill*directPrefillDivisor <= admitter.ResponseTarget(&work.Class), now)
+	if work.IsFromPeer {
+		return
+	}
+	w.demand = demandShare{key: aggregator.Key{Application: work.Class.Application, Rank: rank}, seconds: item.Cost.Seconds()}
+	s.demandMeter.RecordOffered(w.demand.key, work.Tenant, w.demand.seconds, now)
+	s.smoothedDemand.lastAt = now
+}
+
+// recordRefused counts the refusal of queued work in the demand.
+func (s *Scheduler) recordRefused(w *waiter, now time.Time) {
+	if w.demand.seconds > 0 {
+		s.demandMeter.RecordRefused(w.demand.key, w.demand.seconds, now)
+	}
+}
+
+// refreshShares computes the shares again if they are older than shareInterval.
+func (s *Scheduler) refreshShares(now time.Time) {
+	if now.Sub(s.sharesAt) < shareInterval || now.Sub(s.smoothedDemand.lastAt) > idleAfter {
+		return
+	}
+	s.sharesAt = now
+	s.table.Refresh(now)
+	demands := s.demandOfAllHosts(now)
+	for name, p := range s.precedences {
+		application := s.table.Applications[name]
+		if application == nil {
+			continue
+		}
+		s.refreshSharesOf(application, p, demands, now)
+	}
+}
+
+func (s *Scheduler) refreshSharesOf(
+	application *tracker.Application, p *precedence, demands map[aggregator.Key]aggregator.Demand, now time.Time,
+) {
+	var ranks [allocator.Ranks]allocator.Rank
+	for i := range ranks {
+		ranks[i] = allocator.Rank{
+			Demand:         demands[aggregator.Key{Application: application.Name, Rank: i}],
+			ResponseTarget: p.targets[i].response, TimeLimit: p.targets[i].limit,
+		}
+	}
+	summary := &application.Summary
+	p.correction.tick(p.isShort, engineState{
+		backlog: s.engineBacklog(application), slotUse: summary.SlotUse, response: shortestResponse(&ranks),
+	}, now)
+	p.shares = allocator.AllAdmitted()
+	// The capacity depends on the mix of the admitted work, and this on the capacity.
+	for range mixSteps {
+		p.capacity = summary.FleetCapacity.Of(p.mix(&ranks)) * p.correction.factor()
+		// A host without usable endpoints refuses work as having no endpoint, so that it is
+		// passed on to a peer that reaches some.
+		if summary.Usable == 0 || p.capacity <= 0 {
+			p.shares = allocator.AllAdmitted()
+			break
+		}
+		if p.shares = allocator.Divide(&ranks, p.capacity); !p.shares.IsShort() {
+			break
+		}
+	}
+	p.isShort = p.shares.IsShort()
+	s.logShortage(application, p, &ranks, now)
+}
+
+// mix returns the mix of the work that the shares admit.
+func (p *precedence) mix(ranks *[allocator.Ranks]allocator.Rank) (mix tracker.WorkMix) {
+	var total float64
+	for i := range ranks {
+		if m := &p.mixes[i]; m.total > 0 {
+			admitted := ranks[i].Demand.Offered * p.shares[i].All
+			mix.Prefill += admitted * m.prefill / m.total
+			mix.Direct += admitted * m.direct / m.total
+			total += admitted
+		}
+	}
+	if total > 0 {
+		mix.Prefill, mix.Direct = mix.Prefill/total, mix.Direct/total
+	}
+	return mix
+}
+
+// engineBacklog returns how long the prompts queued at an engine take on average.
+func (s *Scheduler) engineBacklog(application *tracker.Application) time.Duration {
+	summary := &application.Summary
+	if summary.HasSeparateRoles {
+		return max(application.Model.DedicatedPrefillCost(summary.MedianPrefillAhead), application.Model.DirectPrefillCost(summary.MedianDirectAhead))
+	}
+	return application.Model.PrefillCost(summary.MedianPrefillAhead)
+}
+
+func shortestResponse(ranks *[allocator.Ranks]allocator.Rank) (shortest time.Duration) {
+	for i := range ranks {
+		target := ranks[i].ResponseTarget
+		if ranks[i].Demand.Offered > 0 && target > 0 && (shortest == 0 || target < shortest) {
+			shortest = target
+		}
+	}
+	return shortest
+}
