Demand of callers is exchanged between hosts

Cause: each host knows only the demand of its own callers, so that admission by precedence and a host's portion of the engines cannot follow the fleet's.

Gateway and Entry pass the sum of the others to the scheduler on each tick.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -28,6 +28,7 @@
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
+	"github.com/endivemast/endivemast/internal/aggregator"
 	"github.com/endivemast/endivemast/internal/connector"
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
@@ -101,6 +102,8 @@
 	Usage Usage
 	// Reach is sent with each message; nil: this host reaches all endpoints.
 	Reach Reach
+	// Demand is sent to peers; nil: no demand is sent, as by older builds.
+	Demand Demand
 	// UpdatesPerSecond bounds the rate of messages with load to all peers together, by making
 	// the tick longer where there are many peers; 0: no limit.
 	UpdatesPerSecond int
@@ -163,6 +166,8 @@
 	own  ownLoad
 	sums map[exchangerpb.Part]*sum // by part; guarded by mu
 
+	demand demandState
+
 	ctx    context.Context // cancelled by Close
 	cancel context.CancelFunc
 	group  *errgroup.Group // nil before Start
@@ -181,6 +186,7 @@
 		cfg.PeerTimeout = DefaultPeerTimeout
 	}
 	ex = &Exchanger{cfg: cfg, local: local, links: map[string]*link{}, states: map[string]*peerState{}, sums: map[exchangerpb.Part]*sum{}}
+	ex.demand.registry = aggregator.NewRegistry(cfg.Zone)
 	ex.ctx, ex.cancel = context.WithCancel(context.Background())
 	ex.server = grpc.NewServer(ex.serverOptions()...)
 	exchangerpb.RegisterExchangeServer(ex.server, ex)
--- a/internal/exchanger/hub_test.go
+++ b/internal/exchanger/hub_test.go
@@ -65,11 +65,16 @@
 	locals map[string]*summedLocal
 	ex     map[string]*Exchanger
 	own    map[string]int
+	// sendsNoDemand are the hosts of builds that send no demand.
+	sendsNoDemand map[string]bool
 }
 
-func startHubFleet(t *testing.T, sizes map[string]int) *hubFleet {
+func startHubFleet(t *testing.T, sizes map[string]int, sendsNoDemand ...string) *hubFleet {
 	t.Helper()
-	f := &hubFleet{t: t, locals: map[string]*summedLocal{}, ex: map[string]*Exchanger{}, own: map[string]int{}}
+	f := &hubFleet{t: t, sendsNoDemand: map[string]bool{}, locals: map[string]*summedLocal{}, ex: map[string]*Exchanger{}, own: map[string]int{}}
+	for _, id := range sendsNoDemand {
+		f.sendsNoDemand[id] = true
+	}
 	listeners := map[string]net.Listener{}
 	for zone, size := range sizes {
 		for i := range size {
@@ -83,11 +88,15 @@
 	for _, peer := range f.peers {
 		local := &summedLocal{loads: map[string]map[string]Load{}, hosts: map[string]int{}, leaving: map[string]time.Time{}}
 		local.own = map[string]Load{"e": {Requests: f.own[peer.HostID]}}
+		var demand Demand
+		if !f.sendsNoDemand[peer.HostID] {
+			demand = fixedDemand(f.own[peer.HostID])
+		}
 		// With a tick of 5 ms the fleets of all tests together sent more messages than the
 		// machine could process, and hosts timed out repeatedly.
 		ex, err := New(Config{
 			HostID: peer.HostID, Incarnation: peer.HostID, Zone: peer.Zone, ProcessorShare: peer.ProcessorShare, HasHubs: true,
-			Listener: listeners[peer.HostID], Tick: 50 * time.Millisecond, PeerTimeout: 2 * time.Second, Logger: hclog.NewNullLogger(),
+			Listener: listeners[peer.HostID], Tick: 50 * time.Millisecond, PeerTimeout: 2 * time.Second, Logger: hclog.NewNullLogger(), Demand: demand,
 		}, local)
 		assert.NilError(t, err)
 		f.locals[peer.HostID], f.ex[peer.HostID] = local, ex
--- a/internal/exchanger/links.go
+++ b/internal/exchanger/links.go
@@ -80,6 +80,7 @@
 	ex.setPeersLocked(peers)
 	dropped := ex.updateTopologyLocked()
 	ex.mu.Unlock()
+	ex.setListed(peers)
 	now := time.Now()
 	for _, source := range dropped {
 		ex.local.ApplyLoad(source, 0, nil, now)
--- a/internal/exchanger/peerstate.go
+++ b/internal/exchanger/peerstate.go
@@ -39,7 +39,8 @@
 	}
 	reply.Resync = !peer.apply(message, now)
 	loads, hosts, source := copyLoads(peer.loads), peer.hosts, ex.sourceOf(ex.topology, peer)
-	isOwnZone := peer.status.Peer.Zone == ex.cfg.Zone
+	peerZone := peer.status.Peer.Zone
+	isOwnZone := peerZone == ex.cfg.Zone
 	ex.mu.Unlock()
 	if ex.cfg.Caches != nil && len(message.GetCaches()) > 0 {
 		ex.cfg.Caches.Merge(cachesFromMessage(message.GetCaches()), isOwnZone)
@@ -57,6 +58,9 @@
 	if !reply.Resync && source != "" {
 		ex.local.ApplyLoad(source, hosts, loads, now)
 	}
+	if !reply.Resync {
+		reply.Resync = !ex.applyDemand(message, peerZone, now)
+	}
 	ex.local.ApplyLeaving(leavingFromMessage(message.GetLeaving()), now)
 	return reply, nil
 }
--- a/internal/exchanger/publisher.go
+++ b/internal/exchanger/publisher.go
@@ -27,6 +27,7 @@
 	usage        logCursor[UsageUpdate]
 	signals      logCursor[SignalUpdate]
 	reach        []ApplicationReach // in the last message
+	demand       demandCursor
 }
 
 // ownLoad caches this host's load for all publishers of a tick. Collecting it locks the
@@ -121,7 +122,8 @@
 	cacheUpdates, crashUpdates := ex.nextUpdates(p)
 	usage, signals := ex.nextUsage(p, peer), ex.nextSignals(p)
 	reach, activeRequests := ex.currentReach()
-	hasUpdates := !slices.Equal(reach, p.reach) || len(cacheUpdates) > 0 || len(crashUpdates) > 0 || len(usage) > 0 || len(signals) > 0
+	demand := ex.nextDemand(p, peer, time.Now())
+	hasUpdates := !slices.Equal(reach, p.reach) || len(cacheUpdates) > 0 || len(crashUpdates) > 0 || len(usage) > 0 || len(signals) > 0 || demand.hasChanged
 	if !p.isDue(message, len(content.leaving)) && !hasUpdates {
 		return
 	}
@@ -132,6 +134,7 @@
 	message.Usage, message.WantsUsage = usageToMessage(usage), ex.cfg.Usage != nil && ex.cfg.Usage.WantsAllCounts()
 	message.Signals = signalsToMessage(signals, ex.cfg.Clock())
 	message.ReducedReach, message.ActiveRequests = reachToMessage(reach), activeRequests
+	ex.addDemand(message, &demand)
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
@@ -142,6 +145,7 @@
 	sent := ex.cfg.Clock()
 	reply, err := client.exchange(ctx, message)
 	p.acknowledge(content.loads, err == nil && !reply.GetResync())
+	ex.acknowledgeDemand(p, &demand, err == nil && !reply.GetResync())
 	if err == nil {
 		p.caches.acknowledge(len(cacheUpdates), reply.GetIncarnation())
 		p.crashes.acknowledge(len(crashUpdates), reply.GetIncarnation())
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -157,7 +157,7 @@
 	e.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: e.cfg.HostID, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
 		Listener: listener, Peers: e.cfg.peers(), Secret: string(secret),
-		ServerTLS: serverTLS, ClientTLS: clientTLS, Logger: e.logger.Named("exchanger"),
+		ServerTLS: serverTLS, ClientTLS: clientTLS, Demand: e, Logger: e.logger.Named("exchanger"),
 	}, e)
 	if err != nil {
 		return errors.Join(err, listener.Close())
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -338,6 +338,7 @@
 			g.updateShedder(now)
 			g.paths.Tick()
 			g.abandonWithoutPath()
+			g.updateDemand(now)
 			g.scheduler.Tick(now)
 			g.quarantiner.Tick(g.cfg.Clock.Now())
 			g.accountant.Tick()
