A host's portion of the engines follows its callers' demand

Cause: each host counted on 1/(1+peers) of the capacity. Hosts of a zone whose callers ask for several times as much as those of others refused work while other hosts left their portions unused.

Change: aggregator.Portion computes the portion from the own demand and the sum of the others, with a floor of a twentieth of a mean host's demand. Hosts of builds that send no demand count with the mean. Where no demand is known, the portion is the former one. The own demand is the one that the others have received 0.4 s ago, so that the portions of a change come from the same data. Summary keeps the whole capacity as FleetCapacity; ExcessShare is relative to the portion.

--- a/internal/scheduler/fleet_demand.go
+++ b/internal/scheduler/fleet_demand.go
@@ -18,4 +18,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.othersDemand, s.othersDemandAt = others, now
+	s.updatePortions(now)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -58,6 +58,9 @@
 	demandMeter    *aggregator.Meter
 	othersDemand   aggregator.Snapshot
 	othersDemandAt time.Time // zero: not known
+	// publishedDemand is the demand of this host by application that the others know; nil:
+	// none of them has received any.
+	publishedDemand map[string]float64
 
 	acquireCalls sync.WaitGroup // running calls of Acquire
 }
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/endivemast/endivemast/internal/aggregator"
 	"github.com/endivemast/endivemast/internal/driver"
 )
 
@@ -13,9 +14,13 @@
 // Summary is the state of all endpoints of an application together. Refresh
 // recomputes it after ticks and changes of the host list.
 type Summary struct {
-	Peers    int     // other hosts that give work
-	Usable   int     // endpoints that take new work
-	Capacity float64 // engine seconds per second that this host can count on
+	Peers  int // other hosts that give work
+	Usable int // endpoints that take new work
+	// FleetCapacity is the engine seconds per second of all usable endpoints, and Capacity
+	// the part of it that this host can count on: Portion, from 0 to 1.
+	FleetCapacity float64
+	Capacity      float64
+	Portion       float64
 	// SoftwareVersions holds the part of Capacity of each software version; nil if all usable
 	// endpoints have the same one.
 	SoftwareVersions map[string]float64
@@ -27,8 +32,8 @@
 	// BatchLimit is the batch size up to which engines stay within MaxTokenInterval;
 	// 0: no limit.
 	BatchLimit int
-	// ExcessShare is by how much this host exceeds its equal share of the requests in
-	// flight, relative to that share; 0: it does not.
+	// ExcessShare is by how much this host exceeds its Portion of the requests in flight,
+	// relative to that portion; 0: it does not.
 	ExcessShare float64
 	// CostScale corrects estimated costs, which count the base time and the batch of a
 	// step twice: for the prompt tokens and for the output tokens.
@@ -66,7 +71,7 @@
 	peers := t.PeerHosts()
 	for _, application := range t.Applications {
 		giving := max(peers-int(t.PeersWithoutPath[application.Name]+0.5), 0)
-		application.Summary = t.summary(application, giving, now)
+		application.Summary = t.summary(application, giving, t.portion(application.Name, peers, giving), now)
 		if u := usage[application.Name]; u.count > 1 {
 			application.Summary.FairShare = u.sum / float64(u.count) * fairShareTolerance
 		}
@@ -124,13 +129,37 @@
 	return t.BackoffRemaining != nil && t.BackoffRemaining(endpoint.Target.Process()) > 0
 }
 
-// summary computes the state of the usable endpoints. This host's part of their
-// capacity is that of one of several equal hosts, since the platform's balancer
-// spreads callers evenly. Its share of the work in flight would be the wrong
-// measure: a host that has refused a little more than others would assume less
-// capacity, refuse more, and end with nearly none.
-func (t *Table) summary(a *Application, peers int, now time.Time) (s Summary) {
-	s.Peers = peers
+// FleetDemand is what the callers of this host and of the others ask for by application, in
+// engine seconds per second. Its zero value is a demand that is not known.
+type FleetDemand struct {
+	Own, Others  map[string]float64
+	Hosts        int // hosts whose demand Others is
+	HostsWithout int // hosts whose demand is not known
+}
+
+// portion returns the fraction of an application's capacity that this host can count on,
+// where peers hosts are known and giving of them reach the application's endpoints. It follows
+// the demand, since the callers of some zones ask for several times as much as those of others.
+// Without known demand, all hosts are assumed to have the same. A host's share of the work in
+// flight would be the wrong measure: a host that has refused a little more than others would
+// assume less capacity, refuse more, and end with nearly none.
+func (t *Table) portion(application string, peers, giving int) float64 {
+	reaching := 1.0
+	if peers > 0 {
+		reaching = float64(giving) / float64(peers)
+	}
+	d := &t.Demand
+	others := d.Others[application] * reaching
+	portion, ok := aggregator.Portion(d.Own[application], others, float64(d.Hosts)*reaching, float64(d.HostsWithout)*reaching)
+	if !ok {
+		return 1 / float64(1+giving)
+	}
+	return portion
+}
+
+// summary computes the state of the usable endpoints.
+func (t *Table) summary(a *Application, peers int, portion float64, now time.Time) (s Summary) {
+	s.Peers, s.Portion = peers, portion
 	requests, ahead, own, others := 0, 0, 0, 0
 	var speed float64
 	firstVersion := ""
@@ -160,12 +189,12 @@
 		requests += total.Requests
 		ahead += total.PrefillTokens
 	}
-	s.Capacity = speed / float64(1+peers)
+	s.FleetCapacity, s.Capacity = speed, speed*portion
 	for version := range s.SoftwareVersions {
-		s.SoftwareVersions[version] /= float64(1 + peers)
+		s.SoftwareVersions[version] *= portion
 	}
 	s.MeanBatch = max(1, requests/max(1, s.Usable))
-	s.ExcessShare = max(float64(own*(1+peers))/float64(max(own+others, 1))-1, 0)
+	s.ExcessShare = max(float64(own)/(portion*float64(max(own+others, 1)))-1, 0)
 	s.MeanTokensAhead = ahead / max(1, s.Usable)
 	return s
 }
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -125,6 +125,8 @@
 	// PeersWithoutPath is the number of peers that don't reach an application's endpoints, with
 	// those that reach a part of them counted in part.
 	PeersWithoutPath map[string]float64
+	// Demand decides which portion of the capacity is this host's.
+	Demand FleetDemand
 }
 
 // NewTable returns an empty table for a host in the zone.
