--- a/internal/aggregator/aggregator_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -52,7 +52,12 @@
 		"a hub that has just started": {role: RoleHub, updates: []*Update{
 			updateOf("h1", "y", ScopeZone, 5, 10), updateOf("h2", "y", ScopeZone, 1, 2),
 		}, listed: []string{"h1", "h2"}, want: 10, hosts: 5},
-		"a hub ignores sums of all": {role: RoleHub, updates: []*Update{updateOf("h1", "z", ScopeRest, 5, 10)}, listed: []string{"h1"}},
+		"a hub ignores sums of all": {role: RoleHub, updates: []*Update{
+			updateOf("h1", "z", ScopeRest, 5, 10), updateOf("h2", "y", ScopeZone, 5, 12),
+		}, listed: []string{"h1", "h2"}, want: 12, hosts: 5},
+		"a new hub uses the sum of all until it knows the hosts": {role: RoleHub, updates: []*Update{
+			updateOf("h1", "z", ScopeRest, 5, 10), updateOf("h1", "z", ScopeHost, 1, 2),
+		}, listed: []string{"h1"}, want: 10, hosts: 5},
 		"a member uses one sum": {role: RoleMember, updates: []*Update{
 			updateOf("a", "z", ScopeHost, 1, 2), updateOf("h1", "z", ScopeRest, 8, 20), updateOf("h2", "z", ScopeRest, 8, 21),
 		}, listed: []string{"h1", "h2"}, want: 21, hosts: 8},
@@ -101,7 +106,7 @@
 		if i%50 > 40 {
 			delete(current, key)
 		}
-		changes := Changes(held, Compact(current))
+		changes := Changes(held, Compact(current), 0)
 		if len(changes) > 0 {
 			messages++
 		}
--- a/internal/aggregator/change.go
+++ b/internal/aggregator/change.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -17,12 +18,18 @@
 	// engine seconds per second, from which on a value is sent again.
 	changeFraction = 0.1
 	changeAbsolute = 0.02
+	// settledFraction replaces changeFraction settleTime after the last change was sent. With
+	// changes of a tenth alone, the demand of zones that rises and that of others that falls
+	// stay off in opposite directions, and their service differed by 0.057 at 985 hosts.
+	settledFraction = 0.02
+	settleTime      = time.Second
 	// changeResolution is the change that is never sent on its own, however large
-	// relative to the value: 985 hosts that are each wrong by it amount to one engine.
-	changeResolution = 0.001
-	// minTenantFraction is the part of a key's demand from which on a tenant is named in
-	// messages. Smaller ones do not decide about shares, and which of many equal tenants
-	// are the largest changes with each request.
+	// relative to the value: 985 hosts that are each wrong by it amount to a tenth of an
+	// engine. With 0.001, their tenants' demands stayed at half of the true ones.
+	changeResolution = 0.0001
+	// minTenantFraction is the part of a key's demand, without the larger tenants, from which
+	// on a tenant is named in messages. Which of many equal tenants are the largest changes
+	// with each request, and they do not decide about shares.
 	minTenantFraction = 1.0 / 64
 )
 
@@ -30,8 +37,12 @@
 // it holds current: for each key that has changed, the new sums and the tenants that
 // have changed, with 0 for those that are no longer named. A key without demand any
 // more has a zero Demand. It returns at most MaxKeys changes, removals first, so that
-// the receiver has room for the others.
-func Changes(base, current map[Key]Demand) map[Key]Demand {
+// the receiver has room for the others. sinceLast is the time since the last change was sent.
+func Changes(base, current map[Key]Demand, sinceLast time.Duration) map[Key]Demand {
+	t := changeThreshold(changeFraction)
+	if sinceLast >= settleTime {
+		t = settledFraction
+	}
 	changes := map[Key]Demand{}
 	for key := range base {
 		if _, ok := current[key]; !ok {
@@ -42,26 +53,29 @@
 		if len(changes) >= MaxKeys {
 			break
 		}
-		if change, ok := changeOf(base[key], demand); ok {
+		if change, ok := t.changeOf(base[key], demand); ok {
 			changes[key] = change
 		}
 	}
 	return changes
 }
 
+// changeThreshold is the relative change from which on a value is sent again.
+type changeThreshold float64
+
 // changeOf returns the change between two demands of a key; ok is false if it is too
 // small to be sent.
-func changeOf(base, current Demand) (change Demand, ok bool) {
+func (t changeThreshold) changeOf(base, current Demand) (change Demand, ok bool) {
 	change = current
-	change.Tenants = changedTenants(base.Tenants, current.Tenants)
-	ok = len(change.Tenants) > 0 || hasChanged(base.Offered, current.Offered) || hasChanged(base.Returning, current.Returning) ||
-		hasChanged(base.Refused, current.Refused) || hasChanged(base.RestOffered, current.RestOffered)
+	change.Tenants = t.changedTenants(base.Tenants, current.Tenants)
+	ok = len(change.Tenants) > 0 || t.hasChanged(base.Offered, current.Offered) || t.hasChanged(base.Returning, current.Returning) ||
+		t.hasChanged(base.Refused, current.Refused) || t.hasChanged(base.RestOffered, current.RestOffered)
 	return change, ok
 }
 
-func changedTenants(base, current []TenantDemand) (changed []TenantDemand) {
+func (t changeThreshold) changedTenants(base, current []TenantDemand) (changed []TenantDemand) {
 	for _, tenant := range current {
-		if hasChanged(offeredOf(base, tenant.Tenant), tenant.Offered) {
+		if t.hasChanged(offeredOf(base, tenant.Tenant), tenant.Offered) {
 			changed = append(changed, tenant)
 		}
 	}
@@ -82,9 +96,9 @@
 	return 0
 }
 
-func hasChanged(before, now float64) bool {
+func (t changeThreshold) hasChanged(before, now float64) bool {
 	change := math.Abs(now - before)
-	return change > changeAbsolute || change > changeFraction*max(before, now) && change >= changeResolution || now == 0 && before != 0
+	return change > changeAbsolute || change > float64(t)*max(before, now) && change >= changeResolution || now == 0 && before != 0
 }
 
 // Apply returns the demands base with changes applied, and how many changes exceeded
@@ -145,7 +159,7 @@
 	compact := make(map[Key]Demand, len(demands))
 	for key, demand := range demands {
 		if demand.Offered > 0 {
-			compact[key] = demand.named(MaxTenants, minTenantFraction*demand.Offered)
+			compact[key] = demand.named(MaxTenants, minTenantFraction)
 		}
 	}
 	if len(compact) <= MaxKeys {
@@ -160,10 +174,12 @@
 	return compact
 }
 
-// named returns the demand with at most limit tenants of at least minOffered by name.
-func (d Demand) named(limit int, minOffered float64) Demand {
-	n := 0
-	for n < min(limit, len(d.Tenants)) && d.Tenants[n].Offered >= minOffered {
+// named returns the demand with at most limit tenants by name, each of at least minFraction
+// of the demand without the larger ones.
+func (d Demand) named(limit int, minFraction float64) Demand {
+	n, remaining := 0, d.Offered
+	for n < min(limit, len(d.Tenants)) && d.Tenants[n].Offered >= minFraction*remaining {
+		remaining -= d.Tenants[n].Offered
 		n++
 	}
 	for _, tenant := range d.Tenants[n:] {
--- a/internal/aggregator/own.go
+++ b/internal/aggregator/own.go
@@ -26,8 +26,8 @@
 }
 
 type sentDemand struct {
-	at      time.Time
-	offered map[string]float64
+	at     time.Time
+	demand Snapshot
 }
 
 // Demand returns what counts as the demand of this host: what was measured, or for a
@@ -52,22 +52,22 @@
 	if n := len(o.sent); n > 0 && now.Sub(o.sent[n-1].at) < portionLag/(maxSent-2) {
 		return
 	}
-	o.sent = append(o.sent, sentDemand{now, demand.OfferedByApplication()})
+	o.sent = append(o.sent, sentDemand{now, demand})
 	if len(o.sent) > maxSent {
 		o.sent = append(o.sent[:0], o.sent[1:]...)
 	}
 }
 
-// Published returns the demand of this host by application that the other hosts count
-// with; ok is false if none has received any.
-func (o *Own) Published(now time.Time) (offered map[string]float64, ok bool) {
+// Published returns the demand of this host that the other hosts count with; ok is false
+// if none has received any.
+func (o *Own) Published(now time.Time) (demand Snapshot, ok bool) {
 	for i := len(o.sent) - 1; i >= 0; i-- {
 		if now.Sub(o.sent[i].at) >= portionLag {
-			return o.sent[i].offered, true
+			return o.sent[i].demand, true
 		}
 	}
 	if len(o.sent) > 0 {
-		return o.sent[0].offered, true
+		return o.sent[0].demand, true
 	}
-	return nil, false
+	return Snapshot{}, false
 }
--- a/internal/aggregator/registry.go
+++ b/internal/aggregator/registry.go
@@ -54,6 +54,9 @@
 	zone    string
 	entries map[string]*entry
 	listed  map[string]bool // nil: not known, all hosts count as listed
+	// lastRest is the latest sum over all others that was replaced. A host that becomes a hub
+	// uses it until it has received the demands of its zone's hosts and of the other zones.
+	lastRest *entry
 }
 
 type entry struct {
@@ -79,6 +82,7 @@
 		return 0, false
 	}
 	if isNew || update.IsFull || !update.Sends {
+		r.keepRest(e)
 		e = &entry{}
 		r.entries[update.HostID] = e
 	}
@@ -91,7 +95,16 @@
 }
 
 // Remove removes what a peer has sent.
-func (r *Registry) Remove(hostID string) { delete(r.entries, hostID) }
+func (r *Registry) Remove(hostID string) {
+	r.keepRest(r.entries[hostID])
+	delete(r.entries, hostID)
+}
+
+func (r *Registry) keepRest(e *entry) {
+	if e != nil && e.scope == ScopeRest && (r.lastRest == nil || e.updatedAt.After(r.lastRest.updatedAt)) {
+		r.lastRest = e
+	}
+}
 
 // SetListed sets the hosts that the platform lists.
 func (r *Registry) SetListed(hostIDs []string) {
@@ -122,7 +135,13 @@
 		}
 		return Snapshot{}
 	}
-	return r.total(role, Snapshot{}, now).Snapshot()
+	others := r.total(role, Snapshot{}, now).Snapshot()
+	for _, rest := range []*entry{r.lastRest, r.best(func(e *entry) bool { return e.scope == ScopeRest }, now)} {
+		if rest != nil && now.Sub(rest.updatedAt) <= preferenceLimit && rest.hosts() > others.Hosts+others.HostsWithout {
+			others = rest.snapshot
+		}
+	}
+	return others
 }
 
 // ZoneTotal returns the demand of all hosts of this zone; own is that of this host.
@@ -195,6 +214,16 @@
 
 func (e *entry) hosts() int { return e.snapshot.Hosts + e.snapshot.HostsWithout }
 
+// IsIsolated reports whether no peer that was heard of has sent an update recently.
+func (r *Registry) IsIsolated(now time.Time) bool {
+	for _, e := range r.entries {
+		if now.Sub(e.updatedAt) <= unlistedLimit {
+			return false
+		}
+	}
+	return len(r.entries) > 0
+}
+
 // Counts is how many hosts' demand this host knows.
 type Counts struct {
 	Known   int // hosts whose demand is part of what Others returns
--- a/internal/aggregator/sum.go
+++ b/internal/aggregator/sum.go
@@ -128,12 +128,3 @@
 	}
 	return mean
 }
-
-// OfferedByApplication returns the demand of each application, over all ranks.
-func (s Snapshot) OfferedByApplication() map[string]float64 {
-	offered := make(map[string]float64, len(s.Demands))
-	for key, demand := range s.Demands {
-		offered[key.Application] += demand.Offered
-	}
-	return offered
-}
--- a/internal/exchanger/demand.go
+++ b/internal/exchanger/demand.go
@@ -27,12 +27,14 @@
 // FleetDemand is what this host knows of the demand of the fleet.
 type FleetDemand struct {
 	Others aggregator.Snapshot // the sum of all other hosts
-	// Published is this host's demand by application that the others count with; nil: none
-	// of them has received any.
-	Published map[string]float64
-	Counts    aggregator.Counts
-	Rejected  int64 // received values that were treated as 0 since the start
-	SentBytes int64 // of demand in messages, since the start
+	// Published is this host's demand that the others count with; its Hosts is 0 if none of
+	// them has received any.
+	Published aggregator.Snapshot
+	// IsIsolated is true if no peer has sent an update recently; Others is out of date then.
+	IsIsolated bool
+	Counts     aggregator.Counts
+	Rejected   int64 // received values that were treated as 0 since the start
+	SentBytes  int64 // of demand in messages, since the start
 }
 
 // demandState is the demand that this host knows, and sums of it.
@@ -66,6 +68,7 @@
 	acked         map[aggregator.Key]aggregator.Demand
 	hosts, others int // the numbers of hosts in the last message
 	checkedAt     time.Time
+	changedAt     time.Time // last change sent
 }
 
 // nextDemand is the demand for the next message to a peer.
@@ -85,7 +88,7 @@
 	others := d.othersLocked(role, now)
 	published, _ := d.own.Published(now)
 	return FleetDemand{
-		Others: others, Published: published, Counts: d.registry.Counts(others, now),
+		Others: others, Published: published, IsIsolated: d.registry.IsIsolated(now), Counts: d.registry.Counts(others, now),
 		Rejected: d.rejected, SentBytes: d.sentBytes,
 	}
 }
@@ -126,7 +129,7 @@
 	}
 	c.checkedAt, next.isCurrent = now, true
 	next.snapshot = ex.demandFor(p.part, peer, now)
-	next.changes = aggregator.Changes(c.acked, aggregator.Compact(next.snapshot.Demands))
+	next.changes = aggregator.Changes(c.acked, aggregator.Compact(next.snapshot.Demands), now.Sub(c.changedAt))
 	next.hasChanged = len(next.changes) > 0 || next.snapshot.Hosts != c.hosts || next.snapshot.HostsWithout != c.others
 	return next
 }
@@ -177,10 +180,15 @@
 	c.hosts, c.others = next.snapshot.Hosts, next.snapshot.HostsWithout
 	if len(next.changes) > 0 {
 		c.acked, _ = aggregator.Apply(c.acked, next.changes)
+		c.changedAt = c.checkedAt
 	}
 	ex.demand.mu.Lock()
 	defer ex.demand.mu.Unlock()
-	ex.demand.own.Sent(ex.demand.current.value, time.Now())
+	own := ex.demand.current.value
+	if p.part == exchangerpb.Part_PART_OWN { // the peer does not know small changes
+		own.Demands = c.acked
+	}
+	ex.demand.own.Sent(own, time.Now())
 }
 
 // applyDemand records the demand of a message; it returns false if the peer has to send all
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -58,9 +58,10 @@
 	demandMeter    *aggregator.Meter
 	othersDemand   aggregator.Snapshot
 	othersDemandAt time.Time // zero: not known
-	// publishedDemand is the demand of this host by application that the others know; nil:
-	// none of them has received any.
-	publishedDemand map[string]float64
+	// publishedDemand is the demand of this host that the others know; without Hosts: none of
+	// them has received any.
+	publishedDemand aggregator.Snapshot
+	isIsolated      bool // from all other hosts
 
 	acquireCalls sync.WaitGroup // running calls of Acquire
 }
--- a/pkg/endivemast/demand.go
+++ b/pkg/endivemast/demand.go
@@ -16,7 +16,7 @@
 
 func applyDemand(ex *exchanger.Exchanger, s *scheduler.Scheduler, now time.Time) {
 	fleet := ex.FleetDemand(now)
-	s.SetPublishedDemand(fleet.Published)
+	s.SetPublishedDemand(fleet.Published, fleet.IsIsolated)
 	s.SetFleetDemand(fleet.Others, now)
 }
 
