Metrics and a log line of the demand of the fleet

Cause: an operator cannot see which demand a host's decisions come from.

Change: metrics for the demand by application and rank, this host's portion of the engines, the hosts whose demand is known, kept or missing, rejected values and bytes sent; a line when the number of hosts with known demand changes by more than a quarter, at most every 10 s. The portion in the metrics does not recompute the summaries, which an idle host does not need.

Measured: tests of pkg/endivemast, internal/meter and internal/scheduler pass.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -60,6 +60,8 @@
 	mu       sync.RWMutex
 	series   map[seriesKey]*series
 	failures map[failureKey]*metrics.Counter
+	// demandSeries are the names of the series that SetDemand has created.
+	demandSeries map[string]bool
 }
 
 // failureKey identifies a counter of failures.
@@ -82,6 +84,8 @@
 		ranker:   newRanker(cfg.TopTenants, cfg.Now()),
 		series:   make(map[seriesKey]*series),
 		failures: make(map[failureKey]*metrics.Counter),
+
+		demandSeries: make(map[string]bool),
 	}
 }
 
--- a/internal/scheduler/portion.go
+++ b/internal/scheduler/portion.go
@@ -22,8 +22,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	portions := make(map[string]float64, len(s.table.Applications))
-	for name, application := range s.table.Applications {
-		portions[name] = application.Summary.Portion
+	for name := range s.table.Applications {
+		portions[name] = s.table.Portion(name)
 	}
 	return portions
 }
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -70,8 +70,8 @@
 	}
 	peers := t.PeerHosts()
 	for _, application := range t.Applications {
-		giving := max(peers-int(t.PeersWithoutPath[application.Name]+0.5), 0)
-		application.Summary = t.summary(application, giving, t.portion(application.Name, peers, giving), now)
+		portion, giving := t.portion(application.Name, peers)
+		application.Summary = t.summary(application, giving, portion, now)
 		if u := usage[application.Name]; u.count > 1 {
 			application.Summary.FairShare = u.sum / float64(u.count) * fairShareTolerance
 		}
@@ -137,13 +137,19 @@
 	HostsWithout int // hosts whose demand is not known
 }
 
-// portion returns the fraction of an application's capacity that this host can count on,
-// where peers hosts are known and giving of them reach the application's endpoints. It follows
-// the demand, since the callers of some zones ask for several times as much as those of others.
+// Portion returns the fraction of an application's capacity that this host can count on.
+func (t *Table) Portion(application string) float64 {
+	portion, _ := t.portion(application, t.PeerHosts())
+	return portion
+}
+
+// portion is Portion where peers hosts are known; giving of them reach the application's
+// endpoints. It follows the demand, since the callers of some zones ask for several times as much as those of others.
 // Without known demand, all hosts are assumed to have the same. A host's share of the work in
 // flight would be the wrong measure: a host that has refused a little more than others would
 // assume less capacity, refuse more, and end with nearly none.
-func (t *Table) portion(application string, peers, giving int) float64 {
+func (t *Table) portion(application string, peers int) (portion float64, giving int) {
+	giving = max(peers-int(t.PeersWithoutPath[application]+0.5), 0)
 	reaching := 1.0
 	if peers > 0 {
 		reaching = float64(giving) / float64(peers)
@@ -152,9 +158,9 @@
 	others := d.Others[application] * reaching
 	portion, ok := aggregator.Portion(d.Own[application], others, float64(d.Hosts)*reaching, float64(d.HostsWithout)*reaching)
 	if !ok {
-		return 1 / float64(1+giving)
+		return 1 / float64(1+giving), giving
 	}
-	return portion
+	return portion, giving
 }
 
 // summary computes the state of the usable endpoints.
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -79,6 +79,7 @@
 
 	authorities *authorityReader
 
+	demand         demandReporter // used by tick only
 	timedReportsMu sync.Mutex
 	timedReports   map[string]orderer.TimedReport // by endpoint id
 
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -166,7 +166,8 @@
 	callers       *server.Passthrough
 	readiness     *server.Passthrough
 
-	isReachReduced atomic.Bool // a peer does not reach all endpoints
+	demand         demandReporter // used by tick only
+	isReachReduced atomic.Bool    // a peer does not reach all endpoints
 
 	peersMu  sync.Mutex
 	maxHosts int // largest number of hosts known at a time
@@ -308,6 +309,7 @@
 	g.meter.GaugeRequestsQuarantined(func() float64 { return float64(g.quarantiner.Count()) })
 	g.meter.GaugeStreamRecords(func() float64 { return float64(g.streams.Count()) })
 	g.gaugeSignals()
+	gaugeDemand(g.meter, g.exchanger)
 	g.meter.GaugeEndpoints("listed", func() float64 { return float64(len(g.registrations.Hosts())) })
 }
 
--- a/pkg/endivemast/status.go
+++ b/pkg/endivemast/status.go
@@ -111,6 +111,7 @@
 		_, holds := e.leaser.Holder()
 		return holds
 	})
+	gaugeDemand(e.meter, e.exchanger)
 	e.meter.GaugeInFlight(func() float64 { return float64(e.dispatcher.Active()) })
 }
 
