--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,6 +61,10 @@
 	smoothedDemand smoothedDemand
 	precedences    map[string]*precedence // by application
 	sharesAt       time.Time              // when the shares were last computed
+	// publishedDemand is the demand of this host that the others know; without Hosts: none of
+	// them has received any.
+	publishedDemand aggregator.Snapshot
+	isIsolated      bool // from all other hosts
 
 	acquireCalls sync.WaitGroup // running calls of Acquire
 }
--- a/internal/scheduler/tracker/rolecapacity.go
+++ b/internal/scheduler/tracker/rolecapacity.go
@@ -18,6 +18,9 @@
 	}
 }
 
+// Total returns the engine time of all usable endpoints.
+func (c *RoleCapacity) Total() float64 { return c.Mixed + c.Prefill + c.Decode }
+
 // WorkMix states which parts of the engine time of work are prefill. The rest is decoding.
 type WorkMix struct {
 	Prefill float64 // all prefill
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -166,7 +166,8 @@
 	callers       *server.Passthrough
 	readiness     *server.Passthrough
 
-	isReachReduced atomic.Bool // a peer does not reach all endpoints
+	demand         demandReporter // used by tick only
+	isReachReduced atomic.Bool    // a peer does not reach all endpoints
 
 	peersMu  sync.Mutex
 	maxHosts int // largest number of hosts known at a time
@@ -309,6 +310,7 @@
 	g.meter.GaugeStreamRecords(func() float64 { return float64(g.streams.Count()) })
 	g.gaugeSignals()
 	g.meter.RegisterAdmissions(g.admissions)
+	gaugeDemand(g.meter, g.exchanger)
 	g.meter.GaugeEndpoints("listed", func() float64 { return float64(len(g.registrations.Hosts())) })
 }
 
@@ -339,6 +341,7 @@
 			g.updateShedder(now)
 			g.paths.Tick()
 			g.abandonWithoutPath()
+			g.updateDemand(now)
 			g.scheduler.Tick(now)
 			g.quarantiner.Tick(g.cfg.Clock.Now())
 			g.accountant.Tick()
