Topics of the store read at once at a host's start

Cause: a host read configuration, endpoints and hosts one after the other, although none depends on another. Change: the follower reads its topics at once and applies them in their order; a read of an earlier era than one already applied is dropped. Topic.OnRead reports linearizable reads with the time of their request. TestWatchDoesNotUndoRead relied on the order of the reads and now makes the fake store read in that order.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -54,6 +54,9 @@
 type Topic struct {
 	Prefix string
 	Sink   Sink
+	// OnRead is called after Replace has been called with the result of a linearizable read
+	// that was requested at that time; nil: not called.
+	OnRead func(revision int64, requested time.Time)
 }
 
 // Peers provides the changes that other hosts have received from the store.
@@ -91,6 +94,7 @@
 	// OnStoreRestored is called when the store is found to have come back from an older
 	// copy, before the state of its new era is applied; nil: not called.
 	OnStoreRestored func(era int64)
+	Now             func() time.Time // clock of Topic.OnRead; nil: time.Now
 	Logger          hclog.Logger
 }
 
@@ -124,6 +128,9 @@
 	if cfg.Logger == nil {
 		cfg.Logger = hclog.NewNullLogger()
 	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
 	return &Follower{cfg: cfg, readRevisions: map[string]int64{}}
 }
 
@@ -277,55 +284,6 @@
 	return common
 }
 
-// readTopics reads all topics. The watch starts at the lowest revision of these
-// reads, so that a change between two reads is received twice rather than missed.
-func (f *Follower) readTopics(ctx context.Context) error {
-	var oldest int64
-	for i, topic := range f.cfg.Topics {
-		entries, revision, err := f.list(ctx, topic.Prefix, i > 0)
-		if err != nil {
-			return err
-		}
-		f.markStoreRegained()
-		f.replace(topic, entries, revision)
-		if i == 0 || revision < oldest {
-			// Revision 0, of an empty store, counts too.
-			oldest = revision
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.revision, f.isSynced, f.hasHistoryGap = max(f.revision, oldest), true, false
-	return nil
-}
-
-// list reads one topic. A stale read is enough where the watch delivers the later
-// changes at once, and costs a tenth: a fleet of 195 hosts that starts reads 64
-// endpoints and each other's entries in up to 1,200 pages of 50. After a gap in the
-// history a stale read might be older than the gap.
-func (f *Follower) list(ctx context.Context, prefix string, mayBeStale bool) (entries []provider.Entry, revision int64, err error) {
-	f.mu.Lock()
-	hasGap := f.hasHistoryGap
-	f.mu.Unlock()
-	if stale, ok := f.cfg.Store.(provider.StaleLister); ok && mayBeStale && !hasGap {
-		return stale.ListStale(ctx, prefix)
-	}
-	return f.cfg.Store.List(ctx, prefix)
-}
-
-// replace passes all entries of a topic to its sink, unless peers have sent later
-// changes during the read.
-func (f *Follower) replace(topic Topic, entries []provider.Entry, revision int64) {
-	f.applyMu.Lock()
-	defer f.applyMu.Unlock()
-	if revision < f.knownRevision() {
-		return
-	}
-	f.detectRestoration(revision)
-	f.setReadRevision(topic.Prefix, revision)
-	topic.Sink.Replace(entries, f.missedPeriod(), time.Now())
-}
-
 func (f *Follower) missedPeriod() provider.Period {
 	if f.cfg.Peers == nil {
 		now := time.Now()
@@ -334,20 +292,6 @@
 	return f.cfg.Peers.MissedPeriod()
 }
 
-// probe reads the first topic after a loss of the store. A watch alone would take
-// up to its longest wait to show that the store is still unreachable, and a host
-// would receive a change seconds late after the store's return.
-func (f *Follower) probe(ctx context.Context) error {
-	topic := f.cfg.Topics[0]
-	entries, revision, err := f.cfg.Store.List(ctx, topic.Prefix)
-	if err != nil {
-		return err
-	}
-	f.markStoreRegained()
-	f.replace(topic, entries, revision)
-	return nil
-}
-
 func (f *Follower) watchesStore() bool { return f.cfg.WatchesStore == nil || f.cfg.WatchesStore() }
 
 func (f *Follower) isStoreLost() bool {
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -23,6 +23,7 @@
 	lists          map[string][]provider.Entry
 	revision       int64
 	listErr        error
+	beforeList     func(prefix string) // called before a list is taken
 	onList         func(prefix string) // called after a list was taken, before it is returned
 	watchRevisions []int64             // start revisions of the watches
 	watchSteps     chan watchStep
@@ -35,6 +36,9 @@
 }
 
 func (s *fakeStore) List(_ context.Context, prefix string) ([]provider.Entry, int64, error) {
+	if s.beforeList != nil {
+		s.beforeList(prefix)
+	}
 	s.mu.Lock()
 	entries, revision, err := slices.Clone(s.lists[prefix]), s.revision, s.listErr
 	onList := s.onList
--- a/internal/follower/peers_test.go
+++ b/internal/follower/peers_test.go
@@ -143,10 +143,10 @@
 	assert.Assert(t, first.has("a/1", 20), "the watch's earlier change was applied")
 	assert.Assert(t, !f.applyUpdate(provider.Update{Revision: 15, Changes: changes(15)}))
 	assert.Assert(t, first.has("a/1", 20), "a peer's earlier change was applied")
-	f.replace(f.cfg.Topics[0], []provider.Entry{entry("a/1", 12)}, 12)
+	f.applyRead(f.cfg.Topics[0], topicRead{entries: []provider.Entry{entry("a/1", 12)}, revision: 12})
 	assert.Assert(t, first.has("a/1", 20), "an earlier read was applied")
 	// After a loss of the store the first topic is read before the others.
-	f.replace(f.cfg.Topics[0], []provider.Entry{entry("a/1", 30)}, 30)
+	f.applyRead(f.cfg.Topics[0], topicRead{entries: []provider.Entry{entry("a/1", 30)}, revision: 30})
 	whole := changes(25)
 	whole = append(whole, provider.Change{Entry: entry("b/3", 24)})
 	assert.Assert(t, f.applyUpdate(provider.Update{Revision: 25, IsSnapshot: true, Changes: whole}))
@@ -154,17 +154,24 @@
 	assert.Assert(t, second.has("b/3", 24) && second.has("b/2", 0))
 }
 
-// The topics are read one after another, and the watch starts at the revision of the
-// first read. It delivers again changes that the read of a later topic included, and
+// The topics are read at once, and the watch starts at the revision of the earliest
+// read. It delivers again changes that the read of another topic included, and
 // these must not replace later ones.
 func TestWatchDoesNotUndoRead(t *testing.T) {
 	t.Parallel()
 	store := &fakeStore{revision: 7, lists: map[string][]provider.Entry{"b/": {entry("b/1", 12)}}}
+	firstTaken := make(chan struct{})
+	store.beforeList = func(prefix string) {
+		if prefix == "b/" {
+			<-firstTaken
+		}
+	}
 	store.onList = func(prefix string) {
 		store.mu.Lock()
 		defer store.mu.Unlock()
 		if prefix == "a/" {
 			store.revision = 12
+			close(firstTaken)
 		}
 	}
 	_, _, second := runWithPeers(t, store, &fakePeers{})
--- a/internal/follower/restored_test.go
+++ b/internal/follower/restored_test.go
@@ -36,7 +36,7 @@
 						restored = era
 					},
 				})
-				f.replace(f.cfg.Topics[0], []provider.Entry{entry("a/1", known)}, known)
+				f.applyRead(f.cfg.Topics[0], topicRead{entries: []provider.Entry{entry("a/1", known)}, revision: known})
 				f.isSynced, f.revision = true, known
 				applied := f.applyUpdate(provider.Update{
 					Revision: test.revision, IsSnapshot: isSnapshot, Changes: []provider.Change{{Entry: entry("a/2", test.revision)}},
