First proof of the configuration by the read that brings it

Cause: the first proof came with the attester's first tick, a fortieth of the revocation bound after the start, and read the configuration a second time. Change: a linearizable read by the follower is a proof under the conditions of checkConfiguration: its configurations are in force, and the store has not just come back from an older copy.

--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -222,10 +222,11 @@
 		return nil, errors.Join(err, g.exchanger.Close())
 	}
 	g.buildDuties()
+	sink := &snapshotSink{gateway: g}
 	g.follower = follower.New(follower.Config{
-		Store: g.relayer, WatchesStore: g.relayer.WatchesStore, Peers: g.relayer, Logger: cfg.Logger.Named("follower"),
+		Store: g.relayer, WatchesStore: g.relayer.WatchesStore, Peers: g.relayer, Now: g.cfg.Clock.Now, Logger: cfg.Logger.Named("follower"),
 		Topics: []follower.Topic{
-			{Prefix: cfg.ConfigurationKey, Sink: &snapshotSink{gateway: g}},
+			{Prefix: cfg.ConfigurationKey, Sink: sink, OnRead: sink.onRead},
 			{Prefix: cfg.EndpointPrefix, Sink: g.registrations},
 			{Prefix: registrar.Prefix, Sink: g.registrar},
 		},
--- a/pkg/endivemast/gateway_access.go
+++ b/pkg/endivemast/gateway_access.go
@@ -156,6 +156,21 @@
 	return nil
 }
 
+// addReadProof records that the configuration in force was the newest one when a linearizable
+// read with this result was requested, unless the store has just come back from an older copy.
+func (g *Gateway) addReadProof(revision int64, requested time.Time) {
+	if g.cfg.Clock.Now().Sub(g.restoredAt()) < restoreSettleTime {
+		return
+	}
+	if g.checkMu.TryLock() { // otherwise a check is running and has to end by itself
+		if g.checkedRevision == 0 {
+			g.checkedRevision = revision
+		}
+		g.checkMu.Unlock()
+	}
+	g.attester.AddProof(g.classifier.Revision(), requested)
+}
+
 func (g *Gateway) readConfiguration(ctx context.Context) error {
 	entries, revision, err := g.cfg.Store.List(ctx, g.cfg.ConfigurationKey)
 	if err != nil {
--- a/pkg/endivemast/gateway_snapshot.go
+++ b/pkg/endivemast/gateway_snapshot.go
@@ -21,30 +21,51 @@
 )
 
 // snapshotSink installs each configuration that the store delivers.
-type snapshotSink struct{ gateway *Gateway }
+type snapshotSink struct {
+	gateway *Gateway
+	// isLastReadInForce is false if the last read contained a configuration that could not be
+	// installed. The follower calls the methods that use it one at a time.
+	isLastReadInForce bool
+}
 
 // Replace implements follower.Sink.
 func (s *snapshotSink) Replace(entries []provider.Entry, _ provider.Period, _ time.Time) {
+	s.isLastReadInForce = true
 	for _, entry := range entries {
-		s.installOrLog(entry)
+		if !s.installOrLog(entry) {
+			s.isLastReadInForce = false
+		}
+	}
+}
+
+// onRead uses the linearizable read that Replace was just called with as a proof that the
+// configuration in force was the newest one when the read was requested. A host that starts needs
+// no second read for its first proof.
+func (s *snapshotSink) onRead(revision int64, requested time.Time) {
+	if s.isLastReadInForce {
+		s.gateway.addReadProof(revision, requested)
 	}
 }
 
 // Apply implements follower.Sink. A deleted configuration stays in force.
 func (s *snapshotSink) Apply(change provider.Change, _ time.Time) {
 	if !change.Deleted {
-		s.installOrLog(change.Entry)
+		_ = s.installOrLog(change.Entry)
 	}
 }
 
-func (s *snapshotSink) installOrLog(entry provider.Entry) {
+// installOrLog returns whether this configuration or a later one is in force.
+func (s *snapshotSink) installOrLog(entry provider.Entry) (isInForce bool) {
 	if entry.Key != s.gateway.cfg.ConfigurationKey {
-		return
+		return true
 	}
-	if _, err := s.install(entry); err != nil {
+	version, err := s.install(entry)
+	if err != nil {
 		s.gateway.cfg.Logger.Error("configuration not decodable; the previous one stays in force", "error", err,
 			"revision", entry.Revision, "version", s.gateway.classifier.Revision())
+		return false
 	}
+	return s.gateway.classifier.Revision() >= version
 }
 
 // install installs a configuration unless a later one is in force, and returns its
