Wait for peers' quarantines counts from when they are asked

Cause: the first request waited up to 0.3 s from its arrival, also for peers that had just started and know nothing. Change: the wait ends 0.3 s after the peers were asked, and a peer whose entry in the store shows that it has just started is not waited for (uptime_ms in the entry; missing: an older build, waited for).

--- a/internal/exchanger/crashes.go
+++ b/internal/exchanger/crashes.go
@@ -126,7 +126,8 @@
 
 // FetchCrashes requests from peers what they know of requests that crash endpoints, and merges it. It
 // returns once a peer has sent all, or none of those that answer knows more; it fails if ctx ends before.
-func (ex *Exchanger) FetchCrashes(ctx context.Context) error {
+// A peer is not waited for once the context that started returns for it has ended: it has just started.
+func (ex *Exchanger) FetchCrashes(ctx context.Context, started func(hostID string) context.Context) error {
 	peers := ex.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	peers = peers[:min(len(peers), maxAskedForCrashes)]
@@ -135,6 +136,9 @@
 	var group errgroup.Group
 	for _, peer := range peers {
 		group.Go(func() error {
+			asking, cancel := context.WithCancel(asking)
+			defer cancel()
+			defer context.AfterFunc(started(peer.HostID), cancel)()
 			reply, err := ex.askForCrashes(asking, peer)
 			if err != nil {
 				ex.cfg.Logger.Debug("peer does not answer what it knows of crashes", "host_id", peer.HostID, "error", err)
--- a/internal/exchanger/crashes_test.go
+++ b/internal/exchanger/crashes_test.go
@@ -38,6 +38,7 @@
 		peer       *fakeCrashes
 		isPeerGone bool // nothing listens at its address
 		isSilent   bool // it accepts connections and does not answer
+		hasStarted bool // its entry shows that it has just started
 		wantMerged int
 		wantErr    error
 	}{
@@ -46,6 +47,7 @@
 		"only peer has just started as well":   {peer: &fakeCrashes{known: []CrashUpdate{quarantine}}, wantMerged: 1},
 		"only peer has ended without notice":   {peer: &fakeCrashes{}, isPeerGone: true},
 		"only peer does not answer":            {peer: &fakeCrashes{}, isSilent: true, wantErr: context.DeadlineExceeded},
+		"silent peer has just started":         {peer: &fakeCrashes{}, isSilent: true, hasStarted: true},
 		"peer knows more than one reply holds": {peer: &fakeCrashes{isComplete: true, known: manyCrashes(maxSnapshotFingerprints)}, wantMerged: maxSnapshotFingerprints / 2},
 	}
 	for name, test := range tests {
@@ -65,7 +67,12 @@
 			})
 			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 			defer cancel()
-			assert.ErrorIs(t, exchangers[1].FetchCrashes(ctx), test.wantErr)
+			started, markStarted := context.WithCancel(t.Context())
+			defer markStarted()
+			if test.hasStarted {
+				markStarted()
+			}
+			assert.ErrorIs(t, exchangers[1].FetchCrashes(ctx, func(string) context.Context { return started }), test.wantErr)
 			own.mu.Lock()
 			defer own.mu.Unlock()
 			assert.Equal(t, len(own.merged), test.wantMerged)
--- a/internal/quarantiner/quarantiner.go
+++ b/internal/quarantiner/quarantiner.go
@@ -55,9 +55,11 @@
 	// to cancel their running attempts.
 	OnQuarantine func()
 	// Fetch fetches what peers know, once, and merges it; nil: nothing is fetched or waited for.
-	Fetch  func(ctx context.Context) error
-	Now    func() time.Time // nil: time.Now
-	Logger hclog.Logger
+	// It is called once the channel that PeersListed returns is closed; nil: at once.
+	Fetch       func(ctx context.Context) error
+	PeersListed func() <-chan struct{}
+	Now         func() time.Time // nil: time.Now
+	Logger      hclog.Logger
 }
 
 // Quarantiner keeps track of the requests that must not be run. It is safe for
@@ -86,6 +88,7 @@
 
 	syncCtx context.Context // cancelled once requests need not wait for peers' quarantines
 	endSync context.CancelFunc
+	asking  context.Context // ends maxSyncWait after Fetch was called; nil: it was not
 }
 
 // New returns a Quarantiner without records.
--- a/internal/quarantiner/sync.go
+++ b/internal/quarantiner/sync.go
@@ -11,7 +11,8 @@
 // A host that has just started knows none of the requests that its peers have quarantined. Its first
 // requests wait until it has received them.
 
-// maxSyncWait bounds that wait. Peers that don't answer within it are unreachable or suspended.
+// maxSyncWait bounds that wait, from when the peers are asked. Peers that don't answer within it are
+// unreachable or suspended. A request that arrives before the peers are known waits that long itself.
 const maxSyncWait = 300 * time.Millisecond
 
 // Start begins to fetch what peers know.
@@ -29,7 +30,19 @@
 
 // fetch ends early if a request has waited for too long.
 func (q *Quarantiner) fetch() {
+	if q.cfg.PeersListed != nil {
+		select {
+		case <-q.cfg.PeersListed():
+		case <-q.syncCtx.Done():
+			return
+		}
+	}
 	started := q.cfg.Now()
+	asking, cancel := timekeeper.WithTimeout(q.ctx, maxSyncWait)
+	defer cancel()
+	q.mu.Lock()
+	q.asking = asking
+	q.mu.Unlock()
 	err := q.cfg.Fetch(q.syncCtx)
 	if q.syncCtx.Err() == nil {
 		q.cfg.Logger.Info("requests that crash endpoints fetched from peers", "requests", q.Count(), "took_ms", q.cfg.Now().Sub(started).Milliseconds(), "error", errorText(err))
@@ -37,18 +50,29 @@
 	q.endSync()
 }
 
+// beginWait returns the context of a request's wait.
+func (q *Quarantiner) beginWait() (waiting context.Context, end context.CancelFunc) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.asking != nil {
+		return q.asking, func() {}
+	}
+	return timekeeper.WithTimeout(q.ctx, maxSyncWait)
+}
+
 // AwaitSync waits, at a host that has just started, until it knows which requests its peers have
-// quarantined, at most for maxSyncWait.
+// quarantined, at most until maxSyncWait after they were asked.
 func (q *Quarantiner) AwaitSync(ctx context.Context) {
 	if q == nil || q.isSynced() {
 		return
 	}
-	waiting, cancel := timekeeper.WithTimeout(ctx, maxSyncWait)
-	defer cancel()
+	waiting, end := q.beginWait()
+	defer end()
 	select {
+	case <-ctx.Done():
 	case <-q.syncCtx.Done():
 	case <-waiting.Done():
-		if ctx.Err() == nil && !q.isSynced() {
+		if !q.isSynced() {
 			q.cfg.Logger.Warn("requests run without the quarantines of peers: not all have answered", "waited_ms", maxSyncWait.Milliseconds())
 			q.endSync()
 		}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -39,6 +39,12 @@
 	renewFraction = 0.6
 	// retryInterval is the mean time until a failed write is retried, with jitter.
 	retryInterval = 500 * time.Millisecond
+	// maxStartUptime is the uptime up to which an entry is the first one of its process. A
+	// process writes it again much later if the store has lost it.
+	maxStartUptime = 2 * time.Second
+	// observeStarts is how long after its own start a host records which others have started.
+	// Its first requests wait for their answers at most some tenths of a second.
+	observeStarts = 10 * time.Second
 	// closeTimeout bounds the removal of the entry on a planned shutdown.
 	closeTimeout = time.Second
 )
@@ -51,6 +57,9 @@
 	Address     string `json:"address"` // IP and port of the peer protocol
 	// ProcessorShare is the number of cores of the host; 0: unknown.
 	ProcessorShare float64 `json:"processor_share,omitempty"`
+	// UptimeMS is how long the host had been running when it wrote the entry; 0: not known,
+	// since the host runs an older build.
+	UptimeMS int64 `json:"uptime_ms,omitempty"`
 }
 
 // Config configures a Registrar.
@@ -67,6 +76,8 @@
 type Registrar struct {
 	cfg Config
 
+	createdAt time.Time
+
 	renewNow chan struct{}
 	listed   chan struct{} // closed once the other hosts are known
 	listOnce sync.Once
@@ -74,6 +85,14 @@
 	mu    sync.Mutex
 	hosts map[string]Host // the other hosts, by id
 	lease provider.LeaseID
+	// starts holds a context for each host whose start is observed. It ends when the host has
+	// started again after it was first listed.
+	starts map[string]start
+}
+
+type start struct {
+	ctx context.Context
+	end context.CancelFunc
 }
 
 // New creates a Registrar.
@@ -81,7 +100,7 @@
 	if cfg.TTL == 0 {
 		cfg.TTL = DefaultTTL
 	}
-	return &Registrar{cfg: cfg, renewNow: make(chan struct{}, 1), listed: make(chan struct{}), hosts: map[string]Host{}}
+	return &Registrar{cfg: cfg, createdAt: time.Now(), starts: map[string]start{}, renewNow: make(chan struct{}, 1), listed: make(chan struct{}), hosts: map[string]Host{}}
 }
 
 // Run maintains the entry until ctx ends.
@@ -130,7 +149,9 @@
 
 func (r *Registrar) write(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "write own host entry") }()
-	value, err := json.Marshal(r.cfg.Own)
+	own := r.cfg.Own
+	own.UptimeMS = max(time.Since(r.createdAt).Milliseconds(), 1)
+	value, err := json.Marshal(own)
 	if err != nil {
 		return err
 	}
@@ -211,6 +232,7 @@
 		}
 	} else {
 		r.putLocked(change.Entry)
+		r.markStartLocked(change.Entry)
 	}
 	r.mu.Unlock()
 	r.publish()
@@ -239,6 +261,34 @@
 	r.hosts[hostID] = host
 }
 
+// markStartLocked handles an entry that was written after the hosts were first listed.
+func (r *Registrar) markStartLocked(entry provider.Entry) {
+	hostID := entry.Key[len(Prefix):]
+	if time.Since(r.createdAt) > observeStarts {
+		return
+	}
+	if host, ok := r.hosts[hostID]; ok && host.UptimeMS > 0 && host.UptimeMS <= maxStartUptime.Milliseconds() {
+		r.startLocked(hostID).end()
+	}
+}
+
+// Started returns a context that ends once a host is known to have started after the hosts were
+// first listed. Entries of older builds don't show that.
+func (r *Registrar) Started(hostID string) context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.startLocked(hostID).ctx
+}
+
+func (r *Registrar) startLocked(hostID string) start {
+	s, ok := r.starts[hostID]
+	if !ok {
+		s.ctx, s.end = context.WithCancel(context.Background())
+		r.starts[hostID] = s
+	}
+	return s
+}
+
 // errInvalidEntry reports an entry that no host has written.
 var errInvalidEntry = errors.New("not a valid host entry")
 
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -125,3 +125,33 @@
 		})
 	}
 }
+
+// TestStartedHosts guards against taking a host that has run for long for one that has just started, and
+// may know of no quarantine.
+func TestStartedHosts(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		entry    string
+		isListed bool // the entry is listed; otherwise it is a change
+		want     bool
+	}{
+		"written at the start":           {entry: `{"host_id":"h","incarnation":"2","zone":"z","address":"127.0.0.1:1","uptime_ms":40}`, want: true},
+		"written again":                  {entry: `{"host_id":"h","incarnation":"2","zone":"z","address":"127.0.0.1:1","uptime_ms":90000}`},
+		"older build":                    {entry: `{"host_id":"h","incarnation":"2","zone":"z","address":"127.0.0.1:1"}`},
+		"listed, so written before that": {entry: `{"host_id":"h","incarnation":"2","zone":"z","address":"127.0.0.1:1","uptime_ms":40}`, isListed: true},
+		"not valid":                      {entry: `{"uptime_ms":40}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := New(Config{Own: Host{HostID: "own"}, OnChange: func([]Host) {}, Logger: hclog.NewNullLogger()})
+			entry := provider.Entry{Key: Prefix + "h", Value: []byte(test.entry)}
+			if test.isListed {
+				r.Replace([]provider.Entry{entry}, provider.Period{}, time.Time{})
+			} else {
+				r.Replace(nil, provider.Period{}, time.Time{})
+				r.Apply(provider.Change{Entry: entry}, time.Time{})
+			}
+			assert.Equal(t, r.Started("h").Err() != nil, test.want)
+		})
+	}
+}
--- a/pkg/endivemast/gateway_quarantine.go
+++ b/pkg/endivemast/gateway_quarantine.go
@@ -18,19 +18,14 @@
 	g.quarantiner = quarantiner.New(quarantiner.Config{
 		HostID: g.cfg.HostID, Probe: g.probeExit, IsLeaving: g.isLeaving, Hosts: g.reachableHosts,
 		Endpoints:    func() int { return len(g.registrations.Hosts()) },
-		OnQuarantine: func() { g.forwarder.CancelQuarantined() }, Fetch: g.fetchCrashes, Now: g.cfg.Clock.Now,
+		OnQuarantine: func() { g.forwarder.CancelQuarantined() }, PeersListed: func() <-chan struct{} { return g.registrar.Listed() }, Fetch: g.fetchCrashes, Now: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("quarantiner"),
 	})
 }
 
-// fetchCrashes fetches what peers know of requests that crash endpoints, once the peers are known.
+// fetchCrashes fetches what peers know of requests that crash endpoints.
 func (g *Gateway) fetchCrashes(ctx context.Context) error {
-	select {
-	case <-g.registrar.Listed():
-		return g.exchanger.FetchCrashes(ctx)
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return g.exchanger.FetchCrashes(ctx, g.registrar.Started)
 }
 
 // errPathBroken means that a connection was refused although the process has not exited, as far
--- a/standins/storeserver/storeserver.go
+++ b/standins/storeserver/storeserver.go
@@ -36,7 +36,7 @@
 	FaultLoseAnswers       // runs calls and closes the connection instead of answering
 )
 
-// PageItems is the maximum number of items in a page of a range.
+// PageItems is the maximum number of items in a page of a range, unless SetPageItems changes it.
 const PageItems = 4
 
 // Item is one key with its value, or a change of it.
@@ -64,6 +64,8 @@
 	fault   Fault
 	stale   *Copy // what stale reads return; nil: the current state
 	isMute  bool  // watches see no changes
+	delay   time.Duration
+	page    int
 	calls   map[string]int
 	changed chan struct{} // closed with each change
 	closed  chan struct{}
@@ -110,7 +112,7 @@
 func newServer() *Server {
 	s := &Server{
 		state: state{items: map[string]Item{}, leases: map[int64]lease{}, oldest: 1},
-		calls: map[string]int{}, changed: make(chan struct{}), closed: make(chan struct{}), era: 1,
+		calls: map[string]int{}, changed: make(chan struct{}), closed: make(chan struct{}), era: 1, page: PageItems,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /api/kv-key", s.key)
@@ -142,6 +144,20 @@
 	s.http.CloseClientConnections()
 }
 
+// SetDelay sets how long each call takes before it is run.
+func (s *Server) SetDelay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// SetPageItems sets the maximum number of items in a page of a range.
+func (s *Server) SetPageItems(items int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.page = items
+}
+
 // Put writes a key without a condition and returns its revision.
 func (s *Server) Put(key string, value []byte) int64 {
 	s.mu.Lock()
@@ -277,8 +293,13 @@
 		s.mu.Lock()
 		s.expireLocked()
 		s.calls[r.URL.Path]++
-		fault, era := s.fault, s.era
+		fault, era, delay := s.fault, s.era, s.delay
 		s.mu.Unlock()
+		if delay > 0 {
+			timer := time.NewTimer(delay)
+			defer timer.Stop()
+			<-timer.C
+		}
 		setEra(w, era)
 		serveWithFault(fault, next, s.closed, w, r)
 	})
@@ -351,8 +372,8 @@
 		Items   []Item `json:"items"`
 		HasMore bool   `json:"has_more"`
 		AsOf    int64  `json:"as_of"`
-	}{Items: []Item{}, HasMore: len(keys) > PageItems, AsOf: state.revision}
-	for _, key := range keys[:min(len(keys), PageItems)] {
+	}{Items: []Item{}, HasMore: len(keys) > s.page, AsOf: state.revision}
+	for _, key := range keys[:min(len(keys), s.page)] {
 		page.Items = append(page.Items, state.items[key])
 	}
 	answer(w, http.StatusOK, page)
