Estimates include the current slowdown of an endpoint's machine

Cause: engines that share their machines got as much work in slow moments as in others. Change: the observer passes on stated slowdowns; their factor enters the router's estimates, the limits on waiting prompts, the capacity, and the choice of the engine that changes its role, next to the learned slowdown. Observed times are divided by it before anything is learned from them. Metrics endivemast_endpoint_slowdowns_total and endivemast_endpoints{state="slowed"}.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -142,6 +142,11 @@
 	m.set.GetOrCreateCounter(`endivemast_endpoint_signals_total{signal="` + signal + `"}`).Inc()
 }
 
+// CountSlowdown counts a slowdown that an endpoint reported.
+func (m *Meter) CountSlowdown(outcome string) {
+	m.set.GetOrCreateCounter(`endivemast_endpoint_slowdowns_total{outcome="` + outcome + `"}`).Inc()
+}
+
 // CountTenantCharge counts a request charged to its tenant's limit.
 func (m *Meter) CountTenantCharge(outcome string) {
 	m.set.GetOrCreateCounter(`endivemast_tenant_charges_total{outcome="` + outcome + `"}`).Inc()
--- a/internal/observer/observer.go
+++ b/internal/observer/observer.go
@@ -48,6 +48,9 @@
 	// OnLimitChange is called for each change of a process's limit, in order. It must not
 	// block, nor call the Observer.
 	OnLimitChange func(process driver.Process, limit driver.Limit)
+	// OnSlowdown is called with each slowdown that a process reports, in percent; nil: not
+	// called. It may call the Observer.
+	OnSlowdown func(process driver.Process, percent int)
 	// IsListed is true for a process that the platform lists. Its record is kept for as long
 	// as it is listed.
 	IsListed func(process driver.Process) bool
@@ -104,6 +107,9 @@
 // Observe records the signals of an answer.
 func (o *Observer) Observe(observation driver.Observation) {
 	signals := &observation.Signals
+	if load := signals.Load; load != nil && load.SlowdownPercent != 0 && o.cfg.OnSlowdown != nil {
+		o.cfg.OnSlowdown(observation.Process, load.SlowdownPercent)
+	}
 	hasSignal := signals.Limit.IsSet || signals.IsLeaving || signals.Backoff > 0
 	if !hasSignal && len(signals.Malformed) == 0 && o.recordCount.Load() == 0 {
 		return
--- a/internal/scheduler/grant.go
+++ b/internal/scheduler/grant.go
@@ -186,7 +186,9 @@
 	g.prefilledAt = now
 	prefill.Breaker.Succeed(g.isPrefillProbe)
 	g.isPrefillProbe = false
-	g.application().Model.ObserveDedicatedPrefill(g.choice.PrefillTokens, now.Sub(g.grantedAt))
+	if took, ok := prefill.AtUsualSpeed(now.Sub(g.grantedAt), now); ok {
+		g.application().Model.ObserveDedicatedPrefill(g.choice.PrefillTokens, took)
+	}
 	g.storePrefix(prefill, now)
 	g.s.dispatchWaiting(prefill.Application, now)
 }
@@ -214,13 +216,15 @@
 	g.isProbe = false
 	switch {
 	case g.choice.Prefill == nil && decode.CanPrefill():
-		g.observeFirstToken(now.Sub(g.grantedAt))
+		g.observeFirstToken(now)
 		g.storePrefix(decode, now)
 	case g.work.IsPrefilled:
 		// An earlier attempt prefilled the prompt, so the time of the KV transfer
 		// can't be measured here.
 	case g.choice.Prefill == nil:
-		g.application().Model.ObserveDirectPrefill(g.choice.PrefillTokens, now.Sub(g.grantedAt))
+		if took, ok := decode.AtUsualSpeed(now.Sub(g.grantedAt), now); ok {
+			g.application().Model.ObserveDirectPrefill(g.choice.PrefillTokens, took)
+		}
 		g.storePrefix(decode, now)
 	case !g.prefilledAt.IsZero():
 		g.application().Model.ObserveKVTransfer(g.work.PromptTokens, now.Sub(g.prefilledAt))
@@ -232,8 +236,10 @@
 	g.s.dispatchWaiting(decode.Application, now)
 }
 
-func (g *grant) observeFirstToken(took time.Duration) {
-	g.application().Model.ObserveFirstToken(g.choice.TokensAhead, g.choice.PrefillTokens, took)
+func (g *grant) observeFirstToken(now time.Time) {
+	if took, ok := g.choice.Decode.AtUsualSpeed(now.Sub(g.grantedAt), now); ok {
+		g.application().Model.ObserveFirstToken(g.choice.TokensAhead, g.choice.PrefillTokens, took)
+	}
 }
 
 func (g *grant) storePrefix(endpoint *tracker.Endpoint, now time.Time) {
@@ -270,7 +276,10 @@
 	g.isProbe = false
 	if g.work.Class.Kind == configurer.KindCall {
 		model := &g.application().Model
-		took := now.Sub(g.grantedAt)
+		took, ok := endpoint.AtUsualSpeed(now.Sub(g.grantedAt), now)
+		if !ok {
+			return
+		}
 		expected := model.Call(g.concurrent)
 		model.ObserveCall(g.concurrent, took)
 		endpoint.Slowdown = estimator.UpdateSlowdown(endpoint.Slowdown, took, expected)
@@ -316,6 +325,10 @@
 
 func (g *grant) observeTokenInterval(interval time.Duration) {
 	endpoint := g.choice.Decode
+	interval, ok := endpoint.AtUsualSpeed(interval, g.s.now())
+	if !ok {
+		return
+	}
 	batch := max(endpoint.Total().Requests, 1)
 	model := &g.application().Model
 	expected := model.TokenInterval(batch)
--- a/internal/scheduler/planner/split.go
+++ b/internal/scheduler/planner/split.go
@@ -49,9 +49,13 @@
 	Role       driver.Role // the new one if it is changing
 	IsUsable   bool        // takes work, or will after its change
 	IsChanging bool
-	Requests   int // in flight
+	Requests   int     // in flight
+	Slowdown   float64 // of its work at present; 0: not known
 }
 
+// drainTime returns how long the work in flight takes, compared with other engines.
+func (e *SplitEngine) drainTime() float64 { return float64(e.Requests) * cmp.Or(e.Slowdown, 1) }
+
 // engineToChange returns the index of the engine of a role that is to change; -1:
 // none.
 func engineToChange(engines []SplitEngine, role driver.Role) int {
@@ -72,7 +76,7 @@
 	return slices.MinFunc(candidates, func(a, b int) int {
 		return cmp.Or(
 			cmp.Compare(inZone[engines[b].Zone], inZone[engines[a].Zone]),
-			cmp.Compare(engines[a].Requests, engines[b].Requests),
+			cmp.Compare(engines[a].drainTime(), engines[b].drainTime()),
 			cmp.Compare(engines[a].EndpointID, engines[b].EndpointID),
 		)
 	})
--- a/internal/scheduler/planner/split_test.go
+++ b/internal/scheduler/planner/split_test.go
@@ -19,6 +19,9 @@
 	}
 	busy := append([]SplitEngine(nil), four...)
 	busy[2].Requests = 5
+	slow := append([]SplitEngine(nil), four...)
+	slow[2].Requests, slow[2].Slowdown = 2, 3
+	slow[3].Requests, slow[3].Slowdown = 4, 0.5
 	changing := append([]SplitEngine(nil), four...)
 	changing[2].Role, changing[2].IsChanging = driver.RolePrefill, true
 	lost := append([]SplitEngine(nil), four...)
@@ -31,6 +34,7 @@
 		"no change needed":                      {four, 1, nil},
 		"zone with most decode engines":         {four, 2, []Proposal{{"b1", driver.RolePrefill, "split"}}},
 		"engine with fewest requests":           {busy, 2, []Proposal{{"b2", driver.RolePrefill, "split"}}},
+		"engine that drains first":              {slow, 2, []Proposal{{"b2", driver.RolePrefill, "split"}}},
 		"engine that is changing counts":        {changing, 2, nil},
 		"engine that is changing is not chosen": {changing, 1, []Proposal{{"a1", driver.RoleDecode, "split"}}},
 		"no prefill engines requested":          {four, 0, nil},
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -78,7 +78,7 @@
 		Role:       endpoint.Role,
 		IsUsable:   endpoint.TakesNewWork() && !endpoint.Unreached && !endpoint.Breaker.IsOpen(),
 		IsChanging: endpoint.Draining || endpoint.OrderState == driver.OrderApplying,
-		DrainTime:  estimator.Scale(drain, endpoint.Slowdown),
+		DrainTime:  estimator.Scale(drain, endpoint.CurrentSlowdown()),
 	}
 }
 
--- a/internal/scheduler/router/direct.go
+++ b/internal/scheduler/router/direct.go
@@ -48,8 +48,8 @@
 			verdict.noteBusy()
 			continue
 		}
-		choice.TimeToFirstToken = estimator.Scale(application.Model.DirectPrefill(choice.TokensAhead+choice.PrefillTokens), endpoint.Slowdown)
-		tokenInterval := estimator.Scale(application.Model.TokenInterval(total.Requests+1), endpoint.Slowdown)
+		choice.TimeToFirstToken = estimator.Scale(application.Model.DirectPrefill(choice.TokensAhead+choice.PrefillTokens), endpoint.CurrentSlowdown())
+		tokenInterval := estimator.Scale(application.Model.TokenInterval(total.Requests+1), endpoint.CurrentSlowdown())
 		choice.setFinish(q, tokenInterval)
 		choice.score = withZonePenalty(choice.score, endpoint) + directPrefillCost(application, endpoint, choice.PrefillTokens)
 		if !ok || choice.score < chosen.score {
@@ -73,5 +73,5 @@
 		return math.MaxInt
 	}
 	tokenInterval := application.Model.TokenInterval(endpoint.Total().Requests + 1).Seconds()
-	return int(max(target-tokenInterval*endpoint.Slowdown, 0) * pauseBudgetShare / (tokenTime * endpoint.Slowdown))
+	return int(max(target-tokenInterval*endpoint.CurrentSlowdown(), 0) * pauseBudgetShare / (tokenTime * endpoint.CurrentSlowdown()))
 }
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -100,7 +100,7 @@
 		choice.setReuse(application, q, endpoint)
 		costs := homes.placePrefix(application, q, &choice)
 		prefillTime := application.Model.DedicatedPrefill(choice.TokensAhead + choice.PrefillTokens)
-		choice.TimeToFirstToken = estimator.Scale(prefillTime, endpoint.Slowdown) + costs.transferTime
+		choice.TimeToFirstToken = estimator.Scale(prefillTime, endpoint.CurrentSlowdown()) + costs.transferTime
 		choice.score = withZonePenalty(choice.TimeToFirstToken+costs.evictionCost, endpoint) + lateCost(application, q, choice.TimeToFirstToken)
 		if chosen.Prefill == nil || choice.score < chosen.score {
 			chosen = choice
@@ -131,7 +131,7 @@
 		return false
 	}
 	waiting := application.Model.DedicatedPrefillCost(total.PrefillTokens)
-	return estimator.Scale(waiting, endpoint.Slowdown) > max(prefillWindow, q.FirstTokenBudget)
+	return estimator.Scale(waiting, endpoint.CurrentSlowdown()) > max(prefillWindow, q.FirstTokenBudget)
 }
 
 // bestDecode adds the best decode engine to the choice of a prefill engine.
@@ -150,7 +150,7 @@
 		choice := prefill
 		choice.Decode = endpoint
 		choice.TimeToFirstToken += kvTransfer(application, q)
-		tokenInterval := estimator.Scale(application.Model.TokenInterval(total.Requests+1), endpoint.Slowdown)
+		tokenInterval := estimator.Scale(application.Model.TokenInterval(total.Requests+1), endpoint.CurrentSlowdown())
 		choice.setFinish(q, tokenInterval)
 		choice.score = withZonePenalty(choice.score, endpoint)
 		if !ok || choice.score < chosen.score {
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -338,7 +338,7 @@
 		return false
 	}
 	waiting := application.Model.PrefillCost(total.PrefillTokens)
-	return estimator.Scale(waiting, endpoint.Slowdown) > prefillWindow
+	return estimator.Scale(waiting, endpoint.CurrentSlowdown()) > prefillWindow
 }
 
 // requestLimit returns how many requests an endpoint takes before work of this
@@ -364,15 +364,15 @@
 	total := endpoint.Total()
 	choice := Choice{Path: PathSingleEngine, Decode: endpoint}
 	if q.Kind == configurer.KindCall {
-		choice.TimeToFirstToken = estimator.Scale(model.Call(total.Requests), endpoint.Slowdown)
+		choice.TimeToFirstToken = estimator.Scale(model.Call(total.Requests), endpoint.CurrentSlowdown())
 		choice.TimeToFinish = choice.TimeToFirstToken
 		choice.score = withZonePenalty(choice.TimeToFinish, endpoint)
 		return choice
 	}
 	choice.setReuse(application, q, endpoint)
 	choice.TokensAhead = total.PrefillTokens
-	choice.TimeToFirstToken = estimator.Scale(model.FirstToken(choice.TokensAhead+choice.PrefillTokens), endpoint.Slowdown)
-	tokenInterval := estimator.Scale(model.TokenInterval(total.Requests+1), endpoint.Slowdown)
+	choice.TimeToFirstToken = estimator.Scale(model.FirstToken(choice.TokensAhead+choice.PrefillTokens), endpoint.CurrentSlowdown())
+	tokenInterval := estimator.Scale(model.TokenInterval(total.Requests+1), endpoint.CurrentSlowdown())
 	choice.setFinish(q, tokenInterval)
 	choice.score = withZonePenalty(choice.score, endpoint)
 	return choice
--- a/internal/scheduler/router/router_test.go
+++ b/internal/scheduler/router/router_test.go
@@ -77,6 +77,20 @@
 			},
 			want: "engine-00000",
 		},
+		"other zone if the machine is slow at the moment": {
+			engines: 2,
+			arrange: func(table *tracker.Table, _ *Query) {
+				engine(table, 0).ObserveMachine(800, start)
+			},
+			want: "engine-00001",
+		},
+		"local zone if the machine's value is implausible": {
+			engines: 2,
+			arrange: func(table *tracker.Table, _ *Query) {
+				engine(table, 0).ObserveMachine(80_000, start)
+			},
+			want: "engine-00000",
+		},
 		"load of peers is counted": {
 			engines: 2,
 			arrange: func(table *tracker.Table, _ *Query) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -200,6 +200,18 @@
 	s.dispatchWaiting(endpoint.Application, s.now())
 }
 
+// ObserveSlowdown records how long work currently takes on the machine of a process, in percent of the usual
+// duration, and reports whether the value is used. Implausible values are not.
+func (s *Scheduler) ObserveSlowdown(process driver.Process, percent int, now time.Time) (isUsed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	endpoint := s.table.Endpoints[process.EndpointID]
+	if endpoint == nil || endpoint.Target.Process() != process {
+		return false
+	}
+	return endpoint.ObserveMachine(percent, now)
+}
+
 // SetPeersWithoutPath sets, by application, how many peers pass their work to other hosts since
 // they don't reach the endpoints. This host's part of the capacity is greater then.
 func (s *Scheduler) SetPeersWithoutPath(peers map[string]float64) {
--- a/internal/scheduler/split.go
+++ b/internal/scheduler/split.go
@@ -105,7 +105,7 @@
 		}
 		engines = append(engines, planner.SplitEngine{
 			EndpointID: endpoint.Target.EndpointID, Zone: endpoint.Zone, Role: role, IsChanging: isChanging,
-			IsUsable: isChanging || endpoint.TakesNewWork(), Requests: endpoint.Total().Requests,
+			IsUsable: isChanging || endpoint.TakesNewWork(), Requests: endpoint.Total().Requests, Slowdown: endpoint.CurrentSlowdown(),
 		})
 	}
 	slices.SortFunc(engines, func(a, b planner.SplitEngine) int { return strings.Compare(a.EndpointID, b.EndpointID) })
--- a/internal/scheduler/status.go
+++ b/internal/scheduler/status.go
@@ -25,6 +25,7 @@
 	BreakerOpen bool              `json:"set_aside"` // the circuit breaker is open after failures
 	Limit       int               `json:"limit"`     // concurrent requests
 	Slowdown    float64           `json:"speed"`     // its times relative to its application's model; above 1 is slower
+	Machine     float64           `json:"machine"`   // current times on its machine relative to the usual ones; 1 if not known
 	Own         Load              `json:"own"`
 	Total       Load              `json:"total"` // including peers' load and corrections by reports
 	ReportedAt  time.Time         `json:"reported_at"`
@@ -64,6 +65,7 @@
 		BreakerOpen: endpoint.Breaker.IsOpen(),
 		Limit:       endpoint.Limit,
 		Slowdown:    endpoint.Slowdown,
+		Machine:     endpoint.MachineFactor(),
 		Own:         endpoint.Own,
 		Total:       endpoint.Total(),
 		ReportedAt:  endpoint.ReportedAt,
@@ -71,13 +73,13 @@
 }
 
 // estimatedRates returns an engine's estimated throughput in prompt and output tokens per
-// second: its application's model, corrected by the engine's slowdown.
+// second: its application's model, corrected by the engine's current slowdown.
 func estimatedRates(model *estimator.Model, endpoint *tracker.Endpoint) (prefill, decode float64) {
-	if perToken := model.PrefillToken() * endpoint.Slowdown; perToken > 0 {
+	if perToken := model.PrefillToken() * endpoint.CurrentSlowdown(); perToken > 0 {
 		prefill = 1 / perToken
 	}
 	batch := max(endpoint.Limit, 1)
-	if gap := model.TokenInterval(batch).Seconds() * endpoint.Slowdown; gap > 0 {
+	if gap := model.TokenInterval(batch).Seconds() * endpoint.CurrentSlowdown(); gap > 0 {
 		decode = float64(batch) / gap
 	}
 	return prefill, decode
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -5,6 +5,7 @@
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/scheduler/smoother"
 )
 
 const (
@@ -32,11 +33,13 @@
 	MarkedLeavingAt time.Time // when an answer or a peer stated that it is leaving; zero: not stated
 	ReplacedUntil   time.Time // another process has answered at its address; zero: none has
 	Role            driver.Role
-	Limit           int     // requests in flight that it is given
-	Slowdown        float64 // factor against the model of its application; above 1 is slower
-	Breaker         Breaker
-	Unreached       bool // this host's network path to it is broken
-	Cache           Cache
+	Limit           int // requests in flight that it is given
+	// Slowdown is the learned factor of the engine against the model of its application, at the
+	// usual speed of its machine; above 1 is slower.
+	Slowdown  float64
+	Breaker   Breaker
+	Unreached bool // this host's network path to it is broken
+	Cache     Cache
 
 	UsedAt      time.Time // when any host last had work there, as far as this host knows
 	Own         Load
@@ -48,6 +51,9 @@
 	OrderState  driver.OrderState
 	RoleSince   time.Time // when this host first observed the present role
 
+	machine       smoother.Mean // of the values that it states
+	machineFactor float64       // of machine at the last value or tick; 0: no value yet
+
 	correctedAt  time.Time
 	hadLongQueue bool         // many requests waited in the last report
 	wasIdle      bool         // at any tick
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -110,7 +110,7 @@
 // capacity returns the engine seconds per second of an endpoint. One with a limit
 // on its request rate provides what that many requests cost.
 func (t *Table) capacity(a *Application, endpoint *Endpoint) float64 {
-	speed := 1 / endpoint.Slowdown
+	speed := 1 / endpoint.CurrentSlowdown()
 	if t.RateLimitOf == nil || a.MeanCost <= 0 {
 		return speed
 	}
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -391,6 +391,7 @@
 	inUse := EngineUse{at: now}
 	for i := range a.Len() {
 		endpoint := a.At(i)
+		endpoint.refreshMachine(now)
 		if endpoint.isIdle() {
 			continue
 		}
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -14,6 +14,10 @@
 
 // How a Gateway processes the signals in endpoints' answers.
 
+// slowedFactor is from which factor on work takes clearly longer on an endpoint's machine than usual: it
+// then serves four fifths of its requests.
+const slowedFactor = 1.25
+
 func (g *Gateway) buildSignals() {
 	g.limiter = ratelimiter.New(ratelimiter.Config{
 		HostID: g.cfg.HostID, Hosts: g.limiterHosts, Refill: g.refill, Clock: g.cfg.Clock.Now, TenantLimit: g.tenantLimit,
@@ -21,12 +25,22 @@
 		Meter: g.meter, Logger: g.cfg.Logger.Named("ratelimiter"),
 	})
 	g.observer = observer.New(observer.Config{
-		Clock: g.cfg.Clock.Now, Meter: g.meter, OnLimitChange: g.limiter.SetLimit,
+		Clock: g.cfg.Clock.Now, Meter: g.meter, OnLimitChange: g.limiter.SetLimit, OnSlowdown: g.observeSlowdown,
 		IsListed: g.isListed, OnLeaving: func(endpointIDs ...string) { g.registrations.Refresh(endpointIDs...) }, Logger: g.cfg.Logger.Named("observer"),
 	})
 	g.cfg.Driver.SetObserver(g.observer.Observe)
 }
 
+// observeSlowdown passes on how long work currently takes on the machine of an endpoint. An unused value is
+// implausible, or that of a process that is not listed.
+func (g *Gateway) observeSlowdown(process driver.Process, percent int) {
+	outcome := "unused"
+	if g.scheduler.ObserveSlowdown(process, percent, time.Now()) {
+		outcome = "used"
+	}
+	g.meter.CountSlowdown(outcome)
+}
+
 func (g *Gateway) isListed(process driver.Process) bool {
 	host, ok := g.registrations.Find(process.EndpointID)
 	return ok && host.Incarnation == process.Incarnation
@@ -45,6 +59,14 @@
 		}
 	}
 	g.meter.GaugeEndpoints("limited", count(func(state *observer.State) bool { return state.Limit.IsSet }))
+	g.meter.GaugeEndpoints("slowed", func() (n float64) {
+		for _, endpoint := range g.scheduler.Endpoints() {
+			if endpoint.Machine >= slowedFactor {
+				n++
+			}
+		}
+		return n
+	})
 	g.meter.GaugeEndpoints("said_leaving", count(func(state *observer.State) bool { return state.IsLeaving }))
 	g.meter.GaugeEndpoints("resting", count(func(state *observer.State) bool { return state.BackoffUntil.After(g.cfg.Clock.Now()) }))
 }
