Limits on the heads of endpoints' responses, and names of exceeded limits

Cause: maxHeadBytes was declared and not enforced. One response without a line end grew the heap by 1.4 GB and was read until the request's time was over, and consecutive informational heads were skipped without end. Change: internal/transporter buffers a head up to 64 KiB before it parses it, skips at most 8 informational heads, and resets a connection on which a head, or the skipped body of another request's response, is not complete within 2 s. internal/responselimiter names the limits, also those of net/http on chunks and trailers.

--- a/internal/transporter/exchange.go
+++ b/internal/transporter/exchange.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/endivemast/endivemast/internal/responselimiter"
 )
 
 // exchange is one request and its answer on one connection.
@@ -29,6 +31,7 @@
 	response    *http.Response
 	idleTimeout time.Duration
 	endOnce     sync.Once
+	limitOnce   sync.Once
 }
 
 // run writes the request and reads the head of its answer.
@@ -49,6 +52,7 @@
 	}
 	response, err := x.readHead()
 	if err != nil {
+		x.reportLimit(err)
 		x.conn.reset()
 		writeErr := x.bodyWrite.Wait()
 		return nil, &SendError{Sent: x.sent() > 0, Cause: errors.Join(err, writeErr)}
@@ -103,42 +107,37 @@
 		if !isFramed || response.Close {
 			return nil, ErrMismatchedAnswer
 		}
-		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxSkippedBodyBytes)); err != nil || n == maxSkippedBodyBytes {
-			return nil, ErrMismatchedAnswer
+		if err := x.skipBody(response.Body); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMismatchedAnswer, err)
 		}
 	}
 	return nil, ErrMismatchedAnswer
 }
 
+// skipBody reads the body of an answer to another request. Its time is limited, since the request
+// could be sent elsewhere meanwhile.
+func (x *exchange) skipBody(body io.Reader) error {
+	stop := x.limitTime(responselimiter.SkippedBodyTime)
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxSkippedBodyBytes))
+	if n == maxSkippedBodyBytes {
+		err = &responselimiter.ExceededError{Limit: responselimiter.SkippedBodyBytes}
+	}
+	return errors.Join(stop(), responselimiter.BodyError(err))
+}
+
 func (x *exchange) echoesRequestID(response *http.Response) bool {
 	name := x.transporter.settings.IDHeader
 	return name == "" || x.request.ID == "" || response.Header.Get(name) == x.request.ID
 }
 
-// readResponse returns the next head that is not an informational one (1xx).
-func (x *exchange) readResponse() (*http.Response, error) {
-	for {
-		if _, err := x.conn.reader.Peek(1); err != nil {
-			if errors.Is(err, io.EOF) {
-				return nil, errClosedBeforeAnswer
-			}
-			return nil, err
-		}
-		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
-		if err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
-		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, nil
-		}
-	}
-}
-
 func (x *exchange) Read(p []byte) (int, error) {
 	n, err := x.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
 		x.end(x.canReuse)
+		return n, err
 	}
+	err = responselimiter.BodyError(err)
+	x.reportLimit(err)
 	return n, err
 }
 
@@ -147,7 +146,7 @@
 func (x *exchange) canReuse() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return !x.isSingleUse && !x.response.Close && x.written == x.requestBytes && x.idleTimeout > 0 && x.conn.reader.Buffered() == 0
+	return !x.isSingleUse && !x.response.Close && x.written == x.requestBytes && x.idleTimeout > 0 && x.conn.unread() == 0
 }
 
 // Close ends the exchange. It resets the connection unless the body has been read to its
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
@@ -52,9 +53,11 @@
 	// read. It fits into any socket buffer. The write of a longer body may block when the
 	// endpoint has answered and reads no more.
 	maxInlineBodyBytes = 2 << 10
-	// maxHeadBytes limits the head of an answer.
-	maxHeadBytes    = 64 << 10
-	readBufferBytes = 4 << 10
+	// maxHeadBytes, maxInformationalHeads and maxHeadTime limit the head of an answer.
+	maxHeadBytes          = responselimiter.MaxHeadBytes
+	maxInformationalHeads = responselimiter.MaxInformationalHeads
+	maxHeadTime           = responselimiter.MaxHeadTime
+	readBufferBytes       = 4 << 10
 	// expiryMargin is how long before the endpoint's keep-alive timeout a connection is
 	// dropped, so that no request is sent while the endpoint closes it.
 	expiryMargin = 500 * time.Millisecond
@@ -98,6 +101,8 @@
 	// IDHeader is the header in which an answer echoes its request's id. If it is empty,
 	// ids are not checked.
 	IDHeader string
+	// OnLimitExceeded is called for each answer that exceeds a limit; nil: no call.
+	OnLimitExceeded func(limit responselimiter.Limit)
 }
 
 // Request is an HTTP request to an endpoint.
@@ -146,8 +151,9 @@
 type conn struct {
 	net.Conn
 	address   string
-	reader    *bufio.Reader
-	expiresAt time.Time // not used for a new request after this time
+	source    *source
+	reader    *bufio.Reader // reads from source
+	expiresAt time.Time     // not used for a new request after this time
 }
 
 // New creates a Transporter.
@@ -349,7 +355,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	from := &source{conn: raw}
+	return &conn{Conn: raw, address: address, source: from, reader: bufio.NewReaderSize(from, readBufferBytes)}, nil
 }
 
 func dialTCP(ctx context.Context, address string, timeout, userTimeout time.Duration) (net.Conn, error) {
