--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -48,6 +48,8 @@
 	CountOutcome(tenant, class, outcome, reason string)
 	CountRetry(class string)
 	CountHedge(class string)
+	// CountExceededLimit counts an answer that exceeds a limit.
+	CountExceededLimit(client, limit string)
 }
 
 // Config configures a Dispatcher.
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -2,33 +2,51 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
+
+	"github.com/endivemast/endivemast/internal/responselimiter"
 )
 
 // maxEventBytes limits the size of one event of a stream. Engines put several tokens into an
 // event of a few hundred bytes, so anything larger isn't a valid event.
 const maxEventBytes = 256 << 10
 
-var errEventTooLong = errors.New("event of a stream is too long")
+// eventBufferBytes is the size of the buffer of a stream without large events.
+const eventBufferBytes = 4 << 10
 
 // eventReader splits an event stream (text/event-stream) into complete events. A partial event at
 // the end of an interrupted answer is never returned.
 type eventReader struct {
-	body   io.Reader
-	buffer []byte
-	start  int // of the data not returned yet
-	end    int
+	body     io.Reader
+	large    *largeBuffers
+	reserved int64 // of large, for an event beyond smallBufferBytes
+	buffer   []byte
+	start    int // of the data not returned yet
+	end      int
+}
+
+func newEventReader(body io.Reader, large *largeBuffers) *eventReader {
+	return &eventReader{body: body, large: large, buffer: make([]byte, eventBufferBytes)}
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{body: body, buffer: make([]byte, 4<<10)}
+// release frees the memory for a large event.
+func (r *eventReader) release() {
+	if r.reserved > 0 {
+		r.large.free.Release(r.reserved)
+		r.reserved = 0
+	}
 }
 
 // next returns one or more complete events unchanged, with the ID of the last one that has an ID,
 // and their number. The bytes are valid until the next call. The error is io.EOF after the last
 // complete event, and io.ErrUnexpectedEOF if the stream ends within an event.
-func (r *eventReader) next() (events []byte, lastID string, count int, err error) {
+func (r *eventReader) next(ctx context.Context) (events []byte, lastID string, count int, err error) {
+	if r.reserved > 0 && r.start == r.end {
+		r.buffer, r.start, r.end = make([]byte, eventBufferBytes), 0, 0
+		r.release()
+	}
 	for {
 		if n := completeEventsLength(r.buffer[r.start:r.end]); n > 0 {
 			events = r.buffer[r.start : r.start+n]
@@ -36,7 +54,7 @@
 			lastID, count = scanEvents(events)
 			return events, lastID, count, nil
 		}
-		if err := r.fill(); err != nil {
+		if err := r.fill(ctx); err != nil {
 			if errors.Is(err, io.EOF) && r.end > r.start {
 				err = io.ErrUnexpectedEOF
 			}
@@ -45,14 +63,19 @@
 	}
 }
 
-func (r *eventReader) fill() error {
+func (r *eventReader) fill(ctx context.Context) (err error) {
 	if r.start > 0 {
 		r.end = copy(r.buffer, r.buffer[r.start:r.end])
 		r.start = 0
 	}
 	if r.end == len(r.buffer) {
 		if len(r.buffer) >= maxEventBytes {
-			return errEventTooLong
+			return &responselimiter.ExceededError{Limit: responselimiter.EventBytes}
+		}
+		if r.reserved == 0 && 2*len(r.buffer) > smallBufferBytes {
+			if r.reserved, err = r.large.acquire(ctx, maxEventBytes); err != nil {
+				return err
+			}
 		}
 		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
 	}
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -191,6 +191,7 @@
 func (nopMeter) ObserveQueue(string, string, time.Duration)         {}
 func (nopMeter) CountOutcome(string, string, string, string)        {}
 func (nopMeter) CountRetry(string)                                  {}
+func (nopMeter) CountExceededLimit(string, string)                  {}
 func (nopMeter) CountHedge(string)                                  {}
 
 func newTestDispatcher(class configurer.Class, endpoints *fakeEndpoints, claims *fakeClaimer) *Dispatcher {
--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -11,6 +11,7 @@
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/quarantiner"
 	"github.com/endivemast/endivemast/internal/ratelimiter"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
@@ -25,8 +26,8 @@
 
 // forwardBuffered reads an answer to its end before forwarding any of it, so that an interrupted
 // answer never appears complete.
-func (fr *forwardedRequest) forwardBuffered(answer *driver.ForwardAnswer) error {
-	buffered, err := fr.readAnswer(answer)
+func (fr *forwardedRequest) forwardBuffered(ctx context.Context, answer *driver.ForwardAnswer) error {
+	buffered, err := fr.readAnswer(ctx, answer)
 	if err != nil {
 		return err
 	}
@@ -38,12 +39,10 @@
 }
 
 // readAnswer reads an answer to its end.
-func (fr *forwardedRequest) readAnswer(answer *driver.ForwardAnswer) (*bufferedAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBufferedAnswerBytes+1))
-	if err == nil && len(body) > maxBufferedAnswerBytes {
-		err = errAnswerTooLong
-	}
+func (fr *forwardedRequest) readAnswer(ctx context.Context, answer *driver.ForwardAnswer) (*bufferedAnswer, error) {
+	body, err := fr.forwarder.largeBuffers.readAll(ctx, answer.Body, answer.Length)
 	if err != nil {
+		fr.countExceededLimit(err, responselimiter.BodyBytes)
 		return nil, fmt.Errorf("%w: %w", driver.ErrOutcomeUnknown, err)
 	}
 	if fr.isHeaderSent {
@@ -53,6 +52,20 @@
 	return &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}, nil
 }
 
+// countExceededLimit counts an answer that was ended by a limit of this package. The client counts
+// its own.
+func (fr *forwardedRequest) countExceededLimit(err error, own responselimiter.Limit) {
+	limit, ok := responselimiter.ExceededLimit(err)
+	if !ok || limit != own {
+		return
+	}
+	client := responselimiter.ClientEndpoint
+	if fr.isAtPeer {
+		client = responselimiter.ClientPeer
+	}
+	fr.forwarder.cfg.Meter.CountExceededLimit(client, string(limit))
+}
+
 func (fr *forwardedRequest) deliver(buffered *bufferedAnswer) error {
 	if err := fr.writer.WriteHeader(AnswerHead{Status: buffered.status, Header: buffered.header, Length: int64(len(buffered.body)), SoftwareVersion: fr.lastAttempt.softwareVersion}); err != nil {
 		return errors.Join(errCallerGone, err)
@@ -77,13 +90,15 @@
 // forwardEvents forwards a stream in complete events. The header is sent with the first event;
 // until then, another endpoint may take over the request.
 func (fr *forwardedRequest) forwardEvents(ctx context.Context, tokens tokenReceiver, answer *driver.ForwardAnswer) error {
-	reader := newEventReader(answer.Body)
+	reader := newEventReader(answer.Body, fr.forwarder.largeBuffers)
+	defer reader.release()
 	for {
-		events, lastID, count, err := reader.next()
+		events, lastID, count, err := reader.next(ctx)
 		if errors.Is(err, io.EOF) {
 			return fr.endStream(answer)
 		}
 		if err != nil {
+			fr.countExceededLimit(err, responselimiter.EventBytes)
 			return fmt.Errorf("%w: stream broke off: %w", driver.ErrOutcomeUnknown, err)
 		}
 		for range count {
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -25,8 +25,7 @@
 )
 
 var (
-	errTimeout       = errors.New("time for the request is over")
-	errAnswerTooLong = errors.New("answer is too long")
+	errTimeout = errors.New("time for the request is over")
 	// errEndpointUnavailable means that the endpoint stopped accepting the request after it was
 	// chosen: it is shutting down, has asked for backoff, or this host's slot of the endpoint's
 	// limit has passed.
@@ -411,5 +410,5 @@
 		return fr.forwardEvents(ctx, grant, &answer)
 	}
 	fr.reportRunStarted()
-	return fr.forwardBuffered(&answer)
+	return fr.forwardBuffered(ctx, &answer)
 }
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -113,6 +113,7 @@
 	requestLog     *requestLogger
 	activeRequests atomic.Int64
 	cacheReleases  errgroup.Group // releases of unused KV caches
+	largeBuffers   *largeBuffers
 
 	mu            sync.Mutex
 	repeatBudgets map[string]*repeatBudget // by application
@@ -139,7 +140,8 @@
 		cfg.Peers = noPeers{}
 	}
 	return &Forwarder{
-		cfg: cfg, requestLog: newRequestLogger(cfg.Logger, cfg.StoreUnreachableFor), repeatBudgets: map[string]*repeatBudget{}, repeatReserve: cfg.RepeatReserve,
+		largeBuffers: newLargeBuffers(),
+		cfg:          cfg, requestLog: newRequestLogger(cfg.Logger, cfg.StoreUnreachableFor), repeatBudgets: map[string]*repeatBudget{}, repeatReserve: cfg.RepeatReserve,
 		running: map[*forwardedRequest]context.CancelCauseFunc{}, attempts: map[*runningAttempt]struct{}{},
 	}
 }
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -279,7 +279,7 @@
 	if isStream {
 		err = fr.forwardEvents(ctx, noTokens{}, &answer.ForwardAnswer)
 	} else {
-		err = fr.forwardComplete(&answer.ForwardAnswer)
+		err = fr.forwardComplete(ctx, &answer.ForwardAnswer)
 	}
 	if outcome, ok := answer.Outcome(); ok && err != nil && !outcome.IsComplete {
 		return &PeerError{HostID: answer.HostID, Outcome: outcome}
@@ -288,8 +288,8 @@
 }
 
 // forwardComplete reads an answer to its end and forwards it.
-func (fr *forwardedRequest) forwardComplete(answer *driver.ForwardAnswer) error {
-	buffered, err := fr.readAnswer(answer)
+func (fr *forwardedRequest) forwardComplete(ctx context.Context, answer *driver.ForwardAnswer) error {
+	buffered, err := fr.readAnswer(ctx, answer)
 	if err != nil {
 		return err
 	}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -189,6 +189,12 @@
 	m.set.GetOrCreateCounter(`endivemast_duty_calls_total{duty="` + duty + `",outcome="` + outcome + `"}`).Inc()
 }
 
+// CountExceededLimit counts a response that was ended because it exceeded a limit, by the client
+// that received it. Both labels are constants of package responselimiter.
+func (m *Meter) CountExceededLimit(client, limit string) {
+	m.set.GetOrCreateCounter(`endivemast_exceeded_limits_total{client="` + client + `",limit="` + limit + `"}`).Inc()
+}
+
 // CountHedge counts a hedge: an attempt that was started while an earlier one was slow.
 func (m *Meter) CountHedge(class string) {
 	m.set.GetOrCreateCounter(m.classMetric("endivemast_hedges_total", class)).Inc()
--- a/internal/responselimiter/responselimiter.go
+++ b/internal/responselimiter/responselimiter.go
@@ -15,6 +15,7 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -89,6 +90,18 @@
 	}
 }
 
+// ReadAll reads a body of at most maxBytes.
+func ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxBytes+1))
+	if err == nil && int64(len(data)) > maxBytes {
+		err = &ExceededError{BodyBytes}
+	}
+	if err != nil {
+		return nil, BodyError(err)
+	}
+	return data, nil
+}
+
 // Counter counts exceeded limits by client and limit. A nil Counter counts nothing.
 type Counter struct {
 	observe atomic.Pointer[func(client, limit string)]
--- a/internal/transporter/endless_test.go
+++ b/internal/transporter/endless_test.go
@@ -16,49 +16,6 @@
 	"github.com/endivemast/endivemast/standins/opaqueserver"
 )
 
-// maxEndlessBytes ends an endless response, so that the test of a missing limit fails instead of
-// exhausting the memory.
-const maxEndlessBytes = 64 << 20
-
-// endless writes data until the client closes the connection.
-func endless(x *opaqueserver.Exchange, data string) {
-	block := []byte(strings.Repeat(data, 1+(4<<10)/len(data)))
-	for written := 0; written < maxEndlessBytes; written += len(block) {
-		if _, err := x.Conn.Write(block); err != nil {
-			break
-		}
-	}
-	x.Close()
-}
-
-// endlessLines writes header lines with different names until the client closes the connection.
-func endlessLines(x *opaqueserver.Exchange) {
-	line := []byte("Xaaaaaa: b\r\n")
-	for n := range maxEndlessBytes / len(line) {
-		for i := 1; i < 7; i++ {
-			line[i] = byte('a' + n%26)
-			n /= 26
-		}
-		if _, err := x.Conn.Write(line); err != nil {
-			break
-		}
-	}
-	x.Close()
-}
-
-// slow writes data one byte at a time until the client closes the connection.
-func slow(x *opaqueserver.Exchange, data string) {
-	ticker := time.NewTicker(20 * time.Millisecond)
-	defer ticker.Stop()
-	for i := 0; ; i++ {
-		if _, err := x.Conn.Write([]byte{data[i%len(data)]}); err != nil {
-			x.Close()
-			return
-		}
-		<-ticker.C
-	}
-}
-
 // countReads returns a Transporter that counts the bytes read from its connections and the limits
 // that were exceeded.
 func countReads(t *testing.T) (tr *Transporter, read *atomic.Int64, exceeded *atomic.Int64) {
@@ -96,42 +53,42 @@
 	limit  responselimiter.Limit
 	read   int64
 }{
-	"no line end": {func(x *opaqueserver.Exchange) { endless(x, "x") }, responselimiter.HeadBytes, maxHeadBytes + readBufferBytes},
+	"no line end": {func(x *opaqueserver.Exchange) { x.Endless("x") }, responselimiter.HeadBytes, maxHeadBytes + readBufferBytes},
 	"header lines of one name": {func(x *opaqueserver.Exchange) {
 		x.Write("HTTP/1.1 200 OK\r\n")
-		endless(x, "A: b\r\n")
+		x.Endless("A: b\r\n")
 	}, responselimiter.HeadBytes, maxHeadBytes + readBufferBytes},
 	"header lines of different names": {func(x *opaqueserver.Exchange) {
 		x.Write("HTTP/1.1 200 OK\r\n")
-		endlessLines(x)
+		x.EndlessLines()
 	}, responselimiter.HeadBytes, maxHeadBytes + readBufferBytes},
 	"continued header line": {func(x *opaqueserver.Exchange) {
 		x.Write("HTTP/1.1 200 OK\r\nA: b\r\n")
-		endless(x, " \r\n")
+		x.Endless(" \r\n")
 	}, responselimiter.HeadBytes, maxHeadBytes + readBufferBytes},
 	"informational heads": {func(x *opaqueserver.Exchange) {
-		endless(x, "HTTP/1.1 103 Early Hints\r\n\r\n")
+		x.Endless("HTTP/1.1 103 Early Hints\r\n\r\n")
 	}, responselimiter.InformationalHeads, 8 << 10},
 	"long informational heads": {func(x *opaqueserver.Exchange) {
-		endless(x, "HTTP/1.1 103 Early Hints\r\nA: "+strings.Repeat("b", 20<<10)+"\r\n\r\n")
+		x.Endless("HTTP/1.1 103 Early Hints\r\nA: " + strings.Repeat("b", 20<<10) + "\r\n\r\n")
 	}, responselimiter.HeadBytes, maxHeadBytes + readBufferBytes},
 	"chunk extension": {func(x *opaqueserver.Exchange) {
 		x.Head(200, "Transfer-Encoding: chunked")
 		x.Write("5;")
-		endless(x, "a")
+		x.Endless("a")
 	}, responselimiter.ChunkBytes, 64 << 10},
 	"chunk extensions": {func(x *opaqueserver.Exchange) {
 		x.Head(200, "Transfer-Encoding: chunked")
-		endless(x, "1;"+strings.Repeat("a", 1000)+"\r\nx\r\n")
+		x.Endless("1;" + strings.Repeat("a", 1000) + "\r\nx\r\n")
 	}, responselimiter.ChunkBytes, 64 << 10},
 	"trailers": {func(x *opaqueserver.Exchange) {
 		x.Head(200, "Transfer-Encoding: chunked")
 		x.Write("0\r\n")
-		endless(x, "A: b\r\n")
+		x.Endless("A: b\r\n")
 	}, responselimiter.TrailerBytes, 64 << 10},
 	"body of another request's response": {func(x *opaqueserver.Exchange) {
 		x.Write(opaqueserver.Head("r0", 200, "Transfer-Encoding: chunked"))
-		endless(x, "1000\r\n"+strings.Repeat("x", 0x1000)+"\r\n")
+		x.Endless("1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n")
 	}, responselimiter.SkippedBodyBytes, maxSkippedBodyBytes + 64<<10},
 }
 
@@ -201,8 +158,8 @@
 		script opaqueserver.Script
 		limit  responselimiter.Limit
 	}{
-		"no line end":         {func(x *opaqueserver.Exchange) { slow(x, "x") }, responselimiter.HeadTime},
-		"header lines":        {func(x *opaqueserver.Exchange) { x.Write("HTTP/1.1 200 OK\r\n"); slow(x, "A: b\r\n") }, responselimiter.HeadTime},
+		"no line end":         {func(x *opaqueserver.Exchange) { x.Slow("x") }, responselimiter.HeadTime},
+		"header lines":        {func(x *opaqueserver.Exchange) { x.Write("HTTP/1.1 200 OK\r\n"); x.Slow("A: b\r\n") }, responselimiter.HeadTime},
 		"one byte, then none": {func(x *opaqueserver.Exchange) { x.Write("H"); x.Hang(testTimeout) }, responselimiter.HeadTime},
 		"head longer than the read buffer": {func(x *opaqueserver.Exchange) {
 			x.Write("HTTP/1.1 200 OK\r\nA: " + strings.Repeat("b", 8<<10))
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -39,6 +39,7 @@
 	"github.com/endivemast/endivemast/internal/registrar"
 	"github.com/endivemast/endivemast/internal/relayer"
 	"github.com/endivemast/endivemast/internal/reporter"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/scaler"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
@@ -124,6 +125,8 @@
 	PrefillShare float64 // share of prefill engines if Roles is fixed
 	Version      string
 	Logger       hclog.Logger
+	// ExceededLimits counts responses that exceed a limit, for the metrics; nil: not counted.
+	ExceededLimits *responselimiter.Counter
 	// Recorder keeps the lines of Logger that are logged again at intervals; nil: none.
 	Recorder *recorder.Recorder
 }
@@ -196,6 +199,7 @@
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.meter = meter.New(meter.Config{})
+	cfg.ExceededLimits.SetObserver(g.meter.CountExceededLimit)
 	g.caches = cachesharer.New(cachesharer.Config{OnEvents: g.applyCacheEvents, Logger: cfg.Logger.Named("cachesharer")})
 	g.cacheWatcher = cachewatcher.New(cachewatcher.Config{
 		Driver: cfg.Driver, OnEvents: g.caches.ApplyEvents, BackoffRemaining: func(process driver.Process) time.Duration { return g.observer.BackoffRemaining(process) },
