--- a/internal/responselimiter/responselimiter.go
+++ b/internal/responselimiter/responselimiter.go
@@ -14,6 +14,7 @@
 package responselimiter
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -92,16 +93,31 @@
 
 // ReadAll reads a body of at most maxBytes.
 func ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxBytes+1))
-	if err == nil && int64(len(data)) > maxBytes {
-		err = &ExceededError{BodyBytes}
+	var blocks [][]byte // joined at the end: a buffer that grows is copied, and takes up to twice the memory
+	var total int64     // bytes of blocks
+	for block := make([]byte, 0, minBlockBytes); ; {
+		n, err := body.Read(block[len(block):cap(block)])
+		block = block[:len(block)+n]
+		switch {
+		case total+int64(len(block)) > maxBytes:
+			return nil, &ExceededError{BodyBytes}
+		case errors.Is(err, io.EOF):
+			return bytes.Join(append(blocks, block), nil), nil
+		case err != nil:
+			return nil, BodyError(err)
+		case len(block) == cap(block):
+			blocks, total = append(blocks, block), total+int64(len(block))
+			block = make([]byte, 0, min(2*cap(block), maxBlockBytes))
+		}
 	}
-	if err != nil {
-		return nil, BodyError(err)
-	}
-	return data, nil
 }
 
+// Sizes of the blocks of ReadAll.
+const (
+	minBlockBytes = 1 << 10
+	maxBlockBytes = 64 << 10
+)
+
 // Counter counts exceeded limits by client and limit. A nil Counter counts nothing.
 type Counter struct {
 	observe atomic.Pointer[func(client, limit string)]
