--- a/internal/responselimiter/transport.go
+++ b/internal/responselimiter/transport.go
@@ -76,7 +76,7 @@
 
 // begin is called when the first byte of the first head has arrived.
 func (h *headLimiter) begin() {
-	h.timer.Store(timekeeper.AfterFunc(MaxHeadTime, func() { h.exceed(HeadTime) }))
+	h.timer.Store(timekeeper.AfterFunc(MaxHeadTime, func() { _ = h.exceed(HeadTime) }))
 	if h.hasEnded.Load() {
 		h.end() // the caller has given up meanwhile
 	}
