Limits on responses in httpdriver and etcdprovider

Cause: etcdprovider accepted heads of 10 MB and any number of informational heads, orders of httpdriver a head of any length, and neither had a limit in time on a head or named an exceeded limit. Change: both use responselimiter.Transport; the head of an order's answer is limited in bytes (its time by OrderTimeout); the entry host counts exceeded limits of both.

--- a/internal/etcdprovider/caller.go
+++ b/internal/etcdprovider/caller.go
@@ -27,7 +27,6 @@
 var (
 	errStaleRevision = errors.New("response revision is older than one received before")
 	errAbandoned     = errors.New("request was abandoned before its body was sent")
-	errTooLarge      = errors.New("response is too large")
 )
 
 // CallError is the error of a failed call. errors.Is finds its Class, which is one of the
@@ -218,7 +217,7 @@
 		return err
 	}
 	defer answer.Body.Close()
-	return decodeBody(answer.Body, response)
+	return p.decodeBody(answer.Body, response)
 }
 
 // open sends a request and returns its answer if the status is a success. The caller
@@ -246,16 +245,16 @@
 		return answer, nil
 	}
 	defer answer.Body.Close()
-	return nil, statusError(answer)
+	return nil, p.statusError(answer)
 }
 
-func statusError(answer *http.Response) error {
+func (p *Provider) statusError(answer *http.Response) error {
 	var body struct {
 		Message string `json:"message"` // field of etcd
 		Error   string `json:"error"`   // field of older etcd versions and of the platform
 	}
 	// Without a valid body the error consists of the status alone.
-	_ = decodeBody(answer.Body, &body)
+	_ = p.decodeBody(answer.Body, &body)
 	failure := &StatusError{Status: answer.StatusCode, Message: body.Message}
 	if failure.Message == "" {
 		failure.Message = body.Error
@@ -266,13 +265,10 @@
 	return failure
 }
 
-func decodeBody(body io.Reader, response any) error {
-	content, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+func (p *Provider) decodeBody(body io.Reader, response any) error {
+	content, err := p.transport.ReadAll(body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
-	if len(content) > maxResponseBytes {
-		return errTooLarge
-	}
 	return json.Unmarshal(content, response)
 }
--- a/internal/etcdprovider/frames_test.go
+++ b/internal/etcdprovider/frames_test.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithCancelCause(t.Context())
 	defer cancel(nil)
 	changes := make(chan []provider.Change)
-	stream := newFrameReader(&http.Response{Body: io.NopCloser(strings.NewReader(text))})
+	stream := newFrameReader(&http.Response{Body: io.NopCloser(strings.NewReader(text))}, nil)
 	var group errgroup.Group
 	group.Go(func() error {
 		defer close(changes)
--- a/internal/etcdprovider/platform.go
+++ b/internal/etcdprovider/platform.go
@@ -159,5 +159,5 @@
 	if answer.StatusCode == http.StatusNotModified {
 		return etag, nil
 	}
-	return answer.Header.Get("ETag"), decodeBody(answer.Body, response)
+	return answer.Header.Get("ETag"), p.decodeBody(answer.Body, response)
 }
--- a/internal/etcdprovider/provider.go
+++ b/internal/etcdprovider/provider.go
@@ -40,6 +40,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
@@ -63,12 +64,15 @@
 	// interval of the service's progress notifications (etcd's
 	// --watch-progress-notify-interval). 0: DefaultWatchIdleTimeout; negative: no timeout.
 	WatchIdleTimeout time.Duration
+	// ExceededLimits counts answers that exceed a limit; nil: not counted.
+	ExceededLimits *responselimiter.Counter
 }
 
 // Provider is a client of the platform. All methods are safe for concurrent use.
 type Provider struct {
 	cfg            Config
 	client         *http.Client
+	transport      *responselimiter.Transport // of client
 	kv             *endpointSet
 	platform       *endpointSet
 	newestRevision atomic.Int64 // newest store revision received
@@ -106,10 +110,17 @@
 	if cfg.WatchIdleTimeout == 0 {
 		cfg.WatchIdleTimeout = DefaultWatchIdleTimeout
 	}
+	transport := newTransport(cfg.CallTimeout)
+	transport.Counter = cfg.ExceededLimits
 	base, cancel := context.WithCancel(context.Background())
 	return &Provider{
-		cfg:      cfg,
-		client:   newClient(cfg.CallTimeout),
+		cfg:       cfg,
+		transport: transport,
+		// Following a redirect would send a write a second time.
+		client: &http.Client{
+			Transport:     transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 		kv:       newEndpointSet(cfg.Endpoints),
 		platform: newEndpointSet(cfg.PlatformEndpoints),
 		baseCtx:  base,
@@ -117,7 +128,7 @@
 	}, nil
 }
 
-func newClient(dialTimeout time.Duration) *http.Client {
+func newTransport(dialTimeout time.Duration) *responselimiter.Transport {
 	dialer := &net.Dialer{
 		// Detects hosts that became unreachable while a connection to them was idle.
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -126,20 +137,16 @@
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true) // onceBody relies on HTTP/1
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				ctx, cancel := timekeeper.WithTimeout(ctx, dialTimeout)
-				defer cancel()
-				return dialer.DialContext(ctx, network, address)
-			},
-			Protocols:           protocols,
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     30 * time.Second,
+	return responselimiter.NewTransport(&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := timekeeper.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			return dialer.DialContext(ctx, network, address)
 		},
-		// Following a redirect would send a write a second time.
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
+		Protocols:           protocols,
+		MaxIdleConnsPerHost: 16,
+		IdleConnTimeout:     30 * time.Second,
+	}, responselimiter.ClientStore)
 }
 
 // Close cancels all calls and watches, waits for them and closes the connections.
--- a/internal/etcdprovider/watcher.go
+++ b/internal/etcdprovider/watcher.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, causeOf(ctx, err)
 	}
-	stream = newFrameReader(answer)
+	stream = newFrameReader(answer, p.cfg.ExceededLimits)
 	result, err := stream.next()
 	if err == nil && !result.Created {
 		err = errNotCreated
@@ -208,11 +209,12 @@
 	body    io.Closer
 	limited *io.LimitedReader
 	decoder *json.Decoder
+	limits  *responselimiter.Counter
 }
 
-func newFrameReader(answer *http.Response) *frameReader {
+func newFrameReader(answer *http.Response, limits *responselimiter.Counter) *frameReader {
 	limited := &io.LimitedReader{R: answer.Body}
-	return &frameReader{body: answer.Body, limited: limited, decoder: json.NewDecoder(limited)}
+	return &frameReader{body: answer.Body, limited: limited, decoder: json.NewDecoder(limited), limits: limits}
 }
 
 // next reads a frame. It fails if the stream has ended or if the frame reports that the
@@ -221,6 +223,10 @@
 	f.limited.N = maxResponseBytes
 	frame := &watchFrame{}
 	if err := f.decoder.Decode(frame); err != nil {
+		if f.limited.N <= 0 {
+			err = &responselimiter.ExceededError{Limit: responselimiter.EventBytes}
+			f.limits.CountError(responselimiter.ClientStore, err)
+		}
 		return nil, err
 	}
 	switch result := frame.Result; {
--- a/internal/httpdriver/attempt.go
+++ b/internal/httpdriver/attempt.go
@@ -5,12 +5,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 )
 
 // classError is an error with its class, which is one of the sentinel errors of package
@@ -59,7 +59,7 @@
 }
 
 // roundTrip sends the request once. Its error is of class ErrNotSent or ErrOutcomeUnknown.
-func (a *attempt) roundTrip(transport *http.Transport, r *http.Request) (*http.Response, error) {
+func (a *attempt) roundTrip(transport *responselimiter.Transport, r *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 	resp, err := transport.RoundTrip(r)
@@ -107,18 +107,6 @@
 	return err
 }
 
-// readLimited reads a body of at most maxBytes bytes.
-func readLimited(r io.Reader, maxBytes int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > maxBytes {
-		return nil, errTooLarge
-	}
-	return body, nil
-}
-
 // errorFromMessage converts an error message to an error. Only a message that echoes the
 // call's own id and has ran: false proves that the call has not run. A 503 of a proxy in
 // between proves nothing.
--- a/internal/httpdriver/driver.go
+++ b/internal/httpdriver/driver.go
@@ -31,12 +31,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 var (
 	errClosed     = errors.New("driver is closed")
-	errTooLarge   = errors.New("answer is too large")
 	errStreamIdle = errors.New("endpoint was silent for too long")
 )
 
@@ -68,6 +68,8 @@
 	// IdleConnTimeout is how long an idle connection is kept; default 30 s. It has to be
 	// shorter than the idle timeout of the endpoints.
 	IdleConnTimeout time.Duration
+	// ExceededLimits counts answers that exceed a limit; nil: not counted.
+	ExceededLimits *responselimiter.Counter
 }
 
 func (s Settings) withDefaults() Settings {
@@ -95,8 +97,8 @@
 // Driver is safe for concurrent use.
 type Driver struct {
 	settings Settings
-	work     *http.Transport // generations, prefills and calls
-	control  *http.Transport // reports and cancel requests, which must not wait for connections used by work
+	work     *responselimiter.Transport // generations, prefills and calls
+	control  *responselimiter.Transport // reports and cancel requests, which must not wait for connections used by work
 
 	mu      sync.Mutex
 	closed  bool
@@ -115,8 +117,8 @@
 	}
 }
 
-func newTransport(settings Settings, maxIdleConns, maxConns int) *http.Transport {
-	return &http.Transport{
+func newTransport(settings Settings, maxIdleConns, maxConns int) *responselimiter.Transport {
+	transport := responselimiter.NewTransport(&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
 			conn, err := dial(ctx, address, settings.DialTimeout, settings.UserTimeout)
 			if err != nil {
@@ -130,7 +132,9 @@
 		MaxConnsPerHost:        maxConns,
 		IdleConnTimeout:        settings.IdleConnTimeout,
 		MaxResponseHeaderBytes: 16 << 10,
-	}
+	}, responselimiter.ClientEndpoint)
+	transport.Counter = settings.ExceededLimits
+	return transport
 }
 
 // Close rejects new calls, waits for running ones and closes the connections.
@@ -185,7 +189,7 @@
 
 // unaryCall is a POST with a single JSON answer.
 type unaryCall struct {
-	transport      *http.Transport
+	transport      *responselimiter.Transport
 	path           string
 	attemptID      string // must be echoed by the answer
 	maxAnswerBytes int    // largest accepted body
@@ -207,7 +211,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	body, err := readLimited(resp.Body, int64(x.maxAnswerBytes))
+	body, err := x.transport.ReadAll(resp.Body, int64(x.maxAnswerBytes))
 	if err != nil {
 		a.reset()
 		return &classError{class: driver.ErrOutcomeUnknown, cause: causeOf(ctx, err)}
@@ -262,7 +266,7 @@
 		return report, &classError{class: driver.ErrOutcomeUnknown, cause: causeOf(ctx, err)}
 	}
 	defer resp.Body.Close()
-	body, err := readLimited(resp.Body, int64(d.settings.MaxReportBytes))
+	body, err := d.control.ReadAll(resp.Body, int64(d.settings.MaxReportBytes))
 	if err != nil {
 		return report, &classError{class: driver.ErrOutcomeUnknown, cause: causeOf(ctx, err)}
 	}
--- a/internal/httpdriver/order.go
+++ b/internal/httpdriver/order.go
@@ -5,12 +5,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"math"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 )
 
 // Send sends an order once, over a connection of its own.
@@ -43,7 +46,7 @@
 		return &classError{class: driver.ErrNotSent, cause: err}
 	}
 	defer conn.seal(nil, 0)
-	return sendOrder(ctx, conn, r, order.OrderID, int64(d.settings.MaxLineBytes))
+	return d.sendOrder(ctx, conn, r, order.OrderID)
 }
 
 func orderMessage(target driver.Target, order driver.OrderCall) (OrderMessage, error) {
@@ -65,7 +68,7 @@
 	return message, nil
 }
 
-func sendOrder(ctx context.Context, conn *countingConn, r *http.Request, orderID string, maxAnswerBytes int64) error {
+func (d *Driver) sendOrder(ctx context.Context, conn *countingConn, r *http.Request, orderID string) error {
 	// The end of the context interrupts a blocked write or read.
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
@@ -73,13 +76,21 @@
 	if err := r.Write(conn); err != nil {
 		return orderFailure(conn, causeOf(ctx, err))
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), r)
+	// http.ReadResponse has no limit on the head. OrderTimeout limits its time.
+	limited := &io.LimitedReader{R: conn, N: responselimiter.MaxHeadBytes}
+	resp, err := http.ReadResponse(bufio.NewReader(limited), r)
 	if err != nil {
+		if limited.N == 0 {
+			err = &responselimiter.ExceededError{Limit: responselimiter.HeadBytes}
+			d.settings.ExceededLimits.CountError(responselimiter.ClientEndpoint, err)
+		}
 		return orderFailure(conn, causeOf(ctx, err))
 	}
 	defer resp.Body.Close()
-	body, err := readLimited(resp.Body, maxAnswerBytes)
+	limited.N = math.MaxInt64 // ReadAll limits the body
+	body, err := responselimiter.ReadAll(resp.Body, int64(d.settings.MaxLineBytes))
 	if err != nil {
+		d.settings.ExceededLimits.CountError(responselimiter.ClientEndpoint, err)
 		return orderFailure(conn, causeOf(ctx, err))
 	}
 	return orderResult(resp.StatusCode, body, orderID)
--- a/internal/httpdriver/stream.go
+++ b/internal/httpdriver/stream.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
@@ -23,6 +24,8 @@
 // and would hardly ever be filled.
 const lineBufferBytes = 1 << 10
 
+var errLineTooLong = error(&responselimiter.ExceededError{Limit: responselimiter.EventBytes})
+
 // lineReader reads the lines of one streamed answer. It fails on a line that belongs to
 // another attempt.
 type lineReader struct {
@@ -49,8 +52,8 @@
 func (l lineReader) next() (line Line, err error) {
 	raw, err := l.readLine()
 	switch {
-	case errors.Is(err, errTooLarge):
-		return line, &classError{class: driver.ErrOutcomeUnknown, cause: errTooLarge}
+	case errors.Is(err, errLineTooLong):
+		return line, &classError{class: driver.ErrOutcomeUnknown, cause: errLineTooLong}
 	case err != nil: // including io.EOF: a complete answer ends with an explicit line
 		return line, &classError{class: driver.ErrOutcomeUnknown, cause: fmt.Errorf("stream broke off: %w", toUnexpectedEOF(err))}
 	}
@@ -76,7 +79,7 @@
 		long = append(long, raw...)
 	}
 	if len(long) > l.maxLineBytes || errors.Is(err, bufio.ErrBufferFull) {
-		return nil, errTooLarge
+		return nil, errLineTooLong
 	}
 	return long, err
 }
@@ -97,6 +100,7 @@
 	attempt     *attempt
 	body        io.ReadCloser
 	lineReader  lineReader
+	limits      *responselimiter.Counter
 	idleTimeout time.Duration
 	idleTimer   *timekeeper.Timer // cancels the answer if no data arrives; stopped while there is no pending read
 }
@@ -105,7 +109,7 @@
 // abort on it.
 func (d *Driver) openStream(ctx context.Context, target driver.Target, path string, call driver.GenerateCall) (_ *answerReader, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	s := &answerReader{ctx: ctx, cancel: cancel, attempt: &attempt{}, idleTimeout: d.settings.StreamIdleTimeout}
+	s := &answerReader{ctx: ctx, cancel: cancel, attempt: &attempt{}, idleTimeout: d.settings.StreamIdleTimeout, limits: d.settings.ExceededLimits}
 	// The engine sends the headers when it accepts the call, so the idle timeout also
 	// applies to the wait for them.
 	s.idleTimer = timekeeper.AfterFunc(s.idleTimeout, func() { cancel(errStreamIdle) })
@@ -126,7 +130,7 @@
 	}
 	if resp.StatusCode != http.StatusOK {
 		defer resp.Body.Close()
-		body, err := readLimited(resp.Body, int64(d.settings.MaxLineBytes))
+		body, err := d.work.ReadAll(resp.Body, int64(d.settings.MaxLineBytes))
 		if err != nil {
 			return nil, s.attempt.fail(causeOf(ctx, err))
 		}
@@ -155,6 +159,9 @@
 	s.idleTimer.Reset(s.idleTimeout)
 	line, err := s.lineReader.next()
 	s.idleTimer.Stop()
+	if errors.Is(err, errLineTooLong) {
+		s.limits.CountError(responselimiter.ClientEndpoint, err)
+	}
 	if cause := context.Cause(s.ctx); err != nil && cause != nil {
 		return line, &classError{class: driver.ErrOutcomeUnknown, cause: cause}
 	}
--- a/internal/httpdriver/stream_test.go
+++ b/internal/httpdriver/stream_test.go
@@ -30,8 +30,8 @@
 		"fills the buffer":                {size: lineBufferBytes},
 		"one byte longer than the buffer": {size: lineBufferBytes + 1},
 		"longest allowed":                 {size: maxLineBytes},
-		"one byte too long":               {size: maxLineBytes + 1, wantErr: errTooLarge},
-		"far too long":                    {size: 3 * maxLineBytes, wantErr: errTooLarge},
+		"one byte too long":               {size: maxLineBytes + 1, wantErr: errLineTooLong},
+		"far too long":                    {size: 3 * maxLineBytes, wantErr: errLineTooLong},
 		"long and truncated":              {size: 2 * lineBufferBytes, missing: 1, wantErr: driver.ErrOutcomeUnknown},
 	}
 	for name, test := range tests {
--- a/internal/responselimiter/transport.go
+++ b/internal/responselimiter/transport.go
@@ -76,7 +76,10 @@
 
 // begin is called when the first byte of the first head has arrived.
 func (h *headLimiter) begin() {
-	h.timer.Store(timekeeper.AfterFunc(MaxHeadTime, func() { _ = h.exceed(HeadTime) }))
+	timer := timekeeper.AfterFunc(MaxHeadTime, func() { _ = h.exceed(HeadTime) })
+	if earlier := h.timer.Swap(timer); earlier != nil {
+		earlier.Stop() // net/http has repeated the request
+	}
 	if h.hasEnded.Load() {
 		h.end() // the caller has given up meanwhile
 	}
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -46,6 +46,7 @@
 	"github.com/endivemast/endivemast/internal/lister"
 	"github.com/endivemast/endivemast/internal/meter"
 	"github.com/endivemast/endivemast/internal/orderer"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/scheduler"
 	"github.com/endivemast/endivemast/internal/server"
 	"github.com/endivemast/endivemast/internal/summarizer"
@@ -121,12 +122,14 @@
 
 // buildAdapters creates the clients of the platform and the endpoints.
 func (e *Entry) buildAdapters() (err error) {
+	e.meter = meter.New(meter.Config{TopTenants: e.cfg.MetricTenants})
+	limits := &responselimiter.Counter{}
+	limits.SetObserver(e.meter.CountExceededLimit)
 	e.store, err = etcdprovider.New(etcdprovider.Config{
 		Endpoints: baseURLs(e.cfg.StoreAddresses...), PlatformEndpoints: baseURLs(e.cfg.PlatformAddress),
-		CallTimeout: e.cfg.StoreTimeout,
+		CallTimeout: e.cfg.StoreTimeout, ExceededLimits: limits,
 	})
-	e.driver = httpdriver.New(httpdriver.Settings{})
-	e.meter = meter.New(meter.Config{TopTenants: e.cfg.MetricTenants})
+	e.driver = httpdriver.New(httpdriver.Settings{ExceededLimits: limits})
 	e.summarizer = summarizer.New(summarizer.Config{Meter: e.meter, Interval: e.cfg.SummaryInterval, Logger: e.logger})
 	e.authorities = newAuthorityReader(e.store, e.cfg)
 	return err
