Limits on peers' headers and on the handshake of incoming connections

Cause: gRPC accepts 16 MB of headers and waits 120 s for the handshake of an incoming connection. A peer that sent endless headers was read for 10.6 MB on each connection, and the heap grew by 35 MB within 1.5 s. Bytes that are not HTTP/2 frames, before or instead of them, were and are read for at most 32 KiB. Change: headers of calls and answers have at most 64 KiB, and the handshake of an incoming connection at most 2 s.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -31,6 +31,7 @@
 	"github.com/endivemast/endivemast/internal/connector"
 	"github.com/endivemast/endivemast/internal/exchanger/exchangerpb"
 	"github.com/endivemast/endivemast/internal/provider"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 )
 
 // Limits and defaults of the peer protocol.
@@ -50,6 +51,12 @@
 	// busy the peer is. handshakeTimeout also covers the peer's first message.
 	connectTimeout   = 500 * time.Millisecond
 	handshakeTimeout = time.Second
+	// callerHandshakeTimeout bounds the time from accepting a connection to the end of its
+	// handshake. A peer gives up after handshakeTimeout; the default is 120 s.
+	callerHandshakeTimeout = 2 * time.Second
+	// maxHeaderBytes limits the headers of a call or of its answer, which have some hundred bytes.
+	// The default is 16 MB, and a host has down to 144 MB.
+	maxHeaderBytes = responselimiter.MaxHeadBytes
 	// maxReconnectDelay bounds the delay between two attempts, before jitter of a fifth.
 	maxReconnectDelay = 300 * time.Millisecond
 	// userTimeout is how long data to a peer may stay unacknowledged before the connection is
--- a/internal/exchanger/links.go
+++ b/internal/exchanger/links.go
@@ -147,6 +147,8 @@
 func (ex *Exchanger) serverOptions() []grpc.ServerOption {
 	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.ConnectionTimeout(callerHandshakeTimeout),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.UnaryInterceptor(ex.checkUnary),
@@ -177,6 +179,7 @@
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: handshakeTimeout}),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithMaxHeaderListSize(maxHeaderBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		// The library must not retry a call that the peer may have run.
 		grpc.WithDisableRetry(),
