Exceeded limits of forwarded requests' peers named and counted

Cause: an answer of a peer with a message or headers beyond the limit had gRPC's text only and was not counted.

--- a/internal/exchanger/endless_test.go
+++ b/internal/exchanger/endless_test.go
@@ -37,14 +37,16 @@
 	group.Go(func() error {
 		for {
 			conn, err := listener.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return nil // the test has ended
 			}
+			if err != nil {
+				return err
+			}
 			opened.Add(1)
 			group.Go(func() error {
-				defer conn.Close()
 				script(conn)
-				return nil
+				return conn.Close()
 			})
 		}
 	})
@@ -80,7 +82,9 @@
 		}
 		var block bytes.Buffer
 		encoder := hpack.NewEncoder(&block)
-		field := func(name, value string) error { return encoder.WriteField(hpack.HeaderField{Name: name, Value: value, Sensitive: true}) }
+		field := func(name, value string) error {
+			return encoder.WriteField(hpack.HeaderField{Name: name, Value: value, Sensitive: true})
+		}
 		if field(":status", "200") != nil || field("content-type", "application/grpc") != nil ||
 			framer.WriteHeaders(http2.HeadersFrameParam{StreamID: head.StreamID, BlockFragment: block.Bytes()}) != nil {
 			return
@@ -197,7 +201,7 @@
 			defer func() { assert.NilError(t, ex.Close()) }()
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			assert.NilError(t, err)
-			defer conn.Close()
+			defer func() { assert.Check(t, conn.Close()) }()
 			_, err = io.WriteString(conn, data)
 			assert.NilError(t, err)
 			openedAt := time.Now()
--- a/internal/peerforwarder/client.go
+++ b/internal/peerforwarder/client.go
@@ -14,6 +14,7 @@
 	"github.com/endivemast/endivemast/internal/dispatcher"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/peerforwarder/peerforwarderpb"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 )
 
 // exchange is one request at a peer. It implements io.ReadCloser for the body of the answer.
@@ -157,6 +158,10 @@
 	case codes.Unimplemented, codes.Unauthenticated, codes.PermissionDenied:
 		return fmt.Errorf("%w: peer %s: %w", driver.ErrNotSent, x.hostID, err)
 	}
+	err = responselimiter.PeerError(err)
+	if limit, ok := responselimiter.ExceededLimit(err); ok {
+		x.forwarder.cfg.Meter.CountExceededLimit(responselimiter.ClientPeer, string(limit))
+	}
 	return fmt.Errorf("%w: peer %s: %w", driver.ErrOutcomeUnknown, x.hostID, causeOf(x.parent, err))
 }
 
--- a/internal/peerforwarder/peerforwarder.go
+++ b/internal/peerforwarder/peerforwarder.go
@@ -64,6 +64,8 @@
 	// CountPeerForward counts a request that this host has passed to a peer, or has received
 	// from one.
 	CountPeerForward(isReceived bool, outcome string)
+	// CountExceededLimit counts an answer of a peer that exceeds a limit.
+	CountExceededLimit(client, limit string)
 }
 
 // Outcomes for a Meter.
--- a/internal/peerforwarder/peerforwarder_test.go
+++ b/internal/peerforwarder/peerforwarder_test.go
@@ -50,6 +50,13 @@
 	p.counts[map[bool]string{true: "received ", false: "passed "}[isReceived]+outcome]++
 }
 
+// CountExceededLimit implements Meter.
+func (p *pair) CountExceededLimit(client, limit string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts[client+" "+limit]++
+}
+
 func newPair(t *testing.T, run runFunc) *pair {
 	p := &pair{counts: map[string]int{}, share: 1, version: 7, server: grpc.NewServer()}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/responselimiter/responselimiter.go
+++ b/internal/responselimiter/responselimiter.go
@@ -21,6 +21,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"google.golang.org/grpc/status"
 )
 
 // Limits that apply to all clients.
@@ -48,6 +50,7 @@
 	ChunkBytes         Limit = "chunk_bytes" // chunk sizes and chunk extensions
 	TrailerBytes       Limit = "trailer_bytes"
 	EventBytes         Limit = "event_bytes"        // one event or line of a stream
+	MessageBytes       Limit = "message_bytes"      // one message of a peer
 	SkippedBodyBytes   Limit = "skipped_body_bytes" // body of another request's response
 	SkippedBodyTime    Limit = "skipped_body_time"
 )
@@ -91,6 +94,19 @@
 	}
 }
 
+// PeerError replaces the error of gRPC about a message or headers that exceed a limit by an
+// ExceededError. gRPC has no codes of their own for these errors.
+func PeerError(err error) error {
+	switch text := status.Convert(err).Message(); {
+	case strings.Contains(text, "message larger than max"), strings.Contains(text, "message after decompression larger than max"):
+		return &ExceededError{MessageBytes}
+	case strings.Contains(text, "header list size exceeded limit"):
+		return &ExceededError{HeadBytes}
+	default:
+		return err
+	}
+}
+
 // ReadAll reads a body of at most maxBytes.
 func ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
 	var blocks [][]byte // joined at the end: a buffer that grows is copied, and takes up to twice the memory
