Requests refused for lack of capacity go only to peers that reach more and are not short

Cause: after a loss of engines, hosts passed refused requests to peers with the same endpoints: after two failed connections any peer with equal reach was accepted, and a peer that sends no updates counted as reaching everything. After failed connections, a peer with equal reach is not chosen while it is short. A host that reaches no endpoint uses any peer, as before.

--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -113,6 +113,7 @@
 	requestLog     *requestLogger
 	activeRequests atomic.Int64
 	cacheReleases  errgroup.Group // releases of unused KV caches
+	shortages      *shortages
 
 	mu            sync.Mutex
 	repeatBudgets map[string]*repeatBudget // by application
@@ -141,6 +142,7 @@
 	return &Forwarder{
 		cfg: cfg, requestLog: newRequestLogger(cfg.Logger, cfg.StoreUnreachableFor), repeatBudgets: map[string]*repeatBudget{}, repeatReserve: cfg.RepeatReserve,
 		running: map[*forwardedRequest]context.CancelCauseFunc{}, attempts: map[*runningAttempt]struct{}{},
+		shortages: newShortages(cfg.Logger, time.Now),
 	}
 }
 
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -88,6 +88,9 @@
 	Excluded    []string // ids of peers that were tried
 	// AcceptsEqual is true if the peer need not reach more endpoints than this host.
 	AcceptsEqual bool
+	// IsRefused is true if this host's scheduler has refused the request for lack of capacity.
+	// Hosts with the same endpoints would refuse it too.
+	IsRefused bool
 }
 
 // PeerAnswer is an answer that a peer relays. Its body ends with io.EOF only if the answer is
@@ -158,18 +161,19 @@
 func (fr *forwardedRequest) next(ctx context.Context) error {
 	isPathBroken := fr.failedConnections >= maxFailedConnections
 	if fr.mayUsePeer() && (isPathBroken || fr.forwarder.cfg.Peers.IsPreferred(fr.application)) {
-		if err := fr.attemptAtPeers(ctx); !errors.Is(err, ErrNoPeer) {
+		if err := fr.attemptAtPeers(ctx, false); !errors.Is(err, ErrNoPeer) {
 			return err
 		}
 	}
 	err := fr.attempt(ctx)
+	fr.forwarder.shortages.record(fr.application, err)
 	if errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrNotNeeded) {
 		fr.failedConnections++
 	}
 	if !isRefusedForLoad(err) || !fr.mayUsePeer() {
 		return err
 	}
-	if peerErr := fr.attemptAtPeers(ctx); !errors.Is(peerErr, ErrNoPeer) {
+	if peerErr := fr.attemptAtPeers(ctx, isRefusedForCapacity(err)); !errors.Is(peerErr, ErrNoPeer) {
 		return peerErr
 	}
 	return err
@@ -206,11 +210,11 @@
 }
 
 // attemptAtPeers passes the request to a peer, and to another one if the first has returned it
-// unrun.
-func (fr *forwardedRequest) attemptAtPeers(ctx context.Context) (err error) {
+// unrun. isRefused is PeerRequest.IsRefused.
+func (fr *forwardedRequest) attemptAtPeers(ctx context.Context, isRefused bool) (err error) {
 	err = ErrNoPeer
 	for fr.mayUsePeer() {
-		attemptErr := fr.attemptAtPeer(ctx)
+		attemptErr := fr.attemptAtPeer(ctx, isRefused)
 		if errors.Is(attemptErr, ErrNoPeer) {
 			return err
 		}
@@ -236,10 +240,10 @@
 }
 
 // attemptAtPeer passes the request to one peer and forwards its answer.
-func (fr *forwardedRequest) attemptAtPeer(ctx context.Context) (err error) {
+func (fr *forwardedRequest) attemptAtPeer(ctx context.Context, isRefused bool) (err error) {
 	request := &PeerRequest{
 		Request: fr.request, ResumeAfter: fr.lastEventID, Excluded: fr.triedPeers,
-		AcceptsEqual: fr.failedConnections >= maxFailedConnections,
+		AcceptsEqual: fr.failedConnections >= maxFailedConnections && !isRefused, IsRefused: isRefused,
 		Origin: Origin{
 			Application: fr.application, Runs: fr.runs, Events: fr.eventsSent, IsHeaderSent: fr.isHeaderSent,
 			SoftwareVersion: fr.softwareVersion,
--- a/internal/dispatcher/peer_test.go
+++ b/internal/dispatcher/peer_test.go
@@ -56,6 +56,7 @@
 
 func TestAttemptsAtPeers(t *testing.T) {
 	t.Parallel()
+	overload := &scheduler.RefusalError{Reason: scheduler.ReasonOverload, RetryAfter: time.Second}
 	noEndpoint := &scheduler.RefusalError{Reason: scheduler.ReasonNoEndpoint, RetryAfter: time.Second}
 	returned := failedAtPeer(OutcomeNotRun, ReasonPeerDraining, 0, 0)
 	for name, test := range map[string]struct {
@@ -64,14 +65,16 @@
 		errs       []error
 		origin     *Origin
 		repeatable bool
-		passes     int // requests passed to peers
-		sends      int // to endpoints, by this host
+		passes     int  // requests passed to peers
+		isRefused  bool // as they were passed
+		sends      int  // to endpoints, by this host
 		outcome    Outcome
 		reason     string
 	}{
 		"endpoints reached":                       {sends: 1},
 		"no endpoint reached":                     {peers: scriptedPeers{isPreferred: true}, passes: 1},
 		"refused for lack of endpoints":           {refusal: noEndpoint, passes: 1},
+		"refused for lack of capacity":            {refusal: overload, passes: 1, isRefused: true},
 		"refused since the target has passed":     {refusal: &scheduler.RefusalError{Reason: scheduler.ReasonTooLate, RetryAfter: time.Second}, outcome: OutcomeNotRun, reason: "too_late"},
 		"two connections refused":                 {errs: []error{driver.ErrConnectionRefused, driver.ErrConnectionRefused}, sends: 2, passes: 1},
 		"one connection refused":                  {errs: []error{driver.ErrConnectionRefused}, sends: 2},
@@ -98,6 +101,9 @@
 			outcome, err := f.Run(t.Context(), request, discardWriter{})
 			assert.Equal(t, len(peers.requests), test.passes, "%v", err)
 			assert.Equal(t, endpoints.sent, test.sends)
+			for i := range peers.requests {
+				assert.Equal(t, peers.requests[i].IsRefused, test.isRefused)
+			}
 			assert.Equal(t, outcome.IsComplete, test.outcome == "", "%v", err)
 			var failure *FailureError
 			if errors.As(err, &failure) {
--- a/internal/exchanger/reach.go
+++ b/internal/exchanger/reach.go
@@ -16,7 +16,7 @@
 func reachToMessage(reach []ApplicationReach) []*exchangerpb.ApplicationReach {
 	messages := make([]*exchangerpb.ApplicationReach, 0, len(reach))
 	for _, r := range reach {
-		messages = append(messages, &exchangerpb.ApplicationReach{Application: r.Application, Reached: int64(r.Reached), Listed: int64(r.Listed)})
+		messages = append(messages, &exchangerpb.ApplicationReach{Application: r.Application, Reached: int64(r.Reached), Listed: int64(r.Listed), IsShort: r.IsShort})
 	}
 	return messages
 }
@@ -24,7 +24,9 @@
 func reachFromMessage(messages []*exchangerpb.ApplicationReach) (reach []ApplicationReach) {
 	for _, m := range messages {
 		listed := count(m.GetListed())
-		reach = append(reach, ApplicationReach{Application: m.GetApplication(), Reached: min(count(m.GetReached()), listed), Listed: listed})
+		reach = append(reach, ApplicationReach{
+			Application: m.GetApplication(), Reached: min(count(m.GetReached()), listed), Listed: listed, IsShort: m.GetIsShort(),
+		})
 	}
 	return reach
 }
--- a/internal/exchanger/status.go
+++ b/internal/exchanger/status.go
@@ -16,7 +16,8 @@
 	LastUpdate            time.Time
 	ConfigurationRevision int64
 	StoreRevision         int64 // store revision up to which it knows the changes
-	// ReducedReach lists the applications of which it does not reach all endpoints.
+	// ReducedReach lists the applications of which it does not reach all endpoints, or is short
+	// of capacity.
 	ReducedReach   []ApplicationReach
 	ActiveRequests int64 // that it is serving
 }
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -82,12 +82,13 @@
 	Application string
 	Reached     int
 	Listed      int
+	IsShort     bool // the host has recently refused requests for lack of capacity
 }
 
 // Reach gives the Exchanger access to what this host reaches and serves.
 type Reach interface {
-	// ReducedReach returns the applications of which this host does not reach all endpoints,
-	// ordered by name.
+	// ReducedReach returns the applications of which this host does not reach all endpoints, or
+	// is short of capacity, ordered by name.
 	ReducedReach() []ApplicationReach
 	// ActiveRequests returns how many requests this host is serving.
 	ActiveRequests() int64
--- a/internal/peerforwarder/choose.go
+++ b/internal/peerforwarder/choose.go
@@ -23,6 +23,7 @@
 	IsDraining           bool               // it takes no new requests
 	IsUnheard            bool               // it sends this host no updates, so that nothing is known of it
 	Shares               map[string]float64 // of the endpoints that it reaches, by application; 1 if missing
+	Short                []string           // applications of which it refuses requests for lack of capacity
 }
 
 // Share returns the part of an application's endpoints that the peer reaches.
@@ -40,6 +41,8 @@
 	configurationVersion int64
 	ownShare             float64
 	acceptsEqual         bool // a peer need not reach more endpoints than this host
+	isRefused            bool // this host has refused the request for lack of capacity
+	ignoresShortage      bool // peers that are short of capacity count as suitable
 	excluded             []string
 	inFlight             map[string]int // requests passed to each peer
 	random               float64        // in [0, 1)
@@ -83,11 +86,26 @@
 // isBetter reports whether a peer's share of the endpoints is clearly greater than this host's.
 func isBetter(share, own float64) bool { return share >= own+minAdvantage || own == 0 && share > 0 }
 
+// isSuitable reports whether a peer reaches enough endpoints for a request. A host that reaches some
+// endpoints itself gains nothing from a peer that is short of capacity. After a refusal for lack of
+// capacity, a peer has to be known to reach more: all hosts refuse after a loss of endpoints.
+func (q *query) isSuitable(peer *Peer) bool {
+	share := peer.Share(q.application)
+	isShort := slices.Contains(peer.Short, q.application) && !q.ignoresShortage
+	switch {
+	case q.isRefused:
+		return isBetter(share, q.ownShare) && !isShort && !peer.IsUnheard
+	case isBetter(share, q.ownShare):
+		return !isShort || q.ownShare == 0
+	default:
+		return q.acceptsEqual && share >= q.ownShare && share > 0 && !isShort
+	}
+}
+
 func weight(peer *Peer, q *query) float64 {
 	share := peer.Share(q.application)
-	isSuitable := isBetter(share, q.ownShare) || q.acceptsEqual && share >= q.ownShare && share > 0
 	isStale := !peer.IsUnheard && peer.ConfigurationVersion < q.configurationVersion
-	if !isSuitable || peer.IsDraining || isStale || slices.Contains(q.excluded, peer.HostID) {
+	if !q.isSuitable(peer) || peer.IsDraining || isStale || slices.Contains(q.excluded, peer.HostID) {
 		return 0
 	}
 	load := float64(idleRequests + peer.ActiveRequests + int64(q.inFlight[peer.HostID]))
--- a/internal/peerforwarder/choose_test.go
+++ b/internal/peerforwarder/choose_test.go
@@ -30,6 +30,23 @@
 			q:      query{ownShare: 1, acceptsEqual: true},
 			shares: map[string][2]float64{"a": {1, 1}},
 		},
+		"after a refusal, equal reach is not enough": {
+			peers: []Peer{{HostID: "equal", Shares: reaches(0.25)}, {HostID: "unheard", IsUnheard: true}},
+			q:     query{ownShare: 0.25, isRefused: true},
+		},
+		"after a refusal, only one that is not short of capacity": {
+			peers:  []Peer{{HostID: "short", Short: []string{app}}, {HostID: "half", Shares: reaches(0.5)}, {HostID: "other", Short: []string{"digits"}}},
+			q:      query{ownShare: 0.4, isRefused: true},
+			shares: map[string][2]float64{"other": {1, 1}},
+		},
+		"if connections fail, equal reach of one that is short of capacity is not enough": {
+			peers: []Peer{{HostID: "short", Shares: reaches(0.25), Short: []string{app}}},
+			q:     query{ownShare: 0.25, acceptsEqual: true},
+		},
+		"one that is short of capacity if this host reaches no endpoint": {
+			peers:  []Peer{{HostID: "short", Short: []string{app}}},
+			shares: map[string][2]float64{"short": {1, 1}},
+		},
 		"draining, tried and stale ones are left out": {
 			peers: []Peer{
 				{HostID: "draining", IsDraining: true, ConfigurationVersion: 7},
--- a/internal/peerforwarder/peerforwarder.go
+++ b/internal/peerforwarder/peerforwarder.go
@@ -72,6 +72,10 @@
 	outcomeFailed   = "failed"
 	outcomeNotSent  = "not_sent"
 	outcomeUnknown  = "unknown"
+	// Requests refused for lack of capacity that were not passed on: no peer is known to reach
+	// clearly more endpoints, or those that do are short of capacity.
+	outcomeNoneBetter = "none_better"
+	outcomePeersShort = "peers_short"
 )
 
 // Forwarder passes requests to peers and runs those of peers. It is safe for concurrent use.
@@ -224,7 +228,7 @@
 func (f *Forwarder) Choose(request *dispatcher.PeerRequest) (hostID string, ok bool) {
 	q := query{
 		zone: f.cfg.Zone, application: request.Origin.Application, configurationVersion: f.cfg.ConfigurationVersion(),
-		ownShare: f.cfg.Share(request.Origin.Application), acceptsEqual: request.AcceptsEqual, excluded: request.Excluded,
+		ownShare: f.cfg.Share(request.Origin.Application), acceptsEqual: request.AcceptsEqual, isRefused: request.IsRefused, excluded: request.Excluded,
 		inFlight: map[string]int{}, random: rand.Float64(),
 	}
 	f.mu.Lock()
@@ -237,7 +241,21 @@
 			q.excluded = append(slices.Clone(q.excluded), hostID)
 		}
 	}
-	return choose(f.peers, &q)
+	hostID, ok = choose(f.peers, &q)
+	if !ok && request.IsRefused && len(request.Excluded) == 0 {
+		f.countKept(&q)
+	}
+	return hostID, ok
+}
+
+// countKept counts a refused request for which no peer is suitable.
+func (f *Forwarder) countKept(q *query) {
+	outcome := outcomeNoneBetter
+	q.ignoresShortage = true
+	if _, ok := choose(f.peers, q); ok {
+		outcome = outcomePeersShort
+	}
+	f.cfg.Meter.CountPeerForward(false, outcome)
 }
 
 var errClosed = errors.New("connections to peers are closed")
--- a/pkg/endivemast/gateway_paths.go
+++ b/pkg/endivemast/gateway_paths.go
@@ -82,7 +82,12 @@
 		for _, reach := range status.ReducedReach {
 			share := pathwatcher.Reach{Reached: reach.Reached, Listed: reach.Listed}.Share()
 			peer.Shares[reach.Application] = share
-			withoutPath[reach.Application] += 1 - share
+			if share < 1 {
+				withoutPath[reach.Application] += 1 - share
+			}
+			if reach.IsShort {
+				peer.Short = append(peer.Short, reach.Application)
+			}
 		}
 		peers = append(peers, peer)
 	}
@@ -114,8 +119,17 @@
 
 // ReducedReach implements exchanger.Reach.
 func (g *Gateway) ReducedReach() (reduced []exchanger.ApplicationReach) {
+	short := g.forwarder.ShortOfCapacity()
 	for application, reach := range g.paths.Reduced() {
-		reduced = append(reduced, exchanger.ApplicationReach{Application: application, Reached: reach.Reached, Listed: reach.Listed})
+		reduced = append(reduced, exchanger.ApplicationReach{
+			Application: application, Reached: reach.Reached, Listed: reach.Listed, IsShort: slices.Contains(short, application),
+		})
+	}
+	for _, application := range short {
+		if !slices.ContainsFunc(reduced, func(r exchanger.ApplicationReach) bool { return r.Application == application }) {
+			reach := g.paths.Reach(application)
+			reduced = append(reduced, exchanger.ApplicationReach{Application: application, Reached: reach.Reached, Listed: reach.Listed, IsShort: true})
+		}
 	}
 	slices.SortFunc(reduced, func(a, b exchanger.ApplicationReach) int { return strings.Compare(a.Application, b.Application) })
 	return reduced
