Processes that refuse several hosts are set aside, and only a few hosts probe them

Cause: each host tried each engine that refuses connections on its own, and probed it once to four times a second: 23,772 refused connections in 10 s with 67 hosts and 36 lost engines. Change: updates between hosts list the processes that refuse the sender's connections, or those of the hosts whose load it sums up (PeerUpdate.refusing, sends_refusing; in full, when they change and every 0.5 s). LeavingEndpoint was not used, since older builds take each of its reasons but one for an exit. A process refused by two hosts or more is set aside (internal/pathwatcher, refusals.go): no work, one probe, then probes by about five hosts, and by the others every 5 s. If data has arrived within 2 s, a probe verifies first; a host that reaches the process ignores the refusals of others for 10 s; a host of whose application a peer reaches more probes as before.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -101,6 +101,8 @@
 	Usage Usage
 	// Reach is sent with each message; nil: this host reaches all endpoints.
 	Reach Reach
+	// Refusals is exchanged along with the loads; nil: no refusals.
+	Refusals Refusals
 	// UpdatesPerSecond bounds the rate of messages with load to all peers together, by making
 	// the tick longer where there are many peers; 0: no limit.
 	UpdatesPerSecond int
--- a/internal/exchanger/hub.go
+++ b/internal/exchanger/hub.go
@@ -112,6 +112,8 @@
 	loads   map[string]Load
 	leaving []LeavingEndpoint
 	hosts   int
+
+	refusals []Refusal
 }
 
 // contentFor collects what a peer that gets the given part is sent.
@@ -120,6 +122,7 @@
 	if part == exchangerpb.Part_PART_NONE {
 		return c
 	}
+	c.refusals = ex.ownRefusals()
 	c.loads, c.hosts = own, 1
 	if part == exchangerpb.Part_PART_OWN {
 		return c
@@ -131,8 +134,10 @@
 	for hostID, state := range ex.states {
 		if _, isIncluded := sum.parts[state]; isIncluded && hostID != peer.HostID {
 			c.leaving = append(c.leaving, state.leaving...)
+			c.refusals = append(c.refusals, state.currentRefusals(sum.at)...)
 		}
 	}
+	c.refusals = mergeRefusals(c.refusals)
 	if own, isIncluded := sum.parts[ex.states[peer.HostID]]; isIncluded {
 		c.subtract(own)
 	}
--- a/internal/exchanger/hub_test.go
+++ b/internal/exchanger/hub_test.go
@@ -25,6 +25,9 @@
 	loads   map[string]map[string]Load
 	hosts   map[string]int
 	leaving map[string]time.Time
+
+	ownRefusals []Refusal
+	refusals    map[string][]Refusal // received, by source
 }
 
 func (l *summedLocal) ApplyLoad(source string, hosts int, loads map[string]Load, _ time.Time) {
@@ -81,13 +84,13 @@
 		}
 	}
 	for _, peer := range f.peers {
-		local := &summedLocal{loads: map[string]map[string]Load{}, hosts: map[string]int{}, leaving: map[string]time.Time{}}
+		local := &summedLocal{loads: map[string]map[string]Load{}, hosts: map[string]int{}, leaving: map[string]time.Time{}, refusals: map[string][]Refusal{}}
 		local.own = map[string]Load{"e": {Requests: f.own[peer.HostID]}}
 		// With a tick of 5 ms the fleets of all tests together sent more messages than the
 		// machine could process, and hosts timed out repeatedly.
 		ex, err := New(Config{
 			HostID: peer.HostID, Incarnation: peer.HostID, Zone: peer.Zone, ProcessorShare: peer.ProcessorShare, HasHubs: true,
-			Listener: listeners[peer.HostID], Tick: 50 * time.Millisecond, PeerTimeout: 2 * time.Second, Logger: hclog.NewNullLogger(),
+			Listener: listeners[peer.HostID], Tick: 50 * time.Millisecond, PeerTimeout: 2 * time.Second, Logger: hclog.NewNullLogger(), Refusals: local,
 		}, local)
 		assert.NilError(t, err)
 		f.locals[peer.HostID], f.ex[peer.HostID] = local, ex
--- a/internal/exchanger/peerstate.go
+++ b/internal/exchanger/peerstate.go
@@ -20,6 +20,9 @@
 	loads    map[string]Load
 	leaving  []LeavingEndpoint
 
+	refusals   []Refusal
+	refusalsAt time.Time // when they were received
+
 	wantsUsage bool
 }
 
@@ -39,6 +42,7 @@
 	}
 	reply.Resync = !peer.apply(message, now)
 	loads, hosts, source := copyLoads(peer.loads), peer.hosts, ex.sourceOf(ex.topology, peer)
+	refusals := peer.refusals
 	isOwnZone := peer.status.Peer.Zone == ex.cfg.Zone
 	ex.mu.Unlock()
 	if ex.cfg.Caches != nil && len(message.GetCaches()) > 0 {
@@ -58,6 +62,9 @@
 		ex.local.ApplyLoad(source, hosts, loads, now)
 	}
 	ex.local.ApplyLeaving(leavingFromMessage(message.GetLeaving()), now)
+	if ex.cfg.Refusals != nil && source != "" && message.GetSendsRefusing() {
+		ex.cfg.Refusals.ApplyRefusals(source, refusals)
+	}
 	return reply, nil
 }
 
@@ -73,6 +80,9 @@
 	p.status.ReducedReach, p.status.ActiveRequests = reachFromMessage(message.GetReducedReach()), max(message.GetActiveRequests(), 0)
 	p.part, p.hosts = message.GetPart(), int(min(max(message.GetHosts(), 1), maxHosts))
 	p.leaving, p.wantsUsage = leavingFromMessage(message.GetLeaving()), message.GetWantsUsage()
+	if message.GetSendsRefusing() {
+		p.refusals, p.refusalsAt = refusalsFromMessage(message.GetRefusing()), now
+	}
 	if !message.GetFull() && (restarted || message.GetSequence() != p.sequence+1) {
 		return false
 	}
--- a/internal/exchanger/publisher.go
+++ b/internal/exchanger/publisher.go
@@ -27,6 +27,7 @@
 	usage        logCursor[UsageUpdate]
 	signals      logCursor[SignalUpdate]
 	reach        []ApplicationReach // in the last message
+	refusals     sentRefusals
 }
 
 // ownLoad caches this host's load for all publishers of a tick. Collecting it locks the
@@ -121,7 +122,8 @@
 	cacheUpdates, crashUpdates := ex.nextUpdates(p)
 	usage, signals := ex.nextUsage(p, peer), ex.nextSignals(p)
 	reach, activeRequests := ex.currentReach()
-	hasUpdates := !slices.Equal(reach, p.reach) || len(cacheUpdates) > 0 || len(crashUpdates) > 0 || len(usage) > 0 || len(signals) > 0
+	sendsRefusals := p.sendsRefusals(content.refusals, time.Now())
+	hasUpdates := sendsRefusals || !slices.Equal(reach, p.reach) || len(cacheUpdates) > 0 || len(crashUpdates) > 0 || len(usage) > 0 || len(signals) > 0
 	if !p.isDue(message, len(content.leaving)) && !hasUpdates {
 		return
 	}
@@ -132,6 +134,10 @@
 	message.Usage, message.WantsUsage = usageToMessage(usage), ex.cfg.Usage != nil && ex.cfg.Usage.WantsAllCounts()
 	message.Signals = signalsToMessage(signals, ex.cfg.Clock())
 	message.ReducedReach, message.ActiveRequests = reachToMessage(reach), activeRequests
+	if sendsRefusals {
+		message.Refusing, message.SendsRefusing = refusalsToMessage(content.refusals), true
+		p.refusals = sentRefusals{items: content.refusals, at: time.Now()}
+	}
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
--- a/internal/exchanger/types.go
+++ b/internal/exchanger/types.go
@@ -94,6 +94,23 @@
 	ActiveRequests() int64
 }
 
+// Refusal is a process that has refused connections of one or several hosts.
+type Refusal struct {
+	EndpointID  string
+	Incarnation string
+	Hosts       int
+	Age         time.Duration // since the latest refused connection
+}
+
+// Refusals gives the Exchanger access to the processes that refuse connections.
+type Refusals interface {
+	// Refusals returns the processes that have recently refused connections of this host,
+	// ordered by endpoint id.
+	Refusals() []Refusal
+	// ApplyRefusals replaces the refusals of a source, which is a peer or a sum over several hosts.
+	ApplyRefusals(source string, refusals []Refusal)
+}
+
 // UsageUpdate holds the counts of requests that started to run through one process of an entry
 // host. Counts are totals, so repeated and reordered updates are harmless.
 type UsageUpdate struct {
--- a/internal/pathwatcher/doc.go
+++ b/internal/pathwatcher/doc.go
@@ -11,6 +11,9 @@
 //     other endpoints were reached and most of those that were tried, and no other host
 //     reaches it.
 //   - Open connections over which data has just arrived show that a process is alive.
+//   - A process that has refused the connections of several hosts is set aside: it gets no work
+//     from this host, and only a few hosts go on probing it. That is no exit, and it ends with
+//     the first data or connection. See Refusal.
 //   - A peer's report of an exit is rejected if data has arrived from the process since, and
 //     verified by a probe if data had arrived shortly before.
 //
--- a/internal/pathwatcher/path.go
+++ b/internal/pathwatcher/path.go
@@ -87,6 +87,11 @@
 	// isReported is true while a probe verifies a peer's report of an exit, and isExitReported once
 	// that probe was refused.
 	isReported, isExitReported bool
+
+	isSetAside        bool // it refuses the connections of several hosts
+	setAsideAt        time.Time
+	isVerifying       bool      // a probe verifies peers' refused connections
+	contradictedUntil time.Time // until when peers' refused connections are ignored
 }
 
 func (p *path) lastReceived() time.Time { return time.Unix(0, p.receivedAt.Load()) }
@@ -115,7 +120,7 @@
 
 // isQuiet reports whether nothing is to be decided about the path.
 func (p *path) isQuiet() bool {
-	return p.calls == 0 && !p.isUnreached && !p.isProbing && !p.isReported && p.refusedAt.IsZero() && !p.hasFailed() &&
+	return p.calls == 0 && !p.isUnreached && !p.isProbing && !p.isReported && !p.isSetAside && !p.isVerifying && p.refusedAt.IsZero() && !p.hasFailed() &&
 		!p.brokenAt.After(p.lastReceived())
 }
 
--- a/internal/pathwatcher/watcher.go
+++ b/internal/pathwatcher/watcher.go
@@ -29,6 +29,13 @@
 	// OnUnreached is called when a process is no longer reached, and OnReached when it is
 	// reached again, or after a refused connection that was not its exit; nil: not called.
 	OnUnreached, OnReached func(process driver.Process)
+	// OnSetAside is called when a process is set aside since it refuses the connections of several
+	// hosts, and when that ends; nil: not called.
+	OnSetAside func(process driver.Process, isSetAside bool)
+	// HostID and Hosts, the number of hosts that are running, determine which hosts go on probing a
+	// process that is set aside; Hosts nil: this one does.
+	HostID string
+	Hosts  func() int
 	// OnExit is called when the exit of a process is confirmed; nil: not called.
 	OnExit func(process driver.Process)
 	// HasBetterPeer reports whether a peer reaches more endpoints of an application than this
@@ -66,8 +73,10 @@
 	mu           sync.Mutex
 	paths        map[string]*path // by endpoint id
 	applications map[string]*application
-	active       map[*path]struct{} // paths that are not quiet
-	probes       int                // in flight
+	active       map[*path]struct{}                    // paths that are not quiet
+	refusals     map[string]map[driver.Process]Refusal // of peers, by source
+	ownRefusals  []Refusal                             // as of the latest Tick; immutable
+	probes       int                                   // in flight
 
 	ctx    context.Context // cancelled by Close
 	cancel context.CancelFunc
@@ -109,13 +118,16 @@
 			*function = func(driver.Process) {}
 		}
 	}
+	if cfg.OnSetAside == nil {
+		cfg.OnSetAside = func(driver.Process, bool) {}
+	}
 	if cfg.IsConnected == nil {
 		cfg.IsConnected = func(driver.Target) bool { return false }
 	}
 	if cfg.HasBetterPeer == nil {
 		cfg.HasBetterPeer = func(string, Reach) bool { return false }
 	}
-	w := &Watcher{cfg: cfg, paths: map[string]*path{}, applications: map[string]*application{}, active: map[*path]struct{}{}}
+	w := &Watcher{cfg: cfg, paths: map[string]*path{}, applications: map[string]*application{}, active: map[*path]struct{}{}, refusals: map[string]map[driver.Process]Refusal{}}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
 	return w
 }
@@ -198,6 +210,9 @@
 		p.application.unreached--
 		notify = append(notify, func() { w.cfg.OnReached(p.process) })
 	}
+	if p.isSetAside {
+		notify = append(notify, func() { w.cfg.OnSetAside(p.process, false) })
+	}
 	delete(w.paths, id)
 	delete(w.active, p)
 	delete(p.application.paths, p)
@@ -261,6 +276,7 @@
 func (w *Watcher) Tick() {
 	w.mu.Lock()
 	now := w.cfg.Now()
+	w.updateRefusalsLocked(now)
 	var notify notifications
 	for p := range w.active {
 		notify = append(notify, w.evaluateLocked(p, now)...)
@@ -302,11 +318,13 @@
 	return reduced
 }
 
-// evaluateLocked updates whether an endpoint is reached, and judges a refused connection.
+// evaluateLocked updates whether an endpoint is reached and whether it is set aside, and judges a refused
+// connection.
 func (w *Watcher) evaluateLocked(p *path, now time.Time) (notify notifications) {
 	if !p.refusedAt.IsZero() {
 		notify = w.judgeRefusalLocked(p, now)
 	}
+	notify = append(notify, w.evaluateRefusalsLocked(p, now)...)
 	isUnreached := w.isUnreachedLocked(p, now)
 	if isUnreached == p.isUnreached {
 		return notify
@@ -421,11 +439,7 @@
 		if p.hasFailed() && isNew && p.connectFailedAt.After(suspicious[p.application]) {
 			suspicious[p.application] = p.connectFailedAt
 		}
-		interval := probeInterval
-		if p.isUnreached && (p.hasExited() || !w.cfg.HasBetterPeer(p.Application, p.application.reach)) {
-			interval = idleProbeInterval
-		}
-		if !p.isProbing && now.Sub(p.probedAt) >= interval && (p.isUnreached || p.isReported || p.isSuspect(now)) {
+		if !p.isProbing && now.Sub(p.probedAt) >= w.probeIntervalLocked(p) && (p.isUnreached || p.isReported || p.isVerifying || p.isSetAside || p.isSuspect(now)) {
 			due = append(due, p)
 		}
 	}
@@ -476,8 +490,8 @@
 	w.mu.Lock()
 	now := w.cfg.Now()
 	w.probes--
-	wasReported := p.isReported
-	p.isProbing, p.isReported = false, false
+	wasReported, wasVerifying := p.isReported, p.isVerifying
+	p.isProbing, p.isReported, p.isVerifying = false, false, false
 	if w.ctx.Err() != nil || !w.isListedLocked(p) {
 		w.mu.Unlock()
 		return
@@ -486,6 +500,9 @@
 	switch {
 	case err == nil:
 		p.connectedAt = now
+		if wasVerifying {
+			p.contradictedUntil = now.Add(contradictedTime)
+		}
 	case !isRefused(err): // end has recorded a refused connection
 		p.connectFailedAt, p.wasRefused = now, false
 	case wasReported:
--- a/internal/scheduler/roles.go
+++ b/internal/scheduler/roles.go
@@ -76,7 +76,7 @@
 		EndpointID: endpoint.Target.EndpointID,
 		Zone:       endpoint.Zone,
 		Role:       endpoint.Role,
-		IsUsable:   endpoint.TakesNewWork() && !endpoint.Unreached && !endpoint.Breaker.IsOpen(),
+		IsUsable:   endpoint.TakesNewWork() && !endpoint.IsCutOff() && !endpoint.Breaker.IsOpen(),
 		IsChanging: endpoint.Draining || endpoint.OrderState == driver.OrderApplying,
 		DrainTime:  estimator.Scale(drain, endpoint.Slowdown),
 	}
--- a/internal/scheduler/router/pair.go
+++ b/internal/scheduler/router/pair.go
@@ -166,5 +166,5 @@
 
 // isAvailable reports whether the engine takes work of this request now.
 func isAvailable(endpoint *tracker.Endpoint, q *Query) bool {
-	return endpoint.TakesNewWork() && q.accepts(endpoint) && !endpoint.Unreached && q.backoffRemaining(endpoint) <= 0 && endpoint.Breaker.Allows(q.Now) && !slices.Contains(q.Excluded, endpoint.Target.EndpointID)
+	return endpoint.TakesNewWork() && q.accepts(endpoint) && !endpoint.IsCutOff() && q.backoffRemaining(endpoint) <= 0 && endpoint.Breaker.Allows(q.Now) && !slices.Contains(q.Excluded, endpoint.Target.EndpointID)
 }
--- a/internal/scheduler/router/router.go
+++ b/internal/scheduler/router/router.go
@@ -273,7 +273,7 @@
 		v.HasExcluded = true
 		return false
 	}
-	if endpoint.Unreached {
+	if endpoint.IsCutOff() {
 		v.noteUnavailable(BreakerOpen, q.Now.Add(unreachedRetryDelay))
 		return false
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -200,6 +200,23 @@
 	s.dispatchWaiting(endpoint.Application, s.now())
 }
 
+// SetSetAside records whether a process refuses the connections of several hosts. Such an endpoint
+// gets no work, and does not count for the split between the roles. When that ends it gets work at
+// once.
+func (s *Scheduler) SetSetAside(process driver.Process, isSetAside bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	endpoint := s.table.Endpoints[process.EndpointID]
+	if endpoint == nil || endpoint.Target.Process() != process {
+		return
+	}
+	endpoint.SetAside = isSetAside
+	if !isSetAside && !endpoint.Unreached && endpoint.Breaker.Unreachable {
+		endpoint.Breaker = tracker.Breaker{}
+	}
+	s.dispatchWaiting(endpoint.Application, s.now())
+}
+
 // SetPeersWithoutPath sets, by application, how many peers pass their work to other hosts since
 // they don't reach the endpoints. This host's part of the capacity is greater then.
 func (s *Scheduler) SetPeersWithoutPath(peers map[string]float64) {
--- a/internal/scheduler/tracker/endpoint.go
+++ b/internal/scheduler/tracker/endpoint.go
@@ -36,6 +36,7 @@
 	Slowdown        float64 // factor against the model of its application; above 1 is slower
 	Breaker         Breaker
 	Unreached       bool // this host's network path to it is broken
+	SetAside        bool // it refuses the connections of several hosts
 	Cache           Cache
 
 	UsedAt      time.Time // when any host last had work there, as far as this host knows
@@ -116,6 +117,9 @@
 	return e.Listed && !e.Leaving && !e.Draining && e.MarkedLeavingAt.IsZero() && e.ReplacedUntil.IsZero()
 }
 
+// IsCutOff reports whether this host gives the endpoint no work since connections to it fail.
+func (e *Endpoint) IsCutOff() bool { return e.Unreached || e.SetAside }
+
 // CanPrefill reports whether the role includes prefill.
 func (e *Endpoint) CanPrefill() bool { return e.Role != driver.RoleDecode }
 
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -139,7 +139,7 @@
 		if endpoint.Role == driver.RoleDecode || endpoint.Role == driver.RolePrefill {
 			s.HasSeparateRoles = true
 		}
-		if !endpoint.TakesNewWork() || endpoint.Unreached || !endpoint.Breaker.Allows(now) || t.isBackingOff(endpoint) {
+		if !endpoint.TakesNewWork() || endpoint.IsCutOff() || !endpoint.Breaker.Allows(now) || t.isBackingOff(endpoint) {
 			continue
 		}
 		s.Usable++
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -166,7 +166,8 @@
 	callers       *server.Passthrough
 	readiness     *server.Passthrough
 
-	isReachReduced atomic.Bool // a peer does not reach all endpoints
+	isReachReduced atomic.Bool  // a peer does not reach all endpoints
+	peerCount      atomic.Int64 // peers that the store lists
 
 	peersMu  sync.Mutex
 	maxHosts int // largest number of hosts known at a time
--- a/pkg/endivemast/gateway_paths.go
+++ b/pkg/endivemast/gateway_paths.go
@@ -26,6 +26,8 @@
 			g.scheduler.SetUnreached(process, true)
 			g.forwarder.AbandonProcess(process)
 		},
+		OnSetAside: func(process driver.Process, isSetAside bool) { g.scheduler.SetSetAside(process, isSetAside) },
+		HostID:     g.cfg.HostID, Hosts: func() int { return int(g.peerCount.Load()) + 1 },
 		HasBetterPeer: func(application string, own pathwatcher.Reach) bool {
 			return g.peerForwarder.HasBetterPeer(application, own.Share())
 		},
@@ -135,6 +137,32 @@
 	return reduced
 }
 
+// refusals implements exchanger.Refusals.
+type refusals struct{ gateway *Gateway }
+
+// Refusals implements exchanger.Refusals.
+func (r refusals) Refusals() (own []exchanger.Refusal) {
+	for _, refusal := range r.gateway.paths.Refusals() {
+		own = append(own, exchanger.Refusal{
+			EndpointID: refusal.Process.EndpointID, Incarnation: refusal.Process.Incarnation, Hosts: refusal.Hosts,
+			Age: max(time.Since(refusal.At), 0),
+		})
+	}
+	return own
+}
+
+// ApplyRefusals implements exchanger.Refusals.
+func (r refusals) ApplyRefusals(source string, received []exchanger.Refusal) {
+	now := time.Now()
+	applied := make([]pathwatcher.Refusal, 0, len(received))
+	for _, refusal := range received {
+		applied = append(applied, pathwatcher.Refusal{
+			Process: driver.Process{EndpointID: refusal.EndpointID, Incarnation: refusal.Incarnation}, Hosts: refusal.Hosts, At: now.Add(-refusal.Age),
+		})
+	}
+	r.gateway.paths.SetRefusals(source, applied)
+}
+
 // ActiveRequests implements exchanger.Reach.
 func (g *Gateway) ActiveRequests() int64 { return g.forwarder.Active() }
 
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -30,7 +30,7 @@
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, AcceptsUnknownPeers: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
 		Listener:       listener, Network: g.cfg.Network, Tick: peerUpdateInterval, UpdatesPerSecond: updatesPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
-		Attestations: g.attester, Usage: g.usage(), Signals: g.observer, Reach: g, Clock: g.cfg.Clock.Now,
+		Attestations: g.attester, Usage: g.usage(), Signals: g.observer, Reach: g, Refusals: refusals{g}, Clock: g.cfg.Clock.Now,
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
 	if err != nil {
@@ -74,6 +74,7 @@
 			HostID: host.HostID, Zone: host.Zone, Address: host.Address, ProcessorShare: host.ProcessorShare,
 		})
 	}
+	g.peerCount.Store(int64(len(peers)))
 	g.exchanger.SetPeers(peers)
 	g.updateRepeatReserve(len(peers) + 1)
 }
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -46,6 +46,7 @@
 	}
 	g.meter.GaugeEndpoints("limited", count(func(state *observer.State) bool { return state.Limit.IsSet }))
 	g.meter.GaugeEndpoints("said_leaving", count(func(state *observer.State) bool { return state.IsLeaving }))
+	g.meter.GaugeEndpoints("set_aside", func() float64 { return float64(g.paths.CountSetAside()) })
 	g.meter.GaugeEndpoints("resting", count(func(state *observer.State) bool { return state.BackoffUntil.After(g.cfg.Clock.Now()) }))
 }
 
