Roles follow a loss of engines within half a second

Cause: after a loss of three quarters of the engines no role changed in 10 s although prefill needed 12.2 engines of 8. The split followed a 6 s average of what is served, by one engine in 8 s, and engines that refuse connections counted as usable as long as they were listed. Change: planner.NextSplit decides. Engines that are set aside or whose exit is confirmed count as lost, unless a peer reaches clearly more endpoints, or most peers more, than this host. The rebalancer plans every 100 ms (was 250), announces changes after a loss 150 ms before the order (400 otherwise), and sends orders concurrently. TestAnnouncement: the order is due 0.2 s after the plan.

--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -204,6 +204,11 @@
 	m.set.GetOrCreateCounter(name).Inc()
 }
 
+// CountPlannedRoleChange counts a role change that was planned, by its reason.
+func (m *Meter) CountPlannedRoleChange(reason string) {
+	m.set.GetOrCreateCounter(metricName("endivemast_role_changes_planned_total", label{"reason", reason})).Inc()
+}
+
 // GaugeLeaseEpoch shows the fencing number of a zone's authority.
 func (m *Meter) GaugeLeaseEpoch(zone string, value func() float64) {
 	m.set.GetOrCreateGauge(metricName("endivemast_lease_epoch", label{"zone", zone}), value)
--- a/internal/peerforwarder/choose.go
+++ b/internal/peerforwarder/choose.go
@@ -86,6 +86,25 @@
 // isBetter reports whether a peer's share of the endpoints is clearly greater than this host's.
 func isBetter(share, own float64) bool { return share >= own+minAdvantage || own == 0 && share > 0 }
 
+// isOutlier reports whether a peer reaches clearly more than this host, or most peers reach more.
+func isOutlier(peers []Peer, application string, own float64) bool {
+	heard, better := 0, 0
+	for i := range peers {
+		if peers[i].IsUnheard {
+			continue
+		}
+		heard++
+		share := peers[i].Share(application)
+		if isBetter(share, own) {
+			return true
+		}
+		if share > own {
+			better++
+		}
+	}
+	return 2*better > heard
+}
+
 // isSuitable reports whether a peer reaches enough endpoints for a request. A host that reaches some
 // endpoints itself gains nothing from a peer that is short of capacity. After a refusal for lack of
 // capacity, a peer has to be known to reach more: all hosts refuse after a loss of endpoints.
--- a/internal/peerforwarder/choose_test.go
+++ b/internal/peerforwarder/choose_test.go
@@ -109,3 +109,33 @@
 		})
 	}
 }
+
+// TestIsOutlier guards against a host that takes endpoints behind its own broken paths for lost, and
+// against one that does so only until the last peer has noticed a loss.
+func TestIsOutlier(t *testing.T) {
+	t.Parallel()
+	peers := func(shares ...float64) (peers []Peer) {
+		for _, share := range shares {
+			peers = append(peers, Peer{Shares: map[string]float64{"llm": share}})
+		}
+		return peers
+	}
+	for name, test := range map[string]struct {
+		peers []Peer
+		own   float64
+		want  bool
+	}{
+		"alone":                          {own: 0.25},
+		"all have lost the same":         {peers: peers(0.25, 0.25, 0.25), own: 0.25},
+		"one peer reaches clearly more":  {peers: peers(0.25, 0.25, 1), own: 0.25, want: true},
+		"most reach a little more":       {peers: peers(1, 1, 0.9), own: 0.9, want: true},
+		"one reaches a little more":      {peers: peers(1, 0.9, 0.9), own: 0.9},
+		"peers that send no updates":     {peers: []Peer{{IsUnheard: true}}, own: 0.25},
+		"most reach less than this host": {peers: peers(0.2, 0.2, 0.3), own: 0.25},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, isOutlier(test.peers, "llm", test.own), test.want)
+		})
+	}
+}
--- a/internal/peerforwarder/peerforwarder.go
+++ b/internal/peerforwarder/peerforwarder.go
@@ -189,6 +189,14 @@
 	})
 }
 
+// IsOutlier reports whether a peer reaches clearly more of an application's endpoints than this host, or
+// most peers reach more, which shows a broken path to a few endpoints.
+func (f *Forwarder) IsOutlier(application string, share float64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return isOutlier(f.peers, application, share)
+}
+
 func (f *Forwarder) isAvoidedLocked(hostID, application string) bool {
 	return time.Now().Before(f.avoided[avoidedPeer{hostID, application}])
 }
--- a/internal/rebalancer/rebalancer.go
+++ b/internal/rebalancer/rebalancer.go
@@ -24,6 +24,7 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/leaser"
@@ -31,8 +32,9 @@
 )
 
 const (
-	// planInterval is how often the split between the roles is evaluated.
-	planInterval = 250 * time.Millisecond
+	// planInterval is how often the split between the roles is evaluated. After a loss of engines
+	// orders have to be sent within half a second: two evaluations, the announcement and the order.
+	planInterval = 100 * time.Millisecond
 	// changeTimeout is after how long without effect an order counts as lost. A change takes
 	// as long as the engine's running work, some hundred milliseconds, and the few seconds of
 	// the change itself.
@@ -41,6 +43,11 @@
 	// change its role: two of their ticks, so that none of them sends it work that it would
 	// refuse.
 	announceDelay = 400 * time.Millisecond
+	// lossAnnounceDelay is that after a loss of engines: a request that an engine refuses is sent
+	// to another one at once, which costs less than the missing role.
+	lossAnnounceDelay = 150 * time.Millisecond
+	// maxConcurrentOrders bounds the orders that are sent at a time.
+	maxConcurrentOrders = 16
 )
 
 // Config configures a Rebalancer.
@@ -59,7 +66,9 @@
 	// SetChanging is called with the engines that are changing, after each change.
 	SetChanging func(endpointIDs []string)
 	OnOrdered   func(endpointID string, role driver.Role)
-	Logger      hclog.Logger
+	// OnPlanned is called with the reason of each change that begins; nil: not called.
+	OnPlanned func(reason string)
+	Logger    hclog.Logger
 }
 
 // change is one process's change of role. It ends with the process: the engine's next
@@ -68,7 +77,8 @@
 	incarnation string // of the process; empty: unknown
 	role        driver.Role
 	plannedAt   time.Time
-	isOrdered   bool // the order was accepted, or may have been
+	announce    time.Duration // how long before the order peers are informed
+	isOrdered   bool          // the order was accepted, or may have been
 }
 
 // Rebalancer sends role orders while this host holds the lease.
@@ -110,11 +120,23 @@
 	for _, proposal := range r.cfg.Plan(r.changing(), now) {
 		r.beginChange(proposal, now)
 	}
-	for _, due := range r.due(now) {
-		if err := r.orderRole(ctx, due.EndpointID, due.Role); err != nil {
-			r.cfg.Logger.Warn("role order failed", "endpoint_id", due.EndpointID, "role", due.Role, "error", err)
-		}
+	r.order(ctx, r.due(now))
+}
+
+// order sends orders to different engines concurrently: each one asks the engine and writes to the
+// store first.
+func (r *Rebalancer) order(ctx context.Context, due []planner.Proposal) {
+	var group errgroup.Group
+	group.SetLimit(maxConcurrentOrders)
+	for _, proposal := range due {
+		group.Go(func() error {
+			if err := r.orderRole(ctx, proposal.EndpointID, proposal.Role); err != nil {
+				r.cfg.Logger.Warn("role order failed", "endpoint_id", proposal.EndpointID, "role", proposal.Role, "error", err)
+			}
+			return nil
+		})
 	}
+	_ = group.Wait() // errors are logged
 }
 
 // mayAct is true while this host holds the lease and, unless it is the first holder, the
@@ -176,10 +198,17 @@
 
 func (r *Rebalancer) beginChange(proposal planner.Proposal, now time.Time) {
 	target, _, _ := r.cfg.Target(proposal.EndpointID)
+	announce := announceDelay
+	if proposal.Reason == planner.ReasonLoss {
+		announce = lossAnnounceDelay
+	}
 	r.mu.Lock()
-	r.changes[proposal.EndpointID] = &change{incarnation: target.Incarnation, role: proposal.Role, plannedAt: now}
+	r.changes[proposal.EndpointID] = &change{incarnation: target.Incarnation, role: proposal.Role, plannedAt: now, announce: announce}
 	r.mu.Unlock()
 	r.cfg.Logger.Info("role change planned", "endpoint_id", proposal.EndpointID, "role", proposal.Role, "reason", proposal.Reason)
+	if r.cfg.OnPlanned != nil {
+		r.cfg.OnPlanned(proposal.Reason)
+	}
 	r.publishChanging()
 }
 
@@ -198,7 +227,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, c := range r.changes {
-		if !c.isOrdered && now.Sub(c.plannedAt) >= announceDelay {
+		if !c.isOrdered && now.Sub(c.plannedAt) >= c.announce {
 			c.isOrdered = true
 			due = append(due, planner.Proposal{EndpointID: id, Role: c.role})
 		}
--- a/internal/rebalancer/rebalancer_test.go
+++ b/internal/rebalancer/rebalancer_test.go
@@ -50,3 +50,35 @@
 		})
 	}
 }
+
+// An order is announced to peers before it is sent, and for less time after a loss of engines: the
+// missing role costs more than requests that are refused. With the time to plan, it is sent within
+// half a second of the loss.
+func TestAnnouncement(t *testing.T) {
+	t.Parallel()
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for name, test := range map[string]struct {
+		reason string
+		after  time.Duration
+		isDue  bool
+	}{
+		"announced":                   {reason: planner.ReasonSplit, after: announceDelay, isDue: true},
+		"not yet":                     {reason: planner.ReasonSplit, after: announceDelay - planInterval},
+		"loss, second evaluation":     {reason: planner.ReasonLoss, after: 2 * planInterval, isDue: true},
+		"loss, announced for a while": {reason: planner.ReasonLoss, after: planInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := New(Config{
+				Target:      func(id string) (driver.Target, driver.Role, bool) { return driver.Target{EndpointID: id}, "", true },
+				SetChanging: func([]string) {}, Logger: hclog.NewNullLogger(),
+			})
+			for _, id := range []string{"e1", "e2"} {
+				r.beginChange(planner.Proposal{EndpointID: id, Role: driver.RolePrefill, Reason: test.reason}, start)
+			}
+			due := r.due(start.Add(test.after))
+			assert.Equal(t, len(due) == 2, test.isDue)
+			assert.Equal(t, len(r.due(start.Add(test.after))), 0, "sent twice")
+		})
+	}
+}
--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -78,6 +78,10 @@
 	// IsExitConfirmed reports whether a refused connection to a process is known to show its
 	// exit; nil: always. It must not call the Scheduler.
 	IsExitConfirmed func(process driver.Process) bool
+	// IsPathBroken reports whether peers reach more of an application's endpoints than this host, so
+	// that those which it does not reach are not lost; nil: never. It must not call the
+	// Scheduler.
+	IsPathBroken func(application string) bool
 	// Limiter holds this host's slots for endpoints that announce a request limit; nil: no
 	// endpoint announces one.
 	Limiter Limiter
--- a/internal/scheduler/planner/split.go
+++ b/internal/scheduler/planner/split.go
@@ -38,7 +38,7 @@
 			return proposals
 		}
 		engines[i].Role = to
-		proposals = append(proposals, Proposal{EndpointID: engines[i].EndpointID, Role: to, Reason: "split"})
+		proposals = append(proposals, Proposal{EndpointID: engines[i].EndpointID, Role: to, Reason: ReasonSplit})
 	}
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -80,6 +80,9 @@
 	if cfg.IsExitConfirmed == nil {
 		cfg.IsExitConfirmed = func(driver.Process) bool { return true }
 	}
+	if cfg.IsPathBroken == nil {
+		cfg.IsPathBroken = func(string) bool { return false }
+	}
 	if cfg.BackoffRemaining == nil {
 		cfg.BackoffRemaining = func(driver.Process) time.Duration { return 0 }
 	}
--- a/internal/scheduler/split.go
+++ b/internal/scheduler/split.go
@@ -1,7 +1,7 @@
 package scheduler
 
 import (
-	"math"
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -21,79 +21,54 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, application := range s.table.Applications {
-		engines := splitEngines(application, changing)
+		engines := s.splitEngines(application, changing, s.cfg.IsPathBroken(application.Name))
 		if len(engines) == 0 {
 			continue
 		}
-		proposals = append(proposals, planner.PlanSplit(engines, s.wantedPrefillEngines(application, engines, now))...)
+		decision := s.decideSplit(application, engines, now)
+		planned := planner.PlanSplit(engines, decision.Prefill)
+		for i := range planned {
+			planned[i].Reason = cmp.Or(decision.Reason, planned[i].Reason)
+		}
+		proposals = append(proposals, planned...)
 	}
 	return proposals
 }
 
-const (
-	// targetPrefillUse and targetDecodeUse are the planned utilizations of the engines of
-	// the two roles. A prompt occupies its engine alone and delays those queued behind
-	// it, so prefill engines need idle time; decoding streams run concurrently, and each
-	// slows the others down.
-	targetPrefillUse = 0.6
-	targetDecodeUse  = 0.6
-	// splitHysteresis is the share of the engines by which the wanted split has to differ
-	// before an engine changes its role. A change takes an engine out of service for
-	// seconds and moves some prefixes to engines that do not cache them: three changes at
-	// once, or one for a difference of a seventh of the engines, cost more than they gain.
-	splitHysteresis = 0.25
-	// minPlannedUse is the least use, in engines, from which a split can be derived.
-	minPlannedUse = 1.0
-	// minSplitInterval is the least time between two changes, and from the first work to
-	// the first change: caches are cold at that time, and prompts are prefilled in full.
-	minSplitInterval = 8 * time.Second
-)
-
-// wantedPrefillEngines returns how many of the engines are to prefill, so that both roles
-// are at their target utilization. The number changes by one engine at a time. Until there
-// is work it is half of the engines: the demand is unknown, and changes have no cost.
-func (s *Scheduler) wantedPrefillEngines(application *tracker.Application, engines []planner.SplitEngine, now time.Time) int {
-	usable, current := 0, 0
+// decideSplit decides how many of the engines are to prefill.
+func (s *Scheduler) decideSplit(application *tracker.Application, engines []planner.SplitEngine, now time.Time) planner.SplitDecision {
+	input := planner.SplitInput{Now: now, PrefillInUse: application.EngineUse.PrefillInUse, DecodeInUse: application.EngineUse.DecodeInUse}
 	for i := range engines {
-		if !engines[i].IsUsable {
-			continue
-		}
-		usable++
-		if engines[i].Role == driver.RolePrefill {
-			current++
+		switch {
+		case !engines[i].IsUsable:
+		case engines[i].Role == driver.RolePrefill:
+			input.Prefill++
+		default:
+			input.Decode++
 		}
 	}
+	usable := input.Prefill + input.Decode
 	if s.cfg.Policy.Roles == planner.Fixed {
-		return int(float64(usable)*s.cfg.Policy.PrefillShare + 0.5)
-	}
-	use := &application.EngineUse
-	if use.PrefillInUse+use.DecodeInUse < minPlannedUse {
-		if application.SplitChangedAt.IsZero() {
-			return (usable + 1) / 2
-		}
-		return current
-	}
-	if application.SplitChangedAt.IsZero() {
-		application.SplitChangedAt = now
-	}
-	if now.Sub(application.SplitChangedAt) < minSplitInterval {
-		return current
+		return planner.SplitDecision{Prefill: int(float64(usable)*s.cfg.Policy.PrefillShare + 0.5)}
 	}
-	prefill, decode := use.PrefillInUse/targetPrefillUse, use.DecodeInUse/targetDecodeUse
-	wanted := float64(usable) * prefill / (prefill + decode)
-	if math.Abs(wanted-float64(current)) < splitHysteresis*float64(usable) {
-		return current
+	decision, state := planner.NextSplit(&input, application.Split)
+	application.Split = state
+	if decision.Reason != "" {
+		s.logger.Info("prefill/decode split changes", "application", application.Name, "reason", decision.Reason,
+			"prefill_in_use", input.PrefillInUse, "decode_in_use", input.DecodeInUse, "prefill_need", decision.PrefillNeed,
+			"decode_need", decision.DecodeNeed, "gain", decision.Gain, "wanted_prefill", decision.Prefill, "current_prefill", input.Prefill, "usable", usable)
 	}
-	application.SplitChangedAt = now
-	s.logger.Info("prefill/decode split changes", "application", application.Name, "prefill_in_use", use.PrefillInUse,
-		"decode_in_use", use.DecodeInUse, "wanted_prefill", wanted, "current_prefill", current, "usable", usable)
-	if wanted > float64(current) {
-		return current + 1
-	}
-	return current - 1
+	return decision
+}
+
+// isLost reports whether an engine's process has probably exited although it is still listed. If this
+// host's own paths are broken, other hosts may use it.
+func (s *Scheduler) isLost(endpoint *tracker.Endpoint, isPathBroken bool) bool {
+	return !isPathBroken && (endpoint.SetAside || endpoint.Unreached && s.cfg.IsExitConfirmed(endpoint.Target.Process()))
 }
 
-func splitEngines(application *tracker.Application, changing map[string]driver.Role) (engines []planner.SplitEngine) {
+// splitEngines returns the engines with separate roles.
+func (s *Scheduler) splitEngines(application *tracker.Application, changing map[string]driver.Role, isPathBroken bool) (engines []planner.SplitEngine) {
 	for i := range application.Len() {
 		endpoint := application.At(i)
 		if endpoint.Kind != provider.HostEngine || endpoint.Role == driver.RoleMixed {
@@ -105,7 +80,7 @@
 		}
 		engines = append(engines, planner.SplitEngine{
 			EndpointID: endpoint.Target.EndpointID, Zone: endpoint.Zone, Role: role, IsChanging: isChanging,
-			IsUsable: isChanging || endpoint.TakesNewWork(), Requests: endpoint.Total().Requests,
+			IsUsable: (isChanging || endpoint.TakesNewWork()) && !s.isLost(endpoint, isPathBroken), Requests: endpoint.Total().Requests,
 		})
 	}
 	slices.SortFunc(engines, func(a, b planner.SplitEngine) int { return strings.Compare(a.EndpointID, b.EndpointID) })
--- a/internal/scheduler/tracker/table.go
+++ b/internal/scheduler/tracker/table.go
@@ -8,6 +8,7 @@
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/scheduler/estimator"
+	"github.com/endivemast/endivemast/internal/scheduler/planner"
 )
 
 // peerTimeout is how long a peer's loads count after its last update.
@@ -15,15 +16,15 @@
 
 // Application is the endpoints of one application with their estimates.
 type Application struct {
-	Name           string
-	Local          []*Endpoint // in this host's zone
-	Remote         []*Endpoint // in other zones
-	Model          estimator.Model
-	Prefixes       Prefixes
-	Demand         Demand
-	EngineUse      EngineUse // of engines with separate roles
-	SplitChangedAt time.Time // last change of the number of engines per role
-	Summary        Summary
+	Name      string
+	Local     []*Endpoint // in this host's zone
+	Remote    []*Endpoint // in other zones
+	Model     estimator.Model
+	Prefixes  Prefixes
+	Demand    Demand
+	EngineUse EngineUse // of engines with separate roles
+	Split     planner.SplitState
+	Summary   Summary
 	// MeanCost is the mean cost of a request in engine seconds; 0: not observed yet.
 	MeanCost float64
 	// TokenRatio is the number of prompt tokens counted by engines for each token that
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -208,6 +208,9 @@
 		HostID: cfg.HostID, Zone: cfg.Zone, Configuration: g.classifier, Logger: cfg.Logger.Named("scheduler"),
 		Policy: cfg.policy(), OnSharedPrefix: g.caches.AddSharedParts, Limiter: g.limiter, BackoffRemaining: g.observer.BackoffRemaining,
 		IsExitConfirmed: g.paths.HasExited,
+		IsPathBroken: func(application string) bool {
+			return g.peerForwarder.IsOutlier(application, g.paths.Reach(application).Share())
+		},
 	})
 	g.registrations = lister.NewRegistrations(lister.RegistrationsConfig{
 		Prefix: cfg.EndpointPrefix, Decode: cfg.DecodeEndpoint, DrainTime: cfg.DrainTime,
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -135,6 +135,7 @@
 		Leaser: g.leaser, Driver: g.cfg.Driver, HostID: g.cfg.HostID, TakeoverDelay: g.cfg.LeaseTTL,
 		Plan: g.scheduler.PlanSplit, Target: g.engine, SetChanging: g.registrations.SetChangingRole,
 		OnOrdered: func(string, driver.Role) { g.meter.CountRoleChange(g.cfg.Zone, "") },
+		OnPlanned: g.meter.CountPlannedRoleChange,
 		Logger:    g.cfg.Logger.Named("rebalancer"),
 	})
 	return nil
