Notifications about processes that are set aside carry the present state

Cause: a Tick sets a process aside and starts its probe; the probe may end, and notify that the process is in use again, before the Tick has notified that it is set aside. The process then got no work from this host for as long as it ran. Change: the notification reads the state when it runs, under a mutex of its own. The model of the test keeps the two reasons for which an endpoint gets no work apart, as the scheduler does.

--- a/internal/pathwatcher/refusals.go
+++ b/internal/pathwatcher/refusals.go
@@ -122,7 +122,19 @@
 		"application", p.Application, "is_set_aside", isSetAside, "hosts", hosts, "is_refused_here", p.hasFailed(),
 		"silent_ms", now.Sub(p.lastReceived()).Milliseconds())
 	process := p.process
-	return notifications{func() { w.cfg.OnSetAside(process, isSetAside) }}
+	return notifications{func() { w.notifySetAside(process) }}
+}
+
+// notifySetAside calls OnSetAside with the present state. A probe may end, and its notification come
+// first, before that of the Tick that has started it.
+func (w *Watcher) notifySetAside(process driver.Process) {
+	w.setAsideMu.Lock()
+	defer w.setAsideMu.Unlock()
+	w.mu.Lock()
+	p := w.findLocked(process)
+	isSetAside := p != nil && p.isSetAside
+	w.mu.Unlock()
+	w.cfg.OnSetAside(process, isSetAside)
 }
 
 // updateRefusalsLocked removes the refusals of peers that have expired, and collects those of this host.
--- a/internal/pathwatcher/refusals_test.go
+++ b/internal/pathwatcher/refusals_test.go
@@ -20,40 +20,43 @@
 	fleetEndpoints = 12
 )
 
+type hostEndpoint struct{ host, endpoint int }
+
 // refusalFleet is the Watchers of many hosts with common endpoints, in virtual time.
 type refusalFleet struct {
 	watchers []*Watcher
 
-	mu         sync.Mutex // guards the fields below, which probes use too
-	refuses    func(host, endpoint int) bool
-	sends      bool // hosts tell each other of refused connections
-	blocked    [][]bool
-	attempts   int // connections that were refused
-	maxReach   float64
-	blockedFor []time.Duration // by host: for which sound endpoints got no work, added up
+	mu                  sync.Mutex // guards the fields below, which probes use too
+	refuses             func(host, endpoint int) bool
+	sends               bool                  // hosts tell each other of refused connections
+	unreached, setAside map[hostEndpoint]bool // as the hosts have been notified
+	attempts            int                   // connections that were refused
+	maxReach            float64
+	blockedFor          []time.Duration // by host: for which sound endpoints got no work, added up
 }
 
 func newRefusalFleet(sends bool) *refusalFleet {
 	f := &refusalFleet{
 		refuses: func(int, int) bool { return false }, sends: sends,
-		blocked: make([][]bool, fleetHosts), blockedFor: make([]time.Duration, fleetHosts),
+		unreached: map[hostEndpoint]bool{}, setAside: map[hostEndpoint]bool{}, blockedFor: make([]time.Duration, fleetHosts),
 	}
 	var list []Endpoint
 	for e := range fleetEndpoints {
 		list = append(list, Endpoint{Target: driver.Target{EndpointID: fmt.Sprintf("e%02d", e), Incarnation: "1"}, Application: testApplication})
 	}
 	for host := range fleetHosts {
-		f.blocked[host] = make([]bool, fleetEndpoints)
-		set := func(p driver.Process, isBlocked bool) {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.blocked[host][indexOf(p)] = isBlocked
+		set := func(states map[hostEndpoint]bool, isBlocked bool) func(driver.Process) {
+			return func(p driver.Process) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				states[hostEndpoint{host, indexOf(p)}] = isBlocked
+			}
 		}
 		w := New(Config{
 			Probe:         func(_ context.Context, target driver.Target) error { return f.connect(host, indexOf(target.Process())) },
-			OnUnreached:   func(p driver.Process) { set(p, true) },
-			OnReached:     func(p driver.Process) { set(p, false) },
-			OnSetAside:    set,
+			OnUnreached:   set(f.unreached, true),
+			OnReached:     set(f.unreached, false),
+			OnSetAside:    func(p driver.Process, isSetAside bool) { set(f.setAside, isSetAside)(p) },
 			HasBetterPeer: func(_ string, own Reach) bool { return f.maxReach >= own.Share()+0.2 },
 			HostID:        fmt.Sprintf("h%02d", host), Hosts: func() int { return fleetHosts },
 		})
@@ -124,7 +127,8 @@
 func (f *refusalFleet) isBlocked(host, endpoint int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.blocked[host][endpoint]
+	pair := hostEndpoint{host, endpoint}
+	return f.unreached[pair] || f.setAside[pair]
 }
 
 func (f *refusalFleet) countBlocked() (n int) {
--- a/internal/pathwatcher/watcher.go
+++ b/internal/pathwatcher/watcher.go
@@ -76,6 +76,7 @@
 	active       map[*path]struct{}                    // paths that are not quiet
 	refusals     map[string]map[driver.Process]Refusal // of peers, by source
 	ownRefusals  []Refusal                             // as of the latest Tick; immutable
+	setAsideMu   sync.Mutex                            // keeps calls of OnSetAside in order; locked before mu
 	probes       int                                   // in flight
 
 	ctx    context.Context // cancelled by Close
@@ -211,7 +212,7 @@
 		notify = append(notify, func() { w.cfg.OnReached(p.process) })
 	}
 	if p.isSetAside {
-		notify = append(notify, func() { w.cfg.OnSetAside(p.process, false) })
+		notify = append(notify, func() { w.notifySetAside(p.process) })
 	}
 	delete(w.paths, id)
 	delete(w.active, p)
