--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -114,6 +114,7 @@
 	activeRequests atomic.Int64
 	cacheReleases  errgroup.Group // releases of unused KV caches
 	largeBuffers   *largeBuffers
+	shortages      *shortages
 
 	mu            sync.Mutex
 	repeatBudgets map[string]*repeatBudget // by application
@@ -143,6 +144,7 @@
 		largeBuffers: newLargeBuffers(),
 		cfg:          cfg, requestLog: newRequestLogger(cfg.Logger, cfg.StoreUnreachableFor), repeatBudgets: map[string]*repeatBudget{}, repeatReserve: cfg.RepeatReserve,
 		running: map[*forwardedRequest]context.CancelCauseFunc{}, attempts: map[*runningAttempt]struct{}{},
+		shortages: newShortages(cfg.Logger, time.Now),
 	}
 }
 
--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -111,6 +111,8 @@
 	Reach Reach
 	// Demand is sent to peers; nil: no demand is sent, as by older builds.
 	Demand Demand
+	// Refusals is exchanged along with the loads; nil: no refusals.
+	Refusals Refusals
 	// UpdatesPerSecond bounds the rate of messages with load to all peers together, by making
 	// the tick longer where there are many peers; 0: no limit.
 	UpdatesPerSecond int
--- a/internal/exchanger/hub_test.go
+++ b/internal/exchanger/hub_test.go
@@ -25,6 +25,9 @@
 	loads   map[string]map[string]Load
 	hosts   map[string]int
 	leaving map[string]time.Time
+
+	ownRefusals []Refusal
+	refusals    map[string][]Refusal // received, by source
 }
 
 func (l *summedLocal) ApplyLoad(source string, hosts int, loads map[string]Load, _ time.Time) {
@@ -86,7 +89,7 @@
 		}
 	}
 	for _, peer := range f.peers {
-		local := &summedLocal{loads: map[string]map[string]Load{}, hosts: map[string]int{}, leaving: map[string]time.Time{}}
+		local := &summedLocal{loads: map[string]map[string]Load{}, hosts: map[string]int{}, leaving: map[string]time.Time{}, refusals: map[string][]Refusal{}}
 		local.own = map[string]Load{"e": {Requests: f.own[peer.HostID]}}
 		var demand Demand
 		if !f.sendsNoDemand[peer.HostID] {
@@ -96,7 +99,7 @@
 		// machine could process, and hosts timed out repeatedly.
 		ex, err := New(Config{
 			HostID: peer.HostID, Incarnation: peer.HostID, Zone: peer.Zone, ProcessorShare: peer.ProcessorShare, HasHubs: true,
-			Listener: listeners[peer.HostID], Tick: 50 * time.Millisecond, PeerTimeout: 2 * time.Second, Logger: hclog.NewNullLogger(), Demand: demand,
+			Listener: listeners[peer.HostID], Tick: 50 * time.Millisecond, PeerTimeout: 2 * time.Second, Logger: hclog.NewNullLogger(), Demand: demand, Refusals: local,
 		}, local)
 		assert.NilError(t, err)
 		f.locals[peer.HostID], f.ex[peer.HostID] = local, ex
--- a/internal/exchanger/publisher.go
+++ b/internal/exchanger/publisher.go
@@ -28,6 +28,7 @@
 	signals      logCursor[SignalUpdate]
 	reach        []ApplicationReach // in the last message
 	demand       demandCursor
+	refusals     sentRefusals
 }
 
 // ownLoad caches this host's load for all publishers of a tick. Collecting it locks the
@@ -123,7 +124,8 @@
 	usage, signals := ex.nextUsage(p, peer), ex.nextSignals(p)
 	reach, activeRequests := ex.currentReach()
 	demand := ex.nextDemand(p, peer, time.Now())
-	hasUpdates := !slices.Equal(reach, p.reach) || len(cacheUpdates) > 0 || len(crashUpdates) > 0 || len(usage) > 0 || len(signals) > 0 || demand.hasChanged
+	sendsRefusals := p.sendsRefusals(content.refusals, time.Now())
+	hasUpdates := sendsRefusals || demand.hasChanged || !slices.Equal(reach, p.reach) || len(cacheUpdates) > 0 || len(crashUpdates) > 0 || len(usage) > 0 || len(signals) > 0
 	if !p.isDue(message, len(content.leaving)) && !hasUpdates {
 		return
 	}
@@ -135,6 +137,10 @@
 	message.Signals = signalsToMessage(signals, ex.cfg.Clock())
 	message.ReducedReach, message.ActiveRequests = reachToMessage(reach), activeRequests
 	ex.addDemand(message, &demand)
+	if sendsRefusals {
+		message.Refusing, message.SendsRefusing = refusalsToMessage(content.refusals), true
+		p.refusals = sentRefusals{items: content.refusals, at: time.Now()}
+	}
 	message.Draining = ex.local.Draining()
 	message.ConfigurationRevision = ex.local.ConfigurationRevision()
 	message.StoreRevision = ex.local.StoreRevision()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -87,6 +87,9 @@
 	if cfg.IsExitConfirmed == nil {
 		cfg.IsExitConfirmed = func(driver.Process) bool { return true }
 	}
+	if cfg.IsPathBroken == nil {
+		cfg.IsPathBroken = func(string) bool { return false }
+	}
 	if cfg.BackoffRemaining == nil {
 		cfg.BackoffRemaining = func(driver.Process) time.Duration { return 0 }
 	}
@@ -220,6 +223,23 @@
 	return endpoint.ObserveMachine(percent, now)
 }
 
+// SetSetAside records whether a process refuses the connections of several hosts. Such an endpoint
+// gets no work, and does not count for the split between the roles. When that ends it gets work at
+// once.
+func (s *Scheduler) SetSetAside(process driver.Process, isSetAside bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	endpoint := s.table.Endpoints[process.EndpointID]
+	if endpoint == nil || endpoint.Target.Process() != process {
+		return
+	}
+	endpoint.SetAside = isSetAside
+	if !isSetAside && !endpoint.Unreached && endpoint.Breaker.Unreachable {
+		endpoint.Breaker = tracker.Breaker{}
+	}
+	s.dispatchWaiting(endpoint.Application, s.now())
+}
+
 // SetPeersWithoutPath sets, by application, how many peers pass their work to other hosts since
 // they don't reach the endpoints. This host's part of the capacity is greater then.
 func (s *Scheduler) SetPeersWithoutPath(peers map[string]float64) {
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -185,7 +185,7 @@
 		if endpoint.Role == driver.RoleDecode || endpoint.Role == driver.RolePrefill {
 			s.HasSeparateRoles = true
 		}
-		if !endpoint.TakesNewWork() || endpoint.Unreached || !endpoint.Breaker.Allows(now) || t.isBackingOff(endpoint) {
+		if !endpoint.TakesNewWork() || endpoint.IsCutOff() || !endpoint.Breaker.Allows(now) || t.isBackingOff(endpoint) {
 			continue
 		}
 		s.Usable++
--- a/pkg/endivemast/gateway_paths.go
+++ b/pkg/endivemast/gateway_paths.go
@@ -26,6 +26,8 @@
 			g.scheduler.SetUnreached(process, true)
 			g.forwarder.AbandonProcess(process)
 		},
+		OnSetAside: func(process driver.Process, isSetAside bool) { g.scheduler.SetSetAside(process, isSetAside) },
+		HostID:     g.cfg.HostID, Hosts: func() int { return int(g.peerCount.Load()) + 1 },
 		HasBetterPeer: func(application string, own pathwatcher.Reach) bool {
 			return g.peerForwarder.HasBetterPeer(application, own.Share())
 		},
@@ -82,7 +84,12 @@
 		for _, reach := range status.ReducedReach {
 			share := pathwatcher.Reach{Reached: reach.Reached, Listed: reach.Listed}.Share()
 			peer.Shares[reach.Application] = share
-			withoutPath[reach.Application] += 1 - share
+			if share < 1 {
+				withoutPath[reach.Application] += 1 - share
+			}
+			if reach.IsShort {
+				peer.Short = append(peer.Short, reach.Application)
+			}
 		}
 		peers = append(peers, peer)
 	}
@@ -114,13 +121,48 @@
 
 // ReducedReach implements exchanger.Reach.
 func (g *Gateway) ReducedReach() (reduced []exchanger.ApplicationReach) {
+	short := g.forwarder.ShortOfCapacity()
 	for application, reach := range g.paths.Reduced() {
-		reduced = append(reduced, exchanger.ApplicationReach{Application: application, Reached: reach.Reached, Listed: reach.Listed})
+		reduced = append(reduced, exchanger.ApplicationReach{
+			Application: application, Reached: reach.Reached, Listed: reach.Listed, IsShort: slices.Contains(short, application),
+		})
+	}
+	for _, application := range short {
+		if !slices.ContainsFunc(reduced, func(r exchanger.ApplicationReach) bool { return r.Application == application }) {
+			reach := g.paths.Reach(application)
+			reduced = append(reduced, exchanger.ApplicationReach{Application: application, Reached: reach.Reached, Listed: reach.Listed, IsShort: true})
+		}
 	}
 	slices.SortFunc(reduced, func(a, b exchanger.ApplicationReach) int { return strings.Compare(a.Application, b.Application) })
 	return reduced
 }
 
+// refusals implements exchanger.Refusals.
+type refusals struct{ gateway *Gateway }
+
+// Refusals implements exchanger.Refusals.
+func (r refusals) Refusals() (own []exchanger.Refusal) {
+	for _, refusal := range r.gateway.paths.Refusals() {
+		own = append(own, exchanger.Refusal{
+			EndpointID: refusal.Process.EndpointID, Incarnation: refusal.Process.Incarnation, Hosts: refusal.Hosts,
+			Age: max(time.Since(refusal.At), 0),
+		})
+	}
+	return own
+}
+
+// ApplyRefusals implements exchanger.Refusals.
+func (r refusals) ApplyRefusals(source string, received []exchanger.Refusal) {
+	now := time.Now()
+	applied := make([]pathwatcher.Refusal, 0, len(received))
+	for _, refusal := range received {
+		applied = append(applied, pathwatcher.Refusal{
+			Process: driver.Process{EndpointID: refusal.EndpointID, Incarnation: refusal.Incarnation}, Hosts: refusal.Hosts, At: now.Add(-refusal.Age),
+		})
+	}
+	r.gateway.paths.SetRefusals(source, applied)
+}
+
 // ActiveRequests implements exchanger.Reach.
 func (g *Gateway) ActiveRequests() int64 { return g.forwarder.Active() }
 
--- a/pkg/endivemast/gateway_signals.go
+++ b/pkg/endivemast/gateway_signals.go
@@ -69,6 +69,7 @@
 		return n
 	})
 	g.meter.GaugeEndpoints("said_leaving", count(func(state *observer.State) bool { return state.IsLeaving }))
+	g.meter.GaugeEndpoints("set_aside", func() float64 { return float64(g.paths.CountSetAside()) })
 	g.meter.GaugeEndpoints("resting", count(func(state *observer.State) bool { return state.BackoffUntil.After(g.cfg.Clock.Now()) }))
 }
 
