Precedence by the route among classes of one tenant, and only while engines are busy

Costs are estimated from priors at first, so that small prompts seemed to ask for ten times the engine time that they take; and the tenants' rank replaces that of the routes, so that the classes of a tenant were equally urgent. Change: shares apply only while nearly three quarters of the engines of a role have work, or had within the last second. Requests are ordered by the rank of the tenant, then by that of the route.

--- a/internal/aggregator/types.go
+++ b/internal/aggregator/types.go
@@ -17,8 +17,9 @@
 // together, so that the size of a Snapshot does not depend on their number.
 const MaxTenants = 16
 
-// MaxRank is the least urgent rank that is distinguished.
-const MaxRank = 9
+// MaxRank is the least urgent rank that is distinguished: ten ranks of tenants, and ten
+// of routes within each.
+const MaxRank = 99
 
 // Key identifies work of one rank of an application.
 type Key struct {
--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -28,13 +28,24 @@
 	configurer.Class
 	Timeout     time.Duration // longest time until a request is answered; 0: none
 	MaxAttempts int           // number of endpoints that may run one request
-	Rank        int           // 0 is the most urgent
+	Rank        int           // of the tenant, or of the route; 0 is the most urgent
+	RouteRank   int           // of the route; it orders the requests of one Rank
 	IsResumable bool          // an interrupted stream may be resumed after its last event
 	IsPublic    bool          // no key is needed, even if the configuration has tenants
 	// Shares distribute the class over applications; never empty.
 	Shares []Share
 }
 
+// maxRank is the least urgent rank that is distinguished.
+const maxRank = 9
+
+// Precedence returns the order of the class's requests under shortage, from 0, the most
+// urgent, to 99: by Rank, and by RouteRank among requests of one Rank. A tenant's rank
+// goes before that of a route, so it alone would not distinguish the tenant's classes.
+func (c *Class) Precedence() int {
+	return min(max(c.Rank, 0), maxRank)*(maxRank+1) + min(max(c.RouteRank, 0), maxRank)
+}
+
 // Share is the share of a class that an application serves.
 type Share struct {
 	Application string
--- a/internal/classifier/classifier_test.go
+++ b/internal/classifier/classifier_test.go
@@ -50,3 +50,22 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, c.Revision(), int64(6))
 }
+
+// Guards against classes of one tenant that count as equally urgent, since the tenant's
+// rank hides those of its routes.
+func TestPrecedence(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct{ rank, routeRank, want int }{
+		"no ranks":               {want: 0},
+		"rank of the route only": {rank: 2, routeRank: 2, want: 22},
+		"rank of the tenant":     {rank: 1, routeRank: 0, want: 10},
+		"its less urgent class":  {rank: 1, routeRank: 2, want: 12},
+		"out of range":           {rank: -3, routeRank: 400, want: 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			class := Class{Rank: test.rank, RouteRank: test.routeRank}
+			assert.Equal(t, class.Precedence(), test.want)
+		})
+	}
+}
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -32,6 +32,12 @@
 	directPrefillDivisor = 20
 	// mixHalfLife is the half-life of the share of prefill in the cost of new work.
 	mixHalfLife = 5 * time.Second
+	// busyShare is the share of the engines of a role with work from which on there may be a
+	// shortage. While engines are idle, a request that is refused could have been served.
+	busyShare = 0.7
+	// busyRetention is for how long engines count as busy. Admission by shares leaves some
+	// idle for moments.
+	busyRetention = time.Second
 )
 
 // precedence is the state of the admission of one application's work by rank and tenant.
@@ -39,6 +45,7 @@
 	shares     allocator.Shares
 	isShort    bool // some share is below 1
 	capacity   float64
+	busyAt     time.Time // when the engines were last busy
 	credits    admitter.Credits
 	targets    [allocator.Ranks]rankTargets
 	mixes      [allocator.Ranks]prefillMix
@@ -182,12 +189,15 @@
 		backlog: s.engineBacklog(application), slotUse: summary.SlotUse, response: shortestResponse(&ranks),
 	}, now)
 	p.shares = allocator.AllAdmitted()
+	if isBusy(summary) {
+		p.busyAt = now
+	}
 	// The capacity depends on the mix of the admitted work, and this on the capacity.
 	for range mixSteps {
 		p.capacity = summary.FleetCapacity.Of(p.mix(&ranks)) * p.correction.factor()
 		// A host without usable endpoints refuses work as having no endpoint, so that it is
 		// passed on to a peer that reaches some.
-		if summary.Usable == 0 || p.capacity <= 0 {
+		if summary.Usable == 0 || p.capacity <= 0 || now.Sub(p.busyAt) >= busyRetention {
 			p.shares = allocator.AllAdmitted()
 			break
 		}
@@ -225,6 +235,11 @@
 	return application.Model.PrefillCost(summary.MedianPrefillAhead)
 }
 
+// isBusy reports whether nearly all engines of a role have work.
+func isBusy(summary *tracker.Summary) bool {
+	return summary.PrefillUse >= busyShare || summary.SlotUse >= busyShare
+}
+
 func shortestResponse(ranks *[allocator.Ranks]allocator.Rank) (shortest time.Duration) {
 	for i := range ranks {
 		target := ranks[i].ResponseTarget
--- a/internal/scheduler/tracker/summary.go
+++ b/internal/scheduler/tracker/summary.go
@@ -35,6 +35,8 @@
 	// SlotUse is the share in use of the request limits of usable endpoints, without those
 	// that only prefill.
 	SlotUse float64
+	// PrefillUse is the share of the usable engines that only prefill that have work.
+	PrefillUse float64
 	// MaxTokenInterval is the smallest Class.MaxTokenInterval among the classes with
 	// many requests; 0: none.
 	MaxTokenInterval time.Duration
@@ -177,7 +179,7 @@
 	s.Peers, s.Portion = peers, portion
 	requests, ahead, own, others := 0, 0, 0, 0
 	var prefillAhead, directAhead []int
-	decodeRequests, decodeLimit := 0, 0
+	decodeRequests, decodeLimit, prefillEngines, prefillInUse := 0, 0, 0, 0
 	var speed float64
 	firstVersion := ""
 	for i := range a.Len() {
@@ -211,6 +213,12 @@
 		} else {
 			directAhead = append(directAhead, total.PrefillTokens)
 		}
+		if endpoint.Role == driver.RolePrefill {
+			prefillEngines++
+			if total.Requests > 0 {
+				prefillInUse++
+			}
+		}
 		if endpoint.CanDecode() {
 			decodeRequests += total.Requests
 			decodeLimit += endpoint.Limit
@@ -225,6 +233,7 @@
 	s.MeanTokensAhead = ahead / max(1, s.Usable)
 	s.MedianPrefillAhead, s.MedianDirectAhead = median(prefillAhead), median(directAhead)
 	s.SlotUse = float64(decodeRequests) / float64(max(1, decodeLimit))
+	s.PrefillUse = float64(prefillInUse) / float64(max(1, prefillEngines))
 	return s
 }
 
