Refused callers return at times with room for them while the fleet is short

Change: in a shortage, refusals book a time in the calendar of their application and rank. Requests with less time left than their class's callers have at first count as returns; up to half of a rank's engine time is kept for them, also before they arrive. Hosts exchange that with their demand. Without a shortage the delay is as before.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -317,7 +317,7 @@
 	class.Application = fr.application
 	return scheduler.Work{
 		RequestID: fr.request.ID, Class: class, Arrived: fr.request.Arrived,
-		Rank: fr.request.Class.Precedence(), Tenant: fr.request.Tenant, TimeLimit: fr.request.Class.Timeout,
+		Rank: fr.request.Class.Precedence(), Tenant: fr.request.Tenant, TimeLimit: fr.request.Class.Timeout, CallerTimeLeft: fr.request.CallerTimeout,
 		IsAdmitted: fr.isAdmitted || fr.runs > 0, IsFromPeer: fr.request.Origin != nil,
 		PromptTokens: fr.request.Prompt.Tokens, PrefixKey: fr.request.Prompt.PrefixKey,
 		PrefixTokens: fr.request.Prompt.PrefixTokens, PrefixParts: fr.request.Prompt.PrefixParts, MaxOutputTokens: fr.request.Prompt.MaxOutputTokens,
--- a/internal/dispatcher/precedence_test.go
+++ b/internal/dispatcher/precedence_test.go
@@ -41,7 +41,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(recorder.works), 2)
 	for i, work := range recorder.works {
-		assert.Equal(t, work.Rank, 2)
+		assert.Equal(t, work.Rank, 20)
 		assert.Equal(t, work.Tenant, "vitosha")
 		assert.Equal(t, work.TimeLimit, 3*time.Second)
 		assert.Equal(t, work.IsAdmitted, i > 0)
--- a/internal/scheduler/admission_status.go
+++ b/internal/scheduler/admission_status.go
@@ -16,6 +16,9 @@
 	Share       float64 // of the demand of all hosts' callers that may be admitted
 	Admitted    uint64  // new requests of this host's callers, since its start
 	Refused     uint64  // with ReasonPrecedence
+	// RefusedReturns is the part of Refused whose callers had returned after a refusal, and
+	// Promised the number of refused callers with a promised time of return.
+	RefusedReturns, Promised uint64
 }
 
 // Admissions returns the admission by application and rank, for ranks that have had work.
@@ -29,6 +32,7 @@
 			}
 			statuses = append(statuses, AdmissionStatus{
 				Application: name, Rank: rank, Share: p.shares[rank].All, Admitted: count.admitted, Refused: count.refused,
+				RefusedReturns: count.refusedReturns, Promised: count.promised,
 			})
 		}
 	}
--- a/internal/scheduler/admitter/credits.go
+++ b/internal/scheduler/admitter/credits.go
@@ -21,8 +21,9 @@
 
 // CreditKey identifies the account of one tenant's work of one rank.
 type CreditKey struct {
-	Rank   int
-	Tenant string
+	Rank     int
+	Tenant   string
+	IsReturn bool // the callers return after a refusal
 }
 
 // Credits admits a share of the work of each account. Each request earns its share of its
--- a/internal/scheduler/allocator/allocator.go
+++ b/internal/scheduler/allocator/allocator.go
@@ -57,13 +57,25 @@
 	All     float64            // of the whole rank
 	Tenants map[string]float64 // of the named tenants; nil: All applies to each
 	Rest    float64            // of each other tenant
+	// Returning is the factor by which the shares of callers that return after a refusal are
+	// higher, and New that by which those of all others are lower, so that there is room.
+	Returning, New float64
 }
 
 // Shares are the shares of all ranks.
 type Shares [Ranks]Share
 
-// Of returns the share of a tenant's demand.
-func (s *Share) Of(tenant string) float64 {
+// Of returns the share of a tenant's demand, or that of its callers that return after a
+// refusal. Those come first: they have less time left, and come only once.
+func (s *Share) Of(tenant string, isReturn bool) float64 {
+	share := s.New * s.of(tenant)
+	if isReturn {
+		share = s.of(tenant) * s.Returning
+	}
+	return min(share, 1)
+}
+
+func (s *Share) of(tenant string) float64 {
 	if s.Tenants == nil {
 		return s.All
 	}
@@ -81,7 +93,7 @@
 // AllAdmitted returns shares that admit all work.
 func AllAdmitted() (shares Shares) {
 	for i := range shares {
-		shares[i] = Share{All: 1, Rest: 1}
+		shares[i] = Share{All: 1, Rest: 1, Returning: 1, New: 1}
 	}
 	return shares
 }
@@ -120,10 +132,31 @@
 		allotted := min(reserved[i]+left, demand.Offered)
 		left = max(left-(allotted-reserved[i]), 0) // rounding may leave less than nothing
 		shares[i] = divideAmongTenants(demand, allotted)
+		shares[i].keepRoom(demand)
 	}
 	return shares
 }
 
+// maxReturning is the largest part of a rank's engine time that is kept for callers that
+// return. In a long shortage they would otherwise take all of it, and each caller would be
+// refused once before it is served.
+const maxReturning = 0.5
+
+// keepRoom keeps a part of the rank's engine time for callers that return.
+func (s *Share) keepRoom(demand *aggregator.Demand) {
+	s.Returning, s.New = 1, 1
+	returning := min(demand.Returning, demand.Offered)
+	if returning <= 0 || s.All <= 0 || s.All >= 1 {
+		return
+	}
+	allotted := s.All * demand.Offered
+	room := min(returning, max(allotted*maxReturning, s.All*returning))
+	s.Returning = room / (returning * s.All)
+	if others := demand.Offered - returning; others > 0 {
+		s.New = min((allotted-room)/(others*s.All), 1)
+	}
+}
+
 // floors returns the engine time reserved for each rank.
 func floors(ranks *[Ranks]Rank, capacity float64) (reserved [Ranks]float64) {
 	var response time.Duration // the shortest response target of the ranks before
--- a/internal/scheduler/allocator/allocator_test.go
+++ b/internal/scheduler/allocator/allocator_test.go
@@ -52,7 +52,7 @@
 			}
 			shares := Divide(&ranks, test.capacity)
 			for i, want := range test.want {
-				assert.Assert(t, math.Abs(shares[i].Of("")-want) < 1e-9, "rank %d: %g, want %g", i, shares[i].Of(""), want)
+				assert.Assert(t, math.Abs(shares[i].Of("", false)-want) < 1e-9, "rank %d: %g, want %g", i, shares[i].Of("", false), want)
 			}
 		})
 	}
@@ -78,7 +78,7 @@
 			t.Parallel()
 			shares := Divide(&[Ranks]Rank{1: test.rank}, test.capacity)
 			for tenant, want := range test.want {
-				assert.Assert(t, math.Abs(shares[1].Of(tenant)-want) < 1e-9, "%q: %g, want %g", tenant, shares[1].Of(tenant), want)
+				assert.Assert(t, math.Abs(shares[1].Of(tenant, false)-want) < 1e-9, "%q: %g, want %g", tenant, shares[1].Of(tenant, false), want)
 			}
 		})
 	}
@@ -110,3 +110,27 @@
 		assert.Assert(t, math.Abs(admitted-min(capacity, total)) < 1e-6, "admitted %g of %g with capacity %g", admitted, total, capacity)
 	})
 }
+
+// Guards against callers that return after a refusal and are refused again beside new ones
+// that are admitted, and against returns that leave new callers nothing.
+func TestRoomForReturns(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct{ returning, wantReturning, wantNew float64 }{
+		"none":       {wantReturning: 0.5, wantNew: 0.5},
+		"a few":      {returning: 2, wantReturning: 1, wantNew: 3. / 8},
+		"half":       {returning: 5, wantReturning: 0.5, wantNew: 0.5},
+		"nearly all": {returning: 9, wantReturning: 0.5, wantNew: 0.5},
+		"all":        {returning: 10, wantReturning: 0.5, wantNew: 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var ranks [Ranks]Rank
+			ranks[0] = rankOf(5, time.Second, time.Second)
+			ranks[1] = rankOf(10, time.Second, 0)
+			ranks[1].Demand.Returning = test.returning
+			share := Divide(&ranks, 10)[1]
+			assert.Assert(t, math.Abs(share.Of("", true)-test.wantReturning) < 1e-9, "returning %g", share.Of("", true))
+			assert.Assert(t, math.Abs(share.Of("", false)-test.wantNew) < 1e-9, "new %g", share.Of("", false))
+		})
+	}
+}
--- a/internal/scheduler/fleet_demand.go
+++ b/internal/scheduler/fleet_demand.go
@@ -10,7 +10,7 @@
 func (s *Scheduler) OwnDemand(now time.Time) aggregator.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.demandMeter.Snapshot(now)
+	return s.ownDemand(now)
 }
 
 // SetFleetDemand sets the sum of what the callers of all other hosts ask for.
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -43,7 +43,8 @@
 // precedence is the state of the admission of one application's work by rank and tenant.
 type precedence struct {
 	shares     allocator.Shares
-	isShort    bool // some share is below 1
+	allotted   [allocator.Ranks]float64 // engine seconds per second of the rank
+	isShort    bool                     // some share is below 1
 	capacity   float64
 	busyAt     time.Time // when the engines were last busy
 	credits    admitter.Credits
@@ -55,7 +56,7 @@
 }
 
 // admissionCount counts the new work of one rank.
-type admissionCount struct{ admitted, refused uint64 }
+type admissionCount struct{ admitted, refused, refusedReturns, promised uint64 }
 
 // demandShare is what a request counts for in the demand of this host's callers.
 type demandShare struct {
@@ -114,6 +115,7 @@
 	p := s.precedence(q.application)
 	if work.isNew() {
 		s.recordDemand(p, w, item, now)
+		s.recordReturn(w, now)
 	}
 	s.refreshShares(now)
 	if p.isShort {
@@ -122,18 +124,21 @@
 	if !work.isNew() {
 		return outcome{}, false
 	}
-	share := p.shares[rank].Of(work.Tenant)
-	key := admitter.CreditKey{Rank: rank, Tenant: work.Tenant}
+	share := p.shares[rank].Of(work.Tenant, w.isReturn)
+	key := admitter.CreditKey{Rank: rank, Tenant: work.Tenant, IsReturn: w.isReturn}
 	if share >= 1 || p.credits.Admit(key, share, item.Cost.Seconds(), s.rand.Float64(), now) {
 		p.counts[rank].admitted++
 		return outcome{}, false
 	}
 	p.counts[rank].refused++
+	if w.isReturn {
+		p.counts[rank].refusedReturns++
+	}
 	if w.demand.seconds > 0 {
 		s.demandMeter.RecordRefused(w.demand.key, w.demand.seconds, now)
 	}
-	after := admitter.RetryAfter(q.items, s.capacity(q), s.rand.Float64())
-	return refusal(ReasonPrecedence, after), true
+	backlogDelay := admitter.RetryAfter(q.items, s.capacity(q), s.rand.Float64())
+	return refusal(ReasonPrecedence, s.returnDelay(q, w, item.Cost, backlogDelay, now)), true
 }
 
 // recordDemand counts new work in the demand of this host's callers. Work that a peer has
@@ -206,6 +211,9 @@
 		}
 	}
 	p.isShort = p.shares.IsShort()
+	for i := range ranks {
+		p.allotted[i] = ranks[i].Demand.Offered * p.shares[i].All
+	}
 	s.logShortage(application, p, &ranks, now)
 }
 
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -48,6 +48,7 @@
 	expected int // output tokens
 	cost     engineCost
 	demand   demandShare
+	isReturn bool // its caller was refused before
 	outcome  chan outcome
 }
 
@@ -310,8 +311,9 @@
 		return
 	}
 	slices.Sort(positions)
-	after := admitter.RetryAfter(q.items, capacity, s.rand.Float64())
+	backlogDelay := admitter.RetryAfter(q.items, capacity, s.rand.Float64())
 	for _, position := range slices.Backward(positions) {
+		after := s.returnDelay(q, q.waiters[position], q.items[position].Cost, backlogDelay, now)
 		s.refuse(q, position, s.reason(&q.items[position], now), after, now)
 	}
 }
@@ -350,7 +352,7 @@
 		"endpoints", application.Len(), "usable", application.Summary.Usable, "capacity", application.Summary.Capacity,
 		"pace", q.correction.factor(), "queued", len(q.items), "excluded", len(w.work.Excluded), "software_version", w.work.SoftwareVersion,
 		"rank", w.work.Rank, "tenant", w.work.Tenant, "cost_ms", w.cost.total().Milliseconds(),
-		"share", s.precedence(q.application).shares[allocator.Clamp(w.work.Rank)].Of(w.work.Tenant))
+		"share", s.precedence(q.application).shares[allocator.Clamp(w.work.Rank)].Of(w.work.Tenant, w.isReturn))
 }
 
 func (s *Scheduler) refuseAll(q *queue, reason RefusalReason) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -34,6 +34,7 @@
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/provider"
 	"github.com/endivemast/endivemast/internal/scheduler/planner"
+	"github.com/endivemast/endivemast/internal/scheduler/returner"
 	"github.com/endivemast/endivemast/internal/scheduler/router"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
@@ -61,6 +62,8 @@
 	smoothedDemand smoothedDemand
 	precedences    map[string]*precedence // by application
 	sharesAt       time.Time              // when the shares were last computed
+	returns        returner.Detector
+	calendars      map[aggregator.Key]*returner.Calendar
 	// publishedDemand is the demand of this host that the others know; without Hosts: none of
 	// them has received any.
 	publishedDemand aggregator.Snapshot
@@ -104,6 +107,7 @@
 		queues:       make(map[string][]*queue),
 		processExits: make(map[ProcessExit]time.Time),
 		demandMeter:  aggregator.NewMeter(),
+		calendars:    make(map[aggregator.Key]*returner.Calendar),
 		precedences:  make(map[string]*precedence),
 	}
 	s.table.RateLimitOf, s.table.BackoffRemaining = cfg.Limiter.Limit, cfg.BackoffRemaining
--- a/internal/scheduler/smoothed_demand.go
+++ b/internal/scheduler/smoothed_demand.go
@@ -46,7 +46,7 @@
 // demandOfAllHosts returns the demand of the callers of all hosts: this host's and that of
 // the others, or an estimate from this host's alone if the others' is not known.
 func (s *Scheduler) demandOfAllHosts(now time.Time) map[aggregator.Key]aggregator.Demand {
-	own := s.demandMeter.Snapshot(now).Demands
+	own := s.ownDemand(now).Demands
 	s.smoothedDemand.update(own, now)
 	if s.othersDemandAt.IsZero() || now.Sub(s.othersDemandAt) > othersDemandTimeout {
 		return s.estimatedDemand(own)
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/scheduler/allocator"
 	"github.com/endivemast/endivemast/internal/scheduler/router"
 	"github.com/endivemast/endivemast/internal/scheduler/tracker"
 )
@@ -17,7 +18,9 @@
 	Tenant    string // the caller's; empty: none. Class.Tenant is empty for opaque requests
 	// TimeLimit is the longest time until the request is answered; 0: the class's
 	// completion target.
-	TimeLimit       time.Duration
+	TimeLimit time.Duration
+	// CallerTimeLeft is how long the caller waited for its answer from Arrived on; 0: unknown.
+	CallerTimeLeft  time.Duration
 	Arrived         time.Time // at this host; targets are measured from this time
 	PromptTokens    int
 	PrefixKey       string
@@ -46,6 +49,9 @@
 	IsFromPeer bool
 }
 
+// rank returns Rank within the ranks that are distinguished.
+func (w *Work) rank() int { return allocator.Clamp(w.Rank) }
+
 // isNew reports whether this is the first attempt of a new request.
 func (w *Work) isNew() bool {
 	return w.DeliveredTokens == 0 && len(w.Excluded) == 0 && w.RetryUntil.IsZero() &&
