Shares are computed for work that only peers pass on

Cause: shares were computed until 10 s after the last request of this host's own callers. A host whose callers had left during a shortage kept its last shares, and refused the requests that peers passed on to it after the shortage had ended. Change: new work that a peer has passed on also keeps the shares up to date. Measured: TestSharesAreComputedForForwardedWork failed before (refused by precedence) and passes.

--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -142,12 +142,12 @@
 	work, rank := &w.work, allocator.Clamp(w.work.Rank)
 	p.targets[rank].observe(admitter.ResponseTarget(&work.Class), work.timeLimit(), now)
 	p.mixes[rank].observe(w.cost, w.cost.prefill*directPrefillDivisor <= admitter.ResponseTarget(&work.Class), now)
+	s.lastNewWorkAt = now
 	if work.IsFromPeer {
 		return
 	}
 	w.demand = demandShare{key: aggregator.Key{Application: work.Class.Application, Rank: rank}, seconds: item.Cost.Seconds()}
 	s.demandMeter.RecordOffered(w.demand.key, work.Tenant, w.demand.seconds, now)
-	s.smoothedDemand.lastAt = now
 }
 
 // recordRefused counts the refusal of queued work in the demand.
@@ -159,7 +159,7 @@
 
 // refreshShares computes the shares again if they are older than shareInterval.
 func (s *Scheduler) refreshShares(now time.Time) {
-	if now.Sub(s.sharesAt) < shareInterval || now.Sub(s.smoothedDemand.lastAt) > idleAfter {
+	if now.Sub(s.sharesAt) < shareInterval || now.Sub(s.lastNewWorkAt) > idleAfter {
 		return
 	}
 	s.sharesAt = now
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -148,6 +148,29 @@
 	}
 	assert.Assert(t, !s.precedences["drafting"].isShort)
 	assert.Equal(t, s.precedences["drafting"].credits.Len(), 0)
+// A host that only gets requests from peers would keep the shares of a shortage that has ended,
+// and refuse those requests for as long as it has no callers of its own.
+func TestSharesAreComputedForForwardedWork(t *testing.T) {
+	t.Parallel()
+	s, now := newScheduler(t, engines(12))
+	s.SetPeerLoad("peers", 8, loads(engines(12), busyLoad), *now)
+	refused := refusedShares(s, now, func() { s.SetFleetDemand(othersDemand(40, 40), *now) })
+	assert.Assert(t, refused[1] > 0.9, refused)
+	for i := range 40 { // the shortage lasts for longer than the host has callers
+		demand := 0.
+		if i < 25 {
+			demand = 40
+		}
+		*now = now.Add(idleAfter / 20)
+		s.SetPeerLoad("peers", 8, loads(engines(12), busyLoad), *now)
+		s.SetFleetDemand(othersDemand(demand, demand), *now)
+		s.Tick(*now)
+	}
+	forwarded := rankedWork(2, "", *now)
+	forwarded.IsFromPeer = true
+	assert.Assert(t, offer(s, forwarded, *now) != ReasonPrecedence)
+}
+
 }
 
 // Waiting work whose endpoints are all excluded or busy must not keep work of another rank
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,6 +61,7 @@
 	smoothedDemand smoothedDemand
 	precedences    map[string]*precedence // by application
 	sharesAt       time.Time              // when the shares were last computed
+	lastNewWorkAt  time.Time              // of this host's callers, or passed on by a peer
 	// publishedDemand is the demand of this host that the others know; without Hosts: none of
 	// them has received any.
 	publishedDemand aggregator.Snapshot
--- a/internal/scheduler/smoothed_demand.go
+++ b/internal/scheduler/smoothed_demand.go
@@ -22,7 +22,6 @@
 	offered   map[aggregator.Key]float64
 	startedAt time.Time
 	updatedAt time.Time
-	lastAt    time.Time // last new work
 }
 
 // update adds the present demand. A host that has just started averages over the time since.
