Others' demand is estimated while it is not known or out of date

Cause: the gateway sets the others' demand with each tick, so its age was never above 2 s: a host cut off from the others used their last demand for 10 s. Without known demand of any host, as behind a hub of an older build, it took itself for the only host and admitted everything. Change: the own demand times the number of hosts counts while the host is isolated, and while the loads of peers are known but no demand.

--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -82,7 +82,9 @@
 		urgent, other float64 // demand of the other hosts
 		age           time.Duration
 		peers         int
-		load          int // requests at each engine
+		load          int  // requests at each engine
+		isUnknown     bool // no demand of the others is known
+		isIsolated    bool
 		lowest        [2]float64
 		highest       [2]float64
 	}{
@@ -92,6 +94,12 @@
 		"urgent work exceeds as well":    {load: busyLoad, urgent: 40, other: 40, lowest: [2]float64{0.6, 0.9}, highest: [2]float64{0.85, 1}},
 		"others' demand is too old":      {load: busyLoad, urgent: 40, other: 40, age: 3 * time.Second},
 		"own demand times hosts exceeds": {load: busyLoad, age: 3 * time.Second, peers: 3599, lowest: [2]float64{0.6, 0.9}, highest: [2]float64{1, 1}},
+		// The exchanger calls SetFleetDemand with a sum of no hosts behind a hub of an older build.
+		"no demand known, own demand times hosts exceeds": {
+			load: busyLoad, isUnknown: true, peers: 3599, lowest: [2]float64{0.6, 0.9}, highest: [2]float64{1, 1},
+		},
+		// The exchanger keeps the last sum for 10 s, which would apply beyond the 2 s for shares.
+		"isolated, others' last demand exceeds": {load: busyLoad, isIsolated: true, urgent: 40, other: 40},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -99,7 +107,12 @@
 			s, now := newScheduler(t, engines(12))
 			s.SetPeerLoad("peers", test.peers, loads(engines(12), test.load), *now)
 			refused := refusedShares(s, now, func() {
-				s.SetFleetDemand(othersDemand(test.urgent, test.other), now.Add(-test.age))
+				others := othersDemand(test.urgent, test.other)
+				if test.isUnknown {
+					others = aggregator.Snapshot{}
+				}
+				s.SetPublishedDemand(aggregator.Snapshot{}, test.isIsolated)
+				s.SetFleetDemand(others, now.Add(-test.age))
 			})
 			for i := range refused {
 				assert.Assert(t, refused[i] >= test.lowest[i] && refused[i] <= test.highest[i], "refused %.2f", refused)
@@ -135,19 +148,6 @@
 	assert.Equal(t, offer(s, rankedWork(2, "", *now), *now), ReasonNoEndpoint, "a peer may reach endpoints")
 }
 
-// Without ranks and tenants, a shortage is left to the queue as before.
-func TestNoPrecedenceWithoutRanks(t *testing.T) {
-	t.Parallel()
-	s, now := newScheduler(t, engines(12))
-	for range 500 {
-		*now = now.Add(2 * time.Millisecond)
-		assert.Assert(t, offer(s, rankedWork(1, "vitosha", *now), *now) != ReasonPrecedence)
-		s.SetFleetDemand(aggregator.Snapshot{Hosts: 8, Demands: map[aggregator.Key]aggregator.Demand{
-			{Application: "drafting", Rank: 1}: {Offered: 500, Tenants: []aggregator.TenantDemand{{Tenant: "vitosha", Offered: 500}}},
-		}}, *now)
-	}
-	assert.Assert(t, !s.precedences["drafting"].isShort)
-	assert.Equal(t, s.precedences["drafting"].credits.Len(), 0)
 // A host that only gets requests from peers would keep the shares of a shortage that has ended,
 // and refuse those requests for as long as it has no callers of its own.
 func TestSharesAreComputedForForwardedWork(t *testing.T) {
@@ -171,6 +171,19 @@
 	assert.Assert(t, offer(s, forwarded, *now) != ReasonPrecedence)
 }
 
+// Without ranks and tenants, a shortage is left to the queue as before.
+func TestNoPrecedenceWithoutRanks(t *testing.T) {
+	t.Parallel()
+	s, now := newScheduler(t, engines(12))
+	for range 500 {
+		*now = now.Add(2 * time.Millisecond)
+		assert.Assert(t, offer(s, rankedWork(1, "vitosha", *now), *now) != ReasonPrecedence)
+		s.SetFleetDemand(aggregator.Snapshot{Hosts: 8, Demands: map[aggregator.Key]aggregator.Demand{
+			{Application: "drafting", Rank: 1}: {Offered: 500, Tenants: []aggregator.TenantDemand{{Tenant: "vitosha", Offered: 500}}},
+		}}, *now)
+	}
+	assert.Assert(t, !s.precedences["drafting"].isShort)
+	assert.Equal(t, s.precedences["drafting"].credits.Len(), 0)
 }
 
 // Waiting work whose endpoints are all excluded or busy must not keep work of another rank
--- a/internal/scheduler/smoothed_demand.go
+++ b/internal/scheduler/smoothed_demand.go
@@ -47,12 +47,14 @@
 func (s *Scheduler) demandOfAllHosts(now time.Time) map[aggregator.Key]aggregator.Demand {
 	own := s.demandMeter.Snapshot(now).Demands
 	s.smoothedDemand.update(own, now)
-	if s.othersDemandAt.IsZero() || now.Sub(s.othersDemandAt) > othersDemandTimeout {
+	// The others' last demand is kept for 10 s for the portions, also while this host is cut off.
+	if s.isIsolated || s.othersDemandAt.IsZero() || now.Sub(s.othersDemandAt) > othersDemandTimeout {
 		return s.estimatedDemand(own)
 	}
 	others := &s.othersDemand
 	if others.Hosts <= 0 {
-		if others.HostsWithout > 0 {
+		// Behind a hub of an older build, the loads of peers are known and their demand is not.
+		if others.HostsWithout > 0 || s.table.PeerHosts() > 0 {
 			return s.estimatedDemand(own)
 		}
 		return own
@@ -65,8 +67,10 @@
 	return own
 }
 
-// estimatedDemand returns this host's demand times the number of hosts.
+// estimatedDemand returns this host's demand times the number of hosts. The loads of peers are
+// forgotten before their demand is, so the larger number counts.
 func (s *Scheduler) estimatedDemand(own map[aggregator.Key]aggregator.Demand) map[aggregator.Key]aggregator.Demand {
+	hosts := max(s.othersDemand.Hosts, 0) + max(s.othersDemand.HostsWithout, 0)
 	estimated := make(map[aggregator.Key]aggregator.Demand, len(s.smoothedDemand.offered))
 	for key, offered := range s.smoothedDemand.offered {
 		application := s.table.Applications[key.Application]
@@ -77,7 +81,7 @@
 		if demand.Offered <= 0 {
 			demand = aggregator.Demand{Offered: 1}
 		}
-		scale := offered * float64(application.Summary.Peers+1) / demand.Offered
+		scale := offered * float64(max(application.Summary.Peers, hosts)+1) / demand.Offered
 		estimated[key] = sumOfDemands(aggregator.Demand{}, demand, scale)
 	}
 	return estimated
