Work that waits for endpoints after an attempt counts as admitted

Cause: when all endpoints have refused a request, its list of excluded endpoints is cleared and it asks for an endpoint again, up to several times. Each time it counted as new: again in the demand, and again through the credits. Change: such work states IsAdmitted. Measured: TestWorkThatWaitsForEndpointsIsAdmitted failed before for streams and at-most-once calls, and passes.

--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -45,6 +45,7 @@
 	// noEndpointRefusals is the number of Acquire calls after the first attempt that find no
 	// endpoint.
 	noEndpointRefusals int
+	admitted           []bool        // Work.IsAdmitted or an exclusion, for each Acquire call
 	mayHaveArrived     []bool        // for each Acquire, whether an endpoint may have received an earlier attempt
 	firstQueueTime     time.Duration // how long the first attempt waits for its grant
 }
@@ -55,6 +56,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.admitted = append(f.admitted, work.IsAdmitted || len(work.Excluded) > 0)
 	f.mayHaveArrived = append(f.mayHaveArrived, !work.RetryUntil.IsZero())
 	if f.refusal != nil {
 		return nil, f.refusal
--- a/internal/dispatcher/non_repeatable_call.go
+++ b/internal/dispatcher/non_repeatable_call.go
@@ -161,7 +161,7 @@
 }
 
 func (c *nonRepeatableCall) work() scheduler.Work {
-	return scheduler.Work{RequestID: c.request.RequestID, Class: c.class, Arrived: c.arrived, Excluded: c.excluded}
+	return scheduler.Work{RequestID: c.request.RequestID, Class: c.class, Arrived: c.arrived, Excluded: c.excluded, IsAdmitted: c.backoffs > 0}
 }
 
 // waitForEndpoint waits and reports whether to acquire an endpoint again: all endpoints were
--- a/internal/dispatcher/precedence_test.go
+++ b/internal/dispatcher/precedence_test.go
@@ -25,6 +25,34 @@
 	return s.stubScheduler.Acquire(ctx, work)
 }
 
+// A request that waits until endpoints return would count in the demand each time that it asks
+// for one, and could be refused by precedence after it was admitted.
+func TestWorkThatWaitsForEndpointsIsAdmitted(t *testing.T) {
+	t.Parallel()
+	whole := script{tokens: []int{0, 1, 2, 3}, ending: "end"}
+	for name, run := range map[string]func(endpoints *fakeEndpoints) error{
+		"stream": func(endpoints *fakeEndpoints) error {
+			endpoints.scripts = []script{{sendErr: driver.ErrRefused}, whole}
+			d := newTestDispatcher(configurer.Class{Kind: configurer.KindGenerate, CompletionTargetMS: 60_000}, endpoints, nil)
+			_, err := d.Generate(t.Context(), Request{Tenant: "vitosha", Class: "work", MaxOutputTokens: 4}, nil)
+			return err
+		},
+		"call that runs at most once": func(endpoints *fakeEndpoints) error {
+			endpoints.callErrs = []error{driver.ErrNotSent, nil}
+			d := newTestDispatcher(configurer.Class{Kind: configurer.KindCall, CompletionTargetMS: 60_000}, endpoints, &fakeClaimer{})
+			_, err := d.Call(t.Context(), Request{Tenant: "vitosha", Class: "work", IdempotencyKey: "k"})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			endpoints := &fakeEndpoints{noEndpointRefusals: 2}
+			assert.NilError(t, run(endpoints))
+			assert.DeepEqual(t, endpoints.admitted, []bool{false, true, true, true})
+		})
+	}
+}
+
 // A request that was admitted and is tried again could be refused by precedence if its work
 // didn't state that, and one that a peer has passed on would count twice in the demand.
 func TestWorkForAdmission(t *testing.T) {
--- a/internal/dispatcher/repeatable_request.go
+++ b/internal/dispatcher/repeatable_request.go
@@ -254,7 +254,7 @@
 		RequestID: r.request.RequestID, Class: r.class, Arrived: r.arrived,
 		PromptTokens: estimatePromptTokens(r.request.Prompt), PrefixKey: r.request.PrefixKey,
 		PrefixTokens: r.request.PrefixTokens, MaxOutputTokens: r.request.MaxOutputTokens,
-		DeliveredTokens: len(r.delivered), Excluded: append([]string(nil), r.excluded...),
+		DeliveredTokens: len(r.delivered), Excluded: append([]string(nil), r.excluded...), IsAdmitted: r.backoffs > 0,
 	}
 	if r.mayHaveArrived {
 		work.RetryUntil = r.giveUpTime()
