Requests that only peers see count in the demand of their callers' host

Cause: a host that reaches no endpoint passes requests to a peer first, without asking its scheduler for an endpoint. The peer leaves them out, since the callers' host counts them; so nobody did, and the fleet's demand lacked that of these hosts. Change: the dispatcher reports such a request to the scheduler once, before it is passed on. If the host later tries it itself, it does not count again. The comment on Work.Rank states 99 as the largest rank. Measured: without the report, 8 cases of TestAttemptsAtPeers fail; TestPassedOnWorkIsCountedOnce needs the new method. Tests of dispatcher, scheduler and pkg/endivemast pass.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -61,6 +61,7 @@
 	// be opened.
 	failedConnections int
 	isAdmitted        bool            // an attempt was given an endpoint
+	isCounted         bool            // the request is in the demand of this host's callers
 	triedPeers        []string        // ids of the peers that the request was passed to
 	isAtPeer          bool            // a peer relays the answer of the present attempt
 	basis             scheduler.Basis // scheduling basis of the latest attempt
@@ -185,7 +186,9 @@
 	queuedAt := time.Now()
 	ctx, attempt := fr.beginAttempt(ctx)
 	defer attempt.end()
-	grant, err := fr.forwarder.cfg.Scheduler.Acquire(ctx, fr.work())
+	work := fr.work()
+	fr.isCounted = true
+	grant, err := fr.forwarder.cfg.Scheduler.Acquire(ctx, work)
 	if fr.isCacheUnusable(err) {
 		fr.dropCache()
 		grant, err = fr.forwarder.cfg.Scheduler.Acquire(ctx, fr.work())
@@ -318,7 +321,7 @@
 	return scheduler.Work{
 		RequestID: fr.request.ID, Class: class, Arrived: fr.request.Arrived,
 		Rank: fr.request.Class.Precedence(), Tenant: fr.request.Tenant, TimeLimit: fr.request.Class.Timeout,
-		IsAdmitted: fr.isAdmitted || fr.runs > 0, IsFromPeer: fr.request.Origin != nil,
+		IsAdmitted: fr.isAdmitted || fr.runs > 0, IsFromPeer: fr.request.Origin != nil, IsCounted: fr.isCounted,
 		PromptTokens: fr.request.Prompt.Tokens, PrefixKey: fr.request.Prompt.PrefixKey,
 		PrefixTokens: fr.request.Prompt.PrefixTokens, PrefixParts: fr.request.Prompt.PrefixParts, MaxOutputTokens: fr.request.Prompt.MaxOutputTokens,
 		DeliveredTokens: fr.eventsSent, Excluded: fr.excluded, IsPrefilled: fr.hasCache(),
--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -103,6 +103,9 @@
 	Streams Streams
 	// Peers passes requests to peers that reach more endpoints. Nil means that there are none.
 	Peers PeerForwarder
+	// RecordPassedOn is called once for a request that is passed to a peer without having asked
+	// this host's scheduler for an endpoint. Nil means that it is not recorded.
+	RecordPassedOn func(work scheduler.Work)
 }
 
 // Forwarder forwards opaque requests. It acquires an endpoint from the scheduler, or two if
@@ -131,6 +134,9 @@
 	if cfg.Limits == nil {
 		cfg.Limits = noLimits{}
 	}
+	if cfg.RecordPassedOn == nil {
+		cfg.RecordPassedOn = func(scheduler.Work) {}
+	}
 	if cfg.OnRunStarted == nil {
 		cfg.OnRunStarted = func(string) {}
 	}
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -161,6 +161,7 @@
 func (fr *forwardedRequest) next(ctx context.Context) error {
 	isPathBroken := fr.failedConnections >= maxFailedConnections
 	if fr.mayUsePeer() && (isPathBroken || fr.forwarder.cfg.Peers.IsPreferred(fr.application)) {
+		fr.recordPassedOn()
 		if err := fr.attemptAtPeers(ctx, false); !errors.Is(err, ErrNoPeer) {
 			return err
 		}
@@ -179,6 +180,15 @@
 	return err
 }
 
+// recordPassedOn records a request that only peers have seen in the demand of this host's callers.
+// The peers don't count it.
+func (fr *forwardedRequest) recordPassedOn() {
+	if !fr.isCounted {
+		fr.forwarder.cfg.RecordPassedOn(fr.work())
+		fr.isCounted = true
+	}
+}
+
 // isRefusedForLoad reports whether the scheduler refused a request because too few endpoints are
 // available to this host.
 func isRefusedForLoad(err error) bool {
--- a/internal/dispatcher/peer_test.go
+++ b/internal/dispatcher/peer_test.go
@@ -66,13 +66,14 @@
 		origin     *Origin
 		repeatable bool
 		passes     int  // requests passed to peers
+		passedOn   int  // 1 if a peer came first, so that the scheduler has not counted the request
 		isRefused  bool // as they were passed
 		sends      int  // to endpoints, by this host
 		outcome    Outcome
 		reason     string
 	}{
 		"endpoints reached":                       {sends: 1},
-		"no endpoint reached":                     {peers: scriptedPeers{isPreferred: true}, passes: 1},
+		"no endpoint reached":                     {peers: scriptedPeers{isPreferred: true}, passes: 1, passedOn: 1},
 		"refused for lack of endpoints":           {refusal: noEndpoint, passes: 1},
 		"refused for lack of capacity":            {refusal: overload, passes: 1, isRefused: true},
 		"refused since the target has passed":     {refusal: &scheduler.RefusalError{Reason: scheduler.ReasonTooLate, RetryAfter: time.Second}, outcome: OutcomeNotRun, reason: "too_late"},
@@ -80,18 +81,23 @@
 		"two connections refused":                 {errs: []error{driver.ErrConnectionRefused, driver.ErrConnectionRefused}, sends: 2, passes: 1},
 		"one connection refused":                  {errs: []error{driver.ErrConnectionRefused}, sends: 2},
 		"a request of a peer is never passed on":  {peers: scriptedPeers{isPreferred: true}, origin: &Origin{HostID: "h"}, refusal: noEndpoint, outcome: OutcomeNotRun, reason: ReasonNoPath},
-		"returned by three peers":                 {peers: scriptedPeers{isPreferred: true, errs: []error{returned, returned, driver.ErrNotSent}}, passes: 4},
-		"returned by all peers":                   {peers: scriptedPeers{isPreferred: true, errs: []error{returned, returned, returned, returned}}, refusal: noEndpoint, passes: 4, outcome: OutcomeNotRun, reason: ReasonNoPath},
-		"two peers lack endpoints":                {peers: scriptedPeers{isPreferred: true, errs: []error{failedAtPeer(OutcomeNotRun, "overload", 0, 0), failedAtPeer(OutcomeNotRun, "overload", 0, 0)}}, passes: 2, outcome: OutcomeNotRun, reason: "overload"},
-		"unsafe, the peer's connection breaks":    {peers: scriptedPeers{isPreferred: true, errs: []error{driver.ErrOutcomeUnknown}}, passes: 1, outcome: OutcomeUnknown, reason: ReasonEndpointLost},
-		"safe, the peer's connection breaks":      {peers: scriptedPeers{isPreferred: true, errs: []error{driver.ErrOutcomeUnknown}}, repeatable: true, passes: 2},
-		"safe, it breaks twice":                   {peers: scriptedPeers{isPreferred: true, errs: []error{driver.ErrOutcomeUnknown, driver.ErrOutcomeUnknown}}, repeatable: true, passes: 2, outcome: OutcomeUnknown, reason: ReasonEndpointLost},
-		"ran at the peer, which then has no more": {peers: scriptedPeers{isPreferred: true, errs: []error{failedAtPeer(OutcomeUnknown, "no_endpoint", 1, 1)}}, repeatable: true, passes: 1, outcome: OutcomeUnknown, reason: "no_endpoint"},
+		"returned by three peers":                 {peers: scriptedPeers{isPreferred: true, errs: []error{returned, returned, driver.ErrNotSent}}, passes: 4, passedOn: 1},
+		"returned by all peers":                   {peers: scriptedPeers{isPreferred: true, errs: []error{returned, returned, returned, returned}}, refusal: noEndpoint, passes: 4, passedOn: 1, outcome: OutcomeNotRun, reason: ReasonNoPath},
+		"two peers lack endpoints":                {peers: scriptedPeers{isPreferred: true, errs: []error{failedAtPeer(OutcomeNotRun, "overload", 0, 0), failedAtPeer(OutcomeNotRun, "overload", 0, 0)}}, passes: 2, passedOn: 1, outcome: OutcomeNotRun, reason: "overload"},
+		"unsafe, the peer's connection breaks":    {peers: scriptedPeers{isPreferred: true, errs: []error{driver.ErrOutcomeUnknown}}, passes: 1, passedOn: 1, outcome: OutcomeUnknown, reason: ReasonEndpointLost},
+		"safe, the peer's connection breaks":      {peers: scriptedPeers{isPreferred: true, errs: []error{driver.ErrOutcomeUnknown}}, repeatable: true, passes: 2, passedOn: 1},
+		"safe, it breaks twice":                   {peers: scriptedPeers{isPreferred: true, errs: []error{driver.ErrOutcomeUnknown, driver.ErrOutcomeUnknown}}, repeatable: true, passes: 2, passedOn: 1, outcome: OutcomeUnknown, reason: ReasonEndpointLost},
+		"ran at the peer, which then has no more": {peers: scriptedPeers{isPreferred: true, errs: []error{failedAtPeer(OutcomeUnknown, "no_endpoint", 1, 1)}}, repeatable: true, passes: 1, passedOn: 1, outcome: OutcomeUnknown, reason: "no_endpoint"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			peers, endpoints := test.peers, &scriptedForwarder{errs: test.errs}
+			passedOn := 0
 			f := NewForwarder(ForwarderConfig{
+				RecordPassedOn: func(work scheduler.Work) {
+					assert.Equal(t, work.Class.Application, "letters")
+					passedOn++
+				},
 				Scheduler: &stubScheduler{refusal: test.refusal}, Driver: endpoints, Meter: nopMeter{}, Logger: hclog.NewNullLogger(),
 				RepeatShare: 1, RepeatReserve: 100, RepeatWindow: time.Second, Peers: &peers,
 			})
@@ -101,6 +107,7 @@
 			}}
 			outcome, err := f.Run(t.Context(), request, discardWriter{})
 			assert.Equal(t, len(peers.requests), test.passes, "%v", err)
+			assert.Equal(t, passedOn, test.passedOn, "requests recorded in the demand without an attempt here")
 			assert.Equal(t, endpoints.sent, test.sends)
 			for i := range peers.requests {
 				assert.Equal(t, peers.requests[i].IsRefused, test.isRefused)
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -143,7 +143,7 @@
 	p.targets[rank].observe(admitter.ResponseTarget(&work.Class), work.timeLimit(), now)
 	p.mixes[rank].observe(w.cost, w.cost.prefill*directPrefillDivisor <= admitter.ResponseTarget(&work.Class), now)
 	s.lastNewWorkAt = now
-	if work.IsFromPeer {
+	if work.IsFromPeer || work.IsCounted {
 		return
 	}
 	w.demand = demandShare{key: aggregator.Key{Application: work.Class.Application, Rank: rank}, seconds: item.Cost.Seconds()}
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -148,6 +148,21 @@
 	assert.Equal(t, offer(s, rankedWork(2, "", *now), *now), ReasonNoEndpoint, "a peer may reach endpoints")
 }
 
+// The demand of callers whose host reaches no endpoint would be missing from that of the fleet,
+// or count twice if the host later tries the request itself.
+func TestPassedOnWorkIsCountedOnce(t *testing.T) {
+	t.Parallel()
+	s, now := newScheduler(t, engines(12))
+	key := aggregator.Key{Application: "drafting", Rank: 2}
+	work := rankedWork(2, "", *now)
+	s.RecordPassedOn(work)
+	once := s.OwnDemand(*now).Demands[key].Offered
+	assert.Assert(t, once > 0)
+	work.IsCounted = true
+	offer(s, work, *now)
+	assert.Equal(t, s.OwnDemand(*now).Demands[key].Offered, once)
+}
+
 // A host that only gets requests from peers would keep the shares of a shortage that has ended,
 // and refuse those requests for as long as it has no callers of its own.
 func TestSharesAreComputedForForwardedWork(t *testing.T) {
--- a/internal/scheduler/types.go
+++ b/internal/scheduler/types.go
@@ -13,7 +13,7 @@
 type Work struct {
 	RequestID string
 	Class     configurer.Class
-	Rank      int    // 0 is the most urgent; ranks above 9 count as 9
+	Rank      int    // 0 is the most urgent; ranks above 99 count as 99
 	Tenant    string // the caller's; empty: none. Class.Tenant is empty for opaque requests
 	// TimeLimit is the longest time until the request is answered; 0: the class's
 	// completion target.
@@ -44,6 +44,8 @@
 	// IsFromPeer is true for a request that another host has passed on. That host has
 	// counted it in its demand.
 	IsFromPeer bool
+	// IsCounted is true if the request is already in the demand of this host's callers.
+	IsCounted bool
 }
 
 // isNew reports whether this is the first attempt of a new request.
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -254,6 +254,7 @@
 		StoreUnreachableFor: g.follower.StoreUnreachableFor, Quarantine: g.quarantiner, SuspendedTime: g.cfg.Clock.SuspendedTime,
 		RepeatShare: cfg.RepeatShare * repeatMargin, RepeatReserve: cfg.RepeatReserve * repeatMargin / assumedHosts,
 		RepeatWindow: cfg.RepeatWindow, OnRunStarted: g.accountant.Count, Limits: &tenantLimits{gateway: g}, Peers: g.peerForwarder, Streams: g.streams,
+		RecordPassedOn: g.scheduler.RecordPassedOn,
 	})
 	g.callers = server.NewPassthrough(server.PassthroughConfig{
 		Address: cfg.CallersAddress, Network: cfg.Network, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections, MayAccept: g.mayAccept,
