Demand of callers without a tenant counts beside tenants of other hosts

Cause: a host whose callers have no tenant sends no rest. Beside the tenants of other hosts, its demand was left out of the sum's rest, so that the tenants' level was too high, and it counted as 0 for the portions: the host was left with the portion of a host without demand. Change: the demand of such a host is its rest. Measured: two new cases of TestCountedDemand (0 instead of 6 engine seconds per second) and TestSumWithCallersWithoutTenant (rest of 1 instead of 7) failed before and pass.

--- a/internal/aggregator/aggregator_test.go
+++ b/internal/aggregator/aggregator_test.go
@@ -24,6 +24,22 @@
 	return &Update{HostID: hostID, Zone: zone, Scope: scope, IsFull: true, Sends: true, Hosts: hosts, Demands: snapshot.Demands}
 }
 
+// Guards against demand of callers without a tenant that is missing among the tenants of other
+// hosts: their level would be too high, and what is admitted would exceed the capacity.
+func TestSumWithCallersWithoutTenant(t *testing.T) {
+	t.Parallel()
+	without := Snapshot{Hosts: 1, Demands: map[Key]Demand{key: {Offered: 3}}}
+	with := snapshotOf(5, TenantDemand{"a", 4})
+	s := NewSum()
+	s.Add(without)
+	s.Add(with)
+	s.Add(without)
+	total := s.Total()
+	assert.Equal(t, total.Minus(Snapshot{}).Demands[key].RestOffered, 7.)
+	assert.Equal(t, total.Minus(without).Demands[key].RestOffered, 4.)
+	assert.Equal(t, total.Minus(with).Demands[key].RestOffered, 6.)
+}
+
 // Guards against demand that is lost while a host is cut off, that stays after a host is
 // gone, or that is counted twice when two hubs send the same sum.
 func TestRegistryOthers(t *testing.T) {
--- a/internal/aggregator/counted.go
+++ b/internal/aggregator/counted.go
@@ -71,14 +71,14 @@
 	for _, offered := range tenants {
 		demands = append(demands, offered)
 	}
-	rest, restTenants := mine.RestOffered+theirs.RestOffered, max(mine.RestTenants, theirs.RestTenants, 1)
+	rest, restTenants := mine.Rest()+theirs.Rest(), max(mine.RestTenants, theirs.RestTenants, 1)
 	level := MaxMin(demands, rest, restTenants, capacity)
 	counted := func(d Demand) (sum float64) {
 		for _, tenant := range d.Tenants {
 			sum += tenant.Offered * min(1, level/tenants[tenant.Tenant])
 		}
-		if d.RestOffered > 0 {
-			sum += d.RestOffered * min(1, level*float64(restTenants)/rest)
+		if own := d.Rest(); own > 0 {
+			sum += own * min(1, level*float64(restTenants)/rest)
 		}
 		return sum
 	}
--- a/internal/aggregator/counted_test.go
+++ b/internal/aggregator/counted_test.go
@@ -26,6 +26,15 @@
 			own: snapshotOf(20, TenantDemand{"large", 20}).Demands, others: snapshotOf(4, TenantDemand{"a", 2}, TenantDemand{"b", 2}).Demands,
 			capacity: 10, wantOwn: 6, wantOthers: 4,
 		},
+		// A host whose callers have no tenant has no rest, and would be left without a portion.
+		"callers without tenant here": {
+			own: map[Key]Demand{key: {Offered: 20}}, others: snapshotOf(4, TenantDemand{"a", 2}, TenantDemand{"b", 2}).Demands,
+			capacity: 10, wantOwn: 6, wantOthers: 4,
+		},
+		"callers without tenant elsewhere": {
+			own: snapshotOf(4, TenantDemand{"a", 2}, TenantDemand{"b", 2}).Demands, others: map[Key]Demand{key: {Offered: 20}},
+			capacity: 10, wantOwn: 4, wantOthers: 6,
+		},
 		"a less urgent rank": {
 			own: map[Key]Demand{later: {Offered: 6}}, others: map[Key]Demand{urgent: {Offered: 7}}, capacity: 8, wantOwn: 1, wantOthers: 7,
 		},
--- a/internal/aggregator/sum.go
+++ b/internal/aggregator/sum.go
@@ -29,7 +29,7 @@
 		t.demand.Offered += demand.Offered
 		t.demand.Returning += demand.Returning
 		t.demand.Refused += demand.Refused
-		t.demand.RestOffered += demand.RestOffered
+		t.demand.RestOffered += demand.Rest()
 		for _, tenant := range demand.Tenants {
 			t.tenants[tenant.Tenant] += tenant.Offered
 		}
@@ -87,7 +87,7 @@
 	d.Offered -= part.Offered
 	d.Returning = max(d.Returning-part.Returning, 0)
 	d.Refused = max(d.Refused-part.Refused, 0)
-	d.RestOffered -= part.RestOffered
+	d.RestOffered -= part.Rest()
 	remaining := make([]TenantDemand, 0, len(d.Tenants))
 	for _, tenant := range d.Tenants {
 		if tenant.Offered -= offeredOf(part.Tenants, tenant.Tenant); tenant.Offered > negligible {
--- a/internal/aggregator/types.go
+++ b/internal/aggregator/types.go
@@ -37,6 +37,15 @@
 	RestTenants int
 }
 
+// Rest returns what callers without a named tenant ask for. Where no caller has a tenant,
+// RestOffered is 0, but all of them are the rest beside the tenants of other hosts.
+func (d *Demand) Rest() float64 {
+	if len(d.Tenants) == 0 {
+		return d.Offered
+	}
+	return d.RestOffered
+}
+
 // TenantDemand is the part of a Demand that one tenant asks for.
 type TenantDemand struct {
 	Tenant  string
