Allocator uses the max-min level of package aggregator

Cause: two functions computed the same level. Change: Divide uses aggregator.MaxMin. It gives a higher level where everything fits, in which all shares are 1 anyway. Measured: tests of allocator and scheduler pass.

--- a/internal/scheduler/allocator/allocator.go
+++ b/internal/scheduler/allocator/allocator.go
@@ -167,7 +167,11 @@
 	if len(demand.Tenants) == 0 || tenantCount(demand) <= 1 || share.All >= 1 {
 		return share
 	}
-	level := fairLevel(demand, allotted)
+	offered := make([]float64, 0, len(demand.Tenants))
+	for _, tenant := range demand.Tenants {
+		offered = append(offered, tenant.Offered)
+	}
+	level := aggregator.MaxMin(offered, demand.RestOffered, demand.RestTenants, allotted)
 	share.Tenants = make(map[string]float64, len(demand.Tenants))
 	for _, tenant := range demand.Tenants {
 		share.Tenants[tenant.Tenant] = partOf(level, tenant.Offered)
@@ -177,46 +181,6 @@
 	return share
 }
 
-// fairLevel returns the engine time at which the tenants' demands are cut off so that they
-// fit.
-func fairLevel(demand *aggregator.Demand, allotted float64) float64 {
-	type group struct {
-		offered float64 // by each
-		count   int
-	}
-	groups := make([]group, 0, len(demand.Tenants)+1)
-	left, count := allotted, 0
-	add := func(offered float64, n int) {
-		groups = append(groups, group{offered, n})
-		count += n
-	}
-	for _, tenant := range demand.Tenants {
-		add(tenant.Offered, 1)
-	}
-	if demand.RestOffered > 0 {
-		n := max(demand.RestTenants, 1)
-		add(demand.RestOffered/float64(n), n)
-	}
-	slices.SortFunc(groups, func(a, b group) int {
-		switch {
-		case a.offered < b.offered:
-			return -1
-		case a.offered > b.offered:
-			return 1
-		default:
-			return 0
-		}
-	})
-	for _, g := range groups {
-		if level := left / float64(count); g.offered > level {
-			return level
-		}
-		left -= g.offered * float64(g.count)
-		count -= g.count
-	}
-	return allotted
-}
-
 func partOf(level, offered float64) float64 {
 	if offered <= level {
 		return 1
