Tenants' shares come from the sum that other hosts use

Cause: the scheduler added its own demand to that of the others by a function of its own, which kept each tenant that this host named. One that is among the 16 largest at a host and not in the fleet had a share by its demand at that host alone: with 40 equal tenants, all work of the larger part of them was admitted. Change: aggregator.Sum adds both, and counts such a tenant in the rest.

Measured: TestShareOfTenantThatOnlyThisHostNames failed before (share 1 instead of 0.3) and passes, with TestPrecedenceInFleetModel.

--- a/internal/aggregator/sum.go
+++ b/internal/aggregator/sum.go
@@ -109,22 +109,34 @@
 
 // Mean returns the demand of a mean host of the snapshot.
 func (s Snapshot) Mean() Snapshot {
-	mean := Snapshot{Hosts: 1, Demands: make(map[Key]Demand, len(s.Demands))}
+	mean := Snapshot{Hosts: 1, Demands: map[Key]Demand{}}
 	if s.Hosts == 0 {
 		return mean
 	}
-	factor := 1 / float64(s.Hosts)
+	mean.Demands = s.Scaled(1 / float64(s.Hosts)).Demands
+	return mean
+}
+
+// Scaled returns the snapshot with its demands times a factor. The number of hosts stays.
+func (s Snapshot) Scaled(factor float64) Snapshot {
+	demands := make(map[Key]Demand, len(s.Demands))
 	for key, demand := range s.Demands {
-		demand.Offered *= factor
-		demand.Returning *= factor
-		demand.Refused *= factor
-		demand.RestOffered *= factor
-		tenants := make([]TenantDemand, 0, len(demand.Tenants))
-		for _, tenant := range demand.Tenants {
-			tenants = append(tenants, TenantDemand{Tenant: tenant.Tenant, Offered: tenant.Offered * factor})
-		}
-		demand.Tenants = tenants
-		mean.Demands[key] = demand
+		demands[key] = demand.Scaled(factor)
 	}
-	return mean
+	s.Demands = demands
+	return s
+}
+
+// Scaled returns the demand times a factor, by the same tenants.
+func (d Demand) Scaled(factor float64) Demand {
+	d.Offered *= factor
+	d.Returning *= factor
+	d.Refused *= factor
+	d.RestOffered *= factor
+	tenants := make([]TenantDemand, 0, len(d.Tenants))
+	for _, tenant := range d.Tenants {
+		tenants = append(tenants, TenantDemand{Tenant: tenant.Tenant, Offered: tenant.Offered * factor})
+	}
+	d.Tenants = tenants
+	return d
 }
--- a/internal/scheduler/precedence_model_test.go
+++ b/internal/scheduler/precedence_model_test.go
@@ -180,7 +180,7 @@
 
 // exchange ticks the hosts and exchanges their loads and, with demand, their demands.
 func (m *fleetModel) exchange(withTick, withDemand bool) {
-	total, sum := map[string]Load{}, map[aggregator.Key]aggregator.Demand{}
+	total, sum := map[string]Load{}, aggregator.NewSum()
 	loads, demands := make([]map[string]Load, len(m.hosts)), make([]aggregator.Snapshot, len(m.hosts))
 	for i, s := range m.hosts {
 		if withTick {
@@ -193,10 +193,9 @@
 		for id, load := range loads[i] {
 			total[id] = total[id].Plus(load)
 		}
-		for key, demand := range demands[i].Demands {
-			sum[key] = sumOfDemands(sum[key], demand, 1)
-		}
+		sum.Add(demands[i])
 	}
+	fleet := sum.Total()
 	for i, s := range m.hosts {
 		others := make(map[string]Load, len(total))
 		for id, load := range total {
@@ -206,11 +205,7 @@
 		if !withDemand || m.approach != byFleetShares {
 			continue
 		}
-		rest := aggregator.Snapshot{Hosts: len(m.hosts) - 1, Demands: map[aggregator.Key]aggregator.Demand{}}
-		for key, demand := range sum {
-			rest.Demands[key] = sumOfDemands(demand, demands[i].Demands[key], -1)
-		}
-		s.SetFleetDemand(rest, m.now)
+		s.SetFleetDemand(fleet.Minus(demands[i]), m.now)
 	}
 }
 
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -163,6 +164,28 @@
 	assert.Equal(t, s.OwnDemand(*now).Demands[key].Offered, once)
 }
 
+// A tenant that is among the largest at one host and not in the fleet would have a share by its
+// demand at that host alone. If 40 tenants ask for the same, each host would admit all work of
+// the larger part of its tenants.
+func TestShareOfTenantThatOnlyThisHostNames(t *testing.T) {
+	t.Parallel()
+	s, now := newScheduler(t, engines(12))
+	s.SetPeerLoad("peers", 8, loads(engines(12), busyLoad), *now)
+	demand := aggregator.Demand{Offered: 40, RestOffered: 24, RestTenants: 24}
+	for i := range aggregator.MaxTenants {
+		demand.Tenants = append(demand.Tenants, aggregator.TenantDemand{Tenant: fmt.Sprintf("large-%d", i), Offered: 1})
+	}
+	offer(s, rankedWork(1, "vitosha", *now), *now)
+	s.SetFleetDemand(aggregator.Snapshot{Hosts: 8, Demands: map[aggregator.Key]aggregator.Demand{
+		{Application: "drafting", Rank: 1}: demand,
+	}}, *now)
+	*now = now.Add(shareInterval)
+	s.Tick(*now)
+	share := &s.precedences["drafting"].shares[1]
+	assert.Assert(t, share.Of("large-3") < 0.4, share.Of("large-3"))
+	assert.Assert(t, share.Of("vitosha") < 0.4, share.Of("vitosha"))
+}
+
 // A host that only gets requests from peers would keep the shares of a shortage that has ended,
 // and refuse those requests for as long as it has no callers of its own.
 func TestSharesAreComputedForForwardedWork(t *testing.T) {
--- a/internal/scheduler/smoothed_demand.go
+++ b/internal/scheduler/smoothed_demand.go
@@ -61,10 +61,10 @@
 	}
 	// Hosts of builds that send no demand are taken to have the mean of the others.
 	scale := 1 + float64(max(others.HostsWithout, 0))/float64(others.Hosts)
-	for key, demand := range others.Demands {
-		own[key] = sumOfDemands(own[key], demand, scale)
-	}
-	return own
+	sum := aggregator.NewSum()
+	sum.Add(aggregator.Snapshot{Demands: own})
+	sum.Add(others.Scaled(scale))
+	return sum.Snapshot().Demands
 }
 
 // estimatedDemand returns this host's demand times the number of hosts. The loads of peers are
@@ -82,40 +82,7 @@
 			demand = aggregator.Demand{Offered: 1}
 		}
 		scale := offered * float64(max(application.Summary.Peers, hosts)+1) / demand.Offered
-		estimated[key] = sumOfDemands(aggregator.Demand{}, demand, scale)
+		estimated[key] = demand.Scaled(scale)
 	}
 	return estimated
 }
-
-// sumOfDemands returns a plus b times a scale. The tenants without a name are mostly the
-// same at all hosts, so their number is not added up.
-func sumOfDemands(a, b aggregator.Demand, scale float64) aggregator.Demand {
-	sum := aggregator.Demand{
-		Offered:     a.Offered + b.Offered*scale,
-		Returning:   a.Returning + b.Returning*scale,
-		Refused:     a.Refused + b.Refused*scale,
-		RestOffered: a.RestOffered + b.RestOffered*scale,
-		RestTenants: max(a.RestTenants, b.RestTenants),
-	}
-	// A demand of callers without tenants has no rest, but is one beside tenants of others.
-	if len(a.Tenants) == 0 && len(b.Tenants) > 0 {
-		sum.RestOffered += a.Offered - a.RestOffered
-	}
-	if len(b.Tenants) == 0 && len(a.Tenants) > 0 {
-		sum.RestOffered += (b.Offered - b.RestOffered) * scale
-	}
-	positions := make(map[string]int, len(a.Tenants))
-	for _, tenant := range a.Tenants {
-		positions[tenant.Tenant] = len(sum.Tenants)
-		sum.Tenants = append(sum.Tenants, tenant)
-	}
-	for _, tenant := range b.Tenants {
-		tenant.Offered *= scale
-		if i, ok := positions[tenant.Tenant]; ok {
-			sum.Tenants[i].Offered += tenant.Offered
-		} else {
-			sum.Tenants = append(sum.Tenants, tenant)
-		}
-	}
-	return sum
-}
