Engines with both roles count as busy when prompts queue at them

Cause: shares apply only while engines are busy. Where all engines have both roles, only the use of their slots counted, so that a shortage of time for prompts was left to the hosts' queues. Change: engines also count as busy when the queued prompts take as much of the response target as the correction aims at.

--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -185,11 +185,12 @@
 		}
 	}
 	summary := &application.Summary
-	p.correction.tick(p.isShort, engineState{
+	state := engineState{
 		backlog: s.engineBacklog(application), slotUse: summary.SlotUse, response: shortestResponse(&ranks),
-	}, now)
+	}
+	p.correction.tick(p.isShort, state, now)
 	p.shares = allocator.AllAdmitted()
-	if isBusy(summary) {
+	if isBusy(summary, &state) {
 		p.busyAt = now
 	}
 	// The capacity depends on the mix of the admitted work, and this on the capacity.
@@ -235,9 +236,10 @@
 	return application.Model.PrefillCost(summary.MedianPrefillAhead)
 }
 
-// isBusy reports whether nearly all engines of a role have work.
-func isBusy(summary *tracker.Summary) bool {
-	return summary.PrefillUse >= busyShare || summary.SlotUse >= busyShare
+// isBusy reports whether nearly all engines of a role have work, or as many prompts as they can
+// take. Engines with both roles may lack time for prompts while few of their slots are in use.
+func isBusy(summary *tracker.Summary, state *engineState) bool {
+	return summary.PrefillUse >= busyShare || summary.SlotUse >= busyShare || state.room() <= 0
 }
 
 func shortestResponse(ranks *[allocator.Ranks]allocator.Rank) (shortest time.Duration) {
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -186,6 +186,31 @@
 	assert.Assert(t, share.Of("vitosha") < 0.4, share.Of("vitosha"))
 }
 
+// Engines that do both are short of time for prompts long before their request limits are
+// reached. Shares that wait for these would leave the shortage to the queues of the hosts.
+func TestPromptsKeepEnginesWithBothRolesBusy(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		tokens  int // prompt tokens queued at each engine
+		isShort bool
+	}{
+		"few prompt tokens":  {tokens: 100},
+		"many prompt tokens": {tokens: 20_000, isShort: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, now := newScheduler(t, engines(12))
+			queued := map[string]Load{}
+			for _, host := range engines(12) {
+				queued[host.ID] = Load{Requests: 2, PrefillTokens: test.tokens}
+			}
+			s.SetPeerLoad("peers", 8, queued, *now)
+			refused := refusedShares(s, now, func() { s.SetFleetDemand(othersDemand(8, 40), *now) })
+			assert.Equal(t, refused[1] > 0.7, test.isShort, refused)
+		})
+	}
+}
+
 // A host that only gets requests from peers would keep the shares of a shortage that has ended,
 // and refuse those requests for as long as it has no callers of its own.
 func TestSharesAreComputedForForwardedWork(t *testing.T) {
