--- a/internal/scheduler/allocator/allocator.go
+++ b/internal/scheduler/allocator/allocator.go
@@ -93,6 +93,14 @@
 // engine time of capacity engine seconds per second. Work without differing ranks and with
 // at most one tenant has the share 1: precedence cannot improve its service.
 func Divide(ranks *[Ranks]Rank, capacity float64) (shares Shares) {
+	shares = DivideAmongRanks(ranks, capacity)
+	shares.DivideAmongTenants(ranks)
+	return shares
+}
+
+// DivideAmongRanks is Divide without the shares of tenants: each gets that of its rank. It
+// serves callers that compute several capacities, at a fraction of the cost.
+func DivideAmongRanks(ranks *[Ranks]Rank, capacity float64) (shares Shares) {
 	shares = AllAdmitted()
 	var total float64
 	present, tenants := 0, 0
@@ -119,11 +127,21 @@
 		}
 		allotted := min(reserved[i]+left, demand.Offered)
 		left = max(left-(allotted-reserved[i]), 0) // rounding may leave less than nothing
-		shares[i] = divideAmongTenants(demand, allotted)
+		share := min(allotted/demand.Offered, 1)
+		shares[i] = Share{All: share, Rest: share}
 	}
 	return shares
 }
 
+// DivideAmongTenants sets the shares of the tenants of each rank that is not admitted in full.
+func (s *Shares) DivideAmongTenants(ranks *[Ranks]Rank) {
+	for i := range s {
+		if s[i].All < 1 {
+			s[i] = divideAmongTenants(&ranks[i].Demand, s[i].All)
+		}
+	}
+}
+
 // floors returns the engine time reserved for each rank.
 func floors(ranks *[Ranks]Rank, capacity float64) (reserved [Ranks]float64) {
 	var response time.Duration // the shortest response target of the ranks before
@@ -161,17 +179,16 @@
 
 // divideAmongTenants divides a rank's engine time by max-min fairness. The tenants that are
 // not named count as equal.
-func divideAmongTenants(demand *aggregator.Demand, allotted float64) Share {
-	share := Share{All: min(allotted/demand.Offered, 1)}
-	share.Rest = share.All
-	if len(demand.Tenants) == 0 || tenantCount(demand) <= 1 || share.All >= 1 {
+func divideAmongTenants(demand *aggregator.Demand, all float64) Share {
+	share := Share{All: all, Rest: all}
+	if len(demand.Tenants) == 0 || tenantCount(demand) <= 1 {
 		return share
 	}
 	offered := make([]float64, 0, len(demand.Tenants))
 	for _, tenant := range demand.Tenants {
 		offered = append(offered, tenant.Offered)
 	}
-	level := aggregator.MaxMin(offered, demand.RestOffered, demand.RestTenants, allotted)
+	level := aggregator.MaxMin(offered, demand.RestOffered, demand.RestTenants, all*demand.Offered)
 	share.Tenants = make(map[string]float64, len(demand.Tenants))
 	for _, tenant := range demand.Tenants {
 		share.Tenants[tenant.Tenant] = partOf(level, tenant.Offered)
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -202,10 +202,11 @@
 			p.shares = allocator.AllAdmitted()
 			break
 		}
-		if p.shares = allocator.Divide(&ranks, p.capacity); !p.shares.IsShort() {
+		if p.shares = allocator.DivideAmongRanks(&ranks, p.capacity); !p.shares.IsShort() {
 			break
 		}
 	}
+	p.shares.DivideAmongTenants(&ranks)
 	p.isShort = p.shares.IsShort()
 	s.logShortage(application, p, &ranks, now)
 }
