A rank keeps a floor where the targets of more urgent ranks are not known

Cause: floors follow from the response targets of the requests that a host has seen. At a host that has only had less urgent work, no target of the more urgent ranks is known; its work had no floor and the share 0 for as long as the other hosts' urgent demand took all engine time. Change: the floor is a twentieth of the engine time then, the least with which a rank counts for the portions. Measured: the new case of TestDivide failed before (0.5 instead of 0.475 for rank 0, nothing for rank 2) and passes, with the tests of allocator, scheduler and aggregator.

--- a/internal/aggregator/counted.go
+++ b/internal/aggregator/counted.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// minRankFraction is the part of the capacity that each rank counts with at least, so that
+// MinRankFraction is the part of the capacity that each rank counts with at least, so that
 // hosts whose callers only have less urgent work keep a portion.
-const minRankFraction = 0.05
+const MinRankFraction = 0.05
 
 // CountedDemand returns, by application, the part of this host's and of the others' demand
 // that the engines can serve: ranks in order, and the tenants of a rank up to their max-min
@@ -23,7 +23,7 @@
 			if _, ok := remaining[key.Application]; !ok {
 				remaining[key.Application] = whole
 			}
-			available := max(remaining[key.Application], minRankFraction*whole)
+			available := max(remaining[key.Application], MinRankFraction*whole)
 			mine.Offered, theirs.Offered = countedOf(mine, theirs, available)
 			remaining[key.Application] -= mine.Offered + theirs.Offered
 		}
--- a/internal/scheduler/allocator/allocator.go
+++ b/internal/scheduler/allocator/allocator.go
@@ -146,16 +146,23 @@
 func floors(ranks *[Ranks]Rank, capacity float64) (reserved [Ranks]float64) {
 	var response time.Duration // the shortest response target of the ranks before
 	var sum float64
+	hasBefore := false
 	for i := range ranks {
 		rank := &ranks[i]
 		if rank.Demand.Offered < minDemand {
 			continue
 		}
-		if response > 0 && rank.TimeLimit > 0 {
-			part := min(response.Seconds()/rank.TimeLimit.Seconds(), maxFloors)
+		if hasBefore && rank.TimeLimit > 0 {
+			// A host that has had no more urgent work does not know its target, but the other
+			// hosts' demand may take the whole capacity.
+			part := aggregator.MinRankFraction
+			if response > 0 {
+				part = min(response.Seconds()/rank.TimeLimit.Seconds(), maxFloors)
+			}
 			reserved[i] = min(max(capacity, 0)*part, rank.Demand.Offered)
 			sum += reserved[i]
 		}
+		hasBefore = true
 		if target := rank.ResponseTarget; target > 0 && (response == 0 || target < response) {
 			response = target
 		}
--- a/internal/scheduler/allocator/allocator_test.go
+++ b/internal/scheduler/allocator/allocator_test.go
@@ -41,7 +41,9 @@
 		// Floors of 4 × 500/5000 and 4 × 100/5000.
 		"shortest target counts for floor": {map[int]Rank{0: small, 1: rankOf(9, 100*ms, 5000*ms), 2: large}, 4, map[int]float64{1: 0.4 / 9, 2: 0.08 / 20}},
 		"no capacity":                      {map[int]Rank{0: small, 2: large}, 0, map[int]float64{0: 0, 2: 0}},
-		"unknown targets: no floor":        {map[int]Rank{0: rankOf(8, 0, 0), 2: rankOf(20, 0, 0)}, 4, map[int]float64{0: 0.5, 2: 0}},
+		// Otherwise callers of a host that has had no urgent work would get nothing while it takes all.
+		"urgent target not known":   {map[int]Rank{0: rankOf(8, 0, 0), 2: large}, 4, map[int]float64{0: 3.8 / 8, 2: 0.2 / 20}},
+		"unknown targets: no floor": {map[int]Rank{0: rankOf(8, 0, 0), 2: rankOf(20, 0, 0)}, 4, map[int]float64{0: 0.5, 2: 0}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
