--- a/internal/aggregator/counted.go
+++ b/internal/aggregator/counted.go
@@ -5,9 +5,9 @@
 	"slices"
 )
 
-// minRankFraction is the part of the capacity that each rank counts with at least, so that
+// MinRankFraction is the part of the capacity that each rank counts with at least, so that
 // hosts whose callers only have less urgent work keep a portion.
-const minRankFraction = 0.05
+const MinRankFraction = 0.05
 
 // CountedDemand returns, by application, the part of this host's and of the others' demand
 // that the engines can serve: ranks in order, and the tenants of a rank up to their max-min
@@ -23,7 +23,7 @@
 			if _, ok := remaining[key.Application]; !ok {
 				remaining[key.Application] = whole
 			}
-			available := max(remaining[key.Application], minRankFraction*whole)
+			available := max(remaining[key.Application], MinRankFraction*whole)
 			mine.Offered, theirs.Offered = countedOf(mine, theirs, available)
 			remaining[key.Application] -= mine.Offered + theirs.Offered
 		}
@@ -71,14 +71,14 @@
 	for _, offered := range tenants {
 		demands = append(demands, offered)
 	}
-	rest, restTenants := mine.RestOffered+theirs.RestOffered, max(mine.RestTenants, theirs.RestTenants, 1)
+	rest, restTenants := mine.Rest()+theirs.Rest(), max(mine.RestTenants, theirs.RestTenants, 1)
 	level := MaxMin(demands, rest, restTenants, capacity)
 	counted := func(d Demand) (sum float64) {
 		for _, tenant := range d.Tenants {
 			sum += tenant.Offered * min(1, level/tenants[tenant.Tenant])
 		}
-		if d.RestOffered > 0 {
-			sum += d.RestOffered * min(1, level*float64(restTenants)/rest)
+		if own := d.Rest(); own > 0 {
+			sum += own * min(1, level*float64(restTenants)/rest)
 		}
 		return sum
 	}
--- a/internal/scheduler/allocator/allocator.go
+++ b/internal/scheduler/allocator/allocator.go
@@ -105,6 +105,14 @@
 // engine time of capacity engine seconds per second. Work without differing ranks and with
 // at most one tenant has the share 1: precedence cannot improve its service.
 func Divide(ranks *[Ranks]Rank, capacity float64) (shares Shares) {
+	shares = DivideAmongRanks(ranks, capacity)
+	shares.DivideAmongTenants(ranks)
+	return shares
+}
+
+// DivideAmongRanks is Divide without the shares of tenants: each gets that of its rank. It
+// serves callers that compute several capacities, at a fraction of the cost.
+func DivideAmongRanks(ranks *[Ranks]Rank, capacity float64) (shares Shares) {
 	shares = AllAdmitted()
 	var total float64
 	present, tenants := 0, 0
@@ -131,29 +139,19 @@
 		}
 		allotted := min(reserved[i]+left, demand.Offered)
 		left = max(left-(allotted-reserved[i]), 0) // rounding may leave less than nothing
-		shares[i] = divideAmongTenants(demand, allotted)
-		shares[i].keepRoom(demand)
+		share := min(allotted/demand.Offered, 1)
+		shares[i] = Share{All: share, Rest: share, Returning: 1, New: 1}
 	}
 	return shares
 }
 
-// maxReturning is the largest part of a rank's engine time that is kept for callers that
-// return. In a long shortage they would otherwise take all of it, and each caller would be
-// refused once before it is served.
-const maxReturning = 0.5
-
-// keepRoom keeps a part of the rank's engine time for callers that return.
-func (s *Share) keepRoom(demand *aggregator.Demand) {
-	s.Returning, s.New = 1, 1
-	returning := min(demand.Returning, demand.Offered)
-	if returning <= 0 || s.All <= 0 || s.All >= 1 {
-		return
-	}
-	allotted := s.All * demand.Offered
-	room := min(returning, max(allotted*maxReturning, s.All*returning))
-	s.Returning = room / (returning * s.All)
-	if others := demand.Offered - returning; others > 0 {
-		s.New = min((allotted-room)/(others*s.All), 1)
+// DivideAmongTenants sets the shares of the tenants of each rank that is not admitted in full.
+func (s *Shares) DivideAmongTenants(ranks *[Ranks]Rank) {
+	for i := range s {
+		if s[i].All < 1 {
+			s[i] = divideAmongTenants(&ranks[i].Demand, s[i].All)
+			s[i].keepRoom(&ranks[i].Demand)
+		}
 	}
 }
 
@@ -161,16 +159,23 @@
 func floors(ranks *[Ranks]Rank, capacity float64) (reserved [Ranks]float64) {
 	var response time.Duration // the shortest response target of the ranks before
 	var sum float64
+	hasBefore := false
 	for i := range ranks {
 		rank := &ranks[i]
 		if rank.Demand.Offered < minDemand {
 			continue
 		}
-		if response > 0 && rank.TimeLimit > 0 {
-			part := min(response.Seconds()/rank.TimeLimit.Seconds(), maxFloors)
+		if hasBefore && rank.TimeLimit > 0 {
+			// A host that has had no more urgent work does not know its target, but the other
+			// hosts' demand may take the whole capacity.
+			part := aggregator.MinRankFraction
+			if response > 0 {
+				part = min(response.Seconds()/rank.TimeLimit.Seconds(), maxFloors)
+			}
 			reserved[i] = min(max(capacity, 0)*part, rank.Demand.Offered)
 			sum += reserved[i]
 		}
+		hasBefore = true
 		if target := rank.ResponseTarget; target > 0 && (response == 0 || target < response) {
 			response = target
 		}
@@ -194,13 +199,16 @@
 
 // divideAmongTenants divides a rank's engine time by max-min fairness. The tenants that are
 // not named count as equal.
-func divideAmongTenants(demand *aggregator.Demand, allotted float64) Share {
-	share := Share{All: min(allotted/demand.Offered, 1)}
-	share.Rest = share.All
-	if len(demand.Tenants) == 0 || tenantCount(demand) <= 1 || share.All >= 1 {
+func divideAmongTenants(demand *aggregator.Demand, all float64) Share {
+	share := Share{All: all, Rest: all}
+	if len(demand.Tenants) == 0 || tenantCount(demand) <= 1 {
 		return share
 	}
-	level := fairLevel(demand, allotted)
+	offered := make([]float64, 0, len(demand.Tenants))
+	for _, tenant := range demand.Tenants {
+		offered = append(offered, tenant.Offered)
+	}
+	level := aggregator.MaxMin(offered, demand.RestOffered, demand.RestTenants, all*demand.Offered)
 	share.Tenants = make(map[string]float64, len(demand.Tenants))
 	for _, tenant := range demand.Tenants {
 		share.Tenants[tenant.Tenant] = partOf(level, tenant.Offered)
@@ -210,49 +218,29 @@
 	return share
 }
 
-// fairLevel returns the engine time at which the tenants' demands are cut off so that they
-// fit.
-func fairLevel(demand *aggregator.Demand, allotted float64) float64 {
-	type group struct {
-		offered float64 // by each
-		count   int
-	}
-	groups := make([]group, 0, len(demand.Tenants)+1)
-	left, count := allotted, 0
-	add := func(offered float64, n int) {
-		groups = append(groups, group{offered, n})
-		count += n
-	}
-	for _, tenant := range demand.Tenants {
-		add(tenant.Offered, 1)
-	}
-	if demand.RestOffered > 0 {
-		n := max(demand.RestTenants, 1)
-		add(demand.RestOffered/float64(n), n)
-	}
-	slices.SortFunc(groups, func(a, b group) int {
-		switch {
-		case a.offered < b.offered:
-			return -1
-		case a.offered > b.offered:
-			return 1
-		default:
-			return 0
-		}
-	})
-	for _, g := range groups {
-		if level := left / float64(count); g.offered > level {
-			return level
-		}
-		left -= g.offered * float64(g.count)
-		count -= g.count
-	}
-	return allotted
-}
-
 func partOf(level, offered float64) float64 {
 	if offered <= level {
 		return 1
 	}
 	return level / offered
 }
+
+// maxReturning is the largest part of a rank's engine time that is kept for callers that
+// return. In a long shortage they would otherwise take all of it, and each caller would be
+// refused once before it is served.
+const maxReturning = 0.5
+
+// keepRoom keeps a part of the rank's engine time for callers that return.
+func (s *Share) keepRoom(demand *aggregator.Demand) {
+	s.Returning, s.New = 1, 1
+	returning := min(demand.Returning, demand.Offered)
+	if returning <= 0 || s.All <= 0 || s.All >= 1 {
+		return
+	}
+	allotted := s.All * demand.Offered
+	room := min(returning, max(allotted*maxReturning, s.All*returning))
+	s.Returning = room / (returning * s.All)
+	if others := demand.Offered - returning; others > 0 {
+		s.New = min((allotted-room)/(others*s.All), 1)
+	}
+}
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -147,12 +147,12 @@
 	work, rank := &w.work, allocator.Clamp(w.work.Rank)
 	p.targets[rank].observe(admitter.ResponseTarget(&work.Class), work.timeLimit(), now)
 	p.mixes[rank].observe(w.cost, w.cost.prefill*directPrefillDivisor <= admitter.ResponseTarget(&work.Class), now)
-	if work.IsFromPeer {
+	s.lastNewWorkAt = now
+	if work.IsFromPeer || work.IsCounted {
 		return
 	}
 	w.demand = demandShare{key: aggregator.Key{Application: work.Class.Application, Rank: rank}, seconds: item.Cost.Seconds()}
 	s.demandMeter.RecordOffered(w.demand.key, work.Tenant, w.demand.seconds, now)
-	s.smoothedDemand.lastAt = now
 }
 
 // recordRefused counts the refusal of queued work in the demand.
@@ -164,7 +164,7 @@
 
 // refreshShares computes the shares again if they are older than shareInterval.
 func (s *Scheduler) refreshShares(now time.Time) {
-	if now.Sub(s.sharesAt) < shareInterval || now.Sub(s.smoothedDemand.lastAt) > idleAfter {
+	if now.Sub(s.sharesAt) < shareInterval || now.Sub(s.lastNewWorkAt) > idleAfter {
 		return
 	}
 	s.sharesAt = now
@@ -190,11 +190,12 @@
 		}
 	}
 	summary := &application.Summary
-	p.correction.tick(p.isShort, engineState{
+	state := engineState{
 		backlog: s.engineBacklog(application), slotUse: summary.SlotUse, response: shortestResponse(&ranks),
-	}, now)
+	}
+	p.correction.tick(p.isShort, state, now)
 	p.shares = allocator.AllAdmitted()
-	if isBusy(summary) {
+	if isBusy(summary, &state) {
 		p.busyAt = now
 	}
 	// The capacity depends on the mix of the admitted work, and this on the capacity.
@@ -206,10 +207,11 @@
 			p.shares = allocator.AllAdmitted()
 			break
 		}
-		if p.shares = allocator.Divide(&ranks, p.capacity); !p.shares.IsShort() {
+		if p.shares = allocator.DivideAmongRanks(&ranks, p.capacity); !p.shares.IsShort() {
 			break
 		}
 	}
+	p.shares.DivideAmongTenants(&ranks)
 	p.isShort = p.shares.IsShort()
 	for i := range ranks {
 		p.allotted[i] = ranks[i].Demand.Offered * p.shares[i].All
@@ -243,9 +245,10 @@
 	return application.Model.PrefillCost(summary.MedianPrefillAhead)
 }
 
-// isBusy reports whether nearly all engines of a role have work.
-func isBusy(summary *tracker.Summary) bool {
-	return summary.PrefillUse >= busyShare || summary.SlotUse >= busyShare
+// isBusy reports whether nearly all engines of a role have work, or as many prompts as they can
+// take. Engines with both roles may lack time for prompts while few of their slots are in use.
+func isBusy(summary *tracker.Summary, state *engineState) bool {
+	return summary.PrefillUse >= busyShare || summary.SlotUse >= busyShare || state.room() <= 0
 }
 
 func shortestResponse(ranks *[allocator.Ranks]allocator.Rank) (shortest time.Duration) {
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -82,7 +83,9 @@
 		urgent, other float64 // demand of the other hosts
 		age           time.Duration
 		peers         int
-		load          int // requests at each engine
+		load          int  // requests at each engine
+		isUnknown     bool // no demand of the others is known
+		isIsolated    bool
 		lowest        [2]float64
 		highest       [2]float64
 	}{
@@ -92,6 +95,12 @@
 		"urgent work exceeds as well":    {load: busyLoad, urgent: 40, other: 40, lowest: [2]float64{0.6, 0.9}, highest: [2]float64{0.85, 1}},
 		"others' demand is too old":      {load: busyLoad, urgent: 40, other: 40, age: 3 * time.Second},
 		"own demand times hosts exceeds": {load: busyLoad, age: 3 * time.Second, peers: 3599, lowest: [2]float64{0.6, 0.9}, highest: [2]float64{1, 1}},
+		// The exchanger calls SetFleetDemand with a sum of no hosts behind a hub of an older build.
+		"no demand known, own demand times hosts exceeds": {
+			load: busyLoad, isUnknown: true, peers: 3599, lowest: [2]float64{0.6, 0.9}, highest: [2]float64{1, 1},
+		},
+		// The exchanger keeps the last sum for 10 s, which would apply beyond the 2 s for shares.
+		"isolated, others' last demand exceeds": {load: busyLoad, isIsolated: true, urgent: 40, other: 40},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -99,7 +108,12 @@
 			s, now := newScheduler(t, engines(12))
 			s.SetPeerLoad("peers", test.peers, loads(engines(12), test.load), *now)
 			refused := refusedShares(s, now, func() {
-				s.SetFleetDemand(othersDemand(test.urgent, test.other), now.Add(-test.age))
+				others := othersDemand(test.urgent, test.other)
+				if test.isUnknown {
+					others = aggregator.Snapshot{}
+				}
+				s.SetPublishedDemand(aggregator.Snapshot{}, test.isIsolated)
+				s.SetFleetDemand(others, now.Add(-test.age))
 			})
 			for i := range refused {
 				assert.Assert(t, refused[i] >= test.lowest[i] && refused[i] <= test.highest[i], "refused %.2f", refused)
@@ -135,6 +149,91 @@
 	assert.Equal(t, offer(s, rankedWork(2, "", *now), *now), ReasonNoEndpoint, "a peer may reach endpoints")
 }
 
+// The demand of callers whose host reaches no endpoint would be missing from that of the fleet,
+// or count twice if the host later tries the request itself.
+func TestPassedOnWorkIsCountedOnce(t *testing.T) {
+	t.Parallel()
+	s, now := newScheduler(t, engines(12))
+	key := aggregator.Key{Application: "drafting", Rank: 2}
+	work := rankedWork(2, "", *now)
+	s.RecordPassedOn(work)
+	once := s.OwnDemand(*now).Demands[key].Offered
+	assert.Assert(t, once > 0)
+	work.IsCounted = true
+	offer(s, work, *now)
+	assert.Equal(t, s.OwnDemand(*now).Demands[key].Offered, once)
+}
+
+// A tenant that is among the largest at one host and not in the fleet would have a share by its
+// demand at that host alone. If 40 tenants ask for the same, each host would admit all work of
+// the larger part of its tenants.
+func TestShareOfTenantThatOnlyThisHostNames(t *testing.T) {
+	t.Parallel()
+	s, now := newScheduler(t, engines(12))
+	s.SetPeerLoad("peers", 8, loads(engines(12), busyLoad), *now)
+	demand := aggregator.Demand{Offered: 40, RestOffered: 24, RestTenants: 24}
+	for i := range aggregator.MaxTenants {
+		demand.Tenants = append(demand.Tenants, aggregator.TenantDemand{Tenant: fmt.Sprintf("large-%d", i), Offered: 1})
+	}
+	offer(s, rankedWork(1, "vitosha", *now), *now)
+	s.SetFleetDemand(aggregator.Snapshot{Hosts: 8, Demands: map[aggregator.Key]aggregator.Demand{
+		{Application: "drafting", Rank: 1}: demand,
+	}}, *now)
+	*now = now.Add(shareInterval)
+	s.Tick(*now)
+	share := &s.precedences["drafting"].shares[1]
+	assert.Assert(t, share.Of("large-3", false) < 0.4, share.Of("large-3", false))
+	assert.Assert(t, share.Of("vitosha", false) < 0.4, share.Of("vitosha", false))
+}
+
+// Engines that do both are short of time for prompts long before their request limits are
+// reached. Shares that wait for these would leave the shortage to the queues of the hosts.
+func TestPromptsKeepEnginesWithBothRolesBusy(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		tokens  int // prompt tokens queued at each engine
+		isShort bool
+	}{
+		"few prompt tokens":  {tokens: 100},
+		"many prompt tokens": {tokens: 20_000, isShort: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, now := newScheduler(t, engines(12))
+			queued := map[string]Load{}
+			for _, host := range engines(12) {
+				queued[host.ID] = Load{Requests: 2, PrefillTokens: test.tokens}
+			}
+			s.SetPeerLoad("peers", 8, queued, *now)
+			refused := refusedShares(s, now, func() { s.SetFleetDemand(othersDemand(8, 40), *now) })
+			assert.Equal(t, refused[1] > 0.7, test.isShort, refused)
+		})
+	}
+}
+
+// A host that only gets requests from peers would keep the shares of a shortage that has ended,
+// and refuse those requests for as long as it has no callers of its own.
+func TestSharesAreComputedForForwardedWork(t *testing.T) {
+	t.Parallel()
+	s, now := newScheduler(t, engines(12))
+	s.SetPeerLoad("peers", 8, loads(engines(12), busyLoad), *now)
+	refused := refusedShares(s, now, func() { s.SetFleetDemand(othersDemand(40, 40), *now) })
+	assert.Assert(t, refused[1] > 0.9, refused)
+	for i := range 40 { // the shortage lasts for longer than the host has callers
+		demand := 0.
+		if i < 25 {
+			demand = 40
+		}
+		*now = now.Add(idleAfter / 20)
+		s.SetPeerLoad("peers", 8, loads(engines(12), busyLoad), *now)
+		s.SetFleetDemand(othersDemand(demand, demand), *now)
+		s.Tick(*now)
+	}
+	forwarded := rankedWork(2, "", *now)
+	forwarded.IsFromPeer = true
+	assert.Assert(t, offer(s, forwarded, *now) != ReasonPrecedence)
+}
+
 // Without ranks and tenants, a shortage is left to the queue as before.
 func TestNoPrecedenceWithoutRanks(t *testing.T) {
 	t.Parallel()
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -64,6 +64,7 @@
 	sharesAt       time.Time              // when the shares were last computed
 	returns        returner.Detector
 	calendars      map[aggregator.Key]*returner.Calendar
+	lastNewWorkAt  time.Time // of this host's callers, or passed on by a peer
 	// publishedDemand is the demand of this host that the others know; without Hosts: none of
 	// them has received any.
 	publishedDemand aggregator.Snapshot
--- a/internal/scheduler/smoothed_demand.go
+++ b/internal/scheduler/smoothed_demand.go
@@ -22,7 +22,6 @@
 	offered   map[aggregator.Key]float64
 	startedAt time.Time
 	updatedAt time.Time
-	lastAt    time.Time // last new work
 }
 
 // update adds the present demand. A host that has just started averages over the time since.
@@ -48,26 +47,30 @@
 func (s *Scheduler) demandOfAllHosts(now time.Time) map[aggregator.Key]aggregator.Demand {
 	own := s.ownDemand(now).Demands
 	s.smoothedDemand.update(own, now)
-	if s.othersDemandAt.IsZero() || now.Sub(s.othersDemandAt) > othersDemandTimeout {
+	// The others' last demand is kept for 10 s for the portions, also while this host is cut off.
+	if s.isIsolated || s.othersDemandAt.IsZero() || now.Sub(s.othersDemandAt) > othersDemandTimeout {
 		return s.estimatedDemand(own)
 	}
 	others := &s.othersDemand
 	if others.Hosts <= 0 {
-		if others.HostsWithout > 0 {
+		// Behind a hub of an older build, the loads of peers are known and their demand is not.
+		if others.HostsWithout > 0 || s.table.PeerHosts() > 0 {
 			return s.estimatedDemand(own)
 		}
 		return own
 	}
 	// Hosts of builds that send no demand are taken to have the mean of the others.
 	scale := 1 + float64(max(others.HostsWithout, 0))/float64(others.Hosts)
-	for key, demand := range others.Demands {
-		own[key] = sumOfDemands(own[key], demand, scale)
-	}
-	return own
+	sum := aggregator.NewSum()
+	sum.Add(aggregator.Snapshot{Demands: own})
+	sum.Add(others.Scaled(scale))
+	return sum.Snapshot().Demands
 }
 
-// estimatedDemand returns this host's demand times the number of hosts.
+// estimatedDemand returns this host's demand times the number of hosts. The loads of peers are
+// forgotten before their demand is, so the larger number counts.
 func (s *Scheduler) estimatedDemand(own map[aggregator.Key]aggregator.Demand) map[aggregator.Key]aggregator.Demand {
+	hosts := max(s.othersDemand.Hosts, 0) + max(s.othersDemand.HostsWithout, 0)
 	estimated := make(map[aggregator.Key]aggregator.Demand, len(s.smoothedDemand.offered))
 	for key, offered := range s.smoothedDemand.offered {
 		application := s.table.Applications[key.Application]
@@ -78,41 +81,8 @@
 		if demand.Offered <= 0 {
 			demand = aggregator.Demand{Offered: 1}
 		}
-		scale := offered * float64(application.Summary.Peers+1) / demand.Offered
-		estimated[key] = sumOfDemands(aggregator.Demand{}, demand, scale)
+		scale := offered * float64(max(application.Summary.Peers, hosts)+1) / demand.Offered
+		estimated[key] = demand.Scaled(scale)
 	}
 	return estimated
 }
-
-// sumOfDemands returns a plus b times a scale. The tenants without a name are mostly the
-// same at all hosts, so their number is not added up.
-func sumOfDemands(a, b aggregator.Demand, scale float64) aggregator.Demand {
-	sum := aggregator.Demand{
-		Offered:     a.Offered + b.Offered*scale,
-		Returning:   a.Returning + b.Returning*scale,
-		Refused:     a.Refused + b.Refused*scale,
-		RestOffered: a.RestOffered + b.RestOffered*scale,
-		RestTenants: max(a.RestTenants, b.RestTenants),
-	}
-	// A demand of callers without tenants has no rest, but is one beside tenants of others.
-	if len(a.Tenants) == 0 && len(b.Tenants) > 0 {
-		sum.RestOffered += a.Offered - a.RestOffered
-	}
-	if len(b.Tenants) == 0 && len(a.Tenants) > 0 {
-		sum.RestOffered += (b.Offered - b.RestOffered) * scale
-	}
-	positions := make(map[string]int, len(a.Tenants))
-	for _, tenant := range a.Tenants {
-		positions[tenant.Tenant] = len(sum.Tenants)
-		sum.Tenants = append(sum.Tenants, tenant)
-	}
-	for _, tenant := range b.Tenants {
-		tenant.Offered *= scale
-		if i, ok := positions[tenant.Tenant]; ok {
-			sum.Tenants[i].Offered += tenant.Offered
-		} else {
-			sum.Tenants = append(sum.Tenants, tenant)
-		}
-	}
-	return sum
-}
