Requests refused by precedence count towards a shortage of capacity

Cause: a host that refuses all less urgent work by precedence refuses little for overload, so it told its peers that it is not short of capacity, and they passed refused requests to it. Change: the measured shortage counts refusals with reason precedence as well. Such requests are still not passed to peers. Measured: TestShortage fails without the change and passes with it; the case of a request refused by precedence in peer_test.go passes.

--- a/internal/dispatcher/shortage.go
+++ b/internal/dispatcher/shortage.go
@@ -83,7 +83,7 @@
 		item = &shortage{}
 		s.items[application] = item
 	}
-	item.record(isRefusedForCapacity(err), s.now())
+	item.record(showsShortage(err), s.now())
 }
 
 // short returns the applications for which the host is short of capacity, ordered by name.
@@ -120,6 +120,14 @@
 	return refusal != nil && refusal.Reason == scheduler.ReasonOverload
 }
 
+// showsShortage reports whether a refusal shows that the endpoints have too much work. Work that is
+// refused by precedence is not passed to peers, which have the same shares, but a host that refuses
+// it has no capacity for the requests of peers either.
+func showsShortage(err error) bool {
+	refusal := refusalOf(err)
+	return refusal != nil && (refusal.Reason == scheduler.ReasonOverload || refusal.Reason == scheduler.ReasonPrecedence)
+}
+
 // ShortOfCapacity returns the applications of which this host has recently refused requests for
 // lack of capacity, ordered by name.
 func (f *Forwarder) ShortOfCapacity() []string { return f.shortages.short() }
--- a/internal/dispatcher/shortage_test.go
+++ b/internal/dispatcher/shortage_test.go
@@ -25,6 +25,7 @@
 		"a tenth is refused":                   {reason: scheduler.ReasonOverload, refusals: 10, isShort: true},
 		"half a second ago":                    {reason: scheduler.ReasonOverload, refusals: 10, after: 500 * time.Millisecond, isShort: true},
 		"long ago":                             {reason: scheduler.ReasonOverload, refusals: 10, after: 5 * time.Second},
+		"more urgent work takes the capacity":  {reason: scheduler.ReasonPrecedence, refusals: 10, isShort: true},
 		"a tenant has used up its share":       {reason: scheduler.ReasonTenantShare, refusals: 50},
 		"the targets passed while work waited": {reason: scheduler.ReasonTooLate, refusals: 50},
 	} {
