Notifications of reached and unreached processes follow the present state

Cause: OnUnreached and OnReached are called after the mutex is released. While a Tick still called other functions, another evaluation could find the process reached and call OnReached first; the process then stayed out of use until its path failed again. Change: both are called under the mutex that orders OnSetAside, by the state at the time of the call. Measured: TestNotificationsInOrder fails without the change (3 of 3) and passes with it, also with -race; all tests of pathwatcher pass.

--- a/internal/pathwatcher/exits.go
+++ b/internal/pathwatcher/exits.go
@@ -49,7 +49,7 @@
 			p.refusedAt, p.judged = p.connectFailedAt, make(chan struct{})
 			return nil
 		}
-		return notifications{func() { w.cfg.OnReached(p.process) }}
+		return notifications{func() { w.notifyReached(p.process) }}
 	case p.isExitReported && (p.calls == 0 || now.Sub(p.refusedAt) >= refusalGrace || now.Sub(p.lastReceived()) >= contactTime):
 		return w.confirmExitLocked(p, now, "reported by a peer and verified")
 	case p.application.brokenAt.Before(p.application.lastReceived()) && !p.brokenAt.After(p.lastReceived()) && w.cfg.IsConnected(p.Target):
@@ -59,7 +59,7 @@
 		}
 		w.rejectExitLocked(p, "another connection is open")
 		p.connectFailedAt = time.Time{}
-		return notifications{func() { w.cfg.OnReached(p.process) }}
+		return notifications{func() { w.notifyReached(p.process) }}
 	case p.calls > 0 && now.Sub(p.refusedAt) < refusalGrace:
 		return nil
 	}
--- a/internal/pathwatcher/pathwatcher_test.go
+++ b/internal/pathwatcher/pathwatcher_test.go
@@ -294,3 +294,70 @@
 		})
 	}
 }
+
+// TestNotificationsInOrder guards against an endpoint that stays out of use since OnUnreached was called
+// after the OnReached that followed: its Tick was still calling other functions.
+func TestNotificationsInOrder(t *testing.T) {
+	t.Parallel()
+	var (
+		mu      sync.Mutex
+		latest  = map[string]bool{} // whether it is reached, by the latest call
+		now     = time.Now()
+		open    = map[string]driver.PathUse{}
+		group   sync.WaitGroup
+		watcher *Watcher
+		isFirst = true
+	)
+	reached := make(chan struct{}, 8)
+	note := func(p driver.Process, isReached bool) {
+		mu.Lock()
+		latest[p.EndpointID] = isReached
+		isTrigger := isFirst && !isReached
+		isFirst = isFirst && isReached
+		if isTrigger {
+			now = now.Add(time.Millisecond)
+		}
+		mu.Unlock()
+		if isReached {
+			reached <- struct{}{}
+		}
+		if !isTrigger {
+			return
+		}
+		other := map[string]string{"e0": "e1", "e1": "e0"}[p.EndpointID]
+		open[other].Received()
+		group.Go(watcher.Tick)
+		select { // Tick waits for this call if calls are kept in order
+		case <-reached:
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+	watcher = New(Config{
+		Probe:       func(ctx context.Context, _ driver.Target) error { <-ctx.Done(); return ctx.Err() },
+		OnUnreached: func(p driver.Process) { note(p, false) },
+		OnReached:   func(p driver.Process) { note(p, true) },
+		Now: func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			return now
+		},
+	})
+	var list []Endpoint
+	for _, id := range []string{"e0", "e1"} {
+		list = append(list, Endpoint{Target: driver.Target{EndpointID: id, Incarnation: "1"}, Application: testApplication})
+	}
+	watcher.SetEndpoints(list)
+	now = now.Add(time.Second)
+	for i := range list {
+		process := list[i].Target.Process()
+		open[process.EndpointID] = watcher.Begin(process)
+		watcher.Begin(process).End(driver.ErrConnectionRefused)
+	}
+	now = now.Add(2 * refusalGrace)
+	watcher.Tick()
+	group.Wait()
+	assert.NilError(t, watcher.Close())
+	assert.Equal(t, len(latest), 2)
+	assert.Check(t, latest["e0"] != latest["e1"], "%v", latest)
+	assert.Equal(t, watcher.Reach(testApplication), Reach{Reached: 1, Listed: 2})
+}
--- a/internal/pathwatcher/refusals.go
+++ b/internal/pathwatcher/refusals.go
@@ -128,8 +128,8 @@
 // notifySetAside calls OnSetAside with the present state. A probe may end, and its notification come
 // first, before that of the Tick that has started it.
 func (w *Watcher) notifySetAside(process driver.Process) {
-	w.setAsideMu.Lock()
-	defer w.setAsideMu.Unlock()
+	w.notifyMu.Lock()
+	defer w.notifyMu.Unlock()
 	w.mu.Lock()
 	p := w.findLocked(process)
 	isSetAside := p != nil && p.isSetAside
--- a/internal/pathwatcher/watcher.go
+++ b/internal/pathwatcher/watcher.go
@@ -76,7 +76,7 @@
 	active       map[*path]struct{}                    // paths that are not quiet
 	refusals     map[string]map[driver.Process]Refusal // of peers, by source
 	ownRefusals  []Refusal                             // as of the latest Tick; immutable
-	setAsideMu   sync.Mutex                            // keeps calls of OnSetAside in order; locked before mu
+	notifyMu     sync.Mutex                            // keeps calls of OnReached, OnUnreached and OnSetAside in order; locked before mu
 	probes       int                                   // in flight
 
 	ctx    context.Context // cancelled by Close
@@ -209,7 +209,7 @@
 	p.count(-1)
 	if p.isUnreached {
 		p.application.unreached--
-		notify = append(notify, func() { w.cfg.OnReached(p.process) })
+		notify = append(notify, func() { w.notifyReached(p.process) })
 	}
 	if p.isSetAside {
 		notify = append(notify, func() { w.notifySetAside(p.process) })
@@ -337,10 +337,26 @@
 		"is_reached", !isUnreached, "calls", p.calls, "silent_ms", now.Sub(p.lastReceived()).Milliseconds())
 	if isUnreached {
 		p.application.unreached++
-		return append(notify, func() { w.cfg.OnUnreached(p.process) })
+	} else {
+		p.application.unreached--
+	}
+	return append(notify, func() { w.notifyReached(p.process) })
+}
+
+// notifyReached calls OnReached or OnUnreached by the present state: another evaluation may have
+// changed it, and its notification come first.
+func (w *Watcher) notifyReached(process driver.Process) {
+	w.notifyMu.Lock()
+	defer w.notifyMu.Unlock()
+	w.mu.Lock()
+	p := w.findLocked(process)
+	isUnreached := p != nil && p.isUnreached
+	w.mu.Unlock()
+	if isUnreached {
+		w.cfg.OnUnreached(process)
+	} else {
+		w.cfg.OnReached(process)
 	}
-	p.application.unreached--
-	return append(notify, func() { w.cfg.OnReached(p.process) })
 }
 
 // isUnreachedLocked reports whether connections to an endpoint fail while nothing arrives from
