Large answers reserve memory in steps, and wait for it a bounded time

Cause: an answer of unknown length beyond 32 KiB reserved all 8 MiB that large answers of a host have together, and one of a known length its whole length. A slow endpoint with one such answer delayed all others until its deadline. Change: an answer reserves 256 KiB at a time as it grows. One that can't grow within 300 ms is ended with the new limit buffered_bytes. Events of streams wait no longer than that either.

--- a/internal/dispatcher/buffers.go
+++ b/internal/dispatcher/buffers.go
@@ -6,10 +6,12 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 
 	"github.com/endivemast/endivemast/internal/responselimiter"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 const (
@@ -20,10 +22,16 @@
 	// endless bodies filled 50 buffers of maxBufferedAnswerBytes, more than the memory of a host.
 	largeBufferBytes = maxBufferedAnswerBytes
 	firstBlockBytes  = 1 << 10
+	// reservationStepBytes is the step in which an answer reserves memory: 32 of them grow side by side.
+	reservationStepBytes = 256 << 10
+	// maxBufferWait bounds the wait for a step: answers that each hold a part and wait for more
+	// would otherwise wait for each other. It is half of the shortest usual time limit of a call,
+	// 600 ms, so that time for another attempt remains.
+	maxBufferWait = 300 * time.Millisecond
 )
 
 // largeBuffers is the memory for large answers and events of all requests. A request that has to
-// wait for it reads no more of its answer, which makes the endpoint wait, until its own time is over.
+// wait for it reads no more of its answer, which makes the endpoint wait, for at most maxBufferWait.
 type largeBuffers struct {
 	free *semaphore.Weighted
 
@@ -36,11 +44,36 @@
 	return &largeBuffers{free: semaphore.NewWeighted(largeBufferBytes)}
 }
 
-// readAll reads a body of at most maxBufferedAnswerBytes. length is its length if known, or -1. A
-// known length is reserved alone, so that several large answers can be read concurrently.
+// reservation is the part of largeBuffers that one answer holds.
+type reservation struct {
+	large *largeBuffers
+	bytes int64
+}
+
+// grow reserves one more step of an answer of a length, or of the largest one if the length is
+// negative.
+func (r *reservation) grow(ctx context.Context, length int64) error {
+	limit := int64(largeBufferBytes)
+	if length >= 0 {
+		limit = min(length, limit)
+	}
+	step := min(reservationStepBytes, limit-r.bytes)
+	if step <= 0 {
+		return nil // the length is reached: only the end can follow
+	}
+	if err := r.large.acquire(ctx, step); err != nil {
+		return err
+	}
+	r.bytes += step
+	return nil
+}
+
+// readAll reads a body of at most maxBufferedAnswerBytes. length is its length if known, or -1.
+// Memory is reserved in steps as the body arrives, so that a slow body holds only what it has sent.
 func (l *largeBuffers) readAll(ctx context.Context, body io.Reader, length int64) (data []byte, err error) {
 	var blocks [][]byte // joined at the end: a buffer that grows is copied, and takes up to twice the memory
 	var total int       // bytes of blocks
+	reserved := reservation{large: l}
 	isLarge := false
 	block := l.newBlock(firstBlockBytes)
 	for {
@@ -49,12 +82,14 @@
 			block = nil
 			size := min(2*cap(blocks[len(blocks)-1]), smallBufferBytes)
 			if !isLarge && total+size > smallBufferBytes {
-				reserved, err := l.begin(ctx, length)
-				if err != nil {
+				l.begin()
+				defer func() { l.end(append(blocks, block), reserved.bytes) }()
+				isLarge = true
+			}
+			if isLarge && int64(total+size) > reserved.bytes {
+				if err := reserved.grow(ctx, length); err != nil {
 					return nil, err
 				}
-				defer func() { l.end(append(blocks, block), reserved) }()
-				isLarge = true
 			}
 			block = l.newBlock(size)
 		}
@@ -103,27 +138,24 @@
 	l.free.Release(reserved)
 }
 
-// begin waits for the memory for a large answer and returns its size.
-func (l *largeBuffers) begin(ctx context.Context, length int64) (reserved int64, err error) {
+// begin counts a large answer.
+func (l *largeBuffers) begin() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.active++
-	l.mu.Unlock()
-	reserved, err = l.acquire(ctx, length)
-	if err != nil {
-		l.end(nil, 0)
-	}
-	return reserved, err
 }
 
-// acquire reserves the memory for an answer or an event of a length, or of the largest one if the
-// length is negative.
-func (l *largeBuffers) acquire(ctx context.Context, length int64) (reserved int64, err error) {
-	reserved = largeBufferBytes
-	if length >= 0 {
-		reserved = min(length, reserved)
-	}
-	if err := l.free.Acquire(ctx, reserved); err != nil {
-		return 0, context.Cause(ctx)
+// acquire reserves memory for large answers or events. It waits at most maxBufferWait.
+func (l *largeBuffers) acquire(ctx context.Context, size int64) error {
+	waitCtx, cancel := timekeeper.WithTimeout(ctx, maxBufferWait)
+	defer cancel()
+	err := l.free.Acquire(waitCtx, size)
+	switch {
+	case err == nil:
+		return nil
+	case ctx.Err() != nil:
+		return context.Cause(ctx)
+	default:
+		return &responselimiter.ExceededError{Limit: responselimiter.BufferedBytes}
 	}
-	return reserved, nil
 }
--- /dev/null
+++ b/internal/dispatcher/buffers_test.go
@@ -0,0 +1,98 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/endivemast/endivemast/internal/responselimiter"
+)
+
+// stallingBody delivers a number of bytes, and then nothing until its context ends.
+type stallingBody struct {
+	ctx  context.Context
+	data io.Reader
+}
+
+func (b *stallingBody) Read(p []byte) (int, error) {
+	if n, err := b.data.Read(p); err == nil {
+		return n, nil
+	}
+	<-b.ctx.Done()
+	return 0, context.Cause(b.ctx)
+}
+
+func bodyOf(size int) io.Reader { return bytes.NewReader(make([]byte, size)) }
+
+// TestLargeAnswers guards against large answers that are delayed by the slow one of another endpoint,
+// that wait for each other, or that can't have the largest size.
+func TestLargeAnswers(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		slow, slowBytes int   // answers that stop after a number of bytes
+		slowLength      int64 // that they state
+		size            int
+		limit           responselimiter.Limit
+		maxWait         time.Duration
+	}{
+		"largest size, alone":                  {size: maxBufferedAnswerBytes},
+		"more than the largest size":           {size: maxBufferedAnswerBytes + 1, limit: responselimiter.BodyBytes},
+		"a slow one of unknown length":         {slow: 1, slowBytes: 64 << 10, slowLength: -1, size: 1 << 20},
+		"slow ones that state a great length":  {slow: 8, slowBytes: 64 << 10, slowLength: maxBufferedAnswerBytes, size: 1 << 20},
+		"slow ones that hold all of it":        {slow: 32, slowBytes: 64 << 10, slowLength: -1, size: 1 << 20, limit: responselimiter.BufferedBytes, maxWait: maxBufferWait},
+		"a small one, while all of it is held": {slow: 32, slowBytes: 64 << 10, slowLength: -1, size: 16 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				l := newLargeBuffers()
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				var slow sync.WaitGroup
+				for range test.slow {
+					slow.Go(func() {
+						_, err := l.readAll(ctx, &stallingBody{ctx: ctx, data: bodyOf(test.slowBytes)}, test.slowLength)
+						assert.Check(t, err != nil)
+					})
+				}
+				synctest.Wait()
+				started := time.Now()
+				data, err := l.readAll(ctx, bodyOf(test.size), -1)
+				assert.Check(t, time.Since(started) <= test.maxWait, time.Since(started))
+				limit, _ := responselimiter.ExceededLimit(err)
+				assert.Check(t, limit == test.limit, err)
+				assert.Check(t, err != nil || len(data) == test.size)
+				cancel()
+				slow.Wait()
+				assert.Check(t, l.free.TryAcquire(largeBufferBytes), "memory is still reserved")
+			})
+		})
+	}
+}
+
+// TestLargeAnswersTogether guards against endless answers that wait for each other until their
+// deadlines, and against answers that hold more than the total.
+func TestLargeAnswersTogether(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		l := newLargeBuffers()
+		started := time.Now()
+		var group sync.WaitGroup
+		for range 50 {
+			group.Go(func() {
+				_, err := l.readAll(t.Context(), bodyOf(64<<20), -1)
+				_, ok := responselimiter.ExceededLimit(err)
+				assert.Check(t, ok, err)
+			})
+		}
+		group.Wait()
+		assert.Check(t, time.Since(started) <= 2*maxBufferWait, time.Since(started))
+		assert.Check(t, l.free.TryAcquire(largeBufferBytes), "memory is still reserved")
+	})
+}
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -73,9 +73,10 @@
 			return &responselimiter.ExceededError{Limit: responselimiter.EventBytes}
 		}
 		if r.reserved == 0 && 2*len(r.buffer) > smallBufferBytes {
-			if r.reserved, err = r.large.acquire(ctx, maxEventBytes); err != nil {
+			if err := r.large.acquire(ctx, maxEventBytes); err != nil {
 				return err
 			}
+			r.reserved = maxEventBytes
 		}
 		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
 	}
--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -56,7 +56,7 @@
 // its own.
 func (fr *forwardedRequest) countExceededLimit(err error, own responselimiter.Limit) {
 	limit, ok := responselimiter.ExceededLimit(err)
-	if !ok || limit != own {
+	if !ok || limit != own && limit != responselimiter.BufferedBytes {
 		return
 	}
 	client := responselimiter.ClientEndpoint
--- a/internal/responselimiter/responselimiter.go
+++ b/internal/responselimiter/responselimiter.go
@@ -53,6 +53,7 @@
 	MessageBytes       Limit = "message_bytes"      // one message of a peer
 	SkippedBodyBytes   Limit = "skipped_body_bytes" // body of another request's response
 	SkippedBodyTime    Limit = "skipped_body_time"
+	BufferedBytes      Limit = "buffered_bytes" // large answers of all requests of a host
 )
 
 // Clients, as labels of the metric.
