Refusals of peers are verified before an endpoint is set aside

Cause: only endpoints from which data had arrived within 2 s were verified. Where 67 hosts share 48 engines, most engines are silent for longer at a host. When the paths of a zone broke, all of these were set aside at the sound hosts, until their probes, 8 every 100 ms, had ended. Change: an endpoint that has not refused this host is set aside only after a probe. The next verification starts when one ends. Measured: TestSoundEndpointsAreNotSetAside fails without the change (48 sound endpoints set aside) and passes with it.

--- a/internal/pathwatcher/probes.go
+++ b/internal/pathwatcher/probes.go
@@ -89,6 +89,7 @@
 	}
 	notify = append(notify, w.evaluateLocked(p, now)...)
 	w.updateReachLocked()
+	w.startVerificationsLocked(now) // those of many endpoints would take several ticks otherwise
 	w.mu.Unlock()
 	notify.run()
 }
--- a/internal/pathwatcher/refusals.go
+++ b/internal/pathwatcher/refusals.go
@@ -99,8 +99,9 @@
 	return p.wasRefused && p.hasFailed() && now.Sub(p.connectFailedAt) < ownRefusalTime
 }
 
-// evaluateRefusalsLocked updates whether a process is set aside. If data has arrived recently, the
-// refusals of peers are first verified by a probe.
+// evaluateRefusalsLocked updates whether a process is set aside. The refusals of peers are first
+// verified by a probe: their paths may be broken, and a host that shares many endpoints with many
+// hosts has had data from most of them more than a few seconds ago.
 func (w *Watcher) evaluateRefusalsLocked(p *path, now time.Time) (notify notifications) {
 	hosts := w.refusedHostsLocked(p, now)
 	isSetAside := hosts >= minRefusedHosts && (p.hasFailed() || now.After(p.contradictedUntil))
@@ -108,7 +109,7 @@
 	case p.isSetAside && !p.hasFailed() && p.lastReceived().After(p.setAsideAt):
 		p.contradictedUntil = now.Add(contradictedTime)
 		isSetAside = false
-	case isSetAside && !p.isSetAside && !p.hasFailed() && now.Sub(p.lastReceived()) < recentContact:
+	case isSetAside && !p.isSetAside && !p.hasFailed():
 		p.isVerifying, isSetAside = true, false
 	}
 	if isSetAside == p.isSetAside {
@@ -137,6 +138,18 @@
 	w.cfg.OnSetAside(process, isSetAside)
 }
 
+// startVerificationsLocked starts the probes that verify refusals of peers, as far as maxProbes allows.
+func (w *Watcher) startVerificationsLocked(now time.Time) {
+	for p := range w.active {
+		if w.probes >= maxProbes {
+			return
+		}
+		if p.isVerifying && !p.isProbing && now.Sub(p.probedAt) >= probeInterval {
+			w.startProbeLocked(p, now)
+		}
+	}
+}
+
 // updateRefusalsLocked removes the refusals of peers that have expired, and collects those of this host.
 func (w *Watcher) updateRefusalsLocked(now time.Time) {
 	for source, refusals := range w.refusals {
--- a/internal/pathwatcher/refusals_test.go
+++ b/internal/pathwatcher/refusals_test.go
@@ -188,3 +188,57 @@
 		})
 	}
 }
+
+// TestSoundEndpointsAreNotSetAside guards against sound endpoints that get no work from this host since a
+// zone's paths to them are broken: with many endpoints, a host has recent data from a few of them only.
+func TestSoundEndpointsAreNotSetAside(t *testing.T) {
+	t.Parallel()
+	const endpoints, lost = 48, 36
+	for name, isLost := range map[string]bool{"all are sound": false, "three quarters are lost": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				var watcher *Watcher
+				setAside := map[int]bool{}
+				watcher = New(Config{
+					Probe: func(_ context.Context, target driver.Target) (err error) {
+						use := watcher.Begin(target.Process())
+						defer func() { use.End(err) }()
+						time.Sleep(2 * time.Millisecond)
+						if isLost && indexOf(target.Process()) < lost {
+							return driver.ErrConnectionRefused
+						}
+						use.Received()
+						return nil
+					},
+					OnSetAside: func(p driver.Process, isSetAside bool) {
+						mu.Lock()
+						defer mu.Unlock()
+						setAside[indexOf(p)] = isSetAside
+					},
+				})
+				var list []Endpoint
+				var refusals []Refusal
+				for e := range endpoints {
+					target := driver.Target{EndpointID: fmt.Sprintf("e%02d", e), Incarnation: "1"}
+					list = append(list, Endpoint{Target: target, Application: testApplication})
+				}
+				watcher.SetEndpoints(list)
+				time.Sleep(5 * time.Second) // without data
+				for i := range list {
+					refusals = append(refusals, Refusal{Process: list[i].Target.Process(), Hosts: 17, At: time.Now()})
+				}
+				watcher.SetRefusals("zone", refusals)
+				watcher.Tick()
+				time.Sleep(50 * time.Millisecond)
+				assert.NilError(t, watcher.Close())
+				want := map[int]bool{}
+				for e := 0; isLost && e < lost; e++ {
+					want[e] = true
+				}
+				assert.DeepEqual(t, setAside, want)
+			})
+		})
+	}
+}
