One large answer at a time may use more than the shared half of the memory

Change: all answers share 4 of the 8 MiB. The first that needs more may use the rest as well, until it ends or has not grown for 100 ms while others wait. The waits of one answer together last at most 300 ms.

--- a/internal/dispatcher/buffers.go
+++ b/internal/dispatcher/buffers.go
@@ -5,11 +5,10 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
@@ -22,72 +21,67 @@
 	// endless bodies filled 50 buffers of maxBufferedAnswerBytes, more than the memory of a host.
 	largeBufferBytes = maxBufferedAnswerBytes
 	firstBlockBytes  = 1 << 10
-	// reservationStepBytes is the step in which an answer reserves memory: 32 of them grow side by side.
+	// reservationStepBytes is the step in which an answer reserves memory, so that 16 of them grow
+	// side by side in the shared part.
 	reservationStepBytes = 256 << 10
-	// maxBufferWait bounds the wait for a step: answers that each hold a part and wait for more
-	// would otherwise wait for each other. It is half of the shortest usual time limit of a call,
-	// 600 ms, so that time for another attempt remains.
+	// sharedBufferBytes is the part that all answers share. The rest lets the first one go on.
+	sharedBufferBytes = largeBufferBytes / 2
+	// stalledAnswerTime is after how long without growth the first answer loses its precedence. A
+	// third of maxBufferWait leaves the others time to follow.
+	stalledAnswerTime = maxBufferWait / 3
+	// maxBufferWait bounds the waits of one answer for its steps. It is half of the shortest time limit of calls that
+	// callers are known to set, 600 ms, so that time for another attempt remains.
 	maxBufferWait = 300 * time.Millisecond
 )
 
 // largeBuffers is the memory for large answers and events of all requests. A request that has to
 // wait for it reads no more of its answer, which makes the endpoint wait, for at most maxBufferWait.
+//
+// All answers share sharedBufferBytes. Only one at a time, the first, may use the rest as well:
+// answers that each hold a part and wait for more would otherwise wait for each other.
 type largeBuffers struct {
-	free *semaphore.Weighted
-
-	mu     sync.Mutex
-	active int      // large answers that are read or wait
-	blocks [][]byte // of ended answers, of smallBufferBytes each
-}
-
-func newLargeBuffers() *largeBuffers {
-	return &largeBuffers{free: semaphore.NewWeighted(largeBufferBytes)}
+	mu      sync.Mutex
+	used    int64
+	first   *reservation // nil: none needs more than the shared part
+	active  int          // large answers that are read or wait
+	waiting []*bufferWaiter
+	blocks  [][]byte // of ended answers, of smallBufferBytes each
 }
 
-// reservation is the part of largeBuffers that one answer holds.
+// reservation is what one answer or event holds of largeBuffers, whose mutex guards it.
 type reservation struct {
-	large *largeBuffers
-	bytes int64
+	bytes     int64
+	askedAt   time.Time // when it last needed more
+	isWaiting bool
+	waited    time.Duration // so far, for all steps
 }
 
-// grow reserves one more step of an answer of a length, or of the largest one if the length is
-// negative.
-func (r *reservation) grow(ctx context.Context, length int64) error {
-	limit := int64(largeBufferBytes)
-	if length >= 0 {
-		limit = min(length, limit)
-	}
-	step := min(reservationStepBytes, limit-r.bytes)
-	if step <= 0 {
-		return nil // the length is reached: only the end can follow
-	}
-	if err := r.large.acquire(ctx, step); err != nil {
-		return err
-	}
-	r.bytes += step
-	return nil
+type bufferWaiter struct {
+	reservation *reservation
+	size        int64
+	granted     chan struct{} // closed when it is granted
 }
 
+func newLargeBuffers() *largeBuffers { return &largeBuffers{} }
+
 // readAll reads a body of at most maxBufferedAnswerBytes. length is its length if known, or -1.
 // Memory is reserved in steps as the body arrives, so that a slow body holds only what it has sent.
 func (l *largeBuffers) readAll(ctx context.Context, body io.Reader, length int64) (data []byte, err error) {
-	var blocks [][]byte // joined at the end: a buffer that grows is copied, and takes up to twice the memory
-	var total int       // bytes of blocks
-	reserved := reservation{large: l}
-	isLarge := false
+	var blocks [][]byte       // joined at the end: a buffer that grows is copied, and takes up to twice the memory
+	var total int             // bytes of blocks
+	var reserved *reservation // nil: the answer is small so far
 	block := l.newBlock(firstBlockBytes)
 	for {
 		if len(block) == cap(block) {
 			blocks, total = append(blocks, block), total+len(block)
 			block = nil
 			size := min(2*cap(blocks[len(blocks)-1]), smallBufferBytes)
-			if !isLarge && total+size > smallBufferBytes {
-				l.begin()
-				defer func() { l.end(append(blocks, block), reserved.bytes) }()
-				isLarge = true
+			if reserved == nil && total+size > smallBufferBytes {
+				reserved = l.begin()
+				defer func() { l.end(append(blocks, block), reserved) }()
 			}
-			if isLarge && int64(total+size) > reserved.bytes {
-				if err := reserved.grow(ctx, length); err != nil {
+			if reserved != nil && int64(total+size) > reserved.bytes {
+				if err := l.acquire(ctx, reserved, stepBytes(reserved.bytes, length)); err != nil {
 					return nil, err
 				}
 			}
@@ -121,11 +115,28 @@
 	return block[:0]
 }
 
-// end frees the blocks of a large answer. They are kept while another one is read or waits.
-// Otherwise the answers that are read one after the other would fill the heap until the garbage
-// collector runs: 37 MB for 50 endless ones.
-func (l *largeBuffers) end(blocks [][]byte, reserved int64) {
+// stepBytes returns how much an answer of a length, or -1, that holds some memory reserves next.
+func stepBytes(held, length int64) int64 {
+	if length < 0 || length > largeBufferBytes {
+		length = largeBufferBytes
+	}
+	return max(min(reservationStepBytes, length-held), 0) // 0: only the end can follow
+}
+
+// begin returns an empty reservation, which end has to be called for.
+func (l *largeBuffers) begin() *reservation {
 	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.active++
+	return &reservation{}
+}
+
+// end frees a reservation and the blocks of its answer. They are kept while another one is read or
+// waits. Otherwise the answers that are read one after the other would fill the heap until the
+// garbage collector runs: 37 MB for 50 endless ones.
+func (l *largeBuffers) end(blocks [][]byte, r *reservation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, block := range blocks {
 		if cap(block) == smallBufferBytes {
 			l.blocks = append(l.blocks, block)
@@ -134,28 +145,90 @@
 	if l.active--; l.active == 0 {
 		l.blocks = nil
 	}
-	l.mu.Unlock()
-	l.free.Release(reserved)
+	l.used -= r.bytes
+	if l.first == r {
+		l.first = nil
+	}
+	l.grantLocked(time.Now())
 }
 
-// begin counts a large answer.
-func (l *largeBuffers) begin() {
+// acquire adds to a reservation. The waits for one reservation last at most maxBufferWait together.
+func (l *largeBuffers) acquire(ctx context.Context, r *reservation, size int64) error {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.active++
+	since := time.Now()
+	r.askedAt = since
+	if l.takeLocked(r, size, since) {
+		l.mu.Unlock()
+		return nil
+	}
+	w := &bufferWaiter{reservation: r, size: size, granted: make(chan struct{})}
+	r.isWaiting = true
+	l.waiting = append(l.waiting, w)
+	l.mu.Unlock()
+	waitCtx, cancel := timekeeper.WithTimeout(ctx, maxBufferWait-r.waited)
+	defer cancel()
+	defer func() { r.waited += time.Since(since) }()
+	stalled := time.NewTicker(stalledAnswerTime)
+	defer stalled.Stop()
+	for {
+		select {
+		case <-w.granted:
+			return nil
+		case now := <-stalled.C:
+			l.mu.Lock()
+			l.grantLocked(now)
+			l.mu.Unlock()
+		case <-waitCtx.Done():
+			return l.giveUp(ctx, w)
+		}
+	}
 }
 
-// acquire reserves memory for large answers or events. It waits at most maxBufferWait.
-func (l *largeBuffers) acquire(ctx context.Context, size int64) error {
-	waitCtx, cancel := timekeeper.WithTimeout(ctx, maxBufferWait)
-	defer cancel()
-	err := l.free.Acquire(waitCtx, size)
-	switch {
-	case err == nil:
+// giveUp ends a wait, and returns nil if the memory has just been granted.
+func (l *largeBuffers) giveUp(ctx context.Context, w *bufferWaiter) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !w.reservation.isWaiting {
 		return nil
-	case ctx.Err() != nil:
+	}
+	w.reservation.isWaiting = false
+	l.waiting = slices.DeleteFunc(l.waiting, func(other *bufferWaiter) bool { return other == w })
+	if ctx.Err() != nil {
 		return context.Cause(ctx)
-	default:
-		return &responselimiter.ExceededError{Limit: responselimiter.BufferedBytes}
+	}
+	return &responselimiter.ExceededError{Limit: responselimiter.BufferedBytes}
+}
+
+// takeLocked adds to a reservation if the memory is free for it.
+func (l *largeBuffers) takeLocked(r *reservation, size int64, now time.Time) bool {
+	if l.used+size > largeBufferBytes {
+		return false
+	}
+	shared := l.used
+	if l.first != nil {
+		shared -= l.first.bytes
+	}
+	if l.first != r && shared+size > sharedBufferBytes {
+		if l.first != nil && (l.first.isWaiting || now.Sub(l.first.askedAt) < stalledAnswerTime) {
+			return false
+		}
+		l.first = r
+	}
+	l.used += size
+	r.bytes += size
+	return true
+}
+
+// grantLocked grants what is free to the first answer, then to the others in the order of their waits.
+func (l *largeBuffers) grantLocked(now time.Time) {
+	for _, isFirst := range []bool{true, false} {
+		l.waiting = slices.DeleteFunc(l.waiting, func(w *bufferWaiter) bool {
+			if isFirst && w.reservation != l.first || !l.takeLocked(w.reservation, w.size, now) {
+				return false
+			}
+			w.reservation.isWaiting, w.reservation.askedAt = false, now
+			close(w.granted)
+			return true
+		})
 	}
 }
--- a/internal/dispatcher/buffers_test.go
+++ b/internal/dispatcher/buffers_test.go
@@ -70,7 +70,7 @@
 				assert.Check(t, err != nil || len(data) == test.size)
 				cancel()
 				slow.Wait()
-				assert.Check(t, l.free.TryAcquire(largeBufferBytes), "memory is still reserved")
+				assert.Equal(t, l.used, int64(0), "memory is still reserved")
 			})
 		})
 	}
@@ -92,7 +92,49 @@
 			})
 		}
 		group.Wait()
-		assert.Check(t, time.Since(started) <= 2*maxBufferWait, time.Since(started))
-		assert.Check(t, l.free.TryAcquire(largeBufferBytes), "memory is still reserved")
+		assert.Check(t, time.Since(started) <= maxBufferWait, time.Since(started))
+		assert.Equal(t, l.used, int64(0), "memory is still reserved")
 	})
 }
+
+// pacedBody delivers a number of bytes at 1 MiB in 10 ms.
+type pacedBody struct{ data io.Reader }
+
+func (b *pacedBody) Read(p []byte) (int, error) {
+	p = p[:min(len(p), 16<<10)]
+	n, err := b.data.Read(p)
+	time.Sleep(time.Duration(n) * 10 * time.Millisecond >> 20)
+	return n, err
+}
+
+// TestSoundLargeAnswersTogether guards against sound answers that each hold a part of the memory, wait
+// for the rest, and are refused together.
+func TestSoundLargeAnswersTogether(t *testing.T) {
+	t.Parallel()
+	for name, slow := range map[string]int{"alone": 0, "beside a slow one": 1} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				l := newLargeBuffers()
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				var group, slowGroup sync.WaitGroup
+				for range 20 {
+					group.Go(func() {
+						data, err := l.readAll(ctx, &pacedBody{bodyOf(1 << 20)}, -1)
+						assert.Check(t, err == nil && len(data) == 1<<20, err)
+					})
+				}
+				for range slow {
+					slowGroup.Go(func() {
+						_, err := l.readAll(ctx, &stallingBody{ctx: ctx, data: bodyOf(64 << 10)}, -1)
+						assert.Check(t, err != nil)
+					})
+				}
+				group.Wait()
+				cancel()
+				slowGroup.Wait()
+			})
+		})
+	}
+}
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -21,7 +21,7 @@
 type eventReader struct {
 	body     io.Reader
 	large    *largeBuffers
-	reserved int64 // of large, for an event beyond smallBufferBytes
+	reserved *reservation // for an event beyond smallBufferBytes; nil: none
 	buffer   []byte
 	start    int // of the data not returned yet
 	end      int
@@ -33,9 +33,9 @@
 
 // release frees the memory for a large event.
 func (r *eventReader) release() {
-	if r.reserved > 0 {
-		r.large.free.Release(r.reserved)
-		r.reserved = 0
+	if r.reserved != nil {
+		r.large.end(nil, r.reserved)
+		r.reserved = nil
 	}
 }
 
@@ -43,7 +43,7 @@
 // and their number. The bytes are valid until the next call. The error is io.EOF after the last
 // complete event, and io.ErrUnexpectedEOF if the stream ends within an event.
 func (r *eventReader) next(ctx context.Context) (events []byte, lastID string, count int, err error) {
-	if r.reserved > 0 && r.start == r.end {
+	if r.reserved != nil && r.start == r.end {
 		r.buffer, r.start, r.end = make([]byte, eventBufferBytes), 0, 0
 		r.release()
 	}
@@ -72,11 +72,11 @@
 		if len(r.buffer) >= maxEventBytes {
 			return &responselimiter.ExceededError{Limit: responselimiter.EventBytes}
 		}
-		if r.reserved == 0 && 2*len(r.buffer) > smallBufferBytes {
-			if err := r.large.acquire(ctx, maxEventBytes); err != nil {
+		if r.reserved == nil && 2*len(r.buffer) > smallBufferBytes {
+			r.reserved = r.large.begin()
+			if err := r.large.acquire(ctx, r.reserved, maxEventBytes); err != nil {
 				return err
 			}
-			r.reserved = maxEventBytes
 		}
 		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
 	}
