An answer that finds no memory for large answers is no failure of its endpoint

Cause: the memory is shared, so that an answer may be ended since those of other endpoints hold it. Two such answers would open the circuit breaker of a sound endpoint. Change: an attempt that ends with the limit buffered_bytes is reported to the scheduler as abandoned. Other limits count as failures, as before. Measured: TestSharedMemoryIsNoFaultOfEndpoint fails without the change and passes with it.

--- a/internal/dispatcher/buffers_test.go
+++ b/internal/dispatcher/buffers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -11,7 +12,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/responselimiter"
+	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
 // stallingBody delivers a number of bytes, and then nothing until its context ends.
@@ -138,3 +141,17 @@
 		})
 	}
 }
+
+// TestSharedMemoryIsNoFaultOfEndpoint guards against sound endpoints that are taken out of use since the
+// large answers of others hold the memory.
+func TestSharedMemoryIsNoFaultOfEndpoint(t *testing.T) {
+	t.Parallel()
+	for limit, isFailure := range map[responselimiter.Limit]bool{responselimiter.BufferedBytes: false, responselimiter.BodyBytes: true} {
+		t.Run(string(limit), func(t *testing.T) {
+			t.Parallel()
+			err := fmt.Errorf("%w: %w", driver.ErrOutcomeUnknown, &responselimiter.ExceededError{Limit: limit})
+			_, isFailed := (&forwardedRequest{}).schedulerResult(t.Context(), err).(scheduler.Failed)
+			assert.Equal(t, isFailed, isFailure)
+		})
+	}
+}
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -13,6 +13,7 @@
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/driver"
 	"github.com/endivemast/endivemast/internal/quarantiner"
+	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/scheduler"
 )
 
@@ -328,6 +329,7 @@
 
 // schedulerResult converts the outcome of an attempt to the result reported to the scheduler.
 func (fr *forwardedRequest) schedulerResult(ctx context.Context, err error) scheduler.Result {
+	limit, _ := responselimiter.ExceededLimit(err)
 	switch {
 	case err == nil:
 		return scheduler.Completed{End: driver.End{OutputTokens: fr.eventsSent, ReusedTokens: -1}}
@@ -335,6 +337,8 @@
 		return scheduler.Completed{}
 	case ctx.Err() != nil || errors.Is(err, errCallerGone) || errors.Is(err, driver.ErrNotNeeded):
 		return scheduler.Abandoned{}
+	case limit == responselimiter.BufferedBytes:
+		return scheduler.Abandoned{} // the answers of other endpoints may hold the memory
 	default:
 		return scheduler.Failed{Err: err}
 	}
