A stale read does not replace the entries of a later one

Cause: if one topic could not be read, all are read again. A stale read may then be answered by a server of the store that is behind the one that answered first, and replaced what was known by older entries. Change: a read that is older than the topic's last one is dropped. The watch still starts at its revision.

--- a/internal/follower/reads.go
+++ b/internal/follower/reads.go
@@ -83,11 +83,12 @@
 }
 
 // applyRead passes a read to the topic, unless later changes are known: peers may have sent
-// them during the read.
+// them during the read, or an earlier round may have read the topic from a server of the store
+// that was ahead.
 func (f *Follower) applyRead(topic Topic, read topicRead) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
-	if read.revision < f.knownRevision() {
+	if read.revision < max(f.knownRevision(), f.readRevision(topic.Prefix)) {
 		return
 	}
 	f.detectRestoration(read.revision)
--- a/internal/follower/reads_test.go
+++ b/internal/follower/reads_test.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,3 +62,27 @@
 	await(t, "the watch", func() bool { return store.lastWatch() == later+1 })
 	assert.Assert(t, second.has("b/2", later) && second.has("b/1", 0))
 }
+
+// TestRepeatedReadDoesNotGoBack guards against replacing the entries of a topic by those of a stale read
+// that another server of the store answers, after a first round in which a later topic failed.
+func TestRepeatedReadDoesNotGoBack(t *testing.T) {
+	t.Parallel()
+	store := &fakeStore{revision: 9, lists: map[string][]provider.Entry{"b/": {entry("b/1", 8)}}}
+	var rounds atomic.Int64
+	store.onList = func(prefix string) {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		if prefix == "b/" && rounds.Add(1) == 1 {
+			store.revision, store.lists["b/"] = 5, []provider.Entry{entry("b/1", 3)}
+		}
+	}
+	second := &recorder{}
+	f := New(Config{Store: store, Topics: []Topic{{Prefix: "b/", Sink: second}}})
+	assert.NilError(t, f.readTopics(t.Context()))
+	f.mu.Lock()
+	f.revision, f.isSynced = 0, false // as if a later topic had failed
+	f.mu.Unlock()
+	assert.NilError(t, f.readTopics(t.Context()))
+	assert.Assert(t, second.has("b/1", 8))
+	assert.Equal(t, f.knownRevision(), int64(5), "the watch starts at the read that was dropped")
+}
