Answers that exceed their stated length go on reserving memory

Cause: a peer states the length of an answer itself. Beyond it, up to 8 MiB were buffered without a reservation. Change: the length counts as unknown once it is exceeded.

--- a/internal/dispatcher/buffers.go
+++ b/internal/dispatcher/buffers.go
@@ -80,6 +80,9 @@
 				reserved = l.begin()
 				defer func() { l.end(append(blocks, block), reserved) }()
 			}
+			if int64(total) > length {
+				length = -1 // a peer has stated too little
+			}
 			if reserved != nil && int64(total+size) > reserved.bytes {
 				if err := l.acquire(ctx, reserved, stepBytes(reserved.bytes, length)); err != nil {
 					return nil, err
@@ -154,6 +157,9 @@
 
 // acquire adds to a reservation. The waits for one reservation last at most maxBufferWait together.
 func (l *largeBuffers) acquire(ctx context.Context, r *reservation, size int64) error {
+	if size == 0 {
+		return nil
+	}
 	l.mu.Lock()
 	since := time.Now()
 	r.askedAt = since
--- a/internal/dispatcher/buffers_test.go
+++ b/internal/dispatcher/buffers_test.go
@@ -155,3 +155,25 @@
 		})
 	}
 }
+
+// TestUnderstatedLength guards against peers that state a small length and send more, which would not be
+// reserved: only HTTP bodies end at their stated length.
+func TestUnderstatedLength(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		l := newLargeBuffers()
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() {
+			_, err := l.readAll(ctx, &stallingBody{ctx: ctx, data: bodyOf(1 << 20)}, 64<<10)
+			assert.Check(t, err != nil)
+		})
+		synctest.Wait()
+		l.mu.Lock()
+		used := l.used
+		l.mu.Unlock()
+		cancel()
+		group.Wait()
+		assert.Check(t, used >= 1<<20, "%d bytes are reserved", used)
+	})
+}
