A reply of a peer without a known part is no head of an answer

Cause: an empty reply, or one of a kind that this build does not know, was taken for the head of an answer with status 200. Change: the request ends as if the peer had sent no head; its outcome is unknown. Measured: TestReplyWithoutKnownPart fails without the change and passes with it; all tests of peerforwarder pass.

--- a/internal/peerforwarder/client.go
+++ b/internal/peerforwarder/client.go
@@ -145,6 +145,8 @@
 			return answer, x.broken(errNoHead)
 		}
 		return answer, &dispatcher.PeerError{HostID: x.hostID, Outcome: outcome}
+	default:
+		return answer, x.broken(errNoHead)
 	}
 	return answer, nil
 }
