A request's own wait does not end the fetch of quarantines that has just begun

Cause: a request that arrives before the peers are listed waits 0.3 s itself. When that wait ended, it ended the fetch as well, also if the peers had been asked a few milliseconds before; the host then ran requests without knowing which ones crash endpoints. Change: such a request goes on waiting until 0.3 s after the peers were asked, as the design says. If they are not listed, it runs as before. Measured: the two new cases of TestFirstRequestsWaitForPeersQuarantines fail without the change (300 ms instead of 490 and 500 ms) and pass with it.

--- a/internal/quarantiner/sync.go
+++ b/internal/quarantiner/sync.go
@@ -12,7 +12,8 @@
 // requests wait until it has received them.
 
 // maxSyncWait bounds that wait, from when the peers are asked. Peers that don't answer within it are
-// unreachable or suspended. A request that arrives before the peers are known waits that long itself.
+// unreachable or suspended. A request that arrives before the peers are known waits that long itself, and
+// longer only if they have been asked meanwhile.
 const maxSyncWait = 300 * time.Millisecond
 
 // Start begins to fetch what peers know.
@@ -68,14 +69,28 @@
 	}
 	waiting, end := q.beginWait()
 	defer end()
+	if !q.await(ctx, waiting) {
+		return
+	}
+	// The peers may have been asked during this wait.
+	q.mu.Lock()
+	asking := q.asking
+	q.mu.Unlock()
+	if (asking == nil || q.await(ctx, asking)) && !q.isSynced() {
+		q.cfg.Logger.Warn("requests run without the quarantines of peers: not all have answered", "waited_ms", maxSyncWait.Milliseconds())
+		q.endSync()
+	}
+}
+
+// await reports whether a wait has ended before the caller has gone and before the sync has ended.
+func (q *Quarantiner) await(ctx, waiting context.Context) bool {
 	select {
 	case <-ctx.Done():
+		return false
 	case <-q.syncCtx.Done():
+		return false
 	case <-waiting.Done():
-		if !q.isSynced() {
-			q.cfg.Logger.Warn("requests run without the quarantines of peers: not all have answered", "waited_ms", maxSyncWait.Milliseconds())
-			q.endSync()
-		}
+		return true
 	}
 }
 
--- a/internal/quarantiner/sync_test.go
+++ b/internal/quarantiner/sync_test.go
@@ -28,6 +28,8 @@
 		"peers answer before a request arrives":        {fetchTime: 200 * time.Millisecond, arrival: 250 * time.Millisecond, isSynced: true},
 		"no peer has answered until a request arrives": {fetchTime: time.Hour, arrival: 200 * time.Millisecond, wait: maxSyncWait - 200*time.Millisecond, isSynced: true},
 		"peers are listed late":                        {fetchTime: 50 * time.Millisecond, listTime: 100 * time.Millisecond, wait: 150 * time.Millisecond, isSynced: true},
+		"peers are listed just before the wait ends":   {fetchTime: 200 * time.Millisecond, listTime: 290 * time.Millisecond, wait: 490 * time.Millisecond, isSynced: true},
+		"peers are listed late, and none answers":      {fetchTime: time.Hour, listTime: 200 * time.Millisecond, wait: 200*time.Millisecond + maxSyncWait, isSynced: true},
 		"peers are not listed":                         {listTime: time.Hour, wait: maxSyncWait, isSynced: true},
 		"caller gives up before":                       {fetchTime: time.Hour, callerFor: 50 * time.Millisecond, wait: 50 * time.Millisecond},
 	}
