Admission by shares only while the demand is twice the capacity

Costs and capacity are estimates; under moderate overload shares by them refuse callers whom the queue would have served. Change: shares apply from twice the estimated capacity on, and until one and a half times. Measured: tests of internal/scheduler.

--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -211,6 +211,9 @@
 			break
 		}
 	}
+	if !s.isSevere(&ranks, p) {
+		p.shares = allocator.AllAdmitted()
+	}
 	p.shares.DivideAmongTenants(&ranks)
 	p.isShort = p.shares.IsShort()
 	for i := range ranks {
@@ -219,6 +222,20 @@
 	s.logShortage(application, p, &ranks, now)
 }
 
+// isSevere reports whether the demand exceeds the capacity by so much that shares serve more
+// callers than the queue does.
+func (s *Scheduler) isSevere(ranks *[allocator.Ranks]allocator.Rank, p *precedence) bool {
+	var demand float64
+	for i := range ranks {
+		demand += ranks[i].Demand.Offered
+	}
+	factor := s.cfg.Policy.MinShortage
+	if p.isShort {
+		factor = 1 + (factor-1)/2 // so that shares are not taken up and given up in turn
+	}
+	return demand >= factor*p.capacity
+}
+
 // mix returns the mix of the work that the shares admit.
 func (p *precedence) mix(ranks *[allocator.Ranks]allocator.Rank) (mix tracker.WorkMix) {
 	var total float64
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -91,6 +91,7 @@
 	}{
 		"demand fits":                    {load: busyLoad, urgent: 2, other: 2},
 		"engines are idle":               {load: busyLoad / 2, urgent: 40, other: 40},
+		"moderate overload":              {load: busyLoad, urgent: 2, other: 14},
 		"less urgent work exceeds":       {load: busyLoad, urgent: 8, other: 40, lowest: [2]float64{0, 0.75}, highest: [2]float64{0, 0.95}},
 		"urgent work exceeds as well":    {load: busyLoad, urgent: 40, other: 40, lowest: [2]float64{0.6, 0.9}, highest: [2]float64{0.85, 1}},
 		"others' demand is too old":      {load: busyLoad, urgent: 40, other: 40, age: 3 * time.Second},
