Admission by shares only after a loss of half of the engines

Under moderate overload the estimates refuse callers whom the queue would have served. Change: shares apply only while half of the engine time of the last 30 to 60 s is lost. Policy.MinLoss replaces MinShortage.

--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -26,17 +26,17 @@
 	Routing   router.Strategy  // default router.EstimatedFinish
 	Admission Admission        // default AdmitBySlack
 	Roles     planner.Strategy // default planner.Planned
-	// MinShortage is the ratio of demand to capacity from which on work is admitted by rank
-	// and tenant; 0: DefaultMinShortage.
-	MinShortage float64
+	// MinLoss is the part of an application's engine time that has to be lost for work to be
+	// admitted by rank and tenant; 0: DefaultMinLoss, negative: none.
+	MinLoss float64
 	// PrefillShare is the share of engines that prefill if Roles is planner.Fixed.
 	PrefillShare float64
 }
 
-// DefaultMinShortage is the default of Policy.MinShortage. The costs and the capacity are
-// estimates that are wrong by up to a factor of two, the bounds of their corrections. With a
-// ratio of 1, shares refused callers under moderate overload whom the queue would have served.
-const DefaultMinShortage = 2
+// DefaultMinLoss is the default of Policy.MinLoss. Shares follow from estimated costs and
+// capacity. Under a moderate overload of sound engines they refused callers whom the queue
+// would have served; after a loss of half of the engines the queue alone serves far fewer.
+const DefaultMinLoss = 0.5
 
 // Validate returns the policy with defaults filled in. The error names the invalid
 // setting, its value and the accepted values.
@@ -47,8 +47,8 @@
 	if p.Admission == "" {
 		p.Admission = AdmitBySlack
 	}
-	if p.MinShortage == 0 {
-		p.MinShortage = DefaultMinShortage
+	if p.MinLoss == 0 {
+		p.MinLoss = DefaultMinLoss
 	}
 	if p.Roles == "" {
 		p.Roles = planner.Planned
--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -47,6 +47,7 @@
 	isShort    bool                     // some share is below 1
 	capacity   float64
 	busyAt     time.Time // when the engines were last busy
+	peak       capacityPeak
 	credits    admitter.Credits
 	targets    [allocator.Ranks]rankTargets
 	mixes      [allocator.Ranks]prefillMix
@@ -194,6 +195,7 @@
 		backlog: s.engineBacklog(application), slotUse: summary.SlotUse, response: shortestResponse(&ranks),
 	}
 	p.correction.tick(p.isShort, state, now)
+	p.peak.observe(summary.FleetCapacity.Total(), now)
 	p.shares = allocator.AllAdmitted()
 	if isBusy(summary, &state) {
 		p.busyAt = now
@@ -211,7 +213,7 @@
 			break
 		}
 	}
-	if !s.isSevere(&ranks, p) {
+	if p.peak.lost(summary.FleetCapacity.Total()) < s.cfg.Policy.MinLoss {
 		p.shares = allocator.AllAdmitted()
 	}
 	p.shares.DivideAmongTenants(&ranks)
@@ -222,18 +224,30 @@
 	s.logShortage(application, p, &ranks, now)
 }
 
-// isSevere reports whether the demand exceeds the capacity by so much that shares serve more
-// callers than the queue does.
-func (s *Scheduler) isSevere(ranks *[allocator.Ranks]allocator.Rank, p *precedence) bool {
-	var demand float64
-	for i := range ranks {
-		demand += ranks[i].Demand.Offered
+// lossWindow is how long engine time that is lost is remembered: one to two windows. Lost
+// engines are replaced within some seconds, or the operator knows that they are gone.
+const lossWindow = 30 * time.Second
+
+// capacityPeak is the largest recent engine time.
+type capacityPeak struct {
+	previous, current float64
+	since             time.Time
+}
+
+func (c *capacityPeak) observe(capacity float64, now time.Time) {
+	if now.Sub(c.since) >= lossWindow {
+		c.previous, c.current, c.since = c.current, 0, now
 	}
-	factor := s.cfg.Policy.MinShortage
-	if p.isShort {
-		factor = 1 + (factor-1)/2 // so that shares are not taken up and given up in turn
+	c.current = max(c.current, capacity)
+}
+
+// lost returns the part of the engine time that is lost.
+func (c *capacityPeak) lost(capacity float64) float64 {
+	peak := max(c.current, c.previous)
+	if peak <= 0 {
+		return 0
 	}
-	return demand >= factor*p.capacity
+	return 1 - capacity/peak
 }
 
 // mix returns the mix of the work that the shares admit.
--- a/internal/scheduler/returns_test.go
+++ b/internal/scheduler/returns_test.go
@@ -11,7 +11,7 @@
 // refused for, and are refused again beside new requests.
 func TestReturnTimesInShortage(t *testing.T) {
 	t.Parallel()
-	s, now := newScheduler(t, engines(12))
+	s, now := newSharingScheduler(t)
 	s.SetPeerLoad("peers", 8, loads(engines(12), busyLoad), *now)
 	offerWith := func(left time.Duration) (refusal *RefusalError) {
 		work := rankedWork(2, "", *now)
