--- a/internal/scheduler/returner/calendar.go
+++ b/internal/scheduler/returner/calendar.go
@@ -1,4 +1,4 @@
-// Package returner decides when refused callers are told to return, and which requests
+// Package returner decides when refused callers should return, and which requests
 // are those of callers that do.
 //
 // It handles demand beyond the capacity that lasts for seconds, with callers that
@@ -30,12 +30,12 @@
 	// promise are spread. Without it, those refused at once all return at once.
 	unpromisedSpread = 0.25
 	// promisedShare is the share of the room that is promised. The rest is for callers that
-	// return at other times than they were told; without it, a third of them coming early
+	// return at other times than the named one; without it, a third of them coming early
 	// leaves one in nine of the others without service.
 	promisedShare = 0.7
 )
 
-// Room is the engine time that callers may be told to return for.
+// Room is the engine time that may be promised to refused callers.
 type Room struct {
 	PerSecond float64       // engine seconds per second, from Earliest on
 	Earliest  time.Duration // from now until the first return may be served
--- a/internal/scheduler/returner/returner_test.go
+++ b/internal/scheduler/returner/returner_test.go
@@ -78,7 +78,7 @@
 type event struct {
 	at          time.Duration
 	isReturn    bool
-	isDeviating bool // returns at another time than it was told
+	isDeviating bool // returns at another time than the named one
 	isPromised  bool
 }
 
