Terms of the field in four comments and a name

Cause: TestDialect found seven lines in the new code of four files. Change: wording only. Measured: TestDialect and the tests of internal/peerforwarder pass.

--- a/internal/aggregator/registry.go
+++ b/internal/aggregator/registry.go
@@ -214,7 +214,7 @@
 
 func (e *entry) hosts() int { return e.snapshot.Hosts + e.snapshot.HostsWithout }
 
-// IsIsolated reports whether no peer that was heard of has sent an update recently.
+// IsIsolated reports whether no peer that is known has sent an update recently.
 func (r *Registry) IsIsolated(now time.Time) bool {
 	for _, e := range r.entries {
 		if now.Sub(e.updatedAt) <= unlistedLimit {
--- a/internal/exchanger/demand.go
+++ b/internal/exchanger/demand.go
@@ -232,7 +232,7 @@
 	}
 }
 
-// setListed tells the registry which peers the platform lists.
+// setListed sets in the registry which peers the platform lists.
 func (ex *Exchanger) setListed(peers []Peer) {
 	hostIDs := make([]string, 0, len(peers))
 	for _, peer := range peers {
--- a/internal/pathwatcher/refusals.go
+++ b/internal/pathwatcher/refusals.go
@@ -17,7 +17,7 @@
 	// minRefusedHosts is the number of hosts whose connections a process has refused from which it
 	// is set aside. One host's path may be broken.
 	minRefusedHosts = 2
-	// ownRefusalTime is how long after its refused connection a host tells peers of it. Probers
+	// ownRefusalTime is how long after its refused connection a host reports it to its peers. Probers
 	// renew it with each probe, every idleProbeInterval.
 	ownRefusalTime = idleProbeInterval + probeTimeout + 100*time.Millisecond
 	// refusalLifetime is how long a peer's refused connection counts; see exchanger.RefusalLifetime.
@@ -94,7 +94,7 @@
 	return hosts
 }
 
-// isRefusedRecently reports whether this host tells its peers that the process refuses connections.
+// isRefusedRecently reports whether this host reports to its peers that the process refuses connections.
 func (p *path) isRefusedRecently(now time.Time) bool {
 	return p.wasRefused && p.hasFailed() && now.Sub(p.connectFailedAt) < ownRefusalTime
 }
--- a/internal/peerforwarder/choose.go
+++ b/internal/peerforwarder/choose.go
@@ -88,12 +88,12 @@
 
 // isOutlier reports whether a peer reaches clearly more than this host, or most peers reach more.
 func isOutlier(peers []Peer, application string, own float64) bool {
-	heard, better := 0, 0
+	known, better := 0, 0
 	for i := range peers {
 		if peers[i].IsUnheard {
 			continue
 		}
-		heard++
+		known++
 		share := peers[i].Share(application)
 		if isBetter(share, own) {
 			return true
@@ -102,7 +102,7 @@
 			better++
 		}
 	}
-	return 2*better > heard
+	return 2*better > known
 }
 
 // isSuitable reports whether a peer reaches enough endpoints for a request. A host that reaches some
