Admission by shares only if the demand is also twice the remaining capacity

Change: shares apply after the loss only from twice the capacity on. Measured: TestSharesNeedLossOfEngines has the case; tests of internal/scheduler pass.

--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -213,7 +213,7 @@
 			break
 		}
 	}
-	if p.peak.lost(summary.FleetCapacity.Total()) < s.cfg.Policy.MinLoss {
+	if s.cfg.Policy.MinLoss > 0 && !p.isSevere(&ranks, p.peak.lost(summary.FleetCapacity.Total()), s.cfg.Policy.MinLoss) {
 		p.shares = allocator.AllAdmitted()
 	}
 	p.shares.DivideAmongTenants(&ranks)
@@ -224,6 +224,20 @@
 	s.logShortage(application, p, &ranks, now)
 }
 
+// minExcess is the ratio of demand to capacity from which on shares apply after a loss. With
+// one and a half, shares refused callers whom the queue would have served.
+const minExcess = 2
+
+// isSevere reports whether so many engines are lost, and the demand exceeds the rest by so
+// much, that shares serve more callers than the queue does.
+func (p *precedence) isSevere(ranks *[allocator.Ranks]allocator.Rank, lost, minLoss float64) bool {
+	var demand float64
+	for i := range ranks {
+		demand += ranks[i].Demand.Offered
+	}
+	return lost >= minLoss && demand >= minExcess*p.capacity
+}
+
 // lossWindow is how long engine time that is lost is remembered: one to two windows. Lost
 // engines are replaced within some seconds, or the operator knows that they are gone.
 const lossWindow = 30 * time.Second
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -60,14 +60,18 @@
 func TestSharesNeedLossOfEngines(t *testing.T) {
 	t.Parallel()
 	s, now := newScheduler(t, engines(24))
+	othersOffered := 60.
 	refused := func(count int) float64 {
 		s.SetHosts(engines(count), *now)
 		s.SetPeerLoad("peers", 8, loads(engines(count), busyLoad), *now)
-		return refusedShares(s, now, func() { s.SetFleetDemand(othersDemand(20, 40), *now) })[1]
+		return refusedShares(s, now, func() { s.SetFleetDemand(othersDemand(othersOffered/3, othersOffered*2/3), *now) })[1]
 	}
 	assert.Equal(t, refused(24), 0.)
 	assert.Equal(t, refused(16), 0.)
 	assert.Assert(t, refused(12) > 0.5)
+	othersOffered = 18
+	assert.Equal(t, refused(12), 0., "the queue serves more")
+	othersOffered = 60
 	assert.Equal(t, refused(24), 0.)
 }
 
