--- a/internal/scheduler/precedence.go
+++ b/internal/scheduler/precedence.go
@@ -224,9 +224,9 @@
 	s.logShortage(application, p, &ranks, now)
 }
 
-// minExcess is the ratio of demand to capacity from which on shares apply after a loss. With
-// one and a half, shares refused callers whom the queue would have served.
-const minExcess = 2
+// minExcess is the ratio of demand to capacity from which on shares apply after a loss. From
+// one and a half to two and a half, shares refused callers whom the queue would have served.
+const minExcess = 3
 
 // isSevere reports whether so many engines are lost, and the demand exceeds the rest by so
 // much, that shares serve more callers than the queue does.
