Admission by shares is off by default

Change: DefaultMinLoss is 1, so that shares never apply; the tests of shares set a policy. Costs, portions, the exchange of demand and the order of ranks stay. Measured: tests of internal/scheduler pass.

--- a/internal/scheduler/config.go
+++ b/internal/scheduler/config.go
@@ -33,10 +33,10 @@
 	PrefillShare float64
 }
 
-// DefaultMinLoss is the default of Policy.MinLoss. Shares follow from estimated costs and
-// capacity. Under a moderate overload of sound engines they refused callers whom the queue
-// would have served; after a loss of half of the engines the queue alone serves far fewer.
-const DefaultMinLoss = 0.5
+// DefaultMinLoss is the default of Policy.MinLoss: shares never apply. They follow from
+// estimated costs and capacity, and after a loss of 0.5 of the engines they refused callers
+// whom the queue would have served wherever the rest could still serve a third.
+const DefaultMinLoss = 1
 
 // Validate returns the policy with defaults filled in. The error names the invalid
 // setting, its value and the accepted values.
--- a/internal/scheduler/precedence_test.go
+++ b/internal/scheduler/precedence_test.go
@@ -60,6 +60,7 @@
 func TestSharesNeedLossOfEngines(t *testing.T) {
 	t.Parallel()
 	s, now := newScheduler(t, engines(24))
+	s.cfg.Policy.MinLoss = 0.5
 	othersOffered := 60.
 	refused := func(count int) float64 {
 		s.SetHosts(engines(count), *now)
@@ -73,6 +74,8 @@
 	assert.Equal(t, refused(12), 0., "the queue serves more")
 	othersOffered = 60
 	assert.Equal(t, refused(24), 0.)
+	s.cfg.Policy.MinLoss = DefaultMinLoss
+	assert.Equal(t, refused(12), 0., "shares are off by default")
 }
 
 // busyLoad is the number of requests at an engine from which on it counts as busy.
@@ -156,6 +159,7 @@
 func TestPrecedenceAfterLossOfEngines(t *testing.T) {
 	t.Parallel()
 	s, now := newScheduler(t, engines(48))
+	s.cfg.Policy.MinLoss = 0.5
 	s.SetPeerLoad("peers", 8, loads(engines(48), busyLoad), *now)
 	setDemand := func() { s.SetFleetDemand(othersDemand(6, 34), *now) }
 	assert.Equal(t, refusedShares(s, now, setDemand), [2]float64{})
