Lines about failed attempts say why an attempt counts as run or not run

The hypotheses could not be told apart from the logs: a failed attempt had only the text of its error. It now has run_state (not_sent, refused, may_have_run), the endpoint's address, how often this request has been sent to that address, and the time since the send; an attempt at a peer has what the peer says it has sent and run.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -54,9 +54,10 @@
 
 	charge Charge // against its tenant's limit
 
-	sends    int // calls sent to an endpoint, without prefills
-	runs     int // number of sends that may have run
-	prefills int // prefills that an engine accepted
+	sends    int            // calls sent to an endpoint, without prefills
+	runs     int            // number of sends that may have run
+	prefills int            // prefills that an engine accepted
+	sentTo   map[string]int // sends and prefills by the address of the endpoint
 	excluded []string
 	// failedConnections is the number of attempts in which no connection to the endpoint could
 	// be opened.
@@ -226,7 +227,7 @@
 	grant.Done(fr.schedulerResult(ctx, err))
 	if err != nil {
 		fr.exclude(grant.Target(), err)
-		fr.forwarder.requestLog.logFailedAttempt(fr, grant, "send", err)
+		fr.forwarder.requestLog.logFailedAttempt(fr, grant, stepSend, grant.Target(), err)
 	}
 	if fr.isCacheSpent(err) {
 		fr.cacheHandle = nil
@@ -362,13 +363,14 @@
 	fr.lastAttempt = attemptState{sentAt: startedAt}
 	handle, err := fr.forwarder.cfg.Driver.ForwardPrefill(ctx, target, call)
 	fr.timings.prefill += time.Since(startedAt)
+	fr.recordSend(target, err)
 	if err == nil {
 		grant.PrefillDone(nil)
 		fr.prefills++
 		fr.cacheHandle, fr.cacheReadyAt = &handle, time.Now()
 		return nil
 	}
-	fr.forwarder.requestLog.logFailedAttempt(fr, grant, "prefill", err)
+	fr.forwarder.requestLog.logFailedAttempt(fr, grant, stepPrefill, target, err)
 	if errors.Is(err, driver.ErrNotNeeded) {
 		return err
 	}
@@ -381,6 +383,17 @@
 	return fmt.Errorf("%w: %w", driver.ErrRefused, err)
 }
 
+// recordSend records a call to an endpoint unless err says that it was not sent.
+func (fr *forwardedRequest) recordSend(target driver.Target, err error) {
+	if errors.Is(err, driver.ErrNotSent) {
+		return
+	}
+	if fr.sentTo == nil {
+		fr.sentTo = map[string]int{}
+	}
+	fr.sentTo[target.Address]++
+}
+
 func (fr *forwardedRequest) newCall() driver.ForwardCall {
 	call := driver.ForwardCall{
 		RequestID: fr.request.ID, Payload: fr.request.Payload, Urgency: min(fr.request.Class.Rank, maxUrgency),
@@ -408,6 +421,7 @@
 	if !errors.Is(err, driver.ErrNotSent) {
 		fr.sends++
 	}
+	fr.recordSend(grant.Target(), err)
 	if err != nil {
 		if fr.mayHaveRun(err) {
 			fr.runs++
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -65,15 +65,26 @@
 	l.logger.Log(level, message, args...)
 }
 
-// logFailedAttempt logs a failed attempt and what the choice of its endpoint was based on.
-func (l *requestLogger) logFailedAttempt(fr *forwardedRequest, grant scheduler.Grant, step string, err error) {
+// Steps of an attempt.
+const (
+	stepPrefill = "prefill"
+	stepSend    = "send"
+)
+
+// logFailedAttempt logs a failed attempt, why it counts as run or not run, and what the choice of its
+// endpoint was based on.
+func (l *requestLogger) logFailedAttempt(fr *forwardedRequest, grant scheduler.Grant, step string, target driver.Target, err error) {
 	basis := grant.Basis()
 	args := []any{
 		"step", step, "endpoint_id", basis.EndpointID, "software_version", basis.SoftwareVersion, "error", err.Error(),
+		"run_state", runStateOf(err), "address", target.Address, "sends_to_address", fr.sentTo[target.Address],
 		"requests_there", basis.Requests, "peers_part", basis.PeerRequests, "prompt_tokens_ahead", basis.TokensAhead,
 		"estimated_first_ms", basis.FirstToken.Milliseconds(), "listed_for_ms", basis.RoleAge.Milliseconds(),
 		"sends", fr.sends, "may_have_run", fr.runs > 0,
 	}
+	if !errors.Is(err, driver.ErrNotSent) {
+		args = append(args, "took_ms", time.Since(fr.lastAttempt.sentAt).Milliseconds())
+	}
 	if errors.Is(err, driver.ErrOutcomeUnknown) {
 		args = append(args, interruptionArgs(fr)...)
 	}
@@ -83,7 +94,31 @@
 
 // logFailedPeerAttempt logs a request that a peer could not serve.
 func (l *requestLogger) logFailedPeerAttempt(fr *forwardedRequest, hostID string, err error) {
-	l.write(hclog.Info, "attempt at peer failed", fr, "peer", hostID, "error", err.Error(), "sends", fr.sends, "may_have_run", fr.runs > 0)
+	args := []any{"peer", hostID, "error", err.Error(), "run_state", runStateOf(err), "sends", fr.sends, "may_have_run", fr.runs > 0}
+	var failed *PeerError
+	if errors.As(err, &failed) {
+		args = append(args, "peer_sends", failed.Outcome.Sends, "peer_runs", failed.Outcome.Runs, "peer_is_partial", failed.Outcome.IsPartial)
+	}
+	l.write(hclog.Info, "attempt at peer failed", fr, args...)
+}
+
+// Values of run_state in log lines.
+const (
+	runStateNotSent  = "not_sent"
+	runStateRefused  = "refused"
+	runStatePossible = "may_have_run"
+)
+
+// runStateOf returns what is known of the run of a failed attempt.
+func runStateOf(err error) string {
+	switch {
+	case errors.Is(err, driver.ErrNotSent):
+		return runStateNotSent
+	case errors.Is(err, driver.ErrRefused):
+		return runStateRefused
+	default:
+		return runStatePossible
+	}
 }
 
 // interruptionArgs identifies a request whose run was interrupted, by a fingerprint that is the
--- a/internal/dispatcher/requestlog_test.go
+++ b/internal/dispatcher/requestlog_test.go
@@ -31,7 +31,7 @@
 	for name, write := range map[string]func(l *requestLogger, fr *forwardedRequest){
 		"request served": func(l *requestLogger, fr *forwardedRequest) { l.logServed(fr) },
 		"attempt failed": func(l *requestLogger, fr *forwardedRequest) {
-			l.logFailedAttempt(fr, &grantWithBasis{basis: basis}, "send", errors.Join(driver.ErrNotSent, errEndpointUnavailable))
+			l.logFailedAttempt(fr, &grantWithBasis{basis: basis}, stepSend, driver.Target{}, errors.Join(driver.ErrNotSent, errEndpointUnavailable))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -71,7 +71,7 @@
 		l := newRequestLogger(hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &output}), nil)
 		request := &OpaqueRequest{ID: id, CallerAddress: caller, Arrived: time.Now(), Payload: driver.Payload{Method: "POST", Path: "/fill/x", Body: []byte(body)}}
 		fr := &forwardedRequest{request: request, identity: identityOf(request), lastAttempt: attemptState{firstEventAt: time.Now().Add(-2 * time.Second)}}
-		l.logFailedAttempt(fr, &grantWithBasis{}, "send", errors.Join(driver.ErrOutcomeUnknown, errors.New("interrupted")))
+		l.logFailedAttempt(fr, &grantWithBasis{}, stepSend, driver.Target{}, errors.Join(driver.ErrOutcomeUnknown, errors.New("interrupted")))
 		assert.NilError(t, json.Unmarshal(output.Bytes(), &fields))
 		return fields
 	}
@@ -81,3 +81,36 @@
 	assert.Equal(t, first.Name, again.Name)
 	assert.Assert(t, first.Name != other.Name)
 }
+
+// A failed attempt states whether it was sent, where to, and how often the request has been sent there.
+func TestLogStatesWhereARequestWasSent(t *testing.T) {
+	t.Parallel()
+	target := driver.Target{EndpointID: "e1", Address: "10.0.0.1:8080"}
+	for name, test := range map[string]struct {
+		err   error
+		state string
+		sends int
+	}{
+		"not sent": {driver.ErrNotNeeded, runStateNotSent, 0},
+		"refused":  {driver.ErrReplaced, runStateRefused, 1},
+		"unknown":  {driver.ErrOutcomeUnknown, runStatePossible, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var output bytes.Buffer
+			l := newRequestLogger(hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &output}), nil)
+			fr := &forwardedRequest{request: &OpaqueRequest{ID: "r1", Arrived: time.Now()}}
+			fr.recordSend(target, test.err)
+			l.logFailedAttempt(fr, &grantWithBasis{}, stepSend, target, test.err)
+			var line struct {
+				State   string `json:"run_state"`
+				Address string `json:"address"`
+				Sends   int    `json:"sends_to_address"`
+			}
+			assert.NilError(t, json.Unmarshal(output.Bytes(), &line))
+			assert.Equal(t, line.State, test.state)
+			assert.Equal(t, line.Address, target.Address)
+			assert.Equal(t, line.Sends, test.sends)
+		})
+	}
+}
