--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -354,7 +354,7 @@
 	if !ok {
 		return nil
 	}
-	call := fr.newCall()
+	call := fr.newCall(target)
 	call.IsStillNeeded = grant.IsPrefillAvailable
 	if holder, ok := grant.FetchSource(); ok {
 		call.FetchFrom = holder.Address
@@ -394,10 +394,10 @@
 	fr.sentTo[target.Address]++
 }
 
-func (fr *forwardedRequest) newCall() driver.ForwardCall {
+func (fr *forwardedRequest) newCall(target driver.Target) driver.ForwardCall {
 	call := driver.ForwardCall{
 		RequestID: fr.request.ID, Payload: fr.request.Payload, Urgency: min(fr.request.Class.Rank, maxUrgency),
-		ResumeAfter: fr.lastEventID, Tenant: fr.request.Tenant,
+		ResumeAfter: fr.lastEventID, Tenant: fr.request.Tenant, IsSentAgain: fr.sentTo[target.Address] > 0,
 	}
 	call.TimeLeft = max(fr.remainingTime(), time.Millisecond)
 	return call
@@ -414,7 +414,7 @@
 	if fr.remainingTime() <= 0 {
 		return fmt.Errorf("%w: %w", driver.ErrNotSent, errTimeout)
 	}
-	call := fr.newCall()
+	call := fr.newCall(grant.Target())
 	call.Import, call.IsStillNeeded = fr.cacheHandle, grant.IsAvailable
 	fr.lastAttempt = attemptState{sentAt: time.Now(), softwareVersion: grant.Target().SoftwareVersion}
 	answer, err := fr.forwarder.cfg.Driver.Forward(ctx, grant.Target(), call)
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -30,6 +30,9 @@
 	FetchFrom string
 	// ResumeAfter is the id of the last event that the caller has received; empty: none.
 	ResumeAfter string
+	// IsSentAgain is true if this request has been sent to the target's address before, perhaps to an
+	// earlier process. A late copy of the earlier answer must not be taken for the answer to this call.
+	IsSentAgain bool
 	// IsStillNeeded is called once the connection is open, before anything is sent:
 	// opening a connection takes a second if a packet is lost, and the endpoint may have
 	// started to leave meanwhile. Nil: the call is needed.
