Buffers of large events are used again

Cause, traced: garbage. An event that grows past 32 KiB reserves 256 KiB, but its buffer was doubled step by step, and each of 50 endless events left some 500 KiB behind. Buffers of answers are kept for the next one since, those of events were not. How much garbage is there at a time depends on when the collector runs, and so on the load.

Change: an event takes its 256 KiB at once and gives the buffer back; free buffers of one size are given up when another size needs the memory.

Measured: TestLargeEventsLeaveGarbage failed before (32.5 million bytes for 50 events; 6.6 million are the bound) and passes.

--- a/internal/dispatcher/buffers.go
+++ b/internal/dispatcher/buffers.go
@@ -45,7 +45,7 @@
 	first   *reservation // nil: none needs more than the shared part
 	active  int          // large answers that are read or wait
 	waiting []*bufferWaiter
-	blocks  [][]byte // of ended answers, of smallBufferBytes each
+	free    map[int][][]byte // buffers of ended answers and events, by size
 }
 
 // reservation is what one answer or event holds of largeBuffers, whose mutex guards it.
@@ -62,7 +62,7 @@
 	granted     chan struct{} // closed when it is granted
 }
 
-func newLargeBuffers() *largeBuffers { return &largeBuffers{} }
+func newLargeBuffers() *largeBuffers { return &largeBuffers{free: map[int][][]byte{}} }
 
 // readAll reads a body of at most maxBufferedAnswerBytes. length is its length if known, or -1.
 // Memory is reserved in steps as the body arrives, so that a slow body holds only what it has sent.
@@ -105,19 +105,37 @@
 	}
 }
 
-// newBlock returns an empty block of a size.
+// newBlock returns an empty block of a size. If there is no free one, the free ones of other sizes
+// are given up once they and the reservations together exceed the memory.
 func (l *largeBuffers) newBlock(size int) []byte {
+	if !isReused(size) {
+		return make([]byte, 0, size)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	last := len(l.blocks) - 1
-	if size < smallBufferBytes || last < 0 {
+	free := l.free[size]
+	last := len(free) - 1
+	if last < 0 {
+		if l.used+l.freeBytesLocked() > largeBufferBytes {
+			clear(l.free)
+		}
 		return make([]byte, 0, size)
 	}
-	block := l.blocks[last]
-	l.blocks[last], l.blocks = nil, l.blocks[:last]
+	block := free[last]
+	free[last], l.free[size] = nil, free[:last]
 	return block[:0]
 }
 
+func (l *largeBuffers) freeBytesLocked() (bytes int64) {
+	for size, blocks := range l.free {
+		bytes += int64(size) * int64(len(blocks))
+	}
+	return bytes
+}
+
+// isReused reports whether blocks of a size are kept for other answers.
+func isReused(size int) bool { return size == smallBufferBytes || size == maxEventBytes }
+
 // stepBytes returns how much an answer of a length, or -1, that holds some memory reserves next.
 func stepBytes(held, length int64) int64 {
 	if length < 0 || length > largeBufferBytes {
@@ -141,12 +159,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, block := range blocks {
-		if cap(block) == smallBufferBytes {
-			l.blocks = append(l.blocks, block)
+		if size := cap(block); isReused(size) {
+			l.free[size] = append(l.free[size], block)
 		}
 	}
 	if l.active--; l.active == 0 {
-		l.blocks = nil
+		clear(l.free)
 	}
 	l.used -= r.bytes
 	if l.first == r {
--- a/internal/dispatcher/buffers_test.go
+++ b/internal/dispatcher/buffers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -177,3 +178,23 @@
 		assert.Check(t, used >= 1<<20, "%d bytes are reserved", used)
 	})
 }
+
+// TestLargeEventsLeaveGarbage guards against endless events that fill the heap with buffers of ended
+// ones. It runs alone, since it measures what the process allocates.
+func TestLargeEventsLeaveGarbage(t *testing.T) {
+	const count = 50
+	l := newLargeBuffers()
+	defer l.end(nil, l.begin()) // another answer is being read
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range count {
+		r := newEventReader(bodyOf(2*maxEventBytes), l)
+		_, _, _, err := r.next(t.Context())
+		limit, _ := responselimiter.ExceededLimit(err)
+		assert.Equal(t, limit, responselimiter.EventBytes)
+		r.release()
+	}
+	runtime.ReadMemStats(&after)
+	allocated := after.TotalAlloc - before.TotalAlloc - count*2*maxEventBytes // without the bodies
+	assert.Assert(t, allocated < count*maxEventBytes/2, "%d bytes for %d events", allocated, count)
+}
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -31,11 +31,11 @@
 	return &eventReader{body: body, large: large, buffer: make([]byte, eventBufferBytes)}
 }
 
-// release frees the memory for a large event.
+// release frees the memory for a large event. The events that next has returned are not valid any more.
 func (r *eventReader) release() {
 	if r.reserved != nil {
-		r.large.end(nil, r.reserved)
-		r.reserved = nil
+		r.large.end([][]byte{r.buffer}, r.reserved)
+		r.buffer, r.reserved = nil, nil
 	}
 }
 
@@ -44,8 +44,8 @@
 // complete event, and io.ErrUnexpectedEOF if the stream ends within an event.
 func (r *eventReader) next(ctx context.Context) (events []byte, lastID string, count int, err error) {
 	if r.reserved != nil && r.start == r.end {
-		r.buffer, r.start, r.end = make([]byte, eventBufferBytes), 0, 0
 		r.release()
+		r.buffer, r.start, r.end = make([]byte, eventBufferBytes), 0, 0
 	}
 	for {
 		if n := completeEventsLength(r.buffer[r.start:r.end]); n > 0 {
@@ -72,13 +72,9 @@
 		if len(r.buffer) >= maxEventBytes {
 			return &responselimiter.ExceededError{Limit: responselimiter.EventBytes}
 		}
-		if r.reserved == nil && 2*len(r.buffer) > smallBufferBytes {
-			r.reserved = r.large.begin()
-			if err := r.large.acquire(ctx, r.reserved, maxEventBytes); err != nil {
-				return err
-			}
+		if err := r.grow(ctx); err != nil {
+			return err
 		}
-		r.buffer = append(r.buffer, make([]byte, len(r.buffer))...)
 	}
 	n, err := r.body.Read(r.buffer[r.end:])
 	r.end += n
@@ -88,6 +84,23 @@
 	return err
 }
 
+// grow enlarges the buffer: to the largest size at once when it needs a reservation, which covers that size.
+func (r *eventReader) grow(ctx context.Context) (err error) {
+	if size := 2 * len(r.buffer); size <= smallBufferBytes {
+		r.buffer = append(r.buffer, make([]byte, size-len(r.buffer))...)
+		return nil
+	}
+	reserved := r.large.begin()
+	if err := r.large.acquire(ctx, reserved, maxEventBytes); err != nil {
+		r.large.end(nil, reserved)
+		return err
+	}
+	buffer := r.large.newBlock(maxEventBytes)[:maxEventBytes]
+	copy(buffer, r.buffer)
+	r.buffer, r.reserved = buffer, reserved
+	return nil
+}
+
 // completeEventsLength returns the length of the complete events at the beginning of data: up to
 // and including the last blank line.
 func completeEventsLength(data []byte) int {
