Answers that only claim that a request has not run are not passed on

Callers got an endpoint's own 408, 429 or 503 as it was, although the endpoint had not stated that it did not run the request (REFUSED): the status tells a caller that its request has not run and may be sent again, the header that confirms this was missing, and an endpoint may give such an answer after it has begun.

Only answers with the header, and 421, were decoded as refusals; all others went to the caller unchanged.

Change: such an answer is a fault of the endpoint. A request that may be repeated goes to another one; otherwise the caller gets 502 without the endpoint's signature.

--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -31,6 +31,9 @@
 	if err != nil {
 		return err
 	}
+	if answer.SaysNotRun {
+		return fmt.Errorf("%w: status %d, although it has not refused the request", errEndpointFault, answer.Status)
+	}
 	if answer.Status >= http.StatusInternalServerError && fr.request.Class.Repeatable {
 		fr.faultAnswer = buffered
 		return errEndpointFault
