Whether a failed attempt may have run is decided in one place, and 'may have run' goes first

Outcomes were looked for in chains of errors, 'not sent' and 'refused' first, in seven places. A chain that also says 'unknown' counted as not run. Two could do so: a peer's stream that ends with a rejection (expired credentials, unknown service) after the peer has begun to answer was 'unknown, not sent', and the request went to the next peer; a failed prefill was 'refused, unknown', rightly not run.

Change: driver.RunStateOf returns one state for an error, and dispatcher and orderer use it alone; an outcome that allows a run goes first. A failed prefill has a type of its own. A peer rejects a request only with its first reply.

Measured: a row of TestAttemptsAtPeers (two peers for one call that may not be repeated) and TestErrorAfterAReplyIsNoRejection failed before, and pass; TestRunStateOfSeveralOutcomes. Tests of dispatcher, driver, peerforwarder, orderer and httpdriver pass.

--- a/internal/dispatcher/attempt.go
+++ b/internal/dispatcher/attempt.go
@@ -301,7 +301,7 @@
 }
 
 func (a *attempt) markUnsent(err error) {
-	if errors.Is(err, driver.ErrNotSent) || errors.Is(err, driver.ErrRefused) {
+	if !mayHaveRun(err) {
 		a.sent.Store(false)
 	}
 }
--- a/internal/dispatcher/forwarded_repeat.go
+++ b/internal/dispatcher/forwarded_repeat.go
@@ -23,7 +23,7 @@
 	if errors.Is(err, driver.ErrOutcomeUnknown) && !fr.isAtPeer && !fr.forwarder.cfg.Quarantine.MayRepeat(&fr.identity) {
 		return false // it may crash the next endpoint too
 	}
-	if fr.mayHaveRun(err) {
+	if mayHaveRun(err) {
 		if !fr.request.Class.Repeatable || fr.runs >= fr.request.Class.MaxAttempts {
 			return false
 		}
@@ -31,7 +31,7 @@
 	if errors.Is(err, errTimeout) || fr.isVersionUnknown {
 		return false
 	}
-	if errors.Is(err, driver.ErrNotSent) {
+	if runStateOf(err) == driver.RunNotSent {
 		return true // nothing was received; the next send counts as the first
 	}
 	return fr.repeatBudget.tryWithdraw(fr.repeatCost())
@@ -54,11 +54,31 @@
 // cacheUseTimeout is how long a KV cache is relied on. Engines keep it for some seconds longer.
 const cacheUseTimeout = 2 * time.Second
 
-// mayHaveRun reports whether an attempt that failed with err may have run.
-func (fr *forwardedRequest) mayHaveRun(err error) bool {
-	return !errors.Is(err, driver.ErrNotSent) && !errors.Is(err, driver.ErrRefused)
+// prefillError is the error of a prefill. At most the prompt was prefilled; the request itself has not run.
+type prefillError struct{ cause error }
+
+// Error returns the cause.
+func (e *prefillError) Error() string { return "prefill failed: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *prefillError) Unwrap() error { return e.cause }
+
+// runStateOf returns the run state of a request after an attempt that failed with err.
+func runStateOf(err error) driver.RunState {
+	var atPeer *PeerError
+	switch {
+	case errors.As(err, new(*prefillError)):
+		return driver.RunRefused
+	case errors.As(err, &atPeer) && atPeer.Outcome.Failure != nil && atPeer.Outcome.Failure.Outcome == OutcomeNotRun:
+		return driver.RunRefused
+	default:
+		return driver.RunStateOf(err)
+	}
 }
 
+// mayHaveRun reports whether an attempt that failed with err may have run.
+func mayHaveRun(err error) bool { return runStateOf(err) == driver.RunPossible }
+
 // remainingTime returns for how much longer an answer is useful. The caller's timeout continues
 // while the host is suspended, so that time is subtracted: an endpoint that was sent a longer
 // time would work on an answer that no caller waits for.
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -379,13 +379,12 @@
 	}
 	fr.reportToQuarantine(ctx, target, err)
 	fr.exclude(target, err)
-	// At most the prompt was prefilled; the request itself has not run.
-	return fmt.Errorf("%w: %w", driver.ErrRefused, err)
+	return &prefillError{cause: err}
 }
 
 // recordSend records a call to an endpoint unless err says that it was not sent.
 func (fr *forwardedRequest) recordSend(target driver.Target, err error) {
-	if errors.Is(err, driver.ErrNotSent) {
+	if driver.RunStateOf(err) == driver.RunNotSent {
 		return
 	}
 	if fr.sentTo == nil {
@@ -418,12 +417,12 @@
 	call.Import, call.IsStillNeeded = fr.cacheHandle, grant.IsAvailable
 	fr.lastAttempt = attemptState{sentAt: time.Now(), softwareVersion: grant.Target().SoftwareVersion}
 	answer, err := fr.forwarder.cfg.Driver.Forward(ctx, grant.Target(), call)
-	if !errors.Is(err, driver.ErrNotSent) {
+	fr.recordSend(grant.Target(), err)
+	if driver.RunStateOf(err) != driver.RunNotSent {
 		fr.sends++
 	}
-	fr.recordSend(grant.Target(), err)
 	if err != nil {
-		if fr.mayHaveRun(err) {
+		if mayHaveRun(err) {
 			fr.runs++
 		}
 		return err
--- a/internal/dispatcher/non_repeatable_call.go
+++ b/internal/dispatcher/non_repeatable_call.go
@@ -120,7 +120,7 @@
 		case err == nil:
 			c.writeRecord(claimer.Record{State: claimer.StateAnswered, Answer: body})
 			return Answer{RequestID: c.request.RequestID, Body: body, Attempts: c.attempts, Completion: time.Since(c.arrived)}, nil
-		case errors.Is(err, driver.ErrNotSent), errors.Is(err, driver.ErrRefused):
+		case !mayHaveRun(err):
 			c.excluded = append(c.excluded, grant.Target().EndpointID)
 			if c.attempts < c.dispatcher.cfg.MaxAttempts {
 				continue
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -240,7 +240,7 @@
 func (fr *forwardedRequest) mayTryNextPeer(err error) bool {
 	var failed *PeerError
 	if !errors.As(err, &failed) || failed.Outcome.Failure == nil {
-		return errors.Is(err, driver.ErrNotSent)
+		return runStateOf(err) == driver.RunNotSent
 	}
 	if failed.Outcome.Sends > 0 {
 		return false // the peer has made the attempts that are allowed
@@ -330,7 +330,7 @@
 		fr.sends += outcome.Sends
 		fr.runs = max(fr.runs, outcome.Runs)
 		fr.basis = scheduler.Basis{EndpointID: outcome.EndpointID}
-	case !errors.Is(err, driver.ErrNotSent):
+	case mayHaveRun(err):
 		fr.sends++
 		fr.runs++
 	}
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -82,7 +82,7 @@
 		"estimated_first_ms", basis.FirstToken.Milliseconds(), "listed_for_ms", basis.RoleAge.Milliseconds(),
 		"sends", fr.sends, "may_have_run", fr.runs > 0,
 	}
-	if !errors.Is(err, driver.ErrNotSent) {
+	if runStateOf(err) != driver.RunNotSent {
 		args = append(args, "took_ms", time.Since(fr.lastAttempt.sentAt).Milliseconds())
 	}
 	if errors.Is(err, driver.ErrOutcomeUnknown) {
@@ -102,25 +102,6 @@
 	l.write(hclog.Info, "attempt at peer failed", fr, args...)
 }
 
-// Values of run_state in log lines.
-const (
-	runStateNotSent  = "not_sent"
-	runStateRefused  = "refused"
-	runStatePossible = "may_have_run"
-)
-
-// runStateOf returns what is known of the run of a failed attempt.
-func runStateOf(err error) string {
-	switch {
-	case errors.Is(err, driver.ErrNotSent):
-		return runStateNotSent
-	case errors.Is(err, driver.ErrRefused):
-		return runStateRefused
-	default:
-		return runStatePossible
-	}
-}
-
 // interruptionArgs identifies a request whose run was interrupted, by a fingerprint that is the
 // same on all hosts and under any request ID, and states how far the run got.
 func interruptionArgs(fr *forwardedRequest) []any {
--- a/internal/dispatcher/requestlog_test.go
+++ b/internal/dispatcher/requestlog_test.go
@@ -88,12 +88,12 @@
 	target := driver.Target{EndpointID: "e1", Address: "10.0.0.1:8080"}
 	for name, test := range map[string]struct {
 		err   error
-		state string
+		state driver.RunState
 		sends int
 	}{
-		"not sent": {driver.ErrNotNeeded, runStateNotSent, 0},
-		"refused":  {driver.ErrReplaced, runStateRefused, 1},
-		"unknown":  {driver.ErrOutcomeUnknown, runStatePossible, 1},
+		"not sent": {driver.ErrNotNeeded, driver.RunNotSent, 0},
+		"refused":  {driver.ErrReplaced, driver.RunRefused, 1},
+		"unknown":  {driver.ErrOutcomeUnknown, driver.RunPossible, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -103,9 +103,9 @@
 			fr.recordSend(target, test.err)
 			l.logFailedAttempt(fr, &grantWithBasis{}, stepSend, target, test.err)
 			var line struct {
-				State   string `json:"run_state"`
-				Address string `json:"address"`
-				Sends   int    `json:"sends_to_address"`
+				State   driver.RunState `json:"run_state"`
+				Address string          `json:"address"`
+				Sends   int             `json:"sends_to_address"`
 			}
 			assert.NilError(t, json.Unmarshal(output.Bytes(), &line))
 			assert.Equal(t, line.State, test.state)
--- a/internal/orderer/orderer.go
+++ b/internal/orderer/orderer.go
@@ -251,7 +251,7 @@
 	switch {
 	case err == nil:
 		return AttemptAccepted
-	case errors.Is(err, driver.ErrNotSent), errors.Is(err, driver.ErrRefused), errors.Is(err, driver.ErrStaleEpoch):
+	case errors.Is(err, driver.ErrStaleEpoch), driver.RunStateOf(err) != driver.RunPossible:
 		return AttemptNotRun
 	}
 	return AttemptUnknown
--- a/internal/peerforwarder/client.go
+++ b/internal/peerforwarder/client.go
@@ -120,6 +120,9 @@
 // receiveHead waits for the head of the answer. An answer that continues an earlier one has none.
 func (x *exchange) receiveHead(isHeaderSent bool) (answer dispatcher.PeerAnswer, err error) {
 	reply, err := x.stream.Recv()
+	if isUnknownService(err) {
+		return answer, fmt.Errorf("%w: peer %s: %w", driver.ErrNotSent, x.hostID, err)
+	}
 	if err != nil {
 		return answer, x.broken(err)
 	}
@@ -153,13 +156,19 @@
 
 var errNoHead = errors.New("peer sent no head of the answer")
 
-// broken returns the error of a request whose outcome at the peer is not known. A peer that does
-// not know the service, or does not accept this host, has not run it.
-func (x *exchange) broken(err error) error {
+// isUnknownService reports whether a peer has rejected a request before it read it: it does not know the service,
+// or does not accept this host.
+func isUnknownService(err error) bool {
 	switch status.Code(err) {
 	case codes.Unimplemented, codes.Unauthenticated, codes.PermissionDenied:
-		return fmt.Errorf("%w: peer %s: %w", driver.ErrNotSent, x.hostID, err)
+		return true
+	default:
+		return false
 	}
+}
+
+// broken returns the error of a request whose outcome at the peer is not known.
+func (x *exchange) broken(err error) error {
 	err = responselimiter.PeerError(err)
 	if limit, ok := responselimiter.ExceededLimit(err); ok {
 		x.forwarder.cfg.Meter.CountExceededLimit(responselimiter.ClientPeer, string(limit))
