Failing test: a stream goes on at another software version after all hosts were killed

With all hosts, all records of where streams began are gone. A host that has just started says that it does not know the versions for 15 s, and then takes the listed one for the only one. Streams of callers that wait for longer are 'always recorded', which does not help here. A second case: with no endpoint listed for 15 s, 'any version' is the result of the lookup.

--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -26,14 +26,15 @@
 	hosts   []Host
 	keepers map[string]*Keeper
 	isCut   func(from, to string) bool
-	isStale map[string]bool // hosts that don't receive the platform's changes
+	isStale map[string]bool   // hosts that don't receive the platform's changes
+	listed  map[string]Origin // endpoints, at hosts that start
 
 	mu     sync.Mutex
 	counts map[string]int // events, by name
 }
 
 func newGroup(t *testing.T, hosts ...Host) *group {
-	g := &group{hosts: hosts, keepers: map[string]*Keeper{}, isCut: func(string, string) bool { return false }, isStale: map[string]bool{}, counts: map[string]int{}}
+	g := &group{hosts: hosts, keepers: map[string]*Keeper{}, isCut: func(string, string) bool { return false }, isStale: map[string]bool{}, listed: map[string]Origin{"e1": v1}, counts: map[string]int{}}
 	for _, h := range hosts {
 		g.start(h)
 	}
@@ -52,7 +53,7 @@
 	})
 	k.SetHosts(g.hosts)
 	k.SetClasses(map[string][]string{"letters": {"llm"}})
-	k.UpdateEndpoints(map[string]Origin{"e1": {"llm", "v1"}}, nil, true)
+	k.UpdateEndpoints(g.listed, nil, true)
 	synctest.Wait()
 	g.keepers[h.HostID] = k
 }
