What streams may have begun at lasts in the platform's store

After all hosts had been killed at once, streams whose callers wait for longer than 15 s went on at another software version; and where only one version had ever served, no stream of before went on for 15 s.

Cause: what streams may have begun at was known to running hosts only. A host that has just started waited for 15 s, and then took the listed version for the only one there had been. With no endpoint listed in that time, any version would do.

Change: one host keeps the applications of each class and the software versions of each application, those of the last two minutes included, in one key of the platform's store (internal/historian); each host reads it as it starts. With one origin, streams go on at once; with several, or if it can't be read, they are refused.

--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -49,6 +49,8 @@
 	HostID string
 	Zone   string
 	Conn   func(hostID string) (grpc.ClientConnInterface, error)
+	// AwaitsHistory is true if SetHistory is going to be called.
+	AwaitsHistory bool
 	// IsCurrent reports whether this host receives the platform's changes.
 	IsCurrent func() bool
 	Clock     func() time.Time // includes the time for which the host was suspended
@@ -95,7 +97,7 @@
 // New returns a Keeper without streams.
 func New(cfg Config) *Keeper {
 	k := &Keeper{
-		cfg: cfg, finds: make(chan struct{}, maxFinds), logs: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(),
+		cfg: cfg, finds: make(chan struct{}, maxFinds), logs: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(cfg.AwaitsHistory),
 		pending: map[string][]*record{}, isActive: map[string]bool{}, avoided: map[string]time.Time{},
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
@@ -148,6 +150,8 @@
 		k.views.setClass(class, applications, now)
 	}
 	k.views.trim(classes)
+	k.views.hasClasses = true
+	k.views.useHistory()
 	k.sendUnsentLocked(now)
 }
 
@@ -170,6 +174,26 @@
 	for id, origin := range endpoints {
 		k.views.setEndpoint(id, origin, now)
 	}
+	k.views.hasEndpoints = k.views.hasEndpoints || isSnapshot
+	k.views.useHistory()
+	k.sendUnsentLocked(now)
+}
+
+// History returns what hosts that start have to know if all others have ended.
+func (k *Keeper) History() History {
+	now := k.cfg.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.views.history(now)
+}
+
+// SetHistory sets what the hosts before knew; nil: there were none, or they kept nothing. What later calls add
+// counts as well.
+func (k *Keeper) SetHistory(history *History) {
+	now := k.cfg.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.views.setHistory(history, now)
 	k.sendUnsentLocked(now)
 }
 
--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -28,6 +28,8 @@
 	isCut   func(from, to string) bool
 	isStale map[string]bool   // hosts that don't receive the platform's changes
 	listed  map[string]Origin // endpoints, at hosts that start
+	// awaitsHistory is true if hosts that start have to wait for SetHistory.
+	awaitsHistory bool
 
 	mu     sync.Mutex
 	counts map[string]int // events, by name
@@ -48,7 +50,7 @@
 
 func (g *group) start(h Host) {
 	k := New(Config{
-		HostID: h.HostID, Zone: h.Zone, Clock: time.Now, Meter: g, Logger: hclog.NewNullLogger(), IsCurrent: func() bool { return !g.isStale[h.HostID] },
+		HostID: h.HostID, Zone: h.Zone, Clock: time.Now, Meter: g, AwaitsHistory: g.awaitsHistory, Logger: hclog.NewNullLogger(), IsCurrent: func() bool { return !g.isStale[h.HostID] },
 		Conn: func(hostID string) (grpc.ClientConnInterface, error) { return &directConn{g, h.HostID, hostID}, nil },
 	})
 	k.SetHosts(g.hosts)
@@ -291,7 +293,7 @@
 // Classes and applications that come and go leave nothing behind.
 func TestViewsAreBounded(t *testing.T) {
 	t.Parallel()
-	v, now := newViews(), time.Now()
+	v, now := newViews(false), time.Now()
 	for i := range 100 {
 		class, application := fmt.Sprint("c", i), fmt.Sprint("a", i)
 		v.setClass(class, []string{application}, now)
--- a/internal/streamkeeper/view.go
+++ b/internal/streamkeeper/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -15,11 +16,18 @@
 	SoftwareVersion string // of the endpoint's program
 }
 
+// History is what streams that still live may have begun at. It lasts in the platform's store, for hosts that
+// have all started at the same time.
+type History struct {
+	Classes  map[string][]string `json:"classes"`  // applications by class
+	Versions map[string][]string `json:"versions"` // software versions by application
+}
+
 // viewKind states which origins the streams of a class can have.
 type viewKind int
 
 const (
-	viewUnknown viewKind = iota // this host has not been running for long enough
+	viewUnknown viewKind = iota // this host does not know for long enough what serves
 	viewSingle
 	viewSeveral
 )
@@ -30,74 +38,192 @@
 	origin Origin // of viewSingle
 }
 
-// recentValues is a set of values with those that have been in it within streamLifetime.
+// recentValues is a set of values with those that have been in it recently.
 type recentValues struct {
-	since   time.Time            // of the first value
-	removed map[string]time.Time // by value, when it was removed; zero: it is in the set
+	values map[string]recentValue
+	// unknownUntil is when the values of the time before this host started, or while it was suspended, no
+	// longer matter.
+	unknownUntil time.Time
+}
+
+type recentValue struct {
+	removedAt time.Time // zero: it is in the set
+	// isInherited is true for a value of the hosts before. The records of its streams may be lost, also
+	// of those that live for longer than streamLifetime.
+	isInherited bool
+}
+
+// isPossible reports whether streams with the value may still live, apart from recorded ones.
+func (v recentValue) isPossible(now time.Time) bool {
+	lifetime := streamLifetime
+	if v.isInherited {
+		lifetime = maxLifetime
+	}
+	return v.removedAt.IsZero() || now.Sub(v.removedAt) < lifetime
 }
 
-func (r *recentValues) add(value string, now time.Time) {
-	if r.removed == nil {
-		r.removed, r.since = map[string]time.Time{}, now
+func newRecentValues(unknownUntil time.Time) *recentValues {
+	return &recentValues{values: map[string]recentValue{}, unknownUntil: unknownUntil}
+}
+
+func (r *recentValues) add(value string) { r.values[value] = recentValue{} }
+
+// inherit adds a value that the hosts before knew, unless the set holds it.
+func (r *recentValues) inherit(value string, now time.Time) {
+	if known, ok := r.values[value]; !ok || !known.removedAt.IsZero() {
+		r.values[value] = recentValue{removedAt: now, isInherited: true}
 	}
-	r.removed[value] = time.Time{}
 }
 
-// remove removes a value. The last one stays: as long as there is no other, it is the only one that
-// streams can have.
 func (r *recentValues) remove(value string, now time.Time) {
-	if _, ok := r.removed[value]; ok {
-		r.removed[value] = now
+	if known, ok := r.values[value]; ok && known.removedAt.IsZero() {
+		r.values[value] = recentValue{removedAt: now}
 	}
 }
 
-// only returns the only value of streams that may still live.
-func (r *recentValues) only(now time.Time) (value string, kind viewKind) {
-	maps.DeleteFunc(r.removed, func(_ string, at time.Time) bool {
-		return len(r.removed) > 1 && !at.IsZero() && now.Sub(at) >= streamLifetime
+// trim drops the values that were removed long ago. The one removed last stays if there is no other:
+// it is the only one that streams can have.
+func (r *recentValues) trim(now time.Time) {
+	last := r.lastRemoved()
+	hasOther := slices.ContainsFunc(slices.Collect(maps.Values(r.values)), func(v recentValue) bool { return v.removedAt.IsZero() })
+	maps.DeleteFunc(r.values, func(value string, v recentValue) bool {
+		return !v.removedAt.IsZero() && now.Sub(v.removedAt) >= maxLifetime && (hasOther || value != last)
 	})
-	for value = range r.removed {
-		break
+}
+
+func (r *recentValues) lastRemoved() (last string) {
+	for value, v := range r.values {
+		if last == "" || v.removedAt.After(r.values[last].removedAt) {
+			last = value
+		}
+	}
+	return last
+}
+
+// only returns the only value of streams that may still live. With viewUnknown, it is the only one known.
+func (r *recentValues) only(now time.Time) (value string, kind viewKind) {
+	possible := 0
+	for candidate, v := range r.values {
+		if v.isPossible(now) {
+			value = candidate
+			possible++
+		}
+	}
+	if possible == 0 {
+		value = r.lastRemoved()
 	}
 	switch {
-	case len(r.removed) > 1:
+	case possible > 1:
 		return "", viewSeveral
-	case len(r.removed) == 0 || now.Sub(r.since) < streamLifetime:
+	case len(r.values) == 0 || now.Before(r.unknownUntil):
 		return value, viewUnknown
 	default:
 		return value, viewSingle
 	}
 }
 
+// sorted returns the values in order.
+func (r *recentValues) sorted() []string { return slices.Sorted(maps.Keys(r.values)) }
+
 // views determines the views of all classes from the configuration and the list of endpoints.
 type views struct {
 	classes   map[string]*recentValues // applications by class
 	versions  map[string]*recentValues // software versions by application
 	endpoints map[string]Origin        // by id
 	counts    map[Origin]int           // listed endpoints
+
+	// awaitsHistory is true until setHistory, if it is going to be called.
+	awaitsHistory bool
+	hasHistory    bool // the history is known, and has not been used yet
+	hasClasses    bool
+	hasEndpoints  bool
 }
 
-func newViews() views {
+func newViews(awaitsHistory bool) views {
 	return views{
 		classes: map[string]*recentValues{}, versions: map[string]*recentValues{}, endpoints: map[string]Origin{}, counts: map[Origin]int{},
+		awaitsHistory: awaitsHistory,
 	}
 }
 
-// setClass sets the applications that serve a class.
-func (v *views) setClass(class string, applications []string, now time.Time) {
-	r := v.classes[class]
+// setOf returns the set of a key, which it adds if there is none.
+func (v *views) setOf(sets map[string]*recentValues, key string, now time.Time) *recentValues {
+	r := sets[key]
 	if r == nil {
-		r = &recentValues{}
-		v.classes[class] = r
+		unknownTime := streamLifetime
+		if v.awaitsHistory {
+			unknownTime = maxLifetime
+		}
+		r = newRecentValues(now.Add(unknownTime))
+		sets[key] = r
 	}
-	for value, removedAt := range r.removed {
-		if removedAt.IsZero() {
-			r.remove(value, now)
+	return r
+}
+
+// setHistory adds what other hosts knew; nil: there were none, or they kept nothing.
+func (v *views) setHistory(history *History, now time.Time) {
+	isFirst := v.awaitsHistory
+	v.awaitsHistory = false
+	if history == nil {
+		if isFirst {
+			for _, r := range v.sets() {
+				r.unknownUntil = r.unknownUntil.Add(streamLifetime - maxLifetime)
+			}
 		}
+		return
+	}
+	v.hasHistory = isFirst
+	for class, applications := range history.Classes {
+		for _, application := range applications {
+			v.setOf(v.classes, class, now).inherit(application, now)
+		}
+	}
+	for application, versions := range history.Versions {
+		for _, version := range versions {
+			v.setOf(v.versions, application, now).inherit(version, now)
+		}
+	}
+	v.useHistory()
+}
+
+// useHistory ends the time for which the views are unknown, once the platform's present state is known as well.
+func (v *views) useHistory() {
+	if !v.hasHistory || !v.hasClasses || !v.hasEndpoints {
+		return
+	}
+	v.hasHistory = false
+	for _, r := range v.sets() {
+		r.unknownUntil = time.Time{}
+	}
+}
+
+func (v *views) sets() []*recentValues {
+	return slices.AppendSeq(slices.Collect(maps.Values(v.classes)), maps.Values(v.versions))
+}
+
+// history returns the values of streams that may still live.
+func (v *views) history(now time.Time) History {
+	collect := func(sets map[string]*recentValues) map[string][]string {
+		values := make(map[string][]string, len(sets))
+		for key, r := range sets {
+			r.trim(now)
+			values[key] = r.sorted()
+		}
+		return values
+	}
+	return History{Classes: collect(v.classes), Versions: collect(v.versions)}
+}
+
+// setClass sets the applications that serve a class.
+func (v *views) setClass(class string, applications []string, now time.Time) {
+	r := v.setOf(v.classes, class, now)
+	for value := range r.values {
+		r.remove(value, now)
 	}
 	for _, application := range applications {
-		r.add(application, now)
+		r.add(application)
 	}
+	r.trim(now)
 }
 
 // trim drops the classes that a configuration no longer has, and the applications that neither
@@ -124,12 +250,9 @@
 	v.removeEndpoint(id, now)
 	v.endpoints[id] = origin
 	v.counts[origin]++
-	r := v.versions[origin.Application]
-	if r == nil {
-		r = &recentValues{}
-		v.versions[origin.Application] = r
-	}
-	r.add(origin.SoftwareVersion, now)
+	r := v.setOf(v.versions, origin.Application, now)
+	r.add(origin.SoftwareVersion)
+	r.trim(now)
 }
 
 func (v *views) removeEndpoint(id string, now time.Time) {
@@ -146,9 +269,9 @@
 
 // restart makes all views unknown for streamLifetime, unless there are several origins.
 func (v *views) restart(now time.Time) {
-	for _, group := range []map[string]*recentValues{v.classes, v.versions} {
-		for _, r := range group {
-			r.since = now
+	for _, r := range v.sets() {
+		if until := now.Add(streamLifetime); until.After(r.unknownUntil) {
+			r.unknownUntil = until
 		}
 	}
 }
@@ -161,8 +284,11 @@
 	}
 	application, kind := applications.only(now)
 	versions := v.versions[application]
-	if kind == viewSeveral || versions == nil {
-		return view{kind: kind}
+	switch {
+	case kind == viewSeveral:
+		return view{kind: viewSeveral}
+	case versions == nil:
+		return view{}
 	}
 	version, versionKind := versions.only(now)
 	switch {
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/endivemast/endivemast/internal/exchanger"
 	"github.com/endivemast/endivemast/internal/exitverifier"
 	"github.com/endivemast/endivemast/internal/follower"
+	"github.com/endivemast/endivemast/internal/historian"
 	"github.com/endivemast/endivemast/internal/leaser"
 	"github.com/endivemast/endivemast/internal/lister"
 	"github.com/endivemast/endivemast/internal/meter"
@@ -150,6 +151,7 @@
 	paths         *pathwatcher.Watcher
 	peerForwarder *peerforwarder.Forwarder
 	streams       *streamkeeper.Keeper
+	historian     *historian.Historian
 	shedder       *shedder.Shedder
 	shedLoggedAt  time.Time // used by tick only
 	limiter       *ratelimiter.Limiter
@@ -288,6 +290,7 @@
 	g.group.Go(func() error { return g.leaser.Run(g.ctx) })
 	g.group.Go(func() error { return g.rebalancer.Run(g.ctx) })
 	g.group.Go(func() error { return g.attester.Run(g.ctx) })
+	g.group.Go(func() error { return g.historian.Run(g.ctx) })
 	g.startDuties()
 	g.group.Go(g.tick)
 	g.group.Go(g.fetchLostConfigurations)
--- a/pkg/endivemast/gateway_streams.go
+++ b/pkg/endivemast/gateway_streams.go
@@ -8,6 +8,7 @@
 	"github.com/endivemast/endivemast/internal/classifier"
 	"github.com/endivemast/endivemast/internal/configurer"
 	"github.com/endivemast/endivemast/internal/exchanger"
+	"github.com/endivemast/endivemast/internal/historian"
 	"github.com/endivemast/endivemast/internal/lister"
 	"github.com/endivemast/endivemast/internal/streamkeeper"
 )
@@ -21,10 +22,15 @@
 func (g *Gateway) buildStreams() {
 	g.streams = streamkeeper.New(streamkeeper.Config{
 		HostID: g.cfg.HostID, Zone: g.cfg.Zone, Clock: g.cfg.Clock.Now, Meter: g.meter, Logger: g.cfg.Logger.Named("streamkeeper"),
-		Conn:      func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
-		IsCurrent: func() bool { return g.follower.StoreUnreachableFor() == 0 },
+		Conn:          func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
+		IsCurrent:     func() bool { return g.follower.StoreUnreachableFor() == 0 },
+		AwaitsHistory: true,
 	})
 	g.streams.Register(g.exchanger.Registrar())
+	g.historian = historian.New(historian.Config{
+		Store: g.cfg.Store, Keeper: g.streams, IsWriter: func() bool { return g.exchanger.IsAmongFirstHubs(1) },
+		Logger: g.cfg.Logger.Named("historian"),
+	})
 }
 
 // updateKeepers sets which hosts may keep streams: some of each zone, the same ones at all hosts.
