--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -44,7 +44,7 @@
 	Status int
 	Header http.Header // end-to-end headers
 	Length int64       // of the body; -1: not known
-	// SaysNotRun is true if the status tells callers that the request has not run, while the endpoint has not
+	// SaysNotRun is true if the status promises callers that the request has not run, while the endpoint has not
 	// stated that.
 	SaysNotRun bool
 	// Body ends with io.EOF only if the answer is complete. Closing it earlier cancels the
--- a/internal/driver/run_state.go
+++ b/internal/driver/run_state.go
@@ -3,7 +3,7 @@
 import "errors"
 
 // RunState states whether an endpoint has run a call that failed. Only after RunNotSent and RunRefused
-// may a call that is not idempotent be sent again, or its caller be told that it has not run.
+// may a call that is not idempotent be sent again, or be reported as not run to its caller.
 type RunState string
 
 // Run states.
