--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -155,6 +155,7 @@
 
 func (f *Follower) followStore(ctx context.Context) error {
 	pause := minRetryDelay
+	var resetAt time.Time
 	for ctx.Err() == nil {
 		err := f.readAndWatch(ctx)
 		switch {
@@ -164,6 +165,11 @@
 			// The missed changes are unknown, so all keys are read again.
 			f.cfg.Logger.Info("store has compacted its history; reading all keys again", "revision", f.knownRevision(), "error", err)
 			f.reset()
+			isRepeated := time.Since(resetAt) < maxRetryDelay
+			resetAt = time.Now()
+			if isRepeated && !wait(ctx, maxRetryDelay) {
+				return nil
+			}
 			continue
 		case errors.Is(err, provider.ErrWatchSourceChanged) || errors.Is(err, errResumed) || errors.Is(err, errIsolated):
 			f.setWatchMoved(true)
