Streams that callers do not name have no record

Seen: the soak of software versions, new with all hosts killed at the same moment and with callers that take streams up without Resumes.

Cause: a record is found by class, tenant and the id that the caller names. A stream that was taken up without a name was recorded under the empty one, and all other unnamed streams of its class and tenant were then bound to its version.

Change: nothing is recorded for them. They go on only while streams can have one origin.

Measured: TestUnnamedStreams failed before, and passes.

--- a/internal/streamkeeper/restart_test.go
+++ b/internal/streamkeeper/restart_test.go
@@ -84,3 +84,22 @@
 		assert.DeepEqual(t, k.History().Versions, map[string][]string{"llm": {"v2"}}) // streams have no other
 	})
 }
+
+// TestUnnamedStreams guards against streams whose callers don't name them and that are taken for one another.
+func TestUnnamedStreams(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, sixHosts...)
+		time.Sleep(streamLifetime)
+		got, err := g.keepers["a1"].Find(t.Context(), stream(""))
+		assert.NilError(t, err)
+		assert.Equal(t, got, v1) // there is no other
+		g.keepers["a1"].Begin(stream(""), v1, time.Minute)
+		g.all(func(k *Keeper) { k.UpdateEndpoints(map[string]Origin{"e2": v2}, nil, false) })
+		time.Sleep(2 * sendDelay)
+		for _, id := range []string{"a1", "c2"} {
+			_, err = g.keepers[id].Find(t.Context(), stream(""))
+			assert.ErrorIs(t, err, ErrUnknown)
+		}
+	})
+}
--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -205,8 +205,11 @@
 }
 
 // Begin records the origin of a stream, whose caller may take it up for the given time; 0: not
-// known. It does not block.
+// known. It does not block. A stream without a RequestID is not recorded: all those would be one.
 func (k *Keeper) Begin(stream *Stream, origin Origin, lifetime time.Duration) {
+	if stream.RequestID == "" {
+		return
+	}
 	isLong := lifetime <= 0 || lifetime >= streamLifetime
 	if lifetime <= 0 || lifetime > maxLifetime {
 		lifetime = maxLifetime
