A host that has just started does not take an inherited version for one that serves

A host that starts within two minutes of a release inherits the old version, and took it for a second one that streams may have: its lookups of streams without a record failed for up to two minutes, although hosts that have been running for longer know that one version is left. And a history that was read again prolonged the time of the versions in it.

Change: an inherited version makes a host's view unknown, so that the others' decide; what a host knows itself goes before what it inherits. A watch whose answers go on being too long waits before the state is dropped, not after.

Measured: TestHostRestartsAfterARelease failed before, and passes; TestHistory reads the history again. Tests of streamkeeper, historian and follower, and of streams in platform, pass.

--- a/internal/driver/run_state.go
+++ b/internal/driver/run_state.go
@@ -13,8 +13,9 @@
 	RunPossible RunState = "may_have_run"
 )
 
-// RunStateOf returns the run state of an error of a Driver, and RunPossible for nil. An error that reports several outcomes, such as one
-// whose cause is the error of another call, counts as RunPossible if one of them allows a run.
+// RunStateOf returns the run state of an error of a Driver, and RunPossible for nil. An error that
+// reports several outcomes, such as one whose cause is the error of another call, counts as
+// RunPossible if one of them allows a run.
 func RunStateOf(err error) RunState {
 	for _, possible := range []error{ErrOutcomeUnknown, ErrMismatchedAnswer, ErrFailed} {
 		if errors.Is(err, possible) {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -164,12 +164,11 @@
 		case errors.Is(err, provider.ErrCompacted):
 			// The missed changes are unknown, so all keys are read again.
 			f.cfg.Logger.Info("store has compacted its history; reading all keys again", "revision", f.knownRevision(), "error", err)
-			f.reset()
-			isRepeated := time.Since(resetAt) < maxRetryDelay
-			resetAt = time.Now()
-			if isRepeated && !wait(ctx, maxRetryDelay) {
+			if time.Since(resetAt) < maxRetryDelay && !wait(ctx, maxRetryDelay) {
 				return nil
 			}
+			resetAt = time.Now()
+			f.reset()
 			continue
 		case errors.Is(err, provider.ErrWatchSourceChanged) || errors.Is(err, errResumed) || errors.Is(err, errIsolated):
 			f.setWatchMoved(true)
--- a/internal/streamkeeper/doc.go
+++ b/internal/streamkeeper/doc.go
@@ -10,6 +10,9 @@
 // endpoints have had the same software version for longer than a stream can live. As soon as there
 // is a second one, a host records the streams that it has begun before.
 //
+// A host that has just started does not know what streams of before may have begun at. It gets that
+// from hosts that have been running for longer, and from History, which is kept outside of all hosts.
+//
 // A host that can't determine the origin doesn't guess: what two versions write does not fit
 // together.
 //
@@ -17,8 +20,9 @@
 //
 //	k := streamkeeper.New(streamkeeper.Config{...})
 //	k.Register(ex.Registrar())
-//	k.SetRules(rules); k.UpdateEndpoints(endpoints, removed); k.SetHosts(hosts)
+//	k.SetClasses(classes); k.UpdateEndpoints(endpoints, removed, isSnapshot); k.SetHosts(hosts)
+//	k.SetHistory(&history)
 //
-//	k.Begin(streamkeeper.Stream{Class: "letters", RequestID: id}, origin, until)
-//	origin, err := k.Find(ctx, streamkeeper.Stream{Class: "letters", RequestID: resumes})
+//	k.Begin(&streamkeeper.Stream{Class: "letters", RequestID: id}, origin, lifetime)
+//	origin, err := k.Find(ctx, &streamkeeper.Stream{Class: "letters", RequestID: resumes})
 package streamkeeper
--- a/internal/streamkeeper/restart_test.go
+++ b/internal/streamkeeper/restart_test.go
@@ -77,9 +77,12 @@
 		assert.DeepEqual(t, k.History(), both)
 		time.Sleep(maxLifetime - time.Second)
 		assert.DeepEqual(t, k.History(), both)
+		k.SetHistory(&both)
 		time.Sleep(time.Second)
 		assert.DeepEqual(t, k.History().Versions, map[string][]string{"llm": {"v2"}})
 		k.UpdateEndpoints(nil, []string{"e2"}, false)
+		time.Sleep(maxLifetime / 2)
+		k.SetHistory(&both) // of another host that has written it
 		time.Sleep(2 * maxLifetime)
 		assert.DeepEqual(t, k.History().Versions, map[string][]string{"llm": {"v2"}}) // streams have no other
 	})
@@ -103,3 +106,25 @@
 		}
 	})
 }
+
+// TestHostRestartsAfterARelease guards against streams that are refused since a host that has just started inherits a version
+// that no longer matters.
+func TestHostRestartsAfterARelease(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, sixHosts...)
+		time.Sleep(streamLifetime)
+		g.all(func(k *Keeper) { k.UpdateEndpoints(map[string]Origin{"e2": v2}, []string{"e1"}, false) })
+		time.Sleep(2 * streamLifetime)
+		history := g.keepers["a1"].History()
+		assert.DeepEqual(t, history.Versions["llm"], []string{"v1", "v2"})
+		g.listed, g.awaitsHistory = map[string]Origin{"e2": v2}, true
+		g.start(Host{"c2", "c"})
+		g.keepers["c2"].SetHistory(&history)
+		for _, id := range []string{"c2", "b1"} {
+			got, err := g.keepers[id].Find(t.Context(), stream("not recorded, since there is one version"))
+			assert.NilError(t, err)
+			assert.Equal(t, got, v2)
+		}
+	})
+}
--- a/internal/streamkeeper/view.go
+++ b/internal/streamkeeper/view.go
@@ -68,9 +68,9 @@
 
 func (r *recentValues) add(value string) { r.values[value] = recentValue{} }
 
-// inherit adds a value that the hosts before knew, unless the set holds it.
+// inherit adds a value that other hosts know, unless this one knows it.
 func (r *recentValues) inherit(value string, now time.Time) {
-	if known, ok := r.values[value]; !ok || !known.removedAt.IsZero() {
+	if _, ok := r.values[value]; !ok {
 		r.values[value] = recentValue{removedAt: now, isInherited: true}
 	}
 }
@@ -91,31 +91,44 @@
 	})
 }
 
+// lastRemoved returns the value removed last, and one that was inherited only if there is no other.
 func (r *recentValues) lastRemoved() (last string) {
 	for value, v := range r.values {
-		if last == "" || v.removedAt.After(r.values[last].removedAt) {
+		known, ok := r.values[last]
+		isLater := v.isInherited == known.isInherited && v.removedAt.After(known.removedAt)
+		if !ok || known.isInherited && !v.isInherited || isLater {
 			last = value
 		}
 	}
 	return last
 }
 
-// only returns the only value of streams that may still live. With viewUnknown, it is the only one known.
+// only returns the only value of streams that may still live. With viewUnknown, it is the only one that
+// this host knows itself, if any. When an inherited value was removed is not known, so that a second value of this
+// kind makes the result unknown: hosts that have been running for longer may know that it no longer matters.
 func (r *recentValues) only(now time.Time) (value string, kind viewKind) {
-	possible := 0
+	var own, inherited []string
 	for candidate, v := range r.values {
-		if v.isPossible(now) {
-			value = candidate
-			possible++
+		switch {
+		case !v.isPossible(now):
+		case v.isInherited:
+			inherited = append(inherited, candidate)
+		default:
+			own = append(own, candidate)
 		}
 	}
-	if possible == 0 {
+	switch {
+	case len(own) > 0:
+		value = own[0]
+	case len(inherited) > 0:
+		value = inherited[0]
+	default:
 		value = r.lastRemoved()
 	}
 	switch {
-	case possible > 1:
+	case len(own) > 1:
 		return "", viewSeveral
-	case len(r.values) == 0 || now.Before(r.unknownUntil):
+	case len(own)+len(inherited) > 1 || len(r.values) == 0 || now.Before(r.unknownUntil):
 		return value, viewUnknown
 	default:
 		return value, viewSingle
@@ -134,9 +147,10 @@
 
 	// awaitsHistory is true until setHistory, if it is going to be called.
 	awaitsHistory bool
-	hasHistory    bool // the history is known, and has not been used yet
-	hasClasses    bool
-	hasEndpoints  bool
+	// hasUnusedHistory is true from setHistory until useHistory.
+	hasUnusedHistory bool
+	hasClasses       bool
+	hasEndpoints     bool
 }
 
 func newViews(awaitsHistory bool) views {
@@ -172,7 +186,7 @@
 		}
 		return
 	}
-	v.hasHistory = isFirst
+	v.hasUnusedHistory = isFirst
 	for class, applications := range history.Classes {
 		for _, application := range applications {
 			v.setOf(v.classes, class, now).inherit(application, now)
@@ -188,10 +202,10 @@
 
 // useHistory ends the time for which the views are unknown, once the platform's present state is known as well.
 func (v *views) useHistory() {
-	if !v.hasHistory || !v.hasClasses || !v.hasEndpoints {
+	if !v.hasUnusedHistory || !v.hasClasses || !v.hasEndpoints {
 		return
 	}
-	v.hasHistory = false
+	v.hasUnusedHistory = false
 	for _, r := range v.sets() {
 		r.unknownUntil = time.Time{}
 	}
