A prefill that was not sent costs no repeat

It was charged to the repeat budget, and requests were refused for it.

Change: a failed prefill that was not sent counts as not sent.

Measured: TestRepeatAfterAPrefillThatWasNotSent failed before in one of four cases, and passes.

--- a/internal/dispatcher/forwarded_repeat.go
+++ b/internal/dispatcher/forwarded_repeat.go
@@ -66,8 +66,11 @@
 // runStateOf returns the run state of a request after an attempt that failed with err.
 func runStateOf(err error) driver.RunState {
 	var atPeer *PeerError
+	var failedPrefill *prefillError
 	switch {
-	case errors.As(err, new(*prefillError)):
+	case errors.As(err, &failedPrefill) && driver.RunStateOf(failedPrefill.cause) == driver.RunNotSent:
+		return driver.RunNotSent
+	case failedPrefill != nil:
 		return driver.RunRefused
 	case errors.As(err, &atPeer) && atPeer.Outcome.Failure != nil && atPeer.Outcome.Failure.Outcome == OutcomeNotRun:
 		return driver.RunRefused
--- a/internal/dispatcher/repeat_budget_test.go
+++ b/internal/dispatcher/repeat_budget_test.go
@@ -113,3 +113,24 @@
 		})
 	}
 }
+
+// TestRepeatAfterAPrefillThatWasNotSent guards against repeats that are charged although no endpoint has received anything.
+func TestRepeatAfterAPrefillThatWasNotSent(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		err    error
+		isFree bool
+	}{
+		"prefill, connection refused": {&prefillError{cause: driver.ErrConnectionRefused}, true},
+		"prefill, refused":            {&prefillError{cause: driver.ErrBusy}, false},
+		"send, connection refused":    {driver.ErrConnectionRefused, true},
+		"send, refused":               {driver.ErrBusy, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fr := &forwardedRequest{request: &OpaqueRequest{}, repeatBudget: newRepeatBudget(0, 0, time.Second, time.Now)}
+			assert.Equal(t, fr.mayRepeat(test.err), test.isFree)
+			assert.Assert(t, !mayHaveRun(test.err))
+		})
+	}
+}
