Failing test: a peer that is lost may have made more runs than are counted

Cause, by reading: a host that loses a peer counts one run; the peer may make as many as the class allows.

--- a/internal/dispatcher/peer_test.go
+++ b/internal/dispatcher/peer_test.go
@@ -123,3 +123,26 @@
 		})
 	}
 }
+
+// TestLostPeerMayRunMoreThanIsCounted guards against requests that run on more endpoints than they may, as a peer that is lost has
+// made more than one attempt.
+func TestLostPeerMayRunMoreThanIsCounted(t *testing.T) {
+	t.Parallel()
+	const maxAttempts = 2
+	peers := &scriptedPeers{isPreferred: true, errs: []error{driver.ErrOutcomeUnknown}}
+	f := NewForwarder(ForwarderConfig{
+		Scheduler: &stubScheduler{}, Driver: &scriptedForwarder{}, Meter: nopMeter{}, Logger: hclog.NewNullLogger(),
+		RepeatShare: 1, RepeatReserve: 100, RepeatWindow: time.Second, Peers: peers,
+	})
+	request := OpaqueRequest{ID: "r", Arrived: time.Now(), Class: classifier.Class{
+		Class: configurer.Class{Kind: configurer.KindCall, Repeatable: true}, MaxAttempts: maxAttempts,
+		Shares: []classifier.Share{{Application: "letters", Weight: 1}},
+	}}
+	assert.NilError(t, f.Forward(t.Context(), request, discardWriter{}))
+	runs := 0 // that the peers may make
+	for i := range peers.requests {
+		runs += maxAttempts - peers.requests[i].Origin.Runs
+	}
+	assert.Check(t, runs <= maxAttempts, "%d peers may make %d runs", len(peers.requests), runs)
+	assert.NilError(t, f.Close())
+}
