A leaser that is closed before it runs reports no error

Cause: Run starts in a goroutine, and took an earlier Close for a second Run. Now it returns at once, without a call to the store. TestRunAfterCloseIsNoError failed before with that error.

--- a/internal/leaser/leaser.go
+++ b/internal/leaser/leaser.go
@@ -160,11 +160,12 @@
 	return nil
 }
 
-// Run acquires and keeps the authority until ctx ends or the Leaser is stopped. It
-// may be called only once, and keeps running while the store is unavailable.
+// Run acquires and keeps the authority until ctx ends or the Leaser is stopped, and
+// returns at once if it has been stopped already. It may be called only once, and
+// keeps running while the store is unavailable.
 func (l *Leaser) Run(ctx context.Context) (err error) {
 	if !l.start() {
-		return eris.New("leaser is already running or stopped")
+		return eris.New("leaser is already running")
 	}
 	defer close(l.runEnded)
 	for ctx.Err() == nil && !l.isStopped() {
@@ -176,7 +177,7 @@
 func (l *Leaser) start() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.running || l.stopped {
+	if l.running {
 		return false
 	}
 	l.running = true
--- a/internal/leaser/leaser_test.go
+++ b/internal/leaser/leaser_test.go
@@ -252,6 +252,15 @@
 	b.ReportMetric(float64(s.writes.Load()-writes)/float64(b.N), "writes/op")
 }
 
+func TestRunAfterCloseIsNoError(t *testing.T) {
+	s := newStore(t)
+	l, err := leaser.New(leaser.Config{Zone: "zone", HostID: "a", Incarnation: "a", Store: s})
+	assert.NilError(t, err)
+	assert.NilError(t, l.Close())
+	assert.NilError(t, l.Run(t.Context()))
+	assert.Equal(t, s.reads.Load()+s.writes.Load(), int64(0))
+}
+
 // BenchmarkIdleZone counts the calls of a holder and two candidates. One operation
 // is one lease renewal.
 func BenchmarkIdleZone(b *testing.B) {
