A host that is closed right after its start reports no error of its peer protocol

Cause: Start serves in a goroutine; where Close stops the server before that goroutine runs, Serve returns grpc.ErrServerStopped, which Close passed on. That case is the end that Close asks for. Other errors of Serve are still returned.

--- a/internal/exchanger/exchanger.go
+++ b/internal/exchanger/exchanger.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -225,11 +226,20 @@
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	ex.group = &errgroup.Group{}
-	ex.group.Go(func() error { return ex.server.Serve(ex.cfg.Listener) })
+	ex.group.Go(ex.serve)
 	ex.runPublishersLocked()
 	ex.group.Go(func() error { return ex.expirePeers(ex.ctx) })
 }
 
+// serve serves peers until Close.
+func (ex *Exchanger) serve() error {
+	err := ex.server.Serve(ex.cfg.Listener)
+	if errors.Is(err, grpc.ErrServerStopped) {
+		return nil // Close was called before Serve
+	}
+	return err
+}
+
 // Close stops the server, closes the connections and waits for all goroutines.
 func (ex *Exchanger) Close() (err error) {
 	defer func() { err = eris.Wrap(err, "close peer protocol") }()
--- a/internal/exchanger/exchanger_test.go
+++ b/internal/exchanger/exchanger_test.go
@@ -131,6 +131,17 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
+func TestCloseRightAfterStartIsNoError(t *testing.T) {
+	for range 200 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		ex, err := New(Config{HostID: "a", Zone: "z", Listener: listener, Logger: hclog.NewNullLogger()}, newLocal())
+		assert.NilError(t, err)
+		ex.Start()
+		assert.NilError(t, ex.Close())
+	}
+}
+
 func TestPeersReceiveDifferencesAndExpire(t *testing.T) {
 	locals, exchangers := startPair(t, "secret")
 	locals[0].setOwn(map[string]Load{"e1": {Requests: 2}, "e2": {DecodeTokens: 9}})
