Requests that are passed to a peer have a line when they are passed

Open point of the incident's postmortem: a sender that was killed after it had passed a request on left only the peer's line, so that the hosts' logs could not show both arrivals of a request that ran twice. The line "request passed to peer" names the peer, the runs and sends before, and why it was passed. It has a limit of its own (60 a second), so that a host without a path to endpoints does not lose its lines about failures or about requests that were served.

No change of logic.

--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -269,6 +269,7 @@
 	ctx, attempt := fr.beginAttempt(ctx)
 	defer attempt.end()
 	attempt.setPeer(hostID, fr.mayAbandon())
+	fr.forwarder.requestLog.logPass(fr, hostID, request)
 	answer, err := fr.forwarder.cfg.Peers.Forward(ctx, hostID, request)
 	fr.triedPeers = append(fr.triedPeers, hostID)
 	fr.dropCache()
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -25,6 +25,10 @@
 	// failures.
 	servedLogRate  = 60
 	servedLogBurst = 60
+	// passLogRate is the maximum number of log lines per second about requests that are passed to
+	// peers. A host without a path to endpoints passes on all its requests.
+	passLogRate  = 60
+	passLogBurst = 60
 )
 
 // requestLogger writes log lines about requests: one for each decision on a request that wasn't
@@ -34,6 +38,7 @@
 	storeUnreachableFor func() time.Duration
 	failureLimiter      *rate.Limiter // of lines about failures and repeats
 	servedLimiter       *rate.Limiter // of lines about requests served by their first send
+	passLimiter         *rate.Limiter // of lines about requests that are passed to peers
 	droppedLines        counter       // lines omitted since the last one that was written
 }
 
@@ -41,7 +46,10 @@
 	if storeUnreachableFor == nil {
 		storeUnreachableFor = func() time.Duration { return 0 }
 	}
-	return &requestLogger{logger: logger, storeUnreachableFor: storeUnreachableFor, failureLimiter: rate.NewLimiter(failureLogRate, failureLogBurst), servedLimiter: rate.NewLimiter(servedLogRate, servedLogBurst)}
+	return &requestLogger{
+		logger: logger, storeUnreachableFor: storeUnreachableFor, failureLimiter: rate.NewLimiter(failureLogRate, failureLogBurst),
+		servedLimiter: rate.NewLimiter(servedLogRate, servedLogBurst), passLimiter: rate.NewLimiter(passLogRate, passLogBurst),
+	}
 }
 
 // write writes a line within the rate limit for failures. The number of omitted lines is added to
@@ -92,6 +100,12 @@
 	l.write(hclog.Info, "attempt failed", fr, append(args, l.listEntryArgs(&basis)...)...)
 }
 
+// logPass logs that a request is passed to a peer.
+func (l *requestLogger) logPass(fr *forwardedRequest, hostID string, request *PeerRequest) {
+	l.writeLimited(l.passLimiter, hclog.Info, "request passed to peer", fr, "peer", hostID, "sends", fr.sends, "runs", fr.runs,
+		"is_refused", request.IsRefused, "failed_connections", fr.failedConnections, "tried_peers", request.Excluded)
+}
+
 // logFailedPeerAttempt logs a request that a peer could not serve.
 func (l *requestLogger) logFailedPeerAttempt(fr *forwardedRequest, hostID string, err error) {
 	args := []any{"peer", hostID, "error", err.Error(), "run_state", runStateOf(err), "sends", fr.sends, "may_have_run", fr.runs > 0}
