A peer asks before each run of a request but the first

Cause: a host that loses a peer counted one run of the request that it had passed there, while the peer may make as many as the class allows. The two hosts together made more.

Change: the peer asks the host of the caller (RequestRun) before each run but the first. The host counts the run before it allows it, allows none once the attempt at the peer has ended, and counts what was allowed when the peer is lost without a report. A peer that gets no answer makes no further run. The question costs a round trip, only where a request is repeated at a peer. Considered instead: count the most that the peer may have made (no repeat after the loss of a peer, for any request), or one run for each pass (a host that reaches endpoints through one peer only would have no repeat at all). Hosts of earlier builds send no pass id and are not asked; they do not ask. The call is apart from the stream of the request, whose end earlier builds wait for.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -54,11 +54,13 @@
 
 	charge Charge // against its tenant's limit
 
-	sends    int            // calls sent to an endpoint, without prefills
-	runs     int            // number of sends that may have run
-	prefills int            // prefills that an engine accepted
-	sentTo   map[string]int // sends and prefills by the address of the endpoint
-	excluded []string
+	sends int // calls sent to an endpoint, without prefills
+	runs  int // number of sends that may have run
+	// allowedRuns is how many runs the host that passed this request on allows here.
+	allowedRuns int
+	prefills    int            // prefills that an engine accepted
+	sentTo      map[string]int // sends and prefills by the address of the endpoint
+	excluded    []string
 	// failedConnections is the number of attempts in which no connection to the endpoint could
 	// be opened.
 	failedConnections int
@@ -104,7 +106,7 @@
 
 func newForwardedRequest(f *Forwarder, request *OpaqueRequest, writer AnswerWriter) *forwardedRequest {
 	fr := &forwardedRequest{
-		forwarder: f, request: request, writer: writer, lastEventID: request.ResumeAfter, identity: identityOf(request),
+		forwarder: f, request: request, writer: writer, lastEventID: request.ResumeAfter, identity: identityOf(request), allowedRuns: 1,
 		suspendedBefore: f.cfg.SuspendedTime(),
 	}
 	if origin := request.Origin; origin != nil {
@@ -171,7 +173,7 @@
 		if err == nil {
 			return nil
 		}
-		if ctx.Err() == nil && fr.mayRepeat(err) {
+		if ctx.Err() == nil && fr.mayRepeat(err) && fr.isRunAllowed(ctx) {
 			fr.forwarder.cfg.Meter.CountRetry(fr.request.Class.Name)
 			fr.forwarder.requestLog.logRepeat(fr)
 			continue
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/configurer"
@@ -78,6 +79,9 @@
 	IsHeaderSent bool
 	// SoftwareVersion is that at which the stream began; empty: it has not begun.
 	SoftwareVersion string
+	// RequestRun asks that host before each run but the first; nil: as many runs as the class
+	// allows.
+	RequestRun func(ctx context.Context) error
 }
 
 // PeerRequest is a request to pass to a peer.
@@ -91,6 +95,9 @@
 	// IsRefused is true if this host's scheduler has refused the request for lack of capacity.
 	// Hosts with the same endpoints would refuse it too.
 	IsRefused bool
+	// AllowRun reports whether the peer may run the request once more, and counts that run. It is
+	// safe for concurrent use. The first run needs no call.
+	AllowRun func() bool
 }
 
 // PeerAnswer is an answer that a peer relays. Its body ends with io.EOF only if the answer is
@@ -269,6 +276,15 @@
 	ctx, attempt := fr.beginAttempt(ctx)
 	defer attempt.end()
 	attempt.setPeer(hostID, fr.mayAbandon())
+	runs := newPeerRuns(fr)
+	request.AllowRun = func() bool {
+		allowed, ok := runs.allow()
+		if ok {
+			attempt.setPeer(hostID, allowed < runs.limit)
+		}
+		fr.forwarder.requestLog.logRunRequest(fr, hostID, allowed, ok)
+		return ok
+	}
 	fr.forwarder.requestLog.logPass(fr, hostID, request)
 	answer, err := fr.forwarder.cfg.Peers.Forward(ctx, hostID, request)
 	fr.triedPeers = append(fr.triedPeers, hostID)
@@ -276,7 +292,7 @@
 	if err == nil {
 		err = fr.forwardFromPeer(ctx, &answer)
 	}
-	fr.countPeerRuns(&answer, err)
+	fr.countPeerRuns(&answer, err, runs.end())
 	if err != nil {
 		fr.forwarder.requestLog.logFailedPeerAttempt(fr, hostID, err)
 	}
@@ -316,8 +332,46 @@
 
 func (noTokens) TokenReceived() {}
 
-// countPeerRuns counts what the peer has done with the request.
-func (fr *forwardedRequest) countPeerRuns(answer *PeerAnswer, err error) {
+// peerRuns counts the runs of a request that one peer may make. It is safe for concurrent use.
+type peerRuns struct {
+	limit int
+
+	mu      sync.Mutex
+	allowed int
+	isEnded bool
+}
+
+func newPeerRuns(fr *forwardedRequest) *peerRuns {
+	limit := 1
+	if fr.request.Class.Repeatable {
+		limit = max(fr.request.Class.MaxAttempts-fr.runs, 1)
+	}
+	return &peerRuns{limit: limit, allowed: 1}
+}
+
+// allow counts another run unless the limit is reached or the peer's attempt has ended. It returns
+// the number of allowed runs.
+func (r *peerRuns) allow() (allowed int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isEnded || r.allowed >= r.limit {
+		return r.allowed, false
+	}
+	r.allowed++
+	return r.allowed, true
+}
+
+// end allows no further run, and returns how many the peer may have made.
+func (r *peerRuns) end() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isEnded = true
+	return r.allowed
+}
+
+// countPeerRuns counts what the peer has done with the request. allowed is how often it may have run
+// if the peer has not said.
+func (fr *forwardedRequest) countPeerRuns(answer *PeerAnswer, err error, allowed int) {
 	var failed *PeerError
 	outcome, isKnown := PeerOutcome{}, false
 	if answer.Outcome != nil {
@@ -332,8 +386,8 @@
 		fr.runs = max(fr.runs, outcome.Runs)
 		fr.basis = scheduler.Basis{EndpointID: outcome.EndpointID}
 	case mayHaveRun(err):
-		fr.sends++
-		fr.runs++
+		fr.sends += allowed
+		fr.runs += allowed
 	}
 }
 
--- a/internal/dispatcher/peer_test.go
+++ b/internal/dispatcher/peer_test.go
@@ -21,9 +21,11 @@
 
 // scriptedPeers are peers p0, p1, … that answer in turn by errs, then completely.
 type scriptedPeers struct {
-	isPreferred bool
-	errs        []error
-	requests    []PeerRequest
+	isPreferred   bool
+	errs          []error
+	requestedRuns int // before each error
+	allowedRuns   int // of those
+	requests      []PeerRequest
 }
 
 func (p *scriptedPeers) IsPreferred(string) bool { return p.isPreferred }
@@ -40,6 +42,11 @@
 func (p *scriptedPeers) Forward(_ context.Context, hostID string, request *PeerRequest) (answer PeerAnswer, err error) {
 	p.requests = append(p.requests, *request)
 	if n := len(p.requests); n <= len(p.errs) && p.errs[n-1] != nil {
+		for range p.requestedRuns {
+			if request.AllowRun() {
+				p.allowedRuns++
+			}
+		}
 		return answer, p.errs[n-1]
 	}
 	answer = PeerAnswer{HostID: hostID, Outcome: func() (PeerOutcome, bool) { return PeerOutcome{IsComplete: true, Sends: 1, Runs: 1}, true }}
@@ -128,21 +135,82 @@
 // made more than one attempt.
 func TestLostPeerMayRunMoreThanIsCounted(t *testing.T) {
 	t.Parallel()
-	const maxAttempts = 2
-	peers := &scriptedPeers{isPreferred: true, errs: []error{driver.ErrOutcomeUnknown}}
-	f := NewForwarder(ForwarderConfig{
-		Scheduler: &stubScheduler{}, Driver: &scriptedForwarder{}, Meter: nopMeter{}, Logger: hclog.NewNullLogger(),
-		RepeatShare: 1, RepeatReserve: 100, RepeatWindow: time.Second, Peers: peers,
-	})
-	request := OpaqueRequest{ID: "r", Arrived: time.Now(), Class: classifier.Class{
+	const maxAttempts = 3
+	lost := []error{driver.ErrOutcomeUnknown, driver.ErrOutcomeUnknown, driver.ErrOutcomeUnknown, driver.ErrOutcomeUnknown}
+	for name, test := range map[string]struct {
+		requestedRuns int // by each peer, besides its first
+		notRepeatable bool
+		passes        int
+		runs          int // that the peers may make
+	}{
+		"peers run it once":                 {passes: 3, runs: 3},
+		"peers run it twice":                {requestedRuns: 1, passes: 2, runs: 3},
+		"peers run it as often as they may": {requestedRuns: 10, passes: 1, runs: 3},
+		"must run once":                     {requestedRuns: 1, notRepeatable: true, passes: 1, runs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			peers := &scriptedPeers{isPreferred: true, errs: lost, requestedRuns: test.requestedRuns}
+			f := NewForwarder(ForwarderConfig{
+				Scheduler: &stubScheduler{}, Driver: &scriptedForwarder{}, Meter: nopMeter{}, Logger: hclog.NewNullLogger(),
+				RepeatShare: 10, RepeatWindow: time.Second, Peers: peers,
+			})
+			request := newPeerTestRequest(maxAttempts)
+			request.Class.Repeatable = !test.notRepeatable
+			outcome, err := f.Run(t.Context(), request, discardWriter{})
+			assert.Assert(t, err != nil)
+			assert.Equal(t, len(peers.requests), test.passes)
+			assert.Equal(t, len(peers.requests)+peers.allowedRuns, test.runs)
+			assert.Equal(t, outcome.Runs, test.runs)
+			assert.Check(t, !peers.requests[0].AllowRun(), "a peer that was lost may run the request again")
+			assert.NilError(t, f.Close())
+		})
+	}
+}
+
+// newPeerTestRequest returns a request of an idempotent call.
+func newPeerTestRequest(maxAttempts int) OpaqueRequest {
+	return OpaqueRequest{ID: "r", Arrived: time.Now(), Class: classifier.Class{
 		Class: configurer.Class{Kind: configurer.KindCall, Repeatable: true}, MaxAttempts: maxAttempts,
 		Shares: []classifier.Share{{Application: "letters", Weight: 1}},
 	}}
-	assert.NilError(t, f.Forward(t.Context(), request, discardWriter{}))
-	runs := 0 // that the peers may make
-	for i := range peers.requests {
-		runs += maxAttempts - peers.requests[i].Origin.Runs
+}
+
+func TestPeerAsksBeforeFurtherRuns(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		errs     []error // of the sends
+		allowed  int
+		requests int
+		sends    int
+	}{
+		"first run is served":              {sends: 1},
+		"second run is allowed":            {errs: []error{driver.ErrOutcomeUnknown}, allowed: 1, requests: 1, sends: 2},
+		"second run is not allowed":        {errs: []error{driver.ErrOutcomeUnknown}, requests: 1, sends: 1},
+		"third run is not allowed":         {errs: []error{driver.ErrOutcomeUnknown, driver.ErrOutcomeUnknown}, allowed: 1, requests: 2, sends: 2},
+		"a refusal is no run":              {errs: []error{driver.ErrRefused}, sends: 2},
+		"allowed run is refused and moves": {errs: []error{driver.ErrOutcomeUnknown, driver.ErrRefused}, allowed: 1, requests: 1, sends: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			endpoints, requests := &scriptedForwarder{errs: test.errs}, 0
+			f := NewForwarder(ForwarderConfig{
+				Scheduler: &stubScheduler{}, Driver: endpoints, Meter: nopMeter{}, Logger: hclog.NewNullLogger(),
+				RepeatShare: 10, RepeatWindow: time.Second,
+			})
+			f.repeatBudget("letters").deposit()
+			request := newPeerTestRequest(5)
+			request.Origin = &Origin{HostID: "h", Application: "letters", RequestRun: func(context.Context) error {
+				if requests++; requests > test.allowed {
+					return errors.New("not allowed")
+				}
+				return nil
+			}}
+			_, err := f.Run(t.Context(), request, discardWriter{})
+			assert.Equal(t, err == nil, requests <= test.allowed, "%v", err)
+			assert.Equal(t, requests, test.requests)
+			assert.Equal(t, endpoints.sent, test.sends)
+			assert.NilError(t, f.Close())
+		})
 	}
-	assert.Check(t, runs <= maxAttempts, "%d peers may make %d runs", len(peers.requests), runs)
-	assert.NilError(t, f.Close())
 }
--- a/internal/peerforwarder/client.go
+++ b/internal/peerforwarder/client.go
@@ -22,6 +22,7 @@
 	forwarder *Forwarder
 	hostID    string
 	conn      *conn
+	passID    string
 	requestID string
 	stream    peerforwarderpb.PeerForward_ForwardClient
 	cancel    context.CancelFunc
@@ -43,7 +44,8 @@
 	if err != nil {
 		return answer, fmt.Errorf("%w: %w", driver.ErrNotSent, err)
 	}
-	x := &exchange{forwarder: f, hostID: hostID, conn: c, requestID: request.Request.ID, parent: ctx}
+	passID := f.addPass(request.AllowRun)
+	x := &exchange{forwarder: f, hostID: hostID, conn: c, passID: passID, requestID: request.Request.ID, parent: ctx}
 	streamCtx, cancel := context.WithCancel(ctx)
 	x.cancel = cancel
 	x.stream, err = peerforwarderpb.NewPeerForwardClient(c.ClientConn).Forward(streamCtx)
@@ -52,7 +54,7 @@
 		f.avoid(hostID, request.Origin.Application)
 		return answer, fmt.Errorf("%w: peer %s: %w", driver.ErrNotSent, hostID, causeOf(ctx, err))
 	}
-	if err := x.send(request, f.headToMessage(request)); err != nil {
+	if err := x.send(request, f.headToMessage(request, passID)); err != nil {
 		x.close(outcomeUnknown)
 		return answer, fmt.Errorf("%w: peer %s: %w", driver.ErrOutcomeUnknown, hostID, causeOf(ctx, err))
 	}
@@ -245,6 +247,7 @@
 	x.closeOnce.Do(func() {
 		x.cancel()
 		x.forwarder.release(x.conn)
+		x.forwarder.removePass(x.passID)
 		x.forwarder.cfg.Meter.CountPeerForward(false, outcome)
 	})
 }
--- a/internal/peerforwarder/messages.go
+++ b/internal/peerforwarder/messages.go
@@ -21,7 +21,7 @@
 	deadlineMargin = 10 * time.Millisecond
 )
 
-func (f *Forwarder) headToMessage(r *dispatcher.PeerRequest) *peerforwarderpb.RequestHead {
+func (f *Forwarder) headToMessage(r *dispatcher.PeerRequest, passID string) *peerforwarderpb.RequestHead {
 	request, prompt := r.Request, &r.Request.Prompt
 	head := &peerforwarderpb.RequestHead{
 		RequestId: request.ID, CallerAddress: request.CallerAddress, Tenant: request.Tenant,
@@ -30,7 +30,7 @@
 		AgeUs: (time.Since(request.Arrived) + deadlineMargin).Microseconds(), CallerTimeoutUs: request.CallerTimeout.Microseconds(),
 		ResumeAfter: r.ResumeAfter, Application: r.Origin.Application, ConfigurationVersion: f.cfg.ConfigurationVersion(),
 		Runs: int64(r.Origin.Runs), Events: int64(r.Origin.Events), IsHeaderSent: r.Origin.IsHeaderSent, FromHost: f.cfg.HostID,
-		SoftwareVersion: r.Origin.SoftwareVersion,
+		SoftwareVersion: r.Origin.SoftwareVersion, PassId: passID,
 		Prompt: &peerforwarderpb.Prompt{
 			Tokens: int64(prompt.Tokens), MaxOutputTokens: int64(prompt.MaxOutputTokens), PrefixKey: prompt.PrefixKey,
 			PrefixTokens: int64(prompt.PrefixTokens),
--- a/internal/peerforwarder/peerforwarder.go
+++ b/internal/peerforwarder/peerforwarder.go
@@ -89,6 +89,7 @@
 	conns    map[string]*conn // by host id
 	avoided  map[avoidedPeer]time.Time
 	senders  map[string]map[string]time.Time // by application and host id, with the time of the latest request
+	passes   map[string]func() bool          // AllowRun of the requests that peers run, by pass id
 	isClosed bool
 
 	active   atomic.Int64 // requests of peers that run here
@@ -112,6 +113,7 @@
 func New(cfg Config) *Forwarder {
 	return &Forwarder{
 		cfg: cfg, conns: map[string]*conn{}, avoided: map[avoidedPeer]time.Time{}, senders: map[string]map[string]time.Time{},
+		passes: map[string]func() bool{},
 	}
 }
 
--- a/internal/peerforwarder/peerforwarder_test.go
+++ b/internal/peerforwarder/peerforwarder_test.go
@@ -153,6 +153,8 @@
 	assert.Check(t, age >= time.Second+deadlineMargin && age < 5*time.Second, "age is %s", age)
 	received.Arrived, sent.Arrived = time.Time{}, time.Time{}
 	sent.ResumeAfter = "2"
+	assert.Check(t, received.Origin.RequestRun != nil)
+	received.Origin.RequestRun = nil
 	sent.Origin = &dispatcher.Origin{HostID: "sender", Application: "letters", Runs: 1, Events: 2}
 	assert.DeepEqual(t, received, sent)
 }
--- a/internal/peerforwarder/server.go
+++ b/internal/peerforwarder/server.go
@@ -1,6 +1,7 @@
 package peerforwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"strings"
@@ -30,6 +31,11 @@
 // Forward runs a request of a peer.
 func (s *service) Forward(stream requestStream) error { return s.forwarder.receive(stream) }
 
+// RequestRun answers a peer that asks for another run of a request that this host has passed to it.
+func (s *service) RequestRun(_ context.Context, request *peerforwarderpb.RunRequest) (*peerforwarderpb.RunReply, error) {
+	return &peerforwarderpb.RunReply{IsAllowed: s.forwarder.allowRun(request.GetPassId())}, nil
+}
+
 func (f *Forwarder) receive(stream requestStream) error {
 	arrived := time.Now()
 	active := f.active.Add(1)
@@ -111,6 +117,9 @@
 		return notRun(head, dispatcher.ReasonStaleConfiguration)
 	}
 	request.Class = class
+	if passID := head.GetPassId(); passID != "" {
+		request.Origin.RequestRun = func(ctx context.Context) error { return f.requestRun(ctx, head.GetFromHost(), passID) }
+	}
 	writer := &streamWriter{stream: stream}
 	outcome, _ := f.cfg.Run(stream.Context(), request, writer) // the outcome contains the error
 	return &outcome
