A late answer of a request is not taken for an endpoint's report

Callers saw nothing of it so far: its body failed to decode, or gave an empty report.

An endpoint repeats the id of what it answers. So an answer with an id does not belong to a call without one; it is skipped, as for requests, and the call's own answer is read. TestLateAnswerOfARequestIsNotTakenForAReport failed before: the report was the body of the request before it.

Ruled out: that endpoints put ids into reports.

--- a/internal/transporter/exchange.go
+++ b/internal/transporter/exchange.go
@@ -125,9 +125,10 @@
 	return errors.Join(stop(), responselimiter.BodyError(err))
 }
 
+// echoesRequestID reports whether an answer has the id of the request, or none if the request has none.
 func (x *exchange) echoesRequestID(response *http.Response) bool {
 	name := x.transporter.settings.IDHeader
-	return name == "" || x.request.ID == "" || response.Header.Get(name) == x.request.ID
+	return name == "" || response.Header.Get(name) == x.request.ID
 }
 
 func (x *exchange) Read(p []byte) (int, error) {
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -98,8 +98,8 @@
 	// Dial opens a connection; nil: TCP. Data of the connection may stay unacknowledged for
 	// userTimeout.
 	Dial func(ctx context.Context, address string, timeout, userTimeout time.Duration) (net.Conn, error)
-	// IDHeader is the header in which an answer echoes its request's id. If it is empty,
-	// ids are not checked.
+	// IDHeader is the header in which an answer echoes its request's id; an answer with an id is
+	// not that of a request without one. If it is empty, ids are not checked.
 	IDHeader string
 	// OnLimitExceeded is called for each answer that exceeds a limit; nil: no call.
 	OnLimitExceeded func(limit responselimiter.Limit)
--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -172,6 +172,26 @@
 
 // TestAnswerBeforeEndOfLongBody guards against reuse of a connection on which a request
 // body is still being written: the rest of the body would be taken for the next request.
+func TestLateAnswerOfARequestIsNotTakenForAReport(t *testing.T) {
+	t.Parallel()
+	endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) {
+		if x.ID() != "" {
+			x.Answer(200, "own")
+			return
+		}
+		x.Write(opaqueserver.Head("r1", 200, "Content-Length: 3") + "own")
+		x.Answer(200, "report")
+	})
+	tr := newTransporter(t)
+	_, body, err := send(t, tr, endpoint.Address(), request("r1"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "own")
+	_, body, err = send(t, tr, endpoint.Address(), Request{Method: http.MethodGet, Path: "/report", Host: "h.example"})
+	assert.NilError(t, err)
+	assert.Equal(t, body, "report")
+	assert.Equal(t, endpoint.Opened(), 1)
+}
+
 func TestAnswerBeforeEndOfLongBody(t *testing.T) {
 	t.Parallel()
 	endpoint := opaqueserver.StartEarly(func(x *opaqueserver.Exchange) {
