--- a/internal/dispatcher/buffers_test.go
+++ b/internal/dispatcher/buffers_test.go
@@ -179,8 +179,7 @@
 	})
 }
 
-// TestLargeEventsLeaveGarbage guards against endless events that fill the heap with buffers of ended
-// ones. It runs alone, since it measures what the process allocates.
+// TestLargeEventsLeaveGarbage runs alone, since it measures what the process allocates.
 func TestLargeEventsLeaveGarbage(t *testing.T) {
 	const count = 50
 	l := newLargeBuffers()
--- a/internal/dispatcher/peer_test.go
+++ b/internal/dispatcher/peer_test.go
@@ -131,8 +131,7 @@
 	}
 }
 
-// TestLostPeerMayRunMoreThanIsCounted guards against requests that run on more endpoints than they may, as a peer that is lost has
-// made more than one attempt.
+// TestLostPeerMayRunMoreThanIsCounted guards against requests that run more often than they may, as a lost peer has run them twice.
 func TestLostPeerMayRunMoreThanIsCounted(t *testing.T) {
 	t.Parallel()
 	const maxAttempts = 3
--- a/internal/driver/run_state_test.go
+++ b/internal/driver/run_state_test.go
@@ -9,8 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// TestRunStateOfSeveralOutcomes guards against runs that are taken for refused because an error also reports a
-// refusal.
+// TestRunStateOfSeveralOutcomes guards against runs that are taken for refused as their error reports a refusal too.
 func TestRunStateOfSeveralOutcomes(t *testing.T) {
 	t.Parallel()
 	for name, test := range map[string]struct {
--- a/internal/streamkeeper/restart_test.go
+++ b/internal/streamkeeper/restart_test.go
@@ -22,8 +22,7 @@
 	}
 }
 
-// TestStreamsAfterAllHostsRestart guards against streams that go on at another software version once all records of
-// where they began are lost.
+// TestStreamsAfterAllHostsRestart guards against streams that go on at another software version once all their records are lost.
 func TestStreamsAfterAllHostsRestart(t *testing.T) {
 	t.Parallel()
 	onlyV1 := &History{Classes: map[string][]string{"letters": {"llm"}}, Versions: map[string][]string{"llm": {"v1"}}}
@@ -107,8 +106,7 @@
 	})
 }
 
-// TestHostRestartsAfterARelease guards against streams that are refused since a host that has just started inherits a version
-// that no longer matters.
+// TestHostRestartsAfterARelease guards against streams that are refused since a new host inherits a version that no longer matters.
 func TestHostRestartsAfterARelease(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transporter/transporter_test.go
+++ b/internal/transporter/transporter_test.go
@@ -170,8 +170,6 @@
 	}, poll.WithTimeout(testTimeout), poll.WithDelay(time.Millisecond))
 }
 
-// TestAnswerBeforeEndOfLongBody guards against reuse of a connection on which a request
-// body is still being written: the rest of the body would be taken for the next request.
 func TestLateAnswerOfARequestIsNotTakenForAReport(t *testing.T) {
 	t.Parallel()
 	endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) {
@@ -192,6 +190,8 @@
 	assert.Equal(t, endpoint.Opened(), 1)
 }
 
+// TestAnswerBeforeEndOfLongBody guards against reuse of a connection on which a request
+// body is still being written: the rest of the body would be taken for the next request.
 func TestAnswerBeforeEndOfLongBody(t *testing.T) {
 	t.Parallel()
 	endpoint := opaqueserver.StartEarly(func(x *opaqueserver.Exchange) {
