--- a/internal/peerforwarder/doc.go
+++ b/internal/peerforwarder/doc.go
@@ -5,7 +5,8 @@
 // admission, and never passes it on. The sender stays in charge of the caller. It counts what the
 // receiver has done with the request, cancels the receiver's work when the caller leaves, and says
 // "not run" only if the receiver has said so. A connection that breaks with a request leaves its
-// outcome unknown.
+// outcome unknown. The receiver asks the sender before each run but the first, so that the sender knows
+// how often a request may have run at a receiver that it has lost.
 //
 // Requests have connections of their own, so that large bodies and slow callers don't delay the
 // updates between hosts.
