--- a/internal/dispatcher/forwarded_repeat.go
+++ b/internal/dispatcher/forwarded_repeat.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -38,22 +37,6 @@
 	return fr.repeatBudget.tryWithdraw(fr.repeatCost())
 }
 
-// isRunAllowed reports whether the host that passed this request on, if there is one, allows another
-// run. It has to know of the run before it starts: it may lose this host, and repeat the request.
-func (fr *forwardedRequest) isRunAllowed(ctx context.Context) bool {
-	origin := fr.request.Origin
-	if origin == nil || origin.RequestRun == nil || fr.runs-origin.Runs < fr.allowedRuns {
-		return true
-	}
-	err := origin.RequestRun(ctx)
-	fr.forwarder.requestLog.logRequestedRun(fr, err)
-	if err != nil {
-		return false
-	}
-	fr.allowedRuns++
-	return true
-}
-
 // repeatCost returns how many calls the next attempt adds: one, plus another one if the prompt
 // must be prefilled again.
 func (fr *forwardedRequest) repeatCost() float64 {
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/endivemast/endivemast/internal/configurer"
@@ -332,65 +331,6 @@
 
 func (noTokens) TokenReceived() {}
 
-// peerRuns counts the runs of a request that one peer may make. It is safe for concurrent use.
-type peerRuns struct {
-	limit int
-
-	mu      sync.Mutex
-	allowed int
-	isEnded bool
-}
-
-func newPeerRuns(fr *forwardedRequest) *peerRuns {
-	limit := 1
-	if fr.request.Class.Repeatable {
-		limit = max(fr.request.Class.MaxAttempts-fr.runs, 1)
-	}
-	return &peerRuns{limit: limit, allowed: 1}
-}
-
-// allow counts another run unless the limit is reached or the peer's attempt has ended. It returns
-// the number of allowed runs.
-func (r *peerRuns) allow() (allowed int, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.isEnded || r.allowed >= r.limit {
-		return r.allowed, false
-	}
-	r.allowed++
-	return r.allowed, true
-}
-
-// end allows no further run, and returns how many the peer may have made.
-func (r *peerRuns) end() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.isEnded = true
-	return r.allowed
-}
-
-// countPeerRuns counts what the peer has done with the request. allowed is how often it may have run
-// if the peer has not said.
-func (fr *forwardedRequest) countPeerRuns(answer *PeerAnswer, err error, allowed int) {
-	var failed *PeerError
-	outcome, isKnown := PeerOutcome{}, false
-	if answer.Outcome != nil {
-		outcome, isKnown = answer.Outcome()
-	}
-	if errors.As(err, &failed) {
-		outcome, isKnown = failed.Outcome, true
-	}
-	switch {
-	case isKnown:
-		fr.sends += outcome.Sends
-		fr.runs = max(fr.runs, outcome.Runs)
-		fr.basis = scheduler.Basis{EndpointID: outcome.EndpointID}
-	case mayHaveRun(err):
-		fr.sends += allowed
-		fr.runs += allowed
-	}
-}
-
 // runningAttempt is an attempt that can be abandoned when the path that it uses breaks. Its fields
 // are guarded by the Forwarder's mutex.
 type runningAttempt struct {
