--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -281,7 +281,7 @@
 		if ok {
 			attempt.setPeer(hostID, allowed < runs.limit)
 		}
-		fr.forwarder.requestLog.logRunRequest(fr, hostID, allowed, ok)
+		fr.forwarder.requestLog.logRunGrant(fr, hostID, allowed, ok)
 		return ok
 	}
 	fr.forwarder.requestLog.logPass(fr, hostID, request)
--- a/internal/dispatcher/peer_runs.go
+++ b/internal/dispatcher/peer_runs.go
@@ -77,7 +77,7 @@
 		return true
 	}
 	err := origin.RequestRun(ctx)
-	fr.forwarder.requestLog.logRequestedRun(fr, err)
+	fr.forwarder.requestLog.logRunRequest(fr, err)
 	if err != nil {
 		return false
 	}
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -106,13 +106,14 @@
 		"is_refused", request.IsRefused, "failed_connections", fr.failedConnections, "tried_peers", request.Excluded)
 }
 
-// logRunRequest logs whether a peer may run a request once more.
-func (l *requestLogger) logRunRequest(fr *forwardedRequest, hostID string, allowed int, ok bool) {
+// logRunGrant logs whether a peer that has asked may run a request once more.
+func (l *requestLogger) logRunGrant(fr *forwardedRequest, hostID string, allowed int, ok bool) {
 	l.write(hclog.Info, "peer requested another run", fr, "peer", hostID, "allowed_runs", allowed, "is_allowed", ok)
 }
 
-// logRequestedRun logs whether the host that passed a request to this one allows another run.
-func (l *requestLogger) logRequestedRun(fr *forwardedRequest, err error) {
+// logRunRequest logs that this host has asked for another run of a request that it received from a
+// peer, and the answer.
+func (l *requestLogger) logRunRequest(fr *forwardedRequest, err error) {
 	args := append(hostArgs(fr), "runs", fr.runs, "allowed_runs", fr.allowedRuns, "is_allowed", err == nil)
 	if err != nil {
 		args = append(args, "error", err.Error())
