A lookup of a stream's origin logs what it was decided by

The line has the result, the version, the store's revision that this host has received, and what it and its peers knew; bounded to ten a second as before.

--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -53,6 +53,8 @@
 	AwaitsHistory bool
 	// IsCurrent reports whether this host receives the platform's changes.
 	IsCurrent func() bool
+	// Revision returns up to which revision this host has received the platform's changes.
+	Revision func() int64
 	Clock     func() time.Time // includes the time for which the host was suspended
 	Meter     Meter
 	Logger    hclog.Logger
@@ -395,18 +397,24 @@
 	replies := k.ask(ctx, id, stream.Class, keepers, own.view)
 	origin, ok := decide(own.view, replies, k.cfg.IsCurrent(), isAlone)
 	isRecorded := slices.ContainsFunc(replies, func(r reply) bool { return r.isRecorded })
+	event := eventSingle
 	switch {
 	case !ok:
-		k.cfg.Meter.CountStreamRecord(eventUnknown)
-		k.logLookup("origin of a stream is not known", "resumes", stream.RequestID, "class", stream.Class, "keepers", keepers,
-			"replies", len(replies), "own_view", own.view.kind, "is_current", k.cfg.IsCurrent())
-		return origin, ErrUnknown
+		event, err = eventUnknown, ErrUnknown
 	case isRecorded:
-		k.cfg.Meter.CountStreamRecord(eventRecorded)
-	default:
-		k.cfg.Meter.CountStreamRecord(eventSingle)
+		event = eventRecorded
+	}
+	k.cfg.Meter.CountStreamRecord(event)
+	several := 0
+	for i := range replies {
+		if replies[i].view.kind == viewSeveral {
+			several++
+		}
 	}
-	return origin, nil
+	k.logLookup("origin of a stream looked up", "resumes", stream.RequestID, "class", stream.Class, "result", event, "software_version", origin.SoftwareVersion,
+		"revision", k.cfg.Revision(), "is_current", k.cfg.IsCurrent(), "own_view", own.view.kind.String(), "own_version", own.view.origin.SoftwareVersion,
+		"keepers", keepers, "replies", len(replies), "replies_several", several)
+	return origin, err
 }
 
 func (k *Keeper) logLookup(message string, args ...any) {
--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -51,6 +51,7 @@
 func (g *group) start(h Host) {
 	k := New(Config{
 		HostID: h.HostID, Zone: h.Zone, Clock: time.Now, Meter: g, AwaitsHistory: g.awaitsHistory, Logger: hclog.NewNullLogger(), IsCurrent: func() bool { return !g.isStale[h.HostID] },
+		Revision: func() int64 { return 0 },
 		Conn: func(hostID string) (grpc.ClientConnInterface, error) { return &directConn{g, h.HostID, hostID}, nil },
 	})
 	k.SetHosts(g.hosts)
--- a/internal/streamkeeper/view.go
+++ b/internal/streamkeeper/view.go
@@ -32,6 +32,18 @@
 	viewSeveral
 )
 
+// String implements fmt.Stringer.
+func (v viewKind) String() string {
+	switch v {
+	case viewSingle:
+		return "single"
+	case viewSeveral:
+		return "several"
+	default:
+		return "unknown"
+	}
+}
+
 // view is what one host knows of the origins of a class's streams.
 type view struct {
 	kind   viewKind
--- a/pkg/endivemast/gateway_streams.go
+++ b/pkg/endivemast/gateway_streams.go
@@ -24,6 +24,7 @@
 		HostID: g.cfg.HostID, Zone: g.cfg.Zone, Clock: g.cfg.Clock.Now, Meter: g.meter, Logger: g.cfg.Logger.Named("streamkeeper"),
 		Conn:          func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
 		IsCurrent:     func() bool { return g.follower.StoreUnreachableFor() == 0 },
+		Revision:      func() int64 { return g.relayer.LatestRevision() },
 		AwaitsHistory: true,
 	})
 	g.streams.Register(g.exchanger.Registrar())
