A stream without a record goes on only by a view that the store confirms

Cause: a stream of a class with one origin has no record. A host judged it by its own view while the store answered, whether or not what the store had to say had been applied; without the store by that of any peer that replied, which may have missed the same.

Change: the view of a host counts only once that host has polled the store after the caller's request and has applied what the poll delivered (Follower.Synchronize; calls share polls). The host that began the stream had its origin from the store before, so that the poll includes it, however late either host is: no assumption on time. A host that the store does not answer asks the keepers to poll. Views that are not confirmed only speak against others. A host that is not reached by the store records the streams that it begins, and those begun before, and a stream whose origin is not that of the view is always recorded.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -16,6 +16,7 @@
 //
 //	f := follower.New(follower.Config{Store: store, Topics: []follower.Topic{{Prefix: "servers/", Sink: list}}})
 //	group.Go(func() error { return f.Run(ctx) })
+//	err := f.Synchronize(ctx) // nil: the sinks know all that the store had accepted
 package follower
 
 import (
@@ -113,6 +114,9 @@
 	latestRevision   int64                   // highest revision applied, also before the last gap
 	unreachableSince time.Time               // zero while the store answers
 	cancelWatch      context.CancelCauseFunc // cancels the current watch; nil: none
+	waiting          []chan error            // calls of Synchronize for the next poll
+
+	synchronizationDue chan struct{} // holds an element if a call of Synchronize waits for the next poll
 }
 
 var (
@@ -131,7 +135,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Follower{cfg: cfg, readRevisions: map[string]int64{}}
+	return &Follower{cfg: cfg, readRevisions: map[string]int64{}, synchronizationDue: make(chan struct{}, 1)}
 }
 
 // HasSynced reports whether all topics have been read.
@@ -150,6 +154,7 @@
 		group.Go(func() error { return f.runQueries(ctx, queryDue) })
 	}
 	group.Go(func() error { return f.followStore(ctx) })
+	group.Go(func() error { return f.runSynchronizations(ctx) })
 	return group.Wait()
 }
 
--- a/internal/follower/peers.go
+++ b/internal/follower/peers.go
@@ -138,7 +138,7 @@
 	}
 }
 
-// applyUpdate passes an update from a peer to the sinks. It returns false if the
+// applyUpdate passes an update from a peer or a poll to the sinks. It returns false if the
 // update holds nothing new.
 func (f *Follower) applyUpdate(update provider.Update) bool {
 	f.applyMu.Lock()
@@ -155,9 +155,11 @@
 	f.mu.Lock()
 	f.revision = update.Revision
 	f.mu.Unlock()
-	// Recorded only after it was applied, since the relayer drops changes from its
-	// watches that it has recorded.
-	f.cfg.Peers.RecordUpdate(update)
+	if f.cfg.Peers != nil {
+		// Recorded only after it was applied, since the relayer drops changes from its
+		// watches that it has recorded.
+		f.cfg.Peers.RecordUpdate(update)
+	}
 	return true
 }
 
--- a/internal/relayer/catchup.go
+++ b/internal/relayer/catchup.go
@@ -148,6 +148,18 @@
 	return entries, revision, err
 }
 
+// errNoPoller means that the store does not support polling.
+var errNoPoller = eris.New("store does not support polling for changes")
+
+// Poll implements provider.Poller.
+func (r *Relayer) Poll(ctx context.Context, prefix string, after int64) (changes []provider.Change, revision int64, err error) {
+	poller, ok := r.Store.(provider.Poller)
+	if !ok {
+		return nil, 0, errNoPoller
+	}
+	return poller.Poll(ctx, prefix, after)
+}
+
 // DropIdle implements provider.IdleDropper.
 func (r *Relayer) DropIdle() {
 	if dropper, ok := r.Store.(provider.IdleDropper); ok {
--- a/internal/streamkeeper/server.go
+++ b/internal/streamkeeper/server.go
@@ -33,16 +33,18 @@
 }
 
 // Find implements streamkeeperpb.StreamKeeperServer.
-func (s *service) Find(_ context.Context, request *streamkeeperpb.FindRequest) (*streamkeeperpb.FindReply, error) {
+func (s *service) Find(ctx context.Context, request *streamkeeperpb.FindRequest) (*streamkeeperpb.FindReply, error) {
 	k := s.keeper
 	if len(request.GetKey()) != len(key{}) {
 		return &streamkeeperpb.FindReply{}, nil
 	}
-	now := k.cfg.Clock()
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	r := k.replyLocked(key(request.GetKey()), request.GetClass(), now)
-	answer := &streamkeeperpb.FindReply{IsRecorded: r.isRecorded}
+	r := k.replyLocked(key(request.GetKey()), request.GetClass(), k.cfg.Clock())
+	k.mu.Unlock()
+	if request.GetConfirm() && !r.isRecorded && r.view.kind == viewSingle && k.cfg.IsStoreReachable() {
+		r = k.confirm(ctx, key(request.GetKey()), request.GetClass())
+	}
+	answer := &streamkeeperpb.FindReply{IsRecorded: r.isRecorded, IsConfirmed: r.isConfirmed}
 	switch r.view.kind {
 	case viewSingle:
 		answer.View = streamkeeperpb.View_VIEW_SINGLE
--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -51,13 +51,16 @@
 	Conn   func(hostID string) (grpc.ClientConnInterface, error)
 	// AwaitsHistory is true if SetHistory is going to be called.
 	AwaitsHistory bool
-	// IsCurrent reports whether this host receives the platform's changes.
-	IsCurrent func() bool
+	// IsStoreReachable reports whether the platform's store answers this host, as far as it knows.
+	IsStoreReachable func() bool
 	// Revision returns up to which revision this host has received the platform's changes.
 	Revision func() int64
-	Clock     func() time.Time // includes the time for which the host was suspended
-	Meter     Meter
-	Logger    hclog.Logger
+	// Synchronize returns once this Keeper has been told all changes of classes and endpoints that the
+	// platform's store had accepted when it was called.
+	Synchronize func(ctx context.Context) error
+	Clock       func() time.Time // includes the time for which the host was suspended
+	Meter       Meter
+	Logger      hclog.Logger
 }
 
 // Meter counts what happens to records of streams.
@@ -74,6 +77,8 @@
 	eventRecorded = "recorded" // a lookup that found a record
 	eventSingle   = "single"   // a lookup without a record; there is only one origin
 	eventUnknown  = "unknown"  // a lookup without a result
+	// eventUnsynchronized counts lookups, of this host and of peers, for which the store did not answer in time.
+	eventUnsynchronized = "unsynchronized"
 )
 
 // Keeper keeps the origins of streams. It is safe for concurrent use.
@@ -94,12 +99,14 @@
 	isActive map[string]bool      // keepers to which streams are being sent
 	avoided  map[string]time.Time // keepers that have not answered, until when
 	isClosed bool
+	// hadStore is false if the store did not answer this host at the last Tick.
+	hadStore bool
 }
 
 // New returns a Keeper without streams.
 func New(cfg Config) *Keeper {
 	k := &Keeper{
-		cfg: cfg, finds: make(chan struct{}, maxFinds), logs: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(cfg.AwaitsHistory),
+		cfg: cfg, finds: make(chan struct{}, maxFinds), logs: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(cfg.AwaitsHistory), hadStore: true,
 		pending: map[string][]*record{}, isActive: map[string]bool{}, avoided: map[string]time.Time{},
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
@@ -127,13 +134,19 @@
 	k.hosts = hosts
 }
 
-// Tick drops records whose time is over. Call it several times a second.
+// Tick drops records whose time is over, and sends the streams that this host has begun once the store
+// no longer answers: hosts that can't synchronize with the store find only what is recorded. Call it
+// several times a second.
 func (k *Keeper) Tick() {
-	now := k.cfg.Clock()
+	now, hasStore := k.cfg.Clock(), k.cfg.IsStoreReachable()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.own.trim(now)
 	k.kept.trim(now)
+	if k.hadStore && !hasStore {
+		k.sendUnsentLocked(now, false)
+	}
+	k.hadStore = hasStore
 }
 
 // Resumed must be called after this host was suspended: its view may be old.
@@ -154,7 +167,7 @@
 	k.views.trim(classes)
 	k.views.hasClasses = true
 	k.views.useHistory()
-	k.sendUnsentLocked(now)
+	k.sendUnsentLocked(now, true)
 }
 
 // UpdateEndpoints applies changes of the list of endpoints: new and changed ones, and the ids of
@@ -178,7 +191,7 @@
 	}
 	k.views.hasEndpoints = k.views.hasEndpoints || isSnapshot
 	k.views.useHistory()
-	k.sendUnsentLocked(now)
+	k.sendUnsentLocked(now, true)
 }
 
 // History returns what hosts that start have to know if all others have ended.
@@ -196,7 +209,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.views.setHistory(history, now)
-	k.sendUnsentLocked(now)
+	k.sendUnsentLocked(now, true)
 }
 
 // Count returns the number of records that this host keeps for all hosts.
@@ -223,25 +236,26 @@
 	if k.own.put(r, now) {
 		k.cfg.Meter.CountStreamRecord(eventDropped)
 	}
-	if isLong || k.views.of(stream.Class, now).kind != viewSingle {
+	if isLong || !k.hadStore || k.views.of(stream.Class, now) != singleOf(origin) {
 		k.sendLocked(r, now)
 	}
 }
 
-// sendUnsentLocked sends the streams of classes that have several origins now.
-func (k *Keeper) sendUnsentLocked(now time.Time) {
-	kinds := map[string]viewKind{}
+// sendUnsentLocked sends the streams that this host has begun. If isByView is true, it leaves out those
+// whose class can have no other origin.
+func (k *Keeper) sendUnsentLocked(now time.Time, isByView bool) {
+	views := map[string]view{}
 	for element := k.own.order.Front(); element != nil; element = element.Next() {
 		r := element.Value.(*record)
 		if r.isSent || !now.Before(r.until) {
 			continue
 		}
-		kind, ok := kinds[r.class]
+		known, ok := views[r.class]
 		if !ok {
-			kind = k.views.of(r.class, now).kind
-			kinds[r.class] = kind
+			known = k.views.of(r.class, now)
+			views[r.class] = known
 		}
-		if kind == viewSeveral {
+		if !isByView || known != singleOf(r.origin) {
 			k.sendLocked(r, now)
 		}
 	}
@@ -373,119 +387,3 @@
 	_, err = streamkeeperpb.NewStreamKeeperClient(conn).Record(ctx, &streamkeeperpb.RecordRequest{Streams: streams})
 	return err
 }
-
-// Find returns the origin of a stream that a caller takes up. It fails with ErrUnknown if no host
-// that it reaches knows.
-func (k *Keeper) Find(ctx context.Context, stream *Stream) (origin Origin, err error) {
-	select {
-	case k.finds <- struct{}{}:
-		defer func() { <-k.finds }()
-	default:
-		k.cfg.Meter.CountStreamRecord(eventUnknown)
-		return origin, errors.Join(ErrUnknown, errBusy)
-	}
-	id, now := stream.key(), k.cfg.Clock()
-	k.mu.Lock()
-	own := k.replyLocked(id, stream.Class, now)
-	isAlone := len(k.hosts) <= 1
-	keepers := slices.DeleteFunc(keepersOf(id, k.hosts, k.cfg.Zone, askedCount), func(hostID string) bool { return hostID == k.cfg.HostID })
-	k.mu.Unlock()
-	if own.isRecorded {
-		k.cfg.Meter.CountStreamRecord(eventRecorded)
-		return own.origin, nil
-	}
-	replies := k.ask(ctx, id, stream.Class, keepers, own.view)
-	origin, ok := decide(own.view, replies, k.cfg.IsCurrent(), isAlone)
-	isRecorded := slices.ContainsFunc(replies, func(r reply) bool { return r.isRecorded })
-	event := eventSingle
-	switch {
-	case !ok:
-		event, err = eventUnknown, ErrUnknown
-	case isRecorded:
-		event = eventRecorded
-	}
-	k.cfg.Meter.CountStreamRecord(event)
-	several := 0
-	for i := range replies {
-		if replies[i].view.kind == viewSeveral {
-			several++
-		}
-	}
-	k.logLookup("origin of a stream looked up", "resumes", stream.RequestID, "class", stream.Class, "result", event, "software_version", origin.SoftwareVersion,
-		"revision", k.cfg.Revision(), "is_current", k.cfg.IsCurrent(), "own_view", own.view.kind.String(), "own_version", own.view.origin.SoftwareVersion,
-		"keepers", keepers, "replies", len(replies), "replies_several", several)
-	return origin, err
-}
-
-func (k *Keeper) logLookup(message string, args ...any) {
-	if k.logs.Allow() {
-		k.cfg.Logger.Info(message, args...)
-	}
-}
-
-// replyLocked returns what this host knows of a stream.
-func (k *Keeper) replyLocked(id key, class string, now time.Time) (r reply) {
-	r.view = k.views.of(class, now)
-	found, ok := k.own.find(id, now)
-	if !ok {
-		found, ok = k.kept.find(id, now)
-	}
-	if ok {
-		r.isRecorded, r.origin = true, found.origin
-	}
-	return r
-}
-
-// ask asks the keepers at once, and returns their replies up to the first that decides.
-func (k *Keeper) ask(ctx context.Context, id key, class string, keepers []string, own view) (replies []reply) {
-	ctx, cancel := timekeeper.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	answers := make(chan *reply, len(keepers))
-	var group errgroup.Group
-	defer func() {
-		cancel()
-		_ = group.Wait() // the functions return no error
-	}()
-	for _, hostID := range keepers {
-		group.Go(func() error {
-			answers <- k.askKeeper(ctx, hostID, id, class)
-			return nil
-		})
-	}
-	for range keepers {
-		answer := <-answers
-		if answer == nil {
-			continue
-		}
-		replies = append(replies, *answer)
-		isSettled := own.kind == viewSingle && answer.view == own && k.cfg.IsCurrent()
-		if answer.isRecorded || isSettled {
-			break
-		}
-	}
-	return replies
-}
-
-// askKeeper returns nil if the keeper does not answer.
-func (k *Keeper) askKeeper(ctx context.Context, hostID string, id key, class string) *reply {
-	conn, err := k.cfg.Conn(hostID)
-	if err != nil {
-		return nil
-	}
-	answer, err := streamkeeperpb.NewStreamKeeperClient(conn).Find(ctx, &streamkeeperpb.FindRequest{Key: id[:], Class: class})
-	if err != nil {
-		if ctx.Err() == nil {
-			k.logLookup("keeper of a stream does not answer", "keeper", hostID, "error", err)
-		}
-		return nil
-	}
-	origin := Origin{Application: answer.GetApplication(), SoftwareVersion: answer.GetSoftwareVersion()}
-	r := &reply{origin: origin, isRecorded: answer.GetIsRecorded()}
-	switch answer.GetView() {
-	case streamkeeperpb.View_VIEW_SINGLE:
-		r.view = view{kind: viewSingle, origin: origin}
-	case streamkeeperpb.View_VIEW_SEVERAL:
-		r.view = view{kind: viewSeveral}
-	}
-	return r
-}
--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -26,7 +26,8 @@
 	hosts   []Host
 	keepers map[string]*Keeper
 	isCut   func(from, to string) bool
-	isStale map[string]bool   // hosts that don't receive the platform's changes
+	isStale map[string]bool   // hosts that the platform's store does not answer
+	missed  map[string]func() // changes that hosts apply once they synchronize with the store
 	listed  map[string]Origin // endpoints, at hosts that start
 	// awaitsHistory is true if hosts that start have to wait for SetHistory.
 	awaitsHistory bool
@@ -36,7 +37,7 @@
 }
 
 func newGroup(t *testing.T, hosts ...Host) *group {
-	g := &group{hosts: hosts, keepers: map[string]*Keeper{}, isCut: func(string, string) bool { return false }, isStale: map[string]bool{}, listed: map[string]Origin{"e1": v1}, counts: map[string]int{}}
+	g := &group{hosts: hosts, keepers: map[string]*Keeper{}, isCut: func(string, string) bool { return false }, isStale: map[string]bool{}, missed: map[string]func(){}, listed: map[string]Origin{"e1": v1}, counts: map[string]int{}}
 	for _, h := range hosts {
 		g.start(h)
 	}
@@ -50,9 +51,10 @@
 
 func (g *group) start(h Host) {
 	k := New(Config{
-		HostID: h.HostID, Zone: h.Zone, Clock: time.Now, Meter: g, AwaitsHistory: g.awaitsHistory, Logger: hclog.NewNullLogger(), IsCurrent: func() bool { return !g.isStale[h.HostID] },
-		Revision: func() int64 { return 0 },
-		Conn: func(hostID string) (grpc.ClientConnInterface, error) { return &directConn{g, h.HostID, hostID}, nil },
+		HostID: h.HostID, Zone: h.Zone, Clock: time.Now, Meter: g, AwaitsHistory: g.awaitsHistory, Logger: hclog.NewNullLogger(), IsStoreReachable: func() bool { return !g.isStale[h.HostID] },
+		Revision:    func() int64 { return 1 },
+		Synchronize: func(context.Context) error { return g.synchronize(h.HostID) },
+		Conn:        func(hostID string) (grpc.ClientConnInterface, error) { return &directConn{g, h.HostID, hostID}, nil },
 	})
 	k.SetHosts(g.hosts)
 	k.SetClasses(map[string][]string{"letters": {"llm"}})
@@ -61,6 +63,16 @@
 	g.keepers[h.HostID] = k
 }
 
+func (g *group) synchronize(hostID string) error {
+	if g.isStale[hostID] {
+		return errCut
+	}
+	if apply := g.missed[hostID]; apply != nil {
+		apply()
+	}
+	return nil
+}
+
 func (g *group) CountStreamRecord(event string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -173,6 +185,58 @@
 				time.Sleep(streamLifetime)
 			}, want: v1,
 		},
+		"two hosts have missed the second version": {
+			arrange: func(g *group) {
+				g.isStale["c1"], g.isStale["c2"] = true, true
+				g.isCut = func(from, to string) bool { return from[0] != to[0] }
+				for _, id := range []string{"a1", "a2", "b1", "b2"} {
+					addV2(g.keepers[id])
+				}
+				g.keepers["a1"].Begin(stream("s"), v2, time.Second)
+			}, sent: 12,
+		},
+		"the store answers again, and has not sent the second version": {
+			arrange: func(g *group) {
+				g.isCut = func(from, to string) bool { return from[0] != to[0] }
+				for _, id := range []string{"a1", "a2", "b1", "b2"} {
+					addV2(g.keepers[id])
+				}
+				g.keepers["a1"].Begin(stream("s"), v2, time.Second)
+				g.missed["c2"] = func() { addV2(g.keepers["c2"]) }
+			}, sent: 12,
+		},
+		"the store does not answer any host": {
+			arrange: func(g *group) {
+				for _, h := range sixHosts {
+					g.isStale[h.HostID] = true
+				}
+			},
+		},
+		"began before the store stopped to answer all hosts": {
+			arrange: func(g *group) {
+				g.keepers["a1"].Begin(stream("s"), v1, time.Second)
+				for _, h := range sixHosts {
+					g.isStale[h.HostID] = true
+				}
+				g.all(func(k *Keeper) { k.Tick() })
+			}, want: v1, sent: 3,
+		},
+		"began after the store stopped to answer all hosts": {
+			arrange: func(g *group) {
+				for _, h := range sixHosts {
+					g.isStale[h.HostID] = true
+				}
+				g.all(func(k *Keeper) { k.Tick() })
+				g.keepers["a1"].Begin(stream("s"), v1, time.Second)
+			}, want: v1, sent: 3,
+		},
+		"the first event came after its version had gone": {
+			arrange: func(g *group) {
+				g.all(func(k *Keeper) { k.UpdateEndpoints(map[string]Origin{"e2": v2}, []string{"e1"}, false) })
+				time.Sleep(streamLifetime)
+				g.keepers["a1"].Begin(stream("s"), v1, time.Second)
+			}, want: v1, sent: 3,
+		},
 		"no endpoint for a moment": {
 			arrange: func(g *group) {
 				g.all(func(k *Keeper) { k.UpdateEndpoints(nil, []string{"e1"}, false) })
--- a/internal/streamkeeper/view.go
+++ b/internal/streamkeeper/view.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// streamLifetime is for how long a stream may live whose origin is not recorded. It must be longer
-// than most callers wait; streams of callers that wait for longer are always recorded.
-const streamLifetime = 15 * time.Second
+const (
+	// streamLifetime is for how long a stream may live whose origin is not recorded.
+	streamLifetime = 15 * time.Second
+)
 
 // Origin is where a stream began.
 type Origin struct {
@@ -50,6 +51,9 @@
 	origin Origin // of viewSingle
 }
 
+// singleOf returns the view of a class whose streams have one origin.
+func singleOf(origin Origin) view { return view{kind: viewSingle, origin: origin} }
+
 // recentValues is a set of values with those that have been in it recently.
 type recentValues struct {
 	values map[string]recentValue
@@ -323,46 +327,40 @@
 	case kind == viewUnknown || versionKind == viewUnknown:
 		return view{}
 	}
-	return view{kind: viewSingle, origin: Origin{Application: application, SoftwareVersion: version}}
+	return singleOf(Origin{Application: application, SoftwareVersion: version})
 }
 
-// reply is a keeper's answer about one stream.
+// reply is what a host knows of one stream.
 type reply struct {
 	origin     Origin
 	isRecorded bool
 	view       view
+	// isConfirmed is true if the view includes all changes that the platform had accepted when the
+	// stream was looked up.
+	isConfirmed bool
 }
 
-// decide returns a stream's origin from this host's view and the replies so far. isCurrent states
-// whether this host's view includes the latest changes, and isAlone that it has no peers.
-func decide(own view, replies []reply, isCurrent, isAlone bool) (origin Origin, ok bool) {
-	single, agree := Origin{}, 0
-	count := func(v view) (isConsistent bool) {
-		switch v.kind {
+// decide returns a stream's origin from what this host and some keepers know. A view that is not
+// confirmed only speaks against others: a host can't know what it has missed, and several hosts may
+// have missed the same.
+func decide(own *reply, replies []reply) (origin Origin, ok bool) {
+	isConfirmed, isConsistent := false, true
+	var single *Origin
+	for _, r := range append([]reply{*own}, replies...) {
+		if r.isRecorded {
+			return r.origin, true
+		}
+		switch r.view.kind {
 		case viewSeveral:
-			return false
+			isConsistent = false
 		case viewSingle:
-			if agree > 0 && v.origin != single {
-				return false
-			}
-			single = v.origin
-			agree++
-		}
-		return true
-	}
-	isConsistent := own.kind != viewSeveral
-	if isCurrent {
-		isConsistent = count(own)
-	}
-	for i := range replies {
-		if replies[i].isRecorded {
-			return replies[i].origin, true
+			isConsistent = isConsistent && (single == nil || *single == r.view.origin)
+			single = &r.view.origin
+			isConfirmed = isConfirmed || r.isConfirmed
 		}
-		isConsistent = count(replies[i].view) && isConsistent
 	}
-	isConfirmed := len(replies) > 0 || isCurrent || isAlone
-	if !isConsistent || agree == 0 || !isConfirmed {
+	if !isConsistent || !isConfirmed {
 		return origin, false
 	}
-	return single, true
+	return *single, true
 }
--- a/pkg/endivemast/gateway_streams.go
+++ b/pkg/endivemast/gateway_streams.go
@@ -1,6 +1,7 @@
 package endivemast
 
 import (
+	"context"
 	"slices"
 
 	"google.golang.org/grpc"
@@ -22,10 +23,11 @@
 func (g *Gateway) buildStreams() {
 	g.streams = streamkeeper.New(streamkeeper.Config{
 		HostID: g.cfg.HostID, Zone: g.cfg.Zone, Clock: g.cfg.Clock.Now, Meter: g.meter, Logger: g.cfg.Logger.Named("streamkeeper"),
-		Conn:          func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
-		IsCurrent:     func() bool { return g.follower.StoreUnreachableFor() == 0 },
-		Revision:      func() int64 { return g.relayer.LatestRevision() },
-		AwaitsHistory: true,
+		Conn:             func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
+		IsStoreReachable: func() bool { return g.follower.StoreUnreachableFor() == 0 },
+		Revision:         func() int64 { return g.relayer.LatestRevision() },
+		Synchronize:      func(ctx context.Context) error { return g.follower.Synchronize(ctx) },
+		AwaitsHistory:    true,
 	})
 	g.streams.Register(g.exchanger.Registrar())
 	g.historian = historian.New(historian.Config{
