A version that has left counts until all hosts know that it has

Streams that callers took up at hosts in step went on at the version that serves now although an engine of the version before had begun them: at hosts that were cut off from the store and the others, which go on using engines that have left the store's list.

Cause: 15 s after the last endpoint of a version was removed, a host took the version that was left for the only one that streams can have, whether or not the others knew of the removal; a host with one version in its list records nothing.

Change: hosts state the store's revision that they have received in the updates that they exchange. A removed value counts until each listed host has received its removal, plus the time for which a host may go on using the endpoint, plus 15 s; a host that is not heard, or is no longer listed, keeps it for ten minutes. Callers that wait for ten to fifteen seconds are recorded always, so that the 15 s include a change that is received and not applied yet.

The tests of before that look up a stream 15 s after a removal state now that all hosts have received it (group.confirm); the times that they ask for are unchanged.

--- /dev/null
+++ b/internal/streamkeeper/members.go
@@ -0,0 +1,37 @@
+package streamkeeper
+
+import (
+	"math"
+	"time"
+)
+
+// members are the other hosts that may begin streams, with the revision of the platform's changes that
+// each has applied.
+type members map[string]member
+
+type member struct {
+	revision int64 // 0: not known
+	listedAt time.Time
+}
+
+// update sets the hosts that are listed. One that is no longer listed may go on beginning streams,
+// cut off from the platform.
+func (m members) update(listed map[string]int64, now time.Time) {
+	for hostID, revision := range listed {
+		m[hostID] = member{revision: revision, listedAt: now}
+	}
+	for hostID, known := range m {
+		if now.Sub(known.listedAt) >= outOfStepLimit {
+			delete(m, hostID)
+		}
+	}
+}
+
+// leastRevision returns the revision that all members have applied.
+func (m members) leastRevision() int64 {
+	least := int64(math.MaxInt64)
+	for _, known := range m {
+		least = min(least, known.revision)
+	}
+	return least
+}
--- a/internal/streamkeeper/restart_test.go
+++ b/internal/streamkeeper/restart_test.go
@@ -74,6 +74,7 @@
 		k.UpdateEndpoints(map[string]Origin{"e2": v2}, []string{"e1"}, false)
 		both := History{Classes: map[string][]string{"letters": {"llm"}}, Versions: map[string][]string{"llm": {"v1", "v2"}}}
 		assert.DeepEqual(t, k.History(), both)
+		g.confirm()
 		time.Sleep(maxLifetime - time.Second)
 		assert.DeepEqual(t, k.History(), both)
 		k.SetHistory(&both)
@@ -82,6 +83,7 @@
 		k.UpdateEndpoints(nil, []string{"e2"}, false)
 		time.Sleep(maxLifetime / 2)
 		k.SetHistory(&both) // of another host that has written it
+		g.confirm()
 		time.Sleep(2 * maxLifetime)
 		assert.DeepEqual(t, k.History().Versions, map[string][]string{"llm": {"v2"}}) // streams have no other
 	})
@@ -113,6 +115,7 @@
 		g := newGroup(t, sixHosts...)
 		time.Sleep(streamLifetime)
 		g.all(func(k *Keeper) { k.UpdateEndpoints(map[string]Origin{"e2": v2}, []string{"e1"}, false) })
+		g.confirm()
 		time.Sleep(2 * streamLifetime)
 		history := g.keepers["a1"].History()
 		assert.DeepEqual(t, history.Versions["llm"], []string{"v1", "v2"})
--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -51,6 +51,8 @@
 	Conn   func(hostID string) (grpc.ClientConnInterface, error)
 	// AwaitsHistory is true if SetHistory is going to be called.
 	AwaitsHistory bool
+	// RemovalDelay is for how long a host may go on using an endpoint that it knows to be removed.
+	RemovalDelay time.Duration
 	// IsStoreReachable reports whether the platform's store answers this host, as far as it knows.
 	IsStoreReachable func() bool
 	// Revision returns up to which revision this host has received the platform's changes.
@@ -94,6 +96,7 @@
 	own      table // streams that this host has begun
 	kept     table // streams of all hosts that this host keeps
 	views    views
+	members  members
 	hosts    []Host
 	pending  map[string][]*record // by keeper
 	isActive map[string]bool      // keepers to which streams are being sent
@@ -106,7 +109,7 @@
 // New returns a Keeper without streams.
 func New(cfg Config) *Keeper {
 	k := &Keeper{
-		cfg: cfg, finds: make(chan struct{}, maxFinds), logs: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(cfg.AwaitsHistory), hadStore: true,
+		cfg: cfg, finds: make(chan struct{}, maxFinds), logs: rate.NewLimiter(maxLogsPerSecond, maxLogsPerSecond), own: newTable(maxRecords), kept: newTable(maxRecords), views: newViews(cfg.AwaitsHistory), members: members{}, hadStore: true,
 		pending: map[string][]*record{}, isActive: map[string]bool{}, avoided: map[string]time.Time{},
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
@@ -134,6 +137,16 @@
 	k.hosts = hosts
 }
 
+// SetMembers sets up to which revision of the platform's changes the other hosts that are listed have
+// received them; 0: not known. Call it several times a second.
+func (k *Keeper) SetMembers(listed map[string]int64) {
+	now, own := k.cfg.Clock(), k.cfg.Revision()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.members.update(listed, now)
+	k.views.setMembers(own, k.members.leastRevision(), now.Add(k.cfg.RemovalDelay))
+}
+
 // Tick drops records whose time is over, and sends the streams that this host has begun once the store
 // no longer answers: hosts that can't synchronize with the store find only what is recorded. Call it
 // several times a second.
@@ -151,9 +164,11 @@
 
 // Resumed must be called after this host was suspended: its view may be old.
 func (k *Keeper) Resumed() {
+	now := k.cfg.Clock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.views.restart(k.cfg.Clock())
+	markMissed(k.views.classes, now)
+	markMissed(k.views.versions, now)
 }
 
 // SetClasses sets the applications that serve each class.
@@ -225,7 +240,7 @@
 	if stream.RequestID == "" {
 		return
 	}
-	isLong := lifetime <= 0 || lifetime >= streamLifetime
+	isLong := lifetime <= 0 || lifetime >= unrecordedLifetime
 	if lifetime <= 0 || lifetime > maxLifetime {
 		lifetime = maxLifetime
 	}
--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -73,6 +73,17 @@
 	return nil
 }
 
+// confirm has all hosts know that all have applied what they know.
+func (g *group) confirm() {
+	revisions := map[string]int64{}
+	for id := range g.keepers {
+		revisions[id] = 1
+	}
+	for range 2 {
+		g.all(func(k *Keeper) { k.SetMembers(revisions) })
+	}
+}
+
 func (g *group) CountStreamRecord(event string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -182,9 +193,26 @@
 			arrange: func(g *group) {
 				g.all(addV2)
 				g.all(func(k *Keeper) { k.UpdateEndpoints(nil, []string{"e2"}, false) })
+				g.confirm()
 				time.Sleep(streamLifetime)
 			}, want: v1,
 		},
+		"the second version has gone long ago, and a host may go on using it": {
+			arrange: func(g *group) {
+				g.all(addV2)
+				g.all(func(k *Keeper) { k.UpdateEndpoints(nil, []string{"e2"}, false) })
+				g.all(func(k *Keeper) { k.SetMembers(map[string]int64{"d1": 0}) })
+				g.confirm()
+				time.Sleep(outOfStepLimit - time.Second)
+			},
+		},
+		"the second version has gone longer ago than any host goes on": {
+			arrange: func(g *group) {
+				g.all(addV2)
+				g.all(func(k *Keeper) { k.UpdateEndpoints(nil, []string{"e2"}, false) })
+				time.Sleep(outOfStepLimit)
+			}, want: v1,
+		},
 		"two hosts have missed the second version": {
 			arrange: func(g *group) {
 				g.isStale["c1"], g.isStale["c2"] = true, true
@@ -233,6 +261,7 @@
 		"the first event came after its version had gone": {
 			arrange: func(g *group) {
 				g.all(func(k *Keeper) { k.UpdateEndpoints(map[string]Origin{"e2": v2}, []string{"e1"}, false) })
+				g.confirm()
 				time.Sleep(streamLifetime)
 				g.keepers["a1"].Begin(stream("s"), v1, time.Second)
 			}, want: v1, sent: 3,
--- a/internal/streamkeeper/view.go
+++ b/internal/streamkeeper/view.go
@@ -9,6 +9,11 @@
 const (
 	// streamLifetime is for how long a stream may live whose origin is not recorded.
 	streamLifetime = 15 * time.Second
+	// unrecordedLifetime is how long callers may wait whose streams need no record. It is longer than most
+	// wait. The rest of streamLifetime is for a change that a host has received and not applied.
+	unrecordedLifetime = 10 * time.Second
+	// outOfStepLimit is for how long a host may begin streams without receiving the platform's changes.
+	outOfStepLimit = 10 * time.Minute
 )
 
 // Origin is where a stream began.
@@ -57,9 +62,10 @@
 // recentValues is a set of values with those that have been in it recently.
 type recentValues struct {
 	values map[string]recentValue
-	// unknownUntil is when the values of the time before this host started, or while it was suspended, no
-	// longer matter.
+	// unknownUntil is when the values of the time before this host started no longer matter.
 	unknownUntil time.Time
+	// missed stands for values that may have come and gone without this host's knowledge; nil: there are none.
+	missed *recentValue
 }
 
 type recentValue struct {
@@ -67,15 +73,41 @@
 	// isInherited is true for a value of the hosts before. The records of its streams may be lost, also
 	// of those that live for longer than streamLifetime.
 	isInherited bool
+
+	// A host that has not applied the removal goes on beginning streams with the value.
+	isCounted       bool      // setMembers has been called since the removal
+	removedRevision int64     // of the platform's changes, at which this host had applied the removal; 0: not determined
+	confirmedAt     time.Time // when no host used the value any more; zero: some host may
 }
 
 // isPossible reports whether streams with the value may still live, apart from recorded ones.
 func (v recentValue) isPossible(now time.Time) bool {
-	lifetime := streamLifetime
-	if v.isInherited {
-		lifetime = maxLifetime
+	switch {
+	case v.removedAt.IsZero(), v.isInherited && now.Sub(v.removedAt) < maxLifetime:
+		return true
+	case v.confirmedAt.IsZero():
+		return now.Sub(v.removedAt) < outOfStepLimit
+	default:
+		return now.Sub(v.confirmedAt) < streamLifetime
 	}
-	return v.removedAt.IsZero() || now.Sub(v.removedAt) < lifetime
+}
+
+// setMembers sets the revisions that this host and all hosts have applied. A removal is applied
+// before the revision advances, so that the revision of the removal is determined by the second call.
+func (v recentValue) setMembers(own, least int64, confirmedAt time.Time) recentValue {
+	switch {
+	case v.removedAt.IsZero() || !v.confirmedAt.IsZero():
+		return v
+	case !v.isCounted:
+		v.isCounted = true
+		return v
+	case v.removedRevision == 0:
+		v.removedRevision = own
+	}
+	if least >= v.removedRevision {
+		v.confirmedAt = confirmedAt
+	}
+	return v
 }
 
 func newRecentValues(unknownUntil time.Time) *recentValues {
@@ -97,13 +129,23 @@
 	}
 }
 
+func (r *recentValues) setMembers(own, least int64, confirmedAt time.Time) {
+	for value, v := range r.values {
+		r.values[value] = v.setMembers(own, least, confirmedAt)
+	}
+	if r.missed != nil {
+		missed := r.missed.setMembers(own, least, confirmedAt)
+		r.missed = &missed
+	}
+}
+
 // trim drops the values that were removed long ago. The one removed last stays if there is no other:
 // it is the only one that streams can have.
 func (r *recentValues) trim(now time.Time) {
 	last := r.lastRemoved()
 	hasOther := slices.ContainsFunc(slices.Collect(maps.Values(r.values)), func(v recentValue) bool { return v.removedAt.IsZero() })
 	maps.DeleteFunc(r.values, func(value string, v recentValue) bool {
-		return !v.removedAt.IsZero() && now.Sub(v.removedAt) >= maxLifetime && (hasOther || value != last)
+		return !v.isPossible(now) && now.Sub(v.removedAt) >= maxLifetime && (hasOther || value != last)
 	})
 }
 
@@ -144,7 +186,7 @@
 	switch {
 	case len(own) > 1:
 		return "", viewSeveral
-	case len(own)+len(inherited) > 1 || len(r.values) == 0 || now.Before(r.unknownUntil):
+	case len(own)+len(inherited) > 1 || len(r.values) == 0 || now.Before(r.unknownUntil) || r.missed != nil && r.missed.isPossible(now):
 		return value, viewUnknown
 	default:
 		return value, viewSingle
@@ -297,12 +339,18 @@
 	}
 }
 
-// restart makes all views unknown for streamLifetime, unless there are several origins.
-func (v *views) restart(now time.Time) {
+// markMissed records that values of some sets may have come and gone without this host's knowledge.
+func markMissed(sets map[string]*recentValues, now time.Time) {
+	for _, r := range sets {
+		r.missed = &recentValue{removedAt: now}
+	}
+}
+
+// setMembers sets the revision of the platform's changes that this host has applied, and the least one of
+// all hosts that may begin streams. confirmedAt is when those no longer use what they know to be removed.
+func (v *views) setMembers(own, least int64, confirmedAt time.Time) {
 	for _, r := range v.sets() {
-		if until := now.Add(streamLifetime); until.After(r.unknownUntil) {
-			r.unknownUntil = until
-		}
+		r.setMembers(own, least, confirmedAt)
 	}
 }
 
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -349,6 +349,7 @@
 				peersUpdatedAt = now
 				g.updatePeerReach(now)
 				g.updateKeepers()
+				g.updateStreamMembers()
 			}
 			g.streams.Tick()
 			g.updateShedder(now)
--- a/pkg/endivemast/gateway_streams.go
+++ b/pkg/endivemast/gateway_streams.go
@@ -27,6 +27,7 @@
 		IsStoreReachable: func() bool { return g.follower.StoreUnreachableFor() == 0 },
 		Revision:         func() int64 { return g.relayer.LatestRevision() },
 		Synchronize:      func(ctx context.Context) error { return g.follower.Synchronize(ctx) },
+		RemovalDelay:     g.cfg.DrainTime,
 		AwaitsHistory:    true,
 	})
 	g.streams.Register(g.exchanger.Registrar())
@@ -55,6 +56,20 @@
 	g.streams.SetHosts(hosts)
 }
 
+// updateStreamMembers sets which changes the hosts that may begin streams have applied.
+func (g *Gateway) updateStreamMembers() {
+	revisions := map[string]int64{}
+	for _, peer := range g.registrar.Peers() {
+		revisions[peer.HostID] = 0
+	}
+	for _, status := range g.exchanger.Statuses() {
+		if _, ok := revisions[status.Peer.HostID]; ok {
+			revisions[status.Peer.HostID] = status.StoreRevision
+		}
+	}
+	g.streams.SetMembers(revisions)
+}
+
 // setStreamClasses applies the classes of a configuration.
 func (g *Gateway) setStreamClasses(snapshot *classifier.Snapshot) {
 	classes := map[string][]string{}
