What a host reads again may have missed versions and routes in between

A host that reads the list of endpoints or the configuration again, after the store has dropped its history or after an outage, took what it read for all that there had been. A version or a route that came and went meanwhile was not among what streams can have, so that its streams went on elsewhere where no other host was reached: rows "this host has read the list again" and "this host has missed classes" of TestFind, which returned v1 before.

Change: such a read makes the host's own views unknown, under the same rule as a removed value: until all hosts have received what it has read, and 15 s more. Other hosts that have missed nothing answer for it (row "and peers have not").

--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -171,6 +171,15 @@
 	markMissed(k.views.versions, now)
 }
 
+// ClassesMissed must be called after SetClasses if there may have been other classes in between.
+func (k *Keeper) ClassesMissed() {
+	now := k.cfg.Clock()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	markMissed(k.views.classes, now)
+	k.sendUnsentLocked(now, true)
+}
+
 // SetClasses sets the applications that serve each class.
 func (k *Keeper) SetClasses(classes map[string][]string) {
 	now := k.cfg.Clock()
@@ -186,7 +195,8 @@
 }
 
 // UpdateEndpoints applies changes of the list of endpoints: new and changed ones, and the ids of
-// those that were removed. If isSnapshot is true, all others were removed.
+// those that were removed. If isSnapshot is true, all others were removed, and changes may have been
+// missed since the last call.
 func (k *Keeper) UpdateEndpoints(endpoints map[string]Origin, removed []string, isSnapshot bool) {
 	now := k.cfg.Clock()
 	k.mu.Lock()
@@ -197,6 +207,9 @@
 				removed = append(removed, id)
 			}
 		}
+		if k.views.hasEndpoints {
+			markMissed(k.views.versions, now)
+		}
 	}
 	for _, id := range removed {
 		k.views.removeEndpoint(id, now)
--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -266,6 +266,21 @@
 				g.keepers["a1"].Begin(stream("s"), v1, time.Second)
 			}, want: v1, sent: 3,
 		},
+		"this host has read the list again": {
+			arrange: func(g *group) {
+				g.isCut = func(string, string) bool { return true }
+				g.keepers["c2"].UpdateEndpoints(map[string]Origin{"e1": v1}, nil, true)
+			},
+		},
+		"this host has read the list again, and peers have not": {
+			arrange: func(g *group) { g.keepers["c2"].UpdateEndpoints(map[string]Origin{"e1": v1}, nil, true) }, want: v1,
+		},
+		"this host has missed classes": {
+			arrange: func(g *group) {
+				g.isCut = func(string, string) bool { return true }
+				g.keepers["c2"].ClassesMissed()
+			},
+		},
 		"no endpoint for a moment": {
 			arrange: func(g *group) {
 				g.all(func(k *Keeper) { k.UpdateEndpoints(nil, []string{"e1"}, false) })
--- a/pkg/endivemast/gateway_access.go
+++ b/pkg/endivemast/gateway_access.go
@@ -176,6 +176,8 @@
 	if err != nil {
 		return err
 	}
+	before := g.classifier.Revision()
+	defer func() { g.recordMissedClasses(before) }()
 	for _, entry := range entries {
 		if entry.Key == g.cfg.ConfigurationKey {
 			if err := g.installNewest(entry); err != nil {
--- a/pkg/endivemast/gateway_snapshot.go
+++ b/pkg/endivemast/gateway_snapshot.go
@@ -31,6 +31,8 @@
 // Replace implements follower.Sink.
 func (s *snapshotSink) Replace(entries []provider.Entry, _ provider.Period, _ time.Time) {
 	s.isLastReadInForce = true
+	before := s.gateway.classifier.Revision()
+	defer func() { s.gateway.recordMissedClasses(before) }()
 	for _, entry := range entries {
 		if !s.installOrLog(entry) {
 			s.isLastReadInForce = false
@@ -100,6 +102,14 @@
 	return snapshot.Version, nil
 }
 
+// recordMissedClasses takes account of a configuration that was read rather than received as a change.
+// There may have been others between it and the version that was in force before.
+func (g *Gateway) recordMissedClasses(before int64) {
+	if before != 0 && g.classifier.Revision() != before {
+		g.streams.ClassesMissed()
+	}
+}
+
 // installedConfiguration returns the entry of the configuration in force.
 func (g *Gateway) installedConfiguration() (entry provider.Entry, ok bool) {
 	installed := g.installed.Load()
@@ -140,5 +150,6 @@
 		g.cfg.Logger.Warn("configuration that the store has lost not fetched", "error", err, "version", before)
 		return
 	}
+	g.recordMissedClasses(before)
 	g.cfg.Logger.Info("fetched a configuration that the store has lost", "version", g.classifier.Revision(), "version_before", before)
 }
