A held entry's software version counts among what streams can have

After the store has come back from an older copy, a host holds a removed endpoint's entry for five seconds before it uses the endpoint; a host that has started since uses it at once. The host that holds it did not know that streams may begin at the entry's version, which this host may have taken for gone. Found by reading; TestHeldEntryIsReported needs the new field and shows that it is kept. No stream of two versions was seen by this way.

--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -62,6 +62,7 @@
 // heldEntry is an entry that is not used yet.
 type heldEntry struct {
 	entry provider.Entry
+	host  provider.Host // decoded
 	until time.Time
 }
 
@@ -86,6 +87,8 @@
 	Hosts      []provider.Host
 	Removed    []string // ids; may contain endpoints that were never listed
 	IsSnapshot bool
+	// Held are endpoints that this host does not use yet, and others may.
+	Held []provider.Host
 }
 
 // Registrations is the list of endpoints that register themselves in the platform's
@@ -233,13 +236,13 @@
 }
 
 // hold keeps an entry unused for restoredEntryHold from when it was first seen.
-func (r *Registrations) hold(id string, entry provider.Entry, now time.Time) {
+func (r *Registrations) hold(id string, entry provider.Entry, host provider.Host, now time.Time) {
 	if _, isHeld := r.held[id]; isHeld {
 		return
 	}
 	r.cfg.Logger.Info("holding a restored entry of a removed endpoint", "endpoint_id", id, "revision", entry.Revision,
 		"hold_ms", restoredEntryHold.Milliseconds())
-	r.held[id] = heldEntry{entry: entry, until: now.Add(restoredEntryHold)}
+	r.held[id] = heldEntry{entry: entry, host: host, until: now.Add(restoredEntryHold)}
 }
 
 // release uses a held entry. What was known of the endpoint before no longer counts.
@@ -267,7 +270,7 @@
 	host.Revision = entry.Revision
 	r.era = max(r.era, provider.EraOf(entry.Revision))
 	if r.isRestored(&host) {
-		r.hold(id, entry, now)
+		r.hold(id, entry, host, now)
 		return id
 	}
 	if r.isStale(&host) {
@@ -506,6 +509,9 @@
 	var change ListChange
 	r.mu.Lock()
 	for _, id := range ids {
+		if h, isHeld := r.held[id]; isHeld {
+			change.Held = append(change.Held, h.host)
+		}
 		if host, ok := r.hosts[id]; ok {
 			change.Hosts = append(change.Hosts, r.effective(host))
 		} else {
@@ -520,5 +526,11 @@
 func (r *Registrations) publishAll(now time.Time) {
 	r.publishMu.Lock()
 	defer r.publishMu.Unlock()
-	r.cfg.OnChange(ListChange{Hosts: r.Hosts(), IsSnapshot: true}, now)
+	change := ListChange{Hosts: r.Hosts(), IsSnapshot: true}
+	r.mu.Lock()
+	for _, h := range r.held {
+		change.Held = append(change.Held, h.host)
+	}
+	r.mu.Unlock()
+	r.cfg.OnChange(change, now)
 }
--- a/internal/lister/restored_test.go
+++ b/internal/lister/restored_test.go
@@ -88,3 +88,32 @@
 		})
 	}
 }
+
+// TestHeldEntryIsReported guards against software versions that other hosts use and this one does not know of while it holds an entry.
+func TestHeldEntryIsReported(t *testing.T) {
+	t.Parallel()
+	var last ListChange
+	r := NewRegistrations(RegistrationsConfig{
+		Prefix: "s/", Decode: decodeHost, DrainTime: 2 * time.Second, Logger: hclog.NewNullLogger(),
+		OnChange: func(change ListChange, _ time.Time) { last = change },
+	})
+	now, tombstone := time.Now(), provider.Change{Entry: provider.Entry{Key: "s/e1"}, Deleted: true}
+	entry := func(revision int64) provider.Change { return at(entryChange(t, 1000, 9, provider.HostLive), revision) }
+	r.Replace([]provider.Entry{entry(provider.Revision(1, 10)).Entry}, period(now), now)
+	r.Apply(at(tombstone, provider.Revision(1, 20)), now)
+	now = now.Add(10 * time.Second)
+	r.Tick(now)
+	r.StoreRestored(2, now)
+	r.Replace([]provider.Entry{entry(provider.Revision(2, 10)).Entry}, period(now), now)
+	assert.Equal(t, len(last.Hosts), 0)
+	assert.Equal(t, len(last.Held), 1)
+	r.Apply(entry(provider.Revision(2, 11)), now)
+	assert.Equal(t, len(last.Held), 1)
+	r.Apply(at(tombstone, provider.Revision(2, 20)), now)
+	assert.Equal(t, len(last.Held), 0)
+	r.Replace([]provider.Entry{entry(provider.Revision(2, 30)).Entry}, period(now), now)
+	assert.Equal(t, len(last.Held), 1)
+	r.Tick(now.Add(restoredEntryHold))
+	assert.Equal(t, len(last.Held), 0)
+	assert.Equal(t, len(last.Hosts), 1)
+}
--- a/pkg/endivemast/gateway_streams.go
+++ b/pkg/endivemast/gateway_streams.go
@@ -96,5 +96,9 @@
 		host := &change.Hosts[i]
 		endpoints[host.ID] = streamkeeper.Origin{Application: host.Application, SoftwareVersion: host.SoftwareVersion}
 	}
+	for i := range change.Held {
+		host := &change.Held[i]
+		endpoints[host.ID] = streamkeeper.Origin{Application: host.Application, SoftwareVersion: host.SoftwareVersion}
+	}
 	g.streams.UpdateEndpoints(endpoints, change.Removed, change.IsSnapshot)
 }
