An entry of another key among the hosts' ends no host

A list of the hosts' entries that held an item without a key, or with one shorter than the prefix, made the registrar panic, and the process ended. The host that reads the list again after a restart ends again. Such an entry is ignored and logged.

TestEntryOfAnotherKeyIsIgnored failed before with "slice bounds out of range [17:6]" (go test ./internal/registrar -run TestEntryOfAnotherKeyIsIgnored).

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -19,6 +19,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"sync"
 	"time"
 
@@ -210,6 +211,10 @@
 	r.hosts = map[string]Host{}
 	hasOwn := false
 	for _, entry := range entries {
+		if !strings.HasPrefix(entry.Key, Prefix) {
+			r.cfg.Logger.Error("entry of another key ignored", "key", entry.Key, "revision", entry.Revision)
+			continue
+		}
 		hasOwn = hasOwn || r.isOwn(entry)
 		r.putLocked(entry)
 	}
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -155,3 +155,15 @@
 		})
 	}
 }
+
+// Guards against a panic for an entry whose key is shorter than the prefix.
+func TestEntryOfAnotherKeyIsIgnored(t *testing.T) {
+	t.Parallel()
+	r := New(Config{Own: Host{HostID: "own"}, OnChange: func([]Host) {}, Logger: hclog.NewNullLogger()})
+	for name, key := range map[string]string{"none": "", "short": "endive", "of another prefix": "endivemast/stream_history"} {
+		t.Run(name, func(t *testing.T) {
+			r.Replace([]provider.Entry{{Key: key, Value: []byte("{}")}}, provider.Period{}, time.Now())
+			assert.Equal(t, len(r.Peers()), 0)
+		})
+	}
+}
