--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -58,6 +58,9 @@
 // none.
 const revisionsPerEra = 1_000_000_000_000_000
 
+// MaxRevisionNumber is the highest number that a store gives out in an era.
+const MaxRevisionNumber = revisionsPerEra - 1
+
 // MaxEra is the highest era that a revision can hold.
 const MaxEra = 9_000
 
