An endpoint replaces an entry of another writer that claims to be later

An entry under an endpoint's key with a later start time or a larger sequence than the endpoint's own made hosts ignore all of the endpoint's later entries as stale: it took no more work, also after the other entry was deleted, and where its own entries have no start time. Entries of one process that go on for 8 s, and four times, now replace such a state. Delayed entries, which the check of stale entries is for, arrive over 6 s at most.

--- a/internal/lister/registrations.go
+++ b/internal/lister/registrations.go
@@ -37,6 +37,11 @@
 	// later era of the store, since the copy may be older than the removal. The store
 	// removes the entry of an ended process again after some seconds.
 	restoredEntryHold = 5 * time.Second
+	// contestedTime and contestedEntries are for how long, and how many times, an endpoint has to report
+	// itself before its entries replace a known state that claims to be later than they are. Delayed
+	// entries arrive over a shorter time.
+	contestedTime    = 8 * time.Second
+	contestedEntries = 4
 	// maxInvalidLogged limits how many invalid entries are remembered as logged.
 	maxInvalidLogged = 256
 )
@@ -65,6 +70,14 @@
 	until time.Time
 }
 
+// contestedState is a series of entries of one process that were ignored because the known state claims to be
+// later.
+type contestedState struct {
+	since, lastAt time.Time
+	entries       int
+	last          provider.Host
+}
+
 // RegistrationsConfig configures Registrations.
 type RegistrationsConfig struct {
 	Prefix string // of the keys; followed by the endpoint's id
@@ -101,8 +114,9 @@
 	missing         map[string]missingEntry // endpoints whose entry is removed
 	removed         map[string]removedHost  // last states of endpoints that are not listed any more
 	held            map[string]heldEntry    // restored entries of removed endpoints
-	era             int64                   // latest one of the store
-	invalid         map[string]bool         // listed endpoints whose current entry is invalid
+	contested       map[string]contestedState
+	era             int64           // latest one of the store
+	invalid         map[string]bool // listed endpoints whose current entry is invalid
 	storeRegainedAt time.Time
 	isSynced        bool
 	changingRole    map[string]bool       // engines whose role this host is changing
@@ -117,7 +131,7 @@
 	}
 	return &Registrations{
 		cfg: cfg, hosts: map[string]provider.Host{}, missing: map[string]missingEntry{},
-		removed: map[string]removedHost{}, held: map[string]heldEntry{}, invalid: map[string]bool{},
+		removed: map[string]removedHost{}, held: map[string]heldEntry{}, contested: map[string]contestedState{}, invalid: map[string]bool{},
 		changingRole: map[string]bool{}, peerReports: map[string]peerReport{}, loggedInvalid: map[string]int64{},
 	}
 }
@@ -216,6 +230,7 @@
 			delete(r.removed, id)
 		}
 	}
+	maps.DeleteFunc(r.contested, func(_ string, c contestedState) bool { return now.Sub(c.lastAt) > contestedTime })
 	for id, h := range r.held {
 		if !now.Before(h.until) {
 			r.release(id)
@@ -257,7 +272,8 @@
 	id = strings.TrimPrefix(entry.Key, r.cfg.Prefix)
 	host, err := r.cfg.Decode(entry)
 	before, isKnown := r.hosts[id]
-	if err == nil && host.StartedAt == 0 && before.StartedAt != 0 {
+	isContested := err == nil && r.isContested(&host, now)
+	if err == nil && host.StartedAt == 0 && before.StartedAt != 0 && !isContested {
 		err = errMissingStartTime
 	}
 	if err != nil {
@@ -270,7 +286,7 @@
 		r.hold(id, entry, now)
 		return id
 	}
-	if r.isStale(&host) {
+	if r.isStale(&host) && !isContested {
 		r.cfg.Logger.Info("ignored a stale entry of an endpoint", "endpoint_id", id, "revision", entry.Revision,
 			"born", host.StartedAt, "sequence", host.Sequence, "state", host.State, "known_state", before.State, "listed", isKnown)
 		return id
@@ -280,6 +296,11 @@
 	delete(r.removed, id)
 	delete(r.held, id)
 	delete(r.invalid, id)
+	delete(r.contested, id)
+	if isContested {
+		r.cfg.Logger.Warn("entries of an endpoint replace a state that claimed to be later", "endpoint_id", id, "revision", entry.Revision,
+			"born", host.StartedAt, "sequence", host.Sequence, "known_born", before.StartedAt, "known_sequence", before.Sequence)
+	}
 	if !isKnown || before != host {
 		r.cfg.Logger.Info("endpoint registered", "endpoint_id", id, "application", host.Application, "address", host.Address,
 			"zone", host.Zone, "state", host.State, "role", host.Role, "software_version", host.SoftwareVersion, "revision", entry.Revision)
@@ -317,10 +338,34 @@
 	if !isListed {
 		known = r.removed[host.ID].last // zero start time and sequence if there is none
 	}
-	if host.StartedAt != known.StartedAt {
-		return host.StartedAt < known.StartedAt
+	return isEarlier(host, &known)
+}
+
+// isEarlier reports whether a state of an endpoint is from an earlier start than another one, or earlier in
+// the sequence of the same process.
+func isEarlier(host, other *provider.Host) bool {
+	if host.StartedAt != other.StartedAt {
+		return host.StartedAt < other.StartedAt
+	}
+	return host.Sequence < other.Sequence
+}
+
+// isContested records an entry that is older than the known state. It returns true once a process has reported
+// itself for so long that the known state can't be its own, or that of a later process.
+func (r *Registrations) isContested(host *provider.Host, now time.Time) bool {
+	if !r.isStale(host) {
+		return false
+	}
+	c, ok := r.contested[host.ID]
+	if !ok || host.StartedAt != c.last.StartedAt || host.Sequence < c.last.Sequence {
+		c = contestedState{since: now}
+	}
+	if c.entries == 0 || host.Sequence > c.last.Sequence { // the same entry may be read again
+		c.lastAt, c.last = now, *host
+		c.entries++
+		r.contested[host.ID] = c
 	}
-	return host.Sequence < known.Sequence
+	return c.entries >= contestedEntries && now.Sub(c.since) >= contestedTime
 }
 
 // isRestored reports whether an entry was removed in an earlier era of the store, and
