Weights of a split whose sum overflows break no requests

The sum of two large weights was negative, and picking an application panicked: the callers' connections were closed without an answer. Weights are added as floats.

TestOddNumbersInConfiguration, cases of largest weights and of weights that overflow, failed before with EOF at the caller; its other 14 passed (go test ./platform -run TestOddNumbersInConfiguration).

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -150,16 +150,13 @@
 
 // pickApplication picks an application at random, in proportion to the weights.
 func pickApplication(shares []classifier.Share) string {
-	total := 0
+	total := 0.0 // of any weights, without overflow
 	for _, share := range shares {
-		total += max(share.Weight, 0)
+		total += float64(max(share.Weight, 0))
 	}
-	if total == 0 {
-		return shares[0].Application
-	}
-	n := rand.IntN(total)
+	n := rand.Float64() * total
 	for _, share := range shares {
-		if n -= max(share.Weight, 0); n < 0 {
+		if n -= float64(max(share.Weight, 0)); n < 0 {
 			return share.Application
 		}
 	}
