A peer's stream that ends without an outcome is not a complete answer

Callers would have got a 200 with a short body, framed as whole: the host of the caller relays a peer's answer and takes the end of its gRPC stream for an unknown outcome, but the error wraps io.EOF, by which package dispatcher recognises the end of a complete answer. A peer of this build always sends an outcome last, so it takes a peer that ends the call by itself without one.

The end is reported as io.ErrUnexpectedEOF now.

Before: go test ./internal/peerforwarder -run TestPeerThatEndsWithoutAnOutcome fails in all five rows ("errors.Is(err, io.EOF) is true"). After: passes, with the other tests of the package.

--- a/internal/peerforwarder/client.go
+++ b/internal/peerforwarder/client.go
@@ -171,6 +171,9 @@
 
 // broken returns the error of a request whose outcome at the peer is not known.
 func (x *exchange) broken(err error) error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF // io.EOF is the end of a complete answer
+	}
 	err = responselimiter.PeerError(err)
 	if limit, ok := responselimiter.ExceededLimit(err); ok {
 		x.forwarder.cfg.Meter.CountExceededLimit(responselimiter.ClientPeer, string(limit))
--- a/internal/peerforwarder/reply_test.go
+++ b/internal/peerforwarder/reply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"testing"
 
 	"google.golang.org/grpc/codes"
@@ -35,6 +36,50 @@
 	return &peerforwarderpb.ForwardReply{Part: &peerforwarderpb.ForwardReply_Head{Head: &peerforwarderpb.AnswerHead{Status: 200, Length: -1}}}, nil
 }
 
+// endingStream receives replies, and then the end of a call that the peer has ended without an error.
+type endingStream struct {
+	peerforwarderpb.PeerForward_ForwardClient
+
+	replies []*peerforwarderpb.ForwardReply
+}
+
+func (s *endingStream) Recv() (*peerforwarderpb.ForwardReply, error) {
+	if len(s.replies) == 0 {
+		return nil, io.EOF
+	}
+	reply := s.replies[0]
+	s.replies = s.replies[1:]
+	return reply, nil
+}
+
+// TestPeerThatEndsWithoutAnOutcome guards against the end of a peer's stream that is taken for the end of a complete answer.
+func TestPeerThatEndsWithoutAnOutcome(t *testing.T) {
+	t.Parallel()
+	head := &peerforwarderpb.ForwardReply{Part: &peerforwarderpb.ForwardReply_Head{Head: &peerforwarderpb.AnswerHead{Status: 200, Length: -1}}}
+	body := &peerforwarderpb.ForwardReply{Part: &peerforwarderpb.ForwardReply_Body{Body: []byte("id: 1\n\n")}}
+	for name, test := range map[string]struct {
+		replies      []*peerforwarderpb.ForwardReply
+		isHeaderSent bool // the answer continues an earlier one
+	}{
+		"before the head":      {},
+		"after the head":       {replies: []*peerforwarderpb.ForwardReply{head}},
+		"after an event":       {replies: []*peerforwarderpb.ForwardReply{head, body}},
+		"before the next part": {isHeaderSent: true},
+		"after the next part":  {isHeaderSent: true, replies: []*peerforwarderpb.ForwardReply{body}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			x := &exchange{hostID: "h2", parent: t.Context(), stream: &endingStream{replies: test.replies}}
+			answer, err := x.receiveHead(test.isHeaderSent)
+			for err == nil {
+				_, err = answer.Body.Read(make([]byte, 64))
+			}
+			assert.ErrorIs(t, err, driver.ErrOutcomeUnknown)
+			assert.Assert(t, !errors.Is(err, io.EOF), "%v", err)
+		})
+	}
+}
+
 // TestErrorAfterAReplyIsNoRejection guards against a request that is passed to a second peer while the first runs it.
 func TestErrorAfterAReplyIsNoRejection(t *testing.T) {
 	t.Parallel()
