An HTTP/1.0 answer with a transfer coding is malformed

Callers got a 200 whose body was the raw chunks, sizes included, or as much of them as a Content-Length beside it said (MIXED). http.ReadResponse ignores the Transfer-Encoding of an HTTP/1.0 message and removes it from the header. By RFC 9112, 6.1 the framing of such a message is faulty. The head is checked before it is parsed, and the answer counts as bytes that are none: 502, or another attempt where the class allows one.

Before: go test ./platform -run TestAnswersWithAmbiguousFraming fails in both new rows (body "2\r\nth\r\n2\r\n..." and "2\r\n", status 200). After: passes, with the tests of internal/transporter.

--- a/internal/transporter/head.go
+++ b/internal/transporter/head.go
@@ -48,6 +48,9 @@
 			return nil, err
 		}
 		remaining -= length
+		if isOldWithCoding(x.conn.bufferedHead(length)) {
+			return nil, fmt.Errorf("%w: HTTP/1.0 with a transfer coding", ErrMalformed)
+		}
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return nil, fmt.Errorf("%w: %.*s", ErrMalformed, maxDetailBytes, err.Error())
@@ -61,6 +64,21 @@
 	}
 }
 
+// bufferedHead returns the head that bufferHead has waited for.
+func (c *conn) bufferedHead(length int) []byte {
+	if c.reader.Buffered() == 0 {
+		return c.source.pending[:length]
+	}
+	head, _ := c.reader.Peek(length) // buffered bytes can always be peeked
+	return head
+}
+
+// isOldWithCoding reports whether a head is of HTTP/1.0 and has a Transfer-Encoding, so that the end
+// of its body is not certain (RFC 9112, 6.1). http.ReadResponse ignores the header.
+func isOldWithCoding(head []byte) bool {
+	return bytes.HasPrefix(head, []byte("HTTP/1.0 ")) && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
+}
+
 // bufferHead waits for a whole head of at most maxBytes, leaves it to be read, and returns its
 // length. The limit in time starts with the first byte, and applies to each informational head
 // separately: an endpoint may announce a response long before it has one.
