An endpoint's 101 is no answer

Callers got a final status 101 with an empty body. The host passes no Upgrade on, so that an endpoint can't switch to another protocol; what it sends after such a head is no body. A 101 counts as malformed now.

Before: go test ./platform -run TestAnswersWithAmbiguousFraming fails in the row "another protocol" (status 101, body ""). After: passes, with the tests of internal/transporter.

--- a/internal/transporter/head.go
+++ b/internal/transporter/head.go
@@ -55,7 +55,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %.*s", ErrMalformed, maxDetailBytes, err.Error())
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("%w: another protocol, which was not asked for", ErrMalformed)
+		}
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 		if skipped == maxInformationalHeads {
