An answer with the ids of two requests belongs to neither

A head with a second Request-Id passed for the answer to the request that the first one names (MIXED). Such a head comes from two answers that became one: an endpoint that sends a part of another answer, without its last line, before or within its answer. It counts as an answer to another request now: its body is skipped if its end is known, and the request may have run.

Before: go test ./platform -run TestAnswersWithAmbiguousFraming fails in the row "ids of two requests" (status 200). After: passes, with the tests of internal/transporter and TestLate* of platform.

--- a/internal/transporter/exchange.go
+++ b/internal/transporter/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -125,10 +126,13 @@
 	return errors.Join(stop(), responselimiter.BodyError(err))
 }
 
-// echoesRequestID reports whether an answer has the id of the request, or none if the request has none.
+// echoesRequestID reports whether an answer has the id of the request and no other one, or none if the
+// request has none. What is left of another answer may have become part of the head.
 func (x *exchange) echoesRequestID(response *http.Response) bool {
 	name := x.transporter.settings.IDHeader
-	return name == "" || response.Header.Get(name) == x.request.ID
+	ids := response.Header.Values(name)
+	isOther := func(id string) bool { return id != x.request.ID }
+	return name == "" || !slices.ContainsFunc(ids, isOther) && (x.request.ID == "" || len(ids) > 0)
 }
 
 func (x *exchange) Read(p []byte) (int, error) {
