A stream without a length is complete only if its engine still runs

An answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a killed process with FIN like a regular end.

After such a stream the host asks the process for an answer (driver.ConfirmRunning: the engine's report, with Expected-Instance). The threads of a killed process have ended before its connections are closed, so an answer to a call that was sent after the end shows that it runs. Without an answer the stream has broken off: it goes on where the class allows it, else the connection of the caller is broken. A stream without any event is not complete either.

--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -98,6 +98,9 @@
 	for {
 		events, lastID, count, err := reader.next(ctx)
 		if errors.Is(err, io.EOF) {
+			if err := fr.confirmEnd(ctx, answer); err != nil {
+				return fmt.Errorf("%w: %w", driver.ErrOutcomeUnknown, err)
+			}
 			return fr.endStream(answer)
 		}
 		if err != nil {
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -89,7 +89,8 @@
 
 // attemptState describes a request's latest send or prefill.
 type attemptState struct {
-	softwareVersion string // of the endpoint, or stated by the peer
+	target          driver.Target // of a send by this host
+	softwareVersion string        // of the endpoint, or stated by the peer
 	sentAt          time.Time
 	firstEventAt    time.Time     // of its first event; zero if none has arrived
 	reportedAge     time.Duration // of the run, when it was last reported as going on
@@ -417,7 +418,7 @@
 	}
 	call := fr.newCall(grant.Target())
 	call.Import, call.IsStillNeeded = fr.cacheHandle, grant.IsAvailable
-	fr.lastAttempt = attemptState{sentAt: time.Now(), softwareVersion: grant.Target().SoftwareVersion}
+	fr.lastAttempt = attemptState{sentAt: time.Now(), target: grant.Target(), softwareVersion: grant.Target().SoftwareVersion}
 	answer, err := fr.forwarder.cfg.Driver.Forward(ctx, grant.Target(), call)
 	fr.recordSend(grant.Target(), err)
 	if driver.RunStateOf(err) != driver.RunNotSent {
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -47,8 +47,11 @@
 	// SaysNotRun is true if the status promises callers that the request has not run, while the endpoint has not
 	// stated that.
 	SaysNotRun bool
-	// Body ends with io.EOF only if the answer is complete. Closing it earlier cancels the
-	// work at the endpoint.
+	// EndsWithConnection is true if the end of the connection is the only sign that the answer is
+	// complete. That of a killed process looks the same.
+	EndsWithConnection bool
+	// Body ends with io.EOF only if the answer is complete, as far as the answer itself says it. Closing
+	// it earlier cancels the work at the endpoint.
 	Body io.ReadCloser
 }
 
@@ -86,6 +89,10 @@
 	// Probe opens a connection to an endpoint without sending a request. It fails with
 	// ErrConnectionRefused if the endpoint's process has exited.
 	Probe(ctx context.Context, target Target) error
+	// ConfirmRunning asks an engine for any answer, over a connection that the engine has not closed, and
+	// returns an error unless the process answers. The answer of a process that has been killed can't
+	// follow the end of its connections.
+	ConfirmRunning(ctx context.Context, target Target) error
 	// Inspect reads an engine's report on its current state.
 	Inspect(ctx context.Context, target Target) (Inspection, error)
 	// SetObserver sets the function that receives the signals in the header of each
--- a/internal/transporter/exchange.go
+++ b/internal/transporter/exchange.go
@@ -63,6 +63,7 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		Close: response.Close, Body: x,
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
 	}, nil
 }
 
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -126,7 +126,10 @@
 	Header http.Header
 	Length int64 // bytes of the body; -1: unknown
 	Close  bool  // the endpoint announces that it closes the connection
-	Body   io.ReadCloser
+	// EndsWithConnection is true if the body has neither a length nor chunks, so that only the end of
+	// the connection ends it.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 }
 
 // Transporter is safe for concurrent use.
