An endpoint that does not go on after the last event is not forwarded

The first event of an engine that goes on is compared with what the caller has. An id that is equal, a number that is not higher, no id, or a number other than the next one where the ids before rose by one, ends the attempt as failed; none of it is forwarded, and another engine may be asked. The events of one engine pass unchanged, whatever their ids, and so does the answer to a request with which the caller takes a stream up. After a single event the steps are not known, and a gap passes.

--- a/internal/dispatcher/buffers_test.go
+++ b/internal/dispatcher/buffers_test.go
@@ -188,7 +188,7 @@
 	runtime.ReadMemStats(&before)
 	for range count {
 		r := newEventReader(bodyOf(2*maxEventBytes), l)
-		_, _, _, err := r.next(t.Context())
+		_, err := r.next(t.Context())
 		limit, _ := responselimiter.ExceededLimit(err)
 		assert.Equal(t, limit, responselimiter.EventBytes)
 		r.release()
--- a/internal/dispatcher/events.go
+++ b/internal/dispatcher/events.go
@@ -39,10 +39,10 @@
 	}
 }
 
-// next returns one or more complete events unchanged, with the ID of the last one that has an ID,
-// and their number. The bytes are valid until the next call. The error is io.EOF after the last
-// complete event, and io.ErrUnexpectedEOF if the stream ends within an event.
-func (r *eventReader) next(ctx context.Context) (events []byte, lastID string, count int, err error) {
+// next returns one or more complete events unchanged. The bytes are valid until the next call. The
+// error is io.EOF after the last complete event, and io.ErrUnexpectedEOF if the stream ends within an
+// event.
+func (r *eventReader) next(ctx context.Context) (events []byte, err error) {
 	if r.reserved != nil && r.start == r.end {
 		r.release()
 		r.buffer, r.start, r.end = make([]byte, eventBufferBytes), 0, 0
@@ -51,14 +51,13 @@
 		if n := completeEventsLength(r.buffer[r.start:r.end]); n > 0 {
 			events = r.buffer[r.start : r.start+n]
 			r.start += n
-			lastID, count = scanEvents(events)
-			return events, lastID, count, nil
+			return events, nil
 		}
 		if err := r.fill(ctx); err != nil {
 			if errors.Is(err, io.EOF) && r.end > r.start {
 				err = io.ErrUnexpectedEOF
 			}
-			return nil, "", 0, err
+			return nil, err
 		}
 	}
 }
@@ -115,23 +114,3 @@
 		return crlfEnd + 4
 	}
 }
-
-// scanEvents returns the last event ID and the number of events.
-func scanEvents(events []byte) (lastID string, count int) {
-	isPreviousBlank := true
-	for line := range bytes.Lines(events) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			if !isPreviousBlank {
-				count++
-			}
-			isPreviousBlank = true
-			continue
-		}
-		isPreviousBlank = false
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			lastID = string(bytes.TrimPrefix(id, []byte(" ")))
-		}
-	}
-	return lastID, count
-}
--- a/internal/dispatcher/forwarded_answer.go
+++ b/internal/dispatcher/forwarded_answer.go
@@ -95,8 +95,9 @@
 func (fr *forwardedRequest) forwardEvents(ctx context.Context, tokens tokenReceiver, answer *driver.ForwardAnswer) error {
 	reader := newEventReader(answer.Body, fr.forwarder.largeBuffers)
 	defer reader.release()
+	isContinued := fr.isHeaderSent // the next event is the first one of an endpoint that goes on
 	for {
-		events, lastID, count, err := reader.next(ctx)
+		events, err := reader.next(ctx)
 		if errors.Is(err, io.EOF) {
 			if err := fr.confirmEnd(ctx, answer); err != nil {
 				return fmt.Errorf("%w: %w", driver.ErrOutcomeUnknown, err)
@@ -107,7 +108,16 @@
 			fr.countExceededLimit(err, responselimiter.EventBytes)
 			return fmt.Errorf("%w: stream broke off: %w", driver.ErrOutcomeUnknown, err)
 		}
-		for range count {
+		ids, count := fr.ids, 0
+		for e := range eventsIn(events) {
+			if isContinued && (e.hasData || e.id != "") {
+				if err := ids.checkNext(e); err != nil {
+					return err
+				}
+				isContinued = false
+			}
+			ids.add(e)
+			count++
 			tokens.TokenReceived()
 		}
 		if fr.lastAttempt.firstEventAt.IsZero() {
@@ -120,9 +130,7 @@
 			return err
 		}
 		fr.eventsSent += count
-		if lastID != "" {
-			fr.lastEventID = lastID
-		}
+		fr.ids = ids
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -76,8 +76,8 @@
 	cacheHandle  *driver.KVHandle // of the prompt's KV cache, not fetched by an engine yet
 	cacheReadyAt time.Time
 
-	isHeaderSent bool   // the status and header have been sent to the caller
-	lastEventID  string // ID of the last event that the caller has
+	isHeaderSent bool     // the status and header have been sent to the caller
+	ids          eventIDs // of the events that the caller has
 	// softwareVersion is that of the endpoint that began the stream: only endpoints of the same
 	// one may go on with it. Empty before its first event.
 	softwareVersion string
@@ -107,9 +107,10 @@
 
 func newForwardedRequest(f *Forwarder, request *OpaqueRequest, writer AnswerWriter) *forwardedRequest {
 	fr := &forwardedRequest{
-		forwarder: f, request: request, writer: writer, lastEventID: request.ResumeAfter, identity: identityOf(request), allowedRuns: 1,
+		forwarder: f, request: request, writer: writer, identity: identityOf(request), allowedRuns: 1,
 		suspendedBefore: f.cfg.SuspendedTime(),
 	}
+	fr.ids.add(streamEvent{id: request.ResumeAfter})
 	if origin := request.Origin; origin != nil {
 		fr.runs, fr.eventsSent, fr.isHeaderSent = origin.Runs, origin.Events, origin.IsHeaderSent
 		fr.softwareVersion = origin.SoftwareVersion
@@ -399,7 +400,7 @@
 func (fr *forwardedRequest) newCall(target driver.Target) driver.ForwardCall {
 	call := driver.ForwardCall{
 		RequestID: fr.request.ID, Payload: fr.request.Payload, Urgency: min(fr.request.Class.Rank, maxUrgency),
-		ResumeAfter: fr.lastEventID, Tenant: fr.request.Tenant, IsSentAgain: fr.sentTo[target.Address] > 0,
+		ResumeAfter: fr.ids.last, Tenant: fr.request.Tenant, IsSentAgain: fr.sentTo[target.Address] > 0,
 	}
 	call.TimeLeft = max(fr.remainingTime(), time.Millisecond)
 	return call
--- a/internal/dispatcher/peer.go
+++ b/internal/dispatcher/peer.go
@@ -258,7 +258,7 @@
 // attemptAtPeer passes the request to one peer and forwards its answer.
 func (fr *forwardedRequest) attemptAtPeer(ctx context.Context, isRefused bool) (err error) {
 	request := &PeerRequest{
-		Request: fr.request, ResumeAfter: fr.lastEventID, Excluded: fr.triedPeers,
+		Request: fr.request, ResumeAfter: fr.ids.last, Excluded: fr.triedPeers,
 		AcceptsEqual: fr.failedConnections >= maxFailedConnections && !isRefused, IsRefused: isRefused,
 		Origin: Origin{
 			Application: fr.application, Runs: fr.runs, Events: fr.eventsSent, IsHeaderSent: fr.isHeaderSent,
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -161,7 +161,7 @@
 
 // logRepeat logs that a request is sent to another endpoint.
 func (l *requestLogger) logRepeat(fr *forwardedRequest) {
-	l.write(hclog.Info, "request repeated", fr, "excluded", fr.excluded, "resume_after", fr.lastEventID, "needed_version", fr.neededVersion(), "budget_left", fr.repeatBudget.remaining())
+	l.write(hclog.Info, "request repeated", fr, "excluded", fr.excluded, "resume_after", fr.ids.last, "needed_version", fr.neededVersion(), "budget_left", fr.repeatBudget.remaining())
 }
 
 // logUnserved logs how and why a request ended without a complete answer.
--- a/internal/dispatcher/stream_end_test.go
+++ b/internal/dispatcher/stream_end_test.go
@@ -134,3 +134,47 @@
 		})
 	}
 }
+
+// TestContinuedStream guards against events that come twice, or are missing, where another endpoint goes on with a stream.
+func TestContinuedStream(t *testing.T) {
+	t.Parallel()
+	cut := func(ids ...string) streamRun { return streamRun{events: eventsOf(ids...), isCut: true} }
+	whole := func(ids ...string) streamRun { return streamRun{events: eventsOf(ids...)} }
+	for name, test := range map[string]struct {
+		runs        []streamRun
+		resumeAfter string // of the caller's request
+		want        string
+		isBroken    bool
+		sent        []string // Last-Event-Id of each run
+	}{
+		"goes on":                         {runs: []streamRun{cut("1", "2"), whole("3", "4")}, want: eventsOf("1", "2", "3", "4"), sent: []string{"", "2"}},
+		"nothing left":                    {runs: []streamRun{cut("1", "2"), whole()}, want: eventsOf("1", "2"), sent: []string{"", "2"}},
+		"starts again":                    {runs: []streamRun{cut("1", "2"), whole("1", "2", "3")}, want: eventsOf("1", "2"), isBroken: true, sent: []string{"", "2"}},
+		"repeats the last event":          {runs: []streamRun{cut("1", "2"), whole("2", "3"), whole("3")}, want: eventsOf("1", "2", "3"), sent: []string{"", "2", "2"}},
+		"repeats an event of the second":  {runs: []streamRun{cut("1"), cut("2", "3"), whole("3", "4")}, want: eventsOf("1", "2", "3"), isBroken: true, sent: []string{"", "1", "3"}},
+		"leaves a gap":                    {runs: []streamRun{cut("1", "2"), whole("4", "5")}, want: eventsOf("1", "2"), isBroken: true, sent: []string{"", "2"}},
+		"gap, then goes on":               {runs: []streamRun{cut("1", "2"), whole("4"), whole("3", "4")}, want: eventsOf("1", "2", "3", "4"), sent: []string{"", "2", "2"}},
+		"gap after a stream in steps":     {runs: []streamRun{cut("2", "4"), whole("6")}, want: eventsOf("2", "4", "6"), sent: []string{"", "4"}},
+		"steps not known":                 {runs: []streamRun{cut("2"), whole("4")}, want: eventsOf("2", "4"), sent: []string{"", "2"}},
+		"ids that are no numbers":         {runs: []streamRun{cut("a", "b"), whole("z")}, want: eventsOf("a", "b", "z"), sent: []string{"", "b"}},
+		"repeated id that is no number":   {runs: []streamRun{cut("a", "b"), whole("b", "c")}, want: eventsOf("a", "b"), isBroken: true, sent: []string{"", "b"}},
+		"goes on without ids":             {runs: []streamRun{cut("1", "2"), whole("-")}, want: eventsOf("1", "2"), isBroken: true, sent: []string{"", "2"}},
+		"comment before the next event":   {runs: []streamRun{cut("1", "2"), {events: ": ping\n\n" + eventsOf("3")}}, want: eventsOf("1", "2") + ": ping\n\n" + eventsOf("3"), sent: []string{"", "2"}},
+		"comment, then starts again":      {runs: []streamRun{cut("1", "2"), {events: ": ping\n\n" + eventsOf("1")}}, want: eventsOf("1", "2"), isBroken: true, sent: []string{"", "2"}},
+		"one engine's ids go back":        {runs: []streamRun{whole("1", "2", "1", "3")}, want: eventsOf("1", "2", "1", "3"), sent: []string{""}},
+		"one engine leaves a gap":         {runs: []streamRun{whole("1", "5", "6")}, want: eventsOf("1", "5", "6"), sent: []string{""}},
+		"taken up by its caller, again 1": {runs: []streamRun{whole("1", "2")}, resumeAfter: "2", want: eventsOf("1", "2"), sent: []string{"2"}},
+		"taken up, then goes on":          {runs: []streamRun{cut("3"), whole("4")}, resumeAfter: "2", want: eventsOf("3", "4"), sent: []string{"2", "3"}},
+		"taken up, then leaves a gap":     {runs: []streamRun{cut("3"), whole("5")}, resumeAfter: "2", want: eventsOf("3"), isBroken: true, sent: []string{"2", "3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			endpoints := &streamEndpoints{runs: test.runs}
+			got, err := forwardStream(t, endpoints, test.resumeAfter)
+			assert.Equal(t, got, test.want)
+			assert.Equal(t, err != nil, test.isBroken, "%v", err)
+			assert.DeepEqual(t, endpoints.resumedAfter, test.sent)
+			assert.Assert(t, !test.isBroken || errors.Is(err, ErrPartialAnswer), "%v", err)
+		})
+	}
+}
--- a/internal/dispatcher/unframed_stream.go
+++ b/internal/dispatcher/unframed_stream.go
@@ -23,7 +23,7 @@
 	switch {
 	case !answer.EndsWithConnection:
 		return nil
-	case !fr.isHeaderSent && fr.lastEventID == "":
+	case !fr.isHeaderSent && fr.ids.last == "":
 		return errNoEvents // one that goes on may have nothing to add
 	}
 	if err := fr.forwarder.cfg.Driver.ConfirmRunning(ctx, fr.lastAttempt.target); err != nil {
