A stream whose last event has no id is not repeated within its answer

Where only the last events had no id, these came twice. Such a stream breaks off now. The caller may ask again.

Before: go test ./internal/dispatcher -run TestContinuedStream fails in the rows "no ids" and "last event without an id". After: passes, with the tests of the package.

--- a/internal/dispatcher/event_ids.go
+++ b/internal/dispatcher/event_ids.go
@@ -46,7 +46,9 @@
 
 // eventIDs is what is known of the ids of a stream's events that the caller has.
 type eventIDs struct {
-	last     string // empty: none
+	last string // empty: none
+	// isBehind is true if the caller has an event without an id after the last one that has one.
+	isBehind bool
 	number   uint64 // last as a number
 	isNumber bool
 	steps    int  // differences between the numbers of two events
@@ -56,6 +58,7 @@
 // add adds an event that the caller has.
 func (s *eventIDs) add(e streamEvent) {
 	if e.id == "" {
+		s.isBehind = s.isBehind || e.hasData
 		return
 	}
 	number, err := strconv.ParseUint(e.id, 10, 64)
@@ -63,9 +66,12 @@
 		s.isByOne = (s.steps == 0 || s.isByOne) && number == s.number+1
 		s.steps++
 	}
-	s.last, s.number, s.isNumber = e.id, number, err == nil
+	s.last, s.isBehind, s.number, s.isNumber = e.id, false, number, err == nil
 }
 
+// canContinue reports whether an endpoint can be told where to go on with a stream that has begun.
+func (s *eventIDs) canContinue() bool { return s.last != "" && !s.isBehind }
+
 // checkNext returns an error unless e may be the first event of an endpoint that goes on with the stream:
 // one that the caller has, or a gap. A gap is known only if the ids rise by one.
 func (s *eventIDs) checkNext(e streamEvent) error {
--- a/internal/dispatcher/forwarded_repeat.go
+++ b/internal/dispatcher/forwarded_repeat.go
@@ -28,7 +28,7 @@
 			return false
 		}
 	}
-	if errors.Is(err, errTimeout) || fr.isVersionUnknown {
+	if errors.Is(err, errTimeout) || fr.isVersionUnknown || fr.isHeaderSent && !fr.ids.canContinue() {
 		return false
 	}
 	if runStateOf(err) == driver.RunNotSent {
--- a/internal/dispatcher/stream_end_test.go
+++ b/internal/dispatcher/stream_end_test.go
@@ -161,6 +161,8 @@
 		"goes on without ids":             {runs: []streamRun{cut("1", "2"), whole("-")}, want: eventsOf("1", "2"), isBroken: true, sent: []string{"", "2"}},
 		"comment before the next event":   {runs: []streamRun{cut("1", "2"), {events: ": ping\n\n" + eventsOf("3")}}, want: eventsOf("1", "2") + ": ping\n\n" + eventsOf("3"), sent: []string{"", "2"}},
 		"comment, then starts again":      {runs: []streamRun{cut("1", "2"), {events: ": ping\n\n" + eventsOf("1")}}, want: eventsOf("1", "2"), isBroken: true, sent: []string{"", "2"}},
+		"no ids":                          {runs: []streamRun{cut("-", "-"), whole("-", "-", "-")}, want: eventsOf("-", "-"), isBroken: true, sent: []string{""}},
+		"last event without an id":        {runs: []streamRun{cut("1", "-"), whole("-")}, want: eventsOf("1", "-"), isBroken: true, sent: []string{""}},
 		"one engine's ids go back":        {runs: []streamRun{whole("1", "2", "1", "3")}, want: eventsOf("1", "2", "1", "3"), sent: []string{""}},
 		"one engine leaves a gap":         {runs: []streamRun{whole("1", "5", "6")}, want: eventsOf("1", "5", "6"), sent: []string{""}},
 		"taken up by its caller, again 1": {runs: []streamRun{whole("1", "2")}, resumeAfter: "2", want: eventsOf("1", "2"), sent: []string{"2"}},
