--- a/internal/transporter/head.go
+++ b/internal/transporter/head.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 
 	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
@@ -48,11 +49,20 @@
 			return nil, err
 		}
 		remaining -= length
+		if isOldWithCoding(x.conn.bufferedHead(length)) {
+			return nil, fmt.Errorf("%w: HTTP/1.0 with a transfer coding", ErrMalformed)
+		}
 		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
 		if err != nil {
 			return nil, fmt.Errorf("%w: %.*s", ErrMalformed, maxDetailBytes, err.Error())
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if name, ok := spacedName(response.Header); ok {
+			return nil, fmt.Errorf("%w: space in header name %.*q", ErrMalformed, maxDetailBytes, name)
+		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return nil, fmt.Errorf("%w: another protocol, which was not asked for", ErrMalformed)
+		}
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 		if skipped == maxInformationalHeads {
@@ -61,6 +71,32 @@
 	}
 }
 
+// bufferedHead returns the head that bufferHead has waited for.
+func (c *conn) bufferedHead(length int) []byte {
+	if c.reader.Buffered() == 0 {
+		return c.source.pending[:length]
+	}
+	head, _ := c.reader.Peek(length) // buffered bytes can always be peeked
+	return head
+}
+
+// isOldWithCoding reports whether a head is of HTTP/1.0 and has a Transfer-Encoding, so that the end
+// of its body is not certain (RFC 9112, 6.1). http.ReadResponse ignores the header.
+func isOldWithCoding(head []byte) bool {
+	return bytes.HasPrefix(head, []byte("HTTP/1.0 ")) && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
+}
+
+// spacedName returns a header name with a space in it. Package net/textproto accepts such a name as a
+// header of its own, so that "Content-Length : 9" has no effect.
+func spacedName(header http.Header) (name string, ok bool) {
+	for name := range header {
+		if strings.Contains(name, " ") {
+			return name, true
+		}
+	}
+	return "", false
+}
+
 // bufferHead waits for a whole head of at most maxBytes, leaves it to be read, and returns its
 // length. The limit in time starts with the first byte, and applies to each informational head
 // separately: an endpoint may announce a response long before it has one.
