Idle connections are verified before they speak for or against an exit

What callers saw: after a crash of an endpoint's machine, hosts rejected the exit of its process for up to a second ("another connection is open", "another host reaches it"), and could send requests over the connection that nothing answers.

Cause: an idle connection counted as a sign of life because the kernel had it open, at the host itself and, for a second after the last data, in its answers to peers. A machine that has lost power closes none. Traced with a log of each refused connection: at the host with such a connection all of them were probes (peers' questions, the verification of peers' refusals, comparisons), none a request. Probes always open a connection, so that nothing used the idle one. The opposite fault has the same cause: after a second without data an idle connection showed nothing to peers, and a process that refused new connections of all hosts was taken for exited although all had open ones to it.

Change: after a refused connection a host sends a ping over its idle connections, one after the other: an engine's report, or the health check of its service. An answer is data from the process. Connections that end without one are closed. While neither has happened, they count as before. A peer that is asked about the process does the same.

Why this lets no exit be concluded for a process behind a cut, refusing or resetting addresses or a full queue: no rule that confirms an exit is wider than before. A ping removes a connection as evidence only if it has ended (as the next request would have found), or was not answered for 2 s. A process that runs behind refused connections answers at the host that is refused or at any peer with an idle connection; before, silence of a second was enough. A full accept queue of the kernel drops connections and refuses none. Not covered, as before: a process that no host reaches and whose connections have all broken, services without health_check_path, and a process that answers no ping for 2 s.

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -95,6 +95,8 @@
 	Limits       Limits
 	// Scaling holds the applications whose engines are ordered from the platform, by name.
 	Scaling map[string]Scaling
+	// HealthPaths holds the paths of health checks of applications that have one, by name.
+	HealthPaths map[string]string
 	// Tenants holds the tenants whose keys are accepted; nil: requests carry no keys.
 	Tenants *authenticator.Directory
 	// Problems describe the parts of the configuration that were rejected.
@@ -199,6 +201,16 @@
 	return x.snapshot.Tenants
 }
 
+// HealthPath returns the path of an application's health check; empty: it has none, or no
+// configuration is in force.
+func (c *Classifier) HealthPath(application string) string {
+	x := c.current.Load()
+	if x == nil {
+		return ""
+	}
+	return x.snapshot.HealthPaths[application]
+}
+
 // Scaling returns the applications whose engines are ordered from the platform, by name;
 // nil before the first configuration.
 func (c *Classifier) Scaling() map[string]Scaling {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -38,6 +38,8 @@
 	// ErrNotNeeded is an ErrNotSent of a call that was no longer needed once a connection
 	// was open. It says nothing about the endpoint.
 	ErrNotNeeded = fmt.Errorf("%w: no longer wanted", ErrNotSent)
+	// ErrNotConnected: no idle connection to the endpoint is open. It says nothing about the endpoint.
+	ErrNotConnected = errors.New("no idle connection is open")
 	// ErrRefused: the endpoint answered that it did not run the call (busy, draining or
 	// not serving this application).
 	ErrRefused = errors.New("endpoint refused the call")
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -86,6 +86,10 @@
 	// Probe opens a connection to an endpoint without sending a request. It fails with
 	// ErrConnectionRefused if the endpoint's process has exited.
 	Probe(ctx context.Context, target Target) error
+	// Ping sends a request that runs no work over idle connections to an endpoint, one after the
+	// other, until one is answered. It opens none. A connection that ends without an answer is
+	// closed. It fails with ErrNotConnected if no idle connection is left.
+	Ping(ctx context.Context, target Target, kind PingKind) error
 	// Inspect reads an engine's report on its current state.
 	Inspect(ctx context.Context, target Target) (Inspection, error)
 	// SetObserver sets the function that receives the signals in the header of each
@@ -102,6 +106,12 @@
 	Close() error
 }
 
+// PingKind determines which requests an endpoint answers without running work.
+type PingKind struct {
+	IsEngine   bool   // it has a role
+	HealthPath string // of its application; empty: none is configured
+}
+
 // CacheEvents lists changes of the prompt parts that an engine caches.
 type CacheEvents struct {
 	Epoch string // changes when the engine restarts
--- a/internal/pathwatcher/doc.go
+++ b/internal/pathwatcher/doc.go
@@ -10,7 +10,8 @@
 //   - A refused connection is confirmed as the exit of the endpoint's process if, after it,
 //     other endpoints were reached and most of those that were tried, and no other host
 //     reaches it.
-//   - Open connections over which data has just arrived show that a process is alive.
+//   - Open connections over which data has just arrived show that a process is alive. Idle ones are
+//     verified by a request after a connection was refused.
 //   - A process that has refused the connections of several hosts is set aside: it gets no work
 //     from this host, and only a few hosts go on probing it. That is no exit, and it ends with
 //     the first data or connection. See Refusal.
--- a/internal/pathwatcher/exits.go
+++ b/internal/pathwatcher/exits.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
 // This file decides which refused connections show that an endpoint's process has exited.
@@ -42,6 +43,7 @@
 
 // judgeRefusalLocked decides whether a refused connection shows that the process has exited.
 func (w *Watcher) judgeRefusalLocked(p *path, now time.Time) (notify notifications) {
+	w.startPingLocked(p, now)
 	switch {
 	case p.lastReceived().After(p.refusedAt):
 		w.rejectExitLocked(p, "data has arrived since")
@@ -50,9 +52,11 @@
 			return nil
 		}
 		return notifications{func() { w.notifyReached(p.process) }}
+	case p.isPinging && now.Sub(p.refusedAt) < refusalGrace:
+		return nil
 	case p.isExitReported && (p.calls == 0 || now.Sub(p.refusedAt) >= refusalGrace || now.Sub(p.lastReceived()) >= contactTime):
 		return w.confirmExitLocked(p, now, "reported by a peer and verified")
-	case p.application.brokenAt.Before(p.application.lastReceived()) && !p.brokenAt.After(p.lastReceived()) && w.cfg.IsConnected(p.Target):
+	case p.application.brokenAt.Before(p.application.lastReceived()) && !p.brokenAt.After(p.lastReceived()) && w.isConnectedLocked(p):
 		if p.silence(now) >= loneSilenceTimeout {
 			w.rejectExitLocked(p, "another connection is open, but nothing arrives")
 			return nil // unreached, as if the connection had timed out
@@ -75,6 +79,48 @@
 	return nil
 }
 
+// isConnectedLocked reports whether an idle connection is open as far as the kernel knows.
+func (w *Watcher) isConnectedLocked(p *path) bool {
+	return p.isPinging || w.cfg.IsConnected(p.Target)
+}
+
+// startPingLocked verifies the idle connections to a process by a request: those to a machine that has
+// lost power stay open until they are used. Data that arrives in a call shows as much.
+func (w *Watcher) startPingLocked(p *path, now time.Time) {
+	isInContact := p.calls > 0 && now.Sub(p.lastReceived()) < contactTime
+	if w.cfg.Ping == nil || w.ctx.Err() != nil || p.isPinging || isInContact || now.Sub(p.pingedAt) < pingInterval || !w.cfg.IsConnected(p.Target) {
+		return
+	}
+	p.isPinging, p.pingedAt = true, now
+	w.active[p] = struct{}{}
+	w.group.Go(func() error {
+		ctx, cancel := timekeeper.WithTimeout(w.ctx, pingTimeout)
+		defer cancel()
+		w.pinged(p, w.cfg.Ping(ctx, p.Target))
+		return nil
+	})
+}
+
+// pinged records the result of a ping.
+func (w *Watcher) pinged(p *path, err error) {
+	w.mu.Lock()
+	now := w.cfg.Now()
+	p.isPinging = false
+	if w.ctx.Err() != nil || !w.isListedLocked(p) {
+		w.mu.Unlock()
+		return
+	}
+	w.cfg.Logger.Info("idle connections verified after a refused one", "endpoint_id", p.process.EndpointID, "application", p.Application,
+		"is_answered", err == nil, "is_connected", w.cfg.IsConnected(p.Target), "silent_ms", now.Sub(p.lastReceived()).Milliseconds(), "took_ms", now.Sub(p.pingedAt).Milliseconds())
+	if err == nil {
+		p.receive(now)
+	}
+	notify := w.evaluateLocked(p, now)
+	w.updateReachLocked()
+	w.mu.Unlock()
+	notify.run()
+}
+
 // askElsewhereLocked has other hosts confirm an exit that this one has concluded from reaching other
 // endpoints: a path to one endpoint may have broken.
 func (w *Watcher) askElsewhereLocked(p *path, now time.Time) notifications {
@@ -185,9 +231,11 @@
 func (w *Watcher) IsAlive(ctx context.Context, process driver.Process) bool {
 	ticker := time.NewTicker(aliveDelay / 5)
 	defer ticker.Stop()
-	for started := w.cfg.Now(); w.looksAlive(process); {
-		if w.cfg.Now().Sub(started) >= aliveDelay {
-			return true
+	w.verifyIdle(process)
+	for started := w.cfg.Now(); ; {
+		isAlive, isPinging := w.looksAlive(process)
+		if !isAlive && !isPinging || w.cfg.Now().Sub(started) >= aliveDelay {
+			return isAlive
 		}
 		select {
 		case <-ticker.C:
@@ -197,21 +245,27 @@
 			return false
 		}
 	}
-	return false
+}
+
+func (w *Watcher) verifyIdle(process driver.Process) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p := w.findLocked(process); p != nil {
+		w.startPingLocked(p, w.cfg.Now())
+	}
 }
 
 // looksAlive reports whether data has just arrived over a connection that is still open. Connections to a
 // machine that has lost power stay open, so that their state alone shows nothing.
-func (w *Watcher) looksAlive(process driver.Process) bool {
+func (w *Watcher) looksAlive(process driver.Process) (isAlive, isPinging bool) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	p := w.findLocked(process)
-	var silence time.Duration
-	hasCalls := false
-	if p != nil {
-		silence, hasCalls = w.cfg.Now().Sub(p.lastReceived()), p.calls > 0
+	if p == nil {
+		return false, false
 	}
-	w.mu.Unlock()
-	return p != nil && (hasCalls && silence < contactTime || silence < idleContactTime && w.cfg.IsConnected(p.Target))
+	silence := w.cfg.Now().Sub(p.lastReceived())
+	return p.calls > 0 && silence < contactTime || silence < idleContactTime && w.isConnectedLocked(p), p.isPinging
 }
 
 // IsExitPlausible reports whether a peer's report of an exit, which the peer observed some time
--- a/internal/pathwatcher/path.go
+++ b/internal/pathwatcher/path.go
@@ -43,6 +43,11 @@
 	// after which a machine without power is noticed.
 	contactTime     = 200 * time.Millisecond
 	idleContactTime = time.Second
+	// pingTimeout bounds the wait for an answer over an idle connection. The connection is lost after
+	// it, and a process that is busy answers late.
+	pingTimeout = loneSilenceTimeout
+	// pingInterval is the shortest time between two pings of an endpoint.
+	pingInterval = 250 * time.Millisecond
 	// aliveDelay is how long connections may stay open after the process has exited.
 	aliveDelay = 50 * time.Millisecond
 	// recentContact is how recently data must have arrived from a process for a peer's report
@@ -77,6 +82,8 @@
 	connectedAt               time.Time // of the latest probe that succeeded
 
 	isUnreached bool
+	isPinging   bool      // an idle connection is being verified
+	pingedAt    time.Time // start of the latest ping
 	isProbing   bool
 	probedAt    time.Time // start of the latest probe
 	// refusedAt is the time of a refused connection that is not judged yet; zero: none.
@@ -94,6 +101,11 @@
 	contradictedUntil time.Time // until when peers' refused connections are ignored
 }
 
+func (p *path) receive(now time.Time) {
+	p.receivedAt.Store(now.UnixNano())
+	p.application.receivedAt.Store(now.UnixNano())
+}
+
 func (p *path) lastReceived() time.Time { return time.Unix(0, p.receivedAt.Load()) }
 
 // hasFailed reports whether the latest connection failed and nothing has arrived since.
@@ -120,7 +132,7 @@
 
 // isQuiet reports whether nothing is to be decided about the path.
 func (p *path) isQuiet() bool {
-	return p.calls == 0 && !p.isUnreached && !p.isProbing && !p.isReported && !p.isSetAside && !p.isVerifying && p.refusedAt.IsZero() && !p.hasFailed() &&
+	return p.calls == 0 && !p.isUnreached && !p.isPinging && !p.isProbing && !p.isReported && !p.isSetAside && !p.isVerifying && p.refusedAt.IsZero() && !p.hasFailed() &&
 		!p.brokenAt.After(p.lastReceived())
 }
 
@@ -131,11 +143,7 @@
 }
 
 // Received implements driver.PathUse.
-func (u *use) Received() {
-	now := u.watcher.cfg.Now().UnixNano()
-	u.path.receivedAt.Store(now)
-	u.path.application.receivedAt.Store(now)
-}
+func (u *use) Received() { u.path.receive(u.watcher.cfg.Now()) }
 
 // End implements driver.PathUse.
 func (u *use) End(err error) { u.watcher.end(u.path, err) }
--- a/internal/pathwatcher/pathwatcher_test.go
+++ b/internal/pathwatcher/pathwatcher_test.go
@@ -295,6 +295,57 @@
 	}
 }
 
+// TestIdleConnectionsAreVerified guards against idle connections that speak against an exit although their machine is gone, or don't
+// although the process answers.
+func TestIdleConnectionsAreVerified(t *testing.T) {
+	t.Parallel()
+	const id = "e1"
+	for name, test := range map[string]struct {
+		ping    func(ctx context.Context, r *rig) error
+		exits   []string
+		isAlive bool
+	}{
+		"ends when it is used": {exits: []string{id}, ping: func(_ context.Context, r *rig) error {
+			r.setIdle(id, false)
+			return driver.ErrNotConnected
+		}},
+		"is answered": {isAlive: true, ping: func(context.Context, *rig) error { return nil }},
+		"is answered after some time": {isAlive: true, ping: func(context.Context, *rig) error {
+			time.Sleep(30 * time.Millisecond)
+			return nil
+		}},
+		"is not answered": {ping: func(ctx context.Context, _ *rig) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}},
+		"endpoint has no such request": {ping: func(context.Context, *rig) error { return driver.ErrNotSent }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t)
+				defer r.stop()
+				r.watcher.cfg.Ping = func(ctx context.Context, _ driver.Target) error { return test.ping(ctx, r) }
+				r.run(time.Second, true)
+				r.calls.Wait()
+				r.setIdle(id, true)
+				r.set(linkRefuse, id)
+				target := driver.Target{EndpointID: id, Incarnation: "1"}
+				for range 15 {
+					_ = r.probe(t.Context(), target)
+					for _, other := range []string{"e0", "e2", "e3", "e4", "e5"} {
+						r.call(other, true)
+						time.Sleep(20 * time.Millisecond)
+					}
+					r.watcher.Tick()
+				}
+				assert.DeepEqual(t, r.exits, test.exits)
+				assert.Equal(t, r.watcher.IsAlive(t.Context(), target.Process()), test.isAlive)
+			})
+		})
+	}
+}
+
 // TestNotificationsInOrder guards against an endpoint that stays out of use since OnUnreached was called
 // after the OnReached that followed: its Tick was still calling other functions.
 func TestNotificationsInOrder(t *testing.T) {
--- a/internal/pathwatcher/watcher.go
+++ b/internal/pathwatcher/watcher.go
@@ -21,6 +21,9 @@
 	// IsReachedElsewhere asks other hosts whether they reach a process that has exited as far as this one
 	// can compare; nil: nobody is asked.
 	IsReachedElsewhere func(ctx context.Context, process driver.Process) bool
+	// Ping sends a request that runs no work over idle connections to an endpoint until one is answered, and
+	// opens none; nil: endpoints answer no such request. It does not report to Begin.
+	Ping func(ctx context.Context, target driver.Target) error
 	// IsConnected reports whether an idle connection to an endpoint is open; nil: none is.
 	IsConnected func(target driver.Target) bool
 	// OnUnreached is called when a process is no longer reached, and OnReached when it is
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -70,6 +70,7 @@
 	ErrMismatchedAnswer   = errors.New("answer belongs to another request")
 	ErrMalformed          = errors.New("endpoint sent bytes that are no answer")
 	ErrNotNeeded          = errors.New("request is not wanted any more")
+	ErrNoIdleConnection   = errors.New("no idle connection to the endpoint is open")
 	errClosedBeforeAnswer = errors.New("connection ended before the answer")
 )
 
@@ -115,6 +116,9 @@
 	Body   []byte
 	// NewConnection sends the request over a new connection, which is closed afterwards.
 	NewConnection bool
+	// IdleConnection sends the request over an idle connection. Without one it fails with
+	// ErrNoIdleConnection.
+	IdleConnection bool
 	// IsStillNeeded is called once a connection is open, before anything is written. If it
 	// returns false, nothing is sent. Nil means that the request is always needed.
 	IsStillNeeded func() bool
@@ -227,7 +231,7 @@
 // Send sends a request and returns the head of its answer. The connection is reset if ctx
 // ends before the body has been read to its end.
 func (t *Transporter) Send(ctx context.Context, address string, r Request) (*Answer, error) {
-	c, err := t.acquire(ctx, address, r.NewConnection)
+	c, err := t.acquire(ctx, address, &r)
 	if err != nil {
 		return nil, &SendError{Cause: causeOf(ctx, err)}
 	}
@@ -266,11 +270,11 @@
 }
 
 // acquire returns a pooled connection that is still idle, or opens one.
-func (t *Transporter) acquire(ctx context.Context, address string, isSingleUse bool) (*conn, error) {
+func (t *Transporter) acquire(ctx context.Context, address string, r *Request) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	for !isSingleUse {
+	for !r.NewConnection {
 		c, err := t.popIdle(address)
 		if err != nil {
 			return nil, err
@@ -283,6 +287,9 @@
 		}
 		t.discard(c)
 	}
+	if r.IdleConnection {
+		return nil, ErrNoIdleConnection
+	}
 	return t.open(ctx, address)
 }
 
--- a/pkg/endivemast/gateway_paths.go
+++ b/pkg/endivemast/gateway_paths.go
@@ -19,7 +19,7 @@
 
 func (g *Gateway) buildPaths() {
 	g.paths = pathwatcher.New(pathwatcher.Config{
-		Probe: g.cfg.Driver.Probe, IsConnected: g.cfg.Driver.IsConnected, OnExit: g.processExited,
+		Probe: g.cfg.Driver.Probe, Ping: g.ping, IsConnected: g.cfg.Driver.IsConnected, OnExit: g.processExited,
 		IsReachedElsewhere: func(ctx context.Context, process driver.Process) bool { return g.exitVerifier.IsReached(ctx, process) },
 		OnReached:          func(process driver.Process) { g.scheduler.SetUnreached(process, false) },
 		OnUnreached: func(process driver.Process) {
@@ -36,6 +36,15 @@
 	g.cfg.Driver.SetPathObserver(g.paths)
 }
 
+// ping verifies the idle connections to an endpoint.
+func (g *Gateway) ping(ctx context.Context, target driver.Target) error {
+	host, ok := g.registrations.Find(target.EndpointID)
+	if !ok {
+		return driver.ErrNotSent
+	}
+	return g.cfg.Driver.Ping(ctx, target, driver.PingKind{IsEngine: host.Role != "", HealthPath: g.classifier.HealthPath(host.Application)})
+}
+
 func (g *Gateway) buildPeerForwarder() {
 	g.peerForwarder = peerforwarder.New(peerforwarder.Config{
 		HostID: g.cfg.HostID, Zone: g.cfg.Zone, Classify: g.Classify, ConfigurationVersion: g.classifier.Revision, IsDraining: g.Draining,
