--- a/internal/etcdprovider/caller.go
+++ b/internal/etcdprovider/caller.go
@@ -25,8 +25,10 @@
 )
 
 var (
-	errStaleRevision = errors.New("response revision is older than one received before")
-	errAbandoned     = errors.New("request was abandoned before its body was sent")
+	errStaleRevision   = errors.New("response revision is older than one received before")
+	errInvalidRevision = errors.New("revision out of range")
+	errUnexpectedKey   = errors.New("unexpected key")
+	errAbandoned       = errors.New("request was abandoned before its body was sent")
 )
 
 // CallError is the error of a failed call. errors.Is finds its Class, which is one of the
@@ -143,6 +145,9 @@
 		if err == nil && response.Header.Revision < newestRevision {
 			err = errStaleRevision
 		}
+		if err == nil {
+			err = response.check(request)
+		}
 		if err != nil {
 			return &CallError{Class: provider.ErrUnavailable, Endpoint: endpoint, Cause: err}
 		}
--- a/internal/etcdprovider/store.go
+++ b/internal/etcdprovider/store.go
@@ -72,6 +72,9 @@
 	if response.Header.Revision < newestRevision {
 		return provider.Entry{}, staleSwapError(response)
 	}
+	if err := checkRevision(response.Header.Revision); err != nil {
+		return provider.Entry{}, &CallError{Class: provider.ErrOutcomeUnknown, Cause: err}
+	}
 	p.noteRevision(response.Header.Revision)
 	if !response.Succeeded {
 		return provider.Entry{}, provider.ErrConflict
--- a/internal/etcdprovider/watcher.go
+++ b/internal/etcdprovider/watcher.go
@@ -50,7 +50,7 @@
 	first := p.kv.preferredIndex()
 	for i := range p.kv.urls {
 		index := (first + i) % len(p.kv.urls)
-		opened, err = p.openWatch(ctx, p.kv.urls[index], body, fromRevision)
+		opened, err = p.openWatch(ctx, p.kv.urls[index], prefix, body, fromRevision)
 		if err == nil || errors.Is(err, provider.ErrCompacted) || isServiceError(err) || ctx.Err() != nil {
 			return opened, err
 		}
@@ -61,7 +61,7 @@
 
 // openWatch opens a watch at one endpoint.
 func (p *Provider) openWatch(
-	ctx context.Context, endpoint string, body []byte, fromRevision int64,
+	ctx context.Context, endpoint, prefix string, body []byte, fromRevision int64,
 ) (opened provider.Watcher, err error) {
 	callCtx, done, err := p.begin(ctx)
 	if err != nil {
@@ -77,6 +77,7 @@
 		end()
 		return nil, classifyWatchError(err, endpoint)
 	}
+	stream.prefix = []byte(prefix)
 	w := &watcher{changes: make(chan []provider.Change), cancel: cancel}
 	w.group.Go(func() error {
 		defer end()
@@ -120,7 +121,7 @@
 ) error {
 	idle := p.startIdleTimer(cancel)
 	defer idle.stop()
-	checker := &revisionChecker{newestRevision: fromRevision}
+	checker := &eventChecker{prefix: stream.prefix, newestRevision: fromRevision}
 	for {
 		result, err := stream.next()
 		if err != nil {
@@ -206,6 +207,7 @@
 
 // frameReader reads the frames of a watch.
 type frameReader struct {
+	prefix  []byte // of all keys that the watch delivers
 	body    io.Closer
 	limited *io.LimitedReader
 	decoder *json.Decoder
@@ -243,17 +245,26 @@
 	}
 }
 
-// revisionChecker verifies that the changes of a watch are ordered by revision.
-type revisionChecker struct{ newestRevision int64 }
+// eventChecker verifies that the changes of a watch are of its keys, and are ordered by revision.
+type eventChecker struct {
+	prefix         []byte
+	newestRevision int64
+}
 
 // changes returns a frame's changes. It fails if one is older than the start of the watch
-// or than an earlier change.
-func (o *revisionChecker) changes(result *watchResult) ([]provider.Change, error) {
+// or than an earlier change, or can't be one of its keys.
+func (o *eventChecker) changes(result *watchResult) ([]provider.Change, error) {
 	batch := make([]provider.Change, 0, len(result.Events))
 	for _, event := range result.Events {
 		if event.KV.ModRevision < o.newestRevision {
 			return nil, errRevisionDecreased
 		}
+		if err := checkRevision(event.KV.ModRevision); err != nil {
+			return nil, err
+		}
+		if !bytes.HasPrefix(event.KV.Key, o.prefix) {
+			return nil, fmt.Errorf("%w: %.200q", errUnexpectedKey, event.KV.Key)
+		}
 		o.newestRevision = event.KV.ModRevision
 		batch = append(batch, provider.Change{Entry: event.KV.entry(), Deleted: event.Type == eventDelete})
 	}
--- a/internal/etcdprovider/wire.go
+++ b/internal/etcdprovider/wire.go
@@ -1,6 +1,8 @@
 package etcdprovider
 
 import (
+	"bytes"
+	"fmt"
 	"math"
 	"time"
 
@@ -33,11 +35,45 @@
 	RangeEnd []byte `json:"range_end,omitempty"`
 }
 
+// includes reports whether a key is in the requested range.
+func (r *rangeRequest) includes(key []byte) bool {
+	if len(r.RangeEnd) == 0 {
+		return bytes.Equal(key, r.Key)
+	}
+	isBelowEnd := bytes.Equal(r.RangeEnd, []byte{0}) || bytes.Compare(key, r.RangeEnd) < 0
+	return bytes.Compare(key, r.Key) >= 0 && isBelowEnd
+}
+
 type rangeResponse struct {
 	Header header     `json:"header"`
 	KVs    []keyValue `json:"kvs"`
 }
 
+// check returns an error for a response with revisions or keys that the service can't have given to the request.
+// Later responses would be refused as older ones, or keys be taken for others.
+func (r *rangeResponse) check(request *rangeRequest) error {
+	if err := checkRevision(r.Header.Revision); err != nil {
+		return err
+	}
+	for i := range r.KVs {
+		if !request.includes(r.KVs[i].Key) {
+			return fmt.Errorf("%w: %.200q", errUnexpectedKey, r.KVs[i].Key)
+		}
+		if number := r.KVs[i].ModRevision; number < 0 || number > r.Header.Revision {
+			return fmt.Errorf("%w: %d, of an item at %d", errInvalidRevision, number, r.Header.Revision)
+		}
+	}
+	return nil
+}
+
+// checkRevision returns an error for a number that is no revision of the service.
+func checkRevision(number int64) error {
+	if number < 0 || number > provider.MaxRevisionNumber {
+		return fmt.Errorf("%w: %d", errInvalidRevision, number)
+	}
+	return nil
+}
+
 const (
 	targetMod   = "MOD"
 	resultEqual = "EQUAL"
