A key of another writer beside a zone's record leaves the zone its authority

A store with eras is asked for all keys that begin like the record's. One of another writer whose value does not decode left the zone without an authority for as long as it stood there, and one with a high epoch was taken for the zone's last. Only the keys of the record in any era count. A damaged record of the zone itself still waits for an operator.

--- a/internal/leaser/record.go
+++ b/internal/leaser/record.go
@@ -120,6 +120,9 @@
 	}
 	stored.era = provider.EraOf(revision)
 	for _, entry := range entries {
+		if !isRecordKey(l.cfg.Zone, entry.Key) {
+			continue // of another writer
+		}
 		record, err := decodeRecord(entry.Value)
 		if err != nil {
 			return storedRecord{}, err
--- a/internal/leaser/types.go
+++ b/internal/leaser/types.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -155,5 +156,15 @@
 	return RecordKey(zone) + "/" + strconv.FormatInt(era, 10)
 }
 
+// isRecordKey reports whether a key is that of a zone's Record in any era.
+func isRecordKey(zone, key string) bool {
+	number, isOfEra := strings.CutPrefix(key, RecordKey(zone)+"/")
+	if !isOfEra {
+		return key == RecordKey(zone)
+	}
+	era, err := strconv.ParseInt(number, 10, 64)
+	return err == nil && era > 0 && key == eraRecordKey(zone, era)
+}
+
 // LivenessKey returns the key that exists while a zone's holder renews its lease.
 func LivenessKey(zone string) string { return ZonesPrefix + zone + "/holder" }
