A history of streams that exceeds the store's limit is not left at an earlier one

The history holds a version for each that streams may have begun at. If another writer's entries change theirs all the time, it exceeds what the store holds for a key: the store refused it, a host tried again each second, and hosts that start would have read an earlier history, without the versions that serve. Such a history is now written as one that does not decode, after which hosts that start know of none.

--- a/internal/historian/historian.go
+++ b/internal/historian/historian.go
@@ -43,6 +43,10 @@
 	writeDelay = 3 * time.Second
 )
 
+// exceedsStore is the entry in place of a history that the store can't hold. It does not decode, so that hosts
+// that start do not take an earlier history for the whole.
+const exceedsStore = `"exceeds the store's limit"`
+
 // Keeper knows at what streams may have begun. Package streamkeeper implements it.
 type Keeper interface {
 	History() streamkeeper.History
@@ -148,6 +152,9 @@
 	if err != nil {
 		return err
 	}
+	if len(value) > provider.MaxValueBytes {
+		value = []byte(exceedsStore)
+	}
 	ctx, cancel := timekeeper.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := h.cfg.Store.Swap(ctx, provider.Write{Key: Key, Value: value, IfRevision: h.revision})
--- a/internal/historian/historian_test.go
+++ b/internal/historian/historian_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,9 @@
 	if write.IfRevision != s.entry.Revision {
 		return entry, provider.ErrConflict
 	}
+	if len(write.Value) > provider.MaxValueBytes {
+		return entry, provider.ErrUnavailable
+	}
 	s.entry.Value = write.Value
 	s.entry.Revision++
 	entry, err = s.entry, s.swapErr
@@ -154,3 +158,26 @@
 		assert.Equal(t, store.entry.Revision, int64(1))
 	})
 }
+
+// Guards against hosts that start with an earlier history because the store refuses a longer one.
+func TestHistoryThatExceedsTheStore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		var versions []string
+		for n := range 5000 {
+			versions = append(versions, fmt.Sprintf("v%0256d", n))
+		}
+		earlier := historyOf("v1")
+		store, keeper := &memoryStore{}, &listKeeper{known: historyOf(versions...)}
+		store.put(&earlier)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*reloadInterval)
+		defer cancel()
+		h := New(Config{Store: store, Keeper: keeper, IsWriter: func() bool { return true }, Logger: hclog.NewNullLogger()})
+		assert.NilError(t, h.Run(ctx))
+		assert.Assert(t, store.writes <= 4, "%d writes", store.writes)
+		started := &listKeeper{}
+		next := New(Config{Store: store, Keeper: started, IsWriter: func() bool { return false }, Logger: hclog.NewNullLogger()})
+		assert.Assert(t, next.load(t.Context()) != nil)
+		assert.Equal(t, started.set, 0)
+	})
+}
