An empty history of streams counts as unknown

An entry of another writer that decodes to nothing, such as null, ended the time for which hosts that have all just started know of no streams: they would have taken what serves now for all that streams may have begun at. It is refused like one that does not decode, and replaced.

TestHistorian: its three new cases failed before, the keeper got the history (go test ./internal/historian -run TestHistorian$).

--- a/internal/historian/historian.go
+++ b/internal/historian/historian.go
@@ -47,6 +47,9 @@
 // that start do not take an earlier history for the whole.
 const exceedsStore = `"exceeds the store's limit"`
 
+// errEmptyHistory reports an entry of some other writer.
+var errEmptyHistory = errors.New("history without classes or versions")
+
 // Keeper knows at what streams may have begun. Package streamkeeper implements it.
 type Keeper interface {
 	History() streamkeeper.History
@@ -135,9 +138,14 @@
 		h.cfg.Keeper.SetHistory(nil)
 		return nil
 	}
-	if err := json.Unmarshal(entry.Value, &h.stored); err != nil {
+	var stored streamkeeper.History
+	if err := json.Unmarshal(entry.Value, &stored); err != nil {
 		return err // the entry is replaced; what it said stays unknown
 	}
+	if isEmpty(&stored) {
+		return errEmptyHistory // no host writes it
+	}
+	h.stored = stored
 	h.cfg.Keeper.SetHistory(&h.stored)
 	if isFirst {
 		h.cfg.Logger.Info("history of streams read", "revision", entry.Revision, "versions", h.stored.Versions)
--- a/internal/historian/historian_test.go
+++ b/internal/historian/historian_test.go
@@ -113,6 +113,9 @@
 		"another host was first":      {known: v1, arrange: func(s *memoryStore) { s.conflict = &v2 }, want: &v12, writes: 2, set: 2},
 		"outcome unknown":             {known: v1, arrange: func(s *memoryStore) { s.swapErr = provider.ErrOutcomeUnknown }, want: &v1, writes: 1, set: 2},
 		"store is down":               {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.getErr = provider.ErrUnavailable }, want: &v1},
+		"entry is null":               {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.entry.Value = []byte("null") }, want: &v2, writes: 1},
+		"entry is empty":              {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.entry.Value = []byte("{}") }, want: &v2, writes: 1},
+		"entry has no versions":       {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.entry.Value = []byte(`{"classes":{"letters":["llm"]}}`) }, want: &v2, writes: 1},
 		"entry can't be decoded":      {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.entry.Value = []byte("{") }, want: &v2, writes: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
