A host writes its entry again after another writer has replaced it

Only a removed entry was noticed: a host whose entry another writer had replaced by an invalid one renewed its lease, which no longer held the entry, and its peers went without it until it ended. An invalid entry under the host's own key is now replaced, at most every 250 ms. A valid one is left, since it may be that of a later process of this host.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -38,7 +38,8 @@
 	// renewFraction is the fraction of its TTL after which a lease is renewed. The rest is
 	// left for retries, about seven at the default TTL.
 	renewFraction = 0.6
-	// retryInterval is the mean time until a failed write is retried, with jitter.
+	// retryInterval is the mean time until a failed write is retried, with jitter. Half of it is the shortest time
+	// between two checks of this host's entry.
 	retryInterval = 500 * time.Millisecond
 	// maxStartUptime is the uptime up to which an entry is the first one of its process. A
 	// process writes it again much later if the store has lost it.
@@ -86,6 +87,8 @@
 	mu    sync.Mutex
 	hosts map[string]Host // the other hosts, by id
 	lease provider.LeaseID
+	// isReplaced is true while the store holds an invalid entry under this host's key.
+	isReplaced bool
 	// starts holds a context for each host whose start is observed. It ends when the host has
 	// started again after it was first listed.
 	starts map[string]start
@@ -114,17 +117,29 @@
 			}
 			pause = retryInterval/2 + rand.N(retryInterval)
 		}
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		case <-r.renewNow:
-		}
-		timer.Stop()
+		r.wait(ctx, pause)
 	}
 	return nil
 }
 
+// wait waits until the entry has to be checked, after pause at the latest. Another writer may replace it all the
+// time, and calls of the store are limited.
+func (r *Registrar) wait(ctx context.Context, pause time.Duration) {
+	atLeast, atMost := time.NewTimer(retryInterval/2), time.NewTimer(pause)
+	defer atLeast.Stop()
+	defer atMost.Stop()
+	select {
+	case <-ctx.Done():
+		return
+	case <-atLeast.C:
+	}
+	select {
+	case <-ctx.Done():
+	case <-atMost.C:
+	case <-r.renewNow:
+	}
+}
+
 // StoreRegained makes Run check the entry immediately, because its lease may have expired
 // while the store was unreachable.
 func (r *Registrar) StoreRegained() {
@@ -137,7 +152,10 @@
 // renewOrWrite renews the lease, or writes the entry again if there is no lease.
 func (r *Registrar) renewOrWrite(ctx context.Context) error {
 	lease := r.currentLease()
-	if lease != provider.NoLease {
+	if lease != provider.NoLease && r.takeReplaced() {
+		r.setLease(provider.NoLease)
+		r.cfg.Logger.Warn("own entry was replaced by an invalid one; writing it again", "lease", lease)
+	} else if lease != provider.NoLease {
 		err := r.cfg.Store.Renew(ctx, lease)
 		if !errors.Is(err, provider.ErrLeaseLost) {
 			return err
@@ -148,6 +166,15 @@
 	return r.write(ctx)
 }
 
+// takeReplaced returns and resets isReplaced.
+func (r *Registrar) takeReplaced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	isReplaced := r.isReplaced
+	r.isReplaced = false
+	return isReplaced
+}
+
 func (r *Registrar) write(ctx context.Context) (err error) {
 	defer func() { err = eris.Wrap(err, "write own host entry") }()
 	own := r.cfg.Own
@@ -254,10 +281,14 @@
 
 func (r *Registrar) putLocked(entry provider.Entry) {
 	hostID := entry.Key[len(Prefix):]
+	host, err := decodeHost(hostID, entry.Value)
 	if hostID == r.cfg.Own.HostID {
+		// A valid one is of this process, or of another one of this host.
+		if r.isReplaced = err != nil; r.isReplaced {
+			r.StoreRegained()
+		}
 		return
 	}
-	host, err := decodeHost(hostID, entry.Value)
 	if err != nil {
 		r.cfg.Logger.Error("invalid entry of another host ignored", "key", entry.Key, "revision", entry.Revision, "error", err)
 		delete(r.hosts, hostID)
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -167,3 +169,53 @@
 		})
 	}
 }
+
+// Guards against a host that stays unlisted because another writer has replaced its entry.
+func TestReplacedEntryIsWrittenAgain(t *testing.T) {
+	t.Parallel()
+	own := Host{HostID: "own", Incarnation: "one", Zone: "z", Address: "127.0.0.1:80"}
+	for name, test := range map[string]struct {
+		value  string
+		writes int
+	}{
+		"nothing": {"", 2}, "null": {"null", 2}, "nested": {strings.Repeat("[", 20_000), 2}, "no address": {`{"host_id":"own","incarnation":"one","zone":"z"}`, 2},
+		"another host's":  {`{"host_id":"h2","incarnation":"one","zone":"z","address":"127.0.0.1:80"}`, 2},
+		"its own":         {`{"host_id":"own","incarnation":"one","zone":"z","address":"127.0.0.1:80"}`, 1},
+		"a later process": {`{"host_id":"own","incarnation":"two","zone":"z","address":"127.0.0.1:80"}`, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				store := &fakeStore{renewals: make(chan time.Time, 1000)}
+				r := New(Config{Store: store, TTL: time.Minute, Own: own, OnChange: func([]Host) {}, Logger: hclog.NewNullLogger()})
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				time.AfterFunc(time.Second, func() {
+					r.Apply(provider.Change{Entry: provider.Entry{Key: Prefix + "own", Value: []byte(test.value)}}, time.Now())
+				})
+				assert.NilError(t, r.Run(ctx))
+				assert.Equal(t, len(store.renewals), test.writes)
+			})
+		})
+	}
+}
+
+// Guards against calls of the store at the rate at which another writer replaces the entry.
+func TestEntryReplacedAllTheTime(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{renewals: make(chan time.Time, 1000)}
+		own := Host{HostID: "own", Incarnation: "one", Zone: "z", Address: "127.0.0.1:80"}
+		r := New(Config{Store: store, TTL: time.Minute, Own: own, OnChange: func([]Host) {}, Logger: hclog.NewNullLogger()})
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var group errgroup.Group
+		group.Go(func() error { return r.Run(ctx) })
+		for ctx.Err() == nil {
+			r.Apply(provider.Change{Entry: provider.Entry{Key: Prefix + "own"}}, time.Now())
+			time.Sleep(10 * time.Millisecond) // in the bubble's time
+		}
+		assert.NilError(t, group.Wait())
+		assert.Assert(t, len(store.renewals) > 10 && len(store.renewals) <= 41, "%d writes", len(store.renewals))
+	})
+}
