--- a/internal/historian/historian.go
+++ b/internal/historian/historian.go
@@ -43,6 +43,13 @@
 	writeDelay = 3 * time.Second
 )
 
+// exceedsStore is the entry in place of a history that the store can't hold. It does not decode, so that hosts
+// that start do not take an earlier history for the whole.
+const exceedsStore = `"exceeds the store's limit"`
+
+// errEmptyHistory reports an entry of some other writer.
+var errEmptyHistory = errors.New("history without classes or versions")
+
 // Keeper knows at what streams may have begun. Package streamkeeper implements it.
 type Keeper interface {
 	History() streamkeeper.History
@@ -131,9 +138,14 @@
 		h.cfg.Keeper.SetHistory(nil)
 		return nil
 	}
-	if err := json.Unmarshal(entry.Value, &h.stored); err != nil {
+	var stored streamkeeper.History
+	if err := json.Unmarshal(entry.Value, &stored); err != nil {
 		return err // the entry is replaced; what it said stays unknown
 	}
+	if isEmpty(&stored) {
+		return errEmptyHistory // no host writes it
+	}
+	h.stored = stored
 	h.cfg.Keeper.SetHistory(&h.stored)
 	if isFirst {
 		h.cfg.Logger.Info("history of streams read", "revision", entry.Revision, "versions", h.stored.Versions)
@@ -148,6 +160,9 @@
 	if err != nil {
 		return err
 	}
+	if len(value) > provider.MaxValueBytes {
+		value = []byte(exceedsStore)
+	}
 	ctx, cancel := timekeeper.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := h.cfg.Store.Swap(ctx, provider.Write{Key: Key, Value: value, IfRevision: h.revision})
--- a/internal/historian/historian_test.go
+++ b/internal/historian/historian_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,9 @@
 	if write.IfRevision != s.entry.Revision {
 		return entry, provider.ErrConflict
 	}
+	if len(write.Value) > provider.MaxValueBytes {
+		return entry, provider.ErrUnavailable
+	}
 	s.entry.Value = write.Value
 	s.entry.Revision++
 	entry, err = s.entry, s.swapErr
@@ -109,6 +113,9 @@
 		"another host was first":      {known: v1, arrange: func(s *memoryStore) { s.conflict = &v2 }, want: &v12, writes: 2, set: 2},
 		"outcome unknown":             {known: v1, arrange: func(s *memoryStore) { s.swapErr = provider.ErrOutcomeUnknown }, want: &v1, writes: 1, set: 2},
 		"store is down":               {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.getErr = provider.ErrUnavailable }, want: &v1},
+		"entry is null":               {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.entry.Value = []byte("null") }, want: &v2, writes: 1},
+		"entry is empty":              {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.entry.Value = []byte("{}") }, want: &v2, writes: 1},
+		"entry has no versions":       {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.entry.Value = []byte(`{"classes":{"letters":["llm"]}}`) }, want: &v2, writes: 1},
 		"entry can't be decoded":      {stored: &v1, known: v2, arrange: func(s *memoryStore) { s.entry.Value = []byte("{") }, want: &v2, writes: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -154,3 +161,26 @@
 		assert.Equal(t, store.entry.Revision, int64(1))
 	})
 }
+
+// Guards against hosts that start with an earlier history because the store refuses a longer one.
+func TestHistoryThatExceedsTheStore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		var versions []string
+		for n := range 5000 {
+			versions = append(versions, fmt.Sprintf("v%0256d", n))
+		}
+		earlier := historyOf("v1")
+		store, keeper := &memoryStore{}, &listKeeper{known: historyOf(versions...)}
+		store.put(&earlier)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*reloadInterval)
+		defer cancel()
+		h := New(Config{Store: store, Keeper: keeper, IsWriter: func() bool { return true }, Logger: hclog.NewNullLogger()})
+		assert.NilError(t, h.Run(ctx))
+		assert.Assert(t, store.writes <= 4, "%d writes", store.writes)
+		started := &listKeeper{}
+		next := New(Config{Store: store, Keeper: started, IsWriter: func() bool { return false }, Logger: hclog.NewNullLogger()})
+		assert.Assert(t, next.load(t.Context()) != nil)
+		assert.Equal(t, started.set, 0)
+	})
+}
