A revision that is far too high at one host stops no other host

A host that was told such a revision by one answer of the store passed it on as its own: its peers fetched from it, took the revision for the latest, and dropped all later changes as older ones; after the host had read the store again, it got the revision back from them. A store's revision that rises by more than 10^9 while a host runs is refused, and peers that state one are not taken to be ahead.

--- a/internal/provider/provider.go
+++ b/internal/provider/provider.go
@@ -72,6 +72,15 @@
 	return revision / revisionsPerEra, revision % revisionsPerEra
 }
 
+// maxRevisionStep is more than a store's revision rises by while a host runs.
+const maxRevisionStep = 1_000_000_000
+
+// IsPlausible reports whether a store can have given out a revision by now that was at another one before; 0: not
+// known. Hosts that take a revision that is far too high for the latest one drop all changes below it.
+func IsPlausible(revision, before int64) bool {
+	return before == 0 || EraOf(revision) != EraOf(before) || revision-before <= maxRevisionStep
+}
+
 // EraOf returns the era of a revision.
 func EraOf(revision int64) int64 { return revision / revisionsPerEra }
 
--- a/internal/relayer/catchup.go
+++ b/internal/relayer/catchup.go
@@ -31,13 +31,19 @@
 // revision.
 func (r *Relayer) IsPeerAhead(revision int64) bool {
 	for _, status := range r.cfg.PeerStatuses() {
-		if status.Reachable && status.StoreRevision > revision {
+		if status.Reachable && isAhead(&status, revision) {
 			return true
 		}
 	}
 	return false
 }
 
+// isAhead reports whether a peer has received changes after a revision. One that was told a revision that the store
+// can't have reached is not ahead.
+func isAhead(status *exchanger.PeerStatus, revision int64) bool {
+	return status.StoreRevision > revision && provider.IsPlausible(status.StoreRevision, revision)
+}
+
 // FetchFromPeers requests the changes after a revision from the peer with the
 // latest revision. Among equals it prefers the largest share of processor cores,
 // and takes turns among those that are equal in that too. The update may be empty.
@@ -113,6 +119,9 @@
 		r.recordFailure(peer, err)
 		return update, err
 	}
+	if after != configurationOnly && !provider.IsPlausible(reply.GetRevision(), after) {
+		return update, eris.Errorf("peer %s is at revision %d, after %d", peer, reply.GetRevision(), after)
+	}
 	return provider.Update{
 		Changes: changesFromMessage(reply.GetChanges()), Revision: reply.GetRevision(), IsSnapshot: reply.GetIsWhole(),
 	}, nil
@@ -165,7 +174,7 @@
 // a recent update, the latest revision and the most cores.
 func (r *Relayer) pickPeerAhead(after int64, now time.Time) (hostID string, ok bool) {
 	statuses := slices.DeleteFunc(r.cfg.PeerStatuses(), func(status exchanger.PeerStatus) bool {
-		return !status.Reachable || status.Draining || status.StoreRevision <= after || !r.canQuery(status.Peer.HostID, now)
+		return !status.Reachable || status.Draining || !isAhead(&status, after) || !r.canQuery(status.Peer.HostID, now)
 	})
 	if len(statuses) == 0 {
 		return "", false
