A peer that follows from a revision that is far too high is told to read again

A host that has started with such a revision and gets its changes from a peer waited at that peer for changes after it, for good: the peer sent heartbeats and nothing else. The peer now ends such a feed like one whose changes it no longer keeps.

Found by reading after TestOddRevisionOfStartingHost/lists had failed in one of three runs (host 0 sends nothing to a later endpoint for 15 s; load average 64); that this was the cause of that run is suspected, not traced. 18 runs passed with the change (go test ./platform -run TestOddRevisionOfStarting -count 15, and -count 3 before).

--- a/internal/relayer/peerwatch.go
+++ b/internal/relayer/peerwatch.go
@@ -225,6 +225,10 @@
 		if !ok {
 			return status.Error(codes.OutOfRange, "changes that old are not kept")
 		}
+		if !provider.IsPlausible(sentRevision, r.log.latestRevision()) {
+			// It would wait for good: no change will be after that revision.
+			return status.Error(codes.OutOfRange, "the store can't have reached that revision")
+		}
 		if err := stream.Send(&relayerpb.FollowReply{Changes: changesToMessage(changes)}); err != nil {
 			return err
 		}
