Records of streams are not overruled by hosts that confirm one origin

For two minutes after a version has left, and at hosts that have just started, all keepers have to reply before a stream without a record goes on. - A removal counted as known to a host by what its process before had received, and for good: a host that starts again with an older list reopens it (TestHostStartsAgainWithAnOlderList). The revision of a removal takes account of reads and of the configuration in force. A poll may take 600 ms; where the store has failed to confirm a view, streams are recorded for 15 s. - Polls start 25 ms apart at least, and a lookup that has found a record no longer waits for one.

--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -399,6 +399,14 @@
 	return f.revision
 }
 
+// LatestRevision returns the highest revision that the sinks have been told, also while others below it
+// are not known.
+func (f *Follower) LatestRevision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.latestRevision
+}
+
 func (f *Follower) reset() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/follower/synchronizer.go
+++ b/internal/follower/synchronizer.go
@@ -11,8 +11,13 @@
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
-// synchronizeTimeout limits one poll of the store, on which several callers may wait.
-const synchronizeTimeout = 300 * time.Millisecond
+const (
+	// synchronizeTimeout limits one poll of the store, on which several callers may wait.
+	synchronizeTimeout = 600 * time.Millisecond
+	// minPollInterval is the shortest time between the starts of two polls. The store limits the calls
+	// of all hosts together.
+	minPollInterval = 25 * time.Millisecond
+)
 
 var (
 	errNoPoller    = errors.New("store does not support polling for changes")
@@ -41,12 +46,17 @@
 }
 
 func (f *Follower) runSynchronizations(ctx context.Context) error {
+	var polledAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-f.synchronizationDue:
 		}
+		if !wait(ctx, time.Until(polledAt.Add(minPollInterval))) {
+			return nil
+		}
+		polledAt = time.Now()
 		f.mu.Lock()
 		waiting := f.waiting
 		f.waiting = nil
--- a/internal/streamkeeper/lookup.go
+++ b/internal/streamkeeper/lookup.go
@@ -24,6 +24,8 @@
 	keepers   []string
 	own       reply
 	replies   []reply
+	// needsAll is true if streams may live that are known by their record only.
+	needsAll bool
 }
 
 // Find returns the origin of a stream that a caller takes up. It fails with ErrUnknown if no host
@@ -39,12 +41,13 @@
 	l := &lookup{id: stream.key(), class: stream.Class, startedAt: k.cfg.Clock()}
 	k.mu.Lock()
 	l.own = k.replyLocked(l.id, l.class, l.startedAt)
+	l.needsAll = l.own.view.kind != viewSingle || k.views.hasRecent(l.class, l.startedAt)
 	l.keepers = slices.DeleteFunc(keepersOf(l.id, k.hosts, k.cfg.Zone, askedCount), func(hostID string) bool { return hostID == k.cfg.HostID })
 	k.mu.Unlock()
 	if !l.own.isRecorded {
 		k.runLookup(ctx, l)
 	}
-	origin, ok := decide(&l.own, l.replies)
+	origin, ok := l.decide()
 	isRecorded := l.own.isRecorded || slices.ContainsFunc(l.replies, func(r reply) bool { return r.isRecorded })
 	event := eventSingle
 	switch {
@@ -66,30 +69,51 @@
 		return
 	}
 	synchronized := make(chan struct{})
+	confirmCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var group errgroup.Group
 	group.Go(func() error {
 		defer close(synchronized)
-		l.own = k.confirm(ctx, l.id, l.class)
+		l.own = k.confirm(confirmCtx, l.id, l.class)
 		return nil
 	})
 	l.replies = k.ask(ctx, l, false, synchronized)
+	isRecorded := slices.ContainsFunc(l.replies, func(r reply) bool { return r.isRecorded })
+	if isRecorded {
+		cancel()
+	}
 	_ = group.Wait() // the function returns no error
-	if _, ok := decide(&l.own, l.replies); !ok && !l.own.isConfirmed {
-		l.replies = append(l.replies, k.ask(ctx, l, true, nil)...)
+	if _, ok := l.decide(); !ok && !isRecorded && !l.own.isConfirmed {
+		l.replies = k.ask(ctx, l, true, nil)
+	}
+}
+
+// decide returns the stream's origin. A host that has not replied may have the record.
+func (l *lookup) decide() (origin Origin, ok bool) {
+	origin, ok = decide(&l.own, l.replies)
+	isRecorded := l.own.isRecorded || slices.ContainsFunc(l.replies, func(r reply) bool { return r.isRecorded })
+	if l.needsAll && !isRecorded && len(l.replies) < len(l.keepers) {
+		return Origin{}, false
 	}
+	return origin, ok
 }
 
 // confirm returns what this host knows of a stream once it knows all changes that the platform's store
 // has accepted by now. The reply is not confirmed if the store does not answer.
 func (k *Keeper) confirm(ctx context.Context, id key, class string) (r reply) {
-	ctx, cancel := timekeeper.WithTimeout(ctx, findTimeout)
+	limited, cancel := timekeeper.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	err := k.cfg.Synchronize(ctx)
+	err := k.cfg.Synchronize(limited)
+	now := k.cfg.Clock()
 	k.mu.Lock()
-	r = k.replyLocked(id, class, k.cfg.Clock())
+	r = k.replyLocked(id, class, now)
+	if err != nil && ctx.Err() == nil {
+		k.unconfirmedAt = now
+		k.sendUnsentLocked(now, false)
+	}
 	k.mu.Unlock()
 	r.isConfirmed = err == nil
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		k.cfg.Meter.CountStreamRecord(eventUnsynchronized)
 		k.logLookup("view of streams not confirmed by the store", "class", class, "error", err)
 	}
@@ -114,7 +138,7 @@
 func (k *Keeper) ask(ctx context.Context, l *lookup, isConfirming bool, synchronized <-chan struct{}) (replies []reply) {
 	timeout := findTimeout
 	if isConfirming {
-		timeout += findTimeout // theirs, for the store
+		timeout += confirmTimeout
 	}
 	ctx, cancel := timekeeper.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -147,7 +171,8 @@
 		if synchronized != nil || len(replies) == 0 {
 			continue
 		}
-		if _, ok := decide(&l.own, replies); ok {
+		l.replies = replies
+		if _, ok := l.decide(); ok {
 			return replies
 		}
 	}
--- a/internal/streamkeeper/members.go
+++ b/internal/streamkeeper/members.go
@@ -27,11 +27,14 @@
 	}
 }
 
-// leastRevision returns the revision that all members have applied.
-func (m members) leastRevision() int64 {
-	least := int64(math.MaxInt64)
+// leastRevisions returns the revision that all members have received, and that of those whose revision is known.
+func (m members) leastRevisions() (least, leastHeard int64) {
+	least, leastHeard = math.MaxInt64, math.MaxInt64
 	for _, known := range m {
 		least = min(least, known.revision)
+		if known.revision != 0 {
+			leastHeard = min(leastHeard, known.revision)
+		}
 	}
-	return least
+	return least, leastHeard
 }
--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -32,6 +32,8 @@
 	// recordTimeout and findTimeout bound the calls to a keeper.
 	recordTimeout = 500 * time.Millisecond
 	findTimeout   = 300 * time.Millisecond
+	// confirmTimeout bounds the wait for the platform's store.
+	confirmTimeout = 800 * time.Millisecond
 	// maxFinds bounds the lookups that run at a time. Callers can cause them with made-up ids.
 	maxFinds = 64
 	// maxLogsPerSecond bounds the lines about lookups.
@@ -104,6 +106,8 @@
 	isClosed bool
 	// hadStore is false if the store did not answer this host at the last Tick.
 	hadStore bool
+	// unconfirmedAt is when the store last failed to confirm this host's view in time.
+	unconfirmedAt time.Time
 }
 
 // New returns a Keeper without streams.
@@ -132,9 +136,15 @@
 
 // SetHosts sets the hosts that may be keepers, this one included.
 func (k *Keeper) SetHosts(hosts []Host) {
+	now := k.cfg.Clock()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	isNew := func(h Host) bool { return !slices.Contains(k.hosts, h) }
+	hasNew := slices.ContainsFunc(hosts, isNew)
 	k.hosts = hosts
+	if hasNew {
+		k.sendUnsentLocked(now, true)
+	}
 }
 
 // SetMembers sets up to which revision of the platform's changes the other hosts that are listed have
@@ -144,7 +154,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.members.update(listed, now)
-	k.views.setMembers(own, k.members.leastRevision(), now.Add(k.cfg.RemovalDelay))
+	least, leastHeard := k.members.leastRevisions()
+	k.views.setMembers(own, least, leastHeard, now.Add(k.cfg.RemovalDelay))
 }
 
 // Tick drops records whose time is over, and sends the streams that this host has begun once the store
@@ -188,7 +199,7 @@
 	for class, applications := range classes {
 		k.views.setClass(class, applications, now)
 	}
-	k.views.trim(classes)
+	k.views.trim(classes, now)
 	k.views.hasClasses = true
 	k.views.useHistory()
 	k.sendUnsentLocked(now, true)
@@ -264,7 +275,7 @@
 	if k.own.put(r, now) {
 		k.cfg.Meter.CountStreamRecord(eventDropped)
 	}
-	if isLong || !k.hadStore || k.views.of(stream.Class, now) != singleOf(origin) {
+	if isLong || !k.hadStore || now.Sub(k.unconfirmedAt) < streamLifetime || k.views.of(stream.Class, now) != singleOf(origin) {
 		k.sendLocked(r, now)
 	}
 }
@@ -283,7 +294,7 @@
 			known = k.views.of(r.class, now)
 			views[r.class] = known
 		}
-		if !isByView || known != singleOf(r.origin) {
+		if r.isDue || !isByView || known != singleOf(r.origin) {
 			k.sendLocked(r, now)
 		}
 	}
@@ -294,12 +305,13 @@
 	if k.isClosed {
 		return
 	}
-	r.isSent = true
+	r.isDue = true
 	for _, hostID := range keepersOf(r.key, k.availableLocked(now), k.cfg.Zone, keeperCount) {
 		if hostID == k.cfg.HostID {
 			k.keepLocked(&record{key: r.key, origin: r.origin, until: r.until}, now)
 			continue
 		}
+		r.isSent = true
 		k.enqueueLocked(hostID, r)
 	}
 }
--- a/internal/streamkeeper/streamkeeper_test.go
+++ b/internal/streamkeeper/streamkeeper_test.go
@@ -407,8 +407,13 @@
 		class, application := fmt.Sprint("c", i), fmt.Sprint("a", i)
 		v.setClass(class, []string{application}, now)
 		v.setEndpoint("e", Origin{application, "v1"}, now)
-		v.trim(map[string][]string{class: {application}})
+		v.trim(map[string][]string{class: {application}}, now)
 	}
+	assert.Equal(t, len(v.classes), 100) // streams of those may still live
+	last := map[string][]string{"c99": {"a99"}}
+	v.trim(last, now.Add(outOfStepLimit-time.Second))
+	assert.Equal(t, len(v.classes), 100)
+	v.trim(last, now.Add(outOfStepLimit))
 	assert.Equal(t, len(v.classes), 1)
 	assert.Equal(t, len(v.versions), 1)
 }
--- a/internal/streamkeeper/table.go
+++ b/internal/streamkeeper/table.go
@@ -35,9 +35,10 @@
 	origin Origin
 	until  time.Time // until when a caller may take the stream up
 
-	// class is set for a stream that this host has begun, and isSent once it is recorded at its
-	// keepers.
+	// class is set for a stream that this host has begun, isDue if it has to be recorded at its keepers,
+	// and isSent once it is sent to one.
 	class  string
+	isDue  bool
 	isSent bool
 }
 
--- a/internal/streamkeeper/view.go
+++ b/internal/streamkeeper/view.go
@@ -92,11 +92,21 @@
 	}
 }
 
+// isRecent reports whether recorded streams with a removed value may still live.
+func (v recentValue) isRecent(now time.Time) bool {
+	return now.Sub(v.removedAt) < maxLifetime || !v.confirmedAt.IsZero() && now.Sub(v.confirmedAt) < maxLifetime
+}
+
 // setMembers sets the revisions that this host and all hosts have applied. A removal is applied
 // before the revision advances, so that the revision of the removal is determined by the second call.
-func (v recentValue) setMembers(own, least int64, confirmedAt time.Time) recentValue {
+func (v recentValue) setMembers(own, least, leastHeard int64, confirmedAt time.Time) recentValue {
 	switch {
-	case v.removedAt.IsZero() || !v.confirmedAt.IsZero():
+	case v.removedAt.IsZero():
+		return v
+	case !v.confirmedAt.IsZero():
+		if leastHeard < v.removedRevision {
+			v.confirmedAt = time.Time{} // a host has started again with an older list
+		}
 		return v
 	case !v.isCounted:
 		v.isCounted = true
@@ -129,12 +139,12 @@
 	}
 }
 
-func (r *recentValues) setMembers(own, least int64, confirmedAt time.Time) {
+func (r *recentValues) setMembers(own, least, leastHeard int64, confirmedAt time.Time) {
 	for value, v := range r.values {
-		r.values[value] = v.setMembers(own, least, confirmedAt)
+		r.values[value] = v.setMembers(own, least, leastHeard, confirmedAt)
 	}
 	if r.missed != nil {
-		missed := r.missed.setMembers(own, least, confirmedAt)
+		missed := r.missed.setMembers(own, least, leastHeard, confirmedAt)
 		r.missed = &missed
 	}
 }
@@ -145,7 +155,7 @@
 	last := r.lastRemoved()
 	hasOther := slices.ContainsFunc(slices.Collect(maps.Values(r.values)), func(v recentValue) bool { return v.removedAt.IsZero() })
 	maps.DeleteFunc(r.values, func(value string, v recentValue) bool {
-		return !v.isPossible(now) && now.Sub(v.removedAt) >= maxLifetime && (hasOther || value != last)
+		return !v.isPossible(now) && !v.isRecent(now) && (hasOther || value != last)
 	})
 }
 
@@ -300,7 +310,7 @@
 
 // trim drops the classes that a configuration no longer has, and the applications that neither
 // serve a class nor have endpoints.
-func (v *views) trim(classes map[string][]string) {
+func (v *views) trim(classes map[string][]string, now time.Time) {
 	used := map[string]bool{}
 	for _, applications := range classes {
 		for _, application := range applications {
@@ -310,8 +320,18 @@
 	for _, origin := range v.endpoints {
 		used[origin.Application] = true
 	}
-	maps.DeleteFunc(v.classes, func(class string, _ *recentValues) bool { return classes[class] == nil })
-	maps.DeleteFunc(v.versions, func(application string, _ *recentValues) bool { return !used[application] })
+	maps.DeleteFunc(v.classes, func(class string, r *recentValues) bool { return classes[class] == nil && r.clear(now) })
+	maps.DeleteFunc(v.versions, func(application string, r *recentValues) bool { return !used[application] && r.clear(now) })
+}
+
+// clear removes all values, and reports whether none is possible any more.
+func (r *recentValues) clear(now time.Time) (isCleared bool) {
+	isCleared = r.missed == nil || !r.missed.isPossible(now)
+	for value := range r.values {
+		r.remove(value, now)
+		isCleared = isCleared && !r.values[value].isPossible(now)
+	}
+	return isCleared
 }
 
 // setEndpoint adds an endpoint, or changes it.
@@ -347,11 +367,27 @@
 }
 
 // setMembers sets the revision of the platform's changes that this host has applied, and the least one of
-// all hosts that may begin streams. confirmedAt is when those no longer use what they know to be removed.
-func (v *views) setMembers(own, least int64, confirmedAt time.Time) {
+// all hosts that may begin streams; leastHeard leaves out those whose revision is not known. confirmedAt is
+// when those no longer use what they know to be removed.
+func (v *views) setMembers(own, least, leastHeard int64, confirmedAt time.Time) {
 	for _, r := range v.sets() {
-		r.setMembers(own, least, confirmedAt)
+		r.setMembers(own, least, leastHeard, confirmedAt)
+	}
+}
+
+// hasRecent reports whether streams of a class may still live, by their records, whose origin is none of those
+// of the view.
+func (v *views) hasRecent(class string, now time.Time) bool {
+	isRecent := func(r *recentValues) bool {
+		return r != nil && slices.ContainsFunc(slices.Collect(maps.Values(r.values)), func(value recentValue) bool {
+			return !value.isPossible(now) && value.isRecent(now)
+		})
+	}
+	applications := v.classes[class]
+	if applications == nil || isRecent(applications) {
+		return applications != nil
 	}
+	return slices.ContainsFunc(applications.sorted(), func(application string) bool { return isRecent(v.versions[application]) })
 }
 
 // of returns the view of a class.
--- a/pkg/endivemast/gateway_streams.go
+++ b/pkg/endivemast/gateway_streams.go
@@ -25,7 +25,7 @@
 		HostID: g.cfg.HostID, Zone: g.cfg.Zone, Clock: g.cfg.Clock.Now, Meter: g.meter, Logger: g.cfg.Logger.Named("streamkeeper"),
 		Conn:             func(hostID string) (grpc.ClientConnInterface, error) { return g.exchanger.Conn(hostID) },
 		IsStoreReachable: func() bool { return g.follower.StoreUnreachableFor() == 0 },
-		Revision:         func() int64 { return g.relayer.LatestRevision() },
+		Revision:         g.receivedRevision,
 		Synchronize:      func(ctx context.Context) error { return g.follower.Synchronize(ctx) },
 		RemovalDelay:     g.cfg.DrainTime,
 		AwaitsHistory:    true,
@@ -56,22 +56,43 @@
 	g.streams.SetHosts(hosts)
 }
 
+// receivedRevision returns up to which revision of the store this host has received any changes.
+func (g *Gateway) receivedRevision() int64 {
+	revision := max(g.relayer.LatestRevision(), g.follower.LatestRevision())
+	if entry, ok := g.installedConfiguration(); ok {
+		revision = max(revision, entry.Revision)
+	}
+	return revision
+}
+
 // updateStreamMembers sets which changes the hosts that may begin streams have applied.
 func (g *Gateway) updateStreamMembers() {
-	revisions := map[string]int64{}
+	revisions, incarnations := map[string]int64{}, map[string]string{}
 	for _, peer := range g.registrar.Peers() {
-		revisions[peer.HostID] = 0
+		revisions[peer.HostID], incarnations[peer.HostID] = 0, peer.Incarnation
 	}
 	for _, status := range g.exchanger.Statuses() {
-		if _, ok := revisions[status.Peer.HostID]; ok {
+		if incarnation, ok := incarnations[status.Peer.HostID]; ok && incarnation == status.Incarnation {
 			revisions[status.Peer.HostID] = status.StoreRevision
 		}
 	}
 	g.streams.SetMembers(revisions)
 }
 
-// setStreamClasses applies the classes of a configuration.
-func (g *Gateway) setStreamClasses(snapshot *classifier.Snapshot) {
+// setStreamClasses applies the classes of the configuration in force. ignored is an older one in the store,
+// which hosts that have started since may have in force; nil: there is none.
+func (g *Gateway) setStreamClasses(snapshot, ignored *classifier.Snapshot) {
+	classes := streamClasses(snapshot)
+	if ignored != nil {
+		for class, applications := range streamClasses(ignored) {
+			classes[class] = append(classes[class], applications...)
+		}
+	}
+	g.streams.SetClasses(classes)
+}
+
+// streamClasses returns the applications of each class of streams.
+func streamClasses(snapshot *classifier.Snapshot) map[string][]string {
 	classes := map[string][]string{}
 	for i := range snapshot.Rules {
 		class := &snapshot.Rules[i].Class
