Applications of a configuration that a host ignores count among what streams can have

A host that has started since the store holds an older configuration again puts that one in force, and begins streams at its applications.

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -201,6 +201,15 @@
 	return x.snapshot.Tenants
 }
 
+// Current returns the configuration in force; nil before the first one. It must not be changed.
+func (c *Classifier) Current() *Snapshot {
+	x := c.current.Load()
+	if x == nil {
+		return nil
+	}
+	return x.snapshot
+}
+
 // HealthPath returns the path of an application's health check; empty: it has none, or no
 // configuration is in force.
 func (c *Classifier) HealthPath(application string) string {
--- a/pkg/endivemast/gateway_snapshot.go
+++ b/pkg/endivemast/gateway_snapshot.go
@@ -83,11 +83,12 @@
 	if !g.classifier.Install(snapshot) {
 		if inForce := g.classifier.Revision(); snapshot.Version < inForce {
 			g.cfg.Logger.Info("older configuration ignored", "version", snapshot.Version, "version_in_force", inForce, "revision", entry.Revision)
+			g.setStreamClasses(g.classifier.Current(), snapshot)
 		}
 		return snapshot.Version, nil
 	}
 	g.installed.Store(&entry)
-	g.setStreamClasses(snapshot)
+	g.setStreamClasses(snapshot, nil)
 	fields := []any{
 		"version", snapshot.Version, "revision", entry.Revision,
 		"rules", len(snapshot.Rules), "applications", len(snapshot.Applications),
--- a/pkg/endivemast/gateway_streams.go
+++ b/pkg/endivemast/gateway_streams.go
@@ -107,7 +107,7 @@
 		}
 		classes[class.Name] = applications
 	}
-	g.streams.SetClasses(classes)
+	return classes
 }
 
 // setStreamEndpoints applies a change of the list of endpoints.
