--- a/internal/dispatcher/event_ids.go
+++ b/internal/dispatcher/event_ids.go
@@ -69,7 +69,7 @@
 	s.last, s.isBehind, s.number, s.isNumber = e.id, false, number, err == nil
 }
 
-// canContinue reports whether an endpoint can be told where to go on with a stream that has begun.
+// canContinue reports whether a request can state where an endpoint has to go on with a stream that has begun.
 func (s *eventIDs) canContinue() bool { return s.last != "" && !s.isBehind }
 
 // checkNext returns an error unless e may be the first event of an endpoint that goes on with the stream:
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -399,7 +399,7 @@
 	return f.revision
 }
 
-// LatestRevision returns the highest revision that the sinks have been told, also while others below it
+// LatestRevision returns the highest revision that the sinks have received, also while others below it
 // are not known.
 func (f *Follower) LatestRevision() int64 {
 	f.mu.Lock()
--- a/internal/relayer/catchup.go
+++ b/internal/relayer/catchup.go
@@ -38,7 +38,7 @@
 	return false
 }
 
-// isAhead reports whether a peer has received changes after a revision. One that was told a revision that the store
+// isAhead reports whether a peer has received changes after a revision. One that was given a revision that the store
 // can't have reached is not ahead.
 func isAhead(status *exchanger.PeerStatus, revision int64) bool {
 	return status.StoreRevision > revision && provider.IsPlausible(status.StoreRevision, revision)
--- a/internal/streamkeeper/members.go
+++ b/internal/streamkeeper/members.go
@@ -28,13 +28,13 @@
 }
 
 // leastRevisions returns the revision that all members have received, and that of those whose revision is known.
-func (m members) leastRevisions() (least, leastHeard int64) {
-	least, leastHeard = math.MaxInt64, math.MaxInt64
+func (m members) leastRevisions() (least, leastKnown int64) {
+	least, leastKnown = math.MaxInt64, math.MaxInt64
 	for _, known := range m {
 		least = min(least, known.revision)
 		if known.revision != 0 {
-			leastHeard = min(leastHeard, known.revision)
+			leastKnown = min(leastKnown, known.revision)
 		}
 	}
-	return least, leastHeard
+	return least, leastKnown
 }
--- a/internal/streamkeeper/streamkeeper.go
+++ b/internal/streamkeeper/streamkeeper.go
@@ -59,7 +59,7 @@
 	IsStoreReachable func() bool
 	// Revision returns up to which revision this host has received the platform's changes.
 	Revision func() int64
-	// Synchronize returns once this Keeper has been told all changes of classes and endpoints that the
+	// Synchronize returns once this Keeper knows all changes of classes and endpoints that the
 	// platform's store had accepted when it was called.
 	Synchronize func(ctx context.Context) error
 	Clock       func() time.Time // includes the time for which the host was suspended
@@ -154,8 +154,8 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.members.update(listed, now)
-	least, leastHeard := k.members.leastRevisions()
-	k.views.setMembers(own, least, leastHeard, now.Add(k.cfg.RemovalDelay))
+	least, leastKnown := k.members.leastRevisions()
+	k.views.setMembers(own, least, leastKnown, now.Add(k.cfg.RemovalDelay))
 }
 
 // Tick drops records whose time is over, and sends the streams that this host has begun once the store
--- a/internal/streamkeeper/view.go
+++ b/internal/streamkeeper/view.go
@@ -99,12 +99,12 @@
 
 // setMembers sets the revisions that this host and all hosts have applied. A removal is applied
 // before the revision advances, so that the revision of the removal is determined by the second call.
-func (v recentValue) setMembers(own, least, leastHeard int64, confirmedAt time.Time) recentValue {
+func (v recentValue) setMembers(own, least, leastKnown int64, confirmedAt time.Time) recentValue {
 	switch {
 	case v.removedAt.IsZero():
 		return v
 	case !v.confirmedAt.IsZero():
-		if leastHeard < v.removedRevision {
+		if leastKnown < v.removedRevision {
 			v.confirmedAt = time.Time{} // a host has started again with an older list
 		}
 		return v
@@ -139,12 +139,12 @@
 	}
 }
 
-func (r *recentValues) setMembers(own, least, leastHeard int64, confirmedAt time.Time) {
+func (r *recentValues) setMembers(own, least, leastKnown int64, confirmedAt time.Time) {
 	for value, v := range r.values {
-		r.values[value] = v.setMembers(own, least, leastHeard, confirmedAt)
+		r.values[value] = v.setMembers(own, least, leastKnown, confirmedAt)
 	}
 	if r.missed != nil {
-		missed := r.missed.setMembers(own, least, leastHeard, confirmedAt)
+		missed := r.missed.setMembers(own, least, leastKnown, confirmedAt)
 		r.missed = &missed
 	}
 }
@@ -367,11 +367,11 @@
 }
 
 // setMembers sets the revision of the platform's changes that this host has applied, and the least one of
-// all hosts that may begin streams; leastHeard leaves out those whose revision is not known. confirmedAt is
+// all hosts that may begin streams; leastKnown leaves out those whose revision is not known. confirmedAt is
 // when those no longer use what they know to be removed.
-func (v *views) setMembers(own, least, leastHeard int64, confirmedAt time.Time) {
+func (v *views) setMembers(own, least, leastKnown int64, confirmedAt time.Time) {
 	for _, r := range v.sets() {
-		r.setMembers(own, least, leastHeard, confirmedAt)
+		r.setMembers(own, least, leastKnown, confirmedAt)
 	}
 }
 
