Tests of clients that use up a host's memory and descriptors, failing

The tests start the real processes ("platform" and "entry") with a small machine in their settings: 128 MB, and 600 descriptors of which 200 are for files. They check that the process lives, its highest memory, its sockets, that an ordinary request is served beside the clients and after them, and that memory is returned (64 MB). No times, no shares.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 
 test:
 	go test ./...
+	go test -tags hostile -run '^TestHostile' ./tests
 
 race:
 	go test -race ./internal/... ./pkg/...
--- a/pkg/endivemast/config.go
+++ b/pkg/endivemast/config.go
@@ -65,6 +65,10 @@
 
 	MaxBodyBytes   int64
 	MaxConnections int
+	// MemoryMB is the memory of the machine in MiB; 0: not stated. MaxDescriptors is the limit of
+	// the process's file descriptors; 0: the process's own limit.
+	MemoryMB       int
+	MaxDescriptors int
 	// MetricTenants is how many tenants have their own histograms.
 	MetricTenants int
 
@@ -190,6 +194,24 @@
 	f.positive("tick", cfg.Tick)
 	f.positive("summary-every", cfg.SummaryInterval)
 	cfg.checkPolicy(f)
+	return errors.Join(append(f.errs, CheckMachine(cfg.MemoryMB, cfg.MaxDescriptors))...)
+}
+
+// Smallest accepted limits of a machine.
+const (
+	minMemoryMB    = 64
+	minDescriptors = 400
+)
+
+// CheckMachine returns the errors of the settings that describe the machine, as SettingErrors.
+func CheckMachine(memoryMB, maxDescriptors int) error {
+	f := &settingErrors{}
+	if memoryMB != 0 && memoryMB < minMemoryMB {
+		f.add("memory-mb", strconv.Itoa(memoryMB), fmt.Sprintf("0, or at least %d", minMemoryMB))
+	}
+	if maxDescriptors != 0 && maxDescriptors < minDescriptors {
+		f.add("max-descriptors", strconv.Itoa(maxDescriptors), fmt.Sprintf("0, or at least %d", minDescriptors))
+	}
 	return errors.Join(f.errs...)
 }
 
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -78,6 +78,10 @@
 	// ProcessorShare is the number of cores of the host; hosts with more cores take over
 	// more of the work that a few hosts do for all.
 	ProcessorShare float64
+	// MemoryMB is the memory of the machine in MiB; 0: not stated. MaxDescriptors is the limit of
+	// the process's file descriptors; 0: the process's own limit.
+	MemoryMB       int
+	MaxDescriptors int
 	// Grace is the time from the start of the drain until the process is killed.
 	Grace time.Duration
 	// DrainTime is how long an endpoint continues to serve after it has announced that it
