budgeter: a place goes to who waits for it, not to who reconnects first

Cause: a connection beyond the limit was closed at once. Clients that connect again at once took each place that eviction had freed, before the ordinary client's next attempt.

Change: while a connection of the same pool can be evicted, Open waits for its place, for 0.3 s at most; further connections wait in the kernel's queue, in order. Where all connections have a request that may run, a further one is closed at once, as before.

TestOpenWaitsForThePlaceOfAStalledConnection failed without the wait.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -57,6 +57,8 @@
 	searchInterval = 20 * time.Millisecond
 	// reserveTimeout bounds the wait for memory that others are about to release.
 	reserveTimeout = 500 * time.Millisecond
+	// openTimeout bounds the wait for the place of a connection that can be evicted.
+	openTimeout = minStall + 50*time.Millisecond
 	// progressBytes is what a client sends between two marks of progress. Single bytes are none.
 	progressBytes = 16 << 10
 )
@@ -150,8 +152,32 @@
 }
 
 // Open opens an account. evict is called at most once, if the account is to release what it holds.
-// The error is ErrTooManyConnections or ErrExhausted.
+// If another connection of the pool can be evicted soon, Open waits shortly for its place: clients
+// that connect again at once would otherwise take the places before others try again. The error is
+// ErrTooManyConnections or ErrExhausted.
 func (b *Budget) Open(pool Pool, evict func()) (a *Account, err error) {
+	deadline := time.Now().Add(openTimeout)
+	for {
+		released := b.awaitRelease()
+		a, mayWait, err := b.tryOpen(pool, evict)
+		if err == nil {
+			return a, nil
+		}
+		if !mayWait || time.Now().After(deadline) {
+			b.countRefusal()
+			return nil, err
+		}
+		retry := time.NewTimer(searchInterval)
+		select {
+		case <-released:
+		case <-retry.C:
+		}
+		retry.Stop()
+	}
+}
+
+// tryOpen is Open without a wait. mayWait reports whether a place may become free soon.
+func (b *Budget) tryOpen(pool Pool, evict func()) (a *Account, mayWait bool, err error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a = &Account{budget: b, pool: pool, evict: evict, since: b.now()}
@@ -160,18 +186,27 @@
 			b.relieveConnectionsLocked(pool)
 		}
 		if !b.hasRoomLocked(pool) {
-			b.refused++
-			return nil, ErrTooManyConnections
+			return nil, b.hasEvictableLocked(pool), ErrTooManyConnections
 		}
 	}
 	if !b.takeLocked(a, ConnectionBytes) {
 		b.relieveBytesLocked()
-		b.refused++
-		return nil, ErrExhausted
+		return nil, pool != NoConnection, ErrExhausted
 	}
 	b.connections[pool]++
 	b.accounts[a] = struct{}{}
-	return a, nil
+	return a, false, nil
+}
+
+// hasEvictableLocked reports whether a connection of a pool can be evicted, now or if it makes no
+// progress.
+func (b *Budget) hasEvictableLocked(pool Pool) bool {
+	for a := range b.accounts {
+		if a.pool == pool && a.phase != Running {
+			return true
+		}
+	}
+	return false
 }
 
 // hasRoomLocked reports whether a pool has room for a connection. Connections that were evicted are
--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -156,8 +156,9 @@
 	for range limit {
 		silent = append(silent, open(t, b, Callers))
 	}
-	_, err := b.Open(Callers, func() {})
+	_, mayWait, err := b.tryOpen(Callers, func() {})
 	assert.ErrorIs(t, err, ErrTooManyConnections)
+	assert.Assert(t, mayWait)
 	open(t, b, Readiness) // has connections of its own
 	open(t, b, NoConnection)
 	c.advance(minStall)
@@ -168,13 +169,36 @@
 	}
 	assert.Assert(t, evicted > 0 && evicted <= limit/8, "%d", evicted)
 	for range 2 * limit {
-		if account, err := b.Open(Callers, func() {}); err == nil {
+		if account, _, err := b.tryOpen(Callers, func() {}); err == nil {
 			defer account.Close()
 		}
 	}
 	assert.Assert(t, b.Usage().UsedConnections[Callers] <= limit+share(limit, closingShare))
 }
 
+// TestOpenWaitsForThePlaceOfAStalledConnection guards against clients that take each place that becomes free because
+// they connect again at once.
+func TestOpenWaitsForThePlaceOfAStalledConnection(t *testing.T) {
+	limits := Limits{Bytes: 1 << 20}
+	limits.Connections[Callers] = 1
+	b := New(Config{Limits: limits})
+	silent := &client{}
+	var err error
+	silent.Account, err = b.Open(Callers, func() {
+		silent.evictions++
+		time.AfterFunc(time.Millisecond, func() { silent.Close() })
+	})
+	assert.NilError(t, err)
+	second := open(t, b, Callers)
+	assert.Equal(t, silent.evictions, 1)
+	assert.NilError(t, second.Begin(Running))
+	_, mayWait, err := b.tryOpen(Callers, func() {})
+	assert.ErrorIs(t, err, ErrTooManyConnections)
+	assert.Assert(t, !mayWait)
+	_, err = b.Open(Callers, func() {})
+	assert.ErrorIs(t, err, ErrTooManyConnections)
+}
+
 func TestEverythingIsReturned(t *testing.T) {
 	b, _ := testBudget(1<<20, 10)
 	account := open(t, b, Callers)
