Peers' port: connections and bodies count towards the budget

What callers saw: 700 silent connections to the peers' port took 710 sockets of 400 (descriptors that endpoints and the store need); 150 whose messages lacked a byte left 110 MB in use.

Cause: the listener had no limit, and the bodies of passed requests one of its own (32 MiB, a fifth of the memory of the smallest machine).

Change: connections of peers are a pool of the process's budget; one that has not sent its preface can be evicted. The body of a passed request is reserved in the same budget; without memory the peer answers peer_busy, as it did beyond its own limit.

--- a/internal/peerforwarder/peerforwarder.go
+++ b/internal/peerforwarder/peerforwarder.go
@@ -23,8 +23,6 @@
 const (
 	// maxActive bounds the requests of peers that run at this host.
 	maxActive = 512
-	// maxBufferedBytes bounds the bodies of peers' requests that this host holds.
-	maxBufferedBytes = 32 << 20
 	// pieceBytes is the largest piece of a body in one message.
 	pieceBytes = 128 << 10
 	// windowBytes is the flow-control window of one request: what is buffered for a caller that
@@ -53,6 +51,9 @@
 	// Share returns the part of an application's endpoints that this host reaches.
 	Share      func(application string) float64
 	IsDraining func() bool
+	// Reserve reserves memory for the body of a request until release is called; nil: there is
+	// no limit.
+	Reserve func(ctx context.Context, n int64) (release func(), err error)
 	// NewConn returns a connection to a peer, which the Forwarder closes.
 	NewConn func(hostID string, options ...grpc.DialOption) (*grpc.ClientConn, error)
 	Meter   Meter
@@ -92,8 +93,7 @@
 	passes   map[string]func() bool          // AllowRun of the requests that peers run, by pass id
 	isClosed bool
 
-	active   atomic.Int64 // requests of peers that run here
-	buffered atomic.Int64 // bytes of their bodies
+	active atomic.Int64 // requests of peers that run here
 }
 
 var _ dispatcher.PeerForwarder = (*Forwarder)(nil)
--- a/internal/peerforwarder/server.go
+++ b/internal/peerforwarder/server.go
@@ -49,16 +49,29 @@
 		return errNoRequest
 	}
 	f.recordSender(head.GetFromHost(), head.GetApplication(), arrived)
-	buffered := max(head.GetBodyBytes(), 0)
-	defer f.buffered.Add(-buffered)
-	outcome := f.returnUnrun(head, active, f.buffered.Add(buffered))
+	outcome := f.returnUnrun(head, active)
 	if outcome == nil {
-		outcome = f.run(stream, head, arrived)
+		outcome = f.reserveAndRun(stream, head, arrived)
 	}
 	f.cfg.Meter.CountPeerForward(true, meterOutcome(outcome))
 	return stream.Send(&peerforwarderpb.ForwardReply{Part: &peerforwarderpb.ForwardReply_Outcome{Outcome: outcomeToMessage(outcome)}})
 }
 
+// reserveAndRun runs a request if there is memory for its body.
+func (f *Forwarder) reserveAndRun(
+	stream requestStream, head *peerforwarderpb.RequestHead, arrived time.Time,
+) *dispatcher.PeerOutcome {
+	if f.cfg.Reserve == nil {
+		return f.run(stream, head, arrived)
+	}
+	release, err := f.cfg.Reserve(stream.Context(), max(head.GetBodyBytes(), 0))
+	if err != nil {
+		return f.returned(head, dispatcher.ReasonPeerBusy)
+	}
+	defer release()
+	return f.run(stream, head, arrived)
+}
+
 func meterOutcome(outcome *dispatcher.PeerOutcome) string {
 	switch {
 	case outcome.IsComplete:
@@ -72,12 +85,12 @@
 
 // returnUnrun returns the outcome of a request that this host does not run, and nil for one that
 // it runs.
-func (f *Forwarder) returnUnrun(head *peerforwarderpb.RequestHead, active, buffered int64) *dispatcher.PeerOutcome {
+func (f *Forwarder) returnUnrun(head *peerforwarderpb.RequestHead, active int64) *dispatcher.PeerOutcome {
 	reason := ""
 	switch {
 	case f.cfg.IsDraining():
 		reason = dispatcher.ReasonPeerDraining
-	case active > maxActive || buffered > maxBufferedBytes:
+	case active > maxActive:
 		reason = dispatcher.ReasonPeerBusy
 	case f.cfg.ConfigurationVersion() < head.GetConfigurationVersion():
 		reason = dispatcher.ReasonStaleConfiguration
@@ -86,8 +99,13 @@
 	default:
 		return nil
 	}
+	return f.returned(head, reason)
+}
+
+// returned logs that a request is not run here, and returns its outcome.
+func (f *Forwarder) returned(head *peerforwarderpb.RequestHead, reason string) *dispatcher.PeerOutcome {
 	f.cfg.Logger.Info("request of a peer returned", "request_id", head.GetRequestId(), "from_host", head.GetFromHost(),
-		"application", head.GetApplication(), "reason", reason, "active", active)
+		"application", head.GetApplication(), "reason", reason, "active", f.active.Load())
 	return notRun(head, reason)
 }
 
--- a/pkg/endivemast/client_limits.go
+++ b/pkg/endivemast/client_limits.go
@@ -1,6 +1,7 @@
 package endivemast
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -116,6 +117,19 @@
 	}
 }
 
+// reserve reserves memory for the body of a peer's request.
+func (c *clientLimits) reserve(ctx context.Context, n int64) (release func(), err error) {
+	account, err := c.budget.Open(budgeter.NoConnection, func() {})
+	if err != nil {
+		return nil, err
+	}
+	if err := errors.Join(account.Begin(budgeter.Running), account.Reserve(ctx, n)); err != nil {
+		account.Close()
+		return nil, err
+	}
+	return account.Close, nil
+}
+
 // RecordShortage counts a request whose body was not read for lack of memory, and returns its
 // failure.
 func (g *Gateway) RecordShortage(request *dispatcher.OpaqueRequest, reason error) *dispatcher.FailureError {
--- a/pkg/endivemast/entry.go
+++ b/pkg/endivemast/entry.go
@@ -162,7 +162,7 @@
 	}
 	e.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: e.cfg.HostID, Incarnation: e.cfg.Incarnation, Zone: e.cfg.Zone,
-		Listener: listener, Peers: e.cfg.peers(), Secret: string(secret),
+		Listener: server.NewPeerListener(listener, e.clients.budget, e.clients.countRefusal), Peers: e.cfg.peers(), Secret: string(secret),
 		ServerTLS: serverTLS, ClientTLS: clientTLS, Demand: e, Logger: e.logger.Named("exchanger"),
 	}, e)
 	if err != nil {
--- a/pkg/endivemast/gateway_paths.go
+++ b/pkg/endivemast/gateway_paths.go
@@ -52,6 +52,7 @@
 			g.checkSuspension()
 			return g.forwarder.Run(ctx, request, writer)
 		},
+		Reserve: g.clients.reserve,
 		Share:   func(application string) float64 { return g.paths.Reach(application).Share() },
 		NewConn: g.exchanger.NewConn, Meter: g.meter, Logger: g.cfg.Logger.Named("peerforwarder"),
 	})
--- a/pkg/endivemast/gateway_peers.go
+++ b/pkg/endivemast/gateway_peers.go
@@ -15,6 +15,7 @@
 	"github.com/endivemast/endivemast/internal/registrar"
 	"github.com/endivemast/endivemast/internal/relayer"
 	"github.com/endivemast/endivemast/internal/scheduler"
+	"github.com/endivemast/endivemast/internal/server"
 )
 
 // How the hosts of a Gateway's fleet find and update each other, and which of them sets
@@ -29,7 +30,7 @@
 	g.exchanger, err = exchanger.New(exchanger.Config{
 		HostID: g.cfg.HostID, Incarnation: g.incarnation, Zone: g.cfg.Zone, AcceptsUnknownPeers: true, HasHubs: true,
 		ProcessorShare: g.cfg.ProcessorShare,
-		Listener:       listener, Network: g.cfg.Network, Tick: peerUpdateInterval, UpdatesPerSecond: updatesPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
+		Listener:       server.NewPeerListener(listener, g.clients.budget, g.clients.countRefusal), Network: g.cfg.Network, Tick: peerUpdateInterval, UpdatesPerSecond: updatesPerSecond(g.cfg.ProcessorShare), Caches: g.caches, Crashes: g.quarantiner,
 		Attestations: g.attester, Usage: g.usage(), Signals: g.observer, Reach: g, Clock: g.cfg.Clock.Now, Demand: g.scheduler, Refusals: refusals{g},
 		Logger: g.cfg.Logger.Named("exchanger"),
 	}, g)
