Fixed: the operator's limits of headers were not enforced

What callers saw: heads of up to 68 KiB were taken, and 10 s were allowed for them, whatever max_header_bytes and header_timeout_ms said.

Cause: neither was decoded; net/http had limits that can't change while it runs.

Evidence: TestHeaderLimitsOfTheOperatorAreEnforced failed before (200 for 16,385 bytes where 16,384 are allowed).

Change: both are decoded, and the connection asks for the limits in force at each header.

--- a/internal/classifier/classifier.go
+++ b/internal/classifier/classifier.go
@@ -83,8 +83,10 @@
 
 // Limits are the limits for requests and connections of callers.
 type Limits struct {
-	MaxBodyBytes int64
-	IdleTimeout  time.Duration // of a keep-alive connection
+	MaxHeaderBytes int
+	HeaderTimeout  time.Duration // from the first byte of a header to its end
+	MaxBodyBytes   int64
+	IdleTimeout    time.Duration // of a keep-alive connection
 }
 
 // Snapshot is a complete configuration.
--- a/pkg/endivemast/gateway.go
+++ b/pkg/endivemast/gateway.go
@@ -268,7 +268,9 @@
 	g.callers = server.NewPassthrough(server.PassthroughConfig{
 		Address: cfg.CallersAddress, Network: cfg.Network, Handler: cfg.NewCallersHandler(g), MaxConnections: cfg.MaxConnections, MayAccept: g.mayAccept,
 		Budget: g.clients.budget, Pool: budgeter.Callers, OnRefuse: g.clients.countRefusal,
-		IdleTimeout: func() time.Duration { return g.classifier.Limits().IdleTimeout }, Logger: cfg.Logger.Named("server"),
+		MaxHeaderBytes: func() int { return g.classifier.Limits().MaxHeaderBytes },
+		HeaderTimeout:  func() time.Duration { return g.classifier.Limits().HeaderTimeout },
+		IdleTimeout:    func() time.Duration { return g.classifier.Limits().IdleTimeout }, Logger: cfg.Logger.Named("server"),
 	})
 	g.readiness = server.NewPassthrough(server.PassthroughConfig{
 		Address: cfg.ReadinessAddress, Network: cfg.Network, Handler: g.readinessHandler(),
