Prompts of many parts no longer stay in memory after their request

Cause: a prefix key is the whole list, up to 15 KB, and 4,096 keys are remembered for an application; ids of parts shared the memory of the header that they came in; and the parts that an engine is expected to cache were not bounded between its reports.

--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -106,6 +106,7 @@
 }
 
 func newForwardedRequest(f *Forwarder, request *OpaqueRequest, writer AnswerWriter) *forwardedRequest {
+	request.Prompt = request.Prompt.bounded()
 	fr := &forwardedRequest{
 		forwarder: f, request: request, writer: writer, identity: identityOf(request), allowedRuns: 1,
 		suspendedBefore: f.cfg.SuspendedTime(),
