Log lines hold 128 bytes of a request id

Lines about requests hold its first 128 bytes. TestLoggedIDIsBounded; ids of the users' pages have 16.

--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -64,7 +64,7 @@
 		return
 	}
 	args = append([]any{
-		"request_id", fr.request.ID, "class", fr.request.Class.Name, "application", fr.application,
+		"request_id", LoggedID(fr.request.ID), "class", fr.request.Class.Name, "application", fr.application,
 		"age_ms", time.Since(fr.request.Arrived).Milliseconds(),
 	}, args...)
 	if dropped := l.droppedLines.takeAndReset(); dropped > 0 {
@@ -73,6 +73,17 @@
 	l.logger.Log(level, message, args...)
 }
 
+// maxLoggedIDBytes limits a request id in log lines. Callers choose their ids.
+const maxLoggedIDBytes = 128
+
+// LoggedID returns a request id as log lines show it.
+func LoggedID(id string) string {
+	if len(id) > maxLoggedIDBytes {
+		return id[:maxLoggedIDBytes] + "..."
+	}
+	return id
+}
+
 // Steps of an attempt.
 const (
 	stepPrefill = "prefill"
--- a/internal/dispatcher/requestlog_test.go
+++ b/internal/dispatcher/requestlog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -114,3 +115,9 @@
 		})
 	}
 }
+
+// TestLoggedIDIsBounded guards against log lines of many kilobytes, since callers choose their ids.
+func TestLoggedIDIsBounded(t *testing.T) {
+	assert.Equal(t, LoggedID("9c41d07be2a35f68"), "9c41d07be2a35f68")
+	assert.Assert(t, len(LoggedID(strings.Repeat("a", 15_000))) < 2*maxLoggedIDBytes)
+}
--- a/internal/peerforwarder/server.go
+++ b/internal/peerforwarder/server.go
@@ -104,7 +104,7 @@
 
 // returned logs that a request is not run here, and returns its outcome.
 func (f *Forwarder) returned(head *peerforwarderpb.RequestHead, reason string) *dispatcher.PeerOutcome {
-	f.cfg.Logger.Info("request of a peer returned", "request_id", head.GetRequestId(), "from_host", head.GetFromHost(),
+	f.cfg.Logger.Info("request of a peer returned", "request_id", dispatcher.LoggedID(head.GetRequestId()), "from_host", head.GetFromHost(),
 		"application", head.GetApplication(), "reason", reason, "active", f.active.Load())
 	return notRun(head, reason)
 }
--- a/pkg/endivemast/client_limits.go
+++ b/pkg/endivemast/client_limits.go
@@ -108,7 +108,7 @@
 	c.countRefusal(reason)
 	c.meter.CountOutcome("", request.Class.Name, string(dispatcher.OutcomeNotRun), dispatcher.ReasonMemoryShortage)
 	if c.lines.Allow() {
-		c.logger.Info("request refused for lack of memory", "request_id", request.ID, "class", request.Class.Name,
+		c.logger.Info("request refused for lack of memory", "request_id", dispatcher.LoggedID(request.ID), "class", request.Class.Name,
 			"age_ms", time.Since(request.Arrived).Milliseconds(), "reason", refusalName(reason), "used_bytes", c.budget.Usage().UsedBytes)
 	}
 	return &dispatcher.FailureError{
