--- a/tests/hostile_senders_test.go
+++ b/tests/hostile_senders_test.go
@@ -228,8 +228,12 @@
 		var block bytes.Buffer
 		encoder := hpack.NewEncoder(&block)
 		for _, field := range [][2]string{
-			{":method", "POST"}, {":scheme", "http"}, {":path", "/endivemast.peerforwarder.PeerForward/Forward"}, {":authority", "h"},
-			{"content-type", "application/grpc"}, {"te", "trailers"},
+			{":method", "POST"},
+			{":scheme", "http"},
+			{":path", "/endivemast.peerforwarder.PeerForward/Forward"},
+			{":authority", "h"},
+			{"content-type", "application/grpc"},
+			{"te", "trailers"},
 		} {
 			if err := encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]}); err != nil {
 				return err
