--- a/tests/hostile_clients_test.go
+++ b/tests/hostile_clients_test.go
@@ -66,7 +66,7 @@
 // TestHostileClientsOfPlatformHost guards against callers that use up a host's memory or descriptors.
 func TestHostileClientsOfPlatformHost(t *testing.T) {
 	for name, groups := range platformClients {
-		t.Run(name, func(t *testing.T) { checkLimits(t, startPlatformHost(t, memoryLimitMB), groups) })
+		t.Run(name, func(t *testing.T) { checkLimits(t, startPlatformHost(t, *hostileMemoryMB), groups) })
 	}
 }
 
@@ -91,7 +91,7 @@
 
 // TestHostileClientsTwiceInARow guards against memory of a first group that is missing when a second one comes.
 func TestHostileClientsTwiceInARow(t *testing.T) {
-	h := startPlatformHost(t, memoryLimitMB)
+	h := startPlatformHost(t, *hostileMemoryMB)
 	checkLimits(t, h, platformClients["all kinds"])
 	checkLimits(t, h, platformClients["all kinds"])
 }
@@ -112,13 +112,13 @@
 	used, err := watcher.Close()
 	assert.NilError(t, err)
 	logUsage(t, used)
-	assert.Check(t, used.PeakMB <= memoryLimitMB, "%d MB", used.PeakMB)
-	assert.Check(t, used.MostSockets <= descriptorLimit-fileDescriptors, "%d sockets", used.MostSockets)
+	assert.Check(t, used.PeakMB <= *hostileMemoryMB, "%d MB", used.PeakMB)
+	assert.Check(t, used.MostSockets <= *hostileDescriptors-fileDescriptors, "%d sockets", used.MostSockets)
 }
 
 // TestHostileClientsDoNotDelayAPlannedStop guards against a planned stop that waits for connections of such clients.
 func TestHostileClientsDoNotDelayAPlannedStop(t *testing.T) {
-	h := startPlatformHost(t, memoryLimitMB)
+	h := startPlatformHost(t, *hostileMemoryMB)
 	run := start(h, platformClients["all kinds"]...)
 	assert.NilError(t, h.process.signal(syscall.SIGTERM))
 	assert.NilError(t, withTimeout(func(ctx context.Context) error {
@@ -134,7 +134,7 @@
 
 // TestHostileClientsLeaveRefusalsReadable guards against a reset instead of the answer for a client whose body is still on its way.
 func TestHostileClientsLeaveRefusalsReadable(t *testing.T) {
-	h := startPlatformHost(t, memoryLimitMB)
+	h := startPlatformHost(t, *hostileMemoryMB)
 	run := start(h, clientGroup{listener: callersListener, count: 60, send: sendBody("/look/x", 1)})
 	var group errgroup.Group
 	for range 20 {
@@ -143,7 +143,7 @@
 			if err != nil {
 				return err
 			}
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			_ = conn.SetDeadline(time.Now().Add(awaitTimeout))
 			if err := sendBody("/look/x", 0)(conn, 0); err != nil {
 				return fmt.Errorf("send: %w", err)
@@ -210,7 +210,7 @@
 		t.Run(name, func(t *testing.T) {
 			conn, err := net.DialTimeout("tcp", h.addresses[callersListener], clientWriteTimeout)
 			assert.NilError(t, err)
-			defer conn.Close()
+			defer func() { _ = conn.Close() }()
 			assert.NilError(t, conn.SetDeadline(time.Now().Add(awaitTimeout)))
 			reader := bufio.NewReader(conn)
 			for range 2 { // the connection is used again
--- a/tests/hostile_host_test.go
+++ b/tests/hostile_host_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,6 +25,13 @@
 	"github.com/endivemast/endivemast/standins/storeserver"
 )
 
+// Larger machines and more clients, for runs by hand.
+var (
+	hostileMemoryMB    = flag.Int("hostile-memory-mb", memoryLimitMB, "memory of the host processes' machine")
+	hostileDescriptors = flag.Int("hostile-descriptors", descriptorLimit, "descriptors of the host processes")
+	hostileScale       = flag.Int("hostile-scale", 1, "multiple of the number of clients")
+)
+
 // Limits of the host processes' machine, passed in their settings.
 const (
 	memoryLimitMB = 128
@@ -85,7 +93,7 @@
 	h.process, err = startProcess(logDirectory(t), "platform", "endivemast",
 		"platform", "--host-id=host-1", "--zone=z", "--callers-address="+h.addresses[callersListener],
 		"--readiness-address="+h.addresses[readinessListener], "--peers-address="+h.addresses[peersListener], "--store="+store.Address(),
-		fmt.Sprintf("--memory-mb=%d", memoryMB), fmt.Sprintf("--max-descriptors=%d", descriptorLimit))
+		fmt.Sprintf("--memory-mb=%d", memoryMB), fmt.Sprintf("--max-descriptors=%d", *hostileDescriptors))
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, h.process.kill()) })
 	h.ordinary = func(ctx context.Context) error { return h.callPlatform(ctx, "/look/x", "ordinary") }
@@ -163,7 +171,7 @@
 		deployment.Engines[i].Count = 1
 	}
 	deployment.Services[0].Count = 1
-	flags = append(flags, fmt.Sprintf("--memory-mb=%d", memoryLimitMB), fmt.Sprintf("--max-descriptors=%d", descriptorLimit))
+	flags = append(flags, fmt.Sprintf("--memory-mb=%d", *hostileMemoryMB), fmt.Sprintf("--max-descriptors=%d", *hostileDescriptors))
 	c, err := startCluster(t.TempDir(), clusterOptions{Deployment: deployment, Scenario: scenario, Flags: map[string][]string{"entry": flags}})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, c.Close()) })
@@ -339,7 +347,7 @@
 	defer cancel()
 	assert.Check(t, await(ctx, "memory returned", func() error {
 		size, err := memoryMB(h.process.cmd.Process.Pid, "VmRSS:")
-		if err == nil && size > returnedMemoryMB {
+		if err == nil && size > *hostileMemoryMB*returnedMemoryMB/memoryLimitMB {
 			err = fmt.Errorf("%d MB in use", size)
 		}
 		return err
--- a/tests/hostile_senders_test.go
+++ b/tests/hostile_senders_test.go
@@ -56,7 +56,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	run := &clientRun{cancel: cancel}
 	for _, c := range groups {
-		for member := range c.count {
+		for member := range c.count * *hostileScale {
 			run.sent.Add(1)
 			run.group.Go(func() error {
 				sent := sync.OnceFunc(run.sent.Done)
@@ -89,7 +89,7 @@
 	if err != nil {
 		return
 	}
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	var reader errgroup.Group
