Fixed: refused heads were not counted while their memory was still held

What callers saw: nothing yet; found by a trial at the size of the users' machine (284 MB, 4,100 descriptors, 750 clients with heads of 62 KB of short lines, one core): 266 MB at the peak, and 210 MB in use ten seconds after they had left.

Cause: the reservation of a refused head was returned before the second in which the rest of the head is discarded, while net/http still held what it had parsed, up to half a megabyte for each. The process then needed more "for itself", its budget fell to the smallest, and a shortage was measured against the largest, so that memory was never returned.

Change: the reservation stays until the read ends. A shortage is what the present budget shows: half of it in use, or clients evicted or refused; it is over below an eighth, or after five seconds without another sign.

TestShortageEndsOnce.

--- a/internal/budgeter/budgeter_test.go
+++ b/internal/budgeter/budgeter_test.go
@@ -260,3 +260,31 @@
 		})
 	}
 }
+
+func TestShortageEndsOnce(t *testing.T) {
+	const second = time.Second
+	type step struct {
+		isMuchUsed bool
+		used       int64 // of 1000
+		losses     int64 // so far
+		after      time.Duration
+		want       bool
+	}
+	tests := map[string][]step{
+		"calm":                          {{used: 900}, {used: 0}},
+		"much was used":                 {{isMuchUsed: true, used: 900}, {used: 500, after: second}, {used: 100, after: second, want: true}, {used: 0, after: second}},
+		"clients were evicted":          {{losses: 1, used: 200}, {losses: 1, used: 100, after: second, want: true}, {losses: 1}},
+		"clients hold on to their part": {{losses: 1, used: 400}, {losses: 1, used: 400, after: second}, {losses: 1, used: 400, after: maxPressure, want: true}, {losses: 1, used: 400, after: maxPressure}},
+		"a second shortage":             {{losses: 1}, {losses: 1, want: true}, {losses: 2}, {losses: 2, want: true}},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			g, now := &Governor{}, time.Unix(1000, 0)
+			for i, s := range steps {
+				now = now.Add(s.after)
+				u := Usage{Limits: Limits{Bytes: 1000}, UsedBytes: s.used, Evicted: s.losses}
+				assert.Equal(t, g.observe(s.isMuchUsed, u, now), s.want, "step %d", i)
+			}
+		})
+	}
+}
--- a/internal/budgeter/machine.go
+++ b/internal/budgeter/machine.go
@@ -77,20 +77,23 @@
 	return max(descriptors-fileDescriptors, descriptors/2)
 }
 
-// pressureShare is the part of a Budget from which its release returns memory to the machine.
-const pressureShare = 0.5
-
-// minReturnInterval is the time between two returns of memory to the machine, since each runs the
-// collector.
-const minReturnInterval = 2 * time.Second
+const (
+	// pressureShare is the part of a Budget whose use counts as a shortage.
+	pressureShare = 0.5
+	// calmShare is the part of a Budget below which a shortage is over.
+	calmShare = 1.0 / 8
+	// maxPressure is the time after the last sign of a shortage in which it is over at the latest.
+	maxPressure = 5 * time.Second
+)
 
 // Governor keeps the memory of a process within its machine: it limits the Go runtime, leaves to
 // clients what the process does not need for itself, and returns memory after a shortage.
 type Governor struct {
-	machine    Machine
-	budget     *Budget
-	isPressed  bool
-	returnedAt time.Time
+	machine   Machine
+	budget    *Budget
+	isPressed bool
+	pressedAt time.Time // latest sign of a shortage
+	losses    int64     // accounts evicted and refused until the last tick
 }
 
 // NewGovernor returns a Governor. It limits the heap of the process if the machine's memory is
@@ -104,15 +107,23 @@
 
 // Tick adapts the budget to the present use of memory. Call it a few times a second.
 func (g *Governor) Tick(now time.Time) {
-	used := g.budget.Usage().UsedBytes
-	peak := g.budget.takePeak()
-	limit := float64(LimitsOf(g.machine).Bytes)
-	g.isPressed = g.isPressed || float64(peak) >= limit*pressureShare
-	if g.isPressed && float64(used) < limit*pressureShare && now.Sub(g.returnedAt) >= minReturnInterval {
-		g.isPressed, g.returnedAt = false, now
+	u := g.budget.Usage()
+	if g.observe(float64(g.budget.takePeak()) >= float64(u.Bytes)*pressureShare, u, now) {
 		debug.FreeOSMemory()
 	}
-	g.budget.SetBytes(clientBytes(g.machine, liveBytes()-used))
+	g.budget.SetBytes(clientBytes(g.machine, liveBytes()-u.UsedBytes))
+}
+
+// observe reports whether a shortage has just ended.
+func (g *Governor) observe(isMuchUsed bool, u Usage, now time.Time) (hasEnded bool) {
+	losses := u.Evicted + u.Refused
+	if isMuchUsed || losses != g.losses {
+		g.isPressed, g.pressedAt, g.losses = true, now, losses
+		return false
+	}
+	hasEnded = g.isPressed && (float64(u.UsedBytes) < float64(u.Bytes)*calmShare || now.Sub(g.pressedAt) >= maxPressure)
+	g.isPressed = g.isPressed && !hasEnded
+	return hasEnded
 }
 
 // clientBytes returns what clients may hold if own bytes live for the process itself.
--- a/internal/server/client_conn.go
+++ b/internal/server/client_conn.go
@@ -161,12 +161,12 @@
 
 // refuse answers a request whose head has not been parsed, so that it has not run, and returns the
 // error that makes net/http close the connection. A client that has sent nothing gets no answer.
+// What was reserved stays so until then: net/http holds what it has parsed.
 func (c *clientConn) refuse(reason error) error {
 	c.listener.countRefusal(reason)
 	if c.isEncrypted || c.headSince.Load() == 0 {
 		return errRefused
 	}
-	c.account.Finish()
 	status, headers := http.StatusServiceUnavailable, "Retry-After: "+refusalRetryAfter+"\r\n"
 	if errors.Is(reason, ErrHeaderTooLarge) {
 		status, headers = http.StatusRequestHeaderFieldsTooLarge, ""
