Fixed: bytes of HTTP/2 requests were counted as a head without end

Cause: only HTTP/1 requests ended the count of their connection's head, and the account of an HTTP/2 connection stayed "waiting" while requests with accounts of their own ran over it.

Change: the first HTTP/2 request ends the count for good, and marks the connection as running until it is idle.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -345,6 +345,19 @@
 	a.phase, a.since, a.moved = Waiting, a.budget.now(), 0
 }
 
+// Share records that requests with accounts of their own run over the account's connection, which
+// keeps what a connection needs. It fails with ErrEvicted if the account was evicted meanwhile.
+func (a *Account) Share() (err error) {
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.isEvicted {
+		return ErrEvicted
+	}
+	a.releaseLocked(max(a.held-ConnectionBytes, 0))
+	a.phase = Running
+	return nil
+}
+
 // Moved records bytes of a body that have arrived.
 func (a *Account) Moved(n int) {
 	a.budget.mu.Lock()
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -41,6 +41,11 @@
 func openAccount(budget *budgeter.Budget, w http.ResponseWriter, r *http.Request) (a *budgeter.Account, finish func(), err error) {
 	cost := requestCost(r)
 	conn, _ := r.Context().Value(connKey{}).(*clientConn)
+	if conn != nil && r.ProtoMajor > 1 {
+		if err = conn.share(); err != nil {
+			return nil, nil, err
+		}
+	}
 	if conn == nil || r.ProtoMajor > 1 {
 		control := http.NewResponseController(w)
 		a, err = budget.Open(budgeter.NoConnection, func() { _ = control.SetReadDeadline(inThePast) })
--- a/internal/server/client_conn.go
+++ b/internal/server/client_conn.go
@@ -61,6 +61,7 @@
 	isInBody  atomic.Bool  // the head of the present request has been parsed
 	headSince atomic.Int64 // time of the head's first byte, in Unix nanoseconds; 0: none has arrived
 	hasServed atomic.Bool  // a request was answered
+	isShared  atomic.Bool  // it carries requests with accounts of their own
 	// isLingering is true once what the client still sends is discarded: an eviction has taken effect.
 	isLingering atomic.Bool
 
@@ -199,8 +200,20 @@
 	return err
 }
 
+// share makes the connection carry requests with accounts of their own (HTTP/2). Its bytes are not
+// counted any more, and it is not evicted before it is idle.
+func (c *clientConn) share() error {
+	c.isShared.Store(true)
+	c.isInBody.Store(true)
+	return c.account.Share()
+}
+
 // startHead prepares for the head of the next request on the connection.
 func (c *clientConn) startHead() {
+	if c.isShared.Load() {
+		_ = c.account.Begin(budgeter.Waiting) // an evicted connection closes
+		return
+	}
 	c.head = headCounter{}
 	c.headSince.Store(0)
 	c.hasServed.Store(true)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -200,21 +200,27 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 }
 
-// TestTLS also covers HTTP/2, whose streams implement deadlines and flushing separately.
-func TestTLS(t *testing.T) {
+// startTLSServer starts a server with TLS, and returns a transport that speaks HTTP/2 with it.
+func startTLSServer(t *testing.T, cfg Config, f *fakeDeps) (s *Server, transport *http.Transport) {
+	t.Helper()
 	tlsServer := httptest.NewTLSServer(http.NotFoundHandler())
 	t.Cleanup(tlsServer.Close)
 	cert := tlsServer.TLS.Certificates[0]
 	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
 	assert.NilError(t, err)
-	cfg := testConfig(t)
 	cfg.PlainText, cfg.CertFile, cfg.KeyFile = false, filepath.Join(t.TempDir(), "crt"), filepath.Join(t.TempDir(), "key")
 	assert.NilError(t, os.WriteFile(cfg.CertFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: cert.Certificate[0]}), 0o600))
 	assert.NilError(t, os.WriteFile(cfg.KeyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key}), 0o600))
-	s := startServer(t, cfg, &fakeDeps{})
-	transport := tlsServer.Client().Transport.(*http.Transport).Clone()
+	s = startServer(t, cfg, f)
+	transport = tlsServer.Client().Transport.(*http.Transport).Clone()
 	transport.ForceAttemptHTTP2 = true
 	t.Cleanup(transport.CloseIdleConnections)
+	return s, transport
+}
+
+// TestTLS also covers HTTP/2, whose streams implement deadlines and flushing separately.
+func TestTLS(t *testing.T) {
+	s, transport := startTLSServer(t, testConfig(t), &fakeDeps{})
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "https://"+s.Addresses().Callers+"/v1/classes/c/stream", strings.NewReader(generateBody))
 	assert.NilError(t, err)
 	req.Header.Set("Authorization", "Bearer "+callerToken)
