Fixed: empty lines, or a line in pieces, hid a header from the limits

What callers saw: nothing yet; found by reading the change. On a kept connection, after a POST, net/http skips two empty lines before a request; a header after them was taken for a body: neither max_header_bytes nor the budget applied, up to 1 MB of short lines.

Cause: the counter took the second empty line for the end of the head, as it did with a line of one character that arrived in two pieces.

Evidence: TestEmptyLinesDoNotHideAHeader got 200 for 431, and two rows of TestHeadCounter failed before.

Change: only an empty line after one with text ends a head, and what a line holds is remembered across reads. The end of a plain head is marked when its last byte is read, so that bytes that net/http reads while the request runs are never taken for the next head; the counter has a lock, since such reads may overlap with the start of a handler.

--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -318,13 +318,6 @@
 	}
 }
 
-// Held returns the bytes that the account holds, ConnectionBytes included.
-func (a *Account) Held() int64 {
-	a.budget.mu.Lock()
-	defer a.budget.mu.Unlock()
-	return a.held
-}
-
 // Begin records the start of a phase, which counts as progress. It fails with ErrEvicted if the
 // account was evicted meanwhile: its request must not be passed on.
 func (a *Account) Begin(phase Phase) (err error) {
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -55,8 +55,7 @@
 		finish = a.Close
 	} else {
 		a, finish = conn.account, conn.account.Finish
-		conn.isInBody.Store(true)
-		counted := conn.head.cost()
+		counted := conn.endHead()
 		a.Release(max(counted-cost, 0))
 		cost = max(cost-counted, 0)
 	}
--- a/internal/server/client_conn.go
+++ b/internal/server/client_conn.go
@@ -58,38 +58,63 @@
 	openedAt    time.Time
 	closeOnce   sync.Once
 
-	isInBody  atomic.Bool  // the head of the present request has been parsed
+	isInBody  atomic.Bool  // the head of the present request is complete
 	headSince atomic.Int64 // time of the head's first byte, in Unix nanoseconds; 0: none has arrived
 	hasServed atomic.Bool  // a request was answered
 	isShared  atomic.Bool  // it carries requests with accounts of their own
 	// isLingering is true once what the client still sends is discarded: an eviction has taken effect.
 	isLingering atomic.Bool
 
-	head headCounter // used by Read only
+	headMu sync.Mutex // net/http may read while a handler starts
+	head   headCounter
 }
 
 // headCounter counts the bytes and lines of a head.
 type headCounter struct {
 	bytes, lines int
-	lineBytes    int // of the present line
+	line         lineContent // of the present line
+	hasText      bool        // a line that is not empty has ended
 	isComplete   bool
 }
 
-// add counts bytes up to the empty line after the head.
+// lineContent is what a line holds so far.
+type lineContent int
+
+const (
+	lineEmpty  lineContent = iota
+	lineReturn             // a carriage return
+	lineText
+)
+
+// add returns the content of a line after more of it.
+func (l lineContent) add(data []byte) lineContent {
+	switch {
+	case len(data) == 0:
+		return l
+	case l == lineEmpty && len(data) == 1 && data[0] == '\r':
+		return lineReturn
+	default:
+		return lineText
+	}
+}
+
+// add counts bytes up to the empty line after the head. It may see the end later than net/http
+// does, and never earlier.
 func (h *headCounter) add(data []byte) {
 	for len(data) > 0 && !h.isComplete {
-		n := bytes.IndexByte(data, '\n') + 1
-		if n == 0 {
+		n := bytes.IndexByte(data, '\n')
+		if n < 0 {
 			h.bytes += len(data)
-			h.lineBytes += len(data)
+			h.line = h.line.add(data)
 			return
 		}
-		isEmpty := h.lineBytes+n == 1 || n == 2 && h.lineBytes == 0 && data[0] == '\r' || n == 1 && h.lineBytes == 1
-		h.bytes += n
-		h.isComplete = isEmpty && h.lines > 0
+		h.bytes += n + 1
 		h.lines++
-		h.lineBytes = 0
-		data = data[n:]
+		isText := h.line.add(data[:n]) == lineText
+		h.isComplete = h.hasText && !isText // empty lines before a request do not end its head
+		h.hasText = h.hasText || isText
+		h.line = lineEmpty
+		data = data[n+1:]
 	}
 }
 
@@ -144,20 +169,37 @@
 
 // reserveHead reserves memory for a part of a head.
 func (c *clientConn) reserveHead(data []byte) error {
-	before := c.head.cost()
+	before, size, cost := c.countHead(data)
+	if before == 0 {
+		_ = c.account.Begin(budgeter.Waiting) // an eviction is returned by Reserve
+	}
+	if c.maxHeadBytes != nil && size > c.maxHeadBytes() {
+		return ErrHeaderTooLarge
+	}
+	return c.account.Reserve(context.Background(), cost-before)
+}
+
+// countHead counts a part of a head. It returns the cost of the head before and after, and its size.
+func (c *clientConn) countHead(data []byte) (before int64, size int, cost int64) {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	before = c.head.cost()
 	if c.isEncrypted {
 		c.head.bytes += len(data)
 		c.head.lines += (len(data) + shortestLineBytes - 1) / shortestLineBytes
 	} else {
 		c.head.add(data)
+		c.isInBody.Store(c.head.isComplete)
 	}
-	if before == 0 {
-		_ = c.account.Begin(budgeter.Waiting) // an eviction is returned by Reserve
-	}
-	if c.maxHeadBytes != nil && c.head.bytes > c.maxHeadBytes() {
-		return ErrHeaderTooLarge
-	}
-	return c.account.Reserve(context.Background(), c.head.cost()-before)
+	return before, c.head.bytes, c.head.cost()
+}
+
+// endHead returns what was reserved for the head of a request that is parsed now.
+func (c *clientConn) endHead() int64 {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.isInBody.Store(true)
+	return c.head.cost()
 }
 
 // refuse answers a request whose head has not been parsed, so that it has not run, and returns the
@@ -214,6 +256,8 @@
 		_ = c.account.Begin(budgeter.Waiting) // an evicted connection closes
 		return
 	}
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
 	c.head = headCounter{}
 	c.headSince.Store(0)
 	c.hasServed.Store(true)
--- a/internal/server/client_conn_test.go
+++ b/internal/server/client_conn_test.go
@@ -29,6 +29,9 @@
 		"body and next head left out":   {pieces: []string{"GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n", "A:\r\n"}, bytes: 18, lines: 2, isComplete: true},
 		"empty lines before a request":  {pieces: []string{"\r\n"}, bytes: 2, lines: 1},
 		"line without end":              {pieces: []string{"GET / ", "aaaa"}, bytes: 10},
+		"empty lines, then a request":   {pieces: []string{"\r\n\r\n\nGET /\r\n", "A: b\r\n"}, bytes: 18, lines: 5},
+		"line of one character, split":  {pieces: []string{"GET /\r\n", " ", "\n", "A: b\r\n"}, bytes: 15, lines: 3},
+		"line of two returns":           {pieces: []string{"GET /\r\n\r", "\r\n", "A: b\r\n"}, bytes: 16, lines: 3},
 		"line that holds one character": {pieces: []string{"GET /\r\n", "a", "\r\n"}, bytes: 10, lines: 2},
 	}
 	for name, test := range tests {
@@ -105,6 +108,16 @@
 	assert.Equal(t, exchange(t, conn, bufio.NewReader(conn), header(1001)).StatusCode, http.StatusOK)
 }
 
+// TestEmptyLinesDoNotHideAHeader guards against headers that are not counted because empty lines precede them.
+func TestEmptyLinesDoNotHideAHeader(t *testing.T) {
+	p := startLimited(t, func(cfg *PassthroughConfig) { cfg.MaxHeaderBytes = func() int { return 10_000 } })
+	conn := dial(t, p)
+	reader := bufio.NewReader(conn)
+	assert.Equal(t, exchange(t, conn, reader, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\na").StatusCode, http.StatusOK)
+	header := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("k:\r\n", 10_000) + "\r\n"
+	assert.Equal(t, exchange(t, conn, reader, "\r\n\r\n"+header).StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+}
+
 // TestSlowHeaderIsClosed guards against headers that arrive more slowly than the operator allows, also on a kept
 // connection whose idle time is not over.
 func TestSlowHeaderIsClosed(t *testing.T) {
