--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -14,6 +14,9 @@
 // them, so that a client can't take memory by a Content-Length alone.
 const firstBodyBytes = 64 << 10
 
+// errNoAccount means that a request came over no connection of a limitedListener.
+var errNoAccount = errors.New("request without a connection that is accounted for")
+
 type accountKey struct{}
 
 // accountFrom returns the account of a request; nil if it came over another listener.
@@ -22,9 +25,9 @@
 	return account
 }
 
-// account reserves memory for the parsed head of a request and passes the request on with its
+// withAccount reserves memory for the parsed head of a request and passes the request on with its
 // account. It answers refused requests with refuse.
-func account(budget *budgeter.Budget, next http.Handler, refuse func(w http.ResponseWriter, r *http.Request, err error)) http.Handler {
+func withAccount(budget *budgeter.Budget, next http.Handler, refuse func(w http.ResponseWriter, r *http.Request, err error)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a, finish, err := openAccount(budget, w, r)
 		if err != nil {
--- a/internal/server/listener.go
+++ b/internal/server/listener.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -13,9 +12,9 @@
 )
 
 // limitedListener limits the open connections, to a limit of its own and to what the budget
-// allows. It closes connections beyond the limits, and those that mayAccept rejects, immediately:
-// unaccepted, they would wait without an answer, whereas a closed connection makes the client try
-// another host.
+// allows. It closes connections that mayAccept rejects, and those that get no place within the
+// limits: unaccepted, they would wait without an answer, whereas a closed connection makes the
+// client try another host.
 type limitedListener struct {
 	net.Listener
 	limit  int // 0: that of the budget
@@ -169,6 +168,3 @@
 		c.startHead()
 	}
 }
-
-// errNoAccount means that a request came over no connection of a limitedListener.
-var errNoAccount = errors.New("request without a connection that is accounted for")
--- a/internal/server/passthrough.go
+++ b/internal/server/passthrough.go
@@ -84,7 +84,7 @@
 	p := &Passthrough{cfg: cfg, idle: map[net.Conn]time.Time{}}
 	// The listener limits headers, as the limits can change.
 	p.server = &http.Server{
-		Handler:     account(cfg.Budget, http.HandlerFunc(p.serve), cfg.Refuse),
+		Handler:     withAccount(cfg.Budget, http.HandlerFunc(p.serve), cfg.Refuse),
 		ConnState:   p.trackIdle,
 		ConnContext: withConn,
 		ErrorLog:    cfg.Logger.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -136,10 +136,12 @@
 	return &httpListener{
 		listener: listener,
 		http: &http.Server{
-			Handler:           account(s.cfg.Budget, handler, s.refuse),
-			ConnState:         trackHead,
-			ConnContext:       withConn,
-			HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: http2Streams, MaxReceiveBufferPerConnection: receiveBufferBytes, MaxReceiveBufferPerStream: receiveBufferBytes},
+			Handler:     withAccount(s.cfg.Budget, handler, s.refuse),
+			ConnState:   trackHead,
+			ConnContext: withConn,
+			HTTP2: &http.HTTP2Config{
+				MaxConcurrentStreams: http2Streams, MaxReceiveBufferPerConnection: receiveBufferBytes, MaxReceiveBufferPerStream: receiveBufferBytes,
+			},
 			TLSConfig:         tlsConfig.Clone(), // each HTTP server modifies its copy for HTTP/2
 			ReadHeaderTimeout: s.cfg.ReadHeaderTimeout,
 			ReadTimeout:       s.cfg.ReadTimeout,
