--- a/internal/budgeter/budgeter.go
+++ b/internal/budgeter/budgeter.go
@@ -119,7 +119,7 @@
 	large       int64 // bytes of accounts that are not small
 	connections [poolCount]int
 	closing     [poolCount]int // connections that were evicted and are not closed yet
-	peak        int64          // largest use since TakePeak
+	peak        int64          // largest use since the last tick of a Governor
 	evicted     int64
 	refused     int64
 	// searchAfter is the time of the next search for stalled accounts, to relieve the connections of
