--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -24,8 +24,13 @@
 // runCase plays a case, with its disruption unless TROUBLE is 0.
 func runCase(ctx context.Context, name, directory string) (code int, err error) {
 	play, ok := map[string]playedCase{
-		"restarted-engine": playRestartedEngine,
-		"killed-service":   playKilledService,
+		"restarted-engine": func(ctx context.Context, d *deployment, hasTrouble bool) (bool, error) {
+			return playRestartedEngine(ctx, d, hasTrouble, false)
+		},
+		"supervised-engine": func(ctx context.Context, d *deployment, hasTrouble bool) (bool, error) {
+			return playRestartedEngine(ctx, d, hasTrouble, true)
+		},
+		"killed-service": playKilledService,
 	}[name]
 	if !ok {
 		return exitNotRun, fmt.Errorf("%w: %s", errUnknownCase, name)
@@ -138,12 +143,12 @@
 	return a.isComplete() && a.body != want
 }
 
-// playRestartedEngine has an engine killed, and started again under its id, while the entry host that forwards a
-// stream of it is stopped.
-func playRestartedEngine(ctx context.Context, d *deployment, hasTrouble bool) (isBroken bool, err error) {
+// playRestartedEngine has an engine killed, and started again under its id, while an entry host forwards a stream of
+// it. Either the engine's supervisor keeps its listener open, or the entry host is stopped meanwhile.
+func playRestartedEngine(ctx context.Context, d *deployment, hasTrouble, isSupervised bool) (isBroken bool, err error) {
 	const pieces, gapMS = 24, 100
 	for n := range 3 {
-		settings := endpointSettings{ID: fmt.Sprintf("i-%d", n+1), IsEngine: true, Pieces: pieces, GapMS: gapMS, IsUnframed: true}
+		settings := endpointSettings{ID: fmt.Sprintf("i-%d", n+1), IsEngine: true, Pieces: pieces, GapMS: gapMS, IsUnframed: true, HasListener: isSupervised}
 		if err := d.addServer("assistant", settings); err != nil {
 			return false, err
 		}
@@ -165,10 +170,14 @@
 	if err != nil {
 		return false, err
 	}
-	if hasTrouble {
-		if err := d.restartWhileStopped(engine, d.hosts[0].process); err != nil {
-			return false, err
-		}
+	switch {
+	case hasTrouble && isSupervised:
+		err = d.restart(engine)
+	case hasTrouble:
+		err = d.restartWhileStopped(engine, d.hosts[0].process)
+	}
+	if err != nil {
+		return false, err
 	}
 	a := <-answers
 	return d.verdict(&a, whole(&engine.settings)), nil
@@ -184,10 +193,7 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	if only != "freeze" {
-		d.killServer(engine)
-		time.Sleep(500 * time.Millisecond)
-		d.record.write("%s starts again under its id", engine.settings.ID)
-		if err := d.startServer(engine); err != nil {
+		if err := d.restart(engine); err != nil {
 			return err
 		}
 	}
@@ -195,6 +201,17 @@
 	return nil
 }
 
+// downTime is how long an engine is down.
+const downTime = 500 * time.Millisecond
+
+// restart kills an engine and starts it again under its id.
+func (d *deployment) restart(engine *server) error {
+	d.killServer(engine)
+	time.Sleep(downTime)
+	d.record.write("%s starts again under its id", engine.settings.ID)
+	return d.startServer(engine)
+}
+
 // playKilledService has a plain service killed while it writes an answer without a length.
 func playKilledService(ctx context.Context, d *deployment, hasTrouble bool) (isBroken bool, err error) {
 	const pieces, gapMS = 35, 3 // 770 bytes in some 100 ms
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -84,6 +84,7 @@
 		return nil, err
 	}
 	cmd.Stderr = os.Stderr
+	cmd.ExtraFiles = d.inherited
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
@@ -114,6 +115,7 @@
 	settings endpointSettings
 	backend  string
 	process  *process
+	listener *os.File // that this program keeps open as the process's supervisor; nil: none
 
 	mu       sync.Mutex
 	isUp     bool
@@ -133,6 +135,7 @@
 	servers   []*server
 	hosts     []*host
 	processes []*process
+	inherited []*os.File // descriptors that the next process gets
 	stop      context.CancelFunc
 	beats     sync.WaitGroup
 }
@@ -198,10 +201,10 @@
 
 // addServer starts an engine or a plain service.
 func (d *deployment) addServer(backend string, settings endpointSettings) (err error) {
-	if settings.Address, err = freeAddress(); err != nil {
+	s := &server{settings: settings, backend: backend}
+	if err := s.openAddress(); err != nil {
 		return err
 	}
-	s := &server{settings: settings, backend: backend}
 	if err := d.startServer(s); err != nil {
 		return err
 	}
@@ -209,6 +212,22 @@
 	return nil
 }
 
+// openAddress chooses the address of a server, and opens its listener if its supervisor keeps it.
+func (s *server) openAddress() (err error) {
+	if !s.settings.HasListener {
+		s.settings.Address, err = freeAddress()
+		return err
+	}
+	listener, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = listener.Close() }() // the copy stays open
+	s.settings.Address = listener.Addr().String()
+	s.listener, err = listener.File()
+	return err
+}
+
 // startServer starts the process of a server, again under the same id and at the same address.
 func (d *deployment) startServer(s *server) error {
 	s.settings.BornMS = time.Now().UnixMilli()
@@ -220,11 +239,18 @@
 	if err != nil {
 		return err
 	}
+	listens := d.record.expect(s.settings.ID + " listens")
+	if s.listener != nil {
+		d.inherited = []*os.File{s.listener}
+		defer func() { d.inherited = nil }()
+	}
 	if s.process, err = d.start(s.settings.ID, true, nil, self, "endpoint", string(encoded)); err != nil {
 		return err
 	}
-	if err := await(func() bool { return accepts(s.settings.Address) }); err != nil {
-		return err
+	select {
+	case <-listens:
+	case <-time.After(readyTimeout):
+		return errNotReady
 	}
 	s.mu.Lock()
 	s.isUp, s.sequence = true, 0
@@ -295,16 +321,6 @@
 	})
 }
 
-// accepts reports whether a connection to an address is accepted.
-func accepts(address string) bool {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close() // nothing was sent
-	return true
-}
-
 // await waits until a condition holds.
 func await(condition func() bool) error {
 	for started := time.Now(); !condition(); {
--- a/review/standin-2/endpoint.go
+++ b/review/standin-2/endpoint.go
@@ -27,6 +27,9 @@
 	GapMS int `json:"gap_ms"`
 	// IsUnframed is true if answers have no length and end with their connection.
 	IsUnframed bool `json:"is_unframed"`
+	// HasListener is true if the supervisor of the process passes it the open listener, and keeps it open while
+	// the process is down, so that connections of that time wait.
+	HasListener bool `json:"has_listener"`
 }
 
 // endpoint is a stand-in for an engine or a plain service. It writes a line to its standard output for each
@@ -45,12 +48,12 @@
 	if err := json.Unmarshal([]byte(encoded), &e.settings); err != nil {
 		return err
 	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.settings.Address)
+	listener, err := e.listen(ctx)
 	if err != nil {
 		return err
 	}
 	defer listener.Close()
-	fmt.Println("listening")
+	e.log("listens", "at "+e.settings.Address)
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -60,6 +63,19 @@
 	}
 }
 
+// listen returns the listener of the supervisor, or a new one.
+func (e *endpoint) listen(ctx context.Context) (net.Listener, error) {
+	if !e.settings.HasListener {
+		return (&net.ListenConfig{}).Listen(ctx, "tcp", e.settings.Address)
+	}
+	file := os.NewFile(inheritedListener, "listener")
+	defer func() { _ = file.Close() }() // the listener has a copy
+	return net.FileListener(file)
+}
+
+// inheritedListener is the descriptor of a listener that a supervisor passes on.
+const inheritedListener = 3
+
 // serve serves the requests of one connection, one at a time.
 func (e *endpoint) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }() // the answers are written
