Fixed: a part of an answer passed as whole when its upload was reset

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection.

Cause: Linux reports the failure of a connection to one system call only. While the request is being written, that may be the write; the read then returns the end of file, as after a regular end. The transporter dropped the error of the write. An answer with neither a length nor chunks ends with its connection, so nothing else told the two apart.

Change: package endchecker keeps the first error of a connection's writes and decides the end. At the end of file the connection is closed, which ends a pending write, and the answer is complete only if the write has not failed.

Why this works: the failure is reported exactly once, so at an end of file either the write has it, or the endpoint has ended the connection. After a regular end Linux reports a reset as EPIPE, not ECONNRESET, and a write that is still pending ends with net.ErrClosed; both count as complete. On other systems than Linux a reset after a regular end is ECONNRESET, too; such an answer counts as cut there.

--- a/internal/transporter/exchange.go
+++ b/internal/transporter/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -63,10 +64,16 @@
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
 		Close: response.Close, Body: x,
-		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Body != http.NoBody,
+		EndsWithConnection: x.endsWithConnection(),
 	}, nil
 }
 
+// endsWithConnection reports whether the answer has neither a length nor chunks.
+func (x *exchange) endsWithConnection() bool {
+	r := x.response
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 // head returns the request line and the headers.
 func (x *exchange) head() []byte {
 	r := &x.request
@@ -81,7 +88,7 @@
 }
 
 func (x *exchange) write(data []byte) error {
-	n, err := x.conn.Write(data)
+	n, err := x.conn.checked.Write(data)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.written += int64(n)
@@ -140,6 +147,9 @@
 	n, err := x.response.Body.Read(p)
 	if errors.Is(err, io.EOF) {
 		x.end(x.canReuse)
+		if x.endsWithConnection() {
+			err = cmp.Or(x.conn.checked.CheckEnd(), err)
+		}
 		return n, err
 	}
 	err = responselimiter.BodyError(err)
@@ -176,8 +186,8 @@
 			return
 		}
 		x.transporter.discard(x.conn)
-		// The reset ends a pending write. Its error adds nothing to the error that the
-		// reader of the answer gets.
+		// The reset ends a pending write. Its error matters only to an answer that ends with
+		// its connection, and the connection keeps it.
 		_ = x.bodyWrite.Wait()
 	})
 }
--- a/internal/transporter/transporter.go
+++ b/internal/transporter/transporter.go
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"github.com/endivemast/endivemast/internal/endchecker"
 	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
@@ -158,6 +159,7 @@
 type conn struct {
 	net.Conn
 	address   string
+	checked   *endchecker.Conn // requests are written to it
 	source    *source
 	reader    *bufio.Reader // reads from source
 	expiresAt time.Time     // not used for a new request after this time
@@ -366,7 +368,7 @@
 		return nil, err
 	}
 	from := &source{conn: raw}
-	return &conn{Conn: raw, address: address, source: from, reader: bufio.NewReaderSize(from, readBufferBytes)}, nil
+	return &conn{Conn: raw, address: address, checked: endchecker.New(raw), source: from, reader: bufio.NewReaderSize(from, readBufferBytes)}, nil
 }
 
 func dialTCP(ctx context.Context, address string, timeout, userTimeout time.Duration) (net.Conn, error) {
