Fixed: a usage report counted as delivered when its upload was reset

What was seen: the cloud interface answered a usage report at once with a 200 without a length, sent a part of the body and reset the connection. The host took the report as delivered. No caller of a request sees this; the counts of that window would be missing from the operator's account.

Its transport drops the error of the write once the head of the answer has arrived, and the body then ends as if the server had ended it.

The other clients over net/http already fail as they should, since a part of their answer does not parse: writes of the store, calls, streams and prefills of httpdriver.

Change: responselimiter.Transport, which the clients of the store, the cloud interface, etcd and httpdriver share, has its connections checked by endchecker, and checks the end of each body that ends with its connection.

--- a/internal/httpdriver/attempt.go
+++ b/internal/httpdriver/attempt.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/endchecker"
 	"github.com/endivemast/endivemast/internal/responselimiter"
 )
 
@@ -70,7 +71,11 @@
 }
 
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countingConn)
+	checked, ok := info.Conn.(*endchecker.Conn)
+	if !ok {
+		return
+	}
+	conn, ok := checked.NetConn().(*countingConn)
 	if !ok {
 		return
 	}
--- a/internal/responselimiter/transport.go
+++ b/internal/responselimiter/transport.go
@@ -1,15 +1,18 @@
 package responselimiter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
 	"sync/atomic"
 
+	"github.com/endivemast/endivemast/internal/endchecker"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
@@ -26,11 +29,20 @@
 
 var _ http.RoundTripper = (*Transport)(nil)
 
-// NewTransport returns a Transport. It sets the limit of base on heads unless one is set.
+// NewTransport returns a Transport. It sets the limit of base on heads unless one is set, and has the
+// connections of base.DialContext, which is required, checked by endchecker.
 func NewTransport(base *http.Transport, client string) *Transport {
 	if base.MaxResponseHeaderBytes == 0 {
 		base.MaxResponseHeaderBytes = MaxHeadBytes // the default is 10 MB
 	}
+	dial := base.DialContext
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err // a non-nil net.Conn must not hold a nil *endchecker.Conn
+		}
+		return endchecker.New(conn), nil
+	}
 	return &Transport{Base: base, Client: client}
 }
 
@@ -42,7 +54,15 @@
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx, cancel := context.WithCancelCause(r.Context())
 	h := &headLimiter{cancel: cancel}
-	trace := &httptrace.ClientTrace{GotFirstResponseByte: h.begin, Got1xxResponse: h.gotInformational}
+	var conn atomic.Pointer[endchecker.Conn] // the latest one: net/http may repeat the request
+	trace := &httptrace.ClientTrace{
+		GotFirstResponseByte: h.begin,
+		Got1xxResponse:       h.gotInformational,
+		GotConn: func(info httptrace.GotConnInfo) {
+			checked, _ := info.Conn.(*endchecker.Conn)
+			conn.Store(checked)
+		},
+	}
 	resp, err := t.Base.RoundTrip(r.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	h.end()
 	if err != nil {
@@ -51,10 +71,19 @@
 		t.Counter.CountError(t.Client, err)
 		return nil, err
 	}
-	resp.Body = &limitedBody{ReadCloser: resp.Body, transport: t, cancel: cancel}
+	body := &limitedBody{ReadCloser: resp.Body, transport: t, cancel: cancel}
+	if endsWithConnection(resp) {
+		body.conn = conn.Load()
+	}
+	resp.Body = body
 	return resp, nil
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && resp.Body != http.NoBody
+}
+
 // ReadAll reads the body of a response of at most maxBytes.
 func (t *Transport) ReadAll(body io.Reader, maxBytes int64) ([]byte, error) {
 	data, err := ReadAll(body, maxBytes)
@@ -129,10 +158,12 @@
 	return err
 }
 
-// limitedBody names the limits that net/http applies to the framing of a body.
+// limitedBody names the limits that net/http applies to the framing of a body, and checks the end of one
+// that ends with its connection.
 type limitedBody struct {
 	io.ReadCloser
 	transport *Transport
+	conn      *endchecker.Conn // nil: the body does not end with it
 	cancel    context.CancelCauseFunc
 	isCounted bool
 }
@@ -140,6 +171,9 @@
 // Read implements io.Reader.
 func (b *limitedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if b.conn != nil && errors.Is(err, io.EOF) {
+		err = cmp.Or(b.conn.CheckEnd(), err)
+	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
