Fixed: an answer with status 000 was delivered, or its body as another one

What callers saw: an endpoint in trouble sent an answer whose status was 000. If its body looked like an answer, the caller got that as a 200 of the endpoint; 600 to 999 reached the caller as they were.

Cause: the transporter skipped each status below 200 as an informational one and read on within the body. No reader checked that a status is one of HTTP (100 to 599; RFC 9110, 15); http.ReadResponse takes any three characters that parse as a number that is not negative, such as 000 and +20.

The same in the clients over net/http, which take 000 for a final status: - the platform's store: a write or a lease answered by 000, 099, 600 or 999 counted as not made, although nothing is known of it; - httpdriver: a call, stream, prefill or order counted as refused if the body said so; - etcd: a write counted as not made if the body names a missing leader, and a read was not sent to another endpoint after 000 or 099; - orders, reports and confirmations of an engine with 600 or 999 counted as refused.

Change: package headchecker states which statuses are valid. The transporter, responselimiter.Transport (store, cloud interface, etcd, httpdriver) and the order of httpdriver, which reads its answer itself, ask it for each head. An invalid one is bytes that are no answer: the connection is reset, the outcome is unknown, a call that may be repeated goes to another endpoint.

Why this works: nothing that follows such a status is read any more. Peers are not affected: gRPC fails a call with any status but 200.

--- a/internal/httpdriver/order.go
+++ b/internal/httpdriver/order.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/endivemast/endivemast/internal/driver"
+	"github.com/endivemast/endivemast/internal/headchecker"
 	"github.com/endivemast/endivemast/internal/responselimiter"
 )
 
@@ -87,6 +88,9 @@
 		return orderFailure(conn, causeOf(ctx, err))
 	}
 	defer resp.Body.Close()
+	if err := headchecker.CheckStatus(resp.StatusCode); err != nil {
+		return orderFailure(conn, err)
+	}
 	limited.N = math.MaxInt64 // ReadAll limits the body
 	body, err := responselimiter.ReadAll(resp.Body, int64(d.settings.MaxLineBytes))
 	if err != nil {
--- a/internal/responselimiter/transport.go
+++ b/internal/responselimiter/transport.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 
 	"github.com/endivemast/endivemast/internal/endchecker"
+	"github.com/endivemast/endivemast/internal/headchecker"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
 
@@ -71,6 +72,11 @@
 		t.Counter.CountError(t.Client, err)
 		return nil, err
 	}
+	if err := headchecker.CheckStatus(resp.StatusCode); err != nil {
+		cancel(err)
+		resp.Body.Close()
+		return nil, err
+	}
 	body := &limitedBody{ReadCloser: resp.Body, transport: t, cancel: cancel}
 	if endsWithConnection(resp) {
 		body.conn = conn.Load()
--- a/internal/transporter/head.go
+++ b/internal/transporter/head.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/endivemast/endivemast/internal/headchecker"
 	"github.com/endivemast/endivemast/internal/responselimiter"
 	"github.com/endivemast/endivemast/internal/timekeeper"
 )
@@ -56,6 +57,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %.*s", ErrMalformed, maxDetailBytes, err.Error())
 		}
+		if err := headchecker.CheckStatus(response.StatusCode); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
 		if name, ok := spacedName(response.Header); ok {
 			return nil, fmt.Errorf("%w: space in header name %.*q", ErrMalformed, maxDetailBytes, name)
 		}
