Fixed: the host's own clients took answers with a blank in a field's name

What was seen at the other readers: an answer of the store, of the cloud interface or of an engine of `endivemast entry` counted although the name of a field held a blank, or a blank stood before the colon, such as "Content-Length : 4", which then had no effect.

Cause: net/http takes such a name for a field of its own. Only the transporter checked the names.

Change: headchecker checks the names, too, for all readers. The transporter's own check is gone, since it is the same one.

Why this works: a name that is no token (RFC 9110, 5.1) makes the head none, so that neither the status nor the framing of the answer is used.

TestInvalidStatus of httpdriver and etcdprovider is now part of TestInvalidHead, with the same rows.

--- a/internal/etcdprovider/invalid_status_test.go
+++ b/internal/etcdprovider/invalid_head_test.go
@@ -14,15 +14,18 @@
 	"github.com/endivemast/endivemast/standins/opaqueserver"
 )
 
-// TestInvalidStatus guards against an answer with a status that HTTP does not have which counts as a refusal by the service.
-func TestInvalidStatus(t *testing.T) {
+// TestInvalidHead guards against an answer with a status, or with the name of a field, that HTTP does not have which counts as a refusal by the service.
+func TestInvalidHead(t *testing.T) {
 	t.Parallel()
-	for _, status := range []string{"000", "099", "600", "999"} {
-		t.Run(status, func(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000": "HTTP/1.1 000 Odd\r\n", "status 099": "HTTP/1.1 099 Odd\r\n", "status 600": "HTTP/1.1 600 Odd\r\n", "status 999": "HTTP/1.1 999 Odd\r\n",
+		"blank in a name": "HTTP/1.1 404 Not Found\r\nX Odd: 1\r\n", "control byte in a name": "HTTP/1.1 404 Not Found\r\nX\x01Odd: 1\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			const body = `{"message":"etcdserver: no leader"}`
 			odd := opaqueserver.Start(func(x *opaqueserver.Exchange) {
-				x.Write(fmt.Sprintf("HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body))
+				x.Write(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body))
 			})
 			t.Cleanup(odd.Close)
 			sound := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/headchecker/headchecker.go
+++ b/internal/headchecker/headchecker.go
@@ -5,13 +5,16 @@
 //
 //	resp, err := http.ReadResponse(reader, r)
 //	if err == nil {
-//		err = headchecker.CheckStatus(resp.StatusCode)
+//		err = headchecker.Check(resp.StatusCode, resp.Header)
 //	}
 package headchecker
 
 import (
 	"errors"
 	"fmt"
+	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalid is wrapped by all errors of this package.
@@ -23,10 +26,22 @@
 	maxStatus = 599
 )
 
-// CheckStatus returns an error for a status that HTTP does not have. What follows such a status can't be trusted.
-func CheckStatus(status int) error {
+// maxNameBytes limits the part of a name that an error quotes. Errors are logged.
+const maxNameBytes = 200
+
+// Check returns an error for a status, or the name of a field, that HTTP does not have. What follows such a
+// head can't be trusted.
+//
+// net/http rejects names with other characters than a space itself. A name with a space is a field of its own to
+// it, so that "Content-Length : 9" has no effect.
+func Check(status int, header http.Header) error {
 	if status < minStatus || status > maxStatus {
 		return fmt.Errorf("%w: status %03d", ErrInvalid, status)
 	}
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.*q", ErrInvalid, maxNameBytes, name)
+		}
+	}
 	return nil
 }
--- a/internal/httpdriver/invalid_status_test.go
+++ b/internal/httpdriver/invalid_head_test.go
@@ -12,14 +12,18 @@
 	"github.com/endivemast/endivemast/standins/opaqueserver"
 )
 
-// TestInvalidStatus guards against an answer with a status that HTTP does not have which counts as a refusal.
-func TestInvalidStatus(t *testing.T) {
+// TestInvalidHead guards against an answer with a status, or with the name of a field, that HTTP does not have which counts as a refusal.
+func TestInvalidHead(t *testing.T) {
 	t.Parallel()
 	const (
 		callRefused  = `{"attempt_id":"a","code":"busy","ran":false}`
 		orderRefused = `{"order_id":"o","code":"busy","ran":false}`
 	)
-	for _, status := range []string{"000", "099", "600", "999"} {
+	const busy = "HTTP/1.1 429 Too Many Requests\r\n"
+	for headName, head := range map[string]string{
+		"status 000": "HTTP/1.1 000 Odd\r\n", "status 099": "HTTP/1.1 099 Odd\r\n", "status 600": "HTTP/1.1 600 Odd\r\n", "status 999": "HTTP/1.1 999 Odd\r\n",
+		"blank in a name": busy + "X Odd: 1\r\n", "blank before the colon": busy + "Content-Length : 4\r\n", "control byte in a name": busy + "X\x01Odd: 1\r\n",
+	} {
 		for name, test := range map[string]struct {
 			body string
 			call func(ctx context.Context, d *Driver, target driver.Target) error
@@ -44,10 +48,10 @@
 				return err
 			}},
 		} {
-			t.Run(status+", "+name, func(t *testing.T) {
+			t.Run(headName+", "+name, func(t *testing.T) {
 				t.Parallel()
 				server := opaqueserver.Start(func(x *opaqueserver.Exchange) {
-					x.Write(fmt.Sprintf("HTTP/1.1 %s Odd\r\nContent-Length: %d\r\n\r\n%s", status, len(test.body), test.body))
+					x.Write(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(test.body), test.body))
 				})
 				t.Cleanup(server.Close)
 				d := New(Settings{})
--- a/internal/httpdriver/order.go
+++ b/internal/httpdriver/order.go
@@ -88,7 +88,7 @@
 		return orderFailure(conn, causeOf(ctx, err))
 	}
 	defer resp.Body.Close()
-	if err := headchecker.CheckStatus(resp.StatusCode); err != nil {
+	if err := headchecker.Check(resp.StatusCode, resp.Header); err != nil {
 		return orderFailure(conn, err)
 	}
 	limited.N = math.MaxInt64 // ReadAll limits the body
--- a/internal/responselimiter/transport.go
+++ b/internal/responselimiter/transport.go
@@ -72,7 +72,7 @@
 		t.Counter.CountError(t.Client, err)
 		return nil, err
 	}
-	if err := headchecker.CheckStatus(resp.StatusCode); err != nil {
+	if err := headchecker.Check(resp.StatusCode, resp.Header); err != nil {
 		cancel(err)
 		resp.Body.Close()
 		return nil, err
@@ -136,7 +136,10 @@
 
 // gotInformational is called for each informational head. net/http then starts to count the bytes
 // of the next head from 0.
-func (h *headLimiter) gotInformational(_ int, header textproto.MIMEHeader) error {
+func (h *headLimiter) gotInformational(status int, header textproto.MIMEHeader) error {
+	if err := headchecker.Check(status, http.Header(header)); err != nil {
+		return err // fails the call
+	}
 	h.heads++
 	for name, values := range header {
 		for _, value := range values {
--- a/internal/transporter/head.go
+++ b/internal/transporter/head.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 
 	"github.com/endivemast/endivemast/internal/headchecker"
 	"github.com/endivemast/endivemast/internal/responselimiter"
@@ -57,12 +56,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %.*s", ErrMalformed, maxDetailBytes, err.Error())
 		}
-		if err := headchecker.CheckStatus(response.StatusCode); err != nil {
+		if err := headchecker.Check(response.StatusCode, response.Header); err != nil {
 			return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 		}
-		if name, ok := spacedName(response.Header); ok {
-			return nil, fmt.Errorf("%w: space in header name %.*q", ErrMalformed, maxDetailBytes, name)
-		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return nil, fmt.Errorf("%w: another protocol, which was not asked for", ErrMalformed)
 		}
@@ -90,17 +86,6 @@
 	return bytes.HasPrefix(head, []byte("HTTP/1.0 ")) && bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding"))
 }
 
-// spacedName returns a header name with a space in it. Package net/textproto accepts such a name as a
-// header of its own, so that "Content-Length : 9" has no effect.
-func spacedName(header http.Header) (name string, ok bool) {
-	for name := range header {
-		if strings.Contains(name, " ") {
-			return name, true
-		}
-	}
-	return "", false
-}
-
 // bufferHead waits for a whole head of at most maxBytes, leaves it to be read, and returns its
 // length. The limit in time starts with the first byte, and applies to each informational head
 // separately: an endpoint may announce a response long before it has one.
--- a/internal/transporter/head_test.go
+++ b/internal/transporter/head_test.go
@@ -39,3 +39,42 @@
 		}
 	}
 }
+
+// TestInvalidFieldName guards against an answer in whose head the name of a field is none: such a line is passed on, or has no effect on the body.
+func TestInvalidFieldName(t *testing.T) {
+	t.Parallel()
+	lines := map[string]string{
+		"blank": "X Odd: 1", "blank before the colon": "Content-Length : 4", "tab before the colon": "Content-Length\t: 4",
+		"coding, blank before the colon": "Transfer-Encoding : chunked", "blanks": "X  Odd  Name : 1", "tab": "X\tOdd: 1", "no name": ": 1",
+		"no colon": "X-Odd", "blank before the id's colon": "Request-Id : r1", "letter that is not ASCII": "X-\xc3\x96dd: 1", "separator": "X(Odd): 1",
+	}
+	for b := range byte(' ') {
+		if b != '\n' && b != '\t' {
+			lines[fmt.Sprintf("control byte %#02x", b)] = "X" + string(rune(b)) + "Odd: 1"
+			lines[fmt.Sprintf("control byte %#02x before the colon", b)] = "Content-Length" + string(rune(b)) + ": 4"
+			lines[fmt.Sprintf("control byte %#02x first", b)] = string(rune(b)) + "X-Odd: 1"
+		}
+	}
+	lines["DEL"] = "X\x7fOdd: 1"
+	const status, id, length, body = "HTTP/1.1 200 OK\r\n", "Request-Id: r1\r\n", "Content-Length: 11\r\n", "whole\r\n\r\nend"
+	for name, line := range lines {
+		line += "\r\n"
+		for place, answer := range map[string]string{
+			"first":                status + line + id + length + "\r\n" + body,
+			"between":              status + id + line + length + "\r\n" + body,
+			"last":                 status + id + length + line + "\r\n" + body,
+			"unframed":             status + id + line + "\r\n" + body,
+			"informational answer": "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n" + status + id + length + "\r\n" + body,
+			"no content":           "HTTP/1.1 204 No Content\r\n" + id + line + "\r\n",
+		} {
+			t.Run(name+", "+place, func(t *testing.T) {
+				t.Parallel()
+				endpoint := startEndpoint(t, func(x *opaqueserver.Exchange) { x.Write(answer); x.Close() })
+				got, body, err := send(t, newTransporter(t), endpoint.Address(), request("r1"))
+				assert.ErrorIs(t, err, ErrMalformed, "status %d, body %q", got, body)
+				var failure *SendError
+				assert.Assert(t, errors.As(err, &failure) && failure.Sent, "%v", err)
+			})
+		}
+	}
+}
