--- a/internal/dispatcher/stop.go
+++ b/internal/dispatcher/stop.go
@@ -23,7 +23,7 @@
 // expected by then.
 func (f *Forwarder) StopAt(at time.Time) { f.stopsAt.Store(&at) }
 
-// CancelAll cancels the running requests whose callers can still be told. Streams that have begun go on.
+// CancelAll cancels the running requests whose callers can still get a failure. Streams that have begun go on.
 func (f *Forwarder) CancelAll() {
 	f.mu.Lock()
 	running := maps.Clone(f.running)
