--- a/internal/dispatcher/forwarded_request.go
+++ b/internal/dispatcher/forwarded_request.go
@@ -49,9 +49,10 @@
 
 	identity  quarantiner.Request
 	admission quarantiner.Admission
-	isTrial   atomic.Bool  // the request is quarantined and runs as a trial
-	hasEvents atomic.Bool  // an event of its answer has arrived from an endpoint
-	toCaller  atomic.Int32 // a streamState
+	isTrial   atomic.Bool // the request is quarantined and runs as a trial
+	hasEvents atomic.Bool // an event of its answer has arrived from an endpoint
+	// streamState is streamNotBegun, streamBegun or streamCancelled.
+	streamState atomic.Int32
 
 	charge Charge // against its tenant's limit
 
@@ -116,7 +117,7 @@
 	if origin := request.Origin; origin != nil {
 		fr.runs, fr.eventsSent, fr.isHeaderSent = origin.Runs, origin.Events, origin.IsHeaderSent
 		if fr.isHeaderSent {
-			fr.toCaller.Store(int32(streamBegun))
+			fr.streamState.Store(streamBegun)
 		}
 		fr.softwareVersion = origin.SoftwareVersion
 		fr.setApplication(origin.Application)
--- a/internal/dispatcher/stop.go
+++ b/internal/dispatcher/stop.go
@@ -29,25 +29,23 @@
 	running := maps.Clone(f.running)
 	f.mu.Unlock()
 	for fr, cancel := range running {
-		if fr.toCaller.CompareAndSwap(int32(streamNotBegun), int32(streamCancelled)) {
+		if fr.streamState.CompareAndSwap(streamNotBegun, streamCancelled) {
 			cancel(errHostStops)
 		}
 	}
 }
 
-// streamState is the state of a stream to the caller.
-type streamState int32
-
+// States of a forwardedRequest's stream to its caller. Those of calls are never begun.
 const (
-	streamNotBegun  streamState = iota
-	streamBegun                 // its header is sent, or about to be
-	streamCancelled             // its header must not be sent
+	streamNotBegun  int32 = iota
+	streamBegun           // its header is sent, or about to be
+	streamCancelled       // its header must not be sent
 )
 
 // beginStream is called before the header of a stream is sent. It returns an error if the request has been
 // cancelled.
 func (fr *forwardedRequest) beginStream() error {
-	if fr.toCaller.CompareAndSwap(int32(streamNotBegun), int32(streamBegun)) {
+	if fr.streamState.CompareAndSwap(streamNotBegun, streamBegun) {
 		return nil
 	}
 	return errHostStops
--- a/internal/responselimiter/transport.go
+++ b/internal/responselimiter/transport.go
@@ -18,7 +18,8 @@
 )
 
 // Transport is an http.Transport with limits on heads. The limit in time applies to the informational
-// heads and the final one together, from the first byte on.
+// heads and the final one together, from the first byte on. Invalid heads (headchecker) and bodies that
+// are cut by the failure of their connection (endchecker) are errors, too.
 //
 // net/http limits the final head and, since the informational ones are counted here, each of those
 // separately. Together they have at most twice MaxHeadBytes.
