--- a/internal/transporter/reset_test.go
+++ b/internal/transporter/reset_test.go
@@ -82,8 +82,8 @@
 // TestUserTimeoutDuringUpload guards against a part of an answer that is delivered as complete since its endpoint takes no more of the upload.
 func TestUserTimeoutDuringUpload(t *testing.T) {
 	t.Parallel()
-	for range uploads {
-		t.Run("", func(t *testing.T) {
+	for n := range uploads {
+		t.Run(fmt.Sprint("upload ", n), func(t *testing.T) {
 			t.Parallel()
 			tr := New(Settings{IDHeader: "Request-Id", UserTimeout: 200 * time.Millisecond})
 			t.Cleanup(func() { assert.NilError(t, tr.Close()) })
