Planned stops: expect the time that requests of the class have taken

Cause: by the targets alone, a stream of many tokens is expected to take the whole time limit of its class.

Change: the forwarder keeps, by class, the mean and the deviation of the time that completed requests have taken (run_times.go), and expects the mean and two deviations. The targets count until eight requests are known.

--- a/internal/dispatcher/forwarder.go
+++ b/internal/dispatcher/forwarder.go
@@ -121,6 +121,7 @@
 	largeBuffers   *largeBuffers
 	shortages      *shortages
 	stopsAt        atomic.Pointer[time.Time] // nil: not known
+	runTimes       runTimes
 
 	mu            sync.Mutex
 	repeatBudgets map[string]*repeatBudget // by application
@@ -195,7 +196,7 @@
 func (f *Forwarder) Run(ctx context.Context, request OpaqueRequest, writer AnswerWriter) (outcome PeerOutcome, err error) {
 	f.activeRequests.Add(1)
 	defer f.activeRequests.Add(-1)
-	fr := newForwardedRequest(f, &request, writer)
+	fr, begun := newForwardedRequest(f, &request, writer), time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// After a suspension or a freeze of the process, data that arrived for the caller meanwhile
@@ -209,6 +210,9 @@
 		defer f.setRunning(fr, nil)
 		err = fr.admitAndRun(ctx)
 	}
+	if err == nil {
+		f.runTimes.observe(request.Class.Name, time.Since(begun))
+	}
 	fr.refund(err)
 	f.recordOutcome(fr, err)
 	if err != nil {
--- a/internal/dispatcher/stop.go
+++ b/internal/dispatcher/stop.go
@@ -54,12 +54,21 @@
 // checkStop returns an error if the host stops before the answer of a run that starts now is expected.
 func (fr *forwardedRequest) checkStop() error {
 	at := fr.forwarder.stopsAt.Load()
-	if at == nil || time.Until(*at) >= statedRunTime(fr.request) {
+	if at == nil || time.Until(*at) >= fr.expectedRunTime() {
 		return nil
 	}
 	return errHostStops
 }
 
+// expectedRunTime returns how long the request will probably take: as long as others of its class, or the time
+// that follows from the targets of the class if too few are known.
+func (fr *forwardedRequest) expectedRunTime() time.Duration {
+	if d, ok := fr.forwarder.runTimes.expected(fr.request.Class.Name); ok {
+		return min(d, requestTimeout(fr.request))
+	}
+	return statedRunTime(fr.request)
+}
+
 // statedRunTime returns how long a run takes by the targets of the request's class.
 func statedRunTime(request *OpaqueRequest) time.Duration {
 	class := request.Class.Class
--- a/internal/dispatcher/stop_test.go
+++ b/internal/dispatcher/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -59,3 +60,26 @@
 	assert.DeepEqual(t, causes, map[string]error{"waiting": errHostStops}, cmpopts.EquateErrors())
 	assert.ErrorIs(t, waiting.beginStream(), errHostStops)
 }
+
+func TestRunTimes(t *testing.T) {
+	t.Parallel()
+	var times runTimes
+	for n := range 200 {
+		_, ok := times.expected("class")
+		assert.Equal(t, ok, n >= minRunTimes)
+		times.observe("class", time.Second+time.Duration(n%2)*200*time.Millisecond)
+	}
+	d, _ := times.expected("class")
+	assert.Assert(t, d > 1200*time.Millisecond && d < 1400*time.Millisecond, "%s", d)
+	for range 100 {
+		times.observe("class", 5*time.Second)
+	}
+	d, _ = times.expected("class")
+	assert.Assert(t, d > 4900*time.Millisecond && d < 6*time.Second, "%s", d)
+	_, ok := times.expected("another")
+	assert.Assert(t, !ok)
+	for n := range 2 * maxRunTimeClasses {
+		times.observe(fmt.Sprint(n), time.Second)
+	}
+	assert.Assert(t, len(times.byClass) <= maxRunTimeClasses)
+}
