Tests: ports of hosts below the range of outgoing connections

Cause: freeAddress closes a listener on port 0 and returns its port, which the kernel may give to any connection until the host listens; the new tests of this issue open many connections. In platform, soakAddress has taken ports below that range before; freeAddress does the same now, in pkg/endivemast with a range of its own. Nothing that is tested has changed.

--- a/pkg/endivemast/entry_test.go
+++ b/pkg/endivemast/entry_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,12 +39,27 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { assert.NilError(t, listener.Close()) }()
-	return listener.Addr().String()
+	nextPort.CompareAndSwap(0, int32(os.Getpid()%testPorts))
+	for range testPorts {
+		address := fmt.Sprint("127.0.0.1:", firstTestPort+nextPort.Add(1)%testPorts)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			assert.NilError(t, listener.Close())
+			return address
+		}
+	}
+	t.Fatal("no port is free")
+	return ""
 }
 
+// Ports below the range that the kernel gives to outgoing connections and to listeners on port 0. Otherwise one of
+// them could take the port before it is used.
+const (
+	firstTestPort = 25_000
+	testPorts     = 4000
+)
+
+var nextPort atomic.Int32
+
 func startFleet(t *testing.T, hosts int) *fleet {
 	t.Helper()
 	return startFleetWith(t, hosts, func(cfg *endivemast.Config) { cfg.Insecure, cfg.PlainText = true, true })
