Streams that end with their connection: log and count how the end was checked

"request served" says nothing of how the end was checked, so that three hypotheses fit: the end was not checked at all, the old process answered late, or another process answered.

Change: ConfirmRunning returns the incarnation that the answer states (`born` of the engine's report). The line "end of a stream checked" has it beside the one known at the send, with the outcome and the time that it took, and endivemast_stream_ends_total counts. Nothing is decided by it yet.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -50,6 +50,8 @@
 	CountHedge(class string)
 	// CountExceededLimit counts an answer that exceeds a limit.
 	CountExceededLimit(client, limit string)
+	// CountStreamEnd counts a stream that has ended with its connection, by whether its end is confirmed.
+	CountStreamEnd(outcome string)
 }
 
 // Config configures a Dispatcher.
--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -194,6 +194,7 @@
 func (nopMeter) CountOutcome(string, string, string, string)        {}
 func (nopMeter) CountRetry(string)                                  {}
 func (nopMeter) CountExceededLimit(string, string)                  {}
+func (nopMeter) CountStreamEnd(string)                              {}
 func (nopMeter) CountHedge(string)                                  {}
 
 func newTestDispatcher(class configurer.Class, endpoints *fakeEndpoints, claims *fakeClaimer) *Dispatcher {
--- a/internal/dispatcher/requestlog.go
+++ b/internal/dispatcher/requestlog.go
@@ -170,6 +170,24 @@
 	}
 }
 
+// logStreamEnd logs how the end of a stream that ends with its connection was checked.
+func (l *requestLogger) logStreamEnd(fr *forwardedRequest, end streamEnd) {
+	limiter := l.failureLimiter
+	if end.outcome == endConfirmed {
+		limiter = l.servedLimiter
+	}
+	target := fr.lastAttempt.target
+	args := []any{
+		"endpoint_id", target.EndpointID, "incarnation", target.Incarnation, "answered_by", end.confirmation.Incarnation,
+		"outcome", string(end.outcome), "events", fr.eventsSent, "sent_ago_ms", time.Since(fr.lastAttempt.sentAt).Milliseconds(),
+		"took_ms", end.took.Milliseconds(),
+	}
+	if end.err != nil {
+		args = append(args, "error", end.err.Error())
+	}
+	l.writeLimited(limiter, hclog.Info, "end of a stream checked", fr, args...)
+}
+
 // logRepeat logs that a request is sent to another endpoint.
 func (l *requestLogger) logRepeat(fr *forwardedRequest) {
 	l.write(hclog.Info, "request repeated", fr, "excluded", fr.excluded, "resume_after", fr.ids.last, "needed_version", fr.neededVersion(), "budget_left", fr.repeatBudget.remaining())
--- a/internal/dispatcher/stream_end_test.go
+++ b/internal/dispatcher/stream_end_test.go
@@ -46,12 +46,12 @@
 	return driver.ForwardAnswer{Status: http.StatusOK, Length: -1, EndsWithConnection: run.isUnframed, Body: io.NopCloser(body)}, nil
 }
 
-func (e *streamEndpoints) ConfirmRunning(context.Context, driver.Target) error {
+func (e *streamEndpoints) ConfirmRunning(context.Context, driver.Target) (driver.Confirmation, error) {
 	e.confirmations++
 	if e.runs[len(e.resumedAfter)-1].isStopped {
-		return driver.ErrConnectionRefused
+		return driver.Confirmation{}, driver.ErrConnectionRefused
 	}
-	return nil
+	return driver.Confirmation{}, nil
 }
 
 type cutBody struct{}
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -89,10 +89,11 @@
 	// Probe opens a connection to an endpoint without sending a request. It fails with
 	// ErrConnectionRefused if the endpoint's process has exited.
 	Probe(ctx context.Context, target Target) error
-	// ConfirmRunning asks an engine for any answer, over a connection that the engine has not closed, and
-	// returns an error unless the process answers. The answer of a process that has been killed can't
-	// follow the end of its connections.
-	ConfirmRunning(ctx context.Context, target Target) error
+	// ConfirmRunning asks an endpoint for its report, over a connection that the endpoint has not closed,
+	// and returns an error unless a process answers under the target's id. The answer of a process that
+	// has been killed can't follow the end of its connections, but another process may have taken its
+	// place.
+	ConfirmRunning(ctx context.Context, target Target) (Confirmation, error)
 	// Ping sends a request that runs no work over idle connections to an endpoint, one after the
 	// other, until one is answered. It opens none. A connection that ends without an answer is
 	// closed. It fails with ErrNotConnected if no idle connection is left.
@@ -113,6 +114,14 @@
 	Close() error
 }
 
+// Confirmation is the answer of a process that was asked whether it runs.
+type Confirmation struct {
+	// Incarnation is that of the process that has answered. If the answer states no start time, it
+	// equals the incarnation of an endpoint that is listed without one.
+	Incarnation  string
+	HasStartTime bool // the answer states one
+}
+
 // PingKind determines which requests an endpoint answers without running work.
 type PingKind struct {
 	IsEngine   bool   // it has a role
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -204,6 +204,11 @@
 	m.set.GetOrCreateCounter(`endivemast_exceeded_limits_total{client="` + client + `",limit="` + limit + `"}`).Inc()
 }
 
+// CountStreamEnd counts a stream that ended with its connection, by whether its end was confirmed.
+func (m *Meter) CountStreamEnd(outcome string) {
+	m.set.GetOrCreateCounter(`endivemast_stream_ends_total{outcome="` + outcome + `"}`).Inc()
+}
+
 // CountClientRefusal counts a client that was refused for lack of memory or connections, or for
 // the size of its header.
 func (m *Meter) CountClientRefusal(reason string) {
