Fixed: a cut stream ended as complete when its engine started again under its id

Its engine had been killed and had started again under its id.

Cause: a stream that ends with its connection counts if the engine still runs. ConfirmRunning asked for the engine's report by the id alone and read nothing of it, so that the next process confirmed the end of a stream of the one before.

Change: the start time in the report is decoded, and dispatcher compares the process that has answered with the one that the request was sent to, as the host knew it at the send. Start times tell processes apart; they do not order them. An answer that is no report counts as before.

Why this works: a report is written by the process that answers, and states its start. If that is the start of the process that the request was sent to, this process has run from before the send until after the end, so that the kernel has not ended its connections.

Tests: the stand-in of TestUnframedStreamOfAKilledEngineThroughAPeer left the start time out of its reports although the fleet's entries state it.

--- a/internal/dispatcher/fake_test.go
+++ b/internal/dispatcher/fake_test.go
@@ -74,7 +74,9 @@
 	id        string
 }
 
-func (g *fakeGrant) Target() driver.Target                { return driver.Target{EndpointID: g.id} }
+func (g *fakeGrant) Target() driver.Target {
+	return driver.Target{EndpointID: g.id, Incarnation: g.id + "@1"}
+}
 func (g *fakeGrant) PrefillTarget() (driver.Target, bool) { return driver.Target{}, false }
 func (g *fakeGrant) Basis() scheduler.Basis               { return scheduler.Basis{} }
 func (g *fakeGrant) IsAvailable() bool                    { return true }
--- a/internal/dispatcher/stream_end_test.go
+++ b/internal/dispatcher/stream_end_test.go
@@ -21,8 +21,9 @@
 type streamRun struct {
 	events     string
 	isUnframed bool
-	isStopped  bool // the endpoint does not answer after the end
-	isCut      bool // the stream ends with an error
+	isStopped  bool   // the endpoint does not answer after the end
+	answeredBy string // incarnation that answers after the end; empty: not stated
+	isCut      bool   // the stream ends with an error
 }
 
 // streamEndpoints run a stream by each of runs in turn.
@@ -51,7 +52,7 @@
 	if e.runs[len(e.resumedAfter)-1].isStopped {
 		return driver.Confirmation{}, driver.ErrConnectionRefused
 	}
-	return driver.Confirmation{}, nil
+	return driver.Confirmation{Incarnation: e.runs[len(e.resumedAfter)-1].answeredBy}, nil
 }
 
 type cutBody struct{}
@@ -112,6 +113,11 @@
 		"engine runs on":        {runs: []streamRun{{events: eventsOf("1"), isUnframed: true}}, want: eventsOf("1"), confirmations: 1},
 		"inside an event":       {runs: []streamRun{{events: eventsOf("1") + "id: 2\nda", isUnframed: true}}, want: eventsOf("1"), isBroken: true},
 		"engine ends":           {runs: []streamRun{{events: eventsOf("1"), isUnframed: true, isStopped: true}}, want: eventsOf("1"), isBroken: true, confirmations: 1},
+		"same process":          {runs: []streamRun{{events: eventsOf("1"), isUnframed: true, answeredBy: "e1@1"}}, want: eventsOf("1"), confirmations: 1},
+		"replaced":              {runs: []streamRun{{events: eventsOf("1"), isUnframed: true, answeredBy: "e1@2"}}, want: eventsOf("1"), isBroken: true, confirmations: 1},
+		"replaced, clock back":  {runs: []streamRun{{events: eventsOf("1"), isUnframed: true, answeredBy: "e1@0"}}, want: eventsOf("1"), isBroken: true, confirmations: 1},
+		"start not stated":      {runs: []streamRun{{events: eventsOf("1"), isUnframed: true, answeredBy: "e1"}}, want: eventsOf("1"), isBroken: true, confirmations: 1},
+		"replaced, goes on":     {runs: []streamRun{{events: eventsOf("1"), isUnframed: true, answeredBy: "e1@2"}, {events: eventsOf("2")}}, want: eventsOf("1", "2"), confirmations: 1},
 		"no event":              {runs: []streamRun{{isUnframed: true}}, isBroken: true},
 		"no event, taken up":    {runs: []streamRun{{isUnframed: true}}, resumeAfter: "7", confirmations: 1},
 		"taken up, engine ends": {runs: []streamRun{{isUnframed: true, isStopped: true}}, resumeAfter: "7", isBroken: true, confirmations: 1},
--- a/internal/dispatcher/unframed_stream.go
+++ b/internal/dispatcher/unframed_stream.go
@@ -23,6 +23,7 @@
 const (
 	endConfirmed  endOutcome = "confirmed"  // its engine runs on
 	endUnanswered endOutcome = "unanswered" // no process has answered under the engine's id
+	endReplaced   endOutcome = "replaced"   // another process has
 )
 
 // streamEnd describes how the end of a stream was checked.
@@ -43,17 +44,34 @@
 	case !fr.isHeaderSent && fr.ids.last == "":
 		return errNoEvents // one that goes on may have nothing to add
 	}
-	started := time.Now()
-	confirmation, err := fr.forwarder.cfg.Driver.ConfirmRunning(ctx, fr.lastAttempt.target)
-	outcome := endConfirmed
-	if err != nil {
-		outcome = endUnanswered
-	}
-	fr.forwarder.cfg.Meter.CountStreamEnd(string(outcome))
-	fr.forwarder.requestLog.logStreamEnd(fr, streamEnd{outcome: outcome, confirmation: confirmation, took: time.Since(started), err: err})
-	if err != nil {
+	end := fr.checkEnd(ctx, fr.lastAttempt.target)
+	fr.forwarder.cfg.Meter.CountStreamEnd(string(end.outcome))
+	fr.forwarder.requestLog.logStreamEnd(fr, end)
+	if end.err != nil {
 		// The run state of the call that confirms must not count as that of the stream.
-		return fmt.Errorf("%w: %s", errEndNotConfirmed, err.Error())
+		return fmt.Errorf("%w: %s", errEndNotConfirmed, end.err.Error())
 	}
 	return nil
 }
+
+// checkEnd asks the engine of a stream that has ended whether it still runs.
+func (fr *forwardedRequest) checkEnd(ctx context.Context, target driver.Target) (end streamEnd) {
+	started := time.Now()
+	end.outcome = endConfirmed
+	end.confirmation, end.err = fr.forwarder.cfg.Driver.ConfirmRunning(ctx, target)
+	switch {
+	case end.err != nil:
+		end.outcome = endUnanswered
+	case !isSameProcess(target, end.confirmation):
+		end.outcome, end.err = endReplaced, fmt.Errorf("sent to %s, and %s has answered", target.Incarnation, end.confirmation.Incarnation)
+	}
+	end.took = time.Since(started)
+	return end
+}
+
+// isSameProcess reports whether nothing in an answer contradicts that it is from the process that a
+// request was sent to, as this host knew it at the send: the endpoint's entry may be that of another one
+// by now. Start times distinguish processes and do not order them, since clocks may be set back.
+func isSameProcess(target driver.Target, confirmation driver.Confirmation) bool {
+	return confirmation.Incarnation == "" || confirmation.Incarnation == target.Incarnation
+}
--- a/internal/driver/forward.go
+++ b/internal/driver/forward.go
@@ -116,10 +116,10 @@
 
 // Confirmation is the answer of a process that was asked whether it runs.
 type Confirmation struct {
-	// Incarnation is that of the process that has answered. If the answer states no start time, it
-	// equals the incarnation of an endpoint that is listed without one.
-	Incarnation  string
-	HasStartTime bool // the answer states one
+	// Incarnation is that of the process that has answered, as far as its report states it: without a
+	// start time, it is the incarnation of an endpoint that is listed without one. Empty: the answer is
+	// no report, and leaves open which process has answered.
+	Incarnation string
 }
 
 // PingKind determines which requests an endpoint answers without running work.
