--- a/internal/meter/meter_test.go
+++ b/internal/meter/meter_test.go
@@ -32,6 +32,7 @@
 	m.ObserveQueue("vitosha", "letters", time.Second)
 	m.CountRetry("letters")
 	m.CountHedge("letters")
+	m.CountStreamEnd("confirmed")
 	m.CountRoleChange("lozenets", "drafting")
 	m.GaugeLeaseEpoch("lozenets", func() float64 { return 3 })
 	m.GaugeConfigRevision(func() float64 { return 8 })
@@ -50,6 +51,7 @@
 		`endivemast_queue_seconds_count{tenant="vitosha",class="letters"} 1`,
 		`endivemast_retries_total{class="letters"} 1`,
 		`endivemast_hedges_total{class="letters"} 1`,
+		`endivemast_stream_ends_total{outcome="confirmed"} 1`,
 		`endivemast_role_changes_total{zone="lozenets",application="drafting"} 1`,
 		`endivemast_lease_epoch{zone="lozenets"} 3`,
 		`endivemast_config_revision 8`,
